--- /dev/null
+++ b/internal/platform/keys.go
@@ -0,0 +1,40 @@
+package platform
+
+import "github.com/pumicestage/pumicestage/policy/model"
+
+// The key space. Every key of the system is made here, so that no two parts
+// use one key for two things.
+const (
+	// Root is the prefix of every key.
+	Root = "/pumicestage/"
+	// ConfigKey holds the declaration in force with its generation.
+	ConfigKey = Root + "config"
+	// VMPrefix holds one key per VM.
+	VMPrefix = Root + "vms/"
+	// LedgerPrefix holds one key per service: its planned stops in progress.
+	LedgerPrefix = Root + "ledger/"
+	// WavePrefix holds one key per started wave.
+	WavePrefix = Root + "waves/"
+	// ClaimPrefix holds the claims of requests that run at most once.
+	ClaimPrefix = Root + "claims/"
+	// EntryPrefix holds one leased key per live entry VM.
+	EntryPrefix = Root + "entries/"
+	// ShardPrefix holds one leased key per shard of reconciling work.
+	ShardPrefix = Root + "shards/"
+	// JobPrefix holds jobs in groups.
+	JobPrefix = Root + "jobs/"
+	// AuditPrefix holds the trail of changes in segments.
+	AuditPrefix = Root + "audit/"
+)
+
+// VMKey returns the key of a VM.
+func VMKey(id model.VMID) string { return VMPrefix + string(id) }
+
+// LedgerKey returns the key of a service's ledger.
+func LedgerKey(s model.ServiceName) string { return LedgerPrefix + string(s) }
+
+// WaveKey returns the key of a wave.
+func WaveKey(w model.WaveName) string { return WavePrefix + string(w) }
+
+// EntryKey returns the key of an entry VM.
+func EntryKey(id model.EntryID) string { return EntryPrefix + string(id) }
--- /dev/null
+++ b/internal/platform/memstore/memstore.go
@@ -0,0 +1,310 @@
+// Package memstore is an in-memory platform.Store. It is the engine of the
+// platform's stand-in and the fake that tests use in place of the service.
+package memstore
+
+import (
+	"bytes"
+	"context"
+	"sort"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"github.com/pumicestage/pumicestage/internal/platform"
+)
+
+// MaxValueBytes is the largest value the service holds.
+const MaxValueBytes = 1 << 20
+
+// historyLimit is how many revisions a late watch can still be served from.
+// Older ones are compacted, as the real service does.
+const historyLimit = 10000
+
+// Store is a platform.Store in memory. It is safe for concurrent use.
+type Store struct {
+	clock clockwork.Clock
+
+	mu        sync.Mutex
+	rev       platform.Revision
+	compacted platform.Revision
+	keys      map[string]platform.KV
+	leases    map[platform.LeaseID]*lease
+	nextLease platform.LeaseID
+	history   []platform.WatchBatch
+	watchers  map[*watcher]struct{}
+}
+
+type lease struct {
+	ttl     time.Duration
+	expires time.Time
+	keys    map[string]struct{}
+}
+
+// New returns an empty store whose leases lapse by clock.
+func New(clock clockwork.Clock) *Store {
+	return &Store{
+		clock:     clock,
+		rev:       1,
+		keys:      make(map[string]platform.KV),
+		leases:    make(map[platform.LeaseID]*lease),
+		nextLease: 1000,
+		watchers:  make(map[*watcher]struct{}),
+	}
+}
+
+var _ platform.Store = (*Store)(nil)
+
+// Get implements platform.Store.
+func (s *Store) Get(ctx context.Context, key string) (platform.KV, platform.Revision, error) {
+	if err := ctx.Err(); err != nil {
+		return platform.KV{}, 0, platform.Errorf("get", platform.KindUnavailable, "%w", err)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expireLocked()
+	return s.readLocked(key), s.rev, nil
+}
+
+// Range implements platform.Store.
+func (s *Store) Range(ctx context.Context, prefix string) ([]platform.KV, platform.Revision, error) {
+	if err := ctx.Err(); err != nil {
+		return nil, 0, platform.Errorf("range", platform.KindUnavailable, "%w", err)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expireLocked()
+	var kvs []platform.KV
+	for k, kv := range s.keys {
+		if strings.HasPrefix(k, prefix) {
+			kvs = append(kvs, clone(kv))
+		}
+	}
+	sort.Slice(kvs, func(i, j int) bool { return kvs[i].Key < kvs[j].Key })
+	return kvs, s.rev, nil
+}
+
+// Txn implements platform.Store.
+func (s *Store) Txn(ctx context.Context, txn platform.Txn) (platform.TxnResult, error) {
+	if err := ctx.Err(); err != nil {
+		return platform.TxnResult{}, platform.Errorf("txn", platform.KindUnavailable, "%w", err)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expireLocked()
+	if err := s.validateLocked(txn); err != nil {
+		return platform.TxnResult{}, err
+	}
+	ok := s.holdsLocked(txn.If)
+	ops := txn.Then
+	if !ok {
+		ops = txn.Else
+	}
+	res := platform.TxnResult{Succeeded: ok}
+	res.Reads = s.applyLocked(ops)
+	res.Revision = s.rev
+	return res, nil
+}
+
+// Grant implements platform.Store.
+func (s *Store) Grant(ctx context.Context, ttl time.Duration) (platform.LeaseID, error) {
+	if err := ctx.Err(); err != nil {
+		return 0, platform.Errorf("grant", platform.KindUnavailable, "%w", err)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expireLocked()
+	s.nextLease++
+	s.leases[s.nextLease] = &lease{ttl: ttl, expires: s.clock.Now().Add(ttl), keys: make(map[string]struct{})}
+	return s.nextLease, nil
+}
+
+// KeepAlive implements platform.Store.
+func (s *Store) KeepAlive(ctx context.Context, id platform.LeaseID) error {
+	if err := ctx.Err(); err != nil {
+		return platform.Errorf("keepalive", platform.KindUnavailable, "%w", err)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expireLocked()
+	l, ok := s.leases[id]
+	if !ok {
+		return platform.Errorf("keepalive", platform.KindLeaseNotFound, "lease %d", id)
+	}
+	l.expires = s.clock.Now().Add(l.ttl)
+	return nil
+}
+
+// Revoke implements platform.Store.
+func (s *Store) Revoke(ctx context.Context, id platform.LeaseID) error {
+	if err := ctx.Err(); err != nil {
+		return platform.Errorf("revoke", platform.KindUnavailable, "%w", err)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expireLocked()
+	if _, ok := s.leases[id]; !ok {
+		return platform.Errorf("revoke", platform.KindLeaseNotFound, "lease %d", id)
+	}
+	s.dropLeaseLocked(id)
+	return nil
+}
+
+// Tick lets leases lapse that are due by the clock. Every call does so too;
+// Tick is for watchers when nobody else calls.
+func (s *Store) Tick() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expireLocked()
+}
+
+// Revision returns the store's revision.
+func (s *Store) Revision() platform.Revision {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.rev
+}
+
+// Compact forgets history up to and including rev, so that older watches
+// fail with KindCompacted.
+func (s *Store) Compact(rev platform.Revision) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := 0
+	for n < len(s.history) && s.history[n].Revision <= rev {
+		n++
+	}
+	s.history = s.history[n:]
+	s.compacted = max(s.compacted, rev)
+}
+
+func (s *Store) readLocked(key string) platform.KV {
+	kv, ok := s.keys[key]
+	if !ok {
+		return platform.KV{Key: key}
+	}
+	return clone(kv)
+}
+
+func (s *Store) validateLocked(txn platform.Txn) error {
+	for _, ops := range [][]platform.Op{txn.Then, txn.Else} {
+		for _, op := range ops {
+			if op.Kind != platform.OpPut {
+				continue
+			}
+			if len(op.Value) > MaxValueBytes {
+				return platform.Errorf("txn", platform.KindTooLarge, "%s: %d bytes, at most %d", op.Key, len(op.Value), MaxValueBytes)
+			}
+			if _, ok := s.leases[op.Lease]; op.Lease != 0 && !ok {
+				return platform.Errorf("txn", platform.KindLeaseNotFound, "lease %d", op.Lease)
+			}
+		}
+	}
+	return nil
+}
+
+func (s *Store) holdsLocked(conds []platform.Cond) bool {
+	for _, c := range conds {
+		if s.keys[c.Key].ModRevision != c.ModRevision {
+			return false
+		}
+	}
+	return true
+}
+
+// applyLocked applies ops; all writes of one transaction share one revision.
+func (s *Store) applyLocked(ops []platform.Op) []platform.KV {
+	next := s.rev + 1
+	var reads []platform.KV
+	var events []platform.Event
+	for _, op := range ops {
+		switch op.Kind {
+		case platform.OpGet:
+			reads = append(reads, s.readLocked(op.Key))
+		case platform.OpPut:
+			events = append(events, s.putLocked(op, next))
+		case platform.OpDelete:
+			if _, ok := s.keys[op.Key]; ok {
+				events = append(events, s.deleteLocked(op.Key, next))
+			}
+		}
+	}
+	s.publishLocked(events, next)
+	return reads
+}
+
+func (s *Store) putLocked(op platform.Op, rev platform.Revision) platform.Event {
+	old, existed := s.keys[op.Key]
+	if l, ok := s.leases[old.Lease]; existed && ok {
+		delete(l.keys, op.Key)
+	}
+	kv := platform.KV{Key: op.Key, Value: bytes.Clone(op.Value), CreateRevision: rev, ModRevision: rev, Lease: op.Lease}
+	if existed {
+		kv.CreateRevision = old.CreateRevision
+	}
+	s.keys[op.Key] = kv
+	if l, ok := s.leases[op.Lease]; ok {
+		l.keys[op.Key] = struct{}{}
+	}
+	return platform.Event{Kind: platform.EventPut, KV: clone(kv)}
+}
+
+func (s *Store) deleteLocked(key string, rev platform.Revision) platform.Event {
+	kv := s.keys[key]
+	if l, ok := s.leases[kv.Lease]; ok {
+		delete(l.keys, key)
+	}
+	delete(s.keys, key)
+	return platform.Event{Kind: platform.EventDelete, KV: platform.KV{Key: key, ModRevision: rev}}
+}
+
+func (s *Store) expireLocked() {
+	now := s.clock.Now()
+	var due []platform.LeaseID
+	for id, l := range s.leases {
+		if !l.expires.After(now) {
+			due = append(due, id)
+		}
+	}
+	sort.Slice(due, func(i, j int) bool { return due[i] < due[j] })
+	for _, id := range due {
+		s.dropLeaseLocked(id)
+	}
+}
+
+func (s *Store) dropLeaseLocked(id platform.LeaseID) {
+	next := s.rev + 1
+	var names []string
+	for k := range s.leases[id].keys {
+		names = append(names, k)
+	}
+	sort.Strings(names)
+	var events []platform.Event
+	for _, k := range names {
+		events = append(events, s.deleteLocked(k, next))
+	}
+	delete(s.leases, id)
+	s.publishLocked(events, next)
+}
+
+func (s *Store) publishLocked(events []platform.Event, rev platform.Revision) {
+	if len(events) == 0 {
+		return
+	}
+	s.rev = rev
+	batch := platform.WatchBatch{Events: events, Revision: rev}
+	s.history = append(s.history, batch)
+	if over := len(s.history) - historyLimit; over > 0 {
+		s.compacted = s.history[over-1].Revision
+		s.history = s.history[over:]
+	}
+	for w := range s.watchers {
+		w.push(batch)
+	}
+}
+
+func clone(kv platform.KV) platform.KV {
+	kv.Value = bytes.Clone(kv.Value)
+	return kv
+}
--- /dev/null
+++ b/internal/platform/memstore/memstore_test.go
@@ -0,0 +1,89 @@
+package memstore
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"gotest.tools/v3/assert"
+
+	"github.com/pumicestage/pumicestage/internal/platform"
+	"github.com/pumicestage/pumicestage/internal/platform/faulty"
+)
+
+func TestLeasedKeyVanishesWhenLeaseLapses(t *testing.T) {
+	ctx := context.Background()
+	clock := clockwork.NewFakeClock()
+	s := New(clock)
+	lease, err := s.Grant(ctx, time.Second)
+	assert.NilError(t, err)
+	_, err = s.Txn(ctx, platform.Txn{Then: []platform.Op{platform.PutLeased("a", []byte("1"), lease)}})
+	assert.NilError(t, err)
+
+	clock.Advance(2 * time.Second)
+
+	kv, _, err := s.Get(ctx, "a")
+	assert.NilError(t, err)
+	assert.Equal(t, kv.ModRevision, platform.Revision(0))
+	err = s.KeepAlive(ctx, lease)
+	assert.Assert(t, platform.IsKind(err, platform.KindLeaseNotFound))
+}
+
+func TestWatchDeliversFromRevisionWithoutGaps(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	s := New(clockwork.NewFakeClock())
+	put := func(key string) {
+		_, err := s.Txn(ctx, platform.Txn{Then: []platform.Op{platform.Put(key, nil)}})
+		assert.NilError(t, err)
+	}
+	put("p/1")
+	from := s.Revision()
+	put("q/1")
+	ch, err := s.Watch(ctx, "p/", from)
+	assert.NilError(t, err)
+	put("p/2")
+
+	first := <-ch
+	second := <-ch
+
+	assert.Equal(t, first.Events[0].KV.Key, "p/1")
+	assert.Equal(t, second.Events[0].KV.Key, "p/2")
+}
+
+// The operator's change took effect but its reply was lost. Without Commit
+// the retry would see its own write and report a conflict.
+func TestCommitFindsItsOwnWriteAfterLostReply(t *testing.T) {
+	ctx := context.Background()
+	s := faulty.Wrap(New(clockwork.NewFakeClock()))
+	s.LoseReplies(1)
+	txn := platform.Txn{
+		If:   []platform.Cond{{Key: "a"}},
+		Then: []platform.Op{platform.Put("a", []byte("change-1"))},
+	}
+
+	res, err := platform.Commit(ctx, s, txn)
+
+	assert.NilError(t, err)
+	assert.Assert(t, res.Succeeded)
+}
+
+// A rival wrote first: the loser must hear of a conflict, also where its own
+// reply was lost before.
+func TestCommitReportsConflictToTheLoser(t *testing.T) {
+	ctx := context.Background()
+	inner := New(clockwork.NewFakeClock())
+	s := faulty.Wrap(inner)
+	s.LoseRequests(1)
+	_, err := inner.Txn(ctx, platform.Txn{Then: []platform.Op{platform.Put("a", []byte("rival"))}})
+	assert.NilError(t, err)
+	txn := platform.Txn{
+		If:   []platform.Cond{{Key: "a"}},
+		Then: []platform.Op{platform.Put("a", []byte("change-1"))},
+	}
+
+	_, err = platform.Commit(ctx, s, txn)
+
+	assert.Assert(t, platform.IsKind(err, platform.KindConflict))
+}
--- /dev/null
+++ b/policy/model/declaration.go
@@ -0,0 +1,51 @@
+package model
+
+// VMDecl declares one VM: what it is and which pool it starts in. Where it is
+// now, the VM's own key says.
+type VMDecl struct {
+	ID       VMID
+	Zone     ZoneName
+	Rack     RackName
+	Pool     PoolName
+	Address  string // host:port of the runner
+	Capacity Resources
+}
+
+// Declaration is the whole configuration, as operators keep it in version
+// control. It is replaced as a whole; Generation only grows.
+type Declaration struct {
+	Generation uint64
+	Change     ChangeID
+	Deployment string
+	Zones      []ZoneName
+	VMs        []VMDecl
+	Pools      []Pool
+	Services   []Service
+	Waves      []Wave
+	Teams      []Team
+	Weights    Weights
+}
+
+// Service returns the declared service of the name, or nil.
+func (d *Declaration) Service(name ServiceName) *Service {
+	for i := range d.Services {
+		if d.Services[i].Name == name {
+			return &d.Services[i]
+		}
+	}
+	return nil
+}
+
+// ServicesOf returns the services whose targets are in the pool.
+func (d *Declaration) ServicesOf(pool PoolName) []*Service {
+	var found []*Service
+	for i := range d.Services {
+		for _, p := range d.Services[i].Pools {
+			if p == pool {
+				found = append(found, &d.Services[i])
+				break
+			}
+		}
+	}
+	return found
+}
