--- /dev/null
+++ b/internal/settings/settings_test.go
@@ -0,0 +1,78 @@
+package settings
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/fs"
+)
+
+const good = `
+[entry]
+id = e1
+zone = gt-a
+cluster = example
+[callers]
+listen = 127.0.0.1:18080
+[operators]
+listen = 127.0.0.1:18180
+[peers]
+listen = 127.0.0.1:18280
+seeds = 127.0.0.1:18281, 127.0.0.1:18282
+[platform]
+store = http://127.0.0.1:18300
+machines = http://127.0.0.1:18301
+`
+
+func load(t *testing.T, text string) (*Settings, error) {
+	t.Helper()
+	return Load(fs.NewFile(t, "settings", fs.WithContent(text)).Path())
+}
+
+func TestLoadFillsDefaults(t *testing.T) {
+	s, err := load(t, good)
+	assert.NilError(t, err)
+	assert.Equal(t, s.Callers.Advertise, "127.0.0.1:18080")
+	assert.Equal(t, s.PlatformTimeout, 2*time.Second)
+	assert.DeepEqual(t, s.Seeds, []string{"127.0.0.1:18281", "127.0.0.1:18282"})
+}
+
+// Operators mend a settings file in one go: every mistake is named by section
+// and key with what was expected, also those only seen between keys.
+func TestLoadNamesEveryMistakeAtOnce(t *testing.T) {
+	_, err := load(t, `
+[entry]
+id = e one
+zone = gt-a
+colour = red
+[callers]
+listen = localhost:80
+[operators]
+listen = 0.0.0.0:18180
+[peers]
+listen = 127.0.0.1:99999
+[platform]
+store = 127.0.0.1
+timeout = soon
+[extra]
+`)
+	var bad *Error
+	assert.Assert(t, errors.As(err, &bad))
+	got := make(map[string]bool)
+	for _, m := range bad.Mistakes {
+		got[m.Section+"/"+m.Key] = true
+	}
+	want := map[string]bool{
+		"entry/id": true, "entry/cluster": true, "entry/colour": true, "callers/listen": true,
+		"operators/advertise": true, "peers/listen": true, "platform/store": true,
+		"platform/timeout": true, "platform/machines": true, "extra/": true,
+	}
+	assert.DeepEqual(t, got, want)
+}
+
+func TestLoadCrossChecksTLS(t *testing.T) {
+	_, err := load(t, good+"[callers]\ntls-cert = /dev/null\n")
+	assert.ErrorContains(t, err, "tls-cert and tls-key go together")
+}
