--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -8,6 +8,14 @@
 	"time"
 )
 
+// Limits of one call that every implementation keeps, so that a caller finds
+// out in tests. A transaction over MaxTxnOps, the service's published default,
+// fails with KindInvalid, a value over MaxValueBytes with KindTooLarge.
+const (
+	MaxTxnOps     = 128 // for If, Then and Else each
+	MaxValueBytes = 1 << 20
+)
+
 // Revision is the store's global version; it grows with every write and
 // serves as a fencing token. Zero in a Cond means "the key does not exist".
 type Revision int64
