Platform: stand-in over HTTP, gateway and machine adapters, thin

Store calls, leases and watches over the etcd v3 JSON gateway's protocol, the machines over plain HTTP and JSON, and the faults that are switched while the stand-in runs.

--- /dev/null
+++ b/internal/platform/gateway/gateway.go
@@ -0,0 +1,262 @@
+// Package gateway is platform.Store over the etcd v3 JSON gateway's published
+// protocol, on net/http. Only this package knows that protocol; a deployment
+// whose service speaks another one needs another package like this.
+package gateway
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"github.com/pumicestage/pumicestage/internal/platform"
+	"github.com/pumicestage/pumicestage/internal/platform/etcdjson"
+	"github.com/pumicestage/pumicestage/internal/platform/httpcall"
+)
+
+// DefaultResumeFor is how long a cut watch is quietly resumed. It is the time
+// after which an entry VM that hears nothing must say that its view is old.
+const DefaultResumeFor = 5 * time.Second
+
+// Options say how to reach the service.
+type Options struct {
+	Endpoints  []string        // base addresses such as http://10.0.0.1:2379, tried in turn
+	Zone       string          // own availability zone, told to the service
+	Timeout    time.Duration   // of each call at each endpoint; 0 for httpcall.DefaultTimeout
+	ResumeFor  time.Duration   // how long a cut watch is resumed; 0 for DefaultResumeFor
+	HTTPClient *http.Client    // for TLS or a dialer of one's own; nil for the usual one
+	Clock      clockwork.Clock // nil for the real one
+}
+
+// Store is a platform.Store. It is safe for concurrent use.
+type Store struct {
+	http      httpcall.Client
+	resumeFor time.Duration
+	clock     clockwork.Clock
+}
+
+var _ platform.Store = (*Store)(nil)
+
+// New returns a store. It opens no connection before the first call.
+func New(o Options) *Store {
+	if o.Timeout <= 0 {
+		o.Timeout = httpcall.DefaultTimeout
+	}
+	if o.ResumeFor <= 0 {
+		o.ResumeFor = DefaultResumeFor
+	}
+	if o.HTTPClient == nil {
+		o.HTTPClient = httpcall.NewHTTP()
+	}
+	if o.Clock == nil {
+		o.Clock = clockwork.NewRealClock()
+	}
+	return &Store{
+		http: httpcall.Client{
+			Endpoints: o.Endpoints, Zone: o.Zone, ZoneName: etcdjson.ZoneHeader, Timeout: o.Timeout, HTTP: o.HTTPClient,
+		},
+		resumeFor: o.ResumeFor,
+		clock:     o.Clock,
+	}
+}
+
+// Get implements platform.Store.
+func (s *Store) Get(ctx context.Context, key string) (platform.KV, platform.Revision, error) {
+	res, err := s.rangeKeys(ctx, "get", etcdjson.RangeRequest{Key: []byte(key)})
+	if err != nil {
+		return platform.KV{}, 0, err
+	}
+	return one(key, res.KVs), revision(res.Header), nil
+}
+
+// Range implements platform.Store.
+func (s *Store) Range(ctx context.Context, prefix string) ([]platform.KV, platform.Revision, error) {
+	res, err := s.rangeKeys(ctx, "range", etcdjson.RangeRequest{Key: rangeStart(prefix), RangeEnd: etcdjson.PrefixEnd(prefix)})
+	if err != nil {
+		return nil, 0, err
+	}
+	var kvs []platform.KV
+	for _, kv := range res.KVs {
+		kvs = append(kvs, fromWire(kv))
+	}
+	return kvs, revision(res.Header), nil
+}
+
+func (s *Store) rangeKeys(ctx context.Context, op string, req etcdjson.RangeRequest) (etcdjson.RangeResponse, error) {
+	var res etcdjson.RangeResponse
+	call := httpcall.Call{Op: op, Path: etcdjson.PathRange, Body: req}
+	if err := s.post(ctx, call, &res); err != nil {
+		return res, err
+	}
+	if res.Header == nil {
+		return res, platform.Errorf(op, platform.KindInvalid, "malformed answer: no header")
+	}
+	return res, nil
+}
+
+// Txn implements platform.Store.
+func (s *Store) Txn(ctx context.Context, txn platform.Txn) (platform.TxnResult, error) {
+	if err := checkSize(txn); err != nil {
+		return platform.TxnResult{}, err
+	}
+	var res etcdjson.TxnResponse
+	call := httpcall.Call{Op: "txn", Path: etcdjson.PathTxn, Body: toWire(txn), Write: true}
+	if err := s.post(ctx, call, &res); err != nil {
+		return platform.TxnResult{}, err
+	}
+	return resultOf(txn, res)
+}
+
+// Grant implements platform.Store. The service counts in whole seconds; a
+// part of one is rounded up.
+func (s *Store) Grant(ctx context.Context, ttl time.Duration) (platform.LeaseID, error) {
+	seconds := (ttl + time.Second - 1) / time.Second
+	var res etcdjson.LeaseResponse
+	call := httpcall.Call{Op: "grant", Path: etcdjson.PathGrant, Body: etcdjson.GrantRequest{TTL: etcdjson.Int64(seconds)}, Write: true}
+	if err := s.post(ctx, call, &res); err != nil {
+		return 0, err
+	}
+	if res.ID == 0 {
+		return 0, platform.Errorf("grant", platform.KindUnknown, "malformed answer: no lease")
+	}
+	return platform.LeaseID(res.ID), nil
+}
+
+// KeepAlive implements platform.Store. A renewal that got no answer does no
+// harm when repeated, so it never leaves KindUnknown.
+func (s *Store) KeepAlive(ctx context.Context, lease platform.LeaseID) error {
+	var res etcdjson.KeepAliveMessage
+	call := httpcall.Call{Op: "keepalive", Path: etcdjson.PathKeepAlive, Body: etcdjson.LeaseRequest{ID: etcdjson.Int64(lease)}}
+	if err := s.post(ctx, call, &res); err != nil {
+		return err
+	}
+	if res.Error != nil {
+		return platform.Errorf("keepalive", kindOfCode(res.Error.GRPCCode, res.Error.Message, false), "%s", res.Error.Message)
+	}
+	if res.Result == nil {
+		return platform.Errorf("keepalive", platform.KindInvalid, "malformed answer: no result")
+	}
+	if res.Result.TTL <= 0 {
+		return platform.Errorf("keepalive", platform.KindLeaseNotFound, "lease %d", lease)
+	}
+	return nil
+}
+
+// Revoke implements platform.Store.
+func (s *Store) Revoke(ctx context.Context, lease platform.LeaseID) error {
+	call := httpcall.Call{Op: "revoke", Path: etcdjson.PathRevoke, Body: etcdjson.LeaseRequest{ID: etcdjson.Int64(lease)}, Write: true}
+	return s.post(ctx, call, &etcdjson.PutResponse{})
+}
+
+func (s *Store) post(ctx context.Context, call httpcall.Call, into any) error {
+	call.Method = http.MethodPost
+	a, err := s.http.Do(ctx, call)
+	if err != nil {
+		return err
+	}
+	if a.Status != http.StatusOK {
+		return refusal(call, a)
+	}
+	return httpcall.Decode(call, a, into)
+}
+
+// checkSize refuses here what the service would refuse, certain and unsent.
+func checkSize(txn platform.Txn) error {
+	if n := max(len(txn.If), len(txn.Then), len(txn.Else)); n > platform.MaxTxnOps {
+		return platform.Errorf("txn", platform.KindInvalid, "%d operations, at most %d", n, platform.MaxTxnOps)
+	}
+	for _, ops := range [][]platform.Op{txn.Then, txn.Else} {
+		for _, op := range ops {
+			if len(op.Value) > platform.MaxValueBytes {
+				return platform.Errorf("txn", platform.KindTooLarge, "%s: %d bytes, at most %d", op.Key, len(op.Value), platform.MaxValueBytes)
+			}
+		}
+	}
+	return nil
+}
+
+// refusal turns an answer that is not 200 into an error.
+func refusal(call httpcall.Call, a httpcall.Answer) error {
+	var body etcdjson.Error
+	if err := json.Unmarshal(a.Body, &body); err != nil || body.Code == 0 {
+		return platform.Errorf(call.Op, kindOfStatus(a.Status, call.Write), "status %d", a.Status)
+	}
+	message := body.Message
+	if message == "" {
+		message = body.Error
+	}
+	if a.Status == http.StatusTooManyRequests {
+		return platform.Errorf(call.Op, platform.KindRateLimited, "%s", message)
+	}
+	return platform.Errorf(call.Op, kindOfCode(body.Code, message, call.Write), "%s", message)
+}
+
+// kindOfStatus judges an answer without a code: it came from something in
+// front of the service, so that a write may have gone through.
+func kindOfStatus(status int, write bool) platform.Kind {
+	switch {
+	case status == http.StatusTooManyRequests:
+		return platform.KindRateLimited
+	case status == http.StatusRequestEntityTooLarge:
+		return platform.KindTooLarge
+	case write:
+		return platform.KindUnknown
+	}
+	return platform.KindUnavailable
+}
+
+// kindOfCode judges by the service's own code. "Unavailable" and "deadline
+// exceeded" leave a write open: the service says them, too, where a change of
+// its leader overtook a write that it had already proposed.
+func kindOfCode(code etcdjson.Code, message string, write bool) platform.Kind {
+	switch code {
+	case etcdjson.CodeInvalidArgument:
+		if message == etcdjson.MessageTooLarge {
+			return platform.KindTooLarge
+		}
+		return platform.KindInvalid
+	case etcdjson.CodeUnimplemented:
+		return platform.KindInvalid
+	case etcdjson.CodeNotFound:
+		return platform.KindLeaseNotFound
+	case etcdjson.CodeResourceExhausted:
+		return platform.KindRateLimited
+	case etcdjson.CodeOutOfRange:
+		return platform.KindCompacted
+	}
+	if write {
+		return platform.KindUnknown
+	}
+	return platform.KindUnavailable
+}
+
+func revision(h *etcdjson.Header) platform.Revision { return platform.Revision(h.Revision) }
+
+// rangeStart returns the key a prefix read begins with; the protocol writes
+// "from the first key" as one zero byte.
+func rangeStart(prefix string) []byte {
+	if prefix == "" {
+		return []byte{0}
+	}
+	return []byte(prefix)
+}
+
+func one(key string, kvs []etcdjson.KeyValue) platform.KV {
+	if len(kvs) == 0 {
+		return platform.KV{Key: key}
+	}
+	return fromWire(kvs[0])
+}
+
+func fromWire(kv etcdjson.KeyValue) platform.KV {
+	return platform.KV{
+		Key:            string(kv.Key),
+		Value:          bytes.Clone(kv.Value),
+		CreateRevision: platform.Revision(kv.CreateRevision),
+		ModRevision:    platform.Revision(kv.ModRevision),
+		Lease:          platform.LeaseID(kv.Lease),
+	}
+}
--- /dev/null
+++ b/internal/platform/gateway/watch.go
@@ -0,0 +1,238 @@
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/pumicestage/pumicestage/internal/platform"
+	"github.com/pumicestage/pumicestage/internal/platform/etcdjson"
+	"github.com/pumicestage/pumicestage/internal/platform/httpcall"
+)
+
+// resumeWait is the pause between two tries to resume a watch. Each try is a
+// call, and all watches of a service that went away come back together.
+const resumeWait = 100 * time.Millisecond
+
+// watch is one watch over its connections.
+type watch struct {
+	store  *Store
+	prefix string
+	next   platform.Revision // the first revision not yet delivered
+	out    chan platform.WatchBatch
+}
+
+// stream is one connection of a watch.
+type stream struct {
+	body    io.ReadCloser
+	decoder *json.Decoder
+	cancel  context.CancelFunc
+}
+
+// Watch implements platform.Store. A cut connection is resumed from the last
+// revision delivered, for as long as Options.ResumeFor; then the watch ends
+// with KindUnavailable, so that its reader knows that its view grows old.
+func (s *Store) Watch(ctx context.Context, prefix string, from platform.Revision) (<-chan platform.WatchBatch, error) {
+	if from < 1 {
+		return nil, platform.Errorf("watch", platform.KindCompacted, "revision %d", from)
+	}
+	w := &watch{store: s, prefix: prefix, next: from, out: make(chan platform.WatchBatch)}
+	first, err := w.openAny(ctx)
+	if err != nil {
+		return nil, err
+	}
+	go w.run(ctx, first)
+	return w.out, nil
+}
+
+func (w *watch) run(ctx context.Context, st *stream) {
+	defer close(w.out)
+	for {
+		err := w.follow(ctx, st)
+		st.close()
+		if ctx.Err() == nil && !final(err) {
+			st, err = w.resume(ctx)
+		}
+		if ctx.Err() != nil {
+			return
+		}
+		if err != nil {
+			w.deliver(ctx, platform.WatchBatch{Err: err})
+			return
+		}
+	}
+}
+
+// final reports whether a watch cannot go on after err.
+func final(err error) bool {
+	return platform.IsKind(err, platform.KindCompacted) || platform.IsKind(err, platform.KindInvalid)
+}
+
+// resume opens the watch again where it was cut.
+func (w *watch) resume(ctx context.Context) (*stream, error) {
+	until := w.store.clock.Now().Add(w.store.resumeFor)
+	for {
+		st, err := w.openAny(ctx)
+		if err == nil || final(err) || !w.store.clock.Now().Before(until) {
+			return st, err
+		}
+		select {
+		case <-w.store.clock.After(resumeWait):
+		case <-ctx.Done():
+			return nil, err
+		}
+	}
+}
+
+func (w *watch) openAny(ctx context.Context) (*stream, error) {
+	var err error = platform.Errorf("watch", platform.KindUnavailable, "no endpoints")
+	first := w.store.http.Next()
+	for i := range w.store.http.Endpoints {
+		var st *stream
+		st, err = w.open(ctx, w.store.http.Endpoints[(first+i)%len(w.store.http.Endpoints)])
+		if err == nil || final(err) || ctx.Err() != nil {
+			return st, err
+		}
+	}
+	return nil, err
+}
+
+// open opens the watch at one endpoint and waits until the service says that
+// it stands. The timeout is for that only; the stream itself has no end.
+func (w *watch) open(ctx context.Context, endpoint string) (*stream, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	late := time.AfterFunc(w.store.http.Timeout, cancel)
+	defer late.Stop()
+	call := httpcall.Call{Op: "watch", Method: http.MethodPost, Path: etcdjson.PathWatch}
+	body, err := json.Marshal(etcdjson.WatchRequest{Create: &etcdjson.WatchCreate{
+		Key: rangeStart(w.prefix), RangeEnd: etcdjson.PrefixEnd(w.prefix),
+		StartRevision: etcdjson.Int64(w.next), ProgressNotify: true,
+	}})
+	if err != nil {
+		cancel()
+		return nil, platform.Errorf("watch", platform.KindInvalid, "%w", err)
+	}
+	resp, _, err := w.store.http.Send(ctx, endpoint, call, body)
+	if err != nil {
+		cancel()
+		return nil, platform.Errorf("watch", platform.KindUnavailable, "%w", err)
+	}
+	st := &stream{body: resp.Body, decoder: json.NewDecoder(resp.Body), cancel: cancel}
+	if err := st.begin(call, resp.StatusCode); err != nil {
+		st.close()
+		return nil, err
+	}
+	return st, nil
+}
+
+// begin reads the message that says that the watch stands.
+func (st *stream) begin(call httpcall.Call, status int) error {
+	if status != http.StatusOK {
+		raw, err := io.ReadAll(st.body)
+		if err != nil {
+			return platform.Errorf("watch", platform.KindUnavailable, "%w", err)
+		}
+		return refusal(call, httpcall.Answer{Status: status, Body: raw})
+	}
+	res, err := st.read()
+	if err != nil {
+		return err
+	}
+	if !res.Created {
+		return platform.Errorf("watch", platform.KindInvalid, "malformed answer: the watch was not created")
+	}
+	return nil
+}
+
+// read returns the next message, or the error that it stands for.
+func (st *stream) read() (*etcdjson.WatchResponse, error) {
+	var m etcdjson.WatchMessage
+	if err := st.decoder.Decode(&m); err != nil {
+		var syntax *json.SyntaxError
+		if errors.As(err, &syntax) {
+			return nil, platform.Errorf("watch", platform.KindInvalid, "malformed answer: %w", err)
+		}
+		return nil, platform.Errorf("watch", platform.KindUnavailable, "%w", err)
+	}
+	switch {
+	case m.Error != nil:
+		return nil, platform.Errorf("watch", kindOfCode(m.Error.GRPCCode, m.Error.Message, false), "%s", m.Error.Message)
+	case m.Result == nil:
+		return nil, platform.Errorf("watch", platform.KindInvalid, "malformed answer: no result")
+	case m.Result.CompactRevision != 0:
+		return nil, platform.Errorf("watch", platform.KindCompacted, "oldest revision held: %d", m.Result.CompactRevision)
+	case m.Result.Canceled:
+		return nil, platform.Errorf("watch", platform.KindUnavailable, "canceled: %s", m.Result.CancelReason)
+	}
+	return m.Result, nil
+}
+
+func (st *stream) close() {
+	st.cancel()
+	_ = st.body.Close() // nothing more is wanted of it
+}
+
+// follow delivers events until the connection fails.
+func (w *watch) follow(ctx context.Context, st *stream) error {
+	for {
+		res, err := st.read()
+		if err != nil {
+			return err
+		}
+		if len(res.Events) == 0 {
+			w.progress(res)
+			continue
+		}
+		for _, b := range batches(res.Events) {
+			if b.Revision < w.next {
+				continue // a duplicate after a resume
+			}
+			if !w.deliver(ctx, b) {
+				return ctx.Err()
+			}
+			w.next = b.Revision + 1
+		}
+	}
+}
+
+// progress notes that everything up to the revision was delivered, so that a
+// quiet watch is not resumed from a revision that is no longer held.
+func (w *watch) progress(res *etcdjson.WatchResponse) {
+	if res.Header != nil && !res.Created {
+		w.next = max(w.next, revision(res.Header)+1)
+	}
+}
+
+func (w *watch) deliver(ctx context.Context, b platform.WatchBatch) bool {
+	select {
+	case w.out <- b:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// batches splits one message by revision; the service may put several into it.
+func batches(events []etcdjson.Event) []platform.WatchBatch {
+	var out []platform.WatchBatch
+	for _, e := range events {
+		rev := platform.Revision(e.KV.ModRevision)
+		if len(out) == 0 || out[len(out)-1].Revision != rev {
+			out = append(out, platform.WatchBatch{Revision: rev})
+		}
+		last := &out[len(out)-1]
+		last.Events = append(last.Events, eventOf(e))
+	}
+	return out
+}
+
+func eventOf(e etcdjson.Event) platform.Event {
+	if e.Type != etcdjson.EventDelete {
+		return platform.Event{Kind: platform.EventPut, KV: fromWire(e.KV)}
+	}
+	kv := platform.KV{Key: string(e.KV.Key), ModRevision: platform.Revision(e.KV.ModRevision)}
+	return platform.Event{Kind: platform.EventDelete, KV: kv}
+}
--- /dev/null
+++ b/internal/platform/machineapi/client.go
@@ -0,0 +1,178 @@
+package machineapi
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/url"
+	"strings"
+	"time"
+
+	"github.com/pumicestage/pumicestage/internal/platform"
+	"github.com/pumicestage/pumicestage/internal/platform/etcdjson"
+	"github.com/pumicestage/pumicestage/internal/platform/httpcall"
+	"github.com/pumicestage/pumicestage/policy/model"
+)
+
+// Options say how to reach the machines' control.
+type Options struct {
+	Endpoints  []string      // base addresses such as http://10.0.0.1:2380, tried in turn
+	Zone       string        // own availability zone, told to the service
+	Timeout    time.Duration // of each call at each endpoint; 0 for httpcall.DefaultTimeout
+	HTTPClient *http.Client  // for TLS or a dialer of one's own; nil for the usual one
+}
+
+// Client is a platform.Machines. It is safe for concurrent use.
+type Client struct{ http httpcall.Client }
+
+var _ platform.Machines = (*Client)(nil)
+
+// New returns a client. It opens no connection before the first call.
+func New(o Options) *Client {
+	if o.Timeout <= 0 {
+		o.Timeout = httpcall.DefaultTimeout
+	}
+	if o.HTTPClient == nil {
+		o.HTTPClient = httpcall.NewHTTP()
+	}
+	return &Client{http: httpcall.Client{
+		Endpoints: o.Endpoints, Zone: o.Zone, ZoneName: etcdjson.ZoneHeader, Timeout: o.Timeout, HTTP: o.HTTPClient,
+	}}
+}
+
+// List implements platform.Machines.
+func (c *Client) List(ctx context.Context) (platform.MachineList, error) {
+	var res MachineList
+	if err := c.ask(ctx, "list", PathMachines, &res); err != nil {
+		return platform.MachineList{}, err
+	}
+	out := platform.MachineList{AsOf: res.AsOf}
+	for _, m := range res.Machines {
+		out.Machines = append(out.Machines, platform.Machine(m))
+	}
+	return out, nil
+}
+
+// Drain implements platform.Machines.
+func (c *Client) Drain(ctx context.Context, vm model.VMID, attempt model.AttemptID) error {
+	return c.effect(ctx, "drain", fill(PathDrain, string(vm)), Effect{attempt})
+}
+
+// Undrain implements platform.Machines.
+func (c *Client) Undrain(ctx context.Context, vm model.VMID, attempt model.AttemptID) error {
+	return c.effect(ctx, "undrain", fill(PathUndrain, string(vm)), Effect{attempt})
+}
+
+// Reboot implements platform.Machines.
+func (c *Client) Reboot(ctx context.Context, vm model.VMID, attempt model.AttemptID) error {
+	return c.effect(ctx, "reboot", fill(PathReboot, string(vm)), Effect{attempt})
+}
+
+// InFlight implements platform.Machines.
+func (c *Client) InFlight(ctx context.Context, vm model.VMID) (int, error) {
+	var res InFlight
+	err := c.ask(ctx, "in-flight", fill(PathInFlight, string(vm)), &res)
+	return res.Count, err
+}
+
+// StartTask implements platform.Machines.
+func (c *Client) StartTask(ctx context.Context, task platform.Task) error {
+	return c.effect(ctx, "start task", PathTasks, TaskToWire(task))
+}
+
+// RenewTask implements platform.Machines.
+func (c *Client) RenewTask(ctx context.Context, attempt model.AttemptID) error {
+	return c.effect(ctx, "renew task", fill(PathRenew, string(attempt)), nil)
+}
+
+// StopTask implements platform.Machines.
+func (c *Client) StopTask(ctx context.Context, attempt model.AttemptID, checkpoint bool) error {
+	return c.effect(ctx, "stop task", fill(PathStop, string(attempt)), Stop{checkpoint})
+}
+
+// ThrottleTask implements platform.Machines.
+func (c *Client) ThrottleTask(ctx context.Context, attempt model.AttemptID, milliCPU int64) error {
+	return c.effect(ctx, "throttle task", fill(PathThrottle, string(attempt)), Throttle{milliCPU})
+}
+
+// Tasks implements platform.Machines.
+func (c *Client) Tasks(ctx context.Context) ([]platform.Task, error) {
+	var res TaskList
+	err := c.ask(ctx, "tasks", PathTasks, &res)
+	var out []platform.Task
+	for _, t := range res.Tasks {
+		out = append(out, TaskFromWire(t))
+	}
+	return out, err
+}
+
+// Usage implements platform.Machines.
+func (c *Client) Usage(ctx context.Context) ([]platform.Usage, error) {
+	var res UsageList
+	err := c.ask(ctx, "usage", PathUsage, &res)
+	var out []platform.Usage
+	for _, u := range res.Reports {
+		out = append(out, platform.Usage{Attempt: u.Attempt, VM: u.VM, Used: model.Resources(u.Used), At: u.At})
+	}
+	return out, err
+}
+
+func (c *Client) ask(ctx context.Context, op, path string, into any) error {
+	call := httpcall.Call{Op: op, Method: http.MethodGet, Path: path}
+	a, err := c.http.Do(ctx, call)
+	if err != nil {
+		return err
+	}
+	if a.Status != http.StatusOK {
+		return refusal(call, a)
+	}
+	return httpcall.Decode(call, a, into)
+}
+
+func (c *Client) effect(ctx context.Context, op, path string, body any) error {
+	call := httpcall.Call{Op: op, Method: http.MethodPost, Path: path, Body: body, Write: true}
+	a, err := c.http.Do(ctx, call)
+	if err != nil {
+		return err
+	}
+	if a.Status != http.StatusOK {
+		return refusal(call, a)
+	}
+	return httpcall.Decode(call, a, &struct{}{})
+}
+
+// refusal turns an answer that is not 200 into an error. A status that says
+// nothing of the effect leaves a write's outcome open.
+func refusal(call httpcall.Call, a httpcall.Answer) error {
+	var p Problem
+	if err := json.Unmarshal(a.Body, &p); err != nil {
+		p.Message = "no further word"
+	}
+	return platform.Errorf(call.Op, kindOf(call, a.Status), "status %d: %s", a.Status, p.Message)
+}
+
+func kindOf(call httpcall.Call, status int) platform.Kind {
+	switch status {
+	case http.StatusBadRequest:
+		return platform.KindInvalid
+	case http.StatusNotFound:
+		return platform.KindNotFound
+	case http.StatusConflict:
+		return platform.KindConflict
+	case http.StatusGone:
+		return platform.KindLeaseNotFound
+	case http.StatusTooManyRequests:
+		return platform.KindRateLimited
+	}
+	if call.Write {
+		return platform.KindUnknown
+	}
+	return platform.KindUnavailable
+}
+
+// fill puts an identifier into a path.
+func fill(path, id string) string {
+	before, rest, _ := strings.Cut(path, "{")
+	_, after, _ := strings.Cut(rest, "}")
+	return before + url.PathEscape(id) + after
+}
--- a/internal/platform/memstore/memstore.go
+++ b/internal/platform/memstore/memstore.go
@@ -16,7 +16,7 @@
 )
 
 // MaxValueBytes is the largest value the service holds.
-const MaxValueBytes = 1 << 20
+const MaxValueBytes = platform.MaxValueBytes
 
 // historyLimit is how many revisions a late watch can still be served from.
 // Older ones are compacted, as the real service does.
@@ -122,18 +122,24 @@
 
 // KeepAlive implements platform.Store.
 func (s *Store) KeepAlive(ctx context.Context, id platform.LeaseID) error {
+	_, err := s.KeepAliveTTL(ctx, id)
+	return err
+}
+
+// KeepAliveTTL is KeepAlive that also returns the lease's time to live.
+func (s *Store) KeepAliveTTL(ctx context.Context, id platform.LeaseID) (time.Duration, error) {
 	if err := ctx.Err(); err != nil {
-		return platform.Errorf("keepalive", platform.KindUnavailable, "%w", err)
+		return 0, platform.Errorf("keepalive", platform.KindUnavailable, "%w", err)
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.expireLocked()
 	l, ok := s.leases[id]
 	if !ok {
-		return platform.Errorf("keepalive", platform.KindLeaseNotFound, "lease %d", id)
+		return 0, platform.Errorf("keepalive", platform.KindLeaseNotFound, "lease %d", id)
 	}
 	l.expires = s.clock.Now().Add(l.ttl)
-	return nil
+	return l.ttl, nil
 }
 
 // Revoke implements platform.Store.
@@ -166,6 +172,13 @@
 	return s.rev
 }
 
+// Compacted returns the newest revision that is no longer held.
+func (s *Store) Compacted() platform.Revision {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.compacted
+}
+
 // Compact forgets history up to and including rev, so that older watches
 // fail with KindCompacted.
 func (s *Store) Compact(rev platform.Revision) {
@@ -188,11 +201,19 @@
 }
 
 func (s *Store) validateLocked(txn platform.Txn) error {
+	if n := max(len(txn.If), len(txn.Then), len(txn.Else)); n > platform.MaxTxnOps {
+		return platform.Errorf("txn", platform.KindInvalid, "%d operations, at most %d", n, platform.MaxTxnOps)
+	}
 	for _, ops := range [][]platform.Op{txn.Then, txn.Else} {
+		put := make(map[string]bool, len(ops))
 		for _, op := range ops {
 			if op.Kind != platform.OpPut {
 				continue
 			}
+			if put[op.Key] {
+				return platform.Errorf("txn", platform.KindInvalid, "%s is put twice", op.Key)
+			}
+			put[op.Key] = true
 			if len(op.Value) > MaxValueBytes {
 				return platform.Errorf("txn", platform.KindTooLarge, "%s: %d bytes, at most %d", op.Key, len(op.Value), MaxValueBytes)
 			}
--- /dev/null
+++ b/internal/platform/standin/store.go
@@ -0,0 +1,164 @@
+package standin
+
+import (
+	"bytes"
+	"context"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/pumicestage/pumicestage/internal/platform"
+	"github.com/pumicestage/pumicestage/internal/platform/etcdjson"
+)
+
+func (s *Server) routeStore() {
+	routes := map[string]http.HandlerFunc{
+		etcdjson.PathRange:     s.guarded(KindRange, s.rangeKeys),
+		etcdjson.PathPut:       s.guarded(KindWrite, s.put),
+		etcdjson.PathTxn:       s.guarded(KindWrite, s.txn),
+		etcdjson.PathGrant:     s.guarded(KindGrant, s.grant),
+		etcdjson.PathKeepAlive: s.guarded(KindKeepAlive, s.keepAlive),
+		etcdjson.PathRevoke:    s.guarded(KindRevoke, s.revoke),
+		etcdjson.PathKVRevoke:  s.guarded(KindRevoke, s.revoke),
+		etcdjson.PathWatch:     s.guarded(KindWatch, s.watch),
+	}
+	for path, h := range routes {
+		s.router.HandleFunc(path, h).Methods(http.MethodPost)
+	}
+}
+
+func (s *Server) rangeKeys(w http.ResponseWriter, r *http.Request) {
+	var req etcdjson.RangeRequest
+	if !readJSON(w, r, &req) {
+		return
+	}
+	kvs, rev, err := s.find(r.Context(), req)
+	if err != nil {
+		writeStoreError(w, err)
+		return
+	}
+	res := etcdjson.RangeResponse{Header: header(rev), Count: etcdjson.Int64(len(kvs))}
+	for _, kv := range kvs {
+		res.KVs = append(res.KVs, toWire(kv))
+	}
+	writeJSON(w, http.StatusOK, res)
+}
+
+// find reads one key, a prefix, or any other range. The request was read
+// whole, so a client that leaves does not stop it.
+func (s *Server) find(ctx context.Context, req etcdjson.RangeRequest) ([]platform.KV, platform.Revision, error) {
+	ctx = context.WithoutCancel(ctx)
+	key := string(req.Key)
+	if len(req.RangeEnd) == 0 {
+		kv, rev, err := s.Store.Get(ctx, key)
+		if err != nil || kv.ModRevision == 0 {
+			return nil, rev, err
+		}
+		return []platform.KV{kv}, rev, nil
+	}
+	if bytes.Equal(req.RangeEnd, etcdjson.PrefixEnd(key)) {
+		return s.Store.Range(ctx, key)
+	}
+	all, rev, err := s.Store.Range(ctx, "")
+	var found []platform.KV
+	for _, kv := range all {
+		if inRange(kv.Key, key, req.RangeEnd) {
+			found = append(found, kv)
+		}
+	}
+	return found, rev, err
+}
+
+// inRange follows the protocol: an end of one zero byte means "to the last".
+func inRange(k, from string, end []byte) bool {
+	toLast := len(end) == 1 && end[0] == 0
+	return k >= from && (toLast || strings.Compare(k, string(end)) < 0)
+}
+
+func (s *Server) put(w http.ResponseWriter, r *http.Request) {
+	var req etcdjson.PutRequest
+	if !readJSON(w, r, &req) {
+		return
+	}
+	op := platform.PutLeased(string(req.Key), req.Value, platform.LeaseID(req.Lease))
+	res, err := s.Store.Txn(context.WithoutCancel(r.Context()), platform.Txn{Then: []platform.Op{op}})
+	if err != nil {
+		writeStoreError(w, err)
+		return
+	}
+	writeJSON(w, http.StatusOK, etcdjson.PutResponse{Header: header(res.Revision)})
+}
+
+func (s *Server) grant(w http.ResponseWriter, r *http.Request) {
+	var req etcdjson.GrantRequest
+	if !readJSON(w, r, &req) {
+		return
+	}
+	if req.TTL <= 0 || req.ID != 0 {
+		writeError(w, http.StatusBadRequest, etcdjson.CodeInvalidArgument, "a lease needs a TTL in seconds; its ID is chosen here")
+		return
+	}
+	id, err := s.Store.Grant(context.WithoutCancel(r.Context()), time.Duration(req.TTL)*time.Second)
+	if err != nil {
+		writeStoreError(w, err)
+		return
+	}
+	writeJSON(w, http.StatusOK, etcdjson.LeaseResponse{Header: header(s.Store.Revision()), ID: etcdjson.Int64(id), TTL: req.TTL})
+}
+
+func (s *Server) keepAlive(w http.ResponseWriter, r *http.Request) {
+	var req etcdjson.LeaseRequest
+	if !readJSON(w, r, &req) {
+		return
+	}
+	res := etcdjson.LeaseResponse{Header: header(s.Store.Revision()), ID: req.ID}
+	ttl, err := s.Store.KeepAliveTTL(context.WithoutCancel(r.Context()), platform.LeaseID(req.ID))
+	if err != nil && !platform.IsKind(err, platform.KindLeaseNotFound) {
+		writeStoreError(w, err)
+		return
+	}
+	res.TTL = etcdjson.Int64(ttl / time.Second) // a lapsed lease has TTL 0, by the protocol
+	writeJSON(w, http.StatusOK, etcdjson.KeepAliveMessage{Result: &res})
+}
+
+func (s *Server) revoke(w http.ResponseWriter, r *http.Request) {
+	var req etcdjson.LeaseRequest
+	if !readJSON(w, r, &req) {
+		return
+	}
+	if err := s.Store.Revoke(context.WithoutCancel(r.Context()), platform.LeaseID(req.ID)); err != nil {
+		writeStoreError(w, err)
+		return
+	}
+	writeJSON(w, http.StatusOK, etcdjson.PutResponse{Header: header(s.Store.Revision())})
+}
+
+// writeStoreError answers as the service does: a status, its code, its words.
+func writeStoreError(w http.ResponseWriter, err error) {
+	switch platform.KindOf(err) {
+	case platform.KindTooLarge:
+		writeError(w, http.StatusBadRequest, etcdjson.CodeInvalidArgument, etcdjson.MessageTooLarge)
+	case platform.KindLeaseNotFound:
+		writeError(w, http.StatusNotFound, etcdjson.CodeNotFound, "etcdserver: requested lease not found")
+	case platform.KindCompacted:
+		writeError(w, http.StatusBadRequest, etcdjson.CodeOutOfRange, "etcdserver: mvcc: required revision has been compacted")
+	case platform.KindInvalid:
+		writeError(w, http.StatusBadRequest, etcdjson.CodeInvalidArgument, err.Error())
+	default:
+		writeError(w, http.StatusInternalServerError, etcdjson.CodeInternal, err.Error())
+	}
+}
+
+func header(rev platform.Revision) *etcdjson.Header {
+	return &etcdjson.Header{ClusterID: 1, MemberID: 1, Revision: etcdjson.Int64(rev), RaftTerm: 1}
+}
+
+func toWire(kv platform.KV) etcdjson.KeyValue {
+	return etcdjson.KeyValue{
+		Key:            []byte(kv.Key),
+		Value:          kv.Value,
+		CreateRevision: etcdjson.Int64(kv.CreateRevision),
+		ModRevision:    etcdjson.Int64(kv.ModRevision),
+		Lease:          etcdjson.Int64(kv.Lease),
+	}
+}
--- /dev/null
+++ b/internal/platform/standin/watch.go
@@ -0,0 +1,116 @@
+package standin
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+
+	"github.com/pumicestage/pumicestage/internal/platform"
+	"github.com/pumicestage/pumicestage/internal/platform/etcdjson"
+)
+
+// watch answers with a stream of messages, one a line, until the client leaves
+// or a fault cuts it.
+func (s *Server) watch(w http.ResponseWriter, r *http.Request) {
+	var req etcdjson.WatchRequest
+	if !readJSON(w, r, &req) {
+		return
+	}
+	if req.Create == nil || !isPrefixOrKey(req.Create) {
+		writeError(w, http.StatusBadRequest, etcdjson.CodeInvalidArgument, "a watch is for one key or one prefix here")
+		return
+	}
+	s.Counts.waiting(1)
+	defer s.Counts.waiting(-1)
+	ctx, cancel := context.WithCancel(r.Context())
+	defer cancel()
+	from := platform.Revision(req.Create.StartRevision)
+	if from == 0 {
+		from = s.Store.Revision() + 1
+	}
+	out := &watchStream{w: w, counts: s.Counts}
+	out.send(etcdjson.WatchResponse{Header: header(s.Store.Revision()), Created: true})
+	batches, err := s.Store.Watch(ctx, string(req.Create.Key), from)
+	if err != nil {
+		out.send(etcdjson.WatchResponse{
+			Header: header(s.Store.Revision()), Canceled: true, CompactRevision: etcdjson.Int64(s.Store.Compacted() + 1),
+			CancelReason: "mvcc: required revision has been compacted",
+		})
+		return
+	}
+	s.stream(ctx, r.Header.Get(etcdjson.ZoneHeader), *req.Create, batches, out)
+}
+
+// isPrefixOrKey also turns the protocol's "from the first key to the last",
+// two zero bytes, into the empty prefix.
+func isPrefixOrKey(c *etcdjson.WatchCreate) bool {
+	if string(c.Key) == "\x00" && string(c.RangeEnd) == "\x00" {
+		c.Key = nil
+	}
+	return len(c.RangeEnd) == 0 || bytes.Equal(c.RangeEnd, etcdjson.PrefixEnd(string(c.Key)))
+}
+
+func (s *Server) stream(ctx context.Context, zone string, c etcdjson.WatchCreate, batches <-chan platform.WatchBatch, out *watchStream) {
+	for {
+		fault, change := s.Faults.state(zone)
+		if fault.Down {
+			panic(http.ErrAbortHandler)
+		}
+		ready := batches
+		if fault.Paused {
+			ready = nil
+		}
+		select {
+		case <-change:
+		case <-ctx.Done():
+			return
+		case <-s.done:
+			panic(http.ErrAbortHandler)
+		case b, ok := <-ready:
+			if !ok {
+				return
+			}
+			if res := eventsOf(b, c); len(res.Events) > 0 {
+				out.send(res)
+			}
+		}
+	}
+}
+
+func eventsOf(b platform.WatchBatch, c etcdjson.WatchCreate) etcdjson.WatchResponse {
+	res := etcdjson.WatchResponse{Header: header(b.Revision)}
+	for _, e := range b.Events {
+		if len(c.RangeEnd) == 0 && e.KV.Key != string(c.Key) {
+			continue
+		}
+		one := etcdjson.Event{KV: toWire(e.KV)}
+		if e.Kind == platform.EventDelete {
+			one.Type = etcdjson.EventDelete
+		}
+		res.Events = append(res.Events, one)
+	}
+	return res
+}
+
+// watchStream writes messages and flushes each, so that none waits for the
+// next.
+type watchStream struct {
+	w      http.ResponseWriter
+	counts *Counter
+}
+
+func (o *watchStream) send(res etcdjson.WatchResponse) {
+	raw, err := json.Marshal(etcdjson.WatchMessage{Result: &res})
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	n, err := o.w.Write(append(raw, '\n'))
+	if err != nil {
+		panic(http.ErrAbortHandler) // the client is gone
+	}
+	o.counts.bytes(0, int64(n))
+	if f, ok := o.w.(http.Flusher); ok {
+		f.Flush()
+	}
+}
