--- a/internal/platform/gateway/gateway_test.go
+++ b/internal/platform/gateway/gateway_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/http/httptest"
 	"testing"
 	"time"
 
@@ -19,9 +18,9 @@
 	defer cancel()
 	srv := standin.New(clockwork.NewRealClock())
 	defer srv.Close()
-	ts := httptest.NewServer(srv)
-	defer ts.Close()
-	s := gateway.New(gateway.Options{Endpoints: []string{ts.URL}, Zone: "a", HTTPClient: srv.Network.Client("a")})
+	url, err := srv.Listen("127.0.0.1:0")
+	assert.NilError(t, err)
+	s := gateway.New(gateway.Options{Endpoints: []string{url}, Zone: "a", HTTPClient: srv.Network.Client("a")})
 	w, err := s.Watch(ctx, "", 1)
 	assert.NilError(t, err)
 	lease, err := s.Grant(ctx, time.Minute)
--- a/internal/platform/standin/standin.go
+++ b/internal/platform/standin/standin.go
@@ -6,11 +6,13 @@
 
 import (
 	"encoding/json"
+	"net"
 	"net/http"
 	"sync"
 	"time"
 
 	"github.com/gorilla/mux"
+	"github.com/gravitational/trace"
 	"github.com/jonboulle/clockwork"
 
 	"github.com/pumicestage/pumicestage/internal/platform/etcdjson"
@@ -38,8 +40,14 @@
 	router *mux.Router
 	done   chan struct{}
 	once   sync.Once
+
+	mu      sync.Mutex
+	servers []*http.Server
 }
 
+// headerTimeout ends connections that never say what they want.
+const headerTimeout = 10 * time.Second
+
 // New returns a running stand-in whose leases, machines and delays follow
 // clock. Close ends it.
 func New(clock clockwork.Clock) *Server {
@@ -62,9 +70,31 @@
 	return s
 }
 
-// Close ends the stand-in's own work and every watch. It does not close
-// listeners.
-func (s *Server) Close() { s.once.Do(func() { close(s.done) }) }
+// Listen serves on addr, host:port with port 0 for any, and returns the base
+// address for clients.
+func (s *Server) Listen(addr string) (string, error) {
+	ln, err := net.Listen("tcp", addr)
+	if err != nil {
+		return "", trace.Wrap(err)
+	}
+	srv := &http.Server{Handler: s, ReadHeaderTimeout: headerTimeout}
+	go func() { _ = srv.Serve(ln) }() // ends when Close closes the listener
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.servers = append(s.servers, srv)
+	return "http://" + ln.Addr().String(), nil
+}
+
+// Close ends every call and watch, and what Listen began.
+func (s *Server) Close() {
+	s.once.Do(func() { close(s.done) })
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, srv := range s.servers {
+		_ = srv.Close() // clients see the cut
+	}
+	s.servers = nil
+}
 
 // ServeHTTP implements http.Handler.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
