entry: the caller's path from request to whole answer, thin; fake targets

Cause: nothing carried a request to a runner yet. Change: policy/{queue,routing,retry,admission,slots} decide; internal/entry reads the contract, claims, queues, dispatches and streams both ways; internal/faketarget counts by itself what happened to each request. Each connection to a target carries one request: a second or late answer cannot reach another caller, and net/http cannot replay a request. Tests: contract table, misbehaving targets in a table for a repeatable and a not repeatable service, late answer with repeat of the key.

--- /dev/null
+++ b/internal/entry/entry_test.go
@@ -0,0 +1,263 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"gotest.tools/v3/assert"
+
+	"github.com/pumicestage/pumicestage/internal/claim"
+	"github.com/pumicestage/pumicestage/internal/faketarget"
+	"github.com/pumicestage/pumicestage/internal/view"
+	"github.com/pumicestage/pumicestage/policy/model"
+)
+
+// stage is an entry VM on loopback before fake targets.
+type stage struct {
+	t       testing.TB
+	holder  *view.Holder
+	server  *Server
+	url     string
+	targets []*faketarget.Target
+	claims  *memClaims
+}
+
+// newStage starts an entry VM with two services over the targets: tabulation
+// is repeatable, incentives is not.
+func newStage(t testing.TB, n int, o faketarget.Options, change func(*Options)) *stage {
+	t.Helper()
+	s := &stage{t: t, holder: view.NewHolder(), claims: &memClaims{}}
+	for i := range n {
+		opts := o
+		opts.ID = fmt.Sprintf("v%d", i)
+		target, err := faketarget.Start(opts)
+		assert.NilError(t, err)
+		t.Cleanup(target.Down)
+		s.targets = append(s.targets, target)
+	}
+	s.publish(1, nil)
+	opts := Options{View: s.holder, Claims: s.claims, Log: logr.Discard(), Zone: "z1", Self: "e1"}
+	if change != nil {
+		change(&opts)
+	}
+	s.server = New(opts)
+	srv := httptest.NewUnstartedServer(s.server)
+	opts.Limits.Apply(srv.Config)
+	srv.Start()
+	t.Cleanup(srv.Close)
+	s.url = srv.URL
+	ctx, cancel := context.WithCancel(context.Background())
+	ran := make(chan struct{})
+	go func() { defer close(ran); _ = s.server.Run(ctx) }()
+	t.Cleanup(func() { cancel(); <-ran })
+	return s
+}
+
+// publish makes a snapshot of the targets known, after change.
+func (s *stage) publish(revision int64, change func(*view.Snapshot)) {
+	snap := &view.Snapshot{Declaration: &model.Declaration{
+		Generation: 1,
+		Zones:      []model.ZoneName{"z1"},
+		Services: []model.Service{
+			{Name: "tabulation", Pools: []model.PoolName{"p"}, Repeatable: true, Class: model.ClassUrgent, Timeout: 10 * time.Second},
+			{Name: "incentives", Pools: []model.PoolName{"p"}, Class: model.ClassNormal, Timeout: 10 * time.Second},
+		},
+	}}
+	setRevision(snap, revision)
+	snap.VMs = make(map[model.VMID]view.VMRecord)
+	for i, target := range s.targets {
+		id := model.VMID(fmt.Sprintf("v%d", i))
+		snap.VMs[id] = view.VMRecord{VM: model.VM{ID: id, Zone: "z1", Pool: "p", Address: target.Address(), State: model.VMInPool}}
+	}
+	if change != nil {
+		change(snap)
+	}
+	assert.Assert(s.t, s.holder.Publish(snap))
+}
+
+// reply is what a caller saw.
+type reply struct {
+	status  int
+	outcome Outcome
+	header  http.Header
+	body    string
+	err     error // of the connection, or of an answer that broke off
+}
+
+func (r reply) whole() bool { return r.err == nil }
+
+func (s *stage) do(method, path, body string, header ...string) reply {
+	return s.doContext(context.Background(), method, path, strings.NewReader(body), header...)
+}
+
+func (s *stage) doContext(ctx context.Context, method, path string, body io.Reader, header ...string) reply {
+	req, err := http.NewRequestWithContext(ctx, method, s.url+path, body)
+	if err != nil {
+		return reply{err: err}
+	}
+	for i := 0; i+1 < len(header); i += 2 {
+		req.Header.Add(header[i], header[i+1])
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return reply{err: err}
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	return reply{resp.StatusCode, Outcome(resp.Header.Get(HeaderOutcome)), resp.Header, string(data), err}
+}
+
+// started sums the requests that targets started.
+func (s *stage) started() int {
+	n := 0
+	for _, target := range s.targets {
+		n += target.Counts().Started
+	}
+	return n
+}
+
+// runs sums the runs of a key over all targets.
+func (s *stage) runs(key string) int {
+	n := 0
+	for _, target := range s.targets {
+		n += target.Counts().Runs[key]
+	}
+	return n
+}
+
+// memClaims is Claims in memory.
+type memClaims struct {
+	mu     sync.Mutex
+	claims map[claim.Key]*memClaim
+	fail   *claim.Error // returned by Claim where set
+	asked  int
+}
+
+type memClaim struct {
+	digest [32]byte
+	result claim.Result
+}
+
+// Claim implements claim.Claims.
+func (m *memClaims) Claim(_ context.Context, req claim.Request) (claim.Result, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.asked++
+	if m.fail != nil {
+		return claim.Result{}, m.fail
+	}
+	if c, ok := m.claims[req.Key]; ok {
+		if c.digest != req.Digest {
+			return claim.Result{State: claim.Mismatch}, nil
+		}
+		return c.result, nil
+	}
+	if m.claims == nil {
+		m.claims = make(map[claim.Key]*memClaim)
+	}
+	m.claims[req.Key] = &memClaim{digest: req.Digest, result: claim.Result{State: claim.Running}}
+	return claim.Result{State: claim.Won, Ticket: claim.Ticket{StoreKey: ticketKey(req.Key)}}, nil
+}
+
+func ticketKey(k claim.Key) string { return string(k.Service) + "|" + k.Caller + "|" + k.Key }
+
+// Record implements claim.Claims.
+func (m *memClaims) Record(_ context.Context, t claim.Ticket, a claim.Answer) error {
+	return m.settle(t, func(k claim.Key) {
+		m.claims[k].result = claim.Result{State: claim.Recorded, Answer: a}
+		if a.Status == 0 {
+			m.claims[k].result = claim.Result{State: claim.Unknown}
+		}
+	})
+}
+
+// Release implements claim.Claims.
+func (m *memClaims) Release(_ context.Context, t claim.Ticket) error {
+	return m.settle(t, func(k claim.Key) { delete(m.claims, k) })
+}
+
+func (m *memClaims) settle(t claim.Ticket, change func(claim.Key)) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for k := range m.claims {
+		if ticketKey(k) == t.StoreKey {
+			change(k)
+			return nil
+		}
+	}
+	return errors.New("no such claim")
+}
+
+// settled waits until every outcome is recorded.
+func (s *stage) settled() {
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	assert.NilError(s.t, s.server.Drain(ctx))
+	s.server.draining.Store(false)
+}
+
+func TestForwardsRequestAndAnswer(t *testing.T) {
+	s := newStage(t, 2, faketarget.Options{}, nil)
+	cases := []struct {
+		name, method, path, body, want string
+	}{
+		{"get", "GET", "/services/tabulation/a/b?x=1&y=%2F", "", "method=GET path=/a/b query=x=1&y=%2F request=7 body=0"},
+		{"no path", "GET", "/services/tabulation", "", "method=GET path=/ query= request=7 body=0"},
+		{"escaped slash stays escaped", "PUT", "/services/tabulation/a%2Fb//c", "abc", "method=PUT path=/a%2Fb//c query= request=7 body=3"},
+		{"body beyond the buffer", "POST", "/services/tabulation/x", strings.Repeat("x", 1<<20), "method=POST path=/x query= request=7 body=1048576"},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			r := s.do(tc.method, tc.path, tc.body, "X-Request", "7")
+			assert.NilError(t, r.err)
+			assert.Equal(t, r.outcome, Ran)
+			assert.Assert(t, strings.Contains(r.body, tc.want), r.body)
+		})
+	}
+}
+
+func TestRefusesWhatBreaksTheContract(t *testing.T) {
+	small := func(o *Options) { o.Limits = Limits{HeaderBytes: 2000, BodyBytes: 1000} }
+	s := newStage(t, 1, faketarget.Options{}, small)
+	long := strings.Repeat("k", 300)
+	cases := []struct {
+		name, path, body string
+		header           []string
+		status           int
+		problem          string
+	}{
+		{"no such service", "/services/nope/x", "", nil, 404, TypeNoService},
+		{"no service path", "/other", "", nil, 404, TypeNoService},
+		{"key missing", "/services/incentives/x", "", nil, 400, TypeKeyMissing},
+		{"key empty", "/services/incentives/x", "", []string{HeaderKey, `""`}, 400, TypeKeyMissing},
+		{"key empty though optional", "/services/tabulation/x", "", []string{HeaderKey, ""}, 400, TypeKeyMissing},
+		{"two keys", "/services/incentives/x", "", []string{HeaderKey, "a", HeaderKey, "b"}, 400, TypeBadHeader},
+		{"key too long", "/services/incentives/x", "", []string{HeaderKey, long}, 400, TypeBadHeader},
+		{"caller too long", "/services/tabulation/x", "", []string{HeaderCaller, long}, 400, TypeBadHeader},
+		{"timeout no duration", "/services/tabulation/x", "", []string{HeaderTimeout, "soon"}, 400, TypeBadHeader},
+		{"timeout negative", "/services/tabulation/x", "", []string{HeaderTimeout, "-1s"}, 400, TypeBadHeader},
+		{"class unknown", "/services/tabulation/x", "", []string{HeaderClass, "asap"}, 400, TypeBadHeader},
+		{"header too large", "/services/tabulation/x", "", []string{"X-Large", strings.Repeat("x", 3000)}, 431, TypeHeaderLarge},
+		{"body too large", "/services/tabulation/x", strings.Repeat("x", 1001), nil, 413, TypeBodyLarge},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			r := s.do("POST", tc.path, tc.body, tc.header...)
+			assert.NilError(t, r.err)
+			assert.Equal(t, r.status, tc.status, r.body)
+			assert.Equal(t, r.outcome, NotRun)
+			assert.Equal(t, r.header.Get("Content-Type"), "application/problem+json")
+			assert.Assert(t, strings.Contains(r.body, tc.problem), r.body)
+		})
+	}
+	assert.Equal(t, s.started(), 0)
+}
--- /dev/null
+++ b/internal/faketarget/fault.go
@@ -0,0 +1,101 @@
+package faketarget
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"time"
+)
+
+// Fault is a way to misbehave.
+type Fault int8
+
+// The faults.
+const (
+	None        Fault = iota
+	Refuse            // refuses before start
+	Late              // answers after lateBy
+	Short             // promises more bytes than it sends, then closes
+	ShortChunks       // ends a chunked answer without its last chunk
+	Unframed          // sends neither length nor chunks, and closes in the middle
+	Twice             // answers twice on the same connection
+	BadFraming        // sends a chunk size that is none
+	BadStatus         // sends a line that is no status line
+	Reset             // resets the connection without an answer
+	Silent            // closes the connection without an answer
+	Error             // answers 500
+)
+
+// String returns the fault's name.
+func (f Fault) String() string {
+	names := [...]string{"none", "refuse", "late", "short", "short-chunks", "unframed", "twice",
+		"bad-framing", "bad-status", "reset", "silent", "error"}
+	return names[f]
+}
+
+// lateBy is by how much a late answer is late.
+const lateBy = 300 * time.Millisecond
+
+// answer is what a target says: enough of the request that a test sees whose
+// answer it is.
+type answer struct {
+	body string
+}
+
+func newAnswer(id string, r *http.Request) answer {
+	received, err := io.Copy(io.Discard, r.Body)
+	if err != nil {
+		received = -1
+	}
+	return answer{fmt.Sprintf("target=%s method=%s path=%s query=%s request=%s body=%d\n",
+		id, r.Method, r.URL.EscapedPath(), r.URL.RawQuery, r.Header.Get("X-Request"), received)}
+}
+
+// answer answers the request as the fault says.
+func (f Fault) answer(w http.ResponseWriter, r *http.Request, a answer) how {
+	raw := f.raw(a)
+	switch {
+	case f == Error:
+		http.Error(w, a.body, http.StatusInternalServerError)
+		return done
+	case raw == nil && f != Reset && f != Silent:
+		_, err := io.WriteString(w, a.body)
+		if err != nil {
+			return abandoned
+		}
+		return done
+	}
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return abandoned
+	}
+	defer conn.Close()
+	if tcp, ok := conn.(*net.TCPConn); ok && f == Reset {
+		_ = tcp.SetLinger(0) // makes Close send a reset
+	}
+	_, _ = conn.Write(raw)
+	return done
+}
+
+// raw returns the bytes of a misbehaving answer, nil where the fault has none.
+func (f Fault) raw(a answer) []byte {
+	const head = "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n"
+	n := len(a.body)
+	switch f {
+	case Short:
+		return fmt.Appendf(nil, "%sContent-Length: %d\r\n\r\n%s", head, n+100, a.body)
+	case ShortChunks:
+		return fmt.Appendf(nil, "%sTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n", head, n, a.body)
+	case Unframed:
+		return fmt.Appendf(nil, "%s\r\n%s", head, a.body[:n/2])
+	case Twice:
+		one := fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", head, n, a.body)
+		return []byte(one + one)
+	case BadFraming:
+		return fmt.Appendf(nil, "%sTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\nzz\r\nbroken", head, n, a.body)
+	case BadStatus:
+		return []byte("HELLO there\r\n\r\n" + a.body)
+	}
+	return nil
+}
--- /dev/null
+++ b/policy/admission/admission.go
@@ -0,0 +1,144 @@
+// Package admission decides whether a request is let in to wait, or turned
+// away at once with the time after which asking again is worthwhile.
+//
+// It answers load above capacity. Without it the queue grows until every
+// answer is late: all slots are busy, yet nobody gets an answer in time. Turned
+// away early, a caller can do something else, and what is let in is answered
+// while it is still of use.
+package admission
+
+import (
+	"math"
+	"time"
+
+	"github.com/pumicestage/pumicestage/policy/model"
+)
+
+// Load is a service's state at one entry VM when a request comes.
+type Load struct {
+	Slots    int           // slots of live targets this entry VM may use
+	Free     int           // of these, free now
+	InFlight int           // requests at targets
+	Limit    int           // most in flight by the service's declared limit; 0 for none
+	Ahead    float64       // cost waiting that goes before the request, in mean requests
+	Mean     time.Duration // mean time a request holds a slot; 0 where unknown
+}
+
+// Request is what admission looks at.
+type Request struct {
+	Class    model.Class
+	Cost     float64 // relative to the mean; 0 counts as 1
+	Deadline time.Time
+}
+
+// Verdict is admission's answer.
+type Verdict int8
+
+// The verdicts of Decide.
+const (
+	Admit Verdict = iota + 1
+	// NoTargets: no live slot at all.
+	NoTargets
+	// WouldBeLate: the predicted wait leaves no time for the work itself.
+	WouldBeLate
+)
+
+// Decision is a verdict with its numbers.
+type Decision struct {
+	Verdict    Verdict
+	Wait       time.Duration // predicted until a slot is free for the request
+	RetryAfter time.Duration // when asking again may succeed; 0 if admitted
+}
+
+// noTargetRetry is when to ask again where a service has no live slot: as long
+// as leaving or returning targets take to be known everywhere.
+const noTargetRetry = 3 * time.Second
+
+// Decide predicts the wait and compares it to the deadline. The work itself
+// counts with its mean: a request whose deadline leaves less than that would
+// take a slot for an answer that is usually late.
+func Decide(l Load, r Request, now time.Time) Decision {
+	usable := l.Usable()
+	if usable <= 0 {
+		return Decision{Verdict: NoTargets, RetryAfter: noTargetRetry}
+	}
+	wait := l.Wait()
+	left := r.Deadline.Sub(now)
+	cost := r.Cost
+	if cost <= 0 {
+		cost = 1
+	}
+	needed := wait + time.Duration(min(cost, 1)*float64(l.Mean))
+	if wait > 0 && needed > left {
+		return Decision{Verdict: WouldBeLate, Wait: wait, RetryAfter: needed - left}
+	}
+	return Decision{Verdict: Admit, Wait: wait}
+}
+
+// Usable returns the slots within the service's limit.
+func (l Load) Usable() int {
+	if l.Limit > 0 {
+		return min(l.Slots, l.Limit)
+	}
+	return l.Slots
+}
+
+// Wait returns how long until the work ahead has got its slots and one more is
+// free: slots come free at the rate of Usable per Mean.
+func (l Load) Wait() time.Duration {
+	usable := l.Usable()
+	free := l.Free
+	if l.Limit > 0 {
+		free = min(free, l.Limit-l.InFlight)
+	}
+	short := l.Ahead + 1 - float64(max(free, 0))
+	if short <= 0 || usable <= 0 {
+		return 0
+	}
+	return time.Duration(short * float64(l.Mean) / float64(usable))
+}
+
+// EntryLimit returns this entry VM's part of a service's limit, where entries
+// VMs share it: at least 1, so that a small limit does not shut the service at
+// an entry VM.
+func EntryLimit(limit, entries int) int {
+	if limit <= 0 {
+		return 0
+	}
+	return max(1, int(math.Ceil(float64(limit)/float64(max(entries, 1)))))
+}
+
+// reserveShare is the part of the slots that deferrable work leaves free, so
+// that an urgent request that comes next finds one. An eighth is one slot of a
+// target's eight: the load at which urgent work would wait anyway.
+const reserveShare = 8
+
+// Idle reports whether deferrable work may take a slot.
+func Idle(free, slots int) bool {
+	reserve := (slots + reserveShare - 1) / reserveShare
+	if slots <= 1 {
+		reserve = 0
+	}
+	return free > reserve
+}
+
+// meanGain is the weight of a new sample of the holding time: the last hundred
+// or so requests count, some tens of seconds of one service at today's sizes.
+const meanGain = 0.02
+
+// HoldTime estimates how long requests hold a slot. The zero value knows
+// nothing.
+type HoldTime struct {
+	mean float64
+	n    int
+}
+
+// Observe takes in a sample. The first samples count alike.
+func (h *HoldTime) Observe(d time.Duration) {
+	h.n++
+	gain := max(meanGain, 1/float64(h.n))
+	h.mean += gain * (float64(d) - h.mean)
+}
+
+// Mean returns the estimate, 0 where nothing is known.
+func (h *HoldTime) Mean() time.Duration { return time.Duration(h.mean) }
--- /dev/null
+++ b/policy/slots/slots.go
@@ -0,0 +1,99 @@
+// Package slots divides a target's slots among the entry VMs, which agree on
+// nothing with each other.
+package slots
+
+import (
+	"cmp"
+	"hash/fnv"
+	"slices"
+
+	"github.com/pumicestage/pumicestage/policy/model"
+)
+
+// Entry is one live entry VM.
+type Entry struct {
+	ID   model.EntryID
+	Zone model.ZoneName
+}
+
+// Target is whose slots are divided.
+type Target struct {
+	ID    model.VMID
+	Zone  model.ZoneName
+	Slots int
+}
+
+// Share returns how many of the target's slots are the entry VM's own, given
+// all live entry VMs. Every entry VM that knows the same entry VMs computes the
+// same shares, and shares add up to the slots. Slots are dealt in turn in an
+// order hashed per target, its own zone's entry VMs first, so that what does
+// not divide evenly falls to those next to the target.
+func Share(t Target, entries []Entry, self model.EntryID) int {
+	order := rank(t, entries)
+	n := len(order)
+	if n == 0 {
+		return t.Slots
+	}
+	for i, e := range order {
+		if e.ID != self {
+			continue
+		}
+		share := t.Slots / n
+		if i < t.Slots%n {
+			share++
+		}
+		return share
+	}
+	return 0
+}
+
+// rank orders entry VMs for a target: its zone's first, then by hash.
+func rank(t Target, entries []Entry) []Entry {
+	order := slices.Clone(entries)
+	slices.SortFunc(order, func(a, b Entry) int {
+		if local := (a.Zone == t.Zone); local != (b.Zone == t.Zone) {
+			if local {
+				return -1
+			}
+			return 1
+		}
+		if c := cmp.Compare(weight(t.ID, a.ID), weight(t.ID, b.ID)); c != 0 {
+			return c
+		}
+		return cmp.Compare(a.ID, b.ID)
+	})
+	return order
+}
+
+// Probers returns the entry VMs that ask the target for its health: the first
+// n of the rendezvous order, so that each target is asked by few and each entry
+// VM asks few, whatever the number of both.
+func Probers(t Target, entries []Entry, n int) []model.EntryID {
+	var ids []model.EntryID
+	for _, e := range rank(t, entries) {
+		if len(ids) == n {
+			break
+		}
+		ids = append(ids, e.ID)
+	}
+	return ids
+}
+
+// weight is the rendezvous hash of a target and an entry VM.
+func weight(t model.VMID, e model.EntryID) uint64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(t))
+	_, _ = h.Write([]byte{0})
+	_, _ = h.Write([]byte(e))
+	return mix(h.Sum64())
+}
+
+// mix spreads FNV's weak high bits, which IDs that differ in their last
+// character hardly reach.
+func mix(x uint64) uint64 {
+	x ^= x >> 33
+	x *= 0xff51afd7ed558ccd
+	x ^= x >> 33
+	x *= 0xc4ceb9fe1a85ec53
+	return x ^ x>>33
+}
