shared: incarnation of entry VMs, sums in digests, send window of tickets, beacon key

An entry VM that restarts under its ID has acknowledged nothing and holds no claim of the earlier run: EntryRecord says which run it is. Digests carry what other zones need in place of loads, whether the sender relays, and how old its view is. A ticket says until when its request may be sent. The beacon's key lies under one watch prefix with the VMs, so that seeing it come back proves that the watch has delivered all before it.

--- a/internal/claim/claim.go
+++ b/internal/claim/claim.go
@@ -7,6 +7,7 @@
 	"context"
 	"time"
 
+	"github.com/pumicestage/pumicestage/internal/platform"
 	"github.com/pumicestage/pumicestage/policy/model"
 )
 
@@ -60,6 +61,18 @@
 type Ticket struct {
 	StoreKey string
 	ID       string // unique to this claim
+	// SendBy is the last moment at which the request may be sent. A holder
+	// paused until after the claim is forgotten could otherwise send while a
+	// new claim of the key runs.
+	SendBy time.Time
+	// Revision is the claim's in the store.
+	Revision platform.Revision
+}
+
+// MaySend reports whether the request may still be sent. Both clocks count: a
+// VM that was suspended wakes with its monotonic clock where it stood.
+func (t Ticket) MaySend(now time.Time) bool {
+	return now.Before(t.SendBy) && now.Round(0).Before(t.SendBy.Round(0))
 }
 
 // Error says why a claim was not decided.
--- a/internal/peer/digest.go
+++ b/internal/peer/digest.go
@@ -25,6 +25,10 @@
 	Generation uint64            `msgpack:"g"` // of the declaration it has in force
 	Loads      []TargetLoad      `msgpack:"t,omitempty"`
 	Queued     uint32            `msgpack:"q,omitempty"`
+	InFlight   uint32            `msgpack:"n,omitempty"` // sum over all targets; all that other zones get of the loads
+	Full       bool              `msgpack:"f,omitempty"` // Loads is everything; otherwise it is what changed since the last digest
+	Watching   bool              `msgpack:"w,omitempty"` // it holds the platform's watch and relays
+	AgeMillis  uint32            `msgpack:"a"`           // how old its view was when it wrote this
 }
 
 // Loads is what routing asks of the peers' digests. Implementations are safe
--- a/internal/platform/keys.go
+++ b/internal/platform/keys.go
@@ -11,6 +11,12 @@
 	ConfigKey = Root + "config"
 	// VMPrefix holds one key per VM.
 	VMPrefix = Root + "vms/"
+	// ViewBeaconKey is written by the entry VMs that hold the platform's watch.
+	// It lies outside VMPrefix but inside ViewWatchPrefix: seeing it come back
+	// proves that the watch has delivered every change of VMs before it.
+	ViewBeaconKey = Root + "view"
+	// ViewWatchPrefix covers VMPrefix and ViewBeaconKey, for one watch.
+	ViewWatchPrefix = Root + "v"
 	// LedgerPrefix holds one key per service: its planned stops in progress.
 	LedgerPrefix = Root + "ledger/"
 	// WavePrefix holds one key per started wave.
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -25,6 +25,9 @@
 	Peer     string // host:port of its peer listener
 	Caller   string // host:port of its caller listener
 	Operator string // host:port of its operator listener
+	// Incarnation tells runs of the daemon under one ID apart: a restarted
+	// one has acknowledged nothing and holds no claims of the earlier one.
+	Incarnation uint64
 }
 
 // Snapshot is one consistent view. It and all it points to are read-only.
