Peer mesh, view relay and claims: first working version

Entry VMs dial each other over TCP with length-prefixed msgpack frames and tell loads as deltas. One or two a zone hold the platform's watches and pass changes on; a beacon written to the store and seen by the watch proves how old a view is. Claims, records and releases share group commits of compare-and-swaps; a claim whose replies are lost is fenced before it is called certain.

--- /dev/null
+++ b/internal/claim/ledger.go
@@ -0,0 +1,267 @@
+package claim
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/gravitational/trace"
+	"golang.org/x/time/rate"
+
+	"github.com/pumicestage/pumicestage/internal/platform"
+	"github.com/pumicestage/pumicestage/internal/view"
+	"github.com/pumicestage/pumicestage/policy/model"
+)
+
+const (
+	// WritesPerSecond is what the claims of all entry VMs together may cost
+	// the platform, which takes several hundred writes a second for
+	// everything. Each entry VM takes an equal part.
+	WritesPerSecond = 160
+	// writeBurst lets an idle entry VM claim and record at once.
+	writeBurst = 4
+	// maxSendWindow bounds Ticket.SendBy: no caller waits that long.
+	maxSendWindow = 30 * time.Minute
+	// defaultMaxAnswer is the largest answer kept; larger ones are recorded
+	// without their body.
+	defaultMaxAnswer = 64 << 10
+	// releasedFor is how long a released key keeps its value, which must
+	// outlast every delayed copy of a claim.
+	releasedFor = time.Hour
+	// fenceRetryMin and fenceRetryMax bound the wait between attempts to
+	// settle a claim in the background.
+	fenceRetryMin = 100 * time.Millisecond
+	fenceRetryMax = 5 * time.Second
+	// maxSettling bounds how many claims are settled in the background; a
+	// few minutes of claims whose replies are lost.
+	maxSettling = 4096
+)
+
+var (
+	errAbandoned = errors.New("claim: the caller stopped waiting")
+	errBusy      = errors.New("claim: too many claims wait for the platform")
+	errNotHeld   = errors.New("claim: not held, or already recorded or released")
+	errReplaced  = errors.New("claim: another value stands in its place")
+	errClosing   = errors.New("claim: closing")
+)
+
+// Options are what a Ledger needs. Store and Self must be set.
+type Options struct {
+	Store platform.Store
+	Self  view.EntryRecord // as registered in the store, with its incarnation
+	// Live returns the IDs of the live entry VMs, this one included; nil
+	// for this one alone.
+	Live func() []model.EntryID
+	// MaxAnswer is the largest body kept, in bytes; 0 for 64 KiB.
+	MaxAnswer int
+	Log       logr.Logger
+}
+
+// Ledger keeps claims in the platform's store. It is safe for concurrent use.
+type Ledger struct {
+	opts    Options
+	commits *committer
+	settles chan struct{} // a slot per claim settled in the background
+
+	mu   sync.Mutex
+	held map[string]record // claims won here and not yet recorded, by ID
+
+	tasks  sync.WaitGroup
+	ctx    context.Context
+	cancel context.CancelFunc
+}
+
+var _ Claims = (*Ledger)(nil)
+
+// NewLedger returns a Ledger; claims wait until Run.
+func NewLedger(opts Options) *Ledger {
+	if opts.Live == nil {
+		self := []model.EntryID{opts.Self.ID}
+		opts.Live = func() []model.EntryID { return self }
+	}
+	if opts.MaxAnswer == 0 {
+		opts.MaxAnswer = defaultMaxAnswer
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	return &Ledger{
+		opts:    opts,
+		commits: newCommitter(opts.Store, rate.NewLimiter(WritesPerSecond, writeBurst)),
+		settles: make(chan struct{}, maxSettling),
+		held:    make(map[string]record),
+		ctx:     ctx,
+		cancel:  cancel,
+	}
+}
+
+// Run commits and sweeps until ctx ends.
+func (l *Ledger) Run(ctx context.Context) {
+	stop := context.AfterFunc(ctx, l.cancel)
+	defer stop()
+	l.tasks.Go(func() { l.sweepLoop(l.ctx) })
+	l.tasks.Go(func() { l.sharePace(l.ctx) })
+	l.commits.run(l.ctx)
+	l.tasks.Wait()
+}
+
+// sharePace keeps this entry VM at its part of WritesPerSecond.
+func (l *Ledger) sharePace(ctx context.Context) {
+	for ctx.Err() == nil {
+		live := max(1, len(l.opts.Live()))
+		l.commits.pace.SetLimit(rate.Limit(float64(WritesPerSecond) / float64(live)))
+		pause(ctx, time.Second)
+	}
+}
+
+// Claim implements Claims. It ends with ctx.
+func (l *Ledger) Claim(ctx context.Context, req Request) (Result, error) {
+	if err := ctx.Err(); err != nil {
+		return Result{}, &Error{Certain: true, Err: trace.Wrap(err)}
+	}
+	now := time.Now()
+	r := l.newRecord(req, now)
+	key := storeKey(req.Key)
+	var over platform.Revision // of the released claim this one replaces
+	for {
+		o, err := l.put(ctx, key, over, r)
+		if err != nil {
+			return Result{}, err
+		}
+		if o.applied {
+			l.hold(r)
+			sendBy := now.Add(min(req.Remember/2, maxSendWindow))
+			return Result{State: Won, Ticket: Ticket{StoreKey: key, ID: r.ID, SendBy: sendBy, Revision: o.rev}}, nil
+		}
+		found, err := decodeRecord(o.current.Value)
+		if err != nil {
+			return Result{}, &Error{Err: trace.Wrap(err, "claim %s", key)}
+		}
+		if found.Stage != stageReleased {
+			return l.judge(ctx, r, found), nil
+		}
+		over = o.current.ModRevision
+	}
+}
+
+func (l *Ledger) newRecord(req Request, now time.Time) record {
+	return record{
+		ID: newID(), Stage: stageClaimed,
+		Service: req.Key.Service, Caller: req.Key.Caller, Key: req.Key.Key,
+		Digest: hex.EncodeToString(req.Digest[:]),
+		Entry:  l.opts.Self.ID, Incarnation: l.opts.Self.Incarnation,
+		Claimed: now.UTC(), Expires: now.Add(req.Remember).UTC(),
+	}
+}
+
+func newID() string {
+	var b [12]byte
+	rand.Read(b[:])
+	return hex.EncodeToString(b[:])
+}
+
+// put writes a claim and waits for its outcome. Its errors are *Error.
+func (l *Ledger) put(ctx context.Context, key string, over platform.Revision, r record) (outcome, error) {
+	value, err := r.encode()
+	if err != nil {
+		return outcome{}, &Error{Certain: true, Err: trace.Wrap(err)}
+	}
+	if len(l.settles) >= maxSettling {
+		// Each of these may still come to hold its key, and is remembered
+		// until that is settled.
+		return outcome{}, &Error{Certain: true, Err: errBusy}
+	}
+	p := l.commits.submit(write{key: key, mod: over, value: value})
+	select {
+	case o := <-p.done:
+		if platform.IsKind(o.err, platform.KindUnknown) {
+			return outcome{}, l.settleUnknown(ctx, p, r, o.err)
+		}
+		if o.err != nil {
+			return outcome{}, &Error{Certain: true, Err: trace.Wrap(o.err)}
+		}
+		return o, nil
+	case <-ctx.Done():
+	}
+	if l.commits.withdraw(p) {
+		return outcome{}, &Error{Certain: true, Err: trace.Wrap(ctx.Err())}
+	}
+	l.settleLater(func() error { return l.abandon(p, r) })
+	return outcome{}, &Error{Err: trace.Wrap(errAbandoned, "%v", ctx.Err())}
+}
+
+// judge says what another call's claim of the key means to this one.
+func (l *Ledger) judge(ctx context.Context, mine, found record) Result {
+	switch {
+	case found.Digest != mine.Digest:
+		return Result{State: Mismatch}
+	case found.Stage == stageRecorded && found.Answer != nil && found.Answer.Status != 0:
+		return Result{State: Recorded, Answer: *found.Answer}
+	case found.Stage == stageRecorded:
+		return Result{State: Unknown}
+	case l.holderLives(ctx, found):
+		return Result{State: Running}
+	}
+	return Result{State: Unknown}
+}
+
+// holderLives reports whether the run of the daemon that holds the claim is
+// registered. Where the store does not say, it counts as alive: the caller is
+// then told to ask again, which is right either way.
+func (l *Ledger) holderLives(ctx context.Context, found record) bool {
+	self := l.opts.Self
+	if found.Entry == self.ID && found.Incarnation == self.Incarnation {
+		return true
+	}
+	kv, _, err := l.opts.Store.Get(ctx, platform.EntryKey(found.Entry))
+	if err != nil {
+		return true
+	}
+	var e view.EntryRecord
+	if kv.ModRevision == 0 || json.Unmarshal(kv.Value, &e) != nil {
+		return false
+	}
+	return e.Incarnation == found.Incarnation
+}
+
+// Record implements Claims. Where it returns an error the outcome goes on
+// being written in the background.
+func (l *Ledger) Record(ctx context.Context, t Ticket, a Answer) error {
+	if len(a.Body) > l.opts.MaxAnswer {
+		a.Body, a.Kept = nil, false
+	}
+	return l.rewrite(ctx, t, func(r *record) {
+		r.Stage = stageRecorded
+		r.Answer = &a
+	})
+}
+
+// Release implements Claims. Where it returns an error the claim goes on
+// being released in the background.
+func (l *Ledger) Release(ctx context.Context, t Ticket) error {
+	return l.rewrite(ctx, t, released)
+}
+
+func released(r *record) {
+	r.Stage = stageReleased
+	r.Answer = nil
+	r.Expires = time.Now().Add(releasedFor).UTC()
+}
+
+func (l *Ledger) hold(r record) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.held[r.ID] = r
+}
+
+// letGo takes a held claim out, so that it is recorded or released once.
+func (l *Ledger) letGo(id string) (record, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	r, ok := l.held[id]
+	delete(l.held, id)
+	return r, ok
+}
--- /dev/null
+++ b/internal/peer/link.go
@@ -0,0 +1,238 @@
+package peer
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"math/rand/v2"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"github.com/pumicestage/pumicestage/policy/model"
+)
+
+const (
+	// withinZoneEvery is four digests a second: routing by in-flight counts
+	// is no better than random once counts are older than a request takes,
+	// and quick tabulations take some 100 ms.
+	withinZoneEvery = 250 * time.Millisecond
+	// acrossZonesEvery is one sum a second: other zones only need to know
+	// who is alive and what is acknowledged.
+	acrossZonesEvery = time.Second
+	// helloTimeout bounds dialling and the hello; links are milliseconds long.
+	helloTimeout = 2 * time.Second
+	// writeTimeout ends a connection whose other end does not read.
+	writeTimeout = 2 * time.Second
+	// redialMin and redialMax bound the jittered wait between attempts: a
+	// healed zone is heard within a second or two, and a dead address costs
+	// at most an attempt in two seconds.
+	redialMin = 250 * time.Millisecond
+	redialMax = 2 * time.Second
+	// linkQueue is how many frames wait for one peer. Views are few; a full
+	// queue means that the peer does not read, and it asks again later.
+	linkQueue = 16
+	// loadBytes is what one TargetLoad takes in a frame, measured with names
+	// of 14 bytes.
+	loadBytes = 24
+	// digestBaseBytes is a digest without loads, measured, with its header.
+	digestBaseBytes = 64
+)
+
+// link is the connection this entry VM dials to one peer and sends on.
+type link struct {
+	mesh    *Mesh
+	address string
+	cancel  context.CancelFunc
+	queue   chan []byte
+	remote  entryCell
+}
+
+// entryCell holds the ID of the peer at the far end, empty while there is none.
+type entryCell struct{ p atomic.Pointer[model.EntryID] }
+
+func (c *entryCell) Load() model.EntryID {
+	if id := c.p.Load(); id != nil {
+		return *id
+	}
+	return ""
+}
+
+func (c *entryCell) Store(id model.EntryID) { c.p.Store(&id) }
+
+func (l *link) enqueue(frame []byte) bool {
+	select {
+	case l.queue <- frame:
+		return true
+	default:
+		return false
+	}
+}
+
+// run dials until ctx ends.
+func (l *link) run(ctx context.Context) {
+	wait := redialMin
+	for ctx.Err() == nil {
+		started := time.Now()
+		err := l.connectOnce(ctx)
+		l.mesh.opts.Log.V(1).Info("peer connection ended", "address", l.address, "cause", err)
+		if errors.Is(err, errSelf) {
+			return
+		}
+		if time.Since(started) > redialMax {
+			wait = redialMin
+		}
+		sleep(ctx, wait/2+rand.N(wait/2))
+		wait = min(2*wait, redialMax)
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
+
+// connectOnce dials, says hello and sends until the connection fails.
+func (l *link) connectOnce(ctx context.Context) error {
+	conn, err := l.dial(ctx)
+	if err != nil {
+		return err
+	}
+	defer conn.Close()
+	stop := context.AfterFunc(ctx, func() { conn.Close() })
+	defer stop()
+	far, err := l.greet(conn)
+	if err != nil {
+		return err
+	}
+	l.drainQueue()
+	l.remote.Store(model.EntryID(far.Entry))
+	defer l.remote.Store("")
+	return l.send(conn, model.ZoneName(far.Zone) == l.mesh.opts.Self.Zone)
+}
+
+func (l *link) dial(ctx context.Context) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, helloTimeout)
+	defer cancel()
+	conn, err := l.mesh.opts.Dial(ctx, l.address)
+	if err != nil || l.mesh.opts.TLS == nil {
+		return conn, err
+	}
+	secure := tls.Client(conn, l.mesh.opts.TLS)
+	if err := secure.HandshakeContext(ctx); err != nil {
+		conn.Close()
+		return nil, err
+	}
+	return secure, nil
+}
+
+func (l *link) greet(conn net.Conn) (hello, error) {
+	var far hello
+	if err := conn.SetDeadline(time.Now().Add(helloTimeout)); err != nil {
+		return far, err
+	}
+	if err := writeHello(conn, l.mesh.hello()); err != nil {
+		return far, err
+	}
+	far, err := readHello(conn)
+	if err != nil {
+		return far, err
+	}
+	if err := l.mesh.checkHello(far); err != nil {
+		return far, err
+	}
+	return far, conn.SetDeadline(time.Time{})
+}
+
+// drainQueue drops what waited for an earlier connection: views queued before
+// a cut are older than what the peer asks for now.
+func (l *link) drainQueue() {
+	for {
+		select {
+		case <-l.queue:
+		default:
+			return
+		}
+	}
+}
+
+// send writes digests and queued frames until the connection fails. The far
+// end sends nothing after its hello, so a read that returns means it is gone.
+func (l *link) send(conn net.Conn, sameZone bool) error {
+	gone := make(chan error, 1)
+	l.mesh.tasks.Go(func() {
+		_, err := conn.Read(make([]byte, 1))
+		if err == nil {
+			err = errUnsolicited
+		}
+		gone <- err
+	})
+	every := acrossZonesEvery
+	if sameZone {
+		every = withinZoneEvery
+	}
+	tick := time.NewTicker(every)
+	defer tick.Stop()
+	delta := newDelta(sameZone)
+	for {
+		var frame []byte
+		select {
+		case <-tick.C:
+			var err error
+			if frame, err = encodeFrame(KindDigest, delta.next(l.mesh.digest(), l.mesh.loadsPerDigest(every))); err != nil {
+				return err
+			}
+		case frame = <-l.queue:
+		case err := <-gone:
+			return err
+		}
+		if err := l.write(conn, frame); err != nil {
+			return err
+		}
+	}
+}
+
+func (l *link) write(conn net.Conn, frame []byte) error {
+	if err := conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+		return err
+	}
+	_, err := conn.Write(frame)
+	l.mesh.stats.sent(Kind(frame[4]), len(frame))
+	return err
+}
+
+// loadsPerDigest returns how many loads one digest may carry, so that all
+// links of the zone together stay within BytesPerSecond.
+func (m *Mesh) loadsPerDigest(every time.Duration) int {
+	peers := max(1, m.LiveEntries(m.opts.Self.Zone)-1)
+	perDigest := float64(m.opts.BytesPerSecond) * every.Seconds() / float64(peers)
+	return max(minLoadsPerDigest, (int(perDigest)-digestBaseBytes)/loadBytes)
+}
+
+// minLoadsPerDigest keeps digests useful however many peers share the bytes.
+const minLoadsPerDigest = 8
+
+func writeHello(conn net.Conn, h hello) error {
+	frame, err := encodeFrame(KindHello, h)
+	if err != nil {
+		return err
+	}
+	_, err = conn.Write(frame)
+	return err
+}
+
+func readHello(conn net.Conn) (hello, error) {
+	var h hello
+	k, body, err := readFrame(conn)
+	if err != nil {
+		return h, err
+	}
+	if k != KindHello {
+		return h, errUnsolicited
+	}
+	return h, decode(body, &h)
+}
--- /dev/null
+++ b/internal/relay/message.go
@@ -0,0 +1,61 @@
+package relay
+
+import (
+	"github.com/pumicestage/pumicestage/internal/platform"
+)
+
+// versions says how new a view is. The three parts come by watches of their
+// own, so that each has a version of its own.
+type versions struct {
+	Revision   platform.Revision `msgpack:"r"` // of the VMs
+	Entries    platform.Revision `msgpack:"e"` // of the list of entry VMs
+	Generation uint64            `msgpack:"g"` // of the declaration
+}
+
+// poll asks a peer for what is newer than Have, and to be sent further changes
+// for a while.
+type poll struct {
+	Nonce uint64   `msgpack:"n"`
+	Have  versions `msgpack:"h"`
+}
+
+// record is a key as the store holds it. Values are passed on as they were
+// read, so that a view relayed over many peers is the store's own and entry
+// VMs of different builds need not agree on an encoding.
+type record struct {
+	Key   string            `msgpack:"k"`
+	Value []byte            `msgpack:"v,omitempty"`
+	Mod   platform.Revision `msgpack:"m"`
+}
+
+// update is a change of a view: from the store's watch, or from a peer.
+type update struct {
+	Nonce     uint64   `msgpack:"n,omitempty"` // of the poll it answers; 0 for unasked
+	AgeMillis uint32   `msgpack:"a"`           // how long ago the sender knew it to be current
+	Is        versions `msgpack:"i"`           // what the receiver has afterwards
+
+	// VMs: Full replaces all; otherwise Puts and Gone are the changes since From.
+	Full bool              `msgpack:"f,omitempty"`
+	From platform.Revision `msgpack:"b,omitempty"`
+	Puts []record          `msgpack:"p,omitempty"`
+	Gone []record          `msgpack:"d,omitempty"`
+
+	// Entries is the whole list where HasEntries.
+	HasEntries bool     `msgpack:"x,omitempty"`
+	Entries    []record `msgpack:"l,omitempty"`
+
+	// Config is the declaration, nil where it did not change.
+	Config *record `msgpack:"c,omitempty"`
+}
+
+func recordOf(kv platform.KV) record {
+	return record{Key: kv.Key, Value: kv.Value, Mod: kv.ModRevision}
+}
+
+func recordsOf(kvs []platform.KV) []record {
+	records := make([]record, len(kvs))
+	for i, kv := range kvs {
+		records[i] = recordOf(kv)
+	}
+	return records
+}
--- /dev/null
+++ b/internal/relay/source.go
@@ -0,0 +1,336 @@
+package relay
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"math/rand/v2"
+	"strings"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"github.com/pumicestage/pumicestage/internal/platform"
+	"github.com/pumicestage/pumicestage/policy/model"
+)
+
+const (
+	// beaconLost is when a beacon that was written but has not come back by
+	// the watch proves that the watch is dead, though its connection is not.
+	beaconLost = 2 * beaconEvery
+	// reopenMin and reopenMax bound the jittered wait between attempts to
+	// open the source.
+	reopenMin = 250 * time.Millisecond
+	reopenMax = 4 * time.Second
+)
+
+var (
+	errStoreBehind = errors.New("relay: the store is older than the accepted view")
+	errWatchEnded  = errors.New("relay: watch ended")
+	errWatchDead   = errors.New("relay: watch delivers nothing")
+)
+
+// beacon is the value of platform.ViewBeaconKey.
+type beacon struct {
+	Entry model.EntryID
+	Nonce uint64
+}
+
+// storeSource feeds the state from the platform's store: it reads what is
+// missing, watches, and proves by beacons that the watch is current.
+type storeSource struct {
+	relay *Relay
+	store platform.Store
+
+	nonce   uint64
+	pending map[uint64]time.Time // beacons written and not yet seen, by when they were sent
+
+	configMod platform.Revision // of the declaration's key when last seen in the store
+	configGen uint64            // its generation
+	reread    bool              // the VMs must be read anew
+}
+
+func newStoreSource(r *Relay) *storeSource {
+	return &storeSource{
+		relay: r, store: r.opts.Store,
+		nonce: rand.Uint64(), pending: make(map[uint64]time.Time),
+	}
+}
+
+// run feeds the state until ctx ends, opening anew after failures.
+func (s *storeSource) run(ctx context.Context) {
+	defer s.relay.watching.Store(false)
+	wait := reopenMin
+	for ctx.Err() == nil {
+		started := time.Now()
+		err := s.follow(ctx)
+		s.relay.watching.Store(false)
+		if ctx.Err() != nil {
+			return
+		}
+		s.noteEnd(err)
+		if time.Since(started) > reopenMax {
+			wait = reopenMin
+		}
+		sleep(ctx, wait/2+rand.N(wait/2))
+		wait = min(2*wait, reopenMax)
+	}
+}
+
+func (s *storeSource) noteEnd(err error) {
+	behind := errors.Is(err, errStoreBehind)
+	if behind && !s.relay.behind.Swap(true) {
+		s.relay.opts.Log.Error(err, "planned stops wait until the store has passed the accepted view")
+	}
+	if behind || platform.IsKind(err, platform.KindCompacted) {
+		s.reread = true
+	}
+	s.relay.opts.Log.V(1).Info("platform watch ended", "cause", err)
+}
+
+// follow opens the watches and feeds the state until one of them ends.
+func (s *storeSource) follow(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	clear(s.pending)
+	at, err := s.sendBeacon(ctx)
+	if err != nil {
+		return err
+	}
+	s.relay.behind.Store(false)
+	w, err := s.open(ctx, at)
+	if err != nil {
+		return err
+	}
+	s.relay.watching.Store(true)
+	return s.feed(ctx, w)
+}
+
+// watches are the three streams a view is made of.
+type watches struct {
+	vms, entries, config <-chan platform.WatchBatch
+}
+
+// open reads what the state lacks and watches from there on. at is the
+// revision up to which the declaration is known.
+func (s *storeSource) open(ctx context.Context, at platform.Revision) (watches, error) {
+	var w watches
+	from, err := s.readVMs(ctx)
+	if err != nil {
+		return w, err
+	}
+	entriesAt, err := s.readEntries(ctx)
+	if err != nil {
+		return w, err
+	}
+	if w.vms, err = s.store.Watch(ctx, platform.ViewWatchPrefix, from+1); err != nil {
+		return w, trace.Wrap(err)
+	}
+	if w.entries, err = s.store.Watch(ctx, platform.EntryPrefix, entriesAt+1); err != nil {
+		return w, trace.Wrap(err)
+	}
+	w.config, err = s.store.Watch(ctx, platform.ConfigKey, at+1)
+	return w, trace.Wrap(err)
+}
+
+// readVMs reads all VMs if the state has none or its revision can no longer
+// be watched from, and returns the revision the state then has.
+func (s *storeSource) readVMs(ctx context.Context) (platform.Revision, error) {
+	if has := s.relay.state.versions().Revision; has > 0 && !s.reread {
+		return has, nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	kvs, rev, err := s.store.Range(ctx, platform.VMPrefix)
+	if err != nil {
+		return 0, trace.Wrap(err)
+	}
+	if rev < s.relay.state.versions().Revision {
+		return 0, trace.Wrap(errStoreBehind)
+	}
+	s.reread = false
+	s.relay.state.merge(update{Full: true, Puts: recordsOf(kvs), Is: versions{Revision: rev}}, time.Time{})
+	return max(rev, s.relay.state.versions().Revision), nil
+}
+
+func (s *storeSource) readEntries(ctx context.Context) (platform.Revision, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	kvs, rev, err := s.store.Range(ctx, platform.EntryPrefix)
+	if err != nil {
+		return 0, trace.Wrap(err)
+	}
+	s.relay.state.merge(update{HasEntries: true, Entries: recordsOf(kvs), Is: versions{Entries: rev}}, time.Time{})
+	return rev, nil
+}
+
+func (s *storeSource) feed(ctx context.Context, w watches) error {
+	tick := time.NewTicker(beaconEvery)
+	defer tick.Stop()
+	for {
+		var err error
+		select {
+		case b, ok := <-w.vms:
+			err = s.take(b, ok, s.takeVMs)
+		case b, ok := <-w.entries:
+			err = s.take(b, ok, s.takeEntries)
+		case b, ok := <-w.config:
+			err = s.take(b, ok, s.takeConfig)
+		case <-tick.C:
+			err = s.beat(ctx)
+		case <-ctx.Done():
+			err = ctx.Err()
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
+
+func (s *storeSource) take(b platform.WatchBatch, ok bool, f func(platform.WatchBatch)) error {
+	if !ok {
+		return errWatchEnded
+	}
+	if b.Err != nil {
+		return trace.Wrap(b.Err)
+	}
+	f(b)
+	return nil
+}
+
+// beat writes a beacon, and ends the watch where an earlier one got lost.
+func (s *storeSource) beat(ctx context.Context) error {
+	for _, sent := range s.pending {
+		if time.Since(sent) > beaconLost {
+			return errWatchDead
+		}
+	}
+	_, err := s.sendBeacon(ctx)
+	if err == nil || errors.Is(err, errStoreBehind) {
+		return err
+	}
+	// The watch may well live on while writes fail; the view's age tells.
+	s.relay.opts.Log.V(1).Info("beacon not written", "cause", err)
+	return nil
+}
+
+// sendBeacon writes the beacon, and in the same transaction makes sure that
+// the declaration known here is the store's. It returns the store's revision.
+func (s *storeSource) sendBeacon(ctx context.Context) (platform.Revision, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	s.nonce++
+	value, err := json.Marshal(beacon{Entry: s.relay.opts.Self.ID, Nonce: s.nonce})
+	if err != nil {
+		return 0, trace.Wrap(err)
+	}
+	put := platform.Put(platform.ViewBeaconKey, value)
+	sent := time.Now()
+	res, err := s.store.Txn(ctx, platform.Txn{
+		If:   []platform.Cond{{Key: platform.ConfigKey, ModRevision: s.configMod}},
+		Then: []platform.Op{put},
+		Else: []platform.Op{put, platform.Read(platform.ConfigKey)},
+	})
+	if err != nil {
+		return 0, trace.Wrap(err)
+	}
+	if !res.Succeeded && len(res.Reads) == 1 {
+		s.noteConfig(res.Reads[0])
+		s.repairConfig(ctx)
+	}
+	if res.Revision < s.relay.state.versions().Revision {
+		return 0, trace.Wrap(errStoreBehind)
+	}
+	s.pending[s.nonce] = sent
+	return res.Revision, nil
+}
+
+func (s *storeSource) noteConfig(kv platform.KV) {
+	if kv.ModRevision < s.configMod && kv.ModRevision > 0 {
+		s.relay.opts.Log.Info("the store holds an older declaration than before", "revision", kv.ModRevision, "before", s.configMod)
+	}
+	s.configMod, s.configGen = kv.ModRevision, 0
+	if kv.ModRevision == 0 {
+		return
+	}
+	r := recordOf(kv)
+	s.relay.state.merge(update{Config: &r}, time.Time{})
+	var head struct{ Generation uint64 }
+	if err := json.Unmarshal(kv.Value, &head); err == nil {
+		s.configGen = head.Generation
+	}
+}
+
+// repairConfig puts the accepted declaration back where the store holds an
+// older one, as after a restore from a backup: an entry VM that starts without
+// peers would otherwise bring the older one back in force. The CAS on the
+// older one's revision makes it harmless where an operator was faster.
+func (s *storeSource) repairConfig(ctx context.Context) {
+	accepted, generation := s.relay.state.acceptedConfig()
+	if generation <= s.configGen {
+		return
+	}
+	res, err := s.store.Txn(ctx, platform.Txn{
+		If:   []platform.Cond{{Key: platform.ConfigKey, ModRevision: s.configMod}},
+		Then: []platform.Op{platform.Put(platform.ConfigKey, accepted.Value)},
+	})
+	s.relay.opts.Log.Info("put the accepted declaration back into the store",
+		"generation", generation, "found", s.configGen, "done", err == nil && res.Succeeded)
+	if err == nil && res.Succeeded {
+		s.configMod, s.configGen = res.Revision, generation
+	}
+}
+
+func (s *storeSource) takeVMs(b platform.WatchBatch) {
+	u := update{From: b.Revision - 1, Is: versions{Revision: b.Revision}}
+	var proven time.Time
+	for _, e := range b.Events {
+		switch {
+		case e.KV.Key == platform.ViewBeaconKey:
+			proven = s.seen(e.KV)
+		case !strings.HasPrefix(e.KV.Key, platform.VMPrefix):
+		case e.Kind == platform.EventPut:
+			u.Puts = append(u.Puts, recordOf(e.KV))
+		default:
+			u.Gone = append(u.Gone, recordOf(e.KV))
+		}
+	}
+	u.From = s.relay.state.versions().Revision
+	if !proven.IsZero() {
+		u.Is.Generation = s.relay.state.versions().Generation
+	}
+	s.relay.state.merge(u, proven)
+}
+
+// seen returns when the beacon was sent if it is this source's own. Then
+// everything before it has been delivered, and the view was current then.
+func (s *storeSource) seen(kv platform.KV) time.Time {
+	var b beacon
+	if err := json.Unmarshal(kv.Value, &b); err != nil || b.Entry != s.relay.opts.Self.ID {
+		return time.Time{}
+	}
+	sent := s.pending[b.Nonce]
+	for nonce := range s.pending {
+		if nonce <= b.Nonce {
+			delete(s.pending, nonce)
+		}
+	}
+	return sent
+}
+
+func (s *storeSource) takeEntries(b platform.WatchBatch) {
+	s.relay.state.mergeEntryEvents(b)
+}
+
+func (s *storeSource) takeConfig(b platform.WatchBatch) {
+	for _, e := range b.Events {
+		if e.KV.Key != platform.ConfigKey {
+			continue
+		}
+		if e.Kind == platform.EventDelete {
+			s.noteConfig(platform.KV{Key: e.KV.Key})
+		} else {
+			s.noteConfig(e.KV)
+		}
+	}
+}
