--- a/policy/model/model.go
+++ b/policy/model/model.go
@@ -142,6 +142,13 @@
 	Change   ChangeID  // the change that wrote this state
 	Reason   string    // a sentence a person reads
 	Wave     WaveName  // the last wave that finished on this VM
+
+	Run        ChangeID      // the run of the wave that holds the VM or finished on it last
+	Order      ChangeID      // the last order that took effect on this VM
+	ProofBoots int           // Machine.Boots from which the ordered reboot is proven; 0 where none was ordered
+	Took       time.Duration // how long the last maintenance kept the VM out
+	Postponed  time.Time     // when a drain was last given up; zero if never
+	Cut        bool          // an order allowed to cut what still runs
 }
 
 // Pool is a declared set of VMs that runs one service's requests or jobs.
