--- a/policy/model/model.go
+++ b/policy/model/model.go
@@ -149,6 +149,7 @@
 	Took       time.Duration // how long the last maintenance kept the VM out
 	Postponed  time.Time     // when a drain was last given up; zero if never
 	Cut        bool          // an order allowed to cut what still runs
+	Ledgers    []ServiceName // the services whose ledgers hold a stop of this VM
 }
 
 // Pool is a declared set of VMs that runs one service's requests or jobs.
