--- a/policy/model/model.go
+++ b/policy/model/model.go
@@ -146,6 +146,7 @@
 	Run        ChangeID      // the run of the wave that holds the VM or finished on it last
 	Order      ChangeID      // the last order that took effect on this VM
 	ProofBoots int           // Machine.Boots from which the ordered reboot is proven; 0 where none was ordered
+	Out        time.Time     // when the VM was last taken out of its pool
 	Took       time.Duration // how long the last maintenance kept the VM out
 	Postponed  time.Time     // when a drain was last given up; zero if never
 	Cut        bool          // an order allowed to cut what still runs
