fleet: waves, drains and moves by compare-and-swap, thin path

Cause: planned stops need one decision per stop that holds whichever entry VM dies, pauses or races. Change: budgets counted pessimistically (policy/budget), waves planned by a pure function (policy/wave), and a level-driven reconciler that grants stops in the ledgers and VM keys in one transaction, drains, counts again, reboots and releases on proof of health; orders with typed refusals.

--- /dev/null
+++ b/internal/fleet/bootstrap.go
@@ -0,0 +1,126 @@
+package fleet
+
+import (
+	"context"
+	"sort"
+
+	"github.com/pumicestage/pumicestage/policy/model"
+)
+
+// holderJoin holds a VM that was declared later than its pool, until it is
+// proven healthy. Before that no budget counts it: a share of a larger whole
+// would need more VMs up before the new one helps.
+const holderJoin = "join"
+
+// Bootstrap creates the keys of declared VMs that have none. The first VMs of
+// a pool are in it at once; later ones join by proof of health. VMs that are
+// no longer declared are left alone, see Undeclared.
+func (f *Fleet) Bootstrap(ctx context.Context) error {
+	p := f.newPass()
+	if p.snap.Declaration == nil {
+		return nil
+	}
+	for _, batch := range p.newcomers() {
+		if err := p.create(ctx, batch); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Undeclared returns the VMs that have a key and are not declared, sorted. They
+// keep working until an operator drains them.
+func (f *Fleet) Undeclared() []model.VMID {
+	p := f.newPass()
+	if p.snap.Declaration == nil {
+		return nil
+	}
+	declared := make(map[model.VMID]bool)
+	for i := range p.snap.Declaration.VMs {
+		declared[p.snap.Declaration.VMs[i].ID] = true
+	}
+	var ids []model.VMID
+	for id := range p.snap.VMs {
+		if !declared[id] {
+			ids = append(ids, id)
+		}
+	}
+	sort.Slice(ids, func(i, j int) bool { return ids[i] < ids[j] })
+	return ids
+}
+
+// newcomers returns declared VMs without a key, in batches of one pool.
+func (p *pass) newcomers() [][]model.VMDecl {
+	byPool := make(map[model.PoolName][]model.VMDecl)
+	var pools []model.PoolName
+	for _, d := range p.snap.Declaration.VMs {
+		if _, ok := p.snap.VMs[d.ID]; ok {
+			continue
+		}
+		if len(byPool[d.Pool]) == 0 {
+			pools = append(pools, d.Pool)
+		}
+		byPool[d.Pool] = append(byPool[d.Pool], d)
+	}
+	var batches [][]model.VMDecl
+	for _, pool := range pools {
+		vms := byPool[pool]
+		for len(vms) > maxGrants {
+			batches = append(batches, vms[:maxGrants])
+			vms = vms[maxGrants:]
+		}
+		batches = append(batches, vms)
+	}
+	return batches
+}
+
+// create writes the keys of one batch. Keys that exist already, since the view
+// lags or another entry VM was first, are left as they are.
+func (p *pass) create(ctx context.Context, batch []model.VMDecl) error {
+	ids := make([]model.VMID, len(batch))
+	for i, d := range batch {
+		ids[i] = d.ID
+	}
+	names := p.concerned([]model.PoolName{batch[0].Pool})
+	r, err := p.f.read(ctx, ids, names, "")
+	if err != nil {
+		return err
+	}
+	change := p.f.changeID()
+	w := &write{}
+	for _, d := range batch {
+		if c := r.vms[d.ID]; c.rev == 0 {
+			c.value = p.newVM(d, change)
+			w.change(c.cond(), c.put())
+		}
+	}
+	if len(w.ops) == 0 {
+		return nil
+	}
+	for _, name := range names {
+		l := r.ledgers[name]
+		l.value.Change = change
+		w.change(l.cond(), l.put())
+	}
+	return p.settle(ctx, "create VMs", w)
+}
+
+func (p *pass) newVM(d model.VMDecl, change model.ChangeID) model.VM {
+	vm := model.VM{
+		ID:       d.ID,
+		Zone:     d.Zone,
+		Rack:     d.Rack,
+		Pool:     d.Pool,
+		Address:  d.Address,
+		Capacity: d.Capacity,
+		State:    model.VMInPool,
+		Since:    p.now,
+		Change:   change,
+		Reason:   "declared",
+	}
+	if len(p.byPool[d.Pool]) > 0 {
+		vm.State = model.VMProbation
+		vm.Holder = holderJoin
+	}
+	return vm
+}
--- /dev/null
+++ b/internal/fleet/harness_test.go
@@ -0,0 +1,198 @@
+package fleet
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/jonboulle/clockwork"
+	"gotest.tools/v3/assert"
+
+	"github.com/pumicestage/pumicestage/internal/platform"
+	"github.com/pumicestage/pumicestage/internal/platform/faulty"
+	"github.com/pumicestage/pumicestage/internal/platform/memstore"
+	"github.com/pumicestage/pumicestage/internal/view"
+	"github.com/pumicestage/pumicestage/policy/model"
+)
+
+// node is one entry VM: a Fleet with a view and a way to the store of its own.
+type node struct {
+	*Fleet
+	store *faulty.Store
+	view  *view.Holder
+	blind bool // its view gets no news
+}
+
+// world is a fleet with its platform and entry VMs on a fake clock.
+type world struct {
+	clock    *clockwork.FakeClock
+	store    *memstore.Store
+	machines *machines
+	decl     *model.Declaration
+	nodes    []*node
+	ids      int
+}
+
+func newWorld(d *model.Declaration, nodes int) *world {
+	clock := clockwork.NewFakeClock()
+	w := &world{clock: clock, store: memstore.New(clock), decl: d}
+	w.machines = newMachines(clock, d)
+	w.machines.sending = w.anySending
+	for i := range nodes {
+		w.addNode(model.EntryID(fmt.Sprintf("e%d", i)))
+	}
+	return w
+}
+
+func (w *world) addNode(id model.EntryID) *node {
+	n := &node{store: faulty.Wrap(w.store), view: view.NewHolder()}
+	n.Fleet = New(Options{
+		Store: n.store, Machines: w.machines, View: n.view, Acks: w, Health: w.machines.health,
+		Clock: w.clock, Log: logr.Discard(), Self: id, NewID: w.newID,
+	})
+	w.nodes = append(w.nodes, n)
+	return n
+}
+
+func (w *world) newID() string {
+	w.ids++
+	return fmt.Sprintf("%06d", w.ids)
+}
+
+// Missing implements Acks by what the nodes' views hold.
+func (w *world) Missing(_ context.Context, since platform.Revision) ([]model.EntryID, error) {
+	var missing []model.EntryID
+	for _, n := range w.nodes {
+		if n.view.Load().Revision < since {
+			missing = append(missing, n.self)
+		}
+	}
+	return missing, nil
+}
+
+// anySending reports whether an entry VM's view lets it send to the VM.
+func (w *world) anySending(id model.VMID) bool {
+	for _, n := range w.nodes {
+		if vm, ok := n.view.Load().VMs[id]; ok && vm.State == model.VMInPool {
+			return true
+		}
+	}
+	return false
+}
+
+// sync brings the views of all nodes that see to the store's state.
+func (w *world) sync() {
+	snap := w.snapshot()
+	for _, n := range w.nodes {
+		if !n.blind {
+			n.view.Publish(snap)
+		}
+	}
+}
+
+func (w *world) snapshot() *view.Snapshot {
+	kvs, rev, err := w.store.Range(context.Background(), platform.VMPrefix)
+	if err != nil {
+		panic(err)
+	}
+	snap := &view.Snapshot{Revision: rev, AsOf: w.clock.Now(), Declaration: w.decl, VMs: make(map[model.VMID]view.VMRecord)}
+	for _, kv := range kvs {
+		c, err := decode[model.VM](kv)
+		if err != nil {
+			panic(err)
+		}
+		snap.VMs[c.value.ID] = view.VMRecord{VM: c.value, Revision: c.rev}
+	}
+	return snap
+}
+
+// start creates the VMs and brings every view up to date.
+func (w *world) start(t testing.TB) {
+	w.sync()
+	assert.NilError(t, w.nodes[0].Bootstrap(context.Background()))
+	w.sync()
+}
+
+// turn advances the clock by d and lets every node do one pass.
+func (w *world) turn(d time.Duration) error {
+	w.clock.Advance(d)
+	var first error
+	for _, n := range w.nodes {
+		w.sync()
+		if err := n.Step(context.Background()); err != nil && first == nil {
+			first = err
+		}
+	}
+	w.sync()
+	return first
+}
+
+// until turns until done, and fails the test after limit.
+func (w *world) until(t testing.TB, limit time.Duration, done func() bool) time.Duration {
+	t.Helper()
+	const tick = time.Second
+	for passed := time.Duration(0); passed < limit; passed += tick {
+		if done() {
+			return passed
+		}
+		_ = w.turn(tick)
+	}
+	t.Fatalf("not done after %s: %s", limit, w.describe())
+	return limit
+}
+
+func (w *world) describe() string {
+	var s string
+	for _, vm := range w.snapshot().VMs {
+		if vm.Holder != "" {
+			s += fmt.Sprintf("\n%s %s %s since %s: %s", vm.ID, vm.State, vm.Holder, vm.Since, vm.Reason)
+		}
+	}
+	st, err := w.nodes[0].WaveStatuses(context.Background())
+	return fmt.Sprintf("%s\n%+v %v", s, st, err)
+}
+
+func (w *world) vm(id model.VMID) view.VMRecord { return w.snapshot().VMs[id] }
+
+func (w *world) waveState(t testing.TB, name model.WaveName) WaveState {
+	c, err := w.nodes[0].readWave(context.Background(), name)
+	assert.NilError(t, err)
+	return c.value.State
+}
+
+func order(id string) Order {
+	return Order{Change: model.ChangeID(id), Actor: "test", Reason: "test"}
+}
+
+// declare makes a deployment: services s0.. with one pool each, VMs spread over
+// zones, perService each, with 4 VMs to a rack within their zone.
+func declare(zones, services, perService, minUp int) *model.Declaration {
+	d := &model.Declaration{Generation: 1, Deployment: "test"}
+	inZone := make([]int, zones)
+	for z := range zones {
+		d.Zones = append(d.Zones, model.ZoneName(fmt.Sprintf("z%d", z)))
+	}
+	wave := model.Wave{Name: "spring", Canary: 1, Probation: 30 * time.Second, Grace: 5 * time.Minute, MaxFailures: 2}
+	for s := range services {
+		pool := model.PoolName(fmt.Sprintf("p%d", s))
+		svc := model.Service{Name: model.ServiceName(fmt.Sprintf("s%d", s)), Pools: []model.PoolName{pool}}
+		svc.Budget.MinAvailable.Count = minUp
+		d.Services = append(d.Services, svc)
+		p := model.Pool{Name: pool}
+		for i := range perService {
+			z := (i + s) % zones
+			vm := model.VMDecl{ID: model.VMID(fmt.Sprintf("v%d-%02d", s, i)), Zone: d.Zones[z], Pool: pool}
+			vm.Rack = model.RackName(fmt.Sprintf("%s-r%d", d.Zones[z], inZone[z]/4))
+			inZone[z]++
+			p.VMs = append(p.VMs, vm.ID)
+			d.VMs = append(d.VMs, vm)
+		}
+		d.Pools = append(d.Pools, p)
+		wave.Pools = append(wave.Pools, pool)
+	}
+	d.Waves = []model.Wave{wave}
+	d.Weights = model.Weights{RollOutTime: 3, BufferCost: 1, Moves: 1}
+	return d
+}
--- /dev/null
+++ b/internal/fleet/machines_test.go
@@ -0,0 +1,150 @@
+package fleet
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"github.com/pumicestage/pumicestage/internal/platform"
+	"github.com/pumicestage/pumicestage/policy/model"
+)
+
+// machine is one VM of the fake platform.
+type machine struct {
+	drained   bool
+	quietAt   time.Time // when a drained VM has finished its work
+	upAt      time.Time // when a reboot is over
+	boots     int
+	failed    bool          // live, but never healthy
+	drainTime time.Duration // how long its work takes to finish
+	bootTime  time.Duration
+}
+
+// machines is the fake of the platform's control of VMs. It counts effects per
+// attempt and what they cut.
+type machines struct {
+	platform.Machines // tasks are not used here
+	clock             clockwork.Clock
+	sending           func(model.VMID) bool // whether an entry VM may still send to the VM
+
+	mu      sync.Mutex
+	vms     map[model.VMID]*machine
+	done    map[model.AttemptID]bool
+	down    bool // no call gets through
+	lag     time.Duration
+	reboots map[model.VMID]int
+	cut     []model.VMID // VMs rebooted with work on them
+	before  func(op string, vm model.VMID)
+	calls   int
+	lose    int // so many next effects happen and report no reply
+}
+
+func newMachines(clock clockwork.Clock, d *model.Declaration) *machines {
+	m := &machines{
+		clock:   clock,
+		vms:     make(map[model.VMID]*machine),
+		done:    make(map[model.AttemptID]bool),
+		reboots: make(map[model.VMID]int),
+	}
+	for i := range d.VMs {
+		m.vms[d.VMs[i].ID] = &machine{drainTime: 20 * time.Second, bootTime: time.Minute, boots: 1}
+	}
+	return m
+}
+
+func (m *machines) health(id model.VMID) model.Health {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	v, ok := m.vms[id]
+	switch {
+	case !ok:
+		return model.HealthUnknown
+	case v.failed || m.clock.Now().Before(v.upAt):
+		return model.HealthDown
+	}
+	return model.HealthHealthy
+}
+
+func (m *machines) List(context.Context) (platform.MachineList, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.calls++
+	if m.down {
+		return platform.MachineList{}, platform.Errorf("list", platform.KindUnavailable, "down")
+	}
+	now := m.clock.Now()
+	list := platform.MachineList{AsOf: now.Add(-m.lag)}
+	for id, v := range m.vms {
+		live := !now.Before(v.upAt)
+		list.Machines = append(list.Machines, platform.Machine{VM: id, Live: live, Boots: v.boots})
+	}
+	return list, nil
+}
+
+// effect runs do once per attempt, then reports what the faults want.
+func (m *machines) effect(op string, id model.VMID, a model.AttemptID, do func(*machine)) error {
+	if m.before != nil {
+		m.before(op, id)
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.calls++
+	if m.down {
+		return platform.Errorf(op, platform.KindUnavailable, "down")
+	}
+	v, ok := m.vms[id]
+	if !ok {
+		return platform.Errorf(op, platform.KindNotFound, "%s", id)
+	}
+	if !m.done[a] {
+		m.done[a] = true
+		do(v)
+	}
+	if m.lose > 0 {
+		m.lose--
+		return platform.Errorf(op, platform.KindUnknown, "reply lost")
+	}
+	return nil
+}
+
+func (m *machines) Drain(_ context.Context, id model.VMID, a model.AttemptID) error {
+	return m.effect("drain", id, a, func(v *machine) {
+		v.drained = true
+		v.quietAt = m.clock.Now().Add(v.drainTime)
+	})
+}
+
+func (m *machines) Undrain(_ context.Context, id model.VMID, a model.AttemptID) error {
+	return m.effect("undrain", id, a, func(v *machine) { v.drained = false })
+}
+
+func (m *machines) Reboot(_ context.Context, id model.VMID, a model.AttemptID) error {
+	return m.effect("reboot", id, a, func(v *machine) {
+		if m.inFlight(v) > 0 || m.sending(id) {
+			m.cut = append(m.cut, id)
+		}
+		v.boots++
+		m.reboots[id]++
+		v.upAt = m.clock.Now().Add(v.bootTime)
+	})
+}
+
+func (m *machines) inFlight(v *machine) int {
+	if !v.drained || m.clock.Now().Before(v.quietAt) {
+		return 1
+	}
+	return 0
+}
+
+func (m *machines) InFlight(_ context.Context, id model.VMID) (int, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.calls++
+	v, ok := m.vms[id]
+	if m.down || !ok {
+		return 0, platform.Errorf("in-flight", platform.KindUnavailable, "down")
+	}
+	return m.inFlight(v), nil
+}
--- /dev/null
+++ b/internal/fleet/pass.go
@@ -0,0 +1,156 @@
+package fleet
+
+import (
+	"context"
+	"sort"
+	"time"
+
+	"github.com/pumicestage/pumicestage/internal/platform"
+	"github.com/pumicestage/pumicestage/internal/view"
+	"github.com/pumicestage/pumicestage/policy/budget"
+	"github.com/pumicestage/pumicestage/policy/model"
+	"github.com/pumicestage/pumicestage/policy/wave"
+)
+
+// unknownAge is the age of evidence that was never had.
+const unknownAge = 24 * time.Hour
+
+// pass is what one pass of the reconciler, or one order, goes by.
+type pass struct {
+	f        *Fleet
+	now      time.Time
+	snap     *view.Snapshot
+	list     platform.MachineList
+	machines map[model.VMID]platform.Machine
+	byPool   map[model.PoolName][]model.VMID // sorted
+}
+
+// newPass takes the newest view and the newest list had.
+func (f *Fleet) newPass() *pass {
+	p := &pass{
+		f:        f,
+		now:      f.clock.Now(),
+		snap:     f.view.Load(),
+		list:     f.lastList(),
+		machines: make(map[model.VMID]platform.Machine),
+		byPool:   make(map[model.PoolName][]model.VMID),
+	}
+	for _, m := range p.list.Machines {
+		p.machines[m.VM] = m
+	}
+	for id, vm := range p.snap.VMs {
+		p.byPool[vm.Pool] = append(p.byPool[vm.Pool], id)
+	}
+	for _, ids := range p.byPool {
+		sort.Slice(ids, func(i, j int) bool { return ids[i] < ids[j] })
+	}
+	return p
+}
+
+func (f *Fleet) lastList() platform.MachineList {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.list
+}
+
+// refreshList fetches the platform's list; where that fails the old one ages.
+func (f *Fleet) refreshList(ctx context.Context) error {
+	list, err := f.machines.List(ctx)
+	if err != nil {
+		return fault("list", err)
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !list.AsOf.Before(f.list.AsOf) {
+		f.list = list
+	}
+	return nil
+}
+
+func (p *pass) viewAge() time.Duration { return age(p.now, p.snap.AsOf) }
+func (p *pass) listAge() time.Duration { return age(p.now, p.list.AsOf) }
+
+func age(now, then time.Time) time.Duration {
+	if then.IsZero() {
+		return unknownAge
+	}
+	return max(0, now.Sub(then))
+}
+
+// stale says why no stop may start on this evidence, or nothing.
+func (p *pass) stale() string {
+	if p.viewAge() > wave.MaxViewAge {
+		return "the view of the fleet is too old"
+	}
+	if p.listAge() > wave.MaxListAge {
+		return "the platform's list of VMs is too old"
+	}
+	return ""
+}
+
+func (p *pass) evidence(id model.VMID, stopped bool) budget.Evidence {
+	m, ok := p.machines[id]
+	listed := ok && m.Live && !m.Leaving && p.listAge() <= wave.MaxListAge
+	return budget.Evidence{Listed: listed, Health: p.f.health(id), Stopped: stopped}
+}
+
+// servicesOf returns the services that count the pool's VMs, in the
+// declaration's order.
+func (p *pass) servicesOf(pool model.PoolName) []*model.Service {
+	return p.snap.Declaration.ServicesOf(pool)
+}
+
+// concerned returns the services whose budgets a stop in one of the pools
+// touches, sorted by name.
+func (p *pass) concerned(pools []model.PoolName) []model.ServiceName {
+	seen := make(map[model.ServiceName]bool)
+	var names []model.ServiceName
+	for _, pool := range pools {
+		for _, s := range p.servicesOf(pool) {
+			if !seen[s.Name] {
+				seen[s.Name] = true
+				names = append(names, s.Name)
+			}
+		}
+	}
+	sort.Slice(names, func(i, j int) bool { return names[i] < names[j] })
+	return names
+}
+
+// tally counts a service by the view and its ledger.
+func (p *pass) tally(s *model.Service, l Ledger) *wave.Tally {
+	stopped := make(map[model.VMID]Stop)
+	for _, stop := range l.Stops {
+		stopped[stop.VM] = stop
+	}
+	var members, held []budget.Member
+	for _, pool := range s.Pools {
+		for _, id := range p.byPool[pool] {
+			vm := p.snap.VMs[id]
+			if vm.Holder == holderJoin {
+				continue
+			}
+			stop, out := stopped[id]
+			m := budget.Member{ID: id, Zone: vm.Zone, Rack: vm.Rack}
+			m.Up = budget.Up(vm.State, p.evidence(id, out))
+			members = append(members, m)
+			if out && wave.HeldByWave(stop.Holder) {
+				held = append(held, m)
+			}
+		}
+	}
+	return wave.NewTally(budget.Count(s, members), held)
+}
+
+// behind says which ledger has been written since the view was made, or
+// nothing. Every change of a service's membership or stops writes its ledger,
+// so a view as new as the ledger has them all; an older one could count a VM
+// that has left the service since.
+func (p *pass) behind(r *reading) string {
+	for name, l := range r.ledgers {
+		if l.rev > p.snap.Revision {
+			return "the view is behind the ledger of service " + string(name)
+		}
+	}
+	return ""
+}
--- /dev/null
+++ b/internal/fleet/status.go
@@ -0,0 +1,210 @@
+package fleet
+
+import (
+	"context"
+	"sort"
+	"time"
+
+	"github.com/pumicestage/pumicestage/internal/platform"
+	"github.com/pumicestage/pumicestage/internal/view"
+	"github.com/pumicestage/pumicestage/policy/budget"
+	"github.com/pumicestage/pumicestage/policy/model"
+	"github.com/pumicestage/pumicestage/policy/wave"
+)
+
+// WaveStatus is what operators see of a started wave.
+type WaveStatus struct {
+	Record   WaveRecord
+	Revision platform.Revision
+	Progress wave.Progress
+	Forecast time.Duration // until it ends; 0 where it has
+	Hold     string        // what holds it back now; empty if nothing
+}
+
+// WaveStatus returns where a wave stands; a Refusal where it was never started.
+func (f *Fleet) WaveStatus(ctx context.Context, name model.WaveName) (WaveStatus, error) {
+	c, err := f.readWave(ctx, name)
+	if err != nil {
+		return WaveStatus{}, asRefusal(err)
+	}
+	if c.rev == 0 {
+		return WaveStatus{}, refuse(CodeNotFound, "", 0, "wave %s was never started", name)
+	}
+	return f.newPass().status(c), nil
+}
+
+// WaveStatuses returns every started wave, sorted by name.
+func (f *Fleet) WaveStatuses(ctx context.Context) ([]WaveStatus, error) {
+	ws, err := f.loadWaves(ctx)
+	if err != nil {
+		return nil, asRefusal(err)
+	}
+	p := f.newPass()
+	var all []WaveStatus
+	for _, c := range ws {
+		all = append(all, p.status(c))
+	}
+	sort.Slice(all, func(i, j int) bool { return all[i].Record.Name < all[j].Record.Name })
+	return all, nil
+}
+
+func (p *pass) status(c *cell[WaveRecord]) WaveStatus {
+	s := WaveStatus{Record: c.value, Revision: c.rev}
+	if p.snap.Declaration == nil {
+		return s
+	}
+	plan, _ := p.plan(&c.value)
+	s.Progress = plan.Progress
+	s.Forecast = plan.Forecast
+	s.Hold = plan.Reason
+	if c.value.State != WaveRunning {
+		s.Hold = c.value.Reason
+	}
+	if c.value.State == WaveFinished || c.value.State == WaveCancelled {
+		s.Forecast = 0
+	}
+	return s
+}
+
+// PlanWave returns what a wave would do now, by the planner that the order
+// uses; pools as in StartWave. It changes nothing.
+func (f *Fleet) PlanWave(ctx context.Context, name model.WaveName, pools []model.PoolName) (wave.Plan, error) {
+	p, err := f.orderPass(ctx)
+	if err != nil {
+		return wave.Plan{}, asRefusal(err)
+	}
+	pools, err = p.wavePools(name, pools)
+	if err != nil {
+		return wave.Plan{}, err
+	}
+	plan, _ := p.plan(&WaveRecord{Name: name, Run: "what-if", Pools: pools})
+	return plan, nil
+}
+
+// StopCheck says whether a VM could be taken out.
+type StopCheck struct {
+	VM      model.VMID
+	Allowed bool
+	Why     string // why not
+}
+
+// CheckStops returns whether an order could take the VMs out one after the
+// other, by the count that the order makes. It changes nothing.
+func (f *Fleet) CheckStops(ctx context.Context, vms []model.VMID) ([]StopCheck, error) {
+	p, err := f.orderPass(ctx)
+	if err != nil {
+		return nil, asRefusal(err)
+	}
+	names := p.concerned(p.poolsOf(vms))
+	r, err := f.read(ctx, vms, names, "")
+	if err != nil {
+		return nil, asRefusal(err)
+	}
+	if why := p.behind(r); why != "" {
+		return nil, refuse(CodeUnavailable, "", 0, "%s", why)
+	}
+	var checks []StopCheck
+	tallies := p.tallies(r)
+	for _, id := range vms {
+		c := StopCheck{VM: id, Why: p.refuseStop(r.vms[id], tallies, false)}
+		c.Allowed = c.Why == ""
+		if c.Allowed {
+			p.take(&write{}, r, tallies, stopRequest{}, id)
+		}
+		checks = append(checks, c)
+	}
+	return checks, nil
+}
+
+// VMStatus is what operators see of a VM.
+type VMStatus struct {
+	view.VMRecord
+	Health model.Health
+	Live   bool // by the platform's list
+}
+
+// VMs returns every VM of the view, sorted by ID.
+func (f *Fleet) VMs() []VMStatus {
+	p := f.newPass()
+	all := make([]VMStatus, 0, len(p.snap.VMs))
+	for id, vm := range p.snap.VMs {
+		all = append(all, VMStatus{VMRecord: vm, Health: f.health(id), Live: p.machines[id].Live})
+	}
+	sort.Slice(all, func(i, j int) bool { return all[i].ID < all[j].ID })
+	return all
+}
+
+// BudgetStatus is what operators see of a service's availability budget.
+type BudgetStatus struct {
+	Service  model.ServiceName
+	Total    int
+	Up       int
+	Required int
+	Spare    int // how many more may stop; negative where the budget is broken
+	Holds    bool
+	Zones    map[model.ZoneName]budget.Domain
+	Stops    []Stop
+	Revision platform.Revision // of the ledger
+}
+
+// Budget returns where a service's budget stands.
+func (f *Fleet) Budget(ctx context.Context, name model.ServiceName) (BudgetStatus, error) {
+	all, err := f.budgets(ctx, []model.ServiceName{name})
+	if err != nil {
+		return BudgetStatus{}, err
+	}
+	return all[0], nil
+}
+
+// Budgets returns where every declared service's budget stands.
+func (f *Fleet) Budgets(ctx context.Context) ([]BudgetStatus, error) {
+	d := f.view.Load().Declaration
+	if d == nil {
+		return nil, nil
+	}
+	var names []model.ServiceName
+	for i := range d.Services {
+		names = append(names, d.Services[i].Name)
+	}
+	return f.budgets(ctx, names)
+}
+
+func (f *Fleet) budgets(ctx context.Context, names []model.ServiceName) ([]BudgetStatus, error) {
+	p, err := f.orderPass(ctx)
+	if err != nil {
+		return nil, asRefusal(err)
+	}
+	for _, name := range names {
+		if p.snap.Declaration.Service(name) == nil {
+			return nil, refuse(CodeNotFound, "", 0, "service %s is not declared", name)
+		}
+	}
+	r, err := f.read(ctx, nil, names, "")
+	if err != nil {
+		return nil, asRefusal(err)
+	}
+	var all []BudgetStatus
+	for _, name := range names {
+		all = append(all, p.budgetStatus(name, r.ledgers[name]))
+	}
+	return all, nil
+}
+
+func (p *pass) budgetStatus(name model.ServiceName, l *cell[Ledger]) BudgetStatus {
+	t := p.tally(p.snap.Declaration.Service(name), l.value)
+	s := BudgetStatus{
+		Service:  name,
+		Total:    t.Total,
+		Up:       t.Up,
+		Required: t.Required,
+		Spare:    t.Spare(),
+		Holds:    t.Holds(),
+		Zones:    make(map[model.ZoneName]budget.Domain),
+		Stops:    l.value.Stops,
+		Revision: l.rev,
+	}
+	for zone, d := range t.Zones {
+		s.Zones[zone] = *d
+	}
+	return s
+}
--- /dev/null
+++ b/internal/fleet/step.go
@@ -0,0 +1,191 @@
+package fleet
+
+import (
+	"context"
+	"sort"
+
+	"github.com/gravitational/trace"
+
+	"github.com/pumicestage/pumicestage/internal/platform"
+	"github.com/pumicestage/pumicestage/internal/view"
+	"github.com/pumicestage/pumicestage/policy/budget"
+	"github.com/pumicestage/pumicestage/policy/model"
+	"github.com/pumicestage/pumicestage/policy/wave"
+)
+
+// Step does one pass: every VM that something holds goes one step on where it
+// can, and every running wave takes out what its plan allows. A failure at one
+// VM does not keep the others back; the error joins all of them.
+func (f *Fleet) Step(ctx context.Context) error {
+	f.step.Lock()
+	defer f.step.Unlock()
+	if f.view.Load().Declaration == nil {
+		return nil
+	}
+	ws, err := f.loadWaves(ctx)
+	if err != nil {
+		return err
+	}
+	var errs []error
+	if err := f.refreshList(ctx); err != nil {
+		errs = append(errs, err)
+	}
+	p := f.newPass()
+	f.busy.Store(len(p.held()) > 0 || len(ws.running()) > 0)
+	for _, vm := range p.held() {
+		if err := p.stepVM(ctx, ws, vm); err != nil {
+			errs = append(errs, err)
+		}
+	}
+	for _, name := range ws.running() {
+		if err := p.stepWave(ctx, ws[name]); err != nil {
+			errs = append(errs, err)
+		}
+	}
+	return trace.NewAggregate(errs...)
+}
+
+// loadWaves reads every started wave.
+func (f *Fleet) loadWaves(ctx context.Context) (waves, error) {
+	kvs, _, err := f.store.Range(ctx, platform.WavePrefix)
+	if err != nil {
+		return nil, fault("read waves", err)
+	}
+	ws := make(waves)
+	for _, kv := range kvs {
+		c, err := decode[WaveRecord](kv)
+		if err != nil {
+			return nil, err
+		}
+		ws[c.value.Name] = &c
+	}
+	return ws, nil
+}
+
+// running names the waves that may start stops, sorted.
+func (ws waves) running() []model.WaveName {
+	var names []model.WaveName
+	for name, w := range ws {
+		if w.value.State == WaveRunning {
+			names = append(names, name)
+		}
+	}
+	sort.Slice(names, func(i, j int) bool { return names[i] < names[j] })
+	return names
+}
+
+// held returns the VMs that something holds, sorted by ID.
+func (p *pass) held() []view.VMRecord {
+	var vms []view.VMRecord
+	for _, vm := range p.snap.VMs {
+		if vm.Holder != "" {
+			vms = append(vms, vm)
+		}
+	}
+	sort.Slice(vms, func(i, j int) bool { return vms[i].ID < vms[j].ID })
+	return vms
+}
+
+// stepWave carries out what the plan says now.
+func (p *pass) stepWave(ctx context.Context, w *cell[WaveRecord]) error {
+	plan, ok := p.plan(&w.value)
+	if !ok {
+		return p.endWave(ctx, w, WavePaused, "the wave is no longer declared")
+	}
+	switch plan.Verdict {
+	case wave.Finished:
+		return p.endWave(ctx, w, WaveFinished, "")
+	case wave.Pause:
+		return p.endWave(ctx, w, WavePaused, plan.Reason)
+	case wave.Go:
+		return p.startStops(ctx, w, plan.Stops)
+	}
+	return nil
+}
+
+func (p *pass) startStops(ctx context.Context, w *cell[WaveRecord], vms []model.VMID) error {
+	req := stopRequest{
+		vms:    vms,
+		holder: wave.Holder(w.value.Name),
+		wave:   w,
+		change: p.f.changeID(),
+		reason: "maintenance by " + wave.Holder(w.value.Name),
+		edit:   func(vm *model.VM) { vm.Run = w.value.Run },
+	}
+	g, err := p.grantStops(ctx, req)
+	if isConflict(err) {
+		return nil
+	}
+	if err == nil && len(g.vms) > 0 {
+		p.f.log.Info("VMs are leaving for maintenance", "wave", w.value.Name, "vms", g.vms)
+	}
+	return err
+}
+
+// endWave writes that the wave stops by itself: finished, or paused for a
+// reason.
+func (p *pass) endWave(ctx context.Context, w *cell[WaveRecord], s WaveState, reason string) error {
+	c := *w
+	c.value.State = s
+	c.value.Reason = reason
+	c.value.Change = p.f.changeID()
+	c.value.Actor = string(p.f.self)
+	if s == WaveFinished {
+		c.value.Ended = p.now
+	}
+	p.f.log.Info("wave", "wave", c.value.Name, "state", s, "reason", reason)
+	wr := &write{}
+	wr.change(c.cond(), c.put())
+	return p.settle(ctx, "end wave", wr)
+}
+
+// plan makes the plan of a wave from the view; false where it is not declared.
+func (p *pass) plan(w *WaveRecord) (wave.Plan, bool) {
+	declared := p.declaredWave(w.Name)
+	if declared == nil {
+		return wave.Plan{}, false
+	}
+	s := wave.Snapshot{
+		Now:         p.now,
+		Declaration: p.snap.Declaration,
+		Wave:        *declared,
+		Run:         w.Run,
+		VMs:         p.planVMs(w.Pools),
+		ViewAge:     p.viewAge(),
+		ListAge:     p.listAge(),
+	}
+	s.Wave.Pools = w.Pools
+	return wave.Make(s), true
+}
+
+// planVMs returns the VMs of the wave's pools and of all pools that share a
+// service with them, pool by pool.
+func (p *pass) planVMs(pools []model.PoolName) []wave.VM {
+	wanted := make(map[model.PoolName]bool)
+	for _, pool := range pools {
+		wanted[pool] = true
+		for _, s := range p.servicesOf(pool) {
+			for _, other := range s.Pools {
+				wanted[other] = true
+			}
+		}
+	}
+	names := make([]model.PoolName, 0, len(wanted))
+	for pool := range wanted {
+		names = append(names, pool)
+	}
+	sort.Slice(names, func(i, j int) bool { return names[i] < names[j] })
+	var vms []wave.VM
+	for _, pool := range names {
+		for _, id := range p.byPool[pool] {
+			vms = append(vms, p.planVM(id))
+		}
+	}
+	return vms
+}
+
+func (p *pass) planVM(id model.VMID) wave.VM {
+	vm := p.snap.VMs[id].VM
+	e := p.evidence(id, vm.Holder != "")
+	return wave.VM{VM: vm, Up: budget.Up(vm.State, e), Health: e.Health}
+}
