--- a/internal/fleet/bootstrap.go
+++ b/internal/fleet/bootstrap.go
@@ -12,9 +12,10 @@
 // would need more VMs up before the new one helps.
 const holderJoin = "join"
 
-// Bootstrap creates the keys of declared VMs that have none. The first VMs of
-// a pool are in it at once; later ones join by proof of health. VMs that are
-// no longer declared are left alone, see Undeclared.
+// Bootstrap creates the keys of declared VMs that have none, and takes over
+// addresses and places that are declared anew. The first VMs of a pool are in
+// it at once; later ones join by proof of health. VMs that are no longer
+// declared are left alone, see Undeclared.
 func (f *Fleet) Bootstrap(ctx context.Context) error {
 	p := f.newPass()
 	if p.snap.Declaration == nil {
@@ -49,12 +50,13 @@
 	return ids
 }
 
-// newcomers returns declared VMs without a key, in batches of one pool.
+// newcomers returns declared VMs whose key is not as declared, in batches of
+// one pool.
 func (p *pass) newcomers() [][]model.VMDecl {
 	byPool := make(map[model.PoolName][]model.VMDecl)
 	var pools []model.PoolName
 	for _, d := range p.snap.Declaration.VMs {
-		if _, ok := p.snap.VMs[d.ID]; ok {
+		if vm, ok := p.snap.VMs[d.ID]; ok && asDeclared(&vm.VM, d) {
 			continue
 		}
 		if len(byPool[d.Pool]) == 0 {
@@ -74,25 +76,40 @@
 	return batches
 }
 
-// create writes the keys of one batch. Keys that exist already, since the view
-// lags or another entry VM was first, are left as they are.
+// asDeclared reports whether a record agrees with what only the declaration
+// says. The declared pool is only where a VM starts.
+func asDeclared(vm *model.VM, d model.VMDecl) bool {
+	return vm.Address == d.Address && vm.Zone == d.Zone && vm.Rack == d.Rack && vm.Capacity == d.Capacity
+}
+
+// create writes the keys of one batch. Keys that are as declared, since the
+// view lags or another entry VM was first, are left alone.
 func (p *pass) create(ctx context.Context, batch []model.VMDecl) error {
 	ids := make([]model.VMID, len(batch))
 	for i, d := range batch {
 		ids[i] = d.ID
 	}
-	names := p.concerned([]model.PoolName{batch[0].Pool})
+	names := p.concerned(append(p.poolsOf(ids), batch[0].Pool))
 	r, err := p.f.read(ctx, ids, names, "")
 	if err != nil {
 		return err
 	}
+	if p.behind(r) != "" {
+		return nil
+	}
 	change := p.f.changeID()
 	w := &write{}
 	for _, d := range batch {
-		if c := r.vms[d.ID]; c.rev == 0 {
-			c.value = p.newVM(d, change)
-			w.change(c.cond(), c.put())
+		c := r.vms[d.ID]
+		if c.rev != 0 && asDeclared(&c.value, d) {
+			continue
+		}
+		if c.rev == 0 {
+			c.value = p.newVM(d)
 		}
+		c.value.Address, c.value.Zone, c.value.Rack, c.value.Capacity = d.Address, d.Zone, d.Rack, d.Capacity
+		c.value.Change = change
+		w.change(c.cond(), c.put())
 	}
 	if len(w.ops) == 0 {
 		return nil
@@ -105,18 +122,13 @@
 	return p.settle(ctx, "create VMs", w)
 }
 
-func (p *pass) newVM(d model.VMDecl, change model.ChangeID) model.VM {
+func (p *pass) newVM(d model.VMDecl) model.VM {
 	vm := model.VM{
-		ID:       d.ID,
-		Zone:     d.Zone,
-		Rack:     d.Rack,
-		Pool:     d.Pool,
-		Address:  d.Address,
-		Capacity: d.Capacity,
-		State:    model.VMInPool,
-		Since:    p.now,
-		Change:   change,
-		Reason:   "declared",
+		ID:     d.ID,
+		Pool:   d.Pool,
+		State:  model.VMInPool,
+		Since:  p.now,
+		Reason: "declared",
 	}
 	if len(p.byPool[d.Pool]) > 0 {
 		vm.State = model.VMProbation
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -11,7 +11,6 @@
 	"crypto/rand"
 	"encoding/hex"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -59,15 +58,15 @@
 	newID    func() string
 	kick     chan struct{} // wakes Run
 
-	busy atomic.Bool // the last pass found work
-
 	step sync.Mutex // one pass at a time
-	// effects, and healthy are used by passes alone.
+	// What follows is used by passes alone.
+	shards  shards
 	effects effects
-	healthy map[model.VMID]time.Time
+	healthy map[model.VMID]time.Time // since when a VM in probation is seen healthy
 
-	mu   sync.Mutex
-	list platform.MachineList // the newest list fetched
+	mu     sync.Mutex
+	list   platform.MachineList // the newest list fetched
+	listed time.Time            // when it was fetched
 }
 
 // New returns a Fleet. It does nothing until Step or Run is called.
@@ -89,6 +88,7 @@
 		self:     o.Self,
 		newID:    o.NewID,
 		kick:     make(chan struct{}, 1),
+		shards:   newShards(),
 		effects:  make(effects),
 		healthy:  make(map[model.VMID]time.Time),
 	}
--- a/internal/fleet/grant.go
+++ b/internal/fleet/grant.go
@@ -25,9 +25,10 @@
 
 // grant is what came of a stopRequest.
 type grant struct {
-	vms []model.VMID // those that are leaving now
-	rev platform.Revision
-	why string // why not all
+	vms    []model.VMID // those that are leaving now
+	rev    platform.Revision
+	why    string // why not all
+	behind bool   // the view is too old to count by
 }
 
 // grantStops writes the stops that every budget concerned allows into the
@@ -46,7 +47,7 @@
 		return grant{why: "the wave was changed meanwhile"}, nil
 	}
 	if why := p.behind(r); why != "" {
-		return grant{why: why}, nil
+		return grant{why: why, behind: true}, nil
 	}
 	w, g := p.collect(r, req)
 	if len(g.vms) == 0 {
@@ -79,7 +80,7 @@
 
 // collect puts into one write what the budgets allow, in the request's order.
 func (p *pass) collect(r *reading, req stopRequest) (*write, grant) {
-	tallies := p.tallies(r)
+	tallies := p.tallies(r, p.weights(req.wave))
 	w := &write{}
 	var g grant
 	touched := make(map[model.ServiceName]bool)
@@ -94,8 +95,8 @@
 		}
 		g.vms = append(g.vms, id)
 	}
-	for name, l := range r.ledgers {
-		if touched[name] {
+	for _, name := range sorted(r.ledgers) {
+		if l := r.ledgers[name]; touched[name] {
 			l.value.Change = req.change
 			w.change(l.cond(), l.put())
 		}
@@ -104,14 +105,22 @@
 }
 
 // tallies counts the services whose ledgers were read.
-func (p *pass) tallies(r *reading) map[model.ServiceName]*wave.Tally {
+func (p *pass) tallies(r *reading, w model.Weights) map[model.ServiceName]*wave.Tally {
 	counts := make(map[model.ServiceName]*wave.Tally)
 	for name, l := range r.ledgers {
-		counts[name] = p.tally(p.snap.Declaration.Service(name), l.value)
+		counts[name] = p.tally(p.snap.Declaration.Service(name), l.value, w)
 	}
 	return counts
 }
 
+func (p *pass) weights(w *cell[WaveRecord]) model.Weights {
+	var declared *model.Wave
+	if w != nil {
+		declared = p.declaredWave(w.value.Name)
+	}
+	return wave.Weights(p.snap.Declaration, declared)
+}
+
 // refuseStop says why a VM can't be taken out, or nothing.
 func (p *pass) refuseStop(c *cell[model.VM], tallies map[model.ServiceName]*wave.Tally, byWave bool) string {
 	vm := &c.value
--- a/internal/fleet/life.go
+++ b/internal/fleet/life.go
@@ -51,9 +51,6 @@
 		return p.giveBack(ctx, vm, "the wave no longer runs", false)
 	}
 	quiet, err := p.quiet(ctx, vm)
-	if err != nil {
-		return err
-	}
 	switch {
 	case quiet && byWave:
 		return p.startReboot(ctx, vm, w)
@@ -62,7 +59,7 @@
 	case byWave && !vm.Cut && p.graceOver(vm, w):
 		return p.giveBack(ctx, vm, "the drain took longer than the wave's grace", true)
 	}
-	return nil
+	return err
 }
 
 // quiet reports whether the VM has no work and will get none. Nothing in flight
@@ -132,12 +129,12 @@
 
 // broken names the first service whose budget does not hold, or nothing.
 func (p *pass) broken(r *reading) string {
-	for name, l := range r.ledgers {
+	for _, name := range sorted(r.ledgers) {
 		s := p.snap.Declaration.Service(name)
 		if s == nil {
 			continue
 		}
-		if why := p.tally(s, l.value).Broken(); why != "" {
+		if why := p.tally(s, r.ledgers[name].value, p.weights(nil)).Broken(); why != "" {
 			return why
 		}
 	}
--- a/internal/fleet/order.go
+++ b/internal/fleet/order.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"strings"
 
 	"github.com/gravitational/trace"
 
@@ -31,8 +32,11 @@
 // is refused, or still stands.
 const orderTries = 5
 
+// orderPrefix begins VM.Holder while an order holds the VM.
+const orderPrefix = "order "
+
 // holderOf is what VM.Holder says while an order holds the VM.
-func holderOf(change model.ChangeID) string { return "order " + string(change) }
+func holderOf(change model.ChangeID) string { return orderPrefix + string(change) }
 
 // decide runs one try of an order until it is not overtaken by another write.
 func (f *Fleet) decide(try func() (Outcome, error)) (Outcome, error) {
@@ -103,7 +107,7 @@
 
 func (p *pass) grantOrder(ctx context.Context, c *cell[model.VM], to model.PoolName, o Order) (Outcome, error) {
 	id := c.value.ID
-	g, err := p.grantStops(ctx, stopRequest{
+	req := stopRequest{
 		vms:    []model.VMID{id},
 		holder: holderOf(o.Change),
 		change: o.Change,
@@ -112,16 +116,30 @@
 			vm.MoveTo = to
 			vm.Order = o.Change
 		},
-	})
+	}
+	g, err := p.grantStops(ctx, req)
+	if err == nil && g.behind {
+		g, err = p.grantFresh(ctx, req)
+	}
 	if err != nil {
 		return Outcome{}, err
 	}
+	if g.behind {
+		return Outcome{}, refuse(CodeUnavailable, "", c.rev, "%s", g.why)
+	}
 	if len(g.vms) == 0 {
 		return Outcome{}, refuse(CodeBudget, "", c.rev, "%s", g.why)
 	}
 	return Outcome{Revision: g.rev, Detail: fmt.Sprintf("VM %s is leaving pool %s", id, c.value.Pool)}, nil
 }
 
+func (p *pass) grantFresh(ctx context.Context, req stopRequest) (grant, error) {
+	if err := p.catchUp(ctx); err != nil {
+		return grant{}, err
+	}
+	return p.grantStops(ctx, req)
+}
+
 // Undrain puts a VM back that an order drained or is moving.
 func (f *Fleet) Undrain(ctx context.Context, vm model.VMID, o Order) (Outcome, error) {
 	return f.decide(func() (Outcome, error) { return f.undrainOnce(ctx, vm, o) })
@@ -189,7 +207,7 @@
 	return f.putVM(ctx, c, "cut", fmt.Sprintf("what still runs on VM %s will be cut", id))
 }
 
-func byOrder(vm *model.VM) bool { return vm.Holder == holderOf(vm.Order) }
+func byOrder(vm *model.VM) bool { return strings.HasPrefix(vm.Holder, orderPrefix) }
 
 // checkVM handles what all orders on a VM share. done means that the order was
 // in effect before.
@@ -238,7 +256,7 @@
 // orderPass returns a pass on fresh evidence, or a refusal: with the platform
 // out of reach no planned stop starts.
 func (f *Fleet) orderPass(ctx context.Context) (*pass, error) {
-	if err := f.refreshList(ctx); err != nil {
+	if err := f.refreshList(ctx, listEvery); err != nil {
 		return nil, err
 	}
 	p := f.newPass()
--- a/internal/fleet/pass.go
+++ b/internal/fleet/pass.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sort"
 	"time"
 
@@ -33,17 +35,11 @@
 		snap:     f.view.Load(),
 		list:     f.lastList(),
 		machines: make(map[model.VMID]platform.Machine),
-		byPool:   make(map[model.PoolName][]model.VMID),
 	}
 	for _, m := range p.list.Machines {
 		p.machines[m.VM] = m
 	}
-	for id, vm := range p.snap.VMs {
-		p.byPool[vm.Pool] = append(p.byPool[vm.Pool], id)
-	}
-	for _, ids := range p.byPool {
-		sort.Slice(ids, func(i, j int) bool { return ids[i] < ids[j] })
-	}
+	p.indexVMs()
 	return p
 }
 
@@ -53,14 +49,26 @@
 	return f.list
 }
 
-// refreshList fetches the platform's list; where that fails the old one ages.
-func (f *Fleet) refreshList(ctx context.Context) error {
+// listEvery is how often the platform's list is fetched at most. It lags by
+// seconds anyway, and at 3,600 VMs it is the largest answer of all.
+const listEvery = 2 * time.Second
+
+// refreshList fetches the platform's list unless it was fetched just now; where
+// that fails the old one ages.
+func (f *Fleet) refreshList(ctx context.Context, every time.Duration) error {
+	f.mu.Lock()
+	recent := !f.listed.IsZero() && f.clock.Since(f.listed) < every
+	f.mu.Unlock()
+	if recent {
+		return nil
+	}
 	list, err := f.machines.List(ctx)
 	if err != nil {
 		return fault("list", err)
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.listed = f.clock.Now()
 	if !list.AsOf.Before(f.list.AsOf) {
 		f.list = list
 	}
@@ -117,8 +125,9 @@
 	return names
 }
 
-// tally counts a service by the view and its ledger.
-func (p *pass) tally(s *model.Service, l Ledger) *wave.Tally {
+// tally counts a service by the view and its ledger, with the reserve that the
+// weights call for.
+func (p *pass) tally(s *model.Service, l Ledger, w model.Weights) *wave.Tally {
 	stopped := make(map[model.VMID]Stop)
 	for _, stop := range l.Stops {
 		stopped[stop.VM] = stop
@@ -139,7 +148,46 @@
 			}
 		}
 	}
-	return wave.NewTally(budget.Count(s, members), held)
+	return wave.NewTally(budget.Count(s, members), held, w)
+}
+
+// catchUp replaces the view by one read from the store. Reading every VM is
+// dear, so only orders do it, whose actor would else be refused for a lag of
+// some milliseconds.
+func (p *pass) catchUp(ctx context.Context) error {
+	kvs, rev, err := p.f.store.Range(ctx, platform.VMPrefix)
+	if err != nil {
+		return fault("read VMs", err)
+	}
+	fresh := *p.snap
+	fresh.Revision = rev
+	fresh.AsOf = p.now
+	fresh.VMs = make(map[model.VMID]view.VMRecord, len(kvs))
+	for _, kv := range kvs {
+		c, err := decode[model.VM](kv)
+		if err != nil {
+			return err
+		}
+		fresh.VMs[c.value.ID] = view.VMRecord{VM: c.value, Revision: c.rev}
+	}
+	p.snap = &fresh
+	p.indexVMs()
+	return nil
+}
+
+func (p *pass) indexVMs() {
+	p.byPool = make(map[model.PoolName][]model.VMID)
+	for id, vm := range p.snap.VMs {
+		p.byPool[vm.Pool] = append(p.byPool[vm.Pool], id)
+	}
+	for _, ids := range p.byPool {
+		slices.Sort(ids)
+	}
+}
+
+// sorted returns the services in order, so that runs are alike.
+func sorted(ledgers map[model.ServiceName]*cell[Ledger]) []model.ServiceName {
+	return slices.Sorted(maps.Keys(ledgers))
 }
 
 // behind says which ledger has been written since the view was made, or
@@ -147,8 +195,8 @@
 // so a view as new as the ledger has them all; an older one could count a VM
 // that has left the service since.
 func (p *pass) behind(r *reading) string {
-	for name, l := range r.ledgers {
-		if l.rev > p.snap.Revision {
+	for _, name := range sorted(r.ledgers) {
+		if r.ledgers[name].rev > p.snap.Revision {
 			return "the view is behind the ledger of service " + string(name)
 		}
 	}
--- a/internal/fleet/records.go
+++ b/internal/fleet/records.go
@@ -5,6 +5,8 @@
 	"encoding/json"
 	"time"
 
+	"github.com/gravitational/trace"
+
 	"github.com/pumicestage/pumicestage/internal/platform"
 	"github.com/pumicestage/pumicestage/policy/model"
 )
@@ -115,8 +117,12 @@
 		ops = append(ops, platform.Read(platform.WaveKey(wave)))
 	}
 	res, err := f.store.Txn(ctx, platform.Txn{Then: ops})
+	if platform.IsKind(err, platform.KindUnknown) {
+		res, err = f.store.Txn(ctx, platform.Txn{Then: ops})
+	}
 	if err != nil {
-		return nil, fault("read", err)
+		// A read changes nothing, whatever became of its reply.
+		return nil, trace.Wrap(&Error{Op: "read", Err: err})
 	}
 	return decodeReading(res.Reads, vms, ledgers, wave)
 }
--- a/internal/fleet/status.go
+++ b/internal/fleet/status.go
@@ -104,7 +104,7 @@
 		return nil, refuse(CodeUnavailable, "", 0, "%s", why)
 	}
 	var checks []StopCheck
-	tallies := p.tallies(r)
+	tallies := p.tallies(r, p.weights(nil))
 	for _, id := range vms {
 		c := StopCheck{VM: id, Why: p.refuseStop(r.vms[id], tallies, false)}
 		c.Allowed = c.Why == ""
@@ -140,7 +140,8 @@
 	Total    int
 	Up       int
 	Required int
-	Spare    int // how many more may stop; negative where the budget is broken
+	Spare    int          // how many more may stop; negative where the budget is broken
+	Reserve  wave.Reserve // the unplanned loss that waves leave room for
 	Holds    bool
 	Zones    map[model.ZoneName]budget.Domain
 	Stops    []Stop
@@ -191,13 +192,14 @@
 }
 
 func (p *pass) budgetStatus(name model.ServiceName, l *cell[Ledger]) BudgetStatus {
-	t := p.tally(p.snap.Declaration.Service(name), l.value)
+	t := p.tally(p.snap.Declaration.Service(name), l.value, p.weights(nil))
 	s := BudgetStatus{
 		Service:  name,
 		Total:    t.Total,
 		Up:       t.Up,
 		Required: t.Required,
 		Spare:    t.Spare(),
+		Reserve:  t.Reserve,
 		Holds:    t.Holds(),
 		Zones:    make(map[model.ZoneName]budget.Domain),
 		Stops:    l.value.Stops,
--- a/internal/fleet/step.go
+++ b/internal/fleet/step.go
@@ -13,9 +13,10 @@
 	"github.com/pumicestage/pumicestage/policy/wave"
 )
 
-// Step does one pass: every VM that something holds goes one step on where it
-// can, and every running wave takes out what its plan allows. A failure at one
-// VM does not keep the others back; the error joins all of them.
+// Step does one pass over all work, whoever holds its shards: every VM that
+// something holds goes one step on where it can, and every running wave takes
+// out what its plan allows. A failure at one VM does not keep the others back;
+// the error joins all of them.
 func (f *Fleet) Step(ctx context.Context) error {
 	f.step.Lock()
 	defer f.step.Unlock()
@@ -26,18 +27,28 @@
 	if err != nil {
 		return err
 	}
+	return f.pass(ctx, ws, func(string) bool { return true })
+}
+
+// pass does the work of the holders that mine names.
+func (f *Fleet) pass(ctx context.Context, ws waves, mine func(holder string) bool) error {
 	var errs []error
-	if err := f.refreshList(ctx); err != nil {
+	if err := f.refreshList(ctx, listEvery); err != nil {
 		errs = append(errs, err)
 	}
 	p := f.newPass()
-	f.busy.Store(len(p.held()) > 0 || len(ws.running()) > 0)
 	for _, vm := range p.held() {
+		if !mine(vm.Holder) {
+			continue
+		}
 		if err := p.stepVM(ctx, ws, vm); err != nil {
 			errs = append(errs, err)
 		}
 	}
 	for _, name := range ws.running() {
+		if !mine(wave.Holder(name)) {
+			continue
+		}
 		if err := p.stepWave(ctx, ws[name]); err != nil {
 			errs = append(errs, err)
 		}
--- a/policy/budget/budget.go
+++ b/policy/budget/budget.go
@@ -140,12 +140,16 @@
 	if t.Spare() < 0 {
 		return fmt.Sprintf("service %s has only %d of %d VMs up and needs %d", t.Service, t.Up, t.Total, t.Required)
 	}
+	worst := model.ZoneName("")
 	for name, z := range t.Zones {
-		if z.Up < z.Required {
-			return t.explainZone(name, z)
+		if z.Up < z.Required && (worst == "" || name < worst) {
+			worst = name
 		}
 	}
-	return ""
+	if worst == "" {
+		return ""
+	}
+	return t.explainZone(worst, t.Zones[worst])
 }
 
 func (t *Tally) explainZone(name model.ZoneName, z *Domain) string {
--- a/policy/wave/planner.go
+++ b/policy/wave/planner.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"math"
 	"sort"
 	"strings"
 	"time"
@@ -11,11 +10,6 @@
 	"github.com/pumicestage/pumicestage/policy/model"
 )
 
-// paceShare is the share of a wave's VMs that is out at once where buffer cost
-// weighs more than roll-out time. A tenth is what operators do by hand; less
-// would take longer than their fixed batches.
-const paceShare = 0.1
-
 // assumedStop is how long a VM is out while no VM of the wave has shown it.
 const assumedStop = 5 * time.Minute
 
@@ -26,7 +20,7 @@
 	left     []*VM
 	failed   []model.VMID
 	progress Progress
-	took     time.Duration // sum over VMs done
+	took     []time.Duration // of the VMs done
 	tallies  map[model.ServiceName]*Tally
 	byPool   map[model.PoolName][]*Tally
 }
@@ -78,9 +72,9 @@
 }
 
 func (p *planner) sortOut(v *VM) {
-	returning := v.State == model.VMRebooting || v.State == model.VMProbation
+	rebooted := v.ProofBoots > 0
 	limit := ReturnLimit + p.s.Wave.Probation
-	if returning && p.s.Now.Sub(v.Since) > limit {
+	if rebooted && p.s.Now.Sub(v.Since) > limit {
 		p.fail(v)
 	}
 }
@@ -89,7 +83,7 @@
 // wave: a bad image may fail only under load.
 func (p *planner) sortDone(v *VM) {
 	p.progress.Done++
-	p.took += v.Took
+	p.took = append(p.took, v.Took)
 	if v.Health == model.HealthDown && p.s.Now.Sub(v.Since) < ReturnLimit {
 		p.fail(v)
 	}
@@ -118,23 +112,10 @@
 
 // meanStop is how long a VM is out, as the wave's finished VMs show.
 func (p *planner) meanStop() time.Duration {
-	if p.progress.Done == 0 || p.took == 0 {
+	if len(p.took) == 0 {
 		return assumedStop
 	}
-	return p.took / time.Duration(p.progress.Done)
-}
-
-// window returns how many VMs may be out at once, budgets aside.
-func (p *planner) window() int {
-	n := p.progress.Total
-	w := p.s.weights()
-	if w.BufferCost > w.RollOutTime {
-		n = int(math.Ceil(paceShare * float64(n)))
-	}
-	if p.s.Wave.MaxBatch > 0 {
-		n = min(n, p.s.Wave.MaxBatch)
-	}
-	return max(n, 1)
+	return mean(p.took)
 }
 
 // choose picks the VMs to take out now: canaries alone first, then as many as
@@ -260,7 +241,7 @@
 	if t, ok := p.tallies[svc.Name]; ok {
 		return t
 	}
-	t := NewTally(budget.Count(svc, members), held)
+	t := NewTally(budget.Count(svc, members), held, p.s.weights())
 	p.tallies[svc.Name] = t
 	return t
 }
--- a/policy/wave/wave.go
+++ b/policy/wave/wave.go
@@ -106,13 +106,14 @@
 	return plan
 }
 
-// Weights returns the weights that steer the wave: its own, else the
-// deployment's.
-func (s *Snapshot) weights() model.Weights {
-	if s.Wave.Weights != (model.Weights{}) {
-		return s.Wave.Weights
+func (s *Snapshot) weights() model.Weights { return Weights(s.Declaration, &s.Wave) }
+
+// Weights returns what steers a wave: its own weights, else the deployment's.
+func Weights(d *model.Declaration, w *model.Wave) model.Weights {
+	if w != nil && w.Weights != (model.Weights{}) {
+		return w.Weights
 	}
-	return s.Declaration.Weights
+	return d.Weights
 }
 
 func memberOf(v *VM) budget.Member {
