--- /dev/null
+++ b/internal/config/validate.go
@@ -0,0 +1,237 @@
+package config
+
+import (
+	"fmt"
+	"strconv"
+
+	"github.com/pumicestage/pumicestage/policy/model"
+)
+
+// checker walks a declaration and collects problems.
+type checker struct {
+	d        *model.Declaration
+	zones    map[model.ZoneName]bool
+	pools    map[model.PoolName]bool
+	problems []Problem
+}
+
+// Validate returns what is wrong with a declaration as a whole: names that do
+// not exist, things that stand twice, budgets that cannot hold. It is run
+// again by the server on what it is sent, because a client may be older.
+func Validate(d *model.Declaration) []Problem {
+	c := &checker{d: d, zones: make(map[model.ZoneName]bool), pools: make(map[model.PoolName]bool)}
+	for _, z := range d.Zones {
+		c.zones[z] = true
+	}
+	for _, p := range d.Pools {
+		c.pools[p.Name] = true
+	}
+	c.checkNames()
+	c.checkVMs()
+	c.checkPools()
+	c.checkServices()
+	c.checkWaves()
+	return c.problems
+}
+
+func (c *checker) add(section, key, given, expected string) {
+	c.problems = append(c.problems, Problem{Section: section, Key: key, Given: given, Expected: expected})
+}
+
+// checkNames repeats for a declaration that did not come from files what
+// reading checks: names are parts of store keys.
+func (c *checker) checkNames() {
+	check := func(section, key, name string) {
+		if !validName(name) {
+			c.add(section, key, quoted(name), "a name of "+nameRule)
+		}
+	}
+	check(kindDeployment, "name", c.d.Deployment)
+	for _, z := range c.d.Zones {
+		check(kindDeployment, "zones", string(z))
+	}
+	if len(c.d.Zones) == 0 {
+		c.add(kindDeployment, "zones", "none", "at least one zone")
+	}
+	for _, vm := range c.d.VMs {
+		check(kindRack+" "+string(vm.Rack), vmKeyPrefix+string(vm.ID), string(vm.ID))
+	}
+	for _, p := range c.d.Pools {
+		check(kindPool+" "+string(p.Name), "", string(p.Name))
+	}
+	for _, s := range c.d.Services {
+		check(kindService+" "+string(s.Name), "", string(s.Name))
+	}
+	for _, w := range c.d.Waves {
+		check(kindWave+" "+string(w.Name), "", string(w.Name))
+	}
+}
+
+func (c *checker) checkVMs() {
+	rackOf := make(map[model.VMID]model.RackName)
+	vmAt := make(map[string]model.VMID)
+	zoneOf := make(map[model.RackName]model.ZoneName)
+	for _, vm := range c.d.VMs {
+		section, key := kindRack+" "+string(vm.Rack), vmKeyPrefix+string(vm.ID)
+		if other, ok := rackOf[vm.ID]; ok {
+			c.add(section, key, "the VM again (also in rack "+string(other)+")", "each VM in one rack")
+			continue
+		}
+		rackOf[vm.ID] = vm.Rack
+		if other, ok := vmAt[vm.Address]; ok {
+			c.add(section, key, "address "+vm.Address+" of VM "+string(other), "an address of its own")
+		}
+		vmAt[vm.Address] = vm.ID
+		if !validAddress(vm.Address) {
+			c.add(section, key, "address "+quoted(vm.Address), "HOST:PORT")
+		}
+		if !c.pools[vm.Pool] {
+			c.add(section, key, "pool "+quoted(string(vm.Pool)), "a pool declared by [pool "+string(vm.Pool)+"]")
+		}
+		if !c.zones[vm.Zone] {
+			c.add(section, "zone", quoted(string(vm.Zone)), "a zone of [deployment] zones")
+		}
+		if z, ok := zoneOf[vm.Rack]; ok && z != vm.Zone {
+			c.add(section, "zone", "zones "+string(z)+" and "+string(vm.Zone), "each rack in one zone")
+		}
+		zoneOf[vm.Rack] = vm.Zone
+	}
+}
+
+func (c *checker) checkPools() {
+	used := make(map[model.PoolName]bool)
+	for _, vm := range c.d.VMs {
+		used[vm.Pool] = true
+	}
+	seen := make(map[model.PoolName]bool)
+	for _, p := range c.d.Pools {
+		section := kindPool + " " + string(p.Name)
+		if seen[p.Name] {
+			c.add(section, "", "the pool again", "each pool once")
+		}
+		seen[p.Name] = true
+		if !used[p.Name] {
+			c.add(section, "", "no VMs", "at least one VM of a rack in it")
+		}
+	}
+}
+
+func (c *checker) checkPoolNames(section string, pools []model.PoolName) {
+	if len(pools) == 0 {
+		c.add(section, "pools", "none", "at least one pool")
+	}
+	for _, p := range pools {
+		if !c.pools[p] {
+			c.add(section, "pools", quoted(string(p)), "a pool declared by [pool "+string(p)+"]")
+		}
+	}
+}
+
+func (c *checker) checkServices() {
+	seen := make(map[model.ServiceName]bool)
+	for i := range c.d.Services {
+		s := &c.d.Services[i]
+		section := kindService + " " + string(s.Name)
+		if seen[s.Name] {
+			c.add(section, "", "the service again", "each service once")
+		}
+		seen[s.Name] = true
+		c.checkPoolNames(section, s.Pools)
+		c.checkNumbers(section, s)
+		c.checkBudget(section, s)
+	}
+}
+
+// checkNumbers repeats the bounds for declarations that did not come from
+// files.
+func (c *checker) checkNumbers(section string, s *model.Service) {
+	if s.Slots < 1 {
+		c.add(section, "slots", strconv.Itoa(s.Slots), "at least 1")
+	}
+	if s.Conns < s.Slots {
+		c.add(section, "connections", strconv.Itoa(s.Conns), fmt.Sprintf("at least the %d slots", s.Slots))
+	}
+	if s.Timeout <= 0 {
+		c.add(section, "timeout", s.Timeout.String(), "above 0")
+	}
+	if !s.Repeatable && s.Remember < s.Timeout {
+		c.add(section, "remember", s.Remember.String(), "at least the timeout "+s.Timeout.String()+", or a repeat could run twice")
+	}
+}
+
+// checkBudget refuses budgets that cannot hold even with every VM healthy, and
+// those that leave a declared wave no VM to take: it would wait for ever.
+func (c *checker) checkBudget(section string, s *model.Service) {
+	total, perZone := c.members(s)
+	if total == 0 {
+		return // reported as a pool without VMs
+	}
+	need := s.Budget.MinAvailable.Of(total)
+	switch wave := c.waveOn(s.Pools); {
+	case need > total:
+		c.add(section, "min-available", fmt.Sprintf("%d VMs", need), fmt.Sprintf("at most the %d VMs of its pools", total))
+	case need == total && wave != "":
+		c.add(section, "min-available", fmt.Sprintf("all %d VMs", total), fmt.Sprintf("fewer, or wave %s can take none out", wave))
+	}
+	for _, z := range c.d.Zones {
+		inZone, ok := perZone[z]
+		need := s.Budget.MinPerZone.Of(inZone)
+		if ok && need > inZone {
+			c.add(section, "min-per-zone", fmt.Sprintf("%d VMs", need), fmt.Sprintf("at most the %d VMs in zone %s", inZone, z))
+			return
+		}
+		if wave := c.waveOn(s.Pools); ok && need > 0 && need == inZone && wave != "" {
+			c.add(section, "min-per-zone", fmt.Sprintf("all %d VMs in zone %s", inZone, z), fmt.Sprintf("fewer, or wave %s can take none out there", wave))
+			return
+		}
+	}
+}
+
+func (c *checker) members(s *model.Service) (int, map[model.ZoneName]int) {
+	mine := make(map[model.PoolName]bool)
+	for _, p := range s.Pools {
+		mine[p] = true
+	}
+	total, perZone := 0, make(map[model.ZoneName]int)
+	for _, vm := range c.d.VMs {
+		if mine[vm.Pool] {
+			total++
+			perZone[vm.Zone]++
+		}
+	}
+	return total, perZone
+}
+
+func (c *checker) waveOn(pools []model.PoolName) model.WaveName {
+	for _, w := range c.d.Waves {
+		for _, p := range w.Pools {
+			for _, q := range pools {
+				if p == q {
+					return w.Name
+				}
+			}
+		}
+	}
+	return ""
+}
+
+func (c *checker) checkWaves() {
+	seen := make(map[model.WaveName]bool)
+	for _, w := range c.d.Waves {
+		section := kindWave + " " + string(w.Name)
+		if seen[w.Name] {
+			c.add(section, "", "the wave again", "each wave once")
+		}
+		seen[w.Name] = true
+		c.checkPoolNames(section, w.Pools)
+		if w.Canary < 0 {
+			c.add(section, "canary", strconv.Itoa(w.Canary), "at least 0")
+		}
+		if w.MaxBatch > 0 && w.Canary > w.MaxBatch {
+			c.add(section, "canary", strconv.Itoa(w.Canary), fmt.Sprintf("at most max-batch %d", w.MaxBatch))
+		}
+		if w.Grace <= 0 {
+			c.add(section, "grace", w.Grace.String(), "above 0")
+		}
+	}
+}
