--- /dev/null
+++ b/internal/lang/fields.go
@@ -0,0 +1,29 @@
+package lang
+
+// fields are the words that may stand in a where clause, by what is shown.
+// Package query answers each of them.
+var fields = map[Kind][]string{
+	ShowVMs:      {"vm", "zone", "rack", "pool", "state", "health", "holder", "wave", "address", "since"},
+	ShowServices: {"service", "class", "repeatable", "pools", "vms", "available", "headroom", "limit", "timeout"},
+	ShowPools:    {"pool", "vms", "available", "leaving", "services"},
+	ShowWaves:    {"wave", "state", "done", "out", "total", "pools", "reason"},
+	ShowJobs:     {"job", "team", "kind", "class", "state", "vm", "pool", "zone", "reason"},
+	ShowBudgets:  {"service", "zone", "need", "available", "headroom", "vms"},
+	ShowEntries:  {"entry", "zone", "generation", "heard"},
+	ShowZones:    {"zone", "vms", "available", "entries", "heard"},
+	ShowRacks:    {"rack", "zone", "vms", "available", "pools"},
+	ShowTeams:    {"team", "cpu", "memory-mb", "accelerators"},
+}
+
+// Fields returns the fields of a kind, which are also the columns of its
+// table, in order.
+func Fields(kind Kind) []string { return fields[kind] }
+
+func hasField(kind Kind, name string) bool {
+	for _, f := range fields[kind] {
+		if f == name {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/lang/grammar.go
@@ -0,0 +1,141 @@
+package lang
+
+import (
+	"github.com/alecthomas/participle/v2"
+	"github.com/alecthomas/participle/v2/lexer"
+)
+
+// The grammar. Every alternative starts with a word of its own, so that one
+// token of lookahead decides and an error stands where the operator's line
+// first leaves the grammar.
+type (
+	line struct {
+		Show    *showLine    `parser:"'show' @@"`
+		Explain *explainLine `parser:"| 'explain' @@"`
+		WhatIf  *whatIfLine  `parser:"| 'what-if' @@"`
+		Drain   *drainLine   `parser:"| 'drain' @@"`
+		Undrain *undrainLine `parser:"| 'undrain' @@"`
+		Move    *moveLine    `parser:"| 'move' @@"`
+		Start   *startLine   `parser:"| 'start' @@"`
+		Pause   *waveLine    `parser:"| 'pause' @@"`
+		Resume  *waveLine    `parser:"| 'resume' @@"`
+		Cancel  *cancelLine  `parser:"| 'cancel' @@"`
+		Set     *setLine     `parser:"| 'set' @@"`
+	}
+
+	word struct {
+		Pos  lexer.Position
+		Text string `parser:"@Word"`
+	}
+
+	text struct {
+		Pos  lexer.Position
+		Text string `parser:"@( Word | String )"`
+	}
+
+	conditionPart struct {
+		Field      word   `parser:"@@"`
+		Comparison string `parser:"@( '=' | '!=' | '<=' | '>=' | '<' | '>' )"`
+		Value      text   `parser:"@@"`
+	}
+
+	wherePart struct {
+		Conditions []*conditionPart `parser:"'where' @@ ( 'and' @@ )*"`
+	}
+
+	showLine struct {
+		Kind   string     `parser:"( @( 'vms' | 'services' | 'pools' | 'waves' | 'jobs' | 'budgets' | 'entries' | 'zones' | 'racks' | 'teams' )"`
+		Budget *word      `parser:"| 'budget' @@ )"`
+		Where  *wherePart `parser:"@@?"`
+	}
+
+	explainLine struct {
+		Subject string `parser:"@( 'vm' | 'job' | 'wave' | 'service' )"`
+		Name    word   `parser:"@@"`
+	}
+
+	scopePart struct {
+		Subject string `parser:"@( 'vm' | 'rack' | 'zone' )"`
+		Name    word   `parser:"@@"`
+	}
+
+	whatIfLine struct {
+		Drain       *scopePart `parser:"'drain' @@"`
+		Lose        *scopePart `parser:"| 'lose' @@"`
+		Move        *moveLine  `parser:"| 'move' @@"`
+		Wave        *runPart   `parser:"| 'wave' @@"`
+		Declaration bool       `parser:"| @'declaration'"`
+	}
+
+	reasonPart struct {
+		Text string `parser:"'reason' @String"`
+	}
+
+	drainLine struct {
+		Scope  scopePart   `parser:"@@"`
+		Cut    bool        `parser:"@'cut'?"`
+		Reason *reasonPart `parser:"@@?"`
+	}
+
+	undrainLine struct {
+		VM     word        `parser:"'vm' @@"`
+		Reason *reasonPart `parser:"@@?"`
+	}
+
+	moveLine struct {
+		VM     word        `parser:"'vm' @@"`
+		Pool   word        `parser:"'to' 'pool' @@"`
+		Reason *reasonPart `parser:"@@?"`
+	}
+
+	runPart struct {
+		Name  word   `parser:"@@"`
+		Pools []word `parser:"( 'on' 'pool' @@ ( ',' @@ )* )?"`
+	}
+
+	startLine struct {
+		Run    runPart     `parser:"'wave' @@"`
+		Reason *reasonPart `parser:"@@?"`
+	}
+
+	waveLine struct {
+		Wave   word        `parser:"'wave' @@"`
+		Reason *reasonPart `parser:"@@?"`
+	}
+
+	cancelLine struct {
+		Wave   *word       `parser:"( 'wave' @@"`
+		Job    *word       `parser:"| 'job' @@"`
+		Jobs   *wherePart  `parser:"| 'jobs' @@ )"`
+		Reason *reasonPart `parser:"@@?"`
+	}
+
+	setLine struct {
+		Service word        `parser:"'service' @@"`
+		Limit   word        `parser:"'limit' @@"`
+		Reason  *reasonPart `parser:"@@?"`
+	}
+)
+
+// keywords are all literal words of the grammar, for the hints of what may
+// stand at a place.
+var keywords = []string{
+	"show", "explain", "what-if", "drain", "undrain", "move", "start", "pause", "resume", "cancel", "set",
+	"vms", "services", "pools", "waves", "jobs", "budgets", "entries", "zones", "racks", "teams", "budget",
+	"vm", "rack", "zone", "job", "wave", "service", "pool", "declaration", "lose",
+	"where", "and", "to", "on", "cut", "reason", "limit",
+	"=", "!=", "<", "<=", ">", ">=", ",",
+}
+
+var tokens = lexer.MustSimple([]lexer.SimpleRule{
+	{Name: "Space", Pattern: `\s+`},
+	{Name: "String", Pattern: `"(\\.|[^"\\])*"`},
+	{Name: "Sign", Pattern: `!=|<=|>=|[=<>,]`},
+	{Name: "Word", Pattern: `[A-Za-z0-9][A-Za-z0-9_.:%+-]*`},
+})
+
+var parser = participle.MustBuild[line](
+	participle.Lexer(tokens),
+	participle.Elide("Space"),
+	participle.Unquote("String"),
+)
--- /dev/null
+++ b/internal/lang/parse.go
@@ -0,0 +1,170 @@
+package lang
+
+import (
+	"strconv"
+	"strings"
+
+	"github.com/pumicestage/pumicestage/policy/model"
+)
+
+// maxLineBytes bounds a line; an operator's line is a sentence.
+const maxLineBytes = 4096
+
+// maxLimit bounds a service's limit of requests in flight.
+const maxLimit = 1_000_000_000
+
+// Parse reads one line. Its error is a *SyntaxError.
+func Parse(input string) (Statement, error) {
+	if len(input) > maxLineBytes {
+		return nil, &SyntaxError{Found: "a line of " + strconv.Itoa(len(input)) + " bytes", Expected: []string{"at most " + strconv.Itoa(maxLineBytes)}}
+	}
+	tree, err := parser.ParseString("", input)
+	if err != nil {
+		return nil, syntaxError(input, err)
+	}
+	return convert(input, tree)
+}
+
+// ParseQuestion is Parse for a place where only questions may stand.
+func ParseQuestion(input string) (Question, error) {
+	st, err := Parse(input)
+	if err != nil {
+		return nil, err
+	}
+	q, ok := st.(Question)
+	if !ok {
+		return nil, misplaced(input, questionWords)
+	}
+	return q, nil
+}
+
+// ParseOrder is Parse for a place where only orders may stand.
+func ParseOrder(input string) (Order, error) {
+	st, err := Parse(input)
+	if err != nil {
+		return nil, err
+	}
+	o, ok := st.(Order)
+	if !ok {
+		return nil, misplaced(input, orderWords)
+	}
+	return o, nil
+}
+
+var (
+	questionWords = []string{"show", "explain", "what-if"}
+	orderWords    = []string{"drain", "undrain", "move", "start", "pause", "resume", "cancel", "set"}
+)
+
+func convert(input string, tree *line) (Statement, error) {
+	switch {
+	case tree.Show != nil:
+		return convertShow(input, tree.Show)
+	case tree.Explain != nil:
+		return Explain{Subject: Subject(tree.Explain.Subject), Name: tree.Explain.Name.Text}, nil
+	case tree.WhatIf != nil:
+		return convertWhatIf(tree.WhatIf), nil
+	case tree.Drain != nil:
+		return Drain{Reason: reason(tree.Drain.Reason), Scope: scope(&tree.Drain.Scope), Cut: tree.Drain.Cut}, nil
+	case tree.Undrain != nil:
+		return Undrain{Reason: reason(tree.Undrain.Reason), VM: model.VMID(tree.Undrain.VM.Text)}, nil
+	case tree.Move != nil:
+		return move(tree.Move), nil
+	case tree.Start != nil:
+		return start(&tree.Start.Run, tree.Start.Reason), nil
+	case tree.Pause != nil:
+		return PauseWave{Reason: reason(tree.Pause.Reason), Wave: waveName(tree.Pause.Wave)}, nil
+	case tree.Resume != nil:
+		return ResumeWave{Reason: reason(tree.Resume.Reason), Wave: waveName(tree.Resume.Wave)}, nil
+	case tree.Cancel != nil:
+		return convertCancel(input, tree.Cancel)
+	default:
+		return convertSet(input, tree.Set)
+	}
+}
+
+func convertShow(input string, s *showLine) (Statement, error) {
+	show := Show{Kind: Kind(s.Kind)}
+	if s.Budget != nil {
+		show.Kind = ShowBudgets
+		show.Service = model.ServiceName(s.Budget.Text)
+	}
+	conditions, err := convertWhere(input, show.Kind, s.Where)
+	show.Where = conditions
+	return show, err
+}
+
+func convertWhere(input string, kind Kind, where *wherePart) ([]Condition, error) {
+	if where == nil {
+		return nil, nil
+	}
+	var conditions []Condition
+	for _, c := range where.Conditions {
+		if !hasField(kind, c.Field.Text) {
+			return nil, atWord(input, c.Field, Fields(kind))
+		}
+		conditions = append(conditions, Condition{Field: c.Field.Text, Comparison: Comparison(c.Comparison), Value: c.Value.Text})
+	}
+	return conditions, nil
+}
+
+func convertWhatIf(w *whatIfLine) Statement {
+	switch {
+	case w.Drain != nil:
+		return WhatIf{Order: Drain{Scope: scope(w.Drain)}}
+	case w.Lose != nil:
+		lost := scope(w.Lose)
+		return WhatIf{Lose: &lost}
+	case w.Move != nil:
+		return WhatIf{Order: move(w.Move)}
+	case w.Wave != nil:
+		return WhatIf{Order: start(w.Wave, nil)}
+	default:
+		return WhatIf{Declaration: true}
+	}
+}
+
+func convertCancel(input string, c *cancelLine) (Statement, error) {
+	if c.Wave != nil {
+		return CancelWave{Reason: reason(c.Reason), Wave: waveName(*c.Wave)}, nil
+	}
+	if c.Job != nil {
+		return CancelJobs{Reason: reason(c.Reason), Job: model.JobID(c.Job.Text)}, nil
+	}
+	conditions, err := convertWhere(input, ShowJobs, c.Jobs)
+	if err != nil {
+		return nil, err
+	}
+	return CancelJobs{Reason: reason(c.Reason), Where: conditions}, nil
+}
+
+func convertSet(input string, s *setLine) (Statement, error) {
+	limit, err := strconv.Atoi(s.Limit.Text)
+	if err != nil || limit < 0 || limit > maxLimit {
+		return nil, atWord(input, s.Limit, []string{"a whole number of at least 0"})
+	}
+	return SetLimit{Reason: reason(s.Reason), Service: model.ServiceName(s.Service.Text), Limit: limit}, nil
+}
+
+func scope(s *scopePart) Scope { return Scope{Subject: Subject(s.Subject), Name: s.Name.Text} }
+
+func move(m *moveLine) Move {
+	return Move{Reason: reason(m.Reason), VM: model.VMID(m.VM.Text), Pool: model.PoolName(m.Pool.Text)}
+}
+
+func start(r *runPart, why *reasonPart) StartWave {
+	st := StartWave{Reason: reason(why), Wave: waveName(r.Name)}
+	for _, p := range r.Pools {
+		st.Pools = append(st.Pools, model.PoolName(p.Text))
+	}
+	return st
+}
+
+func waveName(w word) model.WaveName { return model.WaveName(w.Text) }
+
+func reason(r *reasonPart) Reason {
+	if r == nil {
+		return Reason{}
+	}
+	return Reason{Text: strings.TrimSpace(r.Text)}
+}
