--- /dev/null
+++ b/cmd/pumicestage/dev.go
@@ -0,0 +1,42 @@
+package main
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/go-logr/logr"
+
+	"github.com/pumicestage/pumicestage/internal/dev"
+	"github.com/pumicestage/pumicestage/policy/model"
+)
+
+// addDev registers the verb that runs a whole deployment on loopback.
+func addDev(app *kingpin.Application) {
+	cmd := app.Command("dev", "Run a whole example deployment on loopback: platform stand-in, entry daemons, fake targets.")
+	example := cmd.Flag("example", "Folder of the declaration.").Default("examples/encuesta-viva").ExistingDir()
+	wave := cmd.Flag("wave", "Maintenance wave that --once runs; the first declared one if not given.").String()
+	once := cmd.Flag("once", "Apply the example, send load, run a wave under it, report; exit non-zero where a promise broke.").Bool()
+	verbose := cmd.Flag("verbose", "Log what the daemons do.").Bool()
+	cmd.Action(func(*kingpin.ParseContext) error {
+		ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+		defer cancel()
+		o := dev.Options{Example: *example, Wave: model.WaveName(*wave), Out: os.Stdout, Log: devLogger(*verbose), FixedPorts: !*once}
+		if *once {
+			return dev.Once(ctx, o)
+		}
+		return dev.Serve(ctx, o)
+	})
+}
+
+func devLogger(verbose bool) logr.Logger {
+	var w io.Writer = io.Discard
+	if verbose {
+		w = os.Stderr
+	}
+	return logr.FromSlogHandler(slog.NewTextHandler(w, nil))
+}
--- a/cmd/pumicestage/main.go
+++ b/cmd/pumicestage/main.go
@@ -9,5 +9,6 @@
 
 func main() {
 	app := kingpin.New("pumicestage", "Fleet capacity and maintenance manager: the operators' command line.")
+	addDev(app)
 	kingpin.MustParse(app.Parse(os.Args[1:]))
 }
--- /dev/null
+++ b/internal/daemon/daemon.go
@@ -0,0 +1,254 @@
+// Package daemon puts one entry VM together: three listeners and the parts
+// behind them. It wires and orders start and stop; it decides nothing.
+package daemon
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/binary"
+	"errors"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/gravitational/trace"
+
+	"github.com/pumicestage/pumicestage/internal/claim"
+	"github.com/pumicestage/pumicestage/internal/entry"
+	"github.com/pumicestage/pumicestage/internal/fleet"
+	"github.com/pumicestage/pumicestage/internal/peer"
+	"github.com/pumicestage/pumicestage/internal/platform"
+	"github.com/pumicestage/pumicestage/internal/platform/gateway"
+	"github.com/pumicestage/pumicestage/internal/platform/machineapi"
+	"github.com/pumicestage/pumicestage/internal/relay"
+	"github.com/pumicestage/pumicestage/internal/settings"
+	"github.com/pumicestage/pumicestage/internal/view"
+	"github.com/pumicestage/pumicestage/policy/model"
+)
+
+// DialFunc opens a connection; tests put cuts between zones behind it.
+type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
+// Options are what a Daemon is made of beside its settings.
+type Options struct {
+	Settings *settings.Settings
+	Log      logr.Logger
+	// Dial is the way to peers and the platform; nil for plain TCP.
+	Dial DialFunc
+	// Store replaces the platform's store; nil for the one in the settings.
+	Store platform.Store
+	// FleetEvery is the reconciler's period while there is work; 0 for its own.
+	FleetEvery time.Duration
+}
+
+// Daemon is one entry VM.
+type Daemon struct {
+	settings *settings.Settings
+	log      logr.Logger
+	self     view.EntryRecord
+
+	callers   net.Listener
+	operators net.Listener
+	peers     net.Listener
+
+	view     *view.Holder
+	store    platform.Store
+	machines platform.Machines
+	mesh     *peer.Mesh
+	relay    *relay.Relay
+	registry *relay.Registry
+	claims   *claim.Ledger
+	entry    *entry.Server
+	fleet    *fleet.Fleet
+	prober   *prober
+
+	ready atomic.Bool
+}
+
+// New opens the listeners and wires the parts; nothing runs before Run.
+func New(o Options) (*Daemon, error) {
+	d := &Daemon{settings: o.Settings, log: o.Log, view: view.NewHolder()}
+	if err := d.listen(); err != nil {
+		d.closeListeners()
+		return nil, trace.Wrap(err)
+	}
+	d.self = view.EntryRecord{
+		ID:          o.Settings.ID,
+		Zone:        o.Settings.Zone,
+		Peer:        advertised(o.Settings.Peers, d.peers),
+		Caller:      advertised(o.Settings.Callers, d.callers),
+		Operator:    advertised(o.Settings.Operators, d.operators),
+		Incarnation: incarnation(),
+	}
+	d.connectPlatform(o)
+	d.wire(o)
+	return d, nil
+}
+
+func (d *Daemon) listen() (err error) {
+	if d.callers, err = net.Listen("tcp", d.settings.Callers.Listen); err != nil {
+		return err
+	}
+	if d.operators, err = net.Listen("tcp", d.settings.Operators.Listen); err != nil {
+		return err
+	}
+	d.peers, err = net.Listen("tcp", d.settings.Peers.Listen)
+	return err
+}
+
+func (d *Daemon) closeListeners() {
+	for _, l := range []net.Listener{d.callers, d.operators, d.peers} {
+		if l != nil {
+			l.Close()
+		}
+	}
+}
+
+func (d *Daemon) connectPlatform(o Options) {
+	client := platformClient(o.Dial)
+	d.store = o.Store
+	if d.store == nil {
+		d.store = gateway.New(gateway.Options{
+			Endpoints:  o.Settings.Store,
+			Zone:       string(o.Settings.Zone),
+			Timeout:    o.Settings.PlatformTimeout,
+			HTTPClient: client,
+		})
+	}
+	d.machines = machineapi.New(machineapi.Options{
+		Endpoints:  []string{o.Settings.Machines},
+		Zone:       string(o.Settings.Zone),
+		Timeout:    o.Settings.PlatformTimeout,
+		HTTPClient: client,
+	})
+}
+
+func (d *Daemon) wire(o Options) {
+	d.mesh = peer.New(peer.Options{
+		Self:     d.self,
+		Cluster:  d.settings.Cluster,
+		Seeds:    d.settings.Seeds,
+		View:     d.view,
+		Listener: d.peers,
+		Dial:     peerDial(o.Dial),
+		Local:    func() ([]peer.TargetLoad, int) { return d.entry.Loads(), d.entry.Queued() },
+		Watching: func() bool { return d.relay.Watching() },
+		Log:      d.log.WithName("peer"),
+	})
+	ro := relay.Options{Self: d.self, Store: d.store, View: d.view, Peers: d.mesh, Log: d.log.WithName("relay")}
+	d.relay = relay.New(ro)
+	d.registry = relay.NewRegistry(ro)
+	d.claims = claim.NewLedger(claim.Options{Store: d.store, Self: d.self, Live: d.liveEntries, Log: d.log.WithName("claim")})
+	d.entry = entry.New(entry.Options{
+		View:   d.view,
+		Loads:  d.mesh,
+		Claims: d.claims,
+		Log:    d.log.WithName("entry"),
+		Zone:   d.self.Zone,
+		Self:   d.self.ID,
+		Limits: d.entryLimits(),
+		Seed:   d.self.Incarnation,
+	})
+	d.prober = newProber(d.view, o.Dial)
+	d.fleet = fleet.New(fleet.Options{
+		Store:    d.store,
+		Machines: d.machines,
+		View:     d.view,
+		Acks:     d.registry,
+		Health:   d.prober.Health,
+		Log:      d.log.WithName("fleet"),
+		Self:     d.self.ID,
+		Every:    o.FleetEvery,
+	})
+}
+
+func (d *Daemon) entryLimits() entry.Limits {
+	l := entry.DefaultLimits()
+	l.HeaderBytes = d.settings.Limits.HeaderBytes
+	l.BodyBytes = d.settings.Limits.BodyBytes
+	l.HeaderTimeout = d.settings.Limits.HeaderTimeout
+	l.IdleTimeout = d.settings.Limits.IdleTimeout
+	return l
+}
+
+func (d *Daemon) liveEntries() []model.EntryID {
+	ids := []model.EntryID{d.self.ID}
+	for _, p := range d.mesh.Peers() {
+		if p.Live {
+			ids = append(ids, p.Entry)
+		}
+	}
+	return ids
+}
+
+// Self returns this entry VM's record, with the addresses it listens at.
+func (d *Daemon) Self() view.EntryRecord { return d.self }
+
+// View returns what this entry VM knows of the fleet.
+func (d *Daemon) View() *view.Holder { return d.view }
+
+// Ready reports whether this entry VM takes new requests: it has a
+// configuration in force and is not leaving.
+func (d *Daemon) Ready() bool {
+	return d.ready.Load() && d.view.Load().Generation() > 0
+}
+
+// Run serves until ctx ends, then leaves gracefully: not ready, no new
+// requests, those in flight finish, and what it holds is handed over.
+func (d *Daemon) Run(ctx context.Context) error {
+	background, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	var parts sync.WaitGroup
+	d.startParts(background, &parts)
+	callers := d.callerServer()
+	operators := &http.Server{Handler: d.operatorHandler(), ReadHeaderTimeout: d.settings.Limits.HeaderTimeout}
+	failed := make(chan error, 2)
+	go func() { failed <- callers.Serve(d.callers) }()
+	go func() { failed <- operators.Serve(d.operators) }()
+	d.ready.Store(true)
+	d.log.Info("serving", "callers", d.self.Caller, "operators", d.self.Operator, "peers", d.self.Peer)
+
+	var err error
+	select {
+	case <-ctx.Done():
+		err = d.leave(callers)
+	case err = <-failed:
+	}
+	stop()
+	parts.Wait()
+	operators.Close()
+	callers.Close()
+	return trace.Wrap(err)
+}
+
+func (d *Daemon) startParts(ctx context.Context, parts *sync.WaitGroup) {
+	parts.Go(func() { d.report("peer", d.mesh.Run(ctx)) })
+	parts.Go(func() { d.relay.Run(ctx) })
+	parts.Go(func() { d.claims.Run(ctx) })
+	parts.Go(func() { d.report("entry", d.entry.Run(ctx)) })
+	parts.Go(func() { d.prober.run(ctx) })
+	parts.Go(func() { d.report("fleet", d.fleet.Run(ctx)) })
+	parts.Go(func() { d.wakeFleet(ctx) })
+}
+
+func (d *Daemon) report(part string, err error) {
+	if err != nil && !errors.Is(err, context.Canceled) {
+		d.log.Error(err, "part ended", "part", part)
+	}
+}
+
+// incarnation tells this run of the daemon from earlier ones under its ID.
+func incarnation() uint64 {
+	var b [8]byte
+	_, _ = rand.Read(b[:]) // never fails, by its contract
+	return binary.BigEndian.Uint64(b[:])
+}
+
+// Fleet returns the commands and questions on waves and VMs.
+func (d *Daemon) Fleet() *fleet.Fleet { return d.fleet }
+
+// Registry answers which entry VMs have what in force.
+func (d *Daemon) Registry() *relay.Registry { return d.registry }
--- /dev/null
+++ b/internal/daemon/http.go
@@ -0,0 +1,108 @@
+package daemon
+
+import (
+	"context"
+	"expvar"
+	"fmt"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/gorilla/mux"
+
+	"github.com/pumicestage/pumicestage/internal/settings"
+)
+
+const (
+	// idlePlatformConns is how many connections to the platform are kept: as
+	// many as calls are usually in flight at once.
+	idlePlatformConns = 16
+	// idlePlatformTimeout closes connections that bursts left behind.
+	idlePlatformTimeout = 30 * time.Second
+)
+
+func platformClient(dial DialFunc) *http.Client {
+	return &http.Client{Transport: &http.Transport{
+		DialContext:         dial,
+		MaxIdleConnsPerHost: idlePlatformConns,
+		IdleConnTimeout:     idlePlatformTimeout,
+	}}
+}
+
+func peerDial(dial DialFunc) func(context.Context, string) (net.Conn, error) {
+	if dial == nil {
+		return nil
+	}
+	return func(ctx context.Context, address string) (net.Conn, error) { return dial(ctx, "tcp", address) }
+}
+
+// advertised returns the address others use; a port left to the system is
+// taken from the listener.
+func advertised(l settings.Listener, on net.Listener) string {
+	host, port, err := net.SplitHostPort(l.Advertise)
+	if err != nil || port != "0" {
+		return l.Advertise
+	}
+	_, port, _ = net.SplitHostPort(on.Addr().String())
+	return net.JoinHostPort(host, port)
+}
+
+func (d *Daemon) callerServer() *http.Server {
+	r := mux.NewRouter().UseEncodedPath().SkipClean(true)
+	d.addProbes(r)
+	r.PathPrefix("/").Handler(d.entry)
+	srv := &http.Server{Handler: d.closeWhenLeaving(r)}
+	d.entryLimits().Apply(srv)
+	return srv
+}
+
+func (d *Daemon) operatorHandler() http.Handler {
+	r := mux.NewRouter()
+	d.addProbes(r)
+	r.HandleFunc("/debug/vars", d.vars).Methods(http.MethodGet)
+	return r
+}
+
+// addProbes adds what the platform's balancer asks: alive, and ready for
+// requests.
+func (d *Daemon) addProbes(r *mux.Router) {
+	r.HandleFunc("/healthz", func(w http.ResponseWriter, _ *http.Request) { fmt.Fprintln(w, "ok") })
+	r.HandleFunc("/readyz", func(w http.ResponseWriter, _ *http.Request) {
+		if !d.Ready() {
+			http.Error(w, "not ready", http.StatusServiceUnavailable)
+			return
+		}
+		fmt.Fprintln(w, "ready")
+	})
+}
+
+// viewVars tells how current this entry VM's view is.
+type viewVars struct {
+	Generation uint64
+	Revision   int64
+	AgeSeconds float64
+	Watching   bool
+	VMs        int
+	Entries    int
+}
+
+// vars serves this daemon's metrics in the form of expvar. They are not
+// published globally: several daemons may run in one process.
+func (d *Daemon) vars(w http.ResponseWriter, _ *http.Request) {
+	s := d.view.Load()
+	view := viewVars{
+		Generation: s.Generation(),
+		Revision:   int64(s.Revision),
+		AgeSeconds: time.Since(s.AsOf).Seconds(),
+		Watching:   d.relay.Watching(),
+		VMs:        len(s.VMs),
+		Entries:    len(s.Entries),
+	}
+	m := new(expvar.Map).Init()
+	m.Set("entry", d.entry.Metrics())
+	m.Set("peer", expvar.Func(func() any { return d.mesh.Traffic() }))
+	m.Set("view", expvar.Func(func() any { return view }))
+	m.Set("memstats", expvar.Get("memstats"))
+	w.Header().Set("Content-Type", "application/json; charset=utf-8")
+	fmt.Fprintln(w, m.String())
+}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -42,6 +42,7 @@
 	Log    logr.Logger
 	Self   model.EntryID
 	NewID  func() string // makes unique IDs; random if nil
+	Every  time.Duration // between two passes while there is work; a second if 0
 }
 
 // Fleet is the reconciler of one entry VM, and the commands and questions on
@@ -56,6 +57,7 @@
 	log      logr.Logger
 	self     model.EntryID
 	newID    func() string
+	every    time.Duration
 	kick     chan struct{} // wakes Run
 
 	step sync.Mutex // one pass at a time
@@ -74,6 +76,9 @@
 	if o.Clock == nil {
 		o.Clock = clockwork.NewRealClock()
 	}
+	if o.Every == 0 {
+		o.Every = busyEvery
+	}
 	if o.NewID == nil {
 		o.NewID = randomID
 	}
@@ -87,6 +92,7 @@
 		log:      o.Log,
 		self:     o.Self,
 		newID:    o.NewID,
+		every:    o.Every,
 		kick:     make(chan struct{}, 1),
 		shards:   newShards(),
 		effects:  make(effects),
--- a/internal/fleet/order.go
+++ b/internal/fleet/order.go
@@ -256,7 +256,7 @@
 // orderPass returns a pass on fresh evidence, or a refusal: with the platform
 // out of reach no planned stop starts.
 func (f *Fleet) orderPass(ctx context.Context) (*pass, error) {
-	if err := f.refreshList(ctx, listEvery); err != nil {
+	if err := f.refreshList(ctx, listPeriods*f.every); err != nil {
 		return nil, err
 	}
 	p := f.newPass()
--- a/internal/fleet/pass.go
+++ b/internal/fleet/pass.go
@@ -49,9 +49,9 @@
 	return f.list
 }
 
-// listEvery is how often the platform's list is fetched at most. It lags by
+// listPeriods is how many passes one fetch of the platform's list serves. It lags by
 // seconds anyway, and at 3,600 VMs it is the largest answer of all.
-const listEvery = 2 * time.Second
+const listPeriods = 2
 
 // refreshList fetches the platform's list unless it was fetched just now; where
 // that fails the old one ages.
--- a/internal/fleet/run.go
+++ b/internal/fleet/run.go
@@ -30,7 +30,7 @@
 		}
 		wait := restEvery
 		if busy {
-			wait = busyEvery
+			wait = f.every
 		}
 		kicked = false
 		select {
--- a/internal/fleet/step.go
+++ b/internal/fleet/step.go
@@ -33,7 +33,7 @@
 // pass does the work of the holders that mine names.
 func (f *Fleet) pass(ctx context.Context, ws waves, mine func(holder string) bool) error {
 	var errs []error
-	if err := f.refreshList(ctx, listEvery); err != nil {
+	if err := f.refreshList(ctx, listPeriods*f.every); err != nil {
 		errs = append(errs, err)
 	}
 	p := f.newPass()
