shared: Txn.Since and TxnResult.Superseded, for Commit after a lost reply

Since tells Commit where a key's history begins to matter; Superseded says that the transaction took effect and a key it wrote has changed since.

--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -76,6 +76,10 @@
 	If   []Cond
 	Then []Op
 	Else []Op
+	// Since is any revision of the store that the caller saw before the
+	// transaction was first sent; 0 if none. Txn does not look at it; Commit
+	// does where all conditions are of absence, to know where to look from.
+	Since Revision
 }
 
 // TxnResult is the outcome of a Txn.
@@ -85,6 +89,9 @@
 	// Reads has one entry for each OpGet that was applied, in order; an
 	// absent key has ModRevision 0.
 	Reads []KV
+	// Superseded is set by Commit alone: the transaction took effect, and a
+	// key it wrote has changed since.
+	Superseded bool
 }
 
 // EventKind says what happened to a key.
