--- /dev/null
+++ b/internal/platform/contract/contract_test.go
@@ -0,0 +1,76 @@
+package contract_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"gotest.tools/v3/assert"
+
+	"github.com/pumicestage/pumicestage/internal/platform/contract"
+	"github.com/pumicestage/pumicestage/internal/platform/faulty"
+	"github.com/pumicestage/pumicestage/internal/platform/gateway"
+	"github.com/pumicestage/pumicestage/internal/platform/memstore"
+	"github.com/pumicestage/pumicestage/internal/platform/standin"
+)
+
+const zone = "zone-a"
+
+func TestMemstore(t *testing.T) {
+	contract.RunStore(t, func(*testing.T) contract.Store {
+		clock := clockwork.NewFakeClock()
+		s := memstore.New(clock)
+		return contract.Store{
+			Client: s, Rival: s, Compact: s.Compact, Waiting: s.Watches,
+			Advance: func(d time.Duration) { clock.Advance(d); s.Tick() },
+		}
+	})
+}
+
+func TestFaultyMemstore(t *testing.T) {
+	contract.RunStore(t, func(*testing.T) contract.Store {
+		clock := clockwork.NewFakeClock()
+		s := memstore.New(clock)
+		f := faulty.Wrap(s)
+		return contract.Store{
+			Client: f, Rival: s, Compact: s.Compact, Waiting: s.Watches,
+			Advance: func(d time.Duration) { clock.Advance(d); s.Tick() },
+			Down:    f.SetDown, LoseReplies: f.LoseReplies, LoseRequests: f.LoseRequests,
+		}
+	})
+}
+
+func TestGateway(t *testing.T) {
+	contract.RunStore(t, gatewayStore)
+}
+
+func gatewayStore(t *testing.T) contract.Store {
+	clock := clockwork.NewFakeClock()
+	srv, url := serve(t, clock)
+	client := gateway.New(gateway.Options{
+		Endpoints: []string{url}, Zone: zone, Timeout: 10 * time.Second,
+		ResumeFor: 3 * time.Second, HTTPClient: srv.Network.Client(zone),
+	})
+	set := func(f standin.Fault) { srv.Faults.Set(zone, f) }
+	return contract.Store{
+		Client: client, Rival: srv.Store, Compact: srv.Store.Compact, Waiting: srv.Store.Watches,
+		Advance:      func(d time.Duration) { clock.Advance(d); srv.Store.Tick() },
+		Down:         func(on bool) { set(standin.Fault{Down: on}) },
+		Pause:        func(on bool) { set(standin.Fault{Paused: on}) },
+		Held:         srv.Faults.Held,
+		LoseReplies:  func(n int) { set(standin.Fault{LoseReplies: n}) },
+		LoseRequests: func(n int) { set(standin.Fault{LoseRequests: n}) },
+		Garble:       func(n int) { set(standin.Fault{Garble: n}) },
+		RateLimit:    func() { srv.Counts.SetLimits(1, 1) },
+		Resumes:      true,
+	}
+}
+
+func serve(t *testing.T, clock clockwork.Clock) (*standin.Server, string) {
+	t.Helper()
+	srv := standin.New(clock)
+	t.Cleanup(srv.Close)
+	url, err := srv.Listen("127.0.0.1:0")
+	assert.NilError(t, err)
+	return srv, url
+}
--- /dev/null
+++ b/internal/platform/contract/faults.go
@@ -0,0 +1,142 @@
+package contract
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/pumicestage/pumicestage/internal/platform"
+)
+
+// calls are all kinds of call; each must name its failures alike.
+var calls = []struct {
+	name   string
+	writes bool
+	do     func(ctx context.Context, s platform.Store) error
+}{
+	{"get", false, func(ctx context.Context, s platform.Store) error {
+		_, _, err := s.Get(ctx, "a")
+		return err
+	}},
+	{"range", false, func(ctx context.Context, s platform.Store) error {
+		_, _, err := s.Range(ctx, "a")
+		return err
+	}},
+	{"keepalive", false, func(ctx context.Context, s platform.Store) error { return s.KeepAlive(ctx, 1) }},
+	{"watch", false, func(ctx context.Context, s platform.Store) error {
+		_, err := s.Watch(ctx, "a", 1)
+		return err
+	}},
+	{"txn", true, func(ctx context.Context, s platform.Store) error {
+		_, err := s.Txn(ctx, platform.Txn{Then: []platform.Op{platform.Put("a", []byte("client"))}})
+		return err
+	}},
+	{"grant", true, func(ctx context.Context, s platform.Store) error {
+		_, err := s.Grant(ctx, time.Minute)
+		return err
+	}},
+	{"revoke", true, func(ctx context.Context, s platform.Store) error { return s.Revoke(ctx, 1) }},
+}
+
+var faultCases = []storeCase{
+	{
+		name:  "while the service is down every call is certain not to have been sent",
+		needs: func(s Store) bool { return s.Down != nil },
+		run: func(t *testing.T, s Store) {
+			put(t, s.Client, "b", "warm") // leaves a connection that the cut closes
+			s.Down(true)
+			for _, c := range calls {
+				err := c.do(ctxOf(t), s.Client)
+				assert.Assert(t, platform.IsKind(err, platform.KindUnavailable), "%s: %v", c.name, err)
+			}
+			s.Down(false)
+			assert.Equal(t, get(t, s.Client, "a").ModRevision, platform.Revision(0))
+		},
+	},
+	{
+		name:  "past the deadline a read is unavailable and a write unknown",
+		needs: func(s Store) bool { return s.Pause != nil },
+		run:   pastDeadline,
+	},
+	{
+		name:  "a write whose request is lost is unknown and without effect",
+		needs: func(s Store) bool { return s.LoseRequests != nil },
+		run: func(t *testing.T, s Store) {
+			for _, c := range calls {
+				if !c.writes {
+					continue
+				}
+				s.LoseRequests(1)
+				err := c.do(ctxOf(t), s.Client)
+				assert.Assert(t, platform.IsKind(err, platform.KindUnknown), "%s: %v", c.name, err)
+			}
+			assert.Equal(t, get(t, s.Rival, "a").ModRevision, platform.Revision(0))
+		},
+	},
+	{
+		name:  "a write whose reply is lost is unknown and took effect",
+		needs: func(s Store) bool { return s.LoseReplies != nil },
+		run: func(t *testing.T, s Store) {
+			lease := grant(t, s, time.Minute)
+			putLeased(t, s, "b", lease)
+			s.LoseReplies(2)
+			_, err := s.Client.Txn(ctxOf(t), platform.Txn{Then: []platform.Op{platform.Put("a", []byte("1"))}})
+			wantKind(t, err, platform.KindUnknown)
+			wantKind(t, s.Client.Revoke(ctxOf(t), lease), platform.KindUnknown)
+			assert.DeepEqual(t, keysOf(t, s, ""), []string{"a"})
+		},
+	},
+	{
+		name:  "a malformed reply makes a read invalid and a write unknown",
+		needs: func(s Store) bool { return s.Garble != nil },
+		run: func(t *testing.T, s Store) {
+			s.Garble(2)
+			_, _, err := s.Client.Get(ctxOf(t), "a")
+			wantKind(t, err, platform.KindInvalid)
+			_, err = s.Client.Txn(ctxOf(t), platform.Txn{Then: []platform.Op{platform.Put("a", []byte("1"))}})
+			wantKind(t, err, platform.KindUnknown)
+			assert.Equal(t, string(get(t, s.Client, "a").Value), "1")
+		},
+	},
+	{
+		name:  "over the limits a call is refused and has no effect",
+		needs: func(s Store) bool { return s.RateLimit != nil },
+		run: func(t *testing.T, s Store) {
+			s.RateLimit()
+			put(t, s.Client, "b", "passes")
+			get(t, s.Client, "b")
+			for _, c := range calls {
+				err := c.do(ctxOf(t), s.Client)
+				assert.Assert(t, platform.IsKind(err, platform.KindRateLimited), "%s: %v", c.name, err)
+			}
+			s.Advance(time.Hour)
+			assert.Equal(t, get(t, s.Client, "a").ModRevision, platform.Revision(0))
+		},
+	},
+}
+
+// The service reads the call and stops before it acts, as under a long pause
+// of its process; the client gives up. When the service goes on it does what
+// it has read: the client must not have been told that nothing happened.
+func pastDeadline(t *testing.T, s Store) {
+	put(t, s.Client, "a", "before")
+	for _, c := range calls {
+		want := platform.KindUnavailable
+		if c.writes {
+			want = platform.KindUnknown
+		}
+		s.Pause(true)
+		ctx, cancel := context.WithCancel(context.Background())
+		failed := make(chan error, 1)
+		go func() { failed <- c.do(ctx, s.Client) }()
+		eventually(t, c.name+" did not arrive", func() bool { return s.Held() == 1 })
+		cancel()
+		err := <-failed
+		assert.Assert(t, platform.IsKind(err, want), "%s: %v", c.name, err)
+		s.Pause(false)
+		eventually(t, c.name+" is still held", func() bool { return s.Held() == 0 })
+	}
+	eventually(t, "the write was forgotten", func() bool { return string(get(t, s.Rival, "a").Value) == "client" })
+}
--- /dev/null
+++ b/internal/platform/contract/store.go
@@ -0,0 +1,256 @@
+package contract
+
+import (
+	"bytes"
+	"context"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/pumicestage/pumicestage/internal/platform"
+)
+
+// StoreFactory makes a fresh store for one case.
+type StoreFactory func(t *testing.T) Store
+
+type storeCase struct {
+	name  string
+	needs func(s Store) bool // nil: every store can show it
+	run   func(t *testing.T, s Store)
+}
+
+// RunStore holds a store to platform.Store.
+func RunStore(t *testing.T, fresh StoreFactory) {
+	probe := fresh(t)
+	for _, cases := range [][]storeCase{keyCases, leaseCases, watchCases, faultCases, commitCases} {
+		for _, c := range cases {
+			if c.needs != nil && !c.needs(probe) {
+				continue
+			}
+			t.Run(c.name, func(t *testing.T) { c.run(t, fresh(t)) })
+		}
+	}
+}
+
+var keyCases = []storeCase{
+	{name: "an absent key has revision 0 and no error", run: func(t *testing.T, s Store) {
+		kv, rev, err := s.Client.Get(ctxOf(t), "a")
+		assert.NilError(t, err)
+		assert.Equal(t, kv.Key, "a")
+		assert.Equal(t, kv.ModRevision, platform.Revision(0))
+		assert.Assert(t, rev > 0)
+	}},
+	{name: "values come back byte for byte with their revisions", run: func(t *testing.T, s Store) {
+		value := []byte{0, 0xff, '"', '\n', 0x80}
+		first := put(t, s.Client, "k\x00\xfe/ü", string(value))
+		second := put(t, s.Client, "k\x00\xfe/ü", "")
+		kv := get(t, s.Client, "k\x00\xfe/ü")
+		assert.Equal(t, len(kv.Value), 0)
+		assert.Equal(t, kv.CreateRevision, first)
+		assert.Equal(t, kv.ModRevision, second)
+		put(t, s.Client, "k\x00\xfe/ü", string(value))
+		assert.Assert(t, bytes.Equal(get(t, s.Client, "k\x00\xfe/ü").Value, value))
+	}},
+	{name: "range gives the prefix alone, in order", run: func(t *testing.T, s Store) {
+		for _, key := range []string{"a/2", "a0", "a/1", "a", "a/\xff"} {
+			put(t, s.Rival, key, key)
+		}
+		assert.DeepEqual(t, keysOf(t, s, "a/"), []string{"a/1", "a/2", "a/\xff"})
+		assert.DeepEqual(t, keysOf(t, s, "a/\xff"), []string{"a/\xff"})
+		assert.Equal(t, len(keysOf(t, s, "")), 5)
+		assert.Equal(t, len(keysOf(t, s, "b")), 0)
+	}},
+	{name: "a transaction writes all or nothing under its conditions", run: allOrNothing},
+	{name: "a condition of absence holds only while the key is absent", run: func(t *testing.T, s Store) {
+		absent := platform.Txn{If: []platform.Cond{{Key: "a"}}, Then: []platform.Op{platform.Put("a", []byte("1"))}}
+		assert.Assert(t, txn(t, s.Client, absent).Succeeded)
+		assert.Assert(t, !txn(t, s.Client, absent).Succeeded)
+		txn(t, s.Client, platform.Txn{Then: []platform.Op{platform.Delete("a")}})
+		assert.Equal(t, get(t, s.Client, "a").ModRevision, platform.Revision(0))
+		assert.Assert(t, txn(t, s.Client, absent).Succeeded)
+	}},
+	{name: "a transaction that only reads leaves the revision", run: func(t *testing.T, s Store) {
+		rev := put(t, s.Client, "a", "1")
+		res := txn(t, s.Client, platform.Txn{Then: []platform.Op{platform.Read("a"), platform.Read("b"), platform.Delete("b")}})
+		assert.Equal(t, res.Revision, rev)
+		assert.Equal(t, string(res.Reads[0].Value), "1")
+		assert.Equal(t, res.Reads[1].Key, "b")
+		assert.Equal(t, res.Reads[1].ModRevision, platform.Revision(0))
+	}},
+	{name: "a value of the limit fits, one byte more is refused whole", run: oversized},
+	{name: "too many operations and a key put twice are invalid", run: func(t *testing.T, s Store) {
+		var many []platform.Op
+		for i := range platform.MaxTxnOps + 1 {
+			many = append(many, platform.Put(strconv.Itoa(i), nil))
+		}
+		_, err := s.Client.Txn(ctxOf(t), platform.Txn{Then: many})
+		wantKind(t, err, platform.KindInvalid)
+		_, err = s.Client.Txn(ctxOf(t), platform.Txn{Then: []platform.Op{platform.Put("a", nil), platform.Put("a", nil)}})
+		wantKind(t, err, platform.KindInvalid)
+		assert.Equal(t, len(keysOf(t, s, "")), 0)
+	}},
+	{name: "a call whose context has ended is not sent", run: func(t *testing.T, s Store) {
+		ctx, cancel := context.WithCancel(context.Background())
+		cancel()
+		_, err := s.Client.Txn(ctx, platform.Txn{Then: []platform.Op{platform.Put("a", nil)}})
+		wantKind(t, err, platform.KindUnavailable)
+		_, _, err = s.Client.Get(ctx, "a")
+		wantKind(t, err, platform.KindUnavailable)
+		assert.Equal(t, get(t, s.Rival, "a").ModRevision, platform.Revision(0))
+	}},
+	{name: "of concurrent increments under conditions none is lost", run: increments},
+}
+
+func allOrNothing(t *testing.T, s Store) {
+	rev := put(t, s.Rival, "a", "1")
+	step := platform.Txn{
+		If:   []platform.Cond{{Key: "a", ModRevision: rev}, {Key: "b"}},
+		Then: []platform.Op{platform.Put("a", []byte("2")), platform.Read("a"), platform.Put("b", []byte("2")), platform.Read("c")},
+		Else: []platform.Op{platform.Read("b"), platform.Read("a")},
+	}
+
+	first := txn(t, s.Client, step)
+	second := txn(t, s.Client, step)
+
+	assert.Assert(t, first.Succeeded)
+	assert.Equal(t, len(first.Reads), 2)
+	assert.Equal(t, string(first.Reads[0].Value), "2")
+	assert.Equal(t, get(t, s.Client, "a").ModRevision, first.Revision)
+	assert.Equal(t, get(t, s.Client, "b").ModRevision, first.Revision)
+	assert.Assert(t, !second.Succeeded)
+	assert.Equal(t, second.Reads[0].Key, "b")
+	assert.Equal(t, second.Reads[1].ModRevision, first.Revision)
+	assert.Equal(t, second.Revision, first.Revision)
+}
+
+func oversized(t *testing.T, s Store) {
+	fits := bytes.Repeat([]byte("x"), platform.MaxValueBytes)
+	put(t, s.Client, "a", string(fits))
+	_, err := s.Client.Txn(ctxOf(t), platform.Txn{Then: []platform.Op{
+		platform.Put("b", nil), platform.Put("a", append(fits, 'x')),
+	}})
+	wantKind(t, err, platform.KindTooLarge)
+	assert.Equal(t, len(get(t, s.Client, "a").Value), len(fits))
+	assert.Equal(t, get(t, s.Client, "b").ModRevision, platform.Revision(0))
+}
+
+func increments(t *testing.T, s Store) {
+	const workers, each = 4, 8
+	var wg sync.WaitGroup
+	for range workers {
+		wg.Go(func() {
+			for done := 0; done < each; {
+				kv, _, err := s.Client.Get(ctxOf(t), "n")
+				if err != nil {
+					t.Errorf("get: %v", err)
+					return
+				}
+				n, _ := strconv.Atoi(string(kv.Value)) // absent is 0
+				res, err := s.Client.Txn(ctxOf(t), platform.Txn{
+					If:   []platform.Cond{{Key: "n", ModRevision: kv.ModRevision}},
+					Then: []platform.Op{platform.Put("n", []byte(strconv.Itoa(n+1)))},
+				})
+				if err != nil {
+					t.Errorf("txn: %v", err)
+					return
+				}
+				if res.Succeeded {
+					done++
+				}
+			}
+		})
+	}
+	wg.Wait()
+	assert.Equal(t, string(get(t, s.Rival, "n").Value), strconv.Itoa(workers*each))
+}
+
+func keysOf(t *testing.T, s Store, prefix string) []string {
+	t.Helper()
+	kvs, _, err := s.Client.Range(ctxOf(t), prefix)
+	assert.NilError(t, err)
+	keys := []string{}
+	for _, kv := range kvs {
+		keys = append(keys, kv.Key)
+	}
+	return keys
+}
+
+func txn(t *testing.T, s platform.Store, txn platform.Txn) platform.TxnResult {
+	t.Helper()
+	res, err := s.Txn(ctxOf(t), txn)
+	assert.NilError(t, err)
+	return res
+}
+
+var leaseCases = []storeCase{
+	{name: "a leased key lives while renewed and vanishes when the lease lapses", run: func(t *testing.T, s Store) {
+		lease := grant(t, s, 10*time.Second)
+		putLeased(t, s, "a", lease)
+		s.Advance(8 * time.Second)
+		assert.NilError(t, s.Client.KeepAlive(ctxOf(t), lease))
+		s.Advance(8 * time.Second)
+		assert.Equal(t, get(t, s.Client, "a").Lease, lease)
+		s.Advance(3 * time.Second)
+		assert.Equal(t, get(t, s.Client, "a").ModRevision, platform.Revision(0))
+		wantKind(t, s.Client.KeepAlive(ctxOf(t), lease), platform.KindLeaseNotFound)
+		wantKind(t, s.Client.Revoke(ctxOf(t), lease), platform.KindLeaseNotFound)
+	}},
+	{name: "a revoked lease takes its keys along at once", run: func(t *testing.T, s Store) {
+		lease := grant(t, s, time.Minute)
+		putLeased(t, s, "a", lease)
+		put(t, s.Client, "b", "stays")
+		assert.NilError(t, s.Client.Revoke(ctxOf(t), lease))
+		assert.DeepEqual(t, keysOf(t, s, ""), []string{"b"})
+	}},
+	{name: "a key written anew without the lease outlives it", run: func(t *testing.T, s Store) {
+		lease := grant(t, s, time.Minute)
+		putLeased(t, s, "a", lease)
+		put(t, s.Client, "a", "unleased")
+		assert.NilError(t, s.Client.Revoke(ctxOf(t), lease))
+		assert.Equal(t, string(get(t, s.Client, "a").Value), "unleased")
+	}},
+	{name: "a write under a lapsed lease is refused whole", run: func(t *testing.T, s Store) {
+		lease := grant(t, s, 10*time.Second)
+		s.Advance(11 * time.Second)
+		_, err := s.Client.Txn(ctxOf(t), platform.Txn{Then: []platform.Op{platform.Put("b", nil), platform.PutLeased("a", nil, lease)}})
+		wantKind(t, err, platform.KindLeaseNotFound)
+		assert.Equal(t, len(keysOf(t, s, "")), 0)
+	}},
+	{name: "a holder paused past its lease fails its write", run: pausedHolder},
+}
+
+// The holder of a shard stops for longer than its lease (a long pause of its
+// process), another takes the shard over, then the first goes on as if nothing
+// had happened. Its write must fail, or both would act on the same VM.
+func pausedHolder(t *testing.T, s Store) {
+	hold := platform.Txn{If: []platform.Cond{{Key: "shard"}}}
+	lease := grant(t, s, 10*time.Second)
+	hold.Then = []platform.Op{platform.PutLeased("shard", []byte("first"), lease)}
+	mine := txn(t, s.Client, hold).Revision
+
+	s.Advance(11 * time.Second)
+	hold.Then = []platform.Op{platform.Put("shard", []byte("second"))}
+	assert.Assert(t, txn(t, s.Rival, hold).Succeeded)
+	late := txn(t, s.Client, platform.Txn{
+		If:   []platform.Cond{{Key: "shard", ModRevision: mine}},
+		Then: []platform.Op{platform.Put("work", []byte("first"))},
+	})
+
+	assert.Assert(t, !late.Succeeded)
+	assert.Equal(t, get(t, s.Rival, "work").ModRevision, platform.Revision(0))
+}
+
+func grant(t *testing.T, s Store, ttl time.Duration) platform.LeaseID {
+	t.Helper()
+	lease, err := s.Client.Grant(ctxOf(t), ttl)
+	assert.NilError(t, err)
+	return lease
+}
+
+func putLeased(t *testing.T, s Store, key string, lease platform.LeaseID) {
+	t.Helper()
+	txn(t, s.Client, platform.Txn{Then: []platform.Op{platform.PutLeased(key, []byte("leased"), lease)}})
+}
--- a/internal/platform/etcdjson/etcdjson.go
+++ b/internal/platform/etcdjson/etcdjson.go
@@ -20,10 +20,6 @@
 	PathWatch     = "/v3/watch"
 )
 
-// ZoneHeader names the availability zone of the client. The service may
-// ignore it; the stand-in switches faults by it.
-const ZoneHeader = "Pumicestage-Zone"
-
 // Code is a gRPC status code, as error bodies carry it.
 type Code int
 
--- a/internal/platform/gateway/gateway.go
+++ b/internal/platform/gateway/gateway.go
@@ -26,14 +26,14 @@
 	Endpoints  []string        // base addresses such as http://10.0.0.1:2379, tried in turn
 	Zone       string          // own availability zone, told to the service
 	Timeout    time.Duration   // of each call at each endpoint; 0 for httpcall.DefaultTimeout
-	ResumeFor  time.Duration   // how long a cut watch is resumed; 0 for DefaultResumeFor
 	HTTPClient *http.Client    // for TLS or a dialer of one's own; nil for the usual one
-	Clock      clockwork.Clock // nil for the real one
+	ResumeFor  time.Duration   // how long a cut watch is resumed; 0 for DefaultResumeFor
+	Clock      clockwork.Clock // of ResumeFor; nil for the real one
 }
 
 // Store is a platform.Store. It is safe for concurrent use.
 type Store struct {
-	http      httpcall.Client
+	http      *httpcall.Client
 	resumeFor time.Duration
 	clock     clockwork.Clock
 }
@@ -42,25 +42,14 @@
 
 // New returns a store. It opens no connection before the first call.
 func New(o Options) *Store {
-	if o.Timeout <= 0 {
-		o.Timeout = httpcall.DefaultTimeout
-	}
 	if o.ResumeFor <= 0 {
 		o.ResumeFor = DefaultResumeFor
 	}
-	if o.HTTPClient == nil {
-		o.HTTPClient = httpcall.NewHTTP()
-	}
 	if o.Clock == nil {
 		o.Clock = clockwork.NewRealClock()
 	}
-	return &Store{
-		http: httpcall.Client{
-			Endpoints: o.Endpoints, Zone: o.Zone, ZoneName: etcdjson.ZoneHeader, Timeout: o.Timeout, HTTP: o.HTTPClient,
-		},
-		resumeFor: o.ResumeFor,
-		clock:     o.Clock,
-	}
+	h := httpcall.New(httpcall.Options{Endpoints: o.Endpoints, Zone: o.Zone, Timeout: o.Timeout, HTTPClient: o.HTTPClient})
+	return &Store{http: h, resumeFor: o.ResumeFor, clock: o.Clock}
 }
 
 // Get implements platform.Store.
--- a/internal/platform/gateway/watch.go
+++ b/internal/platform/gateway/watch.go
@@ -89,10 +89,9 @@
 
 func (w *watch) openAny(ctx context.Context) (*stream, error) {
 	var err error = platform.Errorf("watch", platform.KindUnavailable, "no endpoints")
-	first := w.store.http.Next()
-	for i := range w.store.http.Endpoints {
+	for _, endpoint := range w.store.http.Endpoints() {
 		var st *stream
-		st, err = w.open(ctx, w.store.http.Endpoints[(first+i)%len(w.store.http.Endpoints)])
+		st, err = w.open(ctx, endpoint)
 		if err == nil || final(err) || ctx.Err() != nil {
 			return st, err
 		}
@@ -104,7 +103,7 @@
 // it stands. The timeout is for that only; the stream itself has no end.
 func (w *watch) open(ctx context.Context, endpoint string) (*stream, error) {
 	ctx, cancel := context.WithCancel(ctx)
-	late := time.AfterFunc(w.store.http.Timeout, cancel)
+	late := time.AfterFunc(w.store.http.Timeout(), cancel)
 	defer late.Stop()
 	call := httpcall.Call{Op: "watch", Method: http.MethodPost, Path: etcdjson.PathWatch}
 	body, err := json.Marshal(etcdjson.WatchRequest{Create: &etcdjson.WatchCreate{
--- a/internal/platform/httpcall/httpcall.go
+++ b/internal/platform/httpcall/httpcall.go
@@ -11,6 +11,7 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -50,19 +51,55 @@
 	Write bool
 }
 
+// ZoneHeader names the availability zone of the client. A service may ignore
+// it; the stand-in switches faults by it.
+const ZoneHeader = "Pumicestage-Zone"
+
+// Options say how to reach a service.
+type Options struct {
+	Endpoints  []string      // base addresses such as http://10.0.0.1:2379, tried in turn
+	Zone       string        // own availability zone, told to the service
+	Timeout    time.Duration // of each call at each endpoint; 0 for DefaultTimeout
+	HTTPClient *http.Client  // for TLS or a dialer of one's own; nil for the usual one
+}
+
 // Client sends calls to the endpoints of one service.
 type Client struct {
-	Endpoints []string // base addresses, tried in turn
-	Zone      string
-	ZoneName  string // the header that carries Zone
-	Timeout   time.Duration
-	HTTP      *http.Client
+	endpoints []string
+	zone      string
+	timeout   time.Duration
+	http      *http.Client
 
 	next atomic.Uint32 // the endpoint that answered last
 }
 
-// NewHTTP returns an HTTP client fit for the platform's services.
-func NewHTTP() *http.Client {
+// New returns a client. It opens no connection before the first call.
+func New(o Options) *Client {
+	if o.Timeout <= 0 {
+		o.Timeout = DefaultTimeout
+	}
+	if o.HTTPClient == nil {
+		o.HTTPClient = usualHTTP()
+	}
+	h := *o.HTTPClient
+	// A redirect followed would be a second copy of a write.
+	h.CheckRedirect = func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+	return &Client{endpoints: o.Endpoints, zone: o.Zone, timeout: o.Timeout, http: &h}
+}
+
+// Timeout returns how long a call may take at one endpoint.
+func (c *Client) Timeout() time.Duration { return c.timeout }
+
+// Endpoints returns the endpoints, the one that answered last first.
+func (c *Client) Endpoints() []string {
+	if len(c.endpoints) == 0 {
+		return nil
+	}
+	first := int(c.next.Load()) % len(c.endpoints)
+	return append(c.endpoints[first:len(c.endpoints):len(c.endpoints)], c.endpoints[:first]...)
+}
+
+func usualHTTP() *http.Client {
 	d := net.Dialer{KeepAliveConfig: net.KeepAliveConfig{
 		Enable: true, Idle: keepAliveIdle, Interval: keepAliveProbe, Count: keepAliveCount,
 	}}
@@ -77,13 +114,11 @@
 	if err != nil {
 		return Answer{}, platform.Errorf(call.Op, platform.KindInvalid, "%w", err)
 	}
-	first := c.next.Load()
-	var last error
-	for i := range c.Endpoints {
-		at := (int(first) + i) % len(c.Endpoints)
-		answer, sent, err := c.once(ctx, c.Endpoints[at], call, body)
+	last := errors.New("no endpoints")
+	for _, endpoint := range c.Endpoints() {
+		answer, sent, err := c.once(ctx, endpoint, call, body)
 		if err == nil {
-			c.next.Store(uint32(at))
+			c.prefer(endpoint)
 			return answer, nil
 		}
 		last = err
@@ -94,19 +129,17 @@
 			break
 		}
 	}
-	if last == nil {
-		last = errors.New("no endpoints")
-	}
 	return Answer{}, platform.Errorf(call.Op, platform.KindUnavailable, "%w", last)
 }
 
-// Next returns the index of the endpoint to try first.
-func (c *Client) Next() int { return int(c.next.Load()) }
+func (c *Client) prefer(endpoint string) {
+	c.next.Store(uint32(slices.Index(c.endpoints, endpoint)))
+}
 
 // once sends the call to one endpoint. sent is false only where no byte of it
 // can have left: no connection was ever had.
 func (c *Client) once(ctx context.Context, endpoint string, call Call, body []byte) (Answer, bool, error) {
-	ctx, cancel := context.WithTimeout(ctx, c.Timeout)
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
 	defer cancel()
 	resp, sent, err := c.Send(ctx, endpoint, call, body)
 	if err != nil {
@@ -123,17 +156,22 @@
 // Send sends the call and returns the reply unread, for streams. The caller
 // closes the reply's body.
 func (c *Client) Send(ctx context.Context, endpoint string, call Call, body []byte) (*http.Response, bool, error) {
+	// The transport asks for a second connection only where it wrote nothing
+	// to the first, as when that was closed while it lay idle.
 	var sent atomic.Bool
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { sent.Store(true) }}
+	trace := &httptrace.ClientTrace{
+		GetConn: func(string) { sent.Store(false) },
+		GotConn: func(httptrace.GotConnInfo) { sent.Store(true) },
+	}
 	req, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), call.Method, endpoint+call.Path, bytes.NewReader(body))
 	if err != nil {
 		return nil, false, err
 	}
 	req.Header.Set("Content-Type", "application/json")
-	if c.Zone != "" {
-		req.Header.Set(c.ZoneName, c.Zone)
+	if c.zone != "" {
+		req.Header.Set(ZoneHeader, c.zone)
 	}
-	resp, err := c.HTTP.Do(req)
+	resp, err := c.http.Do(req)
 	return resp, sent.Load(), err
 }
 
--- a/internal/platform/machineapi/client.go
+++ b/internal/platform/machineapi/client.go
@@ -6,39 +6,22 @@
 	"net/http"
 	"net/url"
 	"strings"
-	"time"
 
 	"github.com/pumicestage/pumicestage/internal/platform"
-	"github.com/pumicestage/pumicestage/internal/platform/etcdjson"
 	"github.com/pumicestage/pumicestage/internal/platform/httpcall"
 	"github.com/pumicestage/pumicestage/policy/model"
 )
 
-// Options say how to reach the machines' control.
-type Options struct {
-	Endpoints  []string      // base addresses such as http://10.0.0.1:2380, tried in turn
-	Zone       string        // own availability zone, told to the service
-	Timeout    time.Duration // of each call at each endpoint; 0 for httpcall.DefaultTimeout
-	HTTPClient *http.Client  // for TLS or a dialer of one's own; nil for the usual one
-}
-
 // Client is a platform.Machines. It is safe for concurrent use.
-type Client struct{ http httpcall.Client }
+type Client struct{ http *httpcall.Client }
 
 var _ platform.Machines = (*Client)(nil)
 
+// Options say how to reach the machines' control.
+type Options = httpcall.Options
+
 // New returns a client. It opens no connection before the first call.
-func New(o Options) *Client {
-	if o.Timeout <= 0 {
-		o.Timeout = httpcall.DefaultTimeout
-	}
-	if o.HTTPClient == nil {
-		o.HTTPClient = httpcall.NewHTTP()
-	}
-	return &Client{http: httpcall.Client{
-		Endpoints: o.Endpoints, Zone: o.Zone, ZoneName: etcdjson.ZoneHeader, Timeout: o.Timeout, HTTP: o.HTTPClient,
-	}}
-}
+func New(o Options) *Client { return &Client{http: httpcall.New(o)} }
 
 // List implements platform.Machines.
 func (c *Client) List(ctx context.Context) (platform.MachineList, error) {
--- a/internal/platform/standin/faults.go
+++ b/internal/platform/standin/faults.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/pumicestage/pumicestage/internal/platform/etcdjson"
+	"github.com/pumicestage/pumicestage/internal/platform/httpcall"
 )
 
 // PathFaults is where the faults are read (GET) and switched (PUT) over HTTP.
@@ -39,6 +40,7 @@
 	network *Network
 
 	mu     sync.Mutex
+	held   int // calls that wait for the end of a pause
 	byZone map[string]*Fault
 	change chan struct{} // closed and replaced at each change
 }
@@ -69,6 +71,19 @@
 	}
 }
 
+// Held returns how many calls wait for the end of a pause.
+func (f *Faults) Held() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.held
+}
+
+func (f *Faults) hold(delta int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.held += delta
+}
+
 // Clear switches every fault off.
 func (f *Faults) Clear() {
 	for zone := range f.All() {
@@ -147,7 +162,7 @@
 // guarded puts the limits and the faults in front of a handler of one call.
 func (s *Server) guarded(kind Kind, h http.HandlerFunc) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
-		zone := r.Header.Get(etcdjson.ZoneHeader)
+		zone := r.Header.Get(httpcall.ZoneHeader)
 		body := readAll(w, r)
 		s.await(zone)
 		if !s.Counts.allow(kind) {
@@ -178,8 +193,10 @@
 		case fault.Down:
 			panic(http.ErrAbortHandler)
 		case fault.Paused:
+			s.Faults.hold(1)
 			select {
 			case <-change:
+				s.Faults.hold(-1)
 			case <-s.done:
 				panic(http.ErrAbortHandler)
 			}
--- a/internal/platform/standin/machines_http.go
+++ b/internal/platform/standin/machines_http.go
@@ -6,7 +6,7 @@
 	"github.com/gorilla/mux"
 
 	"github.com/pumicestage/pumicestage/internal/platform"
-	"github.com/pumicestage/pumicestage/internal/platform/etcdjson"
+	"github.com/pumicestage/pumicestage/internal/platform/httpcall"
 	"github.com/pumicestage/pumicestage/internal/platform/machineapi"
 	"github.com/pumicestage/pumicestage/policy/model"
 )
@@ -36,7 +36,7 @@
 }
 
 func (s *Server) listMachines(w http.ResponseWriter, r *http.Request) {
-	fault, _ := s.Faults.state(r.Header.Get(etcdjson.ZoneHeader))
+	fault, _ := s.Faults.state(r.Header.Get(httpcall.ZoneHeader))
 	s.Machines.freeze(fault.StaleList)
 	list, err := s.Machines.List(r.Context())
 	out := machineapi.MachineList{AsOf: list.AsOf, Machines: []machineapi.Machine{}}
--- a/internal/platform/standin/watch.go
+++ b/internal/platform/standin/watch.go
@@ -8,6 +8,7 @@
 
 	"github.com/pumicestage/pumicestage/internal/platform"
 	"github.com/pumicestage/pumicestage/internal/platform/etcdjson"
+	"github.com/pumicestage/pumicestage/internal/platform/httpcall"
 )
 
 // watch answers with a stream of messages, one a line, until the client leaves
@@ -39,7 +40,7 @@
 		})
 		return
 	}
-	s.stream(ctx, r.Header.Get(etcdjson.ZoneHeader), *req.Create, batches, out)
+	s.stream(ctx, r.Header.Get(httpcall.ZoneHeader), *req.Create, batches, out)
 }
 
 // isPrefixOrKey also turns the protocol's "from the first key to the last",
