Machines: contract suite over the stand-in and the HTTP adapter

Cause: three faults that the suite showed. A rebooted VM was listed live before its runner had started; an identifier with a slash was not found over HTTP; the flag of a drain and the call to the runner could fall out of order.

--- a/internal/platform/contract/contract_test.go
+++ b/internal/platform/contract/contract_test.go
@@ -10,6 +10,7 @@
 	"github.com/pumicestage/pumicestage/internal/platform/contract"
 	"github.com/pumicestage/pumicestage/internal/platform/faulty"
 	"github.com/pumicestage/pumicestage/internal/platform/gateway"
+	"github.com/pumicestage/pumicestage/internal/platform/machineapi"
 	"github.com/pumicestage/pumicestage/internal/platform/memstore"
 	"github.com/pumicestage/pumicestage/internal/platform/standin"
 )
@@ -66,6 +67,38 @@
 	}
 }
 
+func TestMachines(t *testing.T) {
+	contract.RunMachines(t, func(t *testing.T) contract.Machines {
+		clock := clockwork.NewFakeClock()
+		srv := standin.New(clock)
+		t.Cleanup(srv.Close)
+		return contract.Machines{Client: srv.Machines, Control: srv.Machines, Advance: clock.Advance}
+	})
+}
+
+func TestMachineAPI(t *testing.T) {
+	contract.RunMachines(t, func(t *testing.T) contract.Machines {
+		clock := clockwork.NewFakeClock()
+		srv, url := serve(t, clock)
+		set := func(f standin.Fault) { srv.Faults.Set(zone, f) }
+		return contract.Machines{
+			Client: machineapi.New(machineapi.Options{
+				Endpoints: []string{url}, Zone: zone, Timeout: 10 * time.Second, HTTPClient: srv.Network.Client(zone),
+			}),
+			Control:      srv.Machines,
+			Advance:      clock.Advance,
+			Down:         func(on bool) { set(standin.Fault{Down: on}) },
+			Pause:        func(on bool) { set(standin.Fault{Paused: on}) },
+			Held:         srv.Faults.Held,
+			LoseReplies:  func(n int) { set(standin.Fault{LoseReplies: n}) },
+			LoseRequests: func(n int) { set(standin.Fault{LoseRequests: n}) },
+			Garble:       func(n int) { set(standin.Fault{Garble: n}) },
+			RateLimit:    func() { srv.Counts.SetLimits(1, 1) },
+			StaleList:    func(on bool) { set(standin.Fault{StaleList: on}) },
+		}
+	})
+}
+
 func serve(t *testing.T, clock clockwork.Clock) (*standin.Server, string) {
 	t.Helper()
 	srv := standin.New(clock)
--- /dev/null
+++ b/internal/platform/contract/machines.go
@@ -0,0 +1,279 @@
+package contract
+
+import (
+	"context"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/pumicestage/pumicestage/internal/platform"
+	"github.com/pumicestage/pumicestage/internal/platform/standin"
+	"github.com/pumicestage/pumicestage/policy/model"
+)
+
+// Machines are fresh machines under test. The switches of faults that cannot
+// be brought about are nil.
+type Machines struct {
+	Client  platform.Machines // under test
+	Control *standin.Machines // what stands behind it
+
+	Advance      func(d time.Duration)
+	Down         func(on bool)
+	Pause        func(on bool)
+	Held         func() int
+	LoseReplies  func(n int)
+	LoseRequests func(n int)
+	Garble       func(n int)
+	RateLimit    func()
+	StaleList    func(on bool)
+}
+
+// MachinesFactory makes fresh machines for one case.
+type MachinesFactory func(t *testing.T) Machines
+
+type machinesCase struct {
+	name  string
+	needs func(m Machines) bool
+	run   func(t *testing.T, m Machines)
+}
+
+// RunMachines holds machines to platform.Machines.
+func RunMachines(t *testing.T, fresh MachinesFactory) {
+	probe := fresh(t)
+	for _, cases := range [][]machinesCase{vmCases, taskCases, machineFaultCases} {
+		for _, c := range cases {
+			if c.needs != nil && !c.needs(probe) {
+				continue
+			}
+			t.Run(c.name, func(t *testing.T) { c.run(t, fresh(t)) })
+		}
+	}
+}
+
+// worker is what each worker of the suite offers.
+var worker = model.Resources{MilliCPU: 4000, MemoryMB: 8192}
+
+// fakeRunner notes what befalls it.
+type fakeRunner struct {
+	told     []string
+	requests int
+}
+
+func (r *fakeRunner) hooks() standin.Hooks {
+	note := func(what string) func() { return func() { r.told = append(r.told, what) } }
+	return standin.Hooks{
+		OnDrain: note("drain"), OnUndrain: note("undrain"), OnStart: note("start"),
+		OnStop:   func() int { note("stop")(); return r.requests },
+		Requests: func() int { return r.requests },
+	}
+}
+
+func (r *fakeRunner) wantTold(t *testing.T, want string) {
+	t.Helper()
+	assert.Equal(t, strings.Join(r.told, " "), want)
+}
+
+func addVM(m Machines, id model.VMID) *fakeRunner {
+	r := &fakeRunner{}
+	m.Control.Add(id, worker, r.hooks())
+	return r
+}
+
+func listed(t *testing.T, m Machines) platform.MachineList {
+	t.Helper()
+	list, err := m.Client.List(ctxOf(t))
+	assert.NilError(t, err)
+	return list
+}
+
+var vmCases = []machinesCase{
+	{name: "the list shows every VM in order", run: func(t *testing.T, m Machines) {
+		addVM(m, "v2")
+		addVM(m, "v1")
+		m.Control.SetLeaving("v1", true)
+		m.Control.Fail("v2")
+		assert.DeepEqual(t, listed(t, m).Machines, []platform.Machine{{VM: "v1", Live: true, Leaving: true}, {VM: "v2"}})
+	}},
+	{name: "the list lags and says how much", run: func(t *testing.T, m Machines) {
+		addVM(m, "v1")
+		m.Control.SetListLag(5 * time.Second)
+		m.Advance(time.Minute)
+		before := listed(t, m).AsOf
+		m.Control.Fail("v1")
+		m.Advance(4 * time.Second)
+		assert.Assert(t, listed(t, m).Machines[0].Live)
+		m.Advance(time.Second)
+		list := listed(t, m)
+		assert.Assert(t, !list.Machines[0].Live)
+		assert.Equal(t, list.AsOf.Sub(before), 5*time.Second)
+	}},
+	{name: "drain and undrain reach the runner once for each attempt", run: func(t *testing.T, m Machines) {
+		r := addVM(m, "v1")
+		for range 2 {
+			assert.NilError(t, m.Client.Drain(ctxOf(t), "v1", "a1"))
+		}
+		for range 2 {
+			assert.NilError(t, m.Client.Undrain(ctxOf(t), "v1", "a1"))
+		}
+		assert.NilError(t, m.Client.Drain(ctxOf(t), "v1", "a2"))
+		r.wantTold(t, "drain undrain drain")
+	}},
+	{name: "a reboot happens once for each attempt and counts what it cut", run: func(t *testing.T, m Machines) {
+		r := addVM(m, "v1")
+		r.requests = 3
+		for _, attempt := range []model.AttemptID{"a1", "a1", "a2"} {
+			assert.NilError(t, m.Client.Reboot(ctxOf(t), "v1", attempt))
+		}
+		r.wantTold(t, "stop start stop start")
+		assert.Equal(t, listed(t, m).Machines[0].Boots, 2)
+		assert.Equal(t, m.Control.Tally().CutByReboot, 6)
+	}},
+	{name: "a reboot takes its time and ends a drain", run: func(t *testing.T, m Machines) {
+		r := addVM(m, "v1")
+		m.Control.SetRebootTime(time.Minute)
+		assert.NilError(t, m.Client.Drain(ctxOf(t), "v1", "a1"))
+		assert.NilError(t, m.Client.Reboot(ctxOf(t), "v1", "a1"))
+		assert.DeepEqual(t, listed(t, m).Machines, []platform.Machine{{VM: "v1"}})
+		m.Advance(time.Minute)
+		eventually(t, "the VM stays down", func() bool { return listed(t, m).Machines[0].Live })
+		assert.NilError(t, m.Client.StartTask(ctxOf(t), sleeper("t1")))
+		assert.Equal(t, len(r.told), 3)
+	}},
+	{name: "in flight are the runner's requests and the VM's tasks", run: func(t *testing.T, m Machines) {
+		r := addVM(m, "v1")
+		r.requests = 2
+		assert.NilError(t, m.Client.StartTask(ctxOf(t), sleeper("t1")))
+		n, err := m.Client.InFlight(ctxOf(t), "v1")
+		assert.NilError(t, err)
+		assert.Equal(t, n, 3)
+	}},
+	{name: "a VM or task that does not exist is not found", run: func(t *testing.T, m Machines) {
+		_, err := m.Client.InFlight(ctxOf(t), "none")
+		wantKind(t, err, platform.KindNotFound)
+		for _, do := range effects {
+			err := do.run(ctxOf(t), m.Client, "a1")
+			assert.Assert(t, platform.IsKind(err, platform.KindNotFound), "%s: %v", do.name, err)
+		}
+	}},
+}
+
+// effects are all orders, each on VM v1 or on the task of its attempt.
+var effects = []struct {
+	name string
+	run  func(ctx context.Context, m platform.Machines, attempt model.AttemptID) error
+}{
+	{"drain", func(ctx context.Context, m platform.Machines, a model.AttemptID) error { return m.Drain(ctx, "v1", a) }},
+	{"undrain", func(ctx context.Context, m platform.Machines, a model.AttemptID) error {
+		return m.Undrain(ctx, "v1", a)
+	}},
+	{"reboot", func(ctx context.Context, m platform.Machines, a model.AttemptID) error { return m.Reboot(ctx, "v1", a) }},
+	{"start task", func(ctx context.Context, m platform.Machines, a model.AttemptID) error {
+		return m.StartTask(ctx, sleeper(a))
+	}},
+	{"renew task", func(ctx context.Context, m platform.Machines, a model.AttemptID) error { return m.RenewTask(ctx, a) }},
+	{"stop task", func(ctx context.Context, m platform.Machines, a model.AttemptID) error {
+		return m.StopTask(ctx, a, true)
+	}},
+	{"throttle task", func(ctx context.Context, m platform.Machines, a model.AttemptID) error {
+		return m.ThrottleTask(ctx, a, 100)
+	}},
+}
+
+var machineFaultCases = []machinesCase{
+	{
+		name:  "a frozen list stays as it is and as old as it is",
+		needs: func(m Machines) bool { return m.StaleList != nil },
+		run: func(t *testing.T, m Machines) {
+			addVM(m, "v1")
+			m.Advance(time.Second)
+			m.StaleList(true)
+			frozen := listed(t, m)
+			m.Advance(time.Hour)
+			m.Control.Fail("v1")
+			assert.DeepEqual(t, listed(t, m), frozen)
+			m.StaleList(false)
+			assert.Assert(t, !listed(t, m).Machines[0].Live)
+		},
+	},
+	{
+		name:  "while the control is down every order is certain not to have been sent",
+		needs: func(m Machines) bool { return m.Down != nil },
+		run: func(t *testing.T, m Machines) {
+			r := addVM(m, "v1")
+			listed(t, m) // leaves a connection that the cut closes
+			m.Down(true)
+			for _, do := range effects {
+				err := do.run(ctxOf(t), m.Client, "a1")
+				assert.Assert(t, platform.IsKind(err, platform.KindUnavailable), "%s: %v", do.name, err)
+			}
+			_, err := m.Client.List(ctxOf(t))
+			wantKind(t, err, platform.KindUnavailable)
+			m.Down(false)
+			r.wantTold(t, "")
+		},
+	},
+	{
+		name:  "an order whose reply or request was lost is unknown, and its repeat does it once",
+		needs: func(m Machines) bool { return m.LoseReplies != nil },
+		run: func(t *testing.T, m Machines) {
+			for attempt, lose := range map[model.AttemptID]func(int){"a1": m.LoseReplies, "a2": m.LoseRequests} {
+				r := addVM(m, "v1") // replaces the former one
+				for _, do := range effects[:3] {
+					lose(1)
+					err := do.run(ctxOf(t), m.Client, attempt)
+					assert.Assert(t, platform.IsKind(err, platform.KindUnknown), "%s: %v", do.name, err)
+					assert.NilError(t, do.run(ctxOf(t), m.Client, attempt))
+				}
+				r.wantTold(t, "drain undrain stop start")
+			}
+		},
+	},
+	{name: "a held order that was repeated comes to nothing when it arrives", needs: func(m Machines) bool { return m.Pause != nil }, run: heldOrder},
+	{
+		name:  "over the limits an order is refused and has no effect",
+		needs: func(m Machines) bool { return m.RateLimit != nil },
+		run: func(t *testing.T, m Machines) {
+			r := addVM(m, "v1")
+			m.RateLimit()
+			assert.NilError(t, m.Client.Drain(ctxOf(t), "v1", "a1"))
+			wantKind(t, m.Client.Undrain(ctxOf(t), "v1", "a1"), platform.KindRateLimited)
+			r.wantTold(t, "drain")
+		},
+	},
+	{
+		name:  "a malformed reply makes a question invalid and an order unknown",
+		needs: func(m Machines) bool { return m.Garble != nil },
+		run: func(t *testing.T, m Machines) {
+			addVM(m, "v1")
+			m.Garble(2)
+			_, err := m.Client.List(ctxOf(t))
+			wantKind(t, err, platform.KindInvalid)
+			wantKind(t, m.Client.Drain(ctxOf(t), "v1", "a1"), platform.KindUnknown)
+		},
+	},
+}
+
+// The control reads a drain and stops; the reconciler gives up and repeats it
+// under the same attempt, and later takes the drain back. When the control
+// goes on, the first copy must not drain the VM for good: nobody would ever
+// take that back.
+func heldOrder(t *testing.T, m Machines) {
+	r := addVM(m, "v1")
+	m.Pause(true)
+	ctx, cancel := context.WithCancel(context.Background())
+	failed := make(chan error, 1)
+	go func() { failed <- m.Client.Drain(ctx, "v1", "a1") }()
+	eventually(t, "the order did not arrive", func() bool { return m.Held() == 1 })
+	cancel()
+	wantKind(t, <-failed, platform.KindUnknown)
+
+	assert.NilError(t, m.Control.Drain(ctxOf(t), "v1", "a1"))
+	assert.NilError(t, m.Control.Undrain(ctxOf(t), "v1", "a2"))
+	m.Pause(false)
+	eventually(t, "the first copy is still held", func() bool { return m.Held() == 0 })
+
+	assert.NilError(t, m.Client.Undrain(ctxOf(t), "v1", "a3")) // comes after the copy on the VM's turn
+	r.wantTold(t, "drain undrain undrain")
+}
--- /dev/null
+++ b/internal/platform/contract/tasks.go
@@ -0,0 +1,147 @@
+package contract
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/pumicestage/pumicestage/internal/platform"
+	"github.com/pumicestage/pumicestage/internal/platform/standin"
+	"github.com/pumicestage/pumicestage/policy/model"
+)
+
+// sleeper is a task on VM v1 that takes a quarter of it and never ends.
+func sleeper(attempt model.AttemptID) platform.Task {
+	return platform.Task{
+		Attempt: attempt, Job: "job", VM: "v1", TTL: time.Minute,
+		Size: model.Resources{MilliCPU: 1000, MemoryMB: 2048},
+	}
+}
+
+func start(t *testing.T, m Machines, task platform.Task) {
+	t.Helper()
+	assert.NilError(t, m.Client.StartTask(ctxOf(t), task))
+}
+
+func stateOf(t *testing.T, m Machines, attempt model.AttemptID) platform.TaskState {
+	t.Helper()
+	tasks, err := m.Client.Tasks(ctxOf(t))
+	assert.NilError(t, err)
+	for _, task := range tasks {
+		if task.Attempt == attempt {
+			return task.State
+		}
+	}
+	return ""
+}
+
+func usage(t *testing.T, m Machines) []platform.Usage {
+	t.Helper()
+	reports, err := m.Client.Usage(ctxOf(t))
+	assert.NilError(t, err)
+	return reports
+}
+
+var taskCases = []machinesCase{
+	{name: "a task runs while its lease is renewed and is lost when it lapses", run: func(t *testing.T, m Machines) {
+		addVM(m, "v1")
+		start(t, m, sleeper("t1"))
+		m.Advance(50 * time.Second)
+		assert.NilError(t, m.Client.RenewTask(ctxOf(t), "t1"))
+		m.Advance(50 * time.Second)
+		assert.Equal(t, stateOf(t, m, "t1"), platform.TaskRunning)
+		m.Advance(10 * time.Second)
+		assert.Equal(t, stateOf(t, m, "t1"), platform.TaskLost)
+		wantKind(t, m.Client.RenewTask(ctxOf(t), "t1"), platform.KindLeaseNotFound)
+	}},
+	{name: "a repeated start is one start, also after the task ended", run: func(t *testing.T, m Machines) {
+		addVM(m, "v1")
+		start(t, m, sleeper("t1"))
+		start(t, m, sleeper("t1"))
+		assert.NilError(t, m.Client.StopTask(ctxOf(t), "t1", false))
+		assert.NilError(t, m.Client.StopTask(ctxOf(t), "t1", false))
+		start(t, m, sleeper("t1"))
+		assert.Equal(t, stateOf(t, m, "t1"), platform.TaskStopped)
+		assert.Equal(t, m.Control.Tally().Starts["job"], 1)
+	}},
+	{name: "the list of tasks gives back what was started", run: func(t *testing.T, m Machines) {
+		addVM(m, "v1")
+		start(t, m, sleeper("t/1 ?"))
+		tasks, err := m.Client.Tasks(ctxOf(t))
+		assert.NilError(t, err)
+		want := sleeper("t/1 ?")
+		want.State = platform.TaskRunning
+		assert.DeepEqual(t, tasks, []platform.Task{want})
+		assert.NilError(t, m.Client.RenewTask(ctxOf(t), "t/1 ?"))
+	}},
+	{name: "a full, draining or dead worker takes no task", run: func(t *testing.T, m Machines) {
+		addVM(m, "v1")
+		for _, a := range []model.AttemptID{"t1", "t2", "t3", "t4"} {
+			start(t, m, sleeper(a))
+		}
+		wantKind(t, m.Client.StartTask(ctxOf(t), sleeper("t5")), platform.KindConflict)
+		assert.NilError(t, m.Client.StopTask(ctxOf(t), "t1", false))
+		assert.NilError(t, m.Client.Drain(ctxOf(t), "v1", "a1"))
+		wantKind(t, m.Client.StartTask(ctxOf(t), sleeper("t5")), platform.KindConflict)
+		assert.NilError(t, m.Client.Undrain(ctxOf(t), "v1", "a1"))
+		start(t, m, sleeper("t5"))
+		m.Control.Fail("v1")
+		wantKind(t, m.Client.StartTask(ctxOf(t), sleeper("t6")), platform.KindConflict)
+		assert.Equal(t, stateOf(t, m, "t5"), platform.TaskLost)
+	}},
+	{name: "a task ends as its job and its worker make it", run: func(t *testing.T, m Machines) {
+		for _, c := range []struct {
+			name      string
+			behaviour standin.Behaviour
+			badWorker bool
+			want      platform.TaskState
+		}{
+			{name: "job ends", behaviour: standin.Behaviour{RunTime: 5 * time.Second}, want: platform.TaskSucceeded},
+			{name: "job fails", behaviour: standin.Behaviour{RunTime: 5 * time.Second, Fails: true}, want: platform.TaskFailed},
+			{name: "job outgrows its memory", behaviour: standin.Behaviour{Size: model.Resources{MemoryMB: 9999}}, want: platform.TaskFailed},
+			{name: "worker fails everything", badWorker: true, want: platform.TaskFailed},
+			{name: "job goes on", behaviour: standin.Behaviour{RunTime: time.Hour}, want: platform.TaskRunning},
+		} {
+			addVM(m, "v1")
+			m.Control.SetBehaviour("job", c.behaviour)
+			m.Control.SetWorkerFails("v1", c.badWorker)
+			start(t, m, sleeper(model.AttemptID(c.name)))
+			m.Advance(10 * time.Second)
+			assert.Equal(t, stateOf(t, m, model.AttemptID(c.name)), c.want, c.name)
+		}
+		assert.Equal(t, m.Control.Tally().Finished["job"], 1)
+	}},
+	{name: "a checkpoint keeps progress, a throttle slows it", run: func(t *testing.T, m Machines) {
+		addVM(m, "v1")
+		m.Control.SetBehaviour("job", standin.Behaviour{RunTime: 30 * time.Second})
+		start(t, m, sleeper("t1"))
+		m.Advance(20 * time.Second)
+		assert.NilError(t, m.Client.StopTask(ctxOf(t), "t1", true))
+		assert.Equal(t, stateOf(t, m, "t1"), platform.TaskCheckpointed)
+		start(t, m, sleeper("t2"))
+		assert.NilError(t, m.Client.ThrottleTask(ctxOf(t), "t2", 250))
+		m.Advance(39 * time.Second)
+		assert.Equal(t, stateOf(t, m, "t2"), platform.TaskRunning)
+		m.Advance(time.Second)
+		assert.Equal(t, stateOf(t, m, "t2"), platform.TaskSucceeded)
+	}},
+	{name: "usage reports lag and show what is really used", run: func(t *testing.T, m Machines) {
+		addVM(m, "v1")
+		real := model.Resources{MilliCPU: 3000, MemoryMB: 100}
+		m.Control.SetBehaviour("job", standin.Behaviour{Size: real})
+		m.Control.SetUsageEvery(10 * time.Second)
+		begun := listed(t, m).AsOf
+		start(t, m, sleeper("t1"))
+		m.Advance(9 * time.Second)
+		assert.Equal(t, len(usage(t, m)), 0)
+		m.Advance(16 * time.Second)
+		assert.NilError(t, m.Client.ThrottleTask(ctxOf(t), "t1", 500))
+		got := usage(t, m)
+		assert.Equal(t, len(got), 1)
+		assert.Equal(t, got[0].Used, real)
+		assert.Equal(t, got[0].At.Sub(begun), 20*time.Second)
+		m.Advance(5 * time.Second)
+		assert.Equal(t, usage(t, m)[0].Used.MilliCPU, int64(500))
+	}},
+}
--- a/internal/platform/standin/machines.go
+++ b/internal/platform/standin/machines.go
@@ -200,11 +200,11 @@
 	if err != nil || !fresh {
 		return err
 	}
+	v.turn.Lock()
+	defer v.turn.Unlock()
 	m.mu.Lock()
 	v.draining = draining
 	m.mu.Unlock()
-	v.turn.Lock()
-	defer v.turn.Unlock()
 	if draining {
 		v.runner.Drain()
 		return nil
@@ -274,20 +274,32 @@
 	return v, true, nil
 }
 
+// start starts a VM that is down. It is live only once its runner is, so that
+// whoever sees it live finds it working.
 func (m *Machines) start(id model.VMID) {
 	m.mu.Lock()
 	v, ok := m.vms[id]
-	if !ok || v.live {
-		m.mu.Unlock()
+	m.mu.Unlock()
+	if !ok {
 		return
 	}
-	v.live, v.draining = true, false
-	v.boots++
-	m.noteLocked(v)
-	m.mu.Unlock()
 	v.turn.Lock()
 	defer v.turn.Unlock()
+	if m.isLive(v) {
+		return
+	}
 	v.runner.Start()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	v.live, v.draining = true, false
+	v.boots++
+	m.noteLocked(v)
+}
+
+func (m *Machines) isLive(v *vm) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return v.live
 }
 
 func (v *vm) stop() int {
--- a/internal/platform/standin/machines_http.go
+++ b/internal/platform/standin/machines_http.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"net/url"
 
 	"github.com/gorilla/mux"
 
@@ -115,9 +116,19 @@
 	}
 }
 
-func vmOf(r *http.Request) model.VMID { return model.VMID(mux.Vars(r)["vm"]) }
+func vmOf(r *http.Request) model.VMID { return model.VMID(variable(r, "vm")) }
 
-func attemptOf(r *http.Request) model.AttemptID { return model.AttemptID(mux.Vars(r)["attempt"]) }
+func attemptOf(r *http.Request) model.AttemptID { return model.AttemptID(variable(r, "attempt")) }
+
+// variable undoes the escaping that keeps a slash in an identifier from
+// looking like one of the path.
+func variable(r *http.Request, name string) string {
+	v, err := url.PathUnescape(mux.Vars(r)[name])
+	if err != nil {
+		return ""
+	}
+	return v
+}
 
 var statusOf = map[platform.Kind]int{
 	platform.KindInvalid:       http.StatusBadRequest,
--- a/internal/platform/standin/standin.go
+++ b/internal/platform/standin/standin.go
@@ -58,7 +58,7 @@
 		Counts:   newCounter(clock),
 		Store:    memstore.New(clock),
 		clock:    clock,
-		router:   mux.NewRouter(),
+		router:   mux.NewRouter().UseEncodedPath(),
 		done:     make(chan struct{}),
 	}
 	s.Faults.network = s.Network
