Gateway: read the service's published bytes, and test every answer that is not OK

Cause: the header's cluster and member identifiers are unsigned; a real one of 2^63 and more made every answer malformed. The stand-in shares the message types, so that only the protocol's bytes written out could show it.

Change: those identifiers are no longer read.

--- a/internal/platform/etcdjson/etcdjson.go
+++ b/internal/platform/etcdjson/etcdjson.go
@@ -63,12 +63,10 @@
 	Message string `json:"message,omitempty"`
 }
 
-// Header opens every answer.
+// Header opens every answer. Its identifiers of cluster and member, unsigned
+// and over the range of Int64, are of no use here and not read.
 type Header struct {
-	ClusterID Int64 `json:"cluster_id,omitempty"`
-	MemberID  Int64 `json:"member_id,omitempty"`
-	Revision  Int64 `json:"revision,omitempty"`
-	RaftTerm  Int64 `json:"raft_term,omitempty"`
+	Revision Int64 `json:"revision,omitempty"`
 }
 
 // KeyValue is one key.
--- a/internal/platform/gateway/gateway_test.go
+++ b/internal/platform/gateway/gateway_test.go
@@ -2,40 +2,200 @@
 
 import (
 	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
 	"testing"
 	"time"
 
-	"github.com/jonboulle/clockwork"
 	"gotest.tools/v3/assert"
 
 	"github.com/pumicestage/pumicestage/internal/platform"
 	"github.com/pumicestage/pumicestage/internal/platform/gateway"
-	"github.com/pumicestage/pumicestage/internal/platform/standin"
 )
 
-func TestRoundTrip(t *testing.T) {
-	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
-	defer cancel()
-	srv := standin.New(clockwork.NewRealClock())
-	defer srv.Close()
-	url, err := srv.Listen("127.0.0.1:0")
+// answering is a service that gives each call the same answer.
+func answering(t *testing.T, status int, body string) (url string, asked *atomic.Int32) {
+	t.Helper()
+	asked = new(atomic.Int32)
+	ts := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		asked.Add(1)
+		w.WriteHeader(status)
+		_, _ = w.Write([]byte(body))
+	}))
+	t.Cleanup(ts.Close)
+	return ts.URL, asked
+}
+
+// refusing is an address where nobody listens.
+func refusing(t *testing.T) string {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
-	s := gateway.New(gateway.Options{Endpoints: []string{url}, Zone: "a", HTTPClient: srv.Network.Client("a")})
-	w, err := s.Watch(ctx, "", 1)
+	defer func() { assert.NilError(t, ln.Close()) }()
+	return "http://" + ln.Addr().String()
+}
+
+func client(urls ...string) *gateway.Store {
+	return gateway.New(gateway.Options{Endpoints: urls, Timeout: 10 * time.Second})
+}
+
+func write(s platform.Store) error {
+	_, err := s.Txn(context.Background(), platform.Txn{Then: []platform.Op{platform.Put("a", nil)}})
+	return err
+}
+
+func read(s platform.Store) error {
+	_, _, err := s.Get(context.Background(), "a")
+	return err
+}
+
+// What the service and what stands in front of it may answer, and what the
+// callers must hear: "not done" only where that is certain.
+func TestAnswersThatAreNotOK(t *testing.T) {
+	for _, c := range []struct {
+		name        string
+		status      int
+		body        string
+		read, write platform.Kind
+	}{
+		{"too many requests", 429, `{"error":"etcdserver: too many requests","code":8}`, platform.KindRateLimited, platform.KindRateLimited},
+		{"rate limit without a body", 429, ``, platform.KindRateLimited, platform.KindRateLimited},
+		{"request too large", 400, `{"error":"etcdserver: request is too large","code":3,"message":"etcdserver: request is too large"}`, platform.KindTooLarge, platform.KindTooLarge},
+		{"body refused by a proxy", 413, ``, platform.KindTooLarge, platform.KindTooLarge},
+		{"duplicate key", 400, `{"error":"etcdserver: duplicate key given in txn request","code":3}`, platform.KindInvalid, platform.KindInvalid},
+		{"lease not found", 404, `{"error":"etcdserver: requested lease not found","code":5}`, platform.KindLeaseNotFound, platform.KindLeaseNotFound},
+		{"leader changed", 503, `{"error":"etcdserver: leader changed","code":14}`, platform.KindUnavailable, platform.KindUnknown},
+		{"request timed out", 504, `{"error":"etcdserver: request timed out","code":4}`, platform.KindUnavailable, platform.KindUnknown},
+		{"bad gateway", 502, `<html>`, platform.KindUnavailable, platform.KindUnknown},
+		{"redirect", 307, ``, platform.KindUnavailable, platform.KindUnknown},
+		{"answer without a header", 200, `{}`, platform.KindInvalid, platform.KindUnknown},
+		{"answer that is not JSON", 200, `<html>`, platform.KindInvalid, platform.KindUnknown},
+		{"answer to another request", 200, `{"header":{"revision":"7"},"succeeded":true}`, 0, platform.KindUnknown},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			url, _ := answering(t, c.status, c.body)
+			assert.Equal(t, platform.KindOf(read(client(url))), c.read)
+			assert.Equal(t, platform.KindOf(write(client(url))), c.write)
+		})
+	}
+}
+
+// One endpoint refuses connections: the call moves on, also a write, because
+// no byte of it can have left.
+func TestNextEndpointAfterRefusedDial(t *testing.T) {
+	url, asked := answering(t, 200, `{"header":{"revision":"7"},"succeeded":true,"responses":[{"response_put":{}}]}`)
+	s := client(refusing(t), url)
+
+	assert.NilError(t, write(s))
+	assert.NilError(t, read(s))
+
+	assert.Equal(t, asked.Load(), int32(2))
+	err := write(client(refusing(t), refusing(t)))
+	assert.Assert(t, platform.IsKind(err, platform.KindUnavailable), "%v", err)
+}
+
+// The first endpoint closes the connection after it has the request. A read
+// moves on; a write must not, as the first copy may yet take effect.
+func TestNextEndpointAfterLostReply(t *testing.T) {
+	first := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }))
+	defer first.Close()
+	url, asked := answering(t, 200, `{"header":{"revision":"7"}}`)
+
+	assert.NilError(t, read(client(first.URL, url)))
+	err := write(client(first.URL, url))
+
+	assert.Assert(t, platform.IsKind(err, platform.KindUnknown), "%v", err)
+	assert.Equal(t, asked.Load(), int32(1))
+}
+
+// The service accepts connections and never answers. Without a timeout of the
+// adapter's own, a caller without a deadline would wait for ever.
+func TestSilentEndpointTimesOut(t *testing.T) {
+	silent := make(chan struct{})
+	ts := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { <-silent }))
+	defer ts.Close()
+	defer close(silent)
+	s := gateway.New(gateway.Options{Endpoints: []string{ts.URL}, Timeout: 50 * time.Millisecond})
+
+	err := read(s)
+	_, watchErr := s.Watch(context.Background(), "a", 1)
+
+	assert.Assert(t, platform.IsKind(err, platform.KindUnavailable), "%v", err)
+	assert.Assert(t, platform.IsKind(watchErr, platform.KindUnavailable), "%v", watchErr)
+}
+
+// The bytes of the published protocol, written out: the stand-in shares the
+// adapter's message types, so that a mistake in these would show nowhere else.
+func TestPublishedBytes(t *testing.T) {
+	var got string
+	ts := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		var body json.RawMessage
+		assert.Check(t, json.NewDecoder(r.Body).Decode(&body))
+		got = r.Method + " " + r.URL.Path + " " + string(body)
+		_, _ = w.Write([]byte(`{"header":{"cluster_id":"12585971608760269493","member_id":"13847567121247652255","revision":"8","raft_term":"3"},` +
+			`"kvs":[{"key":"Zm9v","create_revision":"2","mod_revision":"7","version":"3","value":"YmFy","lease":"7587848390310534409"}],"count":"1"}`))
+	}))
+	defer ts.Close()
+	s := client(ts.URL)
+
+	kv, rev, err := s.Get(context.Background(), "foo")
 	assert.NilError(t, err)
-	lease, err := s.Grant(ctx, time.Minute)
+	assert.Equal(t, got, `POST /v3/kv/range {"key":"Zm9v"}`)
+	assert.Equal(t, rev, platform.Revision(8))
+	assert.DeepEqual(t, kv, platform.KV{Key: "foo", Value: []byte("bar"), CreateRevision: 2, ModRevision: 7, Lease: 7587848390310534409})
+
+	_, _, err = s.Range(context.Background(), "foo")
 	assert.NilError(t, err)
-	assert.NilError(t, s.KeepAlive(ctx, lease))
+	assert.Equal(t, got, `POST /v3/kv/range {"key":"Zm9v","range_end":"Zm9w"}`)
 
-	res, err := s.Txn(ctx, platform.Txn{If: []platform.Cond{{Key: "a"}}, Then: []platform.Op{platform.PutLeased("a", []byte("1"), lease), platform.Read("a")}})
+	_, err = s.Txn(context.Background(), platform.Txn{
+		If:   []platform.Cond{{Key: "foo", ModRevision: 7}},
+		Then: []platform.Op{platform.PutLeased("foo", []byte("bar"), 9), platform.Delete("foo")},
+		Else: []platform.Op{platform.Read("foo")},
+	})
+	assert.Assert(t, platform.IsKind(err, platform.KindUnknown)) // the answer above is none to it
+	assert.Equal(t, got, `POST /v3/kv/txn {"compare":[{"result":"EQUAL","target":"MOD","key":"Zm9v","mod_revision":"7"}],`+
+		`"success":[{"request_put":{"key":"Zm9v","value":"YmFy","lease":"9"}},{"request_delete_range":{"key":"Zm9v"}}],`+
+		`"failure":[{"request_range":{"key":"Zm9v"}}]}`)
+}
 
+// Messages of a watch as the service publishes them: several revisions in one,
+// a notice of progress, then a stream that breaks off.
+func TestPublishedWatch(t *testing.T) {
+	var starts []string
+	ts := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		var req struct {
+			Create struct {
+				Start string `json:"start_revision"`
+			} `json:"create_request"`
+		}
+		assert.Check(t, json.NewDecoder(r.Body).Decode(&req))
+		starts = append(starts, req.Create.Start)
+		if len(starts) > 1 {
+			_, _ = w.Write([]byte(`{"result":{"header":{"revision":"90"},"watch_id":"0","created":true}}` + "\n" +
+				`{"result":{"header":{"revision":"90"},"watch_id":"0","canceled":true,"compact_revision":"80"}}`))
+			return
+		}
+		_, _ = w.Write([]byte(`{"result":{"header":{"revision":"9"},"watch_id":"0","created":true}}` + "\n" +
+			`{"result":{"header":{"revision":"9"},"events":[{"kv":{"key":"YQ==","mod_revision":"5","value":"MQ=="}},` +
+			`{"type":"DELETE","kv":{"key":"YQ==","mod_revision":"6"}}]}}` + "\n" +
+			`{"result":{"header":{"revision":"70"}}}` + "\n"))
+	}))
+	defer ts.Close()
+
+	ch, err := client(ts.URL).Watch(context.Background(), "a", 5)
 	assert.NilError(t, err)
-	assert.Assert(t, res.Succeeded)
-	assert.Equal(t, string(res.Reads[0].Value), "1")
-	b := <-w
-	assert.Equal(t, b.Events[0].KV.Lease, lease)
-	kvs, rev, err := s.Range(ctx, "")
-	assert.NilError(t, err)
-	assert.Equal(t, len(kvs), 1)
-	assert.Equal(t, rev, b.Revision)
+	var got []platform.WatchBatch
+	for b := range ch {
+		got = append(got, b)
+	}
+
+	assert.Equal(t, len(got), 3)
+	assert.Equal(t, got[0].Revision, platform.Revision(5))
+	assert.Equal(t, got[1].Events[0].Kind, platform.EventDelete)
+	assert.Assert(t, platform.IsKind(got[2].Err, platform.KindCompacted))
+	assert.DeepEqual(t, starts, []string{"5", "71"})
 }
--- a/internal/platform/standin/store.go
+++ b/internal/platform/standin/store.go
@@ -150,7 +150,7 @@
 }
 
 func header(rev platform.Revision) *etcdjson.Header {
-	return &etcdjson.Header{ClusterID: 1, MemberID: 1, Revision: etcdjson.Int64(rev), RaftTerm: 1}
+	return &etcdjson.Header{Revision: etcdjson.Int64(rev)}
 }
 
 func toWire(kv platform.KV) etcdjson.KeyValue {
