Commit: check histories of concurrent changes under faults

Four clients change two keys through the gateway, alone or together, while replies and requests are lost, cut short, late past the timeout, or the way is down.

--- /dev/null
+++ b/internal/platform/contract/history_test.go
@@ -0,0 +1,218 @@
+package contract_test
+
+import (
+	"context"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+	"github.com/jonboulle/clockwork"
+	"gotest.tools/v3/assert"
+
+	"github.com/pumicestage/pumicestage/internal/platform"
+	"github.com/pumicestage/pumicestage/internal/platform/gateway"
+	"github.com/pumicestage/pumicestage/internal/platform/standin"
+)
+
+// The history's size: enough that several clients meet on each key under each
+// fault, small enough that the check takes well under a second.
+const (
+	historyClients = 4
+	historyOps     = 40
+	historySeeds   = 8
+	historyTimeout = 100 * time.Millisecond
+)
+
+var historyKeys = [2]string{"pair/a", "pair/b"}
+
+// pair is the state that the history is about: the values of two keys.
+type pair [2]string
+
+// step is one call: a read of both keys, or a change of some under conditions.
+type step struct {
+	read   bool
+	writes [2]bool
+	expect pair // the values that the conditions are bound to
+	value  string
+}
+
+// outcome is what the client was told.
+type outcome struct {
+	kind platform.Kind // 0: done
+	seen pair          // by a read
+}
+
+// pairModel says which outcomes are right. A change that is "unknown" may have
+// been made or not; any other is certain.
+var pairModel = porcupine.NondeterministicModel{
+	Init: func() []any { return []any{pair{}} },
+	Step: func(state, in, out any) []any { return stepPair(state.(pair), in.(step), out.(outcome)) },
+}
+
+func stepPair(state pair, in step, out outcome) []any {
+	if in.read {
+		if out.seen == state {
+			return []any{state}
+		}
+		return nil
+	}
+	holds, after := in.apply(state)
+	switch {
+	case out.kind == platform.KindUnknown && holds:
+		return []any{state, after}
+	case out.kind == platform.KindUnknown, out.kind == platform.KindConflict && !holds:
+		return []any{state}
+	case out.kind == 0 && holds:
+		return []any{after}
+	}
+	return nil
+}
+
+func (in step) apply(state pair) (bool, pair) {
+	after := state
+	for i := range state {
+		if !in.writes[i] {
+			continue
+		}
+		if state[i] != in.expect[i] {
+			return false, state
+		}
+		after[i] = in.value
+	}
+	return true, after
+}
+
+// Several clients change two keys, alone or together, while replies and
+// requests are lost, cut short, held past the deadline, or the way is cut. The
+// outcomes they are told must fit one order of all changes: a "conflict" for a
+// change that others saw, or a "done" for one that nobody can have seen, would
+// let two reconcilers act on one VM.
+func TestCommitHistoryUnderFaults(t *testing.T) {
+	for seed := range uint64(historySeeds) {
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			t.Parallel()
+			h := newHistory(t)
+			h.run(seed)
+			result, _ := porcupine.CheckOperationsVerbose(pairModel.ToModel(), h.ops, 30*time.Second)
+			assert.Equal(t, result, porcupine.Ok)
+			assert.Assert(t, h.told[0] > 0 && h.told[platform.KindUnknown] > 0, "outcomes %v", h.told)
+		})
+	}
+}
+
+type history struct {
+	t     *testing.T
+	srv   *standin.Server
+	url   string
+	began time.Time
+
+	mu   sync.Mutex
+	ops  []porcupine.Operation
+	told map[platform.Kind]int
+}
+
+func newHistory(t *testing.T) *history {
+	srv, url := serve(t, clockwork.NewRealClock())
+	return &history{t: t, srv: srv, url: url, began: time.Now(), told: make(map[platform.Kind]int)}
+}
+
+func (h *history) run(seed uint64) {
+	var wg sync.WaitGroup
+	for id := range historyClients {
+		wg.Go(func() { h.client(id, rand.New(rand.NewPCG(seed, uint64(id)))) })
+	}
+	wg.Wait()
+}
+
+func (h *history) client(id int, rnd *rand.Rand) {
+	zone := fmt.Sprintf("zone-%d", id)
+	s := gateway.New(gateway.Options{
+		Endpoints: []string{h.url}, Zone: zone, Timeout: historyTimeout, HTTPClient: h.srv.Network.Client(zone),
+	})
+	for n := range historyOps {
+		h.srv.Faults.Set(zone, standin.Fault{})
+		state, revs, ok := h.read(id, s)
+		if !ok {
+			continue
+		}
+		h.srv.Faults.Set(zone, drawFault(rnd))
+		in := step{expect: state, value: fmt.Sprintf("%d.%d", id, n)}
+		in.writes = [][2]bool{{true, false}, {false, true}, {true, true}}[rnd.IntN(3)]
+		h.change(id, s, in, revs)
+	}
+	h.srv.Faults.Set(zone, standin.Fault{})
+}
+
+// drawFault picks what befalls the next change and its repeats.
+func drawFault(rnd *rand.Rand) standin.Fault {
+	switch rnd.IntN(12) {
+	case 0, 1, 2:
+		return standin.Fault{LoseReplies: 1}
+	case 3:
+		return standin.Fault{LoseReplies: 3}
+	case 4, 5:
+		return standin.Fault{LoseRequests: 1}
+	case 6:
+		return standin.Fault{Garble: 1}
+	case 7:
+		return standin.Fault{Down: true}
+	case 8:
+		return standin.Fault{Slow: historyTimeout * 3 / 2}
+	}
+	return standin.Fault{}
+}
+
+func (h *history) read(id int, s platform.Store) (pair, [2]platform.Revision, bool) {
+	call := h.now()
+	kvs, _, err := s.Range(context.Background(), "pair/")
+	if err != nil {
+		return pair{}, [2]platform.Revision{}, false
+	}
+	var state pair
+	var revs [2]platform.Revision
+	for _, kv := range kvs {
+		for i, key := range historyKeys {
+			if kv.Key == key {
+				state[i], revs[i] = string(kv.Value), kv.ModRevision
+			}
+		}
+	}
+	h.note(porcupine.Operation{ClientId: id, Input: step{read: true}, Call: call, Output: outcome{seen: state}, Return: h.now()})
+	return state, revs, true
+}
+
+func (h *history) change(id int, s platform.Store, in step, revs [2]platform.Revision) {
+	var txn platform.Txn
+	for i, key := range historyKeys {
+		if in.writes[i] {
+			txn.If = append(txn.If, platform.Cond{Key: key, ModRevision: revs[i]})
+			txn.Then = append(txn.Then, platform.Put(key, []byte(in.value)))
+		}
+	}
+	call := h.now()
+	_, err := platform.Commit(context.Background(), s, txn)
+	kind := platform.KindOf(err)
+	if kind == platform.KindUnavailable {
+		return // certainly not made; the check would allow it anywhere
+	}
+	op := porcupine.Operation{ClientId: id, Input: in, Call: call, Output: outcome{kind: kind}, Return: h.now()}
+	if kind == platform.KindUnknown {
+		op.Return = math.MaxInt64 // may take effect at any time after
+	}
+	h.note(op)
+}
+
+func (h *history) now() int64 { return int64(time.Since(h.began)) }
+
+func (h *history) note(op porcupine.Operation) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.ops = append(h.ops, op)
+	if !op.Input.(step).read {
+		h.told[op.Output.(outcome).kind]++
+	}
+}
