--- /dev/null
+++ b/internal/platform/standin/standin_test.go
@@ -0,0 +1,217 @@
+package standin_test
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"gotest.tools/v3/assert"
+
+	"github.com/pumicestage/pumicestage/internal/platform"
+	"github.com/pumicestage/pumicestage/internal/platform/httpcall"
+	"github.com/pumicestage/pumicestage/internal/platform/standin"
+)
+
+func serve(t *testing.T) (*standin.Server, string, *clockwork.FakeClock) {
+	t.Helper()
+	clock := clockwork.NewFakeClock()
+	srv := standin.New(clock)
+	t.Cleanup(srv.Close)
+	url, err := srv.Listen("127.0.0.1:0")
+	assert.NilError(t, err)
+	return srv, url, clock
+}
+
+// call sends a request as any client of the service would, and returns status
+// and body; status 0 is a connection that broke off.
+func call(t *testing.T, method, url, zone, body string) (int, string) {
+	t.Helper()
+	req, err := http.NewRequest(method, url, strings.NewReader(body))
+	assert.NilError(t, err)
+	req.Header.Set(httpcall.ZoneHeader, zone)
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0, ""
+	}
+	defer func() { assert.NilError(t, resp.Body.Close()) }()
+	raw, err := io.ReadAll(resp.Body)
+	assert.NilError(t, err)
+	return resp.StatusCode, strings.TrimSpace(string(raw))
+}
+
+// The published protocol, byte by byte, as clients other than ours speak it.
+func TestPublishedProtocol(t *testing.T) {
+	_, url, _ := serve(t)
+	for _, c := range []struct{ name, path, body, want string }{
+		{"put", "/v3/kv/put", `{"key":"Zm9v","value":"YmFy"}`, `{"header":{"revision":"2"}}`},
+		{"range of one key", "/v3/kv/range", `{"key":"Zm9v"}`,
+			`{"header":{"revision":"2"},"kvs":[{"key":"Zm9v","create_revision":"2","mod_revision":"2","value":"YmFy"}],"count":"1"}`},
+		{"range of an absent key", "/v3/kv/range", `{"key":"Zg=="}`, `{"header":{"revision":"2"}}`},
+		{"range between two keys", "/v3/kv/range", `{"key":"Zg==","range_end":"Zno="}`,
+			`{"header":{"revision":"2"},"kvs":[{"key":"Zm9v","create_revision":"2","mod_revision":"2","value":"YmFy"}],"count":"1"}`},
+		{"range from a key on", "/v3/kv/range", `{"key":"Zg==","range_end":"AA=="}`,
+			`{"header":{"revision":"2"},"kvs":[{"key":"Zm9v","create_revision":"2","mod_revision":"2","value":"YmFy"}],"count":"1"}`},
+		{"txn on a revision, given as a number", "/v3/kv/txn",
+			`{"compare":[{"target":"MOD","key":"Zm9v","mod_revision":2}],"success":[{"request_put":{"key":"Zm9v","value":"Yg=="}},{"request_delete_range":{"key":"eA=="}}]}`,
+			`{"header":{"revision":"3"},"succeeded":true,"responses":[{"response_put":{"header":{"revision":"3"}}},{"response_delete_range":{"header":{"revision":"3"}}}]}`},
+		{"txn on absence by creation", "/v3/kv/txn",
+			`{"compare":[{"target":"CREATE","key":"Zm9v","create_revision":"0"}],"failure":[{"request_range":{"key":"bm8="}}]}`,
+			`{"header":{"revision":"3"},"responses":[{"response_range":{"header":{"revision":"3"}}}]}`},
+		{"txn on absence by version", "/v3/kv/txn", `{"compare":[{"result":"EQUAL","target":"VERSION","key":"bm8=","version":"0"}]}`,
+			`{"header":{"revision":"3"},"succeeded":true}`},
+		{"txn on an unknown comparison", "/v3/kv/txn", `{"compare":[{"result":"GREATER","target":"MOD","key":"Zm9v"}]}`,
+			`{"error":"platform: txn: invalid: comparison \"GREATER\" is not known here","code":3,"message":"platform: txn: invalid: comparison \"GREATER\" is not known here"}`},
+		{"lease", "/v3/lease/grant", `{"TTL":"60"}`, `{"header":{"revision":"3"},"ID":"1001","TTL":"60"}`},
+		{"renewal", "/v3/lease/keepalive", `{"ID":"1001"}`, `{"result":{"header":{"revision":"3"},"ID":"1001","TTL":"60"}}`},
+		{"revocation", "/v3/kv/lease/revoke", `{"ID":"1001"}`, `{"header":{"revision":"3"}}`},
+		{"renewal of a lapsed lease", "/v3/lease/keepalive", `{"ID":"1001"}`, `{"result":{"header":{"revision":"3"},"ID":"1001"}}`},
+		{"revocation of a lapsed lease", "/v3/lease/revoke", `{"ID":"1001"}`,
+			`{"error":"etcdserver: requested lease not found","code":5,"message":"etcdserver: requested lease not found"}`},
+		{"a field that is not known", "/v3/kv/range", `{"key":"Zg==","serializable":true}`,
+			`{"error":"json: unknown field \"serializable\"","code":3,"message":"json: unknown field \"serializable\""}`},
+	} {
+		_, got := call(t, http.MethodPost, url+c.path, "", c.body)
+		assert.Equal(t, got, c.want, c.name)
+	}
+}
+
+func TestWatchIsAStreamOfMessages(t *testing.T) {
+	srv, url, _ := serve(t)
+	put(t, srv, "foo")
+	resp, err := http.Post(url+"/v3/watch", "", strings.NewReader(`{"create_request":{"key":"Zm9v","start_revision":"2"}}`))
+	assert.NilError(t, err)
+	defer func() { _ = resp.Body.Close() }()
+	lines := bufio.NewScanner(resp.Body)
+	line := func() string { assert.Assert(t, lines.Scan()); return lines.Text() }
+
+	assert.Equal(t, line(), `{"result":{"header":{"revision":"2"},"created":true}}`)
+	assert.Equal(t, line(), `{"result":{"header":{"revision":"2"},"events":[{"kv":{"key":"Zm9v","create_revision":"2","mod_revision":"2","value":"dg=="}}]}}`)
+	put(t, srv, "food") // not this key
+	_, err = srv.Store.Txn(context.Background(), platform.Txn{Then: []platform.Op{platform.Delete("foo")}})
+	assert.NilError(t, err)
+	assert.Equal(t, line(), `{"result":{"header":{"revision":"4"},"events":[{"type":"DELETE","kv":{"key":"Zm9v","mod_revision":"4"}}]}}`)
+	assert.Equal(t, srv.Counts.Counts().Waiting, 1)
+
+	srv.Store.Compact(3)
+	_, body := call(t, http.MethodPost, url+"/v3/watch", "", `{"create_request":{"key":"Zm9v","start_revision":"2"}}`)
+	_, last, _ := strings.Cut(body, "\n")
+	assert.Equal(t, last, `{"result":{"header":{"revision":"4"},"canceled":true,"compact_revision":"4","cancel_reason":"mvcc: required revision has been compacted"}}`)
+}
+
+// The operators of the example deployments plan with several hundred writes
+// and two thousand reads a second; a design that needs more must be told so
+// here and not on the day.
+func TestLimitsAndCounts(t *testing.T) {
+	srv, url, clock := serve(t)
+	srv.Counts.SetLimits(2, 3)
+	burst := func(path, body string, n int) (refused int) {
+		for range n {
+			if status, _ := call(t, http.MethodPost, url+path, "", body); status == http.StatusTooManyRequests {
+				refused++
+			}
+		}
+		return refused
+	}
+	assert.Equal(t, burst("/v3/kv/put", `{"key":"YQ=="}`, 5), 3)
+	assert.Equal(t, burst("/v3/kv/range", `{"key":"YQ=="}`, 2), 0)
+	assert.Equal(t, burst("/v3/lease/keepalive", `{"ID":"1"}`, 2), 1) // reads and renewals share one limit
+	clock.Advance(time.Second)
+	assert.Equal(t, burst("/v3/kv/put", `{"key":"YQ=="}`, 3), 1)
+
+	got := srv.Counts.Counts()
+	assert.DeepEqual(t, got.Calls, map[standin.Kind]int{standin.KindWrite: 8, standin.KindRange: 2, standin.KindKeepAlive: 2})
+	assert.Equal(t, got.Refused, 5)
+	assert.Assert(t, got.BytesIn > 0 && got.BytesOut > 0)
+	srv.Counts.Reset()
+	assert.Equal(t, len(srv.Counts.Counts().Calls), 0)
+}
+
+// One zone's clients lose the platform while the others' go on, also where the
+// fault is switched from another process.
+func TestFaultsOfOneZoneOverHTTP(t *testing.T) {
+	_, url, _ := serve(t)
+	read := func(zone string) int {
+		status, _ := call(t, http.MethodPost, url+"/v3/kv/range", zone, `{"key":"YQ=="}`)
+		return status
+	}
+	status, _ := call(t, http.MethodPut, url+standin.PathFaults, "", `{"zone-a":{"down":true}}`)
+	assert.Equal(t, status, http.StatusOK)
+	assert.Equal(t, read("zone-a"), 0)
+	assert.Equal(t, read("zone-b"), http.StatusOK)
+	_, faults := call(t, http.MethodGet, url+standin.PathFaults, "", "")
+	assert.Equal(t, faults, `{"zone-a":{"down":true}}`)
+	call(t, http.MethodPut, url+standin.PathFaults, "", `{"zone-a":{}}`)
+	assert.Equal(t, read("zone-a"), http.StatusOK)
+}
+
+// A slow service acts late, on the stand-in's clock, also where its client has
+// left in between.
+func TestSlowCallTakesEffectLate(t *testing.T) {
+	srv, url, clock := serve(t)
+	srv.Faults.Set(standin.AnyZone, standin.Fault{Slow: time.Minute})
+	ctx, cancel := context.WithCancel(context.Background())
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url+"/v3/kv/put", strings.NewReader(`{"key":"YQ=="}`))
+	assert.NilError(t, err)
+	gone := make(chan struct{})
+	go func() {
+		defer close(gone)
+		if resp, err := http.DefaultClient.Do(req); err == nil {
+			_ = resp.Body.Close()
+		}
+	}()
+	bounded, stop := context.WithTimeout(context.Background(), 20*time.Second)
+	defer stop()
+	assert.NilError(t, clock.BlockUntilContext(bounded, 2)) // the lease ticker and the call
+	cancel()
+	<-gone
+	before := srv.Store.Revision()
+	clock.Advance(time.Minute)
+	for srv.Store.Revision() == before && bounded.Err() == nil {
+		time.Sleep(time.Millisecond)
+	}
+	assert.Equal(t, srv.Store.Revision(), before+1)
+}
+
+// Two zones lose each other: what is open between them breaks, what is new is
+// refused, and each still reaches the platform and itself.
+func TestNetworkCutsZonesFromEachOther(t *testing.T) {
+	srv, url, _ := serve(t)
+	peer := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) }))
+	defer peer.Close()
+	addr := peer.Listener.Addr().String()
+	srv.Network.Place(addr, "zone-b")
+	reach := func(from, addr string) bool {
+		conn, err := srv.Network.Dialer(from)(context.Background(), "tcp", addr)
+		if err == nil {
+			assert.NilError(t, conn.Close())
+		}
+		return err == nil
+	}
+	open, err := srv.Network.Dialer("zone-a")(context.Background(), "tcp", addr)
+	assert.NilError(t, err)
+
+	srv.Network.Cut("zone-b", "zone-a")
+
+	_, err = open.Read(make([]byte, 1))
+	assert.ErrorIs(t, err, net.ErrClosed)
+	assert.Assert(t, !reach("zone-a", addr))
+	assert.Assert(t, reach("zone-b", addr) && reach("zone-c", addr))
+	assert.Assert(t, reach("zone-a", strings.TrimPrefix(url, "http://")))
+	srv.Network.Heal("zone-a", "zone-b")
+	assert.Assert(t, reach("zone-a", addr))
+	srv.Network.Isolate("zone-b", true)
+	assert.Assert(t, !reach("zone-c", addr) && reach("zone-b", addr))
+}
+
+func put(t *testing.T, srv *standin.Server, key string) {
+	t.Helper()
+	_, err := srv.Store.Txn(context.Background(), platform.Txn{Then: []platform.Op{platform.Put(key, []byte("v"))}})
+	assert.NilError(t, err)
+}
