Gateway: notice a watch that is silent because its service is

Cause: a service that is paused, or cut off without a word, looks to a watch like a quiet prefix; the reader would take an old view for a fresh one for as long as it lasts.

Change: a watch that heard nothing for 2 s has one read sent to its endpoint, and is resumed elsewhere where that fails; a resumed watch is probed too, and tries to resume back off with jitter. A quiet watch costs half a read a second.

--- a/internal/platform/gateway/gateway.go
+++ b/internal/platform/gateway/gateway.go
@@ -17,9 +17,14 @@
 	"github.com/pumicestage/pumicestage/internal/platform/httpcall"
 )
 
-// DefaultResumeFor is how long a cut watch is quietly resumed. It is the time
-// after which an entry VM that hears nothing must say that its view is old.
-const DefaultResumeFor = 5 * time.Second
+// How a watch is kept: one that is quiet for DefaultProbeEvery is checked by a
+// read, one that is cut is resumed for DefaultResumeFor. So a reader hears
+// within about ten seconds that its view grows old, and a quiet watch costs
+// half a read a second.
+const (
+	DefaultProbeEvery = 2 * time.Second
+	DefaultResumeFor  = 4 * time.Second
+)
 
 // Options say how to reach the service.
 type Options struct {
@@ -28,14 +33,16 @@
 	Timeout    time.Duration   // of each call at each endpoint; 0 for httpcall.DefaultTimeout
 	HTTPClient *http.Client    // for TLS or a dialer of one's own; nil for the usual one
 	ResumeFor  time.Duration   // how long a cut watch is resumed; 0 for DefaultResumeFor
-	Clock      clockwork.Clock // of ResumeFor; nil for the real one
+	ProbeEvery time.Duration   // how long a watch is trusted without a word; 0 for DefaultProbeEvery
+	Clock      clockwork.Clock // of watches; nil for the real one
 }
 
 // Store is a platform.Store. It is safe for concurrent use.
 type Store struct {
-	http      *httpcall.Client
-	resumeFor time.Duration
-	clock     clockwork.Clock
+	http       *httpcall.Client
+	resumeFor  time.Duration
+	probeEvery time.Duration
+	clock      clockwork.Clock
 }
 
 var _ platform.Store = (*Store)(nil)
@@ -45,11 +52,14 @@
 	if o.ResumeFor <= 0 {
 		o.ResumeFor = DefaultResumeFor
 	}
+	if o.ProbeEvery <= 0 {
+		o.ProbeEvery = DefaultProbeEvery
+	}
 	if o.Clock == nil {
 		o.Clock = clockwork.NewRealClock()
 	}
 	h := httpcall.New(httpcall.Options{Endpoints: o.Endpoints, Zone: o.Zone, Timeout: o.Timeout, HTTPClient: o.HTTPClient})
-	return &Store{http: h, resumeFor: o.ResumeFor, clock: o.Clock}
+	return &Store{http: h, resumeFor: o.ResumeFor, probeEvery: o.ProbeEvery, clock: o.Clock}
 }
 
 // Get implements platform.Store.
--- a/internal/platform/gateway/gateway_test.go
+++ b/internal/platform/gateway/gateway_test.go
@@ -10,10 +10,12 @@
 	"testing"
 	"time"
 
+	"github.com/jonboulle/clockwork"
 	"gotest.tools/v3/assert"
 
 	"github.com/pumicestage/pumicestage/internal/platform"
 	"github.com/pumicestage/pumicestage/internal/platform/gateway"
+	"github.com/pumicestage/pumicestage/internal/platform/standin"
 )
 
 // answering is a service that gives each call the same answer.
@@ -167,6 +169,10 @@
 func TestPublishedWatch(t *testing.T) {
 	var starts []string
 	ts := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path != "/v3/watch" {
+			_, _ = w.Write([]byte(`{"header":{"revision":"90"}}`)) // to a probe
+			return
+		}
 		var req struct {
 			Create struct {
 				Start string `json:"start_revision"`
@@ -199,3 +205,29 @@
 	assert.Assert(t, platform.IsKind(got[2].Err, platform.KindCompacted))
 	assert.DeepEqual(t, starts, []string{"5", "71"})
 }
+
+// The service stops without closing anything, while the watch is quiet. Its
+// reader must be told that the view grows old, and not take silence for "no
+// change"; a short stop is bridged.
+func TestSilentWatchIsNoticed(t *testing.T) {
+	srv := standin.New(clockwork.NewRealClock())
+	defer srv.Close()
+	url, err := srv.Listen("127.0.0.1:0")
+	assert.NilError(t, err)
+	s := gateway.New(gateway.Options{
+		Endpoints: []string{url, refusing(t)}, Timeout: 50 * time.Millisecond,
+		ProbeEvery: 20 * time.Millisecond, ResumeFor: 100 * time.Millisecond,
+	})
+	ch, err := s.Watch(context.Background(), "a", 1)
+	assert.NilError(t, err)
+	for srv.Counts.Counts().Calls[standin.KindRange] < 3 { // quiet, and probed
+		time.Sleep(time.Millisecond)
+	}
+
+	srv.Faults.Set(standin.AnyZone, standin.Fault{Paused: true})
+
+	b := <-ch
+	assert.Assert(t, platform.IsKind(b.Err, platform.KindUnavailable), "%v", b.Err)
+	_, open := <-ch
+	assert.Assert(t, !open)
+}
--- a/internal/platform/gateway/watch.go
+++ b/internal/platform/gateway/watch.go
@@ -5,7 +5,9 @@
 	"encoding/json"
 	"errors"
 	"io"
+	"math/rand/v2"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/pumicestage/pumicestage/internal/platform"
@@ -13,9 +15,13 @@
 	"github.com/pumicestage/pumicestage/internal/platform/httpcall"
 )
 
-// resumeWait is the pause between two tries to resume a watch. Each try is a
-// call, and all watches of a service that went away come back together.
-const resumeWait = 100 * time.Millisecond
+// The pause between two tries to resume a watch doubles from the one to the
+// other. Each try is a call, and all watches of a service that went away come
+// back together; half of each pause is random so that they do not stay so.
+const (
+	resumeWaitMin = 50 * time.Millisecond
+	resumeWaitMax = time.Second
+)
 
 // watch is one watch over its connections.
 type watch struct {
@@ -27,9 +33,12 @@
 
 // stream is one connection of a watch.
 type stream struct {
-	body    io.ReadCloser
-	decoder *json.Decoder
-	cancel  context.CancelFunc
+	endpoint string
+	body     io.ReadCloser
+	decoder  *json.Decoder
+	ctx      context.Context // ends with the stream
+	cancel   context.CancelFunc
+	heard    atomic.Bool // a message came since the last look
 }
 
 // Watch implements platform.Store. A cut connection is resumed from the last
@@ -40,7 +49,7 @@
 		return nil, platform.Errorf("watch", platform.KindCompacted, "revision %d", from)
 	}
 	w := &watch{store: s, prefix: prefix, next: from, out: make(chan platform.WatchBatch)}
-	first, err := w.openAny(ctx)
+	first, err := w.openAny(ctx, false)
 	if err != nil {
 		return nil, err
 	}
@@ -71,27 +80,34 @@
 	return platform.IsKind(err, platform.KindCompacted) || platform.IsKind(err, platform.KindInvalid)
 }
 
-// resume opens the watch again where it was cut.
+// resume opens the watch again where it was cut. A probe must pass besides, or
+// an endpoint that opens watches and then falls silent would hold it for ever.
 func (w *watch) resume(ctx context.Context) (*stream, error) {
 	until := w.store.clock.Now().Add(w.store.resumeFor)
-	for {
-		st, err := w.openAny(ctx)
+	for wait := resumeWaitMin; ; wait = min(2*wait, resumeWaitMax) {
+		st, err := w.openAny(ctx, true)
 		if err == nil || final(err) || !w.store.clock.Now().Before(until) {
 			return st, err
 		}
 		select {
-		case <-w.store.clock.After(resumeWait):
+		case <-w.store.clock.After(wait/2 + rand.N(wait/2)):
 		case <-ctx.Done():
 			return nil, err
 		}
 	}
 }
 
-func (w *watch) openAny(ctx context.Context) (*stream, error) {
+func (w *watch) openAny(ctx context.Context, probed bool) (*stream, error) {
 	var err error = platform.Errorf("watch", platform.KindUnavailable, "no endpoints")
 	for _, endpoint := range w.store.http.Endpoints() {
 		var st *stream
 		st, err = w.open(ctx, endpoint)
+		if err == nil && probed {
+			if err = w.probe(st); err != nil {
+				st.close()
+				continue
+			}
+		}
 		if err == nil || final(err) || ctx.Err() != nil {
 			return st, err
 		}
@@ -119,7 +135,7 @@
 		cancel()
 		return nil, platform.Errorf("watch", platform.KindUnavailable, "%w", err)
 	}
-	st := &stream{body: resp.Body, decoder: json.NewDecoder(resp.Body), cancel: cancel}
+	st := &stream{endpoint: endpoint, body: resp.Body, decoder: json.NewDecoder(resp.Body), ctx: ctx, cancel: cancel}
 	if err := st.begin(call, resp.StatusCode); err != nil {
 		st.close()
 		return nil, err
@@ -156,6 +172,7 @@
 		}
 		return nil, platform.Errorf("watch", platform.KindUnavailable, "%w", err)
 	}
+	st.heard.Store(true)
 	switch {
 	case m.Error != nil:
 		return nil, platform.Errorf("watch", kindOfCode(m.Error.GRPCCode, m.Error.Message, false), "%s", m.Error.Message)
@@ -176,6 +193,7 @@
 
 // follow delivers events until the connection fails.
 func (w *watch) follow(ctx context.Context, st *stream) error {
+	go w.guard(st)
 	for {
 		res, err := st.read()
 		if err != nil {
@@ -197,6 +215,46 @@
 	}
 }
 
+// guard ends a stream that is silent because its service is: paused, or cut
+// off without a word. To the reader it looks like a quiet prefix, and a view
+// that grows old looks fresh. A read that the same endpoint answers shows that
+// it still follows the service; one for each quiet interval is enough.
+func (w *watch) guard(st *stream) {
+	t := w.store.clock.NewTicker(w.store.probeEvery)
+	defer t.Stop()
+	for {
+		select {
+		case <-st.ctx.Done():
+			return
+		case <-t.Chan():
+		}
+		if st.heard.Swap(false) {
+			continue
+		}
+		if err := w.probe(st); err != nil {
+			st.cancel()
+			return
+		}
+	}
+}
+
+// probe reads one key at the stream's endpoint. Being refused because of the
+// limits is an answer too.
+func (w *watch) probe(st *stream) error {
+	call := httpcall.Call{
+		Op: "watch", Method: http.MethodPost, Path: etcdjson.PathRange,
+		Body: etcdjson.RangeRequest{Key: rangeStart(w.prefix)},
+	}
+	a, err := w.store.http.DoAt(st.ctx, st.endpoint, call)
+	if err != nil {
+		return err
+	}
+	if a.Status != http.StatusOK && a.Status != http.StatusTooManyRequests {
+		return refusal(call, a)
+	}
+	return nil
+}
+
 // progress notes that everything up to the revision was delivered, so that a
 // quiet watch is not resumed from a revision that is no longer held.
 func (w *watch) progress(res *etcdjson.WatchResponse) {
--- a/internal/platform/httpcall/httpcall.go
+++ b/internal/platform/httpcall/httpcall.go
@@ -132,6 +132,20 @@
 	return Answer{}, platform.Errorf(call.Op, platform.KindUnavailable, "%w", last)
 }
 
+// DoAt sends the call to one endpoint alone. It is for calls that change
+// nothing.
+func (c *Client) DoAt(ctx context.Context, endpoint string, call Call) (Answer, error) {
+	body, err := encode(call)
+	if err != nil {
+		return Answer{}, platform.Errorf(call.Op, platform.KindInvalid, "%w", err)
+	}
+	answer, _, err := c.once(ctx, endpoint, call, body)
+	if err != nil {
+		return Answer{}, platform.Errorf(call.Op, platform.KindUnavailable, "%w", err)
+	}
+	return answer, nil
+}
+
 func (c *Client) prefer(endpoint string) {
 	c.next.Store(uint32(slices.Index(c.endpoints, endpoint)))
 }
