--- a/internal/platform/gateway/gateway.go
+++ b/internal/platform/gateway/gateway.go
@@ -31,7 +31,7 @@
 	Endpoints  []string        // base addresses such as http://10.0.0.1:2379, tried in turn
 	Zone       string          // own availability zone, told to the service
 	Timeout    time.Duration   // of each call at each endpoint; 0 for httpcall.DefaultTimeout
-	HTTPClient *http.Client    // for TLS or a dialer of one's own; nil for the usual one
+	HTTPClient *http.Client    // for TLS (see httpcall.NewHTTP) or a dialer of one's own
 	ResumeFor  time.Duration   // how long a cut watch is resumed; 0 for DefaultResumeFor
 	ProbeEvery time.Duration   // how long a watch is trusted without a word; 0 for DefaultProbeEvery
 	Clock      clockwork.Clock // of watches; nil for the real one
--- a/internal/platform/httpcall/httpcall.go
+++ b/internal/platform/httpcall/httpcall.go
@@ -5,6 +5,7 @@
 import (
 	"bytes"
 	"context"
+	"crypto/tls"
 	"encoding/json"
 	"errors"
 	"io"
@@ -60,7 +61,7 @@
 	Endpoints  []string      // base addresses such as http://10.0.0.1:2379, tried in turn
 	Zone       string        // own availability zone, told to the service
 	Timeout    time.Duration // of each call at each endpoint; 0 for DefaultTimeout
-	HTTPClient *http.Client  // for TLS or a dialer of one's own; nil for the usual one
+	HTTPClient *http.Client  // for TLS (see NewHTTP) or a dialer of one's own; nil for NewHTTP(nil)
 }
 
 // Client sends calls to the endpoints of one service.
@@ -79,7 +80,7 @@
 		o.Timeout = DefaultTimeout
 	}
 	if o.HTTPClient == nil {
-		o.HTTPClient = usualHTTP()
+		o.HTTPClient = NewHTTP(nil)
 	}
 	h := *o.HTTPClient
 	// A redirect followed would be a second copy of a write.
@@ -99,11 +100,16 @@
 	return append(c.endpoints[first:len(c.endpoints):len(c.endpoints)], c.endpoints[:first]...)
 }
 
-func usualHTTP() *http.Client {
+// NewHTTP returns an HTTP client fit for the platform's services; config may
+// be nil. It keeps to HTTP/1.1, where a call that timed out takes its connection
+// along: over HTTP/2 the next call would go down the same dead one.
+func NewHTTP(config *tls.Config) *http.Client {
 	d := net.Dialer{KeepAliveConfig: net.KeepAliveConfig{
 		Enable: true, Idle: keepAliveIdle, Interval: keepAliveProbe, Count: keepAliveCount,
 	}}
-	return &http.Client{Transport: &http.Transport{DialContext: d.DialContext, MaxIdleConnsPerHost: idleConns, ForceAttemptHTTP2: true}}
+	return &http.Client{Transport: &http.Transport{
+		DialContext: d.DialContext, TLSClientConfig: config, TLSHandshakeTimeout: DefaultTimeout, MaxIdleConnsPerHost: idleConns,
+	}}
 }
 
 // Do sends the call to one endpoint after the other until one answers. A write
--- a/internal/platform/standin/network.go
+++ b/internal/platform/standin/network.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"syscall"
 )
 
@@ -20,6 +21,8 @@
 	cuts  map[pair]bool
 	alone map[string]bool // places cut off from all others
 	conns map[*conn]struct{}
+
+	sent, received atomic.Int64
 }
 
 type pair struct{ a, b string }
@@ -145,6 +148,26 @@
 	return true
 }
 
+// Bytes returns how much was sent and received over connections opened
+// through the Network, with the headers of HTTP and without those of TCP.
+func (n *Network) Bytes() (sent, received int64) {
+	return n.sent.Load(), n.received.Load()
+}
+
+// Read implements net.Conn.
+func (c *conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.network.received.Add(int64(n))
+	return n, err
+}
+
+// Write implements net.Conn.
+func (c *conn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.network.sent.Add(int64(n))
+	return n, err
+}
+
 // Close implements net.Conn.
 func (c *conn) Close() error {
 	c.network.mu.Lock()
