--- a/internal/platform/standin/machines_http.go
+++ b/internal/platform/standin/machines_http.go
@@ -2,11 +2,12 @@
 
 import (
 	"net/http"
+	"net/url"
 
 	"github.com/gorilla/mux"
 
 	"github.com/pumicestage/pumicestage/internal/platform"
-	"github.com/pumicestage/pumicestage/internal/platform/etcdjson"
+	"github.com/pumicestage/pumicestage/internal/platform/httpcall"
 	"github.com/pumicestage/pumicestage/internal/platform/machineapi"
 	"github.com/pumicestage/pumicestage/policy/model"
 )
@@ -36,7 +37,7 @@
 }
 
 func (s *Server) listMachines(w http.ResponseWriter, r *http.Request) {
-	fault, _ := s.Faults.state(r.Header.Get(etcdjson.ZoneHeader))
+	fault, _ := s.Faults.state(r.Header.Get(httpcall.ZoneHeader))
 	s.Machines.freeze(fault.StaleList)
 	list, err := s.Machines.List(r.Context())
 	out := machineapi.MachineList{AsOf: list.AsOf, Machines: []machineapi.Machine{}}
@@ -115,9 +116,19 @@
 	}
 }
 
-func vmOf(r *http.Request) model.VMID { return model.VMID(mux.Vars(r)["vm"]) }
+func vmOf(r *http.Request) model.VMID { return model.VMID(variable(r, "vm")) }
 
-func attemptOf(r *http.Request) model.AttemptID { return model.AttemptID(mux.Vars(r)["attempt"]) }
+func attemptOf(r *http.Request) model.AttemptID { return model.AttemptID(variable(r, "attempt")) }
+
+// variable undoes the escaping that keeps a slash in an identifier from
+// looking like one of the path.
+func variable(r *http.Request, name string) string {
+	v, err := url.PathUnescape(mux.Vars(r)[name])
+	if err != nil {
+		return ""
+	}
+	return v
+}
 
 var statusOf = map[platform.Kind]int{
 	platform.KindInvalid:       http.StatusBadRequest,
