dispatch: the decisions of one entry VM as one state machine in policy

Cause: the glue between admission, queue, routing and slots sat in internal/entry behind its lock, where no step model could drive it; health, shifting and lending of slots were missing. Change: policy/dispatch takes the time with each call and hands out grants; policy/health (outliers against peers, leaving by its own word, slow start), policy/shift, policy/slots (shares dealt by rendezvous, loans with a term), admission.Costs (Space-Saving). internal/entry carries them out and asks targets for their health, one entry VM a zone and target. peer.TargetLoad gains Want, LentTo, Lent; peer.LoadDetail is optional. Tests: a leaving target gets no work by each of four ways; slow start.

--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/go-logr/logr"
+	"github.com/jonboulle/clockwork"
 	"gotest.tools/v3/assert"
 
 	"github.com/pumicestage/pumicestage/internal/claim"
@@ -29,11 +30,47 @@
 	url     string
 	targets []*faketarget.Target
 	claims  *memClaims
+	clock   *clockwork.FakeClock // of an idle stage
 }
 
-// newStage starts an entry VM with two services over the targets: tabulation
-// is repeatable, incentives is not.
+// probeWait is longer than the interval of any probe.
+const probeWait = 3 * time.Second
+
+// newIdleStage is newStage on a fake clock and without Run, so that nothing
+// happens between the steps of a test.
+func newIdleStage(t testing.TB, n int, o faketarget.Options, change func(*Options)) *stage {
+	t.Helper()
+	clock := clockwork.NewFakeClock()
+	s := buildStage(t, n, o, func(o *Options) {
+		o.Clock = clock
+		if change != nil {
+			change(o)
+		}
+	})
+	s.clock = clock
+	return s
+}
+
+// probe asks all targets that are due for their health, and waits.
+func (s *stage) probe() {
+	s.server.prober.step(context.Background())
+	s.server.prober.wait()
+}
+
+// newStage starts an entry VM and runs it.
 func newStage(t testing.TB, n int, o faketarget.Options, change func(*Options)) *stage {
+	t.Helper()
+	s := buildStage(t, n, o, change)
+	ctx, cancel := context.WithCancel(context.Background())
+	ran := make(chan struct{})
+	go func() { defer close(ran); _ = s.server.Run(ctx) }()
+	t.Cleanup(func() { cancel(); <-ran })
+	return s
+}
+
+// buildStage makes an entry VM with two services over the targets: tabulation
+// is repeatable, incentives is not.
+func buildStage(t testing.TB, n int, o faketarget.Options, change func(*Options)) *stage {
 	t.Helper()
 	s := &stage{t: t, holder: view.NewHolder(), claims: &memClaims{}}
 	for i := range n {
@@ -55,10 +92,6 @@
 	srv.Start()
 	t.Cleanup(srv.Close)
 	s.url = srv.URL
-	ctx, cancel := context.WithCancel(context.Background())
-	ran := make(chan struct{})
-	go func() { defer close(ran); _ = s.server.Run(ctx) }()
-	t.Cleanup(func() { cancel(); <-ran })
 	return s
 }
 
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"github.com/jonboulle/clockwork"
+
+	"github.com/pumicestage/pumicestage/policy/dispatch"
 )
 
 // forwarder sends requests to targets and their answers to callers.
@@ -53,7 +55,7 @@
 
 // result is how an attempt ended.
 type result struct {
-	use     use
+	use     dispatch.Use
 	problem *Problem // nil where the caller has its answer, or a broken one
 	// broken: the answer broke off after its beginning was given on. The
 	// caller's connection must be broken as well.
@@ -62,29 +64,29 @@
 
 // certainlyNotRun reports whether the request may be sent to another target.
 func (r result) certainlyNotRun() bool {
-	return r.use.ended == endRefused || r.use.ended == endNotSent
+	return r.use.Ended == dispatch.Refused || r.use.Ended == dispatch.NotSent
 }
 
 // send makes one attempt at the target and gives its answer to the caller.
-func (f *forwarder) send(e *exchange, t *target) result {
+func (f *forwarder) send(e *exchange, address string) result {
 	start := f.clock.Now()
-	resp, res := f.ask(e, t, start)
+	resp, res := f.ask(e, address, start)
 	if resp == nil {
 		return res
 	}
 	defer resp.Body.Close()
-	res.use.answer = f.clock.Since(start)
+	res.use.Answer = f.clock.Since(start)
 	res = f.give(e, resp, res)
-	res.use.held = f.clock.Since(start)
+	res.use.Held = f.clock.Since(start)
 	return res
 }
 
 // ask sends the request and reads the answer's header. Without an answer that
 // can be given on, it returns a nil response and how the attempt ended.
-func (f *forwarder) ask(e *exchange, t *target, start time.Time) (*http.Response, result) {
+func (f *forwarder) ask(e *exchange, address string, start time.Time) (*http.Response, result) {
 	body := e.body.attempt()
 	var sent atomic.Bool
-	resp, err := f.roundTrip(e, f.request(e, t, body, &sent))
+	resp, err := f.roundTrip(e, f.request(e, address, body, &sent))
 	if err != nil {
 		body.refuse()
 		return nil, f.noAnswer(e, sent.Load(), start)
@@ -92,13 +94,23 @@
 	if refused(resp) {
 		body.refuse()
 		resp.Body.Close()
-		return nil, f.ended(endRefused, start, problemRefused(retryAfter(resp.Header)))
+		res := f.ended(dispatch.Refused, start, problemRefused(retryAfter(resp.Header)))
+		res.use.RetryAfter = retryAfter(resp.Header)
+		return nil, res
 	}
 	if !endIsVisible(resp) {
 		resp.Body.Close()
-		return nil, f.ended(endFailed, start, problemTargetFailed())
+		return nil, f.ended(dispatch.Failed, start, problemTargetFailed())
+	}
+	return resp, result{use: dispatch.Use{Ended: endingOf(resp.StatusCode)}}
+}
+
+// endingOf tells an answer that says the target failed from all others.
+func endingOf(status int) dispatch.Ending {
+	if status >= http.StatusInternalServerError && status != http.StatusNotImplemented {
+		return dispatch.Errored
 	}
-	return resp, result{use: use{ended: endAnswered}}
+	return dispatch.Answered
 }
 
 // roundTrip waits for the answer. Where the request runs at most once, its
@@ -126,18 +138,18 @@
 	return a.resp, a.err
 }
 
-func (f *forwarder) ended(how ending, start time.Time, p *Problem) result {
-	return result{use: use{ended: how, held: f.clock.Since(start)}, problem: p}
+func (f *forwarder) ended(how dispatch.Ending, start time.Time, p *Problem) result {
+	return result{use: dispatch.Use{Ended: how, Held: f.clock.Since(start)}, problem: p}
 }
 
 // request builds the request to the target. sent is set as soon as a
 // connection was handed over: from then on bytes may have left.
-func (f *forwarder) request(e *exchange, t *target, body *attemptBody, sent *atomic.Bool) *http.Request {
+func (f *forwarder) request(e *exchange, address string, body *attemptBody, sent *atomic.Bool) *http.Request {
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { sent.Store(true) }}
 	ctx := httptrace.WithClientTrace(e.sendCtx, trace)
 	out := &http.Request{
 		Method:        e.in.Method,
-		URL:           targetURL(t.address, e.call.path, e.in.URL.RawQuery),
+		URL:           targetURL(address, e.call.path, e.in.URL.RawQuery),
 		Host:          e.in.Host,
 		Header:        make(http.Header, len(e.in.Header)+4),
 		ContentLength: e.body.contentLength(),
@@ -185,19 +197,19 @@
 	gone := e.sendCtx.Err() != nil && !late
 	switch {
 	case e.body.failure() != nil:
-		return f.ended(endAbandoned, start, e.body.failure())
+		return f.ended(dispatch.Abandoned, start, e.body.failure())
 	case gone && sent:
-		return f.ended(endAbandoned, start, problemTargetFailed())
+		return f.ended(dispatch.Abandoned, start, problemTargetFailed())
 	case gone:
-		return f.ended(endAbandoned, start, problemUnreachable())
+		return f.ended(dispatch.Abandoned, start, problemUnreachable())
 	case late && sent:
-		return f.ended(endFailed, start, problemTimeout("the target did not answer in time", Unknown))
+		return f.ended(dispatch.Failed, start, problemTimeout("the target did not answer in time", Unknown))
 	case late:
-		return f.ended(endFailed, start, problemTimeout("the target was not reached in time", NotRun))
+		return f.ended(dispatch.Failed, start, problemTimeout("the target was not reached in time", NotRun))
 	case sent:
-		return f.ended(endFailed, start, problemTargetFailed())
+		return f.ended(dispatch.Failed, start, problemTargetFailed())
 	}
-	return f.ended(endNotSent, start, problemUnreachable())
+	return f.ended(dispatch.NotSent, start, problemUnreachable())
 }
 
 // refused reports whether the target said that it did not start the request.
--- a/internal/entry/give.go
+++ b/internal/entry/give.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"strconv"
 	"time"
+
+	"github.com/pumicestage/pumicestage/policy/dispatch"
 )
 
 // give streams a target's answer to the caller. After the header has gone the
@@ -13,7 +15,7 @@
 func (f *forwarder) give(e *exchange, resp *http.Response, res result) result {
 	if !e.in.ProtoAtLeast(1, 1) && resp.ContentLength < 0 {
 		if !f.measure(resp) {
-			return result{use: use{ended: endFailed, answer: res.use.answer}, problem: problemTargetFailed()}
+			return result{use: dispatch.Use{Ended: dispatch.Failed, Answer: res.use.Answer}, problem: problemTargetFailed()}
 		}
 	}
 	f.giveHeader(e, resp)
@@ -21,9 +23,9 @@
 	case err == nil:
 		giveTrailer(e.out.Header(), resp.Trailer)
 	case errors.Is(err, errCallerGone):
-		res.use.ended, res.broken = endAbandoned, true
+		res.use.Ended, res.broken = dispatch.Abandoned, true
 	default:
-		res.use.ended, res.broken = endFailed, true
+		res.use.Ended, res.broken = dispatch.Failed, true
 	}
 	return res
 }
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -3,6 +3,7 @@
 import (
 	"expvar"
 
+	"github.com/pumicestage/pumicestage/policy/dispatch"
 	"github.com/pumicestage/pumicestage/policy/retry"
 )
 
@@ -36,24 +37,9 @@
 	m.problems.Add(p.Type, 1)
 }
 
-func (m *metrics) attempt(how ending) { m.attempts.Add(how.String(), 1) }
+func (m *metrics) attempt(how dispatch.Ending) { m.attempts.Add(how.String(), 1) }
 
 func (m *metrics) retry(v retry.Verdict) { m.retries.Add(v.String(), 1) }
 
 // Metrics returns the server's counters, for the daemon to publish by expvar.
 func (s *Server) Metrics() expvar.Var { return &s.metrics.all }
-
-// String returns the word for metrics.
-func (e ending) String() string {
-	switch e {
-	case endAnswered:
-		return "answered"
-	case endRefused:
-		return "refused"
-	case endNotSent:
-		return "not-sent"
-	case endFailed:
-		return "failed"
-	}
-	return "abandoned"
-}
--- a/internal/entry/problem.go
+++ b/internal/entry/problem.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"time"
 
+	"github.com/pumicestage/pumicestage/policy/dispatch"
 	"github.com/pumicestage/pumicestage/policy/model"
 )
 
@@ -75,6 +76,23 @@
 	return max(1, int((d+time.Second-1)/time.Second))
 }
 
+// problemOf tells a caller why policy turned its request away.
+func problemOf(r *dispatch.Refusal, name model.ServiceName) *Problem {
+	switch r.Reason {
+	case dispatch.NoService:
+		return problemNoService(name)
+	case dispatch.NoTarget:
+		return problemNoTarget(r.RetryAfter)
+	case dispatch.OverShare:
+		return problemCallerLimit(r.RetryAfter)
+	case dispatch.NoOtherFree:
+		return problemRefused(r.RetryAfter)
+	case dispatch.DeadlinePast:
+		return problemTimeout("no slot came free in time", NotRun)
+	}
+	return problemOverload("the answer would be late: a wait of "+r.Wait.Round(time.Millisecond).String()+" is predicted", r.RetryAfter)
+}
+
 func problemBadHeader(name, want string) *Problem {
 	return &Problem{Type: TypeBadHeader, Title: "Bad request header", Status: http.StatusBadRequest,
 		Detail: name + " " + want, Outcome: NotRun}
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"github.com/pumicestage/pumicestage/policy/dispatch"
 	"github.com/pumicestage/pumicestage/policy/model"
 	"github.com/pumicestage/pumicestage/policy/retry"
 )
@@ -99,53 +100,52 @@
 func (s *Server) run(e *exchange) result {
 	var avoid model.VMID
 	for {
-		w, p := s.dispatch.admit(e.call, avoid, e.attempts == 0)
+		w, p := s.dispatch.submit(e.call, avoid)
 		if p != nil {
 			return result{problem: p}
 		}
-		t, p := s.await(e, w)
+		g, p := s.await(e, w)
 		if p != nil {
 			return result{problem: p}
 		}
 		e.attempts++
-		res := s.send(e, w, t)
-		if !res.certainlyNotRun() || !s.mayRetry(e, w.svc) {
+		res := s.send(e, w, g.Address)
+		if !res.certainlyNotRun() || !s.mayRetry(e, w) {
 			return res
 		}
-		avoid = t.id
+		avoid = g.VM
 	}
 }
 
 // send makes one attempt; the slot is freed whatever happens.
-func (s *Server) send(e *exchange, w *waiter, t *target) result {
-	res := result{use: use{ended: endFailed}}
-	defer func() { s.dispatch.release(w.svc, t, res.use) }()
-	res = s.forward.send(e, t)
-	s.metrics.attempt(res.use.ended)
+func (s *Server) send(e *exchange, w *waiter, address string) result {
+	res := result{use: dispatch.Use{Ended: dispatch.Failed}}
+	defer func() { s.dispatch.done(w, res.use) }()
+	res = s.forward.send(e, address)
+	s.metrics.attempt(res.use.Ended)
 	return res
 }
 
 // await waits for the waiter's slot, its deadline or its caller's leaving.
-func (s *Server) await(e *exchange, w *waiter) (*target, *Problem) {
+func (s *Server) await(e *exchange, w *waiter) (dispatch.Grant, *Problem) {
 	select {
 	case g := <-w.granted:
-		return g.target, g.problem
+		if g.Refusal != nil {
+			return g, problemOf(g.Refusal, e.call.service.Name)
+		}
+		return g, nil
 	case <-e.waitCtx.Done():
-		s.dispatch.abandon(w)
-		return nil, problemTimeout("no slot came free in time", NotRun)
+		s.dispatch.cancel(w)
+		return dispatch.Grant{}, problemTimeout("no slot came free in time", NotRun)
 	}
 }
 
 // mayRetry asks the retry policy.
-func (s *Server) mayRetry(e *exchange, svc *service) bool {
+func (s *Server) mayRetry(e *exchange, w *waiter) bool {
 	if e.waitCtx.Err() != nil {
 		return false
 	}
-	verdict := s.dispatch.decideRetry(svc, retry.Attempt{
-		Number:     e.attempts,
-		Replayable: e.body.replayable(),
-		Deadline:   e.call.deadline,
-	})
+	verdict := s.dispatch.retry(w, e.attempts, e.body.replayable())
 	s.metrics.retry(verdict)
 	return verdict == retry.Retry
 }
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -45,6 +45,7 @@
 	forward  *forwarder
 	router   *mux.Router
 	metrics  *metrics
+	prober   *prober
 
 	draining atomic.Bool
 	inside   atomic.Int64
@@ -59,6 +60,7 @@
 	s := &Server{opts: o, limits: o.Limits.withDefaults(), clock: o.Clock, log: o.Log, metrics: newMetrics()}
 	s.dispatch = newDispatcher(o)
 	s.forward = newForwarder(s.limits, o.Clock)
+	s.prober = newProber(s.forward, s.dispatch)
 	s.router = mux.NewRouter().UseEncodedPath().SkipClean(true)
 	s.router.HandleFunc("/services/{service}", s.serve)
 	s.router.HandleFunc("/services/{service}/{path:.*}", s.serve)
@@ -78,6 +80,7 @@
 func (s *Server) Run(ctx context.Context) error {
 	ticker := s.clock.NewTicker(tick)
 	defer ticker.Stop()
+	defer s.prober.wait()
 	for {
 		changed := s.opts.View.Changed()
 		select {
@@ -86,7 +89,8 @@
 		case <-changed:
 		case <-ticker.Chan():
 		}
-		s.dispatch.pumpAll()
+		s.dispatch.tick()
+		s.prober.step(ctx)
 	}
 }
 
@@ -140,12 +144,6 @@
 	return d.Service(name)
 }
 
-// Loads returns what this entry VM has at each target, for its digest.
-func (s *Server) Loads() []peer.TargetLoad { return s.dispatch.snapshot() }
-
-// Queued returns the requests that wait for a slot, for the digest.
-func (s *Server) Queued() int { return s.dispatch.queued() }
-
 func (s *Server) notFound(w http.ResponseWriter, r *http.Request) {
 	s.answer(w, r, problemNoService(model.ServiceName(r.URL.Path)), r.ContentLength != 0)
 }
--- a/internal/peer/digest.go
+++ b/internal/peer/digest.go
@@ -4,6 +4,8 @@
 package peer
 
 import (
+	"time"
+
 	"github.com/pumicestage/pumicestage/internal/platform"
 	"github.com/pumicestage/pumicestage/policy/model"
 )
@@ -14,6 +16,11 @@
 	InFlight uint16     `msgpack:"n"`           // its own requests there now
 	Leaving  bool       `msgpack:"l,omitempty"` // it has seen the target say that it leaves
 	Ejected  bool       `msgpack:"e,omitempty"` // it sends nothing there for failures
+
+	// Slots that lie idle are lent between entry VMs, see policy/slots.
+	Want   uint8         `msgpack:"w,omitempty"` // slots it has work for beyond those it may use
+	LentTo model.EntryID `msgpack:"o,omitempty"` // whom it lends slots to; empty for nobody
+	Lent   uint8         `msgpack:"b,omitempty"` // how many
 }
 
 // Digest is what an entry VM tells its peers, in full within its zone.
@@ -38,3 +45,18 @@
 	// included.
 	LiveEntries(zone model.ZoneName) int
 }
+
+// PeerLoad is what one fresh peer last said of a target.
+type PeerLoad struct {
+	TargetLoad
+	Entry model.EntryID
+	Heard time.Time // when its latest digest came, whether or not it changed this load
+}
+
+// LoadDetail is implemented by Loads that tell peers apart. Without it entry
+// VMs keep to their own shares of slots and lend none.
+type LoadDetail interface {
+	// PeerLoads returns what each fresh peer of the own zone says of the
+	// target, with a zero load where it has nothing there.
+	PeerLoads(vm model.VMID) []PeerLoad
+}
--- /dev/null
+++ b/policy/dispatch/choice.go
@@ -0,0 +1,139 @@
+package dispatch
+
+import (
+	"time"
+
+	"github.com/pumicestage/pumicestage/policy/model"
+	"github.com/pumicestage/pumicestage/policy/routing"
+)
+
+// choice builds routing's question from the targets' state.
+func (d *Dispatcher) choice(svc *service, now time.Time) routing.Choice {
+	ts := svc.scratch[:0]
+	for _, t := range svc.targets {
+		ts = append(ts, d.routingTarget(t, now))
+	}
+	svc.scratch = ts
+	if typical := routing.Typical(ts); typical > time.Microsecond {
+		for i, t := range svc.targets {
+			ts[i].Latency = t.latency.Value(now, typical)
+		}
+	}
+	c := routing.Choice{Targets: ts, Rand: d.cfg.Rand}
+	mean := svc.hold.Mean()
+	all, local := usable(ts)
+	c.Wait, c.LocalWait = waitFor(all, mean), waitFor(local, mean)
+	c.Away = d.cfg.Rand(shiftSteps) < int(shiftSteps*d.shiftStep(svc, ts, now))
+	return c
+}
+
+// shiftSteps is the resolution of the share of work that goes elsewhere first.
+const shiftSteps = 1000
+
+// shiftStep compares the own zone's targets with the others.
+func (d *Dispatcher) shiftStep(svc *service, ts []routing.Target, now time.Time) float64 {
+	home, elsewhere := routing.TypicalOf(ts, true), routing.TypicalOf(ts, false)
+	if elsewhere > 0 {
+		elsewhere += routing.HopCost
+	}
+	return svc.shift.Step(home, elsewhere, now)
+}
+
+func (d *Dispatcher) routingTarget(t *target, now time.Time) routing.Target {
+	rt := routing.Target{
+		ID:      t.id,
+		Local:   t.zone == d.cfg.Zone,
+		Own:     t.own,
+		Slots:   t.slots,
+		Limit:   t.limit,
+		Latency: t.latency.Value(now, 0),
+		Weight:  t.health.Weight(now),
+		Out:     d.out(t, now),
+	}
+	if d.cfg.Peers != nil {
+		rt.Peers = d.cfg.Peers.InFlight(t.id)
+	}
+	return rt
+}
+
+// out reports whether the target gets no new work: by the view, by its own
+// word, by a peer's, or for its failures.
+func (d *Dispatcher) out(t *target, now time.Time) bool {
+	switch {
+	case !t.serving, t.down, t.leaving.Out(now), t.health.Ejected(now):
+		return true
+	}
+	return d.cfg.Peers != nil && d.peersSayLeaving(t, now)
+}
+
+// ownWordFor is how long a target's own health answer outweighs what peers
+// say: a peer's digest may be older than the answer.
+const ownWordFor = 3 * time.Second
+
+func (d *Dispatcher) peersSayLeaving(t *target, now time.Time) bool {
+	if !t.okAt.IsZero() && now.Sub(t.okAt) < ownWordFor {
+		return false
+	}
+	return d.cfg.Peers.Leaving(t.id)
+}
+
+// usable counts the slots of targets in use, anywhere and in the own zone.
+func usable(ts []routing.Target) (all, local int) {
+	for i := range ts {
+		if ts[i].Out {
+			continue
+		}
+		all += ts[i].Limit
+		if ts[i].Local {
+			local += ts[i].Limit
+		}
+	}
+	return all, local
+}
+
+// noSlotWait is the wait for a slot where there is none: longer than any hop.
+const noSlotWait = time.Hour
+
+func waitFor(slots int, mean time.Duration) time.Duration {
+	if slots <= 0 {
+		return noSlotWait
+	}
+	return mean / time.Duration(slots)
+}
+
+// capacity returns the free and the usable slots of the targets in use.
+func capacity(ts []routing.Target) (free, total int) {
+	for i := range ts {
+		if !ts[i].Out {
+			free += ts[i].Free()
+			total += ts[i].Limit
+		}
+	}
+	return free, total
+}
+
+// State is what is known of a target, for digests, metrics and operators.
+type State struct {
+	VM       model.VMID
+	InFlight int
+	Limit    int
+	Leaving  bool // the target itself said that it leaves
+	Ejected  bool
+	Want     int
+	LentTo   model.EntryID
+	Lent     int
+}
+
+// States returns the state of every target, in no particular order.
+func (d *Dispatcher) States(now time.Time) []State {
+	states := make([]State, 0, len(d.targets))
+	for _, t := range d.targets {
+		s := State{
+			VM: t.id, InFlight: t.own, Limit: t.limit, Leaving: t.leaving.Says(),
+			Ejected: t.health.Ejected(now), Want: t.want,
+		}
+		s.LentTo, s.Lent = t.loan.Lent()
+		states = append(states, s)
+	}
+	return states
+}
--- /dev/null
+++ b/policy/health/leaving.go
@@ -0,0 +1,71 @@
+package health
+
+import "time"
+
+const (
+	// refusedBase is how long a target that refused a request gets no more,
+	// unless its health answer says before that it works. It doubles with each
+	// refusal in a row, up to refusedMax.
+	refusedBase = time.Second
+	refusedMax  = 8 * time.Second
+	// ProbeFailures in a row make a target unreachable. One is a lost packet.
+	ProbeFailures = 3
+)
+
+// Answer is what a health probe brought.
+type Answer int8
+
+// The answers.
+const (
+	AnswerOK Answer = iota + 1
+	AnswerLeaving
+	AnswerNone // no answer in time, or none that is understood
+)
+
+// Leaving holds what a target itself has told of its leaving: by its health
+// answer, or by refusing a request. The zero value is a target that works.
+type Leaving struct {
+	says         bool // its last health answer said so
+	unreachable  int  // probes without answer in a row
+	refusals     int  // in a row
+	refusedUntil time.Time
+}
+
+// Probed takes in a health answer. It reports whether the target came back
+// with it.
+func (l *Leaving) Probed(a Answer, now time.Time) (back bool) {
+	before := l.Out(now)
+	switch a {
+	case AnswerOK:
+		l.says, l.unreachable = false, 0
+		l.refusedUntil = time.Time{}
+	case AnswerLeaving:
+		l.says, l.unreachable = true, 0
+	default:
+		l.unreachable++
+	}
+	return before && !l.Out(now)
+}
+
+// Refused takes in a refusal with the time after which the target asked to be
+// asked again, 0 if it did not. Whether it leaves or was only full, its health
+// answer tells; until then it gets nothing.
+func (l *Leaving) Refused(retryAfter time.Duration, now time.Time) {
+	span := min(max(retryAfter, refusedBase<<min(l.refusals, 10)), refusedMax)
+	l.refusals++
+	l.refusedUntil = now.Add(span)
+}
+
+// Accepted takes in that the target started a request.
+func (l *Leaving) Accepted() { l.refusals = 0 }
+
+// Says reports what is told to peers: the target said that it leaves.
+func (l *Leaving) Says() bool { return l.says }
+
+// Unreachable reports whether the target has not answered its latest probes.
+// That may be for the prober's own links, so that it is for the caller to ask
+// MayLeave before it acts on it.
+func (l *Leaving) Unreachable() bool { return l.unreachable >= ProbeFailures }
+
+// Out reports whether the target gets no new work by its own word.
+func (l *Leaving) Out(now time.Time) bool { return l.says || now.Before(l.refusedUntil) }
--- a/policy/routing/routing.go
+++ b/policy/routing/routing.go
@@ -24,6 +24,12 @@
 // below a tenfold slowdown.
 const SlowFactor = 3
 
+// clearlyBetter is the ratio of scores below which the second choice beats the
+// first. Idle targets differ by noise in their latency alone; without a margin
+// the luckiest of them would get all work at low load. One request more of
+// eight still counts.
+const clearlyBetter = 0.9
+
 // Target is what is known of one target at the time of a choice.
 type Target struct {
 	ID      model.VMID
@@ -33,7 +39,7 @@
 	Slots   int           // requests the target works on at once
 	Limit   int           // requests this entry VM may have there, its share of the slots
 	Latency time.Duration // estimate for answered requests; 0 where unknown
-	Weight  float64       // 0..1, below 1 while it is coming back; 0 counts as 1
+	Weight  float64       // share of its work it gets, below 1 while it is coming back; 0 counts as 1
 	Out     bool          // leaving, ejected or otherwise not to be used
 }
 
@@ -56,12 +62,8 @@
 // score is the expected time until a further request there would be done,
 // were the target's speed shared by its load. Lower is better.
 func (t *Target) score(typical time.Duration) float64 {
-	weight := t.Weight
-	if weight <= 0 {
-		weight = 1
-	}
 	load := float64(t.Own+t.Peers+1) / float64(max(t.Slots, 1))
-	return load * float64(t.latency(typical)) / weight
+	return load * float64(t.latency(typical))
 }
 
 // Choice asks for a target.
@@ -71,6 +73,8 @@
 	Wait    time.Duration // expected wait for the next free slot, anywhere
 	// LocalWait is the expected wait for the next free slot in the own zone.
 	LocalWait time.Duration
+	// Away says that this request goes to another zone first, see package shift.
+	Away bool
 	// Rand returns a number in [0,n).
 	Rand func(n int) int
 }
@@ -80,6 +84,11 @@
 // slot is used where waiting for one at home would cost more than the hop.
 func Pick(c Choice) int {
 	typical := Typical(c.Targets)
+	if c.Away {
+		if i := c.pickAmong(false, typical); i >= 0 {
+			return i
+		}
+	}
 	if i := c.pickAmong(true, typical); i >= 0 {
 		return i
 	}
@@ -111,10 +120,23 @@
 		other++
 	}
 	second := c.nth(other, local, typical)
-	if c.Targets[second].score(typical) < c.Targets[first].score(typical) {
-		return second
+	best, rest := first, second
+	if c.Targets[second].score(typical) < clearlyBetter*c.Targets[first].score(typical) {
+		best, rest = second, first
 	}
-	return first
+	if c.passesOver(best) {
+		return rest
+	}
+	return best
+}
+
+// passesOver reports whether a target that is coming back lets the other one
+// of the two go first. It is a matter of chance and not of score: an idle
+// target with a worse score would never be chosen at low load.
+func (c *Choice) passesOver(i int) bool {
+	const resolution = 1000
+	w := c.Targets[i].Weight
+	return w > 0 && w < 1 && c.Rand(resolution) >= int(w*resolution)
 }
 
 func (c *Choice) eligible(i int, local bool, typical time.Duration) bool {
@@ -155,9 +177,26 @@
 			known = append(known, ts[i].Latency)
 		}
 	}
-	if len(known) == 0 {
-		return time.Microsecond
+	return max(lowerMedian(known), time.Microsecond)
+}
+
+// TypicalOf returns the same for the own zone's targets or for the others, 0
+// where nothing is known.
+func TypicalOf(ts []Target, local bool) time.Duration {
+	var buffer [typicalBuffer]time.Duration
+	known := buffer[:0]
+	for i := range ts {
+		if ts[i].Latency > 0 && !ts[i].Out && ts[i].Local == local {
+			known = append(known, ts[i].Latency)
+		}
+	}
+	return lowerMedian(known)
+}
+
+func lowerMedian(values []time.Duration) time.Duration {
+	if len(values) == 0 {
+		return 0
 	}
-	slices.Sort(known)
-	return max(known[(len(known)-1)/2], time.Microsecond)
+	slices.Sort(values)
+	return values[(len(values)-1)/2]
 }
--- a/policy/slots/slots.go
+++ b/policy/slots/slots.go
@@ -65,18 +65,17 @@
 	return order
 }
 
-// Probers returns the entry VMs that ask the target for its health: the first
-// n of the rendezvous order, so that each target is asked by few and each entry
-// VM asks few, whatever the number of both.
-func Probers(t Target, entries []Entry, n int) []model.EntryID {
-	var ids []model.EntryID
-	for _, e := range rank(t, entries) {
-		if len(ids) == n {
-			break
+// Prober returns the zone's entry VM that asks the target for its health: the
+// first of the rendezvous order, so that each asks few, whatever the number.
+func Prober(t Target, zone model.ZoneName, entries []Entry) model.EntryID {
+	var prober model.EntryID
+	best := uint64(0)
+	for _, e := range entries {
+		if w := weight(t.ID, e.ID); e.Zone == zone && (prober == "" || w > best) {
+			prober, best = e.ID, w
 		}
-		ids = append(ids, e.ID)
 	}
-	return ids
+	return prober
 }
 
 // weight is the rendezvous hash of a target and an entry VM.
