--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -66,14 +67,13 @@
 
 // peers shows the peers' digests to policy.
 type peers struct {
-	loads  peer.Loads
-	detail peer.LoadDetail // nil where loads has none
-	buffer []slots.PeerLoad
+	loads   peer.Loads
+	digests peer.DigestSource // nil where loads shows none
 }
 
 func newPeers(l peer.Loads) *peers {
-	detail, _ := l.(peer.LoadDetail)
-	return &peers{loads: l, detail: detail}
+	digests, _ := l.(peer.DigestSource)
+	return &peers{loads: l, digests: digests}
 }
 
 // InFlight implements dispatch.Peers.
@@ -82,19 +82,47 @@
 // Leaving implements dispatch.Peers.
 func (p *peers) Leaving(vm model.VMID) bool { return p.loads.PeerSaysLeaving(vm) }
 
-// At implements dispatch.Peers.
-func (p *peers) At(vm model.VMID) []slots.PeerLoad {
-	if p.detail == nil {
+// Messages implements dispatch.Peers.
+func (p *peers) Messages() []slots.PeerMessage {
+	if p.digests == nil {
 		return nil
 	}
-	p.buffer = p.buffer[:0]
-	for _, l := range p.detail.PeerLoads(vm) {
-		p.buffer = append(p.buffer, slots.PeerLoad{
-			Entry: l.Entry, Heard: l.Heard, InFlight: int(l.InFlight),
-			Want: int(l.Want), LentTo: l.LentTo, Lent: int(l.Lent),
-		})
+	var all []slots.PeerMessage
+	for _, d := range p.digests.PeerDigests() {
+		all = append(all, slots.PeerMessage{Entry: d.Entry, Heard: d.Heard, Message: messageOf(d.Digest)})
+	}
+	return all
+}
+
+func messageOf(d peer.Digest) slots.Message {
+	var m slots.Message
+	for _, w := range d.Wants {
+		m.Wants = append(m.Wants, slots.Want{Service: w.Service, Slots: int(w.Slots)})
+	}
+	for _, l := range d.Loans {
+		m.Loans = append(m.Loans, slots.Loan{VM: l.VM, To: l.To, Slots: int(l.Slots), Version: l.Version})
+	}
+	for _, b := range d.Borrowed {
+		m.Borrowed = append(m.Borrowed, slots.Borrow{VM: b.VM, From: b.From, Using: int(b.Using), Version: b.Version})
+	}
+	return m
+}
+
+// FillDigest sets what this entry VM tells its peers of its requests.
+func (s *Server) FillDigest(d *peer.Digest) {
+	d.Loads = s.Loads()
+	d.Queued = uint32(s.Queued())
+	m := s.dispatch.lending()
+	d.Wants, d.Loans, d.Borrowed = nil, nil, nil
+	for _, w := range m.Wants {
+		d.Wants = append(d.Wants, peer.SlotWant{Service: w.Service, Slots: uint16(min(w.Slots, math.MaxUint16))})
+	}
+	for _, l := range m.Loans {
+		d.Loans = append(d.Loans, peer.SlotLoan{VM: l.VM, To: l.To, Slots: uint8(min(l.Slots, math.MaxUint8)), Version: l.Version})
+	}
+	for _, b := range m.Borrowed {
+		d.Borrowed = append(d.Borrowed, peer.SlotBorrow{VM: b.VM, From: b.From, Using: uint8(min(b.Using, math.MaxUint8)), Version: b.Version})
 	}
-	return p.buffer
 }
 
 // Loads returns what this entry VM has at each target, for its digest.
@@ -104,15 +132,8 @@
 	for _, st := range states {
 		loads = append(loads, peer.TargetLoad{
 			VM: st.VM, InFlight: uint16(st.InFlight), Leaving: st.Leaving, Ejected: st.Ejected,
-			Want: uint8(min(st.Want, 255)), LentTo: st.LentTo, Lent: uint8(min(st.Lent, 255)),
 		})
 	}
-	slices.SortFunc(loads, func(a, b peer.TargetLoad) int {
-		if a.VM < b.VM {
-			return -1
-		}
-		return 1
-	})
 	return loads
 }
 
--- a/internal/peer/digest.go
+++ b/internal/peer/digest.go
@@ -16,11 +16,6 @@
 	InFlight uint16     `msgpack:"n"`           // its own requests there now
 	Leaving  bool       `msgpack:"l,omitempty"` // it has seen the target say that it leaves
 	Ejected  bool       `msgpack:"e,omitempty"` // it sends nothing there for failures
-
-	// Slots that lie idle are lent between entry VMs, see policy/slots.
-	Want   uint8         `msgpack:"w,omitempty"` // slots it has work for beyond those it may use
-	LentTo model.EntryID `msgpack:"o,omitempty"` // whom it lends slots to; empty for nobody
-	Lent   uint8         `msgpack:"b,omitempty"` // how many
 }
 
 // Digest is what an entry VM tells its peers, in full within its zone.
@@ -32,6 +27,12 @@
 	Generation uint64            `msgpack:"g"` // of the declaration it has in force
 	Loads      []TargetLoad      `msgpack:"t,omitempty"`
 	Queued     uint32            `msgpack:"q,omitempty"`
+
+	// Slots that lie idle at one entry VM are lent to another, see
+	// policy/slots. Told to all zones; empty where nobody lends.
+	Wants    []SlotWant   `msgpack:"sw,omitempty"`
+	Loans    []SlotLoan   `msgpack:"sl,omitempty"`
+	Borrowed []SlotBorrow `msgpack:"sb,omitempty"`
 }
 
 // Loads is what routing asks of the peers' digests. Implementations are safe
@@ -46,17 +47,38 @@
 	LiveEntries(zone model.ZoneName) int
 }
 
-// PeerLoad is what one fresh peer last said of a target.
-type PeerLoad struct {
-	TargetLoad
-	Entry model.EntryID
-	Heard time.Time // when its latest digest came, whether or not it changed this load
+// SlotWant asks peers for slots of a service.
+type SlotWant struct {
+	Service model.ServiceName `msgpack:"s"`
+	Slots   uint16            `msgpack:"n"`
+}
+
+// SlotLoan lets a peer use slots that are the sender's; none where the loan is
+// taken back and not yet confirmed.
+type SlotLoan struct {
+	VM      model.VMID    `msgpack:"v"`
+	To      model.EntryID `msgpack:"t"`
+	Slots   uint8         `msgpack:"n"`
+	Version uint32        `msgpack:"r"`
+}
+
+// SlotBorrow confirms a version of a loan, with what still runs on it.
+type SlotBorrow struct {
+	VM      model.VMID    `msgpack:"v"`
+	From    model.EntryID `msgpack:"f"`
+	Using   uint8         `msgpack:"n"`
+	Version uint32        `msgpack:"r"`
+}
+
+// PeerDigest is the newest digest of one live peer; Loads may be left out.
+type PeerDigest struct {
+	Digest
+	Heard time.Time // when it came
 }
 
-// LoadDetail is implemented by Loads that tell peers apart. Without it entry
-// VMs keep to their own shares of slots and lend none.
-type LoadDetail interface {
-	// PeerLoads returns what each fresh peer of the own zone says of the
-	// target, with a zero load where it has nothing there.
-	PeerLoads(vm model.VMID) []PeerLoad
+// DigestSource is implemented by Loads that show the digests themselves.
+// Without it entry VMs keep to their own shares of slots and lend none.
+type DigestSource interface {
+	// PeerDigests returns the newest digest of each live peer of all zones.
+	PeerDigests() []PeerDigest
 }
--- a/policy/admission/admission.go
+++ b/policy/admission/admission.go
@@ -22,15 +22,32 @@
 	Limit    int           // most in flight by the service's declared limit; 0 for none
 	Ahead    float64       // cost waiting that goes before the request, in mean requests
 	Mean     time.Duration // mean time a request holds a slot; 0 where unknown
+	High     time.Duration // time within which most requests are done; 0 where unknown
 }
 
 // Request is what admission looks at.
 type Request struct {
 	Class    model.Class
-	Cost     float64 // relative to the mean; 0 counts as 1
+	Arrived  time.Time
 	Deadline time.Time
 }
 
+// margin is the time that must be left for the work itself: the high quantile
+// of what requests take. With the mean, a saturated service would let every
+// request wait until just the mean was left, and of exponential service times
+// more than a third of the slots' work would come too late. A caller that gives
+// a short timeout knows its requests: at most half of it is asked for.
+func (r Request) margin(high time.Duration) time.Duration {
+	return min(high, r.Deadline.Sub(r.Arrived)/2)
+}
+
+// Hopeless reports whether a request that has waited is better turned away
+// than sent: less than the margin is left, as the prediction at its coming was
+// too good, and others wait for the slot.
+func Hopeless(r Request, high time.Duration, now time.Time) bool {
+	return now.After(r.Arrived) && r.Deadline.Sub(now) < r.margin(high)
+}
+
 // Verdict is admission's answer.
 type Verdict int8
 
@@ -54,9 +71,7 @@
 // as leaving or returning targets take to be known everywhere.
 const noTargetRetry = 3 * time.Second
 
-// Decide predicts the wait and compares it to the deadline. The work itself
-// counts with its mean: a request whose deadline leaves less than that would
-// take a slot for an answer that is usually late.
+// Decide predicts the wait and compares it to the deadline.
 func Decide(l Load, r Request, now time.Time) Decision {
 	usable := l.Usable()
 	if usable <= 0 {
@@ -64,11 +79,7 @@
 	}
 	wait := l.Wait()
 	left := r.Deadline.Sub(now)
-	cost := r.Cost
-	if cost <= 0 {
-		cost = 1
-	}
-	needed := wait + time.Duration(min(cost, 1)*float64(l.Mean))
+	needed := wait + r.margin(l.High)
 	if wait > 0 && needed > left {
 		return Decision{Verdict: WouldBeLate, Wait: wait, RetryAfter: needed - left}
 	}
@@ -126,19 +137,38 @@
 // or so requests count, some tens of seconds of one service at today's sizes.
 const meanGain = 0.02
 
+// highQuantile is the share of requests that are done within High. Above it,
+// long requests among short ones would set the margin of all; below it, more
+// of the slots' work comes too late.
+const highQuantile = 0.95
+
 // HoldTime estimates how long requests hold a slot. The zero value knows
 // nothing.
 type HoldTime struct {
 	mean float64
+	high float64
 	n    int
 }
 
-// Observe takes in a sample. The first samples count alike.
+// Observe takes in a sample. The first samples count alike. The quantile moves
+// up or down by the sample's side alone, so that no sample's size matters.
 func (h *HoldTime) Observe(d time.Duration) {
 	h.n++
 	gain := max(meanGain, 1/float64(h.n))
 	h.mean += gain * (float64(d) - h.mean)
+	if h.n == 1 {
+		h.high = float64(d)
+	}
+	step := gain * max(h.high, h.mean)
+	if float64(d) > h.high {
+		h.high += step * highQuantile
+	} else {
+		h.high -= step * (1 - highQuantile)
+	}
 }
 
 // Mean returns the estimate, 0 where nothing is known.
 func (h *HoldTime) Mean() time.Duration { return time.Duration(h.mean) }
+
+// High returns the time within which most requests are done, 0 where unknown.
+func (h *HoldTime) High() time.Duration { return time.Duration(h.high) }
--- /dev/null
+++ b/policy/dispatch/bench_test.go
@@ -0,0 +1,281 @@
+package dispatch
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/pumicestage/pumicestage/policy/model"
+	"github.com/pumicestage/pumicestage/policy/routing"
+)
+
+// Ways to choose among free targets, to compare with.
+
+func pickRandom() func(routing.Choice) int {
+	return func(c routing.Choice) int {
+		free := freeTargets(c)
+		if len(free) == 0 {
+			return -1
+		}
+		return free[c.Rand(len(free))]
+	}
+}
+
+func pickRoundRobin() func(routing.Choice) int {
+	next := 0
+	return func(c routing.Choice) int {
+		for k := range c.Targets {
+			i := (next + k) % len(c.Targets)
+			if c.Targets[i].Free() > 0 && c.Targets[i].ID != c.Avoid {
+				next = i + 1
+				return i
+			}
+		}
+		return -1
+	}
+}
+
+func pickLeastInFlight() func(routing.Choice) int {
+	return func(c routing.Choice) int {
+		best := -1
+		for _, i := range freeTargets(c) {
+			if best < 0 || c.Targets[i].Own < c.Targets[best].Own {
+				best = i
+			}
+		}
+		return best
+	}
+}
+
+func freeTargets(c routing.Choice) []int {
+	var free []int
+	for i := range c.Targets {
+		if c.Targets[i].Free() > 0 && c.Targets[i].ID != c.Avoid {
+			free = append(free, i)
+		}
+	}
+	return free
+}
+
+var routings = []struct {
+	name string
+	pick func() func(routing.Choice) int
+}{
+	{"pumicestage", nil},
+	{"random", pickRandom},
+	{"round-robin", pickRoundRobin},
+	{"least-in-flight", pickLeastInFlight},
+}
+
+func exponential(r *rand.Rand) time.Duration {
+	return time.Duration(r.ExpFloat64() * float64(meanService))
+}
+
+// longAmongShort has one request in fifty take 2 s; the mean is 100 ms.
+func longAmongShort(r *rand.Rand) time.Duration {
+	if r.IntN(50) == 0 {
+		return 2 * time.Second
+	}
+	return time.Duration(61 * float64(time.Millisecond) * (0.5 + r.Float64()))
+}
+
+// capacity80 is the work ten targets of eight slots do in a second.
+const capacity80 = 80 * float64(time.Second) / float64(meanService)
+
+// saturated loads the service with times its capacity: a tenth is urgent, a
+// tenth deferrable.
+func saturated(times float64, span time.Duration) scenario {
+	rate := times * capacity80
+	return scenario{seed: 7, entries: 8, targets: 10, span: span, service: exponential, callers: []simCaller{
+		{name: "urgent", class: model.ClassUrgent, rate: 0.1 * rate, timeout: 2 * time.Second},
+		{name: "normal", class: model.ClassNormal, rate: 0.8 * rate, timeout: 2 * time.Second},
+		{name: "deferrable", class: model.ClassDeferrable, rate: 0.1 * rate, timeout: 20 * time.Second},
+	}}
+}
+
+func BenchmarkSaturation(b *testing.B) {
+	const span = 30 * time.Second
+	unloaded := run(saturated(0.1, 10*span))
+	for _, way := range routings {
+		b.Run(way.name, func(b *testing.B) {
+			for b.Loop() {
+				sc := saturated(2, span)
+				sc.pick = way.pick
+				r := run(sc)
+				b.ReportMetric(r.ofCapacity(span), "useful/capacity")
+				b.ReportMetric(ratio(r.callers["urgent"].quantile(0.99), unloaded.callers["urgent"].quantile(0.99)), "urgent-p99/unloaded")
+				b.ReportMetric(float64(r.callers["urgent"].useful)/float64(r.callers["urgent"].asked), "urgent-useful")
+				b.ReportMetric(float64(r.capped), "peak-per-target")
+			}
+		})
+	}
+}
+
+func ratio(a, b time.Duration) float64 { return float64(a) / float64(b) }
+
+// steady loads the service with a share of its capacity, one class, one caller.
+func steady(share float64, span time.Duration) scenario {
+	return scenario{seed: 11, entries: 8, targets: 10, span: span, service: exponential, callers: []simCaller{
+		{name: "normal", class: model.ClassNormal, rate: share * capacity80, timeout: 10 * time.Second},
+	}}
+}
+
+func slowed(sc scenario, factor float64) scenario {
+	sc.faults = append(sc.faults, simFault{at: time.Second, target: 0, change: func(t *simTarget) { t.slow = factor }})
+	return sc
+}
+
+func BenchmarkSlowTarget(b *testing.B) {
+	const span = 60 * time.Second
+	for _, way := range routings {
+		b.Run(way.name, func(b *testing.B) {
+			for b.Loop() {
+				before := steady(0.6, span)
+				before.pick = way.pick
+				after := slowed(before, 10)
+				sound := run(before).callers["normal"]
+				slow := run(after).callers["normal"]
+				b.ReportMetric(ratio(slow.quantile(0.99), sound.quantile(0.99)), "p99/sound")
+				b.ReportMetric(ratio(slow.quantile(0.5), sound.quantile(0.5)), "p50/sound")
+				b.ReportMetric(float64(sound.quantile(0.99).Milliseconds()), "sound-p99-ms")
+			}
+		})
+	}
+}
+
+// oneHeavy has ten light callers within their shares and one that asks for
+// the rest of twice the capacity.
+func oneHeavy(heavy float64, span time.Duration) scenario {
+	sc := scenario{seed: 13, entries: 8, targets: 10, span: span, service: exponential}
+	for _, name := range []string{"l0", "l1", "l2", "l3", "l4", "l5", "l6", "l7", "l8", "l9"} {
+		sc.callers = append(sc.callers, simCaller{name: name, class: model.ClassNormal, rate: 0.05 * capacity80, timeout: 2 * time.Second})
+	}
+	if heavy > 0 {
+		sc.callers = append(sc.callers, simCaller{name: "heavy", class: model.ClassNormal, rate: heavy * capacity80, timeout: 2 * time.Second})
+	}
+	return sc
+}
+
+func lightStats(r *simResult) simStats {
+	var sum simStats
+	for name, s := range r.callers {
+		if name == "heavy" {
+			continue
+		}
+		sum.asked += s.asked
+		sum.useful += s.useful
+		sum.latencies = append(sum.latencies, s.latencies...)
+	}
+	return sum
+}
+
+func BenchmarkHeavyCaller(b *testing.B) {
+	const span = 60 * time.Second
+	for b.Loop() {
+		alone := lightStats(run(oneHeavy(0, span)))
+		with := run(oneHeavy(1.5, span))
+		light := lightStats(with)
+		heavy := with.callers["heavy"]
+		b.ReportMetric(float64(alone.useful)/float64(alone.asked), "light-alone-useful")
+		b.ReportMetric(float64(light.useful)/float64(light.asked), "light-useful")
+		b.ReportMetric(ratio(light.quantile(0.99), alone.quantile(0.99)), "light-p99/alone")
+		b.ReportMetric(float64(heavy.useful)/float64(heavy.asked), "heavy-useful")
+		b.ReportMetric(with.ofCapacity(span), "useful/capacity")
+	}
+}
+
+func BenchmarkLongAmongShort(b *testing.B) {
+	const span = 60 * time.Second
+	for _, way := range routings {
+		b.Run(way.name, func(b *testing.B) {
+			for b.Loop() {
+				sc := steady(0.7, span)
+				sc.service, sc.pick = longAmongShort, way.pick
+				r := run(sc).callers["normal"]
+				b.ReportMetric(float64(r.quantile(0.5).Milliseconds()), "p50-ms")
+				b.ReportMetric(float64(r.quantile(0.97).Milliseconds()), "p97-ms")
+				b.ReportMetric(float64(r.useful)/float64(r.asked), "useful")
+			}
+		})
+	}
+}
+
+// outage has half of the targets fail in one way for half of the time.
+func outage(span time.Duration, change func(*simTarget)) scenario {
+	sc := steady(0.9, span)
+	for i := range 5 {
+		sc.faults = append(sc.faults, simFault{at: span / 4, target: i, change: change},
+			simFault{at: span * 3 / 4, target: i, change: func(t *simTarget) { t.down, t.refuses, t.fails = false, false, false }})
+	}
+	return sc
+}
+
+func BenchmarkRetryUnderOutage(b *testing.B) {
+	const span = 40 * time.Second
+	for _, o := range []struct {
+		name   string
+		change func(*simTarget)
+	}{
+		{"down", func(t *simTarget) { t.down = true }},
+		{"failing", func(t *simTarget) { t.fails = true }},
+		{"refusing", func(t *simTarget) { t.refuses, t.running = true, t.running+8 }},
+	} {
+		b.Run(o.name, func(b *testing.B) {
+			for b.Loop() {
+				r := run(outage(span, o.change))
+				s := r.callers["normal"]
+				b.ReportMetric(float64(r.retries)/float64(r.fresh), "retries/fresh")
+				b.ReportMetric(float64(s.useful)/float64(s.asked), "useful")
+				b.ReportMetric(float64(s.failed)/float64(s.asked), "failed")
+			}
+		})
+	}
+}
+
+// skewed sends half of the load to one entry VM, as a balancer does that pins
+// the connections of a few callers.
+func skewed(sc scenario) scenario {
+	sc.entryOf = func(r *rand.Rand) int {
+		if r.IntN(2) == 0 {
+			return 0
+		}
+		return r.IntN(sc.entries)
+	}
+	return sc
+}
+
+func BenchmarkSlots(b *testing.B) {
+	const span = 40 * time.Second
+	for _, load := range []struct {
+		name string
+		sc   func() scenario
+	}{
+		{"even-0.7", func() scenario { return steady(0.7, span) }},
+		{"skewed-0.4", func() scenario { return skewed(steady(0.4, span)) }},
+		{"skewed-0.7", func() scenario { return skewed(steady(0.7, span)) }},
+	} {
+		for _, way := range []struct {
+			name  string
+			apply func(*scenario)
+		}{
+			{"loans", func(*scenario) {}},
+			{"fixed", func(sc *scenario) { sc.noLoans = true }},
+			{"optimistic", func(sc *scenario) { sc.noLoans, sc.optimistic, sc.refuses = true, true, true }},
+			{"optimistic-no-refusal", func(sc *scenario) { sc.noLoans, sc.optimistic = true, true }},
+		} {
+			b.Run(load.name+"/"+way.name, func(b *testing.B) {
+				for b.Loop() {
+					sc := load.sc()
+					way.apply(&sc)
+					r := run(sc)
+					s := r.callers["normal"]
+					b.ReportMetric(float64(s.useful)/float64(s.asked), "useful")
+					b.ReportMetric(float64(s.quantile(0.99).Milliseconds()), "p99-ms")
+					b.ReportMetric(float64(r.capped), "sent-peak")
+					b.ReportMetric(float64(r.peak), "running-peak")
+					b.ReportMetric(float64(r.refused)/float64(r.fresh), "refused/fresh")
+				}
+			})
+		}
+	}
+}
--- a/policy/dispatch/choice.go
+++ b/policy/dispatch/choice.go
@@ -1,6 +1,8 @@
 package dispatch
 
 import (
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/pumicestage/pumicestage/policy/model"
@@ -45,7 +47,7 @@
 		Local:   t.zone == d.cfg.Zone,
 		Own:     t.own,
 		Slots:   t.slots,
-		Limit:   t.limit,
+		Limit:   t.limit - t.penalized(now),
 		Latency: t.latency.Value(now, 0),
 		Weight:  t.health.Weight(now),
 		Out:     d.out(t, now),
@@ -119,21 +121,17 @@
 	Limit    int
 	Leaving  bool // the target itself said that it leaves
 	Ejected  bool
-	Want     int
-	LentTo   model.EntryID
-	Lent     int
 }
 
-// States returns the state of every target, in no particular order.
+// States returns the state of every target, by ID.
 func (d *Dispatcher) States(now time.Time) []State {
 	states := make([]State, 0, len(d.targets))
 	for _, t := range d.targets {
-		s := State{
+		states = append(states, State{
 			VM: t.id, InFlight: t.own, Limit: t.limit, Leaving: t.leaving.Says(),
-			Ejected: t.health.Ejected(now), Want: t.want,
-		}
-		s.LentTo, s.Lent = t.loan.Lent()
-		states = append(states, s)
+			Ejected: t.health.Ejected(now),
+		})
 	}
+	slices.SortFunc(states, func(a, b State) int { return strings.Compare(string(a.VM), string(b.VM)) })
 	return states
 }
--- a/policy/dispatch/dispatch.go
+++ b/policy/dispatch/dispatch.go
@@ -21,9 +21,9 @@
 	InFlight(vm model.VMID) int
 	// Leaving reports whether a fresh peer has seen the target leave.
 	Leaving(vm model.VMID) bool
-	// At returns what each fresh peer says of the target, nil where that is
-	// not known. The slice may be reused by the next call.
-	At(vm model.VMID) []slots.PeerLoad
+	// Messages returns what each peer last said of lending slots, nil where
+	// that is not known.
+	Messages() []slots.PeerMessage
 }
 
 // Config sets a Dispatcher up.
@@ -51,6 +51,10 @@
 	Data  any // the executor's own
 }
 
+func (r *Request) admission() admission.Request {
+	return admission.Request{Class: r.Class, Arrived: r.Arrived, Deadline: r.Deadline}
+}
+
 // Reason says why a request was turned away.
 type Reason int8
 
@@ -94,6 +98,7 @@
 	order    []*service // by name: decisions do not depend on a map's order
 	targets  map[model.VMID]*target
 	live     []slots.Entry
+	book     *slots.Book
 	grants   []Grant
 }
 
@@ -107,6 +112,7 @@
 		services: make(map[model.ServiceName]*service),
 		targets:  make(map[model.VMID]*target),
 		live:     []slots.Entry{{ID: cfg.Self, Zone: cfg.Zone}},
+		book:     slots.NewBook(cfg.Self),
 	}
 }
 
@@ -140,7 +146,7 @@
 }
 
 func (d *Dispatcher) turnAway(svc *service, r Request, now time.Time) *Refusal {
-	decision := admission.Decide(d.load(svc, r, now), admission.Request{Class: r.Class, Deadline: r.Deadline}, now)
+	decision := admission.Decide(d.load(svc, r, now), r.admission(), now)
 	switch decision.Verdict {
 	case admission.NoTargets:
 		return &Refusal{Reason: NoTarget, RetryAfter: decision.RetryAfter}
@@ -157,6 +163,7 @@
 		Limit:    d.limit(svc),
 		Ahead:    svc.queue.Ahead(r.Caller, r.Class),
 		Mean:     svc.hold.Mean(),
+		High:     svc.hold.High(),
 	}
 	for _, t := range svc.targets {
 		if d.out(t, now) {
@@ -246,7 +253,12 @@
 		if it == nil {
 			return
 		}
-		d.grant(it.Data.(*Ticket), c)
+		t := it.Data.(*Ticket)
+		if svc.queue.Len() > 0 && admission.Hopeless(t.Request.admission(), svc.hold.High(), now) {
+			d.refuse(t, Refusal{Reason: DeadlinePast, RetryAfter: svc.hold.High()})
+			continue
+		}
+		d.grant(t, c)
 	}
 }
 
--- a/policy/dispatch/fleet.go
+++ b/policy/dispatch/fleet.go
@@ -42,7 +42,9 @@
 	costs   *admission.Costs
 	retries *retry.Budget
 	shift   shift.Shifter
-	running int // requests at targets
+	running int     // requests at targets
+	inUse   float64 // running, averaged
+	waiting float64 // queued, averaged
 	scratch []routing.Target
 }
 
@@ -64,6 +66,7 @@
 		}
 	}
 	d.updateServices(f)
+	d.setLimits(now)
 	for _, svc := range d.order {
 		d.pump(svc, now)
 	}
@@ -135,12 +138,14 @@
 	if t.slots <= 0 {
 		t.slots = defaultSlots
 	}
-	before := t.share
 	t.share = slots.Share(t.divided(), d.live, d.cfg.Self)
-	t.limit += t.share - before
 	return t
 }
 
+func (t *target) divided() slots.Target {
+	return slots.Target{ID: t.id, Zone: t.zone, Slots: t.slots}
+}
+
 // dropService ends the waits of a service that is declared no more.
 func (d *Dispatcher) dropService(name model.ServiceName, svc *service) {
 	delete(d.services, name)
--- a/policy/dispatch/loans.go
+++ b/policy/dispatch/loans.go
@@ -1,62 +1,155 @@
 package dispatch
 
 import (
+	"math"
 	"time"
 
+	"github.com/pumicestage/pumicestage/policy/model"
 	"github.com/pumicestage/pumicestage/policy/slots"
 )
 
-// stepLoans lends and takes back slots by what peers say.
+// Slots that lie idle at one entry VM are lent to one that has work for them:
+// a balancer that pins the connections of a few callers gives one entry VM
+// several times the load of another.
+
+// stepLoans takes in what peers say of lending, and lends and takes back.
 func (d *Dispatcher) stepLoans(now time.Time) {
 	if d.cfg.Peers == nil {
 		return
 	}
+	peers := d.cfg.Peers.Messages()
+	d.book.Hear(peers, now)
+	for _, svc := range d.order {
+		svc.noteUse()
+		d.stepLoansOf(svc, peers, now)
+	}
+	d.setLimits(now)
+}
+
+func (d *Dispatcher) setLimits(now time.Time) {
 	for _, t := range d.targets {
-		t.waiting = 0
+		t.limit = d.book.Limit(t.id, t.share, now)
 	}
-	for _, svc := range d.order {
-		for _, t := range svc.targets {
-			t.waiting += svc.queue.Len()
+}
+
+func (d *Dispatcher) stepLoansOf(svc *service, peers []slots.PeerMessage, now time.Time) {
+	if svc.queue.Len() > 0 {
+		d.takeBack(svc)
+		return
+	}
+	wants := wantsOf(svc.decl.Name, peers)
+	for _, t := range svc.targets {
+		if d.book.Idle(t.id, func(e model.EntryID) bool { return wants[e] > 0 }, now) {
+			d.book.TakeBack(t.id)
 		}
 	}
-	for _, svc := range d.order {
-		spare := d.spare(svc, now)
-		for _, t := range svc.targets {
-			spare -= d.stepLoan(t, spare, now)
+	d.lend(svc, wants, now)
+}
+
+// takeBack ends as many loans as requests wait here. Ending all for one request
+// would have loans come and go with each burst.
+func (d *Dispatcher) takeBack(svc *service) {
+	n := svc.queue.Len()
+	for _, t := range svc.targets {
+		if n <= 0 {
+			return
+		}
+		n -= d.book.TakeBack(t.id)
+	}
+}
+
+// lend gives idle slots to the peers that want most.
+func (d *Dispatcher) lend(svc *service, wants map[model.EntryID]int, now time.Time) {
+	spare := d.spare(svc, now)
+	for _, t := range svc.targets {
+		to := mostWanting(wants)
+		if spare <= 0 || to == "" {
+			return
+		}
+		n := min(t.limit-t.own, spare, wants[to])
+		if n <= 0 || d.out(t, now) || d.book.Lending(t.id) || d.book.Borrowing(t.id) {
+			continue
 		}
+		d.book.Lend(t.id, to, n, now)
+		spare -= n
+		wants[to] -= n
 	}
 }
 
-// spare is what the service can lend of its slots here: an entry VM keeps half
-// of its share for its own next requests.
+// spare is what the service can lend of its slots here: all but what is in use
+// on average, what chance adds to that (a Poisson load stays within one and a
+// half standard deviations nine times in ten), and one for the next request.
 func (d *Dispatcher) spare(svc *service, now time.Time) int {
-	free, share := 0, 0
+	limit := 0
 	for _, t := range svc.targets {
 		if !d.out(t, now) {
-			free += t.limit - t.own
-			share += t.share
+			limit += t.limit
 		}
 	}
-	return free - (share+1)/2
+	inUse := svc.inUse + 1.5*math.Sqrt(svc.inUse)
+	return limit - max(int(math.Ceil(inUse)), svc.running) - 1
+}
+
+// Gains of the averages per tick: slots in use over about 2 s, requests that
+// wait over a second, so that a passing burst asks for nothing.
+const (
+	inUseGain   = 0.025
+	waitingGain = 0.05
+)
+
+func (s *service) noteUse() {
+	s.inUse += inUseGain * (float64(s.running) - s.inUse)
+	s.waiting += waitingGain * (float64(s.queue.Len()) - s.waiting)
 }
 
-// stepLoan looks at one target and returns how many slots were lent anew.
-func (d *Dispatcher) stepLoan(t *target, spare int, now time.Time) int {
-	peers := d.cfg.Peers.At(t.id)
-	for i := range peers {
-		peers[i].Share = slots.Share(t.divided(), d.live, peers[i].Entry)
+func wantsOf(name model.ServiceName, peers []slots.PeerMessage) map[model.EntryID]int {
+	wants := make(map[model.EntryID]int)
+	for _, p := range peers {
+		for _, w := range p.Wants {
+			if w.Service == name && w.Slots > 0 {
+				wants[p.Entry] = w.Slots
+			}
+		}
 	}
-	_, before := t.loan.Lent()
-	own := slots.Demand{Share: t.share, InFlight: t.own, Waiting: t.waiting, Spare: spare}
-	t.limit = t.loan.Step(d.cfg.Self, own, peers, now)
-	t.want = 0
-	if !t.loan.Lending() && t.serving {
-		t.want = min(t.waiting, max(0, t.slots-t.limit))
+	return wants
+}
+
+func mostWanting(wants map[model.EntryID]int) model.EntryID {
+	var best model.EntryID
+	for e, n := range wants {
+		if n > 0 && (best == "" || n > wants[best] || (n == wants[best] && e < best)) {
+			best = e
+		}
 	}
-	_, after := t.loan.Lent()
-	return max(0, after-before)
+	return best
 }
 
-func (t *target) divided() slots.Target {
-	return slots.Target{ID: t.id, Zone: t.zone, Slots: t.slots}
+// Lending returns what to tell peers.
+func (d *Dispatcher) Lending() slots.Message {
+	var wants []slots.Want
+	for _, svc := range d.order {
+		if n := svc.wanted(); n > 0 {
+			wants = append(wants, slots.Want{Service: svc.decl.Name, Slots: n})
+		}
+	}
+	inFlight := func(vm model.VMID) int { return d.targetOr(vm).own }
+	share := func(vm model.VMID) int { return d.targetOr(vm).share }
+	return d.book.Message(wants, inFlight, share)
+}
+
+// wanted is how many slots beyond its share the service has work for: what
+// waits, and what runs on borrowed ones.
+func (s *service) wanted() int {
+	over := 0
+	for _, t := range s.targets {
+		over += max(0, t.own-t.share)
+	}
+	return int(s.waiting) + over
+}
+
+func (d *Dispatcher) targetOr(vm model.VMID) *target {
+	if t := d.targets[vm]; t != nil {
+		return t
+	}
+	return &target{}
 }
--- /dev/null
+++ b/policy/dispatch/model_test.go
@@ -0,0 +1,454 @@
+package dispatch
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/pumicestage/pumicestage/policy/model"
+	"github.com/pumicestage/pumicestage/policy/routing"
+	"github.com/pumicestage/pumicestage/policy/slots"
+)
+
+// The step model: entry VMs that run Dispatchers, targets with slots, links
+// with delays, and digests between the entry VMs of a zone, on a clock of
+// events. Everything is drawn from one seed.
+
+const (
+	linkLocal   = 100 * time.Microsecond
+	linkRemote  = 1500 * time.Microsecond
+	digestEvery = 250 * time.Millisecond
+	tickEvery   = 50 * time.Millisecond
+	meanService = 100 * time.Millisecond
+	settleTime  = 5 * time.Second
+)
+
+// scenario is one run of the model.
+type scenario struct {
+	seed    uint64
+	entries int // two to a zone of four
+	targets int
+	span    time.Duration
+	callers []simCaller
+	service func(*rand.Rand) time.Duration
+	pick    func() func(routing.Choice) int // nil for routing.Pick
+	deaf    bool                            // no digests at all
+	limit   int                             // the service's declared limit
+	entryOf func(*rand.Rand) int            // nil for all alike
+	refuses bool                            // targets refuse beyond their slots
+	noLoans bool                            // each keeps to its own share
+	// optimistic lets each entry VM use every slot its peers' digests show free.
+	optimistic bool
+	faults     []simFault
+	answered   func(at time.Duration, vm int) // called for each answer
+}
+
+// simCaller sends requests at a rate.
+type simCaller struct {
+	name    string
+	class   model.Class
+	rate    float64 // a second, over all entry VMs
+	timeout time.Duration
+	burst   int // requests at once at each arrival; 0 for 1
+	service time.Duration
+}
+
+// simFault changes a target at a time.
+type simFault struct {
+	at     time.Duration
+	target int
+	change func(*simTarget)
+}
+
+// result is what callers got.
+type simResult struct {
+	callers map[string]*simStats
+	inSpan  int // useful answers before arrivals stopped
+	fresh   int
+	retries int
+	refused int // by targets
+	peak    int // most requests running at one target
+	capped  int // most granted to one target by all entry VMs at once
+}
+
+type simStats struct {
+	asked, useful, late, turnedAway, failed int
+	inSpan                                  int // useful before arrivals stopped
+	latencies                               []time.Duration // of useful answers
+}
+
+func (s *simStats) quantile(q float64) time.Duration {
+	if len(s.latencies) == 0 {
+		return 0
+	}
+	sorted := slices.Sorted(slices.Values(s.latencies))
+	return sorted[min(int(q*float64(len(sorted))), len(sorted)-1)]
+}
+
+// ofCapacity is the useful work as a share of what the targets could do.
+func (r *simResult) ofCapacity(span time.Duration) float64 {
+	return float64(r.inSpan) / (capacity80 * span.Seconds())
+}
+
+type simEvent struct {
+	at  time.Time
+	seq int
+	do  func()
+}
+
+type eventHeap []simEvent
+
+func (h eventHeap) Len() int { return len(h) }
+func (h eventHeap) Less(i, j int) bool {
+	if !h[i].at.Equal(h[j].at) {
+		return h[i].at.Before(h[j].at)
+	}
+	return h[i].seq < h[j].seq
+}
+func (h eventHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+func (h *eventHeap) Push(x any)   { *h = append(*h, x.(simEvent)) }
+func (h *eventHeap) Pop() any {
+	old := *h
+	e := old[len(old)-1]
+	*h = old[:len(old)-1]
+	return e
+}
+
+type sim struct {
+	scenario
+	now     time.Time
+	start   time.Time
+	seq     int
+	events  eventHeap
+	rand    *rand.Rand
+	es      []*simEntry
+	ts      []*simTarget
+	byID    map[model.VMID]*simTarget
+	results *simResult
+}
+
+type simEntry struct {
+	id    model.EntryID
+	zone  model.ZoneName
+	d     *Dispatcher
+	heard map[model.EntryID]simDigest
+
+	noLoans bool
+}
+
+type simDigest struct {
+	at    time.Time
+	loads map[model.VMID]State
+	msg   slots.Message
+}
+
+type simTarget struct {
+	vm      VM
+	running int
+	granted int // by all entry VMs, on the way included
+	slow    float64
+	refuses bool
+	down    bool
+	fails   bool
+}
+
+type simRequest struct {
+	caller   *simCaller
+	stats    *simStats
+	entry    *simEntry
+	arrived  time.Time
+	work     time.Duration
+	attempts int
+	ticket   *Ticket
+	over     bool
+}
+
+func zoneName(i int) model.ZoneName { return model.ZoneName(fmt.Sprintf("z%d", i)) }
+
+func run(sc scenario) *simResult {
+	start := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	s := &sim{scenario: sc, now: start, start: start, rand: rand.New(rand.NewPCG(sc.seed, 1)),
+		byID: map[model.VMID]*simTarget{}, results: &simResult{callers: map[string]*simStats{}}}
+	s.build()
+	s.load()
+	// Arrivals stop at the span's end; what is inside gets its answer.
+	end := start.Add(sc.span + settleTime)
+	for len(s.events) > 0 {
+		e := heap.Pop(&s.events).(simEvent)
+		if e.at.After(end) {
+			break
+		}
+		s.now = e.at
+		e.do()
+	}
+	return s.results
+}
+
+func (s *sim) after(d time.Duration, do func()) {
+	s.seq++
+	heap.Push(&s.events, simEvent{s.now.Add(d), s.seq, do})
+}
+
+func (s *sim) build() {
+	fleet := Fleet{Services: []model.Service{{Name: "svc", Pools: []model.PoolName{"p"}, Slots: 8, Limit: s.limit}}}
+	for i := range s.targets {
+		vm := VM{ID: model.VMID(fmt.Sprintf("v%d", i)), Zone: zoneName(i % 4), Pool: "p", Serving: true}
+		t := &simTarget{vm: vm, slow: 1, refuses: s.refuses}
+		s.ts = append(s.ts, t)
+		s.byID[vm.ID] = t
+		fleet.VMs = append(fleet.VMs, vm)
+	}
+	for i := range s.entries {
+		fleet.Entries = append(fleet.Entries, slots.Entry{ID: model.EntryID(fmt.Sprintf("e%d", i)), Zone: zoneName(i % 4)})
+	}
+	for i, e := range fleet.Entries {
+		se := &simEntry{id: e.ID, zone: e.Zone, heard: map[model.EntryID]simDigest{}, noLoans: s.noLoans}
+		cfg := Config{Self: e.ID, Zone: e.Zone, Peers: se, Rand: rand.New(rand.NewPCG(s.seed, uint64(10+i))).IntN}
+		if s.pick != nil {
+			cfg.Pick = s.pick()
+		}
+		se.d = New(cfg)
+		known := fleet
+		if s.optimistic {
+			known.Entries = nil // its share is all slots
+		}
+		se.d.Update(known, s.now)
+		s.es = append(s.es, se)
+		s.after(time.Duration(i)*tickEvery/8, func() { s.tick(se) })
+		if !s.deaf {
+			s.after(time.Duration(i)*digestEvery/8, func() { s.digest(se, 0) })
+		}
+	}
+	for _, f := range s.faults {
+		s.after(f.at, func() { f.change(s.ts[f.target]) })
+	}
+}
+
+func (s *sim) tick(e *simEntry) {
+	e.d.Tick(s.now)
+	s.deliver(e)
+	s.after(tickEvery, func() { s.tick(e) })
+}
+
+// digest tells the entry VMs of the zone what this one knows first hand, four
+// times a second, and those of other zones of its lending only, once a second.
+func (s *sim) digest(e *simEntry, n int) {
+	loads := map[model.VMID]State{}
+	for _, st := range e.d.States(s.now) {
+		loads[st.VM] = st
+	}
+	msg := e.d.Lending()
+	for _, peer := range s.es {
+		switch {
+		case peer == e:
+		case peer.zone == e.zone || s.optimistic:
+			s.after(linkLocal, func() { peer.heard[e.id] = simDigest{s.now, loads, msg} })
+		case n%4 == 0:
+			s.after(linkRemote, func() { peer.heard[e.id] = simDigest{s.now, nil, msg} })
+		}
+	}
+	s.after(digestEvery, func() { s.digest(e, n+1) })
+}
+
+// InFlight implements Peers.
+func (e *simEntry) InFlight(vm model.VMID) int {
+	n := 0
+	for _, d := range e.heard {
+		n += d.loads[vm].InFlight
+	}
+	return n
+}
+
+// Leaving implements Peers.
+func (e *simEntry) Leaving(vm model.VMID) bool {
+	for _, d := range e.heard {
+		if d.loads[vm].Leaving {
+			return true
+		}
+	}
+	return false
+}
+
+// Messages implements Peers.
+func (e *simEntry) Messages() []slots.PeerMessage {
+	if e.noLoans {
+		return nil
+	}
+	var all []slots.PeerMessage
+	for id, d := range e.heard {
+		all = append(all, slots.PeerMessage{Entry: id, Heard: d.at, Message: d.msg})
+	}
+	slices.SortFunc(all, func(a, b slots.PeerMessage) int { return strings.Compare(string(a.Entry), string(b.Entry)) })
+	return all
+}
+
+// load schedules all callers' arrivals.
+func (s *sim) load() {
+	for i := range s.callers {
+		c := &s.callers[i]
+		if s.results.callers[c.name] == nil {
+			s.results.callers[c.name] = &simStats{}
+		}
+		s.arrivals(c)
+	}
+}
+
+func (s *sim) arrivals(c *simCaller) {
+	if s.now.Sub(s.start) >= s.span {
+		return
+	}
+	gap := time.Duration(s.rand.ExpFloat64() / c.rate * float64(time.Second) * float64(max(c.burst, 1)))
+	s.after(gap, func() {
+		for range max(c.burst, 1) {
+			s.arrive(c)
+		}
+		s.arrivals(c)
+	})
+}
+
+func (s *sim) arrive(c *simCaller) {
+	e := s.es[s.rand.IntN(len(s.es))]
+	if s.entryOf != nil {
+		e = s.es[s.entryOf(s.rand)]
+	}
+	work := c.service
+	if work == 0 {
+		work = s.service(s.rand)
+	}
+	r := &simRequest{caller: c, stats: s.results.callers[c.name], entry: e, arrived: s.now, work: work}
+	r.stats.asked++
+	s.results.fresh++
+	s.after(c.timeout, func() { s.deadline(r) })
+	s.submit(r, "")
+}
+
+func (s *sim) submit(r *simRequest, avoid model.VMID) {
+	ticket, refusal := r.entry.d.Submit(Request{
+		Service: "svc", Caller: r.caller.name, Class: r.caller.class, Arrived: r.arrived,
+		Deadline: r.arrived.Add(r.caller.timeout), Avoid: avoid, Data: r,
+	}, s.now)
+	if refusal != nil {
+		s.turnAway(r)
+		return
+	}
+	r.ticket = ticket
+	s.deliver(r.entry)
+}
+
+func (s *sim) turnAway(r *simRequest) {
+	if !r.over {
+		r.over = true
+		r.stats.turnedAway++
+	}
+}
+
+func (s *sim) deadline(r *simRequest) {
+	if r.over {
+		return
+	}
+	r.over = true
+	r.stats.late++
+	if r.ticket != nil {
+		r.entry.d.Cancel(r.ticket)
+	}
+}
+
+func (s *sim) deliver(e *simEntry) {
+	for _, g := range e.d.Grants() {
+		r := g.Ticket.Request.Data.(*simRequest)
+		r.ticket = g.Ticket
+		if g.Refusal != nil {
+			s.turnAway(r)
+			continue
+		}
+		s.send(r, s.byID[g.VM])
+	}
+}
+
+func (s *sim) link(e *simEntry, t *simTarget) time.Duration {
+	if e.zone == t.vm.Zone {
+		return linkLocal
+	}
+	return linkRemote
+}
+
+func (s *sim) send(r *simRequest, t *simTarget) {
+	r.attempts++
+	if r.attempts > 1 {
+		s.results.retries++
+	}
+	t.granted++
+	s.results.capped = max(s.results.capped, t.granted)
+	sent := s.now
+	s.after(s.link(r.entry, t), func() { s.reach(r, t, sent) })
+}
+
+func (s *sim) reach(r *simRequest, t *simTarget, sent time.Time) {
+	back := s.link(r.entry, t)
+	switch {
+	case t.down:
+		s.after(back, func() { s.notRun(r, t, NotSent) })
+		return
+	case t.refuses && t.running >= 8:
+		s.results.refused++
+		s.after(back, func() { s.notRun(r, t, Refused) })
+		return
+	}
+	t.running++
+	s.results.peak = max(s.results.peak, t.running)
+	work := time.Duration(float64(r.work) * t.slow)
+	if t.fails {
+		work = time.Millisecond
+	}
+	failed := t.fails
+	s.after(work, func() {
+		t.running--
+		s.after(back, func() { s.answer(r, t, sent, failed) })
+	})
+}
+
+func (s *sim) answer(r *simRequest, t *simTarget, sent time.Time, failed bool) {
+	held := s.now.Sub(sent)
+	u := Use{Ended: Answered, Answer: held, Held: held}
+	if failed {
+		u.Ended = Errored
+	}
+	t.granted--
+	r.entry.d.Done(r.ticket, u, s.now)
+	if !r.over {
+		r.over = true
+		s.count(r, t, failed)
+	}
+	s.deliver(r.entry)
+}
+
+func (s *sim) count(r *simRequest, t *simTarget, failed bool) {
+	if failed {
+		r.stats.failed++
+		return
+	}
+	r.stats.useful++
+	if s.now.Sub(s.start) < s.span {
+		s.results.inSpan++
+		r.stats.inSpan++
+	}
+	r.stats.latencies = append(r.stats.latencies, s.now.Sub(r.arrived))
+	if s.answered != nil {
+		s.answered(s.now.Sub(s.start), slices.Index(s.ts, t))
+	}
+}
+
+func (s *sim) notRun(r *simRequest, t *simTarget, how Ending) {
+	t.granted--
+	r.entry.d.Done(r.ticket, Use{Ended: how}, s.now)
+	if !r.over && r.entry.d.Retry(r.ticket, r.attempts, true, s.now) == 1 {
+		s.submit(r, t.vm.ID)
+	} else if !r.over {
+		r.over = true
+		r.stats.failed++
+	}
+	s.deliver(r.entry)
+}
--- a/policy/dispatch/target.go
+++ b/policy/dispatch/target.go
@@ -28,10 +28,11 @@
 	okAt    time.Time // when its health answer was last ok
 	down    bool      // its health answers stay away, and the budget can do without it
 
-	probedAt time.Time
-	loan     slots.Loan
-	want     int // slots beyond limit that there is work for
-	waiting  int // queued requests that could run there
+	probedAt  time.Time
+	penalties []time.Time // when slots taken for failures are free again
+	loan      slots.Loan
+	want      int // slots beyond limit that there is work for
+	waiting   int // queued requests that could run there
 }
 
 // Ending is how a request's stay at a target ended.
@@ -79,14 +80,28 @@
 		t.latency.Observe(u.Answer, now)
 		t.leaving.Accepted()
 		t.health.Observe(true, now)
-	case Refused:
+	case Refused, NotSent:
 		t.leaving.Refused(u.RetryAfter, now)
-	case Errored, NotSent, Failed:
+	case Errored, Failed:
 		t.health.Observe(false, now)
+		d.penalize(svc, t, u, now)
 		d.judge(svc, t, now)
 	}
 }
 
+// penalize keeps a slot of a failing target taken for a while.
+func (d *Dispatcher) penalize(svc *service, t *target, u Use, now time.Time) {
+	if span := t.health.Penalty(u.Held, svc.hold.Mean()); span > 0 {
+		t.penalties = append(t.penalties, now.Add(span))
+	}
+}
+
+// penalized returns the slots that are taken for failures.
+func (t *target) penalized(now time.Time) int {
+	t.penalties = slices.DeleteFunc(t.penalties, func(until time.Time) bool { return !until.After(now) })
+	return len(t.penalties)
+}
+
 // judge ejects a target that fails more than its peers, within the budget.
 func (d *Dispatcher) judge(svc *service, t *target, now time.Time) {
 	var peers []*health.Target
--- a/policy/health/health.go
+++ b/policy/health/health.go
@@ -132,6 +132,18 @@
 	t.slots = [windowSlots]count{}
 }
 
+// maxPenalty bounds Penalty, in typical requests: a target that fails all it is
+// sent gets a tenth of what its peers get.
+const maxPenalty = 10
+
+// Penalty is how long a slot of the target stays taken after a failure: as many
+// typical requests as have failed in a row, less the time it was held. A
+// failing target that the budget keeps in use would otherwise be the one with
+// free slots and, under load, draw nearly every request.
+func (t *Target) Penalty(held, typical time.Duration) time.Duration {
+	return max(0, time.Duration(min(t.consecutive, maxPenalty))*typical-held)
+}
+
 // Judge looks at the target after a failure and ejects it where it is an
 // outlier among its peers (itself not included) and mayLeave says that the
 // budget permits one less. It reports whether it ejected it.
--- a/policy/health/leaving.go
+++ b/policy/health/leaving.go
@@ -3,9 +3,11 @@
 import "time"
 
 const (
-	// refusedBase is how long a target that refused a request gets no more,
-	// unless its health answer says before that it works. It doubles with each
-	// refusal in a row, up to refusedMax.
+	// refusedBase is how long a target that refused a request, or that could
+	// not be connected to, gets no more, unless its health answer says before
+	// that it works. It doubles with each refusal in a row, up to refusedMax.
+	// There is no budget to it as for ejections: what is sent there all the
+	// same is certain not to run.
 	refusedBase = time.Second
 	refusedMax  = 8 * time.Second
 	// ProbeFailures in a row make a target unreachable. One is a lost packet.
--- a/policy/routing/latency.go
+++ b/policy/routing/latency.go
@@ -14,13 +14,18 @@
 // after about three half-lives, by a handful of requests.
 const latencyHalfLife = 10 * time.Second
 
+// latencySamples is how many samples make an estimate. The first one alone
+// makes one good target in twenty look slow (exponential service times exceed
+// three times their mean with 5%), and a target that looks slow gets no second.
+const latencySamples = 5
+
 // Latency estimates how long a target takes to begin its answer. It averages
 // logarithms: one request a hundred times longer than the others (long work
 // among short) moves it by a factor of 1.6 and not by 11, whereas a target that
 // is slow for all requests shows fully. The zero value knows nothing.
 type Latency struct {
 	logMean float64
-	known   bool
+	samples int
 	at      time.Time
 }
 
@@ -28,17 +33,16 @@
 // not look quick.
 func (l *Latency) Observe(d time.Duration, now time.Time) {
 	sample := math.Log(float64(max(d, time.Microsecond)))
-	if !l.known {
-		l.logMean, l.known = sample, true
-	}
-	l.logMean += latencyGain * (sample - l.logMean)
+	l.samples++
+	gain := max(latencyGain, 1/float64(l.samples))
+	l.logMean += gain * (sample - l.logMean)
 	l.at = now
 }
 
 // Value returns the estimate at now, 0 where nothing is known. Without samples
 // it nears typical (0 where that is not known).
 func (l *Latency) Value(now time.Time, typical time.Duration) time.Duration {
-	if !l.known {
+	if l.samples < latencySamples {
 		return 0
 	}
 	if typical <= 0 {
