--- a/internal/dev/once.go
+++ b/internal/dev/once.go
@@ -30,7 +30,7 @@
 
 // Options say what to run.
 type Options struct {
-	Example string // folder of the declaration
+	Example string         // folder of the declaration
 	Wave    model.WaveName // that Once runs; the first declared if empty
 	Out     io.Writer
 	Log     logr.Logger
