peer: acknowledged digests, partitions in tests, bad frames drop one connection

A connection cut without notice takes writes for minutes, and TCP tries it again only after its backoff; acknowledgements end it after 4 s and a new one is dialled, so that a healed zone is heard within seconds. Loads are summed as deltas arrive. A new declaration in force is told at once instead of with the next second's sum. Tests run on a network in memory that cuts zones silently.

--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -19,6 +19,7 @@
 	KindDigest
 	KindViewPoll
 	KindView
+	KindAck
 	kindEnd
 )
 
@@ -35,6 +36,7 @@
 	maxDigestBytes = 256 << 10
 	maxPollBytes   = 1 << 10
 	maxViewBytes   = 8 << 20
+	maxAckBytes    = 1
 )
 
 // headerBytes is the length (4, big endian) and the kind (1).
@@ -53,6 +55,8 @@
 		return maxPollBytes
 	case KindView:
 		return maxViewBytes
+	case KindAck:
+		return maxAckBytes
 	}
 	return -1
 }
--- a/internal/peer/inbound.go
+++ b/internal/peer/inbound.go
@@ -82,9 +82,26 @@
 		if err := m.dispatch(from, id, k, body); err != nil {
 			return err
 		}
+		if k == KindDigest {
+			if err := m.acknowledge(conn); err != nil {
+				return err
+			}
+		}
+	}
+}
+
+func (m *Mesh) acknowledge(conn net.Conn) error {
+	if err := conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+		return err
 	}
+	n, err := conn.Write(ackFrame)
+	m.stats.sent(KindAck, n)
+	return err
 }
 
+// ackFrame is a frame without a body.
+var ackFrame = []byte{0, 0, 0, 0, byte(KindAck)}
+
 // welcome does the TLS handshake and the hellos.
 func (m *Mesh) welcome(conn net.Conn, id uint64) (hello, net.Conn, error) {
 	var far hello
@@ -129,7 +146,7 @@
 		}
 		return nil
 	}
-	if k >= kindEnd || m.handlers[k] == nil {
+	if m.handlers[k] == nil {
 		return errUnsolicited
 	}
 	m.handlers[k](from, body)
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -24,6 +24,12 @@
 	helloTimeout = 2 * time.Second
 	// writeTimeout ends a connection whose other end does not read.
 	writeTimeout = 2 * time.Second
+	// ackTimeout ends a connection whose other end acknowledges nothing: four
+	// sums, or sixteen digests.
+	ackTimeout = 4 * time.Second
+	// hurriedGap is the shortest time between two digests where the second
+	// tells of a new declaration in force.
+	hurriedGap = 50 * time.Millisecond
 	// redialMin and redialMax bound the jittered wait between attempts: a
 	// healed zone is heard within a second or two, and a dead address costs
 	// at most an attempt in two seconds.
@@ -160,30 +166,26 @@
 	}
 }
 
-// send writes digests and queued frames until the connection fails. The far
-// end sends nothing after its hello, so a read that returns means it is gone.
+// send writes digests and queued frames until the connection fails.
 func (l *link) send(conn net.Conn, sameZone bool) error {
 	gone := make(chan error, 1)
-	l.mesh.tasks.Go(func() {
-		_, err := conn.Read(make([]byte, 1))
-		if err == nil {
-			err = errUnsolicited
-		}
-		gone <- err
-	})
-	every := acrossZonesEvery
-	if sameZone {
-		every = withinZoneEvery
-	}
-	tick := time.NewTicker(every)
-	defer tick.Stop()
+	l.mesh.tasks.Go(func() { gone <- l.readAcks(conn) })
+	pace := newDigestPace(sameZone)
+	defer pace.timer.Stop()
 	delta := newDelta(sameZone)
 	for {
+		v := l.mesh.opts.View
+		changed := v.Changed()
+		pace.hurry(v.Load().Generation())
 		var frame []byte
 		select {
-		case <-tick.C:
+		case <-changed:
+			continue
+		case <-pace.timer.C:
+			d := delta.next(l.mesh.digest(), l.mesh.loadsPerDigest(pace.every))
+			pace.sent(d.Generation)
 			var err error
-			if frame, err = encodeFrame(KindDigest, delta.next(l.mesh.digest(), l.mesh.loadsPerDigest(every))); err != nil {
+			if frame, err = encodeFrame(KindDigest, d); err != nil {
 				return err
 			}
 		case frame = <-l.queue:
@@ -196,6 +198,60 @@
 	}
 }
 
+// readAcks returns when the far end is gone or has been silent for too long.
+// Each digest is acknowledged. Without that a connection cut without notice
+// takes writes for minutes, and after the heal TCP would try it again only
+// after its long backoff: the peer would stay unheard while it can be reached.
+func (l *link) readAcks(conn net.Conn) error {
+	for {
+		if err := conn.SetReadDeadline(time.Now().Add(ackTimeout)); err != nil {
+			return err
+		}
+		k, body, err := readFrame(conn)
+		if err != nil {
+			return err
+		}
+		if k != KindAck {
+			return errUnsolicited
+		}
+		l.mesh.stats.received(k, len(body)+headerBytes)
+	}
+}
+
+// digestPace says when the next digest is due.
+type digestPace struct {
+	every      time.Duration
+	timer      *time.Timer
+	last       time.Time
+	generation uint64 // told last
+	hurried    bool
+}
+
+func newDigestPace(sameZone bool) *digestPace {
+	every := acrossZonesEvery
+	if sameZone {
+		every = withinZoneEvery
+	}
+	return &digestPace{every: every, timer: time.NewTimer(0)}
+}
+
+// hurry brings the next digest forward where the declaration in force has
+// changed, so that whoever applied it need not wait for the next round.
+func (p *digestPace) hurry(generation uint64) {
+	if generation == p.generation || p.hurried {
+		return
+	}
+	p.hurried = true
+	p.timer.Reset(max(0, hurriedGap-time.Since(p.last)))
+}
+
+func (p *digestPace) sent(generation uint64) {
+	p.last = time.Now()
+	p.generation = generation
+	p.hurried = false
+	p.timer.Reset(p.every)
+}
+
 func (l *link) write(conn net.Conn, frame []byte) error {
 	if err := conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
 		return err
--- /dev/null
+++ b/internal/peer/mesh_test.go
@@ -0,0 +1,231 @@
+package peer
+
+import (
+	"context"
+	"encoding/binary"
+	"net"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-logr/logr"
+	"gotest.tools/v3/assert"
+
+	"github.com/pumicestage/pumicestage/internal/peer/peertest"
+	"github.com/pumicestage/pumicestage/internal/view"
+	"github.com/pumicestage/pumicestage/policy/model"
+)
+
+// daemon is one entry VM's mesh with the loads it tells of.
+type daemon struct {
+	*Mesh
+	stop func()
+
+	mu    sync.Mutex
+	loads []TargetLoad
+}
+
+func (d *daemon) tell(loads ...TargetLoad) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.loads = loads
+}
+
+func (d *daemon) local() ([]TargetLoad, int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.loads, 3
+}
+
+// start runs an entry VM whose address is its ID; it dials all of seeds.
+func start(t *testing.T, n *peertest.Network, id model.EntryID, zone model.ZoneName, incarnation uint64, seeds ...string) *daemon {
+	d := &daemon{}
+	d.Mesh = New(Options{
+		Self:    view.EntryRecord{ID: id, Zone: zone, Peer: string(id), Incarnation: incarnation},
+		Cluster: "test", Seeds: seeds, View: view.NewHolder(),
+		Listener: n.Listen(zone, string(id)), Dial: n.Dialer(zone),
+		Local: d.local, Log: logr.Discard(),
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		assert.Check(t, d.Run(ctx))
+	}()
+	d.stop = func() { cancel(); <-ended }
+	return d
+}
+
+func settle(d time.Duration) {
+	time.Sleep(d)
+	synctest.Wait()
+}
+
+func TestLoadsOfPeers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := peertest.New()
+		a := start(t, n, "a", "z1", 1, "b")
+		b := start(t, n, "b", "z1", 1)
+		c := start(t, n, "c", "z2", 1, "a")
+		defer a.stop()
+		defer c.stop()
+		b.tell(TargetLoad{VM: "v1", InFlight: 4}, TargetLoad{VM: "v2", InFlight: 1, Leaving: true})
+		c.tell(TargetLoad{VM: "v1", InFlight: 100})
+		settle(3 * time.Second)
+		assert.Equal(t, a.PeerInFlight("v1"), 4, "own zone in full, other zones only in sums")
+		assert.Assert(t, a.PeerSaysLeaving("v2"))
+		assert.Equal(t, a.LiveEntries("z1"), 2)
+		assert.Equal(t, a.LiveEntries("z2"), 1)
+
+		b.tell(TargetLoad{VM: "v1", InFlight: 2})
+		settle(time.Second)
+		assert.Equal(t, a.PeerInFlight("v1"), 2)
+		assert.Assert(t, !a.PeerSaysLeaving("v2"))
+
+		b.stop()
+		settle(liveWithinZone + maintainEvery)
+		assert.Equal(t, a.PeerInFlight("v1"), 0, "a dead peer's requests take no slots")
+		assert.Equal(t, a.LiveEntries("z1"), 1)
+	})
+}
+
+// What the operator sees: an entry VM is replaced while it was paused, and
+// wakes up beside its successor. Its digests tell of loads and
+// acknowledgements nobody stands for; they must not count.
+func TestOlderIncarnationIsTurnedAway(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := peertest.New()
+		a := start(t, n, "a", "z1", 1)
+		defer a.stop()
+		older := start(t, n, "b", "z1", 7, "a")
+		older.tell(TargetLoad{VM: "v", InFlight: 9})
+		settle(time.Second)
+		assert.Equal(t, a.PeerInFlight("v"), 9)
+
+		newer := start(t, n, "b", "z1", 8, "a")
+		newer.tell(TargetLoad{VM: "v", InFlight: 1})
+		settle(3 * time.Second)
+		assert.Equal(t, a.PeerInFlight("v"), 1)
+		assert.Equal(t, a.Peers()[0].Incarnation, uint64(8))
+
+		newer.stop()
+		settle(liveWithinZone + 2*redialMax)
+		assert.Equal(t, a.PeerInFlight("v"), 9, "the older one counts once its successor is gone")
+		older.stop()
+	})
+}
+
+// What callers see: a zone is cut off without notice; each side routes by what
+// its own VMs know. After the heal, connections that TCP would keep silent for
+// minutes are made anew and all hear each other within seconds.
+func TestCutAndHeal(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := peertest.New()
+		a1 := start(t, n, "a1", "z1", 1, "a2", "b1")
+		a2 := start(t, n, "a2", "z1", 1)
+		b1 := start(t, n, "b1", "z2", 1, "a2")
+		defer a1.stop()
+		defer a2.stop()
+		defer b1.stop()
+		settle(3 * time.Second)
+		assert.Equal(t, b1.LiveEntries("z1"), 2)
+
+		n.Cut("z1", "z2")
+		settle(liveAcrossZones + maintainEvery)
+		assert.Equal(t, b1.LiveEntries("z1"), 0)
+		assert.Equal(t, a1.LiveEntries("z1"), 2, "within the zone nothing changes")
+		settle(30 * time.Second)
+
+		n.Heal("z1", "z2")
+		settle(helloTimeout + redialMax + acrossZonesEvery)
+		assert.Equal(t, b1.LiveEntries("z1"), 2)
+		assert.Equal(t, a1.LiveEntries("z2"), 1)
+	})
+}
+
+// What the operator sees: something that is not a peer of this build writes to
+// the peer port. Its connection is closed and counted; the others go on.
+func TestBadFramesDropThatConnectionOnly(t *testing.T) {
+	good := hello{Version: ProtocolVersion, Cluster: "test", Entry: "x", Zone: "z1", Incarnation: 1}
+	foreign := func(change func(*hello)) []byte {
+		h := good
+		change(&h)
+		return must(encodeFrame(KindHello, h))
+	}
+	header := func(size uint32, k Kind) []byte {
+		return append(binary.BigEndian.AppendUint32(nil, size), byte(k))
+	}
+	opened := must(encodeFrame(KindHello, good))
+	cases := []struct {
+		name string
+		sent []byte
+	}{
+		{"another protocol", []byte("GET / HTTP/1.1\r\n\r\n")},
+		{"foreign version", foreign(func(h *hello) { h.Version++ })},
+		{"foreign cluster", foreign(func(h *hello) { h.Cluster = "other" })},
+		{"no name", foreign(func(h *hello) { h.Entry = "" })},
+		{"hello too large", header(maxHelloBytes+1, KindHello)},
+		{"digest before hello", must(encodeFrame(KindDigest, Digest{Seq: 1}))},
+		{"oversized digest", append(opened, header(maxDigestBytes+1, KindDigest)...)},
+		{"unknown kind", append(opened, header(0, kindEnd)...)},
+		{"kind without handler", append(opened, header(0, KindViewPoll)...)},
+		{"not msgpack", append(opened, append(header(3, KindDigest), 0xc1, 0xc1, 0xc1)...)},
+		{"second hello", append(opened, opened...)},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				n := peertest.New()
+				a := start(t, n, "a", "z1", 1, "b")
+				b := start(t, n, "b", "z1", 1)
+				defer a.stop()
+				defer b.stop()
+				b.tell(TargetLoad{VM: "v", InFlight: 2})
+				settle(time.Second)
+				assert.Assert(t, closedAfter(t, n, tc.sent), "connection is closed")
+				assert.Equal(t, a.Traffic().Refused, uint64(1))
+				assert.Equal(t, a.PeerInFlight("v"), 2)
+				assert.Equal(t, a.LiveEntries("z1"), 2)
+			})
+		})
+	}
+}
+
+// closedAfter writes to the mesh at "a" and reports whether it closes the
+// connection at once.
+func closedAfter(t *testing.T, n *peertest.Network, sent []byte) bool {
+	conn, err := n.Dialer("z1")(t.Context(), "a")
+	assert.NilError(t, err)
+	defer conn.Close()
+	go conn.Write(sent)
+	assert.NilError(t, conn.SetReadDeadline(time.Now().Add(time.Second)))
+	for {
+		if _, err := conn.Read(make([]byte, 512)); err != nil {
+			ne, ok := err.(net.Error)
+			return !ok || !ne.Timeout()
+		}
+	}
+}
+
+func must(frame []byte, err error) []byte {
+	if err != nil {
+		panic(err)
+	}
+	return frame
+}
+
+func TestDeltaIsBoundedAndComplete(t *testing.T) {
+	d := newDelta(true)
+	loads := []TargetLoad{{VM: "a", InFlight: 1}, {VM: "b", InFlight: 9}, {VM: "c", InFlight: 1, Leaving: true}}
+	first := d.next(Digest{Loads: loads}, 2)
+	assert.Assert(t, first.Full)
+	assert.DeepEqual(t, first.Loads, []TargetLoad{loads[2], loads[1]})
+	second := d.next(Digest{Loads: loads}, 2)
+	assert.Assert(t, !second.Full)
+	assert.DeepEqual(t, second.Loads, []TargetLoad{loads[0]})
+	assert.Equal(t, len(d.next(Digest{Loads: loads}, 2).Loads), 0)
+	gone := d.next(Digest{Loads: loads[:2]}, 2)
+	assert.DeepEqual(t, gone.Loads, []TargetLoad{{VM: "c"}})
+	assert.Equal(t, len(newDelta(false).next(Digest{Loads: loads}, 2).Loads), 0)
+}
--- a/internal/peer/table.go
+++ b/internal/peer/table.go
@@ -106,21 +106,17 @@
 	if d.Seq <= r.status.Seq {
 		return true
 	}
-	t.subtractLocked(r)
 	if d.Full {
+		t.subtractLocked(r)
 		clear(r.loads)
 	}
+	t.addLocked(r)
 	for _, l := range d.Loads {
-		if l == (TargetLoad{VM: l.VM}) {
-			delete(r.loads, l.VM)
-		} else {
-			r.loads[l.VM] = l
-		}
+		t.replaceLocked(r, l)
 	}
 	d.Entry, d.Zone, d.Loads = id, r.status.Zone, nil
 	r.status.Digest = d
 	r.status.Heard = t.now()
-	t.addLocked(r)
 	return true
 }
 
@@ -141,15 +137,37 @@
 	}
 }
 
+// replaceLocked takes a changed load of a summed peer in.
+func (t *table) replaceLocked(r *remote, l TargetLoad) {
+	t.countLocked(r.loads[l.VM], l.VM, -1)
+	t.countLocked(l, l.VM, 1)
+	if l == (TargetLoad{VM: l.VM}) {
+		delete(r.loads, l.VM)
+	} else {
+		r.loads[l.VM] = l
+	}
+}
+
+func (t *table) countLocked(l TargetLoad, vm model.VMID, sign int) {
+	s := t.sums[vm]
+	s.inFlight += sign * int(l.InFlight)
+	if l.Leaving {
+		s.leaving += sign
+	}
+	if s == (sum{}) {
+		delete(t.sums, vm)
+	} else {
+		t.sums[vm] = s
+	}
+}
+
 func (t *table) addLocked(r *remote) {
+	if r.summed {
+		return
+	}
 	r.summed = true
 	for vm, l := range r.loads {
-		s := t.sums[vm]
-		s.inFlight += int(l.InFlight)
-		if l.Leaving {
-			s.leaving++
-		}
-		t.sums[vm] = s
+		t.countLocked(l, vm, 1)
 	}
 }
 
@@ -159,16 +177,7 @@
 	}
 	r.summed = false
 	for vm, l := range r.loads {
-		s := t.sums[vm]
-		s.inFlight -= int(l.InFlight)
-		if l.Leaving {
-			s.leaving--
-		}
-		if s == (sum{}) {
-			delete(t.sums, vm)
-		} else {
-			t.sums[vm] = s
-		}
+		t.countLocked(l, vm, -1)
 	}
 }
 
@@ -178,12 +187,14 @@
 	return t.sums[vm]
 }
 
+// liveLocked counts digests only: whoever says hello and then nothing of use
+// is no peer.
 func (t *table) liveLocked(r *remote) bool {
 	window := liveAcrossZones
 	if r.status.Zone == t.zone {
 		window = liveWithinZone
 	}
-	return t.now().Sub(r.status.Heard) < window
+	return r.status.Seq > 0 && t.now().Sub(r.status.Heard) < window
 }
 
 func (t *table) list() []Status {
