--- a/internal/claim/group.go
+++ b/internal/claim/group.go
@@ -117,7 +117,8 @@
 	}
 }
 
-// run sends groups until ctx ends; writes still queued then fail unsent.
+// run sends groups until ctx ends; writes still queued then fail unsent. A
+// write in flight is waited for.
 func (c *committer) run(ctx context.Context) {
 	for c.awaitTurn(ctx) {
 		group := c.nextGroup()
@@ -204,9 +205,10 @@
 // where one write's condition fails, the values read back tell which one it
 // was, and the others go again without it.
 func (c *committer) commit(ctx context.Context, group []*pending) {
-	var lost error
+	var lost, last error
 	for range groupTries {
 		res, err := c.send(ctx, group)
+		last = err
 		switch {
 		case err == nil && res.Succeeded:
 			settleAll(group, outcome{applied: true, rev: res.Revision})
@@ -221,7 +223,7 @@
 		case platform.IsKind(err, platform.KindUnknown):
 			lost = err
 			pause(ctx, lostPause)
-		case lost != nil:
+		case lost != nil || platform.IsKind(err, platform.KindRateLimited):
 			pause(ctx, lostPause)
 		case isPoisoned(err) && len(group) > 1:
 			c.commitEach(ctx, group)
@@ -232,7 +234,7 @@
 		}
 	}
 	if lost == nil {
-		settleAll(group, outcome{err: platform.Errorf("txn", platform.KindUnavailable, "outrun by other writers")})
+		settleAll(group, outcome{err: platform.Errorf("txn", platform.KindUnavailable, "not written after %d tries: %v", groupTries, last)})
 		return
 	}
 	settleAll(group, outcome{err: platform.Errorf("txn", platform.KindUnknown, "%w", lost)})
--- a/internal/claim/ledger.go
+++ b/internal/claim/ledger.go
@@ -37,6 +37,9 @@
 	// settle a claim in the background.
 	fenceRetryMin = 100 * time.Millisecond
 	fenceRetryMax = 5 * time.Second
+	// drainFor is how long a stopping daemon goes on recording; two calls and
+	// their retries.
+	drainFor = 3 * time.Second
 	// maxSettling bounds how many claims are settled in the background; a
 	// few minutes of claims whose replies are lost.
 	maxSettling = 4096
@@ -98,16 +101,27 @@
 	}
 }
 
-// Run commits and sweeps until ctx ends.
+// Run commits and sweeps until ctx ends, and then for as long as recording
+// what has run takes, but no longer than drainFor. Stop taking requests in
+// before.
 func (l *Ledger) Run(ctx context.Context) {
-	stop := context.AfterFunc(ctx, l.cancel)
-	defer stop()
-	l.tasks.Go(func() { l.sweepLoop(l.ctx) })
-	l.tasks.Go(func() { l.sharePace(l.ctx) })
-	l.commits.run(l.ctx)
+	l.tasks.Go(func() { l.sweepLoop(ctx) })
+	l.tasks.Go(func() { l.sharePace(ctx) })
+	l.tasks.Go(func() { l.commits.run(l.ctx) })
+	<-ctx.Done()
+	l.drain()
+	l.cancel()
 	l.tasks.Wait()
 }
 
+// drain waits until no claim is being settled. What is not recorded when a
+// daemon stops is unknown for ever.
+func (l *Ledger) drain() {
+	for until := time.Now().Add(drainFor); len(l.settles) > 0 && time.Now().Before(until); {
+		pause(l.ctx, lostPause)
+	}
+}
+
 // sharePace keeps this entry VM at its part of WritesPerSecond.
 func (l *Ledger) sharePace(ctx context.Context) {
 	for ctx.Err() == nil {
--- a/internal/claim/ledger_test.go
+++ b/internal/claim/ledger_test.go
@@ -36,20 +36,27 @@
 
 func (b *bench) start(id model.EntryID, incarnation uint64) *node {
 	way := faulty.Wrap(b.store)
-	l := NewLedger(Options{Store: way, Self: view.EntryRecord{ID: id, Incarnation: incarnation}, Log: logr.Discard()})
+	n := b.startOn(way, string(id), incarnation)
+	n.way = way
+	return n
+}
+
+func (b *bench) startOn(way platform.Store, id string, incarnation uint64) *node {
+	self := view.EntryRecord{ID: model.EntryID(id), Incarnation: incarnation}
+	l := NewLedger(Options{Store: way, Self: self, Log: logr.Discard()})
 	ctx, cancel := context.WithCancel(b.t.Context())
 	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
 		l.Run(ctx)
 	}()
-	return &node{Ledger: l, way: way, stop: func() { cancel(); <-ended }}
+	return &node{Ledger: l, stop: func() { cancel(); <-ended }}
 }
 
 // register writes the entry VM's record as its daemon would.
-func (b *bench) register(id model.EntryID, incarnation string) {
+func (b *bench) register(id, incarnation string) {
 	_, err := b.store.Txn(b.t.Context(), platform.Txn{Then: []platform.Op{
-		platform.Put(platform.EntryKey(id), []byte(`{"ID":"`+string(id)+`","Incarnation":`+incarnation+`}`)),
+		platform.Put(platform.EntryKey(model.EntryID(id)), []byte(`{"ID":"`+id+`","Incarnation":`+incarnation+`}`)),
 	}})
 	assert.NilError(b.t, err)
 }
