--- /dev/null
+++ b/internal/claim/failure_test.go
@@ -0,0 +1,255 @@
+package claim
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/pumicestage/pumicestage/internal/platform"
+	"github.com/pumicestage/pumicestage/policy/model"
+)
+
+// try claims with a caller that waits this long.
+func (n *node) try(t *testing.T, wait time.Duration, req Request) (Result, *Error) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), wait)
+	defer cancel()
+	r, err := n.Claim(ctx, req)
+	var e *Error
+	if err != nil {
+		assert.Assert(t, errors.As(err, &e), "%v", err)
+	}
+	return r, e
+}
+
+// Each case plays one failure around the claim of one key by entry VM a, and
+// then says what a caller is told who comes to entry VM c with the same key.
+// In no case may c win while a has sent or may still send.
+func TestFailureTable(t *testing.T) {
+	req := request("k", 1)
+	cases := []struct {
+		name string
+		play func(t *testing.T, b *bench, a *node)
+		want State
+	}{
+		{"reply lost after the claim took effect: a has it", func(t *testing.T, _ *bench, a *node) {
+			a.way.LoseReplies(1)
+			assert.Equal(t, a.claim(t, req).State, Won)
+		}, Running},
+		{"request lost before it arrived: sent again", func(t *testing.T, _ *bench, a *node) {
+			a.way.LoseRequests(1)
+			assert.Equal(t, a.claim(t, req).State, Won)
+		}, Running},
+		{"store down before: not run, and certain", func(t *testing.T, _ *bench, a *node) {
+			a.way.SetDown(true)
+			_, err := a.try(t, time.Second, req)
+			assert.Assert(t, err != nil && err.Certain)
+		}, Won},
+		{"no reply ever, then the store is down: not certain, and freed once it is back", func(t *testing.T, _ *bench, a *node) {
+			a.way.LoseReplies(groupTries)
+			a.way.Before(func(string, platform.Txn) { time.Sleep(50 * time.Millisecond) })
+			time.AfterFunc(300*time.Millisecond, func() { a.way.SetDown(true) })
+			_, err := a.try(t, 10*time.Second, req)
+			assert.Assert(t, err != nil && !err.Certain)
+			a.way.SetDown(false)
+			time.Sleep(time.Minute)
+		}, Won},
+		{"caller goes away while the claim is on its way: taken back", func(t *testing.T, _ *bench, a *node) {
+			a.way.Before(func(string, platform.Txn) { time.Sleep(100 * time.Millisecond) })
+			_, err := a.try(t, 10*time.Millisecond, req)
+			assert.Assert(t, err != nil && !err.Certain)
+			time.Sleep(time.Minute)
+		}, Won},
+		{"store down between claim and record: recorded once it is back", func(t *testing.T, _ *bench, a *node) {
+			won := a.claim(t, req)
+			a.way.SetDown(true)
+			ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+			defer cancel()
+			assert.Assert(t, a.Record(ctx, won.Ticket, Answer{Status: 200}) != nil)
+			a.way.SetDown(false)
+			time.Sleep(time.Minute)
+		}, Recorded},
+		{"reply to the record lost", func(t *testing.T, _ *bench, a *node) {
+			won := a.claim(t, req)
+			a.way.LoseReplies(1)
+			assert.NilError(t, a.Record(t.Context(), won.Ticket, Answer{Status: 200}))
+		}, Recorded},
+		{"outcome of the run not known", func(t *testing.T, _ *bench, a *node) {
+			assert.NilError(t, a.Record(t.Context(), a.claim(t, req).Ticket, Answer{}))
+		}, Unknown},
+		{"a dies holding it, before or after sending: unknown for ever", func(t *testing.T, b *bench, a *node) {
+			a.claim(t, req)
+			a.stop()
+			b.unregister("a")
+		}, Unknown},
+		{"a dies and its successor registers: unknown for ever", func(t *testing.T, b *bench, a *node) {
+			a.claim(t, req)
+			a.stop()
+			b.register("a", "2")
+		}, Unknown},
+		{"a is paused past its lease, then wakes and records", func(t *testing.T, b *bench, a *node) {
+			won := a.claim(t, req)
+			b.unregister("a")
+			c := b.start("d", 1)
+			defer c.stop()
+			assert.Equal(t, c.claim(t, req).State, Unknown)
+			assert.NilError(t, a.Record(t.Context(), won.Ticket, Answer{Status: 200}))
+		}, Recorded},
+		{"a could certainly not send and released", func(t *testing.T, _ *bench, a *node) {
+			assert.NilError(t, a.Release(t.Context(), a.claim(t, req).Ticket))
+		}, Won},
+		{"released twice, or recorded after release: refused", func(t *testing.T, _ *bench, a *node) {
+			won := a.claim(t, req)
+			assert.NilError(t, a.Release(t.Context(), won.Ticket))
+			assert.ErrorIs(t, a.Release(t.Context(), won.Ticket), errNotHeld)
+			assert.ErrorIs(t, a.Record(t.Context(), won.Ticket, Answer{Status: 200}), errNotHeld)
+		}, Won},
+		{"another body under the key", func(t *testing.T, _ *bench, a *node) {
+			a.claim(t, request("k", 2))
+		}, Mismatch},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := newBench(t)
+				b.register("a", "1")
+				a, c := b.start("a", 1), b.start("c", 1)
+				defer c.stop()
+				tc.play(t, b, a)
+				assert.Equal(t, c.claim(t, req).State, tc.want)
+				a.stop()
+			})
+		})
+	}
+}
+
+func (b *bench) unregister(id model.EntryID) {
+	_, err := b.store.Txn(b.t.Context(), platform.Txn{Then: []platform.Op{platform.Delete(platform.EntryKey(id))}})
+	assert.NilError(b.t, err)
+}
+
+// What the caller sees: 503 not-run, and a retry under the same key that is
+// let in. In between, the first claim's lost request arrives at the store; a
+// claim that nobody acts on would make the retry unknown for ever.
+func TestDelayedCopyOfAReleasedClaim(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t)
+		a := b.start("a", 1)
+		defer a.stop()
+		var delayed platform.Txn
+		a.way.Before(func(_ string, txn platform.Txn) { delayed = txn })
+		a.way.LoseRequests(groupTries)
+		_, err := a.try(t, time.Minute, request("k", 1))
+		assert.Assert(t, err != nil && err.Certain)
+
+		a.way.Before(nil)
+		_, lateErr := b.store.Txn(t.Context(), delayed)
+		assert.NilError(t, lateErr)
+		assert.Assert(t, !b.stands("k"))
+		assert.Equal(t, a.claim(t, request("k", 1)).State, Won)
+	})
+}
+
+// One write that loses or that the service refuses must not fail the others of
+// its transaction.
+func TestGroupWithLosersAndPoison(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t)
+		a, c := b.start("a", 1), b.start("c", 1)
+		defer a.stop()
+		defer c.stop()
+		c.claim(t, request("k3", 1))
+		a.way.Before(func(string, platform.Txn) { time.Sleep(10 * time.Millisecond) })
+		before := a.way.Calls().Writes
+		var sent []*pending
+		for i := range 40 {
+			value, err := a.newRecord(request(fmt.Sprint("k", i), 1), time.Now()).encode()
+			assert.NilError(t, err)
+			if i == 7 {
+				value = bytes.Repeat([]byte("x"), 1<<20+1)
+			}
+			sent = append(sent, a.commits.submit(write{key: storeKey(request(fmt.Sprint("k", i), 1).Key), value: value}))
+		}
+		for i, p := range sent {
+			o := <-p.done
+			assert.Equal(t, o.applied, i != 3 && i != 7, "k%d: %v", i, o.err)
+			assert.Equal(t, platform.IsKind(o.err, platform.KindTooLarge), i == 7)
+		}
+		assert.Assert(t, a.way.Calls().Writes-before < 10, "%d calls", a.way.Calls().Writes-before)
+	})
+}
+
+// What the platform sees at a burst: a few transactions, not one a claim.
+func TestGroupCommitBoundsCalls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t)
+		a := b.start("a", 1)
+		defer a.stop()
+		started := time.Now()
+		var won []Result
+		results := make(chan Result)
+		for i := range 500 {
+			go func() {
+				r, err := a.Claim(t.Context(), request(fmt.Sprint("k", i), 1))
+				assert.Check(t, err)
+				results <- r
+			}()
+		}
+		for range 500 {
+			won = append(won, <-results)
+		}
+		for _, r := range won {
+			assert.Equal(t, r.State, Won)
+		}
+		limit := writeBurst + 1 + int(time.Since(started).Seconds()*WritesPerSecond)
+		assert.Assert(t, a.way.Calls().Writes <= limit, "%d calls, at most %d", a.way.Calls().Writes, limit)
+		assert.Assert(t, a.way.Calls().Writes < 20, "%d calls", a.way.Calls().Writes)
+	})
+}
+
+// A holder that wakes after the key may have been forgotten must not send: a
+// new claim of the key may be running by then.
+func TestMaySend(t *testing.T) {
+	now := time.Now()
+	ticket := Ticket{SendBy: now.Add(time.Minute)}
+	assert.Assert(t, ticket.MaySend(now))
+	assert.Assert(t, !ticket.MaySend(now.Add(time.Minute)))
+	suspended := now.Add(2 * time.Minute).Round(0) // only the wall clock went on
+	assert.Assert(t, !ticket.MaySend(suspended))
+}
+
+// Expired claims go, others stay; each shard is swept by one entry VM.
+func TestSweep(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t)
+		b.live = func() []model.EntryID { return []model.EntryID{"a", "c"} }
+		a, c := b.start("a", 1), b.start("c", 1)
+		defer a.stop()
+		defer c.stop()
+		for i := range 20 {
+			req := request(fmt.Sprint("k", i), 1)
+			req.Remember = time.Duration(1+i%2) * 24 * time.Hour
+			assert.NilError(t, a.Record(t.Context(), a.claim(t, req).Ticket, Answer{Status: 200}))
+		}
+		left := func() int {
+			kvs, _, err := b.store.Range(t.Context(), platform.ClaimPrefix)
+			assert.NilError(t, err)
+			return len(kvs)
+		}
+		time.Sleep(24*time.Hour + clockSlack - time.Second)
+		assert.Equal(t, left(), 20, "never sooner than remembered")
+		time.Sleep(sweepRound + time.Minute)
+		assert.Equal(t, left(), 10)
+		time.Sleep(24 * time.Hour)
+		assert.Equal(t, left(), 0)
+		reads := a.way.Calls().Reads + c.way.Calls().Reads
+		rounds := int((52*time.Hour + clockSlack + time.Minute) / sweepEvery)
+		assert.Assert(t, reads <= rounds+1, "%d reads for %d shards", reads, rounds)
+	})
+}
--- a/internal/claim/group.go
+++ b/internal/claim/group.go
@@ -12,6 +12,12 @@
 )
 
 const (
+	// WritesPerSecond is what the claims of all entry VMs together may cost
+	// the platform, which takes several hundred writes a second for
+	// everything. Each entry VM takes an equal part.
+	WritesPerSecond = 160
+	// writeBurst lets an idle entry VM claim and record at once.
+	writeBurst = 4
 	// groupOps is the most writes in one transaction; the service takes 128
 	// operations.
 	groupOps = 100
@@ -59,11 +65,12 @@
 // up all the writes the service has. It sends the first write at once; while
 // it waits for its turn again, the next group fills.
 type committer struct {
-	store platform.Store
-	pace  *rate.Limiter
-	slots chan struct{}
-	wake  chan struct{}
-	tasks sync.WaitGroup
+	store   platform.Store
+	sharers func() int // entry VMs that share WritesPerSecond
+	pace    *rate.Limiter
+	slots   chan struct{}
+	wake    chan struct{}
+	tasks   sync.WaitGroup
 
 	mu     sync.Mutex
 	queue  []*pending
@@ -73,9 +80,10 @@
 	writes uint64
 }
 
-func newCommitter(store platform.Store, pace *rate.Limiter) *committer {
+func newCommitter(store platform.Store, sharers func() int) *committer {
 	return &committer{
-		store: store, pace: pace,
+		store: store, sharers: sharers,
+		pace:   rate.NewLimiter(WritesPerSecond, writeBurst),
 		slots:  make(chan struct{}, groupsInFlight),
 		wake:   make(chan struct{}, 1),
 		flying: make(map[string]bool),
@@ -144,6 +152,7 @@
 	case <-ctx.Done():
 		return false
 	}
+	c.pace.SetLimit(rate.Limit(WritesPerSecond) / rate.Limit(max(1, c.sharers())))
 	if c.pace.Wait(ctx) != nil {
 		return false
 	}
--- a/internal/claim/ledger.go
+++ b/internal/claim/ledger.go
@@ -11,7 +11,6 @@
 
 	"github.com/go-logr/logr"
 	"github.com/gravitational/trace"
-	"golang.org/x/time/rate"
 
 	"github.com/pumicestage/pumicestage/internal/platform"
 	"github.com/pumicestage/pumicestage/internal/view"
@@ -19,12 +18,6 @@
 )
 
 const (
-	// WritesPerSecond is what the claims of all entry VMs together may cost
-	// the platform, which takes several hundred writes a second for
-	// everything. Each entry VM takes an equal part.
-	WritesPerSecond = 160
-	// writeBurst lets an idle entry VM claim and record at once.
-	writeBurst = 4
 	// maxSendWindow bounds Ticket.SendBy: no caller waits that long.
 	maxSendWindow = 30 * time.Minute
 	// defaultMaxAnswer is the largest answer kept; larger ones are recorded
@@ -93,7 +86,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Ledger{
 		opts:    opts,
-		commits: newCommitter(opts.Store, rate.NewLimiter(WritesPerSecond, writeBurst)),
+		commits: newCommitter(opts.Store, func() int { return len(opts.Live()) }),
 		settles: make(chan struct{}, maxSettling),
 		held:    make(map[string]record),
 		ctx:     ctx,
@@ -106,7 +99,6 @@
 // before.
 func (l *Ledger) Run(ctx context.Context) {
 	l.tasks.Go(func() { l.sweepLoop(ctx) })
-	l.tasks.Go(func() { l.sharePace(ctx) })
 	l.tasks.Go(func() { l.commits.run(l.ctx) })
 	<-ctx.Done()
 	l.drain()
@@ -122,15 +114,6 @@
 	}
 }
 
-// sharePace keeps this entry VM at its part of WritesPerSecond.
-func (l *Ledger) sharePace(ctx context.Context) {
-	for ctx.Err() == nil {
-		live := max(1, len(l.opts.Live()))
-		l.commits.pace.SetLimit(rate.Limit(float64(WritesPerSecond) / float64(live)))
-		pause(ctx, time.Second)
-	}
-}
-
 // Claim implements Claims. It ends with ctx.
 func (l *Ledger) Claim(ctx context.Context, req Request) (Result, error) {
 	if err := ctx.Err(); err != nil {
--- a/internal/claim/ledger_test.go
+++ b/internal/claim/ledger_test.go
@@ -21,6 +21,7 @@
 type bench struct {
 	t     *testing.T
 	store *memstore.Store
+	live  func() []model.EntryID // nil: each ledger is alone
 }
 
 func newBench(t *testing.T) *bench {
@@ -43,7 +44,7 @@
 
 func (b *bench) startOn(way platform.Store, id string, incarnation uint64) *node {
 	self := view.EntryRecord{ID: model.EntryID(id), Incarnation: incarnation}
-	l := NewLedger(Options{Store: way, Self: self, Log: logr.Discard()})
+	l := NewLedger(Options{Store: way, Self: self, Live: b.live, Log: logr.Discard()})
 	ctx, cancel := context.WithCancel(b.t.Context())
 	ended := make(chan struct{})
 	go func() {
