--- a/internal/claim/ledger.go
+++ b/internal/claim/ledger.go
@@ -53,6 +53,8 @@
 	// Live returns the IDs of the live entry VMs, this one included; nil
 	// for this one alone.
 	Live func() []model.EntryID
+	// Now is the wall clock entry VMs agree on; nil for the own one.
+	Now func() time.Time
 	// MaxAnswer is the largest body kept, in bytes; 0 for 64 KiB.
 	MaxAnswer int
 	Log       logr.Logger
@@ -80,6 +82,9 @@
 		self := []model.EntryID{opts.Self.ID}
 		opts.Live = func() []model.EntryID { return self }
 	}
+	if opts.Now == nil {
+		opts.Now = time.Now
+	}
 	if opts.MaxAnswer == 0 {
 		opts.MaxAnswer = defaultMaxAnswer
 	}
@@ -120,7 +125,7 @@
 		return Result{}, &Error{Certain: true, Err: trace.Wrap(err)}
 	}
 	now := time.Now()
-	r := l.newRecord(req, now)
+	r := l.newRecord(req, l.opts.Now())
 	key := storeKey(req.Key)
 	var over platform.Revision // of the released claim this one replaces
 	for {
@@ -239,13 +244,13 @@
 // Release implements Claims. Where it returns an error the claim goes on
 // being released in the background.
 func (l *Ledger) Release(ctx context.Context, t Ticket) error {
-	return l.rewrite(ctx, t, released)
+	return l.rewrite(ctx, t, l.released)
 }
 
-func released(r *record) {
+func (l *Ledger) released(r *record) {
 	r.Stage = stageReleased
 	r.Answer = nil
-	r.Expires = time.Now().Add(releasedFor).UTC()
+	r.Expires = l.opts.Now().Add(releasedFor).UTC()
 }
 
 func (l *Ledger) hold(r record) {
--- a/internal/claim/settle.go
+++ b/internal/claim/settle.go
@@ -59,7 +59,7 @@
 // does not, the key says who was first.
 func (l *Ledger) fence(key string, expected platform.Revision, r record) error {
 	id := r.ID
-	released(&r)
+	l.released(&r)
 	value, err := r.encode()
 	if err != nil {
 		return trace.Wrap(err)
--- a/internal/claim/sweep.go
+++ b/internal/claim/sweep.go
@@ -25,11 +25,12 @@
 // where two think so both do, which the CAS makes harmless.
 func (l *Ledger) sweepLoop(ctx context.Context) {
 	for ctx.Err() == nil {
-		pause(ctx, time.Until(time.Now().Truncate(sweepEvery).Add(sweepEvery)))
+		now := l.opts.Now()
+		pause(ctx, now.Truncate(sweepEvery).Add(sweepEvery).Sub(now))
 		if ctx.Err() != nil {
 			return
 		}
-		now := time.Now()
+		now = l.opts.Now()
 		prefix := shardPrefix(now)
 		if !l.sweeps(prefix) {
 			continue
--- a/internal/peer/digest.go
+++ b/internal/peer/digest.go
@@ -28,6 +28,7 @@
 	InFlight   uint32            `msgpack:"n,omitempty"` // sum over all targets; all that other zones get of the loads
 	Full       bool              `msgpack:"f,omitempty"` // Loads is everything; otherwise it is what changed since the last digest
 	Watching   bool              `msgpack:"w,omitempty"` // it holds the platform's watch and relays
+	Clock      int64             `msgpack:"c"`           // the sender's wall clock, Unix milliseconds
 	AgeMillis  uint32            `msgpack:"a"`           // how old its view was when it wrote this
 }
 
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -30,6 +30,8 @@
 	// hurriedGap is the shortest time between two digests where the second
 	// tells of a new declaration in force.
 	hurriedGap = 50 * time.Millisecond
+	// atOnce lets several causes for a digest become one.
+	atOnce = time.Millisecond
 	// redialMin and redialMax bound the jittered wait between attempts: a
 	// healed zone is heard within a second or two, and a dead address costs
 	// at most an attempt in two seconds.
@@ -232,7 +234,7 @@
 	if sameZone {
 		every = withinZoneEvery
 	}
-	return &digestPace{every: every, timer: time.NewTimer(0)}
+	return &digestPace{every: every, timer: time.NewTimer(atOnce)}
 }
 
 // hurry brings the next digest forward where the declaration in force has
@@ -242,7 +244,7 @@
 		return
 	}
 	p.hurried = true
-	p.timer.Reset(max(0, hurriedGap-time.Since(p.last)))
+	p.timer.Reset(max(atOnce, hurriedGap-time.Since(p.last)))
 }
 
 func (p *digestPace) sent(generation uint64) {
--- a/internal/peer/mesh.go
+++ b/internal/peer/mesh.go
@@ -5,6 +5,7 @@
 	"crypto/tls"
 	"errors"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -236,6 +237,31 @@
 	return n
 }
 
+// Live returns the IDs of all live entry VMs, this one included.
+func (m *Mesh) Live() []model.EntryID {
+	ids := []model.EntryID{m.opts.Self.ID}
+	for _, s := range m.table.list() {
+		if s.Live {
+			ids = append(ids, s.Entry)
+		}
+	}
+	return ids
+}
+
+// Now returns the wall clock that the majority of live entry VMs agrees on.
+// One whose own clock is off by a day would otherwise forget claims a day too
+// early, and a late duplicate would run again.
+func (m *Mesh) Now() time.Time {
+	offsets := []time.Duration{0}
+	for _, s := range m.table.list() {
+		if s.Live {
+			offsets = append(offsets, s.ClockOffset)
+		}
+	}
+	slices.Sort(offsets)
+	return time.Now().Add(offsets[len(offsets)/2])
+}
+
 var _ Loads = (*Mesh)(nil)
 
 func (m *Mesh) hello() hello {
@@ -253,6 +279,7 @@
 	d := Digest{
 		Entry: m.opts.Self.ID, Zone: m.opts.Self.Zone, Seq: m.seq.Add(1),
 		Revision: v.Revision, Generation: v.Generation(), AgeMillis: ageMillis(time.Since(v.AsOf)),
+		Clock: time.Now().UnixMilli(),
 		Loads: loads, Queued: uint32(queued), Watching: m.opts.Watching(),
 	}
 	for _, l := range loads {
--- a/internal/peer/table.go
+++ b/internal/peer/table.go
@@ -31,6 +31,9 @@
 	Incarnation uint64
 	Heard       time.Time // when the newest digest came
 	Live        bool
+	// ClockOffset is how far its clock is ahead of the one here, too low by
+	// the time the digest took.
+	ClockOffset time.Duration
 }
 
 // remote is one peer in the table.
@@ -117,6 +120,7 @@
 	d.Entry, d.Zone, d.Loads = id, r.status.Zone, nil
 	r.status.Digest = d
 	r.status.Heard = t.now()
+	r.status.ClockOffset = time.UnixMilli(d.Clock).Sub(r.status.Heard)
 	return true
 }
 
--- /dev/null
+++ b/internal/relay/cluster_test.go
@@ -0,0 +1,340 @@
+package relay
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/jonboulle/clockwork"
+	"gotest.tools/v3/assert"
+
+	"github.com/pumicestage/pumicestage/internal/peer"
+	"github.com/pumicestage/pumicestage/internal/peer/peertest"
+	"github.com/pumicestage/pumicestage/internal/platform"
+	"github.com/pumicestage/pumicestage/internal/platform/faulty"
+	"github.com/pumicestage/pumicestage/internal/platform/memstore"
+	"github.com/pumicestage/pumicestage/internal/view"
+	"github.com/pumicestage/pumicestage/policy/model"
+)
+
+// cluster is a platform's store, a network of zones, and entry VMs. It keeps
+// what was written when, and checks each view any entry VM ever publishes
+// against it.
+type cluster struct {
+	t       *testing.T
+	network *peertest.Network
+	store   *swappable
+
+	mu      sync.Mutex
+	writes  []written
+	reverts []string
+	nodes   []*node
+	// restored: the store's VMs are as the backup had them, and views follow
+	// once the store has passed them; only declarations never step back.
+	restored bool
+}
+
+// written is one accepted write of a declaration or a VM.
+type written struct {
+	at         time.Time
+	revision   platform.Revision
+	generation uint64     // of a declaration
+	vm         model.VMID // or of this VM
+}
+
+// swappable is a store that can be restored from a backup.
+type swappable struct {
+	mu sync.Mutex
+	platform.Store
+}
+
+func (s *swappable) now() platform.Store {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.Store
+}
+
+func (s *swappable) Get(ctx context.Context, key string) (platform.KV, platform.Revision, error) {
+	return s.now().Get(ctx, key)
+}
+
+func (s *swappable) Range(ctx context.Context, prefix string) ([]platform.KV, platform.Revision, error) {
+	return s.now().Range(ctx, prefix)
+}
+
+func (s *swappable) Txn(ctx context.Context, txn platform.Txn) (platform.TxnResult, error) {
+	return s.now().Txn(ctx, txn)
+}
+
+func (s *swappable) Grant(ctx context.Context, ttl time.Duration) (platform.LeaseID, error) {
+	return s.now().Grant(ctx, ttl)
+}
+
+func (s *swappable) KeepAlive(ctx context.Context, id platform.LeaseID) error {
+	return s.now().KeepAlive(ctx, id)
+}
+
+func (s *swappable) Watch(ctx context.Context, prefix string, from platform.Revision) (<-chan platform.WatchBatch, error) {
+	return s.now().Watch(ctx, prefix, from)
+}
+
+// node is one entry VM.
+type node struct {
+	*Relay
+	id       model.EntryID
+	zone     model.ZoneName
+	way      *way
+	mesh     *peer.Mesh
+	registry *Registry
+	view     *view.Holder
+	stop     func()
+}
+
+// way is one entry VM's way to the store; its watches can be made to deliver
+// nothing, or late.
+type way struct {
+	*faulty.Store
+
+	mu    sync.Mutex
+	mute  bool
+	delay time.Duration
+}
+
+func (w *way) set(mute bool, delay time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.mute, w.delay = mute, delay
+}
+
+// Watch implements platform.Store.
+func (w *way) Watch(ctx context.Context, prefix string, from platform.Revision) (<-chan platform.WatchBatch, error) {
+	in, err := w.Store.Watch(ctx, prefix, from)
+	if err != nil {
+		return nil, err
+	}
+	out := make(chan platform.WatchBatch, 10000)
+	go func() {
+		defer close(out)
+		for b := range in {
+			w.mu.Lock()
+			mute, delay := w.mute, w.delay
+			w.mu.Unlock()
+			if mute {
+				continue
+			}
+			if delay > 0 {
+				sleep(ctx, delay)
+			}
+			select {
+			case out <- b:
+			case <-ctx.Done():
+			}
+		}
+	}()
+	return out, nil
+}
+
+// run plays a scenario on zones of two entry VMs each, in fake time, and fails
+// for every view that stepped back or claimed to be newer than it was.
+func run(t *testing.T, zones int, play func(c *cluster)) {
+	synctest.Test(t, func(t *testing.T) {
+		c := &cluster{t: t, network: peertest.New(), store: &swappable{Store: memstore.New(clockwork.NewRealClock())}}
+		c.apply(1)
+		for z := range zones {
+			for i := range 2 {
+				c.start(fmt.Sprintf("z%d-%d", z, i), zoneName(z))
+			}
+		}
+		time.Sleep(10 * time.Second)
+		play(c)
+		for _, n := range c.nodes {
+			n.stop()
+		}
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		assert.Equal(t, len(c.reverts), 0, "%v", c.reverts)
+	})
+}
+
+func zoneName(z int) model.ZoneName { return model.ZoneName(fmt.Sprintf("z%d", z)) }
+
+// start runs an entry VM that knows the others as seeds.
+func (c *cluster) start(id string, zone model.ZoneName) *node {
+	w := &way{Store: faulty.Wrap(c.store)}
+	return c.startOn(w, id, zone)
+}
+
+func (c *cluster) startOn(w *way, id string, zone model.ZoneName) *node {
+	n := &node{id: model.EntryID(id), zone: zone, way: w, view: view.NewHolder()}
+	self := view.EntryRecord{ID: n.id, Zone: zone, Peer: id, Incarnation: uint64(time.Now().UnixNano())}
+	var seeds []string
+	for _, other := range c.nodes {
+		seeds = append(seeds, string(other.id))
+	}
+	n.mesh = peer.New(peer.Options{
+		Self: self, Seeds: seeds, View: n.view,
+		Listener: c.network.Listen(zone, id), Dial: c.network.Dialer(zone),
+		Local:    func() ([]peer.TargetLoad, int) { return nil, 0 },
+		Watching: func() bool { return n.Watching() }, Log: logr.Discard(),
+	})
+	opts := Options{Self: self, Store: w, View: n.view, Peers: n.mesh, Log: logr.Discard()}
+	n.Relay = New(opts)
+	n.registry = NewRegistry(opts)
+	ctx, cancel := context.WithCancel(c.t.Context())
+	var ended sync.WaitGroup
+	ended.Go(func() { assert.Check(c.t, n.mesh.Run(ctx)) })
+	ended.Go(func() { n.Relay.Run(ctx) })
+	ended.Go(func() { c.check(ctx, n) })
+	n.stop = func() { cancel(); ended.Wait() }
+	c.nodes = append(c.nodes, n)
+	return n
+}
+
+func (c *cluster) restart(n *node) *node {
+	n.stop()
+	var others []*node
+	for _, o := range c.nodes {
+		if o != n {
+			others = append(others, o)
+		}
+	}
+	c.nodes = others
+	return c.startOn(n.way, string(n.id), n.zone)
+}
+
+// apply writes a declaration as an operator does and returns its revision.
+func (c *cluster) apply(generation uint64) platform.Revision {
+	return c.write(platform.ConfigKey, model.Declaration{Generation: generation}, written{generation: generation})
+}
+
+func (c *cluster) putVM(id model.VMID, reason string) platform.Revision {
+	return c.write(platform.VMKey(id), model.VM{ID: id, Reason: reason}, written{vm: id})
+}
+
+func (c *cluster) write(key string, v any, w written) platform.Revision {
+	raw, err := json.Marshal(v)
+	assert.NilError(c.t, err)
+	res, err := c.store.Txn(c.t.Context(), platform.Txn{Then: []platform.Op{platform.Put(key, raw)}})
+	assert.NilError(c.t, err)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	w.at, w.revision = time.Now(), res.Revision
+	c.writes = append(c.writes, w)
+	return res.Revision
+}
+
+// check compares each published view with the one before and with what was
+// written: nothing steps back, a revision stands for every VM's write up to
+// it, and AsOf for everything written before it.
+func (c *cluster) check(ctx context.Context, n *node) {
+	old := n.view.Load()
+	for ctx.Err() == nil {
+		changed := n.view.Changed()
+		s := n.view.Load()
+		c.checkStep(n, old, s)
+		c.checkClaims(n, s)
+		old = s
+		select {
+		case <-changed:
+		case <-ctx.Done():
+		}
+	}
+}
+
+func (c *cluster) revert(n *node, format string, args ...any) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.reverts = append(c.reverts, string(n.id)+": "+fmt.Sprintf(format, args...))
+}
+
+func (c *cluster) checkStep(n *node, old, s *view.Snapshot) {
+	if s.Revision < old.Revision || s.Generation() < old.Generation() || s.AsOf.Before(old.AsOf) {
+		c.revert(n, "stepped back from %d/%d to %d/%d", old.Revision, old.Generation(), s.Revision, s.Generation())
+	}
+	c.mu.Lock()
+	restored := c.restored
+	c.mu.Unlock()
+	if restored {
+		return
+	}
+	for id, vm := range old.VMs {
+		if s.VMs[id].Revision < vm.Revision {
+			c.revert(n, "VM %s stepped back from %d to %d", id, vm.Revision, s.VMs[id].Revision)
+		}
+	}
+}
+
+func (c *cluster) checkClaims(n *node, s *view.Snapshot) {
+	c.mu.Lock()
+	writes := c.writes
+	c.mu.Unlock()
+	for _, w := range writes {
+		known := w.at.Before(s.AsOf)
+		if w.generation > 0 && known && s.Generation() < w.generation {
+			c.revert(n, "as of %v without generation %d", s.AsOf, w.generation)
+		}
+		if w.vm != "" && (known || w.revision <= s.Revision) && s.VMs[w.vm].Revision < w.revision {
+			c.revert(n, "revision %d without VM %s at %d", s.Revision, w.vm, w.revision)
+		}
+	}
+}
+
+// inForce reports whether every node has the generation.
+func (c *cluster) inForce(generation uint64, nodes ...*node) bool {
+	for _, n := range nodes {
+		if n.view.Load().Generation() < generation {
+			return false
+		}
+	}
+	return true
+}
+
+func (c *cluster) zone(z int) []*node {
+	var in []*node
+	for _, n := range c.nodes {
+		if n.zone == zoneName(z) {
+			in = append(in, n)
+		}
+	}
+	return in
+}
+
+// cutOff parts a zone from every other and from the platform.
+func (c *cluster) cutOff(z, zones int, cut bool) {
+	for other := range zones {
+		switch {
+		case other == z:
+		case cut:
+			c.network.Cut(zoneName(z), zoneName(other))
+		default:
+			c.network.Heal(zoneName(z), zoneName(other))
+		}
+	}
+	for _, n := range c.zone(z) {
+		n.way.SetDown(cut)
+	}
+}
+
+// restore puts another store in the place of the platform's.
+func (c *cluster) restore(backup platform.Store) {
+	c.mu.Lock()
+	c.restored = true
+	c.writes = nil // revisions mean something else from now on
+	c.mu.Unlock()
+	c.store.mu.Lock()
+	defer c.store.mu.Unlock()
+	c.store.Store = backup
+}
+
+func (c *cluster) storedGeneration() uint64 {
+	kv, _, err := c.store.Get(c.t.Context(), platform.ConfigKey)
+	assert.NilError(c.t, err)
+	var d model.Declaration
+	assert.NilError(c.t, json.Unmarshal(kv.Value, &d))
+	return d.Generation
+}
