fleet: a fault at every call of a wave, under audit

Cause: kill, pause, lost replies and outages may come between any two steps. Change: a table strikes one entry VM or the platform at every call in turn and checks every write, every outside effect and the end.

--- a/internal/fleet/harness_test.go
+++ b/internal/fleet/harness_test.go
@@ -22,7 +22,10 @@
 	*Fleet
 	store *faulty.Store
 	view  *view.Holder
-	blind bool // its view gets no news
+	blind bool // its view gets no news, and others don't count it as live
+	// at is called before each call to the platform; a schedule
+	// pauses or kills the entry VM in it.
+	at func(op string)
 }
 
 // world is a fleet with its platform and entry VMs on a fake clock.
@@ -33,13 +36,17 @@
 	decl     *model.Declaration
 	nodes    []*node
 	ids      int
+	audit    *auditor
+	outUntil time.Time // a node or all are without the store before
+	dark     bool      // all are
 }
 
 func newWorld(d *model.Declaration, nodes int) *world {
-	clock := clockwork.NewFakeClock()
+	clock := clockwork.NewFakeClockAt(time.Date(2026, 3, 2, 8, 0, 0, 0, time.UTC))
 	w := &world{clock: clock, store: memstore.New(clock), decl: d}
 	w.machines = newMachines(clock, d)
 	w.machines.sending = w.anySending
+	w.audit = newAuditor(w)
 	for i := range nodes {
 		w.addNode(model.EntryID(fmt.Sprintf("e%d", i)))
 	}
@@ -47,9 +54,10 @@
 }
 
 func (w *world) addNode(id model.EntryID) *node {
-	n := &node{store: faulty.Wrap(w.store), view: view.NewHolder()}
+	n := &node{view: view.NewHolder(), at: func(string) {}}
+	n.store = faulty.Wrap(&auditedStore{Store: w.store, audit: w.audit, node: id})
 	n.Fleet = New(Options{
-		Store: n.store, Machines: w.machines, View: n.view, Acks: w, Health: w.machines.health,
+		Store: &tapStore{n.store, n}, Machines: &tapMachines{w.machines, n}, View: n.view, Acks: w, Health: w.machines.health,
 		Clock: w.clock, Log: logr.Discard(), Self: id, NewID: w.newID,
 	})
 	w.nodes = append(w.nodes, n)
@@ -65,17 +73,18 @@
 func (w *world) Missing(_ context.Context, since platform.Revision) ([]model.EntryID, error) {
 	var missing []model.EntryID
 	for _, n := range w.nodes {
-		if n.view.Load().Revision < since {
+		if !n.blind && n.view.Load().Revision < since {
 			missing = append(missing, n.self)
 		}
 	}
 	return missing, nil
 }
 
-// anySending reports whether an entry VM's view lets it send to the VM.
+// anySending reports whether a live entry VM's view lets it send to the VM. One
+// that is cut off may too, and is refused by the drained runner.
 func (w *world) anySending(id model.VMID) bool {
 	for _, n := range w.nodes {
-		if vm, ok := n.view.Load().VMs[id]; ok && vm.State == model.VMInPool {
+		if vm, ok := n.view.Load().VMs[id]; ok && !n.blind && vm.State == model.VMInPool {
 			return true
 		}
 	}
@@ -84,6 +93,9 @@
 
 // sync brings the views of all nodes that see to the store's state.
 func (w *world) sync() {
+	if w.dark {
+		return
+	}
 	snap := w.snapshot()
 	for _, n := range w.nodes {
 		if !n.blind {
@@ -92,6 +104,28 @@
 	}
 }
 
+// storeOut takes the store away from every node for a time.
+func (w *world) storeOut(d time.Duration) {
+	w.outUntil = w.clock.Now().Add(d)
+	w.dark = true
+	for _, n := range w.nodes {
+		n.store.SetDown(true)
+	}
+}
+
+// heal ends an outage of the store that is over.
+func (w *world) heal() {
+	if w.outUntil.IsZero() || w.clock.Now().Before(w.outUntil) {
+		return
+	}
+	w.outUntil = time.Time{}
+	w.dark = false
+	for _, n := range w.nodes {
+		n.store.SetDown(false)
+		n.blind = false
+	}
+}
+
 func (w *world) snapshot() *view.Snapshot {
 	kvs, rev, err := w.store.Range(context.Background(), platform.VMPrefix)
 	if err != nil {
--- a/internal/fleet/machines_test.go
+++ b/internal/fleet/machines_test.go
@@ -29,16 +29,16 @@
 	clock             clockwork.Clock
 	sending           func(model.VMID) bool // whether an entry VM may still send to the VM
 
-	mu      sync.Mutex
-	vms     map[model.VMID]*machine
-	done    map[model.AttemptID]bool
-	down    bool // no call gets through
-	lag     time.Duration
-	reboots map[model.VMID]int
-	cut     []model.VMID // VMs rebooted with work on them
-	before  func(op string, vm model.VMID)
-	calls   int
-	lose    int // so many next effects happen and report no reply
+	mu       sync.Mutex
+	vms      map[model.VMID]*machine
+	done     map[model.AttemptID]bool
+	outUntil time.Time // no call gets through before
+	lag      time.Duration
+	reboots  map[model.VMID]int
+	cut      []model.VMID                                      // VMs rebooted with work on them
+	took     func(op string, vm model.VMID, a model.AttemptID) // sees each effect once
+	calls    int
+	lose     int // so many next effects happen and report no reply
 }
 
 func newMachines(clock clockwork.Clock, d *model.Declaration) *machines {
@@ -54,6 +54,21 @@
 	return m
 }
 
+func (m *machines) loseReplies(n int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.lose = n
+}
+
+// outFor lets no call through for a time.
+func (m *machines) outFor(d time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.outUntil = m.clock.Now().Add(d)
+}
+
+func (m *machines) out() bool { return m.clock.Now().Before(m.outUntil) }
+
 func (m *machines) health(id model.VMID) model.Health {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -71,7 +86,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.calls++
-	if m.down {
+	if m.out() {
 		return platform.MachineList{}, platform.Errorf("list", platform.KindUnavailable, "down")
 	}
 	now := m.clock.Now()
@@ -85,13 +100,10 @@
 
 // effect runs do once per attempt, then reports what the faults want.
 func (m *machines) effect(op string, id model.VMID, a model.AttemptID, do func(*machine)) error {
-	if m.before != nil {
-		m.before(op, id)
-	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.calls++
-	if m.down {
+	if m.out() {
 		return platform.Errorf(op, platform.KindUnavailable, "down")
 	}
 	v, ok := m.vms[id]
@@ -100,6 +112,7 @@
 	}
 	if !m.done[a] {
 		m.done[a] = true
+		m.took(op, id, a)
 		do(v)
 	}
 	if m.lose > 0 {
@@ -143,7 +156,7 @@
 	defer m.mu.Unlock()
 	m.calls++
 	v, ok := m.vms[id]
-	if m.down || !ok {
+	if m.out() || !ok {
 		return 0, platform.Errorf("in-flight", platform.KindUnavailable, "down")
 	}
 	return m.inFlight(v), nil
