operator port, client and command line in thin form

check, diff, apply (waits until in force), query, do and audit work against the HTTP/JSON interface under /v1; questions and orders reach fleet and jobs through small interfaces of the consumer.

--- /dev/null
+++ b/cmd/pumicestage/do.go
@@ -0,0 +1,91 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"strings"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"github.com/pumicestage/pumicestage/internal/operator/api"
+	"github.com/pumicestage/pumicestage/internal/operator/client"
+	"github.com/pumicestage/pumicestage/internal/platform"
+	"github.com/pumicestage/pumicestage/policy/model"
+)
+
+func addDo(app *kingpin.Application, c *cli) {
+	cmd := app.Command("do", "Give an order: drain, undrain, move, start, pause, resume, cancel or set.")
+	words := cmd.Arg("order", "The order, as one argument or many.").Required().Strings()
+	change := cmd.Flag("change", "Change ID; give that of an earlier try to repeat it.").String()
+	ifRevision := cmd.Flag("if-revision", "Refuse unless the key that decides has this revision.").Int64()
+	cmd.Action(action(func(ctx context.Context) error {
+		req := api.DoRequest{Text: orderText(*words), Change: model.ChangeID(*change), IfRevision: platform.Revision(*ifRevision)}
+		return c.do(ctx, req)
+	}))
+}
+
+// orderText joins the words; those with spaces get back the quotes that the
+// shell took away.
+func orderText(words []string) string {
+	if len(words) == 1 {
+		return words[0]
+	}
+	quoted := make([]string, len(words))
+	for i, w := range words {
+		quoted[i] = w
+		if strings.ContainsAny(w, " \t") || i > 0 && words[i-1] == "reason" && !strings.HasPrefix(w, `"`) {
+			quoted[i] = fmt.Sprintf("%q", w)
+		}
+	}
+	return strings.Join(quoted, " ")
+}
+
+// partlyRefusedError reports an order on several things that some refused.
+type partlyRefusedError struct {
+	refused, all int
+}
+
+// Error implements error.
+func (e *partlyRefusedError) Error() string {
+	return fmt.Sprintf("%d of %d refused", e.refused, e.all)
+}
+
+func (c *cli) do(ctx context.Context, req api.DoRequest) error {
+	if req.Change == "" {
+		req.Change = model.ChangeID(newChangeID())
+	}
+	var reply api.DoReply
+	err := c.call(ctx, func(ctx context.Context, cl *client.Client) error {
+		var err error
+		reply, err = cl.Do(ctx, req)
+		return err
+	})
+	if err != nil {
+		return withChange(string(req.Change), err)
+	}
+	if err := c.printEffects(reply); err != nil {
+		return err
+	}
+	if reply.Refused > 0 {
+		return &partlyRefusedError{refused: reply.Refused, all: len(reply.Effects)}
+	}
+	return nil
+}
+
+func (c *cli) printEffects(reply api.DoReply) error {
+	if reply.Warning != "" {
+		fmt.Fprintln(c.stderr, "pumicestage: warning:", reply.Warning)
+	}
+	if c.output == outputJSON {
+		return c.printJSON(reply)
+	}
+	for _, e := range reply.Effects {
+		if e.Refused != "" {
+			fmt.Fprintf(c.stdout, "%s: %s\n", e.What, e.Refused)
+			continue
+		}
+		fmt.Fprintf(c.stdout, "%s: %s -> %s (revision %d)\n", e.What, e.Before, e.After, e.Revision)
+	}
+	fmt.Fprintf(c.stdout, "change %s\n", reply.Change)
+	return nil
+}
--- a/cmd/pumicestage/main.go
+++ b/cmd/pumicestage/main.go
@@ -7,7 +7,19 @@
 	"github.com/alecthomas/kingpin/v2"
 )
 
+// verb adds one verb to the command line.
+type verb func(app *kingpin.Application, c *cli)
+
+// verbs are all verbs, each in a file of its own.
+var verbs = []verb{
+	addCheck,
+	addDiff,
+	addApply,
+	addQuery,
+	addDo,
+	addAudit,
+}
+
 func main() {
-	app := kingpin.New("pumicestage", "Fleet capacity and maintenance manager: the operators' command line.")
-	kingpin.MustParse(app.Parse(os.Args[1:]))
+	os.Exit(run(os.Args[1:], newCLI(os.Stdin, os.Stdout, os.Stderr)))
 }
--- /dev/null
+++ b/cmd/pumicestage/print.go
@@ -0,0 +1,138 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/pumicestage/pumicestage/internal/config"
+	"github.com/pumicestage/pumicestage/internal/query"
+)
+
+func (c *cli) printJSON(v any) error {
+	enc := json.NewEncoder(c.stdout)
+	enc.SetIndent("", "  ")
+	return enc.Encode(v)
+}
+
+func printDiff(w io.Writer, differ []config.Difference) {
+	if len(differ) == 0 {
+		fmt.Fprintln(w, "no difference")
+	}
+	for _, d := range differ {
+		fmt.Fprintln(w, d)
+	}
+}
+
+func printAnswer(w io.Writer, a query.Answer) {
+	switch {
+	case a.Table != nil:
+		printTable(w, a.Table.Columns, a.Table.Rows)
+	case a.Explanation != nil:
+		printExplanation(w, a.Explanation)
+	case a.Forecast != nil:
+		printForecast(w, a.Forecast)
+	}
+	printView(w, a.View)
+}
+
+func printTable(w io.Writer, columns []string, rows [][]string) {
+	tw := tabwriter.NewWriter(w, 0, 4, 2, ' ', 0)
+	fmt.Fprintln(tw, strings.ToUpper(strings.Join(columns, "\t")))
+	for _, row := range rows {
+		fmt.Fprintln(tw, strings.Join(row, "\t"))
+	}
+	tw.Flush()
+}
+
+func printExplanation(w io.Writer, x *query.Explanation) {
+	fmt.Fprintf(w, "%s %s: %s\n", x.Subject, x.Name, x.Now)
+	for _, r := range x.Reasons {
+		at := "always"
+		if !r.At.IsZero() {
+			at = r.At.UTC().Format("2006-01-02 15:04:05")
+		}
+		fmt.Fprintf(w, "  %-19s  %s\n", at, r.Text)
+	}
+}
+
+func printForecast(w io.Writer, f *query.Forecast) {
+	fmt.Fprintf(w, "%s: %s\n", f.What, verdict(f))
+	var rows [][]string
+	for _, s := range f.Steps {
+		rows = append(rows, []string{string(s.VM), s.Action, yesNo(s.Done), s.Reason})
+	}
+	if len(rows) > 0 {
+		printTable(w, []string{"vm", "action", "done", "reason"}, rows)
+	}
+	rows = nil
+	for _, b := range f.Budgets {
+		zone := string(b.After.Zone)
+		if zone == "" {
+			zone = "all"
+		}
+		rows = append(rows, []string{
+			string(b.After.Service), zone, fmt.Sprint(b.After.Need),
+			fmt.Sprint(b.Before.Available), fmt.Sprint(b.After.Available),
+			fmt.Sprint(b.Before.Spare()), fmt.Sprint(b.After.Spare()),
+		})
+	}
+	if len(rows) > 0 {
+		printTable(w, []string{"service", "zone", "need", "available", "then", "headroom", "then"}, rows)
+	}
+	fmt.Fprintf(w, "VMs that change pool: %d, jobs that go elsewhere: %d", f.Moves, f.Jobs)
+	if f.Takes > 0 {
+		fmt.Fprintf(w, ", takes about %s", f.Takes.Round(time.Second))
+	}
+	fmt.Fprintln(w)
+	for _, n := range f.Notes {
+		fmt.Fprintln(w, "  "+n)
+	}
+}
+
+func verdict(f *query.Forecast) string {
+	switch {
+	case !f.Allowed:
+		return "would be refused: " + f.Refusal
+	case !f.Holds:
+		return "a budget would break"
+	}
+	return "every budget would hold"
+}
+
+// printView says how far the answer can be trusted; what is wrong with it
+// stands out.
+func printView(w io.Writer, v query.ViewInfo) {
+	if v.Stale {
+		fmt.Fprintf(w, "WARNING: this view is %s old, things may have changed since\n", v.Age.Truncate(time.Second))
+	}
+	for _, z := range v.MissingZones {
+		fmt.Fprintf(w, "WARNING: zone %s is not heard %s, what is said of it may be over\n", z.Zone, sinceText(z.Heard))
+	}
+	fmt.Fprintf(w, "view of %s, %s old, generation %d, revision %d, answered by %s\n",
+		v.AsOf.UTC().Format("2006-01-02 15:04:05"), v.Age.Truncate(time.Millisecond), v.Generation, v.Revision, orUnknown(string(v.Entry)))
+}
+
+func sinceText(at time.Time) string {
+	if at.IsZero() {
+		return "since the entry VM started"
+	}
+	return "since " + at.UTC().Format("15:04:05")
+}
+
+func orUnknown(s string) string {
+	if s == "" {
+		return "an entry VM"
+	}
+	return s
+}
+
+func yesNo(b bool) string {
+	if b {
+		return "yes"
+	}
+	return "no"
+}
--- a/internal/command/executor.go
+++ b/internal/command/executor.go
@@ -15,12 +15,16 @@
 // maxTargets bounds the VMs or jobs that one order may touch.
 const maxTargets = 10_000
 
+// outcomeNotEntered starts the warning of an order that was carried out.
+const outcomeNotEntered = "the outcome could not be entered in the audit trail: "
+
 // Options are what an Executor works with. Jobs may be nil where the
 // deployment runs none.
 type Options struct {
 	Fleet    Fleet
 	Jobs     Jobs
 	Settings Settings
+	Declarer Declarer
 	Members  Members
 	Trail    Trail
 	Clock    clockwork.Clock // the real one if nil
@@ -59,7 +63,7 @@
 	}
 	res, err := x.run(ctx, req, steps)
 	if failed := x.Trail.Record(ctx, x.event(req, res, err)); failed != nil {
-		res.Warning = "the outcome could not be entered in the audit trail: " + failed.Error()
+		res.Warning = outcomeNotEntered + failed.Error()
 	}
 	return res, err
 }
--- a/internal/command/settings.go
+++ b/internal/command/settings.go
@@ -10,21 +10,32 @@
 
 	"github.com/pumicestage/pumicestage/internal/config"
 	"github.com/pumicestage/pumicestage/internal/platform"
+	"github.com/pumicestage/pumicestage/internal/view"
 	"github.com/pumicestage/pumicestage/policy/model"
 )
 
-// DeclaredSettings carries out Settings on the declaration in the store.
-type DeclaredSettings struct {
+// Stored carries out Settings and Declarer on the declaration in the store.
+type Stored struct {
 	Store platform.Store
 	Clock clockwork.Clock
-	// InForce returns the declaration this entry VM holds, nil if none.
-	InForce func() *model.Declaration
+	View  *view.Holder // what this entry VM holds in force
+}
+
+// Apply implements Declarer.
+func (d Stored) Apply(ctx context.Context, decl *model.Declaration, opts config.ApplyOptions) (config.ApplyResult, error) {
+	s := d.View.Load()
+	opts.InForce = s.Declaration
+	opts.Live = make(map[model.VMID]model.VM, len(s.VMs))
+	for id, vm := range s.VMs {
+		opts.Live[id] = vm.VM
+	}
+	return config.Apply(ctx, d.Store, decl, opts)
 }
 
 // SetLimit implements Settings.
-func (d DeclaredSettings) SetLimit(ctx context.Context, service model.ServiceName, limit int, by Actor, t Terms) (Effect, error) {
+func (d Stored) SetLimit(ctx context.Context, service model.ServiceName, limit int, by Actor, t Terms) (Effect, error) {
 	var before int
-	opts := config.ApplyOptions{Change: t.Change, By: by.Name, From: by.From, At: d.Clock.Now().UTC(), InForce: d.InForce()}
+	opts := config.ApplyOptions{Change: t.Change, By: by.Name, From: by.From, At: d.Clock.Now().UTC(), InForce: d.View.Load().Declaration, IfRevision: t.IfRevision}
 	res, err := config.Edit(ctx, d.Store, opts, func(decl *model.Declaration) error {
 		s := decl.Service(service)
 		if s == nil {
--- a/internal/config/apply.go
+++ b/internal/config/apply.go
@@ -20,6 +20,9 @@
 	// IfGeneration refuses the change unless this generation is in force.
 	// Nil accepts any.
 	IfGeneration *uint64
+	// IfRevision refuses the change unless the store's key has this revision;
+	// 0 accepts any.
+	IfRevision platform.Revision
 	// ConfirmRemoval applies a removal that breaks a budget.
 	ConfirmRemoval bool
 	// DryRun does all but write.
@@ -40,6 +43,9 @@
 	Unchanged  bool         // the same is in force already: no new generation
 	Repeated   bool         // the same change ID was accepted earlier
 	Current    uint64       // the generation in force now; above Generation where another change followed
+	// Broken are the budgets that its removals break; only a dry run returns
+	// them beside a result.
+	Broken []BrokenBudget
 }
 
 // Apply makes d the declaration in force, under the next generation. Errors
@@ -57,10 +63,14 @@
 		return res, nil
 	}
 	base := newest(current, opts.InForce)
-	if err := checkBase(current, base, d, opts); err != nil {
+	if opts.IfRevision != 0 && opts.IfRevision != rev {
+		return ApplyResult{}, trace.Wrap(conflict(current, base, d))
+	}
+	broken := BrokenByRemoval(base, d, opts.Live)
+	if err := checkTerms(current, base, d, broken, opts); err != nil {
 		return ApplyResult{}, err
 	}
-	res := ApplyResult{Differ: Diff(base, d)}
+	res := ApplyResult{Differ: Diff(base, d), Broken: broken}
 	if len(res.Differ) == 0 && current != nil && base.Generation == current.Generation {
 		res.Unchanged, res.Generation, res.Current, res.Revision = true, base.Generation, base.Generation, rev
 		return res, nil
@@ -93,12 +103,11 @@
 	return &current.Declaration
 }
 
-func checkBase(current *Stored, base, d *model.Declaration, opts ApplyOptions) error {
+func checkTerms(current *Stored, base, d *model.Declaration, broken []BrokenBudget, opts ApplyOptions) error {
 	if want := opts.IfGeneration; want != nil && *want != generation(base) {
 		return trace.Wrap(conflict(current, base, d))
 	}
-	broken := BrokenByRemoval(base, d, opts.Live)
-	if len(broken) > 0 && !opts.ConfirmRemoval {
+	if len(broken) > 0 && !opts.ConfirmRemoval && !opts.DryRun {
 		return trace.Wrap(&RemovalError{Broken: broken})
 	}
 	return nil
--- a/internal/config/edit.go
+++ b/internal/config/edit.go
@@ -38,7 +38,7 @@
 		opts.IfGeneration = &base.Generation
 		res, err := Apply(ctx, store, next, opts)
 		var conflict *ConflictError
-		if !errors.As(err, &conflict) {
+		if !errors.As(err, &conflict) || opts.IfRevision != 0 {
 			return res, err
 		}
 		last = err
--- /dev/null
+++ b/internal/operator/trail.go
@@ -0,0 +1,61 @@
+package operator
+
+import (
+	"context"
+
+	"github.com/pumicestage/pumicestage/internal/audit"
+	"github.com/pumicestage/pumicestage/internal/command"
+	"github.com/pumicestage/pumicestage/internal/query"
+)
+
+// CommandTrail is the audit trail as package command needs it.
+type CommandTrail struct {
+	Trail *audit.Trail
+}
+
+// Record implements command.Trail.
+func (t CommandTrail) Record(ctx context.Context, e command.Event) error {
+	return t.Trail.Record(ctx, entryOf(e))
+}
+
+// Note implements command.Trail.
+func (t CommandTrail) Note(e command.Event) { t.Trail.Note(entryOf(e)) }
+
+var stageResult = map[command.Stage]audit.Result{
+	command.StageAsked:   audit.Asked,
+	command.StageDone:    audit.Done,
+	command.StageRefused: audit.Refused,
+	command.StageUnknown: audit.Unknown,
+}
+
+func entryOf(e command.Event) audit.Entry {
+	return audit.Entry{
+		At: e.At, Who: e.By.Name, From: e.By.From, Change: e.Change,
+		What: e.What, Before: e.Before, After: e.After, Result: stageResult[e.Stage], Detail: e.Detail,
+	}
+}
+
+// historyLimit bounds how much of the trail an explanation shows.
+const historyLimit = 20
+
+// QueryHistory is the audit trail as package query needs it.
+type QueryHistory struct {
+	Trail *audit.Trail
+}
+
+// About implements query.History.
+func (h QueryHistory) About(ctx context.Context, subject string) ([]query.Reason, error) {
+	entries, _, err := h.Trail.Read(ctx, audit.Filter{What: subject, Limit: historyLimit})
+	if err != nil {
+		return nil, err
+	}
+	reasons := make([]query.Reason, 0, len(entries))
+	for _, e := range entries {
+		text := string(e.Result) + ": " + e.What + " by " + e.Who
+		if e.Detail != "" {
+			text += " (" + e.Detail + ")"
+		}
+		reasons = append(reasons, query.Reason{At: e.At, Text: text})
+	}
+	return reasons, nil
+}
