--- /dev/null
+++ b/internal/operator/operatortest/fixture.go
@@ -0,0 +1,225 @@
+// Package operatortest wires the operator port to an in-memory store and
+// small fakes, for tests of the port, its client and the command line.
+package operatortest
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/jonboulle/clockwork"
+
+	"github.com/pumicestage/pumicestage/internal/access"
+	"github.com/pumicestage/pumicestage/internal/audit"
+	"github.com/pumicestage/pumicestage/internal/command"
+	"github.com/pumicestage/pumicestage/internal/operator"
+	"github.com/pumicestage/pumicestage/internal/platform/faulty"
+	"github.com/pumicestage/pumicestage/internal/platform/memstore"
+	"github.com/pumicestage/pumicestage/internal/query"
+	"github.com/pumicestage/pumicestage/internal/scope"
+	"github.com/pumicestage/pumicestage/internal/view"
+	"github.com/pumicestage/pumicestage/policy/model"
+)
+
+// Epoch is the fixture's time at the start.
+var Epoch = time.Date(2026, 3, 1, 3, 0, 0, 0, time.UTC)
+
+// Fixture is an operator port with what stands behind it.
+type Fixture struct {
+	Clock   *clockwork.FakeClock
+	Engine  *memstore.Store // behind the way
+	Way     *faulty.Store   // the port's way to the store
+	View    *view.Holder
+	Fleet   *Fleet
+	Acks    *Acks
+	Trail   *audit.Trail
+	Handler http.Handler
+}
+
+// New returns a fixture whose view holds the declaration with every VM in its
+// declared pool. gate may be nil.
+func New(t testing.TB, d *model.Declaration, gate access.Gate) *Fixture {
+	t.Helper()
+	f := &Fixture{Clock: clockwork.NewFakeClockAt(Epoch), View: view.NewHolder(), Fleet: &Fleet{}, Acks: &Acks{}}
+	f.Engine = memstore.New(f.Clock)
+	f.Way = faulty.Wrap(f.Engine)
+	f.Trail = audit.New(audit.Options{Store: f.Way, Self: "e1", Clock: f.Clock, Pace: -1, Log: logr.Discard()})
+	f.Publish(d)
+	stored := command.Stored{Store: f.Way, Clock: f.Clock, View: f.View}
+	f.Handler = operator.New(operator.Options{
+		Store: f.Way,
+		View:  f.View,
+		Commands: command.New(command.Options{
+			Fleet: f.Fleet, Settings: stored, Declarer: stored, Members: scope.Holder{View: f.View},
+			Trail: operator.CommandTrail{Trail: f.Trail}, Clock: f.Clock,
+		}),
+		Queries: query.New(query.Options{
+			View: f.View, Planner: Planner{}, Peers: peers{f}, Clock: f.Clock,
+			History: operator.QueryHistory{Trail: f.Trail},
+			Health:  func(model.VMID) model.Health { return model.HealthHealthy },
+		}),
+		Trail: f.Trail, Acks: f.Acks, Access: gate, Clock: f.Clock, Log: logr.Discard(),
+	})
+	return f
+}
+
+// Publish puts the declaration into the view.
+func (f *Fixture) Publish(d *model.Declaration) {
+	s := &view.Snapshot{AsOf: f.Clock.Now(), Declaration: d, VMs: make(map[model.VMID]view.VMRecord)}
+	if d != nil {
+		for _, vm := range d.VMs {
+			s.VMs[vm.ID] = view.VMRecord{VM: model.VM{
+				ID: vm.ID, Zone: vm.Zone, Rack: vm.Rack, Pool: vm.Pool, Address: vm.Address,
+				State: model.VMInPool, Since: f.Clock.Now(),
+			}}
+		}
+		for _, z := range d.Zones {
+			s.Entries = append(s.Entries, view.EntryRecord{ID: model.EntryID("e-" + z), Zone: z})
+		}
+	}
+	f.View.Publish(s)
+}
+
+// peers says that every entry VM of the view is heard now.
+type peers struct{ f *Fixture }
+
+func (peers) Self() model.EntryID { return "e1" }
+
+func (p peers) Heard() []query.PeerHeard {
+	var heard []query.PeerHeard
+	for _, e := range p.f.View.Load().Entries {
+		heard = append(heard, query.PeerHeard{Entry: e.ID, Zone: e.Zone, At: p.f.Clock.Now()})
+	}
+	return heard
+}
+
+// Fleet is a command.Fleet that remembers what it was told and refuses what a
+// test says.
+type Fleet struct {
+	mu      sync.Mutex
+	Orders  []string
+	Terms   []command.Terms
+	Refuse  map[model.VMID]*command.Refusal
+	Failure error
+}
+
+func (f *Fleet) take(order string, vm model.VMID, t command.Terms) (command.Effect, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.Orders = append(f.Orders, order)
+	f.Terms = append(f.Terms, t)
+	if r := f.Refuse[vm]; r != nil {
+		return command.Effect{}, r
+	}
+	return command.Effect{Before: "before", After: "after", Revision: 7}, f.Failure
+}
+
+// Drain implements command.Fleet.
+func (f *Fleet) Drain(_ context.Context, vm model.VMID, cut bool, t command.Terms) (command.Effect, error) {
+	order := "drain "
+	if cut {
+		order = "cut "
+	}
+	return f.take(order+string(vm), vm, t)
+}
+
+// Undrain implements command.Fleet.
+func (f *Fleet) Undrain(_ context.Context, vm model.VMID, t command.Terms) (command.Effect, error) {
+	return f.take("undrain "+string(vm), vm, t)
+}
+
+// Move implements command.Fleet.
+func (f *Fleet) Move(_ context.Context, vm model.VMID, to model.PoolName, t command.Terms) (command.Effect, error) {
+	return f.take("move "+string(vm)+" to "+string(to), vm, t)
+}
+
+// StartWave implements command.Fleet.
+func (f *Fleet) StartWave(_ context.Context, w model.WaveName, pools []model.PoolName, t command.Terms) (command.Effect, error) {
+	order := "start " + string(w)
+	for _, p := range pools {
+		order += " " + string(p)
+	}
+	return f.take(order, "", t)
+}
+
+// PauseWave implements command.Fleet.
+func (f *Fleet) PauseWave(_ context.Context, w model.WaveName, t command.Terms) (command.Effect, error) {
+	return f.take("pause "+string(w), "", t)
+}
+
+// ResumeWave implements command.Fleet.
+func (f *Fleet) ResumeWave(_ context.Context, w model.WaveName, t command.Terms) (command.Effect, error) {
+	return f.take("resume "+string(w), "", t)
+}
+
+// CancelWave implements command.Fleet.
+func (f *Fleet) CancelWave(_ context.Context, w model.WaveName, t command.Terms) (command.Effect, error) {
+	return f.take("cancel "+string(w), "", t)
+}
+
+// Acks answers who holds a generation as a test says.
+type Acks struct {
+	mu      sync.Mutex
+	Have    []model.EntryID
+	Missing []model.EntryID
+	Err     error
+}
+
+// Set replaces the answer.
+func (a *Acks) Set(have, missing []model.EntryID) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.Have, a.Missing = have, missing
+}
+
+// InForce implements operator.Acks.
+func (a *Acks) InForce(context.Context, uint64) (have, missing []model.EntryID, err error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.Have, a.Missing, a.Err
+}
+
+// Planner is a query.Planner that counts declared VMs and allows everything.
+type Planner struct{}
+
+// Budgets implements query.Planner.
+func (Planner) Budgets(_ context.Context, s *view.Snapshot) ([]query.Headroom, error) {
+	return count(s, nil), nil
+}
+
+// Foresee implements query.Planner.
+func (Planner) Foresee(_ context.Context, s *view.Snapshot, h query.Hypothesis) (query.Forecast, error) {
+	out := make(map[model.VMID]bool)
+	forecast := query.Forecast{Allowed: true}
+	for _, vm := range append(append([]model.VMID{}, h.Drain...), h.Lose...) {
+		out[vm] = true
+		forecast.Steps = append(forecast.Steps, query.Step{VM: vm, Action: "out", Done: true})
+	}
+	before, after := count(s, nil), count(s, out)
+	for i := range before {
+		forecast.Budgets = append(forecast.Budgets, query.BudgetShift{Before: before[i], After: after[i]})
+	}
+	return forecast, nil
+}
+
+func count(s *view.Snapshot, out map[model.VMID]bool) []query.Headroom {
+	var rows []query.Headroom
+	for _, svc := range s.Declaration.Services {
+		h := query.Headroom{Service: svc.Name}
+		for id, vm := range s.VMs {
+			if len(svc.Pools) == 0 || vm.Pool != svc.Pools[0] {
+				continue
+			}
+			h.VMs++
+			if vm.State == model.VMInPool && !out[id] {
+				h.Available++
+			}
+		}
+		h.Need = svc.Budget.MinAvailable.Of(h.VMs)
+		rows = append(rows, h)
+	}
+	return rows
+}
