--- a/cmd/pumicestage/cli.go
+++ b/cmd/pumicestage/cli.go
@@ -41,6 +41,7 @@
 	output    string
 	tokenFile string
 	timeout   time.Duration
+	tls       tlsFlags
 }
 
 func newCLI(stdin io.Reader, stdout, stderr io.Writer) *cli {
@@ -96,6 +97,7 @@
 	app.Flag("output", "Form of the output.").Short('o').Default(outputTable).EnumVar(&c.output, outputTable, outputJSON)
 	app.Flag("token-file", "File with the operator's token.").Envar("PUMICESTAGE_TOKEN_FILE").StringVar(&c.tokenFile)
 	app.Flag("timeout", "How long one call may take.").Default("30s").DurationVar(&c.timeout)
+	c.tls.add(app)
 	return app
 }
 
@@ -115,11 +117,17 @@
 	if err != nil {
 		return nil, err
 	}
+	httpClient, err := c.tls.client()
+	if err != nil {
+		return nil, err
+	}
 	var servers []string
-	for _, s := range c.servers {
-		servers = append(servers, strings.Split(s, ",")...)
+	for _, list := range c.servers {
+		for _, s := range strings.Split(list, ",") {
+			servers = append(servers, c.tls.url(s))
+		}
 	}
-	return client.New(client.Options{Servers: servers, Token: token, Operator: loginName()}), nil
+	return client.New(client.Options{Servers: servers, Token: token, Operator: loginName(), HTTP: httpClient}), nil
 }
 
 // token reads the token's file. A token is never taken from the command line,
--- a/cmd/pumicestage/main.go
+++ b/cmd/pumicestage/main.go
@@ -18,6 +18,9 @@
 	addQuery,
 	addDo,
 	addAudit,
+	addTop,
+	addShell,
+	addToken,
 }
 
 func main() {
--- /dev/null
+++ b/cmd/pumicestage/tls.go
@@ -0,0 +1,57 @@
+package main
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"fmt"
+	"net/http"
+	"os"
+	"strings"
+
+	"github.com/alecthomas/kingpin/v2"
+)
+
+// tlsFlags say how to reach an operator port that speaks TLS.
+type tlsFlags struct {
+	ca   string
+	name string
+	cert string
+	key  string
+}
+
+func (f *tlsFlags) add(app *kingpin.Application) {
+	app.Flag("tls-ca", "PEM file of the authority of the entry VMs' certificates; turns TLS on.").Envar("PUMICESTAGE_TLS_CA").ExistingFileVar(&f.ca)
+	app.Flag("tls-name", "Name in the entry VMs' certificates, where it is not the host of --server.").Envar("PUMICESTAGE_TLS_NAME").StringVar(&f.name)
+	app.Flag("tls-cert", "PEM file of this client's certificate, where one is asked for.").Envar("PUMICESTAGE_TLS_CERT").ExistingFileVar(&f.cert)
+	app.Flag("tls-key", "PEM file of the key to --tls-cert.").Envar("PUMICESTAGE_TLS_KEY").ExistingFileVar(&f.key)
+}
+
+// url adds the scheme that the flags call for.
+func (f *tlsFlags) url(server string) string {
+	if f.ca == "" || strings.Contains(server, "://") {
+		return server
+	}
+	return "https://" + server
+}
+
+func (f *tlsFlags) client() (*http.Client, error) {
+	if f.ca == "" {
+		return http.DefaultClient, nil
+	}
+	text, err := os.ReadFile(f.ca)
+	if err != nil {
+		return nil, err
+	}
+	cfg := &tls.Config{MinVersion: tls.VersionTLS13, ServerName: f.name, RootCAs: x509.NewCertPool()}
+	if !cfg.RootCAs.AppendCertsFromPEM(text) {
+		return nil, &usageError{detail: fmt.Sprintf("--tls-ca %s has no certificate in PEM", f.ca)}
+	}
+	if f.cert != "" {
+		pair, err := tls.LoadX509KeyPair(f.cert, f.key)
+		if err != nil {
+			return nil, &usageError{detail: "--tls-cert and --tls-key do not go together"}
+		}
+		cfg.Certificates = []tls.Certificate{pair}
+	}
+	return &http.Client{Transport: &http.Transport{TLSClientConfig: cfg}}, nil
+}
--- a/internal/lang/syntax.go
+++ b/internal/lang/syntax.go
@@ -7,7 +7,6 @@
 	"unicode/utf8"
 
 	"github.com/alecthomas/participle/v2"
-	"github.com/alecthomas/participle/v2/lexer"
 )
 
 // SyntaxError reports a line that is not of the language.
@@ -68,7 +67,7 @@
 		Input:    input,
 		Offset:   offset,
 		Found:    wordAt(input, offset),
-		Expected: Expected(input[:offset]),
+		Expected: expected(input[:offset]),
 	}
 }
 
@@ -101,88 +100,3 @@
 	offset := len(input) - len(strings.TrimLeft(input, " \t\r\n"))
 	return &SyntaxError{Input: input, Offset: offset, Found: wordAt(input, offset), Expected: append([]string{}, expected...)}
 }
-
-// Probes stand for whole classes of words when Expected tries what the grammar
-// takes.
-const (
-	probeWord   = "x0"
-	probeString = `"x"`
-)
-
-// Expected returns what may follow the prefix, asked of the grammar itself:
-// each keyword and class of words is tried at the end of it. So hints and
-// completion can not differ from what Parse takes.
-func Expected(prefix string) []string {
-	prefix = strings.TrimRight(prefix, " \t\r\n")
-	if prefix != "" {
-		prefix += " "
-	}
-	if takes(prefix, probeWord) {
-		return []string{classOf(prefix)}
-	}
-	var expected []string
-	for _, k := range keywords {
-		if takes(prefix, k) {
-			expected = append(expected, k)
-		}
-	}
-	if takes(prefix, probeString) {
-		expected = append(expected, "a text in double quotes")
-	}
-	if _, err := parser.ParseString("", prefix); err == nil {
-		expected = append(expected, "the end of the line")
-	}
-	return expected
-}
-
-// takes reports whether the grammar takes the word after the prefix, also
-// where it then misses more words.
-func takes(prefix, word string) bool {
-	_, err := parser.ParseString("", prefix+word)
-	if err == nil {
-		return true
-	}
-	return offsetOf(prefix+word, err) > len(prefix)
-}
-
-// classOf names the class of words that may follow the prefix by the last
-// word of it.
-func classOf(prefix string) string {
-	words := lastWords(prefix)
-	switch words[1] {
-	case "vm":
-		return "the ID of a VM"
-	case "job":
-		return "the ID of a job"
-	case "rack", "zone", "wave", "service", "pool":
-		return "the name of a " + words[1]
-	case "budget":
-		return "the name of a service"
-	case "limit":
-		return "a whole number"
-	case "where", "and":
-		return "a field"
-	case ",":
-		return "the name of a pool"
-	}
-	return "a value"
-}
-
-// lastWords returns the last two words of the prefix, the last one second.
-func lastWords(prefix string) [2]string {
-	var last [2]string
-	lx, err := tokens.LexString("", prefix)
-	if err != nil {
-		return last
-	}
-	space := tokens.Symbols()["Space"]
-	for {
-		tok, err := lx.Next()
-		if err != nil || tok.Type == lexer.EOF {
-			return last
-		}
-		if tok.Type != space {
-			last[0], last[1] = last[1], tok.Value
-		}
-	}
-}
