--- a/internal/audit/segment.go
+++ b/internal/audit/segment.go
@@ -45,7 +45,7 @@
 type segmentRef struct {
 	Key  string
 	From time.Time // when it was opened
-	To   time.Time // when its writer opened the next; zero while open
+	To   time.Time // of its last entry, set when its writer opens the next; zero before
 }
 
 // end returns a time after which the segment has no entries.
@@ -63,13 +63,13 @@
 	Segments []segmentRef // by From
 }
 
-// advance closes the segment under closeKey, adds next, and takes out what is
-// beyond the bounds.
-func (ix *index) advance(closeKey string, next segmentRef, change string) (dropped []string) {
+// advance notes the end of the writer's segment before, if it had one, adds
+// next, and takes out what is beyond the bounds.
+func (ix *index) advance(closed, next segmentRef, change string) (dropped []string) {
 	ix.Change = change
 	for i := range ix.Segments {
-		if ix.Segments[i].Key == closeKey {
-			ix.Segments[i].To = next.From
+		if ix.Segments[i].Key == closed.Key {
+			ix.Segments[i].To = closed.To
 		}
 	}
 	ix.Segments = append(ix.Segments, next)
--- a/internal/audit/trail.go
+++ b/internal/audit/trail.go
@@ -63,6 +63,7 @@
 	openKey   string // empty where a new segment must be opened
 	openRev   platform.Revision
 	openSince time.Time
+	openLast  time.Time // when it was last written
 	openBytes int
 	lastWrite time.Time
 }
@@ -264,7 +265,7 @@
 	if err != nil {
 		return err
 	}
-	t.open, t.openBytes = next, len(value)
+	t.open, t.openBytes, t.openLast = next, len(value), t.lastWrite
 	t.openRev = revisionOf(res, t.openKey)
 	return nil
 }
@@ -288,7 +289,7 @@
 		if err != nil && !mine {
 			return err
 		}
-		t.open, t.openKey, t.openSince, t.openBytes = next, key, now, len(value)
+		t.open, t.openKey, t.openSince, t.openLast, t.openBytes = next, key, now, now, len(value)
 		t.openRev = revisionOf(res, key)
 		return nil
 	}
@@ -300,7 +301,7 @@
 	if err != nil {
 		return platform.TxnResult{}, err
 	}
-	dropped := ix.advance(t.openKey, segmentRef{Key: key, From: now}, rand.Text())
+	dropped := ix.advance(segmentRef{Key: t.openKey, To: t.openLast.UTC()}, segmentRef{Key: key, From: now}, rand.Text())
 	indexValue, err := json.Marshal(ix)
 	if err != nil {
 		return platform.TxnResult{}, err
