Operator port wired to fleet, relay and audit; slots lent between peers in digests

Cause: orders and questions ended at their interfaces, and the entry's lending of slots was not carried by digests. Change: internal/daemon/adapt translates fleet to command and query; the mesh fills digests from the entry and shows live peers' digests.

--- a/cmd/pumicestage/main.go
+++ b/cmd/pumicestage/main.go
@@ -21,6 +21,7 @@
 	addTop,
 	addShell,
 	addToken,
+	addDev,
 }
 
 func main() {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -16,6 +16,7 @@
 	"github.com/go-logr/logr"
 	"github.com/gravitational/trace"
 
+	"github.com/pumicestage/pumicestage/internal/audit"
 	"github.com/pumicestage/pumicestage/internal/claim"
 	"github.com/pumicestage/pumicestage/internal/entry"
 	"github.com/pumicestage/pumicestage/internal/fleet"
@@ -64,6 +65,7 @@
 	entry    *entry.Server
 	fleet    *fleet.Fleet
 	prober   *prober
+	trail    *audit.Trail
 
 	ready atomic.Bool
 }
@@ -135,6 +137,7 @@
 		Listener: d.peers,
 		Dial:     peerDial(o.Dial),
 		Local:    func() ([]peer.TargetLoad, int) { return d.entry.Loads(), d.entry.Queued() },
+		Fill:     func(dg *peer.Digest) { d.entry.FillDigest(dg) },
 		Watching: func() bool { return d.relay.Watching() },
 		Log:      d.log.WithName("peer"),
 	})
@@ -152,6 +155,7 @@
 		Limits: d.entryLimits(),
 		Seed:   d.self.Incarnation,
 	})
+	d.trail = audit.New(audit.Options{Store: d.store, Self: d.self.ID, Log: d.log.WithName("audit")})
 	d.prober = newProber(d.view, o.Dial)
 	d.fleet = fleet.New(fleet.Options{
 		Store:    d.store,
@@ -199,22 +203,28 @@
 // Run serves until ctx ends, then leaves gracefully: not ready, no new
 // requests, those in flight finish, and what it holds is handed over.
 func (d *Daemon) Run(ctx context.Context) error {
+	gate, err := d.gate()
+	if err != nil {
+		d.closeListeners()
+		return trace.Wrap(err)
+	}
+	d.warnExposed()
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	var parts sync.WaitGroup
 	d.startParts(background, &parts)
 	callers := d.callerServer()
-	operators := &http.Server{Handler: d.operatorHandler(), ReadHeaderTimeout: d.settings.Limits.HeaderTimeout}
+	operators := &http.Server{Handler: d.operatorHandler(gate), ReadHeaderTimeout: d.settings.Limits.HeaderTimeout}
 	failed := make(chan error, 2)
 	go func() { failed <- callers.Serve(d.callers) }()
 	go func() { failed <- operators.Serve(d.operators) }()
 	d.ready.Store(true)
 	d.log.Info("serving", "callers", d.self.Caller, "operators", d.self.Operator, "peers", d.self.Peer)
 
-	var err error
 	select {
 	case <-ctx.Done():
 		err = d.leave(callers)
+		d.flushTrail()
 	case err = <-failed:
 	}
 	stop()
--- a/internal/daemon/http.go
+++ b/internal/daemon/http.go
@@ -56,13 +56,6 @@
 	return srv
 }
 
-func (d *Daemon) operatorHandler() http.Handler {
-	r := mux.NewRouter()
-	d.addProbes(r)
-	r.HandleFunc("/debug/vars", d.vars).Methods(http.MethodGet)
-	return r
-}
-
 // addProbes adds what the platform's balancer asks: alive, and ready for
 // requests.
 func (d *Daemon) addProbes(r *mux.Router) {
--- a/internal/daemon/leave.go
+++ b/internal/daemon/leave.go
@@ -41,3 +41,15 @@
 		next.ServeHTTP(w, r)
 	})
 }
+
+// flushLimit bounds how long a leaving daemon waits for the audit trail: the
+// platform may be down.
+const flushLimit = 3 * time.Second
+
+func (d *Daemon) flushTrail() {
+	ctx, cancel := context.WithTimeout(context.Background(), flushLimit)
+	defer cancel()
+	if err := d.trail.Flush(ctx); err != nil {
+		d.log.Error(err, "audit entries not all written")
+	}
+}
--- /dev/null
+++ b/internal/daemon/operators.go
@@ -0,0 +1,79 @@
+package daemon
+
+import (
+	"net/http"
+
+	"github.com/gorilla/mux"
+	"github.com/gravitational/trace"
+	"github.com/jonboulle/clockwork"
+
+	"github.com/pumicestage/pumicestage/internal/access"
+	"github.com/pumicestage/pumicestage/internal/command"
+	"github.com/pumicestage/pumicestage/internal/daemon/adapt"
+	"github.com/pumicestage/pumicestage/internal/operator"
+	"github.com/pumicestage/pumicestage/internal/operator/api"
+	"github.com/pumicestage/pumicestage/internal/query"
+	"github.com/pumicestage/pumicestage/internal/scope"
+)
+
+// gate returns who may do what at the operator port.
+func (d *Daemon) gate() (access.Gate, error) {
+	if d.settings.TokensFile == "" {
+		return access.Open{NameHeader: api.HeaderOperator}, nil
+	}
+	tokens, err := access.NewTokens(d.settings.TokensFile, clockwork.NewRealClock(), d.log.WithName("access"))
+	return tokens, trace.Wrap(err)
+}
+
+// warnExposed says loudly what a listener off loopback lacks.
+func (d *Daemon) warnExposed() {
+	for _, l := range []struct {
+		name    string
+		address string
+		tls     bool
+	}{
+		{"callers", d.settings.Callers.Listen, d.settings.Callers.TLS()},
+		{"operators", d.settings.Operators.Listen, d.settings.Operators.TLS()},
+		{"peers", d.settings.Peers.Listen, d.settings.Peers.TLS()},
+	} {
+		if !l.tls && access.Exposed(l.address) {
+			d.log.Error(nil, "LISTENER WITHOUT TLS is reachable from beyond this VM", "listener", l.name, "address", l.address)
+		}
+	}
+	if d.settings.TokensFile == "" && access.Exposed(d.settings.Operators.Listen) {
+		d.log.Error(nil, "OPERATOR PORT WITHOUT TOKENS: whoever reaches it may do everything", "address", d.settings.Operators.Listen)
+	}
+}
+
+// operatorHandler returns what the operator port serves.
+func (d *Daemon) operatorHandler(gate access.Gate) http.Handler {
+	stored := command.Stored{Store: d.store, Clock: clockwork.NewRealClock(), View: d.view}
+	api := operator.New(operator.Options{
+		Store: d.store,
+		View:  d.view,
+		Commands: command.New(command.Options{
+			Fleet:    adapt.Orders{Fleet: d.fleet},
+			Settings: stored,
+			Declarer: stored,
+			Members:  scope.Holder{View: d.view},
+			Trail:    operator.CommandTrail{Trail: d.trail},
+		}),
+		Queries: query.New(query.Options{
+			View:    d.view,
+			Planner: adapt.Planner{Fleet: d.fleet},
+			Waves:   adapt.Waves{Fleet: d.fleet},
+			Peers:   adapt.Peers{ID: d.self.ID, Zone: d.self.Zone, View: d.view, Mesh: d.mesh},
+			History: operator.QueryHistory{Trail: d.trail},
+			Health:  d.prober.Health,
+		}),
+		Trail:  d.trail,
+		Acks:   d.registry,
+		Access: gate,
+		Log:    d.log.WithName("operator"),
+	})
+	r := mux.NewRouter()
+	d.addProbes(r)
+	r.HandleFunc("/debug/vars", d.vars).Methods(http.MethodGet)
+	r.PathPrefix("/").Handler(api)
+	return r
+}
--- a/internal/peer/mesh.go
+++ b/internal/peer/mesh.go
@@ -36,6 +36,9 @@
 	// Local returns what this entry VM has in flight itself, and its queue's
 	// length.
 	Local func() (loads []TargetLoad, queued int)
+	// Fill adds to each digest what else is told, such as slots lent; nil for
+	// nothing.
+	Fill func(*Digest)
 	// Watching reports whether this entry VM holds the platform's watch; nil
 	// for never.
 	Watching func() bool
@@ -262,7 +265,21 @@
 	return time.Now().Add(offsets[len(offsets)/2])
 }
 
-var _ Loads = (*Mesh)(nil)
+var (
+	_ Loads        = (*Mesh)(nil)
+	_ DigestSource = (*Mesh)(nil)
+)
+
+// PeerDigests implements DigestSource.
+func (m *Mesh) PeerDigests() []PeerDigest {
+	var live []PeerDigest
+	for _, p := range m.Peers() {
+		if p.Live {
+			live = append(live, PeerDigest{Digest: p.Digest, Heard: p.Heard})
+		}
+	}
+	return live
+}
 
 func (m *Mesh) hello() hello {
 	s := m.opts.Self
@@ -285,6 +302,9 @@
 	for _, l := range loads {
 		d.InFlight += uint32(l.InFlight)
 	}
+	if m.opts.Fill != nil {
+		m.opts.Fill(&d)
+	}
 	return d
 }
 
