--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -85,6 +85,10 @@
 		Operator:    advertised(o.Settings.Operators, d.operators),
 		Incarnation: incarnation(),
 	}
+	if err := d.secureListeners(); err != nil {
+		d.closeListeners()
+		return nil, trace.Wrap(err)
+	}
 	d.connectPlatform(o)
 	d.wire(o)
 	return d, nil
@@ -101,6 +105,14 @@
 	return err
 }
 
+func (d *Daemon) secureListeners() (err error) {
+	if d.callers, err = secure(d.callers, d.settings.Callers, d.log.WithName("tls")); err != nil {
+		return err
+	}
+	d.operators, err = secure(d.operators, d.settings.Operators, d.log.WithName("tls"))
+	return err
+}
+
 func (d *Daemon) closeListeners() {
 	for _, l := range []net.Listener{d.callers, d.operators, d.peers} {
 		if l != nil {
