dev prints what the fake targets saw when it ends

Cause: a daemon started beside a running dev could not be judged by the targets. Change: dev left running prints the targets' counts at its end.

--- a/internal/dev/dev.go
+++ b/internal/dev/dev.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/gravitational/trace"
+
+	"github.com/pumicestage/pumicestage/policy/model"
 )
 
 // Serve runs the example until ctx ends, with load from nobody but the
@@ -26,14 +28,38 @@
 	}
 	c.announce(o)
 	<-ctx.Done()
+	c.printTargets(o)
 	return nil
 }
 
+// printTargets prints what the fake targets saw.
+func (c *cluster) printTargets(o Options) {
+	var started, cut, abandoned int
+	for _, t := range c.targets {
+		counts := t.Counts()
+		started += counts.Started
+		cut += counts.Cut
+		abandoned += counts.Abandoned
+	}
+	fmt.Fprintf(o.Out, "targets    %d requests started, %d cut, %d abandoned by an entry VM, %d keys run twice\n",
+		started, cut, abandoned, c.doubleRuns())
+}
+
 func (c *cluster) announce(o Options) {
 	fmt.Fprintf(o.Out, "platform   %s\n", c.base)
 	for _, e := range c.entries {
 		self := e.Self()
 		fmt.Fprintf(o.Out, "entry VM   %s in %s: callers http://%s, operators http://%s\n", self.ID, self.Zone, self.Caller, self.Operator)
 	}
-	fmt.Fprintf(o.Out, "try        curl -i http://%s/services/%s/x\n", c.entries[0].Self().Caller, c.decl.Services[0].Name)
+	fmt.Fprintf(o.Out, "try        curl -i http://%s/services/%s/x\n", c.entries[0].Self().Caller, repeatable(c.decl))
+}
+
+// repeatable names a service that takes requests without an Idempotency-Key.
+func repeatable(d *model.Declaration) model.ServiceName {
+	for _, s := range d.Services {
+		if s.Repeatable {
+			return s.Name
+		}
+	}
+	return d.Services[0].Name
 }
--- a/internal/dev/report.go
+++ b/internal/dev/report.go
@@ -68,34 +68,29 @@
 	r.sent, r.ran, r.notRun, r.unknown = t.Sent(), t.Ran.Load(), t.NotRun.Load(), t.Unknown.Load()
 	r.broken, r.wrong, r.refused = t.Broken.Load(), t.Wrong.Load(), t.Refused.Load()
 	for _, target := range c.targets {
-		counts := target.Counts()
-		r.cut += counts.Cut
-		for _, runs := range counts.Runs {
-			if runs > 1 {
-				r.doubleRuns++
-			}
-		}
+		r.cut += target.Counts().Cut
 	}
-	r.doubleRuns += doubleRunsAcross(c)
+	r.doubleRuns = c.doubleRuns()
 	tally := c.platform.Machines.Tally()
 	r.notRebooted = len(c.decl.VMs) - tally.Reboots
 }
 
-// doubleRunsAcross counts keys that ran on more than one target.
-func doubleRunsAcross(c *cluster) int {
-	seen := make(map[string]int)
+// doubleRuns counts Idempotency-Keys that ran more than once, on one target or
+// on several.
+func (c *cluster) doubleRuns() int {
+	runs := make(map[string]int)
 	for _, target := range c.targets {
-		for key := range target.Counts().Runs {
-			seen[key]++
+		for key, n := range target.Counts().Runs {
+			runs[key] += n
 		}
 	}
-	n := 0
-	for _, targets := range seen {
-		if targets > 1 {
-			n++
+	twice := 0
+	for _, n := range runs {
+		if n > 1 {
+			twice++
 		}
 	}
-	return n
+	return twice
 }
 
 func (r *report) print(w io.Writer) {
