A second signal ends the daemon at once; dial option down to targets

Cause: an operator could not end a daemon that waits for a long request, and a test could not cut a zone between entry VMs and targets. Change: Daemon.Kill, entry.Options.Dial.

--- a/cmd/pumicestaged/main.go
+++ b/cmd/pumicestaged/main.go
@@ -53,5 +53,15 @@
 	if err != nil {
 		return err
 	}
+	go killOnSecond(ctx, d)
 	return d.Run(ctx)
 }
+
+// killOnSecond ends the daemon at once on a second signal.
+func killOnSecond(ctx context.Context, d *daemon.Daemon) {
+	<-ctx.Done()
+	again := make(chan os.Signal, 1)
+	signal.Notify(again, syscall.SIGTERM, syscall.SIGINT)
+	<-again
+	d.Kill()
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -37,7 +37,7 @@
 type Options struct {
 	Settings *settings.Settings
 	Log      logr.Logger
-	// Dial is the way to peers and the platform; nil for plain TCP.
+	// Dial is the way to peers, targets and the platform; nil for plain TCP.
 	Dial DialFunc
 	// Store replaces the platform's store; nil for the one in the settings.
 	Store platform.Store
@@ -67,12 +67,14 @@
 	prober   *prober
 	trail    *audit.Trail
 
-	ready atomic.Bool
+	ready  atomic.Bool
+	killed chan struct{}
+	once   sync.Once
 }
 
 // New opens the listeners and wires the parts; nothing runs before Run.
 func New(o Options) (*Daemon, error) {
-	d := &Daemon{settings: o.Settings, log: o.Log, view: view.NewHolder()}
+	d := &Daemon{settings: o.Settings, log: o.Log, view: view.NewHolder(), killed: make(chan struct{})}
 	if err := d.listen(); err != nil {
 		d.closeListeners()
 		return nil, trace.Wrap(err)
@@ -166,6 +168,7 @@
 		Self:   d.self.ID,
 		Limits: d.entryLimits(),
 		Seed:   d.self.Incarnation,
+		Dial:   o.Dial,
 	})
 	d.trail = audit.New(audit.Options{Store: d.store, Self: d.self.ID, Log: d.log.WithName("audit")})
 	d.prober = newProber(d.view, o.Dial)
@@ -237,6 +240,7 @@
 	case <-ctx.Done():
 		err = d.leave(callers)
 		d.flushTrail()
+	case <-d.killed:
 	case err = <-failed:
 	}
 	stop()
@@ -246,6 +250,10 @@
 	return trace.Wrap(err)
 }
 
+// Kill ends Run at once, with nothing handed over: what an operator gets who
+// cannot wait for requests in flight.
+func (d *Daemon) Kill() { d.once.Do(func() { close(d.killed) }) }
+
 func (d *Daemon) startParts(ctx context.Context, parts *sync.WaitGroup) {
 	parts.Go(func() { d.report("peer", d.mesh.Run(ctx)) })
 	parts.Go(func() { d.relay.Run(ctx) })
--- a/internal/daemon/leave.go
+++ b/internal/daemon/leave.go
@@ -19,9 +19,16 @@
 func (d *Daemon) leave(callers *http.Server) error {
 	d.ready.Store(false)
 	d.log.Info("leaving")
-	time.Sleep(notice)
 	ctx, cancel := context.WithTimeout(context.Background(), d.settings.Drain)
 	defer cancel()
+	go func() {
+		select {
+		case <-d.killed:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	pause(ctx, notice)
 	if err := d.entry.Drain(ctx); err != nil {
 		return trace.Wrap(err, "requests still in flight after %s", d.settings.Drain)
 	}
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -33,6 +34,8 @@
 	Self   model.EntryID
 	Limits Limits // zero fields take their defaults
 	Seed   uint64 // of the random choices between targets
+	// Dial is the way to targets; nil for plain TCP.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 }
 
 // Server takes callers' requests. It is an http.Handler for the caller port.
@@ -60,6 +63,9 @@
 	s := &Server{opts: o, limits: o.Limits.withDefaults(), clock: o.Clock, log: o.Log, metrics: newMetrics()}
 	s.dispatch = newDispatcher(o)
 	s.forward = newForwarder(s.limits, o.Clock)
+	if o.Dial != nil {
+		s.forward.transport.DialContext = o.Dial
+	}
 	s.prober = newProber(s.forward, s.dispatch)
 	s.router = mux.NewRouter().UseEncodedPath().SkipClean(true)
 	s.router.HandleFunc("/services/{service}", s.serve)
