--- a/internal/fleet/harness_test.go
+++ b/internal/fleet/harness_test.go
@@ -38,8 +38,8 @@
 	ids      int
 	audit    *auditor
 	cached   *view.Snapshot // of the store's revision, to spare decoding
-	outUntil time.Time // a node or all are without the store before
-	dark     bool      // all are
+	outUntil time.Time      // a node or all are without the store before
+	dark     bool           // all are
 }
 
 func newWorld(d *model.Declaration, nodes int) *world {
--- a/internal/fleet/machines_test.go
+++ b/internal/fleet/machines_test.go
@@ -20,6 +20,21 @@
 	failed    bool          // live, but never healthy
 	drainTime time.Duration // how long its work takes to finish
 	bootTime  time.Duration
+	downAt    time.Time     // when the reboot ordered last begins
+	bootDelay time.Duration // from the order to that
+}
+
+// rebooting reports whether the machine is down for a reboot.
+func (v *machine) rebooting(now time.Time) bool {
+	return !now.Before(v.downAt) && now.Before(v.upAt)
+}
+
+// counted returns the boots that a list shows; a reboot shows once it is over.
+func (v *machine) counted(now time.Time) int {
+	if now.Before(v.upAt) {
+		return v.boots - 1
+	}
+	return v.boots
 }
 
 // machines is the fake of the platform's control of VMs. It counts effects per
@@ -76,7 +91,7 @@
 	switch {
 	case !ok:
 		return model.HealthUnknown
-	case v.failed || m.clock.Now().Before(v.upAt):
+	case v.failed || v.rebooting(m.clock.Now()):
 		return model.HealthDown
 	}
 	return model.HealthHealthy
@@ -92,8 +107,7 @@
 	now := m.clock.Now()
 	list := platform.MachineList{AsOf: now.Add(-m.lag)}
 	for id, v := range m.vms {
-		live := !now.Before(v.upAt)
-		list.Machines = append(list.Machines, platform.Machine{VM: id, Live: live, Boots: v.boots})
+		list.Machines = append(list.Machines, platform.Machine{VM: id, Live: !v.rebooting(now), Boots: v.counted(now)})
 	}
 	return list, nil
 }
@@ -140,7 +154,8 @@
 		}
 		v.boots++
 		m.reboots[id]++
-		v.upAt = m.clock.Now().Add(v.bootTime)
+		v.downAt = m.clock.Now().Add(v.bootDelay)
+		v.upAt = v.downAt.Add(v.bootTime)
 	})
 }
 
--- a/policy/wave/wave_test.go
+++ b/policy/wave/wave_test.go
@@ -128,6 +128,13 @@
 			}
 			s.Declaration.Services[0].Budget.MinAvailable.Count = 6
 		}, Hold, 0, "service s0 has VMs out in another zone than z1"},
+		{"second rack only if both could be lost", fleet(1, 10, 1, 4, swift), func(s *Snapshot) {
+			hold(&s.VMs[0], model.VMLeaving)
+			for i := 1; i < 4; i++ {
+				done(&s.VMs[i], time.Minute)
+			}
+			s.VMs[8].Holder, s.VMs[9].Holder = "order c1", "order c2"
+		}, Hold, 0, "service s0 has VMs out in another rack than z0-r1"},
 		{"frugal takes a tenth", fleet(5, 10, 4, 5, frugal), nil, Go, 5, ""},
 		{"frugal takes less once it knows how the times differ", fleet(5, 10, 4, 5, frugal), func(s *Snapshot) {
 			for i := range 10 {
