--- a/policy/admission/admission.go
+++ b/policy/admission/admission.go
@@ -142,6 +142,11 @@
 // of the slots' work comes too late.
 const highQuantile = 0.95
 
+// maxSample bounds a sample, in means. One request that hung for an hour would
+// otherwise let a wait of minutes be predicted, and everything be turned away;
+// where requests have grown longer, some dozen samples show it all the same.
+const maxSample = 20
+
 // HoldTime estimates how long requests hold a slot. The zero value knows
 // nothing.
 type HoldTime struct {
@@ -154,12 +159,13 @@
 // up or down by the sample's side alone, so that no sample's size matters.
 func (h *HoldTime) Observe(d time.Duration) {
 	h.n++
-	gain := max(meanGain, 1/float64(h.n))
-	h.mean += gain * (float64(d) - h.mean)
 	if h.n == 1 {
-		h.high = float64(d)
+		h.mean, h.high = float64(d), float64(d)
+		return
 	}
-	step := gain * max(h.high, h.mean)
+	gain := max(meanGain, 1/float64(h.n))
+	h.mean += gain * (min(float64(d), maxSample*h.mean) - h.mean)
+	step := gain * max(h.high, h.mean/maxSample)
 	if float64(d) > h.high {
 		h.high += step * highQuantile
 	} else {
--- a/policy/dispatch/model_test.go
+++ b/policy/dispatch/model_test.go
@@ -76,7 +76,7 @@
 
 type simStats struct {
 	asked, useful, late, turnedAway, failed int
-	inSpan                                  int // useful before arrivals stopped
+	inSpan                                  int             // useful before arrivals stopped
 	latencies                               []time.Duration // of useful answers
 }
 
--- a/policy/dispatch/target.go
+++ b/policy/dispatch/target.go
@@ -30,9 +30,6 @@
 
 	probedAt  time.Time
 	penalties []time.Time // when slots taken for failures are free again
-	loan      slots.Loan
-	want      int // slots beyond limit that there is work for
-	waiting   int // queued requests that could run there
 }
 
 // Ending is how a request's stay at a target ended.
--- /dev/null
+++ b/policy/retry/retry_test.go
@@ -0,0 +1,58 @@
+package retry
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+var t0 = time.Unix(0, 0)
+
+func TestDecide(t *testing.T) {
+	soon := Attempt{Number: 1, Replayable: true, Deadline: t0.Add(time.Second), Typical: 100 * time.Millisecond}
+	with := func(change func(*Attempt)) Attempt { a := soon; change(&a); return a }
+	cases := []struct {
+		name    string
+		attempt Attempt
+		want    Verdict
+	}{
+		{"in time", soon, Retry},
+		{"too many", with(func(a *Attempt) { a.Number = MaxAttempts }), TooManyAttempts},
+		{"body was read", with(func(a *Attempt) { a.Replayable = false }), BodyGone},
+		{"past the deadline", with(func(a *Attempt) { a.Deadline = t0 }), TooLate},
+		{"no time for an answer", with(func(a *Attempt) { a.Typical = time.Second }), TooLate},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			assert.Equal(t, NewBudget().Decide(tc.attempt, t0), tc.want)
+		})
+	}
+}
+
+// Every request is refused by every target, for an hour. Retries must stay
+// within a tenth of what callers sent.
+func TestBudgetHoldsUnderATotalOutage(t *testing.T) {
+	b := NewBudget()
+	retries := 0
+	for range 10000 {
+		b.Fresh()
+		for n := 1; b.Decide(Attempt{Number: n, Replayable: true, Deadline: t0.Add(time.Second)}, t0) == Retry; n++ {
+			retries++
+		}
+	}
+	assert.Assert(t, retries > 850 && retries <= 1000, "%d", retries)
+}
+
+// A quiet hour must not save up a storm.
+func TestBudgetIsBounded(t *testing.T) {
+	b := NewBudget()
+	for range 100000 {
+		b.Fresh()
+	}
+	retries := 0
+	for b.Decide(Attempt{Number: 1, Replayable: true, Deadline: t0.Add(time.Second)}, t0) == Retry {
+		retries++
+	}
+	assert.Equal(t, retries, MaxBalance)
+}
--- a/policy/routing/routing.go
+++ b/policy/routing/routing.go
@@ -168,7 +168,7 @@
 // Typical returns the (lower) median latency of the targets in use: half of
 // the targets must go wrong before a good one is taken for slow. A target that
 // nobody has measured counts as typical, so that it gets the requests that
-// measure it. It returns 1 µs where nothing is known.
+// measure it. It returns a microsecond where nothing is known.
 func Typical(ts []Target) time.Duration {
 	var buffer [typicalBuffer]time.Duration
 	known := buffer[:0]
