--- a/internal/platform/contract/commit.go
+++ b/internal/platform/contract/commit.go
@@ -154,16 +154,21 @@
 	}
 }
 
-// The value that we write is the one that stands already, and our request is
-// lost while another condition fails: the value alone would look like ours.
+// A value that we write stands there already, and our request is lost while a
+// condition fails: the value alone would look like ours.
 func sameValue(t *testing.T, s Store) {
+	put(t, s.Rival, "b", "ours")
 	rev := put(t, s.Rival, "a", "ours")
 	put(t, s.Rival, "b", "ours")
 	client := &between{Store: s.Client, do: func() { put(t, s.Rival, "c", "rival") }}
 	s.LoseRequests(1)
-
 	_, err := platform.Commit(ctxOf(t), client, oursIfCAbsent(rev))
+	wantKind(t, err, platform.KindConflict)
 
+	rev = put(t, s.Rival, "a", "before") // newer than the value of key b
+	client.do = func() { overwrite(t, s, rev) }
+	s.LoseRequests(1)
+	_, err = platform.Commit(ctxOf(t), client, ours(rev))
 	wantKind(t, err, platform.KindConflict)
 }
 
--- a/internal/platform/contract/contract.go
+++ b/internal/platform/contract/contract.go
@@ -26,6 +26,9 @@
 
 	Advance func(d time.Duration)       // moves the service's clock on
 	Compact func(rev platform.Revision) // forgets history up to rev
+	// Tick lets the service notice lapsed leases, where it does not do so by
+	// itself; nil where it does.
+	Tick func()
 	// Waiting returns how many watches wait at the service.
 	Waiting func() int
 
--- a/internal/platform/contract/contract_test.go
+++ b/internal/platform/contract/contract_test.go
@@ -23,7 +23,7 @@
 		s := memstore.New(clock)
 		return contract.Store{
 			Client: s, Rival: s, Compact: s.Compact, Waiting: s.Watches,
-			Advance: func(d time.Duration) { clock.Advance(d); s.Tick() },
+			Advance: clock.Advance, Tick: s.Tick,
 		}
 	})
 }
@@ -35,8 +35,8 @@
 		f := faulty.Wrap(s)
 		return contract.Store{
 			Client: f, Rival: s, Compact: s.Compact, Waiting: s.Watches,
-			Advance: func(d time.Duration) { clock.Advance(d); s.Tick() },
-			Down:    f.SetDown, LoseReplies: f.LoseReplies, LoseRequests: f.LoseRequests,
+			Advance: clock.Advance, Tick: s.Tick,
+			Down: f.SetDown, LoseReplies: f.LoseReplies, LoseRequests: f.LoseRequests,
 		}
 	})
 }
@@ -55,7 +55,7 @@
 	set := func(f standin.Fault) { srv.Faults.Set(zone, f) }
 	return contract.Store{
 		Client: client, Rival: srv.Store, Compact: srv.Store.Compact, Waiting: srv.Store.Watches,
-		Advance:      func(d time.Duration) { clock.Advance(d); srv.Store.Tick() },
+		Advance:      clock.Advance,
 		Down:         func(on bool) { set(standin.Fault{Down: on}) },
 		Pause:        func(on bool) { set(standin.Fault{Paused: on}) },
 		Held:         srv.Faults.Held,
--- a/internal/platform/contract/watch.go
+++ b/internal/platform/contract/watch.go
@@ -41,6 +41,9 @@
 		putLeased(t, s, "a", lease)
 		assert.Equal(t, next(t, ch).Events[0].Kind, platform.EventPut)
 		s.Advance(11 * time.Second)
+		if s.Tick != nil {
+			s.Tick()
+		}
 		assert.Equal(t, next(t, ch).Events[0].Kind, platform.EventDelete)
 	}},
 	{name: "a watch from a compacted revision says so", run: func(t *testing.T, s Store) {
--- a/internal/platform/gateway/gateway_test.go
+++ b/internal/platform/gateway/gateway_test.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"net/http/httptest"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -103,6 +104,41 @@
 	assert.Assert(t, platform.IsKind(err, platform.KindUnavailable), "%v", err)
 }
 
+// brokenConn is a connection that broke while it lay idle: no byte gets onto
+// it any more.
+type brokenConn struct {
+	net.Conn
+	broken *atomic.Bool
+}
+
+func (c brokenConn) Write(p []byte) (int, error) {
+	if c.broken.Load() {
+		return 0, io.ErrClosedPipe
+	}
+	return c.Conn.Write(p)
+}
+
+// The idle connection broke, and the service refuses new ones. Nothing of the
+// write was sent, although a connection had been found for it.
+func TestWriteOnConnectionThatBrokeWhileIdle(t *testing.T) {
+	url, _ := answering(t, 200, `{"header":{"revision":"7"},"succeeded":true,"responses":[{"response_put":{}}]}`)
+	var broken atomic.Bool
+	dial := func(ctx context.Context, network, addr string) (net.Conn, error) {
+		if broken.Load() {
+			return nil, &net.OpError{Op: "dial", Err: syscall.ECONNREFUSED}
+		}
+		conn, err := new(net.Dialer).DialContext(ctx, network, addr)
+		return brokenConn{conn, &broken}, err
+	}
+	s := gateway.New(gateway.Options{Endpoints: []string{url}, HTTPClient: &http.Client{Transport: &http.Transport{DialContext: dial}}})
+	assert.NilError(t, write(s))
+
+	broken.Store(true)
+	err := write(s)
+
+	assert.Assert(t, platform.IsKind(err, platform.KindUnavailable), "%v", err)
+}
+
 // The first endpoint closes the connection after it has the request. A read
 // moves on; a write must not, as the first copy may yet take effect.
 func TestNextEndpointAfterLostReply(t *testing.T) {
