--- a/internal/peer/delta.go
+++ b/internal/peer/delta.go
@@ -24,6 +24,7 @@
 // changed, those that mislead the peer most go first and the others wait:
 // bytes per second stay bounded however many targets there are.
 func (d *delta) next(full Digest, limit int) Digest {
+	full.Entry, full.Zone = "", "" // the hello told them
 	if !d.sameZone {
 		full.Loads = nil
 		return full
--- a/internal/peer/digest.go
+++ b/internal/peer/digest.go
@@ -18,8 +18,8 @@
 
 // Digest is what an entry VM tells its peers, in full within its zone.
 type Digest struct {
-	Entry      model.EntryID     `msgpack:"i"`
-	Zone       model.ZoneName    `msgpack:"z"`
+	Entry      model.EntryID     `msgpack:"i,omitempty"` // on the wire left to the hello, as is Zone
+	Zone       model.ZoneName    `msgpack:"z,omitempty"`
 	Seq        uint64            `msgpack:"s"` // grows with each digest of one run of the daemon
 	Revision   platform.Revision `msgpack:"r"` // of its view; acknowledges everything up to it
 	Generation uint64            `msgpack:"g"` // of the declaration it has in force
--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -73,17 +73,22 @@
 
 // encodeFrame returns the whole frame, ready to write.
 func encodeFrame(k Kind, msg any) ([]byte, error) {
-	body, err := msgpack.Marshal(msg)
-	if err != nil {
+	var buf bytes.Buffer
+	enc := msgpack.NewEncoder(&buf)
+	enc.UseCompactInts(true)
+	if err := enc.Encode(msg); err != nil {
 		return nil, err
 	}
+	body := buf.Bytes()
 	if len(body) > maxPayload(k) {
 		return nil, fmt.Errorf("%w: kind %d has %d bytes, at most %d", errFrame, k, len(body), maxPayload(k))
 	}
 	if len(body) >= compressFrom {
-		if body, err = compress(body); err != nil {
+		small, err := compress(body)
+		if err != nil {
 			return nil, err
 		}
+		body = small
 		k |= compressed
 	}
 	frame := make([]byte, headerBytes, headerBytes+len(body))
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -42,9 +42,10 @@
 	linkQueue = 16
 	// loadBytes is what one TargetLoad takes in a frame, measured with names
 	// of 14 bytes.
-	loadBytes = 24
-	// digestBaseBytes is a digest without loads, measured, with its header.
-	digestBaseBytes = 64
+	loadBytes = 22
+	// digestBaseBytes is a digest without loads, measured, with its header
+	// and its acknowledgement.
+	digestBaseBytes = 52
 )
 
 // link is the connection this entry VM dials to one peer and sends on.
@@ -184,7 +185,7 @@
 		case <-changed:
 			continue
 		case <-pace.timer.C:
-			d := delta.next(l.mesh.digest(), l.mesh.loadsPerDigest(pace.every))
+			d := delta.next(l.mesh.digest(), l.mesh.loadsPerDigest())
 			pace.sent(d.Generation)
 			var err error
 			if frame, err = encodeFrame(KindDigest, d); err != nil {
@@ -263,16 +264,31 @@
 	return err
 }
 
-// loadsPerDigest returns how many loads one digest may carry, so that all
-// links of the zone together stay within BytesPerSecond.
-func (m *Mesh) loadsPerDigest(every time.Duration) int {
-	peers := max(1, m.LiveEntries(m.opts.Self.Zone)-1)
-	perDigest := float64(m.opts.BytesPerSecond) * every.Seconds() / float64(peers)
-	return max(minLoadsPerDigest, (int(perDigest)-digestBaseBytes)/loadBytes)
+// loadsPerDigest returns how many loads one digest within the zone may carry,
+// so that all digests of this entry VM together stay within BytesPerSecond.
+func (m *Mesh) loadsPerDigest() int {
+	within, across := 0, 0
+	for _, s := range m.table.list() {
+		switch {
+		case !s.Live:
+		case s.Zone == m.opts.Self.Zone:
+			within++
+		default:
+			across++
+		}
+	}
+	return loadLimit(m.opts.BytesPerSecond, within, across)
+}
+
+func loadLimit(bytesPerSecond, within, across int) int {
+	digests := float64(max(1, within)) / withinZoneEvery.Seconds()
+	bare := (digests + float64(across)/acrossZonesEvery.Seconds()) * digestBaseBytes
+	loads := (float64(bytesPerSecond) - bare) / loadBytes / digests
+	return max(minLoadsPerDigest, int(loads))
 }
 
 // minLoadsPerDigest keeps digests useful however many peers share the bytes.
-const minLoadsPerDigest = 8
+const minLoadsPerDigest = 2
 
 func writeHello(conn net.Conn, h hello) error {
 	frame, err := encodeFrame(KindHello, h)
--- a/internal/peer/mesh.go
+++ b/internal/peer/mesh.go
@@ -44,10 +44,10 @@
 	Log            logr.Logger
 }
 
-// DefaultBytesPerSecond is what digests may take on the way out. A node may
-// spend 14 KB a second on control; a third is left to the store and to relayed
-// views.
-const DefaultBytesPerSecond = 9 << 10
+// DefaultBytesPerSecond is what digests may take on the way out; about as much
+// comes in. A node may spend 14 KB a second on control, of which 2 are left to
+// the platform's calls and relayed views.
+const DefaultBytesPerSecond = 6 << 10
 
 // Mesh is this entry VM's side of all peer connections. Each entry VM dials
 // every other and sends on the connection it dialled, so that no two need to
--- a/internal/peer/mesh_test.go
+++ b/internal/peer/mesh_test.go
@@ -256,3 +256,30 @@
 	assert.DeepEqual(t, gone.Loads, []TargetLoad{{VM: "c"}})
 	assert.Equal(t, len(newDelta(false).next(Digest{Loads: loads}, 2).Loads), 0)
 }
+
+// However many targets are busy, digests stay within their bytes per second,
+// down to a few loads each.
+func TestDigestsStayWithinTheirBytes(t *testing.T) {
+	cases := []struct {
+		name           string
+		within, across int
+	}{
+		{"alone", 0, 0}, {"today", 1, 6}, {"24 entry VMs", 3, 20}, {"one zone of 12", 11, 0},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			loads := make([]TargetLoad, 600)
+			for i := range loads {
+				loads[i] = TargetLoad{VM: model.VMID(fmt.Sprintf("worker-%07d", i)), InFlight: 3}
+			}
+			d := newDelta(true)
+			full := Digest{Seq: 1 << 20, Revision: 1 << 24, Generation: 5000, Loads: loads, InFlight: 1800, Clock: 1 << 40, AgeMillis: 2000}
+			limit := loadLimit(DefaultBytesPerSecond, tc.within, tc.across)
+			first := must(encodeFrame(KindDigest, d.next(full, limit)))
+			bare := must(encodeFrame(KindDigest, newDelta(false).next(full, 0)))
+			assert.Assert(t, len(bare)+headerBytes <= digestBaseBytes, "%d bytes", len(bare))
+			perSecond := len(first)*4*max(1, tc.within) + len(bare)*tc.across
+			assert.Assert(t, perSecond <= DefaultBytesPerSecond, "%d bytes a second, %d loads a digest", perSecond, limit)
+		})
+	}
+}
