--- a/internal/claim/failure_test.go
+++ b/internal/claim/failure_test.go
@@ -1,10 +1,10 @@
 package claim
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -156,35 +156,131 @@
 	})
 }
 
-// One write that loses or that the service refuses must not fail the others of
-// its transaction.
-func TestGroupWithLosersAndPoison(t *testing.T) {
+// picky is a way to a store that refuses what the test says.
+type picky struct {
+	platform.Store
+	txn func(platform.Txn) error
+	get func() error
+}
+
+// Txn implements platform.Store.
+func (p *picky) Txn(ctx context.Context, txn platform.Txn) (platform.TxnResult, error) {
+	time.Sleep(10 * time.Millisecond)
+	if p.txn != nil {
+		if err := p.txn(txn); err != nil {
+			return platform.TxnResult{}, err
+		}
+	}
+	return p.Store.Txn(ctx, txn)
+}
+
+// Get implements platform.Store.
+func (p *picky) Get(ctx context.Context, key string) (platform.KV, platform.Revision, error) {
+	if p.get != nil {
+		return platform.KV{}, 0, p.get()
+	}
+	return p.Store.Get(ctx, key)
+}
+
+// Two claims of one key in one transaction would both find it absent, and both
+// win. The second waits until the first has landed.
+func TestOneWriteOfAKeyInFlight(t *testing.T) {
+	c := NewLedger(Options{}).commits
+	first, second := c.submit(write{key: "k"}), c.submit(write{key: "k"})
+	other := c.submit(write{key: "other"})
+	group := c.nextGroup()
+	assert.Assert(t, len(group) == 2 && group[0] == first && group[1] == other)
+	assert.Equal(t, len(c.nextGroup()), 0)
+	c.land(group)
+	group = c.nextGroup()
+	assert.Assert(t, len(group) == 1 && group[0] == second)
+}
+
+// What the caller of a repeat sees while the store does not say whether the
+// holder lives: that the first is running, never a final "unknown".
+func TestHolderNotKnownToBeDead(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		b := newBench(t)
-		a, c := b.start("a", 1), b.start("c", 1)
+		a := b.start("a", 1)
 		defer a.stop()
+		c := b.startOn(&picky{Store: b.store, get: func() error { return platform.Errorf("get", platform.KindUnavailable, "down") }}, "c", 1)
 		defer c.stop()
-		c.claim(t, request("k3", 1))
-		a.way.Before(func(string, platform.Txn) { time.Sleep(10 * time.Millisecond) })
-		before := a.way.Calls().Writes
-		var sent []*pending
-		for i := range 40 {
-			value, err := a.newRecord(request(fmt.Sprint("k", i), 1), time.Now()).encode()
-			assert.NilError(t, err)
-			if i == 7 {
-				value = bytes.Repeat([]byte("x"), 1<<20+1)
+		a.claim(t, request("k", 1))
+		assert.Equal(t, c.claim(t, request("k", 1)).State, Running)
+	})
+}
+
+// A rate limit is waited out; a daemon that stops records first.
+func TestRateLimitAndStop(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t)
+		refused := 0
+		a := b.startOn(&picky{Store: b.store, txn: func(platform.Txn) error {
+			if refused++; refused%2 == 1 {
+				return platform.Errorf("txn", platform.KindRateLimited, "slow down")
 			}
-			sent = append(sent, a.commits.submit(write{key: storeKey(request(fmt.Sprint("k", i), 1).Key), value: value}))
-		}
-		for i, p := range sent {
-			o := <-p.done
-			assert.Equal(t, o.applied, i != 3 && i != 7, "k%d: %v", i, o.err)
-			assert.Equal(t, platform.IsKind(o.err, platform.KindTooLarge), i == 7)
-		}
-		assert.Assert(t, a.way.Calls().Writes-before < 10, "%d calls", a.way.Calls().Writes-before)
+			return nil
+		}}, "a", 1)
+		won := a.claim(t, request("k", 1))
+		ctx, cancel := context.WithCancel(t.Context())
+		cancel()
+		assert.Assert(t, a.Record(ctx, won.Ticket, Answer{Status: 200}) != nil)
+		a.stop()
+		c := b.start("c", 1)
+		defer c.stop()
+		assert.Equal(t, c.claim(t, request("k", 1)).State, Recorded)
 	})
 }
 
+// One write that loses, or that the service refuses, must not fail the others
+// of its transaction, nor cost a call for each of them.
+func TestGroupWithLoserOrPoison(t *testing.T) {
+	const n, odd = 40, 7
+	oddKey := storeKey(request(fmt.Sprint("k", odd), 1).Key)
+	cases := []struct {
+		name     string
+		taken    bool // the odd key is held already
+		refuse   bool // the service refuses what has the odd key
+		maxCalls int
+	}{
+		{"one loses", true, false, 3},
+		{"one is refused", false, true, 15},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := newBench(t)
+				calls := 0
+				a := b.startOn(&picky{Store: b.store, txn: func(txn platform.Txn) error {
+					calls++
+					if tc.refuse && slices.ContainsFunc(txn.Then, func(op platform.Op) bool { return op.Key == oddKey }) {
+						return platform.Errorf("txn", platform.KindInvalid, "cannot make sense of it")
+					}
+					return nil
+				}}, "a", 1)
+				defer a.stop()
+				if tc.taken {
+					c := b.start("c", 1)
+					defer c.stop()
+					c.claim(t, request(fmt.Sprint("k", odd), 1))
+				}
+				var group []*pending
+				for i := range n {
+					w := write{key: storeKey(request(fmt.Sprint("k", i), 1).Key), value: []byte(fmt.Sprint("value ", i))}
+					group = append(group, &pending{write: w, done: make(chan outcome, 1)})
+				}
+				a.commits.commit(t.Context(), group)
+				for i, p := range group {
+					o := <-p.done
+					assert.Equal(t, o.applied, i != odd, "k%d: %v", i, o.err)
+					assert.Equal(t, platform.IsKind(o.err, platform.KindInvalid), tc.refuse && i == odd)
+				}
+				assert.Assert(t, calls <= tc.maxCalls, "%d calls", calls)
+			})
+		})
+	}
+}
+
 // What the platform sees at a burst: a few transactions, not one a claim.
 func TestGroupCommitBoundsCalls(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/claim/group.go
+++ b/internal/claim/group.go
@@ -235,7 +235,7 @@
 		case lost != nil || platform.IsKind(err, platform.KindRateLimited):
 			pause(ctx, lostPause)
 		case isPoisoned(err) && len(group) > 1:
-			c.commitEach(ctx, group)
+			c.commitHalves(ctx, group)
 			return
 		default:
 			settleAll(group, outcome{err: err})
@@ -255,10 +255,12 @@
 	return platform.IsKind(err, platform.KindTooLarge) || platform.IsKind(err, platform.KindInvalid)
 }
 
-func (c *committer) commitEach(ctx context.Context, group []*pending) {
-	for _, p := range group {
-		c.commit(ctx, []*pending{p})
-	}
+// commitHalves finds a refused write in a few calls: the halves without it go
+// through.
+func (c *committer) commitHalves(ctx context.Context, group []*pending) {
+	half := len(group) / 2
+	c.commit(ctx, group[:half])
+	c.commit(ctx, group[half:])
 }
 
 func (c *committer) send(ctx context.Context, group []*pending) (platform.TxnResult, error) {
--- a/internal/peer/mesh_test.go
+++ b/internal/peer/mesh_test.go
@@ -220,6 +220,10 @@
 }
 
 func TestFramesCompressed(t *testing.T) {
+	_, err := readFrame(bytes.NewReader(bomb()))
+	assert.ErrorIs(t, err, errFrame)
+	assert.ErrorContains(t, err, "expands")
+
 	d := Digest{Loads: make([]TargetLoad, 2000)}
 	for i := range d.Loads {
 		d.Loads[i] = TargetLoad{VM: model.VMID(fmt.Sprint("worker-", i)), InFlight: uint16(i % 8)}
@@ -283,3 +287,31 @@
 		})
 	}
 }
+
+// What the operator sees: one entry VM's clock is a day off. The time that
+// claims expire by is the majority's.
+func TestNowIsTheMajoritys(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := New(Options{View: view.NewHolder()})
+		ahead := time.Now().Add(24 * time.Hour)
+		for i, clock := range []time.Time{ahead, ahead.Add(time.Second), time.Now()} {
+			id := fmt.Sprint("e", i)
+			assert.Assert(t, m.table.join(hello{Entry: id, Zone: "z"}, uint64(i)))
+			assert.Assert(t, m.table.apply(model.EntryID(id), uint64(i), Digest{Seq: 1, Clock: clock.UnixMilli()}))
+		}
+		assert.Assert(t, m.Now().Equal(ahead.Truncate(time.Millisecond)), "own clock is the odd one out with one other")
+	})
+}
+
+func TestOldDigestChangesNothing(t *testing.T) {
+	m := New(Options{View: view.NewHolder()})
+	assert.Assert(t, m.table.join(hello{Entry: "e", Zone: "z"}, 1))
+	for _, d := range []Digest{
+		{Seq: 2, Full: true, Loads: []TargetLoad{{VM: "v", InFlight: 5}}},
+		{Seq: 2, Loads: []TargetLoad{{VM: "v", InFlight: 9}}},
+		{Seq: 1, Full: true},
+	} {
+		assert.Assert(t, m.table.apply("e", 1, d))
+	}
+	assert.Equal(t, m.PeerInFlight("v"), 5)
+}
