claim, relay: nothing runs on a restored store; lapsed but living entry VMs are asked too

A store restored from a backup has forgotten claims, and callers repeat within minutes: a claim won below the accepted revision is taken back. An entry VM that lost the platform but is heard by peers goes on sending requests, so that acknowledgements wait for it though its registration lapsed.

--- a/internal/claim/failure_test.go
+++ b/internal/claim/failure_test.go
@@ -210,6 +210,24 @@
 	})
 }
 
+// What the caller sees: the store was restored from a backup and has forgotten
+// the claim of a request that ran. Its repeat is told not-run, and does not run.
+func TestRestoredStoreLetsNothingRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t)
+		a := b.start("a", 1)
+		defer a.stop()
+		accepted := b.store.Revision() + 4
+		a.opts.Accepted = func() platform.Revision { return accepted }
+		_, err := a.try(t, time.Second, request("k", 1))
+		assert.ErrorIs(t, err, errRestored)
+		assert.Assert(t, err.Certain)
+		_, err = a.try(t, time.Second, request("k", 1))
+		assert.ErrorIs(t, err, errRestored)
+		assert.Equal(t, a.claim(t, request("k", 1)).State, Won, "the store has passed what was accepted")
+	})
+}
+
 // A rate limit is waited out; a daemon that stops records first.
 func TestRateLimitAndStop(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/claim/ledger.go
+++ b/internal/claim/ledger.go
@@ -43,6 +43,7 @@
 	errBusy      = errors.New("claim: too many claims wait for the platform")
 	errNotHeld   = errors.New("claim: not held, or already recorded or released")
 	errReplaced  = errors.New("claim: another value stands in its place")
+	errRestored  = errors.New("claim: the store was restored to an older state and may have forgotten claims")
 	errClosing   = errors.New("claim: closing")
 )
 
@@ -53,6 +54,9 @@
 	// Live returns the IDs of the live entry VMs, this one included; nil
 	// for this one alone.
 	Live func() []model.EntryID
+	// Accepted returns the highest revision of the store known here; nil for
+	// none. A store that answers with a lower one has been restored.
+	Accepted func() platform.Revision
 	// Now is the wall clock entry VMs agree on; nil for the own one.
 	Now func() time.Time
 	// MaxAnswer is the largest body kept, in bytes; 0 for 64 KiB.
@@ -82,6 +86,9 @@
 		self := []model.EntryID{opts.Self.ID}
 		opts.Live = func() []model.EntryID { return self }
 	}
+	if opts.Accepted == nil {
+		opts.Accepted = func() platform.Revision { return 0 }
+	}
 	if opts.Now == nil {
 		opts.Now = time.Now
 	}
@@ -125,6 +132,7 @@
 		return Result{}, &Error{Certain: true, Err: trace.Wrap(err)}
 	}
 	now := time.Now()
+	accepted := l.opts.Accepted()
 	r := l.newRecord(req, l.opts.Now())
 	key := storeKey(req.Key)
 	var over platform.Revision // of the released claim this one replaces
@@ -135,6 +143,9 @@
 		}
 		if o.applied {
 			l.hold(r)
+			if o.rev < accepted {
+				return Result{}, l.refuseRestored(ctx, Ticket{StoreKey: key, ID: r.ID, Revision: o.rev})
+			}
 			sendBy := now.Add(min(req.Remember/2, maxSendWindow))
 			return Result{State: Won, Ticket: Ticket{StoreKey: key, ID: r.ID, SendBy: sendBy, Revision: o.rev}}, nil
 		}
@@ -149,6 +160,16 @@
 	}
 }
 
+// refuseRestored takes back a claim won in a store that was restored to an
+// older state. An earlier claim of the key may be among what the store forgot,
+// and callers repeat within minutes: until the store has passed what was
+// accepted, which takes about as long as it lost, nothing that must not run
+// twice runs.
+func (l *Ledger) refuseRestored(ctx context.Context, t Ticket) error {
+	err := l.Release(ctx, t)
+	return &Error{Certain: err == nil, Err: errRestored}
+}
+
 func (l *Ledger) newRecord(req Request, now time.Time) record {
 	return record{
 		ID: newID(), Stage: stageClaimed,
@@ -253,6 +274,20 @@
 	r.Expires = l.opts.Now().Add(releasedFor).UTC()
 }
 
+// Stats counts what the ledger cost the platform.
+type Stats struct {
+	Transactions uint64 // sent, also repeated ones
+	Writes       uint64 // carried by them: claims, records, releases, deletions
+	Settling     int    // claims being settled in the background now
+}
+
+// Stats returns the counts so far.
+func (l *Ledger) Stats() Stats {
+	l.commits.mu.Lock()
+	defer l.commits.mu.Unlock()
+	return Stats{Transactions: l.commits.calls, Writes: l.commits.writes, Settling: len(l.settles)}
+}
+
 func (l *Ledger) hold(r record) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/relay/registry.go
+++ b/internal/relay/registry.go
@@ -1,9 +1,11 @@
 package relay
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
@@ -25,8 +27,9 @@
 const registeredFor = time.Second
 
 // Registry answers which live entry VMs have what in force. Live are those
-// registered in the store; what each has, its digests say. It is safe for
-// concurrent use.
+// registered in the store, and those heard of late though their registration
+// lapsed: one that lost the platform goes on sending requests. What each has,
+// its digests say. It is safe for concurrent use.
 type Registry struct {
 	self  view.EntryRecord
 	store platform.Store
@@ -65,7 +68,7 @@
 	for _, p := range g.peers.Peers() {
 		said[p.Entry] = p
 	}
-	for _, e := range entries {
+	for _, e := range withHeard(entries, said) {
 		if g.has(e, said, ok) {
 			have = append(have, e.ID)
 		} else {
@@ -75,6 +78,19 @@
 	return have, missing, nil
 }
 
+// withHeard adds the live peers that are not registered, and sorts by ID.
+func withHeard(registered []view.EntryRecord, said map[model.EntryID]peer.Status) []view.EntryRecord {
+	all := slices.Clone(registered)
+	for id, p := range said {
+		known := slices.ContainsFunc(registered, func(e view.EntryRecord) bool { return e.ID == id })
+		if p.Live && !known {
+			all = append(all, view.EntryRecord{ID: id, Zone: p.Zone, Incarnation: p.Incarnation})
+		}
+	}
+	slices.SortFunc(all, func(a, b view.EntryRecord) int { return cmp.Compare(a.ID, b.ID) })
+	return all
+}
+
 func (g *Registry) has(e view.EntryRecord, said map[model.EntryID]peer.Status, ok func(platform.Revision, uint64) bool) bool {
 	if e.ID == g.self.ID && e.Incarnation == g.self.Incarnation {
 		v := g.view.Load()
--- a/internal/relay/state_test.go
+++ b/internal/relay/state_test.go
@@ -210,14 +210,17 @@
 	at := register("silent", "1")
 	h := view.NewHolder()
 	h.Publish(&view.Snapshot{Revision: at, Declaration: &model.Declaration{Generation: 7}})
+	gone := status("gone", "z", peer.Digest{})
+	gone.Live = false
 	f := &fakePeers{said: []peer.Status{
 		status("acked", "z", peer.Digest{Revision: at, Generation: 7}),
 		status("lagging", "z", peer.Digest{Revision: at - 1, Generation: 6}),
 		status("restarted", "z", peer.Digest{Revision: at, Generation: 7}),
-		status("unregistered", "z", peer.Digest{}),
+		status("lapsed", "z", peer.Digest{Revision: at - 1}),
+		gone,
 	}}
 	g := NewRegistry(Options{Self: view.EntryRecord{ID: "self", Incarnation: 1}, Store: store, View: h, Peers: f})
-	late := []model.EntryID{"lagging", "restarted", "silent"}
+	late := []model.EntryID{"lagging", "lapsed", "restarted", "silent"}
 	missing, err := g.Missing(t.Context(), at)
 	assert.NilError(t, err)
 	assert.DeepEqual(t, missing, late)
