--- a/internal/fleet/audit_test.go
+++ b/internal/fleet/audit_test.go
@@ -18,7 +18,8 @@
 // auditor checks the invariants at every write and every outside effect, and
 // records the history of VM and ledger keys.
 type auditor struct {
-	w *world
+	w   *world
+	off bool // in comparisons, which measure by themselves
 
 	mu      sync.Mutex
 	faults  []string
@@ -62,6 +63,9 @@
 // schedules let one node run at a time, so nothing comes in between.
 func (s *auditedStore) Txn(ctx context.Context, txn platform.Txn) (platform.TxnResult, error) {
 	a := s.audit
+	if a.off {
+		return s.Store.Txn(ctx, txn)
+	}
 	if len(txn.If) == 0 {
 		a.fenced(txn)
 		return s.Store.Txn(ctx, txn)
@@ -179,6 +183,9 @@
 // effect: an outside effect happens only while the record calls for this very
 // attempt. A late one would hit a VM that serves again.
 func (a *auditor) effect(op string, id model.VMID, attempt model.AttemptID) {
+	if a.off {
+		return
+	}
 	a.seen[op]++
 	vm := a.w.snapshot().VMs[id]
 	want := map[string][]model.VMState{
--- a/internal/fleet/bootstrap.go
+++ b/internal/fleet/bootstrap.go
@@ -119,7 +119,8 @@
 		l.value.Change = change
 		w.change(l.cond(), l.put())
 	}
-	return p.settle(ctx, "create VMs", w)
+	_, err = p.settle(ctx, "create VMs", w)
+	return err
 }
 
 func (p *pass) newVM(d model.VMDecl) model.VM {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -62,6 +62,7 @@
 	// What follows is used by passes alone.
 	shards  shards
 	effects effects
+	asks    asks
 	healthy map[model.VMID]time.Time // since when a VM in probation is seen healthy
 
 	mu     sync.Mutex
@@ -90,6 +91,7 @@
 		kick:     make(chan struct{}, 1),
 		shards:   newShards(),
 		effects:  make(effects),
+		asks:     make(asks),
 		healthy:  make(map[model.VMID]time.Time),
 	}
 }
--- a/internal/fleet/grant.go
+++ b/internal/fleet/grant.go
@@ -25,10 +25,11 @@
 
 // grant is what came of a stopRequest.
 type grant struct {
-	vms    []model.VMID // those that are leaving now
-	rev    platform.Revision
-	why    string // why not all
-	behind bool   // the view is too old to count by
+	vms     []model.VMID // those that are leaving now
+	records []model.VM   // their records
+	rev     platform.Revision
+	why     string // why not all
+	behind  bool   // the view is too old to count by
 }
 
 // grantStops writes the stops that every budget concerned allows into the
@@ -94,6 +95,7 @@
 			touched[s] = true
 		}
 		g.vms = append(g.vms, id)
+		g.records = append(g.records, r.vms[id].value)
 	}
 	for _, name := range sorted(r.ledgers) {
 		if l := r.ledgers[name]; touched[name] {
--- a/internal/fleet/life.go
+++ b/internal/fleet/life.go
@@ -76,11 +76,18 @@
 	if vm.Cut {
 		return true, nil
 	}
+	if !p.f.asks.due(vm, p.now) {
+		return false, nil
+	}
 	n, err := p.f.machines.InFlight(ctx, vm.ID)
 	if err != nil {
 		return false, fault("in-flight", err)
 	}
-	return n == 0, nil
+	if n > 0 {
+		return false, nil
+	}
+	delete(p.f.asks, vm.ID) // if the next step has to wait, it is asked anew at once
+	return true, nil
 }
 
 func (p *pass) graceOver(vm view.VMRecord, w *cell[WaveRecord]) bool {
@@ -124,7 +131,12 @@
 	wr := &write{}
 	wr.change(c.cond(), c.put())
 	wr.guard(w.cond())
-	return p.settle(ctx, "reboot intent", wr)
+	won, err := p.settle(ctx, "reboot intent", wr)
+	if !won {
+		return err
+	}
+	_, err = p.f.reboot(ctx, &c.value)
+	return err
 }
 
 // broken names the first service whose budget does not hold, or nothing.
@@ -145,9 +157,8 @@
 func (p *pass) setEmpty(ctx context.Context, vm view.VMRecord) error {
 	c := cellOf(vm)
 	p.enter(c, model.VMEmpty, vm.Attempt, vm.Reason)
-	w := &write{}
-	w.change(c.cond(), c.put())
-	return p.settle(ctx, "empty", w)
+	_, err := p.turn(ctx, "empty", c)
+	return err
 }
 
 // giveBack starts the way back into the pool without a reboot.
@@ -158,9 +169,11 @@
 	if postponed {
 		c.value.Postponed = p.now
 	}
-	w := &write{}
-	w.change(c.cond(), c.put())
-	return p.settle(ctx, "give back", w)
+	won, err := p.turn(ctx, "give back", c)
+	if !won {
+		return err
+	}
+	return p.stepProbation(ctx, view.VMRecord{VM: c.value, Revision: c.rev})
 }
 
 // stepRebooting reboots the VM and waits for the proof: a list made after the
@@ -176,9 +189,11 @@
 	}
 	c := cellOf(vm)
 	p.enter(c, model.VMProbation, vm.Attempt, vm.Reason)
-	w := &write{}
-	w.change(c.cond(), c.put())
-	return p.settle(ctx, "probation", w)
+	won, err := p.turn(ctx, "probation", c)
+	if !won {
+		return err
+	}
+	return p.stepProbation(ctx, view.VMRecord{VM: c.value, Revision: c.rev})
 }
 
 // stepProbation takes the drain back and waits for the proof of health. A VM
@@ -269,7 +284,8 @@
 		w.change(l.cond(), l.put())
 	}
 	delete(p.f.healthy, vm.ID)
-	return p.settle(ctx, "put back", w)
+	_, err = p.settle(ctx, "put back", w)
+	return err
 }
 
 func (p *pass) finish(c *cell[model.VM], pool model.PoolName) {
@@ -296,14 +312,22 @@
 	c.value.Reason = reason
 }
 
-// settle commits a step. A conflict is no error: another reconciler or an
-// order was first, and the next pass sees what it wrote.
-func (p *pass) settle(ctx context.Context, op string, w *write) error {
-	_, err := p.f.commit(ctx, op, w)
+// settle commits a step and reports whether it did. A conflict is no error:
+// another reconciler or an order was first, and the next pass sees what it
+// wrote.
+func (p *pass) settle(ctx context.Context, op string, w *write) (won bool, err error) {
+	_, err = p.f.commit(ctx, op, w)
 	if isConflict(err) {
-		return nil
+		return false, nil
 	}
-	return err
+	return err == nil, err
+}
+
+// turn commits a step that changes nothing but the VM's record.
+func (p *pass) turn(ctx context.Context, op string, c *cell[model.VM]) (won bool, err error) {
+	w := &write{}
+	w.change(c.cond(), c.put())
+	return p.settle(ctx, op, w)
 }
 
 func cellOf(vm view.VMRecord) *cell[model.VM] {
--- a/internal/fleet/step.go
+++ b/internal/fleet/step.go
@@ -127,10 +127,22 @@
 	if isConflict(err) {
 		return nil
 	}
-	if err == nil && len(g.vms) > 0 {
-		p.f.log.Info("VMs are leaving for maintenance", "wave", w.value.Name, "vms", g.vms)
+	if err != nil || len(g.vms) == 0 {
+		return err
 	}
-	return err
+	p.f.log.Info("VMs are leaving for maintenance", "wave", w.value.Name, "vms", g.vms)
+	return p.drainAll(ctx, g)
+}
+
+// drainAll drains what was granted just now, rather than in the next pass.
+func (p *pass) drainAll(ctx context.Context, g grant) error {
+	var errs []error
+	for i := range g.records {
+		if err := p.f.drain(ctx, &g.records[i]); err != nil {
+			errs = append(errs, err)
+		}
+	}
+	return trace.NewAggregate(errs...)
 }
 
 // endWave writes that the wave stops by itself: finished, or paused for a
@@ -147,7 +159,8 @@
 	p.f.log.Info("wave", "wave", c.value.Name, "state", s, "reason", reason)
 	wr := &write{}
 	wr.change(c.cond(), c.put())
-	return p.settle(ctx, "end wave", wr)
+	_, err := p.settle(ctx, "end wave", wr)
+	return err
 }
 
 // plan makes the plan of a wave from the view; false where it is not declared.
@@ -162,6 +175,7 @@
 		Wave:        *declared,
 		Run:         w.Run,
 		VMs:         p.planVMs(w.Pools),
+		Started:     w.Started,
 		Resumed:     w.Resumed,
 		ViewAge:     p.viewAge(),
 		ListAge:     p.listAge(),
--- a/policy/wave/pace.go
+++ b/policy/wave/pace.go
@@ -14,21 +14,17 @@
 // out differ.
 const minSamples = 5
 
-// paceMargin lets the window be as much wider than the times out so far call
-// for, since the last VMs of a wave leave part of the window empty.
-const paceMargin = 1.1
-
 // window returns how many VMs may be out at once, budgets aside.
 //
 // Where roll-out time weighs more the budgets alone decide. Where buffer cost
 // weighs more, each VM out at once is a spare that the deployment pays for:
-// the window is then the narrowest that is still no slower than fixed batches
-// of a tenth.
+// the window is then the narrowest that still ends no later than fixed batches
+// of a tenth would.
 func (p *planner) window() int {
 	n := p.progress.Total
 	w := p.s.weights()
 	if w.BufferCost > w.RollOutTime {
-		n = narrowest(tenth(n), p.took)
+		n = p.narrowest(tenth(n))
 	}
 	if p.s.Wave.MaxBatch > 0 {
 		n = min(n, p.s.Wave.MaxBatch)
@@ -36,15 +32,23 @@
 	return max(n, 1)
 }
 
-// narrowest returns the width of a sliding window that is as fast as fixed
-// batches of the size. A batch takes as long as its slowest VM, a place in the
-// window only as long as its own VM.
-func narrowest(batch int, took []time.Duration) int {
-	if len(took) < minSamples {
+// narrowest returns the width of a sliding window that ends when batches of
+// the size would. A batch takes as long as its slowest VM, a place in the
+// window only as long as its own VM; what the wave has lost so far, by its
+// canaries or by failures, it makes up with a wider window.
+func (p *planner) narrowest(batch int) int {
+	if len(p.took) < minSamples {
+		return batch
+	}
+	slowest := slowestOf(batch, p.took)
+	batches := (p.progress.Total + batch - 1) / batch
+	elapsed := p.s.Now.Sub(p.s.Started)
+	left := time.Duration(batches)*slowest - elapsed - slowest // the last VMs leave the window half empty
+	if left <= 0 {
 		return batch
 	}
-	ratio := float64(mean(took)) / float64(slowestOf(batch, took))
-	return min(batch, int(math.Ceil(float64(batch)*ratio*paceMargin)))
+	work := time.Duration(p.progress.Left+p.progress.Out) * mean(p.took)
+	return min(batch, int(math.Ceil(float64(work)/float64(left))))
 }
 
 func mean(d []time.Duration) time.Duration {
--- a/policy/wave/planner.go
+++ b/policy/wave/planner.go
@@ -185,14 +185,23 @@
 	return ""
 }
 
-// arrange sorts what is left: postponed VMs last, pools in the wave's order,
-// then zone by zone and rack by rack, so that stops stay within one domain.
+// arrange sorts what is left: postponed VMs last; pools with more VMs left
+// first, so that no pool is still at work when all others are done, and by the
+// wave's order where they have as many; then zone by zone and rack by rack, so
+// that stops stay within one domain. The canaries come from the first pool.
 func (p *planner) arrange() {
+	leftIn := make(map[model.PoolName]int)
+	for _, v := range p.left {
+		leftIn[v.Pool]++
+	}
+	canary := p.progress.Done < p.s.Wave.Canary
 	sort.SliceStable(p.left, func(i, j int) bool {
 		a, b := p.left[i], p.left[j]
 		switch {
 		case !a.Postponed.Equal(b.Postponed):
 			return a.Postponed.Before(b.Postponed)
+		case !canary && leftIn[a.Pool] != leftIn[b.Pool]:
+			return leftIn[a.Pool] > leftIn[b.Pool]
 		case p.order[a.Pool] != p.order[b.Pool]:
 			return p.order[a.Pool] < p.order[b.Pool]
 		case a.Zone != b.Zone:
--- a/policy/wave/wave.go
+++ b/policy/wave/wave.go
@@ -47,6 +47,7 @@
 	Wave        model.Wave // with the pools of this run
 	Run         model.ChangeID
 	VMs         []VM      // at least all VMs of all services that have targets in the wave's pools
+	Started     time.Time // when the run was started
 	Resumed     time.Time // when an operator let it go on last; failures before are known to them
 	ViewAge     time.Duration
 	ListAge     time.Duration
--- a/policy/wave/wave_test.go
+++ b/policy/wave/wave_test.go
@@ -137,10 +137,17 @@
 		}, Hold, 0, "service s0 has VMs out in another rack than z0-r1"},
 		{"frugal takes a tenth", fleet(5, 10, 4, 5, frugal), nil, Go, 5, ""},
 		{"frugal takes less once it knows how the times differ", fleet(5, 10, 4, 5, frugal), func(s *Snapshot) {
+			s.Started = now.Add(-10 * time.Minute)
 			for i := range 10 {
 				done(&s.VMs[i], time.Duration(i+1)*time.Minute)
 			}
 		}, Go, 4, ""},
+		{"frugal catches up when it is late", fleet(5, 10, 4, 5, frugal), func(s *Snapshot) {
+			s.Started = now.Add(-time.Hour)
+			for i := range 10 {
+				done(&s.VMs[i], time.Duration(i+1)*time.Minute)
+			}
+		}, Go, 5, ""},
 	}
 	for _, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
