--- /dev/null
+++ b/internal/operator/wiring/waves.go
@@ -0,0 +1,33 @@
+package wiring
+
+import (
+	"context"
+
+	"github.com/pumicestage/pumicestage/internal/fleet"
+	"github.com/pumicestage/pumicestage/internal/query"
+)
+
+// Waves is a query.Waves by the reconciler of this entry VM.
+type Waves struct {
+	Fleet *fleet.Fleet
+}
+
+var _ query.Waves = Waves{}
+
+// Waves implements query.Waves.
+func (w Waves) Waves(ctx context.Context) ([]query.WaveStatus, error) {
+	statuses, err := w.Fleet.WaveStatuses(ctx)
+	if err != nil {
+		return nil, err
+	}
+	found := make([]query.WaveStatus, len(statuses))
+	for i, s := range statuses {
+		r := s.Record
+		found[i] = query.WaveStatus{
+			Name: r.Name, State: string(r.State), Pools: r.Pools,
+			Total: s.Progress.Total, Done: s.Progress.Done, Out: s.Progress.Out, Failed: s.Progress.Failed,
+			Reason: s.Hold, Started: r.Started, Ended: r.Ended, Forecast: s.Forecast, By: r.Actor, Change: r.Change,
+		}
+	}
+	return found, nil
+}
--- /dev/null
+++ b/internal/operator/wiring/wiring.go
@@ -0,0 +1,82 @@
+// Package wiring puts the operator port of one entry VM together: it fits the
+// fleet, the peers and the relay to the small interfaces that orders and
+// questions ask for.
+package wiring
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/jonboulle/clockwork"
+
+	"github.com/pumicestage/pumicestage/internal/access"
+	"github.com/pumicestage/pumicestage/internal/audit"
+	"github.com/pumicestage/pumicestage/internal/command"
+	"github.com/pumicestage/pumicestage/internal/fleet"
+	"github.com/pumicestage/pumicestage/internal/operator"
+	"github.com/pumicestage/pumicestage/internal/platform"
+	"github.com/pumicestage/pumicestage/internal/query"
+	"github.com/pumicestage/pumicestage/internal/scope"
+	"github.com/pumicestage/pumicestage/internal/view"
+	"github.com/pumicestage/pumicestage/policy/model"
+)
+
+// Parts are what an operator port is made of. Jobs, Asked, Access, Pace,
+// Clock and Log may be left out.
+type Parts struct {
+	Self   view.EntryRecord
+	Store  platform.Store
+	View   *view.Holder
+	Fleet  *fleet.Fleet
+	Mesh   Mesh
+	Acks   operator.Acks
+	Health func(model.VMID) model.Health
+	Jobs   command.Jobs
+	Asked  query.Jobs
+	Access access.Gate
+	Pace   time.Duration // of the audit trail's writes; its default if 0, none if negative
+	Clock  clockwork.Clock
+	Log    logr.Logger
+}
+
+// Port is the operator port of one entry VM.
+type Port struct {
+	Handler  http.Handler // under /v1/
+	Trail    *audit.Trail // to Flush before the process ends
+	Commands *command.Executor
+	Queries  *query.Engine
+}
+
+// New puts a port together.
+func New(p Parts) *Port {
+	if p.Clock == nil {
+		p.Clock = clockwork.NewRealClock()
+	}
+	trail := audit.New(audit.Options{Store: p.Store, Self: p.Self.ID, Clock: p.Clock, Log: p.Log.WithName("audit"), Pace: p.Pace})
+	stored := command.Stored{Store: p.Store, Clock: p.Clock, View: p.View}
+	commands := command.New(command.Options{
+		Fleet:    Orders{Fleet: p.Fleet},
+		Jobs:     p.Jobs,
+		Settings: stored,
+		Declarer: stored,
+		Members:  scope.Holder{View: p.View},
+		Trail:    operator.CommandTrail{Trail: trail},
+		Clock:    p.Clock,
+	})
+	queries := query.New(query.Options{
+		View:    p.View,
+		Planner: Planner{Fleet: p.Fleet},
+		Waves:   Waves{Fleet: p.Fleet},
+		Jobs:    p.Asked,
+		Peers:   Peers{Record: p.Self, Mesh: p.Mesh, View: p.View, Clock: p.Clock},
+		History: operator.QueryHistory{Trail: trail},
+		Health:  p.Health,
+		Clock:   p.Clock,
+	})
+	handler := operator.New(operator.Options{
+		Store: p.Store, View: p.View, Commands: commands, Queries: queries, Trail: trail,
+		Acks: p.Acks, Access: p.Access, Clock: p.Clock, Log: p.Log,
+	})
+	return &Port{Handler: handler, Trail: trail, Commands: commands, Queries: queries}
+}
