--- a/internal/claim/group.go
+++ b/internal/claim/group.go
@@ -12,6 +12,12 @@
 )
 
 const (
+	// WritesPerSecond is what the claims of all entry VMs together may cost
+	// the platform, which takes several hundred writes a second for
+	// everything. Each entry VM takes an equal part.
+	WritesPerSecond = 160
+	// writeBurst lets an idle entry VM claim and record at once.
+	writeBurst = 4
 	// groupOps is the most writes in one transaction; the service takes 128
 	// operations.
 	groupOps = 100
@@ -59,11 +65,12 @@
 // up all the writes the service has. It sends the first write at once; while
 // it waits for its turn again, the next group fills.
 type committer struct {
-	store platform.Store
-	pace  *rate.Limiter
-	slots chan struct{}
-	wake  chan struct{}
-	tasks sync.WaitGroup
+	store   platform.Store
+	sharers func() int // entry VMs that share WritesPerSecond
+	pace    *rate.Limiter
+	slots   chan struct{}
+	wake    chan struct{}
+	tasks   sync.WaitGroup
 
 	mu     sync.Mutex
 	queue  []*pending
@@ -73,9 +80,10 @@
 	writes uint64
 }
 
-func newCommitter(store platform.Store, pace *rate.Limiter) *committer {
+func newCommitter(store platform.Store, sharers func() int) *committer {
 	return &committer{
-		store: store, pace: pace,
+		store: store, sharers: sharers,
+		pace:   rate.NewLimiter(WritesPerSecond, writeBurst),
 		slots:  make(chan struct{}, groupsInFlight),
 		wake:   make(chan struct{}, 1),
 		flying: make(map[string]bool),
@@ -117,7 +125,8 @@
 	}
 }
 
-// run sends groups until ctx ends; writes still queued then fail unsent.
+// run sends groups until ctx ends; writes still queued then fail unsent. A
+// write in flight is waited for.
 func (c *committer) run(ctx context.Context) {
 	for c.awaitTurn(ctx) {
 		group := c.nextGroup()
@@ -143,6 +152,7 @@
 	case <-ctx.Done():
 		return false
 	}
+	c.pace.SetLimit(rate.Limit(WritesPerSecond) / rate.Limit(max(1, c.sharers())))
 	if c.pace.Wait(ctx) != nil {
 		return false
 	}
@@ -204,9 +214,10 @@
 // where one write's condition fails, the values read back tell which one it
 // was, and the others go again without it.
 func (c *committer) commit(ctx context.Context, group []*pending) {
-	var lost error
+	var lost, last error
 	for range groupTries {
 		res, err := c.send(ctx, group)
+		last = err
 		switch {
 		case err == nil && res.Succeeded:
 			settleAll(group, outcome{applied: true, rev: res.Revision})
@@ -221,7 +232,7 @@
 		case platform.IsKind(err, platform.KindUnknown):
 			lost = err
 			pause(ctx, lostPause)
-		case lost != nil:
+		case lost != nil || platform.IsKind(err, platform.KindRateLimited):
 			pause(ctx, lostPause)
 		case isPoisoned(err) && len(group) > 1:
 			c.commitEach(ctx, group)
@@ -232,7 +243,7 @@
 		}
 	}
 	if lost == nil {
-		settleAll(group, outcome{err: platform.Errorf("txn", platform.KindUnavailable, "outrun by other writers")})
+		settleAll(group, outcome{err: platform.Errorf("txn", platform.KindUnavailable, "not written after %d tries: %v", groupTries, last)})
 		return
 	}
 	settleAll(group, outcome{err: platform.Errorf("txn", platform.KindUnknown, "%w", lost)})
--- a/internal/claim/ledger.go
+++ b/internal/claim/ledger.go
@@ -11,7 +11,6 @@
 
 	"github.com/go-logr/logr"
 	"github.com/gravitational/trace"
-	"golang.org/x/time/rate"
 
 	"github.com/pumicestage/pumicestage/internal/platform"
 	"github.com/pumicestage/pumicestage/internal/view"
@@ -19,12 +18,6 @@
 )
 
 const (
-	// WritesPerSecond is what the claims of all entry VMs together may cost
-	// the platform, which takes several hundred writes a second for
-	// everything. Each entry VM takes an equal part.
-	WritesPerSecond = 160
-	// writeBurst lets an idle entry VM claim and record at once.
-	writeBurst = 4
 	// maxSendWindow bounds Ticket.SendBy: no caller waits that long.
 	maxSendWindow = 30 * time.Minute
 	// defaultMaxAnswer is the largest answer kept; larger ones are recorded
@@ -37,6 +30,9 @@
 	// settle a claim in the background.
 	fenceRetryMin = 100 * time.Millisecond
 	fenceRetryMax = 5 * time.Second
+	// drainFor is how long a stopping daemon goes on recording; two calls and
+	// their retries.
+	drainFor = 3 * time.Second
 	// maxSettling bounds how many claims are settled in the background; a
 	// few minutes of claims whose replies are lost.
 	maxSettling = 4096
@@ -57,6 +53,8 @@
 	// Live returns the IDs of the live entry VMs, this one included; nil
 	// for this one alone.
 	Live func() []model.EntryID
+	// Now is the wall clock entry VMs agree on; nil for the own one.
+	Now func() time.Time
 	// MaxAnswer is the largest body kept, in bytes; 0 for 64 KiB.
 	MaxAnswer int
 	Log       logr.Logger
@@ -70,6 +68,8 @@
 
 	mu   sync.Mutex
 	held map[string]record // claims won here and not yet recorded, by ID
+	// closed: Run waits for its last tasks and takes no more.
+	closed bool
 
 	tasks  sync.WaitGroup
 	ctx    context.Context
@@ -84,13 +84,16 @@
 		self := []model.EntryID{opts.Self.ID}
 		opts.Live = func() []model.EntryID { return self }
 	}
+	if opts.Now == nil {
+		opts.Now = time.Now
+	}
 	if opts.MaxAnswer == 0 {
 		opts.MaxAnswer = defaultMaxAnswer
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Ledger{
 		opts:    opts,
-		commits: newCommitter(opts.Store, rate.NewLimiter(WritesPerSecond, writeBurst)),
+		commits: newCommitter(opts.Store, func() int { return len(opts.Live()) }),
 		settles: make(chan struct{}, maxSettling),
 		held:    make(map[string]record),
 		ctx:     ctx,
@@ -98,22 +101,30 @@
 	}
 }
 
-// Run commits and sweeps until ctx ends.
+// Run commits and sweeps until ctx ends, and then for as long as recording
+// what has run takes, but no longer than drainFor. Stop taking requests in
+// before.
 func (l *Ledger) Run(ctx context.Context) {
-	stop := context.AfterFunc(ctx, l.cancel)
-	defer stop()
-	l.tasks.Go(func() { l.sweepLoop(l.ctx) })
-	l.tasks.Go(func() { l.sharePace(l.ctx) })
-	l.commits.run(l.ctx)
+	l.tasks.Go(func() { l.sweepLoop(ctx) })
+	l.tasks.Go(func() { l.commits.run(l.ctx) })
+	<-ctx.Done()
+	l.drain()
+	l.close()
+	l.cancel()
 	l.tasks.Wait()
 }
 
-// sharePace keeps this entry VM at its part of WritesPerSecond.
-func (l *Ledger) sharePace(ctx context.Context) {
-	for ctx.Err() == nil {
-		live := max(1, len(l.opts.Live()))
-		l.commits.pace.SetLimit(rate.Limit(float64(WritesPerSecond) / float64(live)))
-		pause(ctx, time.Second)
+func (l *Ledger) close() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.closed = true
+}
+
+// drain waits until no claim is being settled. What is not recorded when a
+// daemon stops is unknown for ever.
+func (l *Ledger) drain() {
+	for until := time.Now().Add(drainFor); len(l.settles) > 0 && time.Now().Before(until); {
+		pause(l.ctx, lostPause)
 	}
 }
 
@@ -123,7 +134,7 @@
 		return Result{}, &Error{Certain: true, Err: trace.Wrap(err)}
 	}
 	now := time.Now()
-	r := l.newRecord(req, now)
+	r := l.newRecord(req, l.opts.Now())
 	key := storeKey(req.Key)
 	var over platform.Revision // of the released claim this one replaces
 	for {
@@ -242,13 +253,13 @@
 // Release implements Claims. Where it returns an error the claim goes on
 // being released in the background.
 func (l *Ledger) Release(ctx context.Context, t Ticket) error {
-	return l.rewrite(ctx, t, released)
+	return l.rewrite(ctx, t, l.released)
 }
 
-func released(r *record) {
+func (l *Ledger) released(r *record) {
 	r.Stage = stageReleased
 	r.Answer = nil
-	r.Expires = time.Now().Add(releasedFor).UTC()
+	r.Expires = l.opts.Now().Add(releasedFor).UTC()
 }
 
 func (l *Ledger) hold(r record) {
--- a/internal/fleet/machines_test.go
+++ b/internal/fleet/machines_test.go
@@ -20,6 +20,21 @@
 	failed    bool          // live, but never healthy
 	drainTime time.Duration // how long its work takes to finish
 	bootTime  time.Duration
+	downAt    time.Time     // when the reboot ordered last begins
+	bootDelay time.Duration // from the order to that
+}
+
+// rebooting reports whether the machine is down for a reboot.
+func (v *machine) rebooting(now time.Time) bool {
+	return !now.Before(v.downAt) && now.Before(v.upAt)
+}
+
+// counted returns the boots that a list shows; a reboot shows once it is over.
+func (v *machine) counted(now time.Time) int {
+	if now.Before(v.upAt) {
+		return v.boots - 1
+	}
+	return v.boots
 }
 
 // machines is the fake of the platform's control of VMs. It counts effects per
@@ -29,16 +44,16 @@
 	clock             clockwork.Clock
 	sending           func(model.VMID) bool // whether an entry VM may still send to the VM
 
-	mu      sync.Mutex
-	vms     map[model.VMID]*machine
-	done    map[model.AttemptID]bool
-	down    bool // no call gets through
-	lag     time.Duration
-	reboots map[model.VMID]int
-	cut     []model.VMID // VMs rebooted with work on them
-	before  func(op string, vm model.VMID)
-	calls   int
-	lose    int // so many next effects happen and report no reply
+	mu       sync.Mutex
+	vms      map[model.VMID]*machine
+	done     map[model.AttemptID]bool
+	outUntil time.Time // no call gets through before
+	lag      time.Duration
+	reboots  map[model.VMID]int
+	cut      []model.VMID                                      // VMs rebooted with work on them
+	took     func(op string, vm model.VMID, a model.AttemptID) // sees each effect once
+	calls    int
+	lose     int // so many next effects happen and report no reply
 }
 
 func newMachines(clock clockwork.Clock, d *model.Declaration) *machines {
@@ -54,6 +69,21 @@
 	return m
 }
 
+func (m *machines) loseReplies(n int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.lose = n
+}
+
+// outFor lets no call through for a time.
+func (m *machines) outFor(d time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.outUntil = m.clock.Now().Add(d)
+}
+
+func (m *machines) out() bool { return m.clock.Now().Before(m.outUntil) }
+
 func (m *machines) health(id model.VMID) model.Health {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -61,7 +91,7 @@
 	switch {
 	case !ok:
 		return model.HealthUnknown
-	case v.failed || m.clock.Now().Before(v.upAt):
+	case v.failed || v.rebooting(m.clock.Now()):
 		return model.HealthDown
 	}
 	return model.HealthHealthy
@@ -71,27 +101,23 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.calls++
-	if m.down {
+	if m.out() {
 		return platform.MachineList{}, platform.Errorf("list", platform.KindUnavailable, "down")
 	}
 	now := m.clock.Now()
 	list := platform.MachineList{AsOf: now.Add(-m.lag)}
 	for id, v := range m.vms {
-		live := !now.Before(v.upAt)
-		list.Machines = append(list.Machines, platform.Machine{VM: id, Live: live, Boots: v.boots})
+		list.Machines = append(list.Machines, platform.Machine{VM: id, Live: !v.rebooting(now), Boots: v.counted(now)})
 	}
 	return list, nil
 }
 
 // effect runs do once per attempt, then reports what the faults want.
 func (m *machines) effect(op string, id model.VMID, a model.AttemptID, do func(*machine)) error {
-	if m.before != nil {
-		m.before(op, id)
-	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.calls++
-	if m.down {
+	if m.out() {
 		return platform.Errorf(op, platform.KindUnavailable, "down")
 	}
 	v, ok := m.vms[id]
@@ -100,6 +126,7 @@
 	}
 	if !m.done[a] {
 		m.done[a] = true
+		m.took(op, id, a)
 		do(v)
 	}
 	if m.lose > 0 {
@@ -127,7 +154,8 @@
 		}
 		v.boots++
 		m.reboots[id]++
-		v.upAt = m.clock.Now().Add(v.bootTime)
+		v.downAt = m.clock.Now().Add(v.bootDelay)
+		v.upAt = v.downAt.Add(v.bootTime)
 	})
 }
 
@@ -143,7 +171,7 @@
 	defer m.mu.Unlock()
 	m.calls++
 	v, ok := m.vms[id]
-	if m.down || !ok {
+	if m.out() || !ok {
 		return 0, platform.Errorf("in-flight", platform.KindUnavailable, "down")
 	}
 	return m.inFlight(v), nil
--- a/internal/fleet/step.go
+++ b/internal/fleet/step.go
@@ -33,7 +33,7 @@
 // pass does the work of the holders that mine names.
 func (f *Fleet) pass(ctx context.Context, ws waves, mine func(holder string) bool) error {
 	var errs []error
-	if err := f.refreshList(ctx, listEvery); err != nil {
+	if err := f.refreshList(ctx, listPeriods*f.every); err != nil {
 		errs = append(errs, err)
 	}
 	p := f.newPass()
@@ -162,6 +162,7 @@
 		Wave:        *declared,
 		Run:         w.Run,
 		VMs:         p.planVMs(w.Pools),
+		Resumed:     w.Resumed,
 		ViewAge:     p.viewAge(),
 		ListAge:     p.listAge(),
 	}
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -24,6 +24,14 @@
 	helloTimeout = 2 * time.Second
 	// writeTimeout ends a connection whose other end does not read.
 	writeTimeout = 2 * time.Second
+	// ackTimeout ends a connection whose other end acknowledges nothing: four
+	// sums, or sixteen digests.
+	ackTimeout = 4 * time.Second
+	// hurriedGap is the shortest time between two digests where the second
+	// tells of a new declaration in force.
+	hurriedGap = 50 * time.Millisecond
+	// atOnce lets several causes for a digest become one.
+	atOnce = time.Millisecond
 	// redialMin and redialMax bound the jittered wait between attempts: a
 	// healed zone is heard within a second or two, and a dead address costs
 	// at most an attempt in two seconds.
@@ -34,9 +42,10 @@
 	linkQueue = 16
 	// loadBytes is what one TargetLoad takes in a frame, measured with names
 	// of 14 bytes.
-	loadBytes = 24
-	// digestBaseBytes is a digest without loads, measured, with its header.
-	digestBaseBytes = 64
+	loadBytes = 22
+	// digestBaseBytes is a digest without loads, measured, with its header
+	// and its acknowledgement.
+	digestBaseBytes = 52
 )
 
 // link is the connection this entry VM dials to one peer and sends on.
@@ -160,30 +169,26 @@
 	}
 }
 
-// send writes digests and queued frames until the connection fails. The far
-// end sends nothing after its hello, so a read that returns means it is gone.
+// send writes digests and queued frames until the connection fails.
 func (l *link) send(conn net.Conn, sameZone bool) error {
 	gone := make(chan error, 1)
-	l.mesh.tasks.Go(func() {
-		_, err := conn.Read(make([]byte, 1))
-		if err == nil {
-			err = errUnsolicited
-		}
-		gone <- err
-	})
-	every := acrossZonesEvery
-	if sameZone {
-		every = withinZoneEvery
-	}
-	tick := time.NewTicker(every)
-	defer tick.Stop()
+	l.mesh.tasks.Go(func() { gone <- l.readAcks(conn) })
+	pace := newDigestPace(sameZone)
+	defer pace.timer.Stop()
 	delta := newDelta(sameZone)
 	for {
+		v := l.mesh.opts.View
+		changed := v.Changed()
+		pace.hurry(v.Load().Generation())
 		var frame []byte
 		select {
-		case <-tick.C:
+		case <-changed:
+			continue
+		case <-pace.timer.C:
+			d := delta.next(l.mesh.digest(), l.mesh.loadsPerDigest())
+			pace.sent(d.Generation)
 			var err error
-			if frame, err = encodeFrame(KindDigest, delta.next(l.mesh.digest(), l.mesh.loadsPerDigest(every))); err != nil {
+			if frame, err = encodeFrame(KindDigest, d); err != nil {
 				return err
 			}
 		case frame = <-l.queue:
@@ -196,25 +201,94 @@
 	}
 }
 
+// readAcks returns when the far end is gone or has been silent for too long.
+// Each digest is acknowledged. Without that a connection cut without notice
+// takes writes for minutes, and after the heal TCP would try it again only
+// after its long backoff: the peer would stay unheard while it can be reached.
+func (l *link) readAcks(conn net.Conn) error {
+	for {
+		if err := conn.SetReadDeadline(time.Now().Add(ackTimeout)); err != nil {
+			return err
+		}
+		f, err := readFrame(conn)
+		if err != nil {
+			return err
+		}
+		if f.kind != KindAck {
+			return errUnsolicited
+		}
+		l.mesh.stats.received(f.kind, f.size)
+	}
+}
+
+// digestPace says when the next digest is due.
+type digestPace struct {
+	every      time.Duration
+	timer      *time.Timer
+	last       time.Time
+	generation uint64 // told last
+	hurried    bool
+}
+
+func newDigestPace(sameZone bool) *digestPace {
+	every := acrossZonesEvery
+	if sameZone {
+		every = withinZoneEvery
+	}
+	return &digestPace{every: every, timer: time.NewTimer(atOnce)}
+}
+
+// hurry brings the next digest forward where the declaration in force has
+// changed, so that whoever applied it need not wait for the next round.
+func (p *digestPace) hurry(generation uint64) {
+	if generation == p.generation || p.hurried {
+		return
+	}
+	p.hurried = true
+	p.timer.Reset(max(atOnce, hurriedGap-time.Since(p.last)))
+}
+
+func (p *digestPace) sent(generation uint64) {
+	p.last = time.Now()
+	p.generation = generation
+	p.hurried = false
+	p.timer.Reset(p.every)
+}
+
 func (l *link) write(conn net.Conn, frame []byte) error {
 	if err := conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
 		return err
 	}
 	_, err := conn.Write(frame)
-	l.mesh.stats.sent(Kind(frame[4]), len(frame))
+	l.mesh.stats.sent(Kind(frame[4])&^compressed, len(frame))
 	return err
 }
 
-// loadsPerDigest returns how many loads one digest may carry, so that all
-// links of the zone together stay within BytesPerSecond.
-func (m *Mesh) loadsPerDigest(every time.Duration) int {
-	peers := max(1, m.LiveEntries(m.opts.Self.Zone)-1)
-	perDigest := float64(m.opts.BytesPerSecond) * every.Seconds() / float64(peers)
-	return max(minLoadsPerDigest, (int(perDigest)-digestBaseBytes)/loadBytes)
+// loadsPerDigest returns how many loads one digest within the zone may carry,
+// so that all digests of this entry VM together stay within BytesPerSecond.
+func (m *Mesh) loadsPerDigest() int {
+	within, across := 0, 0
+	for _, s := range m.table.list() {
+		switch {
+		case !s.Live:
+		case s.Zone == m.opts.Self.Zone:
+			within++
+		default:
+			across++
+		}
+	}
+	return loadLimit(m.opts.BytesPerSecond, within, across)
+}
+
+func loadLimit(bytesPerSecond, within, across int) int {
+	digests := float64(max(1, within)) / withinZoneEvery.Seconds()
+	bare := (digests + float64(across)/acrossZonesEvery.Seconds()) * digestBaseBytes
+	loads := (float64(bytesPerSecond) - bare) / loadBytes / digests
+	return max(minLoadsPerDigest, int(loads))
 }
 
 // minLoadsPerDigest keeps digests useful however many peers share the bytes.
-const minLoadsPerDigest = 8
+const minLoadsPerDigest = 2
 
 func writeHello(conn net.Conn, h hello) error {
 	frame, err := encodeFrame(KindHello, h)
@@ -227,12 +301,12 @@
 
 func readHello(conn net.Conn) (hello, error) {
 	var h hello
-	k, body, err := readFrame(conn)
+	f, err := readFrame(conn)
 	if err != nil {
 		return h, err
 	}
-	if k != KindHello {
+	if f.kind != KindHello {
 		return h, errUnsolicited
 	}
-	return h, decode(body, &h)
+	return h, decode(f.body, &h)
 }
--- a/internal/peer/mesh.go
+++ b/internal/peer/mesh.go
@@ -5,6 +5,7 @@
 	"crypto/tls"
 	"errors"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -35,6 +36,9 @@
 	// Local returns what this entry VM has in flight itself, and its queue's
 	// length.
 	Local func() (loads []TargetLoad, queued int)
+	// Fill adds to each digest what else is told, such as slots lent; nil for
+	// nothing.
+	Fill func(*Digest)
 	// Watching reports whether this entry VM holds the platform's watch; nil
 	// for never.
 	Watching func() bool
@@ -43,10 +47,10 @@
 	Log            logr.Logger
 }
 
-// DefaultBytesPerSecond is what digests may take on the way out. A node may
-// spend 14 KB a second on control; a third is left to the store and to relayed
-// views.
-const DefaultBytesPerSecond = 9 << 10
+// DefaultBytesPerSecond is what digests may take on the way out; about as much
+// comes in. A node may spend 14 KB a second on control, of which 2 are left to
+// the platform's calls and relayed views.
+const DefaultBytesPerSecond = 6 << 10
 
 // Mesh is this entry VM's side of all peer connections. Each entry VM dials
 // every other and sends on the connection it dialled, so that no two need to
@@ -236,7 +240,46 @@
 	return n
 }
 
-var _ Loads = (*Mesh)(nil)
+// Live returns the IDs of all live entry VMs, this one included.
+func (m *Mesh) Live() []model.EntryID {
+	ids := []model.EntryID{m.opts.Self.ID}
+	for _, s := range m.table.list() {
+		if s.Live {
+			ids = append(ids, s.Entry)
+		}
+	}
+	return ids
+}
+
+// Now returns the wall clock that the majority of live entry VMs agrees on.
+// One whose own clock is off by a day would otherwise forget claims a day too
+// early, and a late duplicate would run again.
+func (m *Mesh) Now() time.Time {
+	offsets := []time.Duration{0}
+	for _, s := range m.table.list() {
+		if s.Live {
+			offsets = append(offsets, s.ClockOffset)
+		}
+	}
+	slices.Sort(offsets)
+	return time.Now().Add(offsets[len(offsets)/2])
+}
+
+var (
+	_ Loads        = (*Mesh)(nil)
+	_ DigestSource = (*Mesh)(nil)
+)
+
+// PeerDigests implements DigestSource.
+func (m *Mesh) PeerDigests() []PeerDigest {
+	var live []PeerDigest
+	for _, p := range m.Peers() {
+		if p.Live {
+			live = append(live, PeerDigest{Digest: p.Digest, Heard: p.Heard})
+		}
+	}
+	return live
+}
 
 func (m *Mesh) hello() hello {
 	s := m.opts.Self
@@ -253,11 +296,15 @@
 	d := Digest{
 		Entry: m.opts.Self.ID, Zone: m.opts.Self.Zone, Seq: m.seq.Add(1),
 		Revision: v.Revision, Generation: v.Generation(), AgeMillis: ageMillis(time.Since(v.AsOf)),
+		Clock: time.Now().UnixMilli(),
 		Loads: loads, Queued: uint32(queued), Watching: m.opts.Watching(),
 	}
 	for _, l := range loads {
 		d.InFlight += uint32(l.InFlight)
 	}
+	if m.opts.Fill != nil {
+		m.opts.Fill(&d)
+	}
 	return d
 }
 
--- a/internal/platform/standin/machines.go
+++ b/internal/platform/standin/machines.go
@@ -51,6 +51,7 @@
 	draining bool
 	allFail  bool
 	boots    int
+	tasks    map[*task]struct{} // those that run
 	history  []moment
 }
 
@@ -88,7 +89,7 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	v := &vm{id: id, capacity: capacity, runner: runner, live: true}
+	v := &vm{id: id, capacity: capacity, runner: runner, live: true, tasks: make(map[*task]struct{})}
 	m.vms[id] = v
 	m.noteLocked(v)
 }
@@ -200,11 +201,11 @@
 	if err != nil || !fresh {
 		return err
 	}
+	v.turn.Lock()
+	defer v.turn.Unlock()
 	m.mu.Lock()
 	v.draining = draining
 	m.mu.Unlock()
-	v.turn.Lock()
-	defer v.turn.Unlock()
 	if draining {
 		v.runner.Drain()
 		return nil
@@ -222,7 +223,7 @@
 		m.mu.Unlock()
 		return 0, platform.Errorf("in-flight", platform.KindNotFound, "VM %s", id)
 	}
-	live, tasks := v.live, len(m.runningLocked(id))
+	live, tasks := v.live, len(v.tasks)
 	m.mu.Unlock()
 	if !live {
 		return 0, nil
@@ -239,7 +240,7 @@
 	m.mu.Lock()
 	m.advanceLocked()
 	m.tally.Reboots++
-	m.tally.TasksCut += len(m.runningLocked(id))
+	m.tally.TasksCut += len(v.tasks)
 	m.stopLocked(v, "VM rebooted")
 	down := m.rebootTime
 	m.mu.Unlock()
@@ -274,20 +275,32 @@
 	return v, true, nil
 }
 
+// start starts a VM that is down. It is live only once its runner is, so that
+// whoever sees it live finds it working.
 func (m *Machines) start(id model.VMID) {
 	m.mu.Lock()
 	v, ok := m.vms[id]
-	if !ok || v.live {
-		m.mu.Unlock()
+	m.mu.Unlock()
+	if !ok {
 		return
 	}
-	v.live, v.draining = true, false
-	v.boots++
-	m.noteLocked(v)
-	m.mu.Unlock()
 	v.turn.Lock()
 	defer v.turn.Unlock()
+	if m.isLive(v) {
+		return
+	}
 	v.runner.Start()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	v.live, v.draining = true, false
+	v.boots++
+	m.noteLocked(v)
+}
+
+func (m *Machines) isLive(v *vm) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return v.live
 }
 
 func (v *vm) stop() int {
@@ -297,7 +310,7 @@
 }
 
 func (m *Machines) stopLocked(v *vm, reason string) {
-	for _, t := range m.runningLocked(v.id) {
+	for t := range v.tasks {
 		t.end(platform.TaskLost, reason)
 	}
 	v.live = false
@@ -308,7 +321,7 @@
 func (m *Machines) noteLocked(v *vm) {
 	now := m.clock.Now()
 	v.history = append(v.history, moment{from: now, machine: platform.Machine{
-		VM: v.id, Live: v.live, Leaving: v.leaving, Boots: v.boots, Tasks: len(m.runningLocked(v.id)),
+		VM: v.id, Live: v.live, Leaving: v.leaving, Boots: v.boots, Tasks: len(v.tasks),
 	}})
 	if !m.frozenAt.IsZero() {
 		return
