--- a/cmd/pumicestage/print.go
+++ b/cmd/pumicestage/print.go
@@ -36,6 +36,9 @@
 	case a.Forecast != nil:
 		printForecast(w, a.Forecast)
 	}
+	for _, n := range a.Notes {
+		fmt.Fprintln(w, "WARNING:", n)
+	}
 	printView(w, a.View)
 }
 
--- a/internal/operator/wiring/wiring.go
+++ b/internal/operator/wiring/wiring.go
@@ -5,7 +5,6 @@
 
 import (
 	"net/http"
-	"time"
 
 	"github.com/go-logr/logr"
 	"github.com/jonboulle/clockwork"
@@ -22,7 +21,7 @@
 	"github.com/pumicestage/pumicestage/policy/model"
 )
 
-// Parts are what an operator port is made of. Jobs, Asked, Access, Pace,
+// Parts are what an operator port is made of. Jobs, Asked, Access, Trail,
 // Clock and Log may be left out.
 type Parts struct {
 	Self   view.EntryRecord
@@ -35,7 +34,7 @@
 	Jobs   command.Jobs
 	Asked  query.Jobs
 	Access access.Gate
-	Pace   time.Duration // of the audit trail's writes; its default if 0, none if negative
+	Trail  *audit.Trail // one of its own if nil
 	Clock  clockwork.Clock
 	Log    logr.Logger
 }
@@ -53,7 +52,10 @@
 	if p.Clock == nil {
 		p.Clock = clockwork.NewRealClock()
 	}
-	trail := audit.New(audit.Options{Store: p.Store, Self: p.Self.ID, Clock: p.Clock, Log: p.Log.WithName("audit"), Pace: p.Pace})
+	trail := p.Trail
+	if trail == nil {
+		trail = audit.New(audit.Options{Store: p.Store, Self: p.Self.ID, Clock: p.Clock, Log: p.Log.WithName("audit")})
+	}
 	stored := command.Stored{Store: p.Store, Clock: p.Clock, View: p.View}
 	commands := command.New(command.Options{
 		Fleet:    Orders{Fleet: p.Fleet},
--- a/internal/operator/wiring/wiring_test.go
+++ b/internal/operator/wiring/wiring_test.go
@@ -14,6 +14,7 @@
 	"github.com/jonboulle/clockwork"
 	"gotest.tools/v3/assert"
 
+	"github.com/pumicestage/pumicestage/internal/audit"
 	"github.com/pumicestage/pumicestage/internal/command"
 	"github.com/pumicestage/pumicestage/internal/config"
 	"github.com/pumicestage/pumicestage/internal/fleet"
@@ -84,7 +85,8 @@
 	})
 	w.port = New(Parts{
 		Self: view.EntryRecord{ID: "e1", Zone: d.Zones[0]}, Store: w.store, View: w.view, Fleet: w.fleet,
-		Mesh: nobody{}, Acks: nobody{}, Health: w.health, Pace: -1, Clock: w.clock, Log: logr.Discard(),
+		Mesh: nobody{}, Acks: nobody{}, Health: w.health, Clock: w.clock, Log: logr.Discard(),
+		Trail: audit.New(audit.Options{Store: w.store, Self: "e1", Clock: w.clock, Pace: -1}),
 	})
 	w.publish(t)
 	assert.NilError(t, w.fleet.Bootstrap(ctx))
--- a/internal/query/explain.go
+++ b/internal/query/explain.go
@@ -12,27 +12,28 @@
 	"github.com/pumicestage/pumicestage/policy/model"
 )
 
-func (e *Engine) explain(ctx context.Context, s *view.Snapshot, q lang.Explain) (*Explanation, error) {
+func (e *Engine) explain(ctx context.Context, s *view.Snapshot, q lang.Explain, a *Answer) error {
 	x := &Explanation{Subject: q.Subject, Name: q.Name}
 	var err error
 	switch q.Subject {
 	case lang.SubjectVM:
-		err = e.explainVM(ctx, s, x)
+		err = e.explainVM(ctx, s, x, a)
 	case lang.SubjectWave:
-		err = e.explainWave(ctx, s, x)
+		err = e.explainWave(ctx, s, x, a)
 	case lang.SubjectJob:
 		err = e.explainJob(ctx, x)
 	case lang.SubjectService:
-		err = e.explainService(ctx, s, x)
+		err = e.explainService(ctx, s, x, a)
 	default:
 		err = &Error{Code: CodeInvalid, Detail: fmt.Sprintf("%s cannot be explained", q.Subject)}
 	}
 	if err != nil {
-		return nil, err
+		return err
 	}
 	e.addHistory(ctx, x)
 	sort.SliceStable(x.Reasons, func(i, j int) bool { return x.Reasons[i].At.Before(x.Reasons[j].At) })
-	return x, nil
+	a.Explanation = x
+	return nil
 }
 
 // addHistory adds what the audit trail has. An explanation without it is still
@@ -53,7 +54,7 @@
 	x.Reasons = append(x.Reasons, Reason{At: at, Text: fmt.Sprintf(format, args...)})
 }
 
-func (e *Engine) explainVM(ctx context.Context, s *view.Snapshot, x *Explanation) error {
+func (e *Engine) explainVM(ctx context.Context, s *view.Snapshot, x *Explanation, a *Answer) error {
 	vm, ok := s.VMs[model.VMID(x.Name)]
 	if !ok {
 		return e.explainUnknownVM(s, x)
@@ -74,10 +75,9 @@
 	if vm.Attempt != "" {
 		x.add(vm.Since, "attempt %s at the platform is under way", vm.Attempt)
 	}
-	if err := e.addHolder(ctx, s, x, vm.Holder); err != nil {
-		return err
-	}
-	return e.addBudgets(ctx, s, x, s.Declaration.ServicesOf(vm.Pool), vm.Zone)
+	e.addHolder(ctx, s, x, vm.Holder)
+	a.note(e.addBudgets(ctx, s, x, s.Declaration.ServicesOf(vm.Pool), vm.Zone))
+	return nil
 }
 
 func (e *Engine) explainUnknownVM(s *view.Snapshot, x *Explanation) error {
@@ -92,28 +92,26 @@
 }
 
 // addHolder says where the wave stands that holds the VM.
-func (e *Engine) addHolder(ctx context.Context, s *view.Snapshot, x *Explanation, holder string) error {
+func (e *Engine) addHolder(ctx context.Context, s *view.Snapshot, x *Explanation, holder string) {
 	name, isWave := strings.CutPrefix(holder, "wave ")
 	if !isWave {
-		return nil
+		return
 	}
 	waves, err := e.waves(ctx, s)
 	if err != nil {
-		return err
+		x.add(time.Time{}, "where wave %s stands cannot be told now: %v", name, err)
+		return
 	}
 	for _, w := range waves {
 		if string(w.Name) == name {
 			x.add(w.Started, "wave %s started%s; it is %s, %d of %d VMs done%s", w.Name, byWhom(w.By), w.State, w.Done, w.Total, because(w.Reason, ""))
 		}
 	}
-	return nil
 }
 
-func (e *Engine) addBudgets(ctx context.Context, s *view.Snapshot, x *Explanation, services []*model.Service, zone model.ZoneName) error {
-	budgets, err := e.Planner.Budgets(ctx, s)
-	if err != nil {
-		return unavailable("budgets", err)
-	}
+// addBudgets adds how the services' budgets stand, and returns the note on it.
+func (e *Engine) addBudgets(ctx context.Context, s *view.Snapshot, x *Explanation, services []*model.Service, zone model.ZoneName) string {
+	budgets, note := e.budgets(ctx, s)
 	for _, svc := range services {
 		for _, b := range budgets {
 			if b.Service != svc.Name || b.Zone != "" && zone != "" && b.Zone != zone {
@@ -122,7 +120,7 @@
 			x.add(time.Time{}, "%s", b.sentence())
 		}
 	}
-	return nil
+	return note
 }
 
 func (h Headroom) sentence() string {
@@ -141,7 +139,7 @@
 	}
 }
 
-func (e *Engine) explainWave(ctx context.Context, s *view.Snapshot, x *Explanation) error {
+func (e *Engine) explainWave(ctx context.Context, s *view.Snapshot, x *Explanation, a *Answer) error {
 	waves, err := e.waves(ctx, s)
 	if err != nil {
 		return err
@@ -151,7 +149,8 @@
 			continue
 		}
 		e.addWave(s, x, w)
-		return e.addBudgets(ctx, s, x, servicesOf(s.Declaration, w.Pools), "")
+		a.note(e.addBudgets(ctx, s, x, servicesOf(s.Declaration, w.Pools), ""))
+		return nil
 	}
 	return notFound("no wave %q", x.Name)
 }
@@ -215,7 +214,7 @@
 	return notFound("no job %q", x.Name)
 }
 
-func (e *Engine) explainService(ctx context.Context, s *view.Snapshot, x *Explanation) error {
+func (e *Engine) explainService(ctx context.Context, s *view.Snapshot, x *Explanation, a *Answer) error {
 	svc := s.Declaration.Service(model.ServiceName(x.Name))
 	if svc == nil {
 		return notFound("no service %q; declared are %s", x.Name, serviceNames(s.Declaration))
@@ -228,7 +227,8 @@
 			x.add(vm.Since, "VM %s does not count: %s, %s%s", vm.ID, vm.State, e.Health(vm.ID), because(vm.Reason, ""))
 		}
 	}
-	return e.addBudgets(ctx, s, x, []*model.Service{svc}, "")
+	a.note(e.addBudgets(ctx, s, x, []*model.Service{svc}, ""))
+	return nil
 }
 
 func inPools(pools []model.PoolName, pool model.PoolName) bool {
--- a/internal/query/query.go
+++ b/internal/query/query.go
@@ -53,6 +53,14 @@
 	Table       *Table       `json:"table,omitempty"`
 	Explanation *Explanation `json:"explanation,omitempty"`
 	Forecast    *Forecast    `json:"forecast,omitempty"`
+	// Notes say what makes the answer less than it could be.
+	Notes []string `json:"notes,omitempty"`
+}
+
+func (a *Answer) note(text string) {
+	if text != "" {
+		a.Notes = append(a.Notes, text)
+	}
 }
 
 // Table is the answer to a show. Rows have one cell for each column.
@@ -150,9 +158,9 @@
 	var err error
 	switch q := q.(type) {
 	case lang.Show:
-		answer.Table, err = e.show(ctx, s, q)
+		err = e.show(ctx, s, q, &answer)
 	case lang.Explain:
-		answer.Explanation, err = e.explain(ctx, s, q)
+		err = e.explain(ctx, s, q, &answer)
 	case lang.WhatIf:
 		answer.Forecast, err = e.whatIf(ctx, s, q, d)
 	default:
--- a/internal/query/show.go
+++ b/internal/query/show.go
@@ -13,46 +13,55 @@
 	"github.com/pumicestage/pumicestage/policy/model"
 )
 
-// lister makes all rows of a kind, sorted, with the columns of lang.Fields.
-type lister func(ctx context.Context, s *view.Snapshot) ([][]string, error)
+// lister makes all rows of a kind, sorted, with the columns of lang.Fields,
+// and a note on what they lack.
+type lister func(ctx context.Context, s *view.Snapshot) (rows [][]string, note string, err error)
+
+// plain makes a lister of one that needs nothing but the view.
+func plain(list func(s *view.Snapshot) [][]string) lister {
+	return func(_ context.Context, s *view.Snapshot) ([][]string, string, error) {
+		return list(s), "", nil
+	}
+}
 
 func (e *Engine) listers() map[lang.Kind]lister {
 	return map[lang.Kind]lister{
-		lang.ShowVMs:      e.listVMs,
+		lang.ShowVMs:      plain(e.listVMs),
 		lang.ShowServices: e.listServices,
-		lang.ShowPools:    e.listPools,
+		lang.ShowPools:    plain(e.listPools),
 		lang.ShowWaves:    e.listWaves,
 		lang.ShowJobs:     e.listJobs,
 		lang.ShowBudgets:  e.listBudgets,
-		lang.ShowEntries:  e.listEntries,
-		lang.ShowZones:    e.listZones,
-		lang.ShowRacks:    e.listRacks,
-		lang.ShowTeams:    e.listTeams,
+		lang.ShowEntries:  plain(e.listEntries),
+		lang.ShowZones:    plain(e.listZones),
+		lang.ShowRacks:    plain(e.listRacks),
+		lang.ShowTeams:    plain(e.listTeams),
 	}
 }
 
-func (e *Engine) show(ctx context.Context, s *view.Snapshot, q lang.Show) (*Table, error) {
+func (e *Engine) show(ctx context.Context, s *view.Snapshot, q lang.Show, a *Answer) error {
 	if q.Service != "" && s.Declaration.Service(q.Service) == nil {
-		return nil, notFound("no service %q; declared are %s", q.Service, serviceNames(s.Declaration))
+		return notFound("no service %q; declared are %s", q.Service, serviceNames(s.Declaration))
 	}
-	rows, err := e.listers()[q.Kind](ctx, s)
+	rows, note, err := e.listers()[q.Kind](ctx, s)
 	if err != nil {
-		return nil, err
+		return err
 	}
+	a.note(note)
 	where := q.Where
 	if q.Service != "" {
 		where = append([]lang.Condition{{Field: "service", Comparison: lang.Equal, Value: string(q.Service)}}, where...)
 	}
-	t := &Table{Kind: q.Kind, Columns: lang.Fields(q.Kind), Rows: [][]string{}}
+	a.Table = &Table{Kind: q.Kind, Columns: lang.Fields(q.Kind), Rows: [][]string{}}
 	for _, row := range rows {
-		if matches(t.Columns, row, where) {
-			t.Rows = append(t.Rows, row)
+		if matches(a.Table.Columns, row, where) {
+			a.Table.Rows = append(a.Table.Rows, row)
 		}
 	}
-	return t, nil
+	return nil
 }
 
-func (e *Engine) listVMs(_ context.Context, s *view.Snapshot) ([][]string, error) {
+func (e *Engine) listVMs(s *view.Snapshot) [][]string {
 	var rows [][]string
 	for _, vm := range sortedVMs(s) {
 		rows = append(rows, []string{
@@ -60,14 +69,11 @@
 			e.Health(vm.ID).String(), vm.Holder, string(vm.Wave), vm.Address, e.since(vm.Since),
 		})
 	}
-	return rows, nil
+	return rows
 }
 
-func (e *Engine) listServices(ctx context.Context, s *view.Snapshot) ([][]string, error) {
-	budgets, err := e.Planner.Budgets(ctx, s)
-	if err != nil {
-		return nil, unavailable("budgets", err)
-	}
+func (e *Engine) listServices(ctx context.Context, s *view.Snapshot) ([][]string, string, error) {
+	budgets, note := e.budgets(ctx, s)
 	whole := make(map[model.ServiceName]Headroom)
 	for _, b := range budgets {
 		if b.Zone == "" {
@@ -83,7 +89,7 @@
 			strconv.Itoa(svc.Limit), svc.Timeout.String(),
 		})
 	}
-	return rows, nil
+	return rows, note, nil
 }
 
 // group counts the VMs of a pool, rack or zone.
@@ -117,7 +123,7 @@
 	return found
 }
 
-func (e *Engine) listPools(_ context.Context, s *view.Snapshot) ([][]string, error) {
+func (e *Engine) listPools(s *view.Snapshot) [][]string {
 	groups := e.groups(s, func(vm view.VMRecord) string { return string(vm.Pool) })
 	var rows [][]string
 	for _, p := range s.Declaration.Pools {
@@ -133,10 +139,10 @@
 			string(p.Name), strconv.Itoa(g.total), strconv.Itoa(g.available), strconv.Itoa(g.leaving), strings.Join(services, ", "),
 		})
 	}
-	return rows, nil
+	return rows
 }
 
-func (e *Engine) listRacks(_ context.Context, s *view.Snapshot) ([][]string, error) {
+func (e *Engine) listRacks(s *view.Snapshot) [][]string {
 	groups := e.groups(s, func(vm view.VMRecord) string { return string(vm.Rack) })
 	var rows [][]string
 	for _, name := range sortedKeys(groups) {
@@ -145,10 +151,10 @@
 			name, string(g.zone), strconv.Itoa(g.total), strconv.Itoa(g.available), strings.Join(sortedKeys(g.pools), ", "),
 		})
 	}
-	return rows, nil
+	return rows
 }
 
-func (e *Engine) listZones(_ context.Context, s *view.Snapshot) ([][]string, error) {
+func (e *Engine) listZones(s *view.Snapshot) [][]string {
 	groups := e.groups(s, func(vm view.VMRecord) string { return string(vm.Zone) })
 	entries := make(map[model.ZoneName]int)
 	for _, entry := range s.Entries {
@@ -170,14 +176,11 @@
 			string(z), strconv.Itoa(g.total), strconv.Itoa(g.available), strconv.Itoa(entries[z]), e.since(heard[z]),
 		})
 	}
-	return rows, nil
+	return rows
 }
 
-func (e *Engine) listBudgets(ctx context.Context, s *view.Snapshot) ([][]string, error) {
-	budgets, err := e.Planner.Budgets(ctx, s)
-	if err != nil {
-		return nil, unavailable("budgets", err)
-	}
+func (e *Engine) listBudgets(ctx context.Context, s *view.Snapshot) ([][]string, string, error) {
+	budgets, note := e.budgets(ctx, s)
 	var rows [][]string
 	for _, b := range budgets {
 		zone := string(b.Zone)
@@ -188,16 +191,16 @@
 			string(b.Service), zone, strconv.Itoa(b.Need), strconv.Itoa(b.Available), strconv.Itoa(b.Spare()), strconv.Itoa(b.VMs),
 		})
 	}
-	return rows, nil
+	return rows, note, nil
 }
 
 // allZones stands in the zone column for a budget over the whole service.
 const allZones = "all"
 
-func (e *Engine) listWaves(ctx context.Context, s *view.Snapshot) ([][]string, error) {
+func (e *Engine) listWaves(ctx context.Context, s *view.Snapshot) ([][]string, string, error) {
 	waves, err := e.waves(ctx, s)
 	if err != nil {
-		return nil, err
+		return nil, "", err
 	}
 	var rows [][]string
 	for _, w := range waves {
@@ -205,7 +208,7 @@
 			string(w.Name), w.State, strconv.Itoa(w.Done), strconv.Itoa(w.Out), strconv.Itoa(w.Total), joined(w.Pools), w.Reason,
 		})
 	}
-	return rows, nil
+	return rows, "", nil
 }
 
 // waves returns the started waves and, as "declared", those never started.
@@ -234,10 +237,10 @@
 // waveDeclared is the state of a wave that was never started.
 const waveDeclared = "declared"
 
-func (e *Engine) listJobs(ctx context.Context, _ *view.Snapshot) ([][]string, error) {
+func (e *Engine) listJobs(ctx context.Context, _ *view.Snapshot) ([][]string, string, error) {
 	jobs, err := e.jobs(ctx)
 	if err != nil {
-		return nil, err
+		return nil, "", err
 	}
 	var rows [][]string
 	for _, j := range jobs {
@@ -245,7 +248,7 @@
 			string(j.ID), string(j.Team), j.Kind, j.Class.String(), j.State, string(j.VM), string(j.Pool), string(j.Zone), j.Reason,
 		})
 	}
-	return rows, nil
+	return rows, "", nil
 }
 
 func (e *Engine) jobs(ctx context.Context) ([]JobStatus, error) {
@@ -260,7 +263,7 @@
 	return jobs, nil
 }
 
-func (e *Engine) listEntries(_ context.Context, s *view.Snapshot) ([][]string, error) {
+func (e *Engine) listEntries(s *view.Snapshot) [][]string {
 	heard := make(map[model.EntryID]PeerHeard)
 	for _, p := range e.heard() {
 		heard[p.Entry] = p
@@ -271,7 +274,7 @@
 		rows = append(rows, []string{string(entry.ID), string(entry.Zone), strconv.FormatUint(p.Generation, 10), e.since(p.At)})
 	}
 	sort.Slice(rows, func(i, j int) bool { return rows[i][0] < rows[j][0] })
-	return rows, nil
+	return rows
 }
 
 func (e *Engine) heard() []PeerHeard {
@@ -281,7 +284,7 @@
 	return e.Peers.Heard()
 }
 
-func (e *Engine) listTeams(_ context.Context, s *view.Snapshot) ([][]string, error) {
+func (e *Engine) listTeams(s *view.Snapshot) [][]string {
 	var rows [][]string
 	for _, t := range s.Declaration.Teams {
 		cores := strconv.FormatFloat(float64(t.Guaranteed.MilliCPU)/1000, 'f', -1, 64)
@@ -289,7 +292,7 @@
 			string(t.Name), cores, strconv.FormatInt(t.Guaranteed.MemoryMB, 10), strconv.FormatInt(t.Guaranteed.Accelerators, 10),
 		})
 	}
-	return rows, nil
+	return rows
 }
 
 // since writes how long ago something was.
