--- a/internal/config/values.go
+++ b/internal/config/values.go
@@ -168,11 +168,22 @@
 	}
 }
 
+// validAddress reports whether s is HOST:PORT. What stands here is connected
+// to and printed, so a host is an IP number or a plain name.
 func validAddress(s string) bool {
 	host, port, err := net.SplitHostPort(s)
-	if err != nil || host == "" {
+	if err != nil || net.ParseIP(host) == nil && !validHost(host) {
 		return false
 	}
 	n, err := strconv.Atoi(port)
 	return err == nil && n > 0 && n < 1<<16
 }
+
+func validHost(host string) bool {
+	for _, label := range strings.Split(host, ".") {
+		if !validName(label) {
+			return false
+		}
+	}
+	return true
+}
--- a/internal/lang/syntax.go
+++ b/internal/lang/syntax.go
@@ -63,6 +63,11 @@
 
 func syntaxError(input string, err error) *SyntaxError {
 	offset := offsetOf(input, err)
+	// The lexer stops at a character it has no word for also where an earlier
+	// word has left the grammar already; the first mistake is the one to tell.
+	if _, earlier := parser.ParseString("", input[:offset]); earlier != nil {
+		offset = min(offset, offsetOf(input[:offset], earlier))
+	}
 	return &SyntaxError{
 		Input:    input,
 		Offset:   offset,
