--- a/internal/peer/mesh_test.go
+++ b/internal/peer/mesh_test.go
@@ -1,8 +1,10 @@
 package peer
 
 import (
+	"bytes"
 	"context"
 	"encoding/binary"
+	"fmt"
 	"net"
 	"sync"
 	"testing"
@@ -171,6 +173,8 @@
 		{"unknown kind", append(opened, header(0, kindEnd)...)},
 		{"kind without handler", append(opened, header(0, KindViewPoll)...)},
 		{"not msgpack", append(opened, append(header(3, KindDigest), 0xc1, 0xc1, 0xc1)...)},
+		{"expands without end", append(opened, bomb()...)},
+		{"compressed rubbish", append(opened, append(header(3, KindDigest|compressed), 1, 2, 3)...)},
 		{"second hello", append(opened, opened...)},
 	}
 	for _, tc := range cases {
@@ -208,6 +212,29 @@
 	}
 }
 
+// bomb returns a small frame that expands to more than a digest may have.
+func bomb() []byte {
+	body, err := compress(make([]byte, maxDigestBytes+1))
+	frame := binary.BigEndian.AppendUint32(nil, uint32(len(body)))
+	return append(append(frame, byte(KindDigest|compressed)), must(body, err)...)
+}
+
+func TestFramesCompressed(t *testing.T) {
+	d := Digest{Loads: make([]TargetLoad, 2000)}
+	for i := range d.Loads {
+		d.Loads[i] = TargetLoad{VM: model.VMID(fmt.Sprint("worker-", i)), InFlight: uint16(i % 8)}
+	}
+	sent := must(encodeFrame(KindDigest, d))
+	assert.Assert(t, len(sent) < 20000, "%d bytes", len(sent))
+	f, err := readFrame(bytes.NewReader(sent))
+	assert.NilError(t, err)
+	assert.Equal(t, f.kind, KindDigest)
+	assert.Equal(t, f.size, len(sent))
+	var got Digest
+	assert.NilError(t, decode(f.body, &got))
+	assert.DeepEqual(t, got, d)
+}
+
 func must(frame []byte, err error) []byte {
 	if err != nil {
 		panic(err)
@@ -229,3 +256,30 @@
 	assert.DeepEqual(t, gone.Loads, []TargetLoad{{VM: "c"}})
 	assert.Equal(t, len(newDelta(false).next(Digest{Loads: loads}, 2).Loads), 0)
 }
+
+// However many targets are busy, digests stay within their bytes per second,
+// down to a few loads each.
+func TestDigestsStayWithinTheirBytes(t *testing.T) {
+	cases := []struct {
+		name           string
+		within, across int
+	}{
+		{"alone", 0, 0}, {"today", 1, 6}, {"24 entry VMs", 3, 20}, {"one zone of 12", 11, 0},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			loads := make([]TargetLoad, 600)
+			for i := range loads {
+				loads[i] = TargetLoad{VM: model.VMID(fmt.Sprintf("worker-%07d", i)), InFlight: 3}
+			}
+			d := newDelta(true)
+			full := Digest{Seq: 1 << 20, Revision: 1 << 24, Generation: 5000, Loads: loads, InFlight: 1800, Clock: 1 << 40, AgeMillis: 2000}
+			limit := loadLimit(DefaultBytesPerSecond, tc.within, tc.across)
+			first := must(encodeFrame(KindDigest, d.next(full, limit)))
+			bare := must(encodeFrame(KindDigest, newDelta(false).next(full, 0)))
+			assert.Assert(t, len(bare)+headerBytes <= digestBaseBytes, "%d bytes", len(bare))
+			perSecond := len(first)*4*max(1, tc.within) + len(bare)*tc.across
+			assert.Assert(t, perSecond <= DefaultBytesPerSecond, "%d bytes a second, %d loads a digest", perSecond, limit)
+		})
+	}
+}
