--- a/internal/platform/contract/bench_test.go
+++ b/internal/platform/contract/bench_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"fmt"
+	"runtime"
 	"strconv"
 	"syscall"
 	"testing"
@@ -157,6 +158,28 @@
 	}
 }
 
+// BenchmarkWaitingWatch is the memory of one waiting watch, of client and
+// stand-in together.
+func BenchmarkWaitingWatch(b *testing.B) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	w := newBench(b)
+	before := memoryInUse()
+	for range b.N {
+		_, err := w.client.Watch(ctx, platform.VMPrefix, 1)
+		assert.NilError(b, err)
+	}
+	b.ReportMetric(float64(memoryInUse()-before)/float64(b.N), "B-memory/watch")
+}
+
+// memoryInUse is heap and stacks after a collection.
+func memoryInUse() uint64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapInuse + m.StackInuse
+}
+
 func BenchmarkMachineList(b *testing.B) {
 	for _, vms := range []int{50, 3600} {
 		b.Run(strconv.Itoa(vms), func(b *testing.B) {
--- a/internal/platform/httpcall/httpcall.go
+++ b/internal/platform/httpcall/httpcall.go
@@ -31,6 +31,11 @@
 	keepAliveCount = 3
 )
 
+// idleTimeout closes a connection that lay idle before a balancer on the way
+// does, as these do after a minute as a rule. A write sent while the other end
+// closes has no reply, and its outcome would be unknown for nothing.
+const idleTimeout = 30 * time.Second
+
 // idleConns is how many connections wait for their next call: calls come in
 // bursts of a handful, each watch has one of its own.
 const idleConns = 16
@@ -108,7 +113,8 @@
 		Enable: true, Idle: keepAliveIdle, Interval: keepAliveProbe, Count: keepAliveCount,
 	}}
 	return &http.Client{Transport: &http.Transport{
-		DialContext: d.DialContext, TLSClientConfig: config, TLSHandshakeTimeout: DefaultTimeout, MaxIdleConnsPerHost: idleConns,
+		DialContext: d.DialContext, TLSClientConfig: config, TLSHandshakeTimeout: DefaultTimeout,
+		MaxIdleConnsPerHost: idleConns, IdleConnTimeout: idleTimeout,
 	}}
 }
 
