Stand-in: partitions that lose packets without a word

Cause: a cut refused and reset connections at once; a real partition more often says nothing, and calls without a deadline of their own hang.

Change: Drop and Mute hold what is written and what arrives until the network heals, and let dials hang.

--- a/internal/platform/gateway/gateway_test.go
+++ b/internal/platform/gateway/gateway_test.go
@@ -281,6 +281,38 @@
 	assert.DeepEqual(t, starts, []string{"5", "71"})
 }
 
+// A zone loses the platform without a word. The first write goes down an open
+// connection, and nobody knows whether it arrived; the next ones find no
+// connection, which is certain; the watch goes on after the partition.
+func TestPartitionWithoutAWord(t *testing.T) {
+	srv := standin.New(clockwork.NewRealClock())
+	defer srv.Close()
+	url, err := srv.Listen("127.0.0.1:0")
+	assert.NilError(t, err)
+	s := gateway.New(gateway.Options{
+		Endpoints: []string{url}, Timeout: 500 * time.Millisecond, ProbeEvery: time.Minute,
+		HTTPClient: srv.Network.Client("zone-a"),
+	})
+	ch, err := s.Watch(context.Background(), "a", 1)
+	assert.NilError(t, err)
+	assert.NilError(t, write(s))
+	first := <-ch
+
+	srv.Network.Drop("zone-a", standin.PlatformZone)
+	lost := write(s)
+	unsent := write(s)
+	_, err = srv.Store.Txn(context.Background(), platform.Txn{Then: []platform.Op{platform.Put("a", []byte("meanwhile"))}})
+	assert.NilError(t, err)
+	srv.Network.Heal("zone-a", standin.PlatformZone)
+
+	assert.Assert(t, platform.IsKind(lost, platform.KindUnknown), "%v", lost)
+	assert.Assert(t, platform.IsKind(unsent, platform.KindUnavailable), "%v", unsent)
+	next := <-ch
+	assert.NilError(t, next.Err)
+	assert.Equal(t, string(next.Events[0].KV.Value), "meanwhile")
+	assert.Equal(t, next.Revision, first.Revision+1)
+}
+
 // The service stops without closing anything, while the watch is quiet; or it
 // goes on to open watches that never say a word. The reader must be told that
 // its view grows old, and not take silence for "no change".
--- a/internal/platform/standin/network.go
+++ b/internal/platform/standin/network.go
@@ -7,19 +7,23 @@
 	"sync"
 	"sync/atomic"
 	"syscall"
+	"time"
 )
 
 // PlatformZone is the platform's own place in the Network.
 const PlatformZone = "platform"
 
 // Network is the network between availability zones and the platform, as far
-// as connections are opened through it. A cut closes what is open between two
-// places and refuses what is new, unsent: as a partition whose routers answer.
+// as connections are opened through it. Two places are parted in two ways: a
+// cut closes what is open between them and refuses what is new, unsent, as
+// where routers answer; a drop loses every packet without a word.
 type Network struct {
 	mu    sync.Mutex
 	zones map[string]string // by address
 	cuts  map[pair]bool
 	alone map[string]bool // places cut off from all others
+	drops map[pair]bool
+	mute  map[string]bool // places whose packets to all others are dropped
 	conns map[*conn]struct{}
 
 	sent, received atomic.Int64
@@ -34,17 +38,13 @@
 	return pair{a, b}
 }
 
-type conn struct {
-	net.Conn
-	between pair
-	network *Network
-}
-
 func newNetwork() *Network {
 	return &Network{
 		zones: make(map[string]string),
 		cuts:  make(map[pair]bool),
 		alone: make(map[string]bool),
+		drops: make(map[pair]bool),
+		mute:  make(map[string]bool),
 		conns: make(map[*conn]struct{}),
 	}
 }
@@ -65,11 +65,29 @@
 	n.closeCutLocked()
 }
 
-// Heal takes a Cut back.
-func (n *Network) Heal(a, b string) {
+// Drop loses what two places send each other until Heal: connections stay open
+// and new ones hang. What was sent meanwhile arrives late, as TCP repeats it.
+func (n *Network) Drop(a, b string) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	n.drops[pairOf(a, b)] = true
+}
+
+// Heal takes a Cut or a Drop back.
+func (n *Network) Heal(a, b string) {
+	n.mu.Lock()
 	delete(n.cuts, pairOf(a, b))
+	delete(n.drops, pairOf(a, b))
+	n.mu.Unlock()
+	n.deliver()
+}
+
+// Mute drops what a place and all others send each other, or takes that back.
+func (n *Network) Mute(place string, on bool) {
+	n.mu.Lock()
+	n.mute[place] = on
+	n.mu.Unlock()
+	n.deliver()
 }
 
 // Isolate cuts a place off from all others, or takes that back.
@@ -122,6 +140,9 @@
 	if !ok {
 		to = PlatformZone
 	}
+	if err := n.awaitDelivery(ctx, pairOf(from, to)); err != nil {
+		return nil, err
+	}
 	if n.IsCut(from, to) {
 		return nil, refused
 	}
@@ -138,6 +159,18 @@
 	return c, nil
 }
 
+// awaitDelivery waits while packets are dropped, as a dial does.
+func (n *Network) awaitDelivery(ctx context.Context, p pair) error {
+	for n.isDropped(p) {
+		select {
+		case <-ctx.Done():
+			return &net.OpError{Op: "dial", Net: "tcp", Err: ctx.Err()}
+		case <-time.After(dropPoll):
+		}
+	}
+	return nil
+}
+
 func (n *Network) track(c *conn) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -154,24 +187,21 @@
 	return n.sent.Load(), n.received.Load()
 }
 
-// Read implements net.Conn.
-func (c *conn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	c.network.received.Add(int64(n))
-	return n, err
-}
-
-// Write implements net.Conn.
-func (c *conn) Write(p []byte) (int, error) {
-	n, err := c.Conn.Write(p)
-	c.network.sent.Add(int64(n))
-	return n, err
+func (n *Network) isDropped(p pair) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return p.a != p.b && (n.drops[p] || n.mute[p.a] || n.mute[p.b])
 }
 
-// Close implements net.Conn.
-func (c *conn) Close() error {
-	c.network.mu.Lock()
-	delete(c.network.conns, c)
-	c.network.mu.Unlock()
-	return c.Conn.Close()
+// deliver sends on what was held back on connections that are healed.
+func (n *Network) deliver() {
+	n.mu.Lock()
+	var open []*conn
+	for c := range n.conns {
+		open = append(open, c)
+	}
+	n.mu.Unlock()
+	for _, c := range open {
+		c.flush()
+	}
 }
--- a/internal/platform/standin/standin_test.go
+++ b/internal/platform/standin/standin_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -210,6 +211,54 @@
 	assert.Assert(t, !reach("zone-c", addr) && reach("zone-b", addr))
 }
 
+// Packets between two zones vanish without a word, as under a broken switch.
+// Nothing is refused: calls hang until their deadline, and what was sent
+// arrives late.
+func TestNetworkDropsPacketsSilently(t *testing.T) {
+	srv, _, _ := serve(t)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer func() { assert.NilError(t, ln.Close()) }()
+	go func() {
+		if conn, err := ln.Accept(); err == nil {
+			_, _ = io.Copy(conn, conn) // an echo, until the client leaves
+		}
+	}()
+	dial := srv.Network.Dialer("zone-a")
+	srv.Network.Place(ln.Addr().String(), "zone-b")
+	conn, err := dial(context.Background(), "tcp", ln.Addr().String())
+	assert.NilError(t, err)
+	defer func() { assert.NilError(t, conn.Close()) }()
+	say := func(word string) { _, err := conn.Write([]byte(word)); assert.NilError(t, err) }
+	hear := func(d time.Duration) (string, error) {
+		assert.NilError(t, conn.SetReadDeadline(time.Now().Add(d)))
+		buf := make([]byte, 8)
+		n, err := conn.Read(buf)
+		return string(buf[:n]), err
+	}
+	say("one")
+	got, err := hear(20 * time.Second)
+	assert.NilError(t, err)
+	assert.Equal(t, got, "one")
+
+	srv.Network.Drop("zone-a", "zone-b")
+	say("two")
+	_, err = hear(20 * time.Millisecond)
+	assert.ErrorIs(t, err, os.ErrDeadlineExceeded)
+	hasty, cancel := context.WithTimeout(context.Background(), 20*time.Millisecond)
+	defer cancel()
+	_, err = dial(hasty, "tcp", ln.Addr().String())
+	assert.ErrorIs(t, err, context.DeadlineExceeded)
+
+	srv.Network.Heal("zone-a", "zone-b")
+	got, err = hear(20 * time.Second)
+	assert.NilError(t, err)
+	assert.Equal(t, got, "two")
+	srv.Network.Mute("zone-b", true)
+	_, err = hear(20 * time.Millisecond)
+	assert.ErrorIs(t, err, os.ErrDeadlineExceeded)
+}
+
 func put(t *testing.T, srv *standin.Server, key string) {
 	t.Helper()
 	_, err := srv.Store.Txn(context.Background(), platform.Txn{Then: []platform.Op{platform.Put(key, []byte("v"))}})
