Operator port put together by its own package; the daemon's double removed

Cause: two sets of adapters between fleet and operators' interfaces existed. Change: internal/daemon uses operator/wiring, which is tested order against what-if; internal/daemon/adapt is gone.

--- a/internal/daemon/operators.go
+++ b/internal/daemon/operators.go
@@ -8,12 +8,8 @@
 	"github.com/jonboulle/clockwork"
 
 	"github.com/pumicestage/pumicestage/internal/access"
-	"github.com/pumicestage/pumicestage/internal/command"
-	"github.com/pumicestage/pumicestage/internal/daemon/adapt"
-	"github.com/pumicestage/pumicestage/internal/operator"
 	"github.com/pumicestage/pumicestage/internal/operator/api"
-	"github.com/pumicestage/pumicestage/internal/query"
-	"github.com/pumicestage/pumicestage/internal/scope"
+	"github.com/pumicestage/pumicestage/internal/operator/wiring"
 )
 
 // gate returns who may do what at the operator port.
@@ -47,33 +43,21 @@
 
 // operatorHandler returns what the operator port serves.
 func (d *Daemon) operatorHandler(gate access.Gate) http.Handler {
-	stored := command.Stored{Store: d.store, Clock: clockwork.NewRealClock(), View: d.view}
-	api := operator.New(operator.Options{
-		Store: d.store,
-		View:  d.view,
-		Commands: command.New(command.Options{
-			Fleet:    adapt.Orders{Fleet: d.fleet},
-			Settings: stored,
-			Declarer: stored,
-			Members:  scope.Holder{View: d.view},
-			Trail:    operator.CommandTrail{Trail: d.trail},
-		}),
-		Queries: query.New(query.Options{
-			View:    d.view,
-			Planner: adapt.Planner{Fleet: d.fleet},
-			Waves:   adapt.Waves{Fleet: d.fleet},
-			Peers:   adapt.Peers{ID: d.self.ID, Zone: d.self.Zone, View: d.view, Mesh: d.mesh},
-			History: operator.QueryHistory{Trail: d.trail},
-			Health:  d.prober.Health,
-		}),
-		Trail:  d.trail,
+	port := wiring.New(wiring.Parts{
+		Self:   d.self,
+		Store:  d.store,
+		View:   d.view,
+		Fleet:  d.fleet,
+		Mesh:   d.mesh,
 		Acks:   d.registry,
+		Health: d.prober.Health,
 		Access: gate,
+		Trail:  d.trail,
 		Log:    d.log.WithName("operator"),
 	})
 	r := mux.NewRouter()
 	d.addProbes(r)
 	r.HandleFunc("/debug/vars", d.vars).Methods(http.MethodGet)
-	r.PathPrefix("/").Handler(api)
+	r.PathPrefix("/").Handler(port.Handler)
 	return r
 }
