dev applies and orders through the operator port; a change's way is measured

Cause: the example bypassed the operators' path, and its time in force held the daemons' start. Change: bring-up applies by the client, then a change is applied and timed; the configuration test asks a restarted entry VM in a cut-off zone for an answer.

--- a/internal/dev/answers_test.go
+++ b/internal/dev/answers_test.go
@@ -95,7 +95,7 @@
 	for range 6 {
 		var round sync.WaitGroup
 		for _, e := range c.entries {
-			round.Go(func() { said.add(key, post(client, e.Self().Caller, key)) })
+			round.Go(func() { said.add(key, post(client, e.Self().Caller, "once", key)) })
 		}
 		round.Wait()
 		time.Sleep(200 * time.Millisecond)
@@ -104,8 +104,8 @@
 
 // post sends one request and returns its outcome, empty where there was no
 // whole answer.
-func post(client *http.Client, address, key string) string {
-	req, err := http.NewRequest(http.MethodPost, "http://"+address+"/services/once/"+key, strings.NewReader(key))
+func post(client *http.Client, address, service, key string) string {
+	req, err := http.NewRequest(http.MethodPost, "http://"+address+"/services/"+service+"/"+key, strings.NewReader(key))
 	if err != nil {
 		return ""
 	}
--- a/internal/dev/config_test.go
+++ b/internal/dev/config_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
 	"sync"
 	"testing"
 	"time"
@@ -16,7 +17,7 @@
 
 // Operators apply at once while a zone is cut off, an entry VM in it is lost
 // and comes back knowing nothing. It must take what its peer there holds, not
-// nothing; after the heal every entry VM must come to the newest generation,
+// nothing, and serve callers by it; after the heal every entry VM must come to the newest generation,
 // and none may ever step back on the way.
 func TestConfigurationIsInForceEverywhereAndNeverReverts(t *testing.T) {
 	t.Parallel()
@@ -30,20 +31,22 @@
 	}
 
 	c.applyTimes(t, 3)
-	c.await(t, "generation 4 everywhere", func() bool { return c.generationEverywhere(4) })
+	c.await(t, "generation 5 everywhere", func() bool { return c.generationEverywhere(5) })
 	c.isolate("zb", true)
 	c.entries[3].kill()
 	back, err := c.startEntry(ctx, 3, "zb", []string{c.entries[2].Self().Peer})
 	assert.NilError(t, err)
 	c.entries[3] = back
 	reverts.watch(watching, back)
-	c.await(t, "the peer's generation in the cut-off zone", func() bool { return back.View().Load().Generation() == 4 })
-	assert.Assert(t, back.Ready())
+	c.await(t, "the peer's generation in the cut-off zone", func() bool { return back.View().Load().Generation() == 5 })
+	c.await(t, "an answer from the cut-off zone", func() bool {
+		return post(http.DefaultClient, back.Self().Caller, "quick", "from-the-cut") == "ran"
+	})
 	c.applyTimes(t, 2)
-	c.await(t, "generation 6 in the other zone", func() bool { return c.entries[0].View().Load().Generation() == 6 })
-	assert.Equal(t, back.View().Load().Generation(), uint64(4))
+	c.await(t, "generation 7 in the other zone", func() bool { return c.entries[0].View().Load().Generation() == 7 })
+	assert.Equal(t, back.View().Load().Generation(), uint64(5))
 	c.isolate("zb", false)
-	c.await(t, "generation 6 everywhere", func() bool { return c.generationEverywhere(6) })
+	c.await(t, "generation 7 everywhere", func() bool { return c.generationEverywhere(7) })
 
 	stopWatching()
 	reverts.wait()
--- a/internal/dev/once.go
+++ b/internal/dev/once.go
@@ -11,7 +11,8 @@
 
 	"github.com/pumicestage/pumicestage/internal/config"
 	"github.com/pumicestage/pumicestage/internal/fleet"
-	"github.com/pumicestage/pumicestage/internal/platform/gateway"
+	"github.com/pumicestage/pumicestage/internal/operator/api"
+	"github.com/pumicestage/pumicestage/internal/operator/client"
 	"github.com/pumicestage/pumicestage/policy/model"
 )
 
@@ -22,8 +23,12 @@
 	startLimit = 15 * time.Second
 	// waveLimit bounds the wave, so that the run ends within a minute.
 	waveLimit = 40 * time.Second
-	// lookEvery is how often progress is looked at.
-	lookEvery = 100 * time.Millisecond
+	// changedLimit is what the example's change sets: above what any load of
+	// it reaches.
+	changedLimit = 1000
+	// lookEvery is how often progress is looked at, and so how exactly times
+	// are measured.
+	lookEvery = 20 * time.Millisecond
 	// probation of the example's wave is short, as nothing there is slow.
 	probation = 200 * time.Millisecond
 )
@@ -80,23 +85,58 @@
 	return decl, nil
 }
 
-// bringUp applies the declaration and waits until every entry VM has it in
-// force and every VM has its key.
+// bringUp applies the declaration as an operator does, and waits until every
+// entry VM has it in force, knows every VM and has seen it healthy.
 func (c *cluster) bringUp(ctx context.Context, r *report) error {
-	store := gateway.New(gateway.Options{Endpoints: []string{c.base}})
-	began := time.Now()
-	opts := config.ApplyOptions{Change: "dev-example", By: "dev", From: "loopback", At: began}
-	if _, err := config.Apply(ctx, store, c.decl, opts); err != nil {
-		return trace.Wrap(err, "apply the example")
+	if _, err := c.apply(ctx, "dev-example"); err != nil {
+		return err
 	}
-	if err := c.until(ctx, startLimit, "in force on every entry VM", c.inForce); err != nil {
+	if err := c.until(ctx, startLimit, "declaration in force on every entry VM", c.inForce); err != nil {
 		return err
 	}
-	r.inForce = time.Since(began)
 	if err := c.until(ctx, startLimit, "current view of every VM", c.allKnown); err != nil {
 		return err
 	}
-	return c.until(ctx, startLimit, "every VM counted as up", func() bool { return c.allUp(ctx) })
+	if err := c.until(ctx, startLimit, "every VM counted as up", func() bool { return c.allUp(ctx) }); err != nil {
+		return err
+	}
+	return c.change(ctx, r)
+}
+
+// change applies a change to the running deployment and measures how long it
+// takes until every entry VM has it in force.
+func (c *cluster) change(ctx context.Context, r *report) error {
+	began := time.Now()
+	c.decl.Services[0].Limit = changedLimit
+	generation, err := c.apply(ctx, "dev-change")
+	if err != nil {
+		return err
+	}
+	everywhere := func() bool {
+		for _, e := range c.entries {
+			if e.View().Load().Generation() < generation {
+				return false
+			}
+		}
+		return true
+	}
+	err = c.until(ctx, startLimit, "change in force on every entry VM", everywhere)
+	r.inForce = time.Since(began)
+	return err
+}
+
+// operator returns a client of the operator ports.
+func (c *cluster) operator() *client.Client {
+	var servers []string
+	for _, e := range c.entries {
+		servers = append(servers, e.Self().Operator)
+	}
+	return client.New(client.Options{Servers: servers, Operator: "dev"})
+}
+
+func (c *cluster) apply(ctx context.Context, change model.ChangeID) (generation uint64, err error) {
+	reply, err := c.operator().Change(ctx, api.DeclarationRequest{Mode: api.ModeApply, Change: change, Declaration: c.decl})
+	return reply.Generation, trace.Wrap(err, "apply")
 }
 
 func (c *cluster) inForce() bool { return len(c.callerBases()) == len(c.entries) }
@@ -151,7 +191,8 @@
 func (c *cluster) runWave(ctx context.Context, name model.WaveName, r *report) error {
 	f := c.entries[0].Fleet()
 	began := time.Now()
-	if _, err := f.StartWave(ctx, name, nil, fleet.Order{Change: "dev-wave", Actor: "dev", Reason: "example"}); err != nil {
+	order := api.DoRequest{Text: fmt.Sprintf("start wave %s reason %q", name, "example"), Change: "dev-wave"}
+	if _, err := c.operator().Do(ctx, order); err != nil {
 		return trace.Wrap(err, "start wave %s", name)
 	}
 	meter := newMeter(c, r)
--- a/internal/dev/report.go
+++ b/internal/dev/report.go
@@ -113,7 +113,7 @@
 }
 
 func (r *report) print(w io.Writer) {
-	fmt.Fprintf(w, "in force on all entry VMs   %s\n", r.inForce.Round(time.Millisecond))
+	fmt.Fprintf(w, "change in force everywhere  %s\n", r.inForce.Round(time.Millisecond))
 	fmt.Fprintf(w, "roll-out time               %s\n", r.rollOut.Round(time.Millisecond))
 	fmt.Fprintf(w, "buffer cost                 %.2f VMs out of service on average\n", r.bufferCost)
 	fmt.Fprintf(w, "moves                       %d\n", r.moves)
