--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -117,6 +117,15 @@
 	assert.Assert(s.t, s.holder.Publish(snap))
 }
 
+// publishSlots makes the targets of all services have n slots.
+func (s *stage) publishSlots(n int) {
+	s.publish(2, func(v *view.Snapshot) {
+		for i := range v.Declaration.Services {
+			v.Declaration.Services[i].Slots = n
+		}
+	})
+}
+
 // reply is what a caller saw.
 type reply struct {
 	status  int
--- a/internal/faketarget/fault.go
+++ b/internal/faketarget/fault.go
@@ -13,24 +13,27 @@
 
 // The faults.
 const (
-	None        Fault = iota
-	Refuse            // refuses before start
-	Late              // answers after lateBy
-	Short             // promises more bytes than it sends, then closes
-	ShortChunks       // ends a chunked answer without its last chunk
-	Unframed          // sends neither length nor chunks, and closes in the middle
-	Twice             // answers twice on the same connection
-	BadFraming        // sends a chunk size that is none
-	BadStatus         // sends a line that is no status line
-	Reset             // resets the connection without an answer
-	Silent            // closes the connection without an answer
-	Error             // answers 500
+	None            Fault = iota
+	Refuse                // refuses before start
+	Late                  // answers after lateBy
+	Short                 // promises more bytes than it sends, then closes
+	ShortChunks           // ends a chunked answer without its last chunk
+	Unframed              // sends neither length nor chunks, and closes in the middle
+	Twice                 // answers twice on the same connection
+	BadFraming            // sends a chunk size that is none
+	BadStatus             // sends a line that is no status line
+	Reset                 // resets the connection without an answer
+	Silent                // closes the connection without an answer
+	Error                 // answers 500
+	Chunked               // answers rightly, in chunks
+	Echo                  // sends the body back as it comes
+	RefuseAfterBody       // refuses before start, having read the body
 )
 
 // String returns the fault's name.
 func (f Fault) String() string {
 	names := [...]string{"none", "refuse", "late", "short", "short-chunks", "unframed", "twice",
-		"bad-framing", "bad-status", "reset", "silent", "error"}
+		"bad-framing", "bad-status", "reset", "silent", "error", "chunked", "echo", "refuse-after-body"}
 	return names[f]
 }
 
@@ -59,6 +62,10 @@
 	case f == Error:
 		http.Error(w, a.body, http.StatusInternalServerError)
 		return done
+	case f == Chunked:
+		_, _ = io.WriteString(w, a.body)
+		_ = http.NewResponseController(w).Flush() // before the end: no length is known
+		return done
 	case raw == nil && f != Reset && f != Silent:
 		_, err := io.WriteString(w, a.body)
 		if err != nil {
@@ -78,6 +85,27 @@
 	return done
 }
 
+// echo sends the body back piece by piece.
+func echo(w http.ResponseWriter, r *http.Request) how {
+	rc := http.NewResponseController(w)
+	if err := rc.EnableFullDuplex(); err != nil {
+		return abandoned
+	}
+	buf := make([]byte, 4096)
+	for {
+		n, err := r.Body.Read(buf)
+		if _, werr := w.Write(buf[:n]); werr != nil || rc.Flush() != nil {
+			return abandoned
+		}
+		if err == io.EOF {
+			return done
+		}
+		if err != nil {
+			return abandoned
+		}
+	}
+}
+
 // raw returns the bytes of a misbehaving answer, nil where the fault has none.
 func (f Fault) raw(a answer) []byte {
 	const head = "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n"
--- a/internal/faketarget/target.go
+++ b/internal/faketarget/target.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -182,11 +183,18 @@
 	}
 	f, ok := t.start(r)
 	if !ok {
+		if f == RefuseAfterBody {
+			_, _ = io.Copy(io.Discard, r.Body) // refused whatever it is
+		}
 		w.Header().Set("Pumicestage-Outcome", "not-run")
 		w.Header().Set("Retry-After", "1")
 		http.Error(w, "refused before start", http.StatusServiceUnavailable)
 		return
 	}
+	if f == Echo {
+		t.finish(echo(w, r))
+		return
+	}
 	a := newAnswer(t.opts.ID, r)
 	how := t.work(r, f)
 	if how == done {
@@ -216,7 +224,7 @@
 	defer t.mu.Unlock()
 	full := t.counts.Running >= t.opts.Slots && !t.opts.IgnoreSlots
 	f := t.nextFault()
-	if t.leaving || full || f == Refuse {
+	if t.leaving || full || f == Refuse || f == RefuseAfterBody {
 		t.counts.Refused++
 		return f, false
 	}
