dispatch: a peer's word on a leaving target counts against an own ok answer

Cause: measured by go test -run XXX -bench Leaving -benchtime 1x ./internal/entry: with the peers' digests as the only way, a target got work without end, as its own ok answer outweighed them.

--- a/internal/entry/leaving_test.go
+++ b/internal/entry/leaving_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -13,13 +14,26 @@
 )
 
 // fakeLoads is what peers' digests say.
-type fakeLoads struct{ leaving map[model.VMID]bool }
+type fakeLoads struct {
+	mu      sync.Mutex
+	leaving map[model.VMID]bool
+}
+
+func (l *fakeLoads) set(vm model.VMID) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.leaving[vm] = true
+}
 
 // PeerInFlight implements peer.Loads.
 func (*fakeLoads) PeerInFlight(model.VMID) int { return 0 }
 
 // PeerSaysLeaving implements peer.Loads.
-func (l *fakeLoads) PeerSaysLeaving(vm model.VMID) bool { return l.leaving[vm] }
+func (l *fakeLoads) PeerSaysLeaving(vm model.VMID) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.leaving[vm]
+}
 
 // LiveEntries implements peer.Loads.
 func (*fakeLoads) LiveEntries(model.ZoneName) int { return 1 }
@@ -39,7 +53,7 @@
 				v.VMs["v0"] = vm
 			})
 		}},
-		{"peer's digest", func(_ *stage, l *fakeLoads) { l.leaving["v0"] = true }},
+		{"peer's digest", func(_ *stage, l *fakeLoads) { l.set("v0") }},
 		{"health answer", func(s *stage, _ *fakeLoads) {
 			s.targets[0].Drain()
 			s.server.prober.step(context.Background())
--- a/internal/faketarget/target.go
+++ b/internal/faketarget/target.go
@@ -49,13 +49,15 @@
 	mu      sync.Mutex
 	counts  Counts
 	leaving bool
-	fault   Fault
-	faults  int // requests the fault still applies to, -1 for all
-	slow    float64
-	server  *http.Server
-	address string
-	boot    context.CancelCauseFunc
-	booted  context.Context
+	// saysLeaving is told by the health answer alone.
+	saysLeaving bool
+	fault       Fault
+	faults      int // requests the fault still applies to, -1 for all
+	slow        float64
+	server      *http.Server
+	address     string
+	boot        context.CancelCauseFunc
+	booted      context.Context
 }
 
 // Start starts a Target.
@@ -100,7 +102,7 @@
 		return trace.Wrap(err)
 	}
 	t.address = l.Addr().String()
-	t.leaving = false
+	t.leaving, t.saysLeaving = false, false
 	t.booted, t.boot = context.WithCancelCause(context.Background())
 	t.server = &http.Server{Handler: http.HandlerFunc(t.serve), ReadHeaderTimeout: time.Minute}
 	srv := t.server
@@ -131,6 +133,14 @@
 // requests. Those in flight finish.
 func (t *Target) Drain() { t.setLeaving(true) }
 
+// SayLeaving makes the health answer say that it leaves, while requests are
+// still taken.
+func (t *Target) SayLeaving() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.saysLeaving = true
+}
+
 // Undrain takes Drain back.
 func (t *Target) Undrain() { t.setLeaving(false) }
 
@@ -138,6 +148,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.leaving = leaving
+	t.saysLeaving = t.saysLeaving && leaving
 }
 
 // SetSlow makes requests take factor times their service time.
@@ -208,7 +219,7 @@
 
 func (t *Target) serveHealth(w http.ResponseWriter) {
 	t.mu.Lock()
-	leaving := t.leaving
+	leaving := t.leaving || t.saysLeaving
 	t.mu.Unlock()
 	if leaving {
 		w.WriteHeader(http.StatusServiceUnavailable)
--- a/policy/dispatch/choice.go
+++ b/policy/dispatch/choice.go
@@ -59,24 +59,15 @@
 }
 
 // out reports whether the target gets no new work: by the view, by its own
-// word, by a peer's, or for its failures.
+// word, by a peer's, or for its failures. A peer's word counts even where the
+// target's last health answer here was ok: peers tell only what they heard from
+// the target itself and ask it again each second, so that it is not stale long.
 func (d *Dispatcher) out(t *target, now time.Time) bool {
 	switch {
 	case !t.serving, t.down, t.leaving.Out(now), t.health.Ejected(now):
 		return true
 	}
-	return d.cfg.Peers != nil && d.peersSayLeaving(t, now)
-}
-
-// ownWordFor is how long a target's own health answer outweighs what peers
-// say: a peer's digest may be older than the answer.
-const ownWordFor = 3 * time.Second
-
-func (d *Dispatcher) peersSayLeaving(t *target, now time.Time) bool {
-	if !t.okAt.IsZero() && now.Sub(t.okAt) < ownWordFor {
-		return false
-	}
-	return d.cfg.Peers.Leaving(t.id)
+	return d.cfg.Peers != nil && d.cfg.Peers.Leaving(t.id)
 }
 
 // usable counts the slots of targets in use, anywhere and in the own zone.
--- a/policy/dispatch/target.go
+++ b/policy/dispatch/target.go
@@ -25,8 +25,7 @@
 	latency routing.Latency
 	health  health.Target
 	leaving health.Leaving
-	okAt    time.Time // when its health answer was last ok
-	down    bool      // its health answers stay away, and the budget can do without it
+	down    bool // its health answers stay away, and the budget can do without it
 
 	probedAt  time.Time
 	penalties []time.Time // when slots taken for failures are free again
@@ -128,10 +127,6 @@
 	if t == nil {
 		return
 	}
-	t.okAt = time.Time{}
-	if a == health.AnswerOK {
-		t.okAt = now
-	}
 	back := t.leaving.Probed(a, now)
 	if t.down && !t.leaving.Unreachable() {
 		t.down, back = false, true
