--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -20,6 +20,7 @@
 // forwarder sends requests to targets and their answers to callers.
 type forwarder struct {
 	transport *http.Transport
+	spares    *spares
 	limits    Limits
 	clock     clockwork.Clock
 	buffers   sync.Pool
@@ -36,14 +37,15 @@
 // Also, net/http silently sends a request again where a reused connection
 // breaks before an answer. Neither can happen on a connection of one's own.
 func newForwarder(l Limits, clock clockwork.Clock) *forwarder {
-	dialer := &net.Dialer{Timeout: l.ConnectTimeout, KeepAlive: -1}
+	spares := newSpares(l.ConnectTimeout)
 	return &forwarder{
 		transport: &http.Transport{
-			DialContext:            dialer.DialContext,
+			DialContext:            spares.DialContext,
 			DisableKeepAlives:      true,
 			DisableCompression:     true, // the answer passes as the target encoded it
 			MaxResponseHeaderBytes: int64(headerSlack * l.HeaderBytes),
 		},
+		spares: spares,
 		limits: l,
 		clock:  clock,
 		buffers: sync.Pool{New: func() any {
@@ -147,6 +149,9 @@
 func (f *forwarder) request(e *exchange, address string, body *attemptBody, sent *atomic.Bool) *http.Request {
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { sent.Store(true) }}
 	ctx := httptrace.WithClientTrace(e.sendCtx, trace)
+	if !e.call.service.Repeatable {
+		ctx = withFreshConnection(ctx)
+	}
 	out := &http.Request{
 		Method:        e.in.Method,
 		URL:           targetURL(address, e.call.path, e.in.URL.RawQuery),
--- a/internal/entry/probe.go
+++ b/internal/entry/probe.go
@@ -62,7 +62,7 @@
 }
 
 func (p *prober) ask(ctx context.Context, address string) health.Answer {
-	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	ctx, cancel := context.WithTimeout(withFreshConnection(ctx), probeTimeout)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/healthz", nil)
 	if err != nil {
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -81,6 +81,7 @@
 func (s *Server) Run(ctx context.Context) error {
 	ticker := s.clock.NewTicker(tick)
 	defer ticker.Stop()
+	defer s.forward.spares.close()
 	defer s.prober.wait()
 	for {
 		changed := s.opts.View.Changed()
