--- a/internal/peer/inbound.go
+++ b/internal/peer/inbound.go
@@ -51,11 +51,11 @@
 	m.inbound[conn] = struct{}{}
 	m.tasks.Go(func() {
 		err := m.serve(conn)
+		m.stats.dropped(err)
 		conn.Close()
 		m.mu.Lock()
 		delete(m.inbound, conn)
 		m.mu.Unlock()
-		m.stats.dropped(err)
 		m.opts.Log.V(1).Info("inbound peer connection ended", "from", conn.RemoteAddr(), "cause", err)
 	})
 }
--- a/internal/relay/bench_test.go
+++ b/internal/relay/bench_test.go
@@ -5,7 +5,9 @@
 	"encoding/json"
 	"fmt"
 	"net"
+	"runtime"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -169,7 +171,7 @@
 			f.await(b, func() bool { return f.views(1) })
 			time.Sleep(3 * time.Second)
 			const window = 10 * time.Second
-			before, callsBefore := f.nodes[0].mesh.Traffic(), f.calls()
+			before, callsBefore, cpuBefore := f.nodes[0].mesh.Traffic(), f.calls(), cpuTime()
 			for b.Loop() {
 				for end := time.Now().Add(window); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
 					for i := range loads {
@@ -186,10 +188,19 @@
 			b.ReportMetric(float64(calls.Reads-callsBefore.Reads)/seconds, "reads/s")
 			b.ReportMetric(float64(calls.KeepAlives-callsBefore.KeepAlives)/seconds, "keepalives/s")
 			b.ReportMetric(float64(f.store.Watches()), "watches")
+			b.ReportMetric(100*(cpuTime()-cpuBefore).Seconds()/seconds/float64(len(f.nodes)), "cpu-%/entry")
 		})
 	}
 }
 
+func cpuTime() time.Duration {
+	var u syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
+		return 0
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
 func (f *fleet) calls() faulty.Calls {
 	var sum faulty.Calls
 	for _, n := range f.nodes {
@@ -247,3 +258,23 @@
 		})
 	}
 }
+
+// BenchmarkViewMemory is the memory one view takes, with the stored bytes it
+// was made of.
+func BenchmarkViewMemory(b *testing.B) {
+	for _, vms := range []int{50, 900, 3600} {
+		b.Run(fmt.Sprint("vms=", vms), func(b *testing.B) {
+			var before, after runtime.MemStats
+			for b.Loop() {
+				runtime.GC()
+				runtime.ReadMemStats(&before)
+				s := newState(view.NewHolder(), logr.Discard())
+				s.merge(fullView(vms), time.Time{})
+				runtime.GC()
+				runtime.ReadMemStats(&after)
+				runtime.KeepAlive(s)
+			}
+			b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/(1<<20), "MB")
+		})
+	}
+}
