fleet: evidence ages by the clock, steps are bounded, unlisted VMs go back

Cause: a reconciler paused between its count and its write granted on evidence that had gone stale; a platform call without deadline held up all VMs; a VM missing from the list stayed leaving for ever. Change: staleness is checked by the clock right before the write, each step has a deadline and a slow pass looks anew, and grace over gives back what is not listed. Measured: TestNoStopOnACountThatWentStaleInAPause failed before and passes now.

--- a/internal/fleet/grant.go
+++ b/internal/fleet/grant.go
@@ -57,6 +57,9 @@
 	if req.wave != nil {
 		w.guard(req.wave.cond())
 	}
+	if why := p.stale(); why != "" {
+		return grant{why: why}, nil
+	}
 	g.rev, err = p.f.commit(ctx, "grant", w)
 	if err != nil {
 		return grant{}, err
--- a/internal/fleet/life.go
+++ b/internal/fleet/life.go
@@ -108,10 +108,10 @@
 // the stop was granted VMs may have failed; the VM still works, so where the
 // budget needs it, it goes back instead.
 func (p *pass) startReboot(ctx context.Context, vm view.VMRecord, w *cell[WaveRecord]) error {
-	if p.stale() != "" {
-		return nil
-	}
 	m, ok := p.machines[vm.ID]
+	if !ok && p.graceOver(vm, w) {
+		return p.giveBack(ctx, vm, "the platform does not list the VM", true)
+	}
 	if !ok || p.list.AsOf.Before(vm.Since) {
 		return nil
 	}
@@ -120,7 +120,7 @@
 		return err
 	}
 	c := r.vms[vm.ID]
-	if c.rev != vm.Revision || r.wave.rev != w.rev || p.behind(r) != "" {
+	if c.rev != vm.Revision || r.wave.rev != w.rev || p.behind(r) != "" || p.stale() != "" {
 		return nil
 	}
 	if why := p.broken(r); why != "" {
--- a/internal/fleet/machines_test.go
+++ b/internal/fleet/machines_test.go
@@ -54,7 +54,8 @@
 	mu       sync.Mutex
 	vms      map[model.VMID]*machine
 	done     map[model.AttemptID]bool
-	outUntil time.Time // no call gets through before
+	outUntil time.Time  // no call gets through before
+	unlisted model.VMID // not in the list
 	lag      time.Duration
 	reboots  map[model.VMID]int
 	cut      []model.VMID                                      // VMs rebooted with work on them
@@ -115,6 +116,9 @@
 	now := m.clock.Now()
 	list := platform.MachineList{AsOf: now.Add(-m.lag)}
 	for id, v := range m.vms {
+		if id == m.unlisted {
+			continue
+		}
 		list.Machines = append(list.Machines, platform.Machine{VM: id, Live: !v.rebooting(now), Boots: v.counted(now)})
 	}
 	return list, nil
--- a/internal/fleet/pass.go
+++ b/internal/fleet/pass.go
@@ -76,8 +76,10 @@
 	return nil
 }
 
-func (p *pass) viewAge() time.Duration { return age(p.now, p.snap.AsOf) }
-func (p *pass) listAge() time.Duration { return age(p.now, p.list.AsOf) }
+// The ages are by the clock, not by the start of the pass: a process that was
+// paused in the middle of one must see that its evidence has aged.
+func (p *pass) viewAge() time.Duration { return age(p.f.clock.Now(), p.snap.AsOf) }
+func (p *pass) listAge() time.Duration { return age(p.f.clock.Now(), p.list.AsOf) }
 
 func age(now, then time.Time) time.Duration {
 	if then.IsZero() {
--- a/internal/fleet/run.go
+++ b/internal/fleet/run.go
@@ -65,7 +65,7 @@
 	if !kicked && f.shards.lease == 0 && !f.attends(snap.Entries) {
 		return false, nil
 	}
-	if err := f.Bootstrap(ctx); err != nil {
+	if err := bounded(ctx, f.Bootstrap); err != nil {
 		return false, err
 	}
 	ws, err := f.loadWaves(ctx)
@@ -73,7 +73,8 @@
 		return f.shards.lease != 0, err
 	}
 	need := f.newPass().shardsNeeded(ws)
-	if err := f.claimShards(ctx, need); err != nil {
+	err = bounded(ctx, func(ctx context.Context) error { return f.claimShards(ctx, need) })
+	if err != nil {
 		return true, err
 	}
 	if len(f.shards.held) == 0 {
--- a/internal/fleet/safeguard_test.go
+++ b/internal/fleet/safeguard_test.go
@@ -240,3 +240,49 @@
 		assert.Equal(t, kv.ModRevision, w.vm(v0).Revision, "ledger of %s", s)
 	}
 }
+
+// An entry VM pauses between its count and its write. When it wakes, what it
+// counted by is a minute old: it must count anew.
+func TestNoStopOnACountThatWentStaleInAPause(t *testing.T) {
+	cases := []struct {
+		name  string
+		state model.VMState
+	}{{"grant", model.VMLeaving}, {"reboot intent", model.VMRebooting}}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			w := newWorld(declare(2, 1, 4, 3), 1)
+			w.start(t)
+			n := w.nodes[0]
+			_, err := n.StartWave(ctx, "spring", nil, order("c1"))
+			assert.NilError(t, err)
+			if tc.state == model.VMRebooting {
+				w.until(t, time.Minute, func() bool { return w.find(model.VMLeaving) != "" })
+			}
+			n.at = func(op string) {
+				if op == "txn" {
+					w.clock.Advance(time.Minute)
+				}
+			}
+			for range 60 {
+				_ = w.turn(time.Second)
+				assert.Equal(t, w.find(tc.state), model.VMID(""))
+			}
+		})
+	}
+}
+
+// A VM that drains vanishes from the platform's list. The wave does not wait
+// for ever, nor reboot what it can't prove: the VM goes back when its grace is
+// over, and is not up until it is listed.
+func TestVMThatVanishesWhileDrainingGoesBack(t *testing.T) {
+	w := newWorld(declare(2, 1, 4, 3), 1)
+	w.start(t)
+	id := startWave(t, w, model.VMLeaving)
+	w.machines.unlisted = id
+
+	w.until(t, 10*time.Minute, func() bool { return w.vm(id).State == model.VMProbation })
+
+	assert.Equal(t, w.machines.reboots[id], 0)
+	w.machines.unlisted = ""
+	w.finishWave(t)
+}
--- a/internal/fleet/step.go
+++ b/internal/fleet/step.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sort"
+	"time"
 
 	"github.com/gravitational/trace"
 
@@ -30,10 +31,34 @@
 	return f.pass(ctx, ws, func(string) bool { return true })
 }
 
+// stepTimeout bounds the platform calls of one step of one VM or wave, so that
+// a slow platform keeps a pass from none of the others.
+const stepTimeout = 5 * time.Second
+
+// passRefresh is how old the evidence of a pass may get before it is looked at
+// anew; a slow platform can stretch a pass.
+const passRefresh = 2 * time.Second
+
+// bounded runs one step under stepTimeout.
+func bounded(ctx context.Context, step func(context.Context) error) error {
+	ctx, cancel := context.WithTimeout(ctx, stepTimeout)
+	defer cancel()
+	return step(ctx)
+}
+
+// refreshed returns the pass, or a new one where it has become old.
+func (p *pass) refreshed() *pass {
+	if p.f.clock.Since(p.now) < passRefresh {
+		return p
+	}
+	return p.f.newPass()
+}
+
 // pass does the work of the holders that mine names.
 func (f *Fleet) pass(ctx context.Context, ws waves, mine func(holder string) bool) error {
 	var errs []error
-	if err := f.refreshList(ctx, listEvery); err != nil {
+	err := bounded(ctx, func(ctx context.Context) error { return f.refreshList(ctx, listEvery) })
+	if err != nil {
 		errs = append(errs, err)
 	}
 	p := f.newPass()
@@ -41,7 +66,8 @@
 		if !mine(vm.Holder) {
 			continue
 		}
-		if err := p.stepVM(ctx, ws, vm); err != nil {
+		p = p.refreshed()
+		if err := bounded(ctx, func(ctx context.Context) error { return p.stepVM(ctx, ws, vm) }); err != nil {
 			errs = append(errs, err)
 		}
 	}
@@ -49,7 +75,8 @@
 		if !mine(wave.Holder(name)) {
 			continue
 		}
-		if err := p.stepWave(ctx, ws[name]); err != nil {
+		p = p.refreshed()
+		if err := bounded(ctx, func(ctx context.Context) error { return p.stepWave(ctx, ws[name]) }); err != nil {
 			errs = append(errs, err)
 		}
 	}
@@ -58,6 +85,8 @@
 
 // loadWaves reads every started wave.
 func (f *Fleet) loadWaves(ctx context.Context) (waves, error) {
+	ctx, cancel := context.WithTimeout(ctx, stepTimeout)
+	defer cancel()
 	kvs, _, err := f.store.Range(ctx, platform.WavePrefix)
 	if err != nil {
 		return nil, fault("read waves", err)
