lang: the cost of a slip bounded

Cause: what may stand at an error is found by parsing the line up to it some fifty times, each time lexed anew. The longest line, 4 KB of names, took 445 ms and 218 MB: a question of an operator with role view could weigh on an entry VM. Now a prefix is lexed once, and a line has at most 128 words.

--- a/internal/lang/hints.go
+++ b/internal/lang/hints.go
@@ -1,8 +1,10 @@
 package lang
 
 import (
+	"errors"
 	"strings"
 
+	"github.com/alecthomas/participle/v2"
 	"github.com/alecthomas/participle/v2/lexer"
 )
 
@@ -50,23 +52,23 @@
 // grammar itself is asked: each keyword and class of words is tried at the end
 // of the prefix, so hints and completion cannot differ from what Parse takes.
 func Hints(prefix string) []Hint {
-	prefix = strings.TrimRight(prefix, " \t\r\n")
-	if prefix != "" {
-		prefix += " "
+	words, err := lex(prefix)
+	if err != nil {
+		return nil
 	}
-	if takes(prefix, probeWord) {
-		return []Hint{{Class: classOf(prefix)}}
+	if takes(words, probes[probeWord]) {
+		return []Hint{{Class: classOf(words)}}
 	}
 	var hints []Hint
 	for _, k := range keywords {
-		if takes(prefix, k) {
+		if takes(words, probes[k]) {
 			hints = append(hints, Hint{Word: k})
 		}
 	}
-	if takes(prefix, probeString) {
+	if takes(words, probes[probeString]) {
 		hints = append(hints, Hint{Class: ClassText})
 	}
-	if _, err := parser.ParseString("", prefix); err == nil {
+	if _, err := parseWords(words); err == nil {
 		hints = append(hints, Hint{Class: ClassEnd})
 	}
 	return hints
@@ -80,14 +82,72 @@
 	return phrases
 }
 
-// takes reports whether the grammar takes the word after the prefix, also
-// where it then misses more words.
-func takes(prefix, word string) bool {
-	_, err := parser.ParseString("", prefix+word)
-	if err == nil {
-		return true
+// probes are the tokens that Hints tries. They are made once, and a prefix is
+// lexed once for all of them: an error in a long line would else cost its
+// length sixty times over.
+var probes = makeProbes()
+
+func makeProbes() map[string]lexer.Token {
+	made := make(map[string]lexer.Token)
+	for _, text := range append([]string{probeWord, probeString}, keywords...) {
+		words, err := lex(text)
+		if err != nil {
+			panic("lang: a keyword that the lexer does not know: " + text)
+		}
+		made[text] = words[0]
+	}
+	return made
+}
+
+// lex returns the words of a text without the spaces and the end.
+func lex(text string) ([]lexer.Token, error) {
+	all, err := parser.Lex("", strings.NewReader(text))
+	if err != nil {
+		return nil, err
+	}
+	space := tokens.Symbols()["Space"]
+	words := all[:0]
+	for _, tok := range all {
+		if tok.Type != space && !tok.EOF() {
+			words = append(words, tok)
+		}
+	}
+	return words, nil
+}
+
+// replay is a lexer of words at hand. Their positions are their places in the
+// list, which is all that takes asks for.
+type replay struct {
+	words []lexer.Token
+	next  int
+}
+
+// Next implements lexer.Lexer.
+func (r *replay) Next() (lexer.Token, error) {
+	at := lexer.Position{Offset: r.next, Line: 1, Column: r.next + 1}
+	if r.next == len(r.words) {
+		return lexer.EOFToken(at), nil
 	}
-	return offsetOf(prefix+word, err) > len(prefix)
+	tok := r.words[r.next]
+	tok.Pos = at
+	r.next++
+	return tok, nil
+}
+
+func parseWords(words []lexer.Token) (*line, error) {
+	peeking, err := lexer.Upgrade(&replay{words: words})
+	if err != nil {
+		return nil, err
+	}
+	return parser.ParseFromLexer(peeking)
+}
+
+// takes reports whether the grammar takes the word after the others, also
+// where it then misses more words.
+func takes(words []lexer.Token, word lexer.Token) bool {
+	_, err := parseWords(append(words[:len(words):len(words)], word))
+	var located participle.Error
+	return err == nil || errors.As(err, &located) && located.Position().Offset > len(words)
 }
 
 // classAfter gives the class of the name that follows a word.
@@ -97,14 +157,12 @@
 	"limit": ClassNumber, "where": ClassField, "and": ClassField,
 }
 
-// classOf names the class of words that may follow the prefix by the last
-// word of it.
-func classOf(prefix string) Class {
-	words := split(prefix)
+// classOf names the class of words that may follow the last one.
+func classOf(words []lexer.Token) Class {
 	if len(words) == 0 {
 		return ClassValue
 	}
-	if class, ok := classAfter[words[len(words)-1]]; ok {
+	if class, ok := classAfter[words[len(words)-1].Value]; ok {
 		return class
 	}
 	return ClassValue
@@ -113,29 +171,14 @@
 // FieldsAfter returns the fields that a where clause at the end of the prefix
 // may use.
 func FieldsAfter(prefix string) []string {
-	for _, word := range split(prefix) {
-		if fields := Fields(Kind(word)); fields != nil {
-			return fields
-		}
-	}
-	return nil
-}
-
-// split returns the words of a line as far as it has any.
-func split(line string) []string {
-	lx, err := tokens.LexString("", line)
+	words, err := lex(prefix)
 	if err != nil {
 		return nil
 	}
-	space := tokens.Symbols()["Space"]
-	var words []string
-	for {
-		tok, err := lx.Next()
-		if err != nil || tok.Type == lexer.EOF {
-			return words
-		}
-		if tok.Type != space {
-			words = append(words, tok.Value)
+	for _, w := range words {
+		if fields := Fields(Kind(w.Value)); fields != nil {
+			return fields
 		}
 	}
+	return nil
 }
--- a/internal/lang/lang_test.go
+++ b/internal/lang/lang_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"strings"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -98,6 +99,8 @@
   show vms where pool ~ a
                       ^
 expected one of: =, !=, <, <=, >, >=`},
+		{"too many words", "start wave w on pool " + strings.Repeat("a,", 70) + "a", `unexpected "a line of 146 words"
+expected at most 128`},
 		{"empty line", "", `unexpected the end of the line
 expected one of: show, explain, what-if, drain, undrain, move, start, pause, resume, cancel, set`},
 		{"open quotes", `drain vm v1 reason "disk`, `unexpected "\"disk"
--- a/internal/lang/parse.go
+++ b/internal/lang/parse.go
@@ -1,14 +1,20 @@
 package lang
 
 import (
+	"fmt"
 	"strconv"
 	"strings"
 
 	"github.com/pumicestage/pumicestage/policy/model"
 )
 
-// maxLineBytes bounds a line; an operator's line is a sentence.
-const maxLineBytes = 4096
+// A line is bounded, since what may stand at an error is found by parsing what
+// is before it some fifty times. An operator's line is a sentence; a slip in
+// the longest line costs some milliseconds.
+const (
+	maxLineBytes = 4096
+	maxWords     = 128
+)
 
 // maxLimit bounds a service's limit of requests in flight.
 const maxLimit = 1_000_000_000
@@ -16,7 +22,10 @@
 // Parse reads one line. Its error is a *SyntaxError.
 func Parse(input string) (Statement, error) {
 	if len(input) > maxLineBytes {
-		return nil, &SyntaxError{Found: "a line of " + strconv.Itoa(len(input)) + " bytes", Expected: []string{"at most " + strconv.Itoa(maxLineBytes)}}
+		return nil, tooLong(len(input), "bytes", maxLineBytes)
+	}
+	if words, err := lex(input); err == nil && len(words) > maxWords {
+		return nil, tooLong(len(words), "words", maxWords)
 	}
 	tree, err := parser.ParseString("", input)
 	if err != nil {
@@ -25,6 +34,10 @@
 	return convert(input, tree)
 }
 
+func tooLong(n int, of string, most int) *SyntaxError {
+	return &SyntaxError{Found: fmt.Sprintf("a line of %d %s", n, of), Expected: []string{fmt.Sprintf("at most %d", most)}}
+}
+
 // ParseQuestion is Parse for a place where only questions may stand.
 func ParseQuestion(input string) (Question, error) {
 	st, err := Parse(input)
