--- a/internal/lang/grammar.go
+++ b/internal/lang/grammar.go
@@ -134,8 +134,5 @@
 	{Name: "Word", Pattern: `[A-Za-z0-9][A-Za-z0-9_.:%+-]*`},
 })
 
-var parser = participle.MustBuild[line](
-	participle.Lexer(tokens),
-	participle.Elide("Space"),
-	participle.Unquote("String"),
-)
+// parser is given words that lex has made ready.
+var parser = participle.MustBuild[line](participle.Lexer(tokens))
--- a/internal/lang/hints.go
+++ b/internal/lang/hints.go
@@ -2,7 +2,7 @@
 
 import (
 	"errors"
-	"strings"
+	"strconv"
 
 	"github.com/alecthomas/participle/v2"
 	"github.com/alecthomas/participle/v2/lexer"
@@ -68,7 +68,7 @@
 	if takes(words, probes[probeString]) {
 		hints = append(hints, Hint{Class: ClassText})
 	}
-	if _, err := parseWords(words); err == nil {
+	if _, err := parseWords(&replay{words: words, count: true}); err == nil {
 		hints = append(hints, Hint{Class: ClassEnd})
 	}
 	return hints
@@ -99,43 +99,66 @@
 	return made
 }
 
-// lex returns the words of a text without the spaces and the end.
+// lex returns the words of a text without the spaces and the end; texts in
+// quotes without the quotes.
 func lex(text string) ([]lexer.Token, error) {
-	all, err := parser.Lex("", strings.NewReader(text))
+	lx, err := tokens.LexString("", text)
 	if err != nil {
 		return nil, err
 	}
-	space := tokens.Symbols()["Space"]
-	words := all[:0]
-	for _, tok := range all {
-		if tok.Type != space && !tok.EOF() {
-			words = append(words, tok)
+	var words []lexer.Token
+	for {
+		tok, err := lx.Next()
+		if err != nil {
+			return nil, err
+		}
+		switch tok.Type {
+		case lexer.EOF:
+			return words, nil
+		case spaceType:
+			continue
+		case stringType:
+			if tok.Value, err = strconv.Unquote(tok.Value); err != nil {
+				return nil, participle.Errorf(tok.Pos, "not a text in double quotes")
+			}
 		}
+		words = append(words, tok)
 	}
-	return words, nil
 }
 
-// replay is a lexer of words at hand. Their positions are their places in the
-// list, which is all that takes asks for.
+var (
+	spaceType  = tokens.Symbols()["Space"]
+	stringType = tokens.Symbols()["String"]
+)
+
+// replay is a lexer of words at hand. With count, their positions are their
+// places in the list, which is all that takes asks for.
 type replay struct {
 	words []lexer.Token
 	next  int
+	end   lexer.Position
+	count bool
 }
 
 // Next implements lexer.Lexer.
 func (r *replay) Next() (lexer.Token, error) {
-	at := lexer.Position{Offset: r.next, Line: 1, Column: r.next + 1}
+	place := lexer.Position{Offset: r.next}
 	if r.next == len(r.words) {
-		return lexer.EOFToken(at), nil
+		if r.count {
+			return lexer.EOFToken(place), nil
+		}
+		return lexer.EOFToken(r.end), nil
 	}
 	tok := r.words[r.next]
-	tok.Pos = at
+	if r.count {
+		tok.Pos = place
+	}
 	r.next++
 	return tok, nil
 }
 
-func parseWords(words []lexer.Token) (*line, error) {
-	peeking, err := lexer.Upgrade(&replay{words: words})
+func parseWords(r *replay) (*line, error) {
+	peeking, err := lexer.Upgrade(r)
 	if err != nil {
 		return nil, err
 	}
@@ -145,7 +168,7 @@
 // takes reports whether the grammar takes the word after the others, also
 // where it then misses more words.
 func takes(words []lexer.Token, word lexer.Token) bool {
-	_, err := parseWords(append(words[:len(words):len(words)], word))
+	_, err := parseWords(&replay{words: append(words[:len(words):len(words)], word), count: true})
 	var located participle.Error
 	return err == nil || errors.As(err, &located) && located.Position().Offset > len(words)
 }
--- a/internal/lang/parse.go
+++ b/internal/lang/parse.go
@@ -5,6 +5,8 @@
 	"strconv"
 	"strings"
 
+	"github.com/alecthomas/participle/v2/lexer"
+
 	"github.com/pumicestage/pumicestage/policy/model"
 )
 
@@ -24,10 +26,14 @@
 	if len(input) > maxLineBytes {
 		return nil, tooLong(len(input), "bytes", maxLineBytes)
 	}
-	if words, err := lex(input); err == nil && len(words) > maxWords {
+	words, err := lex(input)
+	if err != nil {
+		return nil, syntaxError(input, err)
+	}
+	if len(words) > maxWords {
 		return nil, tooLong(len(words), "words", maxWords)
 	}
-	tree, err := parser.ParseString("", input)
+	tree, err := parseWords(&replay{words: words, end: lexer.Position{Offset: len(input)}})
 	if err != nil {
 		return nil, syntaxError(input, err)
 	}
--- a/internal/lang/syntax.go
+++ b/internal/lang/syntax.go
@@ -7,6 +7,7 @@
 	"unicode/utf8"
 
 	"github.com/alecthomas/participle/v2"
+	"github.com/alecthomas/participle/v2/lexer"
 )
 
 // SyntaxError reports a line that is not of the language.
@@ -65,7 +66,7 @@
 	offset := offsetOf(input, err)
 	// The lexer stops at a character it has no word for also where an earlier
 	// word has left the grammar already; the first mistake is the one to tell.
-	if _, earlier := parser.ParseString("", input[:offset]); earlier != nil {
+	if earlier := firstError(input[:offset]); earlier != nil {
 		offset = min(offset, offsetOf(input[:offset], earlier))
 	}
 	return &SyntaxError{
@@ -76,6 +77,15 @@
 	}
 }
 
+func firstError(input string) error {
+	words, err := lex(input)
+	if err != nil {
+		return err
+	}
+	_, err = parseWords(&replay{words: words, end: lexer.Position{Offset: len(input)}})
+	return err
+}
+
 func offsetOf(input string, err error) int {
 	var located participle.Error
 	if !errors.As(err, &located) {
