--- a/cmd/pumicestage/cli_test.go
+++ b/cmd/pumicestage/cli_test.go
@@ -60,7 +60,7 @@
 }
 
 // variant writes the example with one text replaced by another.
-func variant(t *testing.T, file, old, new string) string {
+func variant(t testing.TB, file, old, new string) string {
 	t.Helper()
 	dir := t.TempDir()
 	paths, err := filepath.Glob(exampleDir + "/*.ini")
