audit, config: rely on Commit telling when a change took effect; orders outlive their client

Removing safeguards one by one showed three that no test missed. Two were not needed any more: Commit now finds out by itself what a lost reply left open, so reading back in audit is gone, and a segment is safe to go on with after an unknown outcome. For the third, an order that goes on when its client's connection breaks, there is a test now.

--- a/internal/audit/trail.go
+++ b/internal/audit/trail.go
@@ -1,7 +1,6 @@
 package audit
 
 import (
-	"bytes"
 	"context"
 	"crypto/rand"
 	"encoding/json"
@@ -209,25 +208,23 @@
 		if !platform.IsKind(err, platform.KindConflict) {
 			return t.settle(err)
 		}
-		// Only retention of another writer removes an open segment.
+		// A late copy of a lost write has changed the segment, or another
+		// writer's retention has removed it.
 		t.openKey = ""
 	}
 	return t.settle(t.openNext(ctx, entries))
 }
 
-// settle turns the platform's error into the trail's. After an unknown
-// outcome the segment is given up: a copy of the write that arrives late
-// finds the segment as it was and nobody builds on it.
+// settle turns the platform's error into the trail's. After an unknown outcome
+// the segment is written on from the revision known: either that fails, since
+// the copy of the lost write has arrived, or the copy will, when it arrives.
 func (t *Trail) settle(err error) error {
 	if err == nil {
 		return nil
 	}
-	unknown := platform.IsKind(err, platform.KindUnknown)
-	if unknown {
-		t.openKey = ""
-	}
-	t.log.Error(err, "audit trail not written", "certain", !unknown)
-	return &Error{Certain: !unknown, Err: err}
+	certain := !platform.IsKind(err, platform.KindUnknown)
+	t.log.Error(err, "audit trail not written", "certain", certain)
+	return &Error{Certain: certain, Err: err}
 }
 
 // fresh returns the batch's entries that the open segment does not hold yet.
@@ -266,7 +263,7 @@
 		return err
 	}
 	t.open, t.openBytes, t.openLast = next, len(value), t.lastWrite
-	t.openRev = revisionOf(res, t.openKey)
+	t.openRev = res.Revision
 	return nil
 }
 
@@ -282,15 +279,14 @@
 	}
 	for range indexTries {
 		res, err := t.tryOpen(ctx, key, value, now)
-		mine := readBack(res, key, value)
-		if platform.IsKind(err, platform.KindConflict) && !mine {
+		if platform.IsKind(err, platform.KindConflict) {
 			continue
 		}
-		if err != nil && !mine {
+		if err != nil {
 			return err
 		}
 		t.open, t.openKey, t.openSince, t.openLast, t.openBytes = next, key, now, now, len(value)
-		t.openRev = revisionOf(res, key)
+		t.openRev = res.Revision
 		return nil
 	}
 	return errors.New("the index keeps changing")
@@ -315,26 +311,3 @@
 	}
 	return platform.Commit(ctx, t.store, txn)
 }
-
-// readBack reports whether the key was read back with our value: our write
-// took effect, its reply was lost, and another writer has changed the index
-// since. Trying again would find the key there for ever.
-func readBack(res platform.TxnResult, key string, value []byte) bool {
-	for _, kv := range res.Reads {
-		if kv.Key == key && kv.ModRevision != 0 && bytes.Equal(kv.Value, value) {
-			return true
-		}
-	}
-	return false
-}
-
-// revisionOf returns the revision of the key after a commit. After a lost
-// reply the store may have moved on and only the value read back tells.
-func revisionOf(res platform.TxnResult, key string) platform.Revision {
-	for _, kv := range res.Reads {
-		if kv.Key == key {
-			return kv.ModRevision
-		}
-	}
-	return res.Revision
-}
--- a/internal/config/apply.go
+++ b/internal/config/apply.go
@@ -150,20 +150,33 @@
 		If:   []platform.Cond{{Key: platform.ConfigKey, ModRevision: rev}},
 		Then: []platform.Op{platform.Put(platform.ConfigKey, value)},
 	})
-	if err == nil {
+	if err == nil && !done.Superseded {
 		res.Revision = done.Revision
 		return res, nil
 	}
+	if err == nil {
+		return superseded(ctx, store, res), nil
+	}
 	if platform.IsKind(err, platform.KindConflict) || platform.IsKind(err, platform.KindUnknown) {
 		return afterDoubt(ctx, store, next, err)
 	}
 	return ApplyResult{}, trace.Wrap(&UnavailableError{Err: err})
 }
 
-// afterDoubt tells apart what a commit's conflict or lost reply leaves open.
-// Also a conflict can hide a success: our write took effect, its reply was
-// lost, and a rival replaced it before we asked again. The rival's value then
-// lists our change as a recent one.
+// superseded is the result of a change that took effect and was replaced
+// before we knew. Which generation is in force now is told if it can be read.
+func superseded(ctx context.Context, store platform.Store, res ApplyResult) ApplyResult {
+	current, _, err := Read(ctx, store)
+	if err != nil || current == nil {
+		return res
+	}
+	res.Current = current.Generation
+	return res
+}
+
+// afterDoubt finds out about a change whose commit lost or is in doubt. A
+// change that took effect is the last one or among the recent ones, whoever
+// has written since.
 func afterDoubt(ctx context.Context, store platform.Store, next *Stored, cause error) (ApplyResult, error) {
 	current, _, err := Read(ctx, store)
 	if err != nil {
--- a/internal/config/apply_test.go
+++ b/internal/config/apply_test.go
@@ -86,6 +86,9 @@
 			res, err := Apply(ctx, way, limited(t, 2), options("c-mine", "ana"))
 			assertSameType(t, err, tc.wantErr)
 			assert.Equal(t, res.Generation, tc.wantGen)
+			if err == nil {
+				assert.Equal(t, res.Current, tc.wantRepeat.Current)
+			}
 			var lost *ConflictError
 			if errors.As(err, &lost) {
 				assert.Equal(t, lost.Winner.By, "bea")
--- a/internal/operator/operatortest/fixture.go
+++ b/internal/operator/operatortest/fixture.go
@@ -104,11 +104,18 @@
 	Terms   []command.Terms
 	Refuse  map[model.VMID]*command.Refusal
 	Failure error
+	Before  func() // called at each order, if set
 }
 
-func (f *Fleet) take(order string, vm model.VMID, t command.Terms) (command.Effect, error) {
+func (f *Fleet) take(ctx context.Context, order string, vm model.VMID, t command.Terms) (command.Effect, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.Before != nil {
+		f.Before()
+	}
+	if err := ctx.Err(); err != nil {
+		return command.Effect{}, &command.UncertainError{Change: t.Change, Err: err}
+	}
 	f.Orders = append(f.Orders, order)
 	f.Terms = append(f.Terms, t)
 	if r := f.Refuse[vm]; r != nil {
@@ -118,46 +125,46 @@
 }
 
 // Drain implements command.Fleet.
-func (f *Fleet) Drain(_ context.Context, vm model.VMID, cut bool, t command.Terms) (command.Effect, error) {
+func (f *Fleet) Drain(ctx context.Context, vm model.VMID, cut bool, t command.Terms) (command.Effect, error) {
 	order := "drain "
 	if cut {
 		order = "cut "
 	}
-	return f.take(order+string(vm), vm, t)
+	return f.take(ctx, order+string(vm), vm, t)
 }
 
 // Undrain implements command.Fleet.
-func (f *Fleet) Undrain(_ context.Context, vm model.VMID, t command.Terms) (command.Effect, error) {
-	return f.take("undrain "+string(vm), vm, t)
+func (f *Fleet) Undrain(ctx context.Context, vm model.VMID, t command.Terms) (command.Effect, error) {
+	return f.take(ctx, "undrain "+string(vm), vm, t)
 }
 
 // Move implements command.Fleet.
-func (f *Fleet) Move(_ context.Context, vm model.VMID, to model.PoolName, t command.Terms) (command.Effect, error) {
-	return f.take("move "+string(vm)+" to "+string(to), vm, t)
+func (f *Fleet) Move(ctx context.Context, vm model.VMID, to model.PoolName, t command.Terms) (command.Effect, error) {
+	return f.take(ctx, "move "+string(vm)+" to "+string(to), vm, t)
 }
 
 // StartWave implements command.Fleet.
-func (f *Fleet) StartWave(_ context.Context, w model.WaveName, pools []model.PoolName, t command.Terms) (command.Effect, error) {
+func (f *Fleet) StartWave(ctx context.Context, w model.WaveName, pools []model.PoolName, t command.Terms) (command.Effect, error) {
 	order := "start " + string(w)
 	for _, p := range pools {
 		order += " " + string(p)
 	}
-	return f.take(order, "", t)
+	return f.take(ctx, order, "", t)
 }
 
 // PauseWave implements command.Fleet.
-func (f *Fleet) PauseWave(_ context.Context, w model.WaveName, t command.Terms) (command.Effect, error) {
-	return f.take("pause "+string(w), "", t)
+func (f *Fleet) PauseWave(ctx context.Context, w model.WaveName, t command.Terms) (command.Effect, error) {
+	return f.take(ctx, "pause "+string(w), "", t)
 }
 
 // ResumeWave implements command.Fleet.
-func (f *Fleet) ResumeWave(_ context.Context, w model.WaveName, t command.Terms) (command.Effect, error) {
-	return f.take("resume "+string(w), "", t)
+func (f *Fleet) ResumeWave(ctx context.Context, w model.WaveName, t command.Terms) (command.Effect, error) {
+	return f.take(ctx, "resume "+string(w), "", t)
 }
 
 // CancelWave implements command.Fleet.
-func (f *Fleet) CancelWave(_ context.Context, w model.WaveName, t command.Terms) (command.Effect, error) {
-	return f.take("cancel "+string(w), "", t)
+func (f *Fleet) CancelWave(ctx context.Context, w model.WaveName, t command.Terms) (command.Effect, error) {
+	return f.take(ctx, "cancel "+string(w), "", t)
 }
 
 // Acks answers who holds a generation as a test says.
--- a/internal/operator/server_test.go
+++ b/internal/operator/server_test.go
@@ -155,6 +155,22 @@
 	}
 }
 
+// The operator's connection breaks while a rack is being drained. The order goes
+// on to its end and its outcome is in the trail: half an order that nobody is
+// told of is worse than a whole one.
+func TestAnOrderOutlivesItsClient(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	f := operatortest.New(t, example(t), nil)
+	f.Fleet.Before = cancel
+	body := strings.NewReader(`{"text":"drain rack gt-a-r1","change":"c-1"}`)
+	f.Handler.ServeHTTP(httptest.NewRecorder(), httptest.NewRequestWithContext(ctx, http.MethodPost, api.PathDo, body))
+	assert.Equal(t, len(f.Fleet.Orders), 4)
+	assert.DeepEqual(t, results(t, f), []string{
+		"anonymous (unverified) asked: drain rack gt-a-r1", "anonymous (unverified) done: drain rack gt-a-r1",
+	})
+}
+
 func TestSetLimitChangesTheDeclaration(t *testing.T) {
 	ctx := context.Background()
 	f := operatortest.New(t, nil, nil)
