--- a/internal/relay/bench_test.go
+++ b/internal/relay/bench_test.go
@@ -1,6 +1,8 @@
 package relay
 
 import (
+	"bytes"
+	"compress/flate"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -94,7 +96,7 @@
 		ID: model.VMID(fmt.Sprintf("worker-%04d", i)), Zone: zoneName(i % 6), Rack: model.RackName(fmt.Sprintf("rack-%03d", i/4)),
 		Pool: model.PoolName(fmt.Sprintf("pool-%03d", i%347)), Address: fmt.Sprintf("10.%d.%d.%d:8080", i%6, i/250, i%250),
 		Capacity: model.Resources{MilliCPU: 32000, MemoryMB: 64 << 10}, State: model.VMInPool,
-		Since: time.Unix(1764706000, 0).UTC(), Change: "wave-spring-0001-batch-0042", Reason: "maintained by wave spring", Wave: "spring",
+		Since: time.Unix(1764706000+int64(i)*7919, int64(i)*104729).UTC(), Change: model.ChangeID(fmt.Sprintf("c-%x", uint32(i)*2654435761)), Reason: "maintained by wave spring", Wave: "spring",
 	}
 }
 
@@ -253,12 +255,26 @@
 				assert.NilError(b, msgpack.Unmarshal(body, &got))
 				newState(view.NewHolder(), logr.Discard()).merge(got, time.Time{})
 			}
-			b.ReportMetric(float64(len(body)), "B")
+			config := declarationOp(1, vms).Value
 			b.ReportMetric(float64(len(body))/float64(vms), "B/vm")
+			b.ReportMetric(float64(compressedSize(b, body))/float64(vms), "B-sent/vm")
+			b.ReportMetric(float64(len(config))/float64(vms), "B-config/vm")
+			b.ReportMetric(float64(compressedSize(b, config))/float64(vms), "B-config-sent/vm")
 		})
 	}
 }
 
+// compressedSize is what a frame of the body takes on the wire.
+func compressedSize(b *testing.B, body []byte) int {
+	var out bytes.Buffer
+	w, err := flate.NewWriter(&out, flate.BestSpeed)
+	assert.NilError(b, err)
+	_, err = w.Write(body)
+	assert.NilError(b, err)
+	assert.NilError(b, w.Close())
+	return out.Len()
+}
+
 // BenchmarkViewMemory is the memory one view takes, with the stored bytes it
 // was made of.
 func BenchmarkViewMemory(b *testing.B) {
--- a/internal/relay/poll.go
+++ b/internal/relay/poll.go
@@ -165,20 +165,28 @@
 	return live
 }
 
-// pushChanges sends each change to the subscribers as it is taken in.
+// pushChanges sends changes to the subscribers: the first at once, those that
+// follow within pushEvery together.
 func (r *Relay) pushChanges(ctx context.Context) {
+	var pushed time.Time
 	for ctx.Err() == nil {
 		changed := r.opts.View.Changed()
-		r.pushOnce()
+		if r.pushOnce() {
+			pushed = time.Now()
+		}
 		select {
 		case <-changed:
 		case <-ctx.Done():
 		}
-		sleep(ctx, pushEvery)
+		if since := time.Since(pushed); since < pushEvery {
+			sleep(ctx, pushEvery-since)
+		}
 	}
 }
 
-func (r *Relay) pushOnce() {
+// pushOnce sends each subscriber what it lacks and reports whether any did.
+func (r *Relay) pushOnce() bool {
+	pushed := false
 	mine := r.state.versions()
 	for id, has := range r.subs.current(time.Now()) {
 		if has.Revision >= mine.Revision && has.Entries >= mine.Entries && has.Generation >= mine.Generation {
@@ -187,6 +195,8 @@
 		u := r.state.since(has)
 		if r.opts.Peers.Send(id, peer.KindView, u) {
 			r.subs.pushed(id, u.Is)
+			pushed = true
 		}
 	}
+	return pushed
 }
