--- a/internal/peer/digest.go
+++ b/internal/peer/digest.go
@@ -4,6 +4,8 @@
 package peer
 
 import (
+	"time"
+
 	"github.com/pumicestage/pumicestage/internal/platform"
 	"github.com/pumicestage/pumicestage/policy/model"
 )
@@ -30,6 +32,12 @@
 	Watching   bool              `msgpack:"w,omitempty"` // it holds the platform's watch and relays
 	Clock      int64             `msgpack:"c"`           // the sender's wall clock, Unix milliseconds
 	AgeMillis  uint32            `msgpack:"a"`           // how old its view was when it wrote this
+
+	// Slots that lie idle at one entry VM are lent to another, see
+	// policy/slots. Told to all zones; empty where nobody lends.
+	Wants    []SlotWant   `msgpack:"sw,omitempty"`
+	Loans    []SlotLoan   `msgpack:"sl,omitempty"`
+	Borrowed []SlotBorrow `msgpack:"sb,omitempty"`
 }
 
 // Loads is what routing asks of the peers' digests. Implementations are safe
@@ -43,3 +51,39 @@
 	// included.
 	LiveEntries(zone model.ZoneName) int
 }
+
+// SlotWant asks peers for slots of a service.
+type SlotWant struct {
+	Service model.ServiceName `msgpack:"s"`
+	Slots   uint16            `msgpack:"n"`
+}
+
+// SlotLoan lets a peer use slots that are the sender's; none where the loan is
+// taken back and not yet confirmed.
+type SlotLoan struct {
+	VM      model.VMID    `msgpack:"v"`
+	To      model.EntryID `msgpack:"t"`
+	Slots   uint8         `msgpack:"n"`
+	Version uint32        `msgpack:"r"`
+}
+
+// SlotBorrow confirms a version of a loan, with what still runs on it.
+type SlotBorrow struct {
+	VM      model.VMID    `msgpack:"v"`
+	From    model.EntryID `msgpack:"f"`
+	Using   uint8         `msgpack:"n"`
+	Version uint32        `msgpack:"r"`
+}
+
+// PeerDigest is the newest digest of one live peer; Loads may be left out.
+type PeerDigest struct {
+	Digest
+	Heard time.Time // when it came
+}
+
+// DigestSource is implemented by Loads that show the digests themselves.
+// Without it entry VMs keep to their own shares of slots and lend none.
+type DigestSource interface {
+	// PeerDigests returns the newest digest of each live peer of all zones.
+	PeerDigests() []PeerDigest
+}
