--- a/internal/audit/trail.go
+++ b/internal/audit/trail.go
@@ -209,8 +209,7 @@
 			return t.settle(err)
 		}
 		// A late copy of a lost write has changed the segment, or another
-		// writer's retention has removed it.
-		t.openKey = ""
+		// writer's retention has removed it: go on in the next.
 	}
 	return t.settle(t.openNext(ctx, entries))
 }
--- a/internal/audit/trail_test.go
+++ b/internal/audit/trail_test.go
@@ -102,6 +102,30 @@
 	}
 }
 
+// A write is lost on the way and arrives after its caller was told that it is
+// not certain. The trail goes on, and what it then calls certain is there.
+func TestALateWriteDoesNoHarm(t *testing.T) {
+	clock := clockwork.NewFakeClockAt(epoch)
+	inner := memstore.New(clock)
+	way := faulty.Wrap(inner)
+	trail := newTrail(way, clock, "e1")
+	assert.NilError(t, trail.Record(ctx, order(1)))
+	var late platform.Txn
+	way.Before(func(_ string, txn platform.Txn) { late = txn })
+	way.LoseRequests(99)
+	assert.Assert(t, trail.Record(ctx, order(2)) != nil)
+	way.Before(nil)
+	way.LoseRequests(0)
+	res, err := inner.Txn(ctx, late)
+	assert.NilError(t, err)
+	assert.Assert(t, res.Succeeded)
+	assert.NilError(t, trail.Record(ctx, order(3)))
+	assert.NilError(t, trail.Record(ctx, order(4)))
+	got := changes(t, trail, Filter{})
+	sort.Strings(got)
+	assert.DeepEqual(t, got, []string{"c-1", "c-2", "c-3", "c-4"})
+}
+
 func beforeWrite(way *faulty.Store, nth int, f func()) {
 	seen := 0
 	way.Before(func(string, platform.Txn) {
--- /dev/null
+++ b/internal/command/command_test.go
@@ -0,0 +1,241 @@
+package command
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"gotest.tools/v3/assert"
+
+	"github.com/pumicestage/pumicestage/internal/config"
+	"github.com/pumicestage/pumicestage/internal/lang"
+	"github.com/pumicestage/pumicestage/internal/platform"
+	"github.com/pumicestage/pumicestage/internal/platform/faulty"
+	"github.com/pumicestage/pumicestage/internal/platform/memstore"
+	"github.com/pumicestage/pumicestage/internal/view"
+	"github.com/pumicestage/pumicestage/policy/model"
+)
+
+var (
+	ctx   = context.Background()
+	epoch = time.Date(2026, 3, 1, 3, 0, 0, 0, time.UTC)
+	ana   = Actor{Name: "ana", From: "10.0.0.7"}
+)
+
+// scripted is a Fleet, Jobs, Members and Trail that answers by script.
+type scripted struct {
+	Fleet // what a test does not use panics
+	fail  map[string]error
+	done  []string // "c-1.2 drain v2"
+	jobs  []model.JobID
+	trail []string // "asked: drain rack r1"
+	mute  map[Stage]bool
+}
+
+func (s *scripted) Drain(_ context.Context, vm model.VMID, _ bool, t Terms) (Effect, error) {
+	s.done = append(s.done, fmt.Sprintf("%s drain %s", t.Change, vm))
+	return Effect{Before: "in-pool", After: "leaving"}, s.fail[string(vm)]
+}
+
+func (s *scripted) Cancel(_ context.Context, job model.JobID, t Terms) (Effect, error) {
+	s.done = append(s.done, fmt.Sprintf("%s cancel %s", t.Change, job))
+	return Effect{}, s.fail[string(job)]
+}
+
+func (s *scripted) Select(context.Context, []lang.Condition) ([]model.JobID, error) {
+	return s.jobs, nil
+}
+
+func (s *scripted) In(sc lang.Scope) []model.VMID {
+	if sc.Name != "r1" {
+		return nil
+	}
+	return []model.VMID{"v1", "v2", "v3"}
+}
+
+func (s *scripted) Record(_ context.Context, e Event) error {
+	if s.mute[e.Stage] {
+		return errors.New("trail out of reach")
+	}
+	s.Note(e)
+	return nil
+}
+
+func (s *scripted) Note(e Event) {
+	line := string(e.Stage) + ": " + e.What
+	if e.Detail != "" {
+		line += " | " + e.Detail
+	}
+	s.trail = append(s.trail, line)
+}
+
+func TestDo(t *testing.T) {
+	held := &Refusal{Code: CodeConflict, Winner: "wave spring", Revision: 9, Detail: "VM v2 is leaving"}
+	lost := &UncertainError{Change: "c-1.2", Err: errors.New("reply lost")}
+	cases := []struct {
+		name    string
+		order   string
+		script  scripted
+		done    []string
+		refused int
+		err     string // its start
+		trail   []string
+	}{
+		{"each of several has a change ID of its own", "drain rack r1", scripted{},
+			[]string{"c-1.1 drain v1", "c-1.2 drain v2", "c-1.3 drain v3"}, 0, "",
+			[]string{"asked: drain rack r1", "done: drain rack r1"}},
+		{"one of several refused", "drain rack r1", scripted{fail: map[string]error{"v2": held}},
+			[]string{"c-1.1 drain v1", "c-1.2 drain v2", "c-1.3 drain v3"}, 1, "",
+			[]string{"asked: drain rack r1", "done: drain rack r1 | 1 of 3 refused: vm v2: refused (conflict): VM v2 is leaving; held by wave spring at revision 9"}},
+		{"all refused", "drain rack r1", scripted{fail: map[string]error{"v1": held, "v2": held, "v3": held}},
+			[]string{"c-1.1 drain v1", "c-1.2 drain v2", "c-1.3 drain v3"}, 3, "",
+			[]string{"asked: drain rack r1", "refused: drain rack r1 | vm v1: refused"}},
+		{"stops where an outcome is unknown", "drain rack r1", scripted{fail: map[string]error{"v2": lost}},
+			[]string{"c-1.1 drain v1", "c-1.2 drain v2"}, 0, "outcome unknown: repeat under change c-1.2",
+			[]string{"asked: drain rack r1", "unknown: drain rack r1 | outcome unknown"}},
+		{"nothing of the name", "drain rack r9", scripted{}, nil, 0, "refused (not-found): no VM in rack r9",
+			[]string{"refused: drain rack r9 | refused (not-found)"}},
+		{"one job", "cancel job j1", scripted{}, []string{"c-1 cancel j1"}, 0, "", []string{"asked: cancel job j1", "done: cancel job j1"}},
+		{"many jobs", "cancel jobs where team = t", scripted{jobs: []model.JobID{"j1", "j2"}}, []string{"c-1.1 cancel j1", "c-1.2 cancel j2"}, 0, "",
+			[]string{"asked: cancel jobs where team = t", "done: cancel jobs where team = t"}},
+		{"no jobs", "cancel jobs where team = t", scripted{}, nil, 0, "refused (not-found): 0 jobs",
+			[]string{"refused: cancel jobs where team = t | refused"}},
+		{"not without its entry", "drain rack r1", scripted{mute: map[Stage]bool{StageAsked: true}}, nil, 0,
+			"refused (unavailable): not done, it could not be entered in the audit trail", nil},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			s := &tc.script
+			x := New(Options{Fleet: s, Jobs: s, Members: s, Trail: s, Clock: clockwork.NewFakeClockAt(epoch)})
+			o, err := lang.ParseOrder(tc.order)
+			assert.NilError(t, err)
+			res, err := x.Do(ctx, Request{Change: "c-1", By: ana, Text: tc.order, Order: o})
+			if tc.err == "" {
+				assert.NilError(t, err)
+			} else {
+				assert.Assert(t, err != nil && strings.HasPrefix(err.Error(), tc.err), "%v", err)
+			}
+			assert.DeepEqual(t, s.done, tc.done)
+			assert.Equal(t, res.Refused(), tc.refused)
+			assert.Equal(t, len(s.trail), len(tc.trail), "%q", s.trail)
+			for i, want := range tc.trail {
+				assert.Assert(t, strings.HasPrefix(s.trail[i], want), "%q", s.trail[i])
+			}
+		})
+	}
+}
+
+// The order is done but its outcome cannot be entered: the operator is told
+// both, and not that it failed.
+func TestOutcomeNotEnteredIsAWarning(t *testing.T) {
+	s := &scripted{mute: map[Stage]bool{StageDone: true}}
+	x := New(Options{Fleet: s, Members: s, Trail: s, Clock: clockwork.NewFakeClockAt(epoch)})
+	res, err := x.Do(ctx, Request{Change: "c-1", Text: "drain rack r1", Order: lang.Drain{Scope: lang.Scope{Subject: lang.SubjectRack, Name: "r1"}}})
+	assert.NilError(t, err)
+	assert.Equal(t, res.Warning, "the outcome could not be entered in the audit trail: trail out of reach")
+	_, err = x.Do(ctx, Request{Order: lang.CancelJobs{Job: "j1"}, Change: "c-2"})
+	assert.Error(t, err, "refused (not-found): this deployment runs no jobs")
+}
+
+// beforeRead runs f before the nth read of a store.
+type beforeRead struct {
+	platform.Store
+	nth, seen int
+	f         func()
+}
+
+func (s *beforeRead) Get(ctx context.Context, key string) (platform.KV, platform.Revision, error) {
+	if s.seen++; s.seen == s.nth {
+		s.f()
+	}
+	return s.Store.Get(ctx, key)
+}
+
+// An order changes one key of the declaration while another operator applies a
+// whole one, at each moment of the order. It must not undo the other's change,
+// which it never saw; a repeat of it is the same order whatever came after.
+func TestSetLimitKeepsARivalsChange(t *testing.T) {
+	d, err := config.Load("../../examples/encuesta-viva")
+	assert.NilError(t, err)
+	for name, moment := range map[string]func(store platform.Store, rival func()) platform.Store{
+		"after it has read": func(store platform.Store, rival func()) platform.Store {
+			return &beforeRead{Store: store, nth: 2, f: rival}
+		},
+		"as it writes": func(store platform.Store, rival func()) platform.Store {
+			way, writes := faulty.Wrap(store), 0
+			way.Before(func(string, platform.Txn) {
+				if writes++; writes == 1 {
+					rival()
+				}
+			})
+			return way
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			inner := memstore.New(clockwork.NewFakeClockAt(epoch))
+			apply := func(change model.ChangeID, edit func(*model.Declaration)) {
+				next := *d
+				next.Services = append([]model.Service{}, d.Services...)
+				edit(&next)
+				_, err := config.Apply(ctx, inner, &next, config.ApplyOptions{Change: change, By: "bea", ConfirmRemoval: true})
+				assert.NilError(t, err)
+			}
+			apply("c-1", func(*model.Declaration) {})
+			store := moment(inner, func() {
+				apply("c-rival", func(next *model.Declaration) { next.Service("portal").Timeout = time.Minute })
+			})
+			stored := Stored{Store: store, Clock: clockwork.NewFakeClockAt(epoch), View: view.NewHolder()}
+			effect, err := stored.SetLimit(ctx, "preview", 40, ana, Terms{Change: "c-2"})
+			assert.NilError(t, err)
+			assert.Equal(t, effect.After, "limit 40, generation 3")
+			now, _, err := config.Read(ctx, inner)
+			assert.NilError(t, err)
+			assert.Equal(t, now.Service("portal").Timeout, time.Minute)
+			assert.Equal(t, now.Service("preview").Limit, 40)
+
+			apply("c-3", func(next *model.Declaration) { next.Services = next.Services[:2] })
+			_, err = stored.SetLimit(ctx, "preview", 40, ana, Terms{Change: "c-2"})
+			assert.NilError(t, err)
+		})
+	}
+}
+
+func TestSetLimitRefused(t *testing.T) {
+	inner := memstore.New(clockwork.NewFakeClockAt(epoch))
+	way := faulty.Wrap(inner)
+	stored := Stored{Store: way, Clock: clockwork.NewFakeClockAt(epoch), View: view.NewHolder()}
+	code := func(terms Terms) Code {
+		_, err := stored.SetLimit(ctx, "preview", 40, ana, terms)
+		var refusal *Refusal
+		assert.Assert(t, errors.As(err, &refusal), "%v", err)
+		return refusal.Code
+	}
+	assert.Equal(t, code(Terms{Change: "c-1"}), CodeInvalid) // nothing is declared yet
+	d, err := config.Load("../../examples/encuesta-viva")
+	assert.NilError(t, err)
+	_, err = config.Apply(ctx, inner, d, config.ApplyOptions{Change: "c-2", By: "ana"})
+	assert.NilError(t, err)
+	assert.Equal(t, code(Terms{Change: "c-3", IfRevision: 1}), CodeConflict)
+	way.SetDown(true)
+	assert.Equal(t, code(Terms{Change: "c-4"}), CodeUnavailable)
+}
+
+// The store was restored from an old copy, so the order goes by the declaration
+// that this entry VM holds. That one serves requests meanwhile and must not be
+// written to.
+func TestSetLimitLeavesTheViewAlone(t *testing.T) {
+	d, err := config.Load("../../examples/encuesta-viva")
+	assert.NilError(t, err)
+	d.Generation = 7
+	h := view.NewHolder()
+	h.Publish(&view.Snapshot{Declaration: d})
+	stored := Stored{Store: memstore.New(clockwork.NewFakeClockAt(epoch)), Clock: clockwork.NewFakeClockAt(epoch), View: h}
+	effect, err := stored.SetLimit(ctx, "preview", 40, ana, Terms{Change: "c-1"})
+	assert.NilError(t, err)
+	assert.Equal(t, effect.After, "limit 40, generation 8")
+	assert.Equal(t, d.Service("preview").Limit, 0)
+}
