audit: automatic steps of VMs and waves, told once by the entry VM that made them

The observer goes by the view and the change IDs in it, not by the reconciler's word, so that also a step whose reply was lost is in the trail. explain finds a subject by whole words: vm v1 no longer shows vm v17.

--- a/internal/audit/entry.go
+++ b/internal/audit/entry.go
@@ -64,7 +64,10 @@
 	Until time.Time
 	Who   string // equal
 	What  string // part of What, Detail or the change ID
-	Limit int    // the newest so many; 0 for DefaultLimit
+	// Subject is a thing such as "vm v1" that What, Before or After name as
+	// whole words.
+	Subject string
+	Limit   int // the newest so many; 0 for DefaultLimit
 }
 
 // DefaultLimit is how many entries a question gets that does not say.
@@ -77,9 +80,37 @@
 	if f.Who != "" && e.Who != f.Who {
 		return false
 	}
+	if f.Subject != "" && !names(e.What, f.Subject) && !names(e.Before, f.Subject) && !names(e.After, f.Subject) {
+		return false
+	}
 	return f.What == "" || strings.Contains(e.What, f.What) || strings.Contains(e.Detail, f.What) || strings.Contains(string(e.Change), f.What)
 }
 
+// names reports whether the text has the subject as whole words: "vm v1" is
+// not in "drain vm v17".
+func names(text, subject string) bool {
+	for from := 0; ; {
+		at := strings.Index(text[from:], subject)
+		if at < 0 {
+			return false
+		}
+		start, end := from+at, from+at+len(subject)
+		if !inName(text, start-1) && !inName(text, end) {
+			return true
+		}
+		from = start + 1
+	}
+}
+
+// inName reports whether the byte at i belongs to a name.
+func inName(text string, i int) bool {
+	if i < 0 || i >= len(text) {
+		return false
+	}
+	c := text[i]
+	return c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z' || c >= '0' && c <= '9' || strings.IndexByte("-_.", c) >= 0
+}
+
 // Error reports that entries were not recorded, or the trail not read.
 type Error struct {
 	// Certain is true where the entries are certainly not in the trail.
--- a/internal/audit/trail.go
+++ b/internal/audit/trail.go
@@ -99,17 +99,22 @@
 	}
 }
 
-// Note records an entry in the background, for refusals and automatic actions
-// whose outcome does not hang on it. A source that is refused over and over
+// RecordSoon records an entry in the background, for automatic actions. It is
+// tried once, with whatever else waits.
+func (t *Trail) RecordSoon(e Entry) {
+	if _, err := t.enqueue(e); err != nil {
+		t.log.Error(err, "audit entry dropped", "what", e.What, "who", e.Who)
+	}
+}
+
+// Note records an entry in the background, for refusals. It is not waited for. A source that is refused over and over
 // is summed up, or it would push the trail's older entries out.
 func (t *Trail) Note(e Entry) {
 	e, ok := t.notes.admit(e)
 	if !ok {
 		return
 	}
-	if _, err := t.enqueue(e); err != nil {
-		t.log.Error(err, "audit entry dropped", "what", e.What, "who", e.Who)
-	}
+	t.RecordSoon(e)
 }
 
 // Flush waits until all that was recorded before is written, or ctx ends.
--- a/internal/audit/trail_test.go
+++ b/internal/audit/trail_test.go
@@ -237,6 +237,8 @@
 		{"who", Filter{Who: "bea", Since: epoch.Add(6 * time.Minute)}, []string{"c-7", "c-9"}},
 		{"what", Filter{What: "wave spring", Until: epoch.Add(2 * time.Minute)}, []string{"c-1"}},
 		{"change", Filter{What: "c-4"}, []string{"c-4"}},
+		{"subject", Filter{Subject: "wave spring", Until: epoch.Add(2 * time.Minute)}, []string{"c-1"}},
+		{"not a part of a name", Filter{Subject: "wave spri"}, nil},
 		{"newest", Filter{Limit: 2}, []string{"c-8", "c-9"}},
 	}
 	for _, tc := range cases {
--- a/internal/operator/trail.go
+++ b/internal/operator/trail.go
@@ -45,17 +45,24 @@
 
 // About implements query.History.
 func (h QueryHistory) About(ctx context.Context, subject string) ([]query.Reason, error) {
-	entries, _, err := h.Trail.Read(ctx, audit.Filter{What: subject, Limit: historyLimit})
+	entries, _, err := h.Trail.Read(ctx, audit.Filter{Subject: subject, Limit: historyLimit})
 	if err != nil {
 		return nil, err
 	}
 	reasons := make([]query.Reason, 0, len(entries))
 	for _, e := range entries {
-		text := string(e.Result) + ": " + e.What + " by " + e.Who
-		if e.Detail != "" {
-			text += " (" + e.Detail + ")"
-		}
-		reasons = append(reasons, query.Reason{At: e.At, Text: text})
+		reasons = append(reasons, query.Reason{At: e.At, Text: sentence(e)})
 	}
 	return reasons, nil
 }
+
+func sentence(e audit.Entry) string {
+	text := string(e.Result) + ": " + e.What + " by " + e.Who
+	if e.Result == audit.Automatic {
+		text = e.What + " went from " + e.Before + " to " + e.After + " on " + e.From
+	}
+	if e.Detail != "" {
+		text += " (" + e.Detail + ")"
+	}
+	return text
+}
--- a/internal/operator/wiring/wiring.go
+++ b/internal/operator/wiring/wiring.go
@@ -45,6 +45,7 @@
 	Trail    *audit.Trail // to Flush before the process ends
 	Commands *command.Executor
 	Queries  *query.Engine
+	Observer *Observer // to Run, so that automatic actions are in the trail
 }
 
 // New puts a port together.
@@ -80,5 +81,6 @@
 		Store: p.Store, View: p.View, Commands: commands, Queries: queries, Trail: trail,
 		Acks: p.Acks, Access: p.Access, Clock: p.Clock, Log: p.Log,
 	})
-	return &Port{Handler: handler, Trail: trail, Commands: commands, Queries: queries}
+	observer := &Observer{Self: p.Self.ID, View: p.View, Waves: p.Fleet, Trail: trail, Clock: p.Clock}
+	return &Port{Handler: handler, Trail: trail, Commands: commands, Queries: queries, Observer: observer}
 }
--- a/internal/operator/wiring/wiring_test.go
+++ b/internal/operator/wiring/wiring_test.go
@@ -303,3 +303,44 @@
 	w.clock.Advance(time.Minute)
 	assert.Assert(t, w.port.Queries.Info().Stale)
 }
+
+// A wave takes a VM out by itself. The trail tells it once, by the entry VM
+// that did it; another entry VM that sees the same step enters nothing, nor is
+// an operator's own drain entered a second time.
+func TestAutomaticStepsAreInTheTrailOnce(t *testing.T) {
+	w := newWorld(t, "encuesta-viva")
+	other := &Observer{Self: "e2", View: w.view, Waves: w.fleet, Trail: w.port.Trail, Clock: w.clock}
+	look := func() {
+		w.publish(t)
+		for _, o := range []*Observer{w.port.Observer, other} {
+			o.lookAtVMs(w.view.Load())
+			o.lookAtWaves(ctx)
+		}
+	}
+	look()
+	_, err := w.do(t, "c-1", "drain vm v50")
+	assert.NilError(t, err)
+	look()
+	_, err = w.do(t, "c-2", "start wave spring")
+	assert.NilError(t, err)
+	look()
+	assert.NilError(t, w.fleet.Step(ctx))
+	look()
+	look()
+	assert.NilError(t, w.port.Trail.Flush(ctx))
+	entries, _, err := w.port.Trail.Read(ctx, audit.Filter{Who: automaticWho})
+	assert.NilError(t, err)
+	var got []string
+	for _, e := range entries {
+		got = append(got, fmt.Sprintf("%s: %s -> %s", e.What, e.Before, e.After))
+		assert.Equal(t, e.From, "e1")
+	}
+	var out string
+	for id, vm := range w.view.Load().VMs {
+		if vm.Holder == "wave spring" {
+			out = string(id)
+		}
+	}
+	assert.Equal(t, len(got), 1, "%q", got)
+	assert.Equal(t, got[0], fmt.Sprintf("vm %s: in-pool, pool portal -> leaving, pool portal, held by wave spring", out))
+}
