--- a/cmd/pumicestage/cli_test.go
+++ b/cmd/pumicestage/cli_test.go
@@ -246,7 +246,7 @@
 		head  string
 		words []string
 	}{
-		{"", "", []string{"show ", "explain ", "what-if ", "drain ", "undrain ", "move ", "start ", "pause ", "resume ", "cancel ", "set "}},
+		{"", "", []string{"show ", "explain ", "what-if ", "drain ", "undrain ", "move ", "start ", "pause ", "resume ", "cancel ", "set ", "submit "}},
 		{"sh", "", []string{"show "}},
 		{"drain vm v", "drain vm ", []string{"v01 ", "v02 "}},
 		{"move vm v01 to ", "move vm v01 to ", []string{"pool "}},
--- a/cmd/pumicestage/do.go
+++ b/cmd/pumicestage/do.go
@@ -14,7 +14,7 @@
 )
 
 func addDo(app *kingpin.Application, c *cli) {
-	cmd := app.Command("do", "Give an order: drain, undrain, move, start, pause, resume, cancel or set.")
+	cmd := app.Command("do", "Give an order: drain, undrain, move, start, pause, resume, cancel, set or submit.")
 	words := cmd.Arg("order", "The order, as one argument or many.").Required().Strings()
 	change := cmd.Flag("change", "Change ID; give that of an earlier try to repeat it.").String()
 	ifRevision := cmd.Flag("if-revision", "Refuse unless the key that decides has this revision.").Int64()
--- a/cmd/pumicestage/shell.go
+++ b/cmd/pumicestage/shell.go
@@ -75,7 +75,7 @@
 	})
 	readHistory(term, history)
 	defer func() { c.writeHistory(term, history) }()
-	fmt.Fprintln(c.stdout, "Questions: show, explain, what-if. Orders: drain, undrain, move, start, pause, resume, cancel, set. Tab completes, Ctrl-D leaves.")
+	fmt.Fprintln(c.stdout, "Questions: show, explain, what-if. Orders: drain, undrain, move, start, pause, resume, cancel, set, submit. Tab completes, Ctrl-D leaves.")
 	for {
 		line, err := term.Prompt(prompt)
 		if errors.Is(err, liner.ErrPromptAborted) {
@@ -172,6 +172,7 @@
 var listOf = map[lang.Class]string{
 	lang.ClassVM: "show vms", lang.ClassJob: "show jobs", lang.ClassRack: "show racks", lang.ClassZone: "show zones",
 	lang.ClassWave: "show waves", lang.ClassService: "show services", lang.ClassPool: "show pools",
+	lang.ClassTeam: "show teams",
 }
 
 func (n *nameSource) names(ctx context.Context, class lang.Class) []string {
--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -78,6 +78,9 @@
 
 // Jobs carries out orders on jobs. Errors are as Fleet's.
 type Jobs interface {
+	// Submit takes a job in; one of the ID that is there already is refused
+	// unless it is the same order.
+	Submit(ctx context.Context, job model.Job, t Terms) (Effect, error)
 	Cancel(ctx context.Context, job model.JobID, t Terms) (Effect, error)
 	// Select returns the jobs that fulfil all conditions.
 	Select(ctx context.Context, where []lang.Condition) ([]model.JobID, error)
--- a/internal/command/command_test.go
+++ b/internal/command/command_test.go
@@ -41,6 +41,11 @@
 	return Effect{Before: "in-pool", After: "leaving"}, s.fail[string(vm)]
 }
 
+func (s *scripted) Submit(_ context.Context, job model.Job, t Terms) (Effect, error) {
+	s.done = append(s.done, fmt.Sprintf("%s submit %s at %s", t.Change, job.ID, job.SubmittedAt.Format(time.TimeOnly)))
+	return Effect{}, nil
+}
+
 func (s *scripted) Cancel(_ context.Context, job model.JobID, t Terms) (Effect, error) {
 	s.done = append(s.done, fmt.Sprintf("%s cancel %s", t.Change, job))
 	return Effect{}, s.fail[string(job)]
@@ -99,6 +104,8 @@
 			[]string{"asked: drain rack r1", "unknown: drain rack r1 | outcome unknown"}},
 		{"nothing of the name", "drain rack r9", scripted{}, nil, 0, "refused (not-found): no VM in rack r9",
 			[]string{"refused: drain rack r9 | refused (not-found)"}},
+		{"submit", "submit job j1 team t kind k", scripted{}, []string{"c-1 submit j1 at 03:00:00"}, 0, "",
+			[]string{"asked: submit job j1 team t kind k", "done: submit job j1 team t kind k"}},
 		{"one job", "cancel job j1", scripted{}, []string{"c-1 cancel j1"}, 0, "", []string{"asked: cancel job j1", "done: cancel job j1"}},
 		{"many jobs", "cancel jobs where team = t", scripted{jobs: []model.JobID{"j1", "j2"}}, []string{"c-1.1 cancel j1", "c-1.2 cancel j2"}, 0, "",
 			[]string{"asked: cancel jobs where team = t", "done: cancel jobs where team = t"}},
--- a/internal/command/executor.go
+++ b/internal/command/executor.go
@@ -97,6 +97,8 @@
 		}), nil
 	case lang.CancelJobs:
 		return x.planCancelJobs(ctx, o)
+	case lang.SubmitJob:
+		return x.planSubmit(o)
 	}
 	return nil, &Refusal{Code: CodeInvalid, Detail: fmt.Sprintf("no such order: %T", req.Order)}
 }
@@ -121,9 +123,23 @@
 	return steps, nil
 }
 
+// noJobs refuses orders on jobs where the deployment runs none.
+func noJobs() error {
+	return &Refusal{Code: CodeNotFound, Detail: "this deployment runs no jobs"}
+}
+
+func (x *Executor) planSubmit(o lang.SubmitJob) ([]step, error) {
+	if x.Jobs == nil {
+		return nil, noJobs()
+	}
+	job := o.Job
+	job.SubmittedAt = x.Clock.Now().UTC()
+	return one("job "+string(job.ID), func(ctx context.Context, t Terms) (Effect, error) { return x.Jobs.Submit(ctx, job, t) }), nil
+}
+
 func (x *Executor) planCancelJobs(ctx context.Context, o lang.CancelJobs) ([]step, error) {
 	if x.Jobs == nil {
-		return nil, &Refusal{Code: CodeNotFound, Detail: "this deployment runs no jobs"}
+		return nil, noJobs()
 	}
 	ids := []model.JobID{o.Job}
 	if o.Job == "" {
--- a/internal/lang/grammar.go
+++ b/internal/lang/grammar.go
@@ -21,6 +21,7 @@
 		Resume  *waveLine    `parser:"| 'resume' @@"`
 		Cancel  *cancelLine  `parser:"| 'cancel' @@"`
 		Set     *setLine     `parser:"| 'set' @@"`
+		Submit  *submitLine  `parser:"| 'submit' @@"`
 	}
 
 	word struct {
@@ -117,13 +118,31 @@
 	}
 )
 
+type (
+	submitLine struct {
+		Job    word          `parser:"'job' @@"`
+		Team   word          `parser:"'team' @@"`
+		Kind   word          `parser:"'kind' @@"`
+		Parts  []*submitPart `parser:"@@*"`
+		Reason *reasonPart   `parser:"@@?"`
+	}
+
+	submitPart struct {
+		Pos   lexer.Position
+		Key   string `parser:"( @( 'class' | 'pool' | 'zone' | 'cpu' | 'memory-mb' | 'accelerators' | 'run-time' )"`
+		Value word   `parser:"@@"`
+		Flag  string `parser:"| @( 'repeatable' | 'checkpoints' | 'spread' ) )"`
+	}
+)
+
 // keywords are all literal words of the grammar, for the hints of what may
 // stand at a place.
 var keywords = []string{
-	"show", "explain", "what-if", "drain", "undrain", "move", "start", "pause", "resume", "cancel", "set",
+	"show", "explain", "what-if", "drain", "undrain", "move", "start", "pause", "resume", "cancel", "set", "submit",
 	"vms", "services", "pools", "waves", "jobs", "budgets", "entries", "zones", "racks", "teams", "budget",
 	"vm", "rack", "zone", "job", "wave", "service", "pool", "declaration", "lose",
 	"where", "and", "to", "on", "cut", "reason", "limit",
+	"team", "kind", "class", "cpu", "memory-mb", "accelerators", "run-time", "repeatable", "checkpoints", "spread",
 	"=", "!=", "<", "<=", ">", ">=", ",",
 }
 
--- a/internal/lang/hints.go
+++ b/internal/lang/hints.go
@@ -20,6 +20,7 @@
 	ClassWave    Class = "the name of a wave"
 	ClassService Class = "the name of a service"
 	ClassPool    Class = "the name of a pool"
+	ClassTeam    Class = "the name of a team"
 	ClassNumber  Class = "a whole number"
 	ClassField   Class = "a field"
 	ClassValue   Class = "a value"
@@ -177,7 +178,7 @@
 var classAfter = map[string]Class{
 	"vm": ClassVM, "job": ClassJob, "rack": ClassRack, "zone": ClassZone, "wave": ClassWave,
 	"service": ClassService, "budget": ClassService, "pool": ClassPool, ",": ClassPool,
-	"limit": ClassNumber, "where": ClassField, "and": ClassField,
+	"limit": ClassNumber, "memory-mb": ClassNumber, "accelerators": ClassNumber, "team": ClassTeam, "where": ClassField, "and": ClassField,
 }
 
 // classOf names the class of words that may follow the last one.
--- a/internal/lang/lang_test.go
+++ b/internal/lang/lang_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"strings"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -41,6 +42,9 @@
 		{"cancel", "cancel wave spring", CancelWave{Wave: "spring"}},
 		{"cancel a job", "cancel job j9", CancelJobs{Job: "j9"}},
 		{"cancel many jobs", `cancel jobs where team = panel reason "disk"`, CancelJobs{Reason: because, Where: []Condition{{"team", Equal, "panel"}}}},
+		{"submit", "submit job j9 team analysts kind crosstab cpu 0.5 memory-mb 512 class urgent run-time 10m repeatable zone gt-a", SubmitJob{Job: model.Job{
+			ID: "j9", Team: "analysts", Kind: "crosstab", Class: model.ClassUrgent, Zone: "gt-a", Repeatable: true,
+			Declared: model.Resources{MilliCPU: 500, MemoryMB: 512}, RunTime: 10 * time.Minute}}},
 		{"set", "set service preview limit 40", SetLimit{Service: "preview", Limit: 40}},
 		{"a name that is also a keyword", "drain vm pool", Drain{Scope: Scope{SubjectVM, "pool"}}},
 	}
@@ -62,7 +66,7 @@
 		{"unknown first word", "drian vm v1", `unexpected "drian"
   drian vm v1
   ^^^^^
-expected one of: show, explain, what-if, drain, undrain, move, start, pause, resume, cancel, set`},
+expected one of: show, explain, what-if, drain, undrain, move, start, pause, resume, cancel, set, submit`},
 		{"unknown kind", "show vmz", `unexpected "vmz"
   show vmz
        ^^^
@@ -95,6 +99,14 @@
   set service a limit many
                       ^^^^
 expected a whole number of at least 0`},
+		{"a job's part twice", "submit job j team t kind k spread cpu 1 spread", `unexpected "spread"
+  submit job j team t kind k spread cpu 1 spread
+                                          ^^^^^^
+expected spread once`},
+		{"a job's part out of range", "submit job j team t kind k cpu NaN", `unexpected "NaN"
+  submit job j team t kind k cpu NaN
+                                 ^^^
+expected a number of cores above 0, such as 4 or 0.5`},
 		{"a sign of no meaning", "show vms where pool ~ a", `unexpected "~"
   show vms where pool ~ a
                       ^
@@ -102,7 +114,7 @@
 		{"too many words", "start wave w on pool " + strings.Repeat("a,", 70) + "a", `unexpected "a line of 146 words"
 expected at most 128`},
 		{"empty line", "", `unexpected the end of the line
-expected one of: show, explain, what-if, drain, undrain, move, start, pause, resume, cancel, set`},
+expected one of: show, explain, what-if, drain, undrain, move, start, pause, resume, cancel, set, submit`},
 		{"open quotes", `drain vm v1 reason "disk`, `unexpected "\"disk"
   drain vm v1 reason "disk
                      ^^^^^
@@ -122,7 +134,7 @@
 	_, err := ParseQuestion("drain vm v1")
 	assert.Error(t, err, "unexpected \"drain\"\n  drain vm v1\n  ^^^^^\nexpected one of: show, explain, what-if")
 	_, err = ParseOrder("show vms")
-	assert.Error(t, err, "unexpected \"show\"\n  show vms\n  ^^^^\nexpected one of: drain, undrain, move, start, pause, resume, cancel, set")
+	assert.Error(t, err, "unexpected \"show\"\n  show vms\n  ^^^^\nexpected one of: drain, undrain, move, start, pause, resume, cancel, set, submit")
 }
 
 func pools(names ...string) []model.PoolName {
--- a/internal/lang/nodes.go
+++ b/internal/lang/nodes.go
@@ -165,6 +165,12 @@
 	Where []Condition
 }
 
+// SubmitJob submits a job.
+type SubmitJob struct {
+	Reason
+	Job model.Job // without SubmittedAt
+}
+
 func (Show) statement()       {}
 func (Explain) statement()    {}
 func (WhatIf) statement()     {}
@@ -177,6 +183,7 @@
 func (CancelWave) statement() {}
 func (SetLimit) statement()   {}
 func (CancelJobs) statement() {}
+func (SubmitJob) statement()  {}
 
 func (Show) question()    {}
 func (Explain) question() {}
--- a/internal/lang/parse.go
+++ b/internal/lang/parse.go
@@ -72,7 +72,7 @@
 
 var (
 	questionWords = []string{"show", "explain", "what-if"}
-	orderWords    = []string{"drain", "undrain", "move", "start", "pause", "resume", "cancel", "set"}
+	orderWords    = []string{"drain", "undrain", "move", "start", "pause", "resume", "cancel", "set", "submit"}
 )
 
 func convert(input string, tree *line) (Statement, error) {
@@ -97,6 +97,8 @@
 		return ResumeWave{Reason: reason(tree.Resume.Reason), Wave: waveName(tree.Resume.Wave)}, nil
 	case tree.Cancel != nil:
 		return convertCancel(input, tree.Cancel)
+	case tree.Submit != nil:
+		return convertSubmit(input, tree.Submit)
 	default:
 		return convertSet(input, tree.Set)
 	}
