--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -49,6 +49,7 @@
 	router   *mux.Router
 	metrics  *metrics
 	prober   *prober
+	ownKeys  ownKeys
 
 	draining atomic.Bool
 	inside   atomic.Int64
@@ -86,6 +87,7 @@
 func (s *Server) Run(ctx context.Context) error {
 	ticker := s.clock.NewTicker(tick)
 	defer ticker.Stop()
+	defer s.forward.spares.close()
 	defer s.prober.wait()
 	for {
 		changed := s.opts.View.Changed()
--- a/internal/faketarget/target.go
+++ b/internal/faketarget/target.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -48,13 +49,15 @@
 	mu      sync.Mutex
 	counts  Counts
 	leaving bool
-	fault   Fault
-	faults  int // requests the fault still applies to, -1 for all
-	slow    float64
-	server  *http.Server
-	address string
-	boot    context.CancelCauseFunc
-	booted  context.Context
+	// saysLeaving is told by the health answer alone.
+	saysLeaving bool
+	fault       Fault
+	faults      int // requests the fault still applies to, -1 for all
+	slow        float64
+	server      *http.Server
+	address     string
+	boot        context.CancelCauseFunc
+	booted      context.Context
 }
 
 // Start starts a Target.
@@ -99,7 +102,7 @@
 		return trace.Wrap(err)
 	}
 	t.address = l.Addr().String()
-	t.leaving = false
+	t.leaving, t.saysLeaving = false, false
 	t.booted, t.boot = context.WithCancelCause(context.Background())
 	t.server = &http.Server{Handler: http.HandlerFunc(t.serve), ReadHeaderTimeout: time.Minute}
 	srv := t.server
@@ -130,6 +133,14 @@
 // requests. Those in flight finish.
 func (t *Target) Drain() { t.setLeaving(true) }
 
+// SayLeaving makes the health answer say that it leaves, while requests are
+// still taken.
+func (t *Target) SayLeaving() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.saysLeaving = true
+}
+
 // Undrain takes Drain back.
 func (t *Target) Undrain() { t.setLeaving(false) }
 
@@ -137,6 +148,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.leaving = leaving
+	t.saysLeaving = t.saysLeaving && leaving
 }
 
 // SetSlow makes requests take factor times their service time.
@@ -182,11 +194,18 @@
 	}
 	f, ok := t.start(r)
 	if !ok {
+		if f == RefuseAfterBody {
+			_, _ = io.Copy(io.Discard, r.Body) // refused whatever it is
+		}
 		w.Header().Set("Pumicestage-Outcome", "not-run")
 		w.Header().Set("Retry-After", "1")
 		http.Error(w, "refused before start", http.StatusServiceUnavailable)
 		return
 	}
+	if f == Echo {
+		t.finish(echo(w, r))
+		return
+	}
 	a := newAnswer(t.opts.ID, r)
 	how := t.work(r, f)
 	if how == done {
@@ -200,7 +219,7 @@
 
 func (t *Target) serveHealth(w http.ResponseWriter) {
 	t.mu.Lock()
-	leaving := t.leaving
+	leaving := t.leaving || t.saysLeaving
 	t.mu.Unlock()
 	if leaving {
 		w.WriteHeader(http.StatusServiceUnavailable)
@@ -216,7 +235,7 @@
 	defer t.mu.Unlock()
 	full := t.counts.Running >= t.opts.Slots && !t.opts.IgnoreSlots
 	f := t.nextFault()
-	if t.leaving || full || f == Refuse {
+	if t.leaving || full || f == Refuse || f == RefuseAfterBody {
 		t.counts.Refused++
 		return f, false
 	}
--- a/internal/fleet/pass.go
+++ b/internal/fleet/pass.go
@@ -25,6 +25,7 @@
 	list     platform.MachineList
 	machines map[model.VMID]platform.Machine
 	byPool   map[model.PoolName][]model.VMID // sorted
+	services map[model.PoolName][]*model.Service
 }
 
 // newPass takes the newest view and the newest list had.
@@ -49,8 +50,8 @@
 	return f.list
 }
 
-// listPeriods is how many passes one fetch of the platform's list serves. It lags by
-// seconds anyway, and at 3,600 VMs it is the largest answer of all.
+// listPeriods is how many passes one fetch of the platform's list serves. It
+// lags by seconds anyway, and at 3,600 VMs it is the largest answer of all.
 const listPeriods = 2
 
 // refreshList fetches the platform's list unless it was fetched just now; where
@@ -75,8 +76,10 @@
 	return nil
 }
 
-func (p *pass) viewAge() time.Duration { return age(p.now, p.snap.AsOf) }
-func (p *pass) listAge() time.Duration { return age(p.now, p.list.AsOf) }
+// The ages are by the clock, not by the start of the pass: a process that was
+// paused in the middle of one must see that its evidence has aged.
+func (p *pass) viewAge() time.Duration { return age(p.f.clock.Now(), p.snap.AsOf) }
+func (p *pass) listAge() time.Duration { return age(p.f.clock.Now(), p.list.AsOf) }
 
 func age(now, then time.Time) time.Duration {
 	if then.IsZero() {
@@ -105,7 +108,20 @@
 // servicesOf returns the services that count the pool's VMs, in the
 // declaration's order.
 func (p *pass) servicesOf(pool model.PoolName) []*model.Service {
-	return p.snap.Declaration.ServicesOf(pool)
+	if p.services == nil {
+		p.indexServices()
+	}
+	return p.services[pool]
+}
+
+func (p *pass) indexServices() {
+	p.services = make(map[model.PoolName][]*model.Service)
+	for i := range p.snap.Declaration.Services {
+		s := &p.snap.Declaration.Services[i]
+		for _, pool := range s.Pools {
+			p.services[pool] = append(p.services[pool], s)
+		}
+	}
 }
 
 // concerned returns the services whose budgets a stop in one of the pools
