config: checks of an apply linear in VMs

Cause (profile): the budget checks and the check of removals walked all VMs for each service, 347 x 3,600 at the size to come. VMs are grouped by pool once.

--- a/internal/config/removal.go
+++ b/internal/config/removal.go
@@ -39,37 +39,52 @@
 	if old == nil {
 		return nil
 	}
-	kept := make(map[model.VMID]model.VMDecl, len(new.VMs))
+	r := removal{
+		old: old, new: new, live: live,
+		kept:   make(map[model.VMID]model.VMDecl, len(new.VMs)),
+		byPool: make(map[model.PoolName][]model.VMDecl),
+	}
 	for _, vm := range new.VMs {
-		kept[vm.ID] = vm
+		r.kept[vm.ID] = vm
+	}
+	for _, vm := range old.VMs {
+		pool, _ := whereabouts(vm, live)
+		r.byPool[pool] = append(r.byPool[pool], vm)
 	}
 	var broken []BrokenBudget
 	for i := range old.Services {
-		broken = append(broken, brokenService(old, new, &old.Services[i], kept, live)...)
+		broken = append(broken, r.broken(&old.Services[i])...)
 	}
 	return broken
 }
 
+// removal is a change from old to new, looked at for what it takes away.
+type removal struct {
+	old, new *model.Declaration
+	live     map[model.VMID]model.VM
+	kept     map[model.VMID]model.VMDecl
+	byPool   map[model.PoolName][]model.VMDecl // old's VMs by where they are
+}
+
 // tally counts a service's VMs before and after a removal.
 type tally struct {
 	before, after, working int
 }
 
-func brokenService(old, new *model.Declaration, s *model.Service, kept map[model.VMID]model.VMDecl, live map[model.VMID]model.VM) []BrokenBudget {
+func (r removal) broken(s *model.Service) []BrokenBudget {
 	var whole tally
 	zones := make(map[model.ZoneName]*tally)
-	next := new.Service(s.Name)
-	for _, vm := range old.VMs {
-		pool, working := whereabouts(vm, live)
-		if !contains(s.Pools, pool) {
-			continue
-		}
-		if zones[vm.Zone] == nil {
-			zones[vm.Zone] = &tally{}
+	next := r.new.Service(s.Name)
+	for _, pool := range s.Pools {
+		for _, vm := range r.byPool[pool] {
+			if zones[vm.Zone] == nil {
+				zones[vm.Zone] = &tally{}
+			}
+			_, working := whereabouts(vm, r.live)
+			stays := next != nil && r.staysIn(next, vm)
+			whole.count(stays, working)
+			zones[vm.Zone].count(stays, working)
 		}
-		stays := next != nil && staysIn(next, vm, kept, live)
-		whole.count(stays, working)
-		zones[vm.Zone].count(stays, working)
 	}
 	need := s.Budget.MinAvailable.Of(whole.before)
 	if next == nil {
@@ -79,7 +94,7 @@
 	if whole.breaks(need) {
 		broken = append(broken, BrokenBudget{Service: s.Name, Need: need, Left: whole.working, Removed: whole.before - whole.after})
 	}
-	for _, z := range old.Zones {
+	for _, z := range r.old.Zones {
 		t := zones[z]
 		if t == nil {
 			continue
@@ -115,12 +130,12 @@
 	return vm.Pool, true
 }
 
-func staysIn(next *model.Service, vm model.VMDecl, kept map[model.VMID]model.VMDecl, live map[model.VMID]model.VM) bool {
-	decl, ok := kept[vm.ID]
+func (r removal) staysIn(next *model.Service, vm model.VMDecl) bool {
+	decl, ok := r.kept[vm.ID]
 	if !ok {
 		return false
 	}
-	pool, _ := whereabouts(decl, live)
+	pool, _ := whereabouts(decl, r.live)
 	return contains(next.Pools, pool)
 }
 
--- a/internal/config/validate.go
+++ b/internal/config/validate.go
@@ -12,6 +12,7 @@
 	d        *model.Declaration
 	zones    map[model.ZoneName]bool
 	pools    map[model.PoolName]bool
+	byPool   map[model.PoolName][]model.VMDecl
 	problems []Problem
 }
 
@@ -19,7 +20,13 @@
 // not exist, things that stand twice, budgets that cannot hold. It is run
 // again by the server on what it is sent, because a client may be older.
 func Validate(d *model.Declaration) []Problem {
-	c := &checker{d: d, zones: make(map[model.ZoneName]bool), pools: make(map[model.PoolName]bool)}
+	c := &checker{
+		d: d, zones: make(map[model.ZoneName]bool), pools: make(map[model.PoolName]bool),
+		byPool: make(map[model.PoolName][]model.VMDecl),
+	}
+	for _, vm := range d.VMs {
+		c.byPool[vm.Pool] = append(c.byPool[vm.Pool], vm)
+	}
 	for _, z := range d.Zones {
 		c.zones[z] = true
 	}
@@ -99,10 +106,6 @@
 }
 
 func (c *checker) checkPools() {
-	used := make(map[model.PoolName]bool)
-	for _, vm := range c.d.VMs {
-		used[vm.Pool] = true
-	}
 	seen := make(map[model.PoolName]bool)
 	for _, p := range c.d.Pools {
 		section := kindPool + " " + string(p.Name)
@@ -110,7 +113,7 @@
 			c.add(section, "", "the pool again", "each pool once")
 		}
 		seen[p.Name] = true
-		if !used[p.Name] {
+		if len(c.byPool[p.Name]) == 0 {
 			c.add(section, "", "no VMs", "at least one VM of a rack in it")
 		}
 	}
@@ -188,13 +191,9 @@
 }
 
 func (c *checker) members(s *model.Service) (int, map[model.ZoneName]int) {
-	mine := make(map[model.PoolName]bool)
-	for _, p := range s.Pools {
-		mine[p] = true
-	}
 	total, perZone := 0, make(map[model.ZoneName]int)
-	for _, vm := range c.d.VMs {
-		if mine[vm.Pool] {
+	for _, p := range s.Pools {
+		for _, vm := range c.byPool[p] {
 			total++
 			perZone[vm.Zone]++
 		}
