--- a/cmd/pumicestage/apply.go
+++ b/cmd/pumicestage/apply.go
@@ -161,7 +161,7 @@
 	}
 	names := make([]string, len(e.missing))
 	for i, m := range e.missing {
-		names[i] = fmt.Sprintf("%s (zone %s)", m.Entry, m.Zone)
+		names[i] = fmt.Sprintf("%s (zone %s)", m.Entry, zoneText(m.Zone))
 	}
 	return fmt.Sprintf("generation %d is accepted, but not heard in force after %s from %s", e.generation, e.wait, strings.Join(names, ", "))
 }
@@ -199,7 +199,7 @@
 func (c *cli) progress(r api.InForceReply, shown string) string {
 	parts := make([]string, len(r.Zones))
 	for i, z := range r.Zones {
-		parts[i] = fmt.Sprintf("%s %d/%d", z.Zone, z.Have, z.Live)
+		parts[i] = fmt.Sprintf("%s %d/%d", zoneText(z.Zone), z.Have, z.Live)
 	}
 	line := fmt.Sprintf("generation %d in force: %s", r.Generation, strings.Join(parts, ", "))
 	if line != shown {
@@ -208,6 +208,14 @@
 	return line
 }
 
+// zoneText names the zone of an entry VM whose registration has lapsed.
+func zoneText(z model.ZoneName) string {
+	if z == "" {
+		return "unknown"
+	}
+	return string(z)
+}
+
 func (c *cli) progressWriter() io.Writer {
 	if c.output == outputJSON {
 		return c.stderr
--- a/cmd/pumicestage/cli_test.go
+++ b/cmd/pumicestage/cli_test.go
@@ -101,7 +101,7 @@
 	first := b.run("", "apply", exampleDir, "--change", "c-1")
 	assert.Equal(t, first.status, exitDone, first.errors)
 	assert.Assert(t, strings.Contains(first.out, "+ service tabulation (pools tabulation, class urgent"), first.out)
-	assert.Assert(t, strings.HasSuffix(first.out, "generation 1 in force:  1/1\ngeneration 1 (change c-1) is accepted\n"), first.out)
+	assert.Assert(t, strings.HasSuffix(first.out, "generation 1 in force: unknown 1/1\ngeneration 1 (change c-1) is accepted\n"), first.out)
 	again := b.run("", "apply", exampleDir, "--change", "c-1")
 	assert.Assert(t, strings.HasSuffix(again.out, "generation 1 (change c-1) was accepted earlier and is in force\n"), again.out)
 	same := b.run("", "apply", exampleDir)
--- a/cmd/pumicestage/query.go
+++ b/cmd/pumicestage/query.go
@@ -40,11 +40,13 @@
 	}
 	text := strings.Join(f.words, " ")
 	for n := 1; ; n++ {
-		if err := c.ask(ctx, text, d); err != nil {
+		err := c.ask(ctx, text, d)
+		if err != nil && n == 1 || !f.watch || n == f.times {
 			return err
 		}
-		if !f.watch || n == f.times {
-			return nil
+		if err != nil {
+			// The entry VM may be replaced while one looks on.
+			fmt.Fprintln(c.stderr, "pumicestage: no answer:", err)
 		}
 		fmt.Fprintln(c.stdout)
 		time.Sleep(f.every)
--- a/internal/query/query_test.go
+++ b/internal/query/query_test.go
@@ -39,7 +39,7 @@
 }
 
 func (s *sources) Foresee(context.Context, *view.Snapshot, Hypothesis) (Forecast, error) {
-	return Forecast{Allowed: true, Budgets: []BudgetShift{{
+	return Forecast{Allowed: true, Steps: []Step{{VM: "v1", Done: true}, {VM: "v2"}}, Budgets: []BudgetShift{{
 		Before: Headroom{Service: "web", Available: 2, Need: 1}, After: Headroom{Service: "web", Need: 1},
 	}}}, s.down
 }
@@ -222,9 +222,11 @@
 }
 
 func TestWhatIfSaysWhetherBudgetsHold(t *testing.T) {
-	e, _, _ := newEngine(t)
+	e, src, _ := newEngine(t)
+	src.jobs = []JobStatus{{Job: model.Job{ID: "j1"}, VM: "v1"}, {Job: model.Job{ID: "j2"}, VM: "v2"}, {Job: model.Job{ID: "j3"}}}
 	answer, err := ask(t, e, "what-if drain rack r1")
 	assert.NilError(t, err)
+	assert.Equal(t, answer.Forecast.Jobs, 1)
 	assert.Assert(t, answer.Forecast.Allowed && !answer.Forecast.Holds)
 	assert.Equal(t, answer.Forecast.What, "drain rack r1")
 	_, err = ask(t, e, "what-if declaration")
--- a/internal/query/whatif.go
+++ b/internal/query/whatif.go
@@ -22,12 +22,31 @@
 	}
 	f.What = what
 	f.Holds = holdsAfter(f.Budgets)
+	if f.Jobs, err = e.jobsOn(ctx, f.Steps); err != nil {
+		f.Notes = append(f.Notes, err.Error())
+	}
 	if h.Declaration != nil {
 		f.Notes = append(f.Notes, declarationNotes(s, d)...)
 	}
 	return &f, nil
 }
 
+// jobsOn counts the jobs on the VMs that the steps take out.
+func (e *Engine) jobsOn(ctx context.Context, steps []Step) (int, error) {
+	out := make(map[model.VMID]bool, len(steps))
+	for _, s := range steps {
+		out[s.VM] = s.Done
+	}
+	jobs, err := e.jobs(ctx)
+	n := 0
+	for _, j := range jobs {
+		if out[j.VM] {
+			n++
+		}
+	}
+	return n, err
+}
+
 func hypothesis(s *view.Snapshot, q lang.WhatIf, d *model.Declaration) (Hypothesis, string, error) {
 	switch {
 	case q.Declaration && d == nil:
