--- a/internal/config/stored.go
+++ b/internal/config/stored.go
@@ -12,9 +12,10 @@
 )
 
 // recentLimit is how many earlier changes the stored declaration remembers.
-// At 5,000 changes a day, 128 are the last half hour: longer than any client
-// goes on repeating a change whose reply was lost.
-const recentLimit = 128
+// At 5,000 changes a day, 64 are the last quarter of an hour: longer than any
+// client goes on repeating a change whose reply was lost. More would make up
+// most of a small declaration, which every change sends to every entry VM.
+const recentLimit = 64
 
 // Applied is the record of one accepted change.
 type Applied struct {
