shared: the reason of a task ended by its worker's memory guard has a name

Jobs that ran out of memory need more of it, not another worker, so the executor must tell this failure from others without matching loose text.

--- a/internal/platform/machines.go
+++ b/internal/platform/machines.go
@@ -36,6 +36,10 @@
 	TaskLost         TaskState = "lost"
 )
 
+// ReasonMemoryGuard is the Reason of a failed task that its worker ended
+// because it used more memory than was set aside for it.
+const ReasonMemoryGuard = "memory guard"
+
 // Task is one run of a job on a worker, as the platform knows it.
 type Task struct {
 	Attempt model.AttemptID
--- a/internal/platform/standin/tasks.go
+++ b/internal/platform/standin/tasks.go
@@ -96,7 +96,7 @@
 	case v.allFail:
 		t.end(platform.TaskFailed, "the worker failed it")
 	case t.Size.MemoryMB > 0 && used.MemoryMB > t.Size.MemoryMB:
-		t.end(platform.TaskFailed, "memory guard")
+		t.end(platform.TaskFailed, platform.ReasonMemoryGuard)
 	}
 }
 
