--- /dev/null
+++ b/internal/jobs/forget.go
@@ -0,0 +1,53 @@
+package jobs
+
+import (
+	"context"
+	"time"
+
+	"github.com/pumicestage/pumicestage/internal/platform"
+)
+
+const (
+	// keepEnded is how long an ended job can be asked about. It is many times
+	// what the service may hold a call back, so a late copy of the write that
+	// created a group can't bring it back to life.
+	keepEnded = time.Hour
+	// forgetMost bounds the groups dropped by one pass.
+	forgetMost = 16
+)
+
+// forget deletes groups whose jobs have all ended long ago.
+func (p *pass) forget(ctx context.Context) error {
+	txn := platform.Txn{}
+	for key, g := range p.mirror.all() {
+		if len(txn.If) == forgetMost {
+			break
+		}
+		if g.overBy(p.now.Add(-keepEnded)) {
+			txn.If = append(txn.If, platform.Cond{Key: key, ModRevision: g.rev})
+			txn.Then = append(txn.Then, platform.Delete(key))
+		}
+	}
+	if len(txn.If) == 0 {
+		return nil
+	}
+	_, err := p.commit(ctx, txn)
+	if platform.IsKind(err, platform.KindConflict) {
+		return nil // another entry VM was faster
+	}
+	if err == nil {
+		for _, c := range txn.If {
+			p.mirror.drop(c.Key)
+		}
+	}
+	return fault("forget jobs", "", err)
+}
+
+func (g *group) overBy(t time.Time) bool {
+	for i := range g.Jobs {
+		if !g.Jobs[i].State.Ended() || g.Jobs[i].Since.After(t) {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/jobs/jobs_test.go
@@ -0,0 +1,64 @@
+package jobs
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/pumicestage/pumicestage/internal/platform/standin"
+	"github.com/pumicestage/pumicestage/policy/model"
+)
+
+func TestJobRunsToItsEnd(t *testing.T) {
+	w := newWorld(t, 4, 2)
+	id := w.submit(small())[0]
+	w.behave(id, standin.Behaviour{RunTime: 30 * time.Second})
+	assert.Equal(t, w.state(id), Waiting)
+	w.run(time.Second)
+	assert.Equal(t, w.state(id), Running)
+	w.run(40 * time.Second)
+	assert.Equal(t, w.state(id), Succeeded)
+	assert.Equal(t, w.platform.Machines.Tally().Starts[id], 1)
+	w.run(2 * time.Second)
+	w.clock.Advance(keepEnded)
+	w.step()
+	kvs, _, err := w.engine.Range(w.ctx(), groupPrefix)
+	assert.NilError(t, err)
+	assert.Equal(t, len(kvs), 0, "ended jobs are forgotten")
+}
+
+func TestImpossibleJobIsToldAtOnce(t *testing.T) {
+	w := newWorld(t, 4, 1)
+	for _, tc := range []struct {
+		name   string
+		change func(*model.Job)
+		reason string
+	}{
+		{"memory", func(j *model.Job) { j.Declared.MemoryMB = 99999 }, "memory: needs 99999 MB of memory, the nearest worker v0000 has 16384 MB of memory"},
+		{"zone", func(j *model.Job) { j.Zone = "z9" }, `zone: no worker of pool "" is in zone z9`},
+		{"pool", func(j *model.Job) { j.Pool = "none" }, "pool: no worker is in pool none"},
+		{"accelerators", func(j *model.Job) { j.Declared.Accelerators = 1 }, "accelerators: needs 1 accelerators, the nearest worker v0000 has 0 accelerators"},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			job := small()
+			tc.change(&job)
+			id := w.submit(job)[0]
+			w.step()
+			assert.Equal(t, w.state(id), Unplaceable)
+			assert.Equal(t, w.get(id).Reason, tc.reason)
+		})
+	}
+}
+
+func TestBurstCostsFewWrites(t *testing.T) {
+	w := newWorld(t, 200, 1)
+	before := w.nodes[0].Counts().Writes
+	ids := w.submit(many(1000, small())...)
+	w.step()
+	for _, id := range ids {
+		assert.Equal(t, w.state(id), Running)
+	}
+	writes := w.nodes[0].Counts().Writes - before
+	assert.Assert(t, writes <= 32, "%d writes for 1000 placements", writes)
+}
--- /dev/null
+++ b/internal/jobs/jobsapi/jobsapi.go
@@ -0,0 +1,148 @@
+// Package jobsapi is the HTTP interface to jobs on the operator port:
+//
+//	POST   /v1/jobs              submit one or many
+//	GET    /v1/jobs              list, filtered by query parameters
+//	DELETE /v1/jobs              cancel those that the query parameters select
+//	GET    /v1/jobs/{id}         one job with what happened to it
+//	DELETE /v1/jobs/{id}         cancel one
+//	PUT    /v1/jobs/{id}/outcome decide a job whose outcome is unknown
+//
+// Errors are RFC 9457 problem documents.
+package jobsapi
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/gorilla/mux"
+
+	"github.com/pumicestage/pumicestage/internal/access"
+	"github.com/pumicestage/pumicestage/internal/audit"
+	"github.com/pumicestage/pumicestage/internal/jobs"
+	"github.com/pumicestage/pumicestage/internal/operator/api"
+	"github.com/pumicestage/pumicestage/policy/model"
+)
+
+// Prefix is the path under which the handler answers.
+const Prefix = "/v1/jobs"
+
+const (
+	// maxBody bounds a submit: 5,000 jobs of a kilobyte.
+	maxBody = 5 << 20
+	// timeout ends a request whose writes the store does not take.
+	timeout = 30 * time.Second
+)
+
+// Options are what the handler works with; all are required but Log.
+type Options struct {
+	Jobs   *jobs.Jobs
+	Access access.Gate
+	Trail  *audit.Trail
+	Log    logr.Logger
+}
+
+type handler struct {
+	Options
+}
+
+// New returns the handler.
+func New(o Options) http.Handler {
+	h := &handler{o}
+	r := mux.NewRouter()
+	h.handle(r, http.MethodPost, Prefix, access.RoleOperate, h.submit)
+	h.handle(r, http.MethodGet, Prefix, access.RoleView, h.list)
+	h.handle(r, http.MethodDelete, Prefix, access.RoleOperate, h.cancelMany)
+	h.handle(r, http.MethodGet, Prefix+"/{id}", access.RoleView, h.get)
+	h.handle(r, http.MethodDelete, Prefix+"/{id}", access.RoleOperate, h.cancelOne)
+	h.handle(r, http.MethodPut, Prefix+"/{id}/outcome", access.RoleOperate, h.decide)
+	return r
+}
+
+type operation func(ctx context.Context, r *http.Request, who access.Identity) (any, error)
+
+func (h *handler) handle(r *mux.Router, method, path string, need access.Role, op operation) {
+	r.Methods(method).Path(path).HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		// A client that goes away does not stop half an order.
+		ctx, cancel := context.WithTimeout(context.WithoutCancel(req.Context()), timeout)
+		defer cancel()
+		who, err := h.Access.Admit(req, need)
+		if err == nil {
+			req.Body = http.MaxBytesReader(w, req.Body, maxBody)
+			var reply any
+			if reply, err = op(ctx, req, who); err == nil {
+				writeJSON(w, http.StatusOK, "application/json", reply)
+				return
+			}
+		}
+		p := problemOf(err)
+		h.Log.V(1).Info("request on jobs failed", "who", who.Name, "status", p.Status, "error", err.Error())
+		writeJSON(w, p.Status, "application/problem+json", p)
+	})
+}
+
+func writeJSON(w http.ResponseWriter, status int, contentType string, body any) {
+	w.Header().Set("Content-Type", contentType)
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(body) // the client may be gone
+}
+
+// note enters an order in the audit trail, in the background: a submit must
+// not wait for a second write while urgent work has 2.2 s to start.
+func (h *handler) note(r *http.Request, who access.Identity, change model.ChangeID, what, detail string, err error) {
+	e := audit.Entry{Who: who.Name, From: remote(r), Change: change, What: what, Detail: detail, Result: audit.Done}
+	var refusal *jobs.Refusal
+	switch {
+	case errors.As(err, &refusal):
+		e.Result, e.Detail = audit.Refused, refusal.Error()
+	case err != nil:
+		e.Result, e.Detail = audit.Unknown, err.Error()
+	}
+	h.Trail.Note(e)
+}
+
+func remote(r *http.Request) string {
+	host, _, err := net.SplitHostPort(r.RemoteAddr)
+	if err != nil {
+		return r.RemoteAddr
+	}
+	return host
+}
+
+func count(n int) string { return strconv.Itoa(n) }
+
+// problemOf turns an error into a problem document.
+func problemOf(err error) api.Problem {
+	p := api.Problem{Status: http.StatusServiceUnavailable, Code: api.CodeUnavailable, Detail: err.Error()}
+	var denied *access.Error
+	var refusal *jobs.Refusal
+	var failed *jobs.Error
+	switch {
+	case errors.As(err, &denied):
+		p.Status, p.Code = http.StatusUnauthorized, api.CodeUnauthorized
+		if denied.Known {
+			p.Status, p.Code = http.StatusForbidden, api.CodeForbidden
+		}
+	case errors.As(err, &refusal):
+		p.Status, p.Code = statusOf(refusal.Code)
+	case errors.As(err, &failed) && failed.Uncertain:
+		p.Code = api.CodeUnknown
+	}
+	p.Title = http.StatusText(p.Status)
+	return p
+}
+
+func statusOf(c jobs.Code) (int, api.Code) {
+	switch c {
+	case jobs.CodeNotFound:
+		return http.StatusNotFound, api.CodeNotFound
+	case jobs.CodeInvalid:
+		return http.StatusBadRequest, api.CodeInvalid
+	}
+	return http.StatusConflict, api.CodeConflict
+}
--- /dev/null
+++ b/internal/jobs/jobsport/jobsport.go
@@ -0,0 +1,154 @@
+// Package jobsport fits the executor of jobs to the orders and questions of
+// operators.
+package jobsport
+
+import (
+	"context"
+	"errors"
+
+	"github.com/pumicestage/pumicestage/internal/command"
+	"github.com/pumicestage/pumicestage/internal/jobs"
+	"github.com/pumicestage/pumicestage/internal/lang"
+	"github.com/pumicestage/pumicestage/internal/query"
+	"github.com/pumicestage/pumicestage/policy/model"
+)
+
+// Orders is a command.Jobs.
+type Orders struct {
+	Executor *jobs.Jobs
+}
+
+var _ command.Jobs = Orders{}
+
+// Cancel implements command.Jobs. A job's revision is that of its group, which
+// changes with its neighbours, so if-revision can't be met and is refused.
+func (o Orders) Cancel(ctx context.Context, job model.JobID, t command.Terms) (command.Effect, error) {
+	if t.IfRevision != 0 {
+		return command.Effect{}, &command.Refusal{Code: command.CodeRevision, Detail: "jobs have no revision of their own"}
+	}
+	out, err := o.Executor.Cancel(ctx, t.Change, t.Reason, []model.JobID{job})
+	if err != nil {
+		return command.Effect{}, Error(t.Change, err)
+	}
+	c := out[0]
+	if c.Refused != nil {
+		return command.Effect{}, Error(t.Change, c.Refused)
+	}
+	after := string(c.After)
+	if c.Stopping {
+		after += " once its task has stopped"
+	}
+	return command.Effect{Before: string(c.Before), After: after}, nil
+}
+
+// Select implements command.Jobs. Ended jobs are left out: there is nothing to
+// cancel about them.
+func (o Orders) Select(ctx context.Context, where []lang.Condition) ([]model.JobID, error) {
+	records, err := o.Executor.List(ctx)
+	if err != nil {
+		return nil, Error("", err)
+	}
+	var ids []model.JobID
+	for i := range records {
+		if !records[i].State.Ended() && Matches(&records[i], where) {
+			ids = append(ids, records[i].ID)
+		}
+	}
+	return ids, nil
+}
+
+// Matches reports whether the job fulfils all conditions.
+func Matches(r *jobs.Record, where []lang.Condition) bool {
+	for _, c := range where {
+		if !holds(column(r, c.Field), c) {
+			return false
+		}
+	}
+	return true
+}
+
+// holds compares as text: what "show jobs" has are names and words.
+func holds(cell string, c lang.Condition) bool {
+	switch c.Comparison {
+	case lang.Equal:
+		return cell == c.Value
+	case lang.NotEqual:
+		return cell != c.Value
+	case lang.Less:
+		return cell < c.Value
+	case lang.LessOrEqual:
+		return cell <= c.Value
+	case lang.Greater:
+		return cell > c.Value
+	}
+	return cell >= c.Value
+}
+
+// column returns the cell that "show jobs" has under the name.
+func column(r *jobs.Record, name string) string {
+	switch name {
+	case "job":
+		return string(r.ID)
+	case "team":
+		return string(r.Team)
+	case "kind":
+		return r.Kind
+	case "class":
+		return r.Class.String()
+	case "state":
+		return string(r.State)
+	case "vm":
+		return string(r.VM)
+	case "pool":
+		return string(r.Pool)
+	case "zone":
+		return string(r.Zone)
+	case "reason":
+		return r.Reason
+	}
+	return ""
+}
+
+// Questions is a query.Jobs.
+type Questions struct {
+	Executor *jobs.Jobs
+}
+
+var _ query.Jobs = Questions{}
+
+// Jobs implements query.Jobs.
+func (q Questions) Jobs(ctx context.Context) ([]query.JobStatus, error) {
+	records, err := q.Executor.List(ctx)
+	if err != nil {
+		return nil, err
+	}
+	out := make([]query.JobStatus, len(records))
+	for i := range records {
+		out[i] = status(&records[i])
+	}
+	return out, nil
+}
+
+func status(r *jobs.Record) query.JobStatus {
+	s := query.JobStatus{Job: r.Job, State: string(r.State), Since: r.Since, Reason: r.Reason}
+	if r.State != jobs.Waiting && r.State != jobs.Unplaceable {
+		s.VM = r.VM
+	}
+	for _, h := range r.Chain {
+		s.Chain = append(s.Chain, query.Reason{At: h.At, Text: h.Text})
+	}
+	return s
+}
+
+// Error turns an error of package jobs into one of package command.
+func Error(change model.ChangeID, err error) error {
+	var refusal *jobs.Refusal
+	if errors.As(err, &refusal) {
+		return &command.Refusal{Code: command.Code(refusal.Code), Revision: refusal.Revision, Detail: refusal.Detail}
+	}
+	var failed *jobs.Error
+	if errors.As(err, &failed) && !failed.Uncertain {
+		return &command.Refusal{Code: command.CodeUnavailable, Detail: failed.Error()}
+	}
+	return &command.UncertainError{Change: change, Err: err}
+}
--- /dev/null
+++ b/internal/jobs/keys.go
@@ -0,0 +1,44 @@
+package jobs
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+
+	"github.com/pumicestage/pumicestage/internal/platform"
+	"github.com/pumicestage/pumicestage/policy/model"
+)
+
+const (
+	groupPrefix = platform.JobPrefix + "g/"
+	learnedKey  = platform.JobPrefix + "learned"
+	leaseKey    = platform.ShardPrefix + "jobs"
+
+	// groupSize is how many jobs share a key. A record is bounded at about
+	// 6 KB and usually has 700 bytes, so a group stays under 400 KB, and one
+	// write places up to 64 jobs.
+	groupSize = 64
+)
+
+// jobID names a job so that its key follows from it: no index is needed, and
+// nothing is searched to cancel one of twenty thousand.
+func jobID(change model.ChangeID, n int) model.JobID {
+	return model.JobID(fmt.Sprintf("%s.%d", change, n))
+}
+
+// keyOf returns the key of the job's group and its place there.
+func keyOf(id model.JobID) (key string, at int, ok bool) {
+	dot := strings.LastIndexByte(string(id), '.')
+	if dot <= 0 {
+		return "", 0, false
+	}
+	n, err := strconv.Atoi(string(id)[dot+1:])
+	if err != nil || n < 0 {
+		return "", 0, false
+	}
+	return groupKey(model.ChangeID(id[:dot]), n/groupSize), n % groupSize, true
+}
+
+func groupKey(change model.ChangeID, n int) string {
+	return fmt.Sprintf("%s%s/%05d", groupPrefix, change, n)
+}
--- /dev/null
+++ b/internal/jobs/learned.go
@@ -0,0 +1,212 @@
+package jobs
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/pumicestage/pumicestage/internal/platform"
+	"github.com/pumicestage/pumicestage/policy/blame"
+	"github.com/pumicestage/pumicestage/policy/model"
+	"github.com/pumicestage/pumicestage/policy/sizing"
+)
+
+const (
+	// survives is how long a task must have run to clear its worker of failing
+	// everything it starts.
+	survives = 10 * time.Second
+	// saveEvery bounds what an entry VM that takes over has to learn anew, at
+	// two writes a minute.
+	saveEvery = 30 * time.Second
+	// maxQuarantine is the share of workers that may be in quarantine: twice
+	// the two in a hundred that are known to fail everything, and a fleet that
+	// lost more than that has another cause than its workers.
+	maxQuarantine = 0.05
+)
+
+// learned is what was learned of kinds of jobs and of workers, kept in one key
+// of the store for whoever takes the work over.
+type learned struct {
+	Sizes *sizing.Book
+	Blame *blame.Book
+
+	loaded   bool
+	dirty    bool
+	saved    time.Time
+	rev      platform.Revision
+	judged   map[model.AttemptID]blame.Outcome // what was recorded of an attempt
+	reported map[model.AttemptID]time.Time     // the newest usage report taken in
+}
+
+func newLearned() *learned {
+	return &learned{
+		Sizes: sizing.NewBook(), Blame: blame.NewBook(),
+		judged: make(map[model.AttemptID]blame.Outcome), reported: make(map[model.AttemptID]time.Time),
+	}
+}
+
+func (l *learned) closed(vm model.VMID, now time.Time) (string, bool) {
+	return l.Blame.Standing(vm, now)
+}
+
+func (l *learned) hopeless(failedOn []model.VMID) bool { return l.Blame.Hopeless(failedOn) }
+
+// loadLearned reads once what an earlier holder learned.
+func (j *Jobs) loadLearned(ctx context.Context) error {
+	l := j.learned
+	if l.loaded {
+		return nil
+	}
+	kv, _, err := j.store.Get(ctx, learnedKey)
+	if err != nil {
+		return fault("read what was learned", "", err)
+	}
+	l.loaded, l.saved, l.rev = true, j.clock.Now(), kv.ModRevision
+	if kv.ModRevision == 0 {
+		return nil
+	}
+	if err := json.Unmarshal(kv.Value, l); err != nil {
+		j.log.Error(err, "what was learned can't be read and is learned anew")
+		l.Sizes, l.Blame = sizing.NewBook(), blame.NewBook()
+	}
+	return nil
+}
+
+// saveLearned writes it now and then. A lost write costs learning, nothing else.
+func (p *pass) saveLearned(ctx context.Context) error {
+	l := p.learned
+	if !l.dirty || p.now.Sub(l.saved) < saveEvery {
+		return nil
+	}
+	value, err := json.Marshal(l)
+	if err != nil || len(value) > platform.MaxValueBytes {
+		return fault("encode what was learned", "", platform.Errorf("encode", platform.KindTooLarge, "%d bytes: %v", len(value), err))
+	}
+	l.saved = p.now
+	res, err := p.store.Txn(ctx, platform.Txn{
+		If:   []platform.Cond{{Key: learnedKey, ModRevision: l.rev}},
+		Then: []platform.Op{platform.Put(learnedKey, value)},
+		Else: []platform.Op{platform.Read(learnedKey)},
+	})
+	if err != nil {
+		return fault("save what was learned", "", err)
+	}
+	l.rev = res.Revision
+	if !res.Succeeded { // another holder's; ours is written over it next time
+		l.rev = res.Reads[0].ModRevision
+		return nil
+	}
+	l.dirty = false
+	return nil
+}
+
+// learn takes in how tasks went and what they use.
+func (p *pass) learn(ctx context.Context) error {
+	p.learnOutcomes()
+	for _, vm := range p.learned.Blame.Judge(p.now, int(maxQuarantine*float64(len(p.view.Load().VMs)))) {
+		p.log.Info("worker quarantined, it fails what runs elsewhere", "vm", vm)
+	}
+	if err := p.learnUsage(ctx); err != nil {
+		return err
+	}
+	p.tidyLearned()
+	return p.saveLearned(ctx)
+}
+
+func (p *pass) learnOutcomes() {
+	l := p.learned
+	for _, r := range p.records {
+		t, ok := p.tasks[r.Attempt]
+		if !ok || r.Attempt == "" {
+			continue
+		}
+		before, seen := l.judged[r.Attempt]
+		outcome, ok := outcomeOf(r, t, p.now, seen && before == blame.Survived)
+		if !ok || seen && (before != blame.Survived || outcome == blame.Survived) {
+			continue
+		}
+		l.judged[r.Attempt] = outcome
+		l.Blame.Record(blame.Event{VM: t.VM, Kind: r.Kind, Outcome: outcome, At: p.now})
+		l.dirty = true
+	}
+}
+
+// outcomeOf says what a task shows of its worker. Running out of memory shows
+// nothing: the job had too little, and would have anywhere.
+func outcomeOf(r *Record, t platform.Task, now time.Time, survived bool) (blame.Outcome, bool) {
+	switch {
+	case t.State == platform.TaskSucceeded:
+		return blame.Succeeded, true
+	case t.State == platform.TaskRunning && r.State == Running && now.Sub(r.Since) >= survives:
+		return blame.Survived, true
+	case t.State != platform.TaskFailed || t.Reason == platform.ReasonMemoryGuard:
+		return 0, false
+	case survived:
+		return blame.FailedLate, true
+	}
+	return blame.FailedEarly, true
+}
+
+// learnUsage takes in the newest reports and acts on tasks over their memory.
+func (p *pass) learnUsage(ctx context.Context) error {
+	reports, err := p.machines.Usage(ctx)
+	if err != nil {
+		return fault("read usage", "", err)
+	}
+	inUse := make(map[model.VMID]model.Resources)
+	for _, u := range reports {
+		inUse[u.VM] = inUse[u.VM].Add(u.Used)
+	}
+	for _, u := range reports {
+		t, ok := p.tasks[u.Attempt]
+		r, known := p.mirror.find(t.Job)
+		if !ok || !known || !u.At.After(p.learned.reported[u.Attempt]) {
+			continue
+		}
+		p.learned.reported[u.Attempt] = u.At
+		p.learned.Sizes.Report(r.Kind, r.ID, u.Used)
+		p.learned.dirty = true
+		if err := p.restrain(ctx, r, u, inUse[u.VM]); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// restrain acts on a task over its memory by its class.
+func (p *pass) restrain(ctx context.Context, r *Record, u platform.Usage, inUse model.Resources) error {
+	short := inUse.MemoryMB > p.view.Load().VMs[u.VM].Capacity.MemoryMB
+	switch sizing.Overrun(&r.Job, r.Size, u.Used, short) {
+	case sizing.Throttle:
+		return fault("throttle task", "", p.machines.ThrottleTask(ctx, u.Attempt, max(r.Size.MilliCPU/throttleTo, 1)))
+	case sizing.Checkpoint:
+		return fault("stop task", "", p.machines.StopTask(ctx, u.Attempt, true))
+	case sizing.Stop:
+		return fault("stop task", "", p.machines.StopTask(ctx, u.Attempt, false))
+	}
+	return nil
+}
+
+// throttleTo is the part of its processors a throttled task keeps: a quarter
+// slows the growth of its memory and still lets it come to an end.
+const throttleTo = 4
+
+func (p *pass) sizeOf(r *Record) model.Resources { return p.learned.Sizes.Size(&r.Job, r.Grow) }
+
+// tidyLearned forgets attempts that the platform has forgotten and workers
+// that are no more.
+func (p *pass) tidyLearned() {
+	for a := range p.learned.judged {
+		if _, ok := p.tasks[a]; !ok {
+			delete(p.learned.judged, a)
+			delete(p.learned.reported, a)
+		}
+	}
+	for a := range p.learned.reported {
+		if _, ok := p.tasks[a]; !ok {
+			delete(p.learned.reported, a)
+		}
+	}
+	snap := p.view.Load()
+	p.learned.Blame.Forget(func(vm model.VMID) bool { _, ok := snap.VMs[vm]; return ok })
+}
--- /dev/null
+++ b/internal/jobs/lease.go
@@ -0,0 +1,85 @@
+package jobs
+
+import (
+	"context"
+	"time"
+
+	"github.com/pumicestage/pumicestage/internal/platform"
+)
+
+const (
+	// leaseTTL is how long jobs lie idle after the entry VM that places them
+	// died. Urgent work has 2.2 s to start, but a lease as short as that would
+	// lapse at each pause of a small VM.
+	leaseTTL   = 6 * time.Second
+	leaseRenew = leaseTTL / 3
+	// leaseAsk is how often an entry VM that does not hold the lease asks.
+	leaseAsk = 2 * time.Second
+)
+
+// lease is this entry VM's claim on the work of placing.
+type lease struct {
+	id      platform.LeaseID
+	held    bool
+	renewed time.Time
+	asked   time.Time
+}
+
+// claim reports whether this entry VM is to do the passes.
+func (j *Jobs) claim(ctx context.Context) (bool, error) {
+	now := j.clock.Now()
+	if j.lease.held {
+		return j.keep(ctx, now)
+	}
+	if !j.lease.asked.IsZero() && now.Sub(j.lease.asked) < leaseAsk {
+		return false, nil
+	}
+	j.lease.asked = now
+	kv, _, err := j.store.Get(ctx, leaseKey)
+	if err != nil || kv.ModRevision != 0 {
+		return false, fault("read lease", "", err)
+	}
+	id, err := j.store.Grant(ctx, leaseTTL)
+	if err != nil {
+		return false, fault("grant lease", "", err)
+	}
+	value := []byte(j.owner)
+	res, err := j.store.Txn(ctx, platform.Txn{
+		If:   []platform.Cond{{Key: leaseKey}},
+		Then: []platform.Op{platform.PutLeased(leaseKey, value, id)},
+	})
+	if err != nil {
+		return false, fault("claim lease", "", err)
+	}
+	if !res.Succeeded {
+		return false, fault("revoke lease", "", j.store.Revoke(ctx, id))
+	}
+	j.lease = lease{id: id, held: true, renewed: now}
+	return true, nil
+}
+
+func (j *Jobs) keep(ctx context.Context, now time.Time) (bool, error) {
+	if now.Sub(j.lease.renewed) < leaseRenew {
+		return true, nil
+	}
+	err := j.store.KeepAlive(ctx, j.lease.id)
+	if platform.IsKind(err, platform.KindLeaseNotFound) {
+		j.lease = lease{}
+		return false, nil
+	}
+	if err == nil {
+		j.lease.renewed = now
+	}
+	return true, fault("renew lease", "", err)
+}
+
+// release hands the work over at once rather than when the lease lapses.
+func (j *Jobs) release(ctx context.Context) {
+	if !j.lease.held {
+		return
+	}
+	if err := j.store.Revoke(ctx, j.lease.id); err != nil {
+		j.log.Error(err, "the lease of jobs lapses instead")
+	}
+	j.lease = lease{}
+}
--- /dev/null
+++ b/internal/jobs/mirror.go
@@ -0,0 +1,194 @@
+package jobs
+
+import (
+	"context"
+	"encoding/json"
+	"strings"
+	"sync"
+
+	"github.com/pumicestage/pumicestage/internal/platform"
+	"github.com/pumicestage/pumicestage/policy/model"
+)
+
+// stored is a group with the revision of its key, for CAS.
+type stored struct {
+	*group
+	rev platform.Revision
+}
+
+// mirror is what this entry VM knows of the jobs in the store. It may be
+// stale; every write is bound to the revision that it was made from. Groups in
+// it are never changed, only replaced.
+type mirror struct {
+	store platform.Store
+
+	mu     sync.Mutex
+	groups map[string]stored
+	rev    platform.Revision // up to which groups are known
+	// watching is set while a watch keeps groups up to date, so that refresh
+	// need not read them all.
+	watching bool
+}
+
+func newMirror(s platform.Store) *mirror {
+	return &mirror{store: s, groups: make(map[string]stored)}
+}
+
+// refresh brings the mirror up to date: from the watch where one runs, else by
+// reading everything. Only groups that changed are decoded.
+func (m *mirror) refresh(ctx context.Context) error {
+	if m.isWatching() {
+		return nil
+	}
+	kvs, rev, err := m.store.Range(ctx, groupPrefix)
+	if err != nil {
+		return fault("read jobs", "", err)
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if rev < m.rev {
+		return nil // an answer overtaken by a later write of ours
+	}
+	next := make(map[string]stored, len(kvs))
+	for _, kv := range kvs {
+		if old, ok := m.groups[kv.Key]; ok && old.rev >= kv.ModRevision {
+			next[kv.Key] = old
+			continue
+		}
+		g, err := decode(kv)
+		if err != nil {
+			return err
+		}
+		next[kv.Key] = g
+	}
+	for key, g := range m.groups {
+		if _, ok := next[key]; !ok && g.rev > rev {
+			next[key] = g // written by us after the answer was made
+		}
+	}
+	m.groups, m.rev = next, rev
+	return nil
+}
+
+// follow starts a watch from what refresh has read, so that passes need not
+// read twenty thousand jobs each, and calls news after each change. It ends
+// with ctx.
+func (m *mirror) follow(ctx context.Context, news func()) error {
+	if m.isWatching() {
+		return nil
+	}
+	m.mu.Lock()
+	from := m.rev + 1
+	m.mu.Unlock()
+	batches, err := m.store.Watch(ctx, groupPrefix, from)
+	if err != nil {
+		return fault("watch jobs", "", err)
+	}
+	m.setWatching(true)
+	go m.takeAll(batches, news)
+	return nil
+}
+
+func (m *mirror) takeAll(batches <-chan platform.WatchBatch, news func()) {
+	defer m.setWatching(false)
+	for batch := range batches {
+		if !m.take(batch) {
+			return
+		}
+		news()
+	}
+}
+
+func (m *mirror) isWatching() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.watching
+}
+
+func (m *mirror) setWatching(on bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.watching = on
+}
+
+// take applies one batch; a watch that failed or can't be read is dropped, and
+// the next refresh reads everything.
+func (m *mirror) take(batch platform.WatchBatch) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if batch.Err != nil {
+		return false
+	}
+	for _, e := range batch.Events {
+		if e.Kind == platform.EventDelete {
+			if m.groups[e.KV.Key].rev <= e.KV.ModRevision {
+				delete(m.groups, e.KV.Key)
+			}
+			continue
+		}
+		if m.groups[e.KV.Key].rev >= e.KV.ModRevision {
+			continue
+		}
+		g, err := decode(e.KV)
+		if err != nil {
+			return false
+		}
+		m.groups[e.KV.Key] = g
+	}
+	m.rev = max(m.rev, batch.Revision)
+	return true
+}
+
+// put notes a group as it was read or written by this entry VM.
+func (m *mirror) put(key string, g stored) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.groups[key].rev < g.rev {
+		m.groups[key] = g
+	}
+}
+
+func (m *mirror) drop(key string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	delete(m.groups, key)
+}
+
+func (m *mirror) get(key string) (stored, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	g, ok := m.groups[key]
+	return g, ok
+}
+
+// all returns every group by key. The groups are read-only.
+func (m *mirror) all() map[string]stored {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	out := make(map[string]stored, len(m.groups))
+	for k, g := range m.groups {
+		out[k] = g
+	}
+	return out
+}
+
+// find returns the job's record; false where the mirror has none.
+func (m *mirror) find(id model.JobID) (*Record, bool) {
+	key, at, ok := keyOf(id)
+	if !ok {
+		return nil, false
+	}
+	g, ok := m.get(key)
+	if !ok || at >= len(g.Jobs) {
+		return nil, false
+	}
+	return &g.Jobs[at], true
+}
+
+func decode(kv platform.KV) (stored, error) {
+	g := &group{}
+	if err := json.Unmarshal(kv.Value, g); err != nil {
+		return stored{}, fault("read "+strings.TrimPrefix(kv.Key, platform.Root), "", platform.Errorf("decode", platform.KindInvalid, "%w", err))
+	}
+	return stored{group: g, rev: kv.ModRevision}, nil
+}
--- /dev/null
+++ b/internal/jobs/observe.go
@@ -0,0 +1,207 @@
+package jobs
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"time"
+
+	"github.com/pumicestage/pumicestage/internal/platform"
+	"github.com/pumicestage/pumicestage/policy/model"
+	"github.com/pumicestage/pumicestage/policy/quota"
+)
+
+// startGrace is how long an intent may stand without its task showing up
+// before others act on it: many times what a start takes, so that the writer
+// is dead or paused.
+const startGrace = 30 * time.Second
+
+// observe compares each job with its task.
+func (p *pass) observe(ctx context.Context) error {
+	var changes []transition
+	for _, r := range p.records {
+		if !r.State.holds() && r.State != Unknown {
+			continue
+		}
+		task, listed := p.tasks[r.Attempt]
+		if apply := p.next(r, task, listed); apply != nil {
+			changes = append(changes, bound(r, apply))
+		}
+	}
+	_, err := p.write(ctx, changes)
+	return err
+}
+
+// bound lets a transition take effect only on the attempt and state it was
+// made for.
+func bound(seen *Record, apply func(r *Record)) transition {
+	attempt, state := seen.Attempt, seen.State
+	return transition{seen.ID, func(r *Record) bool {
+		if r.Attempt != attempt || r.State != state {
+			return false
+		}
+		apply(r)
+		return true
+	}}
+}
+
+// next returns the transition that the job's task calls for, or nil.
+func (p *pass) next(r *Record, task platform.Task, listed bool) func(r *Record) {
+	if !listed {
+		return p.missing(r)
+	}
+	switch task.State {
+	case platform.TaskRunning:
+		if r.State == Running {
+			return nil
+		}
+		return func(r *Record) { r.enter(Running, p.now, "") }
+	case platform.TaskSucceeded:
+		return func(r *Record) { r.enter(Succeeded, p.now, "") }
+	case platform.TaskFailed:
+		return p.failed(r, task.Reason)
+	case platform.TaskCheckpointed, platform.TaskStopped:
+		return p.stopped(r, task)
+	}
+	return p.lost(r, task.Reason)
+}
+
+// missing deals with a job whose task the platform does not know.
+func (p *pass) missing(r *Record) func(r *Record) {
+	if r.State == Unknown {
+		return nil
+	}
+	if r.State == Running {
+		return p.lost(r, "the platform knows no such task any more")
+	}
+	_, mine := p.sent[r.Attempt]
+	switch {
+	case r.Owner == p.owner && !mine:
+		// The reply to the intent was lost, so no start was ever sent.
+		return func(r *Record) { r.giveUp(p.now, "not started: the intent was not certain") }
+	case p.now.Sub(r.Since) < startGrace:
+		return nil
+	}
+	return p.lost(r, "its start was not answered")
+}
+
+// lost deals with an attempt of which it is not known whether it did its work.
+func (p *pass) lost(r *Record, why string) func(r *Record) {
+	if r.State == Unknown {
+		return nil
+	}
+	if !r.Repeatable {
+		return func(r *Record) {
+			r.enter(Unknown, p.now, "it may have run: "+why+"; not repeatable, so an operator decides")
+		}
+	}
+	return func(r *Record) { r.giveUp(p.now, why) }
+}
+
+// stopped deals with an attempt that was ended by order. Work that is not
+// repeatable has begun, so it is not begun again.
+func (p *pass) stopped(r *Record, task platform.Task) func(r *Record) {
+	if r.Repeatable || r.CancelBy != "" {
+		return func(r *Record) { r.giveUp(p.now, task.Reason) }
+	}
+	return func(r *Record) { r.enter(Failed, p.now, "it was stopped and is not repeatable") }
+}
+
+// maxGrow bounds how often a job gets twice the memory: 16 times what was
+// thought is not an estimate that was off, it is a leak.
+const maxGrow = 4
+
+// failed deals with an attempt that ended with a failure.
+func (p *pass) failed(r *Record, why string) func(r *Record) {
+	switch {
+	case r.CancelBy != "":
+		return func(r *Record) { r.giveUp(p.now, why) }
+	case !r.Repeatable:
+		return func(r *Record) { r.enter(Failed, p.now, why+"; not repeatable, so it is not tried again") }
+	case why == platform.ReasonMemoryGuard && r.Grow < maxGrow:
+		return func(r *Record) {
+			r.Grow++
+			r.giveUp(p.now, "it used more memory than it was given")
+		}
+	case p.learned.hopeless(append(slices.Clone(r.FailedOn), r.VM)):
+		return func(r *Record) {
+			r.addFailedOn(r.VM)
+			r.enter(Failed, p.now, "failed on several workers that other jobs run on: "+why)
+		}
+	}
+	return func(r *Record) {
+		r.addFailedOn(r.VM)
+		r.giveUp(p.now, why)
+	}
+}
+
+func (r *Record) addFailedOn(vm model.VMID) {
+	if !slices.Contains(r.FailedOn, vm) {
+		r.FailedOn = append(r.FailedOn, vm)
+	}
+	if len(r.FailedOn) > maxFailedOn {
+		r.FailedOn = r.FailedOn[1:]
+	}
+}
+
+// stopOrphans stops tasks of attempts that were given up but started after
+// all, and tasks of jobs that are to be cancelled.
+func (p *pass) stopOrphans(ctx context.Context) error {
+	var errs []error
+	for _, t := range p.tasks {
+		if t.State != platform.TaskRunning {
+			continue
+		}
+		r, ok := p.mirror.find(t.Job)
+		if !ok || r.Attempt == t.Attempt && r.CancelBy == "" && !r.State.Ended() {
+			continue
+		}
+		if !r.Repeatable && r.Attempt != t.Attempt {
+			p.log.Info("two attempts of a job that is not repeatable", "job", t.Job, "attempt", t.Attempt)
+		}
+		errs = append(errs, fault("stop task", "", p.machines.StopTask(ctx, t.Attempt, false)))
+	}
+	return errors.Join(errs...)
+}
+
+// leave moves work off VMs that are leaving: it is stopped at a checkpoint
+// where it can be, and waited for where it can't.
+func (p *pass) leave(ctx context.Context) error {
+	var errs []error
+	snap := p.view.Load()
+	for _, r := range p.records {
+		vm, ok := snap.VMs[r.VM]
+		if !ok || r.State != Running || vm.State != model.VMLeaving || !r.Checkpoints || !quota.TakesBack(&r.Job) {
+			continue
+		}
+		errs = append(errs, fault("stop task", "", p.machines.StopTask(ctx, r.Attempt, true)))
+	}
+	return errors.Join(errs...)
+}
+
+// renew extends the leases of running tasks.
+func (p *pass) renew(ctx context.Context) error {
+	for attempt := range p.renewed {
+		if _, ok := p.tasks[attempt]; !ok {
+			delete(p.renewed, attempt)
+		}
+	}
+	for attempt := range p.sent {
+		if t, ok := p.tasks[attempt]; ok && t.State != platform.TaskRunning {
+			delete(p.sent, attempt)
+		}
+	}
+	var errs []error
+	for _, r := range p.records {
+		if _, listed := p.tasks[r.Attempt]; !listed || r.State != Running || p.now.Sub(p.renewed[r.Attempt]) < renewTasks {
+			continue
+		}
+		err := p.machines.RenewTask(ctx, r.Attempt)
+		if err == nil || platform.IsKind(err, platform.KindLeaseNotFound) {
+			p.renewed[r.Attempt] = p.now
+			continue
+		}
+		errs = append(errs, fault("renew task", "", err))
+	}
+	return errors.Join(errs...)
+}
--- /dev/null
+++ b/internal/jobs/pass.go
@@ -0,0 +1,175 @@
+package jobs
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"slices"
+	"time"
+
+	"github.com/pumicestage/pumicestage/internal/platform"
+	"github.com/pumicestage/pumicestage/policy/model"
+	"github.com/pumicestage/pumicestage/policy/placement"
+)
+
+// pass is one look at everything. What it knows is fixed at its beginning.
+type pass struct {
+	*Jobs
+	now     time.Time
+	tasks   map[model.AttemptID]platform.Task
+	live    map[model.VMID]platform.Machine
+	records []*Record // of all jobs, by ID
+	again   bool      // another pass should follow at once
+}
+
+func (j *Jobs) pass(ctx context.Context) (again bool, err error) {
+	j.counts.passes.Add(1)
+	if j.view.Load().Declaration == nil {
+		return false, nil
+	}
+	// The store first, then the platform: a task that a record calls running
+	// was started before, so a list without it proves that it is gone.
+	if err := j.mirror.refresh(ctx); err != nil {
+		return false, err
+	}
+	if err := j.loadLearned(ctx); err != nil {
+		return false, err
+	}
+	p, err := j.newPass(ctx)
+	if err != nil {
+		return false, err
+	}
+	errs := []error{p.observe(ctx), p.stopOrphans(ctx), p.learn(ctx)}
+	p.collect()
+	errs = append(errs, p.leave(ctx), p.schedule(ctx), p.renew(ctx), p.forget(ctx))
+	return p.again, errors.Join(errs...)
+}
+
+func (j *Jobs) newPass(ctx context.Context) (*pass, error) {
+	p := &pass{Jobs: j, now: j.clock.Now(), tasks: make(map[model.AttemptID]platform.Task), live: make(map[model.VMID]platform.Machine)}
+	p.collect()
+	tasks, err := j.machines.Tasks(ctx)
+	if err != nil {
+		return nil, fault("list tasks", "", err)
+	}
+	for _, t := range tasks {
+		p.tasks[t.Attempt] = t
+	}
+	list, err := j.machines.List(ctx)
+	if err != nil {
+		return nil, fault("list machines", "", err)
+	}
+	for _, m := range list.Machines {
+		p.live[m.VM] = m
+	}
+	return p, nil
+}
+
+// collect takes the records as the mirror has them now.
+func (p *pass) collect() {
+	p.records = p.records[:0]
+	for _, g := range p.mirror.all() {
+		for i := range g.Jobs {
+			p.records = append(p.records, &g.Jobs[i])
+		}
+	}
+	slices.SortFunc(p.records, func(a, b *Record) int { return cmp.Compare(a.ID, b.ID) })
+}
+
+// workers returns the VMs of the view as placement sees them.
+func (p *pass) workers() []placement.Worker {
+	snap := p.view.Load()
+	used := make(map[model.VMID]model.Resources)
+	for _, r := range p.records {
+		if r.State.holds() {
+			used[r.VM] = used[r.VM].Add(r.Size)
+		}
+	}
+	workers := make([]placement.Worker, 0, len(snap.VMs))
+	for id, vm := range snap.VMs {
+		w := placement.Worker{ID: id, Zone: vm.Zone, Rack: vm.Rack, Pool: vm.Pool, Capacity: vm.Capacity, Used: used[id], Soon: p.soon(id)}
+		w.Closed, w.Probe = p.closed(&vm.VM)
+		workers = append(workers, w)
+	}
+	return workers
+}
+
+// closed says why a VM takes no new task. The platform's list lags, so a VM it
+// calls dead may be back and one it calls live may be gone; the first costs a
+// little capacity, the second a refused start.
+func (p *pass) closed(vm *model.VM) (why string, probe bool) {
+	m, listed := p.live[vm.ID]
+	switch {
+	case vm.State != model.VMInPool:
+		return "it is " + string(vm.State), false
+	case listed && !m.Live:
+		return "it is down", false
+	case m.Leaving:
+		return "the platform takes it away", false
+	}
+	return p.learned.closed(vm.ID, p.now)
+}
+
+// schedule plans and starts.
+func (p *pass) schedule(ctx context.Context) error {
+	plan := placement.Make(p.snapshot())
+	if err := p.displace(ctx, plan.Displacements); err != nil {
+		return err
+	}
+	started := p.start(ctx, plan.Placements)
+	return errors.Join(started, p.note(ctx, plan.Refused))
+}
+
+func (p *pass) snapshot() placement.Snapshot {
+	d := p.view.Load().Declaration
+	s := placement.Snapshot{Workers: p.workers(), Teams: d.Teams, Weights: placement.WeightsOf(d.Weights)}
+	for _, r := range p.records {
+		switch {
+		case r.State == Waiting || r.State == Unplaceable:
+			s.Waiting = append(s.Waiting, placement.Request{Job: &r.Job, Size: p.sizeOf(r), Last: r.VM, Avoid: r.FailedOn})
+		case r.State.holds():
+			leaving := r.CancelBy != "" || r.State == Starting
+			s.Running = append(s.Running, placement.Task{Job: &r.Job, VM: r.VM, Size: r.Size, Since: r.Since, Leaving: leaving})
+		}
+	}
+	return s
+}
+
+// note writes why jobs wait, where that has changed in kind. A sentence that
+// names another nearest worker is not worth a write: with 20,000 jobs waiting
+// it would be hundreds of writes in every pass.
+func (p *pass) note(ctx context.Context, refused []placement.Refusal) error {
+	var changes []transition
+	for _, f := range refused {
+		want := Waiting
+		if f.Never {
+			want = Unplaceable
+		}
+		reason := string(f.Binds) + ": " + f.Detail
+		if r, ok := p.mirror.find(f.Job); !ok || r.State == want && sameKind(r.Reason, reason) {
+			continue
+		}
+		changes = append(changes, transition{f.Job, func(r *Record) bool {
+			if r.State != Waiting && r.State != Unplaceable {
+				return false
+			}
+			r.enter(want, p.now, reason)
+			return true
+		}})
+	}
+	_, err := p.write(ctx, changes)
+	return err
+}
+
+// sameKind compares the constraints in front of two reasons.
+func sameKind(a, b string) bool {
+	kind := func(s string) string {
+		for i := range s {
+			if s[i] == ':' {
+				return s[:i]
+			}
+		}
+		return s
+	}
+	return kind(a) == kind(b)
+}
--- /dev/null
+++ b/internal/jobs/start.go
@@ -0,0 +1,132 @@
+package jobs
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/pumicestage/pumicestage/internal/platform"
+	"github.com/pumicestage/pumicestage/policy/model"
+	"github.com/pumicestage/pumicestage/policy/placement"
+)
+
+const (
+	// taskTTL is the lease of a task. It outlives the change of the entry VM
+	// that renews it (leaseTTL) and a short outage of the platform several
+	// times over, because a lapse leaves work that is not repeatable unknown.
+	taskTTL    = 5 * time.Minute
+	renewTasks = taskTTL / 5
+	// startBatch is how many intents are written before their starts are sent:
+	// an entry VM that dies in between leaves that many unknown at most.
+	startBatch = 256
+	// parallelStarts bounds the calls to the platform at once.
+	parallelStarts = 32
+	// startTries bounds how often a start whose reply was lost is sent again
+	// under its attempt ID.
+	startTries = 3
+)
+
+// start writes the intents of the placements and sends those that took effect.
+func (p *pass) start(ctx context.Context, placements []placement.Placement) error {
+	var errs []error
+	for len(placements) > 0 {
+		n := min(startBatch, len(placements))
+		intents, err := p.write(ctx, p.intents(placements[:n]))
+		errs = append(errs, err, p.send(ctx, intents))
+		placements = placements[n:]
+	}
+	return errors.Join(errs...)
+}
+
+func (p *pass) intents(placements []placement.Placement) []transition {
+	changes := make([]transition, len(placements))
+	for i, pl := range placements {
+		attempt := model.AttemptID(string(pl.Job) + "-" + p.newID())
+		changes[i] = transition{pl.Job, func(r *Record) bool {
+			if r.State != Waiting && r.State != Unplaceable || r.CancelBy != "" {
+				return false
+			}
+			r.VM, r.Attempt, r.Owner, r.Size = pl.VM, attempt, p.owner, pl.Size
+			r.enter(Starting, p.now, "")
+			return true
+		}}
+	}
+	return changes
+}
+
+// send asks the platform to start what the intents say. Only the writer of an
+// intent ever does: another that took over could be paused before the call and
+// make it after the attempt was given up, which would be a second run.
+func (p *pass) send(ctx context.Context, intents map[model.JobID]Record) error {
+	var mu sync.Mutex
+	var outcomes []transition
+	var calls errgroup.Group
+	calls.SetLimit(parallelStarts)
+	for _, r := range intents {
+		p.sent[r.Attempt] = true
+		calls.Go(func() error {
+			outcome, settled := p.sendOne(ctx, &r)
+			if settled {
+				mu.Lock()
+				defer mu.Unlock()
+				outcomes = append(outcomes, outcome)
+			}
+			return nil
+		})
+	}
+	_ = calls.Wait() // the calls return no errors
+	_, err := p.write(ctx, outcomes)
+	return err
+}
+
+// sendOne sends one start. A refusal counts as certain only if no copy was
+// lost on the way before it: a lost one may still arrive.
+func (p *pass) sendOne(ctx context.Context, r *Record) (outcome transition, settled bool) {
+	task := platform.Task{Attempt: r.Attempt, Job: r.ID, VM: r.VM, Size: r.Size, TTL: taskTTL}
+	lost := false
+	for range startTries {
+		p.counts.starts.Add(1)
+		err := p.machines.StartTask(ctx, task)
+		switch {
+		case err == nil:
+			return begun(r.ID, r.Attempt, p.clock.Now()), true
+		case !platform.IsKind(err, platform.KindUnknown) && !lost:
+			return refused(r.ID, r.Attempt, p.clock.Now(), err), true
+		}
+		lost = true
+	}
+	p.log.Info("start without an answer", "job", r.ID, "vm", r.VM)
+	return transition{}, false
+}
+
+func begun(id model.JobID, attempt model.AttemptID, at time.Time) transition {
+	return transition{id, func(r *Record) bool {
+		if r.Attempt != attempt || r.State != Starting {
+			return false
+		}
+		r.enter(Running, at, "")
+		return true
+	}}
+}
+
+func refused(id model.JobID, attempt model.AttemptID, at time.Time, err error) transition {
+	return transition{id, func(r *Record) bool {
+		if r.Attempt != attempt || r.State != Starting {
+			return false
+		}
+		r.giveUp(at, "not started: "+err.Error())
+		return true
+	}}
+}
+
+// giveUp ends an attempt that certainly doesn't run any more.
+func (r *Record) giveUp(at time.Time, why string) {
+	if r.CancelBy != "" {
+		r.enter(Cancelled, at, "by "+string(r.CancelBy))
+		return
+	}
+	r.enter(Waiting, at, why)
+}
--- /dev/null
+++ b/internal/jobs/submit.go
@@ -0,0 +1,223 @@
+package jobs
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/pumicestage/pumicestage/internal/platform"
+	"github.com/pumicestage/pumicestage/policy/model"
+)
+
+const (
+	maxName  = 128  // bytes of a job's team, kind, pool or zone
+	maxBatch = 5000 // jobs in one submit
+)
+
+// Submit stores the jobs and returns their IDs, in order. The change ID makes
+// it idempotent: a repeat returns the same IDs and adds nothing. Fields ID and
+// SubmittedAt are set here. Errors are *Refusal and *Error; after one that is
+// Uncertain, and after one of a large batch that isn't, a repeat under the
+// same change ID goes on where it stopped.
+func (j *Jobs) Submit(ctx context.Context, change model.ChangeID, all []model.Job) ([]model.JobID, error) {
+	if change == "" {
+		change = j.changeID()
+	}
+	if err := j.check(change, all); err != nil {
+		return nil, err
+	}
+	ids := make([]model.JobID, len(all))
+	for from := 0; from < len(all); from += groupSize {
+		part := all[from:min(from+groupSize, len(all))]
+		g := &group{Change: change}
+		for i, job := range part {
+			job.ID, job.SubmittedAt = jobID(change, from+i), j.clock.Now().UTC()
+			ids[from+i] = job.ID
+			r := Record{Job: job}
+			r.enter(Waiting, job.SubmittedAt, "")
+			g.Jobs = append(g.Jobs, r)
+		}
+		if err := j.submits.add(ctx, j, groupKey(change, from/groupSize), g); err != nil {
+			return nil, err
+		}
+	}
+	j.Wake()
+	return ids, nil
+}
+
+func (j *Jobs) check(change model.ChangeID, all []model.Job) error {
+	if !plain(string(change)) {
+		return &Refusal{Code: CodeInvalid, Field: "change", Detail: "want 1 to 64 of letters, digits, '-' and '_'"}
+	}
+	if len(all) == 0 || len(all) > maxBatch {
+		return &Refusal{Code: CodeInvalid, Field: "jobs", Detail: fmt.Sprintf("%d jobs, 1 to %d may be submitted at once", len(all), maxBatch)}
+	}
+	teams := make(map[model.TeamName]bool)
+	if d := j.view.Load().Declaration; d != nil {
+		for _, t := range d.Teams {
+			teams[t.Name] = true
+		}
+	}
+	for i := range all {
+		if field, detail := fieldFault(&all[i], teams); field != "" {
+			return &Refusal{Code: CodeInvalid, Field: fmt.Sprintf("jobs[%d].%s", i, field), Detail: detail}
+		}
+	}
+	return nil
+}
+
+func fieldFault(job *model.Job, teams map[model.TeamName]bool) (field, detail string) {
+	names := []struct{ field, value string }{
+		{"team", string(job.Team)}, {"kind", job.Kind}, {"pool", string(job.Pool)}, {"zone", string(job.Zone)},
+	}
+	for _, n := range names {
+		if len(n.value) > maxName {
+			return n.field, fmt.Sprintf("longer than %d bytes", maxName)
+		}
+	}
+	switch d := job.Declared; {
+	case job.Team == "":
+		return "team", "missing"
+	case len(teams) > 0 && !teams[job.Team]:
+		return "team", fmt.Sprintf("no team %q is declared", job.Team)
+	case job.Kind == "":
+		return "kind", "missing"
+	case d.MilliCPU < 0 || d.MemoryMB < 0 || d.Accelerators < 0 || d == (model.Resources{}):
+		return "declared", "processors, memory and accelerators must not be negative, and not all zero"
+	case job.Class < model.ClassDeferrable || job.Class > model.ClassUrgent:
+		return "class", "must be urgent, normal or deferrable"
+	}
+	return "", ""
+}
+
+func plain(s string) bool {
+	if s == "" || len(s) > 64 {
+		return false
+	}
+	for _, c := range s {
+		letter := 'a' <= c && c <= 'z' || 'A' <= c && c <= 'Z'
+		if !letter && !('0' <= c && c <= '9') && c != '-' && c != '_' {
+			return false
+		}
+	}
+	return true
+}
+
+// submits gathers the groups that callers submit at the same time into shared
+// transactions: whoever comes while one is under way goes with the next.
+type submits struct {
+	mu      sync.Mutex
+	waiting []*submission
+	busy    bool
+}
+
+type submission struct {
+	key   string
+	group *group
+	value []byte
+	done  chan error
+}
+
+func (s *submits) add(ctx context.Context, j *Jobs, key string, g *group) error {
+	value, err := json.Marshal(g)
+	if err != nil {
+		return fault("encode jobs", g.Change, platform.Errorf("encode", platform.KindInvalid, "%w", err))
+	}
+	sub := &submission{key, g, value, make(chan error, 1)}
+	s.mu.Lock()
+	s.waiting = append(s.waiting, sub)
+	lead := !s.busy
+	s.busy = true
+	s.mu.Unlock()
+	if lead {
+		go s.flush(context.WithoutCancel(ctx), j)
+	}
+	select {
+	case err := <-sub.done:
+		return err
+	case <-ctx.Done():
+		return fault("submit", g.Change, platform.Errorf("submit", platform.KindUnknown, "%w", ctx.Err()))
+	}
+}
+
+// flush writes until nobody waits.
+func (s *submits) flush(ctx context.Context, j *Jobs) {
+	for {
+		batch := s.take()
+		if len(batch) == 0 {
+			return
+		}
+		j.create(ctx, batch)
+	}
+}
+
+func (s *submits) take() []*submission {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n, bytes := 0, 0
+	for n < len(s.waiting) && n < maxTxnGroups && (n == 0 || bytes+len(s.waiting[n].value) <= maxTxnBytes) {
+		bytes += len(s.waiting[n].value)
+		n++
+	}
+	batch := s.waiting[:n:n]
+	s.waiting = s.waiting[n:]
+	s.busy = n > 0
+	return batch
+}
+
+// submitTimeout bounds one write of submitted jobs with its repeats.
+const submitTimeout = 5 * time.Second
+
+// create writes new groups in one transaction. Where one of them is there
+// already each is tried by itself, so that one repeat does not fail the rest.
+func (j *Jobs) create(ctx context.Context, batch []*submission) {
+	ctx, cancel := context.WithTimeout(ctx, submitTimeout)
+	defer cancel()
+	txn := platform.Txn{}
+	for _, s := range batch {
+		txn.If = append(txn.If, platform.Cond{Key: s.key})
+		txn.Then = append(txn.Then, platform.Put(s.key, s.value))
+	}
+	res, err := j.commit(ctx, txn)
+	switch {
+	case err == nil:
+		for _, s := range batch {
+			j.mirror.put(s.key, stored{group: s.group, rev: res.Revision})
+			s.done <- nil
+		}
+	case platform.IsKind(err, platform.KindConflict) && len(batch) > 1:
+		for _, s := range batch {
+			j.create(ctx, []*submission{s})
+		}
+	case platform.IsKind(err, platform.KindConflict):
+		batch[0].done <- j.repeated(batch[0], res)
+	default:
+		for _, s := range batch {
+			s.done <- fault("submit", s.group.Change, err)
+		}
+	}
+}
+
+// repeated accepts a group that is there already if it is of the same jobs.
+func (j *Jobs) repeated(s *submission, res platform.TxnResult) error {
+	if len(res.Reads) == 0 {
+		return fault("submit", s.group.Change, platform.Errorf("submit", platform.KindUnknown, "not read back"))
+	}
+	there, err := decode(res.Reads[0])
+	if err != nil {
+		return err
+	}
+	j.mirror.put(s.key, there)
+	same := len(there.Jobs) == len(s.group.Jobs)
+	for i := 0; same && i < len(there.Jobs); i++ {
+		a, b := there.Jobs[i].Job, s.group.Jobs[i].Job
+		a.SubmittedAt = b.SubmittedAt
+		same = a == b
+	}
+	if !same {
+		return &Refusal{Code: CodeConflict, Field: "change", Detail: "this change ID was used for other jobs"}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/jobs/write.go
@@ -0,0 +1,192 @@
+package jobs
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"sort"
+	"time"
+
+	"github.com/pumicestage/pumicestage/internal/platform"
+	"github.com/pumicestage/pumicestage/policy/model"
+)
+
+// transition is one step of one job. Apply looks at the record as the store
+// has it and returns false where the transition no longer makes sense; it may
+// be called again on a newer record.
+type transition struct {
+	job   model.JobID
+	apply func(r *Record) bool
+}
+
+const (
+	// maxTxnGroups and maxTxnBytes bound one write. The service refuses
+	// requests over 1.5 MB by default, and base64 adds a third.
+	maxTxnGroups = 48
+	maxTxnBytes  = 700 << 10
+	// writeTries bounds how often a write that lost against another is made
+	// anew; what is left is done by the next pass.
+	writeTries = 4
+	// limitedTries and limitedWait are how a write waits for the service's
+	// rate limit: three quarters of a second in all, within what urgent work
+	// may take to start.
+	limitedTries = 12
+	limitedWait  = 10 * time.Millisecond
+	limitedMost  = 80 * time.Millisecond
+)
+
+// write makes the changes, as many groups in one transaction as fit, and
+// returns the jobs whose change certainly took effect with their new records.
+// Jobs in one transaction share its fate; a conflict costs a new reading.
+func (j *Jobs) write(ctx context.Context, changes []transition) (map[model.JobID]Record, error) {
+	byKey := make(map[string][]transition)
+	var keys []string
+	for _, c := range changes {
+		key, _, ok := keyOf(c.job)
+		if !ok {
+			continue
+		}
+		if byKey[key] == nil {
+			keys = append(keys, key)
+		}
+		byKey[key] = append(byKey[key], c)
+	}
+	sort.Strings(keys)
+	done := make(map[model.JobID]Record)
+	var errs []error
+	for len(keys) > 0 {
+		n, err := j.writeSome(ctx, keys, byKey, done)
+		if err != nil {
+			errs = append(errs, err)
+		}
+		keys = keys[n:]
+	}
+	return done, errors.Join(errs...)
+}
+
+// draft is a group about to be written.
+type draft struct {
+	key     string
+	from    stored
+	next    *group
+	value   []byte
+	touched []model.JobID
+}
+
+// writeSome writes the first groups that fit into a transaction and returns
+// how many keys it has dealt with.
+func (j *Jobs) writeSome(ctx context.Context, keys []string, byKey map[string][]transition, done map[model.JobID]Record) (int, error) {
+	for range writeTries {
+		drafts, n, err := j.drafts(keys, byKey)
+		if err != nil || len(drafts) == 0 {
+			return n, err
+		}
+		res, err := j.commit(ctx, txnOf(drafts))
+		if platform.IsKind(err, platform.KindConflict) {
+			j.learnConflict(drafts, res)
+			continue
+		}
+		if err != nil {
+			return n, fault("write jobs", "", err)
+		}
+		for _, d := range drafts {
+			j.mirror.put(d.key, stored{group: d.next, rev: res.Revision})
+			for _, id := range d.touched {
+				_, at, _ := keyOf(id)
+				done[id] = d.next.Jobs[at]
+			}
+		}
+		return n, nil
+	}
+	return min(maxTxnGroups, len(keys)), fault("write jobs", "", platform.Errorf("write", platform.KindConflict, "others write the same jobs"))
+}
+
+func (j *Jobs) drafts(keys []string, byKey map[string][]transition) ([]draft, int, error) {
+	var drafts []draft
+	bytes := 0
+	for n, key := range keys {
+		if len(drafts) == maxTxnGroups {
+			return drafts, n, nil
+		}
+		d, err := j.draft(key, byKey[key])
+		if err != nil {
+			return drafts, n + 1, err
+		}
+		if len(d.touched) == 0 {
+			continue
+		}
+		if len(drafts) > 0 && bytes+len(d.value) > maxTxnBytes {
+			return drafts, n, nil
+		}
+		bytes += len(d.value)
+		drafts = append(drafts, d)
+	}
+	return drafts, len(keys), nil
+}
+
+func (j *Jobs) draft(key string, changes []transition) (draft, error) {
+	from, ok := j.mirror.get(key)
+	if !ok {
+		return draft{}, nil
+	}
+	d := draft{key: key, from: from, next: from.clone()}
+	for _, c := range changes {
+		_, at, _ := keyOf(c.job)
+		if at < len(d.next.Jobs) && c.apply(&d.next.Jobs[at]) {
+			d.touched = append(d.touched, c.job)
+		}
+	}
+	if len(d.touched) == 0 {
+		return d, nil
+	}
+	d.next.Change = j.changeID()
+	value, err := json.Marshal(d.next)
+	if err != nil {
+		return d, fault("encode jobs", "", platform.Errorf("encode", platform.KindInvalid, "%w", err))
+	}
+	d.value = value
+	return d, nil
+}
+
+func txnOf(drafts []draft) platform.Txn {
+	var txn platform.Txn
+	for _, d := range drafts {
+		txn.If = append(txn.If, platform.Cond{Key: d.key, ModRevision: d.from.rev})
+		txn.Then = append(txn.Then, platform.Put(d.key, d.value))
+	}
+	return txn
+}
+
+// learnConflict takes the groups as they are now from a refused transaction.
+func (j *Jobs) learnConflict(drafts []draft, res platform.TxnResult) {
+	for i, d := range drafts {
+		if i >= len(res.Reads) {
+			return
+		}
+		kv := res.Reads[i]
+		if kv.ModRevision == 0 {
+			j.mirror.drop(d.key)
+		} else if g, err := decode(kv); err == nil {
+			j.mirror.put(d.key, g)
+		}
+	}
+}
+
+// commit is platform.Commit, patient with the service's rate limit.
+func (j *Jobs) commit(ctx context.Context, txn platform.Txn) (platform.TxnResult, error) {
+	wait := limitedWait
+	for try := 1; ; try++ {
+		j.counts.writes.Add(1)
+		res, err := platform.Commit(ctx, j.store, txn)
+		if !platform.IsKind(err, platform.KindRateLimited) || try == limitedTries {
+			return res, err
+		}
+		j.counts.limited.Add(1)
+		select {
+		case <-ctx.Done():
+			return res, err
+		case <-j.clock.After(wait):
+		}
+		wait = min(2*wait, limitedMost)
+	}
+}
