Jobs: an intent too old is not sent, a late task is taken up; failures played

Cause: an entry VM held up between intent and start could start an attempt that others had given up; a start that arrived late was started once more. Conclusion: both have tests, with lost replies, lapsed leases, lost workers, cancels racing starts and 2,000 cancels at once.

--- /dev/null
+++ b/internal/jobs/failure_test.go
@@ -0,0 +1,217 @@
+package jobs
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/pumicestage/pumicestage/internal/platform"
+	"github.com/pumicestage/pumicestage/internal/platform/standin"
+	"github.com/pumicestage/pumicestage/policy/model"
+)
+
+func TestStartWithoutReplyRunsOnce(t *testing.T) {
+	// The operator sees one run. The platform starts the task and the reply is
+	// lost, also of the repeats; the entry VM then finds the task in the list.
+	// Repeats bear the same attempt ID, so the platform starts nothing twice.
+	for _, lost := range []int{1, startTries} {
+		w := newWorld(t, 4, 2)
+		w.nodes[0].machines.loseReplies = lost
+		id := w.submit(once())[0]
+		w.behave(id, standin.Behaviour{RunTime: 20 * time.Second})
+		w.run(time.Minute)
+		assert.Equal(t, w.state(id), Succeeded)
+		assert.Equal(t, w.platform.Machines.Tally().Starts[id], 1)
+	}
+}
+
+func TestStartThatMayHaveBeenSentIsNotRepeated(t *testing.T) {
+	// The operator sees "unknown" and decides. Every copy of the start is lost
+	// on the way and the task never shows up, but a copy could still arrive; a
+	// job that is not repeatable therefore isn't started again by itself. A
+	// repeatable one is.
+	w := newWorld(t, 4, 2)
+	w.nodes[0].machines.loseRequests = 2 * startTries
+	ids := w.submit(once(), small())
+	w.run(startGrace + 5*time.Second)
+	assert.Equal(t, w.state(ids[0]), Unknown)
+	assert.Equal(t, w.state(ids[1]), Running)
+	w.run(time.Minute)
+	assert.Equal(t, w.state(ids[0]), Unknown)
+	assert.Equal(t, w.platform.Machines.Tally().Starts[ids[0]], 0)
+
+	assert.NilError(t, w.nodes[1].Decide(w.ctx(), ids[0], VerdictNotRun, "ana"))
+	w.run(2 * time.Second)
+	assert.Equal(t, w.state(ids[0]), Running)
+	assert.ErrorContains(t, w.nodes[1].Decide(w.ctx(), ids[0], VerdictRan, "ana"), "only an unknown outcome")
+}
+
+func TestHolderPausedBetweenIntentAndStart(t *testing.T) {
+	// The operator sees one run or "unknown", never two. An entry VM writes
+	// the intent and is paused, as by its host; another takes over, finds no
+	// task and says unknown. The first wakes and its start arrives: the job is
+	// running under the one attempt it ever had.
+	w := newWorld(t, 4, 2)
+	paused, other := w.nodes[0], w.nodes[1]
+	id := w.submit(once())[0]
+	paused.machines.before = func(platform.Task) {
+		paused.machines.before = nil
+		w.clock.Advance(startGrace)
+		assert.NilError(t, other.Step(w.ctx()))
+		assert.Equal(t, w.state(id), Unknown)
+	}
+	assert.NilError(t, paused.Step(w.ctx()))
+	w.run(2 * time.Second)
+	assert.Equal(t, w.state(id), Running)
+	assert.Equal(t, w.platform.Machines.Tally().Starts[id], 1)
+}
+
+func TestHolderPausedBeforeSendingGivesUp(t *testing.T) {
+	// The caller sees a late start and one run. The store holds the intent's
+	// reply back for longer than others wait before they act on it, so the
+	// entry VM must not send the start any more.
+	w := newWorld(t, 4, 1)
+	n := w.nodes[0]
+	id := w.submit(once())[0]
+	first := 0
+	n.machines.before = func(platform.Task) { first++ }
+	n.Jobs.store = &slowStore{Store: n.store, world: w}
+	assert.NilError(t, n.Step(w.ctx()))
+	assert.Equal(t, first, 0, "nothing is sent")
+	assert.Equal(t, w.state(id), Waiting)
+	w.run(time.Second)
+	assert.Equal(t, w.state(id), Running)
+	assert.Equal(t, w.platform.Machines.Tally().Starts[id], 1)
+}
+
+func TestWorkerGone(t *testing.T) {
+	// A worker dies with a job that may run again and one that may not. The
+	// first runs again elsewhere; of the second nobody knows how far it came.
+	w := newWorld(t, 2, 2)
+	ids := w.submit(once(), small())
+	w.step()
+	vm := w.get(ids[0]).VM
+	assert.Equal(t, w.get(ids[1]).VM, vm, "both are packed on one worker")
+	w.platform.Machines.Fail(vm)
+	w.run(2 * time.Second)
+	assert.Equal(t, w.state(ids[0]), Unknown)
+	assert.Equal(t, w.state(ids[1]), Running)
+	assert.Assert(t, w.get(ids[1]).VM != vm)
+}
+
+func TestLeasesLapse(t *testing.T) {
+	// All entry VMs are cut off for longer than a task's lease. The platform
+	// ends the tasks as lost: what may run again does, the other is unknown.
+	w := newWorld(t, 2, 2)
+	ids := w.submit(once(), small())
+	w.run(10 * time.Minute)
+	assert.Equal(t, w.state(ids[0]), Running, "renewed while an entry VM is there")
+	w.clock.Advance(taskTTL + time.Second)
+	w.run(2 * time.Second)
+	assert.Equal(t, w.state(ids[0]), Unknown)
+	assert.Equal(t, w.state(ids[1]), Running)
+	assert.Equal(t, w.platform.Machines.Tally().Starts[ids[0]], 1)
+}
+
+func TestCancelRacesStart(t *testing.T) {
+	// The operator cancels while the start is on its way. Whether it is
+	// refused, runs, or its reply is lost, the job ends as cancelled and
+	// nothing of it runs on.
+	for _, tc := range []struct {
+		name   string
+		arrive func(w *world)
+	}{
+		{"started", func(*world) {}},
+		{"reply lost", func(w *world) { w.nodes[0].machines.loseReplies = startTries }},
+		{"refused", func(w *world) { w.platform.Machines.Fail("v0000") }},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			w := newWorld(t, 1, 2)
+			id := w.submit(once())[0]
+			w.nodes[0].machines.before = func(platform.Task) {
+				w.nodes[0].machines.before = nil
+				out, err := w.nodes[1].Cancel(w.ctx(), "c-1", "", []model.JobID{id})
+				assert.NilError(t, err)
+				assert.Assert(t, out[0].Stopping)
+				tc.arrive(w)
+			}
+			w.step()
+			w.run(3 * time.Second)
+			assert.Equal(t, w.state(id), Cancelled)
+			out, err := w.nodes[0].Cancel(w.ctx(), "c-1", "", []model.JobID{id})
+			assert.NilError(t, err)
+			assert.Assert(t, out[0].Refused == nil, "a repeat is the same change")
+			tasks, err := w.platform.Machines.Tasks(w.ctx())
+			assert.NilError(t, err)
+			for _, task := range tasks {
+				assert.Assert(t, task.State != platform.TaskRunning)
+			}
+		})
+	}
+}
+
+func TestThousandsCancelledAtOnce(t *testing.T) {
+	// An operator cancels 2,000 waiting and running jobs in one order, and the
+	// reply to one write is lost. All end, at a few dozen writes.
+	w := newWorld(t, 50, 2)
+	var ids []model.JobID
+	for range 2 {
+		ids = append(ids, w.submit(many(1000, small())...)...)
+	}
+	w.step()
+	before := w.nodes[1].Counts().Writes
+	w.nodes[1].store.LoseReplies(1)
+	out, err := w.nodes[1].Cancel(w.ctx(), "c-1", "no longer wanted", ids)
+	assert.NilError(t, err)
+	for _, c := range out {
+		assert.Assert(t, c.Refused == nil)
+	}
+	assert.Assert(t, w.nodes[1].Counts().Writes-before <= 8)
+	w.run(2 * time.Second)
+	all, err := w.nodes[0].List(w.ctx())
+	assert.NilError(t, err)
+	for _, r := range all {
+		assert.Equal(t, r.State, Cancelled)
+	}
+}
+
+func TestLostReplyToSubmit(t *testing.T) {
+	// The caller's submit takes effect and the reply is lost, and the caller
+	// repeats it under its change ID at another entry VM: the jobs are there
+	// once. Other jobs under the same ID are refused.
+	w := newWorld(t, 2, 2)
+	w.nodes[0].store.LoseReplies(1)
+	first, err := w.nodes[0].Submit(w.ctx(), "c-1", many(3, once()))
+	assert.NilError(t, err)
+	again, err := w.nodes[1].Submit(w.ctx(), "c-1", many(3, once()))
+	assert.NilError(t, err)
+	assert.DeepEqual(t, first, again)
+	_, err = w.nodes[1].Submit(w.ctx(), "c-1", many(4, once()))
+	assert.ErrorContains(t, err, "used for other jobs")
+	w.run(2 * time.Second)
+	for _, id := range first {
+		assert.Equal(t, w.platform.Machines.Tally().Starts[id], 1)
+	}
+}
+
+func TestLeavingWorker(t *testing.T) {
+	// A worker is drained. New jobs go elsewhere at once; a task that keeps
+	// its progress moves, one that can't is waited for.
+	w := newWorld(t, 2, 1)
+	keeps := small()
+	keeps.Checkpoints = true
+	ids := w.submit(once(), keeps)
+	w.step()
+	vm := w.get(ids[0]).VM
+	w.setVM(vm, model.VMLeaving)
+	ids = append(ids, w.submit(small())...)
+	w.run(3 * time.Second)
+	assert.Equal(t, w.get(ids[0]).VM, vm)
+	assert.Equal(t, w.state(ids[0]), Running)
+	for _, id := range ids[1:] {
+		assert.Equal(t, w.state(id), Running)
+		assert.Assert(t, w.get(id).VM != vm, fmt.Sprint(id))
+	}
+}
--- a/internal/jobs/jobs_test.go
+++ b/internal/jobs/jobs_test.go
@@ -56,9 +56,12 @@
 	before := w.nodes[0].Counts().Writes
 	ids := w.submit(many(1000, small())...)
 	w.step()
-	for _, id := range ids {
-		assert.Equal(t, w.state(id), Running)
+	all, err := w.nodes[0].List(w.ctx())
+	assert.NilError(t, err)
+	for _, r := range all {
+		assert.Equal(t, r.State, Running)
 	}
+	assert.Equal(t, len(all), len(ids))
 	writes := w.nodes[0].Counts().Writes - before
 	assert.Assert(t, writes <= 32, "%d writes for 1000 placements", writes)
 }
--- a/internal/jobs/machines_test.go
+++ b/internal/jobs/machines_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"sync"
+	"time"
 
 	"github.com/pumicestage/pumicestage/internal/platform"
 	"github.com/pumicestage/pumicestage/internal/platform/standin"
@@ -16,6 +18,18 @@
 	// loseReplies and loseRequests make the next starts report KindUnknown
 	// with and without effect.
 	loseReplies, loseRequests int
+
+	mu sync.Mutex // guards the counts while starts go out side by side
+}
+
+func (m *machines) draw(n *int) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if *n == 0 {
+		return false
+	}
+	*n--
+	return true
 }
 
 // StartTask implements platform.Machines.
@@ -23,14 +37,30 @@
 	if m.before != nil {
 		m.before(t)
 	}
-	if m.loseRequests > 0 {
-		m.loseRequests--
+	if m.draw(&m.loseRequests) {
 		return platform.Errorf("start task", platform.KindUnknown, "connection lost")
 	}
 	err := m.Machines.StartTask(ctx, t)
-	if m.loseReplies > 0 && err == nil {
-		m.loseReplies--
+	if err == nil && m.draw(&m.loseReplies) {
 		return platform.Errorf("start task", platform.KindUnknown, "reply lost")
 	}
 	return err
 }
+
+// slowStore lets the reply to the first transaction take longer than a start
+// may be late.
+type slowStore struct {
+	platform.Store
+	world *world
+	slept bool
+}
+
+// Txn implements platform.Store.
+func (s *slowStore) Txn(ctx context.Context, txn platform.Txn) (platform.TxnResult, error) {
+	res, err := s.Store.Txn(ctx, txn)
+	if !s.slept {
+		s.slept = true
+		s.world.clock.Advance(sendWithin + time.Second)
+	}
+	return res, err
+}
--- a/internal/jobs/observe.go
+++ b/internal/jobs/observe.go
@@ -6,6 +6,8 @@
 	"slices"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"github.com/pumicestage/pumicestage/internal/platform"
 	"github.com/pumicestage/pumicestage/policy/model"
 	"github.com/pumicestage/pumicestage/policy/quota"
@@ -20,10 +22,10 @@
 func (p *pass) observe(ctx context.Context) error {
 	var changes []transition
 	for _, r := range p.records {
-		if !r.State.holds() && r.State != Unknown {
+		task, listed := p.tasks[r.Attempt]
+		if r.State.Ended() || r.Attempt == "" || p.settled(r, task) {
 			continue
 		}
-		task, listed := p.tasks[r.Attempt]
 		if apply := p.next(r, task, listed); apply != nil {
 			changes = append(changes, bound(r, apply))
 		}
@@ -32,6 +34,14 @@
 	return err
 }
 
+// settled reports whether a job that waits has nothing to learn from its last
+// attempt. One that was given up and runs or succeeded after all, because its
+// start arrived late, is taken up again instead of being started once more.
+func (p *pass) settled(r *Record, task platform.Task) bool {
+	late := task.State == platform.TaskRunning || task.State == platform.TaskSucceeded
+	return (r.State == Waiting || r.State == Unplaceable) && !late
+}
+
 // bound lets a transition take effect only on the attempt and state it was
 // made for.
 func bound(seen *Record, apply func(r *Record)) transition {
@@ -191,17 +201,39 @@
 			delete(p.sent, attempt)
 		}
 	}
-	var errs []error
+	return p.renewAll(ctx, p.dueForRenewal())
+}
+
+// renewMost bounds the renewals of one pass; at one pass a second it is enough
+// for 60,000 tasks.
+const renewMost = 1000
+
+func (p *pass) dueForRenewal() []model.AttemptID {
+	var due []model.AttemptID
 	for _, r := range p.records {
-		if _, listed := p.tasks[r.Attempt]; !listed || r.State != Running || p.now.Sub(p.renewed[r.Attempt]) < renewTasks {
-			continue
+		_, listed := p.tasks[r.Attempt]
+		if listed && r.State == Running && p.now.Sub(p.renewed[r.Attempt]) >= renewTasks && len(due) < renewMost {
+			due = append(due, r.Attempt)
 		}
-		err := p.machines.RenewTask(ctx, r.Attempt)
-		if err == nil || platform.IsKind(err, platform.KindLeaseNotFound) {
-			p.renewed[r.Attempt] = p.now
-			continue
+	}
+	return due
+}
+
+func (p *pass) renewAll(ctx context.Context, due []model.AttemptID) error {
+	errs := make([]error, len(due))
+	var calls errgroup.Group
+	calls.SetLimit(parallelStarts)
+	for i, attempt := range due {
+		calls.Go(func() error {
+			errs[i] = p.machines.RenewTask(ctx, attempt)
+			return nil
+		})
+	}
+	_ = calls.Wait() // the calls return no errors
+	for i, attempt := range due {
+		if errs[i] == nil || platform.IsKind(errs[i], platform.KindLeaseNotFound) {
+			p.renewed[attempt], errs[i] = p.now, nil
 		}
-		errs = append(errs, fault("renew task", "", err))
 	}
-	return errors.Join(errs...)
+	return fault("renew tasks", "", errors.Join(errs...))
 }
--- a/internal/jobs/start.go
+++ b/internal/jobs/start.go
@@ -24,6 +24,13 @@
 	startBatch = 256
 	// parallelStarts bounds the calls to the platform at once.
 	parallelStarts = 32
+	// sendWithin is how old an intent may be when its start is sent. An entry VM
+	// that was paused for longer gives it up unsent, because others may have
+	// acted on it by then; startGrace leaves as much again for the call.
+	sendWithin = startGrace / 2
+	// placeMost bounds the placements of one pass, so that urgent work that
+	// arrives during a burst waits for a part of the burst only.
+	placeMost = 1024
 	// startTries bounds how often a start whose reply was lost is sent again
 	// under its attempt ID.
 	startTries = 3
@@ -31,6 +38,9 @@
 
 // start writes the intents of the placements and sends those that took effect.
 func (p *pass) start(ctx context.Context, placements []placement.Placement) error {
+	if len(placements) > placeMost {
+		placements, p.again = placements[:placeMost], true
+	}
 	var errs []error
 	for len(placements) > 0 {
 		n := min(startBatch, len(placements))
@@ -50,7 +60,7 @@
 				return false
 			}
 			r.VM, r.Attempt, r.Owner, r.Size = pl.VM, attempt, p.owner, pl.Size
-			r.enter(Starting, p.now, "")
+			r.enter(Starting, p.clock.Now(), "")
 			return true
 		}}
 	}
@@ -88,6 +98,9 @@
 	task := platform.Task{Attempt: r.Attempt, Job: r.ID, VM: r.VM, Size: r.Size, TTL: taskTTL}
 	lost := false
 	for range startTries {
+		if p.clock.Since(r.Since) > sendWithin {
+			break
+		}
 		p.counts.starts.Add(1)
 		err := p.machines.StartTask(ctx, task)
 		switch {
@@ -98,10 +111,16 @@
 		}
 		lost = true
 	}
+	if !lost {
+		return refused(r.ID, r.Attempt, p.clock.Now(), errLate), true
+	}
 	p.log.Info("start without an answer", "job", r.ID, "vm", r.VM)
 	return transition{}, false
 }
 
+// errLate says that an intent was too old to be sent.
+var errLate = errors.New("this entry VM was held up for too long")
+
 func begun(id model.JobID, attempt model.AttemptID, at time.Time) transition {
 	return transition{id, func(r *Record) bool {
 		if r.Attempt != attempt || r.State != Starting {
