--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -16,10 +16,11 @@
 	"github.com/go-logr/logr"
 	"github.com/gravitational/trace"
 
-	"github.com/pumicestage/pumicestage/internal/audit"
 	"github.com/pumicestage/pumicestage/internal/claim"
 	"github.com/pumicestage/pumicestage/internal/entry"
 	"github.com/pumicestage/pumicestage/internal/fleet"
+	"github.com/pumicestage/pumicestage/internal/jobs"
+	"github.com/pumicestage/pumicestage/internal/operator/wiring"
 	"github.com/pumicestage/pumicestage/internal/peer"
 	"github.com/pumicestage/pumicestage/internal/platform"
 	"github.com/pumicestage/pumicestage/internal/platform/gateway"
@@ -66,7 +67,10 @@
 	entry    *entry.Server
 	fleet    *fleet.Fleet
 	prober   *prober.Prober
-	trail    *audit.Trail
+	jobs     *jobs.Jobs
+	port     *wiring.Port
+
+	operatorHandler http.Handler
 
 	ready  atomic.Bool
 	killed chan struct{}
@@ -94,6 +98,10 @@
 	}
 	d.connectPlatform(o)
 	d.wire(o)
+	if err := d.wireOperators(); err != nil {
+		d.closeListeners()
+		return nil, trace.Wrap(err)
+	}
 	return d, nil
 }
 
@@ -171,7 +179,6 @@
 		Seed:   d.self.Incarnation,
 		Dial:   o.Dial,
 	})
-	d.trail = audit.New(audit.Options{Store: d.store, Self: d.self.ID, Log: d.log.WithName("audit")})
 	d.prober = prober.New(prober.Options{Self: d.self.ID, Zone: d.self.Zone, View: d.view, Peers: d.mesh, Dial: o.Dial})
 	d.fleet = fleet.New(fleet.Options{
 		Store:    d.store,
@@ -183,6 +190,7 @@
 		Self:     d.self.ID,
 		Every:    o.FleetEvery,
 	})
+	d.jobs = jobs.New(jobs.Options{Store: d.store, Machines: d.machines, View: d.view, Self: d.self.ID, Log: d.log.WithName("jobs")})
 }
 
 // fillDigest sets what peers are told beside what the mesh knows itself.
@@ -225,24 +233,20 @@
 // Run serves until ctx ends, then leaves gracefully: not ready, no new
 // requests, those in flight finish, and what it holds is handed over.
 func (d *Daemon) Run(ctx context.Context) error {
-	gate, err := d.gate()
-	if err != nil {
-		d.closeListeners()
-		return trace.Wrap(err)
-	}
 	d.warnExposed()
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	var parts sync.WaitGroup
 	d.startParts(background, &parts)
 	callers := d.callerServer()
-	operators := &http.Server{Handler: d.operatorHandler(gate), ReadHeaderTimeout: d.settings.Limits.HeaderTimeout}
+	operators := &http.Server{Handler: d.operatorHandler, ReadHeaderTimeout: d.settings.Limits.HeaderTimeout}
 	failed := make(chan error, 2)
 	go func() { failed <- callers.Serve(d.callers) }()
 	go func() { failed <- operators.Serve(d.operators) }()
 	d.ready.Store(true)
 	d.log.Info("serving", "callers", d.self.Caller, "operators", d.self.Operator, "peers", d.self.Peer)
 
+	var err error
 	select {
 	case <-ctx.Done():
 		err = d.leave(callers)
@@ -269,6 +273,8 @@
 	parts.Go(func() { d.prober.Run(ctx) })
 	parts.Go(func() { d.report("fleet", d.fleet.Run(ctx)) })
 	parts.Go(func() { d.wakeFleet(ctx) })
+	parts.Go(func() { d.report("jobs", d.jobs.Run(ctx)) })
+	parts.Go(func() { d.port.Observer.Run(ctx) })
 }
 
 func (d *Daemon) report(part string, err error) {
--- a/internal/daemon/http.go
+++ b/internal/daemon/http.go
@@ -94,6 +94,7 @@
 	m := new(expvar.Map).Init()
 	m.Set("entry", d.entry.Metrics())
 	m.Set("peer", expvar.Func(func() any { return d.mesh.Traffic() }))
+	m.Set("jobs", expvar.Func(func() any { return d.jobs.Counts() }))
 	m.Set("view", expvar.Func(func() any { return view }))
 	m.Set("memstats", expvar.Get("memstats"))
 	w.Header().Set("Content-Type", "application/json; charset=utf-8")
--- a/internal/daemon/leave.go
+++ b/internal/daemon/leave.go
@@ -56,7 +56,7 @@
 func (d *Daemon) flushTrail() {
 	ctx, cancel := context.WithTimeout(context.Background(), flushLimit)
 	defer cancel()
-	if err := d.trail.Flush(ctx); err != nil {
+	if err := d.port.Trail.Flush(ctx); err != nil {
 		d.log.Error(err, "audit entries not all written")
 	}
 }
--- a/internal/daemon/operators.go
+++ b/internal/daemon/operators.go
@@ -8,6 +8,8 @@
 	"github.com/jonboulle/clockwork"
 
 	"github.com/pumicestage/pumicestage/internal/access"
+	"github.com/pumicestage/pumicestage/internal/jobs/jobsapi"
+	"github.com/pumicestage/pumicestage/internal/jobs/jobsport"
 	"github.com/pumicestage/pumicestage/internal/operator/api"
 	"github.com/pumicestage/pumicestage/internal/operator/wiring"
 )
@@ -41,9 +43,13 @@
 	}
 }
 
-// operatorHandler returns what the operator port serves.
-func (d *Daemon) operatorHandler(gate access.Gate) http.Handler {
-	port := wiring.New(wiring.Parts{
+// wireOperators puts the operator port together.
+func (d *Daemon) wireOperators() error {
+	gate, err := d.gate()
+	if err != nil {
+		return err
+	}
+	d.port = wiring.New(wiring.Parts{
 		Self:   d.self,
 		Store:  d.store,
 		View:   d.view,
@@ -51,13 +57,17 @@
 		Mesh:   d.mesh,
 		Acks:   d.registry,
 		Health: d.prober.Health,
+		Jobs:   jobsport.Orders{Executor: d.jobs},
+		Asked:  jobsport.Questions{Executor: d.jobs},
 		Access: gate,
-		Trail:  d.trail,
 		Log:    d.log.WithName("operator"),
 	})
+	api := jobsapi.New(jobsapi.Options{Jobs: d.jobs, Access: gate, Trail: d.port.Trail, Log: d.log.WithName("jobs")})
 	r := mux.NewRouter()
 	d.addProbes(r)
 	r.HandleFunc("/debug/vars", d.vars).Methods(http.MethodGet)
-	r.PathPrefix("/").Handler(port.Handler)
-	return r
+	r.PathPrefix(jobsapi.Prefix).Handler(api)
+	r.PathPrefix("/").Handler(d.port.Handler)
+	d.operatorHandler = r
+	return nil
 }
