shared: incarnations grow from run to run

Peers and registrations turn an older run away while its successor lives; by random numbers the successor would be the one turned away, every other time.

--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -26,7 +26,8 @@
 	Caller   string // host:port of its caller listener
 	Operator string // host:port of its operator listener
 	// Incarnation tells runs of the daemon under one ID apart: a restarted
-	// one has acknowledged nothing and holds no claims of the earlier one.
+	// one has acknowledged nothing and holds no claims of the earlier one. It
+	// grows from run to run: the time of the start, in nanoseconds.
 	Incarnation uint64
 }
 
