relay: a daemon that was replaced while paused does not register over its successor

Its lease has lapsed when it wakes, and it registered anew: acknowledgements were then waited for from a run that peers turn away, and claims of the successor were told as unknown. Registration is now a CAS that gives way to a later run.

--- a/internal/relay/register.go
+++ b/internal/relay/register.go
@@ -3,13 +3,17 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"time"
 
 	"github.com/gravitational/trace"
 
 	"github.com/pumicestage/pumicestage/internal/platform"
+	"github.com/pumicestage/pumicestage/internal/view"
 )
 
+var errSuperseded = errors.New("relay: superseded by a later run of this entry VM")
+
 const (
 	// registrationTTL is how long a dead or cut-off entry VM stays
 	// registered: until then acknowledgements are waited for, and the
@@ -44,16 +48,21 @@
 	}
 }
 
-// renew keeps the lease alive, or registers where there is none or it lapsed.
+// renew keeps the lease alive, or registers where there is none, it lapsed, or
+// an earlier run has written over this one's record.
 func (r *Relay) renew(ctx context.Context, lease *platform.LeaseID) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	if *lease != 0 {
+	if *lease != 0 && !r.displaced() {
 		err := r.opts.Store.KeepAlive(ctx, *lease)
 		if !platform.IsKind(err, platform.KindLeaseNotFound) {
 			return trace.Wrap(err)
 		}
-		*lease = 0
+	}
+	*lease = 0
+	over, err := r.mayReplace(ctx)
+	if err != nil {
+		return err
 	}
 	granted, err := r.opts.Store.Grant(ctx, registrationTTL)
 	if err != nil {
@@ -63,13 +72,40 @@
 	if err != nil {
 		return trace.Wrap(err)
 	}
-	_, err = r.opts.Store.Txn(ctx, platform.Txn{
+	res, err := r.opts.Store.Txn(ctx, platform.Txn{
+		If:   []platform.Cond{{Key: platform.EntryKey(r.opts.Self.ID), ModRevision: over}},
 		Then: []platform.Op{platform.PutLeased(platform.EntryKey(r.opts.Self.ID), value, granted)},
 	})
 	// A lost reply leaves the key under the new lease or none at all; the
 	// next attempt writes it again under another.
-	if err == nil {
+	if err == nil && res.Succeeded {
 		*lease = granted
 	}
 	return trace.Wrap(err)
 }
+
+// mayReplace returns the revision of the record that stands under this entry
+// VM's ID, or an error where a later run wrote it. A daemon that was replaced
+// while it was paused would otherwise register over its successor, and
+// acknowledgements would be waited for that nobody can give.
+func (r *Relay) mayReplace(ctx context.Context) (platform.Revision, error) {
+	kv, _, err := r.opts.Store.Get(ctx, platform.EntryKey(r.opts.Self.ID))
+	if err != nil {
+		return 0, trace.Wrap(err)
+	}
+	var found view.EntryRecord
+	if kv.ModRevision != 0 && json.Unmarshal(kv.Value, &found) == nil && found.Incarnation > r.opts.Self.Incarnation {
+		return 0, trace.Wrap(errSuperseded, "%s is registered by a later run", r.opts.Self.ID)
+	}
+	return kv.ModRevision, nil
+}
+
+// displaced reports whether the view shows an earlier run under this ID.
+func (r *Relay) displaced() bool {
+	for _, e := range r.opts.View.Load().Entries {
+		if e.ID == r.opts.Self.ID {
+			return e.Incarnation < r.opts.Self.Incarnation
+		}
+	}
+	return false
+}
--- a/internal/relay/state_test.go
+++ b/internal/relay/state_test.go
@@ -234,3 +234,36 @@
 	_, err = NewRegistry(Options{Store: store, View: h, Peers: f}).Missing(ctx, at)
 	assert.Assert(t, platform.IsKind(err, platform.KindUnavailable))
 }
+
+// What the operator sees: an entry VM is replaced under its ID while paused,
+// and wakes up. The successor stays registered; where a record of the earlier
+// run stands, the successor writes over it.
+func TestRegistrationOfTheLaterRunStands(t *testing.T) {
+	store := memstore.New(clockwork.NewRealClock())
+	join := func(incarnation uint64) *Relay {
+		self := view.EntryRecord{ID: "e", Incarnation: incarnation}
+		return New(Options{Self: self, Store: store, View: view.NewHolder(), Peers: &fakePeers{}, Log: logr.Discard()})
+	}
+	registered := func() uint64 {
+		kv, _, err := store.Get(t.Context(), platform.EntryKey("e"))
+		assert.NilError(t, err)
+		var e view.EntryRecord
+		assert.NilError(t, json.Unmarshal(kv.Value, &e))
+		return e.Incarnation
+	}
+	older, newer := join(1), join(2)
+	var leases [2]platform.LeaseID
+	assert.NilError(t, older.renew(t.Context(), &leases[0]))
+	assert.NilError(t, newer.renew(t.Context(), &leases[1]))
+	assert.Equal(t, registered(), uint64(2))
+
+	lapsed := leases[0] + 100
+	assert.ErrorIs(t, older.renew(t.Context(), &lapsed), errSuperseded)
+	assert.Equal(t, registered(), uint64(2))
+
+	_, err := store.Txn(t.Context(), platform.Txn{Then: []platform.Op{platform.Put(platform.EntryKey("e"), []byte(`{"ID":"e","Incarnation":1}`))}})
+	assert.NilError(t, err)
+	newer.opts.View.Publish(&view.Snapshot{Entries: []view.EntryRecord{{ID: "e", Incarnation: 1}}})
+	assert.NilError(t, newer.renew(t.Context(), &leases[1]))
+	assert.Equal(t, registered(), uint64(2))
+}
