tests: the mutants that stayed green turn red now

Of 45 mutants of safeguards five stayed green: an answer of unknown length to an HTTP/1.0 caller (the fake answer was small enough for net/http to measure it), early refusal (the later check caught it: now the time until a refusal is checked), confirmation of an old loan version (3,000 random histories in place of 100), slow start and the reserve for deferrable work (assertions were too wide). One turned its test into a hang, which is bounded now.

--- a/internal/entry/leaving_test.go
+++ b/internal/entry/leaving_test.go
@@ -94,6 +94,6 @@
 		r := s.do("GET", "/services/tabulation/x", "")
 		assert.Equal(t, r.outcome, Ran, fmt.Sprint(i, r.body))
 	}
-	assert.Assert(t, s.targets[0].Counts().Started > 0)
-	assert.Assert(t, s.targets[0].Counts().Started < s.targets[1].Counts().Started)
+	got := s.targets[0].Counts().Started
+	assert.Assert(t, got > 0 && got < 40, "a tenth of its half of 200 is right, not %d", got)
 }
--- a/internal/entry/limits_test.go
+++ b/internal/entry/limits_test.go
@@ -79,7 +79,7 @@
 	resp, body, err := s.raw("GET /services/tabulation/x HTTP/1.0\r\n\r\n")
 	assert.NilError(t, err)
 	assert.Equal(t, resp.ContentLength, int64(len(body)))
-	assert.Assert(t, len(body) > 0)
+	assert.Assert(t, len(body) > 4096)
 }
 
 // Both ways are streamed: the target's first piece reaches the caller before
--- a/internal/entry/once_test.go
+++ b/internal/entry/once_test.go
@@ -76,19 +76,21 @@
 	s := newIdleStage(t, 2, faketarget.Options{}, nil)
 	release := make(chan struct{})
 	s.claims.hold = release
+	let := sync.OnceFunc(func() { close(release) })
+	t.Cleanup(let)
 	var wg sync.WaitGroup
 	replies := make(chan reply, 50)
 	for range 50 {
 		wg.Go(func() { replies <- s.do("POST", "/services/incentives/a", "pay", HeaderKey, "k") })
 	}
 	for range 49 {
-		r := <-replies
+		r := within(t, replies)
 		assert.Equal(t, r.status, 409)
 		assert.Equal(t, r.outcome, Unknown)
 		assert.Assert(t, r.header.Get("Retry-After") != "")
 	}
-	close(release)
-	assert.Equal(t, (<-replies).outcome, Ran)
+	let()
+	assert.Equal(t, within(t, replies).outcome, Ran)
 	wg.Wait()
 	assert.Equal(t, s.runs("k"), 1)
 	assert.Equal(t, s.claims.asked, 1)
@@ -142,6 +144,18 @@
 	assert.Equal(t, s.runs("k"), 1)
 }
 
+// within returns the next reply, and gives up after a bounded time.
+func within(t testing.TB, replies <-chan reply) reply {
+	t.Helper()
+	select {
+	case r := <-replies:
+		return r
+	case <-time.After(10 * time.Second):
+		t.Fatal("no reply")
+		return reply{}
+	}
+}
+
 // waitFor polls until ok, and gives up after a bounded time.
 func waitFor(t testing.TB, ok func() bool) {
 	t.Helper()
--- a/internal/faketarget/fault.go
+++ b/internal/faketarget/fault.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"time"
 )
 
@@ -65,6 +66,7 @@
 	case f == Chunked:
 		_, _ = io.WriteString(w, a.body)
 		_ = http.NewResponseController(w).Flush() // before the end: no length is known
+		_, _ = io.WriteString(w, strings.Repeat(a.body, 200))
 		return done
 	case raw == nil && f != Reset && f != Silent:
 		_, err := io.WriteString(w, a.body)
--- a/policy/dispatch/load_test.go
+++ b/policy/dispatch/load_test.go
@@ -24,6 +24,8 @@
 	urgent := r.callers["urgent"]
 	assert.Assert(t, float64(urgent.useful) >= 0.98*float64(urgent.asked))
 	assert.Assert(t, ratio(urgent.quantile(0.99), unloaded.callers["urgent"].quantile(0.99)) <= 1.5)
+	refused := r.callers["normal"].refusals
+	assert.Equal(t, quantile(refused, 0.5), time.Duration(0), "most of what is given up is told at once")
 	assert.Assert(t, r.callers["deferrable"].inSpan < 50, "deferrable work takes idle slots only")
 	assert.Equal(t, r.capped, 8)
 }
--- a/policy/dispatch/model_test.go
+++ b/policy/dispatch/model_test.go
@@ -78,13 +78,16 @@
 	asked, useful, late, turnedAway, failed int
 	inSpan                                  int             // useful before arrivals stopped
 	latencies                               []time.Duration // of useful answers
+	refusals                                []time.Duration // from arrival to being turned away
 }
 
-func (s *simStats) quantile(q float64) time.Duration {
-	if len(s.latencies) == 0 {
+func (s *simStats) quantile(q float64) time.Duration { return quantile(s.latencies, q) }
+
+func quantile(values []time.Duration, q float64) time.Duration {
+	if len(values) == 0 {
 		return 0
 	}
-	sorted := slices.Sorted(slices.Values(s.latencies))
+	sorted := slices.Sorted(slices.Values(values))
 	return sorted[min(int(q*float64(len(sorted))), len(sorted)-1)]
 }
 
@@ -342,6 +345,7 @@
 	if !r.over {
 		r.over = true
 		r.stats.turnedAway++
+		r.stats.refusals = append(r.stats.refusals, s.now.Sub(r.arrived))
 	}
 }
 
--- a/policy/slots/slots_test.go
+++ b/policy/slots/slots_test.go
@@ -17,8 +17,10 @@
 // run to run.
 func TestMain(m *testing.M) {
 	flag.Parse()
-	if err := flag.Set("rapid.seed", "1"); err != nil {
-		panic(err)
+	for name, value := range map[string]string{"rapid.seed": "1", "rapid.checks": "3000", "rapid.nofailfile": "true"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
 	}
 	os.Exit(m.Run())
 }
