--- a/policy/placement/displace.go
+++ b/policy/placement/displace.go
@@ -12,6 +12,9 @@
 	// maxStops bounds the tasks stopped by one plan, so that a burst of a
 	// thousand urgent jobs doesn't stop the fleet before the first is placed.
 	maxStops = 64
+	// maxReclaims bounds those stopped to give teams back their share, which
+	// may take some passes.
+	maxReclaims = 16
 	// maxVictims bounds the tasks stopped for one job.
 	maxVictims = 8
 )
@@ -21,9 +24,50 @@
 // guarantee on what others have borrowed. Work that is not repeatable is never
 // stopped, urgent work neither.
 func (p *planner) displace(k rank, r *Request) bool {
-	if p.stops >= maxStops || p.book.Stand(r.Job, r.Size) == quota.Borrows && k != urgentRank {
+	borrows := p.book.Stand(r.Job, r.Size) == quota.Borrows
+	if p.stops >= maxStops || k != urgentRank && p.stops >= maxReclaims || k != urgentRank && (borrows || !p.anyOver()) {
 		return false
 	}
+	key := victimKey(r)
+	if p.firm[key] {
+		return false
+	}
+	chosen := p.cheapest(r)
+	if chosen == nil || p.stops+len(chosen) > maxStops {
+		p.firm[key] = chosen == nil
+		return false
+	}
+	var made model.Resources
+	for _, t := range chosen {
+		p.stop(r, t)
+		made = made.Add(t.Size)
+	}
+	p.reserve(r, chosen[0].VM, made)
+	return true
+}
+
+// victimKey is all of a request that the choice of victims looks at. The team
+// only matters to urgent work: other work that may displace is within its
+// guarantee, so its own team has borrowed nothing.
+func victimKey(r *Request) shape {
+	key := shapeOf(r)
+	if r.Job.Class != model.ClassUrgent {
+		key.team, key.class = "", model.ClassNormal
+	}
+	return key
+}
+
+func (p *planner) anyOver() bool {
+	for _, t := range p.declared {
+		if p.book.Over(t.Name) {
+			return true
+		}
+	}
+	return false
+}
+
+// cheapest returns the tasks of one worker that make room at the least price.
+func (p *planner) cheapest(r *Request) []Task {
 	var chosen []Task
 	cost := 0.0
 	for i := range p.workers {
@@ -35,15 +79,11 @@
 		if victims != nil && (chosen == nil || c < cost) {
 			chosen, cost = victims, c
 		}
+		if chosen != nil && cost <= leastPrice {
+			break
+		}
 	}
-	if chosen == nil || p.stops+len(chosen) > maxStops {
-		return false
-	}
-	for _, t := range chosen {
-		p.stop(r, t)
-	}
-	p.reserve(r, chosen[0].VM)
-	return true
+	return chosen
 }
 
 // victims returns the cheapest tasks of the worker that together make room,
@@ -100,9 +140,9 @@
 
 // price is what stopping a task loses: little where it keeps its progress.
 func price(t *Task) float64 {
-	c := 1.0
+	c := leastPrice
 	if !t.Job.Checkpoints {
-		c = 10
+		c *= lostWork
 	}
 	if t.Job.Class == model.ClassNormal {
 		c *= 2
@@ -110,21 +150,32 @@
 	return c
 }
 
+const (
+	// leastPrice is that of one deferrable task that keeps its progress.
+	// Nothing is cheaper, so the search for victims ends with it.
+	leastPrice = 1.0
+	// lostWork is how many tasks are better stopped at a checkpoint than one
+	// without.
+	lostWork = 10
+)
+
 func (p *planner) stop(r *Request, t Task) {
 	p.stops++
-	p.book.Give(t.Job.Team, t.Size)
+	p.take(t.Job.Team, model.Resources{}.Sub(t.Size))
 	i := slices.IndexFunc(p.tasks[t.VM], func(o Task) bool { return o.Job.ID == t.Job.ID })
 	p.tasks[t.VM] = slices.Delete(slices.Clone(p.tasks[t.VM]), i, i+1)
-	w := &p.workers[p.byID[t.VM]]
-	p.index.use(w, model.Resources{}.Sub(t.Size))
 	p.plan.Displacements = append(p.plan.Displacements, Displacement{
 		Task: t.Job.ID, For: r.Job.ID, VM: t.VM, Keep: t.Job.Checkpoints,
 	})
 }
 
-// reserve keeps the room that was made from the jobs that come later in this
-// plan; the worker still has to say that it is there.
-func (p *planner) reserve(r *Request, vm model.VMID) {
-	p.index.use(&p.workers[p.byID[vm]], r.Size)
-	p.book.Take(r.Job.Team, r.Size)
+// reserve keeps the room that the job needs beside what its victims use from
+// the jobs that come later in this plan. What the victims use is given to
+// nobody: they still run, and the worker has yet to say that it is free.
+func (p *planner) reserve(r *Request, vm model.VMID, made model.Resources) {
+	need := r.Size.Sub(made)
+	p.index.use(&p.workers[p.byID[vm]], model.Resources{
+		MilliCPU: max(need.MilliCPU, 0), MemoryMB: max(need.MemoryMB, 0), Accelerators: max(need.Accelerators, 0),
+	})
+	p.take(r.Job.Team, r.Size)
 }
--- a/policy/placement/feasible.go
+++ b/policy/placement/feasible.go
@@ -14,9 +14,13 @@
 
 // open reports whether the worker takes the job now, room aside.
 func open(r *Request, w *Worker) bool {
-	return w.Closed == "" && (!w.Probe || r.Job.Repeatable) && !slices.Contains(r.Avoid, w.ID)
+	return w.Closed == "" && (!w.Probe || probes(r.Job)) && !slices.Contains(r.Avoid, w.ID)
 }
 
+// probes reports whether a job may show if a quarantined worker works again: a
+// failure must cost neither a run that can't be had twice nor an urgent start.
+func probes(j *model.Job) bool { return j.Repeatable && j.Class != model.ClassUrgent }
+
 func feasible(r *Request, w *Worker) bool {
 	return may(r, w) && open(r, w) && r.Size.Fits(w.free())
 }
--- a/policy/placement/index.go
+++ b/policy/placement/index.go
@@ -21,6 +21,7 @@
 // the thousands that are full.
 type index struct {
 	workers []Worker
+	probes  []int32             // workers on probe, which are looked at first
 	buckets [maxBuckets][]int32 // positions in workers, in no particular order
 	at      []int32             // place of a worker in its bucket
 }
@@ -29,6 +30,9 @@
 	ix := &index{workers: workers, at: make([]int32, len(workers))}
 	for i := range workers {
 		ix.insert(int32(i))
+		if workers[i].Probe {
+			ix.probes = append(ix.probes, int32(i))
+		}
 	}
 	return ix
 }
@@ -70,6 +74,11 @@
 // each calls look for feasible workers, from the fullest bucket up: all of
 // them, or a bounded number.
 func (ix *index) each(r *Request, all bool, look func(*Worker)) {
+	for _, i := range ix.probes {
+		if w := &ix.workers[i]; feasible(r, w) {
+			look(w)
+		}
+	}
 	seen := 0
 	for b := bucketOf(r.Size.MilliCPU); b < maxBuckets; b++ {
 		for _, i := range ix.buckets[b] {
--- /dev/null
+++ b/policy/placement/placement_test.go
@@ -0,0 +1,296 @@
+package placement
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/pumicestage/pumicestage/policy/model"
+)
+
+// TestMain fixes the seed of drawn snapshots, so that a run gives the same
+// verdict every time; -rapid.seed on the command line overrides it.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if f := flag.Lookup("rapid.seed"); f != nil && f.Value.String() == "0" {
+		_ = flag.Set("rapid.seed", "1")
+	}
+	os.Exit(m.Run())
+}
+
+func worker(id string, cpu, mem int64) Worker {
+	return Worker{ID: model.VMID(id), Zone: "z", Rack: model.RackName("r" + id), Pool: "batch", Capacity: model.Resources{MilliCPU: cpu, MemoryMB: mem}}
+}
+
+func request(id string, class model.Class, cpu, mem int64) Request {
+	job := &model.Job{ID: model.JobID(id), Team: "a", Kind: "k", Class: class, Repeatable: true, Declared: model.Resources{MilliCPU: cpu, MemoryMB: mem}}
+	return Request{Job: job, Size: job.Declared}
+}
+
+func with(r Request, change func(*Request)) Request {
+	change(&r)
+	return r
+}
+
+func running(id, vm string, class model.Class, cpu int64, change func(*model.Job)) Task {
+	job := &model.Job{ID: model.JobID(id), Team: "a", Kind: "k", Class: class, Repeatable: true, Checkpoints: true}
+	change(job)
+	return Task{Job: job, VM: model.VMID(vm), Size: model.Resources{MilliCPU: cpu, MemoryMB: 100}}
+}
+
+func asIs(*model.Job) {}
+
+func TestWhereAJobGoes(t *testing.T) {
+	even := []Worker{worker("1", 8000, 8000), worker("2", 8000, 8000)}
+	changed := func(i int, change func(*Worker)) []Worker {
+		ws := append([]Worker(nil), even...)
+		change(&ws[i])
+		return ws
+	}
+	job := request("j", model.ClassNormal, 1000, 1000)
+	for _, tc := range []struct {
+		name    string
+		workers []Worker
+		request Request
+		running []Task
+		want    model.VMID
+	}{
+		{name: "equals by ID", workers: even, request: job, want: "1"},
+		{name: "the fuller one, so that room is held together", request: job, want: "2",
+			workers: changed(1, func(w *Worker) { w.Used = model.Resources{MilliCPU: 4000, MemoryMB: 4000} })},
+		{name: "not one about to be maintained", workers: changed(0, func(w *Worker) { w.Soon = true }), request: job, want: "2"},
+		{name: "not a closed one", workers: changed(0, func(w *Worker) { w.Closed = "leaving" }), request: job, want: "2"},
+		{name: "not one it failed on", workers: even, request: with(job, func(r *Request) { r.Avoid = []model.VMID{"1"} }), want: "2"},
+		{name: "back to where it ran", workers: even, request: with(job, func(r *Request) { r.Last = "2" }), want: "2"},
+		{name: "accelerators kept for those that need them", request: job, want: "2",
+			workers: changed(0, func(w *Worker) { w.Capacity.Accelerators = 4 })},
+		{name: "away from its kind's rack where declared", workers: even, want: "2",
+			request: with(job, func(r *Request) { r.Job = &model.Job{ID: "j", Team: "a", Kind: "k", SpreadByRack: true} }),
+			running: []Task{running("o", "1", model.ClassNormal, 100, func(j *model.Job) { j.SpreadByRack = true })}},
+		{name: "a probe takes what may run again", workers: changed(1, func(w *Worker) { w.Probe = true }), request: job, want: "2"},
+		{name: "a probe takes nothing else", workers: changed(1, func(w *Worker) { w.Probe = true }), want: "1",
+			request: with(job, func(r *Request) { r.Job = &model.Job{ID: "j", Team: "a"} })},
+		{name: "a probe takes nothing urgent", workers: changed(1, func(w *Worker) { w.Probe = true }), want: "1",
+			request: request("j", model.ClassUrgent, 1000, 1000)},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			plan := Make(Snapshot{Workers: tc.workers, Waiting: []Request{tc.request}, Running: tc.running, Weights: WeightsOf(model.Weights{})})
+			assert.Equal(t, len(plan.Placements), 1)
+			assert.Equal(t, plan.Placements[0].VM, tc.want)
+		})
+	}
+}
+
+func TestWhyAJobIsNotPlaced(t *testing.T) {
+	full := worker("1", 8000, 8000)
+	full.Used = full.Capacity
+	closed := worker("2", 8000, 8000)
+	closed.Closed = "down"
+	teams := []model.Team{{Name: "a", Guaranteed: model.Resources{MilliCPU: 2000, MemoryMB: 8000}}}
+	final := func(r *Request) { j := *r.Job; j.Repeatable = false; r.Job = &j }
+	for _, tc := range []struct {
+		name    string
+		workers []Worker
+		teams   []model.Team
+		request Request
+		running []Task
+		never   bool
+		binds   Constraint
+		nearest model.VMID
+	}{
+		{name: "too many processors", workers: []Worker{worker("1", 4000, 9000), worker("2", 6000, 9000)},
+			request: request("j", 1, 8000, 100), never: true, binds: BindsCPU, nearest: "2"},
+		{name: "the scarcest dimension is named", workers: []Worker{worker("1", 4000, 1000)},
+			request: request("j", 1, 5000, 9000), never: true, binds: BindsMemory, nearest: "1"},
+		{name: "no room now", workers: []Worker{full, worker("3", 100, 100)}, request: request("j", 1, 1000, 1000), binds: BindsRoom, nearest: "1"},
+		{name: "closed now", workers: []Worker{closed}, request: request("j", 1, 1000, 1000), binds: BindsClosed, nearest: "2"},
+		{name: "failed everywhere", workers: []Worker{full}, request: with(request("j", 1, 1000, 1000), func(r *Request) { r.Avoid = []model.VMID{"1"} }),
+			never: true, binds: BindsFailures},
+		{name: "over the guarantee and can't be taken back", workers: []Worker{worker("1", 8000, 8000)}, teams: teams,
+			request: with(request("j", 1, 2000, 100), final), running: []Task{running("o", "1", 1, 1000, asIs)}, binds: BindsQuota},
+		{name: "larger than the guarantee and can't be taken back", workers: []Worker{worker("1", 8000, 8000)}, teams: teams,
+			request: with(request("j", 1, 3000, 100), final), never: true, binds: BindsQuota},
+		{name: "no worker at all", request: request("j", 1, 1, 1), never: true, binds: BindsPool},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			plan := Make(Snapshot{Workers: tc.workers, Waiting: []Request{tc.request}, Running: tc.running, Teams: tc.teams})
+			assert.Equal(t, len(plan.Refused), 1, "%+v", plan)
+			got := plan.Refused[0]
+			assert.Equal(t, got.Never, tc.never, got.Detail)
+			assert.Equal(t, got.Binds, tc.binds, got.Detail)
+			assert.Equal(t, got.Nearest, tc.nearest, got.Detail)
+			assert.Assert(t, got.Detail != "")
+		})
+	}
+}
+
+func TestWhatGivesWay(t *testing.T) {
+	teams := []model.Team{{Name: "a", Guaranteed: model.Resources{MilliCPU: 4000, MemoryMB: 9000}}, {Name: "b", Guaranteed: model.Resources{MilliCPU: 4000, MemoryMB: 9000}}}
+	urgent := request("u", model.ClassUrgent, 4000, 100)
+	ofB := with(request("j", model.ClassNormal, 4000, 100), func(r *Request) { r.Job.Team = "b" })
+	final := func(j *model.Job) { j.Repeatable = false }
+	for _, tc := range []struct {
+		name    string
+		request Request
+		running []Task
+		teams   []model.Team
+		want    []model.JobID
+	}{
+		{"urgent stops deferrable", urgent, []Task{running("d", "1", 0, 8000, asIs)}, nil, []model.JobID{"d"}},
+		{"urgent stops no normal work", urgent, []Task{running("n", "1", 1, 8000, asIs)}, nil, nil},
+		{"nothing stops what is not repeatable", urgent, []Task{running("d", "1", 0, 8000, final)}, nil, nil},
+		{"what keeps its progress goes first", urgent, []Task{running("a", "1", 0, 4000, func(j *model.Job) { j.Checkpoints = false }), running("b", "1", 0, 4000, asIs)}, nil, []model.JobID{"b"}},
+		{"what is stopping already is not counted twice", urgent, []Task{func() Task { r := running("d", "1", 0, 8000, asIs); r.Leaving = true; return r }()}, nil, nil},
+		{"a team gets its share back", ofB, []Task{running("x", "1", 1, 4000, asIs), running("y", "1", 1, 4000, asIs)}, teams, []model.JobID{"x"}},
+		{"but not from work inside its own share", ofB, []Task{running("x", "1", 1, 4000, asIs), running("y", "1", 1, 4000, final)}, teams, []model.JobID{"x"}},
+		{"a borrower stops nobody", with(ofB, func(r *Request) { r.Size.MilliCPU = 5000 }), []Task{running("x", "1", 1, 8000, asIs)}, teams, nil},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			w := worker("1", 8000, 8000)
+			for _, r := range tc.running {
+				w.Used = w.Used.Add(r.Size)
+			}
+			plan := Make(Snapshot{Workers: []Worker{w}, Waiting: []Request{tc.request}, Running: tc.running, Teams: tc.teams})
+			var got []model.JobID
+			for _, d := range plan.Displacements {
+				got = append(got, d.Task)
+			}
+			assert.DeepEqual(t, got, tc.want)
+			assert.Equal(t, len(plan.Placements), 0, "room is given once the worker says it is there")
+		})
+	}
+}
+
+func TestUrgentBeforeOldDeferrable(t *testing.T) {
+	old := with(request("old", model.ClassDeferrable, 8000, 100), func(r *Request) { r.Job.SubmittedAt = time.Unix(1, 0) })
+	fresh := with(request("new", model.ClassUrgent, 8000, 100), func(r *Request) { r.Job.SubmittedAt = time.Unix(9, 0) })
+	plan := Make(Snapshot{Workers: []Worker{worker("1", 8000, 8000)}, Waiting: []Request{old, fresh}})
+	assert.Equal(t, plan.Placements[0].Job, model.JobID("new"))
+}
+
+func TestFloodOfOneTeamLeavesTheOthersTheirTurn(t *testing.T) {
+	s := Snapshot{Teams: []model.Team{{Name: "a", Guaranteed: model.Resources{MilliCPU: 1, MemoryMB: 1}}, {Name: "b", Guaranteed: model.Resources{MilliCPU: 1, MemoryMB: 1}}}}
+	for i := range 10 {
+		s.Workers = append(s.Workers, worker(fmt.Sprint(i), 1000, 1000))
+	}
+	for i := range 100 {
+		s.Waiting = append(s.Waiting, request(fmt.Sprintf("a%03d", i), 1, 1000, 1000))
+	}
+	for i := range 10 {
+		s.Waiting = append(s.Waiting, with(request(fmt.Sprintf("b%d", i), 1, 1000, 1000), func(r *Request) { r.Job.Team = "b"; r.Job.SubmittedAt = time.Unix(9, 0) }))
+	}
+	byTeam := make(map[byte]int)
+	for _, p := range Make(s).Placements {
+		byTeam[p.Job[0]]++
+	}
+	assert.DeepEqual(t, byTeam, map[byte]int{'a': 5, 'b': 5})
+}
+
+// drawn is a random snapshot, not consistent with anything but itself.
+func drawn(t *rapid.T) Snapshot {
+	var s Snapshot
+	for i := range rapid.IntRange(0, 3).Draw(t, "teams") {
+		s.Teams = append(s.Teams, model.Team{Name: model.TeamName(fmt.Sprint(i)), Guaranteed: drawnSize(t, 12)})
+	}
+	for i := range rapid.IntRange(0, 8).Draw(t, "workers") {
+		w := worker(fmt.Sprint(i), 8, 8)
+		w.Capacity.Accelerators = rapid.Int64Range(0, 2).Draw(t, "accelerators")
+		w.Zone = model.ZoneName(fmt.Sprint(i % 2))
+		w.Probe = rapid.IntRange(0, 9).Draw(t, "probe") == 0
+		if rapid.IntRange(0, 9).Draw(t, "closed") == 0 {
+			w.Closed = "closed"
+		}
+		s.Workers = append(s.Workers, w)
+	}
+	for i := range rapid.IntRange(0, 25).Draw(t, "jobs") {
+		job := &model.Job{
+			ID: model.JobID(fmt.Sprint(i)), Team: model.TeamName(fmt.Sprint(rapid.IntRange(0, 3).Draw(t, "team"))),
+			Kind: "k", Class: model.Class(rapid.IntRange(0, 2).Draw(t, "class")), Repeatable: rapid.Bool().Draw(t, "repeatable"),
+			Checkpoints: rapid.Bool().Draw(t, "checkpoints"), SpreadByRack: rapid.Bool().Draw(t, "spread"),
+		}
+		size := drawnSize(t, 5)
+		if len(s.Workers) > 0 && rapid.Bool().Draw(t, "running") {
+			w := &s.Workers[rapid.IntRange(0, len(s.Workers)-1).Draw(t, "vm")]
+			if size.Fits(w.free()) {
+				w.Used = w.Used.Add(size)
+				s.Running = append(s.Running, Task{Job: job, VM: w.ID, Size: size})
+				continue
+			}
+		}
+		s.Waiting = append(s.Waiting, Request{Job: job, Size: size})
+	}
+	s.Weights = WeightsOf(model.Weights{})
+	return s
+}
+
+func drawnSize(t *rapid.T, most int64) model.Resources {
+	return model.Resources{MilliCPU: rapid.Int64Range(1, most).Draw(t, "cpu"), MemoryMB: rapid.Int64Range(1, most).Draw(t, "mem"), Accelerators: rapid.Int64Range(0, 1).Draw(t, "acc")}
+}
+
+func TestPlansKeepTheirPromises(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := drawn(t)
+		plan := Make(s)
+		assert.DeepEqual(t, plan, Make(s))
+		checkCapacity(t, s, plan)
+		checkTeams(t, s, plan)
+		assert.Equal(t, len(plan.Placements)+len(plan.Refused), len(s.Waiting), "each job is placed or told why not")
+		jobs := make(map[model.JobID]*model.Job)
+		for _, r := range s.Running {
+			jobs[r.Job.ID] = r.Job
+		}
+		for _, d := range plan.Displacements {
+			assert.Assert(t, jobs[d.Task].Repeatable, "work that is not repeatable is never stopped")
+			assert.Assert(t, jobs[d.Task].Class != model.ClassUrgent)
+		}
+	})
+}
+
+// checkCapacity counts what is running and what was placed, with nothing taken
+// off for displaced tasks: those still run.
+func checkCapacity(t *rapid.T, s Snapshot, plan Plan) {
+	used := make(map[model.VMID]model.Resources)
+	for _, r := range s.Running {
+		used[r.VM] = used[r.VM].Add(r.Size)
+	}
+	for _, p := range plan.Placements {
+		used[p.VM] = used[p.VM].Add(p.Size)
+	}
+	for _, w := range s.Workers {
+		assert.Assert(t, used[w.ID].Fits(w.Capacity), "worker %s has %v, used %v", w.ID, w.Capacity, used[w.ID])
+	}
+}
+
+// checkTeams makes sure that what a team newly uses beyond its guarantee can
+// be taken back.
+func checkTeams(t *rapid.T, s Snapshot, plan Plan) {
+	if len(s.Teams) == 0 {
+		return
+	}
+	share := make(map[model.TeamName]model.Resources)
+	for _, team := range s.Teams {
+		share[team.Name] = team.Guaranteed
+	}
+	firm, fresh := make(map[model.TeamName]model.Resources), make(map[model.TeamName]bool)
+	for _, r := range s.Running {
+		if !r.Job.Repeatable {
+			firm[r.Job.Team] = firm[r.Job.Team].Add(r.Size)
+		}
+	}
+	for _, w := range s.Waiting {
+		for _, p := range plan.Placements {
+			if p.Job == w.Job.ID && !w.Job.Repeatable {
+				firm[w.Job.Team] = firm[w.Job.Team].Add(p.Size)
+				fresh[w.Job.Team] = true
+			}
+		}
+	}
+	for team := range fresh {
+		assert.Assert(t, firm[team].Fits(share[team]), "team %s borrowed what can't be taken back", team)
+	}
+}
--- a/policy/placement/plan.go
+++ b/policy/placement/plan.go
@@ -37,15 +37,21 @@
 	weights Weights
 	spread  spread
 	queues  []*queue
+	teams   map[model.TeamName]*queue
 	full    map[shape]Refusal // shapes that found no room in this plan
-	stops   int
-	plan    Plan
+	firm    map[shape]bool    // shapes that no task gives way to in this plan
+	// declared are the teams; one that is not declared but runs tasks, as
+	// after a change of the declaration, borrows all it uses.
+	declared []model.Team
+	stops    int
+	plan     Plan
 }
 
 // queue is one team's waiting jobs, most urgent and oldest first.
 type queue struct {
 	team    model.TeamName
 	waiting []Request
+	share   float64 // of its guarantee in use
 }
 
 // shape is all of a request that feasibility looks at. Where one of a thousand
@@ -65,13 +71,15 @@
 
 func newPlanner(s *Snapshot) *planner {
 	p := &planner{
-		workers: slices.Clone(s.Workers),
-		byID:    make(map[model.VMID]int, len(s.Workers)),
-		tasks:   make(map[model.VMID][]Task),
-		book:    quota.NewBook(s.Teams),
-		weights: s.Weights,
-		spread:  make(spread),
-		full:    make(map[shape]Refusal),
+		workers:  slices.Clone(s.Workers),
+		byID:     make(map[model.VMID]int, len(s.Workers)),
+		tasks:    make(map[model.VMID][]Task),
+		book:     quota.NewBook(s.Teams),
+		weights:  s.Weights,
+		spread:   make(spread),
+		full:     make(map[shape]Refusal),
+		firm:     make(map[shape]bool),
+		declared: declaredAnd(s),
 	}
 	slices.SortFunc(p.workers, func(a, b Worker) int { return cmp.Compare(a.ID, b.ID) })
 	for i := range p.workers {
@@ -86,9 +94,32 @@
 	}
 	p.index = newIndex(p.workers)
 	p.queues = queuesOf(s.Waiting)
+	p.teams = make(map[model.TeamName]*queue, len(p.queues))
+	for _, q := range p.queues {
+		p.teams[q.team] = q
+		q.share = p.book.Ratio(q.team)
+	}
 	return p
 }
 
+func declaredAnd(s *Snapshot) []model.Team {
+	if len(s.Teams) == 0 {
+		return nil
+	}
+	known := make(map[model.TeamName]bool, len(s.Teams))
+	all := slices.Clone(s.Teams)
+	for _, t := range s.Teams {
+		known[t.Name] = true
+	}
+	for _, t := range s.Running {
+		if !known[t.Job.Team] {
+			known[t.Job.Team] = true
+			all = append(all, model.Team{Name: t.Job.Team})
+		}
+	}
+	return all
+}
+
 func queuesOf(waiting []Request) []*queue {
 	byTeam := make(map[model.TeamName]*queue)
 	var queues []*queue
@@ -149,8 +180,8 @@
 		if k == urgentRank && q.waiting[heads[i]].Job.Class != model.ClassUrgent {
 			continue
 		}
-		if share := p.book.Ratio(q.team); best < 0 || share < least {
-			best, least = i, share
+		if best < 0 || q.share < least {
+			best, least = i, q.share
 		}
 	}
 	return best
@@ -191,9 +222,17 @@
 	if w.Probe {
 		w.Closed = "being probed"
 	}
-	p.book.Take(r.Job.Team, r.Size)
+	p.take(r.Job.Team, r.Size)
 	p.spread.add(r.Job, w)
 	p.plan.Placements = append(p.plan.Placements, Placement{Job: r.Job.ID, VM: w.ID, Size: r.Size})
 }
 
+// take books a size for a team, or with a negative size gives it back.
+func (p *planner) take(team model.TeamName, size model.Resources) {
+	p.book.Take(team, size)
+	if q := p.teams[team]; q != nil {
+		q.share = p.book.Ratio(team)
+	}
+}
+
 func (p *planner) refuse(r Refusal) { p.plan.Refused = append(p.plan.Refused, r) }
--- a/policy/placement/score.go
+++ b/policy/placement/score.go
@@ -57,6 +57,9 @@
 	if w.Soon {
 		score -= p.weights.Soon * soonPenalty(r.Job)
 	}
+	if w.Probe {
+		score += probeBonus
+	}
 	if w.ID == r.Last {
 		score += p.weights.Stay
 	}
@@ -66,6 +69,10 @@
 	return score
 }
 
+// probeBonus is more than packing weighs: a worker in quarantine is empty, so
+// packing alone would never show whether it works again.
+const probeBonus = 2
+
 // soonPenalty is higher for work that can't be moved when the worker's turn
 // comes: a wave would have to wait for it.
 func soonPenalty(j *model.Job) float64 {
