--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -97,7 +97,10 @@
 		return nil, trace.Wrap(err)
 	}
 	d.connectPlatform(o)
-	d.wire(o)
+	if err := d.wire(o); err != nil {
+		d.closeListeners()
+		return nil, trace.Wrap(err)
+	}
 	if err := d.wireOperators(); err != nil {
 		d.closeListeners()
 		return nil, trace.Wrap(err)
@@ -151,18 +154,24 @@
 	})
 }
 
-func (d *Daemon) wire(o Options) {
+func (d *Daemon) wire(o Options) error {
+	server, client, err := peerTLS(d.settings.Peers, d.log.WithName("tls"))
+	if err != nil {
+		return err
+	}
 	d.mesh = peer.New(peer.Options{
-		Self:     d.self,
-		Cluster:  d.settings.Cluster,
-		Seeds:    d.settings.Seeds,
-		View:     d.view,
-		Listener: d.peers,
-		Dial:     peerDial(o.Dial),
-		Local:    func() ([]peer.TargetLoad, int) { return d.entry.Loads(), d.entry.Queued() },
-		Fill:     d.fillDigest,
-		Watching: func() bool { return d.relay.Watching() },
-		Log:      d.log.WithName("peer"),
+		Self:      d.self,
+		Cluster:   d.settings.Cluster,
+		Seeds:     d.settings.Seeds,
+		View:      d.view,
+		Listener:  d.peers,
+		Dial:      peerDial(o.Dial),
+		TLS:       server,
+		ClientTLS: client,
+		Local:     func() ([]peer.TargetLoad, int) { return d.entry.Loads(), d.entry.Queued() },
+		Fill:      d.fillDigest,
+		Watching:  func() bool { return d.relay.Watching() },
+		Log:       d.log.WithName("peer"),
 	})
 	ro := relay.Options{Self: d.self, Store: d.store, View: d.view, Peers: d.mesh, Log: d.log.WithName("relay")}
 	d.relay = relay.New(ro)
@@ -191,6 +200,7 @@
 		Every:    o.FleetEvery,
 	})
 	d.jobs = jobs.New(jobs.Options{Store: d.store, Machines: d.machines, View: d.view, Self: d.self.ID, Log: d.log.WithName("jobs")})
+	return nil
 }
 
 // fillDigest sets what peers are told beside what the mesh knows itself.
--- a/internal/daemon/tls.go
+++ b/internal/daemon/tls.go
@@ -12,6 +12,10 @@
 	"github.com/pumicestage/pumicestage/internal/settings"
 )
 
+// peersName is the name that the certificates of all entry VMs bear towards
+// each other: they come and go and talk by address.
+const peersName = "pumicestage-peer"
+
 // certificates returns what a listener's settings name, nil for plain TCP.
 func certificates(l settings.Listener, log logr.Logger) (*access.Certificates, error) {
 	if !l.TLS() {
@@ -30,3 +34,12 @@
 	}
 	return tls.NewListener(on, c.Server()), nil
 }
+
+// peerTLS returns both sides of the peers' mutual TLS, nil for plain TCP.
+func peerTLS(l settings.Listener, log logr.Logger) (server *tls.Config, client func() *tls.Config, err error) {
+	c, err := certificates(l, log)
+	if err != nil || c == nil {
+		return nil, nil, err
+	}
+	return c.Server(), func() *tls.Config { return c.Client(peersName) }, nil
+}
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -135,7 +135,11 @@
 	if err != nil || l.mesh.opts.TLS == nil {
 		return conn, err
 	}
-	secure := tls.Client(conn, l.mesh.opts.TLS)
+	config := l.mesh.opts.TLS
+	if fresh := l.mesh.opts.ClientTLS; fresh != nil {
+		config = fresh()
+	}
+	secure := tls.Client(conn, config)
 	if err := secure.HandshakeContext(ctx); err != nil {
 		conn.Close()
 		return nil, err
--- a/internal/peer/mesh.go
+++ b/internal/peer/mesh.go
@@ -33,6 +33,9 @@
 	Dial func(ctx context.Context, address string) (net.Conn, error)
 	// TLS makes connections mutual TLS; nil for plain TCP.
 	TLS *tls.Config
+	// ClientTLS returns the configuration of a connection to be dialled, so
+	// that it has the newest certificates; nil for that of TLS.
+	ClientTLS func() *tls.Config
 	// Local returns what this entry VM has in flight itself, and its queue's
 	// length.
 	Local func() (loads []TargetLoad, queued int)
