--- a/internal/entry/dispatcher.go
+++ b/internal/entry/dispatcher.go
@@ -137,6 +137,12 @@
 	return d.policy.States(d.clock.Now())
 }
 
+func (d *dispatcher) services() []dispatch.ServiceState {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.policy.Services(d.clock.Now())
+}
+
 func (d *dispatcher) lending() slots.Message {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/internal/entry/limits_test.go
+++ b/internal/entry/limits_test.go
@@ -186,6 +186,7 @@
 	short, cancel := context.WithTimeout(context.Background(), time.Millisecond)
 	defer cancel()
 	assert.ErrorContains(t, s.server.Drain(short), "still inside: 1")
+	assert.Assert(t, strings.Contains(s.server.Metrics().String(), `"Service":"tabulation","Queued":0,"InFlight":1`))
 	assert.Assert(t, !s.server.Ready())
 	r := s.do("GET", "/services/tabulation/x", "")
 	assert.Equal(t, r.status, 503)
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"expvar"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -61,6 +62,9 @@
 	s := &Server{opts: o, limits: o.Limits.withDefaults(), clock: o.Clock, log: o.Log, metrics: newMetrics()}
 	s.dispatch = newDispatcher(o)
 	s.forward = newForwarder(s.limits, o.Clock)
+	s.metrics.all.Set("services", expvar.Func(func() any { return s.dispatch.services() }))
+	s.metrics.all.Set("targets", expvar.Func(func() any { return s.dispatch.states() }))
+	s.metrics.all.Set("inside", expvar.Func(func() any { return s.inside.Load() }))
 	s.prober = newProber(s.forward, s.dispatch)
 	s.router = mux.NewRouter().UseEncodedPath().SkipClean(true)
 	s.router.HandleFunc("/services/{service}", s.serve)
--- a/policy/dispatch/choice.go
+++ b/policy/dispatch/choice.go
@@ -5,6 +5,7 @@
 	"strings"
 	"time"
 
+	"github.com/pumicestage/pumicestage/policy/admission"
 	"github.com/pumicestage/pumicestage/policy/model"
 	"github.com/pumicestage/pumicestage/policy/routing"
 )
@@ -127,3 +128,38 @@
 	slices.SortFunc(states, func(a, b State) int { return strings.Compare(string(a.VM), string(b.VM)) })
 	return states
 }
+
+// ServiceState is what is known of a service, for metrics and operators.
+type ServiceState struct {
+	Service  model.ServiceName
+	Queued   int
+	InFlight int
+	Slots    int // usable now
+	Mean     time.Duration
+	High     time.Duration
+	Away     float64 // share of work that goes to other zones first
+	Heavy    []admission.Heavy
+}
+
+// heavyShare is from which share of a service's slot time a caller is named to
+// operators: with ten callers alike none is.
+const heavyShare = 0.2
+
+// Services returns the state of every service, by name.
+func (d *Dispatcher) Services(now time.Time) []ServiceState {
+	states := make([]ServiceState, 0, len(d.order))
+	for _, svc := range d.order {
+		s := ServiceState{
+			Service: svc.decl.Name, Queued: svc.queue.Len(), InFlight: svc.running,
+			Mean: svc.hold.Mean(), High: svc.hold.High(), Away: svc.shift.Share(),
+			Heavy: svc.costs.Heaviest(heavyShare),
+		}
+		for _, t := range svc.targets {
+			if !d.out(t, now) {
+				s.Slots += t.limit
+			}
+		}
+		states = append(states, s)
+	}
+	return states
+}
--- a/policy/shift/shift.go
+++ b/policy/shift/shift.go
@@ -55,3 +55,6 @@
 	}
 	return s.share
 }
+
+// Share returns the share of work that goes elsewhere first.
+func (s *Shifter) Share() float64 { return s.share }
