--- a/internal/entry/limits_test.go
+++ b/internal/entry/limits_test.go
@@ -14,6 +14,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/pumicestage/pumicestage/internal/faketarget"
+	"github.com/pumicestage/pumicestage/internal/view"
 )
 
 // raw sends bytes as they are and reads one answer.
@@ -175,6 +176,17 @@
 	assert.Equal(t, s.started(), 2)
 }
 
+// An entry VM that has no declaration yet must not say that a service does not
+// exist: its callers would give up.
+func TestBeforeTheFirstDeclaration(t *testing.T) {
+	s := newIdleStage(t, 1, faketarget.Options{}, func(o *Options) { o.View = view.NewHolder() })
+	assert.Assert(t, !s.server.Ready())
+	r := s.do("GET", "/services/tabulation/x", "")
+	assert.Equal(t, r.status, 503)
+	assert.Equal(t, r.outcome, NotRun)
+	assert.Assert(t, r.header.Get("Retry-After") != "")
+}
+
 // The entry VM leaves under load. Requests inside get their answers, new ones
 // are told to ask another, and Drain returns when the last has gone.
 func TestDrain(t *testing.T) {
--- a/internal/entry/problem.go
+++ b/internal/entry/problem.go
@@ -196,6 +196,13 @@
 		Detail: "this entry VM takes no new requests; ask again to reach another", Outcome: NotRun, RetryAfter: time.Second}
 }
 
+// problemStarting is told before the first declaration: "no such service" would
+// have callers give up on a service that exists.
+func problemStarting() *Problem {
+	return &Problem{Type: TypeDraining, Title: "Entry VM is starting", Status: http.StatusServiceUnavailable,
+		Detail: "this entry VM does not know the services yet; ask again to reach another", Outcome: NotRun, RetryAfter: time.Second}
+}
+
 func problemStoreDown(wait time.Duration) *Problem {
 	return &Problem{Type: TypeStoreDown, Title: "Requests that run at most once cannot be taken", Status: http.StatusServiceUnavailable,
 		Detail:  "the platform's store could not be asked, and without it a second run cannot be ruled out",
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -100,8 +100,9 @@
 	}
 }
 
-// Ready reports whether new requests are taken.
-func (s *Server) Ready() bool { return !s.draining.Load() }
+// Ready reports whether new requests are taken: a declaration is known, and the
+// entry VM does not leave.
+func (s *Server) Ready() bool { return !s.draining.Load() && s.opts.View.Load().Declaration != nil }
 
 // Drain stops taking new requests and waits until those inside, queued ones
 // included, have their answers and outcomes are recorded. It returns ctx's
@@ -129,6 +130,9 @@
 	case s.draining.Load():
 		s.exit()
 		return problemDraining()
+	case !s.Ready():
+		s.exit()
+		return problemStarting()
 	case inside > int64(s.limits.Inside):
 		s.exit()
 		return problemOverload("the entry VM has as many requests inside as it may", time.Second)
--- a/policy/slots/slots_test.go
+++ b/policy/slots/slots_test.go
@@ -16,12 +16,12 @@
 // TestMain fixes the seed of random histories: a verdict must not change from
 // run to run.
 func TestMain(m *testing.M) {
-	flag.Parse()
 	for name, value := range map[string]string{"rapid.seed": "1", "rapid.checks": "3000", "rapid.nofailfile": "true"} {
 		if err := flag.Set(name, value); err != nil {
 			panic(err)
 		}
 	}
+	flag.Parse() // the command line may ask for more
 	os.Exit(m.Run())
 }
 
