--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"expvar"
 	"net"
 	"net/http"
 	"sync"
@@ -67,6 +68,9 @@
 	if o.Dial != nil {
 		s.forward.transport.DialContext = o.Dial
 	}
+	s.metrics.all.Set("services", expvar.Func(func() any { return s.dispatch.services() }))
+	s.metrics.all.Set("targets", expvar.Func(func() any { return s.dispatch.states() }))
+	s.metrics.all.Set("inside", expvar.Func(func() any { return s.inside.Load() }))
 	s.prober = newProber(s.forward, s.dispatch)
 	s.router = mux.NewRouter().UseEncodedPath().SkipClean(true)
 	s.router.HandleFunc("/services/{service}", s.serve)
@@ -102,8 +106,9 @@
 	}
 }
 
-// Ready reports whether new requests are taken.
-func (s *Server) Ready() bool { return !s.draining.Load() }
+// Ready reports whether new requests are taken: a declaration is known, and the
+// entry VM does not leave.
+func (s *Server) Ready() bool { return !s.draining.Load() && s.opts.View.Load().Declaration != nil }
 
 // Drain stops taking new requests and waits until those inside, queued ones
 // included, have their answers and outcomes are recorded. It returns ctx's
@@ -131,6 +136,9 @@
 	case s.draining.Load():
 		s.exit()
 		return problemDraining()
+	case !s.Ready():
+		s.exit()
+		return problemStarting()
 	case inside > int64(s.limits.Inside):
 		s.exit()
 		return problemOverload("the entry VM has as many requests inside as it may", time.Second)
