--- a/internal/claim/failure_test.go
+++ b/internal/claim/failure_test.go
@@ -338,6 +338,30 @@
 	assert.Assert(t, !ticket.MaySend(suspended))
 }
 
+// What the caller sees: one entry VM's clock is a day ahead or behind. A claim
+// it sets up, or could sweep, stays for as long as it is to be remembered.
+func TestClocksThatDiffer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t)
+		b.clocks = func() (earliest, latest time.Time) {
+			return time.Now().Add(-24 * time.Hour), time.Now().Add(24 * time.Hour)
+		}
+		a := b.start("a", 1)
+		defer a.stop()
+		a.claim(t, request("k", 1))
+		kvs, _, err := b.store.Range(t.Context(), platform.ClaimPrefix)
+		assert.NilError(t, err)
+		assert.Equal(t, len(kvs), 1)
+		for day, want := range []int{1, 1, 1, 0} {
+			later := a.earliest().Add(time.Duration(day)*24*time.Hour + clockSlack)
+			assert.NilError(t, a.sweepShard(t.Context(), platform.ClaimPrefix, later))
+			kvs, _, err = b.store.Range(t.Context(), platform.ClaimPrefix)
+			assert.NilError(t, err)
+			assert.Equal(t, len(kvs), want, "after %d days", day)
+		}
+	})
+}
+
 // Expired claims go, others stay; each shard is swept by one entry VM.
 func TestSweep(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/claim/ledger.go
+++ b/internal/claim/ledger.go
@@ -57,8 +57,9 @@
 	// Accepted returns the highest revision of the store known here; nil for
 	// none. A store that answers with a lower one has been restored.
 	Accepted func() platform.Revision
-	// Now is the wall clock entry VMs agree on; nil for the own one.
-	Now func() time.Time
+	// Clocks returns the earliest and the latest wall clock of the live entry
+	// VMs; nil for the own one alone.
+	Clocks func() (earliest, latest time.Time)
 	// MaxAnswer is the largest body kept, in bytes; 0 for 64 KiB.
 	MaxAnswer int
 	Log       logr.Logger
@@ -91,8 +92,8 @@
 	if opts.Accepted == nil {
 		opts.Accepted = func() platform.Revision { return 0 }
 	}
-	if opts.Now == nil {
-		opts.Now = time.Now
+	if opts.Clocks == nil {
+		opts.Clocks = ownClock
 	}
 	if opts.MaxAnswer == 0 {
 		opts.MaxAnswer = defaultMaxAnswer
@@ -142,7 +143,7 @@
 	}
 	now := time.Now()
 	accepted := l.opts.Accepted()
-	r := l.newRecord(req, l.opts.Now())
+	r := l.newRecord(req, l.latest())
 	key := storeKey(req.Key)
 	var over platform.Revision // of the released claim this one replaces
 	for {
@@ -280,7 +281,24 @@
 func (l *Ledger) released(r *record) {
 	r.Stage = stageReleased
 	r.Answer = nil
-	r.Expires = l.opts.Now().Add(releasedFor).UTC()
+	r.Expires = l.latest().Add(releasedFor).UTC()
+}
+
+func ownClock() (earliest, latest time.Time) {
+	now := time.Now()
+	return now, now
+}
+
+// latest is the clock that claims begin by.
+func (l *Ledger) latest() time.Time {
+	_, t := l.opts.Clocks()
+	return t
+}
+
+// earliest is the clock that claims are forgotten by.
+func (l *Ledger) earliest() time.Time {
+	t, _ := l.opts.Clocks()
+	return t
 }
 
 // Stats counts what the ledger cost the platform.
--- a/internal/claim/ledger_test.go
+++ b/internal/claim/ledger_test.go
@@ -22,6 +22,8 @@
 	t     *testing.T
 	store *memstore.Store
 	live  func() []model.EntryID // nil: each ledger is alone
+
+	clocks func() (earliest, latest time.Time) // nil: all clocks agree
 }
 
 func newBench(t *testing.T) *bench {
@@ -44,7 +46,7 @@
 
 func (b *bench) startOn(way platform.Store, id string, incarnation uint64) *node {
 	self := view.EntryRecord{ID: model.EntryID(id), Incarnation: incarnation}
-	l := NewLedger(Options{Store: way, Self: self, Live: b.live, Log: logr.Discard()})
+	l := NewLedger(Options{Store: way, Self: self, Live: b.live, Clocks: b.clocks, Log: logr.Discard()})
 	ctx, cancel := context.WithCancel(b.t.Context())
 	ended := make(chan struct{})
 	go func() {
--- a/internal/claim/sweep.go
+++ b/internal/claim/sweep.go
@@ -15,8 +15,8 @@
 	// few seconds, whatever the number of entry VMs.
 	sweepRound = 4 * time.Hour
 	sweepEvery = sweepRound / shards
-	// clockSlack is how far clocks of entry VMs may differ: a claim is swept
-	// this much after it expired by the clock of whoever sweeps.
+	// clockSlack is how far all clocks of entry VMs may be off to the same
+	// side; that they differ among each other is known.
 	clockSlack = 10 * time.Minute
 )
 
@@ -25,12 +25,12 @@
 // where two think so both do, which the CAS makes harmless.
 func (l *Ledger) sweepLoop(ctx context.Context) {
 	for ctx.Err() == nil {
-		now := l.opts.Now()
+		now := l.earliest()
 		pause(ctx, now.Truncate(sweepEvery).Add(sweepEvery).Sub(now))
 		if ctx.Err() != nil {
 			return
 		}
-		now = l.opts.Now()
+		now = l.earliest()
 		prefix := shardPrefix(now)
 		if !l.sweeps(prefix) {
 			continue
--- a/internal/peer/mesh.go
+++ b/internal/peer/mesh.go
@@ -5,7 +5,6 @@
 	"crypto/tls"
 	"errors"
 	"net"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -251,18 +250,21 @@
 	return ids
 }
 
-// Now returns the wall clock that the majority of live entry VMs agrees on.
-// One whose own clock is off by a day would otherwise forget claims a day too
-// early, and a late duplicate would run again.
-func (m *Mesh) Now() time.Time {
-	offsets := []time.Duration{0}
+// Clocks returns the earliest and the latest wall clock of the live entry VMs,
+// this one included. The true time lies between them unless all are off to the
+// same side. What must not end too soon begins by the latest and ends by the
+// earliest: one VM whose clock is a day off would otherwise forget claims a day
+// too early, and a late duplicate would run again.
+func (m *Mesh) Clocks() (earliest, latest time.Time) {
+	var low, high time.Duration
 	for _, s := range m.table.list() {
 		if s.Live {
-			offsets = append(offsets, s.ClockOffset)
+			low = min(low, s.ClockOffset)
+			high = max(high, s.ClockOffset)
 		}
 	}
-	slices.Sort(offsets)
-	return time.Now().Add(offsets[len(offsets)/2])
+	now := time.Now()
+	return now.Add(low), now.Add(high)
 }
 
 var (
--- a/internal/peer/mesh_test.go
+++ b/internal/peer/mesh_test.go
@@ -294,18 +294,23 @@
 	}
 }
 
-// What the operator sees: one entry VM's clock is a day off. The time that
-// claims expire by is the majority's.
-func TestNowIsTheMajoritys(t *testing.T) {
+// What the operator sees: clocks of entry VMs are off, each way; a dead one's
+// counts no more.
+func TestClocks(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		m := New(Options{View: view.NewHolder()})
-		ahead := time.Now().Add(24 * time.Hour)
-		for i, clock := range []time.Time{ahead, ahead.Add(time.Second), time.Now()} {
+		now := time.Now().Truncate(time.Millisecond)
+		for i, off := range []time.Duration{-time.Hour, 0, 24 * time.Hour} {
 			id := fmt.Sprint("e", i)
 			assert.Assert(t, m.table.join(hello{Entry: id, Zone: "z"}, uint64(i)))
-			assert.Assert(t, m.table.apply(model.EntryID(id), uint64(i), Digest{Seq: 1, Clock: clock.UnixMilli()}))
+			assert.Assert(t, m.table.apply(model.EntryID(id), uint64(i), Digest{Seq: 1, Clock: now.Add(off).UnixMilli()}))
 		}
-		assert.Assert(t, m.Now().Equal(ahead.Truncate(time.Millisecond)), "own clock is the odd one out with one other")
+		earliest, latest := m.Clocks()
+		assert.Equal(t, latest.Sub(earliest), 25*time.Hour)
+		assert.Assert(t, earliest.Equal(now.Add(-time.Hour)))
+		time.Sleep(liveAcrossZones)
+		earliest, latest = m.Clocks()
+		assert.Assert(t, earliest.Equal(time.Now()) && latest.Equal(earliest))
 	})
 }
 
