--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -16,14 +16,16 @@
 	"github.com/go-logr/logr"
 	"github.com/gravitational/trace"
 
-	"github.com/pumicestage/pumicestage/internal/audit"
 	"github.com/pumicestage/pumicestage/internal/claim"
 	"github.com/pumicestage/pumicestage/internal/entry"
 	"github.com/pumicestage/pumicestage/internal/fleet"
+	"github.com/pumicestage/pumicestage/internal/jobs"
+	"github.com/pumicestage/pumicestage/internal/operator/wiring"
 	"github.com/pumicestage/pumicestage/internal/peer"
 	"github.com/pumicestage/pumicestage/internal/platform"
 	"github.com/pumicestage/pumicestage/internal/platform/gateway"
 	"github.com/pumicestage/pumicestage/internal/platform/machineapi"
+	"github.com/pumicestage/pumicestage/internal/prober"
 	"github.com/pumicestage/pumicestage/internal/relay"
 	"github.com/pumicestage/pumicestage/internal/settings"
 	"github.com/pumicestage/pumicestage/internal/view"
@@ -64,8 +66,11 @@
 	claims   *claim.Ledger
 	entry    *entry.Server
 	fleet    *fleet.Fleet
-	prober   *prober
-	trail    *audit.Trail
+	prober   *prober.Prober
+	jobs     *jobs.Jobs
+	port     *wiring.Port
+
+	operatorHandler http.Handler
 
 	ready  atomic.Bool
 	killed chan struct{}
@@ -92,7 +97,14 @@
 		return nil, trace.Wrap(err)
 	}
 	d.connectPlatform(o)
-	d.wire(o)
+	if err := d.wire(o); err != nil {
+		d.closeListeners()
+		return nil, trace.Wrap(err)
+	}
+	if err := d.wireOperators(); err != nil {
+		d.closeListeners()
+		return nil, trace.Wrap(err)
+	}
 	return d, nil
 }
 
@@ -142,18 +154,24 @@
 	})
 }
 
-func (d *Daemon) wire(o Options) {
+func (d *Daemon) wire(o Options) error {
+	server, client, err := peerTLS(d.settings.Peers, d.log.WithName("tls"))
+	if err != nil {
+		return err
+	}
 	d.mesh = peer.New(peer.Options{
-		Self:     d.self,
-		Cluster:  d.settings.Cluster,
-		Seeds:    d.settings.Seeds,
-		View:     d.view,
-		Listener: d.peers,
-		Dial:     peerDial(o.Dial),
-		Local:    func() ([]peer.TargetLoad, int) { return d.entry.Loads(), d.entry.Queued() },
-		Fill:     func(dg *peer.Digest) { d.entry.FillDigest(dg) },
-		Watching: func() bool { return d.relay.Watching() },
-		Log:      d.log.WithName("peer"),
+		Self:      d.self,
+		Cluster:   d.settings.Cluster,
+		Seeds:     d.settings.Seeds,
+		View:      d.view,
+		Listener:  d.peers,
+		Dial:      peerDial(o.Dial),
+		TLS:       server,
+		ClientTLS: client,
+		Local:     func() ([]peer.TargetLoad, int) { return d.entry.Loads(), d.entry.Queued() },
+		Fill:      d.fillDigest,
+		Watching:  func() bool { return d.relay.Watching() },
+		Log:       d.log.WithName("peer"),
 	})
 	ro := relay.Options{Self: d.self, Store: d.store, View: d.view, Peers: d.mesh, Log: d.log.WithName("relay")}
 	d.relay = relay.New(ro)
@@ -170,8 +188,7 @@
 		Seed:   d.self.Incarnation,
 		Dial:   o.Dial,
 	})
-	d.trail = audit.New(audit.Options{Store: d.store, Self: d.self.ID, Log: d.log.WithName("audit")})
-	d.prober = newProber(d.view, o.Dial)
+	d.prober = prober.New(prober.Options{Self: d.self.ID, Zone: d.self.Zone, View: d.view, Peers: d.mesh, Dial: o.Dial})
 	d.fleet = fleet.New(fleet.Options{
 		Store:    d.store,
 		Machines: d.machines,
@@ -182,6 +199,14 @@
 		Self:     d.self.ID,
 		Every:    o.FleetEvery,
 	})
+	d.jobs = jobs.New(jobs.Options{Store: d.store, Machines: d.machines, View: d.view, Self: d.self.ID, Log: d.log.WithName("jobs")})
+	return nil
+}
+
+// fillDigest sets what peers are told beside what the mesh knows itself.
+func (d *Daemon) fillDigest(dg *peer.Digest) {
+	d.entry.FillDigest(dg)
+	d.prober.Fill(dg)
 }
 
 func (d *Daemon) entryLimits() entry.Limits {
@@ -218,24 +243,20 @@
 // Run serves until ctx ends, then leaves gracefully: not ready, no new
 // requests, those in flight finish, and what it holds is handed over.
 func (d *Daemon) Run(ctx context.Context) error {
-	gate, err := d.gate()
-	if err != nil {
-		d.closeListeners()
-		return trace.Wrap(err)
-	}
 	d.warnExposed()
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	var parts sync.WaitGroup
 	d.startParts(background, &parts)
 	callers := d.callerServer()
-	operators := &http.Server{Handler: d.operatorHandler(gate), ReadHeaderTimeout: d.settings.Limits.HeaderTimeout}
+	operators := &http.Server{Handler: d.operatorHandler, ReadHeaderTimeout: d.settings.Limits.HeaderTimeout}
 	failed := make(chan error, 2)
 	go func() { failed <- callers.Serve(d.callers) }()
 	go func() { failed <- operators.Serve(d.operators) }()
 	d.ready.Store(true)
 	d.log.Info("serving", "callers", d.self.Caller, "operators", d.self.Operator, "peers", d.self.Peer)
 
+	var err error
 	select {
 	case <-ctx.Done():
 		err = d.leave(callers)
@@ -259,9 +280,11 @@
 	parts.Go(func() { d.relay.Run(ctx) })
 	parts.Go(func() { d.claims.Run(ctx) })
 	parts.Go(func() { d.report("entry", d.entry.Run(ctx)) })
-	parts.Go(func() { d.prober.run(ctx) })
+	parts.Go(func() { d.prober.Run(ctx) })
 	parts.Go(func() { d.report("fleet", d.fleet.Run(ctx)) })
 	parts.Go(func() { d.wakeFleet(ctx) })
+	parts.Go(func() { d.report("jobs", d.jobs.Run(ctx)) })
+	parts.Go(func() { d.port.Observer.Run(ctx) })
 }
 
 func (d *Daemon) report(part string, err error) {
