--- a/internal/claim/ledger.go
+++ b/internal/claim/ledger.go
@@ -4,7 +4,6 @@
 	"context"
 	"crypto/rand"
 	"encoding/hex"
-	"encoding/json"
 	"errors"
 	"sync"
 	"time"
@@ -57,8 +56,9 @@
 	// Accepted returns the highest revision of the store known here; nil for
 	// none. A store that answers with a lower one has been restored.
 	Accepted func() platform.Revision
-	// Now is the wall clock entry VMs agree on; nil for the own one.
-	Now func() time.Time
+	// Clocks returns the earliest and the latest wall clock of the live entry
+	// VMs; nil for the own one alone.
+	Clocks func() (earliest, latest time.Time)
 	// MaxAnswer is the largest body kept, in bytes; 0 for 64 KiB.
 	MaxAnswer int
 	Log       logr.Logger
@@ -72,6 +72,7 @@
 
 	mu   sync.Mutex
 	held map[string]record // claims won here and not yet recorded, by ID
+	seen map[model.EntryID]sighting
 	// closed: Run waits for its last tasks and takes no more.
 	closed bool
 
@@ -91,8 +92,8 @@
 	if opts.Accepted == nil {
 		opts.Accepted = func() platform.Revision { return 0 }
 	}
-	if opts.Now == nil {
-		opts.Now = time.Now
+	if opts.Clocks == nil {
+		opts.Clocks = ownClock
 	}
 	if opts.MaxAnswer == 0 {
 		opts.MaxAnswer = defaultMaxAnswer
@@ -103,6 +104,7 @@
 		commits: newCommitter(opts.Store, func() int { return len(opts.Live()) }),
 		settles: make(chan struct{}, maxSettling),
 		held:    make(map[string]record),
+		seen:    make(map[model.EntryID]sighting),
 		ctx:     ctx,
 		cancel:  cancel,
 	}
@@ -142,7 +144,7 @@
 	}
 	now := time.Now()
 	accepted := l.opts.Accepted()
-	r := l.newRecord(req, l.opts.Now())
+	r := l.newRecord(req, l.latest())
 	key := storeKey(req.Key)
 	var over platform.Revision // of the released claim this one replaces
 	for {
@@ -240,25 +242,6 @@
 	return Result{State: Unknown}
 }
 
-// holderLives reports whether the run of the daemon that holds the claim is
-// registered. Where the store does not say, it counts as alive: the caller is
-// then told to ask again, which is right either way.
-func (l *Ledger) holderLives(ctx context.Context, found record) bool {
-	self := l.opts.Self
-	if found.Entry == self.ID && found.Incarnation == self.Incarnation {
-		return true
-	}
-	kv, _, err := l.opts.Store.Get(ctx, platform.EntryKey(found.Entry))
-	if err != nil {
-		return true
-	}
-	var e view.EntryRecord
-	if kv.ModRevision == 0 || json.Unmarshal(kv.Value, &e) != nil {
-		return false
-	}
-	return e.Incarnation == found.Incarnation
-}
-
 // Record implements Claims. Where it returns an error the outcome goes on
 // being written in the background.
 func (l *Ledger) Record(ctx context.Context, t Ticket, a Answer) error {
@@ -280,7 +263,24 @@
 func (l *Ledger) released(r *record) {
 	r.Stage = stageReleased
 	r.Answer = nil
-	r.Expires = l.opts.Now().Add(releasedFor).UTC()
+	r.Expires = l.latest().Add(releasedFor).UTC()
+}
+
+func ownClock() (earliest, latest time.Time) {
+	now := time.Now()
+	return now, now
+}
+
+// latest is the clock that claims begin by.
+func (l *Ledger) latest() time.Time {
+	_, t := l.opts.Clocks()
+	return t
+}
+
+// earliest is the clock that claims are forgotten by.
+func (l *Ledger) earliest() time.Time {
+	t, _ := l.opts.Clocks()
+	return t
 }
 
 // Stats counts what the ledger cost the platform.
