--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -36,8 +36,8 @@
 // connection takes for its own, and HTTP/1.1 has nothing to tell them apart by.
 // Also, net/http silently sends a request again where a reused connection
 // breaks before an answer. Neither can happen on a connection of one's own.
-func newForwarder(l Limits, clock clockwork.Clock) *forwarder {
-	spares := newSpares(l.ConnectTimeout)
+func newForwarder(dial dialFunc, l Limits, clock clockwork.Clock) *forwarder {
+	spares := newSpares(dial, l.ConnectTimeout)
 	return &forwarder{
 		transport: &http.Transport{
 			DialContext:            spares.DialContext,
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -64,10 +64,7 @@
 	}
 	s := &Server{opts: o, limits: o.Limits.withDefaults(), clock: o.Clock, log: o.Log, metrics: newMetrics()}
 	s.dispatch = newDispatcher(o)
-	s.forward = newForwarder(s.limits, o.Clock)
-	if o.Dial != nil {
-		s.forward.transport.DialContext = o.Dial
-	}
+	s.forward = newForwarder(o.Dial, s.limits, o.Clock)
 	s.metrics.all.Set("services", expvar.Func(func() any { return s.dispatch.services() }))
 	s.metrics.all.Set("targets", expvar.Func(func() any { return s.dispatch.states() }))
 	s.metrics.all.Set("inside", expvar.Func(func() any { return s.inside.Load() }))
--- a/internal/entry/spare.go
+++ b/internal/entry/spare.go
@@ -17,7 +17,7 @@
 // request lately. Each connection still carries one request only; what is saved
 // is the wait for the connection, a round trip and both sides' work for it.
 type spares struct {
-	dialer net.Dialer
+	dial dialFunc
 
 	mu      sync.Mutex
 	conns   map[string]*spare // by address
@@ -30,14 +30,30 @@
 	timer *time.Timer // closes it when it is too old
 }
 
-func newSpares(timeout time.Duration) *spares {
+// dialFunc opens a connection.
+type dialFunc = func(ctx context.Context, network, address string) (net.Conn, error)
+
+// newSpares returns spares that connect by dial, over plain TCP if it is nil.
+func newSpares(dial dialFunc, timeout time.Duration) *spares {
+	if dial == nil {
+		dial = (&net.Dialer{KeepAlive: -1}).DialContext
+	}
 	return &spares{
-		dialer:  net.Dialer{Timeout: timeout, KeepAlive: -1},
+		dial:    dialWithin(timeout, dial),
 		conns:   make(map[string]*spare),
 		dialing: make(map[string]bool),
 	}
 }
 
+// dialWithin bounds how long connecting may take.
+func dialWithin(timeout time.Duration, dial dialFunc) dialFunc {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		ctx, cancel := context.WithTimeout(ctx, timeout)
+		defer cancel()
+		return dial(ctx, network, address)
+	}
+}
+
 // freshKey marks a context whose request must not use a spare connection.
 type freshKey struct{}
 
@@ -51,14 +67,14 @@
 // DialContext returns a connection that no request has used.
 func (s *spares) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
 	if ctx.Value(freshKey{}) != nil {
-		return s.dialer.DialContext(ctx, network, address)
+		return s.dial(ctx, network, address)
 	}
 	conn := s.take(address)
 	s.refill(network, address)
 	if conn != nil {
 		return conn, nil
 	}
-	return s.dialer.DialContext(ctx, network, address)
+	return s.dial(ctx, network, address)
 }
 
 // take returns the spare connection if there is one that still stands.
@@ -86,7 +102,7 @@
 	}
 	s.dialing[address] = true
 	go func() {
-		conn, err := s.dialer.Dial(network, address)
+		conn, err := s.dial(context.Background(), network, address)
 		s.put(address, conn, err)
 	}()
 }
