--- a/internal/config/stored.go
+++ b/internal/config/stored.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -72,7 +71,7 @@
 // Decode reads the value under platform.ConfigKey.
 func Decode(value []byte) (*Stored, error) {
 	s := &Stored{}
-	if err := json.Unmarshal(value, s); err != nil {
+	if err := platform.DecodeValue(value, s); err != nil {
 		return nil, trace.Wrap(&CorruptError{Err: err})
 	}
 	return s, nil
@@ -80,6 +79,6 @@
 
 // Encode writes the value for platform.ConfigKey.
 func Encode(s *Stored) ([]byte, error) {
-	value, err := json.Marshal(s)
+	value, err := platform.EncodeValue(s)
 	return value, trace.Wrap(err)
 }
--- a/internal/relay/source.go
+++ b/internal/relay/source.go
@@ -278,7 +278,7 @@
 	r := recordOf(kv)
 	s.relay.state.merge(update{Config: &r}, time.Time{})
 	var head struct{ Generation uint64 }
-	if err := json.Unmarshal(kv.Value, &head); err == nil {
+	if err := platform.DecodeValue(kv.Value, &head); err == nil {
 		s.configGen = head.Generation
 	}
 }
--- a/internal/relay/state.go
+++ b/internal/relay/state.go
@@ -81,7 +81,7 @@
 		return false
 	}
 	decl := new(model.Declaration)
-	if err := json.Unmarshal(u.Config.Value, decl); err != nil {
+	if err := platform.DecodeValue(u.Config.Value, decl); err != nil {
 		s.log.Error(err, "declaration not readable, keeping the one in force", "revision", u.Config.Mod)
 		return false
 	}
