--- /dev/null
+++ b/internal/jobs/bench_test.go
@@ -0,0 +1,239 @@
+package jobs
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/pumicestage/pumicestage/internal/platform"
+	"github.com/pumicestage/pumicestage/internal/platform/standin"
+	"github.com/pumicestage/pumicestage/policy/blame"
+	"github.com/pumicestage/pumicestage/policy/model"
+	"github.com/pumicestage/pumicestage/policy/sizing"
+)
+
+// load keeps jobs waiting on a world and counts what becomes of them.
+type load struct {
+	*world
+	rng       *rand.Rand
+	job       func(rng *rand.Rand, n int) (model.Job, standin.Behaviour)
+	submitted int
+	// each is called after each step; a baseline takes its knowledge away in it.
+	each func(n *node)
+}
+
+// tally is what a load came to.
+type benchTally struct {
+	real     float64 // share of the workers' processors that tasks really used
+	memory   float64 // share of their memory
+	failures map[string]int
+	states   map[State]int
+	starts   int
+	twice    int // jobs that may not be repeated and were started more than once
+	lost     int // jobs that are in no state at all
+}
+
+// play runs for a time and keeps so many jobs waiting.
+func (l *load) play(d time.Duration, waiting int) benchTally {
+	var out benchTally
+	out.failures = make(map[string]int)
+	out.states = make(map[State]int)
+	seen := make(map[model.AttemptID]bool)
+	behaviours := make(map[model.JobID]standin.Behaviour)
+	samples := 0
+	for second := range int(d / time.Second) {
+		if second%5 == 0 {
+			l.refill(waiting, behaviours)
+		}
+		l.clock.Advance(time.Second)
+		for _, n := range l.nodes {
+			if err := n.Step(l.ctx()); err != nil {
+				l.t.Fatal(err)
+			}
+			l.each(n)
+		}
+		tasks, _ := l.platform.Machines.Tasks(l.ctx())
+		byVM := make(map[model.VMID]model.Resources)
+		for _, t := range tasks {
+			if t.State == platform.TaskFailed && !seen[t.Attempt] {
+				seen[t.Attempt] = true
+				out.failures[t.Reason]++
+			}
+			if t.State == platform.TaskRunning {
+				byVM[t.VM] = byVM[t.VM].Add(behaviours[t.Job].Size)
+			}
+		}
+		if second > int(d/time.Second)/2 {
+			used := inUse(byVM)
+			out.real += float64(used.MilliCPU) / float64(workerSize.MilliCPU*int64(len(l.snap.VMs)))
+			out.memory += float64(used.MemoryMB) / float64(workerSize.MemoryMB*int64(len(l.snap.VMs)))
+			samples++
+		}
+	}
+	out.real /= float64(samples)
+	out.memory /= float64(samples)
+	l.count(&out)
+	return out
+}
+
+// inUse counts a worker on which tasks want more processors than it has as
+// fully used, and no more.
+func inUse(byVM map[model.VMID]model.Resources) model.Resources {
+	var sum model.Resources
+	for _, used := range byVM {
+		used.MilliCPU = min(used.MilliCPU, workerSize.MilliCPU)
+		used.MemoryMB = min(used.MemoryMB, workerSize.MemoryMB)
+		sum = sum.Add(used)
+	}
+	return sum
+}
+
+func (l *load) refill(waiting int, behaviours map[model.JobID]standin.Behaviour) {
+	all, _ := l.nodes[0].List(l.ctx())
+	for _, r := range all {
+		if r.State == Waiting {
+			waiting--
+		}
+	}
+	var jobs []model.Job
+	var how []standin.Behaviour
+	for range max(waiting, 0) {
+		job, b := l.job(l.rng, l.submitted+len(jobs))
+		jobs, how = append(jobs, job), append(how, b)
+	}
+	if len(jobs) == 0 {
+		return
+	}
+	for i, id := range l.submit(jobs...) {
+		l.behave(id, how[i])
+		behaviours[id] = how[i]
+	}
+	l.submitted += len(jobs)
+}
+
+func (l *load) count(out *benchTally) {
+	all, _ := l.nodes[0].List(l.ctx())
+	for _, r := range all {
+		out.states[r.State]++
+	}
+	out.lost = l.submitted - len(all)
+	tally := l.platform.Machines.Tally()
+	for _, r := range all {
+		out.starts += tally.Starts[r.ID]
+		if !r.Repeatable && tally.Starts[r.ID] > 1 {
+			out.twice++
+		}
+	}
+}
+
+// BenchmarkSizesOff has 20 kinds of job of which 6 were declared wrong by four
+// times, half of them too large. Usage reports are ten seconds apart.
+func BenchmarkSizesOff(b *testing.B) {
+	job := func(rng *rand.Rand, n int) (model.Job, standin.Behaviour) {
+		kind := rng.IntN(20)
+		real := model.Resources{MilliCPU: int64(500 + 100*(kind%8)), MemoryMB: int64(600 + 150*(kind%8))}
+		off := [...]float64{4, 4, 4, 0.25, 0.25, 0.25}
+		factor := 1.2
+		if kind < len(off) {
+			factor = off[kind]
+		}
+		declared := model.Resources{MilliCPU: int64(float64(real.MilliCPU) * factor), MemoryMB: int64(float64(real.MemoryMB) * factor)}
+		spread := 0.85 + 0.3*rng.Float64()
+		real.MilliCPU, real.MemoryMB = int64(float64(real.MilliCPU)*spread), int64(float64(real.MemoryMB)*spread)
+		j := small()
+		j.Kind, j.Declared = fmt.Sprintf("k%d", kind), declared
+		return j, standin.Behaviour{Size: real, RunTime: time.Duration(60+rng.IntN(60)) * time.Second}
+	}
+	for _, c := range []struct {
+		name string
+		each func(*node)
+	}{
+		{"learned", func(*node) {}},
+		{"trust-declaration", func(n *node) { n.learned.Sizes = sizing.NewBook() }},
+	} {
+		b.Run(c.name, func(b *testing.B) {
+			for b.Loop() {
+				l := &load{world: newWorld(b, 60, 1), rng: rand.New(rand.NewPCG(1, 1)), job: job, each: c.each}
+				l.platform.Machines.SetUsageEvery(10 * time.Second)
+				got := l.play(20*time.Minute, 150)
+				b.ReportMetric(100*got.real, "cpu%")
+				b.ReportMetric(100*got.memory, "mem%")
+				b.ReportMetric(float64(got.failures[platform.ReasonMemoryGuard]), "memory-stops")
+				b.ReportMetric(float64(got.states[Succeeded]), "succeeded")
+			}
+		})
+	}
+}
+
+// BenchmarkBadWorkers has 4 of 200 workers fail everything at once. What is
+// lost are starts that fail on them and jobs that end as failed.
+func BenchmarkBadWorkers(b *testing.B) {
+	job := func(rng *rand.Rand, n int) (model.Job, standin.Behaviour) {
+		j := small()
+		j.Kind = fmt.Sprintf("k%d", rng.IntN(20))
+		j.Repeatable = rng.IntN(10) != 0
+		return j, standin.Behaviour{Size: j.Declared, RunTime: time.Duration(30+rng.IntN(60)) * time.Second}
+	}
+	for _, c := range []struct {
+		name string
+		each func(*node)
+	}{
+		{"blame", func(*node) {}},
+		{"no-blame", func(n *node) { n.learned.Blame = blame.NewBook() }},
+	} {
+		b.Run(c.name, func(b *testing.B) {
+			for b.Loop() {
+				l := &load{world: newWorld(b, 200, 1), rng: rand.New(rand.NewPCG(2, 2)), job: job, each: c.each}
+				for i := range 4 {
+					l.platform.Machines.SetWorkerFails(model.VMID(fmt.Sprintf("v%04d", 50*i+7)), true)
+				}
+				got := l.play(5*time.Minute, 200)
+				b.ReportMetric(float64(got.failures["the worker failed it"]), "failed-starts")
+				b.ReportMetric(float64(got.states[Failed]), "jobs-failed")
+				b.ReportMetric(float64(got.states[Succeeded]), "succeeded")
+				b.ReportMetric(float64(wronglyBanned(l)), "wrongly-quarantined")
+				b.ReportMetric(float64(got.twice), "started-twice")
+			}
+		})
+	}
+}
+
+func wronglyBanned(l *load) int {
+	n := 0
+	for vm := range l.nodes[0].learned.Blame.Workers {
+		closed, probe := l.nodes[0].learned.Blame.Standing(vm, l.clock.Now())
+		var i int
+		_, _ = fmt.Sscanf(string(vm), "v%d", &i)
+		if (closed != "" || probe) && i%50 != 7 {
+			n++
+		}
+	}
+	return n
+}
+
+// BenchmarkPoisonedKind submits 1,000 jobs that always fail, at once or late,
+// among good ones.
+func BenchmarkPoisonedKind(b *testing.B) {
+	for _, after := range []time.Duration{time.Second, 25 * time.Second} {
+		b.Run("after-"+after.String(), func(b *testing.B) {
+			for b.Loop() {
+				banned := 0
+				l := &load{world: newWorld(b, 200, 1), rng: rand.New(rand.NewPCG(3, 3))}
+				l.job = func(rng *rand.Rand, n int) (model.Job, standin.Behaviour) {
+					j := small()
+					if n >= 500 && n < 1500 {
+						j.Kind = "poisoned"
+						return j, standin.Behaviour{Size: j.Declared, RunTime: after, Fails: true}
+					}
+					return j, standin.Behaviour{Size: j.Declared, RunTime: time.Duration(30+rng.IntN(60)) * time.Second}
+				}
+				l.each = func(*node) { banned = max(banned, wronglyBanned(l)) }
+				got := l.play(6*time.Minute, 1500)
+				b.ReportMetric(float64(banned), "wrongly-quarantined")
+				b.ReportMetric(float64(got.states[Failed]), "jobs-stopped")
+				b.ReportMetric(float64(got.failures["the job failed"])/1000, "starts/poisoned-job")
+			}
+		})
+	}
+}
--- a/internal/jobs/observe.go
+++ b/internal/jobs/observe.go
@@ -129,6 +129,7 @@
 	case !r.Repeatable:
 		return func(r *Record) { r.enter(Failed, p.now, why+"; not repeatable, so it is not tried again") }
 	case why == platform.ReasonMemoryGuard && r.Grow < maxGrow:
+		p.learned.Sizes.Exceeded(r.Kind, r.ID, r.Size)
 		return func(r *Record) {
 			r.Grow++
 			r.giveUp(p.now, "it used more memory than it was given")
--- a/policy/blame/blame.go
+++ b/policy/blame/blame.go
@@ -17,14 +17,20 @@
 )
 
 const (
-	// recent is how many outcomes of a worker are remembered.
+	// recent is how many failures in a row of a worker are remembered.
 	recent = 8
-	// threshold is the weight of failures in a row that quarantines a worker.
-	// One failure of a kind that always succeeds elsewhere weighs a little
-	// under 1, so it takes three, and two bad jobs can't do it.
-	threshold = 2.0
-	// maxTotal is when a kind's counts are halved, so that it can change.
-	maxTotal = 256
+	// severalKinds is the weight of failures in a row that quarantines a worker
+	// on which more than one kind failed. One failure of a kind that does well
+	// elsewhere weighs a little under 1, so it takes three.
+	severalKinds = 2.0
+	// oneKind is the same where all were of one kind. The kind may just have
+	// been broken and not have failed elsewhere yet, so it takes six or more.
+	oneKind = 5.0
+	// witnesses is how many workers, the latest ones, say how a kind does
+	// elsewhere. Each counts once however often it fails, or the few that fail
+	// everything would outvote the many that fail nothing; old ones are
+	// dropped, or a kind that was broken today would be taken for good.
+	witnesses = 256
 	// firstBan and longestBan bound a quarantine; each failed probe doubles it.
 	// A worker that was mended by a restart is back within minutes, one that is
 	// broken for good costs two jobs an hour.
@@ -58,40 +64,48 @@
 	At      time.Time
 }
 
-// Tally counts a kind's outcomes.
-type Tally struct {
-	Survived, Succeeded, Failed int
+// sight is the latest outcome of a kind on one worker.
+type sight struct {
+	outcome Outcome
+	turn    uint64
 }
 
-// Mark is one remembered failure.
-type Mark struct {
-	Kind string
-	Late bool
+// kind is how a kind did on the workers that ran it last.
+type kind struct {
+	sights map[model.VMID]sight
+	turn   uint64 // when it was last heard of
 }
 
-// Worker is what is remembered of one.
+// mark is one remembered failure.
+type mark struct {
+	kind string
+	late bool
+}
+
+// Worker is what is remembered of one. Its quarantine is stored; the evidence
+// is gathered anew by whoever takes the work over.
 type Worker struct {
-	Fails []Mark           // since it last did well, oldest first
-	Kinds map[string]Tally // its own part in the kinds' counts
-	Until time.Time        // quarantined until; zero if not
-	Bans  int              // quarantines in a row without a success between
+	Until time.Time // quarantined until, or on probe after; zero if neither
+	Bans  int       // quarantines in a row without a success between
+	fails []mark    // since it last did well, oldest first
 }
 
 // Book remembers workers and kinds. Its fields are exported to be stored.
 type Book struct {
 	Workers map[model.VMID]*Worker
-	Kinds   map[string]Tally
+	kinds   map[string]*kind
+	turn    uint64
 }
 
 // NewBook returns a Book that knows nothing.
 func NewBook() *Book {
-	return &Book{Workers: make(map[model.VMID]*Worker), Kinds: make(map[string]Tally)}
+	return &Book{Workers: make(map[model.VMID]*Worker), kinds: make(map[string]*kind)}
 }
 
 func (b *Book) worker(vm model.VMID) *Worker {
 	w := b.Workers[vm]
 	if w == nil {
-		w = &Worker{Kinds: make(map[string]Tally)}
+		w = &Worker{}
 		b.Workers[vm] = w
 	}
 	return w
@@ -99,124 +113,159 @@
 
 // Record notes an outcome.
 func (b *Book) Record(e Event) {
-	if _, known := b.Kinds[e.Kind]; !known && len(b.Kinds) >= maxKinds {
-		b.forgetKind()
+	b.witness(e)
+	if e.Outcome == Survived || e.Outcome == Succeeded {
+		b.clear(e.VM, e.Outcome == Survived)
+		return
 	}
 	w := b.worker(e.VM)
-	b.Kinds[e.Kind] = b.Kinds[e.Kind].with(e.Outcome)
-	w.Kinds[e.Kind] = w.Kinds[e.Kind].with(e.Outcome)
-	if t := b.Kinds[e.Kind]; t.Survived+t.Succeeded+t.Failed > maxTotal {
-		b.halve(e.Kind)
+	w.fails = append(w.fails, mark{e.Kind, e.Outcome == FailedLate})
+	if len(w.fails) > recent {
+		w.fails = w.fails[1:]
 	}
-	switch e.Outcome {
-	case Survived, Succeeded:
-		w.Fails, w.Until, w.Bans = nil, time.Time{}, 0
-	default:
-		w.Fails = append(w.Fails, Mark{e.Kind, e.Outcome == FailedLate})
-		if len(w.Fails) > recent {
-			w.Fails = w.Fails[1:]
-		}
-		if w.Bans > 0 && !w.Until.IsZero() && !e.At.Before(w.Until) {
-			b.ban(w, e.At) // the probe failed
-		}
+	if !w.Until.IsZero() && !e.At.Before(w.Until) {
+		w.ban(e.At) // the probe failed
 	}
 }
 
-func (t Tally) with(o Outcome) Tally {
-	switch o {
-	case Survived:
-		t.Survived++
-	case Succeeded:
-		t.Succeeded++
-	case FailedLate:
-		t.Survived--
-		t.Failed++
-	default:
-		t.Failed++
+// clear takes a worker's failures off it. A task that has only survived says
+// nothing of those that fail late.
+func (b *Book) clear(vm model.VMID, onlyEarly bool) {
+	w := b.Workers[vm]
+	if w == nil {
+		return
+	}
+	w.fails = slices.DeleteFunc(w.fails, func(m mark) bool { return !onlyEarly || !m.late })
+	if len(w.fails) == 0 {
+		delete(b.Workers, vm)
 	}
-	return t
 }
 
-func (t Tally) less(o Tally) Tally {
-	return Tally{t.Survived - o.Survived, t.Succeeded - o.Succeeded, t.Failed - o.Failed}
+func (b *Book) witness(e Event) {
+	b.turn++
+	k := b.kinds[e.Kind]
+	if k == nil {
+		if len(b.kinds) >= maxKinds {
+			b.forgetKind()
+		}
+		k = &kind{sights: make(map[model.VMID]sight)}
+		b.kinds[e.Kind] = k
+	}
+	k.turn = b.turn
+	k.sights[e.VM] = sight{e.Outcome, b.turn}
+	if len(k.sights) > witnesses {
+		k.forgetOldest()
+	}
 }
 
-func (t Tally) half() Tally { return Tally{t.Survived / 2, t.Succeeded / 2, t.Failed / 2} }
-
-func (b *Book) halve(kind string) {
-	b.Kinds[kind] = b.Kinds[kind].half()
-	for _, w := range b.Workers {
-		if t, ok := w.Kinds[kind]; ok {
-			w.Kinds[kind] = t.half()
+func (k *kind) forgetOldest() {
+	var oldest model.VMID
+	least := k.turn + 1
+	for vm, s := range k.sights {
+		if s.turn < least {
+			oldest, least = vm, s.turn
 		}
 	}
+	delete(k.sights, oldest)
 }
 
-// forgetKind drops the kind with the fewest outcomes.
+// forgetKind drops the kind not heard of for longest.
 func (b *Book) forgetKind() {
-	least, found := "", false
-	for k, t := range b.Kinds {
-		o := b.Kinds[least]
-		if !found || cmp.Or(cmp.Compare(t.Failed+t.Survived, o.Failed+o.Survived), cmp.Compare(k, least)) < 0 {
-			least, found = k, true
+	oldest, least := "", b.turn+1
+	for name, k := range b.kinds {
+		if k.turn < least {
+			oldest, least = name, k.turn
 		}
 	}
-	delete(b.Kinds, least)
-	for _, w := range b.Workers {
-		delete(w.Kinds, least)
-	}
+	delete(b.kinds, oldest)
 }
 
 // weight is how much a failure of the kind says about the worker: the share of
-// the kind's outcomes elsewhere that went well. Nothing known elsewhere weighs
-// nothing. An early failure is held against survivals elsewhere, a late one
-// against successes only: a kind that always dies in its last minute has
+// other workers on which the kind did well of late. Nothing known elsewhere
+// weighs nothing. An early failure is held against survivals elsewhere, a late
+// one against successes only: a kind that always dies in its last minute has
 // survived everywhere and says nothing of any worker.
-func (b *Book) weight(w *Worker, m Mark) float64 {
-	elsewhere := b.Kinds[m.Kind].less(w.Kinds[m.Kind])
-	well := max(elsewhere.Succeeded, 0)
-	if !m.Late {
-		well = max(well, elsewhere.Survived)
+func (b *Book) weight(vm model.VMID, m mark) float64 {
+	k := b.kinds[m.kind]
+	if k == nil {
+		return 0
+	}
+	well, failed := 0, 0
+	for other, s := range k.sights {
+		switch {
+		case other == vm:
+		case s.outcome == Succeeded || s.outcome == Survived && !m.late:
+			well++
+		case s.outcome != Survived:
+			failed++
+		}
 	}
-	return float64(well) / float64(well+max(elsewhere.Failed, 0)+1)
+	return float64(well) / float64(well+failed+1)
 }
 
-// Suspicion returns the weight of the worker's failures in a row.
-func (b *Book) Suspicion(vm model.VMID) float64 {
+// suspicion is the weight of a worker's failures in a row against what
+// quarantines it; from 1 on it is suspect.
+func (b *Book) suspicion(vm model.VMID) float64 {
 	w := b.Workers[vm]
-	if w == nil {
+	if w == nil || len(w.fails) < 2 {
 		return 0
 	}
-	sum := 0.0
-	for _, m := range w.Fails {
-		sum += b.weight(w, m)
+	weights := make(map[string]float64) // of the kinds, which are few
+	sum, limit := 0.0, oneKind
+	for _, m := range w.fails {
+		key := fmt.Sprint(m.kind, m.late)
+		if _, known := weights[key]; !known {
+			weights[key] = b.weight(vm, m)
+		}
+		sum += weights[key]
+		if m.kind != w.fails[0].kind {
+			limit = severalKinds
+		}
 	}
-	return sum
+	return sum / limit
 }
 
-// Judge quarantines workers at a time, the most suspect first, as long as no
-// more than most are in quarantine. It returns the newly quarantined.
+// suspect is a worker with its suspicion.
+type suspect struct {
+	vm        model.VMID
+	suspicion float64
+}
+
+// Judge quarantines workers, the most suspect first, as long as no more than
+// most are in quarantine, and returns the newly quarantined. One whose
+// failures turn out to be the jobs', because they go on to fail elsewhere, is
+// released at once.
 func (b *Book) Judge(now time.Time, most int) []model.VMID {
 	banned := 0
-	var suspects []model.VMID
+	var suspects []suspect
 	for vm, w := range b.Workers {
+		s := b.suspicion(vm)
+		if !w.Until.IsZero() && len(w.fails) > 0 && w.Bans == 1 && s < exonerated {
+			delete(b.Workers, vm)
+			continue
+		}
 		if !w.Until.IsZero() {
 			banned++
-		} else if b.Suspicion(vm) >= threshold {
-			suspects = append(suspects, vm)
+		} else if s >= 1 {
+			suspects = append(suspects, suspect{vm, s})
 		}
 	}
-	slices.SortFunc(suspects, func(x, y model.VMID) int {
-		return cmp.Or(cmp.Compare(b.Suspicion(y), b.Suspicion(x)), cmp.Compare(x, y))
+	slices.SortFunc(suspects, func(x, y suspect) int {
+		return cmp.Or(cmp.Compare(y.suspicion, x.suspicion), cmp.Compare(x.vm, y.vm))
 	})
-	suspects = suspects[:min(len(suspects), max(most-banned, 0))]
-	for _, vm := range suspects {
-		b.ban(b.Workers[vm], now)
+	var fresh []model.VMID
+	for _, s := range suspects[:min(len(suspects), max(most-banned, 0))] {
+		b.Workers[s.vm].ban(now)
+		fresh = append(fresh, s.vm)
 	}
-	return suspects
+	return fresh
 }
 
-func (b *Book) ban(w *Worker, now time.Time) {
+// exonerated is the suspicion under which a quarantine was a mistake: half of
+// what begins one, so that a worker at the border does not come and go.
+const exonerated = 0.5
+
+func (w *Worker) ban(now time.Time) {
 	w.Until = now.Add(min(firstBan<<min(w.Bans, 10), longestBan))
 	w.Bans++
 }
@@ -250,7 +299,7 @@
 func (b *Book) Hopeless(failedOn []model.VMID) bool {
 	distinct := make(map[model.VMID]bool)
 	for _, vm := range failedOn {
-		if w := b.Workers[vm]; w != nil && (!w.Until.IsZero() || b.Suspicion(vm) >= threshold) {
+		if w := b.Workers[vm]; w != nil && (!w.Until.IsZero() || b.suspicion(vm) >= 1) {
 			continue
 		}
 		distinct[vm] = true
--- a/policy/sizing/sizing.go
+++ b/policy/sizing/sizing.go
@@ -28,8 +28,9 @@
 	// maxShrink bounds how far below the declaration an estimate goes: a
 	// tenth. A kind that idles while it is watched may still use what it said.
 	maxShrink = 10
-	// maxKinds bounds the state; the kind not heard of for longest goes first.
-	maxKinds = 1000
+	// maxKinds bounds the state, which is stored in one value, to half a
+	// megabyte; the kind not heard of for longest goes first.
+	maxKinds = 500
 	// minCPU and minMemoryMB are the least that is set aside for a task.
 	minCPU      = 50
 	minMemoryMB = 32
@@ -78,6 +79,13 @@
 	}
 }
 
+// Exceeded notes that a job used more memory than it was given, which no usage
+// report shows where its worker ends it at once. That it would have done with
+// twice as much is the least that this says.
+func (b *Book) Exceeded(kind string, job model.JobID, given model.Resources) {
+	b.Report(kind, job, model.Resources{MemoryMB: 2 * given.MemoryMB})
+}
+
 func (b *Book) makeRoom() {
 	if len(b.Kinds) < maxKinds {
 		return
@@ -96,9 +104,9 @@
 // they are whole devices that a job either asks for or not.
 func (b *Book) Size(job *model.Job, grown int) model.Resources {
 	size := job.Declared
-	if k := b.Kinds[job.Kind]; k != nil && len(k.Peaks) >= enough {
-		size.MilliCPU = k.estimate(cpuOf, cpuMargin, max(job.Declared.MilliCPU/maxShrink, minCPU))
-		size.MemoryMB = k.estimate(memoryOf, memoryMargin, max(job.Declared.MemoryMB/maxShrink, minMemoryMB))
+	if k := b.Kinds[job.Kind]; k != nil {
+		size.MilliCPU = k.estimate(cpuOf, median, size.MilliCPU, cpuMargin, minCPU)
+		size.MemoryMB = k.estimate(memoryOf, secondLargest, size.MemoryMB, memoryMargin, minMemoryMB)
 		if !job.Repeatable {
 			// It gets one run, so it gets whichever is the safer.
 			size = larger(size, job.Declared)
@@ -108,18 +116,31 @@
 	return size
 }
 
-// estimate returns the second largest of the peaks with a margin. One report,
-// however wild, is the largest and moves nothing but the second by one place.
-func (k *Kind) estimate(of func(model.Resources) int64, margin, least int64) int64 {
+// estimate picks one of the peaks and adds a margin, or returns what was
+// declared where too few jobs were seen.
+func (k *Kind) estimate(of func(model.Resources) int64, pick func([]int64) int64, declared, margin, least int64) int64 {
 	var seen []int64
 	for _, p := range k.Peaks {
-		seen = append(seen, of(p.Used))
+		if of(p.Used) > 0 {
+			seen = append(seen, of(p.Used))
+		}
+	}
+	if len(seen) < enough {
+		return declared
 	}
 	slices.Sort(seen)
-	second := seen[len(seen)-2]
-	return max(second+second*margin/100, least)
+	picked := pick(seen)
+	return max(picked+picked*margin/100, declared/maxShrink, least)
 }
 
+// median is for processors: the tasks of a worker make up for each other, and
+// one that wants more than it gets is slowed, not ended.
+func median(sorted []int64) int64 { return sorted[len(sorted)/2] }
+
+// secondLargest is for memory, where a task that wants more is ended. One
+// report, however wild, is the largest and moves the second by one place.
+func secondLargest(sorted []int64) int64 { return sorted[len(sorted)-2] }
+
 func cpuOf(r model.Resources) int64    { return r.MilliCPU }
 func memoryOf(r model.Resources) int64 { return r.MemoryMB }
 
