--- a/internal/jobs/bench_test.go
+++ b/internal/jobs/bench_test.go
@@ -27,6 +27,7 @@
 type benchTally struct {
 	real     float64 // share of the workers' processors that tasks really used
 	memory   float64 // share of their memory
+	excess   float64 // processors wanted beyond what the workers have, as a share of those
 	failures map[string]int
 	states   map[State]int
 	starts   int
@@ -65,7 +66,8 @@
 			}
 		}
 		if second > int(d/time.Second)/2 {
-			used := inUse(byVM)
+			used, excess := inUse(byVM)
+			out.excess += float64(excess) / float64(workerSize.MilliCPU*int64(len(l.snap.VMs)))
 			out.real += float64(used.MilliCPU) / float64(workerSize.MilliCPU*int64(len(l.snap.VMs)))
 			out.memory += float64(used.MemoryMB) / float64(workerSize.MemoryMB*int64(len(l.snap.VMs)))
 			samples++
@@ -73,20 +75,22 @@
 	}
 	out.real /= float64(samples)
 	out.memory /= float64(samples)
+	out.excess /= float64(samples)
 	l.count(&out)
 	return out
 }
 
 // inUse counts a worker on which tasks want more processors than it has as
-// fully used, and no more.
-func inUse(byVM map[model.VMID]model.Resources) model.Resources {
-	var sum model.Resources
+// fully used, and returns what they want beyond. Such tasks would be slowed by
+// as much, which the stand-in doesn't play.
+func inUse(byVM map[model.VMID]model.Resources) (sum model.Resources, excess int64) {
 	for _, used := range byVM {
+		excess += max(used.MilliCPU-workerSize.MilliCPU, 0)
 		used.MilliCPU = min(used.MilliCPU, workerSize.MilliCPU)
 		used.MemoryMB = min(used.MemoryMB, workerSize.MemoryMB)
 		sum = sum.Add(used)
 	}
-	return sum
+	return sum, excess
 }
 
 func (l *load) refill(waiting int, behaviours map[model.JobID]standin.Behaviour) {
@@ -159,6 +163,7 @@
 				got := l.play(20*time.Minute, 150)
 				b.ReportMetric(100*got.real, "cpu%")
 				b.ReportMetric(100*got.memory, "mem%")
+				b.ReportMetric(100*got.excess, "cpu-excess%")
 				b.ReportMetric(float64(got.failures[platform.ReasonMemoryGuard]), "memory-stops")
 				b.ReportMetric(float64(got.states[Succeeded]), "succeeded")
 			}
--- a/internal/jobs/displace.go
+++ b/internal/jobs/displace.go
@@ -4,8 +4,6 @@
 	"context"
 	"errors"
 
-	"golang.org/x/sync/errgroup"
-
 	"github.com/pumicestage/pumicestage/policy/placement"
 )
 
@@ -13,19 +11,12 @@
 // the platform says that the tasks have ended, and the room is planned anew.
 func (p *pass) displace(ctx context.Context, all []placement.Displacement) error {
 	errs := make([]error, len(all))
-	var calls errgroup.Group
-	calls.SetLimit(parallelStarts)
-	for i, d := range all {
-		r, ok := p.mirror.find(d.Task)
-		if !ok || r.State != Running || !r.Repeatable {
-			continue
+	p.sideBySide(len(all), func(i int) {
+		r, ok := p.mirror.find(all[i].Task)
+		if ok && r.State == Running && r.Repeatable {
+			errs[i] = fault("stop task", "", p.machines.StopTask(ctx, r.Attempt, all[i].Keep))
 		}
-		calls.Go(func() error {
-			errs[i] = fault("stop task", "", p.machines.StopTask(ctx, r.Attempt, d.Keep))
-			return nil
-		})
-	}
-	_ = calls.Wait() // the calls return no errors
+	})
 	p.again = p.again || len(all) > 0
 	return errors.Join(errs...)
 }
--- a/internal/jobs/jobs.go
+++ b/internal/jobs/jobs.go
@@ -50,6 +50,7 @@
 	log      logr.Logger
 	newID    func() string
 	owner    string // this run of the entry VM
+	parallel int    // calls to the machines at once
 	kick     chan struct{}
 	mirror   *mirror
 	counts   counts
@@ -103,6 +104,7 @@
 		log:      o.Log,
 		newID:    o.NewID,
 		owner:    string(o.Self) + "/" + o.NewID(),
+		parallel: parallelStarts,
 		kick:     make(chan struct{}, 1),
 		mirror:   newMirror(o.Store),
 		sent:     make(map[model.AttemptID]bool),
--- a/internal/jobs/observe.go
+++ b/internal/jobs/observe.go
@@ -6,8 +6,6 @@
 	"slices"
 	"time"
 
-	"golang.org/x/sync/errgroup"
-
 	"github.com/pumicestage/pumicestage/internal/platform"
 	"github.com/pumicestage/pumicestage/policy/model"
 	"github.com/pumicestage/pumicestage/policy/quota"
@@ -222,15 +220,7 @@
 
 func (p *pass) renewAll(ctx context.Context, due []model.AttemptID) error {
 	errs := make([]error, len(due))
-	var calls errgroup.Group
-	calls.SetLimit(parallelStarts)
-	for i, attempt := range due {
-		calls.Go(func() error {
-			errs[i] = p.machines.RenewTask(ctx, attempt)
-			return nil
-		})
-	}
-	_ = calls.Wait() // the calls return no errors
+	p.sideBySide(len(due), func(i int) { errs[i] = p.machines.RenewTask(ctx, due[i]) })
 	for i, attempt := range due {
 		if errs[i] == nil || platform.IsKind(errs[i], platform.KindLeaseNotFound) {
 			p.renewed[attempt], errs[i] = p.now, nil
--- /dev/null
+++ b/internal/jobs/race_test.go
@@ -0,0 +1,207 @@
+package jobs
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/pumicestage/pumicestage/internal/platform"
+	"github.com/pumicestage/pumicestage/internal/platform/standin"
+	"github.com/pumicestage/pumicestage/policy/model"
+)
+
+// schedule plays one run of entry VMs that place at the same time. At each
+// write and each start another entry VM may do a whole pass in between, time
+// may pass, a worker die, or a cancel arrive; replies and requests get lost.
+type schedule struct {
+	*world
+	rng    *rand.Rand
+	inside map[*node]bool
+	ids    []model.JobID
+	once   map[model.JobID]bool // those that are not repeatable
+	depth  int
+	calm   bool // no more faults
+}
+
+// deepest is how many entry VMs may be held up inside each other.
+const deepest = 2
+
+func (s *schedule) chance(percent int) bool { return !s.calm && s.rng.IntN(100) < percent }
+
+func (s *schedule) hook(n *node) {
+	n.store.Before(func(string, platform.Txn) { s.between(n) })
+	n.machines.before = func(platform.Task) { s.between(n) }
+}
+
+// between is what happens while n waits for the platform.
+func (s *schedule) between(n *node) {
+	if s.calm || s.depth > deepest {
+		return
+	}
+	s.depth++
+	defer func() { s.depth-- }()
+	if s.chance(10) {
+		s.clock.Advance([]time.Duration{time.Second, sendWithin + time.Second, startGrace, taskTTL + time.Second}[s.rng.IntN(4)])
+	}
+	if s.chance(20) {
+		s.stepOne(s.nodes[s.rng.IntN(len(s.nodes))])
+	}
+	if s.chance(8) && len(s.ids) > 0 {
+		id := s.ids[s.rng.IntN(len(s.ids))]
+		_, _ = s.nodes[s.rng.IntN(len(s.nodes))].Cancel(s.ctx(), model.ChangeID(fmt.Sprint("cancel-", id)), "", []model.JobID{id})
+	}
+	if s.chance(6) {
+		n.store.LoseReplies(1)
+	}
+	if s.chance(4) {
+		n.store.LoseRequests(1)
+	}
+	s.faultMachines(n)
+}
+
+func (s *schedule) faultMachines(n *node) {
+	n.machines.mu.Lock()
+	if s.chance(8) {
+		n.machines.loseReplies = 1 + s.rng.IntN(startTries)
+	}
+	if s.chance(4) {
+		n.machines.loseRequests = 1 + s.rng.IntN(startTries)
+	}
+	n.machines.mu.Unlock()
+	vm := model.VMID(fmt.Sprintf("v%04d", s.rng.IntN(len(s.snap.VMs))))
+	if s.chance(2) {
+		s.platform.Machines.Fail(vm)
+	} else if s.chance(10) {
+		s.platform.Machines.Recover(vm)
+	}
+}
+
+// stepOne does a pass at an entry VM that is not in the middle of one.
+func (s *schedule) stepOne(n *node) {
+	if s.inside[n] {
+		return
+	}
+	s.inside[n] = true
+	defer delete(s.inside, n)
+	_ = n.Step(s.ctx()) // lost replies and conflicts are part of the play
+	s.check()
+}
+
+// check holds at every moment.
+func (s *schedule) check() {
+	s.t.Helper()
+	tasks, err := s.platform.Machines.Tasks(s.ctx())
+	assert.NilError(s.t, err)
+	used := make(map[model.VMID]model.Resources)
+	for _, task := range tasks {
+		if task.State == platform.TaskRunning {
+			used[task.VM] = used[task.VM].Add(task.Size)
+		}
+	}
+	for vm, u := range used {
+		assert.Assert(s.t, u.Fits(s.snap.VMs[vm].Capacity), "VM %s runs more than it has", vm)
+	}
+	starts := s.platform.Machines.Tally().Starts
+	for id, once := range s.once {
+		if !once {
+			continue
+		}
+		assert.Assert(s.t, starts[id] <= 1, "job %s is not repeatable and was started %d times", id, starts[id])
+	}
+}
+
+func TestConcurrentPlacers(t *testing.T) {
+	// Three entry VMs place the same jobs at once while the platform loses
+	// replies, workers die and operators cancel. The caller sees each job that
+	// is not repeatable started at most once, no worker is given more than it
+	// has, and once the faults end every job is over or shown as unknown: none
+	// is lost and none runs without a record.
+	for seed := range uint64(20) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			s := &schedule{world: newWorld(t, 6, 3), rng: rand.New(rand.NewPCG(seed, 7)), inside: make(map[*node]bool), once: make(map[model.JobID]bool)}
+			for _, n := range s.nodes {
+				n.parallel = 1
+				s.hook(n)
+			}
+			for round := range 12 {
+				if round%3 == 0 {
+					s.submitMix()
+				}
+				s.clock.Advance(time.Second)
+				for _, n := range s.nodes {
+					s.stepOne(n)
+				}
+			}
+			s.calmDown()
+			s.settled()
+		})
+	}
+}
+
+func (s *schedule) submitMix() {
+	for range 4 {
+		all := []model.Job{once(), small(), once()}
+		all[0].Class = model.ClassUrgent
+		all[1].Class, all[1].Checkpoints = model.ClassDeferrable, true
+		change := model.ChangeID(fmt.Sprint("c", len(s.ids)))
+		for i := range all {
+			id := jobID(change, i)
+			s.behave(id, standin.Behaviour{RunTime: time.Duration(1+s.rng.IntN(40)) * time.Second, Fails: s.rng.IntN(8) == 0})
+			s.ids = append(s.ids, id)
+			s.once[id] = !all[i].Repeatable
+		}
+		n := s.nodes[s.rng.IntN(len(s.nodes))]
+		if s.chance(30) {
+			n.store.LoseReplies(1)
+		}
+		s.depth = deepest + 1 // nothing in between: the write is not this goroutine's
+		_, err := n.Submit(s.ctx(), change, all)
+		s.depth = 0
+		assert.NilError(s.t, err)
+	}
+}
+
+func (s *schedule) calmDown() {
+	s.calm = true
+	for _, n := range s.nodes {
+		n.store.LoseReplies(0)
+		n.store.LoseRequests(0)
+		n.machines.loseReplies, n.machines.loseRequests = 0, 0
+	}
+	for vm := range s.snap.VMs {
+		s.platform.Machines.Recover(vm)
+	}
+	for range 48 {
+		s.clock.Advance(5 * time.Second)
+		s.step()
+	}
+}
+
+// settled holds once the faults are over.
+func (s *schedule) settled() {
+	s.check()
+	all, err := s.nodes[0].List(s.ctx())
+	assert.NilError(s.t, err)
+	known := make(map[model.JobID]Record)
+	for _, r := range all {
+		known[r.ID] = r
+	}
+	finished := s.platform.Machines.Tally().Finished
+	for _, id := range s.ids {
+		r, ok := known[id]
+		assert.Assert(s.t, ok, "job %s is lost", id)
+		assert.Assert(s.t, r.State.Ended() || r.State == Unknown && !r.Repeatable, "job %s is %s: %v", id, r.State, r.Chain)
+		if r.State == Succeeded {
+			assert.Assert(s.t, finished[id] > 0, "job %s is called succeeded and never finished", id)
+		}
+	}
+	tasks, err := s.platform.Machines.Tasks(s.ctx())
+	assert.NilError(s.t, err)
+	for _, task := range tasks {
+		r := known[task.Job]
+		assert.Assert(s.t, task.State != platform.TaskRunning || r.State == Running && r.Attempt == task.Attempt, "task %s runs without a record", task.Attempt)
+	}
+}
--- a/internal/jobs/start.go
+++ b/internal/jobs/start.go
@@ -3,7 +3,8 @@
 import (
 	"context"
 	"errors"
-	"sync"
+	"maps"
+	"slices"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -71,30 +72,42 @@
 // intent ever does: another that took over could be paused before the call and
 // make it after the attempt was given up, which would be a second run.
 func (p *pass) send(ctx context.Context, intents map[model.JobID]Record) error {
-	var mu sync.Mutex
-	var outcomes []transition
+	ids := slices.Sorted(maps.Keys(intents))
+	outcomes := make([]transition, len(ids))
+	for _, id := range ids {
+		p.sent[intents[id].Attempt] = true
+	}
+	p.sideBySide(len(ids), func(i int) {
+		r := intents[ids[i]]
+		outcomes[i] = p.sendOne(ctx, &r)
+	})
+	_, err := p.write(ctx, outcomes)
+	return err
+}
+
+// sideBySide makes n calls to the platform, some at once.
+func (j *Jobs) sideBySide(n int, call func(i int)) {
+	if j.parallel == 1 {
+		for i := range n {
+			call(i)
+		}
+		return
+	}
 	var calls errgroup.Group
-	calls.SetLimit(parallelStarts)
-	for _, r := range intents {
-		p.sent[r.Attempt] = true
+	calls.SetLimit(j.parallel)
+	for i := range n {
 		calls.Go(func() error {
-			outcome, settled := p.sendOne(ctx, &r)
-			if settled {
-				mu.Lock()
-				defer mu.Unlock()
-				outcomes = append(outcomes, outcome)
-			}
+			call(i)
 			return nil
 		})
 	}
 	_ = calls.Wait() // the calls return no errors
-	_, err := p.write(ctx, outcomes)
-	return err
 }
 
-// sendOne sends one start. A refusal counts as certain only if no copy was
+// sendOne sends one start and returns what follows from the answer; nothing
+// does where none came. A refusal counts as certain only if no copy was
 // lost on the way before it: a lost one may still arrive.
-func (p *pass) sendOne(ctx context.Context, r *Record) (outcome transition, settled bool) {
+func (p *pass) sendOne(ctx context.Context, r *Record) transition {
 	task := platform.Task{Attempt: r.Attempt, Job: r.ID, VM: r.VM, Size: r.Size, TTL: taskTTL}
 	lost := false
 	for range startTries {
@@ -105,17 +118,17 @@
 		err := p.machines.StartTask(ctx, task)
 		switch {
 		case err == nil:
-			return begun(r.ID, r.Attempt, p.clock.Now()), true
+			return begun(r.ID, r.Attempt, p.clock.Now())
 		case !platform.IsKind(err, platform.KindUnknown) && !lost:
-			return refused(r.ID, r.Attempt, p.clock.Now(), err), true
+			return refused(r.ID, r.Attempt, p.clock.Now(), err)
 		}
 		lost = true
 	}
 	if !lost {
-		return refused(r.ID, r.Attempt, p.clock.Now(), errLate), true
+		return refused(r.ID, r.Attempt, p.clock.Now(), errLate)
 	}
 	p.log.Info("start without an answer", "job", r.ID, "vm", r.VM)
-	return transition{}, false
+	return transition{}
 }
 
 // errLate says that an intent was too old to be sent.
--- a/internal/jobs/write.go
+++ b/internal/jobs/write.go
@@ -43,7 +43,7 @@
 	var keys []string
 	for _, c := range changes {
 		key, _, ok := keyOf(c.job)
-		if !ok {
+		if !ok || c.apply == nil {
 			continue
 		}
 		if byKey[key] == nil {
--- a/policy/sizing/sizing.go
+++ b/policy/sizing/sizing.go
@@ -22,8 +22,9 @@
 	// declaration is overruled, so that no single one can.
 	enough = 4
 	// cpuMargin and memoryMargin are kept above what was seen, in percent.
-	// Too few processors only slow a task; too little memory ends it.
-	cpuMargin    = 10
+	// Too few processors only slow a task, and those of a worker's tasks even
+	// each other out; too little memory ends it.
+	cpuMargin    = 3
 	memoryMargin = 20
 	// maxShrink bounds how far below the declaration an estimate goes: a
 	// tenth. A kind that idles while it is watched may still use what it said.
