entry: bodies read ahead are bounded, together and for requests that run at most once

Cause: the body of a request that runs at most once was read up to 64 MiB before its claim, by up to 4,096 requests at a time on a VM of 256 MB. Change: 1 MiB each, 64 MiB together; over it 413 and 503, not run.

--- a/internal/entry/body.go
+++ b/internal/entry/body.go
@@ -40,8 +40,23 @@
 	}
 }
 
+// ahead returns how much prefetch may read.
+func (b *requestBody) ahead(whole bool) int64 {
+	switch {
+	case b.eof:
+		return 0
+	case whole && b.length < 0:
+		return b.limits.OnceBodyBytes
+	case whole:
+		return min(b.length, b.limits.OnceBodyBytes)
+	case b.length < 0 || b.length > b.limits.BufferBytes:
+		return 0
+	}
+	return b.length
+}
+
 // prefetch reads a body that fits BufferBytes, so that it is whole before the
-// request takes a slot. whole asks for any body up to BodyBytes in full: a
+// request takes a slot. whole asks for any body up to OnceBodyBytes in full: a
 // request that runs at most once is claimed by the digest of its body.
 func (b *requestBody) prefetch(whole bool) *Problem {
 	if b.eof {
@@ -50,7 +65,13 @@
 	if !whole && (b.length < 0 || b.length > b.limits.BufferBytes) {
 		return b.startStream()
 	}
-	limit := b.limits.BodyBytes
+	limit := b.limits.BufferBytes
+	if whole {
+		limit = min(b.limits.OnceBodyBytes, b.limits.BodyBytes)
+	}
+	if b.length > limit {
+		return problemBodyTooLarge(limit, NotRun)
+	}
 	data, err := io.ReadAll(io.LimitReader(readerFunc(b.readSource), limit+1))
 	switch {
 	case err != nil:
--- a/internal/entry/limits.go
+++ b/internal/entry/limits.go
@@ -16,6 +16,13 @@
 	// queues. A body within it is complete before it takes a slot, so a slow
 	// sender holds none, and it can be sent to another target.
 	BufferBytes int64
+	// OnceBodyBytes is the most the body of a request that runs at most once
+	// may take (413 above it): it is read in full before it is claimed, as its
+	// digest belongs to the claim.
+	OnceBodyBytes int64
+	// BufferedBytes is the most that all bodies read ahead take together (503
+	// above it).
+	BufferedBytes int64
 	// KeptAnswerBytes is the most of an answer that is recorded under an
 	// Idempotency-Key; of a larger one only the outcome is kept.
 	KeptAnswerBytes int64
@@ -40,14 +47,16 @@
 	ConnectTimeout time.Duration
 }
 
-// DefaultLimits returns the defaults. An entry VM is small (256 MB); its
-// worst case is Inside x (BufferBytes + HeaderBytes), 4096 x (16+32) KiB =
-// 192 MiB with every caller at every limit at once.
+// DefaultLimits returns the defaults. An entry VM is small (256 MB). With every
+// caller at every limit at once it holds BufferedBytes and Inside headers,
+// 64 MiB + 4096 x 32 KiB = 192 MiB.
 func DefaultLimits() Limits {
 	return Limits{
 		HeaderBytes:     32 << 10,         // four times what browsers and balancers send
 		BodyBytes:       64 << 20,         // a respondent file of a large panel, with margin
 		BufferBytes:     16 << 10,         // orders, queries and bookings fit
+		OnceBodyBytes:   1 << 20,          // an incentive batch of thousands of respondents
+		BufferedBytes:   64 << 20,         // a quarter of a small VM's memory
 		KeptAnswerBytes: 16 << 10,         // confirmations fit; a value of the store holds 1 MB
 		HeaderTimeout:   5 * time.Second,  // a header is one packet or a few
 		IdleTimeout:     75 * time.Second, // above the 60 s of common balancers, so that they close first
@@ -67,6 +76,8 @@
 	setDefault(&l.HeaderBytes, d.HeaderBytes)
 	setDefault(&l.BodyBytes, d.BodyBytes)
 	setDefault(&l.BufferBytes, d.BufferBytes)
+	setDefault(&l.OnceBodyBytes, d.OnceBodyBytes)
+	setDefault(&l.BufferedBytes, d.BufferedBytes)
 	setDefault(&l.KeptAnswerBytes, d.KeptAnswerBytes)
 	setDefault(&l.HeaderTimeout, d.HeaderTimeout)
 	setDefault(&l.IdleTimeout, d.IdleTimeout)
--- a/internal/entry/limits_test.go
+++ b/internal/entry/limits_test.go
@@ -38,7 +38,7 @@
 // that says whether anything was run, and hold neither slot nor connection.
 func TestLimits(t *testing.T) {
 	limits := func(o *Options) {
-		o.Limits = Limits{BodyBytes: 1000, BufferBytes: 100, BodyGrace: 200 * time.Millisecond, HeaderTimeout: 200 * time.Millisecond}
+		o.Limits = Limits{BodyBytes: 1000, BufferBytes: 100, OnceBodyBytes: 900, BodyGrace: 200 * time.Millisecond, HeaderTimeout: 200 * time.Millisecond}
 	}
 	const head = "POST /services/tabulation/x HTTP/1.1\r\nHost: h\r\n"
 	chunk := fmt.Sprintf("%x\r\n%s\r\n", 900, strings.Repeat("x", 900))
@@ -73,6 +73,20 @@
 	}
 }
 
+// Bodies are read ahead of their slots, up to a bound for all together. Beyond
+// it callers are told to come back, and the bound is free again afterwards.
+func TestBufferedBodiesAreBounded(t *testing.T) {
+	s := newIdleStage(t, 1, faketarget.Options{}, func(o *Options) { o.Limits = Limits{BufferedBytes: 100} })
+	for i := range 3 {
+		r := s.do("POST", "/services/incentives/x", strings.Repeat("x", 101), HeaderKey, fmt.Sprint(i))
+		assert.Equal(t, r.status, 503)
+		assert.Equal(t, r.outcome, NotRun)
+		assert.Assert(t, r.header.Get("Retry-After") != "")
+		r = s.do("POST", "/services/incentives/x", strings.Repeat("x", 100), HeaderKey, fmt.Sprint("small", i))
+		assert.Equal(t, r.outcome, Ran)
+	}
+}
+
 // An HTTP/1.0 caller cannot see where a chunked answer ends; it gets a length.
 func TestHTTP10CallerGetsALength(t *testing.T) {
 	s := newIdleStage(t, 1, faketarget.Options{}, nil)
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -26,11 +26,18 @@
 		return
 	}
 	body := newRequestBody(w, r, s.limits)
-	if p := body.prefetch(!c.service.Repeatable); p != nil {
+	once := !c.service.Repeatable
+	ahead := body.ahead(once)
+	defer s.buffered.Add(-ahead)
+	if s.buffered.Add(ahead) > s.limits.BufferedBytes {
+		s.answer(w, r, problemOverload("the entry VM holds as much of bodies as it may", time.Second), true)
+		return
+	}
+	if p := body.prefetch(once); p != nil {
 		s.answer(w, r, p, true)
 		return
 	}
-	if !c.service.Repeatable {
+	if once {
 		s.serveOnce(w, r, c, body)
 		return
 	}
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -51,6 +51,7 @@
 
 	draining atomic.Bool
 	inside   atomic.Int64
+	buffered atomic.Int64   // bytes of bodies read ahead, at most
 	work     sync.WaitGroup // requests, and what outlives their caller
 }
 
