--- a/policy/dispatch/bench_test.go
+++ b/policy/dispatch/bench_test.go
@@ -251,6 +251,7 @@
 		sc   func() scenario
 	}{
 		{"even-0.7", func() scenario { return steady(0.7, span) }},
+		{"even-2", func() scenario { return steady(2, span/2) }},
 		{"skewed-0.4", func() scenario { return skewed(steady(0.4, span)) }},
 		{"skewed-0.7", func() scenario { return skewed(steady(0.7, span)) }},
 	} {
@@ -260,6 +261,9 @@
 		}{
 			{"loans", func(*scenario) {}},
 			{"fixed", func(sc *scenario) { sc.noLoans = true }},
+			{"deaf", func(sc *scenario) { sc.deaf = true }},
+			{"split-no-refusal", func(sc *scenario) { sc.deaf, sc.split = true, true }},
+			{"split", func(sc *scenario) { sc.deaf, sc.split, sc.refuses = true, true, true }},
 			{"optimistic", func(sc *scenario) { sc.noLoans, sc.optimistic, sc.refuses = true, true, true }},
 			{"optimistic-no-refusal", func(sc *scenario) { sc.noLoans, sc.optimistic = true, true }},
 		} {
--- a/policy/dispatch/model_test.go
+++ b/policy/dispatch/model_test.go
@@ -42,8 +42,10 @@
 	noLoans bool                            // each keeps to its own share
 	// optimistic lets each entry VM use every slot its peers' digests show free.
 	optimistic bool
-	faults     []simFault
-	answered   func(at time.Duration, vm int) // called for each answer
+	// split has each half of the entry VMs believe that the other is gone.
+	split    bool
+	faults   []simFault
+	answered func(at time.Duration, vm int) // called for each answer
 }
 
 // simCaller sends requests at a rate.
@@ -215,6 +217,11 @@
 		}
 		se.d = New(cfg)
 		known := fleet
+		if s.split {
+			known.Entries = slices.DeleteFunc(slices.Clone(fleet.Entries), func(o slots.Entry) bool {
+				return slices.Index(fleet.Entries, o)%2 != i%2
+			})
+		}
 		if s.optimistic {
 			known.Entries = nil // its share is all slots
 		}
