--- /dev/null
+++ b/internal/dev/replace_test.go
@@ -0,0 +1,59 @@
+package dev
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// balancerLag is how late the platform's balancer learns that an entry VM is
+// not ready.
+const balancerLag = 500 * time.Millisecond
+
+// Every entry VM is replaced, one after the other, while callers go on over
+// kept connections, and the balancer learns of it half a second late. A leaving
+// one must go on taking requests so long and tell kept connections to close, or
+// callers meet a refusal, a closed port, or a connection that breaks.
+func TestEntryVMsAreReplacedUnderLoad(t *testing.T) {
+	t.Parallel()
+	c := startSmall(t)
+	l, stopLoad := c.startLoad(context.Background(), c.decl.Services)
+	for n := range c.entries {
+		old := c.entries[n]
+		rest := c.without(n)
+		old.stop()
+		c.await(t, "not ready", func() bool { return !old.Ready() })
+		time.Sleep(balancerLag)
+		l.balancer.set(rest)
+		<-old.done
+		next, err := c.startEntry(context.Background(), n, old.Self().Zone, []string{c.entries[(n+1)%len(c.entries)].Self().Peer})
+		assert.NilError(t, err)
+		c.entries[n] = next
+		c.await(t, "ready", next.Ready)
+		l.balancer.set(c.callerBases())
+		time.Sleep(200 * time.Millisecond)
+	}
+	stopLoad()
+
+	assert.Equal(t, l.tally.Broken.Load(), int64(0))
+	assert.Equal(t, l.tally.NotRun.Load(), int64(0))
+	assert.Equal(t, l.tally.Refused.Load(), int64(0))
+	assert.Equal(t, l.tally.Unknown.Load(), int64(0))
+	assert.Equal(t, l.tally.Wrong.Load(), int64(0))
+	assert.Equal(t, c.falseNotRuns(l.tally), 0)
+	assert.Equal(t, c.doubleRuns(), 0)
+	assert.Assert(t, l.tally.Ran.Load() > 0)
+}
+
+// without returns the caller ports of all other entry VMs.
+func (c *cluster) without(n int) []string {
+	var bases []string
+	for i, e := range c.entries {
+		if i != n && e.Ready() {
+			bases = append(bases, "http://"+e.Self().Caller)
+		}
+	}
+	return bases
+}
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"expvar"
+	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -34,6 +35,8 @@
 	Self   model.EntryID
 	Limits Limits // zero fields take their defaults
 	Seed   uint64 // of the random choices between targets
+	// Dial is the way to targets; nil for plain TCP.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 }
 
 // Server takes callers' requests. It is an http.Handler for the caller port.
@@ -62,7 +65,7 @@
 	}
 	s := &Server{opts: o, limits: o.Limits.withDefaults(), clock: o.Clock, log: o.Log, metrics: newMetrics()}
 	s.dispatch = newDispatcher(o)
-	s.forward = newForwarder(s.limits, o.Clock)
+	s.forward = newForwarder(o.Dial, s.limits, o.Clock)
 	s.metrics.all.Set("services", expvar.Func(func() any { return s.dispatch.services() }))
 	s.metrics.all.Set("targets", expvar.Func(func() any { return s.dispatch.states() }))
 	s.metrics.all.Set("inside", expvar.Func(func() any { return s.inside.Load() }))
--- /dev/null
+++ b/internal/fleet/pass.go
@@ -0,0 +1,220 @@
+package fleet
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"sort"
+	"time"
+
+	"github.com/pumicestage/pumicestage/internal/platform"
+	"github.com/pumicestage/pumicestage/internal/view"
+	"github.com/pumicestage/pumicestage/policy/budget"
+	"github.com/pumicestage/pumicestage/policy/model"
+	"github.com/pumicestage/pumicestage/policy/wave"
+)
+
+// unknownAge is the age of evidence that was never had.
+const unknownAge = 24 * time.Hour
+
+// pass is what one pass of the reconciler, or one order, goes by.
+type pass struct {
+	f        *Fleet
+	now      time.Time
+	snap     *view.Snapshot
+	list     platform.MachineList
+	machines map[model.VMID]platform.Machine
+	byPool   map[model.PoolName][]model.VMID // sorted
+	services map[model.PoolName][]*model.Service
+}
+
+// newPass takes the newest view and the newest list had.
+func (f *Fleet) newPass() *pass {
+	p := &pass{
+		f:        f,
+		now:      f.clock.Now(),
+		snap:     f.view.Load(),
+		list:     f.lastList(),
+		machines: make(map[model.VMID]platform.Machine),
+	}
+	for _, m := range p.list.Machines {
+		p.machines[m.VM] = m
+	}
+	p.indexVMs()
+	return p
+}
+
+func (f *Fleet) lastList() platform.MachineList {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.list
+}
+
+// listPeriods is how many passes one fetch of the platform's list serves. It
+// lags by seconds anyway, and at 3,600 VMs it is the largest answer of all.
+const listPeriods = 2
+
+// refreshList fetches the platform's list unless it was fetched just now; where
+// that fails the old one ages.
+func (f *Fleet) refreshList(ctx context.Context, every time.Duration) error {
+	f.mu.Lock()
+	recent := !f.listed.IsZero() && f.clock.Since(f.listed) < every
+	f.mu.Unlock()
+	if recent {
+		return nil
+	}
+	list, err := f.machines.List(ctx)
+	if err != nil {
+		return fault("list", err)
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.listed = f.clock.Now()
+	if !list.AsOf.Before(f.list.AsOf) {
+		f.list = list
+	}
+	return nil
+}
+
+// The ages are by the clock, not by the start of the pass: a process that was
+// paused in the middle of one must see that its evidence has aged.
+func (p *pass) viewAge() time.Duration { return age(p.f.clock.Now(), p.snap.AsOf) }
+func (p *pass) listAge() time.Duration { return age(p.f.clock.Now(), p.list.AsOf) }
+
+func age(now, then time.Time) time.Duration {
+	if then.IsZero() {
+		return unknownAge
+	}
+	return max(0, now.Sub(then))
+}
+
+// stale says why no stop may start on this evidence, or nothing.
+func (p *pass) stale() string {
+	if p.viewAge() > wave.MaxViewAge {
+		return "the view of the fleet is too old"
+	}
+	if p.listAge() > wave.MaxListAge {
+		return "the platform's list of VMs is too old"
+	}
+	return ""
+}
+
+func (p *pass) evidence(id model.VMID, stopped bool) budget.Evidence {
+	m, ok := p.machines[id]
+	listed := ok && m.Live && !m.Leaving && p.listAge() <= wave.MaxListAge
+	return budget.Evidence{Listed: listed, Health: p.f.health(id), Stopped: stopped}
+}
+
+// servicesOf returns the services that count the pool's VMs, in the
+// declaration's order.
+func (p *pass) servicesOf(pool model.PoolName) []*model.Service {
+	if p.services == nil {
+		p.indexServices()
+	}
+	return p.services[pool]
+}
+
+func (p *pass) indexServices() {
+	p.services = make(map[model.PoolName][]*model.Service)
+	for i := range p.snap.Declaration.Services {
+		s := &p.snap.Declaration.Services[i]
+		for _, pool := range s.Pools {
+			p.services[pool] = append(p.services[pool], s)
+		}
+	}
+}
+
+// concerned returns the services whose budgets a stop in one of the pools
+// touches, sorted by name.
+func (p *pass) concerned(pools []model.PoolName) []model.ServiceName {
+	seen := make(map[model.ServiceName]bool)
+	var names []model.ServiceName
+	for _, pool := range pools {
+		for _, s := range p.servicesOf(pool) {
+			if !seen[s.Name] {
+				seen[s.Name] = true
+				names = append(names, s.Name)
+			}
+		}
+	}
+	sort.Slice(names, func(i, j int) bool { return names[i] < names[j] })
+	return names
+}
+
+// tally counts a service by the view and its ledger, with the reserve that the
+// weights call for.
+func (p *pass) tally(s *model.Service, l Ledger, w model.Weights) *wave.Tally {
+	stopped := make(map[model.VMID]Stop)
+	for _, stop := range l.Stops {
+		stopped[stop.VM] = stop
+	}
+	var members, held []budget.Member
+	for _, pool := range s.Pools {
+		for _, id := range p.byPool[pool] {
+			vm := p.snap.VMs[id]
+			if vm.Holder == holderJoin {
+				continue
+			}
+			stop, out := stopped[id]
+			m := budget.Member{ID: id, Zone: vm.Zone, Rack: vm.Rack}
+			m.Up = budget.Up(vm.State, p.evidence(id, out))
+			members = append(members, m)
+			if out && wave.HeldByWave(stop.Holder) {
+				held = append(held, m)
+			}
+		}
+	}
+	return wave.NewTally(budget.Count(s, members), held, w)
+}
+
+// catchUp replaces the view by one read from the store. Reading every VM is
+// dear, so only orders do it, whose actor would else be refused for a lag of
+// some milliseconds.
+func (p *pass) catchUp(ctx context.Context) error {
+	kvs, rev, err := p.f.store.Range(ctx, platform.VMPrefix)
+	if err != nil {
+		return fault("read VMs", err)
+	}
+	fresh := *p.snap
+	fresh.Revision = rev
+	fresh.AsOf = p.now
+	fresh.VMs = make(map[model.VMID]view.VMRecord, len(kvs))
+	for _, kv := range kvs {
+		c, err := decode[model.VM](kv)
+		if err != nil {
+			return err
+		}
+		fresh.VMs[c.value.ID] = view.VMRecord{VM: c.value, Revision: c.rev}
+	}
+	p.snap = &fresh
+	p.indexVMs()
+	return nil
+}
+
+func (p *pass) indexVMs() {
+	p.byPool = make(map[model.PoolName][]model.VMID)
+	for id, vm := range p.snap.VMs {
+		p.byPool[vm.Pool] = append(p.byPool[vm.Pool], id)
+	}
+	for _, ids := range p.byPool {
+		slices.Sort(ids)
+	}
+}
+
+// sorted returns the services in order, so that runs are alike.
+func sorted(ledgers map[model.ServiceName]*cell[Ledger]) []model.ServiceName {
+	return slices.Sorted(maps.Keys(ledgers))
+}
+
+// behind says which ledger has been written since the view was made, or
+// nothing. Every change of a service's membership or stops writes its ledger,
+// so a view as new as the ledger has them all; an older one could count a VM
+// that has left the service since.
+func (p *pass) behind(r *reading) string {
+	for _, name := range sorted(r.ledgers) {
+		if r.ledgers[name].rev > p.snap.Revision {
+			return "the view is behind the ledger of service " + string(name)
+		}
+	}
+	return ""
+}
--- a/internal/peer/digest.go
+++ b/internal/peer/digest.go
@@ -20,19 +20,39 @@
 
 // Digest is what an entry VM tells its peers, in full within its zone.
 type Digest struct {
-	Entry      model.EntryID     `msgpack:"i"`
-	Zone       model.ZoneName    `msgpack:"z"`
+	Entry      model.EntryID     `msgpack:"i,omitempty"` // on the wire left to the hello, as is Zone
+	Zone       model.ZoneName    `msgpack:"z,omitempty"`
 	Seq        uint64            `msgpack:"s"` // grows with each digest of one run of the daemon
 	Revision   platform.Revision `msgpack:"r"` // of its view; acknowledges everything up to it
 	Generation uint64            `msgpack:"g"` // of the declaration it has in force
 	Loads      []TargetLoad      `msgpack:"t,omitempty"`
 	Queued     uint32            `msgpack:"q,omitempty"`
+	InFlight   uint32            `msgpack:"n,omitempty"` // sum over all targets; all that other zones get of the loads
+	Full       bool              `msgpack:"f,omitempty"` // Loads is everything; otherwise it is what changed since the last digest
+	Watching   bool              `msgpack:"w,omitempty"` // it holds the platform's watch and relays
+	Clock      int64             `msgpack:"c"`           // the sender's wall clock, Unix milliseconds
+	AgeMillis  uint32            `msgpack:"a"`           // how old its view was when it wrote this
 
 	// Slots that lie idle at one entry VM are lent to another, see
 	// policy/slots. Told to all zones; empty where nobody lends.
 	Wants    []SlotWant   `msgpack:"sw,omitempty"`
 	Loans    []SlotLoan   `msgpack:"sl,omitempty"`
 	Borrowed []SlotBorrow `msgpack:"sb,omitempty"`
+
+	// Vitals are told to all zones.
+	Vitals Vitals `msgpack:"h"`
+}
+
+// Vitals say which VMs of its own zone the sender has seen healthy just now: a
+// bit for each, in the order of their IDs. A VM that it does not ask has none.
+type Vitals struct {
+	List uint64 `msgpack:"l"` // hash of the zone's VM IDs in that order
+	Bits []byte `msgpack:"b"`
+}
+
+// Healthy reports whether the VM at the index was seen healthy.
+func (v Vitals) Healthy(i int) bool {
+	return i/8 < len(v.Bits) && v.Bits[i/8]&(1<<(i%8)) != 0
 }
 
 // Loads is what routing asks of the peers' digests. Implementations are safe
