--- a/internal/entry/probe.go
+++ b/internal/entry/probe.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"io"
-	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -35,11 +34,10 @@
 // newProber makes a prober with connections of its own, which it uses again:
 // they carry health answers only, and one that comes late or twice is off by
 // one probe at worst. A connection for each probe costs five times as much.
-func newProber(l Limits, d *dispatcher) *prober {
-	dialer := &net.Dialer{Timeout: l.ConnectTimeout, KeepAlive: -1}
+func newProber(dial dialFunc, d *dispatcher) *prober {
 	return &prober{
 		transport: &http.Transport{
-			DialContext:         dialer.DialContext,
+			DialContext:         dial,
 			MaxIdleConnsPerHost: 1,
 			IdleConnTimeout:     3 * probeTimeout, // beyond the interval, so that a live target keeps its one
 			DisableCompression:  true,
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -69,7 +69,7 @@
 	s.metrics.all.Set("services", expvar.Func(func() any { return s.dispatch.services() }))
 	s.metrics.all.Set("targets", expvar.Func(func() any { return s.dispatch.states() }))
 	s.metrics.all.Set("inside", expvar.Func(func() any { return s.inside.Load() }))
-	s.prober = newProber(s.limits, s.dispatch)
+	s.prober = newProber(s.forward.spares.dial, s.dispatch)
 	s.router = mux.NewRouter().UseEncodedPath().SkipClean(true)
 	s.router.HandleFunc("/services/{service}", s.serve)
 	s.router.HandleFunc("/services/{service}/{path:.*}", s.serve)
