entry: the gate that counts requests in shuts under the same lock

Cause: a WaitGroup's Add could meet Drain's Wait at zero: a request that passed the flag just before it was set could be missed, and the daemon end under it. Change: count and shutting under one lock.

--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -259,7 +259,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
 	defer cancel()
 	assert.NilError(s.t, s.server.Drain(ctx))
-	s.server.draining.Store(false)
+	s.server.gate = newGate()
 }
 
 func TestForwardsRequestAndAnswer(t *testing.T) {
--- a/internal/entry/once.go
+++ b/internal/entry/once.go
@@ -183,9 +183,9 @@
 // run. It does not hold up the answer: a repeat that comes before it is done is
 // told that the first may still be running.
 func (s *Server) settle(key claim.Key, t claim.Ticket, res result, kept *keptAnswer) {
-	s.work.Add(1)
+	s.gate.hold()
 	go func() {
-		defer s.work.Done()
+		defer s.gate.leave()
 		defer s.ownKeys.end(key)
 		ctx, cancel := context.WithTimeout(context.Background(), recordTimeout)
 		defer cancel()
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -17,7 +17,7 @@
 		s.answer(w, r, p, true)
 		return
 	}
-	defer s.exit()
+	defer s.gate.leave()
 	// Lift the deadline of an earlier answer, lest "100 Continue" fails.
 	_ = http.NewResponseController(w).SetWriteDeadline(time.Time{})
 	c, p := s.parseCall(r, s.clock.Now())
@@ -86,7 +86,7 @@
 	s.metrics.problem(p)
 	// The write deadline left by an earlier answer on the connection is over.
 	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(s.limits.WriteTimeout))
-	p.write(w, closeConn || s.draining.Load())
+	p.write(w, closeConn || s.gate.isShut())
 }
 
 // errDeadline is the cause of a context that ended at the request's deadline.
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -9,7 +9,6 @@
 	"expvar"
 	"net"
 	"net/http"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -52,10 +51,8 @@
 	prober   *prober
 	ownKeys  ownKeys
 
-	draining atomic.Bool
-	inside   atomic.Int64
-	buffered atomic.Int64   // bytes of bodies read ahead, at most
-	work     sync.WaitGroup // requests, and what outlives their caller
+	gate     *gate        // requests, and what outlives their caller
+	buffered atomic.Int64 // bytes of bodies read ahead, at most
 }
 
 // New returns a Server. Run must be running for it to follow its view.
@@ -63,12 +60,12 @@
 	if o.Clock == nil {
 		o.Clock = clockwork.NewRealClock()
 	}
-	s := &Server{opts: o, limits: o.Limits.withDefaults(), clock: o.Clock, log: o.Log, metrics: newMetrics()}
+	s := &Server{opts: o, limits: o.Limits.withDefaults(), clock: o.Clock, log: o.Log, metrics: newMetrics(), gate: newGate()}
 	s.dispatch = newDispatcher(o)
 	s.forward = newForwarder(o.Dial, s.limits, o.Clock)
 	s.metrics.all.Set("services", expvar.Func(func() any { return s.dispatch.services() }))
 	s.metrics.all.Set("targets", expvar.Func(func() any { return s.dispatch.states() }))
-	s.metrics.all.Set("inside", expvar.Func(func() any { return s.inside.Load() }))
+	s.metrics.all.Set("inside", expvar.Func(func() any { return s.gate.inside() }))
 	s.prober = newProber(s.forward.spares.dial, s.dispatch)
 	s.router = mux.NewRouter().UseEncodedPath().SkipClean(true)
 	s.router.HandleFunc("/services/{service}", s.serve)
@@ -106,49 +103,34 @@
 
 // Ready reports whether new requests are taken: a declaration is known, and the
 // entry VM does not leave.
-func (s *Server) Ready() bool { return !s.draining.Load() && s.opts.View.Load().Declaration != nil }
+func (s *Server) Ready() bool { return !s.gate.isShut() && s.opts.View.Load().Declaration != nil }
 
 // Drain stops taking new requests and waits until those inside, queued ones
 // included, have their answers and outcomes are recorded. It returns ctx's
 // error where that takes longer; the requests go on.
 func (s *Server) Drain(ctx context.Context) error {
-	s.draining.Store(true)
-	done := make(chan struct{})
-	go func() {
-		s.work.Wait()
-		close(done)
-	}()
 	select {
-	case <-done:
+	case <-s.gate.close():
 		return nil
 	case <-ctx.Done():
-		return trace.Wrap(ctx.Err(), "requests still inside: %d", s.inside.Load())
+		return trace.Wrap(ctx.Err(), "requests still inside: %d", s.gate.inside())
 	}
 }
 
-// enter counts a request in, unless the entry VM is full or leaving.
+// enter counts a request in, unless the entry VM is full, starting or leaving.
 func (s *Server) enter() *Problem {
-	s.work.Add(1)
-	inside := s.inside.Add(1)
-	switch {
-	case s.draining.Load():
-		s.exit()
-		return problemDraining()
-	case !s.Ready():
-		s.exit()
+	if s.opts.View.Load().Declaration == nil {
 		return problemStarting()
-	case inside > int64(s.limits.Inside):
-		s.exit()
+	}
+	switch s.gate.enter(s.limits.Inside) {
+	case isShut:
+		return problemDraining()
+	case isFull:
 		return problemOverload("the entry VM has as many requests inside as it may", time.Second)
 	}
 	return nil
 }
 
-func (s *Server) exit() {
-	s.inside.Add(-1)
-	s.work.Done()
-}
-
 // service returns the declared service, or nil.
 func (s *Server) service(name model.ServiceName) *model.Service {
 	d := s.opts.View.Load().Declaration
