dispatch: an entry VM without a slot of a service waits for a loan

Change: such requests are let in where a loan can come in time; an entry VM with few slots lends its last while it hardly uses it.

--- a/policy/admission/admission.go
+++ b/policy/admission/admission.go
@@ -18,6 +18,7 @@
 type Load struct {
 	Slots    int           // slots of live targets this entry VM may use
 	Free     int           // of these, free now
+	Live     int           // targets in use, with or without slots for this entry VM
 	InFlight int           // requests at targets
 	Limit    int           // most in flight by the service's declared limit; 0 for none
 	Ahead    float64       // cost waiting that goes before the request, in mean requests
@@ -74,9 +75,12 @@
 // Decide predicts the wait and compares it to the deadline.
 func Decide(l Load, r Request, now time.Time) Decision {
 	usable := l.Usable()
-	if usable <= 0 {
+	if l.Live <= 0 {
 		return Decision{Verdict: NoTargets, RetryAfter: noTargetRetry}
 	}
+	if usable <= 0 {
+		return l.withoutSlots(r, now)
+	}
 	wait := l.Wait()
 	left := r.Deadline.Sub(now)
 	needed := wait + r.margin(l.High)
@@ -86,6 +90,19 @@
 	return Decision{Verdict: Admit, Wait: wait}
 }
 
+// borrowTime is how long it takes at most that a peer with an idle slot lends
+// it: a digest there and one back, a second each between zones.
+const borrowTime = 2 * time.Second
+
+// withoutSlots decides where this entry VM has no slot of the service, as there
+// are more entry VMs than slots: its requests wait for a loan.
+func (l Load) withoutSlots(r Request, now time.Time) Decision {
+	if r.Deadline.Sub(now) < borrowTime {
+		return Decision{Verdict: WouldBeLate, Wait: borrowTime, RetryAfter: borrowTime}
+	}
+	return Decision{Verdict: Admit, Wait: borrowTime}
+}
+
 // Usable returns the slots within the service's limit.
 func (l Load) Usable() int {
 	if l.Limit > 0 {
--- a/policy/admission/admission_test.go
+++ b/policy/admission/admission_test.go
@@ -14,8 +14,8 @@
 var t0 = time.Unix(1_000_000, 0)
 
 func TestDecide(t *testing.T) {
-	idle := Load{Slots: 10, Free: 10, Mean: 100 * ms, High: 300 * ms}
-	busy := Load{Slots: 10, Mean: 100 * ms, High: 300 * ms, InFlight: 10}
+	idle := Load{Live: 2, Slots: 10, Free: 10, Mean: 100 * ms, High: 300 * ms}
+	busy := Load{Live: 2, Slots: 10, Mean: 100 * ms, High: 300 * ms, InFlight: 10}
 	with := func(l Load, change func(*Load)) Load { change(&l); return l }
 	cases := []struct {
 		name    string
@@ -27,11 +27,13 @@
 		{"a free slot", idle, time.Second, Admit, 0},
 		{"a free slot and less time than requests take", idle, 10 * ms, Admit, 0},
 		{"no target", Load{}, time.Second, NoTargets, noTargetRetry},
+		{"no slot, time for a loan", Load{Live: 2}, 3 * time.Second, Admit, 0},
+		{"no slot, no time for a loan", Load{Live: 2}, time.Second, WouldBeLate, borrowTime},
 		{"waits in time", with(busy, func(l *Load) { l.Ahead = 50 }), time.Second, Admit, 0},
 		{"would be late", with(busy, func(l *Load) { l.Ahead = 99 }), time.Second, WouldBeLate, 300 * ms},
 		{"a short timeout asks for half of it", with(busy, func(l *Load) { l.Ahead = 4 }), 100 * ms, Admit, 0},
 		{"and no more", with(busy, func(l *Load) { l.Ahead = 9 }), 100 * ms, WouldBeLate, 50 * ms},
-		{"nothing known of the service", Load{Slots: 10, InFlight: 10, Ahead: 99}, time.Second, Admit, 0},
+		{"nothing known of the service", Load{Live: 2, Slots: 10, InFlight: 10, Ahead: 99}, time.Second, Admit, 0},
 		{"the limit binds though slots are free", with(idle, func(l *Load) { l.Limit, l.InFlight, l.Ahead = 2, 2, 20 }), time.Second, WouldBeLate, 350 * ms},
 	}
 	for _, tc := range cases {
--- a/policy/dispatch/dispatch.go
+++ b/policy/dispatch/dispatch.go
@@ -183,6 +183,7 @@
 		if d.out(t, now) {
 			continue
 		}
+		l.Live++
 		l.Slots += t.limit
 		l.Free += max(0, t.limit-t.own)
 	}
--- a/policy/dispatch/load_test.go
+++ b/policy/dispatch/load_test.go
@@ -162,3 +162,17 @@
 	assert.Equal(t, r.capped, 8)
 	assert.Assert(t, r.ofCapacity(5*time.Second) >= 0.9)
 }
+
+// A service has one target of eight slots, and there are twelve entry VMs: four
+// have no slot of it. A balancer sends them callers all the same; these must be
+// served from slots that lie idle elsewhere, and not be told that there is no
+// target.
+func TestMoreEntriesThanSlots(t *testing.T) {
+	t.Parallel()
+	sc := steady(0.03, 60*time.Second)
+	sc.entries, sc.targets = 12, 1
+	r := run(sc)
+	s := r.callers["normal"]
+	assert.Assert(t, float64(s.useful) >= 0.97*float64(s.asked), "%d of %d, %d turned away", s.useful, s.asked, s.turnedAway)
+	assert.Assert(t, r.capped <= 8, "%d at once", r.capped)
+}
--- a/policy/dispatch/loans.go
+++ b/policy/dispatch/loans.go
@@ -86,10 +86,20 @@
 			limit += t.limit
 		}
 	}
+	if limit <= fewSlots && svc.inUse < idleUse && svc.running == 0 {
+		return limit
+	}
 	inUse := svc.inUse + 1.5*math.Sqrt(svc.inUse)
 	return limit - max(int(math.Ceil(inUse)), svc.running) - 1
 }
 
+// Where an entry VM has only a few slots of a service, others may have none: it
+// lends even its last while it has hardly any use for it.
+const (
+	fewSlots = 2
+	idleUse  = 0.5
+)
+
 // Gains of the averages per tick: slots in use over about 2 s, requests that
 // wait over a second, so that a passing burst asks for nothing.
 const (
@@ -144,9 +154,20 @@
 	for _, t := range s.targets {
 		over += max(0, t.own-t.share)
 	}
+	if share := s.share(); share == 0 && s.queue.Len() > 0 {
+		return s.queue.Len() + over
+	}
 	return int(s.waiting) + over
 }
 
+func (s *service) share() int {
+	share := 0
+	for _, t := range s.targets {
+		share += t.share
+	}
+	return share
+}
+
 func (d *Dispatcher) targetOr(vm model.VMID) *target {
 	if t := d.targets[vm]; t != nil {
 		return t
