--- a/policy/dispatch/model_test.go
+++ b/policy/dispatch/model_test.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
-	"strings"
 	"time"
 
 	"github.com/pumicestage/pumicestage/policy/model"
@@ -186,58 +185,6 @@
 	s.after(tickEvery, func() { s.tick(e) })
 }
 
-// digest tells the entry VMs of the zone what this one knows first hand, four
-// times a second, and those of other zones of its lending only, once a second.
-func (s *sim) digest(e *simEntry, n int) {
-	loads := map[model.VMID]State{}
-	for _, st := range e.d.States(s.now) {
-		loads[st.VM] = st
-	}
-	msg := e.d.Lending()
-	for _, peer := range s.es {
-		switch {
-		case peer == e:
-		case peer.zone == e.zone || s.optimistic:
-			s.after(linkLocal, func() { peer.heard[e.id] = simDigest{s.now, loads, msg} })
-		case n%4 == 0:
-			s.after(linkRemote, func() { peer.heard[e.id] = simDigest{s.now, nil, msg} })
-		}
-	}
-	s.after(digestEvery, func() { s.digest(e, n+1) })
-}
-
-// InFlight implements Peers.
-func (e *simEntry) InFlight(vm model.VMID) int {
-	n := 0
-	for _, d := range e.heard {
-		n += d.loads[vm].InFlight
-	}
-	return n
-}
-
-// Leaving implements Peers.
-func (e *simEntry) Leaving(vm model.VMID) bool {
-	for _, d := range e.heard {
-		if d.loads[vm].Leaving {
-			return true
-		}
-	}
-	return false
-}
-
-// Messages implements Peers.
-func (e *simEntry) Messages() []slots.PeerMessage {
-	if e.noLoans {
-		return nil
-	}
-	var all []slots.PeerMessage
-	for id, d := range e.heard {
-		all = append(all, slots.PeerMessage{Entry: id, Heard: d.at, Message: d.msg})
-	}
-	slices.SortFunc(all, func(a, b slots.PeerMessage) int { return strings.Compare(string(a.Entry), string(b.Entry)) })
-	return all
-}
-
 // load schedules all callers' arrivals.
 func (s *sim) load() {
 	for i := range s.callers {
