--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -17,7 +17,7 @@
 		s.answer(w, r, p, true)
 		return
 	}
-	defer s.exit()
+	defer s.gate.leave()
 	// Lift the deadline of an earlier answer, lest "100 Continue" fails.
 	_ = http.NewResponseController(w).SetWriteDeadline(time.Time{})
 	c, p := s.parseCall(r, s.clock.Now())
@@ -26,11 +26,18 @@
 		return
 	}
 	body := newRequestBody(w, r, s.limits)
-	if p := body.prefetch(!c.service.Repeatable); p != nil {
+	once := !c.service.Repeatable
+	ahead := body.ahead(once)
+	defer s.buffered.Add(-ahead)
+	if s.buffered.Add(ahead) > s.limits.BufferedBytes {
+		s.answer(w, r, problemOverload("the entry VM holds as much of bodies as it may", time.Second), true)
+		return
+	}
+	if p := body.prefetch(once); p != nil {
 		s.answer(w, r, p, true)
 		return
 	}
-	if !c.service.Repeatable {
+	if once {
 		s.serveOnce(w, r, c, body)
 		return
 	}
@@ -79,7 +86,7 @@
 	s.metrics.problem(p)
 	// The write deadline left by an earlier answer on the connection is over.
 	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(s.limits.WriteTimeout))
-	p.write(w, closeConn || s.draining.Load())
+	p.write(w, closeConn || s.gate.isShut())
 }
 
 // errDeadline is the cause of a context that ended at the request's deadline.
