peer: a test sets its deadline before it writes

Failed in 2 of 300 runs under load: the mesh had closed the connection before the test set its deadline on it, which a pipe refuses. What is asserted is as before.

--- a/internal/peer/mesh_test.go
+++ b/internal/peer/mesh_test.go
@@ -202,8 +202,8 @@
 	conn, err := n.Dialer("z1")(t.Context(), "a")
 	assert.NilError(t, err)
 	defer conn.Close()
-	go conn.Write(sent)
 	assert.NilError(t, conn.SetReadDeadline(time.Now().Add(time.Second)))
+	go conn.Write(sent)
 	for {
 		if _, err := conn.Read(make([]byte, 512)); err != nil {
 			ne, ok := err.(net.Error)
