Sizes: what a job got by with is enough

Cause: a kind that fills whatever it is given got a fifth more each time, until it fitted on no worker; found by urgent jobs that never started. Change: a job's need is bounded by what it was given and did not exceed.

--- a/internal/jobs/learned.go
+++ b/internal/jobs/learned.go
@@ -164,7 +164,7 @@
 			continue
 		}
 		p.learned.reported[u.Attempt] = u.At
-		p.learned.Sizes.Report(r.Kind, r.ID, u.Used)
+		p.learned.Sizes.Report(r.Kind, r.ID, u.Used, r.Size)
 		p.learned.dirty = true
 		if err := p.restrain(ctx, r, u, inUse[u.VM]); err != nil {
 			return err
--- /dev/null
+++ b/internal/jobs/urgent_bench_test.go
@@ -0,0 +1,178 @@
+package jobs
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/go-logr/logr"
+	"github.com/jonboulle/clockwork"
+
+	"github.com/pumicestage/pumicestage/internal/platform"
+	"github.com/pumicestage/pumicestage/internal/platform/gateway"
+	"github.com/pumicestage/pumicestage/internal/platform/machineapi"
+	"github.com/pumicestage/pumicestage/internal/platform/standin"
+	"github.com/pumicestage/pumicestage/internal/view"
+	"github.com/pumicestage/pumicestage/policy/model"
+)
+
+// today is a deployment of today's size on the stand-in over loopback HTTP,
+// in real time: 50 workers, 8 entry VMs, and the service's limits of writes
+// and reads.
+type today struct {
+	server *standin.Server
+	nodes  []*Jobs
+	starts *startTimes
+}
+
+// startTimes are the times from submit to start, in microseconds.
+type startTimes struct {
+	mu     sync.Mutex
+	spans  *hdrhistogram.Histogram
+	failed int // submits
+}
+
+const (
+	writesPerSecond = 300
+	readsPerSecond  = 2000
+)
+
+func newToday(b *testing.B, ctx context.Context) *today {
+	clock := clockwork.NewRealClock()
+	d := &today{server: standin.New(clock), starts: &startTimes{spans: hdrhistogram.New(1, 60_000_000, 3)}}
+	b.Cleanup(d.server.Close)
+	address, err := d.server.Listen("127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	d.server.Counts.SetLimits(writesPerSecond, readsPerSecond)
+	snap := &view.Snapshot{Revision: 1, Declaration: &model.Declaration{Generation: 1}, VMs: make(map[model.VMID]view.VMRecord)}
+	for i := range 50 {
+		vm := model.VM{ID: model.VMID(fmt.Sprintf("v%02d", i)), Zone: model.ZoneName(fmt.Sprint("z", i%4)), Rack: model.RackName(fmt.Sprint("r", i/4)),
+			Capacity: model.Resources{MilliCPU: 32000, MemoryMB: 65536}, State: model.VMInPool, Pool: "batch"}
+		snap.VMs[vm.ID] = view.VMRecord{VM: vm}
+		d.server.Machines.Add(vm.ID, vm.Capacity, nil)
+	}
+	for i := range 8 {
+		holder := view.NewHolder()
+		holder.Publish(snap)
+		j := New(Options{
+			Store:    gateway.New(gateway.Options{Endpoints: []string{address}, Timeout: 2 * time.Second}),
+			Machines: machineapi.New(machineapi.Options{Endpoints: []string{address}, Timeout: 2 * time.Second}),
+			View:     holder, Self: model.EntryID(fmt.Sprint("e", i)), Log: logr.Discard(),
+		})
+		d.nodes = append(d.nodes, j)
+		go func() { _ = j.Run(ctx) }()
+	}
+	return d
+}
+
+// crowd uses up what the service's limits leave, as other work of the system
+// would at its busiest: it writes as fast as it is let.
+func (d *today) crowd(ctx context.Context, address string) {
+	store := gateway.New(gateway.Options{Endpoints: []string{address}, Timeout: time.Second})
+	for i := 0; ctx.Err() == nil; i++ {
+		_, err := store.Txn(ctx, platform.Txn{Then: []platform.Op{platform.Put(platform.Root+"crowd", []byte("x"))}})
+		if platform.IsKind(err, platform.KindRateLimited) {
+			time.Sleep(2 * time.Millisecond)
+		}
+	}
+}
+
+// BenchmarkUrgentStart has urgent jobs arrive at random entry VMs among
+// bursts of deferrable ones, and reports how long each took from the call of
+// Submit until the platform had its task.
+func BenchmarkUrgentStart(b *testing.B) {
+	for _, c := range []struct {
+		name  string
+		crowd int
+	}{{"store-idle", 0}, {"store-at-its-limit", 4}} {
+		b.Run(c.name, func(b *testing.B) {
+			for b.Loop() {
+				ctx, cancel := context.WithCancel(context.Background())
+				d := newToday(b, ctx)
+				address, err := d.server.Listen("127.0.0.1:0")
+				if err != nil {
+					b.Fatal(err)
+				}
+				for range c.crowd {
+					go d.crowd(ctx, address)
+				}
+				time.Sleep(time.Second) // until one of them holds the lease
+				d.drive(ctx, 200)
+				d.report(b)
+				cancel()
+			}
+		})
+	}
+}
+
+// drive submits urgent jobs one after the other. A twentieth comes with a burst
+// of 50 deferrable ones.
+func (d *today) drive(ctx context.Context, n int) {
+	rng := rand.New(rand.NewPCG(9, 9))
+	var waits sync.WaitGroup
+	for i := range n {
+		job := small()
+		job.Class, job.Kind = model.ClassUrgent, "quote"
+		change := model.ChangeID(fmt.Sprintf("u%04d", i))
+		id := jobID(change, 0)
+		d.server.Machines.SetBehaviour(id, standin.Behaviour{RunTime: 2 * time.Second})
+		if i%20 == 0 {
+			flood := small()
+			flood.Class = model.ClassDeferrable
+			waits.Go(func() { _, _ = d.nodes[i%len(d.nodes)].Submit(ctx, "", many(50, flood)) })
+		}
+		at := time.Now()
+		node := d.nodes[rng.IntN(len(d.nodes))]
+		waits.Go(func() {
+			if _, err := node.Submit(ctx, change, []model.Job{job}); err != nil {
+				d.starts.mu.Lock()
+				d.starts.failed++
+				d.starts.mu.Unlock()
+				return
+			}
+			d.await(id, at)
+		})
+		time.Sleep(time.Duration(rng.IntN(100)) * time.Millisecond)
+	}
+	waits.Wait()
+}
+
+// await asks the stand-in itself, not over HTTP, until the job has started.
+func (d *today) await(id model.JobID, since time.Time) {
+	for time.Since(since) < 30*time.Second {
+		if d.server.Machines.Tally().Starts[id] > 0 {
+			break
+		}
+		time.Sleep(2 * time.Millisecond)
+	}
+	d.starts.mu.Lock()
+	defer d.starts.mu.Unlock()
+	_ = d.starts.spans.RecordValue(time.Since(since).Microseconds())
+}
+
+func (d *today) report(b *testing.B) {
+	twice, starts := 0, d.server.Machines.Tally().Starts
+	for _, n := range starts {
+		if n > 1 {
+			twice++
+		}
+	}
+	var writes, limited int64
+	for _, n := range d.nodes {
+		writes += n.Counts().Writes
+		limited += n.Counts().Limited
+	}
+	b.ReportMetric(float64(d.starts.spans.ValueAtQuantile(50))/1000, "p50-ms")
+	b.ReportMetric(float64(d.starts.spans.ValueAtQuantile(99))/1000, "p99-ms")
+	b.ReportMetric(float64(d.starts.spans.Max())/1000, "max-ms")
+	b.ReportMetric(float64(d.starts.failed), "submits-failed")
+	b.ReportMetric(float64(twice), "started-twice")
+	b.ReportMetric(float64(writes)/float64(len(starts)), "writes/job")
+	b.ReportMetric(float64(limited), "refused-by-rate")
+}
--- a/policy/sizing/sizing.go
+++ b/policy/sizing/sizing.go
@@ -37,10 +37,10 @@
 	minMemoryMB = 32
 )
 
-// Peak is the most one job was seen to use.
+// Peak is the most that one job was seen to need.
 type Peak struct {
 	Job  model.JobID
-	Used model.Resources
+	Need model.Resources
 }
 
 // Kind is what is remembered of a kind of job.
@@ -58,8 +58,26 @@
 // NewBook returns a Book that knows nothing.
 func NewBook() *Book { return &Book{Kinds: make(map[string]*Kind)} }
 
-// Report notes what a job was seen to use.
-func (b *Book) Report(kind string, job model.JobID, used model.Resources) {
+// Report notes what a job was seen to use of what it was given. It needs a
+// margin above its use, but no more than it was given and got by with: a job
+// that fills whatever it gets would else get more each time, until it fits on
+// no worker.
+func (b *Book) Report(kind string, job model.JobID, used, given model.Resources) {
+	b.note(kind, job, model.Resources{
+		MilliCPU: need(used.MilliCPU, given.MilliCPU, cpuMargin),
+		MemoryMB: need(used.MemoryMB, given.MemoryMB, memoryMargin),
+	})
+}
+
+func need(used, given, margin int64) int64 {
+	with := used + used*margin/100
+	if used <= given {
+		return min(with, given)
+	}
+	return with
+}
+
+func (b *Book) note(kind string, job model.JobID, need model.Resources) {
 	b.Turn++
 	k := b.Kinds[kind]
 	if k == nil {
@@ -70,11 +88,11 @@
 	k.Turn = b.Turn
 	for i := range k.Peaks {
 		if k.Peaks[i].Job == job {
-			k.Peaks[i].Used = larger(k.Peaks[i].Used, used)
+			k.Peaks[i].Need = larger(k.Peaks[i].Need, need)
 			return
 		}
 	}
-	k.Peaks = append(k.Peaks, Peak{job, used})
+	k.Peaks = append(k.Peaks, Peak{job, need})
 	if len(k.Peaks) > window {
 		k.Peaks = slices.Delete(k.Peaks, 0, 1)
 	}
@@ -84,7 +102,7 @@
 // report shows where its worker ends it at once. That it would have done with
 // twice as much is the least that this says.
 func (b *Book) Exceeded(kind string, job model.JobID, given model.Resources) {
-	b.Report(kind, job, model.Resources{MemoryMB: 2 * given.MemoryMB})
+	b.note(kind, job, model.Resources{MemoryMB: 2 * given.MemoryMB})
 }
 
 func (b *Book) makeRoom() {
@@ -106,8 +124,8 @@
 func (b *Book) Size(job *model.Job, grown int) model.Resources {
 	size := job.Declared
 	if k := b.Kinds[job.Kind]; k != nil {
-		size.MilliCPU = k.estimate(cpuOf, median, size.MilliCPU, cpuMargin, minCPU)
-		size.MemoryMB = k.estimate(memoryOf, secondLargest, size.MemoryMB, memoryMargin, minMemoryMB)
+		size.MilliCPU = k.estimate(cpuOf, median, size.MilliCPU, minCPU)
+		size.MemoryMB = k.estimate(memoryOf, secondLargest, size.MemoryMB, minMemoryMB)
 		if !job.Repeatable {
 			// It gets one run, so it gets whichever is the safer.
 			size = larger(size, job.Declared)
@@ -117,21 +135,20 @@
 	return size
 }
 
-// estimate picks one of the peaks and adds a margin, or returns what was
-// declared where too few jobs were seen.
-func (k *Kind) estimate(of func(model.Resources) int64, pick func([]int64) int64, declared, margin, least int64) int64 {
+// estimate picks one of the peaks, or returns what was declared where too few
+// jobs were seen.
+func (k *Kind) estimate(of func(model.Resources) int64, pick func([]int64) int64, declared, least int64) int64 {
 	var seen []int64
 	for _, p := range k.Peaks {
-		if of(p.Used) > 0 {
-			seen = append(seen, of(p.Used))
+		if of(p.Need) > 0 {
+			seen = append(seen, of(p.Need))
 		}
 	}
 	if len(seen) < enough {
 		return declared
 	}
 	slices.Sort(seen)
-	picked := pick(seen)
-	return max(picked+picked*margin/100, declared/maxShrink, least)
+	return max(pick(seen), declared/maxShrink, least)
 }
 
 // median is for processors: the tasks of a worker make up for each other, and
--- a/policy/sizing/sizing_test.go
+++ b/policy/sizing/sizing_test.go
@@ -13,11 +13,14 @@
 	return &model.Job{Kind: "k", Repeatable: true, Declared: model.Resources{MilliCPU: declared, MemoryMB: declared, Accelerators: 1}}
 }
 
+// ample is given to tasks that use what they need.
+var ample = model.Resources{MilliCPU: 1 << 40, MemoryMB: 1 << 40}
+
 // learned is a book of jobs that used so much processor and memory each.
 func learned(used ...int64) *Book {
 	b := NewBook()
 	for i, u := range used {
-		b.Report("k", model.JobID(fmt.Sprint(i)), model.Resources{MilliCPU: u, MemoryMB: u})
+		b.Report("k", model.JobID(fmt.Sprint(i)), model.Resources{MilliCPU: u, MemoryMB: u}, ample)
 	}
 	return b
 }
@@ -53,15 +56,28 @@
 func TestLaggingReportsOfOneJobCountOnce(t *testing.T) {
 	b := NewBook()
 	for range 100 {
-		b.Report("k", "j1", model.Resources{MilliCPU: 50000, MemoryMB: 50000})
+		b.Report("k", "j1", model.Resources{MilliCPU: 50000, MemoryMB: 50000}, ample)
 	}
 	assert.Equal(t, b.Size(job(1000), 0).MemoryMB, int64(1000))
 }
 
+func TestJobsThatFillWhatTheyGet(t *testing.T) {
+	// The operator sees jobs become unplaceable one after the other. A kind
+	// uses all the memory it is given, and a margin on top of each estimate
+	// makes the next larger, until no worker has as much. What a job got by
+	// with is therefore enough.
+	b := NewBook()
+	for i := range 100 {
+		given := b.Size(job(1000), 0)
+		b.Report("k", model.JobID(fmt.Sprint(i)), given, given)
+	}
+	assert.Equal(t, b.Size(job(1000), 0), job(1000).Declared)
+}
+
 func TestAKindThatChangesIsFollowed(t *testing.T) {
 	b := learned(300, 300, 300, 300, 300, 300)
 	for i := range window {
-		b.Report("k", model.JobID(fmt.Sprint("new", i)), model.Resources{MilliCPU: 600, MemoryMB: 600})
+		b.Report("k", model.JobID(fmt.Sprint("new", i)), model.Resources{MilliCPU: 600, MemoryMB: 600}, ample)
 	}
 	assert.Equal(t, b.Size(job(1000), 0).MemoryMB, int64(720))
 }
@@ -79,7 +95,7 @@
 func TestKindsAreBounded(t *testing.T) {
 	b := NewBook()
 	for i := range maxKinds + 10 {
-		b.Report(fmt.Sprint(i), "j", model.Resources{MilliCPU: 1})
+		b.Report(fmt.Sprint(i), "j", model.Resources{MilliCPU: 1}, ample)
 	}
 	assert.Equal(t, len(b.Kinds), maxKinds)
 	assert.Assert(t, b.Kinds["0"] == nil && b.Kinds[fmt.Sprint(maxKinds+9)] != nil)
