fleet: tests for three safeguards whose removal none noticed

Change: the pause is now fifteen seconds, which only the age of the view shows; tests for orders beside other stops and for the order of pools.

--- a/internal/fleet/safeguard_test.go
+++ b/internal/fleet/safeguard_test.go
@@ -241,8 +241,8 @@
 	}
 }
 
-// An entry VM pauses between its count and its write. When it wakes, what it
-// counted by is a minute old: it must count anew.
+// An entry VM pauses between its read and its write. When it wakes, the view it
+// counts by is too old: it must look anew.
 func TestNoStopOnACountThatWentStaleInAPause(t *testing.T) {
 	cases := []struct {
 		name  string
@@ -260,7 +260,7 @@
 			}
 			n.at = func(op string) {
 				if op == "txn" {
-					w.clock.Advance(time.Minute)
+					w.clock.Advance(15 * time.Second)
 				}
 			}
 			for range 60 {
--- a/policy/wave/wave_test.go
+++ b/policy/wave/wave_test.go
@@ -206,6 +206,31 @@
 	}
 }
 
+func TestOrderMayUseTheReserveOnlyAlone(t *testing.T) {
+	s := fleet(1, 10, 4, 8, swift) // room for two stops, or one and a failure
+	var ms []budget.Member
+	for i := range s.VMs {
+		ms = append(ms, memberOf(&s.VMs[i]))
+	}
+	tally := NewTally(budget.Count(&s.Declaration.Services[0], ms), nil, swift)
+	tally.TakeOut(ms[0])
+
+	assert.Equal(t, tally.RefuseOrder(ms[1], 0), "")
+	assert.Equal(t, tally.RefuseOrder(ms[1], 1), "service s0 has 9 of 10 VMs up, needs 8 and must stand the loss of any one VM")
+	down := ms[1]
+	down.Up = false
+	assert.Equal(t, tally.RefuseOrder(down, 1), "", "what is down costs nothing")
+}
+
+func TestPoolsWithMostLeftGoFirst(t *testing.T) {
+	s := fleet(2, 10, 4, 8, frugal)
+	s.Wave.MaxBatch = 1
+	assert.Equal(t, Make(s).Stops[0], model.VMID("v0-0"), "the wave's order decides between equals")
+	done(&s.VMs[0], time.Minute)
+
+	assert.Equal(t, find(&s, Make(s).Stops[0]).Pool, model.PoolName("p1"))
+}
+
 // Whatever fails and whatever is out, a plan keeps every budget, leaves room for
 // the reserve where one is kept, takes no VM twice or that is not up, and where
 // nothing is in the way it takes at least one.
