dev: a wave under the worst faults, seen by a witness at store, machines and targets

Cause: the whole-path tests met platform outages, lost VMs and entry VMs, but no zones parted from each other, no silent loss, no stale list, and no entry VM that stands still beyond its leases. Change: wire can stall; five faults befall a wave under load; a witness checks budgets at each drain and in each revision, one pool, claims, generations, cuts and double runs from outside.

--- a/internal/dev/cluster.go
+++ b/internal/dev/cluster.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -51,6 +52,9 @@
 	targets  map[model.VMID]*faketarget.Target
 	entries  []*entryVM
 	tasks    sync.WaitGroup
+
+	// drained is called after a VM was ordered to drain; nil for nothing.
+	drained atomic.Pointer[func(vm model.VMID)]
 }
 
 // entryVM is one running daemon.
@@ -109,7 +113,7 @@
 		vm.Address = t.Address()
 		c.targets[vm.ID] = t
 		c.platform.Network.Place(vm.Address, string(vm.Zone))
-		c.platform.Machines.Add(vm.ID, vm.Capacity, runner(t))
+		c.platform.Machines.Add(vm.ID, vm.Capacity, c.runner(vm.ID, t))
 	}
 	return nil
 }
@@ -128,9 +132,14 @@
 }
 
 // runner lets the stand-in's machines act on a fake target.
-func runner(t *faketarget.Target) standin.Runner {
+func (c *cluster) runner(id model.VMID, t *faketarget.Target) standin.Runner {
 	return standin.Hooks{
-		OnDrain:   t.Drain,
+		OnDrain: func() {
+			t.Drain()
+			if f := c.drained.Load(); f != nil {
+				(*f)(id)
+			}
+		},
 		OnUndrain: t.Undrain,
 		OnStop: func() int {
 			before := t.Counts().Cut
--- a/internal/dev/harness_test.go
+++ b/internal/dev/harness_test.go
@@ -89,3 +89,20 @@
 
 // isolate cuts a zone off from the platform and every other zone, or heals it.
 func (c *cluster) isolate(zone string, on bool) { c.platform.Network.Isolate(zone, on) }
+
+// resumeUntilEnd waits for the end of the wave, and lets it go on where it has
+// paused itself over faults that are healed.
+func (c *cluster) resumeUntilEnd(t *testing.T) {
+	t.Helper()
+	ctx := context.Background()
+	n := 0
+	c.await(t, "end of the wave", func() bool {
+		n++
+		f := c.entries[1].Fleet()
+		s, err := f.WaveStatus(ctx, "all")
+		if err == nil && s.Record.State == fleet.WavePaused {
+			_, _ = f.ResumeWave(ctx, "all", fleet.Order{Change: model.ChangeID(fmt.Sprintf("resume-%d", n)), Actor: "test"})
+		}
+		return err == nil && s.Record.State == fleet.WaveFinished
+	})
+}
--- a/internal/dev/wire.go
+++ b/internal/dev/wire.go
@@ -10,20 +10,25 @@
 )
 
 // wire is all that one entry VM sends over; cutting it is how a lost VM looks
-// from outside.
+// from outside. Stalling it is how a VM looks that stands still: nothing of it
+// goes out until it wakes, and then everything does, however late.
 type wire struct {
 	next daemon.DialFunc
 
-	mu    sync.Mutex
-	dead  bool
-	conns map[net.Conn]struct{}
+	mu      sync.Mutex
+	dead    bool
+	stalled chan struct{} // closed when the stall ends; nil where there is none
+	conns   map[*wireConn]struct{}
 }
 
 func newWire(next daemon.DialFunc) *wire {
-	return &wire{next: next, conns: make(map[net.Conn]struct{})}
+	return &wire{next: next, conns: make(map[*wireConn]struct{})}
 }
 
 func (w *wire) dial(ctx context.Context, network, address string) (net.Conn, error) {
+	if err := w.await(ctx.Done()); err != nil {
+		return nil, err
+	}
 	conn, err := w.next(ctx, network, address)
 	if err != nil {
 		return nil, err
@@ -34,8 +39,9 @@
 		conn.Close()
 		return nil, &net.OpError{Op: "dial", Net: network, Err: syscall.ENETDOWN}
 	}
-	w.conns[conn] = struct{}{}
-	return &wireConn{Conn: conn, wire: w}, nil
+	c := &wireConn{Conn: conn, wire: w, closed: make(chan struct{})}
+	w.conns[c] = struct{}{}
+	return c, nil
 }
 
 // cut ends every connection and lets none open.
@@ -43,21 +49,123 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.dead = true
-	for conn := range w.conns {
-		conn.Close()
+	for c := range w.conns {
+		c.Conn.Close()
 	}
 	clear(w.conns)
 }
 
+// stall holds everything back until the returned function is called.
+func (w *wire) stall() (wake func()) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	stalled := make(chan struct{})
+	w.stalled = stalled
+	return func() {
+		w.mu.Lock()
+		w.stalled = nil
+		var open []*wireConn
+		for c := range w.conns {
+			open = append(open, c)
+		}
+		w.mu.Unlock()
+		for _, c := range open {
+			c.flush()
+		}
+		close(stalled)
+	}
+}
+
+// await waits for the end of a stall, or for done.
+func (w *wire) await(done <-chan struct{}) error {
+	w.mu.Lock()
+	stalled := w.stalled
+	w.mu.Unlock()
+	if stalled == nil {
+		return nil
+	}
+	select {
+	case <-stalled:
+		return nil
+	case <-done:
+		return &net.OpError{Op: "wire", Net: "tcp", Err: net.ErrClosed}
+	}
+}
+
+func (w *wire) isStalled() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.stalled != nil
+}
+
 type wireConn struct {
 	net.Conn
-	wire *wire
+	wire   *wire
+	closed chan struct{}
+	once   sync.Once
+
+	mu     sync.Mutex
+	unsent []byte // written during a stall
+}
+
+// Read implements net.Conn.
+func (c *wireConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n == 0 {
+		return n, err
+	}
+	if err := c.wire.await(c.closed); err != nil {
+		return 0, err
+	}
+	return n, err
+}
+
+// Write implements net.Conn. What is written during a stall goes out after it,
+// also where its writer has given up: it was under way.
+func (c *wireConn) Write(p []byte) (int, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.wire.isStalled() || len(c.unsent) > 0 {
+		c.unsent = append(c.unsent, p...)
+		return len(p), nil
+	}
+	return c.Conn.Write(p)
+}
+
+// flush sends what was written during the stall.
+func (c *wireConn) flush() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	_, _ = c.Conn.Write(c.unsent) // a failure shows at the next call
+	c.unsent = nil
+	if c.isClosed() {
+		c.drop()
+	}
+}
+
+func (c *wireConn) isClosed() bool {
+	select {
+	case <-c.closed:
+		return true
+	default:
+		return false
+	}
 }
 
 // Close implements net.Conn.
 func (c *wireConn) Close() error {
+	c.once.Do(func() { close(c.closed) })
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.unsent) > 0 {
+		return nil // flush closes it
+	}
+	return c.drop()
+}
+
+func (c *wireConn) drop() error {
 	c.wire.mu.Lock()
-	delete(c.wire.conns, c.Conn)
+	delete(c.wire.conns, c)
 	c.wire.mu.Unlock()
 	return c.Conn.Close()
 }
--- /dev/null
+++ b/internal/dev/worst_test.go
@@ -0,0 +1,74 @@
+package dev
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/pumicestage/pumicestage/internal/platform/standin"
+)
+
+// A wave runs under load while the worst that may befall it does. Whatever
+// waits or is retried, every planned stop keeps the budgets and cuts nothing,
+// no request runs twice, none that is said not to have run ran, no
+// configuration goes back, and the wave ends once the fault is over.
+func TestWaveUnderTheWorstFaults(t *testing.T) {
+	t.Parallel()
+	cases := []struct {
+		name string
+		// meet makes the fault befall the cluster and ends it.
+		meet func(c *cluster, w *witness)
+	}{
+		// Both zones go on with the platform and see the same work to do, but
+		// no digest, relay or acknowledgement passes between them.
+		{"zones parted from each other", func(c *cluster, _ *witness) {
+			c.platform.Network.Cut("za", "zb")
+			time.Sleep(4 * time.Second)
+			c.platform.Network.Heal("za", "zb")
+		}},
+		// No connection breaks and nothing arrives: what was sent comes late.
+		{"a zone falls silent", func(c *cluster, _ *witness) {
+			c.platform.Network.Mute("zb", true)
+			time.Sleep(4 * time.Second)
+			c.platform.Network.Mute("zb", false)
+		}},
+		{"platform slow, then paused", func(c *cluster, _ *witness) {
+			c.platform.Faults.Set(standin.AnyZone, standin.Fault{Slow: 700 * time.Millisecond, LoseReplies: 10, Garble: 5})
+			time.Sleep(3 * time.Second)
+			c.platform.Faults.Set(standin.AnyZone, standin.Fault{Paused: true})
+			time.Sleep(3 * time.Second)
+			c.platform.Faults.Clear()
+		}},
+		// The list shows a VM live that has failed; its service's budget has
+		// room for one stop less.
+		{"stale list over a failed VM", func(c *cluster, w *witness) {
+			c.platform.Faults.Set(standin.AnyZone, standin.Fault{StaleList: true})
+			recover := w.fail("once-3")
+			time.Sleep(noticeWithin + 2*time.Second)
+			c.platform.Faults.Clear()
+			recover()
+		}},
+		// The entry VM that started the wave stands still until its leases
+		// have lapsed and others have gone on; then all it had under way goes out.
+		{"an entry VM stands still beyond its leases", func(c *cluster, _ *witness) {
+			wake := c.entries[0].wire.stall()
+			time.Sleep(12 * time.Second)
+			wake()
+		}},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			c := startSmall(t)
+			w := c.watchAll(t)
+			l, stopLoad := c.startLoad(context.Background(), c.decl.Services)
+			c.wave(t, 0)
+			c.await(t, "a first stop", func() bool { return c.platform.Machines.Tally().Reboots > 0 })
+			tc.meet(c, w)
+			c.resumeUntilEnd(t)
+			w.settle(t)
+			stopLoad()
+			w.verdict(t, l)
+		})
+	}
+}
