dev: random fault schedules with history checks; a mutant per safeguard of planned stops

Cause: on a scratch copy, three removed safeguards left the whole-path tests green: the recount before a reboot, the wait for every entry VM, and the wait for requests in flight. Change: a test for each of the three; random fault schedules by seed with operators, a wave, configuration changes and repeated keys racing; what operators were told and the store's history checked by porcupine as CAS objects; -seeds N plays more.

--- /dev/null
+++ b/internal/dev/graceful_test.go
@@ -0,0 +1,138 @@
+package dev
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/pumicestage/pumicestage/internal/fleet"
+	"github.com/pumicestage/pumicestage/internal/platform"
+	"github.com/pumicestage/pumicestage/internal/view"
+	"github.com/pumicestage/pumicestage/policy/model"
+)
+
+// quickWave starts the wave over the service quick alone.
+func (c *cluster) quickWave(t *testing.T) {
+	t.Helper()
+	o := fleet.Order{Change: "quick-wave", Actor: "test"}
+	_, err := c.entries[0].Fleet().StartWave(context.Background(), "all", []model.PoolName{"quick"}, o)
+	assert.NilError(t, err)
+}
+
+// occupy keeps every target of quick at work for about six seconds, past the
+// entry VMs, and returns when the work has begun.
+func (c *cluster) occupy(t *testing.T) {
+	t.Helper()
+	for id, target := range c.targets {
+		if c.pool(id) != "quick" {
+			continue
+		}
+		target.SetSlow(15)
+		go func() {
+			// serviceTime takes this path for a long request.
+			resp, err := http.Get("http://" + target.Address() + "/25")
+			if err == nil {
+				resp.Body.Close()
+			}
+		}()
+		c.await(t, "work at "+string(id), func() bool { return target.InFlight() == 1 })
+	}
+}
+
+func (c *cluster) pool(id model.VMID) model.PoolName {
+	for _, vm := range c.decl.VMs {
+		if vm.ID == id {
+			return vm.Pool
+		}
+	}
+	return ""
+}
+
+// leaving returns a VM that leaves for the wave.
+func (w *witness) leaving() model.VMID {
+	for id, vm := range w.stored() {
+		if vm.State == model.VMLeaving {
+			return id
+		}
+	}
+	return ""
+}
+
+// A VM leaves for maintenance and waits for a long request; meanwhile two of
+// the other three fail. A reboot granted before would leave one VM where two
+// must serve, so the VM has to be put back and none
+// rebooted.
+func TestNoRebootWhereTheBudgetBrokeMeanwhile(t *testing.T) {
+	t.Parallel()
+	c := startSmall(t)
+	w := c.watchAll(t)
+	c.occupy(t)
+	c.quickWave(t)
+	c.await(t, "a VM leaving", func() bool { return w.leaving() != "" })
+	left := w.leaving()
+	failed := 0
+	for id := range c.targets {
+		if id != left && c.pool(id) == "quick" && failed < 2 {
+			w.fail(id)
+			failed++
+		}
+	}
+
+	c.await(t, "the VM back in its pool", func() bool {
+		assert.Equal(t, c.platform.Machines.Tally().Reboots, 0)
+		return w.stored()[left].State == model.VMInPool && c.targets[left].Serving()
+	})
+	assert.Equal(t, c.serving("quick"), 2)
+}
+
+// An entry VM is live in the store, and says nothing of what it has seen: cut
+// off, or behind. It may send to a VM for as long as it does not know that the
+// VM leaves, so no VM may be rebooted before it says so, or its lease lapses.
+func TestNoRebootBeforeEveryEntryVMKnows(t *testing.T) {
+	t.Parallel()
+	c := startSmall(t)
+	w := c.watchAll(t)
+	ctx := context.Background()
+	ghost, err := json.Marshal(view.EntryRecord{ID: "ghost", Zone: "za", Incarnation: 1})
+	assert.NilError(t, err)
+	lease, err := c.platform.Store.Grant(ctx, time.Minute)
+	assert.NilError(t, err)
+	_, err = c.platform.Store.Txn(ctx, platform.Txn{Then: []platform.Op{platform.PutLeased(platform.EntryKey("ghost"), ghost, lease)}})
+	assert.NilError(t, err)
+	c.await(t, "the silent entry VM known to all", func() bool {
+		for _, e := range c.entries {
+			if len(e.View().Load().Entries) != len(c.entries)+1 {
+				return false
+			}
+		}
+		return true
+	})
+	c.quickWave(t)
+	c.await(t, "a VM leaving", func() bool { return w.leaving() != "" })
+	time.Sleep(2 * time.Second)
+	assert.Equal(t, c.platform.Machines.Tally().Reboots, 0)
+
+	assert.NilError(t, c.platform.Store.Revoke(ctx, lease))
+	c.resumeUntilEnd(t)
+	assert.Assert(t, c.platform.Machines.Tally().Reboots >= 4)
+}
+
+// Every VM works on a request of six seconds while the wave passes. It has to
+// wait for each: a reboot would cut the answer somebody waits for.
+func TestPlannedStopsWaitForLongRequests(t *testing.T) {
+	t.Parallel()
+	c := startSmall(t)
+	c.occupy(t)
+	c.quickWave(t)
+	c.resumeUntilEnd(t)
+	tally := c.platform.Machines.Tally()
+	assert.Equal(t, tally.CutByReboot, 0)
+	assert.Equal(t, tally.Reboots, 4)
+	for id, target := range c.targets {
+		assert.Check(t, c.pool(id) != "quick" || target.Counts().Finished == 1, "%s: %+v", id, target.Counts())
+	}
+}
--- /dev/null
+++ b/internal/dev/history_test.go
@@ -0,0 +1,158 @@
+package dev
+
+import (
+	"encoding/json"
+	"errors"
+	"math"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+	"gotest.tools/v3/assert"
+
+	"github.com/pumicestage/pumicestage/internal/fleet"
+	"github.com/pumicestage/pumicestage/internal/platform"
+	"github.com/pumicestage/pumicestage/policy/model"
+)
+
+// configObject is the configuration among the objects of a history.
+const configObject = "configuration"
+
+// casCall is a call on one object: a VM's key by revision, or the
+// configuration by generation. A call without a version to write is a read.
+type casCall struct {
+	object string
+	on     int64 // the version it is conditional on; 0 for any
+	write  int64 // the version it made; 0 where it was refused
+	seen   int64 // the version that refused it; 0 if not told
+}
+
+// casObject is the specification: versions follow each other, a write is based
+// on the newest, a refusal names it or, where it names none, differs from it.
+var casObject = porcupine.Model{
+	Partition: byObject,
+	Init:      func() any { return int64(0) },
+	Step: func(state, input, _ any) (bool, any) {
+		now, call := state.(int64), input.(casCall)
+		switch {
+		case call.write != 0:
+			return (call.on == 0 || call.on == now) && call.write > now, call.write
+		case call.seen != 0:
+			return call.seen == now, now
+		}
+		return call.on != now, now
+	},
+}
+
+func byObject(all []porcupine.Operation) [][]porcupine.Operation {
+	parts := make(map[string][]porcupine.Operation)
+	for _, op := range all {
+		name := op.Input.(casCall).object
+		parts[name] = append(parts[name], op)
+	}
+	var out [][]porcupine.Operation
+	for _, part := range parts {
+		out = append(out, part)
+	}
+	return out
+}
+
+// history is what operators asked and were told.
+type history struct {
+	mu  sync.Mutex
+	ops []porcupine.Operation
+}
+
+var epoch = time.Now()
+
+func sinceEpoch() int64 { return time.Since(epoch).Nanoseconds() }
+
+func (h *history) add(who int, call casCall, began, ended int64) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.ops = append(h.ops, porcupine.Operation{ClientId: who, Input: call, Call: began, Return: ended})
+}
+
+// order carries out an order on a VM and returns the revision that the
+// operator saw by it, 0 if none. One of unknown outcome is left out here: what
+// it wrote, if it did, is in the store's own history.
+func (h *history) order(who int, vm model.VMID, o fleet.Order, do func() (fleet.Outcome, error)) platform.Revision {
+	began := sinceEpoch()
+	out, err := do()
+	ended := sinceEpoch()
+	call := casCall{object: platform.VMKey(vm), on: int64(o.IfRevision)}
+	var refusal *fleet.Refusal
+	switch {
+	case err == nil && !out.Repeated:
+		call.write = int64(out.Revision)
+		h.add(who, call, began, ended)
+		return out.Revision
+	case errors.As(err, &refusal) && refusal.Revision != 0:
+		call.seen = int64(refusal.Revision)
+		h.add(who, call, began, ended)
+		return refusal.Revision
+	}
+	return 0
+}
+
+// apply carries out a change of the configuration and returns the generation
+// to base the next one on: its own, or what an entry VM shows.
+func (h *history) apply(on uint64, do func() (uint64, error), look func() uint64) uint64 {
+	began := sinceEpoch()
+	made, err := do()
+	if err != nil {
+		return look()
+	}
+	h.add(100, casCall{object: configObject, on: int64(on), write: int64(made)}, began, sinceEpoch())
+	return made
+}
+
+// check checks that what was told fits one order of events per object,
+// together with every write that the store holds and nobody was told of.
+func (h *history) check(t *testing.T, w *witness) {
+	t.Helper()
+	told := make(map[string]map[int64]bool)
+	for _, op := range h.ops {
+		call := op.Input.(casCall)
+		if told[call.object] == nil {
+			told[call.object] = make(map[int64]bool)
+		}
+		told[call.object][call.write] = true
+	}
+	ops := h.ops
+	for i, call := range w.writes(t) {
+		if !told[call.object][call.write] {
+			ops = append(ops, porcupine.Operation{ClientId: 1000 + i, Input: call, Call: 0, Return: math.MaxInt64})
+		}
+	}
+	result := porcupine.CheckOperationsTimeout(casObject, ops, time.Minute)
+	assert.Check(t, result == porcupine.Ok, "history of %d calls: %v", len(h.ops), result)
+	t.Logf("%d orders and changes told, %d writes in the store", len(h.ops), len(ops)-len(h.ops))
+}
+
+// writes returns every write of a VM or the configuration, each on top of the
+// one before.
+func (w *witness) writes(t *testing.T) []casCall {
+	t.Helper()
+	last := make(map[string]int64)
+	var calls []casCall
+	add := func(object string, version int64) {
+		calls = append(calls, casCall{object: object, on: last[object], write: version})
+		last[object] = version
+	}
+	for _, b := range w.batches {
+		for _, e := range b.Events {
+			switch {
+			case e.Kind == platform.EventPut && strings.HasPrefix(e.KV.Key, platform.VMPrefix):
+				add(e.KV.Key, int64(e.KV.ModRevision))
+			case e.Kind == platform.EventPut && e.KV.Key == platform.ConfigKey:
+				var d model.Declaration
+				assert.NilError(t, json.Unmarshal(e.KV.Value, &d))
+				add(configObject, int64(d.Generation))
+			}
+		}
+	}
+	return calls
+}
--- /dev/null
+++ b/internal/dev/schedule_test.go
@@ -0,0 +1,252 @@
+package dev
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/pumicestage/pumicestage/internal/config"
+	"github.com/pumicestage/pumicestage/internal/faketarget"
+	"github.com/pumicestage/pumicestage/internal/fleet"
+	"github.com/pumicestage/pumicestage/internal/platform"
+	"github.com/pumicestage/pumicestage/internal/platform/gateway"
+	"github.com/pumicestage/pumicestage/internal/platform/standin"
+	"github.com/pumicestage/pumicestage/policy/model"
+)
+
+var seeds = flag.Int("seeds", 2, "how many random fault schedules to play")
+
+// scheduleSteps is how many faults one schedule draws; two last at a time.
+const scheduleSteps = 10
+
+// Faults befall the cluster by a seed, two at a time, while callers send,
+// repeat keys at many entry VMs, and operators drain, undrain, move, start and
+// resume a wave and change the configuration at each other's backs. Whatever
+// is refused or late meanwhile, no promise breaks, what was told fits one order
+// of events, and after the faults every VM gets back into a pool.
+func TestFaultSchedule(t *testing.T) {
+	t.Parallel()
+	for seed := range uint64(*seeds) {
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			t.Parallel()
+			playSchedule(t, seed)
+		})
+	}
+}
+
+func playSchedule(t *testing.T, seed uint64) {
+	c := startSmall(t)
+	s := &schedule{c: c, w: c.watchAll(t), rng: rand.New(rand.NewPCG(seed, 0))}
+	l, stopLoad := c.startLoad(context.Background(), c.decl.Services)
+	s.load = l
+	ctx, stopActors := context.WithCancel(context.Background())
+	var actors sync.WaitGroup
+	for n := range 3 {
+		actors.Go(func() { s.operate(ctx, n, rand.New(rand.NewPCG(seed, uint64(10+n)))) })
+	}
+	actors.Go(func() { s.configure(ctx) })
+	for k := range 6 {
+		actors.Go(func() { s.repeatKey(ctx, fmt.Sprintf("repeat-%d", k), rand.New(rand.NewPCG(seed, uint64(20+k)))) })
+	}
+
+	heal := func() {}
+	for range scheduleSteps {
+		next := s.befall()
+		s.sleep(300, 900)
+		heal()
+		heal = next
+	}
+	heal()
+	c.platform.Faults.Clear()
+	stopActors()
+	actors.Wait()
+	s.cancelWave(t)
+	s.w.settle(t)
+	stopLoad()
+
+	s.w.verdict(t, l)
+	s.history.check(t, s.w)
+	for key, n := range c.runs() {
+		assert.Check(t, n <= 1, "%s ran %d times", key, n)
+	}
+}
+
+// schedule is one run of a fault schedule.
+type schedule struct {
+	c       *cluster
+	w       *witness
+	load    *load
+	rng     *rand.Rand
+	history history
+
+	mu sync.Mutex // guards c.entries against replacement
+}
+
+func (s *schedule) sleep(from, to int) {
+	time.Sleep(time.Duration(from+s.rng.IntN(to-from)) * time.Millisecond)
+}
+
+// entry returns an entry VM as it is now.
+func (s *schedule) entry(n int) *entryVM {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.c.entries[n%len(s.c.entries)]
+}
+
+// befall starts a fault drawn by the seed and returns what ends it.
+func (s *schedule) befall() (heal func()) {
+	zone := string(s.c.decl.Zones[s.rng.IntN(2)])
+	n := s.rng.IntN(len(s.c.entries))
+	vm := s.c.decl.VMs[s.rng.IntN(len(s.c.decl.VMs))].ID
+	net, platformFaults := s.c.platform.Network, s.c.platform.Faults
+	set := func(f standin.Fault) func() {
+		platformFaults.Set(standin.AnyZone, f)
+		return func() { platformFaults.Set(standin.AnyZone, standin.Fault{}) }
+	}
+	switch s.rng.IntN(11) {
+	case 0:
+		net.Cut("za", "zb")
+		return func() { net.Heal("za", "zb") }
+	case 1:
+		net.Drop("za", "zb")
+		return func() { net.Heal("za", "zb") }
+	case 2:
+		net.Mute(zone, true)
+		return func() { net.Mute(zone, false) }
+	case 3:
+		net.Isolate(zone, true)
+		return func() { net.Isolate(zone, false) }
+	case 4:
+		return set(standin.Fault{Slow: 400 * time.Millisecond})
+	case 5:
+		return set(standin.Fault{Paused: true})
+	case 6:
+		return set(standin.Fault{LoseReplies: 8, LoseRequests: 4, Garble: 4})
+	case 7:
+		return set(standin.Fault{StaleList: true})
+	case 8:
+		return s.w.fail(vm)
+	case 9:
+		return s.entry(n).wire.stall()
+	}
+	s.c.targets[vm].SetFault(faketarget.Fault(s.rng.IntN(int(faketarget.Refuse))), 10)
+	s.replaceEntry(n)
+	return func() {}
+}
+
+// replaceEntry loses an entry VM; another takes its place and ID.
+func (s *schedule) replaceEntry(n int) {
+	old := s.entry(n)
+	old.kill()
+	next, err := s.c.startEntry(context.Background(), n, old.Self().Zone, []string{s.entry(n + 1).Self().Peer})
+	if err != nil {
+		panic(err)
+	}
+	s.mu.Lock()
+	s.c.entries[n] = next
+	s.mu.Unlock()
+	s.load.balancer.set(s.c.allBases())
+}
+
+// allBases returns the base URLs of all entry VMs, ready or not: the balancer
+// is behind.
+func (c *cluster) allBases() []string {
+	var bases []string
+	for _, e := range c.entries {
+		bases = append(bases, "http://"+e.Self().Caller)
+	}
+	return bases
+}
+
+// operate gives orders at random entry VMs, half of them on condition of the
+// revision that the operator saw last.
+func (s *schedule) operate(ctx context.Context, who int, rng *rand.Rand) {
+	seen := make(map[model.VMID]platform.Revision)
+	for n := 0; ctx.Err() == nil; n++ {
+		vm := s.c.decl.VMs[rng.IntN(len(s.c.decl.VMs))]
+		o := fleet.Order{Change: model.ChangeID(fmt.Sprintf("o%d-%d", who, n)), Actor: fmt.Sprint("op-", who)}
+		if rng.IntN(2) == 0 {
+			o.IfRevision = seen[vm.ID]
+		}
+		f := s.entry(rng.IntN(8)).Fleet()
+		callCtx, cancel := context.WithTimeout(ctx, 3*time.Second)
+		switch kind := rng.IntN(8); kind {
+		case 0, 1:
+			seen[vm.ID] = s.history.order(who, vm.ID, o, func() (fleet.Outcome, error) { return f.Drain(callCtx, vm.ID, o) })
+		case 2, 3, 4:
+			seen[vm.ID] = s.history.order(who, vm.ID, o, func() (fleet.Outcome, error) { return f.Undrain(callCtx, vm.ID, o) })
+		case 5:
+			to := []model.PoolName{"quick", "once"}[rng.IntN(2)]
+			seen[vm.ID] = s.history.order(who, vm.ID, o, func() (fleet.Outcome, error) { return f.Move(callCtx, vm.ID, to, o) })
+		case 6:
+			_, _ = f.StartWave(callCtx, "all", nil, o) // most are refused, or fail under the faults
+		case 7:
+			_, _ = f.ResumeWave(callCtx, "all", o)
+		}
+		cancel()
+		pauseFor(ctx, time.Duration(50+rng.IntN(250))*time.Millisecond)
+	}
+}
+
+func pauseFor(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
+
+// configure changes the configuration on condition of the generation it saw
+// last, over a way of its own to the platform.
+func (s *schedule) configure(ctx context.Context) {
+	store := gateway.New(gateway.Options{Endpoints: []string{s.c.base}, Timeout: 2 * time.Second})
+	decl := *s.c.decl
+	decl.Services = append([]model.Service(nil), decl.Services...)
+	generation := s.entry(0).View().Load().Generation()
+	for n := 0; ctx.Err() == nil; n++ {
+		decl.Services[0].Limit = 2000 + n
+		o := config.ApplyOptions{Change: model.ChangeID(fmt.Sprintf("g-%d", n)), By: "test", At: time.Now(), IfGeneration: &generation}
+		callCtx, cancel := context.WithTimeout(ctx, 3*time.Second)
+		generation = s.history.apply(generation, func() (uint64, error) {
+			got, err := config.Apply(callCtx, store, &decl, o)
+			return got.Generation, err
+		}, func() uint64 { return s.entry(n).View().Load().Generation() })
+		cancel()
+		pauseFor(ctx, 500*time.Millisecond)
+	}
+}
+
+// repeatKey sends one request of a service that runs at most once, over and
+// over, to whatever entry VM.
+func (s *schedule) repeatKey(ctx context.Context, key string, rng *rand.Rand) {
+	client := &http.Client{Timeout: 8 * time.Second}
+	defer client.CloseIdleConnections()
+	for ctx.Err() == nil {
+		post(client, s.entry(rng.IntN(8)).Self().Caller, "once", key)
+		pauseFor(ctx, time.Duration(50+rng.IntN(200))*time.Millisecond)
+	}
+}
+
+// cancelWave ends the wave, if one was started and still runs.
+func (s *schedule) cancelWave(t *testing.T) {
+	t.Helper()
+	n := 0
+	s.c.await(t, "no wave", func() bool {
+		n++
+		f := s.c.entries[0].Fleet()
+		_, _ = f.CancelWave(context.Background(), "all", fleet.Order{Change: model.ChangeID(fmt.Sprintf("cancel-%d", n)), Actor: "test"})
+		all, err := f.WaveStatuses(context.Background())
+		for _, st := range all {
+			if st.Record.State == fleet.WaveRunning || st.Record.State == fleet.WavePaused {
+				return false
+			}
+		}
+		return err == nil
+	})
+}
