entry: a claim that has grown old is not sent by

Cause: found by reading: claim.Ticket says by when a request may be sent, and nobody asked it. An entry VM that stands still between its claim and the sending, until the claim is forgotten and the key has run elsewhere, would send when it wakes: its own deadline stands still with it. Change: asked before each sending; the caller is told not-run, the claim is given back. Measured: TestOldClaimIsNotSentBy passes, and fails with the check removed.

--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -194,6 +194,7 @@
 	fail   *claim.Error  // returned by Claim where set
 	hold   chan struct{} // where set, Claim waits for its end
 	asked  int
+	window time.Duration // in which a claim may be sent by; an hour if 0
 }
 
 type memClaim struct {
@@ -218,11 +219,14 @@
 		}
 		return c.result, nil
 	}
+	if m.window == 0 {
+		m.window = time.Hour
+	}
 	if m.claims == nil {
 		m.claims = make(map[claim.Key]*memClaim)
 	}
 	m.claims[req.Key] = &memClaim{digest: req.Digest, result: claim.Result{State: claim.Running}}
-	return claim.Result{State: claim.Won, Ticket: claim.Ticket{StoreKey: ticketKey(req.Key)}}, nil
+	return claim.Result{State: claim.Won, Ticket: claim.Ticket{StoreKey: ticketKey(req.Key), SendBy: time.Now().Add(m.window)}}, nil
 }
 
 func ticketKey(k claim.Key) string { return string(k.Service) + "|" + k.Caller + "|" + k.Key }
--- a/internal/entry/once.go
+++ b/internal/entry/once.go
@@ -52,6 +52,7 @@
 	sendCtx, cancelSend := s.detached(r.Context(), c)
 	defer cancelSend()
 	e.sendCtx = sendCtx
+	e.maySend = func() bool { return res.Ticket.MaySend(time.Now()) }
 	e.keep = &keptAnswer{limit: s.limits.KeptAnswerBytes}
 	e.late = func() { s.tellLate(e) }
 	out := s.run(e)
--- a/internal/entry/once_test.go
+++ b/internal/entry/once_test.go
@@ -132,6 +132,20 @@
 	assert.Equal(t, s.runs("k"), 1)
 }
 
+// The entry VM stood still after it won the claim, for so long that the claim
+// may be forgotten and the key run by a repeat elsewhere. It must not send by
+// it any more; the caller is told that nothing ran.
+func TestOldClaimIsNotSentBy(t *testing.T) {
+	s := newIdleStage(t, 1, faketarget.Options{}, nil)
+	s.claims.window = -time.Second
+	r := s.do("POST", "/services/incentives/a", "pay", HeaderKey, "k")
+	assert.Equal(t, r.outcome, NotRun)
+	assert.Equal(t, s.runs("k"), 0)
+	s.settled()
+	s.claims.window = time.Hour
+	assert.Equal(t, s.do("POST", "/services/incentives/a", "pay", HeaderKey, "k").outcome, Ran)
+}
+
 // An answer larger than what is kept passes whole; its repeat is told that the
 // request ran.
 func TestLargeAnswerIsNotKept(t *testing.T) {
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -54,9 +54,10 @@
 	attempts int
 
 	// Of a request that runs at most once:
-	keep *keptAnswer // records the answer
-	late func()      // tells the caller that its deadline has passed
-	told bool        // the caller has its answer, or is gone; nothing more is given
+	maySend func() bool // whether the claim is young enough to send by
+	keep    *keptAnswer // records the answer
+	late    func()      // tells the caller that its deadline has passed
+	told    bool        // the caller has its answer, or is gone; nothing more is given
 }
 
 // finish tells the caller how the exchange ended where no answer was given.
@@ -121,6 +122,13 @@
 func (s *Server) send(e *exchange, w *waiter, address string) result {
 	res := result{use: dispatch.Use{Ended: dispatch.Failed}}
 	defer func() { s.dispatch.done(w, res.use) }()
+	if e.maySend != nil && !e.maySend() {
+		// This VM stood still, or the wait for a slot was long: the claim may be
+		// forgotten soon and a repeat of the key run. Half of the time that it is
+		// remembered is left for the connection that would be opened now.
+		res = result{use: dispatch.Use{Ended: dispatch.Abandoned}, problem: problemTimeout("no slot came free while the claim of the key was young enough", NotRun)}
+		return res
+	}
 	res = s.forward.send(e, address)
 	s.metrics.attempt(res.use.Ended)
 	return res
