dev: leaving targets that are deaf to a drain; an older declaration in the store

Cause: with the store's drain, or both of the view's version checks, removed on a scratch copy, the whole-path tests stayed green: another safeguard covered them. Change: a target that never hears of its drain, and a declaration put back past the system; fault schedules have quiet times.

--- a/internal/dev/cluster.go
+++ b/internal/dev/cluster.go
@@ -53,6 +53,9 @@
 	entries  []*entryVM
 	tasks    sync.WaitGroup
 
+	// deaf lets targets go on taking work after an order to drain, as those do
+	// whose drain the platform lost.
+	deaf atomic.Bool
 	// drained is called after a VM was ordered to drain; nil for nothing.
 	drained atomic.Pointer[func(vm model.VMID)]
 }
@@ -135,7 +138,9 @@
 func (c *cluster) runner(id model.VMID, t *faketarget.Target) standin.Runner {
 	return standin.Hooks{
 		OnDrain: func() {
-			t.Drain()
+			if !c.deaf.Load() {
+				t.Drain()
+			}
 			if f := c.drained.Load(); f != nil {
 				(*f)(id)
 			}
--- a/internal/dev/config_test.go
+++ b/internal/dev/config_test.go
@@ -11,6 +11,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/pumicestage/pumicestage/internal/config"
+	"github.com/pumicestage/pumicestage/internal/platform"
 	"github.com/pumicestage/pumicestage/internal/platform/gateway"
 	"github.com/pumicestage/pumicestage/policy/model"
 )
@@ -53,6 +54,37 @@
 	assert.Equal(t, reverts.count(), 0)
 }
 
+// Someone puts an older declaration back into the store past the system, as a
+// restore from a backup does. Every entry VM must keep the one that was
+// accepted, also one that has just lost its connections and reads all anew.
+func TestConfigurationOutlivesAnOlderOneInTheStore(t *testing.T) {
+	t.Parallel()
+	c := startSmall(t)
+	ctx := context.Background()
+	old, _, err := c.platform.Store.Get(ctx, platform.ConfigKey)
+	assert.NilError(t, err)
+	c.applyTimes(t, 1)
+	c.await(t, "generation 3 everywhere", func() bool { return c.generationEverywhere(3) })
+	var reverts reverts
+	watching, stopWatching := context.WithCancel(ctx)
+	for _, e := range c.entries {
+		reverts.watch(watching, e)
+	}
+
+	_, err = c.platform.Store.Txn(ctx, platform.Txn{Then: []platform.Op{platform.Put(platform.ConfigKey, old.Value)}})
+	assert.NilError(t, err)
+	time.Sleep(500 * time.Millisecond)
+	c.isolate("zb", true)
+	time.Sleep(500 * time.Millisecond)
+	c.isolate("zb", false)
+	time.Sleep(2 * time.Second)
+
+	stopWatching()
+	reverts.wait()
+	assert.Equal(t, reverts.count(), 0)
+	assert.Assert(t, c.generationEverywhere(3))
+}
+
 // applyTimes applies so many changes, from a place that is not cut off.
 func (c *cluster) applyTimes(t *testing.T, n int) {
 	t.Helper()
--- a/internal/dev/leaving_test.go
+++ b/internal/dev/leaving_test.go
@@ -14,8 +14,8 @@
 // leaveWithin is after how long a leaving target must get no new work.
 const leaveWithin = 3 * time.Second
 
-// A target leaves: by an order in the store, or by its own word while the
-// platform is down. After a few seconds no entry VM of any zone may send it
+// A target leaves: by an order in the store, also where the target itself never
+// hears of it, or by its own word while the platform is down. After a few seconds no entry VM of any zone may send it
 // anything, although those of the other zone hear of it only by relay, digest
 // or health answer.
 func TestLeavingTargetGetsNoNewWork(t *testing.T) {
@@ -28,6 +28,11 @@
 			_, err := c.entries[0].Fleet().Drain(context.Background(), "quick-0", fleet.Order{Change: "leave", Actor: "test"})
 			return err
 		}},
+		{"order in the store, the target deaf to it", func(c *cluster) error {
+			c.deaf.Store(true)
+			_, err := c.entries[0].Fleet().Drain(context.Background(), "quick-0", fleet.Order{Change: "leave", Actor: "test"})
+			return err
+		}},
 		{"its own word, platform down", func(c *cluster) error {
 			c.platform.Faults.Set(standin.AnyZone, standin.Fault{Down: true})
 			c.targets["quick-0"].Drain()
--- a/internal/dev/schedule_test.go
+++ b/internal/dev/schedule_test.go
@@ -110,7 +110,7 @@
 		platformFaults.Set(standin.AnyZone, f)
 		return func() { platformFaults.Set(standin.AnyZone, standin.Fault{}) }
 	}
-	switch s.rng.IntN(11) {
+	switch s.rng.IntN(14) {
 	case 0:
 		net.Cut("za", "zb")
 		return func() { net.Heal("za", "zb") }
@@ -135,10 +135,11 @@
 		return s.w.fail(vm)
 	case 9:
 		return s.entry(n).wire.stall()
+	case 10:
+		s.c.targets[vm].SetFault(faketarget.Fault(s.rng.IntN(int(faketarget.Refuse))), 10)
+		s.replaceEntry(n)
 	}
-	s.c.targets[vm].SetFault(faketarget.Fault(s.rng.IntN(int(faketarget.Refuse))), 10)
-	s.replaceEntry(n)
-	return func() {}
+	return func() {} // also a quiet time, in which orders get through
 }
 
 // replaceEntry loses an entry VM; another takes its place and ID.
@@ -191,7 +192,7 @@
 			_, _ = f.ResumeWave(callCtx, "all", o)
 		}
 		cancel()
-		pauseFor(ctx, time.Duration(50+rng.IntN(250))*time.Millisecond)
+		pauseFor(ctx, time.Duration(20+rng.IntN(130))*time.Millisecond)
 	}
 }
 
