--- a/internal/dev/once.go
+++ b/internal/dev/once.go
@@ -106,9 +106,15 @@
 // change applies a change to the running deployment and measures how long it
 // takes until every entry VM has it in force.
 func (c *cluster) change(ctx context.Context, r *report) error {
-	began := time.Now()
 	c.decl.Services[0].Limit = changedLimit
-	generation, err := c.apply(ctx, "dev-change")
+	return c.changeTo(ctx, r, "dev-change")
+}
+
+// changeTo applies the declaration as it is now under the change ID, and waits
+// until every entry VM has it in force.
+func (c *cluster) changeTo(ctx context.Context, r *report, change model.ChangeID) error {
+	began := time.Now()
+	generation, err := c.apply(ctx, change)
 	if err != nil {
 		return err
 	}
--- a/internal/dev/rest_bench_test.go
+++ b/internal/dev/rest_bench_test.go
@@ -14,8 +14,15 @@
 	"github.com/pumicestage/pumicestage/policy/model"
 )
 
-// restFor is how long a deployment at rest is looked at.
-const restFor = 20 * time.Second
+const (
+	// restFor is how long a deployment at rest is looked at.
+	restFor = 20 * time.Second
+	// settleFor lets what a change or the start brought about come to its end.
+	settleFor = 5 * time.Second
+	// changes are applied one after the other, changeEvery apart.
+	changes     = 20
+	changeEvery = 500 * time.Millisecond
+)
 
 // BenchmarkRest is what eight entry VMs cost with nothing to do, by the number
 // of VMs: the slope of control. Processor time and memory are of the whole
@@ -23,14 +30,7 @@
 func BenchmarkRest(b *testing.B) {
 	for _, vms := range []int{40, 200, 1000} {
 		b.Run(fmt.Sprintf("vms=%d", vms), func(b *testing.B) {
-			c, err := startCluster(context.Background(), wideFleet(vms), false, logr.Discard())
-			if err != nil {
-				b.Fatal(err)
-			}
-			defer c.stop()
-			if err := c.bringUp(context.Background(), &report{}); err != nil {
-				b.Fatal(err)
-			}
+			c := startWide(b, vms)
 			for range b.N {
 				c.rest(b)
 			}
@@ -38,6 +38,70 @@
 	}
 }
 
+// BenchmarkChange is what one change of the declaration costs eight entry VMs
+// together, beyond rest, until it is in force on all of them.
+func BenchmarkChange(b *testing.B) {
+	for _, vms := range []int{40, 200, 1000} {
+		b.Run(fmt.Sprintf("vms=%d", vms), func(b *testing.B) {
+			c := startWide(b, vms)
+			for range b.N {
+				c.changeOften(b)
+			}
+		})
+	}
+}
+
+// startWide starts a deployment of so many VMs and lets it settle.
+func startWide(b *testing.B, vms int) *cluster {
+	b.Helper()
+	c, err := startCluster(context.Background(), wideFleet(vms), false, logr.Discard())
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.Cleanup(c.stop)
+	if err := c.bringUp(context.Background(), &report{}); err != nil {
+		b.Fatal(err)
+	}
+	time.Sleep(settleFor)
+	return c
+}
+
+// usage is what a deployment has used up so far.
+type usage struct {
+	platform, peer int64
+	cpu            time.Duration
+}
+
+func (c *cluster) usage() usage {
+	n := c.platform.Counts.Counts()
+	return usage{n.BytesIn + n.BytesOut, c.peerBytes(), processorTime()}
+}
+
+// changeOften reports the cost of a change as the difference to as long a
+// time at rest.
+func (c *cluster) changeOften(b *testing.B) {
+	before := c.usage()
+	time.Sleep(changes * changeEvery)
+	rested := c.usage()
+	var inForce time.Duration
+	for i := range changes {
+		began := time.Now()
+		c.decl.Services[0].Limit = changedLimit + i + 1
+		r := &report{}
+		if err := c.changeTo(context.Background(), r, model.ChangeID(fmt.Sprintf("bench-%d", i))); err != nil {
+			b.Fatal(err)
+		}
+		inForce = max(inForce, r.inForce)
+		time.Sleep(changeEvery - time.Since(began))
+	}
+	after := c.usage()
+	per := func(rest, busy int64) float64 { return float64(busy-rest) / changes / float64(len(c.entries)) }
+	b.ReportMetric(per(rested.platform-before.platform, after.platform-rested.platform), "platform-B/change/entry")
+	b.ReportMetric(per(rested.peer-before.peer, after.peer-rested.peer), "peer-B/change/entry")
+	b.ReportMetric(per(int64(rested.cpu-before.cpu), int64(after.cpu-rested.cpu))/1e6, "cpu-ms/change/entry")
+	b.ReportMetric(inForce.Seconds()*1000, "ms-in-force-max")
+}
+
 // rest reports what one period at rest cost, per second and entry VM.
 func (c *cluster) rest(b *testing.B) {
 	c.platform.Counts.Reset()
