dev: a wave over running jobs; targets that break off requests that run at most once

Change: 24 jobs under a wave with lost replies and a lost entry VM; resets in the at-most-once test.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -302,3 +302,6 @@
 
 // Registry answers which entry VMs have what in force.
 func (d *Daemon) Registry() *relay.Registry { return d.registry }
+
+// Jobs returns the commands and questions on jobs.
+func (d *Daemon) Jobs() *jobs.Jobs { return d.jobs }
--- a/internal/dev/answers_test.go
+++ b/internal/dev/answers_test.go
@@ -48,8 +48,8 @@
 }
 
 // A caller sends one key to every entry VM at once and again after each
-// answer, while the store loses replies and requests, goes down, and entry VMs
-// are lost before they recorded the outcome. Whoever claims first may send; all
+// answer, while targets break off without an answer, the store loses replies and
+// requests, goes down, and an entry VM is lost before it recorded the outcome. Whoever claims first may send; all
 // others must not, also when the first is gone for ever.
 func TestNotRepeatableRequestsRunAtMostOnce(t *testing.T) {
 	t.Parallel()
@@ -75,8 +75,12 @@
 	assert.Equal(t, c.doubleRuns(), 0)
 }
 
-// loseThings goes through the platform's faults and loses an entry VM.
+// loseThings goes through the platform's faults, lets targets break off without
+// an answer, and loses an entry VM.
 func (c *cluster) loseThings() {
+	for _, target := range c.targets {
+		target.SetFault(faketarget.Reset, 2)
+	}
 	for range 5 {
 		c.platform.Faults.Set(standin.AnyZone, standin.Fault{LoseReplies: 3, LoseRequests: 2})
 		time.Sleep(200 * time.Millisecond)
--- /dev/null
+++ b/internal/dev/jobs_test.go
@@ -0,0 +1,69 @@
+package dev
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/pumicestage/pumicestage/internal/jobs"
+	"github.com/pumicestage/pumicestage/internal/platform/standin"
+	"github.com/pumicestage/pumicestage/policy/model"
+)
+
+// A wave passes over VMs on which jobs run, the platform loses replies, and the
+// entry VM that places the jobs is lost. A job that may not be repeated must
+// start once and end; a reboot must wait for every task, or move one that
+// checkpoints.
+func TestWaveNeitherCutsNorRepeatsJobs(t *testing.T) {
+	t.Parallel()
+	c := startSmall(t)
+	ctx := context.Background()
+	ids, err := c.entries[0].Jobs().Submit(ctx, "jobs", someJobs(24))
+	assert.NilError(t, err)
+	for n, id := range ids {
+		c.platform.Machines.SetBehaviour(id, standin.Behaviour{RunTime: time.Duration(500+n*150) * time.Millisecond})
+	}
+	c.await(t, "tasks on the VMs", func() bool { return len(c.platform.Machines.Tally().Starts) >= len(ids)/2 })
+	c.quickWave(t)
+	for range 4 {
+		c.platform.Faults.Set(standin.AnyZone, standin.Fault{LoseReplies: 6, LoseRequests: 3})
+		time.Sleep(300 * time.Millisecond)
+	}
+	c.platform.Faults.Clear()
+	c.entries[0].kill()
+
+	c.await(t, "the end of every job", func() bool {
+		all, err := c.entries[1].Jobs().List(ctx)
+		for _, r := range all {
+			if r.State != jobs.Succeeded {
+				return false
+			}
+		}
+		return err == nil && len(all) == len(ids)
+	})
+	c.resumeUntilEnd(t)
+	tally := c.platform.Machines.Tally()
+	assert.Equal(t, tally.TasksCut, 0)
+	assert.Assert(t, tally.Reboots >= 4)
+	for n, id := range ids {
+		assert.Check(t, tally.Finished[id] == 1, "job %d ended %d times", n, tally.Finished[id])
+		assert.Check(t, tally.Starts[id] == 1 || checkpoints(n), "job %d started %d times", n, tally.Starts[id])
+	}
+}
+
+// checkpoints reports whether the nth job may be stopped and go on elsewhere.
+func checkpoints(n int) bool { return n%4 == 0 }
+
+func someJobs(n int) []model.Job {
+	var all []model.Job
+	for i := range n {
+		all = append(all, model.Job{
+			Team: "panel", Kind: fmt.Sprint("kind-", i%3), Class: model.ClassNormal, RunTime: time.Second,
+			Declared: model.Resources{MilliCPU: 2000, MemoryMB: 2048}, Checkpoints: checkpoints(i), Repeatable: checkpoints(i),
+		})
+	}
+	return all
+}
