--- a/internal/dev/answers_test.go
+++ b/internal/dev/answers_test.go
@@ -26,7 +26,7 @@
 	c := startSmall(t)
 	l, stopLoad := c.startLoad(context.Background(), c.decl.Services)
 	faults := []faketarget.Fault{
-		faketarget.Late, faketarget.Short, faketarget.ShortChunks, faketarget.Unframed, faketarget.Twice,
+		faketarget.Late, faketarget.Short, faketarget.ShortChunks, faketarget.Unframed, faketarget.Twice, faketarget.TwiceLate,
 		faketarget.BadFraming, faketarget.BadStatus, faketarget.Reset, faketarget.Silent, faketarget.Refuse,
 	}
 	for _, f := range faults {
--- a/internal/dev/schedule_test.go
+++ b/internal/dev/schedule_test.go
@@ -136,7 +136,7 @@
 	case 9:
 		return s.entry(n).wire.stall()
 	case 10:
-		s.c.targets[vm].SetFault(faketarget.Fault(s.rng.IntN(int(faketarget.Refuse))), 10)
+		s.c.targets[vm].SetFault(faketarget.Fault(1+s.rng.IntN(int(faketarget.Silent))), 10)
 		s.replaceEntry(n)
 	}
 	return func() {} // also a quiet time, in which orders get through
--- a/internal/faketarget/fault.go
+++ b/internal/faketarget/fault.go
@@ -29,12 +29,13 @@
 	Chunked               // answers rightly, in chunks
 	Echo                  // sends the body back as it comes
 	RefuseAfterBody       // refuses before start, having read the body
+	TwiceLate             // answers again when the next request comes on the connection
 )
 
 // String returns the fault's name.
 func (f Fault) String() string {
 	names := [...]string{"none", "refuse", "late", "short", "short-chunks", "unframed", "twice",
-		"bad-framing", "bad-status", "reset", "silent", "error", "chunked", "echo", "refuse-after-body"}
+		"bad-framing", "bad-status", "reset", "silent", "error", "chunked", "echo", "refuse-after-body", "twice-late"}
 	return names[f]
 }
 
@@ -79,6 +80,10 @@
 	if err != nil {
 		return abandoned
 	}
+	if f == TwiceLate {
+		go twiceLate(conn, raw)
+		return done
+	}
 	defer conn.Close()
 	if tcp, ok := conn.(*net.TCPConn); ok && f == Reset {
 		_ = tcp.SetLinger(0) // makes Close send a reset
@@ -87,6 +92,16 @@
 	return done
 }
 
+// twiceLate answers, and takes the next bytes on the connection for a cue to
+// give the same answer again.
+func twiceLate(conn net.Conn, answer []byte) {
+	defer conn.Close()
+	_, _ = conn.Write(answer)
+	if n, _ := conn.Read(make([]byte, 1)); n > 0 {
+		_, _ = conn.Write(answer)
+	}
+}
+
 // echo sends the body back piece by piece.
 func echo(w http.ResponseWriter, r *http.Request) how {
 	rc := http.NewResponseController(w)
@@ -119,6 +134,8 @@
 		return fmt.Appendf(nil, "%sTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n", head, n, a.body)
 	case Unframed:
 		return fmt.Appendf(nil, "%s\r\n%s", head, a.body[:n/2])
+	case TwiceLate:
+		return fmt.Appendf(nil, "%sContent-Length: %d\r\n\r\n%s", head, n, a.body)
 	case Twice:
 		one := fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", head, n, a.body)
 		return []byte(one + one)
