--- a/internal/dev/pool_test.go
+++ b/internal/dev/pool_test.go
@@ -7,11 +7,13 @@
 	"fmt"
 	"sync"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
 	"github.com/pumicestage/pumicestage/internal/fleet"
 	"github.com/pumicestage/pumicestage/internal/platform"
+	"github.com/pumicestage/pumicestage/internal/platform/standin"
 	"github.com/pumicestage/pumicestage/policy/model"
 )
 
@@ -92,3 +94,36 @@
 		}
 	}
 }
+
+// Four operators drain the four VMs of one service at once, each another one at
+// another entry VM, time and again while the platform loses replies. Each by
+// itself keeps the budget; all together would leave nobody serving.
+func TestRacingDrainsKeepTheBudget(t *testing.T) {
+	t.Parallel()
+	c := startSmall(t)
+	w := c.watchAll(t)
+	l, stopLoad := c.startLoad(context.Background(), c.decl.Services[:1])
+	granted := 0
+	for round := range 4 {
+		c.platform.Faults.Set(standin.AnyZone, standin.Fault{Slow: 20 * time.Millisecond, LoseReplies: round})
+		var mu sync.Mutex
+		var race sync.WaitGroup
+		for n, e := range c.entries {
+			race.Go(func() {
+				o := fleet.Order{Change: model.ChangeID(fmt.Sprintf("race-%d-%d", round, n)), Actor: fmt.Sprintf("op-%d", n)}
+				_, err := e.Fleet().Drain(context.Background(), model.VMID(fmt.Sprintf("quick-%d", n)), o)
+				mu.Lock()
+				defer mu.Unlock()
+				if err == nil {
+					granted++
+				}
+			})
+		}
+		race.Wait()
+		c.platform.Faults.Clear()
+		w.settle(t)
+	}
+	stopLoad()
+	assert.Assert(t, granted > 0, "no drain was ever granted")
+	w.verdict(t, l)
+}
