--- a/policy/dispatch/model_test.go
+++ b/policy/dispatch/model_test.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
-	"strings"
 	"time"
 
 	"github.com/pumicestage/pumicestage/policy/model"
@@ -42,8 +41,10 @@
 	noLoans bool                            // each keeps to its own share
 	// optimistic lets each entry VM use every slot its peers' digests show free.
 	optimistic bool
-	faults     []simFault
-	answered   func(at time.Duration, vm int) // called for each answer
+	// split has each half of the entry VMs believe that the other is gone.
+	split    bool
+	faults   []simFault
+	answered func(at time.Duration, vm int) // called for each answer
 }
 
 // simCaller sends requests at a rate.
@@ -63,63 +64,6 @@
 	change func(*simTarget)
 }
 
-// result is what callers got.
-type simResult struct {
-	callers map[string]*simStats
-	inSpan  int // useful answers before arrivals stopped
-	fresh   int
-	retries int
-	refused int // by targets
-	peak    int // most requests running at one target
-	capped  int // most granted to one target by all entry VMs at once
-}
-
-type simStats struct {
-	asked, useful, late, turnedAway, failed int
-	inSpan                                  int             // useful before arrivals stopped
-	latencies                               []time.Duration // of useful answers
-	refusals                                []time.Duration // from arrival to being turned away
-}
-
-func (s *simStats) quantile(q float64) time.Duration { return quantile(s.latencies, q) }
-
-func quantile(values []time.Duration, q float64) time.Duration {
-	if len(values) == 0 {
-		return 0
-	}
-	sorted := slices.Sorted(slices.Values(values))
-	return sorted[min(int(q*float64(len(sorted))), len(sorted)-1)]
-}
-
-// ofCapacity is the useful work as a share of what the targets could do.
-func (r *simResult) ofCapacity(span time.Duration) float64 {
-	return float64(r.inSpan) / (capacity80 * span.Seconds())
-}
-
-type simEvent struct {
-	at  time.Time
-	seq int
-	do  func()
-}
-
-type eventHeap []simEvent
-
-func (h eventHeap) Len() int { return len(h) }
-func (h eventHeap) Less(i, j int) bool {
-	if !h[i].at.Equal(h[j].at) {
-		return h[i].at.Before(h[j].at)
-	}
-	return h[i].seq < h[j].seq
-}
-func (h eventHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
-func (h *eventHeap) Push(x any)   { *h = append(*h, x.(simEvent)) }
-func (h *eventHeap) Pop() any {
-	old := *h
-	e := old[len(old)-1]
-	*h = old[:len(old)-1]
-	return e
-}
-
 type sim struct {
 	scenario
 	now     time.Time
@@ -215,6 +159,11 @@
 		}
 		se.d = New(cfg)
 		known := fleet
+		if s.split {
+			known.Entries = slices.DeleteFunc(slices.Clone(fleet.Entries), func(o slots.Entry) bool {
+				return slices.Index(fleet.Entries, o)%2 != i%2
+			})
+		}
 		if s.optimistic {
 			known.Entries = nil // its share is all slots
 		}
@@ -236,58 +185,6 @@
 	s.after(tickEvery, func() { s.tick(e) })
 }
 
-// digest tells the entry VMs of the zone what this one knows first hand, four
-// times a second, and those of other zones of its lending only, once a second.
-func (s *sim) digest(e *simEntry, n int) {
-	loads := map[model.VMID]State{}
-	for _, st := range e.d.States(s.now) {
-		loads[st.VM] = st
-	}
-	msg := e.d.Lending()
-	for _, peer := range s.es {
-		switch {
-		case peer == e:
-		case peer.zone == e.zone || s.optimistic:
-			s.after(linkLocal, func() { peer.heard[e.id] = simDigest{s.now, loads, msg} })
-		case n%4 == 0:
-			s.after(linkRemote, func() { peer.heard[e.id] = simDigest{s.now, nil, msg} })
-		}
-	}
-	s.after(digestEvery, func() { s.digest(e, n+1) })
-}
-
-// InFlight implements Peers.
-func (e *simEntry) InFlight(vm model.VMID) int {
-	n := 0
-	for _, d := range e.heard {
-		n += d.loads[vm].InFlight
-	}
-	return n
-}
-
-// Leaving implements Peers.
-func (e *simEntry) Leaving(vm model.VMID) bool {
-	for _, d := range e.heard {
-		if d.loads[vm].Leaving {
-			return true
-		}
-	}
-	return false
-}
-
-// Messages implements Peers.
-func (e *simEntry) Messages() []slots.PeerMessage {
-	if e.noLoans {
-		return nil
-	}
-	var all []slots.PeerMessage
-	for id, d := range e.heard {
-		all = append(all, slots.PeerMessage{Entry: id, Heard: d.at, Message: d.msg})
-	}
-	slices.SortFunc(all, func(a, b slots.PeerMessage) int { return strings.Compare(string(a.Entry), string(b.Entry)) })
-	return all
-}
-
 // load schedules all callers' arrivals.
 func (s *sim) load() {
 	for i := range s.callers {
--- a/policy/sizing/sizing.go
+++ b/policy/sizing/sizing.go
@@ -22,23 +22,25 @@
 	// declaration is overruled, so that no single one can.
 	enough = 4
 	// cpuMargin and memoryMargin are kept above what was seen, in percent.
-	// Too few processors only slow a task; too little memory ends it.
-	cpuMargin    = 10
+	// Too few processors only slow a task, and those of a worker's tasks even
+	// each other out; too little memory ends it.
+	cpuMargin    = 3
 	memoryMargin = 20
 	// maxShrink bounds how far below the declaration an estimate goes: a
 	// tenth. A kind that idles while it is watched may still use what it said.
 	maxShrink = 10
-	// maxKinds bounds the state; the kind not heard of for longest goes first.
-	maxKinds = 1000
+	// maxKinds bounds the state, which is stored in one value, to half a
+	// megabyte; the kind not heard of for longest goes first.
+	maxKinds = 500
 	// minCPU and minMemoryMB are the least that is set aside for a task.
 	minCPU      = 50
 	minMemoryMB = 32
 )
 
-// Peak is the most one job was seen to use.
+// Peak is the most that one job was seen to need.
 type Peak struct {
 	Job  model.JobID
-	Used model.Resources
+	Need model.Resources
 }
 
 // Kind is what is remembered of a kind of job.
@@ -56,8 +58,26 @@
 // NewBook returns a Book that knows nothing.
 func NewBook() *Book { return &Book{Kinds: make(map[string]*Kind)} }
 
-// Report notes what a job was seen to use.
-func (b *Book) Report(kind string, job model.JobID, used model.Resources) {
+// Report notes what a job was seen to use of what it was given. It needs a
+// margin above its use, but no more than it was given and got by with: a job
+// that fills whatever it gets would else get more each time, until it fits on
+// no worker.
+func (b *Book) Report(kind string, job model.JobID, used, given model.Resources) {
+	b.note(kind, job, model.Resources{
+		MilliCPU: need(used.MilliCPU, given.MilliCPU, cpuMargin),
+		MemoryMB: need(used.MemoryMB, given.MemoryMB, memoryMargin),
+	})
+}
+
+func need(used, given, margin int64) int64 {
+	with := used + used*margin/100
+	if used <= given {
+		return min(with, given)
+	}
+	return with
+}
+
+func (b *Book) note(kind string, job model.JobID, need model.Resources) {
 	b.Turn++
 	k := b.Kinds[kind]
 	if k == nil {
@@ -68,16 +88,23 @@
 	k.Turn = b.Turn
 	for i := range k.Peaks {
 		if k.Peaks[i].Job == job {
-			k.Peaks[i].Used = larger(k.Peaks[i].Used, used)
+			k.Peaks[i].Need = larger(k.Peaks[i].Need, need)
 			return
 		}
 	}
-	k.Peaks = append(k.Peaks, Peak{job, used})
+	k.Peaks = append(k.Peaks, Peak{job, need})
 	if len(k.Peaks) > window {
 		k.Peaks = slices.Delete(k.Peaks, 0, 1)
 	}
 }
 
+// Exceeded notes that a job used more memory than it was given, which no usage
+// report shows where its worker ends it at once. That it would have done with
+// twice as much is the least that this says.
+func (b *Book) Exceeded(kind string, job model.JobID, given model.Resources) {
+	b.note(kind, job, model.Resources{MemoryMB: 2 * given.MemoryMB})
+}
+
 func (b *Book) makeRoom() {
 	if len(b.Kinds) < maxKinds {
 		return
@@ -96,9 +123,9 @@
 // they are whole devices that a job either asks for or not.
 func (b *Book) Size(job *model.Job, grown int) model.Resources {
 	size := job.Declared
-	if k := b.Kinds[job.Kind]; k != nil && len(k.Peaks) >= enough {
-		size.MilliCPU = k.estimate(cpuOf, cpuMargin, max(job.Declared.MilliCPU/maxShrink, minCPU))
-		size.MemoryMB = k.estimate(memoryOf, memoryMargin, max(job.Declared.MemoryMB/maxShrink, minMemoryMB))
+	if k := b.Kinds[job.Kind]; k != nil {
+		size.MilliCPU = k.estimate(cpuOf, median, size.MilliCPU, minCPU)
+		size.MemoryMB = k.estimate(memoryOf, secondLargest, size.MemoryMB, minMemoryMB)
 		if !job.Repeatable {
 			// It gets one run, so it gets whichever is the safer.
 			size = larger(size, job.Declared)
@@ -108,18 +135,30 @@
 	return size
 }
 
-// estimate returns the second largest of the peaks with a margin. One report,
-// however wild, is the largest and moves nothing but the second by one place.
-func (k *Kind) estimate(of func(model.Resources) int64, margin, least int64) int64 {
+// estimate picks one of the peaks, or returns what was declared where too few
+// jobs were seen.
+func (k *Kind) estimate(of func(model.Resources) int64, pick func([]int64) int64, declared, least int64) int64 {
 	var seen []int64
 	for _, p := range k.Peaks {
-		seen = append(seen, of(p.Used))
+		if of(p.Need) > 0 {
+			seen = append(seen, of(p.Need))
+		}
+	}
+	if len(seen) < enough {
+		return declared
 	}
 	slices.Sort(seen)
-	second := seen[len(seen)-2]
-	return max(second+second*margin/100, least)
+	return max(pick(seen), declared/maxShrink, least)
 }
 
+// median is for processors: the tasks of a worker make up for each other, and
+// one that wants more than it gets is slowed, not ended.
+func median(sorted []int64) int64 { return sorted[len(sorted)/2] }
+
+// secondLargest is for memory, where a task that wants more is ended. One
+// report, however wild, is the largest and moves the second by one place.
+func secondLargest(sorted []int64) int64 { return sorted[len(sorted)-2] }
+
 func cpuOf(r model.Resources) int64    { return r.MilliCPU }
 func memoryOf(r model.Resources) int64 { return r.MemoryMB }
 
