Jobs: patient with the service's rate limit also for the lease and for starts

Cause: with the store at its limit of writes no entry VM got the lease, as it took two writes let in at the first try.

--- a/internal/jobs/lease.go
+++ b/internal/jobs/lease.go
@@ -39,21 +39,29 @@
 	if err != nil || kv.ModRevision != 0 {
 		return false, fault("read lease", "", err)
 	}
-	id, err := j.store.Grant(ctx, leaseTTL)
+	return j.take(ctx, now)
+}
+
+// take makes a lease and puts it under the key, if nobody was faster.
+func (j *Jobs) take(ctx context.Context, now time.Time) (bool, error) {
+	var id platform.LeaseID
+	err := j.patient(ctx, func() (err error) {
+		id, err = j.store.Grant(ctx, leaseTTL)
+		return err
+	})
 	if err != nil {
 		return false, fault("grant lease", "", err)
 	}
-	value := []byte(j.owner)
-	res, err := j.store.Txn(ctx, platform.Txn{
+	_, err = j.commit(ctx, platform.Txn{
 		If:   []platform.Cond{{Key: leaseKey}},
-		Then: []platform.Op{platform.PutLeased(leaseKey, value, id)},
+		Then: []platform.Op{platform.PutLeased(leaseKey, []byte(j.owner), id)},
 	})
+	if platform.IsKind(err, platform.KindConflict) {
+		return false, fault("revoke lease", "", j.store.Revoke(ctx, id))
+	}
 	if err != nil {
 		return false, fault("claim lease", "", err)
 	}
-	if !res.Succeeded {
-		return false, fault("revoke lease", "", j.store.Revoke(ctx, id))
-	}
 	j.lease = lease{id: id, held: true, renewed: now}
 	return true, nil
 }
--- a/internal/jobs/write.go
+++ b/internal/jobs/write.go
@@ -173,18 +173,28 @@
 }
 
 // commit is platform.Commit, patient with the service's rate limit.
-func (j *Jobs) commit(ctx context.Context, txn platform.Txn) (platform.TxnResult, error) {
+func (j *Jobs) commit(ctx context.Context, txn platform.Txn) (res platform.TxnResult, err error) {
+	err = j.patient(ctx, func() error {
+		j.counts.writes.Add(1)
+		res, err = platform.Commit(ctx, j.store, txn)
+		return err
+	})
+	return res, err
+}
+
+// patient repeats a call that is refused unread because of a rate. Where
+// others use the rate up, one try in a few is let in.
+func (j *Jobs) patient(ctx context.Context, call func() error) error {
 	wait := limitedWait
 	for try := 1; ; try++ {
-		j.counts.writes.Add(1)
-		res, err := platform.Commit(ctx, j.store, txn)
+		err := call()
 		if !platform.IsKind(err, platform.KindRateLimited) || try == limitedTries {
-			return res, err
+			return err
 		}
 		j.counts.limited.Add(1)
 		select {
 		case <-ctx.Done():
-			return res, err
+			return err
 		case <-j.clock.After(wait):
 		}
 		wait = min(2*wait, limitedMost)
