--- /dev/null
+++ b/internal/jobs/decisions_test.go
@@ -0,0 +1,175 @@
+package jobs
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/pumicestage/pumicestage/internal/platform"
+	"github.com/pumicestage/pumicestage/internal/platform/standin"
+	"github.com/pumicestage/pumicestage/policy/model"
+)
+
+func (w *world) states(ids []model.JobID) map[State]int {
+	out := make(map[State]int)
+	for _, id := range ids {
+		out[w.state(id)]++
+	}
+	return out
+}
+
+func TestJobThatFailsEverywhereIsStopped(t *testing.T) {
+	// A bad job fails on each worker it is given. After three distinct ones it
+	// is stopped and says so; the workers go on to take other work.
+	w := newWorld(t, 8, 1)
+	bad := small()
+	bad.Kind = "poisoned"
+	id := w.submit(bad)[0]
+	w.behave(id, standin.Behaviour{RunTime: time.Second, Fails: true})
+	w.run(20 * time.Second)
+	r := w.get(id)
+	assert.Equal(t, r.State, Failed)
+	assert.Equal(t, len(r.FailedOn), 3)
+	assert.Equal(t, w.platform.Machines.Tally().Starts[id], 3)
+	ok := w.submit(many(64, small())...)
+	w.run(2 * time.Second)
+	assert.DeepEqual(t, w.states(ok), map[State]int{Running: 64})
+}
+
+func TestWorkerThatFailsEverything(t *testing.T) {
+	// A worker fails whatever it starts at once, and so always has room. Jobs
+	// of several kinds that run elsewhere show it; it gets no more, and one
+	// job at a time tries it again until it is mended.
+	w := newWorld(t, 24, 1)
+	w.platform.Machines.SetWorkerFails("v0003", true)
+	var ids []model.JobID
+	refill := func() {
+		for kind := range 4 {
+			job := small()
+			job.Kind, job.Class = fmt.Sprint("k", kind), model.ClassDeferrable
+			ids = append(ids, w.submit(many(10, job)...)...)
+		}
+		for _, id := range ids[len(ids)-40:] {
+			w.behave(id, standin.Behaviour{RunTime: 25 * time.Second})
+		}
+	}
+	for range 4 {
+		refill()
+		w.run(15 * time.Second)
+	}
+	closed, _ := w.nodes[0].learned.closed("v0003", w.clock.Now())
+	assert.Assert(t, closed != "", "quarantined")
+	failures := func() (n int) {
+		tasks, _ := w.platform.Machines.Tasks(w.ctx())
+		for _, task := range tasks {
+			if task.State == platform.TaskFailed {
+				n++
+			}
+		}
+		return n
+	}
+	before := failures()
+	w.run(30 * time.Second)
+	assert.Equal(t, failures(), before, "it gets no more")
+	w.platform.Machines.SetWorkerFails("v0003", false)
+	for range 12 {
+		refill()
+		w.run(15 * time.Second)
+	}
+	closed, probe := w.nodes[0].learned.closed("v0003", w.clock.Now())
+	assert.Assert(t, closed == "" && !probe, "probed and back: %q", closed)
+	for _, id := range ids {
+		assert.Assert(t, w.state(id) != Failed)
+	}
+}
+
+func TestQuarantineOutlivesTheHolder(t *testing.T) {
+	w := newWorld(t, 40, 1)
+	w.platform.Machines.SetWorkerFails("v0000", true)
+	for range 6 {
+		for kind := range 3 {
+			job := small()
+			job.Kind = fmt.Sprint("k", kind)
+			w.submit(many(10, job)...)
+		}
+		w.run(15 * time.Second)
+	}
+	w.run(saveEvery + time.Second)
+	closed, _ := w.nodes[0].learned.closed("v0000", w.clock.Now())
+	assert.Assert(t, closed != "")
+	next := w.addNode("e9")
+	assert.NilError(t, next.Step(w.ctx()))
+	again, _ := next.learned.closed("v0000", w.clock.Now())
+	assert.Equal(t, again, closed)
+}
+
+func TestTooLittleMemoryIsLearned(t *testing.T) {
+	// A kind was declared with a quarter of the memory it needs. Its first jobs
+	// are ended by their worker's guard and get twice as much each time; those
+	// that come later get enough at once.
+	w := newWorld(t, 8, 1)
+	w.platform.Machines.SetUsageEvery(5 * time.Second)
+	job := small()
+	submit := func() []model.JobID {
+		ids := w.submit(many(6, job)...)
+		for _, id := range ids {
+			w.behave(id, standin.Behaviour{Size: model.Resources{MilliCPU: 900, MemoryMB: 3800}, RunTime: 20 * time.Second})
+		}
+		w.run(40 * time.Second)
+		assert.DeepEqual(t, w.states(ids), map[State]int{Succeeded: 6})
+		return ids
+	}
+	first, second := submit(), submit()
+	starts := w.platform.Machines.Tally().Starts
+	for i := range first {
+		assert.Equal(t, starts[first[i]], 3)
+		assert.Equal(t, starts[second[i]], 1)
+		assert.Equal(t, len(w.get(first[i]).FailedOn), 0, "no worker is blamed for it")
+	}
+}
+
+func TestUrgentDisplacesDeferrable(t *testing.T) {
+	// The fleet is full of deferrable work and of one job that is not
+	// repeatable. An urgent job starts within two passes; what gave way keeps
+	// its progress and runs again when there is room.
+	w := newWorld(t, 1, 1)
+	flood, firm := small(), once()
+	flood.Class, flood.Checkpoints, firm.Class = model.ClassDeferrable, true, model.ClassDeferrable
+	ids := w.submit(append(many(7, flood), firm)...)
+	w.run(5 * time.Second)
+	assert.DeepEqual(t, w.states(ids), map[State]int{Running: 8})
+	urgent := small()
+	urgent.Class, urgent.Kind, urgent.Declared.MilliCPU = model.ClassUrgent, "quote", 2000
+	id := w.submit(urgent)[0]
+	w.behave(id, standin.Behaviour{RunTime: 10 * time.Second})
+	w.run(2 * time.Second)
+	assert.Equal(t, w.state(id), Running)
+	assert.DeepEqual(t, w.states(ids), map[State]int{Running: 6, Waiting: 2})
+	assert.Equal(t, w.state(ids[7]), Running, "work that is not repeatable stays")
+	w.run(15 * time.Second)
+	assert.DeepEqual(t, w.states(ids), map[State]int{Running: 8})
+	assert.Equal(t, w.platform.Machines.Tally().Starts[ids[7]], 1)
+}
+
+func TestBorrowedCapacityIsTakenBack(t *testing.T) {
+	// Team panel has borrowed the whole fleet while team cleaning was idle.
+	// When cleaning comes back it gets its guarantee within a few passes, and
+	// panel keeps its own.
+	w := newWorld(t, 2, 1)
+	share := model.Resources{MilliCPU: 8000, MemoryMB: 16384}
+	w.snap.Declaration = &model.Declaration{Generation: 2, Teams: []model.Team{{Name: "panel", Guaranteed: share}, {Name: "cleaning", Guaranteed: share}}}
+	w.publish()
+	borrower := small()
+	borrower.Checkpoints = true
+	borrowed := w.submit(many(16, borrower)...)
+	w.run(2 * time.Second)
+	assert.DeepEqual(t, w.states(borrowed), map[State]int{Running: 16})
+	owner := small()
+	owner.Team = "cleaning"
+	owned := w.submit(many(12, owner)...)
+	w.run(10 * time.Second)
+	assert.DeepEqual(t, w.states(owned), map[State]int{Running: 8, Waiting: 4})
+	assert.DeepEqual(t, w.states(borrowed), map[State]int{Running: 8, Waiting: 8})
+}
--- a/internal/jobs/learned.go
+++ b/internal/jobs/learned.go
@@ -105,6 +105,7 @@
 	p.learnOutcomes()
 	for _, vm := range p.learned.Blame.Judge(p.now, int(maxQuarantine*float64(len(p.view.Load().VMs)))) {
 		p.log.Info("worker quarantined, it fails what runs elsewhere", "vm", vm)
+		p.learned.saved = time.Time{} // rare, and costly to learn anew
 	}
 	if err := p.learnUsage(ctx); err != nil {
 		return err
@@ -191,7 +192,7 @@
 // slows the growth of its memory and still lets it come to an end.
 const throttleTo = 4
 
-func (p *pass) sizeOf(r *Record) model.Resources { return p.learned.Sizes.Size(&r.Job, r.Grow) }
+func (p *pass) sizeOf(r *Record) model.Resources { return p.learned.Sizes.Size(&r.Job, r.LeastMB) }
 
 // tidyLearned forgets attempts that the platform has forgotten and workers
 // that are no more.
--- a/internal/jobs/record.go
+++ b/internal/jobs/record.go
@@ -44,9 +44,11 @@
 	// task was being started or ran.
 	CancelBy model.ChangeID `json:",omitempty"`
 	FailedOn []model.VMID   `json:",omitempty"` // distinct workers it failed on
-	// Grow is how often the memory it got was too little; each doubles it.
-	Grow  int         `json:",omitempty"`
-	Chain []Happening `json:",omitempty"` // the newest, oldest first
+	// LeastMB is twice the memory that was too little for it, and Grow how
+	// often that happened.
+	LeastMB int64       `json:",omitempty"`
+	Grow    int         `json:",omitempty"`
+	Chain   []Happening `json:",omitempty"` // the newest, oldest first
 }
 
 // Happening is one link of what happened to a job.
--- a/policy/sizing/sizing.go
+++ b/policy/sizing/sizing.go
@@ -118,10 +118,10 @@
 	delete(b.Kinds, oldest)
 }
 
-// Size returns what to set aside for the job. grown is how often a job had too
-// little memory already; each time doubles it. Accelerators are never learned:
-// they are whole devices that a job either asks for or not.
-func (b *Book) Size(job *model.Job, grown int) model.Resources {
+// Size returns what to set aside for the job, with memory for one that had too
+// little before of at least so many MB. Accelerators are never learned: they
+// are whole devices that a job either asks for or not.
+func (b *Book) Size(job *model.Job, leastMB int64) model.Resources {
 	size := job.Declared
 	if k := b.Kinds[job.Kind]; k != nil {
 		size.MilliCPU = k.estimate(cpuOf, median, size.MilliCPU, minCPU)
@@ -131,7 +131,7 @@
 			size = larger(size, job.Declared)
 		}
 	}
-	size.MemoryMB <<= min(grown, 8)
+	size.MemoryMB = max(size.MemoryMB, leastMB)
 	return size
 }
 
