Jobs: tests for the safeguards that no test held; one submit's groups share writes

Cause: taking away five safeguards one at a time went unnoticed: a refusal after a lost copy, a start before its intent is certain, a verdict overwritten by a late start, owners before borrowers, memory failures kept from the blame.

--- a/internal/jobs/bench_test.go
+++ b/internal/jobs/bench_test.go
@@ -242,3 +242,77 @@
 		})
 	}
 }
+
+// BenchmarkScale submits 20,000 jobs to 3,600 workers, of which three quarters
+// fit at once, loses a reply in each second, and runs until all are over.
+func BenchmarkScale(b *testing.B) {
+	for b.Loop() {
+		w := newWorld(b, 3600, 1)
+		n := w.nodes[0]
+		job := small()
+		job.Declared.MilliCPU = 2000
+		for part := range 4 {
+			all := many(5000, job)
+			for i := range all {
+				all[i].Repeatable = i%2 == 0
+				all[i].Team = model.TeamName(fmt.Sprint("t", i%82))
+			}
+			ids, err := n.Submit(w.ctx(), model.ChangeID(fmt.Sprint("p", part)), all)
+			if err != nil {
+				b.Fatal(err)
+			}
+			for _, id := range ids {
+				w.behave(id, standin.Behaviour{RunTime: 20 * time.Second})
+			}
+		}
+		begun, submits := time.Now(), n.Counts().Writes
+		used, passes := w.drain(n)
+		counts := n.Counts()
+		l := &load{world: w, submitted: 20000}
+		var got benchTally
+		got.states = make(map[State]int)
+		l.count(&got)
+		b.ReportMetric(time.Since(begun).Seconds()/float64(passes), "s/pass")
+		b.ReportMetric(float64(counts.Writes-submits)/20000, "writes/placement")
+		b.ReportMetric(float64(submits), "submit-writes")
+		b.ReportMetric(100*used, "cpu%-while-waiting")
+		b.ReportMetric(float64(got.lost+20000-got.states[Succeeded]), "lost")
+		b.ReportMetric(float64(got.twice), "started-twice")
+	}
+}
+
+// drain passes until no job is left, and returns the mean share of processors
+// set aside while jobs waited.
+func (w *world) drain(n *node) (used float64, passes int) {
+	samples := 0
+	for passes = 1; passes < 200; passes++ {
+		w.clock.Advance(time.Second)
+		n.machines.mu.Lock()
+		n.machines.loseReplies = 1
+		n.machines.mu.Unlock()
+		n.store.LoseReplies(1)
+		_ = n.Step(w.ctx()) // a lost reply is found out about by the next
+		all, _ := n.List(w.ctx())
+		var waiting, left int
+		var cpu int64
+		for i := range all {
+			switch {
+			case all[i].State == Waiting:
+				waiting++
+			case all[i].State.holds():
+				cpu += all[i].Size.MilliCPU
+			}
+			if !all[i].State.Ended() {
+				left++
+			}
+		}
+		if waiting > 0 && passes > 20000/placeMost {
+			used += float64(cpu) / float64(workerSize.MilliCPU*int64(len(w.snap.VMs)))
+			samples++
+		}
+		if left == 0 {
+			break
+		}
+	}
+	return used / float64(max(samples, 1)), passes
+}
--- a/internal/jobs/decisions_test.go
+++ b/internal/jobs/decisions_test.go
@@ -128,6 +128,7 @@
 		assert.Equal(t, starts[second[i]], 1)
 		assert.Equal(t, len(w.get(first[i]).FailedOn), 0, "no worker is blamed for it")
 	}
+	assert.Equal(t, len(w.nodes[0].learned.Blame.Workers), 0, "nor under suspicion")
 }
 
 func TestUrgentDisplacesDeferrable(t *testing.T) {
--- a/internal/jobs/failure_test.go
+++ b/internal/jobs/failure_test.go
@@ -48,6 +48,68 @@
 	assert.ErrorContains(t, w.nodes[1].Decide(w.ctx(), ids[0], VerdictRan, "ana"), "only an unknown outcome")
 }
 
+func TestRefusalAfterALostCopyIsNotCertain(t *testing.T) {
+	// The operator sees "unknown", not a second run. The first copy of a start
+	// gets no answer, the second is refused because the worker has just died;
+	// the first may still arrive once the worker is back.
+	w := newWorld(t, 2, 1)
+	n := w.nodes[0]
+	n.machines.loseRequests = 1
+	id := w.submit(once())[0]
+	n.machines.before = func(platform.Task) { w.platform.Machines.Fail("v0000") }
+	w.step()
+	assert.Equal(t, w.state(id), Starting)
+	n.machines.before = nil
+	w.run(startGrace + 2*time.Second)
+	assert.Equal(t, w.state(id), Unknown)
+	assert.Equal(t, w.platform.Machines.Tally().Starts[id], 0)
+}
+
+func TestNoStartBeforeItsIntentIsCertain(t *testing.T) {
+	// The caller sees one run. The store does not answer the write of the
+	// intent, which may or may not have taken effect; a start sent now could
+	// be one more beside that of whoever reads the old state.
+	for _, tc := range []struct {
+		name string
+		lose func(w *world)
+	}{
+		{"lost on the way there", func(w *world) { w.nodes[0].store.LoseRequests(3) }},
+		{"lost on the way back", func(w *world) { w.nodes[0].store.LoseReplies(3) }},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			w := newWorld(t, 2, 1)
+			id := w.submit(once())[0]
+			tc.lose(w)
+			w.step()
+			assert.Equal(t, w.platform.Machines.Tally().Starts[id], 0)
+			w.run(3 * time.Second)
+			assert.Equal(t, w.state(id), Running)
+			assert.Equal(t, w.platform.Machines.Tally().Starts[id], 1)
+		})
+	}
+}
+
+func TestVerdictStandsAgainstALateStart(t *testing.T) {
+	// An entry VM is paused before it sends a start. Others call the job
+	// unknown and an operator decides that it is over. The late start arrives:
+	// the verdict stands and the task is stopped.
+	w := newWorld(t, 2, 2)
+	paused, other := w.nodes[0], w.nodes[1]
+	id := w.submit(once())[0]
+	paused.machines.before = func(platform.Task) {
+		paused.machines.before = nil
+		w.clock.Advance(startGrace)
+		assert.NilError(t, other.Step(w.ctx()))
+		assert.NilError(t, other.Decide(w.ctx(), id, VerdictFinished, "ana"))
+	}
+	assert.NilError(t, paused.Step(w.ctx()))
+	w.run(2 * time.Second)
+	assert.Equal(t, w.state(id), Cancelled)
+	tasks, err := w.platform.Machines.Tasks(w.ctx())
+	assert.NilError(t, err)
+	assert.Equal(t, tasks[0].State, platform.TaskStopped)
+}
+
 func TestHolderPausedBetweenIntentAndStart(t *testing.T) {
 	// The operator sees one run or "unknown", never two. An entry VM writes
 	// the intent and is paused, as by its host; another takes over, finds no
--- a/internal/jobs/submit.go
+++ b/internal/jobs/submit.go
@@ -29,19 +29,24 @@
 		return nil, err
 	}
 	ids := make([]model.JobID, len(all))
+	var parts []*submission
 	for from := 0; from < len(all); from += groupSize {
-		part := all[from:min(from+groupSize, len(all))]
 		g := &group{Change: change}
-		for i, job := range part {
+		for i, job := range all[from:min(from+groupSize, len(all))] {
 			job.ID, job.SubmittedAt = jobID(change, from+i), j.clock.Now().UTC()
 			ids[from+i] = job.ID
 			r := Record{Job: job}
 			r.enter(Waiting, job.SubmittedAt, "")
 			g.Jobs = append(g.Jobs, r)
 		}
-		if err := j.submits.add(ctx, j, groupKey(change, from/groupSize), g); err != nil {
+		part, err := newSubmission(groupKey(change, from/groupSize), g)
+		if err != nil {
 			return nil, err
 		}
+		parts = append(parts, part)
+	}
+	if err := j.submits.add(ctx, j, parts); err != nil {
+		return nil, err
 	}
 	j.Wake()
 	return ids, nil
@@ -120,26 +125,35 @@
 	done  chan error
 }
 
-func (s *submits) add(ctx context.Context, j *Jobs, key string, g *group) error {
+func newSubmission(key string, g *group) (*submission, error) {
 	value, err := json.Marshal(g)
 	if err != nil {
-		return fault("encode jobs", g.Change, platform.Errorf("encode", platform.KindInvalid, "%w", err))
+		return nil, fault("encode jobs", g.Change, platform.Errorf("encode", platform.KindInvalid, "%w", err))
 	}
-	sub := &submission{key, g, value, make(chan error, 1)}
+	return &submission{key, g, value, make(chan error, 1)}, nil
+}
+
+// add writes the parts with whatever else waits, and returns the first error.
+func (s *submits) add(ctx context.Context, j *Jobs, parts []*submission) error {
 	s.mu.Lock()
-	s.waiting = append(s.waiting, sub)
+	s.waiting = append(s.waiting, parts...)
 	lead := !s.busy
 	s.busy = true
 	s.mu.Unlock()
 	if lead {
 		go s.flush(context.WithoutCancel(ctx), j)
 	}
-	select {
-	case err := <-sub.done:
-		return err
-	case <-ctx.Done():
-		return fault("submit", g.Change, platform.Errorf("submit", platform.KindUnknown, "%w", ctx.Err()))
+	for _, part := range parts {
+		select {
+		case err := <-part.done:
+			if err != nil {
+				return err
+			}
+		case <-ctx.Done():
+			return fault("submit", part.group.Change, platform.Errorf("submit", platform.KindUnknown, "%w", ctx.Err()))
+		}
 	}
+	return nil
 }
 
 // flush writes until nobody waits.
--- a/policy/placement/placement_test.go
+++ b/policy/placement/placement_test.go
@@ -173,6 +173,21 @@
 	assert.Equal(t, plan.Placements[0].Job, model.JobID("new"))
 }
 
+func TestOwnerBeforeBorrower(t *testing.T) {
+	// Team a uses nothing but its job is larger than its guarantee; team b uses
+	// half of its own. The one worker goes to b: a would be stopped for it.
+	s := Snapshot{
+		Workers: []Worker{worker("1", 2000, 2000), worker("2", 1000, 1000)},
+		Teams:   []model.Team{{Name: "a", Guaranteed: model.Resources{MilliCPU: 1000, MemoryMB: 1000}}, {Name: "b", Guaranteed: model.Resources{MilliCPU: 4000, MemoryMB: 4000}}},
+		Running: []Task{running("r", "2", 1, 1000, func(j *model.Job) { j.Team = "b" })},
+		Waiting: []Request{request("borrower", 1, 2000, 100), with(request("owner", 1, 2000, 100), func(r *Request) { r.Job.Team = "b" })},
+	}
+	s.Workers[1].Used = model.Resources{MilliCPU: 1000, MemoryMB: 100}
+	plan := Make(s)
+	assert.Equal(t, len(plan.Placements), 1)
+	assert.Equal(t, plan.Placements[0].Job, model.JobID("owner"))
+}
+
 func TestFloodOfOneTeamLeavesTheOthersTheirTurn(t *testing.T) {
 	s := Snapshot{Teams: []model.Team{{Name: "a", Guaranteed: model.Resources{MilliCPU: 1, MemoryMB: 1}}, {Name: "b", Guaranteed: model.Resources{MilliCPU: 1, MemoryMB: 1}}}}
 	for i := range 10 {
