--- a/internal/jobs/decisions_test.go
+++ b/internal/jobs/decisions_test.go
@@ -117,6 +117,8 @@
 		for _, id := range ids {
 			w.behave(id, standin.Behaviour{Size: model.Resources{MilliCPU: 900, MemoryMB: 3800}, RunTime: 20 * time.Second})
 		}
+		w.run(3 * time.Second)
+		assert.Equal(t, len(w.nodes[0].learned.Blame.Workers), 0, "no worker is under suspicion")
 		w.run(40 * time.Second)
 		assert.DeepEqual(t, w.states(ids), map[State]int{Succeeded: 6})
 		return ids
@@ -128,7 +130,6 @@
 		assert.Equal(t, starts[second[i]], 1)
 		assert.Equal(t, len(w.get(first[i]).FailedOn), 0, "no worker is blamed for it")
 	}
-	assert.Equal(t, len(w.nodes[0].learned.Blame.Workers), 0, "nor under suspicion")
 }
 
 func TestUrgentDisplacesDeferrable(t *testing.T) {
--- a/internal/jobs/failure_test.go
+++ b/internal/jobs/failure_test.go
@@ -110,6 +110,45 @@
 	assert.Equal(t, tasks[0].State, platform.TaskStopped)
 }
 
+func TestLateStartIsTakenUp(t *testing.T) {
+	// As above, but the operator decides that the job has not run. The late
+	// start arrives before the next pass: the job runs under it and is not
+	// started once more.
+	w := newWorld(t, 2, 2)
+	paused, other := w.nodes[0], w.nodes[1]
+	id := w.submit(once())[0]
+	paused.machines.before = func(platform.Task) {
+		paused.machines.before = nil
+		w.clock.Advance(startGrace)
+		assert.NilError(t, other.Step(w.ctx()))
+		assert.NilError(t, other.Decide(w.ctx(), id, VerdictNotRun, "ana"))
+	}
+	assert.NilError(t, paused.Step(w.ctx()))
+	w.run(2 * time.Second)
+	assert.Equal(t, w.state(id), Running)
+	assert.Equal(t, w.platform.Machines.Tally().Starts[id], 1)
+}
+
+func TestOldFindingsDoNotTouchANewAttempt(t *testing.T) {
+	// A worker dies. One entry VM finds its task lost and is held up before it
+	// writes that; another has by then started the job elsewhere. The first
+	// must not give up the new attempt for what it saw of the old one.
+	w := newWorld(t, 3, 2)
+	slow, other := w.nodes[0], w.nodes[1]
+	id := w.submit(small())[0]
+	w.step()
+	w.platform.Machines.Fail(w.get(id).VM)
+	slow.store.Before(func(string, platform.Txn) {
+		slow.store.Before(nil)
+		assert.NilError(t, other.Step(w.ctx()))
+		assert.Equal(t, w.state(id), Running)
+	})
+	assert.NilError(t, slow.Step(w.ctx()))
+	w.run(2 * time.Second)
+	assert.Equal(t, w.state(id), Running)
+	assert.Equal(t, w.platform.Machines.Tally().Starts[id], 2)
+}
+
 func TestHolderPausedBetweenIntentAndStart(t *testing.T) {
 	// The operator sees one run or "unknown", never two. An entry VM writes
 	// the intent and is paused, as by its host; another takes over, finds no
