Orders: many jobs are cancelled together where the executor can

Cause: an order to cancel 1,000 jobs made 1,000 reads and 1,000 writes one after the other. Change: an optional interface for it, used by the executor.

--- a/internal/command/executor.go
+++ b/internal/command/executor.go
@@ -136,6 +136,9 @@
 	if len(ids) == 0 || len(ids) > maxTargets {
 		return nil, &Refusal{Code: CodeNotFound, Detail: fmt.Sprintf("%d jobs fulfil this, 1 to %d may be cancelled at once", len(ids), maxTargets)}
 	}
+	if bulk, ok := x.Jobs.(BulkJobs); ok && len(ids) > 1 {
+		return cancelTogether(bulk, ids), nil
+	}
 	steps := make([]step, len(ids))
 	for i, id := range ids {
 		steps[i] = step{"job " + string(id), func(ctx context.Context, t Terms) (Effect, error) { return x.Jobs.Cancel(ctx, id, t) }}
