--- a/internal/jobs/jobsport/jobsport.go
+++ b/internal/jobs/jobsport/jobsport.go
@@ -18,27 +18,46 @@
 	Executor *jobs.Jobs
 }
 
-var _ command.Jobs = Orders{}
+var _ command.BulkJobs = Orders{}
 
 // Cancel implements command.Jobs. A job's revision is that of its group, which
 // changes with its neighbours, so if-revision can't be met and is refused.
 func (o Orders) Cancel(ctx context.Context, job model.JobID, t command.Terms) (command.Effect, error) {
+	effects, err := o.CancelAll(ctx, []model.JobID{job}, t)
+	if err != nil {
+		return command.Effect{}, err
+	}
+	if effects[0].Refused != nil {
+		return command.Effect{}, effects[0].Refused
+	}
+	return effects[0], nil
+}
+
+// CancelAll implements command.BulkJobs.
+func (o Orders) CancelAll(ctx context.Context, ids []model.JobID, t command.Terms) ([]command.Effect, error) {
 	if t.IfRevision != 0 {
-		return command.Effect{}, &command.Refusal{Code: command.CodeRevision, Detail: "jobs have no revision of their own"}
+		return nil, &command.Refusal{Code: command.CodeRevision, Detail: "jobs have no revision of their own"}
 	}
-	out, err := o.Executor.Cancel(ctx, t.Change, t.Reason, []model.JobID{job})
+	out, err := o.Executor.Cancel(ctx, t.Change, t.Reason, ids)
 	if err != nil {
-		return command.Effect{}, Error(t.Change, err)
+		return nil, Error(t.Change, err)
 	}
-	c := out[0]
-	if c.Refused != nil {
-		return command.Effect{}, Error(t.Change, c.Refused)
+	effects := make([]command.Effect, len(out))
+	for i, c := range out {
+		effects[i] = effect(&c)
 	}
-	after := string(c.After)
+	return effects, nil
+}
+
+func effect(c *jobs.Cancellation) command.Effect {
+	e := command.Effect{What: "job " + string(c.Job), Before: string(c.Before), After: string(c.After)}
 	if c.Stopping {
-		after += " once its task has stopped"
+		e.After += " once its task has stopped"
+	}
+	if c.Refused != nil {
+		e.Refused = &command.Refusal{Code: command.Code(c.Refused.Code), Detail: c.Refused.Detail}
 	}
-	return command.Effect{Before: string(c.Before), After: after}, nil
+	return e
 }
 
 // Select implements command.Jobs. Ended jobs are left out: there is nothing to
