Jobs: urgent work is placed by who accepted it where the holder of the lease is dead

Cause: a holder that dies takes the lease with it for 6 s, longer than urgent work may wait. Change: after 0.7 s the entry VM that accepted an urgent job does one pass itself; compare-and-swap keeps that safe.

--- a/internal/jobs/failure_test.go
+++ b/internal/jobs/failure_test.go
@@ -149,6 +149,61 @@
 	assert.Equal(t, w.platform.Machines.Tally().Starts[id], 2)
 }
 
+func TestUrgentJobWhileTheHolderIsDead(t *testing.T) {
+	// The entry VM that places has died, and its lease stands for seconds more.
+	// A caller's urgent job starts all the same, placed by the one that took
+	// it; a normal one waits for the next holder.
+	w := newWorld(t, 2, 2)
+	dead, other := w.nodes[0], w.nodes[1]
+	held, err := dead.claim(w.ctx())
+	assert.NilError(t, err)
+	assert.Assert(t, held)
+	urgent := small()
+	urgent.Class = model.ClassUrgent
+	normal, err := other.Submit(w.ctx(), "n", []model.Job{small()})
+	assert.NilError(t, err)
+	tend := func(d time.Duration) {
+		w.clock.Advance(d)
+		_, err := other.tend(w.ctx())
+		assert.NilError(t, err)
+	}
+	tend(time.Second)
+	assert.Equal(t, w.state(normal[0]), Waiting)
+	ids, err := other.Submit(w.ctx(), "u", []model.Job{urgent})
+	assert.NilError(t, err)
+	tend(100 * time.Millisecond)
+	assert.Equal(t, w.state(ids[0]), Waiting, "the holder has its chance")
+	tend(passEvery)
+	assert.Equal(t, w.state(ids[0]), Running)
+}
+
+func TestOneHolderAtATime(t *testing.T) {
+	// Three entry VMs want to place. One holds the lease, and another takes it
+	// within seconds after it was handed over or its holder stopped renewing.
+	w := newWorld(t, 2, 3)
+	holders := func() (held []int) {
+		for i, n := range w.nodes {
+			ok, err := n.claim(w.ctx())
+			assert.NilError(t, err)
+			if ok {
+				held = append(held, i)
+			}
+		}
+		return held
+	}
+	assert.DeepEqual(t, holders(), []int{0})
+	w.clock.Advance(leaseAsk)
+	assert.DeepEqual(t, holders(), []int{0})
+	w.nodes[0].release(w.ctx())
+	w.nodes[0].lease.asked = w.clock.Now()
+	assert.DeepEqual(t, holders(), []int(nil)) // all asked a moment ago
+	w.clock.Advance(leaseAsk)
+	w.nodes[0].lease.asked = w.clock.Now()
+	assert.DeepEqual(t, holders(), []int{1})
+	w.clock.Advance(leaseTTL + time.Second)
+	assert.DeepEqual(t, holders(), []int{0})
+}
+
 func TestHolderPausedBetweenIntentAndStart(t *testing.T) {
 	// The operator sees one run or "unknown", never two. An entry VM writes
 	// the intent and is paused, as by its host; another takes over, finds no
--- a/internal/jobs/jobs.go
+++ b/internal/jobs/jobs.go
@@ -55,6 +55,7 @@
 	mirror   *mirror
 	counts   counts
 	submits  submits
+	rescue   rescue
 
 	step sync.Mutex // one pass at a time
 	// What follows is used by passes alone.
--- a/internal/jobs/run.go
+++ b/internal/jobs/run.go
@@ -68,9 +68,12 @@
 	if !held {
 		j.unfollow()
 	}
-	if err != nil || !held {
+	if err != nil {
 		return false, err
 	}
+	if !held {
+		return false, j.rescueUrgent(ctx)
+	}
 	again, err = j.pass(ctx)
 	if err != nil {
 		return again, err
