--- a/internal/jobs/failure_test.go
+++ b/internal/jobs/failure_test.go
@@ -48,6 +48,162 @@
 	assert.ErrorContains(t, w.nodes[1].Decide(w.ctx(), ids[0], VerdictRan, "ana"), "only an unknown outcome")
 }
 
+func TestRefusalAfterALostCopyIsNotCertain(t *testing.T) {
+	// The operator sees "unknown", not a second run. The first copy of a start
+	// gets no answer, the second is refused because the worker has just died;
+	// the first may still arrive once the worker is back.
+	w := newWorld(t, 2, 1)
+	n := w.nodes[0]
+	n.machines.loseRequests = 1
+	id := w.submit(once())[0]
+	n.machines.before = func(platform.Task) { w.platform.Machines.Fail("v0000") }
+	w.step()
+	assert.Equal(t, w.state(id), Starting)
+	n.machines.before = nil
+	w.run(startGrace + 2*time.Second)
+	assert.Equal(t, w.state(id), Unknown)
+	assert.Equal(t, w.platform.Machines.Tally().Starts[id], 0)
+}
+
+func TestNoStartBeforeItsIntentIsCertain(t *testing.T) {
+	// The caller sees one run. The store does not answer the write of the
+	// intent, which may or may not have taken effect; a start sent now could
+	// be one more beside that of whoever reads the old state.
+	for _, tc := range []struct {
+		name string
+		lose func(w *world)
+	}{
+		{"lost on the way there", func(w *world) { w.nodes[0].store.LoseRequests(3) }},
+		{"lost on the way back", func(w *world) { w.nodes[0].store.LoseReplies(3) }},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			w := newWorld(t, 2, 1)
+			id := w.submit(once())[0]
+			tc.lose(w)
+			w.step()
+			assert.Equal(t, w.platform.Machines.Tally().Starts[id], 0)
+			w.run(3 * time.Second)
+			assert.Equal(t, w.state(id), Running)
+			assert.Equal(t, w.platform.Machines.Tally().Starts[id], 1)
+		})
+	}
+}
+
+func TestVerdictStandsAgainstALateStart(t *testing.T) {
+	// An entry VM is paused before it sends a start. Others call the job
+	// unknown and an operator decides that it is over. The late start arrives:
+	// the verdict stands and the task is stopped.
+	w := newWorld(t, 2, 2)
+	paused, other := w.nodes[0], w.nodes[1]
+	id := w.submit(once())[0]
+	paused.machines.before = func(platform.Task) {
+		paused.machines.before = nil
+		w.clock.Advance(startGrace)
+		assert.NilError(t, other.Step(w.ctx()))
+		assert.NilError(t, other.Decide(w.ctx(), id, VerdictFinished, "ana"))
+	}
+	assert.NilError(t, paused.Step(w.ctx()))
+	w.run(2 * time.Second)
+	assert.Equal(t, w.state(id), Cancelled)
+	tasks, err := w.platform.Machines.Tasks(w.ctx())
+	assert.NilError(t, err)
+	assert.Equal(t, tasks[0].State, platform.TaskStopped)
+}
+
+func TestLateStartIsTakenUp(t *testing.T) {
+	// As above, but the operator decides that the job has not run. The late
+	// start arrives before the next pass: the job runs under it and is not
+	// started once more.
+	w := newWorld(t, 2, 2)
+	paused, other := w.nodes[0], w.nodes[1]
+	id := w.submit(once())[0]
+	paused.machines.before = func(platform.Task) {
+		paused.machines.before = nil
+		w.clock.Advance(startGrace)
+		assert.NilError(t, other.Step(w.ctx()))
+		assert.NilError(t, other.Decide(w.ctx(), id, VerdictNotRun, "ana"))
+	}
+	assert.NilError(t, paused.Step(w.ctx()))
+	w.run(2 * time.Second)
+	assert.Equal(t, w.state(id), Running)
+	assert.Equal(t, w.platform.Machines.Tally().Starts[id], 1)
+}
+
+func TestOldFindingsDoNotTouchANewAttempt(t *testing.T) {
+	// A worker dies. One entry VM finds its task lost and is held up before it
+	// writes that; another has by then started the job elsewhere. The first
+	// must not give up the new attempt for what it saw of the old one.
+	w := newWorld(t, 3, 2)
+	slow, other := w.nodes[0], w.nodes[1]
+	id := w.submit(small())[0]
+	w.step()
+	w.platform.Machines.Fail(w.get(id).VM)
+	slow.store.Before(func(string, platform.Txn) {
+		slow.store.Before(nil)
+		assert.NilError(t, other.Step(w.ctx()))
+		assert.Equal(t, w.state(id), Running)
+	})
+	assert.NilError(t, slow.Step(w.ctx()))
+	w.run(2 * time.Second)
+	assert.Equal(t, w.state(id), Running)
+	assert.Equal(t, w.platform.Machines.Tally().Starts[id], 2)
+}
+
+func TestUrgentJobWhileTheHolderIsDead(t *testing.T) {
+	// The entry VM that places has died, and its lease stands for seconds more.
+	// A caller's urgent job starts all the same, placed by the one that took
+	// it; a normal one waits for the next holder.
+	w := newWorld(t, 2, 2)
+	dead, other := w.nodes[0], w.nodes[1]
+	held, err := dead.claim(w.ctx())
+	assert.NilError(t, err)
+	assert.Assert(t, held)
+	urgent := small()
+	urgent.Class = model.ClassUrgent
+	normal, err := other.Submit(w.ctx(), "n", []model.Job{small()})
+	assert.NilError(t, err)
+	tend := func(d time.Duration) {
+		w.clock.Advance(d)
+		_, err := other.tend(w.ctx())
+		assert.NilError(t, err)
+	}
+	tend(time.Second)
+	assert.Equal(t, w.state(normal[0]), Waiting)
+	ids, err := other.Submit(w.ctx(), "u", []model.Job{urgent})
+	assert.NilError(t, err)
+	tend(100 * time.Millisecond)
+	assert.Equal(t, w.state(ids[0]), Waiting, "the holder has its chance")
+	tend(passEvery)
+	assert.Equal(t, w.state(ids[0]), Running)
+}
+
+func TestOneHolderAtATime(t *testing.T) {
+	// Three entry VMs want to place. One holds the lease, and another takes it
+	// within seconds after it was handed over or its holder stopped renewing.
+	w := newWorld(t, 2, 3)
+	holders := func() (held []int) {
+		for i, n := range w.nodes {
+			ok, err := n.claim(w.ctx())
+			assert.NilError(t, err)
+			if ok {
+				held = append(held, i)
+			}
+		}
+		return held
+	}
+	assert.DeepEqual(t, holders(), []int{0})
+	w.clock.Advance(leaseAsk)
+	assert.DeepEqual(t, holders(), []int{0})
+	w.nodes[0].release(w.ctx())
+	w.nodes[0].lease.asked = w.clock.Now()
+	assert.DeepEqual(t, holders(), []int(nil)) // all asked a moment ago
+	w.clock.Advance(leaseAsk)
+	w.nodes[0].lease.asked = w.clock.Now()
+	assert.DeepEqual(t, holders(), []int{1})
+	w.clock.Advance(leaseTTL + time.Second)
+	assert.DeepEqual(t, holders(), []int{0})
+}
+
 func TestHolderPausedBetweenIntentAndStart(t *testing.T) {
 	// The operator sees one run or "unknown", never two. An entry VM writes
 	// the intent and is paused, as by its host; another takes over, finds no
