Claims know the accepted revision and the clocks of all entry VMs

Cause: on a store restored from a backup forgotten claims could be made again, and a key could be forgotten early by a clock that runs ahead; the ledger has the guards, the daemon did not give it what they go by. Change: claim.Options.Accepted and Clocks wired; claims and StoreBehind in vars.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -177,7 +177,14 @@
 	ro := relay.Options{Self: d.self, Store: d.store, View: d.view, Peers: d.mesh, Log: d.log.WithName("relay")}
 	d.relay = relay.New(ro)
 	d.registry = relay.NewRegistry(ro)
-	d.claims = claim.NewLedger(claim.Options{Store: d.store, Self: d.self, Live: d.liveEntries, Log: d.log.WithName("claim")})
+	d.claims = claim.NewLedger(claim.Options{
+		Store:    d.store,
+		Self:     d.self,
+		Live:     d.liveEntries,
+		Accepted: func() platform.Revision { return d.view.Load().Revision },
+		Clocks:   d.mesh.Clocks,
+		Log:      d.log.WithName("claim"),
+	})
 	d.entry = entry.New(entry.Options{
 		View:   d.view,
 		Loads:  d.mesh,
--- a/internal/daemon/http.go
+++ b/internal/daemon/http.go
@@ -75,8 +75,11 @@
 	Revision   int64
 	AgeSeconds float64
 	Watching   bool
-	VMs        int
-	Entries    int
+	// StoreBehind: the platform's store is older than what is in force, as
+	// after a restore from a backup.
+	StoreBehind bool
+	VMs         int
+	Entries     int
 }
 
 // vars serves this daemon's metrics in the form of expvar. They are not
@@ -84,16 +87,18 @@
 func (d *Daemon) vars(w http.ResponseWriter, _ *http.Request) {
 	s := d.view.Load()
 	view := viewVars{
-		Generation: s.Generation(),
-		Revision:   int64(s.Revision),
-		AgeSeconds: time.Since(s.AsOf).Seconds(),
-		Watching:   d.relay.Watching(),
-		VMs:        len(s.VMs),
-		Entries:    len(s.Entries),
+		Generation:  s.Generation(),
+		Revision:    int64(s.Revision),
+		AgeSeconds:  time.Since(s.AsOf).Seconds(),
+		Watching:    d.relay.Watching(),
+		StoreBehind: d.relay.StoreBehind(),
+		VMs:         len(s.VMs),
+		Entries:     len(s.Entries),
 	}
 	m := new(expvar.Map).Init()
 	m.Set("entry", d.entry.Metrics())
 	m.Set("peer", expvar.Func(func() any { return d.mesh.Traffic() }))
+	m.Set("claims", expvar.Func(func() any { return d.claims.Stats() }))
 	m.Set("jobs", expvar.Func(func() any { return d.jobs.Counts() }))
 	m.Set("view", expvar.Func(func() any { return view }))
 	m.Set("memstats", expvar.Get("memstats"))
