--- a/internal/jobs/learned.go
+++ b/internal/jobs/learned.go
@@ -18,9 +18,12 @@
 	// saveEvery bounds what an entry VM that takes over has to learn anew, at
 	// two writes a minute.
 	saveEvery = 30 * time.Second
+	// usageEvery is how often usage is read: reports lag by more than that, and
+	// one list has every task of the fleet.
+	usageEvery = 5 * time.Second
 	// maxQuarantine is the share of workers that may be in quarantine: twice
 	// the two in a hundred that are known to fail everything, and a fleet that
-	// lost more than that has another cause than its workers.
+	// lost more than that has another cause than its workers. One always may be.
 	maxQuarantine = 0.05
 )
 
@@ -36,6 +39,7 @@
 	rev      platform.Revision
 	judged   map[model.AttemptID]blame.Outcome // what was recorded of an attempt
 	reported map[model.AttemptID]time.Time     // the newest usage report taken in
+	read     time.Time                         // when usage was last read
 }
 
 func newLearned() *learned {
@@ -103,7 +107,8 @@
 // learn takes in how tasks went and what they use.
 func (p *pass) learn(ctx context.Context) error {
 	p.learnOutcomes()
-	for _, vm := range p.learned.Blame.Judge(p.now, int(maxQuarantine*float64(len(p.view.Load().VMs)))) {
+	most := max(1, int(maxQuarantine*float64(len(p.view.Load().VMs))))
+	for _, vm := range p.learned.Blame.Judge(p.now, most) {
 		p.log.Info("worker quarantined, it fails what runs elsewhere", "vm", vm)
 		p.learned.saved = time.Time{} // rare, and costly to learn anew
 	}
@@ -150,6 +155,10 @@
 
 // learnUsage takes in the newest reports and acts on tasks over their memory.
 func (p *pass) learnUsage(ctx context.Context) error {
+	if p.now.Sub(p.learned.read) < usageEvery {
+		return nil
+	}
+	p.learned.read = p.now
 	reports, err := p.machines.Usage(ctx)
 	if err != nil {
 		return fault("read usage", "", err)
--- a/internal/jobs/lease.go
+++ b/internal/jobs/lease.go
@@ -75,10 +75,13 @@
 		j.lease = lease{}
 		return false, nil
 	}
-	if err == nil {
-		j.lease.renewed = now
+	if err != nil {
+		// The work goes on: the lease may still stand, and is no safeguard.
+		j.log.Info("lease of jobs not renewed, will be tried again", "error", err.Error())
+		return true, nil
 	}
-	return true, fault("renew lease", "", err)
+	j.lease.renewed = now
+	return true, nil
 }
 
 // release hands the work over at once rather than when the lease lapses.
--- a/policy/placement/feasible.go
+++ b/policy/placement/feasible.go
@@ -63,8 +63,11 @@
 		out.Binds, out.Detail = BindsFailures, "it failed on every worker that is large enough"
 	case opened == 0:
 		out.Never, out.Binds = false, BindsClosed
-		out.Detail = fmt.Sprintf("waits for one of %d workers to take tasks again", fresh)
 		p.nearestFree(r, &out)
+		out.Detail = fmt.Sprintf("waits for one of %d workers to take tasks again", fresh)
+		if i, ok := p.byID[out.Nearest]; ok {
+			out.Detail += fmt.Sprintf("; %s: %s", out.Nearest, p.workers[i].Closed)
+		}
 	default:
 		out.Never, out.Binds = false, BindsRoom
 		p.nearestFree(r, &out)
--- a/policy/placement/placement_test.go
+++ b/policy/placement/placement_test.go
@@ -4,6 +4,7 @@
 	"flag"
 	"fmt"
 	"os"
+	"strings"
 	"testing"
 	"time"
 
@@ -124,7 +125,7 @@
 			assert.Equal(t, got.Never, tc.never, got.Detail)
 			assert.Equal(t, got.Binds, tc.binds, got.Detail)
 			assert.Equal(t, got.Nearest, tc.nearest, got.Detail)
-			assert.Assert(t, got.Detail != "")
+			assert.Assert(t, got.Detail != "" && (got.Binds != BindsClosed || strings.Contains(got.Detail, "2: down")), got.Detail)
 		})
 	}
 }
