--- a/internal/dev/history_test.go
+++ b/internal/dev/history_test.go
@@ -129,7 +129,8 @@
 	}
 	result := porcupine.CheckOperationsTimeout(casObject, ops, time.Minute)
 	assert.Check(t, result == porcupine.Ok, "history of %d calls: %v", len(h.ops), result)
-	t.Logf("%d orders and changes told, %d writes in the store", len(h.ops), len(ops)-len(h.ops))
+	t.Logf("%d orders and changes told, %d more writes in the store, %d reboots", len(h.ops), len(ops)-len(h.ops),
+		w.c.platform.Machines.Tally().Reboots)
 }
 
 // writes returns every write of a VM or the configuration, each on top of the
--- a/internal/dev/schedule_test.go
+++ b/internal/dev/schedule_test.go
@@ -24,7 +24,7 @@
 var seeds = flag.Int("seeds", 2, "how many random fault schedules to play")
 
 // scheduleSteps is how many faults one schedule draws; two last at a time.
-const scheduleSteps = 10
+const scheduleSteps = 16
 
 // Faults befall the cluster by a seed, two at a time, while callers send,
 // repeat keys at many entry VMs, and operators drain, undrain, move, start and
@@ -110,7 +110,7 @@
 		platformFaults.Set(standin.AnyZone, f)
 		return func() { platformFaults.Set(standin.AnyZone, standin.Fault{}) }
 	}
-	switch s.rng.IntN(14) {
+	switch s.rng.IntN(22) {
 	case 0:
 		net.Cut("za", "zb")
 		return func() { net.Heal("za", "zb") }
@@ -179,9 +179,9 @@
 		f := s.entry(rng.IntN(8)).Fleet()
 		callCtx, cancel := context.WithTimeout(ctx, 3*time.Second)
 		switch kind := rng.IntN(8); kind {
-		case 0, 1:
+		case 0:
 			seen[vm.ID] = s.history.order(who, vm.ID, o, func() (fleet.Outcome, error) { return f.Drain(callCtx, vm.ID, o) })
-		case 2, 3, 4:
+		case 1, 2, 3, 4:
 			seen[vm.ID] = s.history.order(who, vm.ID, o, func() (fleet.Outcome, error) { return f.Undrain(callCtx, vm.ID, o) })
 		case 5:
 			to := []model.PoolName{"quick", "once"}[rng.IntN(2)]
