--- a/internal/dev/once.go
+++ b/internal/dev/once.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"time"
@@ -59,6 +60,11 @@
 	if err := c.bringUp(ctx, r); err != nil {
 		return err
 	}
+	w, err := c.watchAll()
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	defer w.stop()
 	l, stopLoad := c.startLoad(ctx, c.decl.Services)
 	err = c.runWave(ctx, o.Wave, r)
 	stopLoad()
@@ -67,7 +73,7 @@
 	}
 	r.take(c, l.tally)
 	r.print(o.Out)
-	return r.verdict()
+	return errors.Join(r.verdict(), w.verdict(l.tally))
 }
 
 // declaration reads the example and shortens what only waits.
--- /dev/null
+++ b/internal/dev/past.go
@@ -0,0 +1,137 @@
+package dev
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+
+	"github.com/pumicestage/pumicestage/internal/fleet"
+	"github.com/pumicestage/pumicestage/internal/platform"
+	"github.com/pumicestage/pumicestage/policy/model"
+)
+
+// past replays the store's history, one revision after the other, and keeps
+// what it finds wrong in it.
+type past struct {
+	decl    *model.Declaration
+	vms     map[string]model.VM
+	ledgers map[model.ServiceName]fleet.Ledger
+	claims  map[string]claimed
+	config  uint64
+	broken  []error
+}
+
+// claimed is what of a claim's value the past goes by.
+type claimed struct{ ID, Stage string }
+
+// The stages of a claim.
+const (
+	stageClaimed  = "claimed"
+	stageReleased = "released"
+	stageRecorded = "recorded"
+)
+
+// checkHistory returns the promises that the store's history shows broken.
+func (w *witness) checkHistory() []error {
+	p := &past{
+		decl:    w.c.decl,
+		vms:     make(map[string]model.VM),
+		ledgers: make(map[model.ServiceName]fleet.Ledger),
+		claims:  make(map[string]claimed),
+	}
+	for _, b := range w.batches {
+		for _, e := range b.Events {
+			if e.Kind == platform.EventPut {
+				p.put(e.KV)
+			}
+		}
+		p.checkBudgets(b.Revision)
+	}
+	p.expect(len(p.vms) > 0 && p.config > 0, "the witness saw nothing")
+	return p.broken
+}
+
+func (p *past) expect(holds bool, format string, args ...any) {
+	if !holds {
+		p.broken = append(p.broken, fmt.Errorf(format, args...))
+	}
+}
+
+func (p *past) put(kv platform.KV) {
+	switch key := kv.Key; {
+	case strings.HasPrefix(key, platform.VMPrefix):
+		p.putVM(key, read[model.VM](p, kv))
+	case strings.HasPrefix(key, platform.LedgerPrefix):
+		service := model.ServiceName(strings.TrimPrefix(key, platform.LedgerPrefix))
+		p.ledgers[service] = read[fleet.Ledger](p, kv)
+	case strings.HasPrefix(key, platform.ClaimPrefix):
+		p.putClaim(key, read[claimed](p, kv))
+	case key == platform.ConfigKey:
+		g := read[model.Declaration](p, kv).Generation
+		p.expect(g == p.config+1, "generation %d follows %d", g, p.config)
+		p.config = g
+	}
+}
+
+func read[T any](p *past, kv platform.KV) (v T) {
+	err := platform.DecodeValue(kv.Value, &v)
+	p.expect(err == nil, "%s: %v", kv.Key, err)
+	return v
+}
+
+// putVM checks that a VM changes its pool only once nothing runs on it.
+func (p *past) putVM(key string, vm model.VM) {
+	before, known := p.vms[key]
+	empty := before.State == model.VMEmpty || before.State == model.VMProbation
+	p.expect(!known || before.Pool == vm.Pool || empty, "%s went from %s (%s) to %s", vm.ID, before.Pool, before.State, vm.Pool)
+	p.vms[key] = vm
+}
+
+// putClaim checks that a claim goes to another holder only once it was
+// released, and that what is recorded stays.
+func (p *past) putClaim(key string, c claimed) {
+	before, known := p.claims[key]
+	switch {
+	case !known || before.Stage == stageReleased:
+		p.expect(c.Stage == stageClaimed || c.Stage == stageReleased, "%s: %s first", key, c.Stage)
+	case before.Stage == stageRecorded:
+		p.expect(c == before, "%s: %v after %v", key, c, before)
+	default:
+		p.expect(c.ID == before.ID, "%s: %v after %v", key, c, before)
+	}
+	p.claims[key] = c
+}
+
+// checkBudgets checks that planned stops alone never take a service below its
+// budget, in any revision.
+func (p *past) checkBudgets(rev platform.Revision) {
+	for name, l := range p.ledgers {
+		s := p.decl.Service(name)
+		if s == nil || len(l.Stops) == 0 {
+			continue
+		}
+		members := p.members(s)
+		left := members - len(l.Stops)
+		p.expect(left >= s.Budget.MinAvailable.Of(members), "revision %d: %d of %d VMs of %s stopped", rev, len(l.Stops), members, name)
+		p.expect(distinct(l.Stops), "revision %d: a VM is stopped twice in %s", rev, name)
+	}
+}
+
+func (p *past) members(s *model.Service) int {
+	n := 0
+	for _, vm := range p.vms {
+		if inPools(s, vm.Pool) {
+			n++
+		}
+	}
+	return n
+}
+
+func distinct(stops []fleet.Stop) bool {
+	ids := make([]model.VMID, 0, len(stops))
+	for _, s := range stops {
+		ids = append(ids, s.VM)
+	}
+	slices.Sort(ids)
+	return len(slices.Compact(ids)) == len(stops)
+}
--- a/internal/dev/pool_test.go
+++ b/internal/dev/pool_test.go
@@ -22,7 +22,7 @@
 func TestVMIsInOnePoolThroughRacingMoves(t *testing.T) {
 	t.Parallel()
 	c := startSmall(t)
-	w := c.watchAll(t)
+	w := c.witnessed(t)
 	var mu sync.Mutex
 	won := make(map[model.VMID]int)
 	var race sync.WaitGroup
@@ -49,7 +49,7 @@
 
 	assert.DeepEqual(t, won, map[model.VMID]int{"quick-0": 1, "once-0": 1})
 	w.end()
-	w.checkHistory(t)
+	assert.Check(t, errors.Join(w.checkHistory()...))
 }
 
 // moves are ordered at once: one VM out of each service, as the second of one
@@ -71,7 +71,7 @@
 func TestRacingDrainsKeepTheBudget(t *testing.T) {
 	t.Parallel()
 	c := startSmall(t)
-	w := c.watchAll(t)
+	w := c.witnessed(t)
 	l, stopLoad := c.startLoad(context.Background(), c.decl.Services[:1])
 	granted := 0
 	for round := range 4 {
@@ -95,5 +95,5 @@
 	}
 	stopLoad()
 	assert.Assert(t, granted > 0, "no drain was ever granted")
-	w.verdict(t, l)
+	assert.Check(t, w.verdict(l.tally))
 }
--- a/internal/dev/schedule_test.go
+++ b/internal/dev/schedule_test.go
@@ -43,7 +43,7 @@
 
 func playSchedule(t *testing.T, seed uint64) {
 	c := startSmall(t)
-	s := &schedule{c: c, w: c.watchAll(t), rng: rand.New(rand.NewPCG(seed, 0))}
+	s := &schedule{c: c, w: c.witnessed(t), rng: rand.New(rand.NewPCG(seed, 0))}
 	l, stopLoad := c.startLoad(context.Background(), c.decl.Services)
 	s.load = l
 	ctx, stopActors := context.WithCancel(context.Background())
@@ -71,7 +71,7 @@
 	s.w.settle(t)
 	stopLoad()
 
-	s.w.verdict(t, l)
+	assert.Check(t, s.w.verdict(l.tally))
 	s.history.check(t, s.w)
 	for key, n := range c.runs() {
 		assert.Check(t, n <= 1, "%s ran %d times", key, n)
--- /dev/null
+++ b/internal/dev/witness.go
@@ -0,0 +1,174 @@
+package dev
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"github.com/pumicestage/pumicestage/internal/platform"
+	"github.com/pumicestage/pumicestage/policy/model"
+)
+
+const (
+	// noticeWithin is how long ago a VM may have failed for a planned stop to
+	// be ordered in ignorance of it: list, probe and digest each lag behind.
+	noticeWithin = 5 * time.Second
+	// historyLimit bounds the wait for the store's history once all is over.
+	historyLimit = 45 * time.Second
+)
+
+// witness sees a cluster from outside: by the stand-in's store, the machines
+// and the fake targets. It finds broken promises whatever the daemons think.
+type witness struct {
+	c       *cluster
+	stop    context.CancelFunc
+	reverts reverts
+	tasks   sync.WaitGroup
+
+	mu      sync.Mutex
+	batches []platform.WatchBatch
+	failed  map[model.VMID]time.Time // when it was failed on purpose; absent while up
+	faults  []error                  // promises broken
+}
+
+// watchAll starts a witness of everything from now on.
+func (c *cluster) watchAll() (*witness, error) {
+	ctx, stop := context.WithCancel(context.Background())
+	w := &witness{c: c, stop: stop, failed: make(map[model.VMID]time.Time)}
+	batches, err := c.platform.Store.Watch(ctx, platform.Root, 1)
+	if err != nil {
+		stop()
+		return nil, trace.Wrap(err)
+	}
+	w.tasks.Go(func() { w.collect(batches) })
+	for _, e := range c.entries {
+		w.reverts.watch(ctx, e)
+	}
+	onDrain := w.drained
+	c.drained.Store(&onDrain)
+	return w, nil
+}
+
+func (w *witness) collect(batches <-chan platform.WatchBatch) {
+	for b := range batches {
+		w.mu.Lock()
+		w.batches = append(w.batches, b)
+		if b.Err != nil {
+			w.faults = append(w.faults, fmt.Errorf("the witness lost its watch: %w", b.Err))
+		}
+		w.mu.Unlock()
+	}
+}
+
+// fail stops a VM unplanned; the returned function starts it again.
+func (w *witness) fail(vm model.VMID) (recover func()) {
+	w.mu.Lock()
+	w.failed[vm] = time.Now()
+	w.mu.Unlock()
+	w.c.platform.Machines.Fail(vm)
+	return func() {
+		w.c.platform.Machines.Recover(vm)
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		delete(w.failed, vm)
+	}
+}
+
+// drained counts who still serves at the moment a VM was told to drain. Every
+// service of its pool must keep its budget, but for VMs that failed just now.
+func (w *witness) drained(id model.VMID) {
+	vms := w.stored()
+	for _, s := range w.c.decl.ServicesOf(vms[id].Pool) {
+		total, serving := w.count(s, vms, id)
+		if need := s.Budget.MinAvailable.Of(total); serving < need {
+			w.mu.Lock()
+			w.faults = append(w.faults, fmt.Errorf("drain of %s left %d serving in %s, which needs %d", id, serving, s.Name, need))
+			w.mu.Unlock()
+		}
+	}
+}
+
+// count returns a service's VMs, and those of them that serve without id.
+func (w *witness) count(s *model.Service, vms map[model.VMID]model.VM, id model.VMID) (total, serving int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for other, vm := range vms {
+		if !inPools(s, vm.Pool) {
+			continue
+		}
+		total++
+		failedAt, failed := w.failed[other]
+		excused := failed && time.Since(failedAt) < noticeWithin
+		if other != id && (w.c.targets[other].Serving() || excused) {
+			serving++
+		}
+	}
+	return total, serving
+}
+
+func inPools(s *model.Service, pool model.PoolName) bool {
+	for _, p := range s.Pools {
+		if p == pool {
+			return true
+		}
+	}
+	return false
+}
+
+// stored returns the VMs as the store has them now.
+func (w *witness) stored() map[model.VMID]model.VM {
+	vms := make(map[model.VMID]model.VM)
+	kvs, _, err := w.c.platform.Store.Range(context.Background(), platform.VMPrefix)
+	for _, kv := range kvs {
+		var vm model.VM
+		if json.Unmarshal(kv.Value, &vm) == nil {
+			vms[vm.ID] = vm
+		}
+	}
+	if err != nil || len(vms) != len(w.c.decl.VMs) {
+		panic("dev: the stand-in's store lacks VMs")
+	}
+	return vms
+}
+
+// end ends what the witness sees, once it has seen all up to now.
+func (w *witness) end() {
+	until := w.c.platform.Store.Revision()
+	_ = w.c.until(context.Background(), historyLimit, "the store's history", func() bool {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		n := len(w.batches)
+		return n > 0 && (w.batches[n-1].Revision >= until || w.batches[n-1].Err != nil)
+	})
+	w.stop()
+	w.tasks.Wait()
+	w.reverts.wait()
+}
+
+// verdict names every promise that is seen broken from outside, once all
+// faults are healed and load has ended.
+func (w *witness) verdict(t *Tally) error {
+	w.end()
+	broken := append(w.faults, w.checkHistory()...)
+	check := func(n int, what string) {
+		if n != 0 {
+			broken = append(broken, fmt.Errorf("%d %s", n, what))
+		}
+	}
+	machines := w.c.platform.Machines.Tally()
+	check(w.reverts.count(), "times the configuration went back at an entry VM")
+	check(machines.CutByReboot, "requests cut by reboots")
+	check(machines.TasksCut, "tasks cut by reboots")
+	check(w.c.doubleRuns(), "double runs")
+	check(w.c.falseNotRuns(t), "requests said not to have run that ran")
+	check(int(t.Wrong.Load()), "answers to another request")
+	if t.Ran.Load() == 0 {
+		broken = append(broken, errors.New("no request ran"))
+	}
+	return errors.Join(broken...)
+}
--- a/internal/dev/worst_test.go
+++ b/internal/dev/worst_test.go
@@ -5,6 +5,8 @@
 	"testing"
 	"time"
 
+	"gotest.tools/v3/assert"
+
 	"github.com/pumicestage/pumicestage/internal/platform/standin"
 )
 
@@ -60,7 +62,7 @@
 		t.Run(tc.name, func(t *testing.T) {
 			t.Parallel()
 			c := startSmall(t)
-			w := c.watchAll(t)
+			w := c.witnessed(t)
 			l, stopLoad := c.startLoad(context.Background(), c.decl.Services)
 			c.wave(t, 0)
 			c.await(t, "a first stop", func() bool { return c.platform.Machines.Tally().Reboots > 0 })
@@ -68,7 +70,7 @@
 			c.resumeUntilEnd(t)
 			w.settle(t)
 			stopLoad()
-			w.verdict(t, l)
+			assert.Check(t, w.verdict(l.tally))
 		})
 	}
 }
