Limits of callers are settings with effect; one way to fill a digest

Cause: the read-through found a setting (body-timeout) that nothing read, others with defaults that differed from those in force, two options of the peer mesh for the same thing (loads were computed twice a digest), one function of 62 lines. Change: settings hold entry.Limits itself, ten keys; peer.Options.Fill alone; the daemon's wiring in three parts.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -156,7 +156,19 @@
 	d.machines = paced.New(machines, clockwork.NewRealClock())
 }
 
+// wire puts the parts together. They are tied by functions that are called only
+// once all of them stand.
 func (d *Daemon) wire(o Options) error {
+	if err := d.wirePeers(o); err != nil {
+		return err
+	}
+	d.wireRequests(o)
+	d.wireFleet(o)
+	return nil
+}
+
+// wirePeers makes the links to other entry VMs and what keeps the view by them.
+func (d *Daemon) wirePeers(o Options) error {
 	server, client, err := peerTLS(d.settings.Peers, d.log.WithName("tls"))
 	if err != nil {
 		return err
@@ -170,7 +182,6 @@
 		Dial:      peerDial(o.Dial),
 		TLS:       server,
 		ClientTLS: client,
-		Local:     func() ([]peer.TargetLoad, int) { return d.entry.Loads(), d.entry.Queued() },
 		Fill:      d.fillDigest,
 		Watching:  func() bool { return d.relay.Watching() },
 		Log:       d.log.WithName("peer"),
@@ -178,6 +189,11 @@
 	ro := relay.Options{Self: d.self, Store: d.store, View: d.view, Peers: d.mesh, Log: d.log.WithName("relay")}
 	d.relay = relay.New(ro)
 	d.registry = relay.NewRegistry(ro)
+	return nil
+}
+
+// wireRequests makes the callers' path.
+func (d *Daemon) wireRequests(o Options) {
 	d.claims = claim.NewLedger(claim.Options{
 		Store:    d.store,
 		Self:     d.self,
@@ -193,10 +209,14 @@
 		Log:    d.log.WithName("entry"),
 		Zone:   d.self.Zone,
 		Self:   d.self.ID,
-		Limits: d.entryLimits(),
+		Limits: d.settings.Limits,
 		Seed:   d.self.Incarnation,
 		Dial:   o.Dial,
 	})
+}
+
+// wireFleet makes what moves, maintains and uses VMs.
+func (d *Daemon) wireFleet(o Options) {
 	d.prober = prober.New(prober.Options{Self: d.self.ID, Zone: d.self.Zone, View: d.view, Peers: d.mesh, Dial: o.Dial})
 	d.fleet = fleet.New(fleet.Options{
 		Store:    d.store,
@@ -217,7 +237,6 @@
 		Soon:     d.soon,
 		Log:      d.log.WithName("jobs"),
 	})
-	return nil
 }
 
 // fillDigest sets what peers are told beside what the mesh knows itself.
@@ -226,15 +245,6 @@
 	d.prober.Fill(dg)
 }
 
-func (d *Daemon) entryLimits() entry.Limits {
-	l := entry.DefaultLimits()
-	l.HeaderBytes = d.settings.Limits.HeaderBytes
-	l.BodyBytes = d.settings.Limits.BodyBytes
-	l.HeaderTimeout = d.settings.Limits.HeaderTimeout
-	l.IdleTimeout = d.settings.Limits.IdleTimeout
-	return l
-}
-
 // soon reports whether a VM is about to be maintained.
 func (d *Daemon) soon(id model.VMID) bool {
 	vm, known := d.view.Load().VMs[id]
--- a/internal/daemon/http.go
+++ b/internal/daemon/http.go
@@ -52,7 +52,7 @@
 	d.addProbes(r)
 	r.PathPrefix("/").Handler(d.entry)
 	srv := &http.Server{Handler: d.closeWhenLeaving(r)}
-	d.entryLimits().Apply(srv)
+	d.settings.Limits.Apply(srv)
 	return srv
 }
 
--- a/internal/daemon/tls_test.go
+++ b/internal/daemon/tls_test.go
@@ -22,6 +22,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/pumicestage/pumicestage/internal/access"
+	"github.com/pumicestage/pumicestage/internal/entry"
 	"github.com/pumicestage/pumicestage/internal/platform/memstore"
 	"github.com/pumicestage/pumicestage/internal/settings"
 	"github.com/pumicestage/pumicestage/policy/model"
@@ -63,7 +64,7 @@
 	d, err := New(Options{Log: logr.Discard(), Store: store, Settings: &settings.Settings{
 		ID: id, Zone: "za", Cluster: "test", Callers: m.listener, Operators: m.listener, Peers: peers,
 		Seeds: seeds, Machines: "http://127.0.0.1:1", PlatformTimeout: time.Second, TokensFile: tokens, Drain: time.Second,
-		Limits: settings.Limits{HeaderBytes: 32 << 10, BodyBytes: 1 << 20, HeaderTimeout: time.Second, BodyTimeout: time.Second, IdleTimeout: time.Second},
+		Limits: entry.DefaultLimits(),
 	}})
 	assert.NilError(t, err)
 	ended := make(chan struct{})
--- a/internal/dev/cluster.go
+++ b/internal/dev/cluster.go
@@ -15,6 +15,7 @@
 	"github.com/jonboulle/clockwork"
 
 	"github.com/pumicestage/pumicestage/internal/daemon"
+	"github.com/pumicestage/pumicestage/internal/entry"
 	"github.com/pumicestage/pumicestage/internal/faketarget"
 	"github.com/pumicestage/pumicestage/internal/platform/standin"
 	"github.com/pumicestage/pumicestage/internal/settings"
@@ -205,10 +206,7 @@
 		Machines:        c.base,
 		PlatformTimeout: 2 * time.Second,
 		Drain:           30 * time.Second,
-		Limits: settings.Limits{
-			HeaderBytes: 32 << 10, BodyBytes: 64 << 20,
-			HeaderTimeout: 5 * time.Second, BodyTimeout: 10 * time.Second, IdleTimeout: 90 * time.Second,
-		},
+		Limits:          entry.DefaultLimits(),
 	}
 }
 
--- a/internal/peer/mesh.go
+++ b/internal/peer/mesh.go
@@ -20,7 +20,7 @@
 // must not wait.
 type Handler func(from model.EntryID, body []byte)
 
-// Options are what a Mesh needs. Self, Cluster, Listener, View and Local must
+// Options are what a Mesh needs. Self, Cluster, Listener and View must
 // be set.
 type Options struct {
 	Self     view.EntryRecord // with the incarnation of this run
@@ -35,11 +35,8 @@
 	// ClientTLS returns the configuration of a connection to be dialled, so
 	// that it has the newest certificates; nil for that of TLS.
 	ClientTLS func() *tls.Config
-	// Local returns what this entry VM has in flight itself, and its queue's
-	// length.
-	Local func() (loads []TargetLoad, queued int)
-	// Fill adds to each digest what else is told, such as slots lent; nil for
-	// nothing.
+	// Fill sets in each digest what this entry VM knows beside its view: its
+	// loads, its queue, what it lends, the VMs it asks; nil for nothing.
 	Fill func(*Digest)
 	// Watching reports whether this entry VM holds the platform's watch; nil
 	// for never.
@@ -296,20 +293,18 @@
 
 // digest returns what this entry VM knows first hand now, with all loads.
 func (m *Mesh) digest() Digest {
-	loads, queued := m.opts.Local()
 	v := m.opts.View.Load()
 	d := Digest{
 		Entry: m.opts.Self.ID, Zone: m.opts.Self.Zone, Seq: m.seq.Add(1),
 		Revision: v.Revision, Generation: v.Generation(), AgeMillis: ageMillis(time.Since(v.AsOf)),
-		Clock: time.Now().UnixMilli(),
-		Loads: loads, Queued: uint32(queued), Watching: m.opts.Watching(),
-	}
-	for _, l := range loads {
-		d.InFlight += uint32(l.InFlight)
+		Clock: time.Now().UnixMilli(), Watching: m.opts.Watching(),
 	}
 	if m.opts.Fill != nil {
 		m.opts.Fill(&d)
 	}
+	for _, l := range d.Loads {
+		d.InFlight += uint32(l.InFlight)
+	}
 	return d
 }
 
--- a/internal/peer/mesh_test.go
+++ b/internal/peer/mesh_test.go
@@ -34,10 +34,10 @@
 	d.loads = loads
 }
 
-func (d *daemon) local() ([]TargetLoad, int) {
+func (d *daemon) fill(digest *Digest) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.loads, 3
+	digest.Loads, digest.Queued = d.loads, 3
 }
 
 // start runs an entry VM whose address is its ID; it dials all of seeds.
@@ -47,7 +47,7 @@
 		Self:    view.EntryRecord{ID: id, Zone: zone, Peer: string(id), Incarnation: incarnation},
 		Cluster: "test", Seeds: seeds, View: view.NewHolder(),
 		Listener: n.Listen(zone, string(id)), Dial: n.Dialer(zone),
-		Local: d.local, Log: logr.Discard(),
+		Fill: d.fill, Log: logr.Discard(),
 	})
 	ctx, cancel := context.WithCancel(t.Context())
 	ended := make(chan struct{})
--- a/internal/peer/tls_test.go
+++ b/internal/peer/tls_test.go
@@ -55,7 +55,7 @@
 			return New(Options{
 				Self: view.EntryRecord{ID: model.EntryID(id), Zone: "z", Peer: id, Incarnation: 1},
 				View: view.NewHolder(), Seeds: []string{"a"}, Listener: n.Listen("z", id), Dial: n.Dialer("z"),
-				TLS: config, Local: func() ([]TargetLoad, int) { return nil, 0 }, Log: logr.Discard(),
+				TLS: config, Log: logr.Discard(),
 			})
 		}
 		meshes := []*Mesh{join("a", good), join("b", good), join("c", bare)}
--- a/internal/relay/bench_test.go
+++ b/internal/relay/bench_test.go
@@ -57,7 +57,7 @@
 		n := &live{view: view.NewHolder(), way: faulty.Wrap(f.store)}
 		n.mesh = peer.New(peer.Options{
 			Self: self, Seeds: seeds, View: n.view, Listener: ln,
-			Local:    func() ([]peer.TargetLoad, int) { return loads, 0 },
+			Fill:     func(d *peer.Digest) { d.Loads = loads },
 			Watching: func() bool { return n.relay.Watching() }, Log: logr.Discard(),
 		})
 		opts := Options{Self: self, Store: n.way, View: n.view, Peers: n.mesh, Log: logr.Discard()}
--- a/internal/relay/cluster_test.go
+++ b/internal/relay/cluster_test.go
@@ -221,7 +221,6 @@
 	n.mesh = peer.New(peer.Options{
 		Self: self, Seeds: seeds, View: n.view,
 		Listener: c.network.Listen(zone, id), Dial: c.network.Dialer(zone),
-		Local:    func() ([]peer.TargetLoad, int) { return nil, 0 },
 		Watching: func() bool { return n.Watching() }, Log: logr.Discard(),
 	})
 	opts := Options{Self: self, Store: w, View: n.view, Peers: n.mesh, Log: logr.Discard()}
--- a/internal/settings/fields.go
+++ b/internal/settings/fields.go
@@ -44,17 +44,28 @@
 		{"access", "tokens", "", false, expectsFile, file(func(s *Settings) *string { return &s.TokensFile })},
 		{"log", "level", "info", false, "debug, info, warn or error", func(s *Settings, t string) bool { return s.LogLevel.UnmarshalText([]byte(t)) == nil }},
 		{"log", "format", "text", false, "text or json", setFormat},
-		{"limits", "header-bytes", "32768", false, expectsBytes, setHeaderBytes},
-		{"limits", "body-bytes", "67108864", false, expectsBytes, setBodyBytes},
-		{"limits", "header-timeout", "5s", false, expectsDuration, duration(func(s *Settings) *time.Duration { return &s.Limits.HeaderTimeout })},
-		{"limits", "body-timeout", "10s", false, expectsDuration, duration(func(s *Settings) *time.Duration { return &s.Limits.BodyTimeout })},
-		{"limits", "idle-timeout", "90s", false, expectsDuration, duration(func(s *Settings) *time.Duration { return &s.Limits.IdleTimeout })},
 	},
+	limits,
 	listener("callers", func(s *Settings) *Listener { return &s.Callers }),
 	listener("operators", func(s *Settings) *Listener { return &s.Operators }),
 	listener("peers", func(s *Settings) *Listener { return &s.Peers }),
 )
 
+// limits bound what one caller may hold of an entry VM; what is not set keeps
+// the default of package entry, which gives the reasons.
+var limits = []field{
+	{"limits", "header-bytes", "", false, expectsBytes, number(func(s *Settings) *int { return &s.Limits.HeaderBytes })},
+	{"limits", "body-bytes", "", false, expectsBytes, number(func(s *Settings) *int64 { return &s.Limits.BodyBytes })},
+	{"limits", "once-body-bytes", "", false, expectsBytes, number(func(s *Settings) *int64 { return &s.Limits.OnceBodyBytes })},
+	{"limits", "header-timeout", "", false, expectsDuration, duration(func(s *Settings) *time.Duration { return &s.Limits.HeaderTimeout })},
+	{"limits", "idle-timeout", "", false, expectsDuration, duration(func(s *Settings) *time.Duration { return &s.Limits.IdleTimeout })},
+	{"limits", "body-grace", "", false, expectsDuration, duration(func(s *Settings) *time.Duration { return &s.Limits.BodyGrace })},
+	{"limits", "body-rate", "", false, expectsBytes + " a second", number(func(s *Settings) *int64 { return &s.Limits.BodyRate })},
+	{"limits", "write-timeout", "", false, expectsDuration, duration(func(s *Settings) *time.Duration { return &s.Limits.WriteTimeout })},
+	{"limits", "max-timeout", "", false, expectsDuration, duration(func(s *Settings) *time.Duration { return &s.Limits.MaxTimeout })},
+	{"limits", "inside", "", false, "a positive number of requests", number(func(s *Settings) *int { return &s.Limits.Inside })},
+}
+
 // listener returns the keys that each of the three listeners has.
 func listener(section string, of func(*Settings) *Listener) []field {
 	return []field{
@@ -93,16 +104,12 @@
 	return t == "json" || t == "text"
 }
 
-func setHeaderBytes(s *Settings, t string) bool {
-	n, err := strconv.Atoi(t)
-	s.Limits.HeaderBytes = n
-	return err == nil && n > 0
-}
-
-func setBodyBytes(s *Settings, t string) bool {
-	n, err := strconv.ParseInt(t, 10, 64)
-	s.Limits.BodyBytes = n
-	return err == nil && n > 0
+func number[T int | int64](of func(*Settings) *T) func(*Settings, string) bool {
+	return func(s *Settings, t string) bool {
+		n, err := strconv.ParseInt(t, 10, strconv.IntSize)
+		*of(s) = T(n)
+		return err == nil && n > 0
+	}
 }
 
 func duration(of func(*Settings) *time.Duration) func(*Settings, string) bool {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -10,6 +10,7 @@
 
 	"gopkg.in/ini.v1"
 
+	"github.com/pumicestage/pumicestage/internal/entry"
 	"github.com/pumicestage/pumicestage/policy/model"
 )
 
@@ -34,7 +35,7 @@
 	LogJSON  bool
 
 	Drain  time.Duration // how long SIGTERM waits for requests in flight
-	Limits Limits
+	Limits entry.Limits
 }
 
 // Listener is one of the daemon's three listeners.
@@ -49,15 +50,6 @@
 // TLS reports whether the listener uses TLS.
 func (l Listener) TLS() bool { return l.Cert != "" }
 
-// Limits bound what one caller's connection may take of an entry VM.
-type Limits struct {
-	HeaderBytes   int           // of one request's headers
-	BodyBytes     int64         // of one request's body
-	HeaderTimeout time.Duration // to receive the headers; ends slow senders
-	BodyTimeout   time.Duration // longest pause between two pieces of a body
-	IdleTimeout   time.Duration // of a connection between two requests
-}
-
 // Mistake is one fault in a settings file.
 type Mistake struct {
 	Section, Key string
@@ -102,7 +94,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("settings: %w", err)
 	}
-	s := &Settings{}
+	s := &Settings{Limits: entry.DefaultLimits()}
 	mistakes := unknown(f)
 	mistakes = append(mistakes, s.fill(f)...)
 	mistakes = append(mistakes, s.crossCheck()...)
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -7,6 +7,8 @@
 
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/fs"
+
+	"github.com/pumicestage/pumicestage/internal/entry"
 )
 
 const good = `
@@ -72,6 +74,17 @@
 	assert.DeepEqual(t, got, want)
 }
 
+func TestLoadLimits(t *testing.T) {
+	s, err := load(t, good+"[limits]\nbody-rate = 100\ninside = 7\nwrite-timeout = 3s\n")
+	assert.NilError(t, err)
+	want := entry.DefaultLimits()
+	want.BodyRate, want.Inside, want.WriteTimeout = 100, 7, 3*time.Second
+	assert.DeepEqual(t, s.Limits, want)
+	_, err = load(t, good+"[limits]\nbody-rate = -1\ninside = many\n")
+	assert.ErrorContains(t, err, `[limits] body-rate: given "-1"`)
+	assert.ErrorContains(t, err, `[limits] inside: given "many"`)
+}
+
 func TestLoadCrossChecksTLS(t *testing.T) {
 	_, err := load(t, good+"[callers]\ntls-cert = /dev/null\n")
 	assert.ErrorContains(t, err, "tls-cert and tls-key go together")
