Denied orders on jobs are in the audit trail

Cause: the jobs' port answered a denied submit or cancel without an entry, the operators' port makes one. Change: an entry for each that is not let in, but for questions. Measured: TestDeniedSubmitIsInTheTrail red without the change, green with it.

--- a/internal/jobs/jobsapi/jobsapi.go
+++ b/internal/jobs/jobsapi/jobsapi.go
@@ -80,6 +80,10 @@
 				return
 			}
 		}
+		var denied *access.Error
+		if errors.As(err, &denied) && method != http.MethodGet {
+			h.Trail.Note(audit.Entry{Who: who.Name, From: remote(req), What: method + " " + req.URL.Path, Result: audit.Refused, Detail: denied.Error()})
+		}
 		p := problemOf(err)
 		h.Log.V(1).Info("request on jobs failed", "who", who.Name, "status", p.Status, "error", err.Error())
 		writeJSON(w, p.Status, "application/problem+json", p)
--- a/internal/jobs/jobsapi/jobsapi_test.go
+++ b/internal/jobs/jobsapi/jobsapi_test.go
@@ -33,8 +33,9 @@
 
 type port struct {
 	http.Handler
-	jobs *jobs.Jobs
-	gate *gate
+	jobs  *jobs.Jobs
+	gate  *gate
+	trail *audit.Trail
 }
 
 func newPort(t *testing.T) *port {
@@ -49,8 +50,8 @@
 		VMs: map[model.VMID]view.VMRecord{"v1": {VM: model.VM{ID: "v1", Capacity: capacity, State: model.VMInPool, Pool: "batch", Zone: "gt-a"}}}})
 	j := jobs.New(jobs.Options{Store: store, Machines: platform.Machines, View: holder, Self: "e1", Clock: clock, Log: logr.Discard()})
 	g := &gate{role: access.RoleOperate}
-	trail := audit.New(audit.Options{Store: store, Self: "e1", Clock: clock, Log: logr.Discard()})
-	return &port{New(Options{Jobs: j, Access: g, Trail: trail, Log: logr.Discard()}), j, g}
+	trail := audit.New(audit.Options{Store: store, Self: "e1", Clock: clock, Pace: -1, Log: logr.Discard()})
+	return &port{New(Options{Jobs: j, Access: g, Trail: trail, Log: logr.Discard()}), j, g, trail}
 }
 
 // call returns the status and decodes the answer into reply.
@@ -122,3 +123,20 @@
 		})
 	}
 }
+
+// An operator without the role submits jobs. The refusal has to be in the audit
+// trail: whoever tries doors is to be seen, also where none opened.
+func TestDeniedSubmitIsInTheTrail(t *testing.T) {
+	p := newPort(t)
+	p.gate.role = access.RoleView
+	assert.Equal(t, p.call(t, http.MethodPost, Prefix, two, nil), http.StatusForbidden)
+	assert.Equal(t, p.call(t, http.MethodGet, Prefix, "", nil), http.StatusOK)
+	assert.NilError(t, p.trail.Flush(t.Context()))
+
+	entries, _, err := p.trail.Read(t.Context(), audit.Filter{})
+
+	assert.NilError(t, err)
+	assert.Equal(t, len(entries), 1)
+	assert.Equal(t, entries[0].Result, audit.Refused)
+	assert.Equal(t, entries[0].Who, "ana")
+}
