--- a/cmd/pumicestage/cli_test.go
+++ b/cmd/pumicestage/cli_test.go
@@ -16,9 +16,9 @@
 	"github.com/pumicestage/pumicestage/internal/audit"
 	"github.com/pumicestage/pumicestage/internal/command"
 	"github.com/pumicestage/pumicestage/internal/config"
+	"github.com/pumicestage/pumicestage/internal/infra"
 	"github.com/pumicestage/pumicestage/internal/lang"
 	"github.com/pumicestage/pumicestage/internal/operator/operatortest"
-	"github.com/pumicestage/pumicestage/internal/platform"
 	"github.com/pumicestage/pumicestage/policy/model"
 )
 
@@ -137,9 +137,9 @@
 	rival := loadExample(t)
 	rival.Service("preview").Limit = 7
 	writes := 0
-	b.Way.Before(func(_ string, txn platform.Txn) {
+	b.Way.Before(func(_ string, txn infra.Txn) {
 		for _, op := range txn.Then {
-			if op.Key != platform.ConfigKey {
+			if op.Key != infra.ConfigKey {
 				continue
 			}
 			if writes++; writes > 1 {
--- a/cmd/pumicestage/do.go
+++ b/cmd/pumicestage/do.go
@@ -7,9 +7,9 @@
 
 	"github.com/alecthomas/kingpin/v2"
 
+	"github.com/pumicestage/pumicestage/internal/infra"
 	"github.com/pumicestage/pumicestage/internal/operator/api"
 	"github.com/pumicestage/pumicestage/internal/operator/client"
-	"github.com/pumicestage/pumicestage/internal/platform"
 	"github.com/pumicestage/pumicestage/policy/model"
 )
 
@@ -19,7 +19,7 @@
 	change := cmd.Flag("change", "Change ID; give that of an earlier try to repeat it.").String()
 	ifRevision := cmd.Flag("if-revision", "Refuse unless the key that decides has this revision.").Int64()
 	cmd.Action(action(func(ctx context.Context) error {
-		req := api.DoRequest{Text: orderText(*words), Change: model.ChangeID(*change), IfRevision: platform.Revision(*ifRevision)}
+		req := api.DoRequest{Text: orderText(*words), Change: model.ChangeID(*change), IfRevision: infra.Revision(*ifRevision)}
 		return c.do(ctx, req)
 	}))
 }
--- a/internal/audit/segment.go
+++ b/internal/audit/segment.go
@@ -7,12 +7,12 @@
 
 	"github.com/gravitational/trace"
 
-	"github.com/pumicestage/pumicestage/internal/platform"
+	"github.com/pumicestage/pumicestage/internal/infra"
 )
 
 const (
-	indexKey      = platform.AuditPrefix + "index"
-	segmentPrefix = platform.AuditPrefix + "segment/"
+	indexKey      = infra.AuditPrefix + "index"
+	segmentPrefix = infra.AuditPrefix + "segment/"
 )
 
 const (
@@ -84,7 +84,7 @@
 	return dropped
 }
 
-func readIndex(ctx context.Context, store platform.Store) (index, platform.Revision, error) {
+func readIndex(ctx context.Context, store infra.Store) (index, infra.Revision, error) {
 	kv, _, err := store.Get(ctx, indexKey)
 	if err != nil || kv.ModRevision == 0 {
 		return index{}, 0, trace.Wrap(err)
@@ -96,7 +96,7 @@
 	return ix, kv.ModRevision, nil
 }
 
-func readSegment(ctx context.Context, store platform.Store, key string) (segment, error) {
+func readSegment(ctx context.Context, store infra.Store, key string) (segment, error) {
 	kv, _, err := store.Get(ctx, key)
 	if err != nil || kv.ModRevision == 0 {
 		return segment{}, trace.Wrap(err)
--- a/internal/audit/trail.go
+++ b/internal/audit/trail.go
@@ -12,7 +12,7 @@
 	"github.com/go-logr/logr"
 	"github.com/jonboulle/clockwork"
 
-	"github.com/pumicestage/pumicestage/internal/platform"
+	"github.com/pumicestage/pumicestage/internal/infra"
 	"github.com/pumicestage/pumicestage/policy/model"
 )
 
@@ -36,7 +36,7 @@
 
 // Options are what a Trail works with. Store and Self are required.
 type Options struct {
-	Store platform.Store
+	Store infra.Store
 	Self  model.EntryID
 	Clock clockwork.Clock // the real one if nil
 	Log   logr.Logger
@@ -46,7 +46,7 @@
 // Trail appends to the trail of changes and reads it. It is safe for
 // concurrent use.
 type Trail struct {
-	store platform.Store
+	store infra.Store
 	self  model.EntryID
 	clock clockwork.Clock
 	log   logr.Logger
@@ -60,7 +60,7 @@
 	// Used by the one flush at a time.
 	open      segment
 	openKey   string // empty where a new segment must be opened
-	openRev   platform.Revision
+	openRev   infra.Revision
 	openSince time.Time
 	openLast  time.Time // when it was last written
 	openBytes int
@@ -210,7 +210,7 @@
 	t.lastWrite = t.clock.Now()
 	if t.openKey != "" && !t.full() {
 		err := t.appendTo(ctx, entries)
-		if !platform.IsKind(err, platform.KindConflict) {
+		if !infra.IsKind(err, infra.KindConflict) {
 			return t.settle(err)
 		}
 		// A late copy of a lost write has changed the segment, or another
@@ -226,7 +226,7 @@
 	if err == nil {
 		return nil
 	}
-	certain := !platform.IsKind(err, platform.KindUnknown)
+	certain := !infra.IsKind(err, infra.KindUnknown)
 	t.log.Error(err, "audit trail not written", "certain", certain)
 	return &Error{Certain: certain, Err: err}
 }
@@ -259,9 +259,9 @@
 	if err != nil {
 		return err
 	}
-	res, err := platform.Commit(ctx, t.store, platform.Txn{
-		If:   []platform.Cond{{Key: t.openKey, ModRevision: t.openRev}},
-		Then: []platform.Op{platform.Put(t.openKey, value)},
+	res, err := infra.Commit(ctx, t.store, infra.Txn{
+		If:   []infra.Cond{{Key: t.openKey, ModRevision: t.openRev}},
+		Then: []infra.Op{infra.Put(t.openKey, value)},
 	})
 	if err != nil {
 		return err
@@ -283,7 +283,7 @@
 	}
 	for range indexTries {
 		res, err := t.tryOpen(ctx, key, value, now)
-		if platform.IsKind(err, platform.KindConflict) {
+		if infra.IsKind(err, infra.KindConflict) {
 			continue
 		}
 		if err != nil {
@@ -296,22 +296,22 @@
 	return errors.New("the index keeps changing")
 }
 
-func (t *Trail) tryOpen(ctx context.Context, key string, value []byte, now time.Time) (platform.TxnResult, error) {
+func (t *Trail) tryOpen(ctx context.Context, key string, value []byte, now time.Time) (infra.TxnResult, error) {
 	ix, rev, err := readIndex(ctx, t.store)
 	if err != nil {
-		return platform.TxnResult{}, err
+		return infra.TxnResult{}, err
 	}
 	dropped := ix.advance(segmentRef{Key: t.openKey, To: t.openLast.UTC()}, segmentRef{Key: key, From: now}, rand.Text())
 	indexValue, err := json.Marshal(ix)
 	if err != nil {
-		return platform.TxnResult{}, err
+		return infra.TxnResult{}, err
 	}
-	txn := platform.Txn{
-		If:   []platform.Cond{{Key: indexKey, ModRevision: rev}, {Key: key}},
-		Then: []platform.Op{platform.Put(key, value), platform.Put(indexKey, indexValue)},
+	txn := infra.Txn{
+		If:   []infra.Cond{{Key: indexKey, ModRevision: rev}, {Key: key}},
+		Then: []infra.Op{infra.Put(key, value), infra.Put(indexKey, indexValue)},
 	}
 	for _, old := range dropped {
-		txn.Then = append(txn.Then, platform.Delete(old))
+		txn.Then = append(txn.Then, infra.Delete(old))
 	}
-	return platform.Commit(ctx, t.store, txn)
+	return infra.Commit(ctx, t.store, txn)
 }
--- a/internal/audit/trail_test.go
+++ b/internal/audit/trail_test.go
@@ -13,9 +13,9 @@
 	"github.com/jonboulle/clockwork"
 	"gotest.tools/v3/assert"
 
-	"github.com/pumicestage/pumicestage/internal/platform"
-	"github.com/pumicestage/pumicestage/internal/platform/faulty"
-	"github.com/pumicestage/pumicestage/internal/platform/memstore"
+	"github.com/pumicestage/pumicestage/internal/infra"
+	"github.com/pumicestage/pumicestage/internal/infra/faulty"
+	"github.com/pumicestage/pumicestage/internal/infra/memstore"
 	"github.com/pumicestage/pumicestage/policy/model"
 )
 
@@ -24,7 +24,7 @@
 	epoch = time.Date(2026, 3, 1, 3, 0, 0, 0, time.UTC)
 )
 
-func newTrail(store platform.Store, clock clockwork.Clock, self string) *Trail {
+func newTrail(store infra.Store, clock clockwork.Clock, self string) *Trail {
 	return New(Options{Store: store, Self: model.EntryID(self), Clock: clock, Pace: -1})
 }
 
@@ -47,7 +47,7 @@
 // Record calls certain is in the trail exactly once, what it calls certainly
 // not recorded is not, and the trail goes on afterwards.
 func TestRecordUnderFaults(t *testing.T) {
-	rival := func(inner platform.Store, clock clockwork.Clock) func() {
+	rival := func(inner infra.Store, clock clockwork.Clock) func() {
 		return func() { _ = newTrail(inner, clock, "e2").Record(ctx, order(9)) }
 	}
 	cases := []struct {
@@ -110,8 +110,8 @@
 	way := faulty.Wrap(inner)
 	trail := newTrail(way, clock, "e1")
 	assert.NilError(t, trail.Record(ctx, order(1)))
-	var late platform.Txn
-	way.Before(func(_ string, txn platform.Txn) { late = txn })
+	var late infra.Txn
+	way.Before(func(_ string, txn infra.Txn) { late = txn })
 	way.LoseRequests(99)
 	assert.Assert(t, trail.Record(ctx, order(2)) != nil)
 	way.Before(nil)
@@ -128,7 +128,7 @@
 
 func beforeWrite(way *faulty.Store, nth int, f func()) {
 	seen := 0
-	way.Before(func(string, platform.Txn) {
+	way.Before(func(string, infra.Txn) {
 		if seen++; seen == nth {
 			f()
 		}
@@ -187,7 +187,7 @@
 		assert.NilError(t, trail.Record(ctx, e))
 		clock.Advance(time.Second)
 	}
-	kvs, _, err := store.Range(ctx, platform.AuditPrefix)
+	kvs, _, err := store.Range(ctx, infra.AuditPrefix)
 	assert.NilError(t, err)
 	assert.Assert(t, len(kvs) > 5, "%d keys", len(kvs))
 	for _, kv := range kvs {
@@ -310,7 +310,7 @@
 			reads += way.reads
 			written += way.bytes
 		}
-		kvs, _, _ := inner.Range(ctx, platform.AuditPrefix)
+		kvs, _, _ := inner.Range(ctx, infra.AuditPrefix)
 		held := 0
 		for _, kv := range kvs {
 			held += len(kv.Value)
@@ -325,19 +325,19 @@
 
 // counting counts calls and the bytes written.
 type counting struct {
-	platform.Store
+	infra.Store
 	mu                   sync.Mutex
 	writes, reads, bytes int
 }
 
-func (c *counting) Get(ctx context.Context, key string) (platform.KV, platform.Revision, error) {
+func (c *counting) Get(ctx context.Context, key string) (infra.KV, infra.Revision, error) {
 	c.mu.Lock()
 	c.reads++
 	c.mu.Unlock()
 	return c.Store.Get(ctx, key)
 }
 
-func (c *counting) Txn(ctx context.Context, txn platform.Txn) (platform.TxnResult, error) {
+func (c *counting) Txn(ctx context.Context, txn infra.Txn) (infra.TxnResult, error) {
 	c.mu.Lock()
 	c.writes++
 	for _, op := range txn.Then {
--- a/internal/claim/bench_test.go
+++ b/internal/claim/bench_test.go
@@ -12,18 +12,18 @@
 	"github.com/jonboulle/clockwork"
 	"golang.org/x/time/rate"
 
-	"github.com/pumicestage/pumicestage/internal/platform"
-	"github.com/pumicestage/pumicestage/internal/platform/faulty"
-	"github.com/pumicestage/pumicestage/internal/platform/memstore"
+	"github.com/pumicestage/pumicestage/internal/infra"
+	"github.com/pumicestage/pumicestage/internal/infra/faulty"
+	"github.com/pumicestage/pumicestage/internal/infra/memstore"
 	"github.com/pumicestage/pumicestage/internal/view"
 	"github.com/pumicestage/pumicestage/policy/model"
 )
 
 // slow answers as the platform does, in milliseconds.
-type slow struct{ platform.Store }
+type slow struct{ infra.Store }
 
-// Txn implements platform.Store.
-func (s slow) Txn(ctx context.Context, txn platform.Txn) (platform.TxnResult, error) {
+// Txn implements infra.Store.
+func (s slow) Txn(ctx context.Context, txn infra.Txn) (infra.TxnResult, error) {
 	time.Sleep(2 * time.Millisecond)
 	return s.Store.Txn(ctx, txn)
 }
--- a/internal/claim/chaos_test.go
+++ b/internal/claim/chaos_test.go
@@ -13,13 +13,13 @@
 	"github.com/anishathalye/porcupine"
 	"gotest.tools/v3/assert"
 
-	"github.com/pumicestage/pumicestage/internal/platform"
+	"github.com/pumicestage/pumicestage/internal/infra"
 )
 
 // chaos is a way to a store that answers late, loses requests and replies, and
 // delivers lost requests later, by a seed.
 type chaos struct {
-	platform.Store
+	infra.Store
 
 	mu     sync.Mutex
 	random *rand.Rand
@@ -47,25 +47,25 @@
 	c.mu.Unlock()
 }
 
-// Txn implements platform.Store.
-func (c *chaos) Txn(ctx context.Context, txn platform.Txn) (platform.TxnResult, error) {
+// Txn implements infra.Store.
+func (c *chaos) Txn(ctx context.Context, txn infra.Txn) (infra.TxnResult, error) {
 	fate, wait := c.draw()
 	time.Sleep(wait)
-	lost := platform.Errorf("txn", platform.KindUnknown, "reply lost")
+	lost := infra.Errorf("txn", infra.KindUnknown, "reply lost")
 	switch {
 	case fate < 0.15: // took effect, reply lost
 		c.Store.Txn(ctx, txn)
-		return platform.TxnResult{}, lost
+		return infra.TxnResult{}, lost
 	case fate < 0.25: // never arrives
-		return platform.TxnResult{}, lost
+		return infra.TxnResult{}, lost
 	case fate < 0.40: // arrives much later
 		c.late.Go(func() {
 			time.Sleep(50 * wait)
 			c.Store.Txn(context.WithoutCancel(ctx), txn)
 		})
-		return platform.TxnResult{}, lost
+		return infra.TxnResult{}, lost
 	case fate < 0.50:
-		return platform.TxnResult{}, platform.Errorf("txn", platform.KindUnavailable, "refused")
+		return infra.TxnResult{}, infra.Errorf("txn", infra.KindUnavailable, "refused")
 	}
 	return c.Store.Txn(ctx, txn)
 }
--- a/internal/claim/claim.go
+++ b/internal/claim/claim.go
@@ -7,7 +7,7 @@
 	"context"
 	"time"
 
-	"github.com/pumicestage/pumicestage/internal/platform"
+	"github.com/pumicestage/pumicestage/internal/infra"
 	"github.com/pumicestage/pumicestage/policy/model"
 )
 
@@ -66,7 +66,7 @@
 	// new claim of the key runs.
 	SendBy time.Time
 	// Revision is the claim's in the store.
-	Revision platform.Revision
+	Revision infra.Revision
 }
 
 // MaySend reports whether the request may still be sent. Both clocks count: a
--- a/internal/claim/failure_test.go
+++ b/internal/claim/failure_test.go
@@ -11,7 +11,7 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/pumicestage/pumicestage/internal/platform"
+	"github.com/pumicestage/pumicestage/internal/infra"
 	"github.com/pumicestage/pumicestage/policy/model"
 )
 
@@ -53,7 +53,7 @@
 		}, Won},
 		{"no reply ever, then the store is down: not certain, and freed once it is back", func(t *testing.T, _ *bench, a *node) {
 			a.way.LoseReplies(groupTries)
-			a.way.Before(func(string, platform.Txn) { time.Sleep(50 * time.Millisecond) })
+			a.way.Before(func(string, infra.Txn) { time.Sleep(50 * time.Millisecond) })
 			time.AfterFunc(300*time.Millisecond, func() { a.way.SetDown(true) })
 			_, err := a.try(t, 10*time.Second, req)
 			assert.Assert(t, err != nil && !err.Certain)
@@ -61,7 +61,7 @@
 			time.Sleep(time.Minute)
 		}, Won},
 		{"caller goes away while the claim is on its way: taken back", func(t *testing.T, _ *bench, a *node) {
-			a.way.Before(func(string, platform.Txn) { time.Sleep(100 * time.Millisecond) })
+			a.way.Before(func(string, infra.Txn) { time.Sleep(100 * time.Millisecond) })
 			_, err := a.try(t, 10*time.Millisecond, req)
 			assert.Assert(t, err != nil && !err.Certain)
 			time.Sleep(time.Minute)
@@ -130,7 +130,7 @@
 }
 
 func (b *bench) unregister(id model.EntryID) {
-	_, err := b.store.Txn(b.t.Context(), platform.Txn{Then: []platform.Op{platform.Delete(platform.EntryKey(id))}})
+	_, err := b.store.Txn(b.t.Context(), infra.Txn{Then: []infra.Op{infra.Delete(infra.EntryKey(id))}})
 	assert.NilError(b.t, err)
 }
 
@@ -142,8 +142,8 @@
 		b := newBench(t)
 		a := b.start("a", 1)
 		defer a.stop()
-		var delayed platform.Txn
-		a.way.Before(func(_ string, txn platform.Txn) { delayed = txn })
+		var delayed infra.Txn
+		a.way.Before(func(_ string, txn infra.Txn) { delayed = txn })
 		a.way.LoseRequests(groupTries)
 		_, err := a.try(t, time.Minute, request("k", 1))
 		assert.Assert(t, err != nil && err.Certain)
@@ -158,26 +158,26 @@
 
 // picky is a way to a store that refuses what the test says.
 type picky struct {
-	platform.Store
-	txn func(platform.Txn) error
+	infra.Store
+	txn func(infra.Txn) error
 	get func() error
 }
 
-// Txn implements platform.Store.
-func (p *picky) Txn(ctx context.Context, txn platform.Txn) (platform.TxnResult, error) {
+// Txn implements infra.Store.
+func (p *picky) Txn(ctx context.Context, txn infra.Txn) (infra.TxnResult, error) {
 	time.Sleep(10 * time.Millisecond)
 	if p.txn != nil {
 		if err := p.txn(txn); err != nil {
-			return platform.TxnResult{}, err
+			return infra.TxnResult{}, err
 		}
 	}
 	return p.Store.Txn(ctx, txn)
 }
 
-// Get implements platform.Store.
-func (p *picky) Get(ctx context.Context, key string) (platform.KV, platform.Revision, error) {
+// Get implements infra.Store.
+func (p *picky) Get(ctx context.Context, key string) (infra.KV, infra.Revision, error) {
 	if p.get != nil {
-		return platform.KV{}, 0, p.get()
+		return infra.KV{}, 0, p.get()
 	}
 	return p.Store.Get(ctx, key)
 }
@@ -221,7 +221,7 @@
 		b := newBench(t)
 		a := b.start("a", 1)
 		defer a.stop()
-		c := b.startOn(&picky{Store: b.store, get: func() error { return platform.Errorf("get", platform.KindUnavailable, "down") }}, "c", 1)
+		c := b.startOn(&picky{Store: b.store, get: func() error { return infra.Errorf("get", infra.KindUnavailable, "down") }}, "c", 1)
 		defer c.stop()
 		a.claim(t, request("k", 1))
 		assert.Equal(t, c.claim(t, request("k", 1)).State, Running)
@@ -236,7 +236,7 @@
 		a := b.start("a", 1)
 		defer a.stop()
 		accepted := b.store.Revision() + 4
-		a.opts.Accepted = func() platform.Revision { return accepted }
+		a.opts.Accepted = func() infra.Revision { return accepted }
 		_, err := a.try(t, time.Second, request("k", 1))
 		assert.ErrorIs(t, err, errRestored)
 		assert.Assert(t, err.Certain)
@@ -251,9 +251,9 @@
 	synctest.Test(t, func(t *testing.T) {
 		b := newBench(t)
 		refused := 0
-		a := b.startOn(&picky{Store: b.store, txn: func(platform.Txn) error {
+		a := b.startOn(&picky{Store: b.store, txn: func(infra.Txn) error {
 			if refused++; refused%2 == 1 {
-				return platform.Errorf("txn", platform.KindRateLimited, "slow down")
+				return infra.Errorf("txn", infra.KindRateLimited, "slow down")
 			}
 			return nil
 		}}, "a", 1)
@@ -287,10 +287,10 @@
 			synctest.Test(t, func(t *testing.T) {
 				b := newBench(t)
 				calls := 0
-				a := b.startOn(&picky{Store: b.store, txn: func(txn platform.Txn) error {
+				a := b.startOn(&picky{Store: b.store, txn: func(txn infra.Txn) error {
 					calls++
-					if tc.refuse && slices.ContainsFunc(txn.Then, func(op platform.Op) bool { return op.Key == oddKey }) {
-						return platform.Errorf("txn", platform.KindInvalid, "cannot make sense of it")
+					if tc.refuse && slices.ContainsFunc(txn.Then, func(op infra.Op) bool { return op.Key == oddKey }) {
+						return infra.Errorf("txn", infra.KindInvalid, "cannot make sense of it")
 					}
 					return nil
 				}}, "a", 1)
@@ -309,7 +309,7 @@
 				for i, p := range group {
 					o := <-p.done
 					assert.Equal(t, o.applied, i != odd, "k%d: %v", i, o.err)
-					assert.Equal(t, platform.IsKind(o.err, platform.KindInvalid), tc.refuse && i == odd)
+					assert.Equal(t, infra.IsKind(o.err, infra.KindInvalid), tc.refuse && i == odd)
 				}
 				assert.Assert(t, calls <= tc.maxCalls, "%d calls", calls)
 			})
--- a/internal/claim/group.go
+++ b/internal/claim/group.go
@@ -8,7 +8,7 @@
 
 	"golang.org/x/time/rate"
 
-	"github.com/pumicestage/pumicestage/internal/platform"
+	"github.com/pumicestage/pumicestage/internal/infra"
 )
 
 const (
@@ -36,12 +36,12 @@
 	callTimeout = time.Second
 )
 
-var errNotSent = platform.Errorf("txn", platform.KindUnavailable, "closing")
+var errNotSent = infra.Errorf("txn", infra.KindUnavailable, "closing")
 
 // write is one compare-and-swap of a key. A nil value deletes.
 type write struct {
 	key   string
-	mod   platform.Revision
+	mod   infra.Revision
 	value []byte
 }
 
@@ -49,8 +49,8 @@
 // have taken effect or still will; with any other it has not and will not.
 type outcome struct {
 	applied bool
-	rev     platform.Revision // of the key, where applied
-	current platform.KV       // where another write was first
+	rev     infra.Revision // of the key, where applied
+	current infra.KV       // where another write was first
 	err     error
 }
 
@@ -65,7 +65,7 @@
 // up all the writes the service has. It sends the first write at once; while
 // it waits for its turn again, the next group fills.
 type committer struct {
-	store   platform.Store
+	store   infra.Store
 	sharers func() int // entry VMs that share WritesPerSecond
 	pace    *rate.Limiter
 	slots   chan struct{}
@@ -80,7 +80,7 @@
 	writes uint64
 }
 
-func newCommitter(store platform.Store, sharers func() int) *committer {
+func newCommitter(store infra.Store, sharers func() int) *committer {
 	return &committer{
 		store: store, sharers: sharers,
 		pace:   rate.NewLimiter(WritesPerSecond, writeBurst),
@@ -229,10 +229,10 @@
 			// A lost copy of the earlier, larger group is dead: one of its
 			// conditions is now known to fail for good.
 			lost = nil
-		case platform.IsKind(err, platform.KindUnknown):
+		case infra.IsKind(err, infra.KindUnknown):
 			lost = err
 			pause(ctx, lostPause)
-		case lost != nil || platform.IsKind(err, platform.KindRateLimited):
+		case lost != nil || infra.IsKind(err, infra.KindRateLimited):
 			pause(ctx, lostPause)
 		case isPoisoned(err) && len(group) > 1:
 			c.commitHalves(ctx, group)
@@ -243,16 +243,16 @@
 		}
 	}
 	if lost == nil {
-		settleAll(group, outcome{err: platform.Errorf("txn", platform.KindUnavailable, "not written after %d tries: %v", groupTries, last)})
+		settleAll(group, outcome{err: infra.Errorf("txn", infra.KindUnavailable, "not written after %d tries: %v", groupTries, last)})
 		return
 	}
-	settleAll(group, outcome{err: platform.Errorf("txn", platform.KindUnknown, "%w", lost)})
+	settleAll(group, outcome{err: infra.Errorf("txn", infra.KindUnknown, "%w", lost)})
 }
 
 // isPoisoned reports whether one write alone may be why the service refuses
 // the whole transaction.
 func isPoisoned(err error) bool {
-	return platform.IsKind(err, platform.KindTooLarge) || platform.IsKind(err, platform.KindInvalid)
+	return infra.IsKind(err, infra.KindTooLarge) || infra.IsKind(err, infra.KindInvalid)
 }
 
 // commitHalves finds a refused write in a few calls: the halves without it go
@@ -263,19 +263,19 @@
 	c.commit(ctx, group[half:])
 }
 
-func (c *committer) send(ctx context.Context, group []*pending) (platform.TxnResult, error) {
+func (c *committer) send(ctx context.Context, group []*pending) (infra.TxnResult, error) {
 	// The group outlives any one caller and the daemon's stop: a reply not
 	// waited for is a claim not known.
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), callTimeout)
 	defer cancel()
-	var txn platform.Txn
+	var txn infra.Txn
 	for _, p := range group {
-		txn.If = append(txn.If, platform.Cond{Key: p.key, ModRevision: p.mod})
-		txn.Else = append(txn.Else, platform.Read(p.key))
+		txn.If = append(txn.If, infra.Cond{Key: p.key, ModRevision: p.mod})
+		txn.Else = append(txn.Else, infra.Read(p.key))
 		if p.value == nil {
-			txn.Then = append(txn.Then, platform.Delete(p.key))
+			txn.Then = append(txn.Then, infra.Delete(p.key))
 		} else {
-			txn.Then = append(txn.Then, platform.Put(p.key, p.value))
+			txn.Then = append(txn.Then, infra.Put(p.key, p.value))
 		}
 	}
 	c.mu.Lock()
@@ -288,7 +288,7 @@
 // settleRead settles the writes whose conditions failed and returns the
 // others. A value equal to the write's own is its own: every value bears an
 // ID of its own.
-func settleRead(group []*pending, reads []platform.KV) []*pending {
+func settleRead(group []*pending, reads []infra.KV) []*pending {
 	var again []*pending
 	for i, p := range group {
 		kv := reads[i]
--- a/internal/claim/holder.go
+++ b/internal/claim/holder.go
@@ -5,7 +5,7 @@
 	"encoding/json"
 	"time"
 
-	"github.com/pumicestage/pumicestage/internal/platform"
+	"github.com/pumicestage/pumicestage/internal/infra"
 	"github.com/pumicestage/pumicestage/internal/view"
 	"github.com/pumicestage/pumicestage/policy/model"
 )
@@ -47,7 +47,7 @@
 		return s, nil
 	}
 	s = sighting{at: time.Now()}
-	kv, _, err := l.opts.Store.Get(ctx, platform.EntryKey(id))
+	kv, _, err := l.opts.Store.Get(ctx, infra.EntryKey(id))
 	if err != nil {
 		return s, err
 	}
--- a/internal/claim/ledger.go
+++ b/internal/claim/ledger.go
@@ -11,7 +11,7 @@
 	"github.com/go-logr/logr"
 	"github.com/gravitational/trace"
 
-	"github.com/pumicestage/pumicestage/internal/platform"
+	"github.com/pumicestage/pumicestage/internal/infra"
 	"github.com/pumicestage/pumicestage/internal/view"
 	"github.com/pumicestage/pumicestage/policy/model"
 )
@@ -48,14 +48,14 @@
 
 // Options are what a Ledger needs. Store and Self must be set.
 type Options struct {
-	Store platform.Store
+	Store infra.Store
 	Self  view.EntryRecord // as registered in the store, with its incarnation
 	// Live returns the IDs of the live entry VMs, this one included; nil
 	// for this one alone.
 	Live func() []model.EntryID
 	// Accepted returns the highest revision of the store known here; nil for
 	// none. A store that answers with a lower one has been restored.
-	Accepted func() platform.Revision
+	Accepted func() infra.Revision
 	// Clocks returns the earliest and the latest wall clock of the live entry
 	// VMs; nil for the own one alone.
 	Clocks func() (earliest, latest time.Time)
@@ -90,7 +90,7 @@
 		opts.Live = func() []model.EntryID { return self }
 	}
 	if opts.Accepted == nil {
-		opts.Accepted = func() platform.Revision { return 0 }
+		opts.Accepted = func() infra.Revision { return 0 }
 	}
 	if opts.Clocks == nil {
 		opts.Clocks = ownClock
@@ -146,7 +146,7 @@
 	accepted := l.opts.Accepted()
 	r := l.newRecord(req, l.latest())
 	key := storeKey(req.Key)
-	var over platform.Revision // of the released claim this one replaces
+	var over infra.Revision // of the released claim this one replaces
 	for {
 		o, err := l.put(ctx, key, over, r)
 		if err != nil {
@@ -198,7 +198,7 @@
 }
 
 // put writes a claim and waits for its outcome. Its errors are *Error.
-func (l *Ledger) put(ctx context.Context, key string, over platform.Revision, r record) (outcome, error) {
+func (l *Ledger) put(ctx context.Context, key string, over infra.Revision, r record) (outcome, error) {
 	value, err := r.encode()
 	if err != nil {
 		return outcome{}, &Error{Certain: true, Err: trace.Wrap(err)}
@@ -211,7 +211,7 @@
 	p := l.commits.submit(write{key: key, mod: over, value: value})
 	select {
 	case o := <-p.done:
-		if platform.IsKind(o.err, platform.KindUnknown) {
+		if infra.IsKind(o.err, infra.KindUnknown) {
 			return outcome{}, l.settleUnknown(ctx, p, r, o.err)
 		}
 		if o.err != nil {
--- a/internal/claim/ledger_test.go
+++ b/internal/claim/ledger_test.go
@@ -10,9 +10,9 @@
 	"github.com/jonboulle/clockwork"
 	"gotest.tools/v3/assert"
 
-	"github.com/pumicestage/pumicestage/internal/platform"
-	"github.com/pumicestage/pumicestage/internal/platform/faulty"
-	"github.com/pumicestage/pumicestage/internal/platform/memstore"
+	"github.com/pumicestage/pumicestage/internal/infra"
+	"github.com/pumicestage/pumicestage/internal/infra/faulty"
+	"github.com/pumicestage/pumicestage/internal/infra/memstore"
 	"github.com/pumicestage/pumicestage/internal/view"
 	"github.com/pumicestage/pumicestage/policy/model"
 )
@@ -44,7 +44,7 @@
 	return n
 }
 
-func (b *bench) startOn(way platform.Store, id string, incarnation uint64) *node {
+func (b *bench) startOn(way infra.Store, id string, incarnation uint64) *node {
 	self := view.EntryRecord{ID: model.EntryID(id), Incarnation: incarnation}
 	l := NewLedger(Options{Store: way, Self: self, Live: b.live, Clocks: b.clocks, Log: logr.Discard()})
 	ctx, cancel := context.WithCancel(b.t.Context())
@@ -58,8 +58,8 @@
 
 // register writes the entry VM's record as its daemon would.
 func (b *bench) register(id, incarnation string) {
-	_, err := b.store.Txn(b.t.Context(), platform.Txn{Then: []platform.Op{
-		platform.Put(platform.EntryKey(model.EntryID(id)), []byte(`{"ID":"`+id+`","Incarnation":`+incarnation+`}`)),
+	_, err := b.store.Txn(b.t.Context(), infra.Txn{Then: []infra.Op{
+		infra.Put(infra.EntryKey(model.EntryID(id)), []byte(`{"ID":"`+id+`","Incarnation":`+incarnation+`}`)),
 	}})
 	assert.NilError(b.t, err)
 }
--- a/internal/claim/record.go
+++ b/internal/claim/record.go
@@ -6,7 +6,7 @@
 	"encoding/json"
 	"time"
 
-	"github.com/pumicestage/pumicestage/internal/platform"
+	"github.com/pumicestage/pumicestage/internal/infra"
 	"github.com/pumicestage/pumicestage/policy/model"
 )
 
@@ -53,7 +53,7 @@
 		h.Write([]byte{byte(size >> 24), byte(size >> 16), byte(size >> 8), byte(size)})
 		h.Write([]byte(part))
 	}
-	return platform.ClaimPrefix + hex.EncodeToString(h.Sum(nil)[:20])
+	return infra.ClaimPrefix + hex.EncodeToString(h.Sum(nil)[:20])
 }
 
 func (r record) encode() ([]byte, error) { return json.Marshal(r) }
--- a/internal/claim/settle.go
+++ b/internal/claim/settle.go
@@ -6,7 +6,7 @@
 
 	"github.com/gravitational/trace"
 
-	"github.com/pumicestage/pumicestage/internal/platform"
+	"github.com/pumicestage/pumicestage/internal/infra"
 )
 
 // settleLater runs f in the background and returns its result by a channel.
@@ -54,7 +54,7 @@
 	switch {
 	case o.applied:
 		return l.fence(p.key, o.rev, r)
-	case platform.IsKind(o.err, platform.KindUnknown):
+	case infra.IsKind(o.err, infra.KindUnknown):
 		return l.fence(p.key, p.mod, r)
 	}
 	return nil
@@ -65,14 +65,14 @@
 // the claim expected it. So a released value is written over that very state:
 // where the write takes effect, the copy comes too late for ever; where it
 // does not, the key says who was first.
-func (l *Ledger) fence(key string, expected platform.Revision, r record) error {
+func (l *Ledger) fence(key string, expected infra.Revision, r record) error {
 	id := r.ID
 	l.released(&r)
 	value, err := r.encode()
 	if err != nil {
 		return trace.Wrap(err)
 	}
-	err = l.persist(write{key: key, mod: expected, value: value}, func(current platform.KV) (platform.Revision, bool) {
+	err = l.persist(write{key: key, mod: expected, value: value}, func(current infra.KV) (infra.Revision, bool) {
 		found, err := decodeRecord(current.Value)
 		ours := err == nil && found.ID == id && found.Stage == stageClaimed
 		return current.ModRevision, ours
@@ -86,7 +86,7 @@
 // persist repeats a write until the service has answered it. retry is asked
 // where another value stands, and returns its revision where the write should
 // replace that too.
-func (l *Ledger) persist(w write, retry func(platform.KV) (platform.Revision, bool)) error {
+func (l *Ledger) persist(w write, retry func(infra.KV) (infra.Revision, bool)) error {
 	wait := fenceRetryMin
 	for {
 		o := <-l.commits.submit(w).done
@@ -122,7 +122,7 @@
 	}
 	w := write{key: t.StoreKey, mod: t.Revision, value: value}
 	done := l.settleLater(func() error {
-		return l.persist(w, func(platform.KV) (platform.Revision, bool) { return 0, false })
+		return l.persist(w, func(infra.KV) (infra.Revision, bool) { return 0, false })
 	})
 	select {
 	case err = <-done:
--- a/internal/claim/sweep.go
+++ b/internal/claim/sweep.go
@@ -5,8 +5,8 @@
 	"fmt"
 	"time"
 
+	"github.com/pumicestage/pumicestage/internal/infra"
 	"github.com/pumicestage/pumicestage/internal/peer"
-	"github.com/pumicestage/pumicestage/internal/platform"
 )
 
 const (
@@ -43,7 +43,7 @@
 
 func shardPrefix(now time.Time) string {
 	n := (now.UnixNano() / int64(sweepEvery)) % shards
-	return platform.ClaimPrefix + fmt.Sprintf("%0*x", shardDigits, n)
+	return infra.ClaimPrefix + fmt.Sprintf("%0*x", shardDigits, n)
 }
 
 func (l *Ledger) sweeps(prefix string) bool {
--- a/internal/claim/sweep_test.go
+++ b/internal/claim/sweep_test.go
@@ -8,7 +8,7 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/pumicestage/pumicestage/internal/platform"
+	"github.com/pumicestage/pumicestage/internal/infra"
 	"github.com/pumicestage/pumicestage/policy/model"
 )
 
@@ -23,13 +23,13 @@
 		a := b.start("a", 1)
 		defer a.stop()
 		a.claim(t, request("k", 1))
-		kvs, _, err := b.store.Range(t.Context(), platform.ClaimPrefix)
+		kvs, _, err := b.store.Range(t.Context(), infra.ClaimPrefix)
 		assert.NilError(t, err)
 		assert.Equal(t, len(kvs), 1)
 		for day, want := range []int{1, 1, 1, 0} {
 			later := a.earliest().Add(time.Duration(day)*24*time.Hour + clockSlack)
-			assert.NilError(t, a.sweepShard(t.Context(), platform.ClaimPrefix, later))
-			kvs, _, err = b.store.Range(t.Context(), platform.ClaimPrefix)
+			assert.NilError(t, a.sweepShard(t.Context(), infra.ClaimPrefix, later))
+			kvs, _, err = b.store.Range(t.Context(), infra.ClaimPrefix)
 			assert.NilError(t, err)
 			assert.Equal(t, len(kvs), want, "after %d days", day)
 		}
@@ -50,7 +50,7 @@
 			assert.NilError(t, a.Record(t.Context(), a.claim(t, req).Ticket, Answer{Status: 200}))
 		}
 		left := func() int {
-			kvs, _, err := b.store.Range(t.Context(), platform.ClaimPrefix)
+			kvs, _, err := b.store.Range(t.Context(), infra.ClaimPrefix)
 			assert.NilError(t, err)
 			return len(kvs)
 		}
--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -7,8 +7,8 @@
 	"context"
 	"time"
 
+	"github.com/pumicestage/pumicestage/internal/infra"
 	"github.com/pumicestage/pumicestage/internal/lang"
-	"github.com/pumicestage/pumicestage/internal/platform"
 	"github.com/pumicestage/pumicestage/policy/model"
 )
 
@@ -22,8 +22,8 @@
 type Request struct {
 	Change     model.ChangeID // a repeat with the same ID is the same order
 	By         Actor
-	IfRevision platform.Revision // refuse unless the key that decides has it; 0 for any
-	Text       string            // as the operator gave it
+	IfRevision infra.Revision // refuse unless the key that decides has it; 0 for any
+	Text       string         // as the operator gave it
 	Order      lang.Order
 }
 
@@ -32,16 +32,16 @@
 	Change     model.ChangeID
 	Actor      string
 	Reason     string
-	IfRevision platform.Revision
+	IfRevision infra.Revision
 }
 
 // Effect is what an order did to one thing.
 type Effect struct {
-	What     string            // "vm v17", "wave spring"
-	Before   string            // its state before, as the audit trail gives it
-	After    string            // its state after
-	Revision platform.Revision // of its key now
-	Refused  *Refusal          // nil where it was done
+	What     string         // "vm v17", "wave spring"
+	Before   string         // its state before, as the audit trail gives it
+	After    string         // its state after
+	Revision infra.Revision // of its key now
+	Refused  *Refusal       // nil where it was done
 }
 
 // Result is what became of an order.
--- a/internal/command/command_test.go
+++ b/internal/command/command_test.go
@@ -12,10 +12,10 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/pumicestage/pumicestage/internal/config"
+	"github.com/pumicestage/pumicestage/internal/infra"
+	"github.com/pumicestage/pumicestage/internal/infra/faulty"
+	"github.com/pumicestage/pumicestage/internal/infra/memstore"
 	"github.com/pumicestage/pumicestage/internal/lang"
-	"github.com/pumicestage/pumicestage/internal/platform"
-	"github.com/pumicestage/pumicestage/internal/platform/faulty"
-	"github.com/pumicestage/pumicestage/internal/platform/memstore"
 	"github.com/pumicestage/pumicestage/internal/view"
 	"github.com/pumicestage/pumicestage/policy/model"
 )
@@ -150,12 +150,12 @@
 
 // beforeRead runs f before the nth read of a store.
 type beforeRead struct {
-	platform.Store
+	infra.Store
 	nth, seen int
 	f         func()
 }
 
-func (s *beforeRead) Get(ctx context.Context, key string) (platform.KV, platform.Revision, error) {
+func (s *beforeRead) Get(ctx context.Context, key string) (infra.KV, infra.Revision, error) {
 	if s.seen++; s.seen == s.nth {
 		s.f()
 	}
@@ -168,13 +168,13 @@
 func TestSetLimitKeepsARivalsChange(t *testing.T) {
 	d, err := config.Load("../../examples/encuesta-viva")
 	assert.NilError(t, err)
-	for name, moment := range map[string]func(store platform.Store, rival func()) platform.Store{
-		"after it has read": func(store platform.Store, rival func()) platform.Store {
+	for name, moment := range map[string]func(store infra.Store, rival func()) infra.Store{
+		"after it has read": func(store infra.Store, rival func()) infra.Store {
 			return &beforeRead{Store: store, nth: 2, f: rival}
 		},
-		"as it writes": func(store platform.Store, rival func()) platform.Store {
+		"as it writes": func(store infra.Store, rival func()) infra.Store {
 			way, writes := faulty.Wrap(store), 0
-			way.Before(func(string, platform.Txn) {
+			way.Before(func(string, infra.Txn) {
 				if writes++; writes == 1 {
 					rival()
 				}
--- a/internal/command/errors.go
+++ b/internal/command/errors.go
@@ -3,7 +3,7 @@
 import (
 	"fmt"
 
-	"github.com/pumicestage/pumicestage/internal/platform"
+	"github.com/pumicestage/pumicestage/internal/infra"
 	"github.com/pumicestage/pumicestage/policy/model"
 )
 
@@ -25,9 +25,9 @@
 // nothing.
 type Refusal struct {
 	Code     Code
-	Winner   string            // what holds the thing: "wave spring", "order c-17"
-	Revision platform.Revision // of the key that decided
-	Detail   string            // a sentence a person reads
+	Winner   string         // what holds the thing: "wave spring", "order c-17"
+	Revision infra.Revision // of the key that decided
+	Detail   string         // a sentence a person reads
 }
 
 // Error implements error.
--- a/internal/command/settings.go
+++ b/internal/command/settings.go
@@ -9,14 +9,14 @@
 	"github.com/jonboulle/clockwork"
 
 	"github.com/pumicestage/pumicestage/internal/config"
-	"github.com/pumicestage/pumicestage/internal/platform"
+	"github.com/pumicestage/pumicestage/internal/infra"
 	"github.com/pumicestage/pumicestage/internal/view"
 	"github.com/pumicestage/pumicestage/policy/model"
 )
 
 // Stored carries out Settings and Declarer on the declaration in the store.
 type Stored struct {
-	Store platform.Store
+	Store infra.Store
 	Clock clockwork.Clock
 	View  *view.Holder // what this entry VM holds in force
 }
--- a/internal/config/apply.go
+++ b/internal/config/apply.go
@@ -6,7 +6,7 @@
 
 	"github.com/gravitational/trace"
 
-	"github.com/pumicestage/pumicestage/internal/platform"
+	"github.com/pumicestage/pumicestage/internal/infra"
 	"github.com/pumicestage/pumicestage/policy/model"
 )
 
@@ -22,7 +22,7 @@
 	IfGeneration *uint64
 	// IfRevision refuses the change unless the store's key has this revision;
 	// 0 accepts any.
-	IfRevision platform.Revision
+	IfRevision infra.Revision
 	// ConfirmRemoval applies a removal that breaks a budget.
 	ConfirmRemoval bool
 	// DryRun does all but write.
@@ -38,7 +38,7 @@
 // ApplyResult is what became of a change.
 type ApplyResult struct {
 	Generation uint64 // that the change was given, or would be
-	Revision   platform.Revision
+	Revision   infra.Revision
 	Differ     []Difference // against the declaration it replaces
 	Unchanged  bool         // the same is in force already: no new generation
 	Repeated   bool         // the same change ID was accepted earlier
@@ -51,7 +51,7 @@
 // Apply makes d the declaration in force, under the next generation. Errors
 // are *InvalidError, *ConflictError, *RemovalError, *UnavailableError
 // (certainly not applied), *UnknownError and *CorruptError.
-func Apply(ctx context.Context, store platform.Store, d *model.Declaration, opts ApplyOptions) (ApplyResult, error) {
+func Apply(ctx context.Context, store infra.Store, d *model.Declaration, opts ApplyOptions) (ApplyResult, error) {
 	if problems := Validate(d); len(problems) > 0 {
 		return ApplyResult{}, trace.Wrap(&InvalidError{Problems: problems})
 	}
@@ -141,14 +141,14 @@
 	return next
 }
 
-func commit(ctx context.Context, store platform.Store, next *Stored, rev platform.Revision, res ApplyResult) (ApplyResult, error) {
+func commit(ctx context.Context, store infra.Store, next *Stored, rev infra.Revision, res ApplyResult) (ApplyResult, error) {
 	value, err := Encode(next)
 	if err != nil {
 		return ApplyResult{}, err
 	}
-	done, err := platform.Commit(ctx, store, platform.Txn{
-		If:   []platform.Cond{{Key: platform.ConfigKey, ModRevision: rev}},
-		Then: []platform.Op{platform.Put(platform.ConfigKey, value)},
+	done, err := infra.Commit(ctx, store, infra.Txn{
+		If:   []infra.Cond{{Key: infra.ConfigKey, ModRevision: rev}},
+		Then: []infra.Op{infra.Put(infra.ConfigKey, value)},
 	})
 	if err == nil && !done.Superseded {
 		res.Revision = done.Revision
@@ -157,7 +157,7 @@
 	if err == nil {
 		return superseded(ctx, store, res), nil
 	}
-	if platform.IsKind(err, platform.KindConflict) || platform.IsKind(err, platform.KindUnknown) {
+	if infra.IsKind(err, infra.KindConflict) || infra.IsKind(err, infra.KindUnknown) {
 		return afterDoubt(ctx, store, next, err)
 	}
 	return ApplyResult{}, trace.Wrap(&UnavailableError{Err: err})
@@ -165,7 +165,7 @@
 
 // superseded is the result of a change that took effect and was replaced
 // before we knew. Which generation is in force now is told if it can be read.
-func superseded(ctx context.Context, store platform.Store, res ApplyResult) ApplyResult {
+func superseded(ctx context.Context, store infra.Store, res ApplyResult) ApplyResult {
 	current, _, err := Read(ctx, store)
 	if err != nil || current == nil {
 		return res
@@ -177,7 +177,7 @@
 // afterDoubt finds out about a change whose commit lost or is in doubt. A
 // change that took effect is the last one or among the recent ones, whoever
 // has written since.
-func afterDoubt(ctx context.Context, store platform.Store, next *Stored, cause error) (ApplyResult, error) {
+func afterDoubt(ctx context.Context, store infra.Store, next *Stored, cause error) (ApplyResult, error) {
 	current, _, err := Read(ctx, store)
 	if err != nil {
 		return ApplyResult{}, trace.Wrap(&UnknownError{Change: next.Change, Err: cause})
@@ -185,7 +185,7 @@
 	if res, ok := repeated(current, next.Change); ok {
 		return res, nil
 	}
-	if platform.IsKind(cause, platform.KindUnknown) && generation(declarationOf(current)) < next.Generation {
+	if infra.IsKind(cause, infra.KindUnknown) && generation(declarationOf(current)) < next.Generation {
 		return ApplyResult{}, trace.Wrap(&UnknownError{Change: next.Change, Err: cause})
 	}
 	return ApplyResult{}, trace.Wrap(conflict(current, declarationOf(current), &next.Declaration))
--- a/internal/config/apply_test.go
+++ b/internal/config/apply_test.go
@@ -10,9 +10,9 @@
 	"github.com/jonboulle/clockwork"
 	"gotest.tools/v3/assert"
 
-	"github.com/pumicestage/pumicestage/internal/platform"
-	"github.com/pumicestage/pumicestage/internal/platform/faulty"
-	"github.com/pumicestage/pumicestage/internal/platform/memstore"
+	"github.com/pumicestage/pumicestage/internal/infra"
+	"github.com/pumicestage/pumicestage/internal/infra/faulty"
+	"github.com/pumicestage/pumicestage/internal/infra/memstore"
 	"github.com/pumicestage/pumicestage/policy/model"
 )
 
@@ -39,7 +39,7 @@
 // generation.
 func TestApplyUnderFaults(t *testing.T) {
 	ctx := context.Background()
-	rival := func(t *testing.T, inner platform.Store, change model.ChangeID) func() {
+	rival := func(t *testing.T, inner infra.Store, change model.ChangeID) func() {
 		return func() {
 			_, err := Apply(ctx, inner, limited(t, 99), options(change, "bea"))
 			assert.NilError(t, err)
@@ -47,30 +47,30 @@
 	}
 	cases := []struct {
 		name       string
-		prepare    func(t *testing.T, inner platform.Store, way *faulty.Store)
+		prepare    func(t *testing.T, inner infra.Store, way *faulty.Store)
 		wantErr    error // its type decides
 		wantGen    uint64
 		wantRepeat ApplyResult // of the same change once the fault is over
 	}{
-		{"no fault", func(*testing.T, platform.Store, *faulty.Store) {}, nil, 2, ApplyResult{Generation: 2, Current: 2, Repeated: true}},
-		{"store down", func(_ *testing.T, _ platform.Store, way *faulty.Store) { way.SetDown(true) },
+		{"no fault", func(*testing.T, infra.Store, *faulty.Store) {}, nil, 2, ApplyResult{Generation: 2, Current: 2, Repeated: true}},
+		{"store down", func(_ *testing.T, _ infra.Store, way *faulty.Store) { way.SetDown(true) },
 			&UnavailableError{}, 0, ApplyResult{Generation: 2, Current: 2}},
-		{"reply lost", func(_ *testing.T, _ platform.Store, way *faulty.Store) { way.LoseReplies(1) },
+		{"reply lost", func(_ *testing.T, _ infra.Store, way *faulty.Store) { way.LoseReplies(1) },
 			nil, 2, ApplyResult{Generation: 2, Current: 2, Repeated: true}},
-		{"request lost", func(_ *testing.T, _ platform.Store, way *faulty.Store) { way.LoseRequests(1) },
+		{"request lost", func(_ *testing.T, _ infra.Store, way *faulty.Store) { way.LoseRequests(1) },
 			nil, 2, ApplyResult{Generation: 2, Current: 2, Repeated: true}},
-		{"every reply lost", func(_ *testing.T, _ platform.Store, way *faulty.Store) { way.LoseReplies(9) },
+		{"every reply lost", func(_ *testing.T, _ infra.Store, way *faulty.Store) { way.LoseReplies(9) },
 			nil, 2, ApplyResult{Generation: 2, Current: 2, Repeated: true}},
-		{"every request lost", func(_ *testing.T, _ platform.Store, way *faulty.Store) { way.LoseRequests(9) },
+		{"every request lost", func(_ *testing.T, _ infra.Store, way *faulty.Store) { way.LoseRequests(9) },
 			&UnknownError{}, 0, ApplyResult{Generation: 2, Current: 2}},
-		{"rival first", func(t *testing.T, inner platform.Store, way *faulty.Store) {
+		{"rival first", func(t *testing.T, inner infra.Store, way *faulty.Store) {
 			beforeWrite(way, 1, rival(t, inner, "c-rival"))
 		}, &ConflictError{}, 0, ApplyResult{Generation: 3, Current: 3}},
-		{"reply lost, then a rival replaces it", func(t *testing.T, inner platform.Store, way *faulty.Store) {
+		{"reply lost, then a rival replaces it", func(t *testing.T, inner infra.Store, way *faulty.Store) {
 			way.LoseReplies(1)
 			beforeWrite(way, 2, rival(t, inner, "c-rival"))
 		}, nil, 2, ApplyResult{Generation: 2, Current: 3, Repeated: true}},
-		{"request lost, then a rival is first", func(t *testing.T, inner platform.Store, way *faulty.Store) {
+		{"request lost, then a rival is first", func(t *testing.T, inner infra.Store, way *faulty.Store) {
 			way.LoseRequests(1)
 			beforeWrite(way, 2, rival(t, inner, "c-rival"))
 		}, &ConflictError{}, 0, ApplyResult{Generation: 3, Current: 3}},
@@ -110,7 +110,7 @@
 // beforeWrite runs f before the nth write on the way.
 func beforeWrite(way *faulty.Store, nth int, f func()) {
 	seen := 0
-	way.Before(func(string, platform.Txn) {
+	way.Before(func(string, infra.Txn) {
 		seen++
 		if seen == nth {
 			f()
@@ -141,7 +141,7 @@
 
 func TestApplyTerms(t *testing.T) {
 	ctx := context.Background()
-	newStore := func(t *testing.T) platform.Store {
+	newStore := func(t *testing.T) infra.Store {
 		store := memstore.New(clockwork.NewFakeClockAt(testTime))
 		_, err := Apply(ctx, store, limited(t, 1), options("c-1", "ana"))
 		assert.NilError(t, err)
--- a/internal/config/edit.go
+++ b/internal/config/edit.go
@@ -6,7 +6,7 @@
 
 	"github.com/gravitational/trace"
 
-	"github.com/pumicestage/pumicestage/internal/platform"
+	"github.com/pumicestage/pumicestage/internal/infra"
 	"github.com/pumicestage/pumicestage/policy/model"
 )
 
@@ -17,7 +17,7 @@
 // may refuse by an error that is passed on as it is. Unlike Apply it is made
 // anew on top of a change that came first: an edit of one key does not undo
 // the rest of a rival's.
-func Edit(ctx context.Context, store platform.Store, opts ApplyOptions, edit func(*model.Declaration) error) (ApplyResult, error) {
+func Edit(ctx context.Context, store infra.Store, opts ApplyOptions, edit func(*model.Declaration) error) (ApplyResult, error) {
 	var last error
 	for range editTries {
 		current, _, err := Read(ctx, store)
--- a/internal/config/history_test.go
+++ b/internal/config/history_test.go
@@ -16,8 +16,8 @@
 	"github.com/jonboulle/clockwork"
 	"gotest.tools/v3/assert"
 
-	"github.com/pumicestage/pumicestage/internal/platform/faulty"
-	"github.com/pumicestage/pumicestage/internal/platform/memstore"
+	"github.com/pumicestage/pumicestage/internal/infra/faulty"
+	"github.com/pumicestage/pumicestage/internal/infra/memstore"
 	"github.com/pumicestage/pumicestage/policy/model"
 )
 
--- a/internal/config/stored.go
+++ b/internal/config/stored.go
@@ -6,7 +6,7 @@
 
 	"github.com/gravitational/trace"
 
-	"github.com/pumicestage/pumicestage/internal/platform"
+	"github.com/pumicestage/pumicestage/internal/infra"
 	"github.com/pumicestage/pumicestage/policy/model"
 )
 
@@ -25,7 +25,7 @@
 	At         time.Time
 }
 
-// Stored is the value under platform.ConfigKey. Its JSON is that of the
+// Stored is the value under infra.ConfigKey. Its JSON is that of the
 // declaration with the record of its change beside it, so that a reader who
 // only wants the declaration decodes a model.Declaration.
 type Stored struct {
@@ -56,8 +56,8 @@
 
 // Read returns the declaration in the store and its revision; nil and 0 where
 // there is none yet.
-func Read(ctx context.Context, store platform.Store) (*Stored, platform.Revision, error) {
-	kv, _, err := store.Get(ctx, platform.ConfigKey)
+func Read(ctx context.Context, store infra.Store) (*Stored, infra.Revision, error) {
+	kv, _, err := store.Get(ctx, infra.ConfigKey)
 	if err != nil {
 		return nil, 0, trace.Wrap(&UnavailableError{Err: err})
 	}
@@ -68,17 +68,17 @@
 	return s, kv.ModRevision, err
 }
 
-// Decode reads the value under platform.ConfigKey.
+// Decode reads the value under infra.ConfigKey.
 func Decode(value []byte) (*Stored, error) {
 	s := &Stored{}
-	if err := platform.DecodeValue(value, s); err != nil {
+	if err := infra.DecodeValue(value, s); err != nil {
 		return nil, trace.Wrap(&CorruptError{Err: err})
 	}
 	return s, nil
 }
 
-// Encode writes the value for platform.ConfigKey.
+// Encode writes the value for infra.ConfigKey.
 func Encode(s *Stored) ([]byte, error) {
-	value, err := platform.EncodeValue(s)
+	value, err := infra.EncodeValue(s)
 	return value, trace.Wrap(err)
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -18,13 +18,13 @@
 	"github.com/pumicestage/pumicestage/internal/claim"
 	"github.com/pumicestage/pumicestage/internal/entry"
 	"github.com/pumicestage/pumicestage/internal/fleet"
+	"github.com/pumicestage/pumicestage/internal/infra"
+	"github.com/pumicestage/pumicestage/internal/infra/gateway"
+	"github.com/pumicestage/pumicestage/internal/infra/machineapi"
+	"github.com/pumicestage/pumicestage/internal/infra/paced"
 	"github.com/pumicestage/pumicestage/internal/jobs"
 	"github.com/pumicestage/pumicestage/internal/operator/wiring"
 	"github.com/pumicestage/pumicestage/internal/peer"
-	"github.com/pumicestage/pumicestage/internal/platform"
-	"github.com/pumicestage/pumicestage/internal/platform/gateway"
-	"github.com/pumicestage/pumicestage/internal/platform/machineapi"
-	"github.com/pumicestage/pumicestage/internal/platform/paced"
 	"github.com/pumicestage/pumicestage/internal/prober"
 	"github.com/pumicestage/pumicestage/internal/relay"
 	"github.com/pumicestage/pumicestage/internal/settings"
@@ -42,7 +42,7 @@
 	// Dial is the way to peers, targets and the platform; nil for plain TCP.
 	Dial DialFunc
 	// Store replaces the platform's store; nil for the one in the settings.
-	Store platform.Store
+	Store infra.Store
 	// FleetEvery is the reconciler's period while there is work; 0 for its own.
 	FleetEvery time.Duration
 }
@@ -58,8 +58,8 @@
 	peers     net.Listener
 
 	view     *view.Holder
-	store    platform.Store
-	machines platform.Machines
+	store    infra.Store
+	machines infra.Machines
 	mesh     *peer.Mesh
 	relay    *relay.Relay
 	registry *relay.Registry
@@ -198,7 +198,7 @@
 		Store:    d.store,
 		Self:     d.self,
 		Live:     d.liveEntries,
-		Accepted: func() platform.Revision { return d.view.Load().Revision },
+		Accepted: func() infra.Revision { return d.view.Load().Revision },
 		Clocks:   d.mesh.Clocks,
 		Log:      d.log.WithName("claim"),
 	})
--- a/internal/daemon/tls_test.go
+++ b/internal/daemon/tls_test.go
@@ -23,7 +23,7 @@
 
 	"github.com/pumicestage/pumicestage/internal/access"
 	"github.com/pumicestage/pumicestage/internal/entry"
-	"github.com/pumicestage/pumicestage/internal/platform/memstore"
+	"github.com/pumicestage/pumicestage/internal/infra/memstore"
 	"github.com/pumicestage/pumicestage/internal/settings"
 	"github.com/pumicestage/pumicestage/policy/model"
 )
--- a/internal/dev/answers_test.go
+++ b/internal/dev/answers_test.go
@@ -13,7 +13,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/pumicestage/pumicestage/internal/faketarget"
-	"github.com/pumicestage/pumicestage/internal/platform/standin"
+	"github.com/pumicestage/pumicestage/internal/infra/standin"
 )
 
 // Targets answer late, twice, short, with broken framing, or not at all, and
--- a/internal/dev/cluster.go
+++ b/internal/dev/cluster.go
@@ -17,7 +17,7 @@
 	"github.com/pumicestage/pumicestage/internal/daemon"
 	"github.com/pumicestage/pumicestage/internal/entry"
 	"github.com/pumicestage/pumicestage/internal/faketarget"
-	"github.com/pumicestage/pumicestage/internal/platform/standin"
+	"github.com/pumicestage/pumicestage/internal/infra/standin"
 	"github.com/pumicestage/pumicestage/internal/settings"
 	"github.com/pumicestage/pumicestage/policy/model"
 )
--- a/internal/dev/config_test.go
+++ b/internal/dev/config_test.go
@@ -10,8 +10,8 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/pumicestage/pumicestage/internal/config"
-	"github.com/pumicestage/pumicestage/internal/platform"
-	"github.com/pumicestage/pumicestage/internal/platform/gateway"
+	"github.com/pumicestage/pumicestage/internal/infra"
+	"github.com/pumicestage/pumicestage/internal/infra/gateway"
 	"github.com/pumicestage/pumicestage/policy/model"
 )
 
@@ -60,7 +60,7 @@
 	t.Parallel()
 	c := startSmall(t)
 	ctx := context.Background()
-	old, _, err := c.platform.Store.Get(ctx, platform.ConfigKey)
+	old, _, err := c.platform.Store.Get(ctx, infra.ConfigKey)
 	assert.NilError(t, err)
 	c.applyTimes(t, 1)
 	c.await(t, "generation 3 everywhere", func() bool { return c.generationEverywhere(3) })
@@ -70,7 +70,7 @@
 		reverts.watch(watching, e)
 	}
 
-	_, err = c.platform.Store.Txn(ctx, platform.Txn{Then: []platform.Op{platform.Put(platform.ConfigKey, old.Value)}})
+	_, err = c.platform.Store.Txn(ctx, infra.Txn{Then: []infra.Op{infra.Put(infra.ConfigKey, old.Value)}})
 	assert.NilError(t, err)
 	time.Sleep(500 * time.Millisecond)
 	c.isolate("zb", true)
--- a/internal/dev/graceful_test.go
+++ b/internal/dev/graceful_test.go
@@ -10,7 +10,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/pumicestage/pumicestage/internal/fleet"
-	"github.com/pumicestage/pumicestage/internal/platform"
+	"github.com/pumicestage/pumicestage/internal/infra"
 	"github.com/pumicestage/pumicestage/internal/view"
 	"github.com/pumicestage/pumicestage/policy/model"
 )
@@ -101,7 +101,7 @@
 	assert.NilError(t, err)
 	lease, err := c.platform.Store.Grant(ctx, time.Minute)
 	assert.NilError(t, err)
-	_, err = c.platform.Store.Txn(ctx, platform.Txn{Then: []platform.Op{platform.PutLeased(platform.EntryKey("ghost"), ghost, lease)}})
+	_, err = c.platform.Store.Txn(ctx, infra.Txn{Then: []infra.Op{infra.PutLeased(infra.EntryKey("ghost"), ghost, lease)}})
 	assert.NilError(t, err)
 	c.await(t, "the silent entry VM known to all", func() bool {
 		for _, e := range c.entries {
--- a/internal/dev/history_test.go
+++ b/internal/dev/history_test.go
@@ -13,7 +13,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/pumicestage/pumicestage/internal/fleet"
-	"github.com/pumicestage/pumicestage/internal/platform"
+	"github.com/pumicestage/pumicestage/internal/infra"
 	"github.com/pumicestage/pumicestage/policy/model"
 )
 
@@ -78,11 +78,11 @@
 // order carries out an order on a VM and returns the revision that the
 // operator saw by it, 0 if none. One of unknown outcome is left out here: what
 // it wrote, if it did, is in the store's own history.
-func (h *history) order(who int, vm model.VMID, o fleet.Order, do func() (fleet.Outcome, error)) platform.Revision {
+func (h *history) order(who int, vm model.VMID, o fleet.Order, do func() (fleet.Outcome, error)) infra.Revision {
 	began := sinceEpoch()
 	out, err := do()
 	ended := sinceEpoch()
-	call := casCall{object: platform.VMKey(vm), on: int64(o.IfRevision)}
+	call := casCall{object: infra.VMKey(vm), on: int64(o.IfRevision)}
 	var refusal *fleet.Refusal
 	switch {
 	case err == nil && !out.Repeated:
@@ -146,9 +146,9 @@
 	for _, b := range w.batches {
 		for _, e := range b.Events {
 			switch {
-			case e.Kind == platform.EventPut && strings.HasPrefix(e.KV.Key, platform.VMPrefix):
+			case e.Kind == infra.EventPut && strings.HasPrefix(e.KV.Key, infra.VMPrefix):
 				add(e.KV.Key, int64(e.KV.ModRevision))
-			case e.Kind == platform.EventPut && e.KV.Key == platform.ConfigKey:
+			case e.Kind == infra.EventPut && e.KV.Key == infra.ConfigKey:
 				var d model.Declaration
 				assert.NilError(t, json.Unmarshal(e.KV.Value, &d))
 				add(configObject, int64(d.Generation))
--- a/internal/dev/jobs_test.go
+++ b/internal/dev/jobs_test.go
@@ -8,8 +8,8 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/pumicestage/pumicestage/internal/infra/standin"
 	"github.com/pumicestage/pumicestage/internal/jobs"
-	"github.com/pumicestage/pumicestage/internal/platform/standin"
 	"github.com/pumicestage/pumicestage/policy/model"
 )
 
--- a/internal/dev/leaving_test.go
+++ b/internal/dev/leaving_test.go
@@ -8,7 +8,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/pumicestage/pumicestage/internal/fleet"
-	"github.com/pumicestage/pumicestage/internal/platform/standin"
+	"github.com/pumicestage/pumicestage/internal/infra/standin"
 )
 
 // leaveWithin is after how long a leaving target must get no new work.
--- a/internal/dev/past.go
+++ b/internal/dev/past.go
@@ -6,7 +6,7 @@
 	"strings"
 
 	"github.com/pumicestage/pumicestage/internal/fleet"
-	"github.com/pumicestage/pumicestage/internal/platform"
+	"github.com/pumicestage/pumicestage/internal/infra"
 	"github.com/pumicestage/pumicestage/policy/model"
 )
 
@@ -41,7 +41,7 @@
 	}
 	for _, b := range w.batches {
 		for _, e := range b.Events {
-			if e.Kind == platform.EventPut {
+			if e.Kind == infra.EventPut {
 				p.put(e.KV)
 			}
 		}
@@ -57,24 +57,24 @@
 	}
 }
 
-func (p *past) put(kv platform.KV) {
+func (p *past) put(kv infra.KV) {
 	switch key := kv.Key; {
-	case strings.HasPrefix(key, platform.VMPrefix):
+	case strings.HasPrefix(key, infra.VMPrefix):
 		p.putVM(key, read[model.VM](p, kv))
-	case strings.HasPrefix(key, platform.LedgerPrefix):
-		service := model.ServiceName(strings.TrimPrefix(key, platform.LedgerPrefix))
+	case strings.HasPrefix(key, infra.LedgerPrefix):
+		service := model.ServiceName(strings.TrimPrefix(key, infra.LedgerPrefix))
 		p.ledgers[service] = read[fleet.Ledger](p, kv)
-	case strings.HasPrefix(key, platform.ClaimPrefix):
+	case strings.HasPrefix(key, infra.ClaimPrefix):
 		p.putClaim(key, read[claimed](p, kv))
-	case key == platform.ConfigKey:
+	case key == infra.ConfigKey:
 		g := read[model.Declaration](p, kv).Generation
 		p.expect(g == p.config+1, "generation %d follows %d", g, p.config)
 		p.config = g
 	}
 }
 
-func read[T any](p *past, kv platform.KV) (v T) {
-	err := platform.DecodeValue(kv.Value, &v)
+func read[T any](p *past, kv infra.KV) (v T) {
+	err := infra.DecodeValue(kv.Value, &v)
 	p.expect(err == nil, "%s: %v", kv.Key, err)
 	return v
 }
@@ -104,7 +104,7 @@
 
 // checkBudgets checks that planned stops alone never take a service below its
 // budget, in any revision.
-func (p *past) checkBudgets(rev platform.Revision) {
+func (p *past) checkBudgets(rev infra.Revision) {
 	for name, l := range p.ledgers {
 		s := p.decl.Service(name)
 		if s == nil || len(l.Stops) == 0 {
--- a/internal/dev/pool_test.go
+++ b/internal/dev/pool_test.go
@@ -11,7 +11,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/pumicestage/pumicestage/internal/fleet"
-	"github.com/pumicestage/pumicestage/internal/platform/standin"
+	"github.com/pumicestage/pumicestage/internal/infra/standin"
 	"github.com/pumicestage/pumicestage/policy/model"
 )
 
--- a/internal/dev/rest_bench_test.go
+++ b/internal/dev/rest_bench_test.go
@@ -10,7 +10,7 @@
 
 	"github.com/go-logr/logr"
 
-	"github.com/pumicestage/pumicestage/internal/platform/standin"
+	"github.com/pumicestage/pumicestage/internal/infra/standin"
 	"github.com/pumicestage/pumicestage/policy/model"
 )
 
--- a/internal/dev/schedule_test.go
+++ b/internal/dev/schedule_test.go
@@ -15,9 +15,9 @@
 	"github.com/pumicestage/pumicestage/internal/config"
 	"github.com/pumicestage/pumicestage/internal/faketarget"
 	"github.com/pumicestage/pumicestage/internal/fleet"
-	"github.com/pumicestage/pumicestage/internal/platform"
-	"github.com/pumicestage/pumicestage/internal/platform/gateway"
-	"github.com/pumicestage/pumicestage/internal/platform/standin"
+	"github.com/pumicestage/pumicestage/internal/infra"
+	"github.com/pumicestage/pumicestage/internal/infra/gateway"
+	"github.com/pumicestage/pumicestage/internal/infra/standin"
 	"github.com/pumicestage/pumicestage/policy/model"
 )
 
@@ -169,7 +169,7 @@
 // operate gives orders at random entry VMs, half of them on condition of the
 // revision that the operator saw last.
 func (s *schedule) operate(ctx context.Context, who int, rng *rand.Rand) {
-	seen := make(map[model.VMID]platform.Revision)
+	seen := make(map[model.VMID]infra.Revision)
 	for n := 0; ctx.Err() == nil; n++ {
 		vm := s.c.decl.VMs[rng.IntN(len(s.c.decl.VMs))]
 		o := fleet.Order{Change: model.ChangeID(fmt.Sprintf("o%d-%d", who, n)), Actor: fmt.Sprint("op-", who)}
--- a/internal/dev/wave_test.go
+++ b/internal/dev/wave_test.go
@@ -7,7 +7,7 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/pumicestage/pumicestage/internal/platform/standin"
+	"github.com/pumicestage/pumicestage/internal/infra/standin"
 )
 
 // Callers go on getting answers while every VM is rebooted, although a VM
--- a/internal/dev/witness.go
+++ b/internal/dev/witness.go
@@ -10,7 +10,7 @@
 
 	"github.com/gravitational/trace"
 
-	"github.com/pumicestage/pumicestage/internal/platform"
+	"github.com/pumicestage/pumicestage/internal/infra"
 	"github.com/pumicestage/pumicestage/policy/model"
 )
 
@@ -31,7 +31,7 @@
 	tasks   sync.WaitGroup
 
 	mu      sync.Mutex
-	batches []platform.WatchBatch
+	batches []infra.WatchBatch
 	failed  map[model.VMID]time.Time // when it was failed on purpose; absent while up
 	faults  []error                  // promises broken
 }
@@ -40,7 +40,7 @@
 func (c *cluster) watchAll() (*witness, error) {
 	ctx, stop := context.WithCancel(context.Background())
 	w := &witness{c: c, stop: stop, failed: make(map[model.VMID]time.Time)}
-	batches, err := c.platform.Store.Watch(ctx, platform.Root, 1)
+	batches, err := c.platform.Store.Watch(ctx, infra.Root, 1)
 	if err != nil {
 		stop()
 		return nil, trace.Wrap(err)
@@ -54,7 +54,7 @@
 	return w, nil
 }
 
-func (w *witness) collect(batches <-chan platform.WatchBatch) {
+func (w *witness) collect(batches <-chan infra.WatchBatch) {
 	for b := range batches {
 		w.mu.Lock()
 		w.batches = append(w.batches, b)
@@ -123,7 +123,7 @@
 // stored returns the VMs as the store has them now.
 func (w *witness) stored() map[model.VMID]model.VM {
 	vms := make(map[model.VMID]model.VM)
-	kvs, _, err := w.c.platform.Store.Range(context.Background(), platform.VMPrefix)
+	kvs, _, err := w.c.platform.Store.Range(context.Background(), infra.VMPrefix)
 	for _, kv := range kvs {
 		var vm model.VM
 		if json.Unmarshal(kv.Value, &vm) == nil {
--- a/internal/dev/worst_test.go
+++ b/internal/dev/worst_test.go
@@ -7,7 +7,7 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/pumicestage/pumicestage/internal/platform/standin"
+	"github.com/pumicestage/pumicestage/internal/infra/standin"
 )
 
 // A wave runs under load while the worst that may befall it does. Whatever
--- a/internal/entry/faults_test.go
+++ b/internal/entry/faults_test.go
@@ -10,11 +10,11 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/pumicestage/pumicestage/internal/faketarget"
-	"github.com/pumicestage/pumicestage/internal/platform"
+	"github.com/pumicestage/pumicestage/internal/infra"
 	"github.com/pumicestage/pumicestage/internal/view"
 )
 
-func setRevision(s *view.Snapshot, r int64) { s.Revision = platform.Revision(r) }
+func setRevision(s *view.Snapshot, r int64) { s.Revision = infra.Revision(r) }
 
 // A target misbehaves for one request, and answers the next ones rightly. The
 // caller of the first must see a broken connection or a problem that says
--- a/internal/fleet/audit_test.go
+++ b/internal/fleet/audit_test.go
@@ -10,7 +10,7 @@
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
-	"github.com/pumicestage/pumicestage/internal/platform"
+	"github.com/pumicestage/pumicestage/internal/infra"
 	"github.com/pumicestage/pumicestage/internal/view"
 	"github.com/pumicestage/pumicestage/policy/model"
 )
@@ -54,14 +54,14 @@
 
 // auditedStore is one node's way to the store under audit.
 type auditedStore struct {
-	platform.Store
+	infra.Store
 	audit *auditor
 	node  model.EntryID
 }
 
 // Txn checks the write against what stood before and what stands after. The
 // schedules let one node run at a time, so nothing comes in between.
-func (s *auditedStore) Txn(ctx context.Context, txn platform.Txn) (platform.TxnResult, error) {
+func (s *auditedStore) Txn(ctx context.Context, txn infra.Txn) (infra.TxnResult, error) {
 	a := s.audit
 	if a.off {
 		return s.Store.Txn(ctx, txn)
@@ -95,18 +95,18 @@
 }
 
 func audited(key string) bool {
-	return strings.HasPrefix(key, platform.VMPrefix) || strings.HasPrefix(key, platform.LedgerPrefix)
+	return strings.HasPrefix(key, infra.VMPrefix) || strings.HasPrefix(key, infra.LedgerPrefix)
 }
 
 // fenced: every write of a VM or ledger is bound to the revision it was made
 // from, else a reconciler that was paused could write over a newer state.
-func (a *auditor) fenced(txn platform.Txn) {
+func (a *auditor) fenced(txn infra.Txn) {
 	bound := make(map[string]bool)
 	for _, c := range txn.If {
 		bound[c.Key] = true
 	}
 	for _, op := range txn.Then {
-		if op.Kind != platform.OpGet && audited(op.Key) && !bound[op.Key] {
+		if op.Kind != infra.OpGet && audited(op.Key) && !bound[op.Key] {
 			a.fault("%s written without a condition on it", op.Key)
 		}
 	}
@@ -147,7 +147,7 @@
 func (a *auditor) consistent(vms map[model.VMID]view.VMRecord) {
 	for i := range a.w.decl.Services {
 		s := &a.w.decl.Services[i]
-		kv, _, _ := a.w.store.Get(context.Background(), platform.LedgerKey(s.Name))
+		kv, _, _ := a.w.store.Get(context.Background(), infra.LedgerKey(s.Name))
 		l, err := decode[Ledger](kv)
 		if err != nil {
 			a.fault("ledger of %s: %v", s.Name, err)
@@ -207,10 +207,10 @@
 // the revision it was given, or refused.
 type casOp struct {
 	key      string
-	from, to platform.Revision
+	from, to infra.Revision
 }
 
-func (a *auditor) record(node model.EntryID, txn platform.Txn, res platform.TxnResult, call int64) {
+func (a *auditor) record(node model.EntryID, txn infra.Txn, res infra.TxnResult, call int64) {
 	client, ok := a.clients[node]
 	if !ok {
 		client = len(a.clients)
@@ -220,12 +220,12 @@
 		return
 	}
 	for _, c := range txn.If {
-		if strings.HasPrefix(c.Key, platform.ShardPrefix) {
+		if strings.HasPrefix(c.Key, infra.ShardPrefix) {
 			continue // leased: the store deletes them by itself
 		}
 		op := casOp{key: c.Key, from: c.ModRevision, to: c.ModRevision}
 		for _, put := range txn.Then {
-			if put.Key == c.Key && put.Kind == platform.OpPut {
+			if put.Key == c.Key && put.Kind == infra.OpPut {
 				op.to = res.Revision
 			}
 		}
@@ -246,9 +246,9 @@
 		}
 		return parts
 	},
-	Init: func() any { return platform.Revision(0) },
+	Init: func() any { return infra.Revision(0) },
 	Step: func(state, input, _ any) (bool, any) {
 		op := input.(casOp)
-		return state.(platform.Revision) == op.from, op.to
+		return state.(infra.Revision) == op.from, op.to
 	},
 }
--- a/internal/fleet/errors.go
+++ b/internal/fleet/errors.go
@@ -5,7 +5,7 @@
 
 	"github.com/gravitational/trace"
 
-	"github.com/pumicestage/pumicestage/internal/platform"
+	"github.com/pumicestage/pumicestage/internal/infra"
 )
 
 // Code says why an order was refused.
@@ -24,9 +24,9 @@
 // Refusal says that an order was certainly not carried out, and why.
 type Refusal struct {
 	Code     Code
-	Winner   string            // what holds the VM or wave, "wave spring" or "order c-17"
-	Revision platform.Revision // of the key that decided
-	Detail   string            // a sentence a person reads
+	Winner   string         // what holds the VM or wave, "wave spring" or "order c-17"
+	Revision infra.Revision // of the key that decided
+	Detail   string         // a sentence a person reads
 }
 
 // Error implements error.
@@ -54,6 +54,6 @@
 	if err == nil {
 		return nil
 	}
-	uncertain := platform.IsKind(err, platform.KindUnknown)
+	uncertain := infra.IsKind(err, infra.KindUnknown)
 	return trace.Wrap(&Error{Op: op, Uncertain: uncertain, Err: err})
 }
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -16,7 +16,7 @@
 	"github.com/go-logr/logr"
 	"github.com/jonboulle/clockwork"
 
-	"github.com/pumicestage/pumicestage/internal/platform"
+	"github.com/pumicestage/pumicestage/internal/infra"
 	"github.com/pumicestage/pumicestage/internal/view"
 	"github.com/pumicestage/pumicestage/policy/model"
 )
@@ -25,14 +25,14 @@
 type Acks interface {
 	// Missing names the live entry VMs that may still act on a view older
 	// than since. An error means that it is not known.
-	Missing(ctx context.Context, since platform.Revision) ([]model.EntryID, error)
+	Missing(ctx context.Context, since infra.Revision) ([]model.EntryID, error)
 }
 
 // Options are what a Fleet works with. Store, Machines, View, Acks, Health
 // and Self are required.
 type Options struct {
-	Store    platform.Store
-	Machines platform.Machines
+	Store    infra.Store
+	Machines infra.Machines
 	View     *view.Holder
 	Acks     Acks
 	// Health returns what this entry VM knows of a VM first hand; it must
@@ -48,8 +48,8 @@
 // Fleet is the reconciler of one entry VM, and the commands and questions on
 // waves and VMs. It is safe for concurrent use.
 type Fleet struct {
-	store    platform.Store
-	machines platform.Machines
+	store    infra.Store
+	machines infra.Machines
 	view     *view.Holder
 	acks     Acks
 	health   func(model.VMID) model.Health
@@ -68,8 +68,8 @@
 	healthy map[model.VMID]time.Time // since when a VM in probation is seen healthy
 
 	mu     sync.Mutex
-	list   platform.MachineList // the newest list fetched
-	listed time.Time            // when it was fetched
+	list   infra.MachineList // the newest list fetched
+	listed time.Time         // when it was fetched
 }
 
 // New returns a Fleet. It does nothing until Step or Run is called.
--- a/internal/fleet/grant.go
+++ b/internal/fleet/grant.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 
-	"github.com/pumicestage/pumicestage/internal/platform"
+	"github.com/pumicestage/pumicestage/internal/infra"
 	"github.com/pumicestage/pumicestage/policy/budget"
 	"github.com/pumicestage/pumicestage/policy/model"
 	"github.com/pumicestage/pumicestage/policy/wave"
@@ -27,7 +27,7 @@
 type grant struct {
 	vms     []model.VMID // those that are leaving now
 	records []model.VM   // their records
-	rev     platform.Revision
+	rev     infra.Revision
 	why     string // why not all
 	behind  bool   // the view is too old to count by
 }
--- a/internal/fleet/harness_test.go
+++ b/internal/fleet/harness_test.go
@@ -10,9 +10,9 @@
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
-	"github.com/pumicestage/pumicestage/internal/platform"
-	"github.com/pumicestage/pumicestage/internal/platform/faulty"
-	"github.com/pumicestage/pumicestage/internal/platform/memstore"
+	"github.com/pumicestage/pumicestage/internal/infra"
+	"github.com/pumicestage/pumicestage/internal/infra/faulty"
+	"github.com/pumicestage/pumicestage/internal/infra/memstore"
 	"github.com/pumicestage/pumicestage/internal/view"
 	"github.com/pumicestage/pumicestage/policy/model"
 )
@@ -71,7 +71,7 @@
 }
 
 // Missing implements Acks by what the nodes' views hold.
-func (w *world) Missing(_ context.Context, since platform.Revision) ([]model.EntryID, error) {
+func (w *world) Missing(_ context.Context, since infra.Revision) ([]model.EntryID, error) {
 	var missing []model.EntryID
 	for _, n := range w.nodes {
 		if !n.blind && n.view.Load().Revision < since {
@@ -142,7 +142,7 @@
 }
 
 func (w *world) readVMs() map[model.VMID]view.VMRecord {
-	kvs, _, err := w.store.Range(context.Background(), platform.VMPrefix)
+	kvs, _, err := w.store.Range(context.Background(), infra.VMPrefix)
 	if err != nil {
 		panic(err)
 	}
@@ -207,7 +207,7 @@
 func (w *world) vm(id model.VMID) view.VMRecord { return w.snapshot().VMs[id] }
 
 func (w *world) waveState(t rapid.TB, name model.WaveName) WaveState {
-	kv, _, err := w.store.Get(context.Background(), platform.WaveKey(name))
+	kv, _, err := w.store.Get(context.Background(), infra.WaveKey(name))
 	assert.NilError(t, err)
 	c, err := decode[WaveRecord](kv)
 	assert.NilError(t, err)
@@ -255,7 +255,7 @@
 	extra *node
 }
 
-func (a *ackPlus) Missing(ctx context.Context, since platform.Revision) ([]model.EntryID, error) {
+func (a *ackPlus) Missing(ctx context.Context, since infra.Revision) ([]model.EntryID, error) {
 	missing, err := a.world.Missing(ctx, since)
 	if a.extra.view.Load().Revision < since {
 		missing = append(missing, a.extra.self)
--- a/internal/fleet/life.go
+++ b/internal/fleet/life.go
@@ -4,7 +4,7 @@
 	"context"
 	"time"
 
-	"github.com/pumicestage/pumicestage/internal/platform"
+	"github.com/pumicestage/pumicestage/internal/infra"
 	"github.com/pumicestage/pumicestage/internal/view"
 	"github.com/pumicestage/pumicestage/policy/model"
 	"github.com/pumicestage/pumicestage/policy/wave"
@@ -331,7 +331,7 @@
 }
 
 func cellOf(vm view.VMRecord) *cell[model.VM] {
-	return &cell[model.VM]{key: platform.VMKey(vm.ID), rev: vm.Revision, value: vm.VM}
+	return &cell[model.VM]{key: infra.VMKey(vm.ID), rev: vm.Revision, value: vm.VM}
 }
 
 func mergeNames(a, b []model.ServiceName) []model.ServiceName {
--- a/internal/fleet/machines_test.go
+++ b/internal/fleet/machines_test.go
@@ -7,7 +7,7 @@
 
 	"github.com/jonboulle/clockwork"
 
-	"github.com/pumicestage/pumicestage/internal/platform"
+	"github.com/pumicestage/pumicestage/internal/infra"
 	"github.com/pumicestage/pumicestage/policy/model"
 )
 
@@ -47,9 +47,9 @@
 // machines is the fake of the platform's control of VMs. It counts effects per
 // attempt and what they cut.
 type machines struct {
-	platform.Machines // tasks are not used here
-	clock             clockwork.Clock
-	sending           func(model.VMID) bool // whether an entry VM may still send to the VM
+	infra.Machines // tasks are not used here
+	clock          clockwork.Clock
+	sending        func(model.VMID) bool // whether an entry VM may still send to the VM
 
 	mu       sync.Mutex
 	vms      map[model.VMID]*machine
@@ -106,20 +106,20 @@
 	return model.HealthHealthy
 }
 
-func (m *machines) List(context.Context) (platform.MachineList, error) {
+func (m *machines) List(context.Context) (infra.MachineList, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.calls++
 	if m.out() {
-		return platform.MachineList{}, platform.Errorf("list", platform.KindUnavailable, "down")
+		return infra.MachineList{}, infra.Errorf("list", infra.KindUnavailable, "down")
 	}
 	now := m.clock.Now()
-	list := platform.MachineList{AsOf: now.Add(-m.lag)}
+	list := infra.MachineList{AsOf: now.Add(-m.lag)}
 	for id, v := range m.vms {
 		if id == m.unlisted {
 			continue
 		}
-		list.Machines = append(list.Machines, platform.Machine{VM: id, Live: !v.rebooting(now), Boots: v.counted(now)})
+		list.Machines = append(list.Machines, infra.Machine{VM: id, Live: !v.rebooting(now), Boots: v.counted(now)})
 	}
 	return list, nil
 }
@@ -130,11 +130,11 @@
 	defer m.mu.Unlock()
 	m.calls++
 	if m.out() {
-		return platform.Errorf(op, platform.KindUnavailable, "down")
+		return infra.Errorf(op, infra.KindUnavailable, "down")
 	}
 	v, ok := m.vms[id]
 	if !ok {
-		return platform.Errorf(op, platform.KindNotFound, "%s", id)
+		return infra.Errorf(op, infra.KindNotFound, "%s", id)
 	}
 	if !m.done[a] {
 		m.done[a] = true
@@ -143,7 +143,7 @@
 	}
 	if m.lose > 0 {
 		m.lose--
-		return platform.Errorf(op, platform.KindUnknown, "reply lost")
+		return infra.Errorf(op, infra.KindUnknown, "reply lost")
 	}
 	return nil
 }
@@ -184,7 +184,7 @@
 	m.calls++
 	v, ok := m.vms[id]
 	if m.out() || !ok {
-		return 0, platform.Errorf("in-flight", platform.KindUnavailable, "down")
+		return 0, infra.Errorf("in-flight", infra.KindUnavailable, "down")
 	}
 	return m.inFlight(v), nil
 }
--- a/internal/fleet/order.go
+++ b/internal/fleet/order.go
@@ -8,23 +8,23 @@
 
 	"github.com/gravitational/trace"
 
-	"github.com/pumicestage/pumicestage/internal/platform"
+	"github.com/pumicestage/pumicestage/internal/infra"
 	"github.com/pumicestage/pumicestage/policy/model"
 )
 
 // Order is what every command bears.
 type Order struct {
-	Change     model.ChangeID    // a repeat under the same ID is the same order
-	Actor      string            // who asks
-	IfRevision platform.Revision // of the VM's or wave's key; 0 for any
+	Change     model.ChangeID // a repeat under the same ID is the same order
+	Actor      string         // who asks
+	IfRevision infra.Revision // of the VM's or wave's key; 0 for any
 	Reason     string
 }
 
 // Outcome is what came of an order that is in effect.
 type Outcome struct {
-	Revision platform.Revision // of the key it changed
-	Repeated bool              // it was in effect before this call
-	Detail   string            // a sentence a person reads
+	Revision infra.Revision // of the key it changed
+	Repeated bool           // it was in effect before this call
+	Detail   string         // a sentence a person reads
 }
 
 // orderTries bounds how often an order is decided anew after another write
@@ -65,7 +65,7 @@
 	return trace.Wrap(&Refusal{Code: CodeUnavailable, Detail: failed.Err.Error()})
 }
 
-func refuse(code Code, winner string, rev platform.Revision, format string, args ...any) error {
+func refuse(code Code, winner string, rev infra.Revision, format string, args ...any) error {
 	return trace.Wrap(&Refusal{Code: code, Winner: winner, Revision: rev, Detail: fmt.Sprintf(format, args...)})
 }
 
--- a/internal/fleet/order_test.go
+++ b/internal/fleet/order_test.go
@@ -8,7 +8,7 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/pumicestage/pumicestage/internal/platform"
+	"github.com/pumicestage/pumicestage/internal/infra"
 	"github.com/pumicestage/pumicestage/policy/model"
 )
 
@@ -296,5 +296,5 @@
 	assert.Equal(t, w.store.Revision(), before)
 	_, err = n.Drain(ctx, v1, order("a"))
 	assert.NilError(t, err)
-	assert.Assert(t, platform.Revision(0) < w.vm(v1).Revision)
+	assert.Assert(t, infra.Revision(0) < w.vm(v1).Revision)
 }
--- a/internal/fleet/pass.go
+++ b/internal/fleet/pass.go
@@ -7,7 +7,7 @@
 	"sort"
 	"time"
 
-	"github.com/pumicestage/pumicestage/internal/platform"
+	"github.com/pumicestage/pumicestage/internal/infra"
 	"github.com/pumicestage/pumicestage/internal/view"
 	"github.com/pumicestage/pumicestage/policy/budget"
 	"github.com/pumicestage/pumicestage/policy/model"
@@ -22,8 +22,8 @@
 	f        *Fleet
 	now      time.Time
 	snap     *view.Snapshot
-	list     platform.MachineList
-	machines map[model.VMID]platform.Machine
+	list     infra.MachineList
+	machines map[model.VMID]infra.Machine
 	byPool   map[model.PoolName][]model.VMID // sorted
 	services map[model.PoolName][]*model.Service
 }
@@ -35,7 +35,7 @@
 		now:      f.clock.Now(),
 		snap:     f.view.Load(),
 		list:     f.lastList(),
-		machines: make(map[model.VMID]platform.Machine),
+		machines: make(map[model.VMID]infra.Machine),
 	}
 	for _, m := range p.list.Machines {
 		p.machines[m.VM] = m
@@ -44,7 +44,7 @@
 	return p
 }
 
-func (f *Fleet) lastList() platform.MachineList {
+func (f *Fleet) lastList() infra.MachineList {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.list
@@ -171,7 +171,7 @@
 // dear, so only orders do it, whose actor would else be refused for a lag of
 // some milliseconds.
 func (p *pass) catchUp(ctx context.Context) error {
-	kvs, rev, err := p.f.store.Range(ctx, platform.VMPrefix)
+	kvs, rev, err := p.f.store.Range(ctx, infra.VMPrefix)
 	if err != nil {
 		return fault("read VMs", err)
 	}
--- a/internal/fleet/records.go
+++ b/internal/fleet/records.go
@@ -7,7 +7,7 @@
 
 	"github.com/gravitational/trace"
 
-	"github.com/pumicestage/pumicestage/internal/platform"
+	"github.com/pumicestage/pumicestage/internal/infra"
 	"github.com/pumicestage/pumicestage/policy/model"
 )
 
@@ -69,33 +69,33 @@
 // cell is a decoded value with the revision of its key.
 type cell[T any] struct {
 	key   string
-	rev   platform.Revision // 0 where the key does not exist
+	rev   infra.Revision // 0 where the key does not exist
 	value T
 }
 
-func decode[T any](kv platform.KV) (cell[T], error) {
+func decode[T any](kv infra.KV) (cell[T], error) {
 	c := cell[T]{key: kv.Key, rev: kv.ModRevision}
 	if kv.ModRevision == 0 {
 		return c, nil
 	}
 	if err := json.Unmarshal(kv.Value, &c.value); err != nil {
-		return c, fault("decode", platform.Errorf("decode", platform.KindInvalid, "%s: %w", kv.Key, err))
+		return c, fault("decode", infra.Errorf("decode", infra.KindInvalid, "%s: %w", kv.Key, err))
 	}
 	return c, nil
 }
 
 // cond is the condition that the cell is still what was read.
-func (c *cell[T]) cond() platform.Cond {
-	return platform.Cond{Key: c.key, ModRevision: c.rev}
+func (c *cell[T]) cond() infra.Cond {
+	return infra.Cond{Key: c.key, ModRevision: c.rev}
 }
 
 // put writes the cell's value.
-func (c *cell[T]) put() platform.Op {
+func (c *cell[T]) put() infra.Op {
 	b, err := json.Marshal(c.value)
 	if err != nil {
 		panic("fleet: records always marshal: " + err.Error())
 	}
-	return platform.Put(c.key, b)
+	return infra.Put(c.key, b)
 }
 
 // reading is one consistent read of the keys that one decision needs.
@@ -107,19 +107,19 @@
 
 // read reads VMs, ledgers and, unless it is empty, a wave as one step.
 func (f *Fleet) read(ctx context.Context, vms []model.VMID, ledgers []model.ServiceName, wave model.WaveName) (*reading, error) {
-	var ops []platform.Op
+	var ops []infra.Op
 	for _, id := range vms {
-		ops = append(ops, platform.Read(platform.VMKey(id)))
+		ops = append(ops, infra.Read(infra.VMKey(id)))
 	}
 	for _, s := range ledgers {
-		ops = append(ops, platform.Read(platform.LedgerKey(s)))
+		ops = append(ops, infra.Read(infra.LedgerKey(s)))
 	}
 	if wave != "" {
-		ops = append(ops, platform.Read(platform.WaveKey(wave)))
+		ops = append(ops, infra.Read(infra.WaveKey(wave)))
 	}
-	res, err := f.store.Txn(ctx, platform.Txn{Then: ops})
-	if platform.IsKind(err, platform.KindUnknown) {
-		res, err = f.store.Txn(ctx, platform.Txn{Then: ops})
+	res, err := f.store.Txn(ctx, infra.Txn{Then: ops})
+	if infra.IsKind(err, infra.KindUnknown) {
+		res, err = f.store.Txn(ctx, infra.Txn{Then: ops})
 	}
 	if err != nil {
 		// A read changes nothing, whatever became of its reply.
@@ -128,7 +128,7 @@
 	return decodeReading(res.Reads, vms, ledgers, wave)
 }
 
-func decodeReading(kvs []platform.KV, vms []model.VMID, ledgers []model.ServiceName, wave model.WaveName) (*reading, error) {
+func decodeReading(kvs []infra.KV, vms []model.VMID, ledgers []model.ServiceName, wave model.WaveName) (*reading, error) {
 	r := &reading{vms: make(map[model.VMID]*cell[model.VM]), ledgers: make(map[model.ServiceName]*cell[Ledger])}
 	for i, id := range vms {
 		c, err := decode[model.VM](kvs[i])
@@ -157,23 +157,23 @@
 
 // write is one transaction in the making.
 type write struct {
-	conds []platform.Cond
-	ops   []platform.Op
+	conds []infra.Cond
+	ops   []infra.Op
 }
 
 // guard adds the condition that a key is unchanged.
-func (w *write) guard(c platform.Cond) { w.conds = append(w.conds, c) }
+func (w *write) guard(c infra.Cond) { w.conds = append(w.conds, c) }
 
 // change adds a key with the condition that it is unchanged.
-func (w *write) change(cond platform.Cond, op platform.Op) {
+func (w *write) change(cond infra.Cond, op infra.Op) {
 	w.conds = append(w.conds, cond)
 	w.ops = append(w.ops, op)
 }
 
 // commit applies the write and returns the revision it has. The error is a
 // platform conflict where another write came first.
-func (f *Fleet) commit(ctx context.Context, op string, w *write) (platform.Revision, error) {
-	res, err := platform.Commit(ctx, f.store, platform.Txn{If: w.conds, Then: w.ops})
+func (f *Fleet) commit(ctx context.Context, op string, w *write) (infra.Revision, error) {
+	res, err := infra.Commit(ctx, f.store, infra.Txn{If: w.conds, Then: w.ops})
 	if err != nil {
 		return 0, fault(op, err)
 	}
@@ -181,4 +181,4 @@
 }
 
 // isConflict reports whether another write came first.
-func isConflict(err error) bool { return platform.IsKind(err, platform.KindConflict) }
+func isConflict(err error) bool { return infra.IsKind(err, infra.KindConflict) }
--- a/internal/fleet/safeguard_test.go
+++ b/internal/fleet/safeguard_test.go
@@ -6,7 +6,7 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/pumicestage/pumicestage/internal/platform"
+	"github.com/pumicestage/pumicestage/internal/infra"
 	"github.com/pumicestage/pumicestage/policy/model"
 )
 
@@ -170,7 +170,7 @@
 			assert.NilError(t, err)
 			w.until(t, time.Minute, func() bool { return tc.until(w) })
 			paused := false
-			w.nodes[0].store.Before(func(_ string, txn platform.Txn) {
+			w.nodes[0].store.Before(func(_ string, txn infra.Txn) {
 				if len(txn.If) > 0 && !paused {
 					paused = true
 					_, err := rival.PauseWave(ctx, "spring", order("c2"))
@@ -235,7 +235,7 @@
 	assert.NilError(t, err)
 	w.until(t, 10*time.Minute, func() bool { return w.vm(v0).Pool == "p1" })
 	for _, s := range []model.ServiceName{"s0", "s1"} {
-		kv, _, err := w.store.Get(ctx, platform.LedgerKey(s))
+		kv, _, err := w.store.Get(ctx, infra.LedgerKey(s))
 		assert.NilError(t, err)
 		assert.Equal(t, kv.ModRevision, w.vm(v0).Revision, "ledger of %s", s)
 	}
--- a/internal/fleet/shard.go
+++ b/internal/fleet/shard.go
@@ -6,7 +6,7 @@
 	"hash/fnv"
 	"time"
 
-	"github.com/pumicestage/pumicestage/internal/platform"
+	"github.com/pumicestage/pumicestage/internal/infra"
 	"github.com/pumicestage/pumicestage/internal/view"
 	"github.com/pumicestage/pumicestage/policy/model"
 )
@@ -28,7 +28,7 @@
 // shards are the leased shards of work this entry VM holds. They save effort
 // and nothing else: two holders at once collide in their CAS and do no harm.
 type shards struct {
-	lease   platform.LeaseID
+	lease   infra.LeaseID
 	renewed time.Time
 	held    map[int]bool
 	refused map[int]time.Time // when another was seen to hold it
@@ -45,7 +45,7 @@
 	return int(h.Sum32() % shardCount)
 }
 
-func shardKey(n int) string { return fmt.Sprintf("%s%d", platform.ShardPrefix, n) }
+func shardKey(n int) string { return fmt.Sprintf("%s%d", infra.ShardPrefix, n) }
 
 // claimShards takes what is free of the shards with work and returns whether
 // any is held. Errors only delay the work.
@@ -73,12 +73,12 @@
 func (f *Fleet) claimShard(ctx context.Context, n int) error {
 	key := shardKey(n)
 	value := fmt.Sprintf("%s lease %d", f.self, f.shards.lease)
-	res, err := f.store.Txn(ctx, platform.Txn{
-		If:   []platform.Cond{{Key: key}},
-		Then: []platform.Op{platform.PutLeased(key, []byte(value), f.shards.lease)},
-		Else: []platform.Op{platform.Read(key)},
+	res, err := f.store.Txn(ctx, infra.Txn{
+		If:   []infra.Cond{{Key: key}},
+		Then: []infra.Op{infra.PutLeased(key, []byte(value), f.shards.lease)},
+		Else: []infra.Op{infra.Read(key)},
 	})
-	if platform.IsKind(err, platform.KindLeaseNotFound) {
+	if infra.IsKind(err, infra.KindLeaseNotFound) {
 		f.shards = newShards()
 	}
 	if err != nil {
@@ -109,7 +109,7 @@
 		return nil
 	}
 	err := f.store.KeepAlive(ctx, f.shards.lease)
-	if platform.IsKind(err, platform.KindLeaseNotFound) {
+	if infra.IsKind(err, infra.KindLeaseNotFound) {
 		f.shards = newShards()
 		return nil
 	}
@@ -128,7 +128,7 @@
 		return nil
 	}
 	err := f.store.Revoke(ctx, lease)
-	if platform.IsKind(err, platform.KindLeaseNotFound) {
+	if infra.IsKind(err, infra.KindLeaseNotFound) {
 		return nil
 	}
 	return fault("revoke lease", err)
--- a/internal/fleet/status.go
+++ b/internal/fleet/status.go
@@ -5,7 +5,7 @@
 	"sort"
 	"time"
 
-	"github.com/pumicestage/pumicestage/internal/platform"
+	"github.com/pumicestage/pumicestage/internal/infra"
 	"github.com/pumicestage/pumicestage/internal/view"
 	"github.com/pumicestage/pumicestage/policy/budget"
 	"github.com/pumicestage/pumicestage/policy/model"
@@ -15,7 +15,7 @@
 // WaveStatus is what operators see of a started wave.
 type WaveStatus struct {
 	Record   WaveRecord
-	Revision platform.Revision
+	Revision infra.Revision
 	Progress wave.Progress
 	Forecast time.Duration // until it ends; 0 where it has
 	Hold     string        // what holds it back now; empty if nothing
@@ -145,7 +145,7 @@
 	Holds    bool
 	Zones    map[model.ZoneName]budget.Domain
 	Stops    []Stop
-	Revision platform.Revision // of the ledger
+	Revision infra.Revision // of the ledger
 }
 
 // Budget returns where a service's budget stands.
--- a/internal/fleet/step.go
+++ b/internal/fleet/step.go
@@ -7,7 +7,7 @@
 
 	"github.com/gravitational/trace"
 
-	"github.com/pumicestage/pumicestage/internal/platform"
+	"github.com/pumicestage/pumicestage/internal/infra"
 	"github.com/pumicestage/pumicestage/internal/view"
 	"github.com/pumicestage/pumicestage/policy/budget"
 	"github.com/pumicestage/pumicestage/policy/model"
@@ -87,7 +87,7 @@
 func (f *Fleet) loadWaves(ctx context.Context) (waves, error) {
 	ctx, cancel := context.WithTimeout(ctx, stepTimeout)
 	defer cancel()
-	kvs, _, err := f.store.Range(ctx, platform.WavePrefix)
+	kvs, _, err := f.store.Range(ctx, infra.WavePrefix)
 	if err != nil {
 		return nil, fault("read waves", err)
 	}
--- a/internal/fleet/tap_test.go
+++ b/internal/fleet/tap_test.go
@@ -3,24 +3,24 @@
 import (
 	"context"
 
-	"github.com/pumicestage/pumicestage/internal/platform"
+	"github.com/pumicestage/pumicestage/internal/infra"
 	"github.com/pumicestage/pumicestage/policy/model"
 )
 
 // tapStore lets a schedule step in before each call of one node.
 type tapStore struct {
-	platform.Store
+	infra.Store
 	n *node
 }
 
-func (t *tapStore) Txn(ctx context.Context, txn platform.Txn) (platform.TxnResult, error) {
+func (t *tapStore) Txn(ctx context.Context, txn infra.Txn) (infra.TxnResult, error) {
 	t.n.at("txn")
 	return t.Store.Txn(ctx, txn)
 }
 
 // tapMachines is tapStore for the control of VMs.
 type tapMachines struct {
-	platform.Machines
+	infra.Machines
 	n *node
 }
 
--- a/internal/platform/contract/bench_test.go
+++ b/internal/infra/contract/bench_test.go
@@ -13,11 +13,11 @@
 	"github.com/jonboulle/clockwork"
 	"gotest.tools/v3/assert"
 
-	"github.com/pumicestage/pumicestage/internal/platform"
-	"github.com/pumicestage/pumicestage/internal/platform/gateway"
-	"github.com/pumicestage/pumicestage/internal/platform/machineapi"
-	"github.com/pumicestage/pumicestage/internal/platform/memstore"
-	"github.com/pumicestage/pumicestage/internal/platform/standin"
+	"github.com/pumicestage/pumicestage/internal/infra"
+	"github.com/pumicestage/pumicestage/internal/infra/gateway"
+	"github.com/pumicestage/pumicestage/internal/infra/machineapi"
+	"github.com/pumicestage/pumicestage/internal/infra/memstore"
+	"github.com/pumicestage/pumicestage/internal/infra/standin"
 	"github.com/pumicestage/pumicestage/policy/model"
 )
 
@@ -74,11 +74,11 @@
 	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
 }
 
-func fill(b *testing.B, s platform.Store, n int) {
+func fill(b *testing.B, s infra.Store, n int) {
 	b.Helper()
 	for i := range n {
-		_, err := s.Txn(context.Background(), platform.Txn{Then: []platform.Op{
-			platform.Put(fmt.Sprintf("%sv%04d", platform.VMPrefix, i), bytes.Repeat([]byte("x"), vmBytes)),
+		_, err := s.Txn(context.Background(), infra.Txn{Then: []infra.Op{
+			infra.Put(fmt.Sprintf("%sv%04d", infra.VMPrefix, i), bytes.Repeat([]byte("x"), vmBytes)),
 		}})
 		assert.NilError(b, err)
 	}
@@ -87,8 +87,8 @@
 func BenchmarkStoreCall(b *testing.B) {
 	ctx := context.Background()
 	value := bytes.Repeat([]byte("x"), vmBytes)
-	get := func(s platform.Store) func(int) error {
-		return func(int) error { _, _, err := s.Get(ctx, platform.VMPrefix+"v0001"); return err }
+	get := func(s infra.Store) func(int) error {
+		return func(int) error { _, _, err := s.Get(ctx, infra.VMPrefix+"v0001"); return err }
 	}
 	b.Run("get/memstore", func(b *testing.B) {
 		s := memstore.New(clockwork.NewRealClock())
@@ -113,20 +113,20 @@
 		b.Run(fmt.Sprintf("range/gateway/%d", vms), func(b *testing.B) {
 			w := newBench(b)
 			fill(b, w.srv.Store, vms)
-			w.measure(b, func(int) error { _, _, err := w.client.Range(ctx, platform.VMPrefix); return err })
+			w.measure(b, func(int) error { _, _, err := w.client.Range(ctx, infra.VMPrefix); return err })
 		})
 	}
 	for _, claims := range []int{1, 16, 128} {
 		b.Run(fmt.Sprintf("commit/gateway/%d", claims), func(b *testing.B) {
 			w := newBench(b)
 			w.measure(b, func(n int) error {
-				var txn platform.Txn
+				var txn infra.Txn
 				for i := range claims {
-					key := platform.ClaimPrefix + strconv.Itoa(n) + "/" + strconv.Itoa(i)
-					txn.If = append(txn.If, platform.Cond{Key: key})
-					txn.Then = append(txn.Then, platform.Put(key, value))
+					key := infra.ClaimPrefix + strconv.Itoa(n) + "/" + strconv.Itoa(i)
+					txn.If = append(txn.If, infra.Cond{Key: key})
+					txn.Then = append(txn.Then, infra.Put(key, value))
 				}
-				_, err := platform.Commit(ctx, w.client, txn)
+				_, err := infra.Commit(ctx, w.client, txn)
 				return err
 			})
 		})
@@ -141,14 +141,14 @@
 			ctx, cancel := context.WithCancel(context.Background())
 			defer cancel()
 			w := newBench(b)
-			var all []<-chan platform.WatchBatch
+			var all []<-chan infra.WatchBatch
 			for range watches {
-				ch, err := w.client.Watch(ctx, platform.VMPrefix, 1)
+				ch, err := w.client.Watch(ctx, infra.VMPrefix, 1)
 				assert.NilError(b, err)
 				all = append(all, ch)
 			}
 			w.measure(b, func(int) error {
-				_, err := w.srv.Store.Txn(ctx, platform.Txn{Then: []platform.Op{platform.Put(platform.VMPrefix+"v0001", value)}})
+				_, err := w.srv.Store.Txn(ctx, infra.Txn{Then: []infra.Op{infra.Put(infra.VMPrefix+"v0001", value)}})
 				for _, ch := range all {
 					<-ch
 				}
@@ -166,7 +166,7 @@
 	w := newBench(b)
 	before := memoryInUse()
 	for range b.N {
-		_, err := w.client.Watch(ctx, platform.VMPrefix, 1)
+		_, err := w.client.Watch(ctx, infra.VMPrefix, 1)
 		assert.NilError(b, err)
 	}
 	b.ReportMetric(float64(memoryInUse()-before)/float64(b.N), "B-memory/watch")
--- a/internal/platform/contract/commit.go
+++ b/internal/infra/contract/commit.go
@@ -6,20 +6,20 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/pumicestage/pumicestage/internal/platform"
+	"github.com/pumicestage/pumicestage/internal/infra"
 )
 
 // between is a client that lets something happen after a call whose outcome
 // is unknown, before the call is repeated.
 type between struct {
-	platform.Store
+	infra.Store
 	do func()
 }
 
-// Txn implements platform.Store.
-func (b *between) Txn(ctx context.Context, txn platform.Txn) (platform.TxnResult, error) {
+// Txn implements infra.Store.
+func (b *between) Txn(ctx context.Context, txn infra.Txn) (infra.TxnResult, error) {
 	res, err := b.Store.Txn(ctx, txn)
-	if platform.IsKind(err, platform.KindUnknown) && b.do != nil {
+	if infra.IsKind(err, infra.KindUnknown) && b.do != nil {
 		b.do()
 		b.do = nil
 	}
@@ -29,20 +29,20 @@
 func loses(s Store) bool { return s.LoseReplies != nil && s.LoseRequests != nil }
 
 // change is a transaction that moves key a on, and marks key b.
-func change(rev platform.Revision, id string) platform.Txn {
-	return platform.Txn{
-		If:   []platform.Cond{{Key: "a", ModRevision: rev}},
-		Then: []platform.Op{platform.Put("a", []byte(id)), platform.Put("b", []byte(id))},
+func change(rev infra.Revision, id string) infra.Txn {
+	return infra.Txn{
+		If:   []infra.Cond{{Key: "a", ModRevision: rev}},
+		Then: []infra.Op{infra.Put("a", []byte(id)), infra.Put("b", []byte(id))},
 	}
 }
 
 // commitOutcome is what Commit must say, and what must be in the store.
 type commitOutcome struct {
 	name        string
-	loseRequest bool                                               // else the reply is lost
-	txn         func(rev platform.Revision) platform.Txn           // rev is that of key a
-	rival       func(t *testing.T, s Store, rev platform.Revision) // after the loss, before the repeat
-	want        platform.Kind                                      // 0: done
+	loseRequest bool                                            // else the reply is lost
+	txn         func(rev infra.Revision) infra.Txn              // rev is that of key a
+	rival       func(t *testing.T, s Store, rev infra.Revision) // after the loss, before the repeat
+	want        infra.Kind                                      // 0: done
 	superseded  bool
 	a           string // what key a holds at last
 }
@@ -50,69 +50,69 @@
 var commitOutcomes = []commitOutcome{
 	{name: "reply lost, nothing else", txn: ours, a: "ours"},
 	{name: "request lost, nothing else", loseRequest: true, txn: ours, a: "ours"},
-	{name: "request lost, a rival was first", loseRequest: true, txn: ours, rival: overwrite, want: platform.KindConflict, a: "rival"},
-	{name: "request lost, a rival deleted", loseRequest: true, txn: ours, rival: remove, want: platform.KindConflict},
+	{name: "request lost, a rival was first", loseRequest: true, txn: ours, rival: overwrite, want: infra.KindConflict, a: "rival"},
+	{name: "request lost, a rival deleted", loseRequest: true, txn: ours, rival: remove, want: infra.KindConflict},
 	{name: "reply lost, a rival followed", txn: ours, rival: overwrite, superseded: true, a: "rival"},
 	{name: "reply lost, a rival deleted after it", txn: ours, rival: remove, superseded: true},
 	{name: "reply lost, a rival changed one of the keys", txn: ours, rival: overwriteB, superseded: true, a: "ours"},
-	{name: "request lost, another key failed a condition", loseRequest: true, txn: oursIfCAbsent, rival: putC, want: platform.KindConflict, a: "before"},
+	{name: "request lost, another key failed a condition", loseRequest: true, txn: oursIfCAbsent, rival: putC, want: infra.KindConflict, a: "before"},
 	{name: "reply lost to a creation, a rival followed", txn: creation, rival: overwriteB, superseded: true, a: "before"},
-	{name: "request lost to a creation, a rival was first", loseRequest: true, txn: creation, rival: overwriteB, want: platform.KindConflict, a: "before"},
+	{name: "request lost to a creation, a rival was first", loseRequest: true, txn: creation, rival: overwriteB, want: infra.KindConflict, a: "before"},
 	{name: "reply lost to a creation, deleted and created by a rival", txn: creation, rival: recreateB, superseded: true, a: "before"},
-	{name: "reply lost to a deletion", txn: deletion, want: platform.KindUnknown},
-	{name: "request lost to a deletion, a rival was first", loseRequest: true, txn: deletion, rival: overwrite, want: platform.KindConflict, a: "rival"},
-	{name: "request lost to a deletion, a rival deleted and created", loseRequest: true, txn: deletion, rival: recreateA, want: platform.KindUnknown, a: "rival"},
+	{name: "reply lost to a deletion", txn: deletion, want: infra.KindUnknown},
+	{name: "request lost to a deletion, a rival was first", loseRequest: true, txn: deletion, rival: overwrite, want: infra.KindConflict, a: "rival"},
+	{name: "request lost to a deletion, a rival deleted and created", loseRequest: true, txn: deletion, rival: recreateA, want: infra.KindUnknown, a: "rival"},
 }
 
-func ours(rev platform.Revision) platform.Txn { return change(rev, "ours") }
+func ours(rev infra.Revision) infra.Txn { return change(rev, "ours") }
 
-func oursIfCAbsent(rev platform.Revision) platform.Txn {
+func oursIfCAbsent(rev infra.Revision) infra.Txn {
 	txn := change(rev, "ours")
-	txn.If = append(txn.If, platform.Cond{Key: "c"})
+	txn.If = append(txn.If, infra.Cond{Key: "c"})
 	return txn
 }
 
-func creation(platform.Revision) platform.Txn {
-	return platform.Txn{If: []platform.Cond{{Key: "b"}}, Then: []platform.Op{platform.Put("b", []byte("ours"))}}
+func creation(infra.Revision) infra.Txn {
+	return infra.Txn{If: []infra.Cond{{Key: "b"}}, Then: []infra.Op{infra.Put("b", []byte("ours"))}}
 }
 
-func deletion(rev platform.Revision) platform.Txn {
-	return platform.Txn{If: []platform.Cond{{Key: "a", ModRevision: rev}}, Then: []platform.Op{platform.Delete("a")}}
+func deletion(rev infra.Revision) infra.Txn {
+	return infra.Txn{If: []infra.Cond{{Key: "a", ModRevision: rev}}, Then: []infra.Op{infra.Delete("a")}}
 }
 
-func overwrite(t *testing.T, s Store, _ platform.Revision)  { put(t, s.Rival, "a", "rival") }
-func overwriteB(t *testing.T, s Store, _ platform.Revision) { put(t, s.Rival, "b", "rival") }
-func putC(t *testing.T, s Store, _ platform.Revision)       { put(t, s.Rival, "c", "rival") }
+func overwrite(t *testing.T, s Store, _ infra.Revision)  { put(t, s.Rival, "a", "rival") }
+func overwriteB(t *testing.T, s Store, _ infra.Revision) { put(t, s.Rival, "b", "rival") }
+func putC(t *testing.T, s Store, _ infra.Revision)       { put(t, s.Rival, "c", "rival") }
 
-func remove(t *testing.T, s Store, _ platform.Revision) {
-	txn(t, s.Rival, platform.Txn{Then: []platform.Op{platform.Delete("a")}})
+func remove(t *testing.T, s Store, _ infra.Revision) {
+	txn(t, s.Rival, infra.Txn{Then: []infra.Op{infra.Delete("a")}})
 }
 
-func recreateA(t *testing.T, s Store, rev platform.Revision) {
+func recreateA(t *testing.T, s Store, rev infra.Revision) {
 	remove(t, s, rev)
 	overwrite(t, s, rev)
 }
 
-func recreateB(t *testing.T, s Store, rev platform.Revision) {
-	txn(t, s.Rival, platform.Txn{Then: []platform.Op{platform.Delete("b")}})
+func recreateB(t *testing.T, s Store, rev infra.Revision) {
+	txn(t, s.Rival, infra.Txn{Then: []infra.Op{infra.Delete("b")}})
 	overwriteB(t, s, rev)
 }
 
 var commitCases = append([]storeCase{
 	{name: "commit: a transaction that a repeat could apply twice is refused", run: func(t *testing.T, s Store) {
-		for _, txn := range []platform.Txn{
-			{Then: []platform.Op{platform.Put("a", nil)}},
-			{If: []platform.Cond{{Key: "b"}}, Then: []platform.Op{platform.Put("a", nil)}},
-			{If: []platform.Cond{{Key: "a"}}, Then: []platform.Op{platform.Delete("a")}},
+		for _, txn := range []infra.Txn{
+			{Then: []infra.Op{infra.Put("a", nil)}},
+			{If: []infra.Cond{{Key: "b"}}, Then: []infra.Op{infra.Put("a", nil)}},
+			{If: []infra.Cond{{Key: "a"}}, Then: []infra.Op{infra.Delete("a")}},
 		} {
-			_, err := platform.Commit(ctxOf(t), s.Client, txn)
-			wantKind(t, err, platform.KindInvalid)
+			_, err := infra.Commit(ctxOf(t), s.Client, txn)
+			wantKind(t, err, infra.KindInvalid)
 		}
 	}},
 	{name: "commit: a conflict without any loss needs no second call", run: func(t *testing.T, s Store) {
 		put(t, s.Rival, "a", "rival")
-		res, err := platform.Commit(ctxOf(t), s.Client, change(0, "ours"))
-		wantKind(t, err, platform.KindConflict)
+		res, err := infra.Commit(ctxOf(t), s.Client, change(0, "ours"))
+		wantKind(t, err, infra.KindConflict)
 		assert.Equal(t, string(res.Reads[0].Value), "rival")
 	}},
 	{name: "commit: the same value written by another is not ours", needs: loses, run: sameValue},
@@ -144,9 +144,9 @@
 	lose(1)
 	txn := o.txn(rev)
 
-	res, err := platform.Commit(ctxOf(t), client, txn)
+	res, err := infra.Commit(ctxOf(t), client, txn)
 
-	assert.Equal(t, platform.KindOf(err), o.want, "%v", err)
+	assert.Equal(t, infra.KindOf(err), o.want, "%v", err)
 	assert.Equal(t, res.Superseded, o.superseded)
 	assert.Equal(t, string(get(t, s.Rival, "a").Value), o.a)
 	if o.want == 0 && !o.superseded {
@@ -162,14 +162,14 @@
 	put(t, s.Rival, "b", "ours")
 	client := &between{Store: s.Client, do: func() { put(t, s.Rival, "c", "rival") }}
 	s.LoseRequests(1)
-	_, err := platform.Commit(ctxOf(t), client, oursIfCAbsent(rev))
-	wantKind(t, err, platform.KindConflict)
+	_, err := infra.Commit(ctxOf(t), client, oursIfCAbsent(rev))
+	wantKind(t, err, infra.KindConflict)
 
 	rev = put(t, s.Rival, "a", "before") // newer than the value of key b
 	client.do = func() { overwrite(t, s, rev) }
 	s.LoseRequests(1)
-	_, err = platform.Commit(ctxOf(t), client, ours(rev))
-	wantKind(t, err, platform.KindConflict)
+	_, err = infra.Commit(ctxOf(t), client, ours(rev))
+	wantKind(t, err, infra.KindConflict)
 }
 
 // The service has read our write and stops; we give up, come back and repeat
@@ -186,7 +186,7 @@
 	}()
 	eventually(t, "the write did not arrive", func() bool { return s.Held() == 1 })
 	cancel()
-	wantKind(t, <-failed, platform.KindUnknown)
+	wantKind(t, <-failed, infra.KindUnknown)
 	res := txn(t, s.Rival, change(rev, "ours"))
 	assert.Assert(t, res.Succeeded)
 	put(t, s.Rival, "a", "newer")
--- a/internal/platform/contract/contract.go
+++ b/internal/infra/contract/contract.go
@@ -10,7 +10,7 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/pumicestage/pumicestage/internal/platform"
+	"github.com/pumicestage/pumicestage/internal/infra"
 )
 
 // deadline ends a call that no case means to end; it is far beyond what a
@@ -21,11 +21,11 @@
 // brought about are nil; the cases that need them are then not part of the
 // suite.
 type Store struct {
-	Client platform.Store // under test
-	Rival  platform.Store // another way to the same service, without faults
+	Client infra.Store // under test
+	Rival  infra.Store // another way to the same service, without faults
 
-	Advance func(d time.Duration)       // moves the service's clock on
-	Compact func(rev platform.Revision) // forgets history up to rev
+	Advance func(d time.Duration)    // moves the service's clock on
+	Compact func(rev infra.Revision) // forgets history up to rev
 	// Tick lets the service notice lapsed leases, where it does not do so by
 	// itself; nil where it does.
 	Tick func()
@@ -51,28 +51,28 @@
 	return ctx
 }
 
-func put(t *testing.T, s platform.Store, key, value string) platform.Revision {
+func put(t *testing.T, s infra.Store, key, value string) infra.Revision {
 	t.Helper()
-	res, err := s.Txn(ctxOf(t), platform.Txn{Then: []platform.Op{platform.Put(key, []byte(value))}})
+	res, err := s.Txn(ctxOf(t), infra.Txn{Then: []infra.Op{infra.Put(key, []byte(value))}})
 	assert.NilError(t, err)
 	assert.Assert(t, res.Succeeded)
 	return res.Revision
 }
 
-func get(t *testing.T, s platform.Store, key string) platform.KV {
+func get(t *testing.T, s infra.Store, key string) infra.KV {
 	t.Helper()
 	kv, _, err := s.Get(ctxOf(t), key)
 	assert.NilError(t, err)
 	return kv
 }
 
-func wantKind(t *testing.T, err error, want platform.Kind) {
+func wantKind(t *testing.T, err error, want infra.Kind) {
 	t.Helper()
-	assert.Assert(t, platform.IsKind(err, want), "got %v, want kind %q", err, want)
+	assert.Assert(t, infra.IsKind(err, want), "got %v, want kind %q", err, want)
 }
 
 // next returns the watch's next batch; an absent one ends the test.
-func next(t *testing.T, ch <-chan platform.WatchBatch) platform.WatchBatch {
+func next(t *testing.T, ch <-chan infra.WatchBatch) infra.WatchBatch {
 	t.Helper()
 	select {
 	case b, ok := <-ch:
@@ -80,12 +80,12 @@
 		return b
 	case <-time.After(deadline):
 		t.Fatal("no event")
-		return platform.WatchBatch{}
+		return infra.WatchBatch{}
 	}
 }
 
 // ended checks that the watch is closed.
-func ended(t *testing.T, ch <-chan platform.WatchBatch) {
+func ended(t *testing.T, ch <-chan infra.WatchBatch) {
 	t.Helper()
 	select {
 	case b, ok := <-ch:
--- a/internal/platform/contract/contract_test.go
+++ b/internal/infra/contract/contract_test.go
@@ -7,12 +7,12 @@
 	"github.com/jonboulle/clockwork"
 	"gotest.tools/v3/assert"
 
-	"github.com/pumicestage/pumicestage/internal/platform/contract"
-	"github.com/pumicestage/pumicestage/internal/platform/faulty"
-	"github.com/pumicestage/pumicestage/internal/platform/gateway"
-	"github.com/pumicestage/pumicestage/internal/platform/machineapi"
-	"github.com/pumicestage/pumicestage/internal/platform/memstore"
-	"github.com/pumicestage/pumicestage/internal/platform/standin"
+	"github.com/pumicestage/pumicestage/internal/infra/contract"
+	"github.com/pumicestage/pumicestage/internal/infra/faulty"
+	"github.com/pumicestage/pumicestage/internal/infra/gateway"
+	"github.com/pumicestage/pumicestage/internal/infra/machineapi"
+	"github.com/pumicestage/pumicestage/internal/infra/memstore"
+	"github.com/pumicestage/pumicestage/internal/infra/standin"
 )
 
 const zone = "zone-a"
--- a/internal/platform/contract/faults.go
+++ b/internal/infra/contract/faults.go
@@ -7,37 +7,37 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/pumicestage/pumicestage/internal/platform"
+	"github.com/pumicestage/pumicestage/internal/infra"
 )
 
 // calls are all kinds of call; each must name its failures alike.
 var calls = []struct {
 	name   string
 	writes bool
-	do     func(ctx context.Context, s platform.Store) error
+	do     func(ctx context.Context, s infra.Store) error
 }{
-	{"get", false, func(ctx context.Context, s platform.Store) error {
+	{"get", false, func(ctx context.Context, s infra.Store) error {
 		_, _, err := s.Get(ctx, "a")
 		return err
 	}},
-	{"range", false, func(ctx context.Context, s platform.Store) error {
+	{"range", false, func(ctx context.Context, s infra.Store) error {
 		_, _, err := s.Range(ctx, "a")
 		return err
 	}},
-	{"keepalive", false, func(ctx context.Context, s platform.Store) error { return s.KeepAlive(ctx, 1) }},
-	{"watch", false, func(ctx context.Context, s platform.Store) error {
+	{"keepalive", false, func(ctx context.Context, s infra.Store) error { return s.KeepAlive(ctx, 1) }},
+	{"watch", false, func(ctx context.Context, s infra.Store) error {
 		_, err := s.Watch(ctx, "a", 1)
 		return err
 	}},
-	{"txn", true, func(ctx context.Context, s platform.Store) error {
-		_, err := s.Txn(ctx, platform.Txn{Then: []platform.Op{platform.Put("a", []byte("client"))}})
+	{"txn", true, func(ctx context.Context, s infra.Store) error {
+		_, err := s.Txn(ctx, infra.Txn{Then: []infra.Op{infra.Put("a", []byte("client"))}})
 		return err
 	}},
-	{"grant", true, func(ctx context.Context, s platform.Store) error {
+	{"grant", true, func(ctx context.Context, s infra.Store) error {
 		_, err := s.Grant(ctx, time.Minute)
 		return err
 	}},
-	{"revoke", true, func(ctx context.Context, s platform.Store) error { return s.Revoke(ctx, 1) }},
+	{"revoke", true, func(ctx context.Context, s infra.Store) error { return s.Revoke(ctx, 1) }},
 }
 
 var faultCases = []storeCase{
@@ -49,10 +49,10 @@
 			s.Down(true)
 			for _, c := range calls {
 				err := c.do(ctxOf(t), s.Client)
-				assert.Assert(t, platform.IsKind(err, platform.KindUnavailable), "%s: %v", c.name, err)
+				assert.Assert(t, infra.IsKind(err, infra.KindUnavailable), "%s: %v", c.name, err)
 			}
 			s.Down(false)
-			assert.Equal(t, get(t, s.Client, "a").ModRevision, platform.Revision(0))
+			assert.Equal(t, get(t, s.Client, "a").ModRevision, infra.Revision(0))
 		},
 	},
 	{
@@ -70,9 +70,9 @@
 				}
 				s.LoseRequests(1)
 				err := c.do(ctxOf(t), s.Client)
-				assert.Assert(t, platform.IsKind(err, platform.KindUnknown), "%s: %v", c.name, err)
+				assert.Assert(t, infra.IsKind(err, infra.KindUnknown), "%s: %v", c.name, err)
 			}
-			assert.Equal(t, get(t, s.Rival, "a").ModRevision, platform.Revision(0))
+			assert.Equal(t, get(t, s.Rival, "a").ModRevision, infra.Revision(0))
 		},
 	},
 	{
@@ -82,9 +82,9 @@
 			lease := grant(t, s, time.Minute)
 			putLeased(t, s, "b", lease)
 			s.LoseReplies(2)
-			_, err := s.Client.Txn(ctxOf(t), platform.Txn{Then: []platform.Op{platform.Put("a", []byte("1"))}})
-			wantKind(t, err, platform.KindUnknown)
-			wantKind(t, s.Client.Revoke(ctxOf(t), lease), platform.KindUnknown)
+			_, err := s.Client.Txn(ctxOf(t), infra.Txn{Then: []infra.Op{infra.Put("a", []byte("1"))}})
+			wantKind(t, err, infra.KindUnknown)
+			wantKind(t, s.Client.Revoke(ctxOf(t), lease), infra.KindUnknown)
 			assert.DeepEqual(t, keysOf(t, s, ""), []string{"a"})
 		},
 	},
@@ -94,9 +94,9 @@
 		run: func(t *testing.T, s Store) {
 			s.Garble(2)
 			_, _, err := s.Client.Get(ctxOf(t), "a")
-			wantKind(t, err, platform.KindInvalid)
-			_, err = s.Client.Txn(ctxOf(t), platform.Txn{Then: []platform.Op{platform.Put("a", []byte("1"))}})
-			wantKind(t, err, platform.KindUnknown)
+			wantKind(t, err, infra.KindInvalid)
+			_, err = s.Client.Txn(ctxOf(t), infra.Txn{Then: []infra.Op{infra.Put("a", []byte("1"))}})
+			wantKind(t, err, infra.KindUnknown)
 			assert.Equal(t, string(get(t, s.Client, "a").Value), "1")
 		},
 	},
@@ -109,10 +109,10 @@
 			get(t, s.Client, "b")
 			for _, c := range calls {
 				err := c.do(ctxOf(t), s.Client)
-				assert.Assert(t, platform.IsKind(err, platform.KindRateLimited), "%s: %v", c.name, err)
+				assert.Assert(t, infra.IsKind(err, infra.KindRateLimited), "%s: %v", c.name, err)
 			}
 			s.Advance(time.Hour)
-			assert.Equal(t, get(t, s.Client, "a").ModRevision, platform.Revision(0))
+			assert.Equal(t, get(t, s.Client, "a").ModRevision, infra.Revision(0))
 		},
 	},
 }
@@ -123,9 +123,9 @@
 func pastDeadline(t *testing.T, s Store) {
 	put(t, s.Client, "a", "before")
 	for _, c := range calls {
-		want := platform.KindUnavailable
+		want := infra.KindUnavailable
 		if c.writes {
-			want = platform.KindUnknown
+			want = infra.KindUnknown
 		}
 		s.Pause(true)
 		ctx, cancel := context.WithCancel(context.Background())
@@ -134,7 +134,7 @@
 		eventually(t, c.name+" did not arrive", func() bool { return s.Held() == 1 })
 		cancel()
 		err := <-failed
-		assert.Assert(t, platform.IsKind(err, want), "%s: %v", c.name, err)
+		assert.Assert(t, infra.IsKind(err, want), "%s: %v", c.name, err)
 		s.Pause(false)
 		eventually(t, c.name+" is still held", func() bool { return s.Held() == 0 })
 	}
--- a/internal/platform/contract/history_test.go
+++ b/internal/infra/contract/history_test.go
@@ -13,9 +13,9 @@
 	"github.com/jonboulle/clockwork"
 	"gotest.tools/v3/assert"
 
-	"github.com/pumicestage/pumicestage/internal/platform"
-	"github.com/pumicestage/pumicestage/internal/platform/gateway"
-	"github.com/pumicestage/pumicestage/internal/platform/standin"
+	"github.com/pumicestage/pumicestage/internal/infra"
+	"github.com/pumicestage/pumicestage/internal/infra/gateway"
+	"github.com/pumicestage/pumicestage/internal/infra/standin"
 )
 
 // The history's size: enough that several clients meet on each key under each
@@ -42,8 +42,8 @@
 
 // outcome is what the client was told.
 type outcome struct {
-	kind platform.Kind // 0: done
-	seen pair          // by a read
+	kind infra.Kind // 0: done
+	seen pair       // by a read
 }
 
 // pairModel says which outcomes are right. A change that is "unknown" may have
@@ -62,9 +62,9 @@
 	}
 	holds, after := in.apply(state)
 	switch {
-	case out.kind == platform.KindUnknown && holds:
+	case out.kind == infra.KindUnknown && holds:
 		return []any{state, after}
-	case out.kind == platform.KindUnknown, out.kind == platform.KindConflict && !holds:
+	case out.kind == infra.KindUnknown, out.kind == infra.KindConflict && !holds:
 		return []any{state}
 	case out.kind == 0 && holds:
 		return []any{after}
@@ -99,7 +99,7 @@
 			h.run(seed)
 			result, _ := porcupine.CheckOperationsVerbose(pairModel.ToModel(), h.ops, 30*time.Second)
 			assert.Equal(t, result, porcupine.Ok)
-			assert.Assert(t, h.told[0] > 0 && h.told[platform.KindUnknown] > 0, "outcomes %v", h.told)
+			assert.Assert(t, h.told[0] > 0 && h.told[infra.KindUnknown] > 0, "outcomes %v", h.told)
 		})
 	}
 }
@@ -112,12 +112,12 @@
 
 	mu   sync.Mutex
 	ops  []porcupine.Operation
-	told map[platform.Kind]int
+	told map[infra.Kind]int
 }
 
 func newHistory(t *testing.T) *history {
 	srv, url := serve(t, clockwork.NewRealClock())
-	return &history{t: t, srv: srv, url: url, began: time.Now(), told: make(map[platform.Kind]int)}
+	return &history{t: t, srv: srv, url: url, began: time.Now(), told: make(map[infra.Kind]int)}
 }
 
 func (h *history) run(seed uint64) {
@@ -166,14 +166,14 @@
 	return standin.Fault{}
 }
 
-func (h *history) read(id int, s platform.Store) (pair, [2]platform.Revision, bool) {
+func (h *history) read(id int, s infra.Store) (pair, [2]infra.Revision, bool) {
 	call := h.now()
 	kvs, _, err := s.Range(context.Background(), "pair/")
 	if err != nil {
-		return pair{}, [2]platform.Revision{}, false
+		return pair{}, [2]infra.Revision{}, false
 	}
 	var state pair
-	var revs [2]platform.Revision
+	var revs [2]infra.Revision
 	for _, kv := range kvs {
 		for i, key := range historyKeys {
 			if kv.Key == key {
@@ -185,22 +185,22 @@
 	return state, revs, true
 }
 
-func (h *history) change(id int, s platform.Store, in step, revs [2]platform.Revision) {
-	var txn platform.Txn
+func (h *history) change(id int, s infra.Store, in step, revs [2]infra.Revision) {
+	var txn infra.Txn
 	for i, key := range historyKeys {
 		if in.writes[i] {
-			txn.If = append(txn.If, platform.Cond{Key: key, ModRevision: revs[i]})
-			txn.Then = append(txn.Then, platform.Put(key, []byte(in.value)))
+			txn.If = append(txn.If, infra.Cond{Key: key, ModRevision: revs[i]})
+			txn.Then = append(txn.Then, infra.Put(key, []byte(in.value)))
 		}
 	}
 	call := h.now()
-	_, err := platform.Commit(context.Background(), s, txn)
-	kind := platform.KindOf(err)
-	if kind == platform.KindUnavailable {
+	_, err := infra.Commit(context.Background(), s, txn)
+	kind := infra.KindOf(err)
+	if kind == infra.KindUnavailable {
 		return // certainly not made; the check would allow it anywhere
 	}
 	op := porcupine.Operation{ClientId: id, Input: in, Call: call, Output: outcome{kind: kind}, Return: h.now()}
-	if kind == platform.KindUnknown {
+	if kind == infra.KindUnknown {
 		op.Return = math.MaxInt64 // may take effect at any time after
 	}
 	h.note(op)
--- a/internal/platform/contract/machines.go
+++ b/internal/infra/contract/machines.go
@@ -8,15 +8,15 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/pumicestage/pumicestage/internal/platform"
-	"github.com/pumicestage/pumicestage/internal/platform/standin"
+	"github.com/pumicestage/pumicestage/internal/infra"
+	"github.com/pumicestage/pumicestage/internal/infra/standin"
 	"github.com/pumicestage/pumicestage/policy/model"
 )
 
 // Machines are fresh machines under test. The switches of faults that cannot
 // be brought about are nil.
 type Machines struct {
-	Client  platform.Machines // under test
+	Client  infra.Machines    // under test
 	Control *standin.Machines // what stands behind it
 
 	Advance      func(d time.Duration)
@@ -39,7 +39,7 @@
 	run   func(t *testing.T, m Machines)
 }
 
-// RunMachines holds machines to platform.Machines.
+// RunMachines holds machines to infra.Machines.
 func RunMachines(t *testing.T, fresh MachinesFactory) {
 	probe := fresh(t)
 	for _, cases := range [][]machinesCase{vmCases, taskCases, machineFaultCases} {
@@ -81,7 +81,7 @@
 	return r
 }
 
-func listed(t *testing.T, m Machines) platform.MachineList {
+func listed(t *testing.T, m Machines) infra.MachineList {
 	t.Helper()
 	list, err := m.Client.List(ctxOf(t))
 	assert.NilError(t, err)
@@ -94,7 +94,7 @@
 		addVM(m, "v1")
 		m.Control.SetLeaving("v1", true)
 		m.Control.Fail("v2")
-		assert.DeepEqual(t, listed(t, m).Machines, []platform.Machine{{VM: "v1", Live: true, Leaving: true}, {VM: "v2"}})
+		assert.DeepEqual(t, listed(t, m).Machines, []infra.Machine{{VM: "v1", Live: true, Leaving: true}, {VM: "v2"}})
 	}},
 	{name: "the list lags and says how much", run: func(t *testing.T, m Machines) {
 		addVM(m, "v1")
@@ -135,7 +135,7 @@
 		m.Control.SetRebootTime(time.Minute)
 		assert.NilError(t, m.Client.Drain(ctxOf(t), "v1", "a1"))
 		assert.NilError(t, m.Client.Reboot(ctxOf(t), "v1", "a1"))
-		assert.DeepEqual(t, listed(t, m).Machines, []platform.Machine{{VM: "v1"}})
+		assert.DeepEqual(t, listed(t, m).Machines, []infra.Machine{{VM: "v1"}})
 		m.Advance(time.Minute)
 		eventually(t, "the VM stays down", func() bool { return listed(t, m).Machines[0].Live })
 		assert.NilError(t, m.Client.StartTask(ctxOf(t), sleeper("t1")))
@@ -151,10 +151,10 @@
 	}},
 	{name: "a VM or task that does not exist is not found", run: func(t *testing.T, m Machines) {
 		_, err := m.Client.InFlight(ctxOf(t), "none")
-		wantKind(t, err, platform.KindNotFound)
+		wantKind(t, err, infra.KindNotFound)
 		for _, do := range effects {
 			err := do.run(ctxOf(t), m.Client, "a1")
-			assert.Assert(t, platform.IsKind(err, platform.KindNotFound), "%s: %v", do.name, err)
+			assert.Assert(t, infra.IsKind(err, infra.KindNotFound), "%s: %v", do.name, err)
 		}
 	}},
 }
@@ -162,21 +162,21 @@
 // effects are all orders, each on VM v1 or on the task of its attempt.
 var effects = []struct {
 	name string
-	run  func(ctx context.Context, m platform.Machines, attempt model.AttemptID) error
+	run  func(ctx context.Context, m infra.Machines, attempt model.AttemptID) error
 }{
-	{"drain", func(ctx context.Context, m platform.Machines, a model.AttemptID) error { return m.Drain(ctx, "v1", a) }},
-	{"undrain", func(ctx context.Context, m platform.Machines, a model.AttemptID) error {
+	{"drain", func(ctx context.Context, m infra.Machines, a model.AttemptID) error { return m.Drain(ctx, "v1", a) }},
+	{"undrain", func(ctx context.Context, m infra.Machines, a model.AttemptID) error {
 		return m.Undrain(ctx, "v1", a)
 	}},
-	{"reboot", func(ctx context.Context, m platform.Machines, a model.AttemptID) error { return m.Reboot(ctx, "v1", a) }},
-	{"start task", func(ctx context.Context, m platform.Machines, a model.AttemptID) error {
+	{"reboot", func(ctx context.Context, m infra.Machines, a model.AttemptID) error { return m.Reboot(ctx, "v1", a) }},
+	{"start task", func(ctx context.Context, m infra.Machines, a model.AttemptID) error {
 		return m.StartTask(ctx, sleeper(a))
 	}},
-	{"renew task", func(ctx context.Context, m platform.Machines, a model.AttemptID) error { return m.RenewTask(ctx, a) }},
-	{"stop task", func(ctx context.Context, m platform.Machines, a model.AttemptID) error {
+	{"renew task", func(ctx context.Context, m infra.Machines, a model.AttemptID) error { return m.RenewTask(ctx, a) }},
+	{"stop task", func(ctx context.Context, m infra.Machines, a model.AttemptID) error {
 		return m.StopTask(ctx, a, true)
 	}},
-	{"throttle task", func(ctx context.Context, m platform.Machines, a model.AttemptID) error {
+	{"throttle task", func(ctx context.Context, m infra.Machines, a model.AttemptID) error {
 		return m.ThrottleTask(ctx, a, 100)
 	}},
 }
@@ -206,10 +206,10 @@
 			m.Down(true)
 			for _, do := range effects {
 				err := do.run(ctxOf(t), m.Client, "a1")
-				assert.Assert(t, platform.IsKind(err, platform.KindUnavailable), "%s: %v", do.name, err)
+				assert.Assert(t, infra.IsKind(err, infra.KindUnavailable), "%s: %v", do.name, err)
 			}
 			_, err := m.Client.List(ctxOf(t))
-			wantKind(t, err, platform.KindUnavailable)
+			wantKind(t, err, infra.KindUnavailable)
 			m.Down(false)
 			r.wantTold(t, "")
 		},
@@ -223,7 +223,7 @@
 				for _, do := range effects[:3] {
 					lose(1)
 					err := do.run(ctxOf(t), m.Client, attempt)
-					assert.Assert(t, platform.IsKind(err, platform.KindUnknown), "%s: %v", do.name, err)
+					assert.Assert(t, infra.IsKind(err, infra.KindUnknown), "%s: %v", do.name, err)
 					assert.NilError(t, do.run(ctxOf(t), m.Client, attempt))
 				}
 				r.wantTold(t, "drain undrain stop start")
@@ -238,7 +238,7 @@
 			r := addVM(m, "v1")
 			m.RateLimit()
 			assert.NilError(t, m.Client.Drain(ctxOf(t), "v1", "a1"))
-			wantKind(t, m.Client.Undrain(ctxOf(t), "v1", "a1"), platform.KindRateLimited)
+			wantKind(t, m.Client.Undrain(ctxOf(t), "v1", "a1"), infra.KindRateLimited)
 			r.wantTold(t, "drain")
 		},
 	},
@@ -249,8 +249,8 @@
 			addVM(m, "v1")
 			m.Garble(2)
 			_, err := m.Client.List(ctxOf(t))
-			wantKind(t, err, platform.KindInvalid)
-			wantKind(t, m.Client.Drain(ctxOf(t), "v1", "a1"), platform.KindUnknown)
+			wantKind(t, err, infra.KindInvalid)
+			wantKind(t, m.Client.Drain(ctxOf(t), "v1", "a1"), infra.KindUnknown)
 		},
 	},
 }
@@ -267,7 +267,7 @@
 	go func() { failed <- m.Client.Drain(ctx, "v1", "a1") }()
 	eventually(t, "the order did not arrive", func() bool { return m.Held() == 1 })
 	cancel()
-	wantKind(t, <-failed, platform.KindUnknown)
+	wantKind(t, <-failed, infra.KindUnknown)
 
 	assert.NilError(t, m.Control.Drain(ctxOf(t), "v1", "a1"))
 	assert.NilError(t, m.Control.Undrain(ctxOf(t), "v1", "a2"))
--- a/internal/platform/contract/store.go
+++ b/internal/infra/contract/store.go
@@ -10,7 +10,7 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/pumicestage/pumicestage/internal/platform"
+	"github.com/pumicestage/pumicestage/internal/infra"
 )
 
 // StoreFactory makes a fresh store for one case.
@@ -22,7 +22,7 @@
 	run   func(t *testing.T, s Store)
 }
 
-// RunStore holds a store to platform.Store.
+// RunStore holds a store to infra.Store.
 func RunStore(t *testing.T, fresh StoreFactory) {
 	probe := fresh(t)
 	for _, cases := range [][]storeCase{keyCases, leaseCases, watchCases, faultCases, commitCases} {
@@ -40,7 +40,7 @@
 		kv, rev, err := s.Client.Get(ctxOf(t), "a")
 		assert.NilError(t, err)
 		assert.Equal(t, kv.Key, "a")
-		assert.Equal(t, kv.ModRevision, platform.Revision(0))
+		assert.Equal(t, kv.ModRevision, infra.Revision(0))
 		assert.Assert(t, rev > 0)
 	}},
 	{name: "values come back byte for byte with their revisions", run: func(t *testing.T, s Store) {
@@ -65,51 +65,51 @@
 	}},
 	{name: "a transaction writes all or nothing under its conditions", run: allOrNothing},
 	{name: "a condition of absence holds only while the key is absent", run: func(t *testing.T, s Store) {
-		absent := platform.Txn{If: []platform.Cond{{Key: "a"}}, Then: []platform.Op{platform.Put("a", []byte("1"))}}
+		absent := infra.Txn{If: []infra.Cond{{Key: "a"}}, Then: []infra.Op{infra.Put("a", []byte("1"))}}
 		assert.Assert(t, txn(t, s.Client, absent).Succeeded)
 		assert.Assert(t, !txn(t, s.Client, absent).Succeeded)
-		txn(t, s.Client, platform.Txn{Then: []platform.Op{platform.Delete("a")}})
-		assert.Equal(t, get(t, s.Client, "a").ModRevision, platform.Revision(0))
+		txn(t, s.Client, infra.Txn{Then: []infra.Op{infra.Delete("a")}})
+		assert.Equal(t, get(t, s.Client, "a").ModRevision, infra.Revision(0))
 		assert.Assert(t, txn(t, s.Client, absent).Succeeded)
 	}},
 	{name: "a transaction that only reads leaves the revision", run: func(t *testing.T, s Store) {
 		rev := put(t, s.Client, "a", "1")
-		res := txn(t, s.Client, platform.Txn{Then: []platform.Op{platform.Read("a"), platform.Read("b"), platform.Delete("b")}})
+		res := txn(t, s.Client, infra.Txn{Then: []infra.Op{infra.Read("a"), infra.Read("b"), infra.Delete("b")}})
 		assert.Equal(t, res.Revision, rev)
 		assert.Equal(t, string(res.Reads[0].Value), "1")
 		assert.Equal(t, res.Reads[1].Key, "b")
-		assert.Equal(t, res.Reads[1].ModRevision, platform.Revision(0))
+		assert.Equal(t, res.Reads[1].ModRevision, infra.Revision(0))
 	}},
 	{name: "a value of the limit fits, one byte more is refused whole", run: oversized},
 	{name: "too many operations and a key put twice are invalid", run: func(t *testing.T, s Store) {
-		var many []platform.Op
-		for i := range platform.MaxTxnOps + 1 {
-			many = append(many, platform.Put(strconv.Itoa(i), nil))
+		var many []infra.Op
+		for i := range infra.MaxTxnOps + 1 {
+			many = append(many, infra.Put(strconv.Itoa(i), nil))
 		}
-		_, err := s.Client.Txn(ctxOf(t), platform.Txn{Then: many})
-		wantKind(t, err, platform.KindInvalid)
-		_, err = s.Client.Txn(ctxOf(t), platform.Txn{Then: []platform.Op{platform.Put("a", nil), platform.Put("a", nil)}})
-		wantKind(t, err, platform.KindInvalid)
+		_, err := s.Client.Txn(ctxOf(t), infra.Txn{Then: many})
+		wantKind(t, err, infra.KindInvalid)
+		_, err = s.Client.Txn(ctxOf(t), infra.Txn{Then: []infra.Op{infra.Put("a", nil), infra.Put("a", nil)}})
+		wantKind(t, err, infra.KindInvalid)
 		assert.Equal(t, len(keysOf(t, s, "")), 0)
 	}},
 	{name: "a call whose context has ended is not sent", run: func(t *testing.T, s Store) {
 		ctx, cancel := context.WithCancel(context.Background())
 		cancel()
-		_, err := s.Client.Txn(ctx, platform.Txn{Then: []platform.Op{platform.Put("a", nil)}})
-		wantKind(t, err, platform.KindUnavailable)
+		_, err := s.Client.Txn(ctx, infra.Txn{Then: []infra.Op{infra.Put("a", nil)}})
+		wantKind(t, err, infra.KindUnavailable)
 		_, _, err = s.Client.Get(ctx, "a")
-		wantKind(t, err, platform.KindUnavailable)
-		assert.Equal(t, get(t, s.Rival, "a").ModRevision, platform.Revision(0))
+		wantKind(t, err, infra.KindUnavailable)
+		assert.Equal(t, get(t, s.Rival, "a").ModRevision, infra.Revision(0))
 	}},
 	{name: "of concurrent increments under conditions none is lost", run: increments},
 }
 
 func allOrNothing(t *testing.T, s Store) {
 	rev := put(t, s.Rival, "a", "1")
-	step := platform.Txn{
-		If:   []platform.Cond{{Key: "a", ModRevision: rev}, {Key: "b"}},
-		Then: []platform.Op{platform.Put("a", []byte("2")), platform.Read("a"), platform.Put("b", []byte("2")), platform.Read("c")},
-		Else: []platform.Op{platform.Read("b"), platform.Read("a")},
+	step := infra.Txn{
+		If:   []infra.Cond{{Key: "a", ModRevision: rev}, {Key: "b"}},
+		Then: []infra.Op{infra.Put("a", []byte("2")), infra.Read("a"), infra.Put("b", []byte("2")), infra.Read("c")},
+		Else: []infra.Op{infra.Read("b"), infra.Read("a")},
 	}
 
 	first := txn(t, s.Client, step)
@@ -127,14 +127,14 @@
 }
 
 func oversized(t *testing.T, s Store) {
-	fits := bytes.Repeat([]byte("x"), platform.MaxValueBytes)
+	fits := bytes.Repeat([]byte("x"), infra.MaxValueBytes)
 	put(t, s.Client, "a", string(fits))
-	_, err := s.Client.Txn(ctxOf(t), platform.Txn{Then: []platform.Op{
-		platform.Put("b", nil), platform.Put("a", append(fits, 'x')),
+	_, err := s.Client.Txn(ctxOf(t), infra.Txn{Then: []infra.Op{
+		infra.Put("b", nil), infra.Put("a", append(fits, 'x')),
 	}})
-	wantKind(t, err, platform.KindTooLarge)
+	wantKind(t, err, infra.KindTooLarge)
 	assert.Equal(t, len(get(t, s.Client, "a").Value), len(fits))
-	assert.Equal(t, get(t, s.Client, "b").ModRevision, platform.Revision(0))
+	assert.Equal(t, get(t, s.Client, "b").ModRevision, infra.Revision(0))
 }
 
 func increments(t *testing.T, s Store) {
@@ -149,9 +149,9 @@
 					return
 				}
 				n, _ := strconv.Atoi(string(kv.Value)) // absent is 0
-				res, err := s.Client.Txn(ctxOf(t), platform.Txn{
-					If:   []platform.Cond{{Key: "n", ModRevision: kv.ModRevision}},
-					Then: []platform.Op{platform.Put("n", []byte(strconv.Itoa(n+1)))},
+				res, err := s.Client.Txn(ctxOf(t), infra.Txn{
+					If:   []infra.Cond{{Key: "n", ModRevision: kv.ModRevision}},
+					Then: []infra.Op{infra.Put("n", []byte(strconv.Itoa(n+1)))},
 				})
 				if err != nil {
 					t.Errorf("txn: %v", err)
@@ -178,7 +178,7 @@
 	return keys
 }
 
-func txn(t *testing.T, s platform.Store, txn platform.Txn) platform.TxnResult {
+func txn(t *testing.T, s infra.Store, txn infra.Txn) infra.TxnResult {
 	t.Helper()
 	res, err := s.Txn(ctxOf(t), txn)
 	assert.NilError(t, err)
@@ -194,9 +194,9 @@
 		s.Advance(8 * time.Second)
 		assert.Equal(t, get(t, s.Client, "a").Lease, lease)
 		s.Advance(3 * time.Second)
-		assert.Equal(t, get(t, s.Client, "a").ModRevision, platform.Revision(0))
-		wantKind(t, s.Client.KeepAlive(ctxOf(t), lease), platform.KindLeaseNotFound)
-		wantKind(t, s.Client.Revoke(ctxOf(t), lease), platform.KindLeaseNotFound)
+		assert.Equal(t, get(t, s.Client, "a").ModRevision, infra.Revision(0))
+		wantKind(t, s.Client.KeepAlive(ctxOf(t), lease), infra.KindLeaseNotFound)
+		wantKind(t, s.Client.Revoke(ctxOf(t), lease), infra.KindLeaseNotFound)
 	}},
 	{name: "a revoked lease takes its keys along at once", run: func(t *testing.T, s Store) {
 		lease := grant(t, s, time.Minute)
@@ -215,8 +215,8 @@
 	{name: "a write under a lapsed lease is refused whole", run: func(t *testing.T, s Store) {
 		lease := grant(t, s, 10*time.Second)
 		s.Advance(11 * time.Second)
-		_, err := s.Client.Txn(ctxOf(t), platform.Txn{Then: []platform.Op{platform.Put("b", nil), platform.PutLeased("a", nil, lease)}})
-		wantKind(t, err, platform.KindLeaseNotFound)
+		_, err := s.Client.Txn(ctxOf(t), infra.Txn{Then: []infra.Op{infra.Put("b", nil), infra.PutLeased("a", nil, lease)}})
+		wantKind(t, err, infra.KindLeaseNotFound)
 		assert.Equal(t, len(keysOf(t, s, "")), 0)
 	}},
 	{name: "a holder paused past its lease fails its write", run: pausedHolder},
@@ -226,31 +226,31 @@
 // process), another takes the shard over, then the first goes on as if nothing
 // had happened. Its write must fail, or both would act on the same VM.
 func pausedHolder(t *testing.T, s Store) {
-	hold := platform.Txn{If: []platform.Cond{{Key: "shard"}}}
+	hold := infra.Txn{If: []infra.Cond{{Key: "shard"}}}
 	lease := grant(t, s, 10*time.Second)
-	hold.Then = []platform.Op{platform.PutLeased("shard", []byte("first"), lease)}
+	hold.Then = []infra.Op{infra.PutLeased("shard", []byte("first"), lease)}
 	mine := txn(t, s.Client, hold).Revision
 
 	s.Advance(11 * time.Second)
-	hold.Then = []platform.Op{platform.Put("shard", []byte("second"))}
+	hold.Then = []infra.Op{infra.Put("shard", []byte("second"))}
 	assert.Assert(t, txn(t, s.Rival, hold).Succeeded)
-	late := txn(t, s.Client, platform.Txn{
-		If:   []platform.Cond{{Key: "shard", ModRevision: mine}},
-		Then: []platform.Op{platform.Put("work", []byte("first"))},
+	late := txn(t, s.Client, infra.Txn{
+		If:   []infra.Cond{{Key: "shard", ModRevision: mine}},
+		Then: []infra.Op{infra.Put("work", []byte("first"))},
 	})
 
 	assert.Assert(t, !late.Succeeded)
-	assert.Equal(t, get(t, s.Rival, "work").ModRevision, platform.Revision(0))
+	assert.Equal(t, get(t, s.Rival, "work").ModRevision, infra.Revision(0))
 }
 
-func grant(t *testing.T, s Store, ttl time.Duration) platform.LeaseID {
+func grant(t *testing.T, s Store, ttl time.Duration) infra.LeaseID {
 	t.Helper()
 	lease, err := s.Client.Grant(ctxOf(t), ttl)
 	assert.NilError(t, err)
 	return lease
 }
 
-func putLeased(t *testing.T, s Store, key string, lease platform.LeaseID) {
+func putLeased(t *testing.T, s Store, key string, lease infra.LeaseID) {
 	t.Helper()
-	txn(t, s.Client, platform.Txn{Then: []platform.Op{platform.PutLeased(key, []byte("leased"), lease)}})
+	txn(t, s.Client, infra.Txn{Then: []infra.Op{infra.PutLeased(key, []byte("leased"), lease)}})
 }
--- a/internal/platform/contract/tasks.go
+++ b/internal/infra/contract/tasks.go
@@ -6,25 +6,25 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/pumicestage/pumicestage/internal/platform"
-	"github.com/pumicestage/pumicestage/internal/platform/standin"
+	"github.com/pumicestage/pumicestage/internal/infra"
+	"github.com/pumicestage/pumicestage/internal/infra/standin"
 	"github.com/pumicestage/pumicestage/policy/model"
 )
 
 // sleeper is a task on VM v1 that takes a quarter of it and never ends.
-func sleeper(attempt model.AttemptID) platform.Task {
-	return platform.Task{
+func sleeper(attempt model.AttemptID) infra.Task {
+	return infra.Task{
 		Attempt: attempt, Job: "job", VM: "v1", TTL: time.Minute,
 		Size: model.Resources{MilliCPU: 1000, MemoryMB: 2048},
 	}
 }
 
-func start(t *testing.T, m Machines, task platform.Task) {
+func start(t *testing.T, m Machines, task infra.Task) {
 	t.Helper()
 	assert.NilError(t, m.Client.StartTask(ctxOf(t), task))
 }
 
-func stateOf(t *testing.T, m Machines, attempt model.AttemptID) platform.TaskState {
+func stateOf(t *testing.T, m Machines, attempt model.AttemptID) infra.TaskState {
 	t.Helper()
 	tasks, err := m.Client.Tasks(ctxOf(t))
 	assert.NilError(t, err)
@@ -36,7 +36,7 @@
 	return ""
 }
 
-func usage(t *testing.T, m Machines) []platform.Usage {
+func usage(t *testing.T, m Machines) []infra.Usage {
 	t.Helper()
 	reports, err := m.Client.Usage(ctxOf(t))
 	assert.NilError(t, err)
@@ -50,10 +50,10 @@
 		m.Advance(50 * time.Second)
 		assert.NilError(t, m.Client.RenewTask(ctxOf(t), "t1"))
 		m.Advance(50 * time.Second)
-		assert.Equal(t, stateOf(t, m, "t1"), platform.TaskRunning)
+		assert.Equal(t, stateOf(t, m, "t1"), infra.TaskRunning)
 		m.Advance(10 * time.Second)
-		assert.Equal(t, stateOf(t, m, "t1"), platform.TaskLost)
-		wantKind(t, m.Client.RenewTask(ctxOf(t), "t1"), platform.KindLeaseNotFound)
+		assert.Equal(t, stateOf(t, m, "t1"), infra.TaskLost)
+		wantKind(t, m.Client.RenewTask(ctxOf(t), "t1"), infra.KindLeaseNotFound)
 	}},
 	{name: "a repeated start is one start, also after the task ended", run: func(t *testing.T, m Machines) {
 		addVM(m, "v1")
@@ -62,7 +62,7 @@
 		assert.NilError(t, m.Client.StopTask(ctxOf(t), "t1", false))
 		assert.NilError(t, m.Client.StopTask(ctxOf(t), "t1", false))
 		start(t, m, sleeper("t1"))
-		assert.Equal(t, stateOf(t, m, "t1"), platform.TaskStopped)
+		assert.Equal(t, stateOf(t, m, "t1"), infra.TaskStopped)
 		assert.Equal(t, m.Control.Tally().Starts["job"], 1)
 	}},
 	{name: "the list of tasks gives back what was started", run: func(t *testing.T, m Machines) {
@@ -71,8 +71,8 @@
 		tasks, err := m.Client.Tasks(ctxOf(t))
 		assert.NilError(t, err)
 		want := sleeper("t/1 ?")
-		want.State = platform.TaskRunning
-		assert.DeepEqual(t, tasks, []platform.Task{want})
+		want.State = infra.TaskRunning
+		assert.DeepEqual(t, tasks, []infra.Task{want})
 		assert.NilError(t, m.Client.RenewTask(ctxOf(t), "t/1 ?"))
 	}},
 	{name: "a full, draining or dead worker takes no task", run: func(t *testing.T, m Machines) {
@@ -80,28 +80,28 @@
 		for _, a := range []model.AttemptID{"t1", "t2", "t3", "t4"} {
 			start(t, m, sleeper(a))
 		}
-		wantKind(t, m.Client.StartTask(ctxOf(t), sleeper("t5")), platform.KindConflict)
+		wantKind(t, m.Client.StartTask(ctxOf(t), sleeper("t5")), infra.KindConflict)
 		assert.NilError(t, m.Client.StopTask(ctxOf(t), "t1", false))
 		assert.NilError(t, m.Client.Drain(ctxOf(t), "v1", "a1"))
-		wantKind(t, m.Client.StartTask(ctxOf(t), sleeper("t5")), platform.KindConflict)
+		wantKind(t, m.Client.StartTask(ctxOf(t), sleeper("t5")), infra.KindConflict)
 		assert.NilError(t, m.Client.Undrain(ctxOf(t), "v1", "a1"))
 		start(t, m, sleeper("t5"))
 		m.Control.Fail("v1")
-		wantKind(t, m.Client.StartTask(ctxOf(t), sleeper("t6")), platform.KindConflict)
-		assert.Equal(t, stateOf(t, m, "t5"), platform.TaskLost)
+		wantKind(t, m.Client.StartTask(ctxOf(t), sleeper("t6")), infra.KindConflict)
+		assert.Equal(t, stateOf(t, m, "t5"), infra.TaskLost)
 	}},
 	{name: "a task ends as its job and its worker make it", run: func(t *testing.T, m Machines) {
 		for _, c := range []struct {
 			name      string
 			behaviour standin.Behaviour
 			badWorker bool
-			want      platform.TaskState
+			want      infra.TaskState
 		}{
-			{name: "job ends", behaviour: standin.Behaviour{RunTime: 5 * time.Second}, want: platform.TaskSucceeded},
-			{name: "job fails", behaviour: standin.Behaviour{RunTime: 5 * time.Second, Fails: true}, want: platform.TaskFailed},
-			{name: "job outgrows its memory", behaviour: standin.Behaviour{Size: model.Resources{MemoryMB: 9999}}, want: platform.TaskFailed},
-			{name: "worker fails everything", badWorker: true, want: platform.TaskFailed},
-			{name: "job goes on", behaviour: standin.Behaviour{RunTime: time.Hour}, want: platform.TaskRunning},
+			{name: "job ends", behaviour: standin.Behaviour{RunTime: 5 * time.Second}, want: infra.TaskSucceeded},
+			{name: "job fails", behaviour: standin.Behaviour{RunTime: 5 * time.Second, Fails: true}, want: infra.TaskFailed},
+			{name: "job outgrows its memory", behaviour: standin.Behaviour{Size: model.Resources{MemoryMB: 9999}}, want: infra.TaskFailed},
+			{name: "worker fails everything", badWorker: true, want: infra.TaskFailed},
+			{name: "job goes on", behaviour: standin.Behaviour{RunTime: time.Hour}, want: infra.TaskRunning},
 		} {
 			addVM(m, "v1")
 			m.Control.SetBehaviour("job", c.behaviour)
@@ -118,13 +118,13 @@
 		start(t, m, sleeper("t1"))
 		m.Advance(20 * time.Second)
 		assert.NilError(t, m.Client.StopTask(ctxOf(t), "t1", true))
-		assert.Equal(t, stateOf(t, m, "t1"), platform.TaskCheckpointed)
+		assert.Equal(t, stateOf(t, m, "t1"), infra.TaskCheckpointed)
 		start(t, m, sleeper("t2"))
 		assert.NilError(t, m.Client.ThrottleTask(ctxOf(t), "t2", 250))
 		m.Advance(39 * time.Second)
-		assert.Equal(t, stateOf(t, m, "t2"), platform.TaskRunning)
+		assert.Equal(t, stateOf(t, m, "t2"), infra.TaskRunning)
 		m.Advance(time.Second)
-		assert.Equal(t, stateOf(t, m, "t2"), platform.TaskSucceeded)
+		assert.Equal(t, stateOf(t, m, "t2"), infra.TaskSucceeded)
 	}},
 	{name: "usage reports lag and show what is really used", run: func(t *testing.T, m Machines) {
 		addVM(m, "v1")
--- a/internal/platform/contract/watch.go
+++ b/internal/infra/contract/watch.go
@@ -8,7 +8,7 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/pumicestage/pumicestage/internal/platform"
+	"github.com/pumicestage/pumicestage/internal/infra"
 )
 
 var watchCases = []storeCase{
@@ -27,11 +27,11 @@
 	{name: "changes of one transaction arrive together, deletions with their revision", run: func(t *testing.T, s Store) {
 		from := put(t, s.Rival, "p/1", "1") + 1
 		ch := watch(t, s, "p/", from)
-		res := txn(t, s.Rival, platform.Txn{Then: []platform.Op{platform.Put("p/2", nil), platform.Put("q", nil), platform.Delete("p/1")}})
+		res := txn(t, s.Rival, infra.Txn{Then: []infra.Op{infra.Put("p/2", nil), infra.Put("q", nil), infra.Delete("p/1")}})
 		b := next(t, ch)
 		assert.Equal(t, len(b.Events), 2)
-		assert.Equal(t, b.Events[0].Kind, platform.EventPut)
-		assert.Equal(t, b.Events[1].Kind, platform.EventDelete)
+		assert.Equal(t, b.Events[0].Kind, infra.EventPut)
+		assert.Equal(t, b.Events[1].Kind, infra.EventDelete)
 		assert.Equal(t, b.Events[1].KV.Key, "p/1")
 		assert.Equal(t, b.Events[1].KV.ModRevision, res.Revision)
 	}},
@@ -39,20 +39,20 @@
 		ch := watch(t, s, "", 1)
 		lease := grant(t, s, 10*time.Second)
 		putLeased(t, s, "a", lease)
-		assert.Equal(t, next(t, ch).Events[0].Kind, platform.EventPut)
+		assert.Equal(t, next(t, ch).Events[0].Kind, infra.EventPut)
 		s.Advance(11 * time.Second)
 		if s.Tick != nil {
 			s.Tick()
 		}
-		assert.Equal(t, next(t, ch).Events[0].Kind, platform.EventDelete)
+		assert.Equal(t, next(t, ch).Events[0].Kind, infra.EventDelete)
 	}},
 	{name: "a watch from a compacted revision says so", run: func(t *testing.T, s Store) {
 		old := put(t, s.Rival, "a", "1")
 		s.Compact(put(t, s.Rival, "a", "2"))
 		_, err := s.Client.Watch(ctxOf(t), "", old)
-		wantKind(t, firstError(t, s, old, err), platform.KindCompacted)
+		wantKind(t, firstError(t, s, old, err), infra.KindCompacted)
 		_, err = s.Client.Watch(ctxOf(t), "", 0)
-		wantKind(t, firstError(t, s, 0, err), platform.KindCompacted)
+		wantKind(t, firstError(t, s, 0, err), infra.KindCompacted)
 	}},
 	{name: "a watch that is no longer wanted ends at the service too", run: func(t *testing.T, s Store) {
 		ctx, cancel := context.WithCancel(context.Background())
@@ -87,7 +87,7 @@
 			put(t, s.Rival, "a", "2")
 			s.Compact(put(t, s.Rival, "a", "3"))
 			s.Down(false)
-			wantKind(t, next(t, ch).Err, platform.KindCompacted)
+			wantKind(t, next(t, ch).Err, infra.KindCompacted)
 			ended(t, ch)
 		},
 	},
@@ -99,10 +99,10 @@
 			put(t, s.Rival, "a", "1")
 			next(t, ch)
 			s.Down(true)
-			wantKind(t, next(t, ch).Err, platform.KindUnavailable)
+			wantKind(t, next(t, ch).Err, infra.KindUnavailable)
 			ended(t, ch)
 			_, err := s.Client.Watch(ctxOf(t), "", 1)
-			wantKind(t, err, platform.KindUnavailable)
+			wantKind(t, err, infra.KindUnavailable)
 		},
 	},
 }
@@ -135,7 +135,7 @@
 	assert.DeepEqual(t, got, want)
 }
 
-func watch(t *testing.T, s Store, prefix string, from platform.Revision) <-chan platform.WatchBatch {
+func watch(t *testing.T, s Store, prefix string, from infra.Revision) <-chan infra.WatchBatch {
 	t.Helper()
 	ch, err := s.Client.Watch(ctxOf(t), prefix, from)
 	assert.NilError(t, err)
@@ -143,7 +143,7 @@
 }
 
 // firstError is the error of a watch that fails, at the call or on its channel.
-func firstError(t *testing.T, s Store, from platform.Revision, err error) error {
+func firstError(t *testing.T, s Store, from infra.Revision, err error) error {
 	t.Helper()
 	if err != nil {
 		return err
--- a/internal/platform/faulty/store.go
+++ b/internal/infra/faulty/store.go
@@ -7,18 +7,18 @@
 	"sync"
 	"time"
 
-	"github.com/pumicestage/pumicestage/internal/platform"
+	"github.com/pumicestage/pumicestage/internal/infra"
 )
 
-// Store is one client's way to a platform.Store.
+// Store is one client's way to a infra.Store.
 type Store struct {
-	inner platform.Store
+	inner infra.Store
 
 	mu         sync.Mutex
 	down       bool
 	loseNext   int
 	refuseNext int
-	before     func(op string, txn platform.Txn)
+	before     func(op string, txn infra.Txn)
 	calls      Calls
 	cut        chan struct{} // closed when the way goes down, to end watches
 }
@@ -29,11 +29,11 @@
 }
 
 // Wrap returns a Store that passes everything on until a fault is switched on.
-func Wrap(inner platform.Store) *Store {
+func Wrap(inner infra.Store) *Store {
 	return &Store{inner: inner, cut: make(chan struct{})}
 }
 
-var _ platform.Store = (*Store)(nil)
+var _ infra.Store = (*Store)(nil)
 
 // SetDown makes every call fail unsent and ends running watches.
 func (s *Store) SetDown(down bool) {
@@ -66,7 +66,7 @@
 
 // Before calls f before each write is passed on; a test blocks in it to pause
 // the client, or lets a rival write first.
-func (s *Store) Before(f func(op string, txn platform.Txn)) {
+func (s *Store) Before(f func(op string, txn infra.Txn)) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.before = f
@@ -79,82 +79,82 @@
 	return s.calls
 }
 
-// Get implements platform.Store.
-func (s *Store) Get(ctx context.Context, key string) (platform.KV, platform.Revision, error) {
+// Get implements infra.Store.
+func (s *Store) Get(ctx context.Context, key string) (infra.KV, infra.Revision, error) {
 	if err := s.read("get"); err != nil {
-		return platform.KV{}, 0, err
+		return infra.KV{}, 0, err
 	}
 	return s.inner.Get(ctx, key)
 }
 
-// Range implements platform.Store.
-func (s *Store) Range(ctx context.Context, prefix string) ([]platform.KV, platform.Revision, error) {
+// Range implements infra.Store.
+func (s *Store) Range(ctx context.Context, prefix string) ([]infra.KV, infra.Revision, error) {
 	if err := s.read("range"); err != nil {
 		return nil, 0, err
 	}
 	return s.inner.Range(ctx, prefix)
 }
 
-// Txn implements platform.Store.
-func (s *Store) Txn(ctx context.Context, txn platform.Txn) (platform.TxnResult, error) {
+// Txn implements infra.Store.
+func (s *Store) Txn(ctx context.Context, txn infra.Txn) (infra.TxnResult, error) {
 	lose, err := s.write("txn", txn)
 	if err != nil {
-		return platform.TxnResult{}, err
+		return infra.TxnResult{}, err
 	}
 	res, err := s.inner.Txn(ctx, txn)
 	if lose && err == nil {
-		return platform.TxnResult{}, platform.Errorf("txn", platform.KindUnknown, "reply lost")
+		return infra.TxnResult{}, infra.Errorf("txn", infra.KindUnknown, "reply lost")
 	}
 	return res, err
 }
 
-// Grant implements platform.Store.
-func (s *Store) Grant(ctx context.Context, ttl time.Duration) (platform.LeaseID, error) {
-	lose, err := s.write("grant", platform.Txn{})
+// Grant implements infra.Store.
+func (s *Store) Grant(ctx context.Context, ttl time.Duration) (infra.LeaseID, error) {
+	lose, err := s.write("grant", infra.Txn{})
 	if err != nil {
 		return 0, err
 	}
 	id, err := s.inner.Grant(ctx, ttl)
 	if lose && err == nil {
-		return 0, platform.Errorf("grant", platform.KindUnknown, "reply lost")
+		return 0, infra.Errorf("grant", infra.KindUnknown, "reply lost")
 	}
 	return id, err
 }
 
-// KeepAlive implements platform.Store.
-func (s *Store) KeepAlive(ctx context.Context, lease platform.LeaseID) error {
+// KeepAlive implements infra.Store.
+func (s *Store) KeepAlive(ctx context.Context, lease infra.LeaseID) error {
 	s.mu.Lock()
 	s.calls.KeepAlives++
 	down := s.down
 	s.mu.Unlock()
 	if down {
-		return platform.Errorf("keepalive", platform.KindUnavailable, "service down")
+		return infra.Errorf("keepalive", infra.KindUnavailable, "service down")
 	}
 	return s.inner.KeepAlive(ctx, lease)
 }
 
-// Revoke implements platform.Store.
-func (s *Store) Revoke(ctx context.Context, lease platform.LeaseID) error {
-	lose, err := s.write("revoke", platform.Txn{})
+// Revoke implements infra.Store.
+func (s *Store) Revoke(ctx context.Context, lease infra.LeaseID) error {
+	lose, err := s.write("revoke", infra.Txn{})
 	if err != nil {
 		return err
 	}
 	err = s.inner.Revoke(ctx, lease)
 	if lose && err == nil {
-		return platform.Errorf("revoke", platform.KindUnknown, "reply lost")
+		return infra.Errorf("revoke", infra.KindUnknown, "reply lost")
 	}
 	return err
 }
 
-// Watch implements platform.Store. The watch ends with KindUnavailable when
+// Watch implements infra.Store. The watch ends with KindUnavailable when
 // the way goes down.
-func (s *Store) Watch(ctx context.Context, prefix string, from platform.Revision) (<-chan platform.WatchBatch, error) {
+func (s *Store) Watch(ctx context.Context, prefix string, from infra.Revision) (<-chan infra.WatchBatch, error) {
 	s.mu.Lock()
 	s.calls.Watches++
 	down, cut := s.down, s.cut
 	s.mu.Unlock()
 	if down {
-		return nil, platform.Errorf("watch", platform.KindUnavailable, "service down")
+		return nil, infra.Errorf("watch", infra.KindUnavailable, "service down")
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	in, err := s.inner.Watch(ctx, prefix, from)
@@ -162,17 +162,17 @@
 		cancel()
 		return nil, err
 	}
-	out := make(chan platform.WatchBatch)
+	out := make(chan infra.WatchBatch)
 	go relay(ctx, cancel, cut, in, out)
 	return out, nil
 }
 
-func relay(ctx context.Context, cancel func(), cut <-chan struct{}, in <-chan platform.WatchBatch, out chan<- platform.WatchBatch) {
+func relay(ctx context.Context, cancel func(), cut <-chan struct{}, in <-chan infra.WatchBatch, out chan<- infra.WatchBatch) {
 	defer close(out)
 	defer cancel()
-	lost := platform.WatchBatch{Err: platform.Errorf("watch", platform.KindUnavailable, "service down")}
+	lost := infra.WatchBatch{Err: infra.Errorf("watch", infra.KindUnavailable, "service down")}
 	for {
-		batch, ok := platform.WatchBatch{}, false
+		batch, ok := infra.WatchBatch{}, false
 		select {
 		case <-cut:
 			batch = lost
@@ -197,12 +197,12 @@
 	defer s.mu.Unlock()
 	s.calls.Reads++
 	if s.down {
-		return platform.Errorf(op, platform.KindUnavailable, "service down")
+		return infra.Errorf(op, infra.KindUnavailable, "service down")
 	}
 	return nil
 }
 
-func (s *Store) write(op string, txn platform.Txn) (lose bool, err error) {
+func (s *Store) write(op string, txn infra.Txn) (lose bool, err error) {
 	s.mu.Lock()
 	s.calls.Writes++
 	before := s.before
@@ -213,11 +213,11 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.down {
-		return false, platform.Errorf(op, platform.KindUnavailable, "service down")
+		return false, infra.Errorf(op, infra.KindUnavailable, "service down")
 	}
 	if s.refuseNext > 0 {
 		s.refuseNext--
-		return false, platform.Errorf(op, platform.KindUnknown, "connection lost")
+		return false, infra.Errorf(op, infra.KindUnknown, "connection lost")
 	}
 	if s.loseNext > 0 {
 		s.loseNext--
--- a/internal/platform/gateway/gateway.go
+++ b/internal/infra/gateway/gateway.go
@@ -1,4 +1,4 @@
-// Package gateway is platform.Store over the etcd v3 JSON gateway's published
+// Package gateway is infra.Store over the etcd v3 JSON gateway's published
 // protocol, on net/http. Only this package knows that protocol; a deployment
 // whose service speaks another one needs another package like this.
 package gateway
@@ -12,9 +12,9 @@
 
 	"github.com/jonboulle/clockwork"
 
-	"github.com/pumicestage/pumicestage/internal/platform"
-	"github.com/pumicestage/pumicestage/internal/platform/etcdjson"
-	"github.com/pumicestage/pumicestage/internal/platform/httpcall"
+	"github.com/pumicestage/pumicestage/internal/infra"
+	"github.com/pumicestage/pumicestage/internal/infra/etcdjson"
+	"github.com/pumicestage/pumicestage/internal/infra/httpcall"
 )
 
 // How a watch is kept: one that is quiet for DefaultProbeEvery is checked by a
@@ -37,7 +37,7 @@
 	Clock      clockwork.Clock // of watches; nil for the real one
 }
 
-// Store is a platform.Store. It is safe for concurrent use.
+// Store is a infra.Store. It is safe for concurrent use.
 type Store struct {
 	http       *httpcall.Client
 	resumeFor  time.Duration
@@ -45,7 +45,7 @@
 	clock      clockwork.Clock
 }
 
-var _ platform.Store = (*Store)(nil)
+var _ infra.Store = (*Store)(nil)
 
 // New returns a store. It opens no connection before the first call.
 func New(o Options) *Store {
@@ -62,22 +62,22 @@
 	return &Store{http: h, resumeFor: o.ResumeFor, probeEvery: o.ProbeEvery, clock: o.Clock}
 }
 
-// Get implements platform.Store.
-func (s *Store) Get(ctx context.Context, key string) (platform.KV, platform.Revision, error) {
+// Get implements infra.Store.
+func (s *Store) Get(ctx context.Context, key string) (infra.KV, infra.Revision, error) {
 	res, err := s.rangeKeys(ctx, "get", etcdjson.RangeRequest{Key: []byte(key)})
 	if err != nil {
-		return platform.KV{}, 0, err
+		return infra.KV{}, 0, err
 	}
 	return one(key, res.KVs), revision(res.Header), nil
 }
 
-// Range implements platform.Store.
-func (s *Store) Range(ctx context.Context, prefix string) ([]platform.KV, platform.Revision, error) {
+// Range implements infra.Store.
+func (s *Store) Range(ctx context.Context, prefix string) ([]infra.KV, infra.Revision, error) {
 	res, err := s.rangeKeys(ctx, "range", etcdjson.RangeRequest{Key: rangeStart(prefix), RangeEnd: etcdjson.PrefixEnd(prefix)})
 	if err != nil {
 		return nil, 0, err
 	}
-	var kvs []platform.KV
+	var kvs []infra.KV
 	for _, kv := range res.KVs {
 		kvs = append(kvs, fromWire(kv))
 	}
@@ -91,27 +91,27 @@
 		return res, err
 	}
 	if res.Header == nil {
-		return res, platform.Errorf(op, platform.KindInvalid, "malformed answer: no header")
+		return res, infra.Errorf(op, infra.KindInvalid, "malformed answer: no header")
 	}
 	return res, nil
 }
 
-// Txn implements platform.Store.
-func (s *Store) Txn(ctx context.Context, txn platform.Txn) (platform.TxnResult, error) {
+// Txn implements infra.Store.
+func (s *Store) Txn(ctx context.Context, txn infra.Txn) (infra.TxnResult, error) {
 	if err := checkSize(txn); err != nil {
-		return platform.TxnResult{}, err
+		return infra.TxnResult{}, err
 	}
 	var res etcdjson.TxnResponse
 	call := httpcall.Call{Op: "txn", Path: etcdjson.PathTxn, Body: toWire(txn), Write: true}
 	if err := s.post(ctx, call, &res); err != nil {
-		return platform.TxnResult{}, err
+		return infra.TxnResult{}, err
 	}
 	return resultOf(txn, res)
 }
 
-// Grant implements platform.Store. The service counts in whole seconds; a
+// Grant implements infra.Store. The service counts in whole seconds; a
 // part of one is rounded up.
-func (s *Store) Grant(ctx context.Context, ttl time.Duration) (platform.LeaseID, error) {
+func (s *Store) Grant(ctx context.Context, ttl time.Duration) (infra.LeaseID, error) {
 	seconds := (ttl + time.Second - 1) / time.Second
 	var res etcdjson.LeaseResponse
 	call := httpcall.Call{Op: "grant", Path: etcdjson.PathGrant, Body: etcdjson.GrantRequest{TTL: etcdjson.Int64(seconds)}, Write: true}
@@ -119,33 +119,33 @@
 		return 0, err
 	}
 	if res.ID == 0 {
-		return 0, platform.Errorf("grant", platform.KindUnknown, "malformed answer: no lease")
+		return 0, infra.Errorf("grant", infra.KindUnknown, "malformed answer: no lease")
 	}
-	return platform.LeaseID(res.ID), nil
+	return infra.LeaseID(res.ID), nil
 }
 
-// KeepAlive implements platform.Store. A renewal that got no answer does no
+// KeepAlive implements infra.Store. A renewal that got no answer does no
 // harm when repeated, so it never leaves KindUnknown.
-func (s *Store) KeepAlive(ctx context.Context, lease platform.LeaseID) error {
+func (s *Store) KeepAlive(ctx context.Context, lease infra.LeaseID) error {
 	var res etcdjson.KeepAliveMessage
 	call := httpcall.Call{Op: "keepalive", Path: etcdjson.PathKeepAlive, Body: etcdjson.LeaseRequest{ID: etcdjson.Int64(lease)}}
 	if err := s.post(ctx, call, &res); err != nil {
 		return err
 	}
 	if res.Error != nil {
-		return platform.Errorf("keepalive", kindOfCode(res.Error.GRPCCode, res.Error.Message, false), "%s", res.Error.Message)
+		return infra.Errorf("keepalive", kindOfCode(res.Error.GRPCCode, res.Error.Message, false), "%s", res.Error.Message)
 	}
 	if res.Result == nil {
-		return platform.Errorf("keepalive", platform.KindInvalid, "malformed answer: no result")
+		return infra.Errorf("keepalive", infra.KindInvalid, "malformed answer: no result")
 	}
 	if res.Result.TTL <= 0 {
-		return platform.Errorf("keepalive", platform.KindLeaseNotFound, "lease %d", lease)
+		return infra.Errorf("keepalive", infra.KindLeaseNotFound, "lease %d", lease)
 	}
 	return nil
 }
 
-// Revoke implements platform.Store.
-func (s *Store) Revoke(ctx context.Context, lease platform.LeaseID) error {
+// Revoke implements infra.Store.
+func (s *Store) Revoke(ctx context.Context, lease infra.LeaseID) error {
 	call := httpcall.Call{Op: "revoke", Path: etcdjson.PathRevoke, Body: etcdjson.LeaseRequest{ID: etcdjson.Int64(lease)}, Write: true}
 	return s.post(ctx, call, &etcdjson.PutResponse{})
 }
@@ -163,14 +163,14 @@
 }
 
 // checkSize refuses here what the service would refuse, certain and unsent.
-func checkSize(txn platform.Txn) error {
-	if n := max(len(txn.If), len(txn.Then), len(txn.Else)); n > platform.MaxTxnOps {
-		return platform.Errorf("txn", platform.KindInvalid, "%d operations, at most %d", n, platform.MaxTxnOps)
+func checkSize(txn infra.Txn) error {
+	if n := max(len(txn.If), len(txn.Then), len(txn.Else)); n > infra.MaxTxnOps {
+		return infra.Errorf("txn", infra.KindInvalid, "%d operations, at most %d", n, infra.MaxTxnOps)
 	}
-	for _, ops := range [][]platform.Op{txn.Then, txn.Else} {
+	for _, ops := range [][]infra.Op{txn.Then, txn.Else} {
 		for _, op := range ops {
-			if len(op.Value) > platform.MaxValueBytes {
-				return platform.Errorf("txn", platform.KindTooLarge, "%s: %d bytes, at most %d", op.Key, len(op.Value), platform.MaxValueBytes)
+			if len(op.Value) > infra.MaxValueBytes {
+				return infra.Errorf("txn", infra.KindTooLarge, "%s: %d bytes, at most %d", op.Key, len(op.Value), infra.MaxValueBytes)
 			}
 		}
 	}
@@ -181,58 +181,58 @@
 func refusal(call httpcall.Call, a httpcall.Answer) error {
 	var body etcdjson.Error
 	if err := json.Unmarshal(a.Body, &body); err != nil || body.Code == 0 {
-		return platform.Errorf(call.Op, kindOfStatus(a.Status, call.Write), "status %d", a.Status)
+		return infra.Errorf(call.Op, kindOfStatus(a.Status, call.Write), "status %d", a.Status)
 	}
 	message := body.Message
 	if message == "" {
 		message = body.Error
 	}
 	if a.Status == http.StatusTooManyRequests {
-		return platform.Errorf(call.Op, platform.KindRateLimited, "%s", message)
+		return infra.Errorf(call.Op, infra.KindRateLimited, "%s", message)
 	}
-	return platform.Errorf(call.Op, kindOfCode(body.Code, message, call.Write), "%s", message)
+	return infra.Errorf(call.Op, kindOfCode(body.Code, message, call.Write), "%s", message)
 }
 
 // kindOfStatus judges an answer without a code: it came from something in
 // front of the service, so that a write may have gone through.
-func kindOfStatus(status int, write bool) platform.Kind {
+func kindOfStatus(status int, write bool) infra.Kind {
 	switch {
 	case status == http.StatusTooManyRequests:
-		return platform.KindRateLimited
+		return infra.KindRateLimited
 	case status == http.StatusRequestEntityTooLarge:
-		return platform.KindTooLarge
+		return infra.KindTooLarge
 	case write:
-		return platform.KindUnknown
+		return infra.KindUnknown
 	}
-	return platform.KindUnavailable
+	return infra.KindUnavailable
 }
 
 // kindOfCode judges by the service's own code. "Unavailable" and "deadline
 // exceeded" leave a write open: the service says them, too, where a change of
 // its leader overtook a write that it had already proposed.
-func kindOfCode(code etcdjson.Code, message string, write bool) platform.Kind {
+func kindOfCode(code etcdjson.Code, message string, write bool) infra.Kind {
 	switch code {
 	case etcdjson.CodeInvalidArgument:
 		if message == etcdjson.MessageTooLarge {
-			return platform.KindTooLarge
+			return infra.KindTooLarge
 		}
-		return platform.KindInvalid
+		return infra.KindInvalid
 	case etcdjson.CodeUnimplemented:
-		return platform.KindInvalid
+		return infra.KindInvalid
 	case etcdjson.CodeNotFound:
-		return platform.KindLeaseNotFound
+		return infra.KindLeaseNotFound
 	case etcdjson.CodeResourceExhausted:
-		return platform.KindRateLimited
+		return infra.KindRateLimited
 	case etcdjson.CodeOutOfRange:
-		return platform.KindCompacted
+		return infra.KindCompacted
 	}
 	if write {
-		return platform.KindUnknown
+		return infra.KindUnknown
 	}
-	return platform.KindUnavailable
+	return infra.KindUnavailable
 }
 
-func revision(h *etcdjson.Header) platform.Revision { return platform.Revision(h.Revision) }
+func revision(h *etcdjson.Header) infra.Revision { return infra.Revision(h.Revision) }
 
 // rangeStart returns the key a prefix read begins with; the protocol writes
 // "from the first key" as one zero byte.
@@ -243,19 +243,19 @@
 	return []byte(prefix)
 }
 
-func one(key string, kvs []etcdjson.KeyValue) platform.KV {
+func one(key string, kvs []etcdjson.KeyValue) infra.KV {
 	if len(kvs) == 0 {
-		return platform.KV{Key: key}
+		return infra.KV{Key: key}
 	}
 	return fromWire(kvs[0])
 }
 
-func fromWire(kv etcdjson.KeyValue) platform.KV {
-	return platform.KV{
+func fromWire(kv etcdjson.KeyValue) infra.KV {
+	return infra.KV{
 		Key:            string(kv.Key),
 		Value:          bytes.Clone(kv.Value),
-		CreateRevision: platform.Revision(kv.CreateRevision),
-		ModRevision:    platform.Revision(kv.ModRevision),
-		Lease:          platform.LeaseID(kv.Lease),
+		CreateRevision: infra.Revision(kv.CreateRevision),
+		ModRevision:    infra.Revision(kv.ModRevision),
+		Lease:          infra.LeaseID(kv.Lease),
 	}
 }
--- a/internal/platform/gateway/gateway_test.go
+++ b/internal/infra/gateway/gateway_test.go
@@ -18,10 +18,10 @@
 	"github.com/jonboulle/clockwork"
 	"gotest.tools/v3/assert"
 
-	"github.com/pumicestage/pumicestage/internal/platform"
-	"github.com/pumicestage/pumicestage/internal/platform/gateway"
-	"github.com/pumicestage/pumicestage/internal/platform/httpcall"
-	"github.com/pumicestage/pumicestage/internal/platform/standin"
+	"github.com/pumicestage/pumicestage/internal/infra"
+	"github.com/pumicestage/pumicestage/internal/infra/gateway"
+	"github.com/pumicestage/pumicestage/internal/infra/httpcall"
+	"github.com/pumicestage/pumicestage/internal/infra/standin"
 )
 
 // answering is a service that gives each call the same answer.
@@ -50,12 +50,12 @@
 	return gateway.New(gateway.Options{Endpoints: urls, Timeout: 10 * time.Second})
 }
 
-func write(s platform.Store) error {
-	_, err := s.Txn(context.Background(), platform.Txn{Then: []platform.Op{platform.Put("a", nil)}})
+func write(s infra.Store) error {
+	_, err := s.Txn(context.Background(), infra.Txn{Then: []infra.Op{infra.Put("a", nil)}})
 	return err
 }
 
-func read(s platform.Store) error {
+func read(s infra.Store) error {
 	_, _, err := s.Get(context.Background(), "a")
 	return err
 }
@@ -67,25 +67,25 @@
 		name        string
 		status      int
 		body        string
-		read, write platform.Kind
+		read, write infra.Kind
 	}{
-		{"too many requests", 429, `{"error":"etcdserver: too many requests","code":8}`, platform.KindRateLimited, platform.KindRateLimited},
-		{"rate limit without a body", 429, ``, platform.KindRateLimited, platform.KindRateLimited},
-		{"request too large", 400, `{"error":"etcdserver: request is too large","code":3,"message":"etcdserver: request is too large"}`, platform.KindTooLarge, platform.KindTooLarge},
-		{"body refused by a proxy", 413, ``, platform.KindTooLarge, platform.KindTooLarge},
-		{"duplicate key", 400, `{"error":"etcdserver: duplicate key given in txn request","code":3}`, platform.KindInvalid, platform.KindInvalid},
-		{"lease not found", 404, `{"error":"etcdserver: requested lease not found","code":5}`, platform.KindLeaseNotFound, platform.KindLeaseNotFound},
-		{"leader changed", 503, `{"error":"etcdserver: leader changed","code":14}`, platform.KindUnavailable, platform.KindUnknown},
-		{"request timed out", 504, `{"error":"etcdserver: request timed out","code":4}`, platform.KindUnavailable, platform.KindUnknown},
-		{"bad gateway", 502, `<html>`, platform.KindUnavailable, platform.KindUnknown},
-		{"answer without a header", 200, `{}`, platform.KindInvalid, platform.KindUnknown},
-		{"answer that is not JSON", 200, `<html>`, platform.KindInvalid, platform.KindUnknown},
-		{"answer to another request", 200, `{"header":{"revision":"7"},"succeeded":true}`, 0, platform.KindUnknown},
+		{"too many requests", 429, `{"error":"etcdserver: too many requests","code":8}`, infra.KindRateLimited, infra.KindRateLimited},
+		{"rate limit without a body", 429, ``, infra.KindRateLimited, infra.KindRateLimited},
+		{"request too large", 400, `{"error":"etcdserver: request is too large","code":3,"message":"etcdserver: request is too large"}`, infra.KindTooLarge, infra.KindTooLarge},
+		{"body refused by a proxy", 413, ``, infra.KindTooLarge, infra.KindTooLarge},
+		{"duplicate key", 400, `{"error":"etcdserver: duplicate key given in txn request","code":3}`, infra.KindInvalid, infra.KindInvalid},
+		{"lease not found", 404, `{"error":"etcdserver: requested lease not found","code":5}`, infra.KindLeaseNotFound, infra.KindLeaseNotFound},
+		{"leader changed", 503, `{"error":"etcdserver: leader changed","code":14}`, infra.KindUnavailable, infra.KindUnknown},
+		{"request timed out", 504, `{"error":"etcdserver: request timed out","code":4}`, infra.KindUnavailable, infra.KindUnknown},
+		{"bad gateway", 502, `<html>`, infra.KindUnavailable, infra.KindUnknown},
+		{"answer without a header", 200, `{}`, infra.KindInvalid, infra.KindUnknown},
+		{"answer that is not JSON", 200, `<html>`, infra.KindInvalid, infra.KindUnknown},
+		{"answer to another request", 200, `{"header":{"revision":"7"},"succeeded":true}`, 0, infra.KindUnknown},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			url, _ := answering(t, c.status, c.body)
-			assert.Equal(t, platform.KindOf(read(client(url))), c.read)
-			assert.Equal(t, platform.KindOf(write(client(url))), c.write)
+			assert.Equal(t, infra.KindOf(read(client(url))), c.read)
+			assert.Equal(t, infra.KindOf(write(client(url))), c.write)
 		})
 	}
 }
@@ -101,7 +101,7 @@
 
 	assert.Equal(t, asked.Load(), int32(2))
 	err := write(client(refusing(t), refusing(t)))
-	assert.Assert(t, platform.IsKind(err, platform.KindUnavailable), "%v", err)
+	assert.Assert(t, infra.IsKind(err, infra.KindUnavailable), "%v", err)
 }
 
 // brokenConn is a connection that broke while it lay idle: no byte gets onto
@@ -136,7 +136,7 @@
 	broken.Store(true)
 	err := write(s)
 
-	assert.Assert(t, platform.IsKind(err, platform.KindUnavailable), "%v", err)
+	assert.Assert(t, infra.IsKind(err, infra.KindUnavailable), "%v", err)
 }
 
 // The first endpoint closes the connection after it has the request. A read
@@ -149,7 +149,7 @@
 	assert.NilError(t, read(client(first.URL, url)))
 	err := write(client(first.URL, url))
 
-	assert.Assert(t, platform.IsKind(err, platform.KindUnknown), "%v", err)
+	assert.Assert(t, infra.IsKind(err, infra.KindUnknown), "%v", err)
 	assert.Equal(t, asked.Load(), int32(1))
 }
 
@@ -170,7 +170,7 @@
 	assert.NilError(t, write(known))
 	err := write(client(ts.URL))
 
-	assert.Assert(t, platform.IsKind(err, platform.KindUnavailable), "%v", err)
+	assert.Assert(t, infra.IsKind(err, infra.KindUnavailable), "%v", err)
 	assert.Equal(t, asked.Load(), int32(1))
 }
 
@@ -183,7 +183,7 @@
 
 	err := write(client(ts.URL))
 
-	assert.Assert(t, platform.IsKind(err, platform.KindUnknown), "%v", err)
+	assert.Assert(t, infra.IsKind(err, infra.KindUnknown), "%v", err)
 	assert.Equal(t, asked.Load(), int32(0))
 }
 
@@ -199,8 +199,8 @@
 	err := read(s)
 	_, watchErr := s.Watch(context.Background(), "a", 1)
 
-	assert.Assert(t, platform.IsKind(err, platform.KindUnavailable), "%v", err)
-	assert.Assert(t, platform.IsKind(watchErr, platform.KindUnavailable), "%v", watchErr)
+	assert.Assert(t, infra.IsKind(err, infra.KindUnavailable), "%v", err)
+	assert.Assert(t, infra.IsKind(watchErr, infra.KindUnavailable), "%v", watchErr)
 }
 
 // The bytes of the published protocol, written out: the stand-in shares the
@@ -220,19 +220,19 @@
 	kv, rev, err := s.Get(context.Background(), "foo")
 	assert.NilError(t, err)
 	assert.Equal(t, got, `POST /v3/kv/range {"key":"Zm9v"}`)
-	assert.Equal(t, rev, platform.Revision(8))
-	assert.DeepEqual(t, kv, platform.KV{Key: "foo", Value: []byte("bar"), CreateRevision: 2, ModRevision: 7, Lease: 7587848390310534409})
+	assert.Equal(t, rev, infra.Revision(8))
+	assert.DeepEqual(t, kv, infra.KV{Key: "foo", Value: []byte("bar"), CreateRevision: 2, ModRevision: 7, Lease: 7587848390310534409})
 
 	_, _, err = s.Range(context.Background(), "foo")
 	assert.NilError(t, err)
 	assert.Equal(t, got, `POST /v3/kv/range {"key":"Zm9v","range_end":"Zm9w"}`)
 
-	_, err = s.Txn(context.Background(), platform.Txn{
-		If:   []platform.Cond{{Key: "foo", ModRevision: 7}},
-		Then: []platform.Op{platform.PutLeased("foo", []byte("bar"), 9), platform.Delete("foo")},
-		Else: []platform.Op{platform.Read("foo")},
+	_, err = s.Txn(context.Background(), infra.Txn{
+		If:   []infra.Cond{{Key: "foo", ModRevision: 7}},
+		Then: []infra.Op{infra.PutLeased("foo", []byte("bar"), 9), infra.Delete("foo")},
+		Else: []infra.Op{infra.Read("foo")},
 	})
-	assert.Assert(t, platform.IsKind(err, platform.KindUnknown)) // the answer above is none to it
+	assert.Assert(t, infra.IsKind(err, infra.KindUnknown)) // the answer above is none to it
 	assert.Equal(t, got, `POST /v3/kv/txn {"compare":[{"result":"EQUAL","target":"MOD","key":"Zm9v","mod_revision":"7"}],`+
 		`"success":[{"request_put":{"key":"Zm9v","value":"YmFy","lease":"9"}},{"request_delete_range":{"key":"Zm9v"}}],`+
 		`"failure":[{"request_range":{"key":"Zm9v"}}]}`)
@@ -269,15 +269,15 @@
 
 	ch, err := client(ts.URL).Watch(context.Background(), "a", 5)
 	assert.NilError(t, err)
-	var got []platform.WatchBatch
+	var got []infra.WatchBatch
 	for b := range ch {
 		got = append(got, b)
 	}
 
 	assert.Equal(t, len(got), 3)
-	assert.Equal(t, got[0].Revision, platform.Revision(5))
-	assert.Equal(t, got[1].Events[0].Kind, platform.EventDelete)
-	assert.Assert(t, platform.IsKind(got[2].Err, platform.KindCompacted))
+	assert.Equal(t, got[0].Revision, infra.Revision(5))
+	assert.Equal(t, got[1].Events[0].Kind, infra.EventDelete)
+	assert.Assert(t, infra.IsKind(got[2].Err, infra.KindCompacted))
 	assert.DeepEqual(t, starts, []string{"5", "71"})
 }
 
@@ -301,12 +301,12 @@
 	srv.Network.Drop("zone-a", standin.PlatformZone)
 	lost := write(s)
 	unsent := write(s)
-	_, err = srv.Store.Txn(context.Background(), platform.Txn{Then: []platform.Op{platform.Put("a", []byte("meanwhile"))}})
+	_, err = srv.Store.Txn(context.Background(), infra.Txn{Then: []infra.Op{infra.Put("a", []byte("meanwhile"))}})
 	assert.NilError(t, err)
 	srv.Network.Heal("zone-a", standin.PlatformZone)
 
-	assert.Assert(t, platform.IsKind(lost, platform.KindUnknown), "%v", lost)
-	assert.Assert(t, platform.IsKind(unsent, platform.KindUnavailable), "%v", unsent)
+	assert.Assert(t, infra.IsKind(lost, infra.KindUnknown), "%v", lost)
+	assert.Assert(t, infra.IsKind(unsent, infra.KindUnavailable), "%v", unsent)
 	next := <-ch
 	assert.NilError(t, next.Err)
 	assert.Equal(t, string(next.Events[0].KV.Value), "meanwhile")
@@ -353,7 +353,7 @@
 			c.stop()
 
 			b := <-ch
-			assert.Assert(t, platform.IsKind(b.Err, platform.KindUnavailable), "%v", b.Err)
+			assert.Assert(t, infra.IsKind(b.Err, infra.KindUnavailable), "%v", b.Err)
 			_, open := <-ch
 			assert.Assert(t, !open)
 		})
--- a/internal/platform/gateway/txn.go
+++ b/internal/infra/gateway/txn.go
@@ -1,11 +1,11 @@
 package gateway
 
 import (
-	"github.com/pumicestage/pumicestage/internal/platform"
-	"github.com/pumicestage/pumicestage/internal/platform/etcdjson"
+	"github.com/pumicestage/pumicestage/internal/infra"
+	"github.com/pumicestage/pumicestage/internal/infra/etcdjson"
 )
 
-func toWire(txn platform.Txn) etcdjson.TxnRequest {
+func toWire(txn infra.Txn) etcdjson.TxnRequest {
 	req := etcdjson.TxnRequest{Success: opsToWire(txn.Then), Failure: opsToWire(txn.Else)}
 	for _, c := range txn.If {
 		req.Compare = append(req.Compare, etcdjson.Compare{
@@ -16,16 +16,16 @@
 	return req
 }
 
-func opsToWire(ops []platform.Op) []etcdjson.RequestOp {
+func opsToWire(ops []infra.Op) []etcdjson.RequestOp {
 	var out []etcdjson.RequestOp
 	for _, op := range ops {
 		var r etcdjson.RequestOp
 		switch op.Kind {
-		case platform.OpPut:
+		case infra.OpPut:
 			r.Put = &etcdjson.PutRequest{Key: []byte(op.Key), Value: op.Value, Lease: etcdjson.Int64(op.Lease)}
-		case platform.OpDelete:
+		case infra.OpDelete:
 			r.DeleteRange = &etcdjson.DeleteRangeRequest{Key: []byte(op.Key)}
-		case platform.OpGet:
+		case infra.OpGet:
 			r.Range = &etcdjson.RangeRequest{Key: []byte(op.Key)}
 		}
 		out = append(out, r)
@@ -35,21 +35,21 @@
 
 // resultOf reads the answer to txn. An answer that does not fit the request
 // leaves the outcome open.
-func resultOf(txn platform.Txn, res etcdjson.TxnResponse) (platform.TxnResult, error) {
+func resultOf(txn infra.Txn, res etcdjson.TxnResponse) (infra.TxnResult, error) {
 	ops := txn.Then
 	if !res.Succeeded {
 		ops = txn.Else
 	}
 	if res.Header == nil || len(res.Responses) != len(ops) {
-		return platform.TxnResult{}, platform.Errorf("txn", platform.KindUnknown, "malformed answer: %d responses to %d operations", len(res.Responses), len(ops))
+		return infra.TxnResult{}, infra.Errorf("txn", infra.KindUnknown, "malformed answer: %d responses to %d operations", len(res.Responses), len(ops))
 	}
-	out := platform.TxnResult{Succeeded: res.Succeeded, Revision: revision(res.Header)}
+	out := infra.TxnResult{Succeeded: res.Succeeded, Revision: revision(res.Header)}
 	for i, op := range ops {
-		if op.Kind != platform.OpGet {
+		if op.Kind != infra.OpGet {
 			continue
 		}
 		if res.Responses[i].Range == nil {
-			return platform.TxnResult{}, platform.Errorf("txn", platform.KindUnknown, "malformed answer: response %d is not a read", i)
+			return infra.TxnResult{}, infra.Errorf("txn", infra.KindUnknown, "malformed answer: response %d is not a read", i)
 		}
 		out.Reads = append(out.Reads, one(op.Key, res.Responses[i].Range.KVs))
 	}
--- a/internal/platform/gateway/watch.go
+++ b/internal/infra/gateway/watch.go
@@ -10,9 +10,9 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/pumicestage/pumicestage/internal/platform"
-	"github.com/pumicestage/pumicestage/internal/platform/etcdjson"
-	"github.com/pumicestage/pumicestage/internal/platform/httpcall"
+	"github.com/pumicestage/pumicestage/internal/infra"
+	"github.com/pumicestage/pumicestage/internal/infra/etcdjson"
+	"github.com/pumicestage/pumicestage/internal/infra/httpcall"
 )
 
 // The pause between two tries to resume a watch doubles from the one to the
@@ -27,8 +27,8 @@
 type watch struct {
 	store  *Store
 	prefix string
-	next   platform.Revision // the first revision not yet delivered
-	out    chan platform.WatchBatch
+	next   infra.Revision // the first revision not yet delivered
+	out    chan infra.WatchBatch
 }
 
 // stream is one connection of a watch.
@@ -41,14 +41,14 @@
 	heard    atomic.Bool // a message came since the last look
 }
 
-// Watch implements platform.Store. A cut connection is resumed from the last
+// Watch implements infra.Store. A cut connection is resumed from the last
 // revision delivered, for as long as Options.ResumeFor; then the watch ends
 // with KindUnavailable, so that its reader knows that its view grows old.
-func (s *Store) Watch(ctx context.Context, prefix string, from platform.Revision) (<-chan platform.WatchBatch, error) {
+func (s *Store) Watch(ctx context.Context, prefix string, from infra.Revision) (<-chan infra.WatchBatch, error) {
 	if from < 1 {
-		return nil, platform.Errorf("watch", platform.KindCompacted, "revision %d", from)
+		return nil, infra.Errorf("watch", infra.KindCompacted, "revision %d", from)
 	}
-	w := &watch{store: s, prefix: prefix, next: from, out: make(chan platform.WatchBatch)}
+	w := &watch{store: s, prefix: prefix, next: from, out: make(chan infra.WatchBatch)}
 	first, err := w.openAny(ctx, false)
 	if err != nil {
 		return nil, err
@@ -69,7 +69,7 @@
 			return
 		}
 		if err != nil {
-			w.deliver(ctx, platform.WatchBatch{Err: err})
+			w.deliver(ctx, infra.WatchBatch{Err: err})
 			return
 		}
 	}
@@ -77,7 +77,7 @@
 
 // final reports whether a watch cannot go on after err.
 func final(err error) bool {
-	return platform.IsKind(err, platform.KindCompacted) || platform.IsKind(err, platform.KindInvalid)
+	return infra.IsKind(err, infra.KindCompacted) || infra.IsKind(err, infra.KindInvalid)
 }
 
 // resume opens the watch again where it was cut. A probe must pass besides, or
@@ -98,7 +98,7 @@
 }
 
 func (w *watch) openAny(ctx context.Context, probed bool) (*stream, error) {
-	var err error = platform.Errorf("watch", platform.KindUnavailable, "no endpoints")
+	var err error = infra.Errorf("watch", infra.KindUnavailable, "no endpoints")
 	for _, endpoint := range w.store.http.Endpoints() {
 		var st *stream
 		st, err = w.open(ctx, endpoint)
@@ -128,12 +128,12 @@
 	}})
 	if err != nil {
 		cancel()
-		return nil, platform.Errorf("watch", platform.KindInvalid, "%w", err)
+		return nil, infra.Errorf("watch", infra.KindInvalid, "%w", err)
 	}
 	resp, _, err := w.store.http.Send(ctx, endpoint, call, body)
 	if err != nil {
 		cancel()
-		return nil, platform.Errorf("watch", platform.KindUnavailable, "%w", err)
+		return nil, infra.Errorf("watch", infra.KindUnavailable, "%w", err)
 	}
 	st := &stream{endpoint: endpoint, body: resp.Body, decoder: json.NewDecoder(resp.Body), ctx: ctx, cancel: cancel}
 	if err := st.begin(call, resp.StatusCode); err != nil {
@@ -148,7 +148,7 @@
 	if status != http.StatusOK {
 		raw, err := io.ReadAll(st.body)
 		if err != nil {
-			return platform.Errorf("watch", platform.KindUnavailable, "%w", err)
+			return infra.Errorf("watch", infra.KindUnavailable, "%w", err)
 		}
 		return refusal(call, httpcall.Answer{Status: status, Body: raw})
 	}
@@ -157,7 +157,7 @@
 		return err
 	}
 	if !res.Created {
-		return platform.Errorf("watch", platform.KindInvalid, "malformed answer: the watch was not created")
+		return infra.Errorf("watch", infra.KindInvalid, "malformed answer: the watch was not created")
 	}
 	return nil
 }
@@ -168,20 +168,20 @@
 	if err := st.decoder.Decode(&m); err != nil {
 		var syntax *json.SyntaxError
 		if errors.As(err, &syntax) {
-			return nil, platform.Errorf("watch", platform.KindInvalid, "malformed answer: %w", err)
+			return nil, infra.Errorf("watch", infra.KindInvalid, "malformed answer: %w", err)
 		}
-		return nil, platform.Errorf("watch", platform.KindUnavailable, "%w", err)
+		return nil, infra.Errorf("watch", infra.KindUnavailable, "%w", err)
 	}
 	st.heard.Store(true)
 	switch {
 	case m.Error != nil:
-		return nil, platform.Errorf("watch", kindOfCode(m.Error.GRPCCode, m.Error.Message, false), "%s", m.Error.Message)
+		return nil, infra.Errorf("watch", kindOfCode(m.Error.GRPCCode, m.Error.Message, false), "%s", m.Error.Message)
 	case m.Result == nil:
-		return nil, platform.Errorf("watch", platform.KindInvalid, "malformed answer: no result")
+		return nil, infra.Errorf("watch", infra.KindInvalid, "malformed answer: no result")
 	case m.Result.CompactRevision != 0:
-		return nil, platform.Errorf("watch", platform.KindCompacted, "oldest revision held: %d", m.Result.CompactRevision)
+		return nil, infra.Errorf("watch", infra.KindCompacted, "oldest revision held: %d", m.Result.CompactRevision)
 	case m.Result.Canceled:
-		return nil, platform.Errorf("watch", platform.KindUnavailable, "canceled: %s", m.Result.CancelReason)
+		return nil, infra.Errorf("watch", infra.KindUnavailable, "canceled: %s", m.Result.CancelReason)
 	}
 	return m.Result, nil
 }
@@ -263,7 +263,7 @@
 	}
 }
 
-func (w *watch) deliver(ctx context.Context, b platform.WatchBatch) bool {
+func (w *watch) deliver(ctx context.Context, b infra.WatchBatch) bool {
 	select {
 	case w.out <- b:
 		return true
@@ -273,12 +273,12 @@
 }
 
 // batches splits one message by revision; the service may put several into it.
-func batches(events []etcdjson.Event) []platform.WatchBatch {
-	var out []platform.WatchBatch
+func batches(events []etcdjson.Event) []infra.WatchBatch {
+	var out []infra.WatchBatch
 	for _, e := range events {
-		rev := platform.Revision(e.KV.ModRevision)
+		rev := infra.Revision(e.KV.ModRevision)
 		if len(out) == 0 || out[len(out)-1].Revision != rev {
-			out = append(out, platform.WatchBatch{Revision: rev})
+			out = append(out, infra.WatchBatch{Revision: rev})
 		}
 		last := &out[len(out)-1]
 		last.Events = append(last.Events, eventOf(e))
@@ -286,10 +286,10 @@
 	return out
 }
 
-func eventOf(e etcdjson.Event) platform.Event {
+func eventOf(e etcdjson.Event) infra.Event {
 	if e.Type != etcdjson.EventDelete {
-		return platform.Event{Kind: platform.EventPut, KV: fromWire(e.KV)}
+		return infra.Event{Kind: infra.EventPut, KV: fromWire(e.KV)}
 	}
-	kv := platform.KV{Key: string(e.KV.Key), ModRevision: platform.Revision(e.KV.ModRevision)}
-	return platform.Event{Kind: platform.EventDelete, KV: kv}
+	kv := infra.KV{Key: string(e.KV.Key), ModRevision: infra.Revision(e.KV.ModRevision)}
+	return infra.Event{Kind: infra.EventDelete, KV: kv}
 }
--- a/internal/platform/httpcall/httpcall.go
+++ b/internal/infra/httpcall/httpcall.go
@@ -16,7 +16,7 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/pumicestage/pumicestage/internal/platform"
+	"github.com/pumicestage/pumicestage/internal/infra"
 )
 
 // DefaultTimeout ends a call that has no answer. The service answers in
@@ -120,11 +120,11 @@
 
 // Do sends the call to one endpoint after the other until one answers. A write
 // moves on only where it certainly was not sent: a second copy could take
-// effect after the first. Errors are *platform.Error.
+// effect after the first. Errors are *infra.Error.
 func (c *Client) Do(ctx context.Context, call Call) (Answer, error) {
 	body, err := encode(call)
 	if err != nil {
-		return Answer{}, platform.Errorf(call.Op, platform.KindInvalid, "%w", err)
+		return Answer{}, infra.Errorf(call.Op, infra.KindInvalid, "%w", err)
 	}
 	last := errors.New("no endpoints")
 	for _, endpoint := range c.Endpoints() {
@@ -135,13 +135,13 @@
 		}
 		last = err
 		if call.Write && sent {
-			return Answer{}, platform.Errorf(call.Op, platform.KindUnknown, "%w", err)
+			return Answer{}, infra.Errorf(call.Op, infra.KindUnknown, "%w", err)
 		}
 		if ctx.Err() != nil {
 			break
 		}
 	}
-	return Answer{}, platform.Errorf(call.Op, platform.KindUnavailable, "%w", last)
+	return Answer{}, infra.Errorf(call.Op, infra.KindUnavailable, "%w", last)
 }
 
 // DoAt sends the call to one endpoint alone. It is for calls that change
@@ -149,11 +149,11 @@
 func (c *Client) DoAt(ctx context.Context, endpoint string, call Call) (Answer, error) {
 	body, err := encode(call)
 	if err != nil {
-		return Answer{}, platform.Errorf(call.Op, platform.KindInvalid, "%w", err)
+		return Answer{}, infra.Errorf(call.Op, infra.KindInvalid, "%w", err)
 	}
 	answer, _, err := c.once(ctx, endpoint, call, body)
 	if err != nil {
-		return Answer{}, platform.Errorf(call.Op, platform.KindUnavailable, "%w", err)
+		return Answer{}, infra.Errorf(call.Op, infra.KindUnavailable, "%w", err)
 	}
 	return answer, nil
 }
@@ -208,11 +208,11 @@
 	if err == nil {
 		return nil
 	}
-	kind := platform.KindInvalid
+	kind := infra.KindInvalid
 	if call.Write {
-		kind = platform.KindUnknown
+		kind = infra.KindUnknown
 	}
-	return platform.Errorf(call.Op, kind, "malformed answer: %w", err)
+	return infra.Errorf(call.Op, kind, "malformed answer: %w", err)
 }
 
 func encode(call Call) ([]byte, error) {
--- a/internal/platform/keys.go
+++ b/internal/infra/keys.go
@@ -1,4 +1,4 @@
-package platform
+package infra
 
 import "github.com/pumicestage/pumicestage/policy/model"
 
--- a/internal/platform/machineapi/client.go
+++ b/internal/infra/machineapi/client.go
@@ -7,15 +7,15 @@
 	"net/url"
 	"strings"
 
-	"github.com/pumicestage/pumicestage/internal/platform"
-	"github.com/pumicestage/pumicestage/internal/platform/httpcall"
+	"github.com/pumicestage/pumicestage/internal/infra"
+	"github.com/pumicestage/pumicestage/internal/infra/httpcall"
 	"github.com/pumicestage/pumicestage/policy/model"
 )
 
-// Client is a platform.Machines. It is safe for concurrent use.
+// Client is a infra.Machines. It is safe for concurrent use.
 type Client struct{ http *httpcall.Client }
 
-var _ platform.Machines = (*Client)(nil)
+var _ infra.Machines = (*Client)(nil)
 
 // Options say how to reach the machines' control.
 type Options = httpcall.Options
@@ -23,79 +23,79 @@
 // New returns a client. It opens no connection before the first call.
 func New(o Options) *Client { return &Client{http: httpcall.New(o)} }
 
-// List implements platform.Machines.
-func (c *Client) List(ctx context.Context) (platform.MachineList, error) {
+// List implements infra.Machines.
+func (c *Client) List(ctx context.Context) (infra.MachineList, error) {
 	var res MachineList
 	if err := c.ask(ctx, "list", PathMachines, &res); err != nil {
-		return platform.MachineList{}, err
+		return infra.MachineList{}, err
 	}
-	out := platform.MachineList{AsOf: res.AsOf}
+	out := infra.MachineList{AsOf: res.AsOf}
 	for _, m := range res.Machines {
-		out.Machines = append(out.Machines, platform.Machine(m))
+		out.Machines = append(out.Machines, infra.Machine(m))
 	}
 	return out, nil
 }
 
-// Drain implements platform.Machines.
+// Drain implements infra.Machines.
 func (c *Client) Drain(ctx context.Context, vm model.VMID, attempt model.AttemptID) error {
 	return c.effect(ctx, "drain", fill(PathDrain, string(vm)), Effect{attempt})
 }
 
-// Undrain implements platform.Machines.
+// Undrain implements infra.Machines.
 func (c *Client) Undrain(ctx context.Context, vm model.VMID, attempt model.AttemptID) error {
 	return c.effect(ctx, "undrain", fill(PathUndrain, string(vm)), Effect{attempt})
 }
 
-// Reboot implements platform.Machines.
+// Reboot implements infra.Machines.
 func (c *Client) Reboot(ctx context.Context, vm model.VMID, attempt model.AttemptID) error {
 	return c.effect(ctx, "reboot", fill(PathReboot, string(vm)), Effect{attempt})
 }
 
-// InFlight implements platform.Machines.
+// InFlight implements infra.Machines.
 func (c *Client) InFlight(ctx context.Context, vm model.VMID) (int, error) {
 	var res InFlight
 	err := c.ask(ctx, "in-flight", fill(PathInFlight, string(vm)), &res)
 	return res.Count, err
 }
 
-// StartTask implements platform.Machines.
-func (c *Client) StartTask(ctx context.Context, task platform.Task) error {
+// StartTask implements infra.Machines.
+func (c *Client) StartTask(ctx context.Context, task infra.Task) error {
 	return c.effect(ctx, "start task", PathTasks, TaskToWire(task))
 }
 
-// RenewTask implements platform.Machines.
+// RenewTask implements infra.Machines.
 func (c *Client) RenewTask(ctx context.Context, attempt model.AttemptID) error {
 	return c.effect(ctx, "renew task", fill(PathRenew, string(attempt)), nil)
 }
 
-// StopTask implements platform.Machines.
+// StopTask implements infra.Machines.
 func (c *Client) StopTask(ctx context.Context, attempt model.AttemptID, checkpoint bool) error {
 	return c.effect(ctx, "stop task", fill(PathStop, string(attempt)), Stop{checkpoint})
 }
 
-// ThrottleTask implements platform.Machines.
+// ThrottleTask implements infra.Machines.
 func (c *Client) ThrottleTask(ctx context.Context, attempt model.AttemptID, milliCPU int64) error {
 	return c.effect(ctx, "throttle task", fill(PathThrottle, string(attempt)), Throttle{milliCPU})
 }
 
-// Tasks implements platform.Machines.
-func (c *Client) Tasks(ctx context.Context) ([]platform.Task, error) {
+// Tasks implements infra.Machines.
+func (c *Client) Tasks(ctx context.Context) ([]infra.Task, error) {
 	var res TaskList
 	err := c.ask(ctx, "tasks", PathTasks, &res)
-	var out []platform.Task
+	var out []infra.Task
 	for _, t := range res.Tasks {
 		out = append(out, TaskFromWire(t))
 	}
 	return out, err
 }
 
-// Usage implements platform.Machines.
-func (c *Client) Usage(ctx context.Context) ([]platform.Usage, error) {
+// Usage implements infra.Machines.
+func (c *Client) Usage(ctx context.Context) ([]infra.Usage, error) {
 	var res UsageList
 	err := c.ask(ctx, "usage", PathUsage, &res)
-	var out []platform.Usage
+	var out []infra.Usage
 	for _, u := range res.Reports {
-		out = append(out, platform.Usage{Attempt: u.Attempt, VM: u.VM, Used: model.Resources(u.Used), At: u.At})
+		out = append(out, infra.Usage{Attempt: u.Attempt, VM: u.VM, Used: model.Resources(u.Used), At: u.At})
 	}
 	return out, err
 }
@@ -131,26 +131,26 @@
 	if err := json.Unmarshal(a.Body, &p); err != nil {
 		p.Message = "no further word"
 	}
-	return platform.Errorf(call.Op, kindOf(call, a.Status), "status %d: %s", a.Status, p.Message)
+	return infra.Errorf(call.Op, kindOf(call, a.Status), "status %d: %s", a.Status, p.Message)
 }
 
-func kindOf(call httpcall.Call, status int) platform.Kind {
+func kindOf(call httpcall.Call, status int) infra.Kind {
 	switch status {
 	case http.StatusBadRequest:
-		return platform.KindInvalid
+		return infra.KindInvalid
 	case http.StatusNotFound:
-		return platform.KindNotFound
+		return infra.KindNotFound
 	case http.StatusConflict:
-		return platform.KindConflict
+		return infra.KindConflict
 	case http.StatusGone:
-		return platform.KindLeaseNotFound
+		return infra.KindLeaseNotFound
 	case http.StatusTooManyRequests:
-		return platform.KindRateLimited
+		return infra.KindRateLimited
 	}
 	if call.Write {
-		return platform.KindUnknown
+		return infra.KindUnknown
 	}
-	return platform.KindUnavailable
+	return infra.KindUnavailable
 }
 
 // fill puts an identifier into a path.
--- a/internal/platform/machineapi/wire.go
+++ b/internal/infra/machineapi/wire.go
@@ -1,10 +1,10 @@
-// Package machineapi is platform.Machines over plain HTTP and JSON.
+// Package machineapi is infra.Machines over plain HTTP and JSON.
 package machineapi
 
 import (
 	"time"
 
-	"github.com/pumicestage/pumicestage/internal/platform"
+	"github.com/pumicestage/pumicestage/internal/infra"
 	"github.com/pumicestage/pumicestage/policy/model"
 )
 
@@ -56,13 +56,13 @@
 
 // Task is one task: the body of POST PathTasks and an entry of its list.
 type Task struct {
-	Attempt model.AttemptID    `json:"attempt"`
-	Job     model.JobID        `json:"job"`
-	VM      model.VMID         `json:"vm"`
-	Size    Resources          `json:"size"`
-	TTLMs   int64              `json:"ttl_ms"`
-	State   platform.TaskState `json:"state,omitempty"`
-	Reason  string             `json:"reason,omitempty"`
+	Attempt model.AttemptID `json:"attempt"`
+	Job     model.JobID     `json:"job"`
+	VM      model.VMID      `json:"vm"`
+	Size    Resources       `json:"size"`
+	TTLMs   int64           `json:"ttl_ms"`
+	State   infra.TaskState `json:"state,omitempty"`
+	Reason  string          `json:"reason,omitempty"`
 }
 
 // TaskList answers GET PathTasks.
@@ -99,7 +99,7 @@
 }
 
 // TaskToWire turns a task into its message.
-func TaskToWire(t platform.Task) Task {
+func TaskToWire(t infra.Task) Task {
 	return Task{
 		Attempt: t.Attempt, Job: t.Job, VM: t.VM, Size: Resources(t.Size),
 		TTLMs: t.TTL.Milliseconds(), State: t.State, Reason: t.Reason,
@@ -107,8 +107,8 @@
 }
 
 // TaskFromWire turns a message into a task.
-func TaskFromWire(t Task) platform.Task {
-	return platform.Task{
+func TaskFromWire(t Task) infra.Task {
+	return infra.Task{
 		Attempt: t.Attempt, Job: t.Job, VM: t.VM, Size: model.Resources(t.Size),
 		TTL: time.Duration(t.TTLMs) * time.Millisecond, State: t.State, Reason: t.Reason,
 	}
