--- a/internal/platform/memstore/memstore.go
+++ b/internal/infra/memstore/memstore.go
@@ -1,4 +1,4 @@
-// Package memstore is an in-memory platform.Store. It is the engine of the
+// Package memstore is an in-memory infra.Store. It is the engine of the
 // platform's stand-in and the fake that tests use in place of the service.
 package memstore
 
@@ -12,27 +12,27 @@
 
 	"github.com/jonboulle/clockwork"
 
-	"github.com/pumicestage/pumicestage/internal/platform"
+	"github.com/pumicestage/pumicestage/internal/infra"
 )
 
 // MaxValueBytes is the largest value the service holds.
-const MaxValueBytes = platform.MaxValueBytes
+const MaxValueBytes = infra.MaxValueBytes
 
 // historyLimit is how many revisions a late watch can still be served from.
 // Older ones are compacted, as the real service does.
 const historyLimit = 10000
 
-// Store is a platform.Store in memory. It is safe for concurrent use.
+// Store is a infra.Store in memory. It is safe for concurrent use.
 type Store struct {
 	clock clockwork.Clock
 
 	mu        sync.Mutex
-	rev       platform.Revision
-	compacted platform.Revision
-	keys      map[string]platform.KV
-	leases    map[platform.LeaseID]*lease
-	nextLease platform.LeaseID
-	history   []platform.WatchBatch
+	rev       infra.Revision
+	compacted infra.Revision
+	keys      map[string]infra.KV
+	leases    map[infra.LeaseID]*lease
+	nextLease infra.LeaseID
+	history   []infra.WatchBatch
 	watchers  map[*watcher]struct{}
 }
 
@@ -47,19 +47,19 @@
 	return &Store{
 		clock:     clock,
 		rev:       1,
-		keys:      make(map[string]platform.KV),
-		leases:    make(map[platform.LeaseID]*lease),
+		keys:      make(map[string]infra.KV),
+		leases:    make(map[infra.LeaseID]*lease),
 		nextLease: 1000,
 		watchers:  make(map[*watcher]struct{}),
 	}
 }
 
-var _ platform.Store = (*Store)(nil)
+var _ infra.Store = (*Store)(nil)
 
-// Get implements platform.Store.
-func (s *Store) Get(ctx context.Context, key string) (platform.KV, platform.Revision, error) {
+// Get implements infra.Store.
+func (s *Store) Get(ctx context.Context, key string) (infra.KV, infra.Revision, error) {
 	if err := ctx.Err(); err != nil {
-		return platform.KV{}, 0, platform.Errorf("get", platform.KindUnavailable, "%w", err)
+		return infra.KV{}, 0, infra.Errorf("get", infra.KindUnavailable, "%w", err)
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -67,15 +67,15 @@
 	return s.readLocked(key), s.rev, nil
 }
 
-// Range implements platform.Store.
-func (s *Store) Range(ctx context.Context, prefix string) ([]platform.KV, platform.Revision, error) {
+// Range implements infra.Store.
+func (s *Store) Range(ctx context.Context, prefix string) ([]infra.KV, infra.Revision, error) {
 	if err := ctx.Err(); err != nil {
-		return nil, 0, platform.Errorf("range", platform.KindUnavailable, "%w", err)
+		return nil, 0, infra.Errorf("range", infra.KindUnavailable, "%w", err)
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.expireLocked()
-	var kvs []platform.KV
+	var kvs []infra.KV
 	for k, kv := range s.keys {
 		if strings.HasPrefix(k, prefix) {
 			kvs = append(kvs, clone(kv))
@@ -85,32 +85,32 @@
 	return kvs, s.rev, nil
 }
 
-// Txn implements platform.Store.
-func (s *Store) Txn(ctx context.Context, txn platform.Txn) (platform.TxnResult, error) {
+// Txn implements infra.Store.
+func (s *Store) Txn(ctx context.Context, txn infra.Txn) (infra.TxnResult, error) {
 	if err := ctx.Err(); err != nil {
-		return platform.TxnResult{}, platform.Errorf("txn", platform.KindUnavailable, "%w", err)
+		return infra.TxnResult{}, infra.Errorf("txn", infra.KindUnavailable, "%w", err)
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.expireLocked()
 	if err := s.validateLocked(txn); err != nil {
-		return platform.TxnResult{}, err
+		return infra.TxnResult{}, err
 	}
 	ok := s.holdsLocked(txn.If)
 	ops := txn.Then
 	if !ok {
 		ops = txn.Else
 	}
-	res := platform.TxnResult{Succeeded: ok}
+	res := infra.TxnResult{Succeeded: ok}
 	res.Reads = s.applyLocked(ops)
 	res.Revision = s.rev
 	return res, nil
 }
 
-// Grant implements platform.Store.
-func (s *Store) Grant(ctx context.Context, ttl time.Duration) (platform.LeaseID, error) {
+// Grant implements infra.Store.
+func (s *Store) Grant(ctx context.Context, ttl time.Duration) (infra.LeaseID, error) {
 	if err := ctx.Err(); err != nil {
-		return 0, platform.Errorf("grant", platform.KindUnavailable, "%w", err)
+		return 0, infra.Errorf("grant", infra.KindUnavailable, "%w", err)
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -120,38 +120,38 @@
 	return s.nextLease, nil
 }
 
-// KeepAlive implements platform.Store.
-func (s *Store) KeepAlive(ctx context.Context, id platform.LeaseID) error {
+// KeepAlive implements infra.Store.
+func (s *Store) KeepAlive(ctx context.Context, id infra.LeaseID) error {
 	_, err := s.KeepAliveTTL(ctx, id)
 	return err
 }
 
 // KeepAliveTTL is KeepAlive that also returns the lease's time to live.
-func (s *Store) KeepAliveTTL(ctx context.Context, id platform.LeaseID) (time.Duration, error) {
+func (s *Store) KeepAliveTTL(ctx context.Context, id infra.LeaseID) (time.Duration, error) {
 	if err := ctx.Err(); err != nil {
-		return 0, platform.Errorf("keepalive", platform.KindUnavailable, "%w", err)
+		return 0, infra.Errorf("keepalive", infra.KindUnavailable, "%w", err)
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.expireLocked()
 	l, ok := s.leases[id]
 	if !ok {
-		return 0, platform.Errorf("keepalive", platform.KindLeaseNotFound, "lease %d", id)
+		return 0, infra.Errorf("keepalive", infra.KindLeaseNotFound, "lease %d", id)
 	}
 	l.expires = s.clock.Now().Add(l.ttl)
 	return l.ttl, nil
 }
 
-// Revoke implements platform.Store.
-func (s *Store) Revoke(ctx context.Context, id platform.LeaseID) error {
+// Revoke implements infra.Store.
+func (s *Store) Revoke(ctx context.Context, id infra.LeaseID) error {
 	if err := ctx.Err(); err != nil {
-		return platform.Errorf("revoke", platform.KindUnavailable, "%w", err)
+		return infra.Errorf("revoke", infra.KindUnavailable, "%w", err)
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.expireLocked()
 	if _, ok := s.leases[id]; !ok {
-		return platform.Errorf("revoke", platform.KindLeaseNotFound, "lease %d", id)
+		return infra.Errorf("revoke", infra.KindLeaseNotFound, "lease %d", id)
 	}
 	s.dropLeaseLocked(id)
 	return nil
@@ -166,14 +166,14 @@
 }
 
 // Revision returns the store's revision.
-func (s *Store) Revision() platform.Revision {
+func (s *Store) Revision() infra.Revision {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.rev
 }
 
 // Compacted returns the newest revision that is no longer held.
-func (s *Store) Compacted() platform.Revision {
+func (s *Store) Compacted() infra.Revision {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.compacted
@@ -181,7 +181,7 @@
 
 // Compact forgets history up to and including rev, so that older watches
 // fail with KindCompacted.
-func (s *Store) Compact(rev platform.Revision) {
+func (s *Store) Compact(rev infra.Revision) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	n := 0
@@ -192,40 +192,40 @@
 	s.compacted = max(s.compacted, rev)
 }
 
-func (s *Store) readLocked(key string) platform.KV {
+func (s *Store) readLocked(key string) infra.KV {
 	kv, ok := s.keys[key]
 	if !ok {
-		return platform.KV{Key: key}
+		return infra.KV{Key: key}
 	}
 	return clone(kv)
 }
 
-func (s *Store) validateLocked(txn platform.Txn) error {
-	if n := max(len(txn.If), len(txn.Then), len(txn.Else)); n > platform.MaxTxnOps {
-		return platform.Errorf("txn", platform.KindInvalid, "%d operations, at most %d", n, platform.MaxTxnOps)
+func (s *Store) validateLocked(txn infra.Txn) error {
+	if n := max(len(txn.If), len(txn.Then), len(txn.Else)); n > infra.MaxTxnOps {
+		return infra.Errorf("txn", infra.KindInvalid, "%d operations, at most %d", n, infra.MaxTxnOps)
 	}
-	for _, ops := range [][]platform.Op{txn.Then, txn.Else} {
+	for _, ops := range [][]infra.Op{txn.Then, txn.Else} {
 		put := make(map[string]bool, len(ops))
 		for _, op := range ops {
-			if op.Kind != platform.OpPut {
+			if op.Kind != infra.OpPut {
 				continue
 			}
 			if put[op.Key] {
-				return platform.Errorf("txn", platform.KindInvalid, "%s is put twice", op.Key)
+				return infra.Errorf("txn", infra.KindInvalid, "%s is put twice", op.Key)
 			}
 			put[op.Key] = true
 			if len(op.Value) > MaxValueBytes {
-				return platform.Errorf("txn", platform.KindTooLarge, "%s: %d bytes, at most %d", op.Key, len(op.Value), MaxValueBytes)
+				return infra.Errorf("txn", infra.KindTooLarge, "%s: %d bytes, at most %d", op.Key, len(op.Value), MaxValueBytes)
 			}
 			if _, ok := s.leases[op.Lease]; op.Lease != 0 && !ok {
-				return platform.Errorf("txn", platform.KindLeaseNotFound, "lease %d", op.Lease)
+				return infra.Errorf("txn", infra.KindLeaseNotFound, "lease %d", op.Lease)
 			}
 		}
 	}
 	return nil
 }
 
-func (s *Store) holdsLocked(conds []platform.Cond) bool {
+func (s *Store) holdsLocked(conds []infra.Cond) bool {
 	for _, c := range conds {
 		if s.keys[c.Key].ModRevision != c.ModRevision {
 			return false
@@ -235,17 +235,17 @@
 }
 
 // applyLocked applies ops; all writes of one transaction share one revision.
-func (s *Store) applyLocked(ops []platform.Op) []platform.KV {
+func (s *Store) applyLocked(ops []infra.Op) []infra.KV {
 	next := s.rev + 1
-	var reads []platform.KV
-	var events []platform.Event
+	var reads []infra.KV
+	var events []infra.Event
 	for _, op := range ops {
 		switch op.Kind {
-		case platform.OpGet:
+		case infra.OpGet:
 			reads = append(reads, s.readLocked(op.Key))
-		case platform.OpPut:
+		case infra.OpPut:
 			events = append(events, s.putLocked(op, next))
-		case platform.OpDelete:
+		case infra.OpDelete:
 			if _, ok := s.keys[op.Key]; ok {
 				events = append(events, s.deleteLocked(op.Key, next))
 			}
@@ -255,12 +255,12 @@
 	return reads
 }
 
-func (s *Store) putLocked(op platform.Op, rev platform.Revision) platform.Event {
+func (s *Store) putLocked(op infra.Op, rev infra.Revision) infra.Event {
 	old, existed := s.keys[op.Key]
 	if l, ok := s.leases[old.Lease]; existed && ok {
 		delete(l.keys, op.Key)
 	}
-	kv := platform.KV{Key: op.Key, Value: bytes.Clone(op.Value), CreateRevision: rev, ModRevision: rev, Lease: op.Lease}
+	kv := infra.KV{Key: op.Key, Value: bytes.Clone(op.Value), CreateRevision: rev, ModRevision: rev, Lease: op.Lease}
 	if existed {
 		kv.CreateRevision = old.CreateRevision
 	}
@@ -268,21 +268,21 @@
 	if l, ok := s.leases[op.Lease]; ok {
 		l.keys[op.Key] = struct{}{}
 	}
-	return platform.Event{Kind: platform.EventPut, KV: clone(kv)}
+	return infra.Event{Kind: infra.EventPut, KV: clone(kv)}
 }
 
-func (s *Store) deleteLocked(key string, rev platform.Revision) platform.Event {
+func (s *Store) deleteLocked(key string, rev infra.Revision) infra.Event {
 	kv := s.keys[key]
 	if l, ok := s.leases[kv.Lease]; ok {
 		delete(l.keys, key)
 	}
 	delete(s.keys, key)
-	return platform.Event{Kind: platform.EventDelete, KV: platform.KV{Key: key, ModRevision: rev}}
+	return infra.Event{Kind: infra.EventDelete, KV: infra.KV{Key: key, ModRevision: rev}}
 }
 
 func (s *Store) expireLocked() {
 	now := s.clock.Now()
-	var due []platform.LeaseID
+	var due []infra.LeaseID
 	for id, l := range s.leases {
 		if !l.expires.After(now) {
 			due = append(due, id)
@@ -294,14 +294,14 @@
 	}
 }
 
-func (s *Store) dropLeaseLocked(id platform.LeaseID) {
+func (s *Store) dropLeaseLocked(id infra.LeaseID) {
 	next := s.rev + 1
 	var names []string
 	for k := range s.leases[id].keys {
 		names = append(names, k)
 	}
 	sort.Strings(names)
-	var events []platform.Event
+	var events []infra.Event
 	for _, k := range names {
 		events = append(events, s.deleteLocked(k, next))
 	}
@@ -309,12 +309,12 @@
 	s.publishLocked(events, next)
 }
 
-func (s *Store) publishLocked(events []platform.Event, rev platform.Revision) {
+func (s *Store) publishLocked(events []infra.Event, rev infra.Revision) {
 	if len(events) == 0 {
 		return
 	}
 	s.rev = rev
-	batch := platform.WatchBatch{Events: events, Revision: rev}
+	batch := infra.WatchBatch{Events: events, Revision: rev}
 	s.history = append(s.history, batch)
 	if over := len(s.history) - historyLimit; over > 0 {
 		s.compacted = s.history[over-1].Revision
@@ -325,7 +325,7 @@
 	}
 }
 
-func clone(kv platform.KV) platform.KV {
+func clone(kv infra.KV) infra.KV {
 	kv.Value = bytes.Clone(kv.Value)
 	return kv
 }
--- a/internal/platform/memstore/memstore_test.go
+++ b/internal/infra/memstore/memstore_test.go
@@ -8,8 +8,8 @@
 	"github.com/jonboulle/clockwork"
 	"gotest.tools/v3/assert"
 
-	"github.com/pumicestage/pumicestage/internal/platform"
-	"github.com/pumicestage/pumicestage/internal/platform/faulty"
+	"github.com/pumicestage/pumicestage/internal/infra"
+	"github.com/pumicestage/pumicestage/internal/infra/faulty"
 )
 
 func TestLeasedKeyVanishesWhenLeaseLapses(t *testing.T) {
@@ -18,16 +18,16 @@
 	s := New(clock)
 	lease, err := s.Grant(ctx, time.Second)
 	assert.NilError(t, err)
-	_, err = s.Txn(ctx, platform.Txn{Then: []platform.Op{platform.PutLeased("a", []byte("1"), lease)}})
+	_, err = s.Txn(ctx, infra.Txn{Then: []infra.Op{infra.PutLeased("a", []byte("1"), lease)}})
 	assert.NilError(t, err)
 
 	clock.Advance(2 * time.Second)
 
 	kv, _, err := s.Get(ctx, "a")
 	assert.NilError(t, err)
-	assert.Equal(t, kv.ModRevision, platform.Revision(0))
+	assert.Equal(t, kv.ModRevision, infra.Revision(0))
 	err = s.KeepAlive(ctx, lease)
-	assert.Assert(t, platform.IsKind(err, platform.KindLeaseNotFound))
+	assert.Assert(t, infra.IsKind(err, infra.KindLeaseNotFound))
 }
 
 func TestWatchDeliversFromRevisionWithoutGaps(t *testing.T) {
@@ -35,7 +35,7 @@
 	defer cancel()
 	s := New(clockwork.NewFakeClock())
 	put := func(key string) {
-		_, err := s.Txn(ctx, platform.Txn{Then: []platform.Op{platform.Put(key, nil)}})
+		_, err := s.Txn(ctx, infra.Txn{Then: []infra.Op{infra.Put(key, nil)}})
 		assert.NilError(t, err)
 	}
 	put("p/1")
@@ -58,12 +58,12 @@
 	ctx := context.Background()
 	s := faulty.Wrap(New(clockwork.NewFakeClock()))
 	s.LoseReplies(1)
-	txn := platform.Txn{
-		If:   []platform.Cond{{Key: "a"}},
-		Then: []platform.Op{platform.Put("a", []byte("change-1"))},
+	txn := infra.Txn{
+		If:   []infra.Cond{{Key: "a"}},
+		Then: []infra.Op{infra.Put("a", []byte("change-1"))},
 	}
 
-	res, err := platform.Commit(ctx, s, txn)
+	res, err := infra.Commit(ctx, s, txn)
 
 	assert.NilError(t, err)
 	assert.Assert(t, res.Succeeded)
@@ -76,14 +76,14 @@
 	inner := New(clockwork.NewFakeClock())
 	s := faulty.Wrap(inner)
 	s.LoseRequests(1)
-	_, err := inner.Txn(ctx, platform.Txn{Then: []platform.Op{platform.Put("a", []byte("rival"))}})
+	_, err := inner.Txn(ctx, infra.Txn{Then: []infra.Op{infra.Put("a", []byte("rival"))}})
 	assert.NilError(t, err)
-	txn := platform.Txn{
-		If:   []platform.Cond{{Key: "a"}},
-		Then: []platform.Op{platform.Put("a", []byte("change-1"))},
+	txn := infra.Txn{
+		If:   []infra.Cond{{Key: "a"}},
+		Then: []infra.Op{infra.Put("a", []byte("change-1"))},
 	}
 
-	_, err = platform.Commit(ctx, s, txn)
+	_, err = infra.Commit(ctx, s, txn)
 
-	assert.Assert(t, platform.IsKind(err, platform.KindConflict))
+	assert.Assert(t, infra.IsKind(err, infra.KindConflict))
 }
--- a/internal/platform/memstore/watch.go
+++ b/internal/infra/memstore/watch.go
@@ -5,7 +5,7 @@
 	"strings"
 	"sync"
 
-	"github.com/pumicestage/pumicestage/internal/platform"
+	"github.com/pumicestage/pumicestage/internal/infra"
 )
 
 // watcher queues batches without bound, so that a slow reader never holds up
@@ -15,18 +15,18 @@
 	wake   chan struct{}
 
 	mu    sync.Mutex
-	queue []platform.WatchBatch
+	queue []infra.WatchBatch
 }
 
-// Watch implements platform.Store.
-func (s *Store) Watch(ctx context.Context, prefix string, from platform.Revision) (<-chan platform.WatchBatch, error) {
+// Watch implements infra.Store.
+func (s *Store) Watch(ctx context.Context, prefix string, from infra.Revision) (<-chan infra.WatchBatch, error) {
 	if err := ctx.Err(); err != nil {
-		return nil, platform.Errorf("watch", platform.KindUnavailable, "%w", err)
+		return nil, infra.Errorf("watch", infra.KindUnavailable, "%w", err)
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if from <= s.compacted {
-		return nil, platform.Errorf("watch", platform.KindCompacted, "revision %d, compacted at %d", from, s.compacted)
+		return nil, infra.Errorf("watch", infra.KindCompacted, "revision %d, compacted at %d", from, s.compacted)
 	}
 	w := &watcher{prefix: prefix, wake: make(chan struct{}, 1)}
 	for _, b := range s.history {
@@ -35,7 +35,7 @@
 		}
 	}
 	s.watchers[w] = struct{}{}
-	out := make(chan platform.WatchBatch)
+	out := make(chan infra.WatchBatch)
 	go s.serve(ctx, w, out)
 	return out, nil
 }
@@ -47,7 +47,7 @@
 	return len(s.watchers)
 }
 
-func (s *Store) serve(ctx context.Context, w *watcher, out chan<- platform.WatchBatch) {
+func (s *Store) serve(ctx context.Context, w *watcher, out chan<- infra.WatchBatch) {
 	defer close(out)
 	defer func() {
 		s.mu.Lock()
@@ -70,8 +70,8 @@
 	}
 }
 
-func (w *watcher) push(b platform.WatchBatch) {
-	var events []platform.Event
+func (w *watcher) push(b infra.WatchBatch) {
+	var events []infra.Event
 	for _, e := range b.Events {
 		if strings.HasPrefix(e.KV.Key, w.prefix) {
 			events = append(events, e)
@@ -81,7 +81,7 @@
 		return
 	}
 	w.mu.Lock()
-	w.queue = append(w.queue, platform.WatchBatch{Events: events, Revision: b.Revision})
+	w.queue = append(w.queue, infra.WatchBatch{Events: events, Revision: b.Revision})
 	w.mu.Unlock()
 	select {
 	case w.wake <- struct{}{}:
@@ -89,7 +89,7 @@
 	}
 }
 
-func (w *watcher) take() []platform.WatchBatch {
+func (w *watcher) take() []infra.WatchBatch {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	q := w.queue
--- a/internal/platform/paced/paced.go
+++ b/internal/infra/paced/paced.go
@@ -9,7 +9,7 @@
 
 	"github.com/jonboulle/clockwork"
 
-	"github.com/pumicestage/pumicestage/internal/platform"
+	"github.com/pumicestage/pumicestage/internal/infra"
 )
 
 const (
@@ -22,26 +22,26 @@
 	bytesPerSecond = 5000
 )
 
-// Machines is a platform.Machines whose List is asked no more often than its
+// Machines is a infra.Machines whose List is asked no more often than its
 // size allows; in between it gives the newest one. How old that is its AsOf
 // says. It is safe for concurrent use.
 type Machines struct {
-	platform.Machines
+	infra.Machines
 	clock clockwork.Clock
 
 	mu   sync.Mutex
-	list platform.MachineList
+	list infra.MachineList
 	at   time.Time // when list was asked for; zero before the first
 }
 
 // New wraps the machines.
-func New(m platform.Machines, clock clockwork.Clock) *Machines {
+func New(m infra.Machines, clock clockwork.Clock) *Machines {
 	return &Machines{Machines: m, clock: clock}
 }
 
-// List implements platform.Machines. Callers that come while one asks wait for
+// List implements infra.Machines. Callers that come while one asks wait for
 // its answer. Where asking fails nothing is remembered.
-func (m *Machines) List(ctx context.Context) (platform.MachineList, error) {
+func (m *Machines) List(ctx context.Context) (infra.MachineList, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if !m.at.IsZero() && m.clock.Since(m.at) < period(len(m.list.Machines)) {
@@ -50,7 +50,7 @@
 	at := m.clock.Now()
 	list, err := m.Machines.List(ctx)
 	if err != nil {
-		return platform.MachineList{}, err
+		return infra.MachineList{}, err
 	}
 	m.list, m.at = list, at
 	return list, nil
--- a/internal/platform/paced/paced_test.go
+++ b/internal/infra/paced/paced_test.go
@@ -9,20 +9,20 @@
 	"github.com/jonboulle/clockwork"
 	"gotest.tools/v3/assert"
 
-	"github.com/pumicestage/pumicestage/internal/platform"
+	"github.com/pumicestage/pumicestage/internal/infra"
 )
 
 // lister counts how often it is asked.
 type lister struct {
-	platform.Machines
+	infra.Machines
 	vms   int
 	asked int
 	err   error
 }
 
-func (l *lister) List(context.Context) (platform.MachineList, error) {
+func (l *lister) List(context.Context) (infra.MachineList, error) {
 	l.asked++
-	return platform.MachineList{Machines: make([]platform.Machine, l.vms)}, l.err
+	return infra.MachineList{Machines: make([]infra.Machine, l.vms)}, l.err
 }
 
 // Reconciler and placer each ask every second. At 3,600 VMs the answers alone
--- a/internal/platform/platform.go
+++ b/internal/infra/platform.go
@@ -1,7 +1,7 @@
-// Package platform is the port to the platform the users run: a key-value
+// Package infra is the port to the platform the users run: a key-value
 // service and the machines. Everything the system agrees on or keeps goes
 // through Store; every outside effect goes through Machines.
-package platform
+package infra
 
 import (
 	"context"
--- a/internal/platform/standin/faults.go
+++ b/internal/infra/standin/faults.go
@@ -5,8 +5,8 @@
 	"sync"
 	"time"
 
-	"github.com/pumicestage/pumicestage/internal/platform/etcdjson"
-	"github.com/pumicestage/pumicestage/internal/platform/httpcall"
+	"github.com/pumicestage/pumicestage/internal/infra/etcdjson"
+	"github.com/pumicestage/pumicestage/internal/infra/httpcall"
 )
 
 // PathFaults is where the faults are read (GET) and switched (PUT) over HTTP.
--- a/internal/platform/standin/machines.go
+++ b/internal/infra/standin/machines.go
@@ -8,11 +8,11 @@
 
 	"github.com/jonboulle/clockwork"
 
-	"github.com/pumicestage/pumicestage/internal/platform"
+	"github.com/pumicestage/pumicestage/internal/infra"
 	"github.com/pumicestage/pumicestage/policy/model"
 )
 
-// Machines are the VMs and tasks. It is a platform.Machines by itself, and
+// Machines are the VMs and tasks. It is a infra.Machines by itself, and
 // the control by which a test makes VMs, fails them and says how tasks behave.
 type Machines struct {
 	clock clockwork.Clock
@@ -58,7 +58,7 @@
 // moment is a VM as it was from then on, for the lagging list.
 type moment struct {
 	from    time.Time
-	machine platform.Machine
+	machine infra.Machine
 }
 
 // effect identifies one effect on one VM; a repeat of it is already done.
@@ -68,7 +68,7 @@
 	attempt model.AttemptID
 }
 
-var _ platform.Machines = (*Machines)(nil)
+var _ infra.Machines = (*Machines)(nil)
 
 func newMachines(clock clockwork.Clock) *Machines {
 	return &Machines{
@@ -155,8 +155,8 @@
 	return out
 }
 
-// List implements platform.Machines.
-func (m *Machines) List(context.Context) (platform.MachineList, error) {
+// List implements infra.Machines.
+func (m *Machines) List(context.Context) (infra.MachineList, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.advanceLocked()
@@ -164,7 +164,7 @@
 	if !m.frozenAt.IsZero() && m.frozenAt.Before(asOf) {
 		asOf = m.frozenAt
 	}
-	list := platform.MachineList{AsOf: asOf}
+	list := infra.MachineList{AsOf: asOf}
 	for _, v := range m.vms {
 		if machine, ok := v.at(asOf); ok {
 			list.Machines = append(list.Machines, machine)
@@ -186,12 +186,12 @@
 	}
 }
 
-// Drain implements platform.Machines.
+// Drain implements infra.Machines.
 func (m *Machines) Drain(_ context.Context, id model.VMID, attempt model.AttemptID) error {
 	return m.setDraining(effect{"drain", id, attempt}, true)
 }
 
-// Undrain implements platform.Machines.
+// Undrain implements infra.Machines.
 func (m *Machines) Undrain(_ context.Context, id model.VMID, attempt model.AttemptID) error {
 	return m.setDraining(effect{"undrain", id, attempt}, false)
 }
@@ -214,14 +214,14 @@
 	return nil
 }
 
-// InFlight implements platform.Machines.
+// InFlight implements infra.Machines.
 func (m *Machines) InFlight(_ context.Context, id model.VMID) (int, error) {
 	m.mu.Lock()
 	m.advanceLocked()
 	v, ok := m.vms[id]
 	if !ok {
 		m.mu.Unlock()
-		return 0, platform.Errorf("in-flight", platform.KindNotFound, "VM %s", id)
+		return 0, infra.Errorf("in-flight", infra.KindNotFound, "VM %s", id)
 	}
 	live, tasks := v.live, len(v.tasks)
 	m.mu.Unlock()
@@ -231,7 +231,7 @@
 	return v.runner.InFlight() + tasks, nil
 }
 
-// Reboot implements platform.Machines.
+// Reboot implements infra.Machines.
 func (m *Machines) Reboot(_ context.Context, id model.VMID, attempt model.AttemptID) error {
 	v, fresh, err := m.begin(effect{"reboot", id, attempt})
 	if err != nil || !fresh {
@@ -263,10 +263,10 @@
 	defer m.mu.Unlock()
 	v, ok := m.vms[e.vm]
 	if !ok {
-		return nil, false, platform.Errorf(e.op, platform.KindNotFound, "VM %s", e.vm)
+		return nil, false, infra.Errorf(e.op, infra.KindNotFound, "VM %s", e.vm)
 	}
 	if e.attempt == "" {
-		return nil, false, platform.Errorf(e.op, platform.KindInvalid, "no attempt")
+		return nil, false, infra.Errorf(e.op, infra.KindInvalid, "no attempt")
 	}
 	if m.done[e] {
 		return v, false, nil
@@ -311,7 +311,7 @@
 
 func (m *Machines) stopLocked(v *vm, reason string) {
 	for t := range v.tasks {
-		t.end(platform.TaskLost, reason)
+		t.end(infra.TaskLost, reason)
 	}
 	v.live = false
 	m.noteLocked(v)
@@ -320,7 +320,7 @@
 // noteLocked records the VM as it is now, and forgets what no list can show.
 func (m *Machines) noteLocked(v *vm) {
 	now := m.clock.Now()
-	v.history = append(v.history, moment{from: now, machine: platform.Machine{
+	v.history = append(v.history, moment{from: now, machine: infra.Machine{
 		VM: v.id, Live: v.live, Leaving: v.leaving, Boots: v.boots, Tasks: len(v.tasks),
 	}})
 	if !m.frozenAt.IsZero() {
@@ -333,11 +333,11 @@
 }
 
 // at returns the VM as it was, if it was there.
-func (v *vm) at(t time.Time) (platform.Machine, bool) {
+func (v *vm) at(t time.Time) (infra.Machine, bool) {
 	for i := len(v.history) - 1; i >= 0; i-- {
 		if !v.history[i].from.After(t) {
 			return v.history[i].machine, true
 		}
 	}
-	return platform.Machine{}, false
+	return infra.Machine{}, false
 }
--- a/internal/platform/standin/machines_http.go
+++ b/internal/infra/standin/machines_http.go
@@ -6,9 +6,9 @@
 
 	"github.com/gorilla/mux"
 
-	"github.com/pumicestage/pumicestage/internal/platform"
-	"github.com/pumicestage/pumicestage/internal/platform/httpcall"
-	"github.com/pumicestage/pumicestage/internal/platform/machineapi"
+	"github.com/pumicestage/pumicestage/internal/infra"
+	"github.com/pumicestage/pumicestage/internal/infra/httpcall"
+	"github.com/pumicestage/pumicestage/internal/infra/machineapi"
 	"github.com/pumicestage/pumicestage/policy/model"
 )
 
@@ -130,11 +130,11 @@
 	return v
 }
 
-var statusOf = map[platform.Kind]int{
-	platform.KindInvalid:       http.StatusBadRequest,
-	platform.KindNotFound:      http.StatusNotFound,
-	platform.KindConflict:      http.StatusConflict,
-	platform.KindLeaseNotFound: http.StatusGone,
+var statusOf = map[infra.Kind]int{
+	infra.KindInvalid:       http.StatusBadRequest,
+	infra.KindNotFound:      http.StatusNotFound,
+	infra.KindConflict:      http.StatusConflict,
+	infra.KindLeaseNotFound: http.StatusGone,
 }
 
 func reply(w http.ResponseWriter, body any, err error) {
@@ -142,7 +142,7 @@
 		writeJSON(w, http.StatusOK, body)
 		return
 	}
-	status, ok := statusOf[platform.KindOf(err)]
+	status, ok := statusOf[infra.KindOf(err)]
 	if !ok {
 		status = http.StatusInternalServerError
 	}
--- a/internal/platform/standin/standin.go
+++ b/internal/infra/standin/standin.go
@@ -15,8 +15,8 @@
 	"github.com/gravitational/trace"
 	"github.com/jonboulle/clockwork"
 
-	"github.com/pumicestage/pumicestage/internal/platform/etcdjson"
-	"github.com/pumicestage/pumicestage/internal/platform/memstore"
+	"github.com/pumicestage/pumicestage/internal/infra/etcdjson"
+	"github.com/pumicestage/pumicestage/internal/infra/memstore"
 )
 
 // leaseTick is how often due leases are looked for while nobody calls, so
--- a/internal/platform/standin/standin_test.go
+++ b/internal/infra/standin/standin_test.go
@@ -15,9 +15,9 @@
 	"github.com/jonboulle/clockwork"
 	"gotest.tools/v3/assert"
 
-	"github.com/pumicestage/pumicestage/internal/platform"
-	"github.com/pumicestage/pumicestage/internal/platform/httpcall"
-	"github.com/pumicestage/pumicestage/internal/platform/standin"
+	"github.com/pumicestage/pumicestage/internal/infra"
+	"github.com/pumicestage/pumicestage/internal/infra/httpcall"
+	"github.com/pumicestage/pumicestage/internal/infra/standin"
 )
 
 func serve(t *testing.T) (*standin.Server, string, *clockwork.FakeClock) {
@@ -95,7 +95,7 @@
 	assert.Equal(t, line(), `{"result":{"header":{"revision":"2"},"created":true}}`)
 	assert.Equal(t, line(), `{"result":{"header":{"revision":"2"},"events":[{"kv":{"key":"Zm9v","create_revision":"2","mod_revision":"2","value":"dg=="}}]}}`)
 	put(t, srv, "food") // not this key
-	_, err = srv.Store.Txn(context.Background(), platform.Txn{Then: []platform.Op{platform.Delete("foo")}})
+	_, err = srv.Store.Txn(context.Background(), infra.Txn{Then: []infra.Op{infra.Delete("foo")}})
 	assert.NilError(t, err)
 	assert.Equal(t, line(), `{"result":{"header":{"revision":"4"},"events":[{"type":"DELETE","kv":{"key":"Zm9v","mod_revision":"4"}}]}}`)
 	assert.Equal(t, srv.Counts.Counts().Waiting, 1)
@@ -261,6 +261,6 @@
 
 func put(t *testing.T, srv *standin.Server, key string) {
 	t.Helper()
-	_, err := srv.Store.Txn(context.Background(), platform.Txn{Then: []platform.Op{platform.Put(key, []byte("v"))}})
+	_, err := srv.Store.Txn(context.Background(), infra.Txn{Then: []infra.Op{infra.Put(key, []byte("v"))}})
 	assert.NilError(t, err)
 }
--- a/internal/platform/standin/store.go
+++ b/internal/infra/standin/store.go
@@ -7,8 +7,8 @@
 	"strings"
 	"time"
 
-	"github.com/pumicestage/pumicestage/internal/platform"
-	"github.com/pumicestage/pumicestage/internal/platform/etcdjson"
+	"github.com/pumicestage/pumicestage/internal/infra"
+	"github.com/pumicestage/pumicestage/internal/infra/etcdjson"
 )
 
 func (s *Server) routeStore() {
@@ -46,7 +46,7 @@
 
 // find reads one key, a prefix, or any other range. The request was read
 // whole, so a client that leaves does not stop it.
-func (s *Server) find(ctx context.Context, req etcdjson.RangeRequest) ([]platform.KV, platform.Revision, error) {
+func (s *Server) find(ctx context.Context, req etcdjson.RangeRequest) ([]infra.KV, infra.Revision, error) {
 	ctx = context.WithoutCancel(ctx)
 	key := string(req.Key)
 	if len(req.RangeEnd) == 0 {
@@ -54,13 +54,13 @@
 		if err != nil || kv.ModRevision == 0 {
 			return nil, rev, err
 		}
-		return []platform.KV{kv}, rev, nil
+		return []infra.KV{kv}, rev, nil
 	}
 	if bytes.Equal(req.RangeEnd, etcdjson.PrefixEnd(key)) {
 		return s.Store.Range(ctx, key)
 	}
 	all, rev, err := s.Store.Range(ctx, "")
-	var found []platform.KV
+	var found []infra.KV
 	for _, kv := range all {
 		if inRange(kv.Key, key, req.RangeEnd) {
 			found = append(found, kv)
@@ -80,8 +80,8 @@
 	if !readJSON(w, r, &req) {
 		return
 	}
-	op := platform.PutLeased(string(req.Key), req.Value, platform.LeaseID(req.Lease))
-	res, err := s.Store.Txn(context.WithoutCancel(r.Context()), platform.Txn{Then: []platform.Op{op}})
+	op := infra.PutLeased(string(req.Key), req.Value, infra.LeaseID(req.Lease))
+	res, err := s.Store.Txn(context.WithoutCancel(r.Context()), infra.Txn{Then: []infra.Op{op}})
 	if err != nil {
 		writeStoreError(w, err)
 		return
@@ -112,8 +112,8 @@
 		return
 	}
 	res := etcdjson.LeaseResponse{Header: header(s.Store.Revision()), ID: req.ID}
-	ttl, err := s.Store.KeepAliveTTL(context.WithoutCancel(r.Context()), platform.LeaseID(req.ID))
-	if err != nil && !platform.IsKind(err, platform.KindLeaseNotFound) {
+	ttl, err := s.Store.KeepAliveTTL(context.WithoutCancel(r.Context()), infra.LeaseID(req.ID))
+	if err != nil && !infra.IsKind(err, infra.KindLeaseNotFound) {
 		writeStoreError(w, err)
 		return
 	}
@@ -126,7 +126,7 @@
 	if !readJSON(w, r, &req) {
 		return
 	}
-	if err := s.Store.Revoke(context.WithoutCancel(r.Context()), platform.LeaseID(req.ID)); err != nil {
+	if err := s.Store.Revoke(context.WithoutCancel(r.Context()), infra.LeaseID(req.ID)); err != nil {
 		writeStoreError(w, err)
 		return
 	}
@@ -135,25 +135,25 @@
 
 // writeStoreError answers as the service does: a status, its code, its words.
 func writeStoreError(w http.ResponseWriter, err error) {
-	switch platform.KindOf(err) {
-	case platform.KindTooLarge:
+	switch infra.KindOf(err) {
+	case infra.KindTooLarge:
 		writeError(w, http.StatusBadRequest, etcdjson.CodeInvalidArgument, etcdjson.MessageTooLarge)
-	case platform.KindLeaseNotFound:
+	case infra.KindLeaseNotFound:
 		writeError(w, http.StatusNotFound, etcdjson.CodeNotFound, "etcdserver: requested lease not found")
-	case platform.KindCompacted:
+	case infra.KindCompacted:
 		writeError(w, http.StatusBadRequest, etcdjson.CodeOutOfRange, "etcdserver: mvcc: required revision has been compacted")
-	case platform.KindInvalid:
+	case infra.KindInvalid:
 		writeError(w, http.StatusBadRequest, etcdjson.CodeInvalidArgument, err.Error())
 	default:
 		writeError(w, http.StatusInternalServerError, etcdjson.CodeInternal, err.Error())
 	}
 }
 
-func header(rev platform.Revision) *etcdjson.Header {
+func header(rev infra.Revision) *etcdjson.Header {
 	return &etcdjson.Header{Revision: etcdjson.Int64(rev)}
 }
 
-func toWire(kv platform.KV) etcdjson.KeyValue {
+func toWire(kv infra.KV) etcdjson.KeyValue {
 	return etcdjson.KeyValue{
 		Key:            []byte(kv.Key),
 		Value:          kv.Value,
--- a/internal/platform/standin/tasks.go
+++ b/internal/infra/standin/tasks.go
@@ -5,7 +5,7 @@
 	"sort"
 	"time"
 
-	"github.com/pumicestage/pumicestage/internal/platform"
+	"github.com/pumicestage/pumicestage/internal/infra"
 	"github.com/pumicestage/pumicestage/policy/model"
 )
 
@@ -20,7 +20,7 @@
 }
 
 type task struct {
-	platform.Task
+	infra.Task
 	worker    *vm
 	behaviour Behaviour
 	expires   time.Time
@@ -56,9 +56,9 @@
 	m.usageEvery = d
 }
 
-// StartTask implements platform.Machines. It refuses with KindConflict where
+// StartTask implements infra.Machines. It refuses with KindConflict where
 // the VM is not live, is draining, or has set aside all it has.
-func (m *Machines) StartTask(_ context.Context, t platform.Task) error {
+func (m *Machines) StartTask(_ context.Context, t infra.Task) error {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.advanceLocked()
@@ -67,19 +67,19 @@
 	}
 	v, ok := m.vms[t.VM]
 	if !ok {
-		return platform.Errorf("start task", platform.KindNotFound, "VM %s", t.VM)
+		return infra.Errorf("start task", infra.KindNotFound, "VM %s", t.VM)
 	}
 	if t.Attempt == "" || t.TTL <= 0 {
-		return platform.Errorf("start task", platform.KindInvalid, "a task needs an attempt and a lease")
+		return infra.Errorf("start task", infra.KindInvalid, "a task needs an attempt and a lease")
 	}
 	if !v.live || v.draining {
-		return platform.Errorf("start task", platform.KindConflict, "VM %s takes no work", t.VM)
+		return infra.Errorf("start task", infra.KindConflict, "VM %s takes no work", t.VM)
 	}
 	if !t.Size.Fits(m.freeLocked(v)) {
-		return platform.Errorf("start task", platform.KindConflict, "VM %s has too little left", t.VM)
+		return infra.Errorf("start task", infra.KindConflict, "VM %s has too little left", t.VM)
 	}
 	now := m.clock.Now()
-	t.State, t.Reason = platform.TaskRunning, ""
+	t.State, t.Reason = infra.TaskRunning, ""
 	started := &task{Task: t, worker: v, behaviour: m.behaviour[t.Job], expires: now.Add(t.TTL), seen: now, usedAt: now, done: m.progress[t.Job]}
 	m.tasks[t.Attempt] = started
 	v.tasks[started] = struct{}{}
@@ -94,9 +94,9 @@
 	used := t.realSize()
 	switch {
 	case v.allFail:
-		t.end(platform.TaskFailed, "the worker failed it")
+		t.end(infra.TaskFailed, "the worker failed it")
 	case t.Size.MemoryMB > 0 && used.MemoryMB > t.Size.MemoryMB:
-		t.end(platform.TaskFailed, platform.ReasonMemoryGuard)
+		t.end(infra.TaskFailed, infra.ReasonMemoryGuard)
 	}
 }
 
@@ -108,7 +108,7 @@
 	return free
 }
 
-// RenewTask implements platform.Machines.
+// RenewTask implements infra.Machines.
 func (m *Machines) RenewTask(_ context.Context, attempt model.AttemptID) error {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -119,28 +119,28 @@
 	return err
 }
 
-// StopTask implements platform.Machines. Stopping an ended task does nothing.
+// StopTask implements infra.Machines. Stopping an ended task does nothing.
 func (m *Machines) StopTask(_ context.Context, attempt model.AttemptID, checkpoint bool) error {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	t, err := m.runningTaskLocked("stop task", attempt)
-	if platform.IsKind(err, platform.KindLeaseNotFound) {
+	if infra.IsKind(err, infra.KindLeaseNotFound) {
 		return nil
 	}
 	if err != nil {
 		return err
 	}
 	if !checkpoint {
-		t.end(platform.TaskStopped, "stopped")
+		t.end(infra.TaskStopped, "stopped")
 	} else {
 		m.progress[t.Job] = t.done
-		t.end(platform.TaskCheckpointed, "stopped at a checkpoint")
+		t.end(infra.TaskCheckpointed, "stopped at a checkpoint")
 	}
 	m.noteLocked(t.worker)
 	return nil
 }
 
-// ThrottleTask implements platform.Machines.
+// ThrottleTask implements infra.Machines.
 func (m *Machines) ThrottleTask(_ context.Context, attempt model.AttemptID, milliCPU int64) error {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -151,12 +151,12 @@
 	return err
 }
 
-// Tasks implements platform.Machines.
-func (m *Machines) Tasks(context.Context) ([]platform.Task, error) {
+// Tasks implements infra.Machines.
+func (m *Machines) Tasks(context.Context) ([]infra.Task, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.advanceLocked()
-	var out []platform.Task
+	var out []infra.Task
 	for _, t := range m.tasks {
 		out = append(out, t.Task)
 	}
@@ -164,15 +164,15 @@
 	return out, nil
 }
 
-// Usage implements platform.Machines.
-func (m *Machines) Usage(context.Context) ([]platform.Usage, error) {
+// Usage implements infra.Machines.
+func (m *Machines) Usage(context.Context) ([]infra.Usage, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.advanceLocked()
-	var out []platform.Usage
+	var out []infra.Usage
 	for _, t := range m.tasks {
-		if t.State == platform.TaskRunning && t.used != (model.Resources{}) {
-			out = append(out, platform.Usage{Attempt: t.Attempt, VM: t.VM, Used: t.used, At: t.usedAt})
+		if t.State == infra.TaskRunning && t.used != (model.Resources{}) {
+			out = append(out, infra.Usage{Attempt: t.Attempt, VM: t.VM, Used: t.used, At: t.usedAt})
 		}
 	}
 	sort.Slice(out, func(i, j int) bool { return out[i].Attempt < out[j].Attempt })
@@ -183,10 +183,10 @@
 	m.advanceLocked()
 	t, ok := m.tasks[attempt]
 	if !ok {
-		return nil, platform.Errorf(op, platform.KindNotFound, "task %s", attempt)
+		return nil, infra.Errorf(op, infra.KindNotFound, "task %s", attempt)
 	}
-	if t.State != platform.TaskRunning {
-		return t, platform.Errorf(op, platform.KindLeaseNotFound, "task %s is %s", attempt, t.State)
+	if t.State != infra.TaskRunning {
+		return t, infra.Errorf(op, infra.KindLeaseNotFound, "task %s is %s", attempt, t.State)
 	}
 	return t, nil
 }
@@ -195,14 +195,14 @@
 func (m *Machines) advanceLocked() {
 	now := m.clock.Now()
 	for attempt, t := range m.tasks {
-		if t.State != platform.TaskRunning {
+		if t.State != infra.TaskRunning {
 			if now.Sub(t.endedAt) > endedKept {
 				delete(m.tasks, attempt)
 			}
 			continue
 		}
 		m.advanceTaskLocked(t, now)
-		if t.State != platform.TaskRunning {
+		if t.State != infra.TaskRunning {
 			m.noteLocked(t.worker)
 		}
 	}
@@ -219,16 +219,16 @@
 	t.report(now, m.usageEvery)
 	switch {
 	case t.behaviour.RunTime > 0 && t.done >= t.behaviour.RunTime && t.behaviour.Fails:
-		t.end(platform.TaskFailed, "the job failed")
+		t.end(infra.TaskFailed, "the job failed")
 	case t.behaviour.RunTime > 0 && t.done >= t.behaviour.RunTime:
-		t.end(platform.TaskSucceeded, "")
+		t.end(infra.TaskSucceeded, "")
 		m.tally.Finished[t.Job]++
 	case !t.expires.After(now):
-		t.end(platform.TaskLost, "lease lapsed")
+		t.end(infra.TaskLost, "lease lapsed")
 	}
 }
 
-func (t *task) end(state platform.TaskState, reason string) {
+func (t *task) end(state infra.TaskState, reason string) {
 	t.State, t.Reason = state, reason
 	t.endedAt = t.seen
 	delete(t.worker.tasks, t)
--- a/internal/platform/standin/txn.go
+++ b/internal/infra/standin/txn.go
@@ -4,8 +4,8 @@
 	"context"
 	"net/http"
 
-	"github.com/pumicestage/pumicestage/internal/platform"
-	"github.com/pumicestage/pumicestage/internal/platform/etcdjson"
+	"github.com/pumicestage/pumicestage/internal/infra"
+	"github.com/pumicestage/pumicestage/internal/infra/etcdjson"
 )
 
 func (s *Server) txn(w http.ResponseWriter, r *http.Request) {
@@ -30,8 +30,8 @@
 	writeJSON(w, http.StatusOK, answerTxn(res, ops))
 }
 
-func fromWire(req etcdjson.TxnRequest) (platform.Txn, error) {
-	var txn platform.Txn
+func fromWire(req etcdjson.TxnRequest) (infra.Txn, error) {
+	var txn infra.Txn
 	for _, c := range req.Compare {
 		cond, err := condOf(c)
 		if err != nil {
@@ -49,50 +49,50 @@
 
 // condOf knows equality of the revision of the last write, and absence, which
 // the protocol can say in three ways.
-func condOf(c etcdjson.Compare) (platform.Cond, error) {
+func condOf(c etcdjson.Compare) (infra.Cond, error) {
 	if c.Result != "" && c.Result != etcdjson.ResultEqual {
-		return platform.Cond{}, platform.Errorf("txn", platform.KindInvalid, "comparison %q is not known here", c.Result)
+		return infra.Cond{}, infra.Errorf("txn", infra.KindInvalid, "comparison %q is not known here", c.Result)
 	}
-	cond := platform.Cond{Key: string(c.Key), ModRevision: platform.Revision(c.ModRevision)}
+	cond := infra.Cond{Key: string(c.Key), ModRevision: infra.Revision(c.ModRevision)}
 	switch {
 	case c.Target == etcdjson.TargetMod:
 		return cond, nil
 	case c.Target == etcdjson.TargetCreate && c.CreateRevision == 0:
-		return platform.Cond{Key: cond.Key}, nil
+		return infra.Cond{Key: cond.Key}, nil
 	case (c.Target == etcdjson.TargetVersion || c.Target == "") && c.Version == 0:
-		return platform.Cond{Key: cond.Key}, nil
+		return infra.Cond{Key: cond.Key}, nil
 	}
-	return cond, platform.Errorf("txn", platform.KindInvalid, "target %q is known here for absent keys only", c.Target)
+	return cond, infra.Errorf("txn", infra.KindInvalid, "target %q is known here for absent keys only", c.Target)
 }
 
-func opsOf(reqs []etcdjson.RequestOp) ([]platform.Op, error) {
-	var ops []platform.Op
+func opsOf(reqs []etcdjson.RequestOp) ([]infra.Op, error) {
+	var ops []infra.Op
 	for _, r := range reqs {
 		switch {
 		case r.Put != nil:
-			ops = append(ops, platform.PutLeased(string(r.Put.Key), r.Put.Value, platform.LeaseID(r.Put.Lease)))
+			ops = append(ops, infra.PutLeased(string(r.Put.Key), r.Put.Value, infra.LeaseID(r.Put.Lease)))
 		case r.Range != nil && len(r.Range.RangeEnd) == 0:
-			ops = append(ops, platform.Read(string(r.Range.Key)))
+			ops = append(ops, infra.Read(string(r.Range.Key)))
 		case r.DeleteRange != nil && len(r.DeleteRange.RangeEnd) == 0:
-			ops = append(ops, platform.Delete(string(r.DeleteRange.Key)))
+			ops = append(ops, infra.Delete(string(r.DeleteRange.Key)))
 		default:
-			return nil, platform.Errorf("txn", platform.KindInvalid, "an operation is empty or has a range_end")
+			return nil, infra.Errorf("txn", infra.KindInvalid, "an operation is empty or has a range_end")
 		}
 	}
 	return ops, nil
 }
 
-func answerTxn(res platform.TxnResult, ops []platform.Op) etcdjson.TxnResponse {
+func answerTxn(res infra.TxnResult, ops []infra.Op) etcdjson.TxnResponse {
 	out := etcdjson.TxnResponse{Header: header(res.Revision), Succeeded: res.Succeeded}
 	reads := res.Reads
 	for _, op := range ops {
 		var one etcdjson.ResponseOp
 		switch op.Kind {
-		case platform.OpPut:
+		case infra.OpPut:
 			one.Put = &etcdjson.PutResponse{Header: header(res.Revision)}
-		case platform.OpDelete:
+		case infra.OpDelete:
 			one.DeleteRange = &etcdjson.DeleteRangeResponse{Header: header(res.Revision)}
-		case platform.OpGet:
+		case infra.OpGet:
 			one.Range = rangeOf(reads[0], res.Revision)
 			reads = reads[1:]
 		}
@@ -101,7 +101,7 @@
 	return out
 }
 
-func rangeOf(kv platform.KV, rev platform.Revision) *etcdjson.RangeResponse {
+func rangeOf(kv infra.KV, rev infra.Revision) *etcdjson.RangeResponse {
 	res := &etcdjson.RangeResponse{Header: header(rev)}
 	if kv.ModRevision != 0 {
 		res.KVs = []etcdjson.KeyValue{toWire(kv)}
--- a/internal/platform/standin/watch.go
+++ b/internal/infra/standin/watch.go
@@ -6,9 +6,9 @@
 	"encoding/json"
 	"net/http"
 
-	"github.com/pumicestage/pumicestage/internal/platform"
-	"github.com/pumicestage/pumicestage/internal/platform/etcdjson"
-	"github.com/pumicestage/pumicestage/internal/platform/httpcall"
+	"github.com/pumicestage/pumicestage/internal/infra"
+	"github.com/pumicestage/pumicestage/internal/infra/etcdjson"
+	"github.com/pumicestage/pumicestage/internal/infra/httpcall"
 )
 
 // watch answers with a stream of messages, one a line, until the client leaves
@@ -26,7 +26,7 @@
 	defer s.Counts.waiting(-1)
 	ctx, cancel := context.WithCancel(r.Context())
 	defer cancel()
-	from := platform.Revision(req.Create.StartRevision)
+	from := infra.Revision(req.Create.StartRevision)
 	if from == 0 {
 		from = s.Store.Revision() + 1
 	}
@@ -52,7 +52,7 @@
 	return len(c.RangeEnd) == 0 || bytes.Equal(c.RangeEnd, etcdjson.PrefixEnd(string(c.Key)))
 }
 
-func (s *Server) stream(ctx context.Context, zone string, c etcdjson.WatchCreate, batches <-chan platform.WatchBatch, out *watchStream) {
+func (s *Server) stream(ctx context.Context, zone string, c etcdjson.WatchCreate, batches <-chan infra.WatchBatch, out *watchStream) {
 	for {
 		fault, change := s.Faults.state(zone)
 		if fault.Down {
@@ -79,14 +79,14 @@
 	}
 }
 
-func eventsOf(b platform.WatchBatch, c etcdjson.WatchCreate) etcdjson.WatchResponse {
+func eventsOf(b infra.WatchBatch, c etcdjson.WatchCreate) etcdjson.WatchResponse {
 	res := etcdjson.WatchResponse{Header: header(b.Revision)}
 	for _, e := range b.Events {
 		if len(c.RangeEnd) == 0 && e.KV.Key != string(c.Key) {
 			continue
 		}
 		one := etcdjson.Event{KV: toWire(e.KV)}
-		if e.Kind == platform.EventDelete {
+		if e.Kind == infra.EventDelete {
 			one.Type = etcdjson.EventDelete
 		}
 		res.Events = append(res.Events, one)
--- a/internal/jobs/bench_test.go
+++ b/internal/jobs/bench_test.go
@@ -6,8 +6,8 @@
 	"testing"
 	"time"
 
-	"github.com/pumicestage/pumicestage/internal/platform"
-	"github.com/pumicestage/pumicestage/internal/platform/standin"
+	"github.com/pumicestage/pumicestage/internal/infra"
+	"github.com/pumicestage/pumicestage/internal/infra/standin"
 	"github.com/pumicestage/pumicestage/policy/blame"
 	"github.com/pumicestage/pumicestage/policy/model"
 )
@@ -56,11 +56,11 @@
 		tasks, _ := l.platform.Machines.Tasks(l.ctx())
 		byVM := make(map[model.VMID]model.Resources)
 		for _, t := range tasks {
-			if t.State == platform.TaskFailed && !seen[t.Attempt] {
+			if t.State == infra.TaskFailed && !seen[t.Attempt] {
 				seen[t.Attempt] = true
 				out.failures[t.Reason]++
 			}
-			if t.State == platform.TaskRunning {
+			if t.State == infra.TaskRunning {
 				byVM[t.VM] = byVM[t.VM].Add(behaviours[t.Job].Size)
 			}
 		}
@@ -160,7 +160,7 @@
 				b.ReportMetric(100*got.real, "cpu%")
 				b.ReportMetric(100*got.memory, "mem%")
 				b.ReportMetric(100*got.excess, "cpu-excess%")
-				b.ReportMetric(float64(got.failures[platform.ReasonMemoryGuard]), "memory-stops")
+				b.ReportMetric(float64(got.failures[infra.ReasonMemoryGuard]), "memory-stops")
 				b.ReportMetric(float64(got.states[Succeeded]), "succeeded")
 			}
 		})
--- a/internal/jobs/decisions_test.go
+++ b/internal/jobs/decisions_test.go
@@ -7,8 +7,8 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/pumicestage/pumicestage/internal/platform"
-	"github.com/pumicestage/pumicestage/internal/platform/standin"
+	"github.com/pumicestage/pumicestage/internal/infra"
+	"github.com/pumicestage/pumicestage/internal/infra/standin"
 	"github.com/pumicestage/pumicestage/policy/model"
 )
 
@@ -64,7 +64,7 @@
 	failures := func() (n int) {
 		tasks, _ := w.platform.Machines.Tasks(w.ctx())
 		for _, task := range tasks {
-			if task.State == platform.TaskFailed {
+			if task.State == infra.TaskFailed {
 				n++
 			}
 		}
--- a/internal/jobs/errors.go
+++ b/internal/jobs/errors.go
@@ -5,7 +5,7 @@
 
 	"github.com/gravitational/trace"
 
-	"github.com/pumicestage/pumicestage/internal/platform"
+	"github.com/pumicestage/pumicestage/internal/infra"
 	"github.com/pumicestage/pumicestage/policy/model"
 )
 
@@ -25,7 +25,7 @@
 type Refusal struct {
 	Code     Code
 	Field    string // "jobs[3].team" where a field is at fault
-	Revision platform.Revision
+	Revision infra.Revision
 	Detail   string
 }
 
@@ -55,5 +55,5 @@
 	if err == nil {
 		return nil
 	}
-	return trace.Wrap(&Error{Op: op, Change: change, Uncertain: platform.IsKind(err, platform.KindUnknown), Err: err})
+	return trace.Wrap(&Error{Op: op, Change: change, Uncertain: infra.IsKind(err, infra.KindUnknown), Err: err})
 }
--- a/internal/jobs/failure_test.go
+++ b/internal/jobs/failure_test.go
@@ -7,8 +7,8 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/pumicestage/pumicestage/internal/platform"
-	"github.com/pumicestage/pumicestage/internal/platform/standin"
+	"github.com/pumicestage/pumicestage/internal/infra"
+	"github.com/pumicestage/pumicestage/internal/infra/standin"
 	"github.com/pumicestage/pumicestage/policy/model"
 )
 
@@ -56,7 +56,7 @@
 	n := w.nodes[0]
 	n.machines.loseRequests = 1
 	id := w.submit(once())[0]
-	n.machines.before = func(platform.Task) { w.platform.Machines.Fail("v0000") }
+	n.machines.before = func(infra.Task) { w.platform.Machines.Fail("v0000") }
 	w.step()
 	assert.Equal(t, w.state(id), Starting)
 	n.machines.before = nil
@@ -96,7 +96,7 @@
 	w := newWorld(t, 2, 2)
 	paused, other := w.nodes[0], w.nodes[1]
 	id := w.submit(once())[0]
-	paused.machines.before = func(platform.Task) {
+	paused.machines.before = func(infra.Task) {
 		paused.machines.before = nil
 		w.clock.Advance(startGrace)
 		assert.NilError(t, other.Step(w.ctx()))
@@ -107,7 +107,7 @@
 	assert.Equal(t, w.state(id), Cancelled)
 	tasks, err := w.platform.Machines.Tasks(w.ctx())
 	assert.NilError(t, err)
-	assert.Equal(t, tasks[0].State, platform.TaskStopped)
+	assert.Equal(t, tasks[0].State, infra.TaskStopped)
 }
 
 func TestLateStartIsTakenUp(t *testing.T) {
@@ -117,7 +117,7 @@
 	w := newWorld(t, 2, 2)
 	paused, other := w.nodes[0], w.nodes[1]
 	id := w.submit(once())[0]
-	paused.machines.before = func(platform.Task) {
+	paused.machines.before = func(infra.Task) {
 		paused.machines.before = nil
 		w.clock.Advance(startGrace)
 		assert.NilError(t, other.Step(w.ctx()))
@@ -138,7 +138,7 @@
 	id := w.submit(small())[0]
 	w.step()
 	w.platform.Machines.Fail(w.get(id).VM)
-	slow.store.Before(func(string, platform.Txn) {
+	slow.store.Before(func(string, infra.Txn) {
 		slow.store.Before(nil)
 		assert.NilError(t, other.Step(w.ctx()))
 		assert.Equal(t, w.state(id), Running)
@@ -212,7 +212,7 @@
 	w := newWorld(t, 4, 2)
 	paused, other := w.nodes[0], w.nodes[1]
 	id := w.submit(once())[0]
-	paused.machines.before = func(platform.Task) {
+	paused.machines.before = func(infra.Task) {
 		paused.machines.before = nil
 		w.clock.Advance(startGrace)
 		assert.NilError(t, other.Step(w.ctx()))
@@ -232,7 +232,7 @@
 	n := w.nodes[0]
 	id := w.submit(once())[0]
 	first := 0
-	n.machines.before = func(platform.Task) { first++ }
+	n.machines.before = func(infra.Task) { first++ }
 	n.Jobs.store = &slowStore{Store: n.store, world: w}
 	assert.NilError(t, n.Step(w.ctx()))
 	assert.Equal(t, first, 0, "nothing is sent")
@@ -286,7 +286,7 @@
 		t.Run(tc.name, func(t *testing.T) {
 			w := newWorld(t, 1, 2)
 			id := w.submit(once())[0]
-			w.nodes[0].machines.before = func(platform.Task) {
+			w.nodes[0].machines.before = func(infra.Task) {
 				w.nodes[0].machines.before = nil
 				out, err := w.nodes[1].Cancel(w.ctx(), "c-1", "", []model.JobID{id})
 				assert.NilError(t, err)
@@ -302,7 +302,7 @@
 			tasks, err := w.platform.Machines.Tasks(w.ctx())
 			assert.NilError(t, err)
 			for _, task := range tasks {
-				assert.Assert(t, task.State != platform.TaskRunning)
+				assert.Assert(t, task.State != infra.TaskRunning)
 			}
 		})
 	}
--- a/internal/jobs/forget.go
+++ b/internal/jobs/forget.go
@@ -4,7 +4,7 @@
 	"context"
 	"time"
 
-	"github.com/pumicestage/pumicestage/internal/platform"
+	"github.com/pumicestage/pumicestage/internal/infra"
 )
 
 const (
@@ -18,21 +18,21 @@
 
 // forget deletes groups whose jobs have all ended long ago.
 func (p *pass) forget(ctx context.Context) error {
-	txn := platform.Txn{}
+	txn := infra.Txn{}
 	for key, g := range p.mirror.all() {
 		if len(txn.If) == forgetMost {
 			break
 		}
 		if g.overBy(p.now.Add(-keepEnded)) {
-			txn.If = append(txn.If, platform.Cond{Key: key, ModRevision: g.rev})
-			txn.Then = append(txn.Then, platform.Delete(key))
+			txn.If = append(txn.If, infra.Cond{Key: key, ModRevision: g.rev})
+			txn.Then = append(txn.Then, infra.Delete(key))
 		}
 	}
 	if len(txn.If) == 0 {
 		return nil
 	}
 	_, err := p.commit(ctx, txn)
-	if platform.IsKind(err, platform.KindConflict) {
+	if infra.IsKind(err, infra.KindConflict) {
 		return nil // another entry VM was faster
 	}
 	if err == nil {
--- a/internal/jobs/jobs.go
+++ b/internal/jobs/jobs.go
@@ -19,7 +19,7 @@
 	"github.com/go-logr/logr"
 	"github.com/jonboulle/clockwork"
 
-	"github.com/pumicestage/pumicestage/internal/platform"
+	"github.com/pumicestage/pumicestage/internal/infra"
 	"github.com/pumicestage/pumicestage/internal/view"
 	"github.com/pumicestage/pumicestage/policy/model"
 )
@@ -27,8 +27,8 @@
 // Options are what a Jobs works with. Store, Machines, View and Self are
 // required.
 type Options struct {
-	Store    platform.Store
-	Machines platform.Machines
+	Store    infra.Store
+	Machines infra.Machines
 	View     *view.Holder
 	Self     model.EntryID
 	// Soon reports whether the VM is about to be maintained; nil for never.
@@ -41,8 +41,8 @@
 // Jobs is the executor of one entry VM, and the commands and questions on
 // jobs. It is safe for concurrent use.
 type Jobs struct {
-	store    platform.Store
-	machines platform.Machines
+	store    infra.Store
+	machines infra.Machines
 	view     *view.Holder
 	self     model.EntryID
 	soon     func(model.VMID) bool
--- a/internal/jobs/jobsapi/jobsapi_test.go
+++ b/internal/jobs/jobsapi/jobsapi_test.go
@@ -14,9 +14,9 @@
 
 	"github.com/pumicestage/pumicestage/internal/access"
 	"github.com/pumicestage/pumicestage/internal/audit"
+	"github.com/pumicestage/pumicestage/internal/infra/memstore"
+	"github.com/pumicestage/pumicestage/internal/infra/standin"
 	"github.com/pumicestage/pumicestage/internal/jobs"
-	"github.com/pumicestage/pumicestage/internal/platform/memstore"
-	"github.com/pumicestage/pumicestage/internal/platform/standin"
 	"github.com/pumicestage/pumicestage/internal/view"
 	"github.com/pumicestage/pumicestage/policy/model"
 )
--- a/internal/jobs/jobsport/jobsport_test.go
+++ b/internal/jobs/jobsport/jobsport_test.go
@@ -9,11 +9,11 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/pumicestage/pumicestage/internal/command"
+	"github.com/pumicestage/pumicestage/internal/infra/faulty"
+	"github.com/pumicestage/pumicestage/internal/infra/memstore"
+	"github.com/pumicestage/pumicestage/internal/infra/standin"
 	"github.com/pumicestage/pumicestage/internal/jobs"
 	"github.com/pumicestage/pumicestage/internal/lang"
-	"github.com/pumicestage/pumicestage/internal/platform/faulty"
-	"github.com/pumicestage/pumicestage/internal/platform/memstore"
-	"github.com/pumicestage/pumicestage/internal/platform/standin"
 	"github.com/pumicestage/pumicestage/internal/view"
 	"github.com/pumicestage/pumicestage/policy/model"
 )
--- a/internal/jobs/keys.go
+++ b/internal/jobs/keys.go
@@ -5,14 +5,14 @@
 	"strconv"
 	"strings"
 
-	"github.com/pumicestage/pumicestage/internal/platform"
+	"github.com/pumicestage/pumicestage/internal/infra"
 	"github.com/pumicestage/pumicestage/policy/model"
 )
 
 const (
-	groupPrefix = platform.JobPrefix + "g/"
-	learnedKey  = platform.JobPrefix + "learned"
-	leaseKey    = platform.ShardPrefix + "jobs"
+	groupPrefix = infra.JobPrefix + "g/"
+	learnedKey  = infra.JobPrefix + "learned"
+	leaseKey    = infra.ShardPrefix + "jobs"
 
 	// groupSize is how many jobs share a key. A record is bounded at about
 	// 6 KB and usually has 700 bytes, so a group stays under 400 KB, and one
--- a/internal/jobs/learned.go
+++ b/internal/jobs/learned.go
@@ -5,7 +5,7 @@
 	"encoding/json"
 	"time"
 
-	"github.com/pumicestage/pumicestage/internal/platform"
+	"github.com/pumicestage/pumicestage/internal/infra"
 	"github.com/pumicestage/pumicestage/policy/blame"
 	"github.com/pumicestage/pumicestage/policy/model"
 	"github.com/pumicestage/pumicestage/policy/sizing"
@@ -36,7 +36,7 @@
 	loaded   bool
 	dirty    bool
 	saved    time.Time
-	rev      platform.Revision
+	rev      infra.Revision
 	judged   map[model.AttemptID]blame.Outcome // what was recorded of an attempt
 	reported map[model.AttemptID]time.Time     // the newest usage report taken in
 	read     time.Time                         // when usage was last read
@@ -83,14 +83,14 @@
 		return nil
 	}
 	value, err := json.Marshal(l)
-	if err != nil || len(value) > platform.MaxValueBytes {
-		return fault("encode what was learned", "", platform.Errorf("encode", platform.KindTooLarge, "%d bytes: %v", len(value), err))
+	if err != nil || len(value) > infra.MaxValueBytes {
+		return fault("encode what was learned", "", infra.Errorf("encode", infra.KindTooLarge, "%d bytes: %v", len(value), err))
 	}
 	l.saved = p.now
-	res, err := p.store.Txn(ctx, platform.Txn{
-		If:   []platform.Cond{{Key: learnedKey, ModRevision: l.rev}},
-		Then: []platform.Op{platform.Put(learnedKey, value)},
-		Else: []platform.Op{platform.Read(learnedKey)},
+	res, err := p.store.Txn(ctx, infra.Txn{
+		If:   []infra.Cond{{Key: learnedKey, ModRevision: l.rev}},
+		Then: []infra.Op{infra.Put(learnedKey, value)},
+		Else: []infra.Op{infra.Read(learnedKey)},
 	})
 	if err != nil {
 		return fault("save what was learned", "", err)
@@ -139,13 +139,13 @@
 
 // outcomeOf says what a task shows of its worker. Running out of memory shows
 // nothing: the job had too little, and would have anywhere.
-func outcomeOf(r *Record, t platform.Task, now time.Time, survived bool) (blame.Outcome, bool) {
+func outcomeOf(r *Record, t infra.Task, now time.Time, survived bool) (blame.Outcome, bool) {
 	switch {
-	case t.State == platform.TaskSucceeded:
+	case t.State == infra.TaskSucceeded:
 		return blame.Succeeded, true
-	case t.State == platform.TaskRunning && r.State == Running && now.Sub(r.Since) >= survives:
+	case t.State == infra.TaskRunning && r.State == Running && now.Sub(r.Since) >= survives:
 		return blame.Survived, true
-	case t.State != platform.TaskFailed || t.Reason == platform.ReasonMemoryGuard:
+	case t.State != infra.TaskFailed || t.Reason == infra.ReasonMemoryGuard:
 		return 0, false
 	case survived:
 		return blame.FailedLate, true
@@ -184,7 +184,7 @@
 }
 
 // restrain acts on a task over its memory by its class.
-func (p *pass) restrain(ctx context.Context, r *Record, u platform.Usage, inUse model.Resources) error {
+func (p *pass) restrain(ctx context.Context, r *Record, u infra.Usage, inUse model.Resources) error {
 	short := inUse.MemoryMB > p.view.Load().VMs[u.VM].Capacity.MemoryMB
 	switch sizing.Overrun(&r.Job, r.Size, u.Used, short) {
 	case sizing.Throttle:
--- a/internal/jobs/lease.go
+++ b/internal/jobs/lease.go
@@ -4,7 +4,7 @@
 	"context"
 	"time"
 
-	"github.com/pumicestage/pumicestage/internal/platform"
+	"github.com/pumicestage/pumicestage/internal/infra"
 )
 
 const (
@@ -19,7 +19,7 @@
 
 // lease is this entry VM's claim on the work of placing.
 type lease struct {
-	id      platform.LeaseID
+	id      infra.LeaseID
 	held    bool
 	renewed time.Time
 	asked   time.Time
@@ -44,7 +44,7 @@
 
 // take makes a lease and puts it under the key, if nobody was faster.
 func (j *Jobs) take(ctx context.Context, now time.Time) (bool, error) {
-	var id platform.LeaseID
+	var id infra.LeaseID
 	err := j.patient(ctx, func() (err error) {
 		id, err = j.store.Grant(ctx, leaseTTL)
 		return err
@@ -52,11 +52,11 @@
 	if err != nil {
 		return false, fault("grant lease", "", err)
 	}
-	_, err = j.commit(ctx, platform.Txn{
-		If:   []platform.Cond{{Key: leaseKey}},
-		Then: []platform.Op{platform.PutLeased(leaseKey, []byte(j.owner), id)},
+	_, err = j.commit(ctx, infra.Txn{
+		If:   []infra.Cond{{Key: leaseKey}},
+		Then: []infra.Op{infra.PutLeased(leaseKey, []byte(j.owner), id)},
 	})
-	if platform.IsKind(err, platform.KindConflict) {
+	if infra.IsKind(err, infra.KindConflict) {
 		return false, fault("revoke lease", "", j.store.Revoke(ctx, id))
 	}
 	if err != nil {
@@ -71,7 +71,7 @@
 		return true, nil
 	}
 	err := j.store.KeepAlive(ctx, j.lease.id)
-	if platform.IsKind(err, platform.KindLeaseNotFound) {
+	if infra.IsKind(err, infra.KindLeaseNotFound) {
 		j.lease = lease{}
 		return false, nil
 	}
--- a/internal/jobs/machines_test.go
+++ b/internal/jobs/machines_test.go
@@ -5,8 +5,8 @@
 	"sync"
 	"time"
 
-	"github.com/pumicestage/pumicestage/internal/platform"
-	"github.com/pumicestage/pumicestage/internal/platform/standin"
+	"github.com/pumicestage/pumicestage/internal/infra"
+	"github.com/pumicestage/pumicestage/internal/infra/standin"
 )
 
 // machines is one entry VM's way to the platform's machines, with faults.
@@ -14,7 +14,7 @@
 	*standin.Machines
 	// before is called before each start; a test pauses the entry VM in it, or
 	// lets others act first.
-	before func(t platform.Task)
+	before func(t infra.Task)
 	// loseReplies and loseRequests make the next starts report KindUnknown
 	// with and without effect.
 	loseReplies, loseRequests int
@@ -32,17 +32,17 @@
 	return true
 }
 
-// StartTask implements platform.Machines.
-func (m *machines) StartTask(ctx context.Context, t platform.Task) error {
+// StartTask implements infra.Machines.
+func (m *machines) StartTask(ctx context.Context, t infra.Task) error {
 	if m.before != nil {
 		m.before(t)
 	}
 	if m.draw(&m.loseRequests) {
-		return platform.Errorf("start task", platform.KindUnknown, "connection lost")
+		return infra.Errorf("start task", infra.KindUnknown, "connection lost")
 	}
 	err := m.Machines.StartTask(ctx, t)
 	if err == nil && m.draw(&m.loseReplies) {
-		return platform.Errorf("start task", platform.KindUnknown, "reply lost")
+		return infra.Errorf("start task", infra.KindUnknown, "reply lost")
 	}
 	return err
 }
@@ -50,13 +50,13 @@
 // slowStore lets the reply to the first transaction take longer than a start
 // may be late.
 type slowStore struct {
-	platform.Store
+	infra.Store
 	world *world
 	slept bool
 }
 
-// Txn implements platform.Store.
-func (s *slowStore) Txn(ctx context.Context, txn platform.Txn) (platform.TxnResult, error) {
+// Txn implements infra.Store.
+func (s *slowStore) Txn(ctx context.Context, txn infra.Txn) (infra.TxnResult, error) {
 	res, err := s.Store.Txn(ctx, txn)
 	if !s.slept {
 		s.slept = true
--- a/internal/jobs/mirror.go
+++ b/internal/jobs/mirror.go
@@ -6,31 +6,31 @@
 	"strings"
 	"sync"
 
-	"github.com/pumicestage/pumicestage/internal/platform"
+	"github.com/pumicestage/pumicestage/internal/infra"
 	"github.com/pumicestage/pumicestage/policy/model"
 )
 
 // stored is a group with the revision of its key, for CAS.
 type stored struct {
 	*group
-	rev platform.Revision
+	rev infra.Revision
 }
 
 // mirror is what this entry VM knows of the jobs in the store. It may be
 // stale; every write is bound to the revision that it was made from. Groups in
 // it are never changed, only replaced.
 type mirror struct {
-	store platform.Store
+	store infra.Store
 
 	mu     sync.Mutex
 	groups map[string]stored
-	rev    platform.Revision // up to which groups are known
+	rev    infra.Revision // up to which groups are known
 	// watching is set while a watch keeps groups up to date, so that refresh
 	// need not read them all.
 	watching bool
 }
 
-func newMirror(s platform.Store) *mirror {
+func newMirror(s infra.Store) *mirror {
 	return &mirror{store: s, groups: make(map[string]stored)}
 }
 
@@ -89,7 +89,7 @@
 	return nil
 }
 
-func (m *mirror) takeAll(batches <-chan platform.WatchBatch, news func()) {
+func (m *mirror) takeAll(batches <-chan infra.WatchBatch, news func()) {
 	defer m.setWatching(false)
 	for batch := range batches {
 		if !m.take(batch) {
@@ -113,14 +113,14 @@
 
 // take applies one batch; a watch that failed or can't be read is dropped, and
 // the next refresh reads everything.
-func (m *mirror) take(batch platform.WatchBatch) bool {
+func (m *mirror) take(batch infra.WatchBatch) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if batch.Err != nil {
 		return false
 	}
 	for _, e := range batch.Events {
-		if e.Kind == platform.EventDelete {
+		if e.Kind == infra.EventDelete {
 			if m.groups[e.KV.Key].rev <= e.KV.ModRevision {
 				delete(m.groups, e.KV.Key)
 			}
@@ -185,10 +185,10 @@
 	return &g.Jobs[at], true
 }
 
-func decode(kv platform.KV) (stored, error) {
+func decode(kv infra.KV) (stored, error) {
 	g := &group{}
 	if err := json.Unmarshal(kv.Value, g); err != nil {
-		return stored{}, fault("read "+strings.TrimPrefix(kv.Key, platform.Root), "", platform.Errorf("decode", platform.KindInvalid, "%w", err))
+		return stored{}, fault("read "+strings.TrimPrefix(kv.Key, infra.Root), "", infra.Errorf("decode", infra.KindInvalid, "%w", err))
 	}
 	return stored{group: g, rev: kv.ModRevision}, nil
 }
--- a/internal/jobs/observe.go
+++ b/internal/jobs/observe.go
@@ -6,7 +6,7 @@
 	"slices"
 	"time"
 
-	"github.com/pumicestage/pumicestage/internal/platform"
+	"github.com/pumicestage/pumicestage/internal/infra"
 	"github.com/pumicestage/pumicestage/policy/model"
 	"github.com/pumicestage/pumicestage/policy/quota"
 )
@@ -35,8 +35,8 @@
 // settled reports whether a job that waits has nothing to learn from its last
 // attempt. One that was given up and runs or succeeded after all, because its
 // start arrived late, is taken up again instead of being started once more.
-func (p *pass) settled(r *Record, task platform.Task) bool {
-	late := task.State == platform.TaskRunning || task.State == platform.TaskSucceeded
+func (p *pass) settled(r *Record, task infra.Task) bool {
+	late := task.State == infra.TaskRunning || task.State == infra.TaskSucceeded
 	return (r.State == Waiting || r.State == Unplaceable) && !late
 }
 
@@ -54,21 +54,21 @@
 }
 
 // next returns the transition that the job's task calls for, or nil.
-func (p *pass) next(r *Record, task platform.Task, listed bool) func(r *Record) {
+func (p *pass) next(r *Record, task infra.Task, listed bool) func(r *Record) {
 	if !listed {
 		return p.missing(r)
 	}
 	switch task.State {
-	case platform.TaskRunning:
+	case infra.TaskRunning:
 		if r.State == Running {
 			return nil
 		}
 		return func(r *Record) { r.enter(Running, p.now, "") }
-	case platform.TaskSucceeded:
+	case infra.TaskSucceeded:
 		return func(r *Record) { r.enter(Succeeded, p.now, "") }
-	case platform.TaskFailed:
+	case infra.TaskFailed:
 		return p.failed(r, task.Reason)
-	case platform.TaskCheckpointed, platform.TaskStopped:
+	case infra.TaskCheckpointed, infra.TaskStopped:
 		return p.stopped(r, task)
 	}
 	return p.lost(r, task.Reason)
@@ -108,7 +108,7 @@
 
 // stopped deals with an attempt that was ended by order. Work that is not
 // repeatable has begun, so it is not begun again.
-func (p *pass) stopped(r *Record, task platform.Task) func(r *Record) {
+func (p *pass) stopped(r *Record, task infra.Task) func(r *Record) {
 	if r.Repeatable || r.CancelBy != "" {
 		return func(r *Record) { r.giveUp(p.now, task.Reason) }
 	}
@@ -126,7 +126,7 @@
 		return func(r *Record) { r.giveUp(p.now, why) }
 	case !r.Repeatable:
 		return func(r *Record) { r.enter(Failed, p.now, why+"; not repeatable, so it is not tried again") }
-	case why == platform.ReasonMemoryGuard && r.Grow < maxGrow:
+	case why == infra.ReasonMemoryGuard && r.Grow < maxGrow:
 		p.learned.Sizes.Exceeded(r.Kind, r.ID, r.Size)
 		return func(r *Record) {
 			r.Grow++
@@ -159,7 +159,7 @@
 func (p *pass) stopOrphans(ctx context.Context) error {
 	var errs []error
 	for _, t := range p.tasks {
-		if t.State != platform.TaskRunning {
+		if t.State != infra.TaskRunning {
 			continue
 		}
 		r, ok := p.mirror.find(t.Job)
@@ -197,7 +197,7 @@
 		}
 	}
 	for attempt := range p.sent {
-		if t, ok := p.tasks[attempt]; ok && t.State != platform.TaskRunning {
+		if t, ok := p.tasks[attempt]; ok && t.State != infra.TaskRunning {
 			delete(p.sent, attempt)
 		}
 	}
@@ -223,7 +223,7 @@
 	errs := make([]error, len(due))
 	p.sideBySide(len(due), func(i int) { errs[i] = p.machines.RenewTask(ctx, due[i]) })
 	for i, attempt := range due {
-		if errs[i] == nil || platform.IsKind(errs[i], platform.KindLeaseNotFound) {
+		if errs[i] == nil || infra.IsKind(errs[i], infra.KindLeaseNotFound) {
 			p.renewed[attempt], errs[i] = p.now, nil
 		}
 	}
--- a/internal/jobs/pass.go
+++ b/internal/jobs/pass.go
@@ -7,7 +7,7 @@
 	"slices"
 	"time"
 
-	"github.com/pumicestage/pumicestage/internal/platform"
+	"github.com/pumicestage/pumicestage/internal/infra"
 	"github.com/pumicestage/pumicestage/policy/model"
 	"github.com/pumicestage/pumicestage/policy/placement"
 )
@@ -16,8 +16,8 @@
 type pass struct {
 	*Jobs
 	now     time.Time
-	tasks   map[model.AttemptID]platform.Task
-	live    map[model.VMID]platform.Machine
+	tasks   map[model.AttemptID]infra.Task
+	live    map[model.VMID]infra.Machine
 	records []*Record // of all jobs, by ID
 	again   bool      // another pass should follow at once
 }
@@ -46,7 +46,7 @@
 }
 
 func (j *Jobs) newPass(ctx context.Context) (*pass, error) {
-	p := &pass{Jobs: j, now: j.clock.Now(), tasks: make(map[model.AttemptID]platform.Task), live: make(map[model.VMID]platform.Machine)}
+	p := &pass{Jobs: j, now: j.clock.Now(), tasks: make(map[model.AttemptID]infra.Task), live: make(map[model.VMID]infra.Machine)}
 	p.collect()
 	tasks, err := j.machines.Tasks(ctx)
 	if err != nil {
--- a/internal/jobs/race_test.go
+++ b/internal/jobs/race_test.go
@@ -8,8 +8,8 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/pumicestage/pumicestage/internal/platform"
-	"github.com/pumicestage/pumicestage/internal/platform/standin"
+	"github.com/pumicestage/pumicestage/internal/infra"
+	"github.com/pumicestage/pumicestage/internal/infra/standin"
 	"github.com/pumicestage/pumicestage/policy/model"
 )
 
@@ -32,8 +32,8 @@
 func (s *schedule) chance(percent int) bool { return !s.calm && s.rng.IntN(100) < percent }
 
 func (s *schedule) hook(n *node) {
-	n.store.Before(func(string, platform.Txn) { s.between(n) })
-	n.machines.before = func(platform.Task) { s.between(n) }
+	n.store.Before(func(string, infra.Txn) { s.between(n) })
+	n.machines.before = func(infra.Task) { s.between(n) }
 }
 
 // between is what happens while n waits for the platform.
@@ -97,7 +97,7 @@
 	assert.NilError(s.t, err)
 	used := make(map[model.VMID]model.Resources)
 	for _, task := range tasks {
-		if task.State == platform.TaskRunning {
+		if task.State == infra.TaskRunning {
 			used[task.VM] = used[task.VM].Add(task.Size)
 		}
 	}
@@ -202,6 +202,6 @@
 	assert.NilError(s.t, err)
 	for _, task := range tasks {
 		r := known[task.Job]
-		assert.Assert(s.t, task.State != platform.TaskRunning || r.State == Running && r.Attempt == task.Attempt, "task %s runs without a record", task.Attempt)
+		assert.Assert(s.t, task.State != infra.TaskRunning || r.State == Running && r.Attempt == task.Attempt, "task %s runs without a record", task.Attempt)
 	}
 }
--- a/internal/jobs/start.go
+++ b/internal/jobs/start.go
@@ -9,7 +9,7 @@
 
 	"golang.org/x/sync/errgroup"
 
-	"github.com/pumicestage/pumicestage/internal/platform"
+	"github.com/pumicestage/pumicestage/internal/infra"
 	"github.com/pumicestage/pumicestage/policy/model"
 	"github.com/pumicestage/pumicestage/policy/placement"
 )
@@ -108,7 +108,7 @@
 // does where none came. A refusal counts as certain only if no copy was
 // lost on the way before it: a lost one may still arrive.
 func (p *pass) sendOne(ctx context.Context, r *Record) transition {
-	task := platform.Task{Attempt: r.Attempt, Job: r.ID, VM: r.VM, Size: r.Size, TTL: taskTTL}
+	task := infra.Task{Attempt: r.Attempt, Job: r.ID, VM: r.VM, Size: r.Size, TTL: taskTTL}
 	lost := false
 	for range startTries {
 		if p.clock.Since(r.Since) > sendWithin {
@@ -119,7 +119,7 @@
 		switch {
 		case err == nil:
 			return begun(r.ID, r.Attempt, p.clock.Now())
-		case !platform.IsKind(err, platform.KindUnknown) && !lost:
+		case !infra.IsKind(err, infra.KindUnknown) && !lost:
 			return refused(r.ID, r.Attempt, p.clock.Now(), err)
 		}
 		lost = true
--- a/internal/jobs/submit.go
+++ b/internal/jobs/submit.go
@@ -7,7 +7,7 @@
 	"sync"
 	"time"
 
-	"github.com/pumicestage/pumicestage/internal/platform"
+	"github.com/pumicestage/pumicestage/internal/infra"
 	"github.com/pumicestage/pumicestage/policy/model"
 )
 
@@ -129,7 +129,7 @@
 func newSubmission(key string, g *group) (*submission, error) {
 	value, err := json.Marshal(g)
 	if err != nil {
-		return nil, fault("encode jobs", g.Change, platform.Errorf("encode", platform.KindInvalid, "%w", err))
+		return nil, fault("encode jobs", g.Change, infra.Errorf("encode", infra.KindInvalid, "%w", err))
 	}
 	return &submission{key, g, value, make(chan error, 1)}, nil
 }
@@ -151,7 +151,7 @@
 				return err
 			}
 		case <-ctx.Done():
-			return fault("submit", part.group.Change, platform.Errorf("submit", platform.KindUnknown, "%w", ctx.Err()))
+			return fault("submit", part.group.Change, infra.Errorf("submit", infra.KindUnknown, "%w", ctx.Err()))
 		}
 	}
 	return nil
@@ -190,10 +190,10 @@
 func (j *Jobs) create(ctx context.Context, batch []*submission) {
 	ctx, cancel := context.WithTimeout(ctx, submitTimeout)
 	defer cancel()
-	txn := platform.Txn{}
+	txn := infra.Txn{}
 	for _, s := range batch {
-		txn.If = append(txn.If, platform.Cond{Key: s.key})
-		txn.Then = append(txn.Then, platform.Put(s.key, s.value))
+		txn.If = append(txn.If, infra.Cond{Key: s.key})
+		txn.Then = append(txn.Then, infra.Put(s.key, s.value))
 	}
 	res, err := j.commit(ctx, txn)
 	switch {
@@ -202,11 +202,11 @@
 			j.mirror.put(s.key, stored{group: s.group, rev: res.Revision})
 			s.done <- nil
 		}
-	case platform.IsKind(err, platform.KindConflict) && len(batch) > 1:
+	case infra.IsKind(err, infra.KindConflict) && len(batch) > 1:
 		for _, s := range batch {
 			j.create(ctx, []*submission{s})
 		}
-	case platform.IsKind(err, platform.KindConflict):
+	case infra.IsKind(err, infra.KindConflict):
 		batch[0].done <- j.repeated(batch[0], res)
 	default:
 		for _, s := range batch {
@@ -216,9 +216,9 @@
 }
 
 // repeated accepts a group that is there already if it is of the same jobs.
-func (j *Jobs) repeated(s *submission, res platform.TxnResult) error {
+func (j *Jobs) repeated(s *submission, res infra.TxnResult) error {
 	if len(res.Reads) == 0 {
-		return fault("submit", s.group.Change, platform.Errorf("submit", platform.KindUnknown, "not read back"))
+		return fault("submit", s.group.Change, infra.Errorf("submit", infra.KindUnknown, "not read back"))
 	}
 	there, err := decode(res.Reads[0])
 	if err != nil {
--- a/internal/jobs/urgent_bench_test.go
+++ b/internal/jobs/urgent_bench_test.go
@@ -12,10 +12,10 @@
 	"github.com/go-logr/logr"
 	"github.com/jonboulle/clockwork"
 
-	"github.com/pumicestage/pumicestage/internal/platform"
-	"github.com/pumicestage/pumicestage/internal/platform/gateway"
-	"github.com/pumicestage/pumicestage/internal/platform/machineapi"
-	"github.com/pumicestage/pumicestage/internal/platform/standin"
+	"github.com/pumicestage/pumicestage/internal/infra"
+	"github.com/pumicestage/pumicestage/internal/infra/gateway"
+	"github.com/pumicestage/pumicestage/internal/infra/machineapi"
+	"github.com/pumicestage/pumicestage/internal/infra/standin"
 	"github.com/pumicestage/pumicestage/internal/view"
 	"github.com/pumicestage/pumicestage/policy/model"
 )
@@ -89,8 +89,8 @@
 			due := time.NewTicker(clients * time.Second / writesPerSecond)
 			defer due.Stop()
 			for ctx.Err() == nil {
-				_, err := store.Txn(ctx, platform.Txn{Then: []platform.Op{platform.Put(platform.Root+"crowd", []byte("x"))}})
-				if platform.IsKind(err, platform.KindRateLimited) {
+				_, err := store.Txn(ctx, infra.Txn{Then: []infra.Op{infra.Put(infra.Root+"crowd", []byte("x"))}})
+				if infra.IsKind(err, infra.KindRateLimited) {
 					time.Sleep(20 * time.Millisecond)
 					continue
 				}
--- a/internal/jobs/write.go
+++ b/internal/jobs/write.go
@@ -7,7 +7,7 @@
 	"sort"
 	"time"
 
-	"github.com/pumicestage/pumicestage/internal/platform"
+	"github.com/pumicestage/pumicestage/internal/infra"
 	"github.com/pumicestage/pumicestage/policy/model"
 )
 
@@ -82,7 +82,7 @@
 			return n, err
 		}
 		res, err := j.commit(ctx, txnOf(drafts))
-		if platform.IsKind(err, platform.KindConflict) {
+		if infra.IsKind(err, infra.KindConflict) {
 			j.learnConflict(drafts, res)
 			continue
 		}
@@ -98,7 +98,7 @@
 		}
 		return n, nil
 	}
-	return min(maxTxnGroups, len(keys)), fault("write jobs", "", platform.Errorf("write", platform.KindConflict, "others write the same jobs"))
+	return min(maxTxnGroups, len(keys)), fault("write jobs", "", infra.Errorf("write", infra.KindConflict, "others write the same jobs"))
 }
 
 func (j *Jobs) drafts(keys []string, byKey map[string][]transition) ([]draft, int, error) {
@@ -142,23 +142,23 @@
 	d.next.Change = j.changeID()
 	value, err := json.Marshal(d.next)
 	if err != nil {
-		return d, fault("encode jobs", "", platform.Errorf("encode", platform.KindInvalid, "%w", err))
+		return d, fault("encode jobs", "", infra.Errorf("encode", infra.KindInvalid, "%w", err))
 	}
 	d.value = value
 	return d, nil
 }
 
-func txnOf(drafts []draft) platform.Txn {
-	var txn platform.Txn
+func txnOf(drafts []draft) infra.Txn {
+	var txn infra.Txn
 	for _, d := range drafts {
-		txn.If = append(txn.If, platform.Cond{Key: d.key, ModRevision: d.from.rev})
-		txn.Then = append(txn.Then, platform.Put(d.key, d.value))
+		txn.If = append(txn.If, infra.Cond{Key: d.key, ModRevision: d.from.rev})
+		txn.Then = append(txn.Then, infra.Put(d.key, d.value))
 	}
 	return txn
 }
 
 // learnConflict takes the groups as they are now from a refused transaction.
-func (j *Jobs) learnConflict(drafts []draft, res platform.TxnResult) {
+func (j *Jobs) learnConflict(drafts []draft, res infra.TxnResult) {
 	for i, d := range drafts {
 		if i >= len(res.Reads) {
 			return
@@ -172,11 +172,11 @@
 	}
 }
 
-// commit is platform.Commit, patient with the service's rate limit.
-func (j *Jobs) commit(ctx context.Context, txn platform.Txn) (res platform.TxnResult, err error) {
+// commit is infra.Commit, patient with the service's rate limit.
+func (j *Jobs) commit(ctx context.Context, txn infra.Txn) (res infra.TxnResult, err error) {
 	err = j.patient(ctx, func() error {
 		j.counts.writes.Add(1)
-		res, err = platform.Commit(ctx, j.store, txn)
+		res, err = infra.Commit(ctx, j.store, txn)
 		return err
 	})
 	return res, err
@@ -188,7 +188,7 @@
 	wait := limitedWait
 	for try := 1; ; try++ {
 		err := call()
-		if !platform.IsKind(err, platform.KindRateLimited) || try == limitedTries {
+		if !infra.IsKind(err, infra.KindRateLimited) || try == limitedTries {
 			return err
 		}
 		j.counts.limited.Add(1)
--- a/internal/operator/api/api.go
+++ b/internal/operator/api/api.go
@@ -7,7 +7,7 @@
 
 	"github.com/pumicestage/pumicestage/internal/audit"
 	"github.com/pumicestage/pumicestage/internal/config"
-	"github.com/pumicestage/pumicestage/internal/platform"
+	"github.com/pumicestage/pumicestage/internal/infra"
 	"github.com/pumicestage/pumicestage/internal/query"
 	"github.com/pumicestage/pumicestage/policy/model"
 )
@@ -37,7 +37,7 @@
 type DeclarationReply struct {
 	Declaration *model.Declaration `json:"declaration"` // nil before the first
 	Applied     config.Applied     `json:"applied"`
-	Revision    platform.Revision  `json:"revision"`
+	Revision    infra.Revision     `json:"revision"`
 }
 
 // DeclarationMode is what is to be done with a declaration.
@@ -103,9 +103,9 @@
 
 // DoRequest gives one order.
 type DoRequest struct {
-	Text       string            `json:"text"`
-	Change     model.ChangeID    `json:"change"`
-	IfRevision platform.Revision `json:"ifRevision,omitempty"`
+	Text       string         `json:"text"`
+	Change     model.ChangeID `json:"change"`
+	IfRevision infra.Revision `json:"ifRevision,omitempty"`
 }
 
 // DoReply is what became of an order.
@@ -118,11 +118,11 @@
 
 // Effect is what an order did to one thing.
 type Effect struct {
-	What     string            `json:"what"`
-	Before   string            `json:"before,omitempty"`
-	After    string            `json:"after,omitempty"`
-	Revision platform.Revision `json:"revision,omitempty"`
-	Refused  string            `json:"refused,omitempty"`
+	What     string         `json:"what"`
+	Before   string         `json:"before,omitempty"`
+	After    string         `json:"after,omitempty"`
+	Revision infra.Revision `json:"revision,omitempty"`
+	Refused  string         `json:"refused,omitempty"`
 }
 
 // AuditReply is a part of the trail.
--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -19,8 +19,8 @@
 	"github.com/pumicestage/pumicestage/internal/access"
 	"github.com/pumicestage/pumicestage/internal/audit"
 	"github.com/pumicestage/pumicestage/internal/command"
+	"github.com/pumicestage/pumicestage/internal/infra"
 	"github.com/pumicestage/pumicestage/internal/operator/api"
-	"github.com/pumicestage/pumicestage/internal/platform"
 	"github.com/pumicestage/pumicestage/internal/query"
 	"github.com/pumicestage/pumicestage/internal/view"
 	"github.com/pumicestage/pumicestage/policy/model"
@@ -38,7 +38,7 @@
 // Options are what the server works with; all but Access, Clock and Log are
 // required.
 type Options struct {
-	Store    platform.Store
+	Store    infra.Store
 	View     *view.Holder
 	Commands *command.Executor
 	Queries  *query.Engine
--- a/internal/operator/wiring/wiring.go
+++ b/internal/operator/wiring/wiring.go
@@ -13,8 +13,8 @@
 	"github.com/pumicestage/pumicestage/internal/audit"
 	"github.com/pumicestage/pumicestage/internal/command"
 	"github.com/pumicestage/pumicestage/internal/fleet"
+	"github.com/pumicestage/pumicestage/internal/infra"
 	"github.com/pumicestage/pumicestage/internal/operator"
-	"github.com/pumicestage/pumicestage/internal/platform"
 	"github.com/pumicestage/pumicestage/internal/query"
 	"github.com/pumicestage/pumicestage/internal/scope"
 	"github.com/pumicestage/pumicestage/internal/view"
@@ -25,7 +25,7 @@
 // Clock and Log may be left out.
 type Parts struct {
 	Self   view.EntryRecord
-	Store  platform.Store
+	Store  infra.Store
 	View   *view.Holder
 	Fleet  *fleet.Fleet
 	Mesh   Mesh
--- a/internal/operator/wiring/wiring_test.go
+++ b/internal/operator/wiring/wiring_test.go
@@ -18,10 +18,10 @@
 	"github.com/pumicestage/pumicestage/internal/command"
 	"github.com/pumicestage/pumicestage/internal/config"
 	"github.com/pumicestage/pumicestage/internal/fleet"
+	"github.com/pumicestage/pumicestage/internal/infra"
+	"github.com/pumicestage/pumicestage/internal/infra/memstore"
 	"github.com/pumicestage/pumicestage/internal/lang"
 	"github.com/pumicestage/pumicestage/internal/peer"
-	"github.com/pumicestage/pumicestage/internal/platform"
-	"github.com/pumicestage/pumicestage/internal/platform/memstore"
 	"github.com/pumicestage/pumicestage/internal/query"
 	"github.com/pumicestage/pumicestage/internal/view"
 	"github.com/pumicestage/pumicestage/policy/model"
@@ -43,14 +43,14 @@
 
 // machines is the platform's control of VMs: all are live.
 type machines struct {
-	platform.Machines // tasks are not used here
-	w                 *world
+	infra.Machines // tasks are not used here
+	w              *world
 }
 
-func (m machines) List(context.Context) (platform.MachineList, error) {
-	list := platform.MachineList{AsOf: m.w.clock.Now()}
+func (m machines) List(context.Context) (infra.MachineList, error) {
+	list := infra.MachineList{AsOf: m.w.clock.Now()}
 	for _, vm := range m.w.decl.VMs {
-		list.Machines = append(list.Machines, platform.Machine{VM: vm.ID, Live: true, Boots: 1})
+		list.Machines = append(list.Machines, infra.Machine{VM: vm.ID, Live: true, Boots: 1})
 	}
 	return list, nil
 }
@@ -64,7 +64,7 @@
 
 func (nobody) Peers() []peer.Status { return nil }
 
-func (nobody) Missing(context.Context, platform.Revision) ([]model.EntryID, error) { return nil, nil }
+func (nobody) Missing(context.Context, infra.Revision) ([]model.EntryID, error) { return nil, nil }
 
 func (nobody) InForce(context.Context, uint64) (have, missing []model.EntryID, err error) {
 	return []model.EntryID{"e1"}, nil, nil
@@ -104,7 +104,7 @@
 // publish brings the view up to the store.
 func (w *world) publish(t testing.TB) {
 	t.Helper()
-	kvs, rev, err := w.store.Range(ctx, platform.VMPrefix)
+	kvs, rev, err := w.store.Range(ctx, infra.VMPrefix)
 	assert.NilError(t, err)
 	s := &view.Snapshot{Revision: rev, AsOf: w.clock.Now(), Declaration: w.decl, VMs: make(map[model.VMID]view.VMRecord)}
 	for _, kv := range kvs {
--- a/internal/peer/digest.go
+++ b/internal/peer/digest.go
@@ -6,7 +6,7 @@
 import (
 	"time"
 
-	"github.com/pumicestage/pumicestage/internal/platform"
+	"github.com/pumicestage/pumicestage/internal/infra"
 	"github.com/pumicestage/pumicestage/policy/model"
 )
 
@@ -20,18 +20,18 @@
 
 // Digest is what an entry VM tells its peers, in full within its zone.
 type Digest struct {
-	Entry      model.EntryID     `msgpack:"i,omitempty"` // on the wire left to the hello, as is Zone
-	Zone       model.ZoneName    `msgpack:"z,omitempty"`
-	Seq        uint64            `msgpack:"s"` // grows with each digest of one run of the daemon
-	Revision   platform.Revision `msgpack:"r"` // of its view; acknowledges everything up to it
-	Generation uint64            `msgpack:"g"` // of the declaration it has in force
-	Loads      []TargetLoad      `msgpack:"t,omitempty"`
-	Queued     uint32            `msgpack:"q,omitempty"`
-	InFlight   uint32            `msgpack:"n,omitempty"` // sum over all targets; all that other zones get of the loads
-	Full       bool              `msgpack:"f,omitempty"` // Loads is everything; otherwise it is what changed since the last digest
-	Watching   bool              `msgpack:"w,omitempty"` // it holds the platform's watch and relays
-	Clock      int64             `msgpack:"c"`           // the sender's wall clock, Unix milliseconds
-	AgeMillis  uint32            `msgpack:"a"`           // how old its view was when it wrote this
+	Entry      model.EntryID  `msgpack:"i,omitempty"` // on the wire left to the hello, as is Zone
+	Zone       model.ZoneName `msgpack:"z,omitempty"`
+	Seq        uint64         `msgpack:"s"` // grows with each digest of one run of the daemon
+	Revision   infra.Revision `msgpack:"r"` // of its view; acknowledges everything up to it
+	Generation uint64         `msgpack:"g"` // of the declaration it has in force
+	Loads      []TargetLoad   `msgpack:"t,omitempty"`
+	Queued     uint32         `msgpack:"q,omitempty"`
+	InFlight   uint32         `msgpack:"n,omitempty"` // sum over all targets; all that other zones get of the loads
+	Full       bool           `msgpack:"f,omitempty"` // Loads is everything; otherwise it is what changed since the last digest
+	Watching   bool           `msgpack:"w,omitempty"` // it holds the platform's watch and relays
+	Clock      int64          `msgpack:"c"`           // the sender's wall clock, Unix milliseconds
+	AgeMillis  uint32         `msgpack:"a"`           // how old its view was when it wrote this
 
 	// Same: what is told of slots and vitals is as in the last digest, and left
 	// out on the wire. Receivers see it filled in.
--- a/internal/query/query.go
+++ b/internal/query/query.go
@@ -10,8 +10,8 @@
 
 	"github.com/jonboulle/clockwork"
 
+	"github.com/pumicestage/pumicestage/internal/infra"
 	"github.com/pumicestage/pumicestage/internal/lang"
-	"github.com/pumicestage/pumicestage/internal/platform"
 	"github.com/pumicestage/pumicestage/internal/view"
 	"github.com/pumicestage/pumicestage/policy/model"
 )
@@ -87,13 +87,13 @@
 
 // ViewInfo says how far an answer can be trusted.
 type ViewInfo struct {
-	Entry        model.EntryID     `json:"entry,omitempty"` // that answers
-	AsOf         time.Time         `json:"asOf"`
-	Age          time.Duration     `json:"ageNanoseconds"`
-	Stale        bool              `json:"stale"` // older than StaleAfter
-	Generation   uint64            `json:"generation"`
-	Revision     platform.Revision `json:"revision"`
-	MissingZones []MissingZone     `json:"missingZones,omitempty"`
+	Entry        model.EntryID  `json:"entry,omitempty"` // that answers
+	AsOf         time.Time      `json:"asOf"`
+	Age          time.Duration  `json:"ageNanoseconds"`
+	Stale        bool           `json:"stale"` // older than StaleAfter
+	Generation   uint64         `json:"generation"`
+	Revision     infra.Revision `json:"revision"`
+	MissingZones []MissingZone  `json:"missingZones,omitempty"`
 }
 
 // MissingZone is a zone none of whose entry VMs was heard of late: what an
--- a/internal/query/sources.go
+++ b/internal/query/sources.go
@@ -4,7 +4,7 @@
 	"context"
 	"time"
 
-	"github.com/pumicestage/pumicestage/internal/platform"
+	"github.com/pumicestage/pumicestage/internal/infra"
 	"github.com/pumicestage/pumicestage/internal/view"
 	"github.com/pumicestage/pumicestage/policy/model"
 )
@@ -134,7 +134,7 @@
 	Zone       model.ZoneName
 	At         time.Time
 	Generation uint64
-	Revision   platform.Revision
+	Revision   infra.Revision
 }
 
 // History tells what the audit trail has on a subject, oldest first.
--- a/internal/relay/bench_test.go
+++ b/internal/relay/bench_test.go
@@ -19,10 +19,10 @@
 	"github.com/vmihailenco/msgpack/v5"
 	"gotest.tools/v3/assert"
 
+	"github.com/pumicestage/pumicestage/internal/infra"
+	"github.com/pumicestage/pumicestage/internal/infra/faulty"
+	"github.com/pumicestage/pumicestage/internal/infra/memstore"
 	"github.com/pumicestage/pumicestage/internal/peer"
-	"github.com/pumicestage/pumicestage/internal/platform"
-	"github.com/pumicestage/pumicestage/internal/platform/faulty"
-	"github.com/pumicestage/pumicestage/internal/platform/memstore"
 	"github.com/pumicestage/pumicestage/internal/view"
 	"github.com/pumicestage/pumicestage/policy/model"
 )
@@ -70,19 +70,19 @@
 	return f
 }
 
-func (f *fleet) put(tb testing.TB, ops ...platform.Op) platform.Revision {
-	res, err := f.store.Txn(context.Background(), platform.Txn{Then: ops})
+func (f *fleet) put(tb testing.TB, ops ...infra.Op) infra.Revision {
+	res, err := f.store.Txn(context.Background(), infra.Txn{Then: ops})
 	assert.NilError(tb, err)
 	return res.Revision
 }
 
-func declarationOp(generation uint64, vms int) platform.Op {
+func declarationOp(generation uint64, vms int) infra.Op {
 	d := model.Declaration{Generation: generation}
 	for i := range vms {
 		d.VMs = append(d.VMs, fullVMDecl(i))
 	}
 	raw, _ := json.Marshal(d)
-	return platform.Put(platform.ConfigKey, raw)
+	return infra.Put(infra.ConfigKey, raw)
 }
 
 func fullVMDecl(i int) model.VMDecl {
@@ -100,9 +100,9 @@
 	}
 }
 
-func vmOp(i int) platform.Op {
+func vmOp(i int) infra.Op {
 	raw, _ := json.Marshal(fullVM(i))
-	return platform.Put(platform.VMKey(fullVM(i).ID), raw)
+	return infra.Put(infra.VMKey(fullVM(i).ID), raw)
 }
 
 func (f *fleet) await(tb testing.TB, ok func() bool) time.Duration {
@@ -222,10 +222,10 @@
 			s := newState(view.NewHolder(), logr.Discard())
 			s.merge(fullView(vms), time.Time{})
 			b.ReportAllocs()
-			rev := platform.Revision(vms)
+			rev := infra.Revision(vms)
 			for b.Loop() {
 				rev++
-				r := recordOf(platform.KV{Key: platform.VMKey(fullVM(7).ID), Value: vmOp(7).Value, ModRevision: rev})
+				r := recordOf(infra.KV{Key: infra.VMKey(fullVM(7).ID), Value: vmOp(7).Value, ModRevision: rev})
 				s.merge(update{fromStore: true, Puts: []record{r}, Is: versions{Revision: rev}}, time.Time{})
 			}
 		})
@@ -233,10 +233,10 @@
 }
 
 func fullView(vms int) update {
-	u := update{Full: true, Is: versions{Revision: platform.Revision(vms), Generation: 1}}
+	u := update{Full: true, Is: versions{Revision: infra.Revision(vms), Generation: 1}}
 	for i := range vms {
 		op := vmOp(i)
-		u.Puts = append(u.Puts, record{Key: op.Key, Value: op.Value, Mod: platform.Revision(i + 1)})
+		u.Puts = append(u.Puts, record{Key: op.Key, Value: op.Value, Mod: infra.Revision(i + 1)})
 	}
 	config := declarationOp(1, vms)
 	u.Config = &record{Key: config.Key, Value: config.Value, Mod: 1}
--- a/internal/relay/checks_test.go
+++ b/internal/relay/checks_test.go
@@ -8,14 +8,14 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/pumicestage/pumicestage/internal/platform"
+	"github.com/pumicestage/pumicestage/internal/infra"
 	"github.com/pumicestage/pumicestage/internal/view"
 	"github.com/pumicestage/pumicestage/policy/model"
 )
 
 // checkFinal compares a view with the store, once all is quiet and healed.
 func (c *cluster) checkFinal(n *node) {
-	kvs, _, err := c.store.Range(c.t.Context(), platform.VMPrefix)
+	kvs, _, err := c.store.Range(c.t.Context(), infra.VMPrefix)
 	assert.NilError(c.t, err)
 	s := n.view.Load()
 	same := len(kvs) == len(s.VMs)
--- a/internal/relay/cluster_test.go
+++ b/internal/relay/cluster_test.go
@@ -15,11 +15,11 @@
 	"github.com/jonboulle/clockwork"
 	"gotest.tools/v3/assert"
 
+	"github.com/pumicestage/pumicestage/internal/infra"
+	"github.com/pumicestage/pumicestage/internal/infra/faulty"
+	"github.com/pumicestage/pumicestage/internal/infra/memstore"
 	"github.com/pumicestage/pumicestage/internal/peer"
 	"github.com/pumicestage/pumicestage/internal/peer/peertest"
-	"github.com/pumicestage/pumicestage/internal/platform"
-	"github.com/pumicestage/pumicestage/internal/platform/faulty"
-	"github.com/pumicestage/pumicestage/internal/platform/memstore"
 	"github.com/pumicestage/pumicestage/internal/view"
 	"github.com/pumicestage/pumicestage/policy/model"
 )
@@ -45,7 +45,7 @@
 // written is one accepted write of a declaration or a VM.
 type written struct {
 	at         time.Time
-	revision   platform.Revision
+	revision   infra.Revision
 	generation uint64     // of a declaration
 	vm         model.VMID // or of this VM
 }
@@ -53,36 +53,36 @@
 // swappable is a store that can be restored from a backup.
 type swappable struct {
 	mu sync.Mutex
-	platform.Store
+	infra.Store
 }
 
-func (s *swappable) now() platform.Store {
+func (s *swappable) now() infra.Store {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.Store
 }
 
-func (s *swappable) Get(ctx context.Context, key string) (platform.KV, platform.Revision, error) {
+func (s *swappable) Get(ctx context.Context, key string) (infra.KV, infra.Revision, error) {
 	return s.now().Get(ctx, key)
 }
 
-func (s *swappable) Range(ctx context.Context, prefix string) ([]platform.KV, platform.Revision, error) {
+func (s *swappable) Range(ctx context.Context, prefix string) ([]infra.KV, infra.Revision, error) {
 	return s.now().Range(ctx, prefix)
 }
 
-func (s *swappable) Txn(ctx context.Context, txn platform.Txn) (platform.TxnResult, error) {
+func (s *swappable) Txn(ctx context.Context, txn infra.Txn) (infra.TxnResult, error) {
 	return s.now().Txn(ctx, txn)
 }
 
-func (s *swappable) Grant(ctx context.Context, ttl time.Duration) (platform.LeaseID, error) {
+func (s *swappable) Grant(ctx context.Context, ttl time.Duration) (infra.LeaseID, error) {
 	return s.now().Grant(ctx, ttl)
 }
 
-func (s *swappable) KeepAlive(ctx context.Context, id platform.LeaseID) error {
+func (s *swappable) KeepAlive(ctx context.Context, id infra.LeaseID) error {
 	return s.now().KeepAlive(ctx, id)
 }
 
-func (s *swappable) Watch(ctx context.Context, prefix string, from platform.Revision) (<-chan platform.WatchBatch, error) {
+func (s *swappable) Watch(ctx context.Context, prefix string, from infra.Revision) (<-chan infra.WatchBatch, error) {
 	return s.now().Watch(ctx, prefix, from)
 }
 
@@ -116,13 +116,13 @@
 	w.mute, w.delay = mute, delay
 }
 
-// Watch implements platform.Store.
-func (w *way) Watch(ctx context.Context, prefix string, from platform.Revision) (<-chan platform.WatchBatch, error) {
+// Watch implements infra.Store.
+func (w *way) Watch(ctx context.Context, prefix string, from infra.Revision) (<-chan infra.WatchBatch, error) {
 	in, err := w.Store.Watch(ctx, prefix, from)
 	if err != nil {
 		return nil, err
 	}
-	out := make(chan platform.WatchBatch, 10000)
+	out := make(chan infra.WatchBatch, 10000)
 	go func() {
 		defer close(out)
 		dead := false
@@ -199,7 +199,7 @@
 	c.writes = kept
 	c.removed[id] = true
 	c.mu.Unlock()
-	_, err := c.store.Txn(context.Background(), platform.Txn{Then: []platform.Op{platform.Delete(platform.VMKey(id))}})
+	_, err := c.store.Txn(context.Background(), infra.Txn{Then: []infra.Op{infra.Delete(infra.VMKey(id))}})
 	assert.Check(c.t, err)
 }
 
@@ -242,18 +242,18 @@
 }
 
 // apply writes a declaration as an operator does and returns its revision.
-func (c *cluster) apply(generation uint64) platform.Revision {
-	return c.write(platform.ConfigKey, model.Declaration{Generation: generation}, written{generation: generation})
+func (c *cluster) apply(generation uint64) infra.Revision {
+	return c.write(infra.ConfigKey, model.Declaration{Generation: generation}, written{generation: generation})
 }
 
-func (c *cluster) putVM(id model.VMID, reason string) platform.Revision {
-	return c.write(platform.VMKey(id), model.VM{ID: id, Reason: reason}, written{vm: id})
+func (c *cluster) putVM(id model.VMID, reason string) infra.Revision {
+	return c.write(infra.VMKey(id), model.VM{ID: id, Reason: reason}, written{vm: id})
 }
 
-func (c *cluster) write(key string, v any, w written) platform.Revision {
+func (c *cluster) write(key string, v any, w written) infra.Revision {
 	raw, err := json.Marshal(v)
 	assert.Check(c.t, err)
-	res, err := c.store.Txn(context.Background(), platform.Txn{Then: []platform.Op{platform.Put(key, raw)}})
+	res, err := c.store.Txn(context.Background(), infra.Txn{Then: []infra.Op{infra.Put(key, raw)}})
 	assert.Check(c.t, err)
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -350,7 +350,7 @@
 }
 
 func (c *cluster) storedGeneration() uint64 {
-	kv, _, err := c.store.Get(c.t.Context(), platform.ConfigKey)
+	kv, _, err := c.store.Get(c.t.Context(), infra.ConfigKey)
 	assert.NilError(c.t, err)
 	var d model.Declaration
 	assert.NilError(c.t, json.Unmarshal(kv.Value, &d))
--- a/internal/relay/failure_test.go
+++ b/internal/relay/failure_test.go
@@ -6,7 +6,7 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/pumicestage/pumicestage/internal/platform/memstore"
+	"github.com/pumicestage/pumicestage/internal/infra/memstore"
 	"github.com/pumicestage/pumicestage/policy/model"
 )
 
--- a/internal/relay/message.go
+++ b/internal/relay/message.go
@@ -1,15 +1,15 @@
 package relay
 
 import (
-	"github.com/pumicestage/pumicestage/internal/platform"
+	"github.com/pumicestage/pumicestage/internal/infra"
 )
 
 // versions says how new a view is. The three parts come by watches of their
 // own, so that each has a version of its own.
 type versions struct {
-	Revision   platform.Revision `msgpack:"r"` // of the VMs
-	Entries    platform.Revision `msgpack:"e"` // of the list of entry VMs
-	Generation uint64            `msgpack:"g"` // of the declaration
+	Revision   infra.Revision `msgpack:"r"` // of the VMs
+	Entries    infra.Revision `msgpack:"e"` // of the list of entry VMs
+	Generation uint64         `msgpack:"g"` // of the declaration
 	// Lineage names the reading of the whole store that the VMs descend
 	// from. A store restored to an older state counts its revisions anew, so
 	// that a delta by revision is right only within one lineage.
@@ -27,9 +27,9 @@
 // read, so that a view relayed over many peers is the store's own and entry
 // VMs of different builds need not agree on an encoding.
 type record struct {
-	Key   string            `msgpack:"k"`
-	Value []byte            `msgpack:"v,omitempty"`
-	Mod   platform.Revision `msgpack:"m"`
+	Key   string         `msgpack:"k"`
+	Value []byte         `msgpack:"v,omitempty"`
+	Mod   infra.Revision `msgpack:"m"`
 }
 
 // update is a change of a view: from the store's watch, or from a peer.
@@ -43,10 +43,10 @@
 	Is        versions `msgpack:"i"`           // what the receiver has afterwards
 
 	// VMs: Full replaces all; otherwise Puts and Gone are the changes since From.
-	Full bool              `msgpack:"f,omitempty"`
-	From platform.Revision `msgpack:"b,omitempty"`
-	Puts []record          `msgpack:"p,omitempty"`
-	Gone []record          `msgpack:"d,omitempty"`
+	Full bool           `msgpack:"f,omitempty"`
+	From infra.Revision `msgpack:"b,omitempty"`
+	Puts []record       `msgpack:"p,omitempty"`
+	Gone []record       `msgpack:"d,omitempty"`
 
 	// Entries is the whole list where HasEntries.
 	HasEntries bool     `msgpack:"x,omitempty"`
@@ -56,11 +56,11 @@
 	Config *record `msgpack:"c,omitempty"`
 }
 
-func recordOf(kv platform.KV) record {
+func recordOf(kv infra.KV) record {
 	return record{Key: kv.Key, Value: kv.Value, Mod: kv.ModRevision}
 }
 
-func recordsOf(kvs []platform.KV) []record {
+func recordsOf(kvs []infra.KV) []record {
 	records := make([]record, len(kvs))
 	for i, kv := range kvs {
 		records[i] = recordOf(kv)
--- a/internal/relay/register.go
+++ b/internal/relay/register.go
@@ -8,7 +8,7 @@
 
 	"github.com/gravitational/trace"
 
-	"github.com/pumicestage/pumicestage/internal/platform"
+	"github.com/pumicestage/pumicestage/internal/infra"
 	"github.com/pumicestage/pumicestage/internal/view"
 )
 
@@ -29,7 +29,7 @@
 // keepRegistered holds this entry VM's record in the store under a lease
 // until ctx ends, then takes it away.
 func (r *Relay) keepRegistered(ctx context.Context) {
-	var lease platform.LeaseID
+	var lease infra.LeaseID
 	for ctx.Err() == nil {
 		err := r.renew(ctx, &lease)
 		wait := keepAliveEvery
@@ -50,12 +50,12 @@
 
 // renew keeps the lease alive, or registers where there is none, it lapsed, or
 // an earlier run has written over this one's record.
-func (r *Relay) renew(ctx context.Context, lease *platform.LeaseID) error {
+func (r *Relay) renew(ctx context.Context, lease *infra.LeaseID) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	if *lease != 0 && !r.displaced() {
 		err := r.opts.Store.KeepAlive(ctx, *lease)
-		if !platform.IsKind(err, platform.KindLeaseNotFound) {
+		if !infra.IsKind(err, infra.KindLeaseNotFound) {
 			return trace.Wrap(err)
 		}
 	}
@@ -72,9 +72,9 @@
 	if err != nil {
 		return trace.Wrap(err)
 	}
-	res, err := r.opts.Store.Txn(ctx, platform.Txn{
-		If:   []platform.Cond{{Key: platform.EntryKey(r.opts.Self.ID), ModRevision: over}},
-		Then: []platform.Op{platform.PutLeased(platform.EntryKey(r.opts.Self.ID), value, granted)},
+	res, err := r.opts.Store.Txn(ctx, infra.Txn{
+		If:   []infra.Cond{{Key: infra.EntryKey(r.opts.Self.ID), ModRevision: over}},
+		Then: []infra.Op{infra.PutLeased(infra.EntryKey(r.opts.Self.ID), value, granted)},
 	})
 	// A lost reply leaves the key under the new lease or none at all; the
 	// next attempt writes it again under another.
@@ -88,8 +88,8 @@
 // VM's ID, or an error where a later run wrote it. A daemon that was replaced
 // while it was paused would otherwise register over its successor, and
 // acknowledgements would be waited for that nobody can give.
-func (r *Relay) mayReplace(ctx context.Context) (platform.Revision, error) {
-	kv, _, err := r.opts.Store.Get(ctx, platform.EntryKey(r.opts.Self.ID))
+func (r *Relay) mayReplace(ctx context.Context) (infra.Revision, error) {
+	kv, _, err := r.opts.Store.Get(ctx, infra.EntryKey(r.opts.Self.ID))
 	if err != nil {
 		return 0, trace.Wrap(err)
 	}
--- a/internal/relay/registry.go
+++ b/internal/relay/registry.go
@@ -11,8 +11,8 @@
 
 	"github.com/gravitational/trace"
 
+	"github.com/pumicestage/pumicestage/internal/infra"
 	"github.com/pumicestage/pumicestage/internal/peer"
-	"github.com/pumicestage/pumicestage/internal/platform"
 	"github.com/pumicestage/pumicestage/internal/view"
 	"github.com/pumicestage/pumicestage/policy/model"
 )
@@ -32,7 +32,7 @@
 // its digests say. It is safe for concurrent use.
 type Registry struct {
 	self  view.EntryRecord
-	store platform.Store
+	store infra.Store
 	view  *view.Holder
 	peers interface{ Peers() []peer.Status }
 
@@ -48,18 +48,18 @@
 
 // Missing returns the live entry VMs that have not acknowledged everything up
 // to since, sorted. It costs at most one read a second.
-func (g *Registry) Missing(ctx context.Context, since platform.Revision) ([]model.EntryID, error) {
-	_, missing, err := g.split(ctx, func(rev platform.Revision, _ uint64) bool { return rev >= since })
+func (g *Registry) Missing(ctx context.Context, since infra.Revision) ([]model.EntryID, error) {
+	_, missing, err := g.split(ctx, func(rev infra.Revision, _ uint64) bool { return rev >= since })
 	return missing, err
 }
 
 // InForce returns the live entry VMs that have the declaration of the
 // generation, or a later one, in force, and those not known to.
 func (g *Registry) InForce(ctx context.Context, generation uint64) (have, missing []model.EntryID, err error) {
-	return g.split(ctx, func(_ platform.Revision, gen uint64) bool { return gen >= generation })
+	return g.split(ctx, func(_ infra.Revision, gen uint64) bool { return gen >= generation })
 }
 
-func (g *Registry) split(ctx context.Context, ok func(platform.Revision, uint64) bool) (have, missing []model.EntryID, err error) {
+func (g *Registry) split(ctx context.Context, ok func(infra.Revision, uint64) bool) (have, missing []model.EntryID, err error) {
 	entries, err := g.registered(ctx)
 	if err != nil {
 		return nil, nil, err
@@ -91,7 +91,7 @@
 	return all
 }
 
-func (g *Registry) has(e view.EntryRecord, said map[model.EntryID]peer.Status, ok func(platform.Revision, uint64) bool) bool {
+func (g *Registry) has(e view.EntryRecord, said map[model.EntryID]peer.Status, ok func(infra.Revision, uint64) bool) bool {
 	if e.ID == g.self.ID && e.Incarnation == g.self.Incarnation {
 		v := g.view.Load()
 		return ok(v.Revision, v.Generation())
@@ -118,7 +118,7 @@
 func (g *Registry) readLocked(ctx context.Context) error {
 	started := time.Now()
 	accepted := g.highestAccepted()
-	kvs, rev, err := g.store.Range(ctx, platform.EntryPrefix)
+	kvs, rev, err := g.store.Range(ctx, infra.EntryPrefix)
 	if err != nil {
 		return trace.Wrap(err)
 	}
@@ -140,7 +140,7 @@
 // highestAccepted returns the highest revision any entry VM has said to have.
 // A store that answers with a lower one has been restored: every old digest
 // would then count as an acknowledgement of what is yet to be written.
-func (g *Registry) highestAccepted() platform.Revision {
+func (g *Registry) highestAccepted() infra.Revision {
 	highest := g.view.Load().Revision
 	for _, p := range g.peers.Peers() {
 		highest = max(highest, p.Revision)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -13,8 +13,8 @@
 
 	"github.com/go-logr/logr"
 
+	"github.com/pumicestage/pumicestage/internal/infra"
 	"github.com/pumicestage/pumicestage/internal/peer"
-	"github.com/pumicestage/pumicestage/internal/platform"
 	"github.com/pumicestage/pumicestage/internal/view"
 	"github.com/pumicestage/pumicestage/policy/model"
 )
@@ -67,7 +67,7 @@
 // Options are what a Relay needs; all but Log must be set.
 type Options struct {
 	Self  view.EntryRecord
-	Store platform.Store
+	Store infra.Store
 	View  *view.Holder
 	Peers Peers
 	Log   logr.Logger
--- a/internal/relay/source.go
+++ b/internal/relay/source.go
@@ -10,7 +10,7 @@
 
 	"github.com/gravitational/trace"
 
-	"github.com/pumicestage/pumicestage/internal/platform"
+	"github.com/pumicestage/pumicestage/internal/infra"
 	"github.com/pumicestage/pumicestage/policy/model"
 )
 
@@ -34,7 +34,7 @@
 	errWatchDead   = errors.New("relay: watch delivers nothing")
 )
 
-// beacon is the value of platform.ViewBeaconKey.
+// beacon is the value of infra.ViewBeaconKey.
 type beacon struct {
 	Entry model.EntryID
 	Nonce uint64
@@ -44,14 +44,14 @@
 // missing, watches, and proves by beacons that the watch is current.
 type storeSource struct {
 	relay *Relay
-	store platform.Store
+	store infra.Store
 
 	nonce   uint64
 	pending map[uint64]time.Time // beacons written and not yet seen, by when they were sent
 
-	configMod platform.Revision // of the declaration's key when last seen in the store
-	configGen uint64            // its generation
-	reread    bool              // the VMs must be read anew
+	configMod infra.Revision // of the declaration's key when last seen in the store
+	configGen uint64         // its generation
+	reread    bool           // the VMs must be read anew
 
 	gathered update    // changes of VMs not merged yet
 	proven   time.Time // when the newest beacon among them was sent
@@ -89,7 +89,7 @@
 	if behind && !s.relay.behind.Swap(true) {
 		s.relay.opts.Log.Error(err, "planned stops wait until the store has passed the accepted view")
 	}
-	if behind || platform.IsKind(err, platform.KindCompacted) {
+	if behind || infra.IsKind(err, infra.KindCompacted) {
 		s.reread = true
 	}
 	s.relay.opts.Log.V(1).Info("platform watch ended", "cause", err)
@@ -115,12 +115,12 @@
 
 // watches are the three streams a view is made of.
 type watches struct {
-	vms, entries, config <-chan platform.WatchBatch
+	vms, entries, config <-chan infra.WatchBatch
 }
 
 // open reads what the state lacks and watches from there on. at is the
 // revision up to which the declaration is known.
-func (s *storeSource) open(ctx context.Context, at platform.Revision) (watches, error) {
+func (s *storeSource) open(ctx context.Context, at infra.Revision) (watches, error) {
 	var w watches
 	from, err := s.readVMs(ctx, at)
 	if err != nil {
@@ -130,25 +130,25 @@
 	if err != nil {
 		return w, err
 	}
-	if w.vms, err = s.store.Watch(ctx, platform.ViewWatchPrefix, from+1); err != nil {
+	if w.vms, err = s.store.Watch(ctx, infra.ViewWatchPrefix, from+1); err != nil {
 		return w, trace.Wrap(err)
 	}
-	if w.entries, err = s.store.Watch(ctx, platform.EntryPrefix, entriesAt+1); err != nil {
+	if w.entries, err = s.store.Watch(ctx, infra.EntryPrefix, entriesAt+1); err != nil {
 		return w, trace.Wrap(err)
 	}
-	w.config, err = s.store.Watch(ctx, platform.ConfigKey, at+1)
+	w.config, err = s.store.Watch(ctx, infra.ConfigKey, at+1)
 	return w, trace.Wrap(err)
 }
 
 // readVMs reads all VMs if the state has none or cannot be carried on from its
 // revision, and returns the revision the state then has.
-func (s *storeSource) readVMs(ctx context.Context, at platform.Revision) (platform.Revision, error) {
+func (s *storeSource) readVMs(ctx context.Context, at infra.Revision) (infra.Revision, error) {
 	if has := s.relay.state.versions().Revision; has > 0 && !s.reread && s.relay.age() < resumeWithin {
 		return has, nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	kvs, rev, err := s.store.Range(ctx, platform.VMPrefix)
+	kvs, rev, err := s.store.Range(ctx, infra.VMPrefix)
 	if err != nil {
 		return 0, trace.Wrap(err)
 	}
@@ -165,10 +165,10 @@
 	return max(rev, s.relay.state.versions().Revision), nil
 }
 
-func (s *storeSource) readEntries(ctx context.Context) (platform.Revision, error) {
+func (s *storeSource) readEntries(ctx context.Context) (infra.Revision, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	kvs, rev, err := s.store.Range(ctx, platform.EntryPrefix)
+	kvs, rev, err := s.store.Range(ctx, infra.EntryPrefix)
 	if err != nil {
 		return 0, trace.Wrap(err)
 	}
@@ -209,7 +209,7 @@
 	}
 }
 
-func (s *storeSource) take(b platform.WatchBatch, ok bool, f func(platform.WatchBatch)) error {
+func (s *storeSource) take(b infra.WatchBatch, ok bool, f func(infra.WatchBatch)) error {
 	if !ok {
 		return errWatchEnded
 	}
@@ -238,7 +238,7 @@
 
 // sendBeacon writes the beacon, and in the same transaction makes sure that
 // the declaration known here is the store's. It returns the store's revision.
-func (s *storeSource) sendBeacon(ctx context.Context) (platform.Revision, error) {
+func (s *storeSource) sendBeacon(ctx context.Context) (infra.Revision, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	s.nonce++
@@ -246,12 +246,12 @@
 	if err != nil {
 		return 0, trace.Wrap(err)
 	}
-	put := platform.Put(platform.ViewBeaconKey, value)
+	put := infra.Put(infra.ViewBeaconKey, value)
 	sent := time.Now()
-	res, err := s.store.Txn(ctx, platform.Txn{
-		If:   []platform.Cond{{Key: platform.ConfigKey, ModRevision: s.configMod}},
-		Then: []platform.Op{put},
-		Else: []platform.Op{put, platform.Read(platform.ConfigKey)},
+	res, err := s.store.Txn(ctx, infra.Txn{
+		If:   []infra.Cond{{Key: infra.ConfigKey, ModRevision: s.configMod}},
+		Then: []infra.Op{put},
+		Else: []infra.Op{put, infra.Read(infra.ConfigKey)},
 	})
 	if err != nil {
 		return 0, trace.Wrap(err)
@@ -267,7 +267,7 @@
 	return res.Revision, nil
 }
 
-func (s *storeSource) noteConfig(kv platform.KV) {
+func (s *storeSource) noteConfig(kv infra.KV) {
 	if kv.ModRevision < s.configMod && kv.ModRevision > 0 {
 		s.relay.opts.Log.Info("the store holds an older declaration than before", "revision", kv.ModRevision, "before", s.configMod)
 	}
@@ -278,7 +278,7 @@
 	r := recordOf(kv)
 	s.relay.state.merge(update{Config: &r}, time.Time{})
 	var head struct{ Generation uint64 }
-	if err := platform.DecodeValue(kv.Value, &head); err == nil {
+	if err := infra.DecodeValue(kv.Value, &head); err == nil {
 		s.configGen = head.Generation
 	}
 }
@@ -292,9 +292,9 @@
 	if generation <= s.configGen {
 		return
 	}
-	res, err := s.store.Txn(ctx, platform.Txn{
-		If:   []platform.Cond{{Key: platform.ConfigKey, ModRevision: s.configMod}},
-		Then: []platform.Op{platform.Put(platform.ConfigKey, accepted.Value)},
+	res, err := s.store.Txn(ctx, infra.Txn{
+		If:   []infra.Cond{{Key: infra.ConfigKey, ModRevision: s.configMod}},
+		Then: []infra.Op{infra.Put(infra.ConfigKey, accepted.Value)},
 	})
 	s.relay.opts.Log.Info("put the accepted declaration back into the store",
 		"generation", generation, "found", s.configGen, "done", err == nil && res.Succeeded)
@@ -304,17 +304,17 @@
 }
 
 // gatherVMs adds a batch to the changes that are merged together.
-func (s *storeSource) gatherVMs(b platform.WatchBatch) {
+func (s *storeSource) gatherVMs(b infra.WatchBatch) {
 	s.gathered.fromStore = true
 	s.gathered.Is.Revision = b.Revision
 	for _, e := range b.Events {
 		switch {
-		case e.KV.Key == platform.ViewBeaconKey:
+		case e.KV.Key == infra.ViewBeaconKey:
 			if sent := s.seen(e.KV); !sent.IsZero() {
 				s.proven = sent
 			}
-		case !strings.HasPrefix(e.KV.Key, platform.VMPrefix):
-		case e.Kind == platform.EventPut:
+		case !strings.HasPrefix(e.KV.Key, infra.VMPrefix):
+		case e.Kind == infra.EventPut:
 			s.gathered.Puts = append(s.gathered.Puts, recordOf(e.KV))
 		default:
 			s.gathered.Gone = append(s.gathered.Gone, recordOf(e.KV))
@@ -333,7 +333,7 @@
 
 // seen returns when the beacon was sent if it is this source's own. Then
 // everything before it has been delivered, and the view was current then.
-func (s *storeSource) seen(kv platform.KV) time.Time {
+func (s *storeSource) seen(kv infra.KV) time.Time {
 	var b beacon
 	if err := json.Unmarshal(kv.Value, &b); err != nil || b.Entry != s.relay.opts.Self.ID {
 		return time.Time{}
@@ -347,17 +347,17 @@
 	return sent
 }
 
-func (s *storeSource) takeEntries(b platform.WatchBatch) {
+func (s *storeSource) takeEntries(b infra.WatchBatch) {
 	s.relay.state.mergeEntryEvents(b)
 }
 
-func (s *storeSource) takeConfig(b platform.WatchBatch) {
+func (s *storeSource) takeConfig(b infra.WatchBatch) {
 	for _, e := range b.Events {
-		if e.KV.Key != platform.ConfigKey {
+		if e.KV.Key != infra.ConfigKey {
 			continue
 		}
-		if e.Kind == platform.EventDelete {
-			s.noteConfig(platform.KV{Key: e.KV.Key})
+		if e.Kind == infra.EventDelete {
+			s.noteConfig(infra.KV{Key: e.KV.Key})
 		} else {
 			s.noteConfig(e.KV)
 		}
--- a/internal/relay/state.go
+++ b/internal/relay/state.go
@@ -10,7 +10,7 @@
 
 	"github.com/go-logr/logr"
 
-	"github.com/pumicestage/pumicestage/internal/platform"
+	"github.com/pumicestage/pumicestage/internal/infra"
 	"github.com/pumicestage/pumicestage/internal/view"
 	"github.com/pumicestage/pumicestage/policy/model"
 )
@@ -27,8 +27,8 @@
 
 	mu        sync.Mutex
 	vms       map[string]record
-	gone      []record          // in order of revision
-	goneFloor platform.Revision // deletions up to here may be missing from gone
+	gone      []record       // in order of revision
+	goneFloor infra.Revision // deletions up to here may be missing from gone
 	config    record
 	entries   []record
 	has       versions
@@ -81,7 +81,7 @@
 		return false
 	}
 	decl := new(model.Declaration)
-	if err := platform.DecodeValue(u.Config.Value, decl); err != nil {
+	if err := infra.DecodeValue(u.Config.Value, decl); err != nil {
 		s.log.Error(err, "declaration not readable, keeping the one in force", "revision", u.Config.Mod)
 		return false
 	}
@@ -105,7 +105,7 @@
 }
 
 // mergeEntryEvents takes in one batch of the watch of entry VMs.
-func (s *state) mergeEntryEvents(b platform.WatchBatch) {
+func (s *state) mergeEntryEvents(b infra.WatchBatch) {
 	s.mu.Lock()
 	entries := make(map[string]record, len(s.entries))
 	for _, r := range s.entries {
@@ -113,7 +113,7 @@
 	}
 	s.mu.Unlock()
 	for _, e := range b.Events {
-		if e.Kind == platform.EventPut {
+		if e.Kind == infra.EventPut {
 			entries[e.KV.Key] = recordOf(e.KV)
 		} else {
 			delete(entries, e.KV.Key)
@@ -206,7 +206,7 @@
 		return
 	}
 	delete(s.vms, r.Key)
-	delete(vms, model.VMID(strings.TrimPrefix(r.Key, platform.VMPrefix)))
+	delete(vms, model.VMID(strings.TrimPrefix(r.Key, infra.VMPrefix)))
 	s.gone = append(s.gone, r)
 	if over := len(s.gone) - goneLimit; over > 0 {
 		s.goneFloor = s.gone[over-1].Mod
--- a/internal/relay/state_test.go
+++ b/internal/relay/state_test.go
@@ -12,27 +12,27 @@
 	"github.com/vmihailenco/msgpack/v5"
 	"gotest.tools/v3/assert"
 
+	"github.com/pumicestage/pumicestage/internal/infra"
+	"github.com/pumicestage/pumicestage/internal/infra/memstore"
 	"github.com/pumicestage/pumicestage/internal/peer"
-	"github.com/pumicestage/pumicestage/internal/platform"
-	"github.com/pumicestage/pumicestage/internal/platform/memstore"
 	"github.com/pumicestage/pumicestage/internal/view"
 	"github.com/pumicestage/pumicestage/policy/model"
 )
 
-func vmRecord(id model.VMID, mod platform.Revision) record {
+func vmRecord(id model.VMID, mod infra.Revision) record {
 	raw, _ := json.Marshal(model.VM{ID: id})
-	return record{Key: platform.VMKey(id), Value: raw, Mod: mod}
+	return record{Key: infra.VMKey(id), Value: raw, Mod: mod}
 }
 
-func declaration(generation uint64, mod platform.Revision) *record {
+func declaration(generation uint64, mod infra.Revision) *record {
 	raw, _ := json.Marshal(model.Declaration{Generation: generation})
-	return &record{Key: platform.ConfigKey, Value: raw, Mod: mod}
+	return &record{Key: infra.ConfigKey, Value: raw, Mod: mod}
 }
 
 func entryList(ids ...string) []record {
 	var list []record
 	for _, id := range ids {
-		list = append(list, record{Key: platform.EntryPrefix + id, Value: []byte(`{"ID":"` + id + `"}`)})
+		list = append(list, record{Key: infra.EntryPrefix + id, Value: []byte(`{"ID":"` + id + `"}`)})
 	}
 	return list
 }
@@ -44,7 +44,7 @@
 	later := base.Add(time.Second)
 	type want struct {
 		generation uint64
-		revision   platform.Revision
+		revision   infra.Revision
 		vms        int
 		entries    int
 		fresher    bool
@@ -62,14 +62,14 @@
 		{"newer entries", update{HasEntries: true, Entries: entryList("x", "y"), Is: versions{Entries: 91}}, want{5, 100, 2, 2, false}},
 		{"older entries", update{HasEntries: true, Entries: entryList("x", "y"), Is: versions{Entries: 89}}, same},
 		{"change of a VM", update{From: 100, Puts: []record{vmRecord("c", 101)}, Is: versions{Revision: 101}}, want{5, 101, 3, 1, false}},
-		{"removal of a VM", update{From: 100, Gone: []record{{Key: platform.VMKey("a"), Mod: 101}}, Is: versions{Revision: 101}}, want{5, 101, 1, 1, false}},
+		{"removal of a VM", update{From: 100, Gone: []record{{Key: infra.VMKey("a"), Mod: 101}}, Is: versions{Revision: 101}}, want{5, 101, 1, 1, false}},
 		{"change after a gap", update{From: 105, Puts: []record{vmRecord("c", 106)}, Is: versions{Revision: 106}}, same},
 		{"change within another lineage", update{From: 100, Puts: []record{vmRecord("c", 101)}, Is: versions{Revision: 101, Lineage: 1}}, same},
 		{"change by the own watch", update{fromStore: true, Puts: []record{vmRecord("c", 101)}, Is: versions{Revision: 101, Lineage: 1}}, want{5, 101, 3, 1, false}},
 		{"another lineage, current as it says", update{Is: versions{Revision: 100, Generation: 5, Lineage: 1}}, same},
 		{"whole view, older", update{Full: true, Puts: []record{vmRecord("a", 2)}, Is: versions{Revision: 99}}, same},
 		{"whole view, newer", update{Full: true, Puts: []record{vmRecord("a", 2)}, Is: versions{Revision: 101}}, want{5, 101, 1, 1, false}},
-		{"VM that cannot be read", update{From: 100, Puts: []record{{Key: platform.VMKey("a"), Value: []byte("{"), Mod: 101}}, Is: versions{Revision: 101}}, want{5, 101, 2, 1, false}},
+		{"VM that cannot be read", update{From: 100, Puts: []record{{Key: infra.VMKey("a"), Value: []byte("{"), Mod: 101}}, Is: versions{Revision: 101}}, want{5, 101, 2, 1, false}},
 		{"nothing new, known to be current", update{Is: versions{Revision: 100, Generation: 5}}, want{5, 100, 2, 1, true}},
 		{"an older view, current as it says", update{Is: versions{Revision: 99, Generation: 5}}, same},
 		{"a newer view of which only the versions came", update{From: 103, Is: versions{Revision: 104, Generation: 5}}, same},
@@ -94,8 +94,8 @@
 func TestSince(t *testing.T) {
 	s := newState(view.NewHolder(), logr.Discard())
 	s.merge(update{Full: true, Puts: []record{vmRecord("a", 5), vmRecord("b", 10)}, Config: declaration(1, 3), Is: versions{Revision: 10}}, time.Time{})
-	for i := range platform.Revision(goneLimit + 10) {
-		s.merge(update{From: 10 + i, Gone: []record{{Key: platform.VMKey("x"), Mod: 11 + i}}, Is: versions{Revision: 11 + i}}, time.Time{})
+	for i := range infra.Revision(goneLimit + 10) {
+		s.merge(update{From: 10 + i, Gone: []record{{Key: infra.VMKey("x"), Mod: 11 + i}}, Is: versions{Revision: 11 + i}}, time.Time{})
 	}
 	newest := s.versions()
 	cases := []struct {
@@ -196,9 +196,9 @@
 // its earlier run said.
 func TestRegistry(t *testing.T) {
 	store := memstore.New(clockwork.NewRealClock())
-	register := func(id string, incarnation string) platform.Revision {
-		res, err := store.Txn(t.Context(), platform.Txn{Then: []platform.Op{
-			platform.Put(platform.EntryPrefix+id, []byte(`{"ID":"`+id+`","Incarnation":`+incarnation+`}`)),
+	register := func(id string, incarnation string) infra.Revision {
+		res, err := store.Txn(t.Context(), infra.Txn{Then: []infra.Op{
+			infra.Put(infra.EntryPrefix+id, []byte(`{"ID":"`+id+`","Incarnation":`+incarnation+`}`)),
 		}})
 		assert.NilError(t, err)
 		return res.Revision
@@ -232,7 +232,7 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	cancel()
 	_, err = NewRegistry(Options{Store: store, View: h, Peers: f}).Missing(ctx, at)
-	assert.Assert(t, platform.IsKind(err, platform.KindUnavailable))
+	assert.Assert(t, infra.IsKind(err, infra.KindUnavailable))
 }
 
 // What the operator sees: an entry VM is replaced under its ID while paused,
@@ -245,14 +245,14 @@
 		return New(Options{Self: self, Store: store, View: view.NewHolder(), Peers: &fakePeers{}, Log: logr.Discard()})
 	}
 	registered := func() uint64 {
-		kv, _, err := store.Get(t.Context(), platform.EntryKey("e"))
+		kv, _, err := store.Get(t.Context(), infra.EntryKey("e"))
 		assert.NilError(t, err)
 		var e view.EntryRecord
 		assert.NilError(t, json.Unmarshal(kv.Value, &e))
 		return e.Incarnation
 	}
 	older, newer := join(1), join(2)
-	var leases [2]platform.LeaseID
+	var leases [2]infra.LeaseID
 	assert.NilError(t, older.renew(t.Context(), &leases[0]))
 	assert.NilError(t, newer.renew(t.Context(), &leases[1]))
 	assert.Equal(t, registered(), uint64(2))
@@ -261,7 +261,7 @@
 	assert.ErrorIs(t, older.renew(t.Context(), &lapsed), errSuperseded)
 	assert.Equal(t, registered(), uint64(2))
 
-	_, err := store.Txn(t.Context(), platform.Txn{Then: []platform.Op{platform.Put(platform.EntryKey("e"), []byte(`{"ID":"e","Incarnation":1}`))}})
+	_, err := store.Txn(t.Context(), infra.Txn{Then: []infra.Op{infra.Put(infra.EntryKey("e"), []byte(`{"ID":"e","Incarnation":1}`))}})
 	assert.NilError(t, err)
 	newer.opts.View.Publish(&view.Snapshot{Entries: []view.EntryRecord{{ID: "e", Incarnation: 1}}})
 	assert.NilError(t, newer.renew(t.Context(), &leases[1]))
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -8,14 +8,14 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/pumicestage/pumicestage/internal/platform"
+	"github.com/pumicestage/pumicestage/internal/infra"
 	"github.com/pumicestage/pumicestage/policy/model"
 )
 
 // VMRecord is a VM with the revision of its key, for CAS and for fencing.
 type VMRecord struct {
 	model.VM
-	Revision platform.Revision
+	Revision infra.Revision
 }
 
 // EntryRecord is one entry VM as registered in the store.
@@ -33,8 +33,8 @@
 
 // Snapshot is one consistent view. It and all it points to are read-only.
 type Snapshot struct {
-	Revision    platform.Revision // of the store, up to which VMs and Entries are known
-	AsOf        time.Time         // when this was last known to be current
+	Revision    infra.Revision // of the store, up to which VMs and Entries are known
+	AsOf        time.Time      // when this was last known to be current
 	Declaration *model.Declaration
 	VMs         map[model.VMID]VMRecord
 	Entries     []EntryRecord
