--- a/cmd/pumicestaged/main.go
+++ b/cmd/pumicestaged/main.go
@@ -11,7 +11,9 @@
 	"github.com/alecthomas/kingpin/v2"
 
 	"github.com/pumicestage/pumicestage/internal/daemon"
+	"github.com/pumicestage/pumicestage/internal/node"
 	"github.com/pumicestage/pumicestage/internal/settings"
+	"github.com/pumicestage/pumicestage/platform"
 )
 
 // Exit statuses.
@@ -28,9 +30,12 @@
 		}
 		os.Exit(status)
 	})
-	file := app.Flag("config", "Settings file (INI).").Required().String()
+	file := app.Flag("config", "Settings file (INI).").String()
 	check := app.Flag("check", "Check the settings and exit.").Bool()
 	kingpin.MustParse(app.Parse(os.Args[1:]))
+	if *file == "" {
+		os.Exit(runNode(os.Getenv(platform.SettingsEnv), *check))
+	}
 
 	s, err := settings.Load(*file)
 	if err != nil {
@@ -46,6 +51,36 @@
 	}
 }
 
+// runNode serves on the users' platform, which names the settings file by an
+// environment variable. It returns the exit status.
+func runNode(file string, check bool) int {
+	if file == "" {
+		fmt.Fprintf(os.Stderr, "pumicestaged: no settings: give --config or set %s\n", platform.SettingsEnv)
+		return exitUsage
+	}
+	s, err := node.LoadSettings(file)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitUsage
+	}
+	if check {
+		return 0
+	}
+	n, err := node.New(s, os.Stdout)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "pumicestaged:", err)
+		return exitFailed
+	}
+	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer cancel()
+	signal.Ignore(syscall.SIGHUP) // the settings it could change are read at start
+	if err := n.Run(ctx); err != nil {
+		fmt.Fprintln(os.Stderr, "pumicestaged:", err)
+		return exitFailed
+	}
+	return 0
+}
+
 func run(s *settings.Settings) error {
 	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer cancel()
--- /dev/null
+++ b/internal/engine/core.go
@@ -0,0 +1,246 @@
+package engine
+
+import (
+	"slices"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"github.com/pumicestage/pumicestage/policy/taskplan"
+	"github.com/pumicestage/pumicestage/policy/work"
+)
+
+// Bounds are the deployment's figures that the engine keeps to.
+type Bounds struct {
+	MaxHold   time.Duration // longest lease a worker grants
+	StopGrace time.Duration // longest a stop takes
+	Notice    time.Duration // a lasting task not at work for so long counts as away
+	PaceDelay time.Duration // until a change of pace shows
+}
+
+// Core is the engine's state machine. It has no clock, network or goroutine:
+// time and answers come in, orders go out. It is not safe for concurrent use.
+type Core struct {
+	token  int64
+	bounds Bounds
+	log    logr.Logger
+
+	declared Declared
+	jobs     map[work.JobID]*job
+	open     []*job // not ended, oldest first
+	workers  map[work.WorkerID]*worker
+	learned  durations
+	sizes    map[string]*meanSize
+
+	dirty   map[work.JobID]*job
+	deposed bool
+	// startsUntil: no orders beyond it, as the owner's lease is no longer
+	// certain and a successor may rely on our silence.
+	startsUntil time.Duration
+}
+
+// NewCore returns a core that gives its orders under token.
+func NewCore(token int64, bounds Bounds, log logr.Logger) *Core {
+	return &Core{
+		token: token, bounds: bounds, log: log,
+		jobs:    make(map[work.JobID]*job),
+		workers: make(map[work.WorkerID]*worker),
+		learned: make(durations),
+		sizes:   make(map[string]*meanSize),
+		dirty:   make(map[work.JobID]*job),
+	}
+}
+
+// Declare takes the operator's configuration over.
+func (c *Core) Declare(d Declared) {
+	c.declared = d
+	for _, j := range c.open {
+		if q, known := d.Queues[j.Queue]; known {
+			j.queue = q
+		}
+	}
+}
+
+// AllowUntil lets the core give orders until then.
+func (c *Core) AllowUntil(t time.Duration) { c.startsUntil = max(c.startsUntil, t) }
+
+// Deposed reports whether a worker or the store knows a later owner.
+func (c *Core) Deposed() bool { return c.deposed }
+
+// Accept adds a stored job. A job known already stays as it is.
+func (c *Core) Accept(j *work.Job, q Queue, now time.Duration) {
+	if c.jobs[j.ID] != nil {
+		return
+	}
+	c.add(newJob(j, q, now))
+}
+
+func (c *Core) add(j *job) {
+	c.jobs[j.ID] = j
+	if j.final != "" {
+		return
+	}
+	c.open = append(c.open, j)
+	c.size(j.Queue).add(j.size)
+}
+
+// Known reports whether the job is one of ours.
+func (c *Core) Known(id work.JobID) bool { return c.jobs[id] != nil }
+
+// State returns what a caller is told of the job.
+func (c *Core) State(id work.JobID) (work.State, bool) {
+	j := c.jobs[id]
+	if j == nil {
+		return "", false
+	}
+	return j.state(), true
+}
+
+// Waiting counts the queue's accepted jobs of which no task has started.
+func (c *Core) Waiting(queue string) int {
+	n := 0
+	for _, j := range c.open {
+		if j.Queue == queue && !j.begun {
+			n++
+		}
+	}
+	return n
+}
+
+// Cancel ends the job. done is called once that is stored; at once where the
+// job had ended before. It reports whether the job is known.
+func (c *Core) Cancel(id work.JobID, done func(error)) bool {
+	j := c.jobs[id]
+	if j == nil {
+		return false
+	}
+	if j.stored {
+		done(nil)
+		return true
+	}
+	if j.final == "" {
+		c.finish(j, work.Cancelled)
+	}
+	j.onEnd = append(j.onEnd, done)
+	return true
+}
+
+// finish decides the job's end. Its tasks stop; callers see the end once it is
+// stored.
+func (c *Core) finish(j *job, state work.State) {
+	j.final = state
+	c.dirty[j.ID] = j
+	c.open = slices.DeleteFunc(c.open, func(o *job) bool { return o == j })
+	j.eachTask(func(t *task) {
+		switch t.state {
+		case taskActive, taskStarting, taskDoubtful:
+			t.step.set(t, taskStopping)
+		}
+	})
+	c.log.Info("job ends", "job", j.ID, "state", state, "queue", j.Queue)
+}
+
+// release takes the task off its worker.
+func (c *Core) release(t *task) {
+	if t.where != nil {
+		delete(t.where.tasks, t.ref)
+		t.where.full = false
+		t.where = nil
+	}
+	t.stopSent, t.stopOK, t.percent, t.gauge, t.pace = 0, 0, 0, 0, fullPercent
+}
+
+// requeue lets the task start anew, if its job goes on.
+func (c *Core) requeue(t *task) {
+	c.release(t)
+	t.step.set(t, taskPending)
+}
+
+// attach notes that the task is, or may be, on the worker.
+func (c *Core) attach(t *task, w *worker, run int, state taskState, now time.Duration) {
+	if t.where != nil && t.where != w {
+		delete(t.where.tasks, t.ref)
+	}
+	t.where, t.run = w, run
+	t.movedAt = now
+	w.tasks[t.ref] = t
+	t.step.set(t, state)
+	if state == taskActive {
+		t.answered = now
+		t.step.job.begun = true
+	}
+}
+
+func (c *Core) find(ref work.TaskRef) *task {
+	j := c.jobs[ref.Job]
+	if j == nil {
+		return nil
+	}
+	return j.task(ref)
+}
+
+func (c *Core) size(queue string) *meanSize {
+	m := c.sizes[queue]
+	if m == nil {
+		m = &meanSize{}
+		c.sizes[queue] = m
+	}
+	return m
+}
+
+// meanSize is the mean size of a queue's jobs in core-seconds.
+type meanSize struct {
+	sum float64
+	n   int
+}
+
+func (m *meanSize) add(size float64) { m.sum += size; m.n++ }
+
+func (m *meanSize) mean() float64 {
+	if m.n == 0 {
+		return 0
+	}
+	return m.sum / float64(m.n)
+}
+
+// durations holds how long tasks really take against their estimates, by what
+// they run.
+type durations map[string]float64
+
+// learnShare is the weight of the newest task. Jobs of one queue differ by half
+// their estimate and more; a tenth follows a change within some thirty tasks
+// and is not thrown by one.
+const learnShare = 0.1
+
+func learnKey(t *step) string {
+	if t.spec.Image != "" {
+		return t.spec.Image
+	}
+	return t.job.Queue
+}
+
+func (d durations) ratio(s *step) float64 {
+	if r, known := d[learnKey(s)]; known {
+		return r
+	}
+	return 1
+}
+
+func (d durations) learn(s *step, took time.Duration) {
+	if s.spec.Estimate <= 0 || s.spec.Lasting {
+		return
+	}
+	ratio := float64(took) / float64(s.spec.Estimate)
+	key := learnKey(s)
+	if old, known := d[key]; known {
+		ratio = old + learnShare*(ratio-old)
+	}
+	d[key] = ratio
+}
+
+func (d durations) estimate(s *step) time.Duration {
+	return time.Duration(float64(s.spec.Estimate) * d.ratio(s))
+}
+
+// reserved returns what the task holds of a worker.
+func (t *task) reserved() work.Resources { return taskplan.Reserved(t.step.spec) }
--- /dev/null
+++ b/internal/engine/engine.go
@@ -0,0 +1,371 @@
+package engine
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"github.com/pumicestage/pumicestage/internal/infra"
+	"github.com/pumicestage/pumicestage/policy/work"
+)
+
+// Errors of an engine's calls.
+var (
+	// ErrNotReady: this entry VM does not own the workers (any more) or has
+	// not read what is stored yet. Nothing was done.
+	ErrNotReady = errors.New("engine: not the owner, or not ready")
+	// ErrStore: the store can't take the job now. Nothing was or will be stored.
+	ErrStore = errors.New("engine: the store does not answer")
+	// ErrUncertain: the store was sent the change and did not answer.
+	ErrUncertain = errors.New("engine: the store did not confirm")
+	// ErrUnknownJob: no such job.
+	ErrUnknownJob = errors.New("engine: no such job")
+)
+
+// Clock is where an engine's time comes from.
+type Clock interface {
+	// Now is the time since the VM's start, suspended spells included.
+	Now() time.Duration
+	// Wall is the time of day.
+	Wall() time.Time
+}
+
+// Term is one spell of ownership.
+type Term interface {
+	// Token is the fencing token of all orders of the term.
+	Token() int64
+	// AllowedUntil is until when orders may be given without another look at
+	// the lease, on the engine's clock.
+	AllowedUntil() time.Duration
+	// Certain reports whether no other owner can exist now.
+	Certain() bool
+	// End gives the term up.
+	End(reason string)
+}
+
+// Options are what an Engine is made of.
+type Options struct {
+	Store    infra.Store
+	Workers  Workers
+	Machines Machines
+	Advisor  Advisor // nil: no queue is advised
+	Waves    Waves
+	Clock    Clock
+	Log      logr.Logger
+	Bounds   Bounds
+	Term     Term
+	// Registry returns the workers that are registered now.
+	Registry func() []WorkerInfo
+	// Declared returns the operator's configuration in force.
+	Declared func() Declared
+	Metrics  *Metrics
+}
+
+// Engine runs a Core for one term.
+type Engine struct {
+	Options
+
+	ctx context.Context // of the term, set by Run
+
+	mu       sync.Mutex
+	core     *Core
+	sessions map[work.WorkerID]*session
+	restored bool
+
+	planKick  chan struct{}
+	storeKick chan struct{}
+	writer    writer
+	fleet     *fleet
+	wg        sync.WaitGroup
+}
+
+// New returns an engine for the term.
+func New(o Options) *Engine {
+	e := &Engine{
+		Options:   o,
+		sessions:  make(map[work.WorkerID]*session),
+		planKick:  make(chan struct{}, 1),
+		storeKick: make(chan struct{}, 1),
+	}
+	e.core = NewCore(o.Term.Token(), o.Bounds, o.Log.WithName("core"))
+	e.writer = writer{engine: e}
+	e.fleet = newFleet(e)
+	return e
+}
+
+// Run takes over what earlier owners left and carries jobs out until ctx ends
+// or the term is lost.
+func (e *Engine) Run(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer func() {
+		cancel()
+		e.wg.Wait()
+	}()
+	e.ctx = ctx
+	start := e.Clock.Now()
+	if err := e.restore(ctx); err != nil {
+		return err
+	}
+	e.Log.Info("took over", "token", e.Term.Token(), "jobs", len(e.core.jobs), "open", len(e.core.open), "took", (e.Clock.Now() - start).String())
+	e.mu.Lock()
+	e.restored = true
+	e.mu.Unlock()
+	e.wg.Go(func() { e.writer.run(ctx) })
+	e.wg.Go(func() { e.readInbox(ctx) })
+	if e.Machines != nil {
+		e.wg.Go(func() { e.fleet.run(ctx) })
+	}
+	e.RegistryChanged()
+	return e.planLoop(ctx)
+}
+
+// Pace of planning.
+const (
+	// planEvery replans although nothing happened: leases run out, pauses end.
+	planEvery = 100 * time.Millisecond
+	// planPause lets what happens together be planned together.
+	planPause = 2 * time.Millisecond
+)
+
+func (e *Engine) planLoop(ctx context.Context) error {
+	tick := time.NewTicker(planEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-e.planKick:
+			sleep(ctx, planPause)
+		case <-tick.C:
+		}
+		if !e.plan(ctx) {
+			e.Term.End("a later owner is known")
+			return ErrNotReady
+		}
+	}
+}
+
+// plan plans and sends the orders; false where the core is deposed.
+func (e *Engine) plan(ctx context.Context) bool {
+	now := e.Clock.Now()
+	e.mu.Lock()
+	e.core.AllowUntil(e.Term.AllowedUntil())
+	e.core.Declare(e.Declared())
+	orders := e.core.Plan(now, e.Clock.Wall())
+	deposed := e.core.Deposed()
+	all, final := e.core.Dirty()
+	ack := e.core.unacknowledged()
+	e.mu.Unlock()
+	if deposed {
+		return false
+	}
+	if all > 0 || final > 0 || ack {
+		kick(e.storeKick)
+	}
+	e.send(ctx, &orders)
+	return true
+}
+
+func (e *Engine) send(ctx context.Context, o *Orders) {
+	for i := range o.Starts {
+		if s := e.session(o.Starts[i].Worker.ID); s != nil {
+			s.do(ctx, func() { e.start(ctx, o.Starts[i]) })
+		}
+	}
+	for i := range o.Stops {
+		if s := e.session(o.Stops[i].Worker.ID); s != nil {
+			s.do(ctx, func() { e.stop(ctx, o.Stops[i]) })
+		}
+	}
+	for i := range o.Paces {
+		if s := e.session(o.Paces[i].Worker.ID); s != nil {
+			s.do(ctx, func() { e.pace(ctx, o.Paces[i]) })
+		}
+	}
+	for i := range o.Advice {
+		a := o.Advice[i]
+		e.wg.Go(func() { e.advise(ctx, a) })
+	}
+}
+
+// orderTimeout ends a start or stop without an answer. Workers answer in a few
+// milliseconds; what is later is settled by a stop.
+const orderTimeout = 800 * time.Millisecond
+
+// allowed is asked right before an order leaves: a VM that was suspended
+// between planning and sending may have a successor.
+func (e *Engine) allowed() bool { return e.Clock.Now() <= e.Term.AllowedUntil() }
+
+func (e *Engine) start(ctx context.Context, o StartOrder) {
+	out, clock := OutcomeNotSent, time.Duration(0)
+	if e.allowed() {
+		call, cancel := context.WithTimeout(ctx, orderTimeout)
+		out, clock = e.Workers.Start(call, &o.Worker, o.Start)
+		cancel()
+	}
+	e.Metrics.start(out)
+	e.mu.Lock()
+	e.core.StartAnswered(o, out, clock, e.Clock.Now())
+	e.mu.Unlock()
+	e.wake(o.Worker.ID)
+	if out != OutcomeOK {
+		kick(e.planKick)
+	}
+}
+
+func (e *Engine) stop(ctx context.Context, o StopOrder) {
+	if !e.allowed() {
+		return
+	}
+	call, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	out := e.Workers.Stop(call, &o.Worker, o.Task, o.Run, e.Term.Token())
+	e.Metrics.stop(out)
+	e.mu.Lock()
+	e.core.StopAnswered(o, out, e.Clock.Now())
+	e.mu.Unlock()
+	e.wake(o.Worker.ID)
+	kick(e.planKick)
+}
+
+func (e *Engine) pace(ctx context.Context, o PaceOrder) {
+	if !e.allowed() {
+		return
+	}
+	call, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	out := e.Workers.Pace(call, &o.Worker, o.Task, o.Run, o.Percent, e.Term.Token())
+	e.Log.Info("pace", "task", o.Task.String(), "worker", o.Worker.ID, "percent", o.Percent, "outcome", int(out))
+	if out != OutcomeOK {
+		e.mu.Lock()
+		if t := e.core.find(o.Task); t != nil && t.run == o.Run {
+			t.pace, t.paceSent = -1, e.Clock.Now() // unknown: set again
+		}
+		e.mu.Unlock()
+	}
+}
+
+// adviceTimeout ends a call to the advisor: decisions take tens of
+// milliseconds and calls of one VM wait for each other.
+const adviceTimeout = 1500 * time.Millisecond
+
+func (e *Engine) advise(ctx context.Context, o AdviceOrder) {
+	call, cancel := context.WithTimeout(ctx, adviceTimeout)
+	defer cancel()
+	sent := e.Clock.Now()
+	tickets, validity, err := e.Advisor.Advise(call, o.Step, o.Workers)
+	if err != nil {
+		e.Log.Info("no advice", "step", o.Step.String(), "workers", len(o.Workers), "error", err.Error())
+	}
+	e.mu.Lock()
+	e.core.Advised(o.Step, tickets, validity, sent)
+	e.mu.Unlock()
+	kick(e.planKick)
+}
+
+// Submit accepts a job: it is stored when nil is returned.
+func (e *Engine) Submit(ctx context.Context, j *work.Job, q Queue) error {
+	e.mu.Lock()
+	ready, known := e.restored, e.core.Known(j.ID)
+	e.mu.Unlock()
+	if !ready {
+		return ErrNotReady
+	}
+	if known {
+		return nil
+	}
+	return e.writer.create(ctx, j, q)
+}
+
+// accepted hands a stored job to the core.
+func (e *Engine) accepted(j *work.Job, q Queue) {
+	e.mu.Lock()
+	e.core.Accept(j, q, e.Clock.Now())
+	e.mu.Unlock()
+	kick(e.planKick)
+}
+
+// State returns what the job's caller is told.
+func (e *Engine) State(id work.JobID) (work.State, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if !e.restored {
+		return "", ErrNotReady
+	}
+	s, known := e.core.State(id)
+	if !known {
+		return "", ErrUnknownJob
+	}
+	return s, nil
+}
+
+// Cancel cancels the job; it is stored when nil is returned.
+func (e *Engine) Cancel(ctx context.Context, id work.JobID) error {
+	done := make(chan error, 1)
+	e.mu.Lock()
+	if !e.restored {
+		e.mu.Unlock()
+		return ErrNotReady
+	}
+	known := e.core.Cancel(id, func(err error) { done <- err })
+	e.mu.Unlock()
+	if !known {
+		return ErrUnknownJob
+	}
+	kick(e.storeKick)
+	kick(e.planKick)
+	select {
+	case err := <-done:
+		return err
+	case <-ctx.Done():
+		return ErrUncertain
+	}
+}
+
+// Waiting counts the queue's jobs that have not begun.
+func (e *Engine) Waiting(queue string) (int, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if !e.restored {
+		return 0, ErrNotReady
+	}
+	return e.core.Waiting(queue), nil
+}
+
+// RegistryChanged makes the engine read the registered workers again.
+func (e *Engine) RegistryChanged() {
+	now := e.Clock.Now()
+	e.mu.Lock()
+	if !e.restored {
+		e.mu.Unlock()
+		return
+	}
+	for _, info := range e.Registry() {
+		e.core.WorkerSeen(info, now)
+		if e.sessions[info.ID] == nil {
+			e.sessions[info.ID] = newSession(e, info.ID)
+		}
+	}
+	e.mu.Unlock()
+	e.startSessions()
+	kick(e.planKick)
+}
+
+func kick(c chan struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
--- /dev/null
+++ b/internal/engine/fleet.go
@@ -0,0 +1,348 @@
+package engine
+
+import (
+	"context"
+	"encoding/json"
+	"slices"
+	"time"
+
+	"github.com/pumicestage/pumicestage/internal/infra"
+	"github.com/pumicestage/pumicestage/policy/upkeep"
+	"github.com/pumicestage/pumicestage/policy/work"
+)
+
+// Waves are the operator's maintenance waves.
+type Waves interface {
+	// Ordered returns the waves that the operator has ordered.
+	Ordered() []OrderedWave
+	// Report tells the operator how a wave stands.
+	Report(ctx context.Context, wave string, completed bool) error
+}
+
+// OrderedWave is a wave and when this entry VM first saw it.
+type OrderedWave struct {
+	work.Wave
+	Seen time.Duration
+}
+
+// Pace of the fleet's reconciler.
+const (
+	fleetQuiet = 1 * time.Second
+	fleetBusy  = 300 * time.Millisecond
+	// listTimeout ends a call to the platform's VM service.
+	listTimeout = 1 * time.Second
+	// vmOrderPause keeps orders for one VM apart from an earlier owner's: the
+	// deployments count two holders that take turns within a lease as a fault.
+	vmOrderPause = 3200 * time.Millisecond
+	// emptyTime is what emptying a VM takes as a rule: its longest tasks.
+	emptyTime = 2500 * time.Millisecond
+	// maintenanceTime is what one VM's maintenance takes, detection included.
+	maintenanceTime = 2700 * time.Millisecond
+)
+
+// vmOrder is an order for a VM that may not be over.
+type vmOrder struct {
+	sent     time.Duration
+	accepted bool
+	wave     string
+	life     work.WorkerID // the worker it had
+	left     bool          // it was seen to be not up since
+}
+
+// fleet looks after VMs: which life each has, and the waves.
+type fleet struct {
+	e      *Engine
+	vms    map[string]work.VM
+	orders map[string]*vmOrder
+	waves  map[string]*waveRun
+	began  time.Duration
+	kick   chan struct{}
+}
+
+type waveRun struct {
+	Done      map[string]bool `json:"done"`
+	Completed bool            `json:"completed,omitempty"`
+	reported  string
+	saved     int
+	loaded    bool
+	emptying  map[string]bool
+}
+
+func newFleet(e *Engine) *fleet {
+	return &fleet{
+		e: e, orders: make(map[string]*vmOrder), waves: make(map[string]*waveRun), kick: make(chan struct{}, 1),
+	}
+}
+
+func (f *fleet) run(ctx context.Context) {
+	f.began = f.e.Clock.Now()
+	for ctx.Err() == nil {
+		f.pass(ctx)
+		pause := fleetQuiet
+		if f.busy() {
+			pause = fleetBusy
+		}
+		sleep(ctx, pause)
+	}
+}
+
+func (f *fleet) busy() bool {
+	if len(f.orders) > 0 {
+		return true
+	}
+	for _, w := range f.e.Waves.Ordered() {
+		if r := f.waves[w.Name]; r == nil || !r.Completed {
+			return true
+		}
+	}
+	return false
+}
+
+func (f *fleet) pass(ctx context.Context) {
+	call, cancel := context.WithTimeout(ctx, listTimeout)
+	sent := f.e.Clock.Now()
+	list, err := f.e.Machines.List(call)
+	cancel()
+	if err != nil {
+		f.e.Log.Info("VMs not listed", "error", err.Error())
+		return
+	}
+	f.vms = make(map[string]work.VM, len(list))
+	for _, vm := range list {
+		f.vms[vm.ID] = vm
+	}
+	f.lives(sent)
+	f.settle(sent)
+	for _, w := range f.e.Waves.Ordered() {
+		f.wave(ctx, w)
+	}
+}
+
+// lives ends the workers that the platform says are over: those whose VM has
+// another life or none.
+func (f *fleet) lives(sent time.Duration) {
+	current := make(map[work.WorkerID]bool, len(f.vms))
+	for _, vm := range f.vms {
+		if vm.State == work.VMUp && vm.Worker != "" {
+			current[vm.Worker] = true
+		}
+	}
+	now := f.e.Clock.Now()
+	f.e.mu.Lock()
+	defer f.e.mu.Unlock()
+	for id, w := range f.e.core.workers {
+		// A worker that was heard after the list was asked for is alive: the
+		// list was older.
+		if !current[id] && w.clockAt < sent && w.missed > 0 {
+			f.e.core.WorkerGone(id, "its VM has another life or none", now)
+		}
+	}
+}
+
+// settle ends orders whose effect is over.
+func (f *fleet) settle(sent time.Duration) {
+	for id, o := range f.orders {
+		vm, exists := f.vms[id]
+		switch {
+		case !exists:
+			delete(f.orders, id)
+		case vm.State != work.VMUp:
+			o.left = true
+		case sent > o.sent && (o.left || vm.Worker != o.life):
+			if r := f.waves[o.wave]; r != nil {
+				r.Done[id] = true
+			}
+			delete(f.orders, id)
+		case sent > o.sent+orderOver:
+			// Not carried out, or over long ago.
+			delete(f.orders, id)
+		}
+	}
+}
+
+// orderOver is when an order for a VM without visible effect is given up: the
+// platform may carry one out up to 12 s late.
+const orderOver = 13 * time.Second
+
+func (f *fleet) mayOrder() bool {
+	return f.e.Term.Certain() && f.e.Clock.Now() > f.began+vmOrderPause
+}
+
+func (f *fleet) wave(ctx context.Context, w OrderedWave) {
+	r := f.waves[w.Name]
+	if r == nil {
+		r = &waveRun{Done: make(map[string]bool), emptying: make(map[string]bool)}
+		f.waves[w.Name] = r
+	}
+	if !r.loaded && !f.loadWave(ctx, w.Name, r) {
+		return
+	}
+	if r.Completed {
+		f.report(ctx, w.Name, r)
+		return
+	}
+	in := f.input(w, r)
+	if len(in.Due) == 0 && in.Away == 0 {
+		r.Completed = true
+		f.e.Log.Info("wave completed", "wave", w.Name, "took", (f.e.Clock.Now() - w.Seen).String())
+	}
+	f.report(ctx, w.Name, r)
+	if r.Completed || !f.mayOrder() {
+		f.saveWave(ctx, w.Name, r)
+		return
+	}
+	d := upkeep.Decide(in)
+	f.cordon(r, d)
+	for _, id := range d.Maintain {
+		f.maintain(ctx, w, r, id)
+	}
+	f.saveWave(ctx, w.Name, r)
+}
+
+func (f *fleet) input(w OrderedWave, r *waveRun) upkeep.Input {
+	in := upkeep.Input{
+		Left:       w.Seen + w.Duration - f.e.Clock.Now(),
+		Each:       emptyTime + maintenanceTime,
+		MaxAtATime: w.MaxAtATime,
+	}
+	f.e.mu.Lock()
+	defer f.e.mu.Unlock()
+	backlog := f.e.core.Backlog()
+	for _, id := range w.VMs {
+		vm, exists := f.vms[id]
+		if o := f.orders[id]; o != nil && o.wave == w.Name {
+			in.Away++
+			continue
+		}
+		if exists && vm.State == work.VMMaintenance {
+			in.Away++
+			continue
+		}
+		if !exists || r.Done[id] {
+			continue
+		}
+		o := f.e.core.Occupied(vm.Worker)
+		in.Due = append(in.Due, upkeep.Candidate{
+			VM: vm, Parked: f.e.core.declared.Services[vm.Pool].Standby, Tasks: o.Tasks, Lasting: o.Lasting,
+			Backlog: backlog[vm.Pool] > 0, Cordoned: r.emptying[id],
+		})
+	}
+	return in
+}
+
+// Backlog counts the tasks that wait for room, by service.
+func (c *Core) Backlog() map[string]int {
+	out := make(map[string]int)
+	for _, j := range c.open {
+		for _, o := range j.live {
+			for _, s := range o.steps {
+				if s.pending > 0 && s.ready() {
+					out[j.queue.Service] += s.pending
+				}
+			}
+		}
+	}
+	return out
+}
+
+// cordon closes the VMs that are to be emptied and opens those no longer chosen.
+func (f *fleet) cordon(r *waveRun, d upkeep.Decision) {
+	f.e.mu.Lock()
+	defer f.e.mu.Unlock()
+	chosen := append(slices.Clone(d.Empty), d.Maintain...)
+	for id := range r.emptying {
+		if !slices.Contains(chosen, id) && f.orders[id] == nil {
+			delete(r.emptying, id)
+			f.e.core.Cordon(f.vms[id].Worker, "", false)
+		}
+	}
+	for _, id := range chosen {
+		r.emptying[id] = true
+		f.e.core.Cordon(f.vms[id].Worker, "maintenance", true)
+	}
+}
+
+func (f *fleet) maintain(ctx context.Context, w OrderedWave, r *waveRun, id string) {
+	vm := f.vms[id]
+	// Asked again under the lock: a start may have been on its way when the
+	// decision was made.
+	f.e.mu.Lock()
+	tasks := f.e.core.Occupied(vm.Worker).Tasks
+	f.e.mu.Unlock()
+	if tasks > 0 || f.orders[id] != nil {
+		return
+	}
+	o := &vmOrder{sent: f.e.Clock.Now(), wave: w.Name, life: vm.Worker}
+	f.orders[id] = o
+	call, cancel := context.WithTimeout(ctx, listTimeout)
+	out := f.e.Machines.Maintain(call, id, w.Name, f.e.Term.Token())
+	cancel()
+	f.e.Metrics.vm("maintain")
+	f.e.Log.Info("maintenance ordered", "vm", id, "pool", vm.Pool, "wave", w.Name, "outcome", int(out), "left", (w.Seen + w.Duration - o.sent).String())
+	switch out {
+	case VMDone:
+		o.accepted = true
+		r.Done[id] = true
+		f.e.mu.Lock()
+		f.e.core.WorkerGone(vm.Worker, "maintenance", f.e.Clock.Now())
+		f.e.mu.Unlock()
+	case VMFenced:
+		f.e.Term.End("the platform knows a later owner")
+	case VMBusy, VMLater, VMInvalid:
+		delete(f.orders, id)
+	}
+}
+
+func (f *fleet) loadWave(ctx context.Context, name string, r *waveRun) bool {
+	kv, _, err := f.e.Store.Get(ctx, infra.WorkWavePrefix+name)
+	if err != nil {
+		f.e.Log.Info("wave's progress not read", "wave", name, "error", err.Error())
+		return false
+	}
+	if kv.ModRevision != 0 {
+		if err := json.Unmarshal(kv.Value, r); err != nil {
+			f.e.Log.Error(err, "wave's progress is malformed: its VMs are ordered again, which is harmless", "wave", name)
+		}
+	}
+	if r.Done == nil {
+		r.Done = make(map[string]bool)
+	}
+	r.loaded = true
+	r.saved = len(r.Done)
+	return true
+}
+
+// saveWave stores what is done, so that a successor need not order it again.
+func (f *fleet) saveWave(ctx context.Context, name string, r *waveRun) {
+	if r.saved == len(r.Done) {
+		return
+	}
+	raw, err := json.Marshal(r)
+	if err != nil {
+		panic(err) // strings and booleans: it can't fail
+	}
+	call, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	if _, err := f.e.Store.Txn(call, infra.Txn{Then: []infra.Op{infra.Put(infra.WorkWavePrefix+name, raw)}}); err != nil {
+		f.e.Log.Info("wave's progress not stored", "wave", name, "error", err.Error())
+		return
+	}
+	r.saved = len(r.Done)
+}
+
+func (f *fleet) report(ctx context.Context, name string, r *waveRun) {
+	state := "running"
+	if r.Completed {
+		state = "completed"
+	}
+	if r.reported == state {
+		return
+	}
+	call, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	if err := f.e.Waves.Report(call, name, r.Completed); err != nil {
+		f.e.Log.Info("wave's state not reported", "wave", name, "error", err.Error())
+		return
+	}
+	r.reported = state
+}
--- /dev/null
+++ b/internal/engine/listing.go
@@ -0,0 +1,340 @@
+package engine
+
+import (
+	"time"
+
+	"github.com/pumicestage/pumicestage/policy/work"
+)
+
+// WorkerSeen takes a worker's registration over.
+func (c *Core) WorkerSeen(info WorkerInfo, now time.Duration) (fresh bool) {
+	w := c.workers[info.ID]
+	if w == nil {
+		w = &worker{info: info, tasks: make(map[work.TaskRef]*task), strays: make(map[work.TaskRef]int)}
+		c.workers[info.ID] = w
+		c.replaceAt(info, now)
+		return true
+	}
+	w.info = info
+	return false
+}
+
+// replaceAt ends the earlier lives at the same address: a worker that listens
+// there proves that they are over.
+func (c *Core) replaceAt(info WorkerInfo, now time.Duration) {
+	for id, w := range c.workers {
+		if id != info.ID && w.info.Address == info.Address && !w.gone {
+			c.WorkerGone(id, "address taken by another", now)
+		}
+	}
+}
+
+// Inherit says until when, on our clock, an earlier owner may have extended the
+// worker's lease.
+func (c *Core) Inherit(id work.WorkerID, until time.Duration) {
+	if w := c.workers[id]; w != nil {
+		w.inherited = until
+	}
+}
+
+// WorkerGone says that the worker's life is over, and with it all it ran.
+func (c *Core) WorkerGone(id work.WorkerID, why string, now time.Duration) {
+	w := c.workers[id]
+	if w == nil || w.gone {
+		return
+	}
+	w.gone = true
+	c.log.Info("worker gone", "worker", id, "service", w.info.Service, "tasks", len(w.tasks), "reason", why)
+	c.dropTasks(w, now)
+	delete(c.workers, id)
+}
+
+// dropTasks takes everything off the worker: none of it runs any more.
+func (c *Core) dropTasks(w *worker, now time.Duration) {
+	for _, t := range w.tasks {
+		c.log.V(1).Info("run lost", "task", t.ref.String(), "run", t.run, "worker", w.info.ID)
+		c.ranOut(t, now)
+	}
+	clear(w.strays)
+}
+
+// ranOut handles the end of a run that did no work to its end.
+func (c *Core) ranOut(t *task, now time.Duration) {
+	if t.step.job.final != "" {
+		c.release(t)
+		t.step.set(t, taskPending)
+		return
+	}
+	c.requeue(t)
+}
+
+// HoldFor returns the next look at the worker, or false where none is needed.
+func (c *Core) HoldFor(id work.WorkerID, now time.Duration) (WorkerInfo, Hold, bool) {
+	w := c.workers[id]
+	if w == nil || w.gone || now > c.startsUntil {
+		return WorkerInfo{}, Hold{}, false
+	}
+	if w.heard && len(w.tasks) == 0 && len(w.strays) == 0 && w.acked >= w.seen && w.missed == 0 {
+		return WorkerInfo{}, Hold{}, false
+	}
+	h := Hold{Token: c.token, AckedThrough: w.stored}
+	if !w.heard {
+		return w.info, h, true
+	}
+	if len(w.tasks) > 0 {
+		h.Wait = w.wait()
+	}
+	// A worker that did not answer gets no further extension: what it runs
+	// must be certain to end, so that it can start elsewhere.
+	if len(w.tasks) > 0 && w.missed == 0 {
+		h.Deadline = w.clockNow(now) + min(LeaseAhead, c.bounds.MaxHold)
+		w.deadline = max(w.deadline, h.Deadline)
+	}
+	return w.info, h, true
+}
+
+func (w *worker) wait() time.Duration {
+	serving, filling := false, false
+	for _, t := range w.tasks {
+		if t.state == taskDoubtful || t.state == taskStopping {
+			return lookPause
+		}
+		serving = serving || t.step.spec.Serving()
+		filling = filling || t.step.spec.Fill
+	}
+	if serving && filling {
+		return serveWait
+	}
+	return lookWait
+}
+
+// HoldFailed notes a look that was not answered.
+func (c *Core) HoldFailed(id work.WorkerID, o Outcome, now time.Duration) {
+	w := c.workers[id]
+	if w == nil {
+		return
+	}
+	switch o {
+	case OutcomeFenced:
+		c.deposed = true
+		return
+	case OutcomeOtherLife:
+		c.WorkerGone(id, "another life answers", now)
+		return
+	}
+	w.missed++
+	if w.missed == 1 && len(w.tasks) > 0 {
+		c.log.Info("worker does not answer", "worker", id, "tasks", len(w.tasks), "outcome", int(o))
+	}
+	c.Expire(now)
+}
+
+// Expire restarts what unreachable workers ran, once it is certain to be over.
+func (c *Core) Expire(now time.Duration) {
+	for _, w := range c.workers {
+		if w.missed > 0 && len(w.tasks) > 0 && w.expired(now) {
+			c.log.Info("leases of an unreachable worker have run out", "worker", w.info.ID, "tasks", len(w.tasks))
+			c.dropTasks(w, now)
+		}
+	}
+}
+
+// HoldAnswered takes a worker's answer over. sent is when the look was sent and
+// h what it carried.
+func (c *Core) HoldAnswered(id work.WorkerID, h Hold, l Listing, sent, now time.Duration) {
+	w := c.workers[id]
+	if w == nil {
+		return
+	}
+	w.clockSaid(l.Clock, now)
+	w.acked = max(w.acked, h.AckedThrough)
+	if !w.heard {
+		c.log.Info("worker heard", "worker", id, "service", w.info.Service, "running", len(l.Running), "ended", len(l.Ended))
+	} else if w.missed > 0 {
+		c.log.Info("worker answers again", "worker", id, "missed", w.missed)
+	}
+	w.heard = true
+	w.missed = 0
+	for i := range l.Ended {
+		if e := &l.Ended[i]; e.Seq > w.seen {
+			w.seen = e.Seq
+			c.ended(w, e, now)
+		}
+	}
+	c.listed(w, l.Running, sent, now)
+}
+
+// listed compares what runs with what should.
+func (c *Core) listed(w *worker, running []Run, sent, now time.Duration) {
+	present := make(map[work.TaskRef]int, len(running))
+	clear(w.strays)
+	for i := range running {
+		present[running[i].Task] = running[i].Run
+		c.runs(w, &running[i], now)
+	}
+	for ref, t := range w.tasks {
+		if present[ref] != t.run {
+			c.notListed(t, sent, now)
+		}
+	}
+}
+
+// runs takes one listed run over.
+func (c *Core) runs(w *worker, r *Run, now time.Duration) {
+	t := c.find(r.Task)
+	if t == nil || t.state == taskDone {
+		w.strays[r.Task] = r.Run
+		return
+	}
+	if t.where == nil && t.run <= r.Run {
+		if t.step.job.final != "" {
+			w.strays[r.Task] = r.Run
+			return
+		}
+		// An earlier owner's run, or one that was thought lost.
+		c.log.Info("run adopted", "task", r.Task.String(), "run", r.Run, "worker", w.info.ID)
+		c.attach(t, w, r.Run, taskActive, now)
+	}
+	if t.where != w || t.run != r.Run {
+		w.strays[r.Task] = r.Run
+		return
+	}
+	if t.state == taskStarting || t.state == taskDoubtful {
+		c.attach(t, w, r.Run, taskActive, now)
+	}
+	if r.Checkpoint != "" {
+		t.checkpoint, t.savedRun = r.Checkpoint, r.Run
+	}
+	if r.Percent != t.percent {
+		t.percent, t.movedAt = r.Percent, now
+	}
+	t.gauge = r.Gauge
+}
+
+// notListed handles a task that should be there by our books and is neither
+// listed as running nor as ended. A look that left before the worker answered
+// the start proves nothing: answers overtake each other.
+func (c *Core) notListed(t *task, sent, now time.Duration) {
+	switch t.state {
+	case taskActive:
+		if t.answered < sent {
+			c.log.Info("run vanished", "task", t.ref.String(), "run", t.run)
+			c.ranOut(t, now)
+		}
+	case taskStopping:
+		if t.stopOK != 0 && t.stopOK < sent {
+			c.ranOut(t, now)
+		}
+	}
+}
+
+// ended takes one end over. Its effect must be stored before it is acknowledged.
+func (c *Core) ended(w *worker, e *RunEnd, now time.Duration) {
+	delete(w.strays, e.Task)
+	t := c.find(e.Task)
+	if t == nil {
+		return
+	}
+	if e.Checkpoint != "" && e.Run >= t.savedRun {
+		t.checkpoint, t.savedRun = e.Checkpoint, e.Run
+		c.dirty[t.ref.Job] = t.step.job
+	}
+	current := t.where == w && t.run == e.Run
+	t.run = max(t.run, e.Run)
+	switch e.How {
+	case work.Done:
+		c.taskDone(w, t, e, current, now)
+	case work.Faulted:
+		c.taskFailed(w, t, e, current, now)
+	default:
+		if current {
+			c.log.V(1).Info("run ended", "task", t.ref.String(), "run", e.Run, "how", e.How, "worker", w.info.ID)
+			c.ranOut(t, now)
+		}
+	}
+}
+
+func (c *Core) taskDone(w *worker, t *task, e *RunEnd, current bool, now time.Duration) {
+	w.strikes.success()
+	if t.state == taskDone {
+		return
+	}
+	if t.step.spec.Lasting {
+		if current {
+			c.ranOut(t, now)
+		}
+		return
+	}
+	if current {
+		c.learned.learn(t.step, now-t.answered)
+	}
+	if t.step.spec.Gang {
+		// One member's end stands for all of its run.
+		for _, member := range t.step.tasks {
+			c.markDone(member, e.Run)
+		}
+	} else {
+		c.markDone(t, e.Run)
+	}
+	c.log.V(1).Info("task done", "task", t.ref.String(), "run", e.Run, "worker", w.info.ID)
+	c.advance(t.step.job)
+}
+
+// markDone ends the task. Where a run other than the one that ended goes on, it
+// becomes a stray, which is stopped.
+func (c *Core) markDone(t *task, endedRun int) {
+	if t.state == taskDone {
+		return
+	}
+	if t.where != nil && t.run != endedRun {
+		t.where.strays[t.ref] = t.run
+	}
+	c.release(t)
+	t.step.set(t, taskDone)
+	c.dirty[t.ref.Job] = t.step.job
+}
+
+// advance ends occurrences and the job where all is done.
+func (c *Core) advance(j *job) {
+	if j.final != "" {
+		return
+	}
+	live := j.live[:0]
+	for _, o := range j.live {
+		if !o.finished() {
+			live = append(live, o)
+		}
+	}
+	j.live = live
+	if len(j.live) == 0 && j.next >= j.Occurrences() {
+		c.finish(j, work.Completed)
+	}
+}
+
+// Pauses between starts of a lasting task that fails again and again.
+const (
+	firstPause = 50 * time.Millisecond
+	mostPause  = 800 * time.Millisecond
+)
+
+func (c *Core) taskFailed(w *worker, t *task, e *RunEnd, current bool, now time.Duration) {
+	c.log.Info("run failed", "task", t.ref.String(), "run", e.Run, "worker", w.info.ID, "failures", t.failures+1)
+	w.strikes.failure(t.ref.Job, now)
+	t.failures++
+	t.avoid = append(t.avoid, w.info.ID)
+	if current {
+		c.ranOut(t, now)
+	}
+	j := t.step.job
+	if j.final != "" || t.state == taskDone {
+		return
+	}
+	c.dirty[j.ID] = j
+	if t.step.spec.Lasting {
+		t.notBefore = now + min(mostPause, firstPause<<min(t.failures, 4))
+		return
+	}
+	if j.queue.MaxAttempts > 0 && t.failures >= j.queue.MaxAttempts {
+		c.finish(j, work.Failed)
+	}
+}
--- /dev/null
+++ b/internal/engine/metrics.go
@@ -0,0 +1,66 @@
+package engine
+
+import (
+	"expvar"
+
+	"github.com/pumicestage/pumicestage/internal/infra"
+)
+
+// Metrics counts what an engine does. The zero value of a pointer counts nothing.
+type Metrics struct {
+	Starts *expvar.Map // by outcome
+	Stops  *expvar.Map
+	Looks  *expvar.Map
+	Txns   *expvar.Map
+	VMs    *expvar.Map // orders for VMs, by kind
+}
+
+// NewMetrics returns counters, not published yet.
+func NewMetrics() *Metrics {
+	m := func() *expvar.Map { return new(expvar.Map).Init() }
+	return &Metrics{Starts: m(), Stops: m(), Looks: m(), Txns: m(), VMs: m()}
+}
+
+var outcomeNames = map[Outcome]string{
+	OutcomeUnknown: "unanswered", OutcomeOK: "ok", OutcomeFenced: "fenced", OutcomeOld: "old_run", OutcomeLate: "late",
+	OutcomeNoRoom: "no_room", OutcomeNoTicket: "no_ticket", OutcomeRefused: "refused", OutcomeOtherLife: "other_life",
+	OutcomeNotSent: "not_sent",
+}
+
+// String returns the outcome as logs and metrics show it.
+func (o Outcome) String() string { return outcomeNames[o] }
+
+func (m *Metrics) start(o Outcome) {
+	if m != nil {
+		m.Starts.Add(o.String(), 1)
+	}
+}
+
+func (m *Metrics) stop(o Outcome) {
+	if m != nil {
+		m.Stops.Add(o.String(), 1)
+	}
+}
+
+func (m *Metrics) look(o Outcome) {
+	if m != nil {
+		m.Looks.Add(o.String(), 1)
+	}
+}
+
+func (m *Metrics) txn(err error) {
+	if m == nil {
+		return
+	}
+	if err == nil {
+		m.Txns.Add("ok", 1)
+		return
+	}
+	m.Txns.Add(infra.KindOf(err).String(), 1)
+}
+
+func (m *Metrics) vm(what string) {
+	if m != nil {
+		m.VMs.Add(what, 1)
+	}
+}
--- /dev/null
+++ b/internal/engine/progress.go
@@ -0,0 +1,261 @@
+package engine
+
+import (
+	"encoding/json"
+	"slices"
+	"time"
+
+	"github.com/pumicestage/pumicestage/policy/work"
+)
+
+// JobRecord is what the store holds under a job's key. It is made once, when
+// the job is accepted, and replaced by a short one when the job has ended: the
+// key must stay, as it keeps the ID from being used again.
+type JobRecord struct {
+	Job   *work.Job  `json:"job,omitempty"`
+	Queue *Queue     `json:"queue,omitempty"` // as configured when accepted
+	State work.State `json:"state,omitempty"` // empty until the job has ended
+	Ended time.Time  `json:"ended,omitzero"`
+}
+
+// Progress is what the store holds of an open job beside its record. All of it
+// must be stored before the ends it tells of are acknowledged.
+type Progress struct {
+	Next        int                  `json:"next,omitempty"` // number of the next occurrence
+	Run         int                  `json:"run,omitempty"`  // highest run number of any task
+	Occurrences []OccurrenceProgress `json:"occurrences,omitempty"`
+}
+
+// OccurrenceProgress is of one occurrence that has begun and not ended.
+type OccurrenceProgress struct {
+	Number int            `json:"number"`
+	Steps  []StepProgress `json:"steps"`
+}
+
+// StepProgress is of one step.
+type StepProgress struct {
+	Done     []int          `json:"done,omitempty"`     // indexes of tasks that are done
+	Failures map[int]int    `json:"failures,omitempty"` // runs that failed, by index
+	Saved    map[int]string `json:"saved,omitempty"`    // newest checkpoints, by index
+}
+
+// Change is one job's progress to store.
+type Change struct {
+	Job      work.JobID
+	Final    work.State // set: the job has ended
+	Progress []byte     // else
+}
+
+// Flush is a set of changes, and the ends that may be acknowledged once they
+// are stored.
+type Flush struct {
+	Changes []Change
+	seen    map[work.WorkerID]int64
+}
+
+// Dirty counts the jobs with changes to store; final is how many of them ended.
+func (c *Core) Dirty() (all, final int) {
+	for _, j := range c.dirty {
+		if j.final != "" {
+			final++
+		}
+	}
+	return len(c.dirty), final
+}
+
+// TakeFlush returns the changes to store, at most so many. Ended jobs go first,
+// as their callers wait.
+func (c *Core) TakeFlush(most int) Flush {
+	jobs := make([]*job, 0, len(c.dirty))
+	for _, j := range c.dirty {
+		jobs = append(jobs, j)
+	}
+	slices.SortFunc(jobs, func(a, b *job) int {
+		if (a.final != "") != (b.final != "") {
+			if a.final != "" {
+				return -1
+			}
+			return 1
+		}
+		return int(a.accepted - b.accepted)
+	})
+	f := Flush{}
+	if len(jobs) <= most {
+		f.seen = make(map[work.WorkerID]int64)
+		for id, w := range c.workers {
+			f.seen[id] = w.seen
+		}
+	} else {
+		jobs = jobs[:most]
+	}
+	for _, j := range jobs {
+		delete(c.dirty, j.ID)
+		f.Changes = append(f.Changes, j.change())
+	}
+	return f
+}
+
+// Pending reports whether ends wait to be acknowledged although nothing of them
+// needs to be stored.
+func (c *Core) unacknowledged() bool {
+	for _, w := range c.workers {
+		if w.stored < w.seen {
+			return true
+		}
+	}
+	return false
+}
+
+func (j *job) change() Change {
+	if j.final != "" {
+		return Change{Job: j.ID, Final: j.final}
+	}
+	p := Progress{Next: j.next}
+	for _, o := range j.live {
+		op := OccurrenceProgress{Number: o.number}
+		for _, s := range o.steps {
+			sp := StepProgress{}
+			for i, t := range s.tasks {
+				p.Run = max(p.Run, t.run)
+				if t.state == taskDone {
+					sp.Done = append(sp.Done, i)
+					continue
+				}
+				if t.failures > 0 && !s.spec.Lasting {
+					sp.Failures = put(sp.Failures, i, t.failures)
+				}
+				if t.checkpoint != "" {
+					sp.Saved = put(sp.Saved, i, t.checkpoint)
+				}
+			}
+			op.Steps = append(op.Steps, sp)
+		}
+		p.Occurrences = append(p.Occurrences, op)
+	}
+	raw, err := json.Marshal(p)
+	if err != nil {
+		// Plain numbers and strings: it can't fail.
+		panic(err)
+	}
+	return Change{Job: j.ID, Progress: raw}
+}
+
+func put[V any](m map[int]V, key int, v V) map[int]V {
+	if m == nil {
+		m = make(map[int]V)
+	}
+	m[key] = v
+	return m
+}
+
+// Flushed says that the changes are stored, or with an error that they are not.
+func (c *Core) Flushed(f Flush, err error) {
+	for _, ch := range f.Changes {
+		j := c.jobs[ch.Job]
+		if j == nil {
+			continue
+		}
+		if err != nil {
+			c.dirty[ch.Job] = j
+			continue
+		}
+		if ch.Final != "" {
+			c.endStored(j)
+		}
+	}
+	if err != nil {
+		return
+	}
+	for id, seq := range f.seen {
+		if w := c.workers[id]; w != nil {
+			w.stored = max(w.stored, seq)
+		}
+	}
+}
+
+func (c *Core) endStored(j *job) {
+	j.stored = true
+	for _, f := range j.onEnd {
+		f(nil)
+	}
+	j.onEnd = nil
+	// What still runs is stopped as strays or by its own stop orders; the
+	// tasks are kept until their workers have ended them.
+	j.Spec = ""
+}
+
+// Restore adds a job that was accepted before this owner took over.
+func (c *Core) Restore(r *JobRecord, id work.JobID, p *Progress, now time.Duration, wall time.Time) {
+	if c.jobs[id] != nil {
+		return
+	}
+	if r.State != "" {
+		c.jobs[id] = &job{Job: work.Job{ID: id}, final: r.State, stored: true}
+		return
+	}
+	q := Queue{}
+	if r.Queue != nil {
+		q = *r.Queue
+	}
+	if known, ok := c.declared.Queues[r.Job.Queue]; ok {
+		q = known
+	}
+	// Its age counts from the acceptance, by the wall clock of the VM that
+	// took it; a clock that is off must not make it older than it can be.
+	age := max(0, wall.Sub(r.Job.Accepted))
+	j := newJob(r.Job, q, now-age)
+	j.restored = true
+	if p != nil {
+		j.restore(p)
+	} else {
+		j.baseRun = restoredRuns
+	}
+	c.add(j)
+}
+
+// restoredRuns is added to the run numbers of restored tasks. An earlier owner
+// may have started some without a note of it, at most as often as a task may
+// fail, lapse or be refused within its reign; a worker rejects a run that is not
+// higher than one it ended.
+const restoredRuns = 100
+
+func (j *job) restore(p *Progress) {
+	j.baseRun = p.Run + restoredRuns
+	for _, op := range p.Occurrences {
+		j.next = op.Number
+		o := j.addOccurrence(j.accepted)
+		for i := range op.Steps {
+			o.steps[i].restore(&op.Steps[i])
+		}
+	}
+	j.next = max(j.next, p.Next)
+}
+
+func (s *step) restore(p *StepProgress) {
+	for _, i := range p.Done {
+		if i < len(s.tasks) {
+			s.set(s.tasks[i], taskDone)
+			s.job.begun = true
+		}
+	}
+	for i, n := range p.Failures {
+		if i < len(s.tasks) {
+			s.tasks[i].failures = n
+			s.job.begun = true
+		}
+	}
+	for i, saved := range p.Saved {
+		if i < len(s.tasks) {
+			s.tasks[i].checkpoint = saved
+		}
+	}
+}
+
+// Reaffirm finishes jobs that were complete when they were restored.
+func (c *Core) Reaffirm() {
+	for _, j := range slices.Clone(c.open) {
+		if j.next >= j.Occurrences() {
+			c.advance(j)
+		}
+	}
+}
--- /dev/null
+++ b/internal/engine/restore.go
@@ -0,0 +1,222 @@
+package engine
+
+import (
+	"context"
+	"encoding/json"
+	"strings"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"github.com/pumicestage/pumicestage/internal/infra"
+	"github.com/pumicestage/pumicestage/policy/work"
+)
+
+// OwnerGrace is how long an owner that can't reach the store goes on giving
+// orders after its lease was last certain. Outages of the store last some
+// seconds, and work that runs would lapse in them for nothing; a successor waits
+// as much longer for workers it can't reach.
+const OwnerGrace = 5 * time.Second
+
+// inheritedFor is how long after a take-over an earlier owner's leases may
+// last on a worker that was not heard.
+func inheritedFor() time.Duration {
+	lease := time.Duration(float64(LeaseAhead) * (1 + clockError))
+	return OwnerGrace + lease + expirySlack
+}
+
+// loadTimeout ends one try at reading what is stored.
+const loadTimeout = 3 * time.Second
+
+// restore takes the commit key over, which fences every transaction of earlier
+// owners, and then reads all jobs.
+func (e *Engine) restore(ctx context.Context) error {
+	for ctx.Err() == nil {
+		first, err := e.seize(ctx)
+		if err == nil {
+			err = e.load(ctx, first)
+		}
+		if err == nil || trace.IsCompareFailed(err) {
+			return err
+		}
+		e.Log.Info("can't take over yet", "error", err.Error())
+		sleep(ctx, storePause)
+	}
+	return ctx.Err()
+}
+
+// seize writes the commit key; first reports that nobody had before.
+func (e *Engine) seize(ctx context.Context) (first bool, err error) {
+	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
+	defer cancel()
+	kv, _, err := e.Store.Get(ctx, infra.WorkCommitKey)
+	if err != nil {
+		return false, trace.Wrap(err)
+	}
+	var old commitMark
+	if kv.ModRevision != 0 {
+		if err := json.Unmarshal(kv.Value, &old); err != nil {
+			return false, trace.Wrap(err, "commit key is malformed")
+		}
+	}
+	if old.Token > e.Term.Token() {
+		return false, trace.CompareFailed("a later owner, token %d, has written", old.Token)
+	}
+	if old.Token == e.Term.Token() {
+		// An earlier try of ours took effect without an answer.
+		e.writer.rev = kv.ModRevision
+		return false, nil
+	}
+	mark, err := json.Marshal(commitMark{Token: e.Term.Token()})
+	if err != nil {
+		return false, trace.Wrap(err)
+	}
+	res, err := e.Store.Txn(ctx, infra.Txn{
+		If:   []infra.Cond{{Key: infra.WorkCommitKey, ModRevision: kv.ModRevision}},
+		Then: []infra.Op{infra.Put(infra.WorkCommitKey, mark)},
+	})
+	if err != nil {
+		return false, trace.Wrap(err)
+	}
+	if !res.Succeeded {
+		return false, trace.ConnectionProblem(nil, "the commit key changed meanwhile")
+	}
+	e.writer.rev = res.Revision
+	return kv.ModRevision == 0, nil
+}
+
+func (e *Engine) load(ctx context.Context, first bool) error {
+	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
+	defer cancel()
+	progress, _, err := e.Store.Range(ctx, infra.WorkProgressPrefix)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	jobs, _, err := e.Store.Range(ctx, infra.WorkJobPrefix)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	byJob := make(map[string]*Progress, len(progress))
+	for _, kv := range progress {
+		var p Progress
+		if err := json.Unmarshal(kv.Value, &p); err != nil {
+			e.Log.Error(err, "progress is malformed: the job starts over", "key", kv.Key)
+			continue
+		}
+		byJob[strings.TrimPrefix(kv.Key, infra.WorkProgressPrefix)] = &p
+	}
+	now, wall := e.Clock.Now(), e.Clock.Wall()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.core.Declare(e.Declared())
+	for _, kv := range jobs {
+		id := strings.TrimPrefix(kv.Key, infra.WorkJobPrefix)
+		var r JobRecord
+		if err := json.Unmarshal(kv.Value, &r); err != nil || r.Job == nil && r.State == "" {
+			e.Log.Error(err, "job record is malformed and left alone", "key", kv.Key)
+			continue
+		}
+		e.core.Restore(&r, work.JobID(id), byJob[id], now, wall)
+	}
+	e.core.Reaffirm()
+	for _, info := range e.Registry() {
+		e.core.WorkerSeen(info, now)
+		if !first {
+			e.core.Inherit(info.ID, now+inheritedFor())
+		}
+	}
+	return nil
+}
+
+// found adds a job that an entry VM stored itself.
+func (e *Engine) found(id work.JobID, r *JobRecord) {
+	e.mu.Lock()
+	if e.core.jobs[id] == nil {
+		e.core.Restore(r, id, nil, e.Clock.Now(), e.Clock.Wall())
+		// It was stored after this term began: no earlier owner knew it.
+		e.core.jobs[id].restored = false
+	}
+	e.mu.Unlock()
+	kick(e.planKick)
+}
+
+// Kinds of notes in the inbox.
+const (
+	NoteSubmit = "submit"
+	NoteCancel = "cancel"
+)
+
+// readInbox follows what entry VMs wrote while they could not reach the owner.
+func (e *Engine) readInbox(ctx context.Context) {
+	for ctx.Err() == nil {
+		if err := e.followInbox(ctx); err != nil && ctx.Err() == nil {
+			e.Log.Info("inbox not readable", "error", err.Error())
+			sleep(ctx, storePause)
+		}
+	}
+}
+
+func (e *Engine) followInbox(ctx context.Context) error {
+	notes, rev, err := e.Store.Range(ctx, infra.WorkInboxPrefix)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	for _, kv := range notes {
+		if err := e.note(ctx, kv.Key); err != nil {
+			return err
+		}
+	}
+	watch, cancel := context.WithCancel(ctx)
+	defer cancel()
+	batches, err := e.Store.Watch(watch, infra.WorkInboxPrefix, rev+1)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	for b := range batches {
+		if b.Err != nil {
+			return trace.Wrap(b.Err)
+		}
+		for _, ev := range b.Events {
+			if ev.Kind != infra.EventPut {
+				continue
+			}
+			if err := e.note(ctx, ev.KV.Key); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+// note handles one note and removes it.
+func (e *Engine) note(ctx context.Context, key string) error {
+	kind, id, ok := strings.Cut(strings.TrimPrefix(key, infra.WorkInboxPrefix), "/")
+	if !ok {
+		return trace.BadParameter("inbox key %q is malformed", key)
+	}
+	e.mu.Lock()
+	known := e.core.Known(work.JobID(id))
+	e.mu.Unlock()
+	if !known {
+		kv, _, err := e.Store.Get(ctx, infra.WorkJobKey(id))
+		if err != nil {
+			return trace.Wrap(err)
+		}
+		var r JobRecord
+		if kv.ModRevision == 0 {
+			e.Log.Info("note about a job that is not stored", "kind", kind, "job", id)
+		} else if err := json.Unmarshal(kv.Value, &r); err != nil {
+			e.Log.Error(err, "job record is malformed", "job", id)
+		} else {
+			e.found(work.JobID(id), &r)
+		}
+	}
+	e.Log.Info("note read", "kind", kind, "job", id, "known", known)
+	if kind == NoteCancel {
+		if err := e.Cancel(ctx, work.JobID(id)); err != nil && err != ErrUnknownJob {
+			return trace.Wrap(err)
+		}
+	}
+	_, err := e.Store.Txn(ctx, infra.Txn{Then: []infra.Op{infra.Delete(key)}})
+	return trace.Wrap(err)
+}
--- /dev/null
+++ b/internal/engine/session.go
@@ -0,0 +1,144 @@
+package engine
+
+import (
+	"context"
+	"time"
+
+	"github.com/pumicestage/pumicestage/policy/work"
+)
+
+// Connections to one worker: one for looks, which occupy theirs while they
+// wait, and some for orders. New connections are dear at one deployment.
+const orderSlots = 3
+
+// session is the conversation with one worker.
+type session struct {
+	engine  *Engine
+	id      work.WorkerID
+	kick    chan struct{}
+	orders  chan struct{} // slots for orders in progress
+	started bool
+}
+
+func newSession(e *Engine, id work.WorkerID) *session {
+	return &session{engine: e, id: id, kick: make(chan struct{}, 1), orders: make(chan struct{}, orderSlots)}
+}
+
+func (e *Engine) session(id work.WorkerID) *session {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.sessions[id]
+}
+
+// startSessions starts the look loops of new workers. The engine's context is
+// the one of its term.
+func (e *Engine) startSessions() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, s := range e.sessions {
+		if !s.started {
+			s.started = true
+			e.wg.Go(func() { s.run(e.ctx) })
+		}
+	}
+}
+
+func (e *Engine) wake(id work.WorkerID) {
+	if s := e.session(id); s != nil {
+		kick(s.kick)
+	}
+}
+
+// wakeAll lets idle sessions look whether there is something to do.
+func (e *Engine) wakeAll() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, s := range e.sessions {
+		kick(s.kick)
+	}
+}
+
+// do runs an order in one of the worker's slots.
+func (s *session) do(ctx context.Context, f func()) {
+	s.engine.wg.Go(func() {
+		select {
+		case s.orders <- struct{}{}:
+			defer func() { <-s.orders }()
+			f()
+		case <-ctx.Done():
+		}
+	})
+}
+
+// failedPause separates looks at a worker that does not answer.
+const failedPause = 150 * time.Millisecond
+
+// run looks at the worker for as long as something is or may be there.
+func (s *session) run(ctx context.Context) {
+	e := s.engine
+	for ctx.Err() == nil {
+		e.mu.Lock()
+		e.core.AllowUntil(e.Term.AllowedUntil())
+		info, h, due := e.core.HoldFor(s.id, e.Clock.Now())
+		_, exists := e.core.workers[s.id]
+		if !exists {
+			delete(e.sessions, s.id)
+		}
+		e.mu.Unlock()
+		if !exists {
+			return
+		}
+		if !due {
+			s.idle(ctx)
+			continue
+		}
+		pause := lookPause
+		if !s.look(ctx, &info, h) {
+			pause = failedPause
+		}
+		sleep(ctx, pause)
+	}
+}
+
+// idleEvery looks again at whether there is something to do, should a wake-up
+// have been missed while orders were not allowed.
+const idleEvery = 1 * time.Second
+
+func (s *session) idle(ctx context.Context) {
+	t := time.NewTimer(idleEvery)
+	defer t.Stop()
+	select {
+	case <-s.kick:
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
+
+func (s *session) look(ctx context.Context, info *WorkerInfo, h Hold) bool {
+	e := s.engine
+	if !e.allowed() {
+		return false
+	}
+	sent := e.Clock.Now()
+	call, cancel := context.WithTimeout(ctx, h.Wait+lookTimeout)
+	l, out := e.Workers.Hold(call, info, h)
+	cancel()
+	if ctx.Err() != nil {
+		return false
+	}
+	e.Metrics.look(out)
+	e.mu.Lock()
+	if out == OutcomeOK {
+		e.core.HoldAnswered(s.id, h, l, sent, e.Clock.Now())
+	} else {
+		e.core.HoldFailed(s.id, out, e.Clock.Now())
+	}
+	e.mu.Unlock()
+	if out != OutcomeOK || len(l.Ended) > 0 || !sameQuiet(l, h) {
+		kick(e.planKick)
+	}
+	return out == OutcomeOK
+}
+
+// sameQuiet reports whether the answer brought nothing to plan on.
+func sameQuiet(l Listing, h Hold) bool { return len(l.Ended) == 0 && h.Wait > lookPause }
--- /dev/null
+++ b/internal/engine/vacate.go
@@ -0,0 +1,100 @@
+package engine
+
+import (
+	"time"
+
+	"github.com/pumicestage/pumicestage/policy/work"
+)
+
+// Cordon keeps new tasks off the worker; vacate also moves lasting tasks away.
+// An empty reason lifts it.
+func (c *Core) Cordon(id work.WorkerID, reason string, vacate bool) {
+	w := c.workers[id]
+	if w == nil || w.cordon == reason && w.vacate == vacate {
+		return
+	}
+	w.cordon, w.vacate = reason, vacate
+	c.log.Info("cordon", "worker", id, "reason", reason, "tasks", len(w.tasks))
+}
+
+// Occupancy says what is on a worker.
+type Occupancy struct {
+	Known   bool
+	Heard   bool
+	Tasks   int
+	Lasting int
+	Used    work.Resources
+}
+
+// Occupied returns what is on the worker by our books.
+func (c *Core) Occupied(id work.WorkerID) Occupancy {
+	w := c.workers[id]
+	if w == nil {
+		return Occupancy{}
+	}
+	o := Occupancy{Known: true, Heard: w.heard, Tasks: len(w.tasks) + len(w.strays), Used: w.used()}
+	for _, t := range w.tasks {
+		if t.step.spec.Lasting {
+			o.Lasting++
+		}
+	}
+	return o
+}
+
+// vacate stops lasting tasks on workers that are to be emptied, so that they
+// start elsewhere, as far as each step's limit on unavailable tasks allows.
+func (c *Core) vacate(now time.Duration) {
+	for _, w := range c.workers {
+		if w.gone || w.missed > 0 || !w.vacate && !w.info.Draining {
+			continue
+		}
+		for _, t := range w.tasks {
+			if t.state != taskActive || !t.step.spec.Lasting {
+				continue
+			}
+			if w.info.Draining || c.mayStop(t, now) {
+				c.log.Info("lasting task moves", "task", t.ref.String(), "from", w.info.ID, "draining", w.info.Draining)
+				t.step.set(t, taskStopping)
+			}
+		}
+	}
+}
+
+// mayStop reports whether an order may take the task away. Every other task of
+// its step that is not at work for certain counts as away, whatever the cause:
+// counting only our own stops would let a failure and an order add up to more
+// than the step can bear. There must also be a place to go.
+func (c *Core) mayStop(t *task, now time.Duration) bool {
+	away := 0
+	for _, o := range t.step.tasks {
+		if o != t && !o.atWork() {
+			away++
+		}
+	}
+	if away >= max(1, t.step.spec.MaxUnavailable) {
+		return false
+	}
+	return c.hasPlace(t, now)
+}
+
+func (c *Core) hasPlace(t *task, now time.Duration) bool {
+	s := t.step
+	on := make(map[*worker]int)
+	for _, o := range s.tasks {
+		if o.where != nil {
+			on[o.where]++
+		}
+	}
+	for _, w := range c.workers {
+		if w == t.where || w.info.Service != s.job.queue.Service || w.closed(now) {
+			continue
+		}
+		if s.spec.AntiAffinity > 0 && on[w] >= s.spec.AntiAffinity {
+			continue
+		}
+		if t.reserved().Fits(w.info.Capacity.Minus(w.used())) {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/engine/worker.go
@@ -0,0 +1,169 @@
+package engine
+
+import (
+	"slices"
+	"time"
+
+	"github.com/pumicestage/pumicestage/policy/taskplan"
+	"github.com/pumicestage/pumicestage/policy/work"
+)
+
+// Lease times. A worker kills what it runs when its lease ends, and a task may
+// start elsewhere only once that is certain.
+const (
+	// LeaseAhead is how far each look extends a worker's lease. Looks come
+	// every second at most, so at least three seconds are left when the owner
+	// dies; a successor has been measured to hold all workers two seconds
+	// after. Longer would delay the restart of what an unreachable worker ran.
+	LeaseAhead = 4500 * time.Millisecond
+	// startAhead is the deadline of a start. Long enough for a slow answer,
+	// short as an order without an answer stays open until it has passed.
+	startAhead = 3 * time.Second
+	// clockError bounds how far a worker's clock may be slow against ours, as
+	// the platform promises.
+	clockError = 0.02
+	// expirySlack covers the rounding of clocks to milliseconds and the end
+	// of what is being killed.
+	expirySlack = 100 * time.Millisecond
+)
+
+// Pace of looks at workers.
+const (
+	// lookWait is how long a worker may hold an answer back for an end. It is
+	// also the longest time between extensions of a lease.
+	lookWait = 1 * time.Second
+	// lookPause is the least time between two looks at one worker. Ends of
+	// short tasks come many a second; each look is priced and costs processor
+	// time, and a step loses at most this much between its tasks.
+	lookPause = 30 * time.Millisecond
+	// serveWait replaces lookWait where fill tasks run beside serving ones, so
+	// that pacing follows within a second.
+	serveWait = 400 * time.Millisecond
+	// lookTimeout is how long an answer may take beyond the wait asked for.
+	lookTimeout = 900 * time.Millisecond
+)
+
+// worker is one worker of ours.
+type worker struct {
+	info  WorkerInfo
+	heard bool // it answered a look that carried our token
+	gone  bool // certain: this life is over
+
+	clock    time.Duration // the worker's clock ...
+	clockAt  time.Duration // ... when we got the answer that told it; 0: never
+	deadline time.Duration // latest that any order of ours may have set
+	// inherited bounds, on our clock, until when an earlier owner may have
+	// extended the worker's lease.
+	inherited time.Duration
+
+	tasks map[work.TaskRef]*task
+	// strays are runs it lists that must not go on.
+	strays map[work.TaskRef]int
+
+	seen, stored, acked int64 // ends taken in, stored, acknowledged
+	missed              int   // looks without an answer since the last
+	closedUntil         time.Duration
+	strikes             strikes
+	cordon              string // why it takes no new tasks; empty: it does
+	vacate              bool   // lasting tasks are to leave it
+	full                bool   // it refused for want of room since its last end
+}
+
+// strikes counts ends that speak against a worker.
+type strikes struct {
+	failed int // in a row
+	jobs   []work.JobID
+	until  time.Duration // no new tasks before
+	probe  bool          // one task at a time until one is done
+}
+
+// clockNow estimates the worker's clock from below.
+func (w *worker) clockNow(now time.Duration) time.Duration {
+	return w.clock + time.Duration(float64(now-w.clockAt)*(1-clockError))
+}
+
+func (w *worker) clockSaid(clock, now time.Duration) {
+	if clock <= 0 {
+		return
+	}
+	w.clock, w.clockAt = clock, now
+}
+
+// expired reports whether everything the worker may have run under leases of
+// ours or an earlier owner's is certain to have been killed.
+func (w *worker) expired(now time.Duration) bool {
+	if now < w.inherited {
+		return false
+	}
+	if w.deadline == 0 {
+		return true
+	}
+	left := time.Duration(float64(w.deadline-w.clock) * (1 + clockError))
+	return now >= w.clockAt+left+expirySlack
+}
+
+func (w *worker) used() work.Resources {
+	var sum work.Resources
+	for _, t := range w.tasks {
+		sum = sum.Plus(taskplan.Reserved(t.step.spec))
+	}
+	return sum
+}
+
+// snapshot is the worker as a plan sees it.
+func (w *worker) snapshot(now time.Duration) *taskplan.Worker {
+	out := &taskplan.Worker{
+		ID:     w.info.ID,
+		Total:  w.info.Capacity,
+		Free:   w.info.Capacity.Minus(w.used()),
+		Labels: w.info.Labels,
+		Closed: w.closed(now),
+		Limit:  -1,
+	}
+	if n := len(w.info.Labels); n > 0 {
+		out.Rack = w.info.Labels[n-1]
+	}
+	if w.strikes.probe {
+		out.Limit = max(0, 1-len(w.tasks))
+	}
+	for _, t := range w.tasks {
+		spec := t.step.spec
+		if spec.Lasting {
+			out.Lasting++
+		}
+		if spec.Serving() {
+			out.Serving++
+		}
+		if spec.Fill {
+			out.Filling++
+		}
+	}
+	return out
+}
+
+func (w *worker) closed(now time.Duration) bool {
+	return !w.heard || w.gone || w.info.Draining || w.cordon != "" || w.missed > 0 ||
+		w.full || now < w.closedUntil || now < w.strikes.until || len(w.strays) > 0
+}
+
+// Strikes against a worker. A worker that fails what it starts looks idle and
+// would draw every waiting task of the pool: each failure costs a job one of
+// its few attempts.
+const (
+	strikeLimit = 3 // failures in a row, with nothing done between
+	strikeJobs  = 2 // of so many jobs at least: one job that always fails proves nothing
+	strikePause = 3 * time.Second
+)
+
+func (s *strikes) failure(id work.JobID, now time.Duration) {
+	s.failed++
+	if !slices.Contains(s.jobs, id) {
+		s.jobs = append(s.jobs, id)
+	}
+	if s.probe || s.failed >= strikeLimit && len(s.jobs) >= strikeJobs {
+		s.until = now + strikePause
+		s.probe = true
+	}
+}
+
+func (s *strikes) success() { *s = strikes{} }
--- /dev/null
+++ b/internal/engine/writer.go
@@ -0,0 +1,363 @@
+package engine
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"time"
+
+	"github.com/pumicestage/pumicestage/internal/infra"
+	"github.com/pumicestage/pumicestage/policy/work"
+)
+
+// The owner's writes go out one transaction at a time, each with what has
+// gathered meanwhile: the store takes a few hundred writes a second, tasks end
+// and jobs come faster than that.
+const (
+	// txnEntries is the most a transaction of the users' store holds.
+	txnEntries = 32
+	// maxCreates leaves room for progress beside new jobs: each job needs a
+	// condition and a write.
+	maxCreates = 10
+	// gatherQuiet is how long ends that nobody waits for may gather.
+	gatherQuiet = 60 * time.Millisecond
+	// gatherUrgent is how long new jobs and final states may gather.
+	gatherUrgent = 3 * time.Millisecond
+	// storeTimeout ends a transaction without an answer; it is sent again.
+	storeTimeout = 700 * time.Millisecond
+	// storePause separates tries while the store is in trouble.
+	storePause = 100 * time.Millisecond
+	// unwellAfter is how long a transaction may be under way until new jobs
+	// are refused at once: they could only wait behind it.
+	unwellAfter = 400 * time.Millisecond
+)
+
+// commitMark is the value of the commit key.
+type commitMark struct {
+	Token int64 `json:"token"`
+	Seq   int64 `json:"seq"`
+}
+
+type creation struct {
+	job    *work.Job
+	queue  Queue
+	record []byte
+	done   chan error
+}
+
+// writer stores what the core decides.
+type writer struct {
+	engine *Engine
+
+	mu      sync.Mutex
+	waiting []*creation
+	busy    time.Duration // since when the present batch is under way; 0: none
+
+	rev infra.Revision // of the commit key
+	seq int64
+}
+
+// create stores a new job with the next batch.
+func (w *writer) create(ctx context.Context, j *work.Job, q Queue) error {
+	record, err := json.Marshal(JobRecord{Job: j, Queue: &q})
+	if err != nil {
+		return err
+	}
+	c := &creation{job: j, queue: q, record: record, done: make(chan error, 1)}
+	w.mu.Lock()
+	if w.busy != 0 && w.engine.Clock.Now() > w.busy+unwellAfter {
+		w.mu.Unlock()
+		return ErrStore
+	}
+	w.waiting = append(w.waiting, c)
+	w.mu.Unlock()
+	kick(w.engine.storeKick)
+	select {
+	case err := <-c.done:
+		return err
+	case <-ctx.Done():
+		if w.withdraw(c) {
+			return ErrStore
+		}
+		return ErrUncertain
+	}
+}
+
+// withdraw takes back a job that is in no batch yet.
+func (w *writer) withdraw(c *creation) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for i, o := range w.waiting {
+		if o == c {
+			w.waiting = append(w.waiting[:i], w.waiting[i+1:]...)
+			return true
+		}
+	}
+	return false
+}
+
+// batch is the content of one transaction. It is sent again unchanged until its
+// outcome is known: its mark tells a later answer that it took effect.
+type batch struct {
+	creates []*creation
+	flush   Flush
+	seq     int64
+	sent    bool // may have taken effect
+}
+
+func (b *batch) empty() bool { return len(b.creates) == 0 && len(b.flush.Changes) == 0 }
+
+func (w *writer) run(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			w.refuseAll()
+			return
+		case <-w.engine.storeKick:
+		}
+		w.gather(ctx)
+		b := w.take()
+		w.store(ctx, b)
+		w.rest()
+	}
+}
+
+// rest ends a batch and asks for the next if more has gathered.
+func (w *writer) rest() {
+	w.mu.Lock()
+	w.busy = 0
+	more := len(w.waiting) > 0
+	w.mu.Unlock()
+	w.engine.mu.Lock()
+	all, _ := w.engine.core.Dirty()
+	w.engine.mu.Unlock()
+	if more || all > 0 {
+		kick(w.engine.storeKick)
+	}
+}
+
+// gather waits for company: shortly if somebody waits for an answer.
+func (w *writer) gather(ctx context.Context) {
+	if w.urgent() {
+		sleep(ctx, gatherUrgent)
+		return
+	}
+	end := w.engine.Clock.Now() + gatherQuiet
+	for w.engine.Clock.Now() < end && ctx.Err() == nil {
+		t := time.NewTimer(end - w.engine.Clock.Now())
+		select {
+		case <-w.engine.storeKick:
+			if w.urgent() {
+				end = 0
+			}
+		case <-t.C:
+		case <-ctx.Done():
+		}
+		t.Stop()
+	}
+}
+
+func (w *writer) urgent() bool {
+	w.mu.Lock()
+	creates := len(w.waiting)
+	w.mu.Unlock()
+	w.engine.mu.Lock()
+	defer w.engine.mu.Unlock()
+	_, final := w.engine.core.Dirty()
+	return creates > 0 || final > 0
+}
+
+func (w *writer) take() *batch {
+	w.seq++
+	b := &batch{seq: w.seq}
+	w.mu.Lock()
+	n := min(len(w.waiting), maxCreates)
+	b.creates = append(b.creates, w.waiting[:n]...)
+	w.waiting = append(w.waiting[:0], w.waiting[n:]...)
+	w.busy = w.engine.Clock.Now()
+	left := len(w.waiting)
+	w.mu.Unlock()
+	// An ended job takes two entries: its record and its progress.
+	room := (txnEntries - 2 - 2*n) / 2
+	w.engine.mu.Lock()
+	b.flush = w.engine.core.TakeFlush(room)
+	w.engine.mu.Unlock()
+	if left > 0 {
+		kick(w.engine.storeKick)
+	}
+	return b
+}
+
+// store sends the batch until its outcome is known.
+func (w *writer) store(ctx context.Context, b *batch) {
+	for !b.empty() {
+		call, cancel := context.WithTimeout(ctx, storeTimeout)
+		res, err := w.engine.Store.Txn(call, w.txn(b))
+		cancel()
+		w.engine.Metrics.txn(err)
+		if err != nil && ctx.Err() != nil {
+			b.sent = true
+			w.abandon(b)
+			return
+		}
+		if err == nil {
+			if res.Succeeded {
+				w.succeeded(b, res.Revision)
+				return
+			}
+			if !w.conflict(b, res.Reads) {
+				return
+			}
+			continue
+		}
+		if infra.IsKind(err, infra.KindUnknown) {
+			b.sent = true
+		}
+		w.engine.Log.Info("store does not take a transaction", "seq", b.seq, "creates", len(b.creates), "changes", len(b.flush.Changes), "error", err.Error())
+		if !b.sent {
+			w.refuse(b)
+		}
+		sleep(ctx, storePause)
+	}
+	if len(b.flush.seen) > 0 {
+		w.finishFlush(b, nil)
+	}
+}
+
+func (w *writer) txn(b *batch) infra.Txn {
+	mark, err := json.Marshal(commitMark{Token: w.engine.Term.Token(), Seq: b.seq})
+	if err != nil {
+		panic(err) // two integers: it can't fail
+	}
+	t := infra.Txn{
+		If:   []infra.Cond{{Key: infra.WorkCommitKey, ModRevision: w.rev}},
+		Then: []infra.Op{infra.Put(infra.WorkCommitKey, mark)},
+		Else: []infra.Op{infra.Read(infra.WorkCommitKey)},
+	}
+	for _, c := range b.creates {
+		key := infra.WorkJobKey(string(c.job.ID))
+		t.If = append(t.If, infra.Cond{Key: key})
+		t.Then = append(t.Then, infra.Put(key, c.record))
+		t.Else = append(t.Else, infra.Read(key))
+	}
+	for _, ch := range b.flush.Changes {
+		t.Then = append(t.Then, w.changeOps(ch)...)
+	}
+	return t
+}
+
+func (w *writer) changeOps(ch Change) []infra.Op {
+	id := string(ch.Job)
+	if ch.Final == "" {
+		return []infra.Op{infra.Put(infra.WorkProgressKey(id), ch.Progress)}
+	}
+	record, err := json.Marshal(JobRecord{State: ch.Final, Ended: w.engine.Clock.Wall()})
+	if err != nil {
+		panic(err) // a string and a time: it can't fail
+	}
+	return []infra.Op{infra.Put(infra.WorkJobKey(id), record), infra.Delete(infra.WorkProgressKey(id))}
+}
+
+func (w *writer) succeeded(b *batch, rev infra.Revision) {
+	w.rev = rev
+	for _, c := range b.creates {
+		w.engine.accepted(c.job, c.queue)
+		c.done <- nil
+	}
+	w.finishFlush(b, nil)
+}
+
+func (w *writer) finishFlush(b *batch, err error) {
+	w.engine.mu.Lock()
+	w.engine.core.Flushed(b.flush, err)
+	w.engine.mu.Unlock()
+	b.flush = Flush{}
+	w.engine.wakeAll()
+}
+
+// conflict sorts out why the conditions failed; true where the rest of the
+// batch is to be sent again.
+func (w *writer) conflict(b *batch, reads []infra.KV) bool {
+	var mark commitMark
+	if len(reads) > 0 && reads[0].ModRevision != 0 {
+		if err := json.Unmarshal(reads[0].Value, &mark); err != nil {
+			w.engine.Log.Error(err, "commit key is malformed")
+		}
+	}
+	if len(reads) == 0 || mark.Token != w.engine.Term.Token() {
+		w.engine.Log.Info("a later owner has written", "its token", mark.Token)
+		w.abandon(b)
+		w.engine.Term.End("a later owner has written")
+		return false
+	}
+	if reads[0].ModRevision != w.rev {
+		if mark.Seq == b.seq {
+			w.succeeded(b, reads[0].ModRevision)
+			return false
+		}
+		w.rev = reads[0].ModRevision
+		return true
+	}
+	kept := b.creates[:0]
+	for i, c := range b.creates {
+		if i+1 < len(reads) && reads[i+1].ModRevision != 0 {
+			w.existed(c, reads[i+1])
+			continue
+		}
+		kept = append(kept, c)
+	}
+	b.creates = kept
+	return true
+}
+
+// existed accepts a job whose key is there: it came before by another entry VM.
+func (w *writer) existed(c *creation, kv infra.KV) {
+	w.engine.Log.Info("job was stored before", "job", c.job.ID)
+	var r JobRecord
+	if err := json.Unmarshal(kv.Value, &r); err != nil {
+		w.engine.Log.Error(err, "job record is malformed", "job", c.job.ID)
+		c.done <- ErrUncertain
+		return
+	}
+	w.engine.found(c.job.ID, &r)
+	c.done <- nil
+}
+
+// refuse gives the batch up where it is certain that nothing of it is or will
+// be stored.
+func (w *writer) refuse(b *batch) {
+	for _, c := range b.creates {
+		c.done <- ErrStore
+	}
+	b.creates = nil
+	w.mu.Lock()
+	waiting := w.waiting
+	w.waiting = nil
+	w.mu.Unlock()
+	for _, c := range waiting {
+		c.done <- ErrStore
+	}
+}
+
+// abandon ends the batch with the term: its outcome is for the successor.
+func (w *writer) abandon(b *batch) {
+	for _, c := range b.creates {
+		if b.sent {
+			c.done <- ErrUncertain
+		} else {
+			c.done <- ErrNotReady
+		}
+	}
+	w.engine.mu.Lock()
+	w.engine.core.Flushed(b.flush, ErrUncertain)
+	w.engine.mu.Unlock()
+}
+
+func (w *writer) refuseAll() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, c := range w.waiting {
+		c.done <- ErrNotReady
+	}
+	w.waiting = nil
+}
--- a/internal/infra/httpcall/httpcall.go
+++ b/internal/infra/httpcall/httpcall.go
@@ -52,6 +52,8 @@
 	Method string
 	Path   string
 	Body   any // encoded as JSON; nil for none
+	// Header is sent beside the usual fields; nil for none.
+	Header map[string]string
 	// Write is true where the call may change something, so that a lost
 	// reply leaves its outcome open.
 	Write bool
@@ -147,17 +149,23 @@
 // DoAt sends the call to one endpoint alone. It is for calls that change
 // nothing.
 func (c *Client) DoAt(ctx context.Context, endpoint string, call Call) (Answer, error) {
-	body, err := encode(call)
-	if err != nil {
-		return Answer{}, infra.Errorf(call.Op, infra.KindInvalid, "%w", err)
-	}
-	answer, _, err := c.once(ctx, endpoint, call, body)
+	answer, _, err := c.Once(ctx, endpoint, call)
 	if err != nil {
 		return Answer{}, infra.Errorf(call.Op, infra.KindUnavailable, "%w", err)
 	}
 	return answer, nil
 }
 
+// Once sends the call to one endpoint and returns the bare error. sent is false
+// only where no byte of it can have left.
+func (c *Client) Once(ctx context.Context, endpoint string, call Call) (answer Answer, sent bool, err error) {
+	body, err := encode(call)
+	if err != nil {
+		return Answer{}, false, err
+	}
+	return c.once(ctx, endpoint, call, body)
+}
+
 func (c *Client) prefer(endpoint string) {
 	c.next.Store(uint32(slices.Index(c.endpoints, endpoint)))
 }
@@ -197,6 +205,9 @@
 	if c.zone != "" {
 		req.Header.Set(ZoneHeader, c.zone)
 	}
+	for name, value := range call.Header {
+		req.Header.Set(name, value)
+	}
 	resp, err := c.http.Do(req)
 	return resp, sent.Load(), err
 }
--- a/internal/infra/keys.go
+++ b/internal/infra/keys.go
@@ -44,3 +44,32 @@
 
 // EntryKey returns the key of an entry VM.
 func EntryKey(id model.EntryID) string { return EntryPrefix + string(id) }
+
+// Keys of the jobs that run as tasks on workers.
+const (
+	// WorkOwnerKey is leased by the entry VM that owns the workers. Its
+	// revision is the fencing token of all that owner's orders.
+	WorkOwnerKey = Root + "work/owner"
+	// WorkCommitKey is rewritten in every transaction of the owner and is in
+	// its condition: transactions of an earlier owner, and late ones of the
+	// same, fail.
+	WorkCommitKey = Root + "work/commit"
+	// WorkJobPrefix holds one key per job, for ever: an ID is one job.
+	WorkJobPrefix = Root + "work/jobs/"
+	// WorkProgressPrefix holds what is done of open jobs.
+	WorkProgressPrefix = Root + "work/progress/"
+	// WorkInboxPrefix holds what entry VMs wrote while they could not reach
+	// the owner, for it to find.
+	WorkInboxPrefix = Root + "work/inbox/"
+	// WorkWavePrefix holds what is done of maintenance waves.
+	WorkWavePrefix = Root + "work/waves/"
+)
+
+// WorkJobKey returns the key of a job.
+func WorkJobKey(id string) string { return WorkJobPrefix + id }
+
+// WorkProgressKey returns the key of a job's progress.
+func WorkProgressKey(id string) string { return WorkProgressPrefix + id }
+
+// WorkInboxKey returns the key of an entry VM's note about a job.
+func WorkInboxKey(kind, id string) string { return WorkInboxPrefix + kind + "/" + id }
--- /dev/null
+++ b/internal/jobfront/front.go
@@ -0,0 +1,253 @@
+package jobfront
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"github.com/pumicestage/pumicestage/internal/engine"
+	"github.com/pumicestage/pumicestage/internal/infra"
+	"github.com/pumicestage/pumicestage/internal/ownerlink"
+	"github.com/pumicestage/pumicestage/internal/ownership"
+	"github.com/pumicestage/pumicestage/policy/work"
+)
+
+// ErrUnknownJob: no such job.
+var ErrUnknownJob = errors.New("jobfront: no such job")
+
+// ErrUncertain: whether the change took effect is not known. The caller may
+// repeat it at any entry VM.
+var ErrUncertain = errors.New("jobfront: outcome not known")
+
+// Refusal says that nothing was done nor will be, and when to come back.
+type Refusal struct {
+	Reason     string
+	RetryAfter time.Duration
+}
+
+// Error implements error.
+func (r *Refusal) Error() string {
+	return fmt.Sprintf("jobfront: refused: %s (come back in %s)", r.Reason, r.RetryAfter)
+}
+
+// Times of one call.
+const (
+	// ownerTimeout ends a call to the owner. It answers in milliseconds; what
+	// is left of the caller's time goes to settling the matter with the store.
+	ownerTimeout = 700 * time.Millisecond
+	// storeTimeout ends a call to the store.
+	storeTimeout = 600 * time.Millisecond
+	// storePause separates tries while an outcome is unknown.
+	storePause = 100 * time.Millisecond
+	// storeBack is when to come back while the store is away: its outages
+	// last seconds.
+	storeBack = 1 * time.Second
+	// waitingFor is how long a count stays good while the owner can't be
+	// asked; the deployments allow two seconds.
+	waitingFor = 1800 * time.Millisecond
+)
+
+// Owner answers where the workers are owned by this very entry VM.
+type Owner = ownerlink.Owner
+
+// Options are what a Front is made of.
+type Options struct {
+	Store  infra.Store
+	Owners func() (ownership.Record, bool)
+	Local  func() Owner // nil result: not the owner
+	Link   *ownerlink.Client
+	Self   string // own name
+	Clock  engine.Clock
+	Log    logr.Logger
+}
+
+// Front carries callers' requests out.
+type Front struct {
+	Options
+	counts counts
+}
+
+// New returns a front.
+func New(o Options) *Front { return &Front{Options: o, counts: counts{m: make(map[string]count)}} }
+
+// Submit accepts a job. nil means that it is stored; a *Refusal that it is not
+// and will not be; ErrUncertain that the caller should repeat it.
+func (f *Front) Submit(ctx context.Context, j *work.Job, q engine.Queue) error {
+	err := f.askOwner(ctx, func(ctx context.Context, o Owner, address string) error {
+		if o != nil {
+			return o.Submit(ctx, j, q)
+		}
+		return f.Link.Submit(ctx, address, j, q)
+	})
+	if err == nil {
+		return nil
+	}
+	// The owner may be away, or cut from the store while this VM is not.
+	certain := !errors.Is(err, engine.ErrUncertain)
+	f.Log.Info("job stored without the owner", "job", j.ID, "cause", err.Error())
+	return f.storeJob(ctx, j, q, certain)
+}
+
+// askOwner calls the owner, wherever it is.
+func (f *Front) askOwner(ctx context.Context, call func(ctx context.Context, o Owner, address string) error) error {
+	ctx, cancel := context.WithTimeout(ctx, ownerTimeout)
+	defer cancel()
+	if local := f.Local(); local != nil {
+		return call(ctx, local, "")
+	}
+	owner, known := f.Owners()
+	if !known || owner.Entry == f.Self {
+		return engine.ErrNotReady
+	}
+	return call(ctx, nil, owner.Address)
+}
+
+// storeJob creates the job in the store. certain says that no earlier try of
+// this request can have taken effect. Creating is idempotent: the same
+// condition that makes a second try fail proves that the first took effect.
+func (f *Front) storeJob(ctx context.Context, j *work.Job, q engine.Queue, certain bool) error {
+	record, err := json.Marshal(engine.JobRecord{Job: j, Queue: &q})
+	if err != nil {
+		return &Refusal{Reason: "job can't be stored: " + err.Error()}
+	}
+	key := infra.WorkJobKey(string(j.ID))
+	txn := infra.Txn{
+		If:   []infra.Cond{{Key: key}},
+		Then: []infra.Op{infra.Put(key, record), infra.Put(infra.WorkInboxKey(engine.NoteSubmit, string(j.ID)), nil)},
+	}
+	for {
+		_, err := f.txn(ctx, txn)
+		if err == nil {
+			return nil // made now, or there before: one ID is one job
+		}
+		if infra.IsKind(err, infra.KindUnknown) {
+			certain = false
+		}
+		if certain {
+			return &Refusal{Reason: "the platform's store does not take the job: " + err.Error(), RetryAfter: storeBack}
+		}
+		if !wait(ctx, storePause) {
+			return ErrUncertain
+		}
+	}
+}
+
+func (f *Front) txn(ctx context.Context, t infra.Txn) (infra.TxnResult, error) {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	return f.Store.Txn(ctx, t)
+}
+
+// State returns what the job's caller is told.
+func (f *Front) State(ctx context.Context, id work.JobID) (work.State, error) {
+	var state work.State
+	err := f.askOwner(ctx, func(ctx context.Context, o Owner, address string) (err error) {
+		if o != nil {
+			state, err = o.State(id)
+			return err
+		}
+		state, err = f.Link.State(ctx, address, id)
+		return err
+	})
+	if err == nil {
+		return state, nil
+	}
+	// The owner may not have read yet what another entry VM stored.
+	r, err := f.record(ctx, id)
+	if err != nil {
+		return "", err
+	}
+	if r.State != "" {
+		return r.State, nil
+	}
+	return work.Running, nil
+}
+
+// record reads the job from the store.
+func (f *Front) record(ctx context.Context, id work.JobID) (*engine.JobRecord, error) {
+	r, _, err := f.stored(ctx, id)
+	return r, err
+}
+
+func (f *Front) stored(ctx context.Context, id work.JobID) (*engine.JobRecord, infra.Revision, error) {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	kv, _, err := f.Store.Get(ctx, infra.WorkJobKey(string(id)))
+	if err != nil {
+		return nil, 0, &Refusal{Reason: "neither the owner nor the platform's store answers: " + err.Error(), RetryAfter: storeBack}
+	}
+	if kv.ModRevision == 0 {
+		return nil, 0, ErrUnknownJob
+	}
+	r := new(engine.JobRecord)
+	if err := json.Unmarshal(kv.Value, r); err != nil {
+		f.Log.Error(err, "job record is malformed", "job", id)
+		return nil, 0, &Refusal{Reason: "job record is malformed", RetryAfter: storeBack}
+	}
+	return r, kv.ModRevision, nil
+}
+
+// Cancel cancels the job. nil means that it is cancelled or had ended.
+func (f *Front) Cancel(ctx context.Context, id work.JobID) error {
+	err := f.askOwner(ctx, func(ctx context.Context, o Owner, address string) error {
+		if o != nil {
+			return o.Cancel(ctx, id)
+		}
+		return f.Link.Cancel(ctx, address, id)
+	})
+	if err == nil {
+		return nil
+	}
+	r, rev, err := f.stored(ctx, id)
+	if err != nil {
+		return err
+	}
+	if r.State != "" {
+		return nil
+	}
+	_, err = f.txn(ctx, infra.Txn{
+		If:   []infra.Cond{{Key: infra.WorkJobKey(string(id)), ModRevision: rev}},
+		Then: []infra.Op{infra.Put(infra.WorkInboxKey(engine.NoteCancel, string(id)), nil)},
+	})
+	if err != nil {
+		return ErrUncertain
+	}
+	return nil
+}
+
+// Waiting counts the queue's jobs of which no task has started.
+func (f *Front) Waiting(ctx context.Context, queue string) (int, error) {
+	n := 0
+	err := f.askOwner(ctx, func(ctx context.Context, o Owner, address string) (err error) {
+		if o != nil {
+			n, err = o.Waiting(queue)
+			return err
+		}
+		n, err = f.Link.Waiting(ctx, address, queue)
+		return err
+	})
+	now := f.Clock.Now()
+	if err == nil {
+		f.counts.set(queue, n, now)
+		return n, nil
+	}
+	if n, ok := f.counts.get(queue, now); ok {
+		return n, nil
+	}
+	return 0, &Refusal{Reason: "the owner does not answer: " + err.Error(), RetryAfter: storeBack}
+}
+
+func wait(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
--- /dev/null
+++ b/internal/node/settings.go
@@ -0,0 +1,171 @@
+// Package node puts one entry VM on the users' platform together: the callers'
+// listener, readiness, the link between entry VMs, the election of the owner and
+// the engine of the one that is. It wires and orders start and stop; it decides
+// nothing.
+package node
+
+import (
+	"fmt"
+	"net"
+	"strconv"
+	"strings"
+	"time"
+
+	"gopkg.in/ini.v1"
+
+	"github.com/pumicestage/pumicestage/internal/settings"
+)
+
+// Settings are what an entry VM on the users' platform is told at its start.
+type Settings struct {
+	Name    string
+	Zone    string
+	Address string // own IP address
+	Callers string // host:port
+	Ready   string // host:port of readiness
+	Peers   [2]int // first and last port for other entry VMs
+
+	Store   string // host:port of the platform's store
+	VMs     string // host:port of the platform's VM service; empty: none
+	Advisor string // host:port of the advisor; empty: none
+
+	MemoryMB  int
+	Shutdown  time.Duration // until a stopping process is killed
+	MaxLease  time.Duration // longest lease of a worker
+	StopTime  time.Duration // longest a stop takes
+	Notice    time.Duration // a lasting task not at work for so long counts as away
+	PaceDelay time.Duration // until a change of pace shows
+}
+
+// entryField is one key of the file.
+type entryField struct {
+	section, key string
+	required     bool
+	expects      string
+	set          func(s *Settings, text string) bool
+}
+
+const (
+	expectsText    = "a name"
+	expectsAddress = "host:port"
+	expectsIP      = "an IP address"
+	expectsPort    = "a port"
+	expectsMS      = "a whole number of milliseconds"
+	expectsS       = "a number of seconds"
+	expectsMB      = "a number of megabytes"
+	expectsRate    = "a number of calls a second"
+)
+
+var entryFields = []entryField{
+	{"entry", "name", true, expectsText, text(func(s *Settings) *string { return &s.Name })},
+	{"entry", "zone", true, expectsText, text(func(s *Settings) *string { return &s.Zone })},
+	{"entry", "address", true, expectsIP, func(s *Settings, t string) bool { s.Address = t; return net.ParseIP(t) != nil }},
+	{"entry", "callers", true, expectsAddress, address(func(s *Settings) *string { return &s.Callers })},
+	{"entry", "ready", true, expectsAddress, address(func(s *Settings) *string { return &s.Ready })},
+	{"entry", "peer-port-first", true, expectsPort, port(func(s *Settings) *int { return &s.Peers[0] })},
+	{"entry", "peer-port-last", true, expectsPort, port(func(s *Settings) *int { return &s.Peers[1] })},
+	{"store", "address", true, expectsAddress, address(func(s *Settings) *string { return &s.Store })},
+	{"store", "writes-per-second", false, expectsRate, rate},
+	{"vms", "address", false, expectsAddress, address(func(s *Settings) *string { return &s.VMs })},
+	{"vms", "lists-per-second", false, expectsRate, rate},
+	{"advisor", "address", false, expectsAddress, address(func(s *Settings) *string { return &s.Advisor })},
+	{"limits", "memory-mb", true, expectsMB, positive(func(s *Settings) *int { return &s.MemoryMB })},
+	{"limits", "shutdown-s", true, expectsS, duration(time.Second, func(s *Settings) *time.Duration { return &s.Shutdown })},
+	{"limits", "max-lease-ms", true, expectsMS, duration(time.Millisecond, func(s *Settings) *time.Duration { return &s.MaxLease })},
+	{"limits", "stop-ms", true, expectsMS, duration(time.Millisecond, func(s *Settings) *time.Duration { return &s.StopTime })},
+	{"limits", "notice-ms", false, expectsMS, duration(time.Millisecond, func(s *Settings) *time.Duration { return &s.Notice })},
+	{"limits", "pace-delay-ms", false, expectsMS, duration(time.Millisecond, func(s *Settings) *time.Duration { return &s.PaceDelay })},
+}
+
+// LoadSettings reads and checks a settings file. All mistakes are reported at
+// once, each by section and key; the error is then *settings.Error.
+func LoadSettings(file string) (*Settings, error) {
+	f, err := ini.Load(file)
+	if err != nil {
+		return nil, fmt.Errorf("settings: %w", err)
+	}
+	s := new(Settings)
+	var mistakes []settings.Mistake
+	for _, fd := range entryFields {
+		given := strings.TrimSpace(f.Section(fd.section).Key(fd.key).String())
+		m := settings.Mistake{Section: fd.section, Key: fd.key, Given: given, Expected: fd.expects}
+		switch {
+		case given == "" && fd.required:
+			m.Expected = "missing, expected " + fd.expects
+			mistakes = append(mistakes, m)
+		case given != "" && !fd.set(s, given):
+			mistakes = append(mistakes, m)
+		}
+	}
+	mistakes = append(mistakes, unknownKeys(f)...)
+	if s.Peers[0] > s.Peers[1] {
+		mistakes = append(mistakes, settings.Mistake{
+			Section: "entry", Key: "peer-port-last", Given: strconv.Itoa(s.Peers[1]), Expected: "a port not below peer-port-first",
+		})
+	}
+	if len(mistakes) > 0 {
+		return nil, &settings.Error{File: file, Mistakes: mistakes}
+	}
+	return s, nil
+}
+
+func unknownKeys(f *ini.File) []settings.Mistake {
+	known := make(map[string]bool)
+	for _, fd := range entryFields {
+		known[fd.section+"/"+fd.key] = true
+	}
+	var out []settings.Mistake
+	for _, section := range f.Sections() {
+		for _, key := range section.Keys() {
+			if !known[section.Name()+"/"+key.Name()] {
+				out = append(out, settings.Mistake{Section: section.Name(), Key: key.Name(), Expected: "unknown key"})
+			}
+		}
+	}
+	return out
+}
+
+func text(of func(*Settings) *string) func(*Settings, string) bool {
+	return func(s *Settings, t string) bool {
+		*of(s) = t
+		return true
+	}
+}
+
+func address(of func(*Settings) *string) func(*Settings, string) bool {
+	return func(s *Settings, t string) bool {
+		*of(s) = t
+		_, _, err := net.SplitHostPort(t)
+		return err == nil
+	}
+}
+
+func port(of func(*Settings) *int) func(*Settings, string) bool {
+	return func(s *Settings, t string) bool {
+		n, err := strconv.ParseUint(t, 10, 16)
+		*of(s) = int(n)
+		return err == nil && n > 0
+	}
+}
+
+func positive(of func(*Settings) *int) func(*Settings, string) bool {
+	return func(s *Settings, t string) bool {
+		n, err := strconv.ParseFloat(t, 64)
+		*of(s) = int(n)
+		return err == nil && n >= 1
+	}
+}
+
+func duration(unit time.Duration, of func(*Settings) *time.Duration) func(*Settings, string) bool {
+	return func(s *Settings, t string) bool {
+		n, err := strconv.ParseFloat(t, 64)
+		*of(s) = time.Duration(n * float64(unit))
+		return err == nil && n >= 0
+	}
+}
+
+// rate checks a rate that is only shown to operators so far.
+func rate(_ *Settings, t string) bool {
+	n, err := strconv.ParseFloat(t, 64)
+	return err == nil && n > 0
+}
--- /dev/null
+++ b/internal/ownerlink/client.go
@@ -0,0 +1,177 @@
+package ownerlink
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"github.com/pumicestage/pumicestage/internal/engine"
+	"github.com/pumicestage/pumicestage/policy/work"
+)
+
+// ErrNotSent: no connection to the owner was had; nothing was done.
+var ErrNotSent = errors.New("ownerlink: the owner can't be reached")
+
+// dialTimeout ends a connection attempt; a VM behind a cut does not answer.
+const dialTimeout = 400 * time.Millisecond
+
+// Client calls the owner over one connection, made when first needed.
+type Client struct {
+	Log logr.Logger
+
+	mu      sync.Mutex
+	address string
+	link    *link
+}
+
+type link struct {
+	conn net.Conn
+	out  *lockedWriter
+
+	mu      sync.Mutex
+	nextID  uint64
+	waiting map[uint64]chan *response
+	dead    bool
+}
+
+// Submit hands a job to the owner at the address.
+func (c *Client) Submit(ctx context.Context, address string, j *work.Job, q engine.Queue) error {
+	resp, err := c.call(ctx, address, &request{Kind: kindSubmit, Job: j, Queue: &q})
+	if err != nil {
+		return err
+	}
+	return resp.Result.err()
+}
+
+// State asks for a job's state.
+func (c *Client) State(ctx context.Context, address string, id work.JobID) (work.State, error) {
+	resp, err := c.call(ctx, address, &request{Kind: kindState, JobID: id})
+	if err != nil {
+		return "", err
+	}
+	return resp.State, resp.Result.err()
+}
+
+// Cancel cancels a job.
+func (c *Client) Cancel(ctx context.Context, address string, id work.JobID) error {
+	resp, err := c.call(ctx, address, &request{Kind: kindCancel, JobID: id})
+	if err != nil {
+		return err
+	}
+	return resp.Result.err()
+}
+
+// Waiting asks how many jobs of the queue have not begun.
+func (c *Client) Waiting(ctx context.Context, address, queue string) (int, error) {
+	resp, err := c.call(ctx, address, &request{Kind: kindWaiting, Name: queue})
+	if err != nil {
+		return 0, err
+	}
+	return resp.Count, resp.Result.err()
+}
+
+// call sends a request and waits for its answer. ErrNotSent is certain; without
+// an answer the error is engine.ErrUncertain, and the connection is given up: it
+// may have gone silent for good while new ones work.
+func (c *Client) call(ctx context.Context, address string, req *request) (*response, error) {
+	l, err := c.connect(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	answer := make(chan *response, 1)
+	if !l.add(req, answer) {
+		return nil, ErrNotSent
+	}
+	if err := l.out.write(req); err != nil {
+		l.close()
+		return nil, engine.ErrUncertain
+	}
+	select {
+	case resp, ok := <-answer:
+		if !ok {
+			return nil, engine.ErrUncertain
+		}
+		return resp, nil
+	case <-ctx.Done():
+		l.close()
+		return nil, engine.ErrUncertain
+	}
+}
+
+func (c *Client) connect(ctx context.Context, address string) (*link, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.link != nil && c.address == address && !c.link.isDead() {
+		return c.link, nil
+	}
+	if c.link != nil {
+		c.link.close()
+		c.link = nil
+	}
+	d := net.Dialer{Timeout: dialTimeout}
+	conn, err := d.DialContext(ctx, "tcp", address)
+	if err != nil {
+		c.Log.V(1).Info("owner can't be reached", "address", address, "error", err.Error())
+		return nil, ErrNotSent
+	}
+	l := &link{conn: conn, out: &lockedWriter{w: bufio.NewWriter(conn), conn: conn}, waiting: make(map[uint64]chan *response)}
+	c.address, c.link = address, l
+	go l.read()
+	return l, nil
+}
+
+func (l *link) isDead() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.dead
+}
+
+func (l *link) add(req *request, answer chan *response) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.dead {
+		return false
+	}
+	l.nextID++
+	req.ID = l.nextID
+	l.waiting[req.ID] = answer
+	return true
+}
+
+func (l *link) read() {
+	r := bufio.NewReader(l.conn)
+	for {
+		resp := new(response)
+		if err := readFrame(r, resp); err != nil {
+			l.close()
+			return
+		}
+		l.mu.Lock()
+		answer := l.waiting[resp.ID]
+		delete(l.waiting, resp.ID)
+		l.mu.Unlock()
+		if answer != nil {
+			answer <- resp
+		}
+	}
+}
+
+// close ends the connection; calls without an answer become uncertain.
+func (l *link) close() {
+	l.conn.Close()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.dead {
+		return
+	}
+	l.dead = true
+	for _, answer := range l.waiting {
+		close(answer)
+	}
+	clear(l.waiting)
+}
--- /dev/null
+++ b/internal/ownerlink/ownerlink.go
@@ -0,0 +1,129 @@
+// Package ownerlink carries calls of entry VMs to the one that owns the workers:
+// TCP, frames of a length and a msgpack message, many calls at a time on one
+// connection.
+package ownerlink
+
+import (
+	"bufio"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"io"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/pumicestage/pumicestage/internal/engine"
+	"github.com/pumicestage/pumicestage/policy/work"
+)
+
+// maxFrame bounds a message: a job's specification and steps stay far below,
+// and a broken length must not set gigabytes aside.
+const maxFrame = 1 << 20
+
+// errFrame closes the connection.
+var errFrame = errors.New("ownerlink: malformed frame")
+
+// kind names a call.
+type kind uint8
+
+const (
+	kindSubmit kind = iota + 1
+	kindState
+	kindCancel
+	kindWaiting
+)
+
+// request is one call.
+type request struct {
+	ID    uint64        `msgpack:"i"`
+	Kind  kind          `msgpack:"k"`
+	Job   *work.Job     `msgpack:"j,omitempty"`
+	Queue *engine.Queue `msgpack:"q,omitempty"`
+	JobID work.JobID    `msgpack:"d,omitempty"`
+	Name  string        `msgpack:"n,omitempty"` // of a queue
+}
+
+// result is the outcome of a call, across the wire.
+type result uint8
+
+const (
+	resultOK result = iota + 1
+	resultNotReady
+	resultStore
+	resultUncertain
+	resultUnknownJob
+)
+
+// response answers one call.
+type response struct {
+	ID     uint64     `msgpack:"i"`
+	Result result     `msgpack:"r"`
+	State  work.State `msgpack:"s,omitempty"`
+	Count  int        `msgpack:"c,omitempty"`
+}
+
+func resultOf(err error) result {
+	switch {
+	case err == nil:
+		return resultOK
+	case errors.Is(err, engine.ErrNotReady):
+		return resultNotReady
+	case errors.Is(err, engine.ErrStore):
+		return resultStore
+	case errors.Is(err, engine.ErrUnknownJob):
+		return resultUnknownJob
+	}
+	return resultUncertain
+}
+
+func (r result) err() error {
+	switch r {
+	case resultOK:
+		return nil
+	case resultNotReady:
+		return engine.ErrNotReady
+	case resultStore:
+		return engine.ErrStore
+	case resultUnknownJob:
+		return engine.ErrUnknownJob
+	}
+	return engine.ErrUncertain
+}
+
+func writeFrame(w *bufio.Writer, msg any) error {
+	raw, err := msgpack.Marshal(msg)
+	if err != nil {
+		return err
+	}
+	if len(raw) > maxFrame {
+		return fmt.Errorf("%w: %d bytes", errFrame, len(raw))
+	}
+	var size [4]byte
+	binary.BigEndian.PutUint32(size[:], uint32(len(raw)))
+	if _, err := w.Write(size[:]); err != nil {
+		return err
+	}
+	if _, err := w.Write(raw); err != nil {
+		return err
+	}
+	return w.Flush()
+}
+
+func readFrame(r io.Reader, into any) error {
+	var size [4]byte
+	if _, err := io.ReadFull(r, size[:]); err != nil {
+		return err
+	}
+	n := binary.BigEndian.Uint32(size[:])
+	if n > maxFrame {
+		return fmt.Errorf("%w: claims %d bytes", errFrame, n)
+	}
+	raw := make([]byte, n)
+	if _, err := io.ReadFull(r, raw); err != nil {
+		return err
+	}
+	if err := msgpack.Unmarshal(raw, into); err != nil {
+		return fmt.Errorf("%w: %v", errFrame, err)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/ownerlink/server.go
@@ -0,0 +1,132 @@
+package ownerlink
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"github.com/pumicestage/pumicestage/internal/engine"
+	"github.com/pumicestage/pumicestage/policy/work"
+)
+
+// Owner answers the calls; an engine while this entry VM is the owner.
+type Owner interface {
+	Submit(ctx context.Context, j *work.Job, q engine.Queue) error
+	State(id work.JobID) (work.State, error)
+	Cancel(ctx context.Context, id work.JobID) error
+	Waiting(queue string) (int, error)
+}
+
+// serveTimeout ends a call at the owner: callers have given up long before.
+const serveTimeout = 4 * time.Second
+
+// Server answers calls of other entry VMs.
+type Server struct {
+	Listener net.Listener
+	// Owner returns who answers; nil while this entry VM is not the owner.
+	Owner func() Owner
+	Log   logr.Logger
+
+	mu    sync.Mutex
+	conns map[net.Conn]struct{}
+}
+
+// Run serves until ctx ends.
+func (s *Server) Run(ctx context.Context) {
+	s.conns = make(map[net.Conn]struct{})
+	stop := context.AfterFunc(ctx, s.close)
+	defer stop()
+	for {
+		c, err := s.Listener.Accept()
+		if err != nil {
+			if ctx.Err() == nil {
+				s.Log.Error(err, "peers can't be accepted")
+			}
+			return
+		}
+		s.mu.Lock()
+		s.conns[c] = struct{}{}
+		s.mu.Unlock()
+		go s.serve(ctx, c)
+	}
+}
+
+func (s *Server) close() {
+	s.Listener.Close()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		c.Close()
+	}
+}
+
+func (s *Server) serve(ctx context.Context, c net.Conn) {
+	defer func() {
+		c.Close()
+		s.mu.Lock()
+		delete(s.conns, c)
+		s.mu.Unlock()
+	}()
+	r := bufio.NewReader(c)
+	out := &lockedWriter{w: bufio.NewWriter(c), conn: c}
+	for {
+		var req request
+		if err := readFrame(r, &req); err != nil {
+			s.Log.V(1).Info("peer's connection ends", "peer", c.RemoteAddr().String(), "error", err.Error())
+			return
+		}
+		go func() {
+			resp := s.answer(ctx, &req)
+			if err := out.write(resp); err != nil {
+				s.Log.V(1).Info("peer not answered", "peer", c.RemoteAddr().String(), "error", err.Error())
+				c.Close()
+			}
+		}()
+	}
+}
+
+func (s *Server) answer(ctx context.Context, req *request) *response {
+	resp := &response{ID: req.ID, Result: resultNotReady}
+	owner := s.Owner()
+	if owner == nil {
+		return resp
+	}
+	ctx, cancel := context.WithTimeout(ctx, serveTimeout)
+	defer cancel()
+	var err error
+	switch req.Kind {
+	case kindSubmit:
+		err = owner.Submit(ctx, req.Job, *req.Queue)
+	case kindState:
+		resp.State, err = owner.State(req.JobID)
+	case kindCancel:
+		err = owner.Cancel(ctx, req.JobID)
+	case kindWaiting:
+		resp.Count, err = owner.Waiting(req.Name)
+	}
+	resp.Result = resultOf(err)
+	return resp
+}
+
+// writeTimeout ends a write to a peer that does not read.
+const writeTimeout = 2 * time.Second
+
+// lockedWriter lets several goroutines write whole frames.
+type lockedWriter struct {
+	mu   sync.Mutex
+	w    *bufio.Writer
+	conn net.Conn
+}
+
+func (l *lockedWriter) write(msg any) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if err := l.conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+		return err
+	}
+	return writeFrame(l.w, msg)
+}
--- /dev/null
+++ b/policy/taskplan/taskplan.go
@@ -0,0 +1,233 @@
+// Package taskplan chooses workers for tasks: a pure function from what is free
+// and what waits to placements.
+//
+// Load pattern: many small tasks of a burst race for the room of a pool, among
+// them wide and long ones, tasks that last, gangs that work only together, and
+// tasks tied to a rack. Placing each where most is free spreads load over all
+// VMs: none is ever empty, so none can be maintained or moved without ending
+// work. Short tasks therefore go where least is left, and tasks that last share
+// VMs with others that last.
+package taskplan
+
+import (
+	"cmp"
+	"math"
+	"slices"
+
+	"github.com/pumicestage/pumicestage/policy/work"
+)
+
+// Worker is one worker as the plan sees it.
+type Worker struct {
+	ID       work.WorkerID
+	Total    work.Resources
+	Free     work.Resources // what no run, start or stop in progress holds
+	Labels   []string
+	Rack     string
+	Closed   bool    // takes no new tasks: leaving, cordoned, unheard
+	Limit    int     // most tasks to place now; negative: any number
+	Lasting  int     // lasting tasks there
+	Serving  int     // serving tasks there
+	Filling  int     // fill tasks there
+	Slowness float64 // duration of its tasks against its peers'; 1 is usual
+}
+
+func (w *Worker) has(label string) bool { return slices.Contains(w.Labels, label) }
+
+// Step is a step with tasks that wait.
+type Step struct {
+	Ref       work.StepRef
+	Step      *work.Step
+	Tasks     []Task
+	OnWorker  map[work.WorkerID]int  // tasks of the step there now
+	Permitted map[work.WorkerID]bool // nil: every worker
+}
+
+// Task is a task that waits.
+type Task struct {
+	Index int
+	Avoid []work.WorkerID // where it failed; taken only if nothing else is left
+}
+
+// Placement puts one task on a worker.
+type Placement struct {
+	Step   *Step
+	Index  int
+	Worker work.WorkerID
+}
+
+// Plan places what it can. Steps come in the order of their claim; a step that
+// does not fit lets later ones pass. Workers are changed as they fill.
+func Plan(workers []*Worker, steps []*Step) []Placement {
+	var out []Placement
+	for _, s := range steps {
+		if s.Step.Gang {
+			out = append(out, planGang(workers, s)...)
+			continue
+		}
+		for _, t := range s.Tasks {
+			w := choose(workers, s, t)
+			if w == nil {
+				continue
+			}
+			take(w, s)
+			out = append(out, Placement{Step: s, Index: t.Index, Worker: w.ID})
+		}
+	}
+	return out
+}
+
+// planGang places all waiting tasks of the step or none: members that wait for
+// the rest hold room and do no work.
+func planGang(workers []*Worker, s *Step) []Placement {
+	if s.Step.RackSensitive {
+		if out := gangInOneRack(workers, s); out != nil {
+			return out
+		}
+	}
+	return gangOn(workers, s)
+}
+
+// gangInOneRack tries the racks one by one, the fullest that suffices first.
+func gangInOneRack(workers []*Worker, s *Step) []Placement {
+	racks := make(map[string][]*Worker)
+	for _, w := range workers {
+		racks[w.Rack] = append(racks[w.Rack], w)
+	}
+	names := make([]string, 0, len(racks))
+	for name := range racks {
+		names = append(names, name)
+	}
+	free := func(rack string) (sum int64) {
+		for _, w := range racks[rack] {
+			sum += w.Free.MilliCPU
+		}
+		return sum
+	}
+	slices.SortFunc(names, func(a, b string) int {
+		return cmp.Or(cmp.Compare(free(a), free(b)), cmp.Compare(a, b))
+	})
+	for _, name := range names {
+		if out := gangOn(racks[name], s); out != nil {
+			return out
+		}
+	}
+	return nil
+}
+
+func gangOn(workers []*Worker, s *Step) []Placement {
+	var out []Placement
+	var taken []*Worker
+	for _, t := range s.Tasks {
+		w := choose(workers, s, t)
+		if w == nil {
+			for _, u := range taken {
+				give(u, s)
+			}
+			return nil
+		}
+		take(w, s)
+		taken = append(taken, w)
+		out = append(out, Placement{Step: s, Index: t.Index, Worker: w.ID})
+	}
+	return out
+}
+
+// Reserved returns what a task of the step holds of a worker's capacity.
+func Reserved(s *work.Step) work.Resources {
+	r := s.Size
+	if s.Fill {
+		r.MilliCPU = 0
+	}
+	return r
+}
+
+func take(w *Worker, s *Step) {
+	w.Free = w.Free.Minus(Reserved(s.Step))
+	count(w, s, 1)
+}
+
+func give(w *Worker, s *Step) {
+	w.Free = w.Free.Plus(Reserved(s.Step))
+	count(w, s, -1)
+}
+
+func count(w *Worker, s *Step, n int) {
+	s.OnWorker[w.ID] += n
+	if w.Limit >= 0 {
+		w.Limit -= n
+	}
+	if s.Step.Lasting {
+		w.Lasting += n
+	}
+	if s.Step.Serving() {
+		w.Serving += n
+	}
+	if s.Step.Fill {
+		w.Filling += n
+	}
+}
+
+// choose returns the worker with the lowest score, or nil.
+func choose(workers []*Worker, s *Step, t Task) *Worker {
+	var best *Worker
+	bestScore := math.Inf(1)
+	for _, w := range workers {
+		if !feasible(w, s) {
+			continue
+		}
+		if score := scoreOf(w, s, t); score < bestScore {
+			best, bestScore = w, score
+		}
+	}
+	return best
+}
+
+func feasible(w *Worker, s *Step) bool {
+	if w.Closed || w.Limit == 0 {
+		return false
+	}
+	if !Reserved(s.Step).Fits(w.Free) {
+		return false
+	}
+	if s.Step.Requires != "" && !w.has(s.Step.Requires) {
+		return false
+	}
+	if s.Step.AntiAffinity > 0 && s.OnWorker[w.ID] >= s.Step.AntiAffinity {
+		return false
+	}
+	return s.Permitted == nil || s.Permitted[w.ID]
+}
+
+// Parts of the score. A part outweighs all smaller ones together.
+const (
+	scoreAvoid     = 1000 // failed there before
+	scoreDisturbed = 100  // fill beside serving tasks or the reverse: they slow each other
+	scoreFar       = 30   // away from the data: 1.5 to 2 times as long
+	scoreSlow      = 20   // times how much slower than its peers it is
+	scoreMixed     = 5    // tasks that last and short ones on one VM keep it from being emptied
+	scoreFill      = 1    // best fit
+)
+
+func scoreOf(w *Worker, s *Step, t Task) float64 {
+	score := 0.0
+	if slices.Contains(t.Avoid, w.ID) {
+		score += scoreAvoid
+	}
+	if s.Step.Fill && w.Serving > 0 || s.Step.Serving() && w.Filling > 0 {
+		score += scoreDisturbed
+	}
+	if s.Step.DataRack != "" && !w.has(s.Step.DataRack) {
+		score += scoreFar
+	}
+	score += scoreSlow * max(0, w.Slowness-1)
+	if s.Step.Lasting && w.Lasting == 0 {
+		score += scoreMixed
+	}
+	free := float64(w.Free.MilliCPU) / float64(max(1, w.Total.MilliCPU))
+	if s.Step.Fill {
+		// A fill task lives on what others leave: the emptier the better.
+		return score - scoreFill*free
+	}
+	return score + scoreFill*free
+}
