Take-over keeps what runs: adopted runs, whole lists, failures counted once

Tasks are opened while restoring, and a restored task's own run number starts at 0. - a new owner could see a part of the workers' list and think the rest empty. - TWICE in a zone cut: the owner inside it took leases that its successor was extending for expired. An owner that is not certain restarts nothing of workers it can't reach. - LOST: an end that was stored and not acknowledged was listed again to the successor and counted as another failure. Failed runs are kept by number. Ruled out: late transactions (the commit key's revision is in every condition).

--- a/internal/engine/core.go
+++ b/internal/engine/core.go
@@ -37,6 +37,8 @@
 	// startsUntil: no orders beyond it, as the owner's lease is no longer
 	// certain and a successor may rely on our silence.
 	startsUntil time.Duration
+	inherited   time.Duration // see Inherit
+	certain     bool          // no later owner can exist, see SetCertain
 }
 
 // NewCore returns a core that gives its orders under token.
@@ -64,6 +66,11 @@
 // AllowUntil lets the core give orders until then.
 func (c *Core) AllowUntil(t time.Duration) { c.startsUntil = max(c.startsUntil, t) }
 
+// SetCertain says whether it is certain that no later owner exists. While it is
+// not, what ran on unreachable workers is not restarted: a successor on the
+// other side of a cut may have adopted it and extend its leases.
+func (c *Core) SetCertain(certain bool) { c.certain = certain }
+
 // Deposed reports whether a worker or the store knows a later owner.
 func (c *Core) Deposed() bool { return c.deposed }
 
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -152,7 +152,7 @@
 func (e *Engine) plan(ctx context.Context) bool {
 	now := e.Clock.Now()
 	e.mu.Lock()
-	e.core.AllowUntil(e.Term.AllowedUntil())
+	e.authority()
 	e.core.Declare(e.Declared())
 	orders := e.core.Plan(now, e.Clock.Wall())
 	deposed := e.core.Deposed()
@@ -169,6 +169,12 @@
 	return true
 }
 
+// authority tells the core how far its orders may go. The engine is locked.
+func (e *Engine) authority() {
+	e.core.AllowUntil(e.Term.AllowedUntil())
+	e.core.SetCertain(e.Term.Certain())
+}
+
 func (e *Engine) send(ctx context.Context, o *Orders) {
 	for i := range o.Starts {
 		if s := e.session(o.Starts[i].Worker.ID); s != nil {
--- a/internal/engine/job.go
+++ b/internal/engine/job.go
@@ -42,7 +42,10 @@
 	pace       int // percent of its share it may use; 100 at its start
 	paceSent   time.Duration
 
-	failures  int
+	// failed holds the numbers of the runs that failed. An end that was stored
+	// and not acknowledged is listed again to the next owner: counted twice it
+	// would fail a good job with attempts left.
+	failed    []int
 	avoid     []work.WorkerID
 	notBefore time.Duration // pause before the next start, for tasks that keep failing
 }
@@ -124,9 +127,11 @@
 	// restored is set on jobs that were accepted before this owner took over:
 	// an earlier owner may have tasks of theirs running.
 	restored bool
-	baseRun  int // runs of restored tasks are numbered from here
-	begun    bool
-	size     float64 // core-seconds in all, by estimate
+	// baseRun is below the numbers of runs that this owner starts, and not below
+	// any that an earlier one did.
+	baseRun int
+	begun   bool
+	size    float64 // core-seconds in all, by estimate
 
 	live []*occurrence
 	next int // number of the next occurrence
@@ -166,7 +171,7 @@
 	for i := range j.Steps {
 		s := &step{job: j, occ: o, number: i, spec: &j.Steps[i]}
 		for n := range s.spec.Count {
-			t := &task{ref: work.TaskRef{StepRef: s.ref(), Index: n}, step: s, run: j.baseRun, pace: fullPercent}
+			t := &task{ref: work.TaskRef{StepRef: s.ref(), Index: n}, step: s, pace: fullPercent}
 			s.tasks = append(s.tasks, t)
 		}
 		s.pending = len(s.tasks)
--- a/internal/engine/listing.go
+++ b/internal/engine/listing.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"slices"
 	"time"
 
 	"github.com/pumicestage/pumicestage/policy/work"
@@ -10,7 +11,7 @@
 func (c *Core) WorkerSeen(info WorkerInfo, now time.Duration) (fresh bool) {
 	w := c.workers[info.ID]
 	if w == nil {
-		w = &worker{info: info, tasks: make(map[work.TaskRef]*task), strays: make(map[work.TaskRef]int)}
+		w = &worker{info: info, inherited: c.inherited, tasks: make(map[work.TaskRef]*task), strays: make(map[work.TaskRef]int)}
 		c.workers[info.ID] = w
 		c.replaceAt(info, now)
 		return true
@@ -30,9 +31,11 @@
 }
 
 // Inherit says until when, on our clock, an earlier owner may have extended the
-// worker's lease.
-func (c *Core) Inherit(id work.WorkerID, until time.Duration) {
-	if w := c.workers[id]; w != nil {
+// leases of workers. It also holds for workers that register later: the entry of
+// one that lives may have lapsed while the store was away.
+func (c *Core) Inherit(until time.Duration) {
+	c.inherited = until
+	for _, w := range c.workers {
 		w.inherited = until
 	}
 }
@@ -131,6 +134,9 @@
 
 // Expire restarts what unreachable workers ran, once it is certain to be over.
 func (c *Core) Expire(now time.Duration) {
+	if !c.certain {
+		return
+	}
 	for _, w := range c.workers {
 		if w.missed > 0 && len(w.tasks) > 0 && w.expired(now) {
 			c.log.Info("leases of an unreachable worker have run out", "worker", w.info.ID, "tasks", len(w.tasks))
@@ -318,9 +324,12 @@
 )
 
 func (c *Core) taskFailed(w *worker, t *task, e *RunEnd, current bool, now time.Duration) {
-	c.log.Info("run failed", "task", t.ref.String(), "run", e.Run, "worker", w.info.ID, "failures", t.failures+1)
+	if slices.Contains(t.failed, e.Run) {
+		return
+	}
+	c.log.Info("run failed", "task", t.ref.String(), "run", e.Run, "worker", w.info.ID, "failures", len(t.failed)+1)
 	w.strikes.failure(t.ref.Job, now)
-	t.failures++
+	t.failed = append(t.failed, e.Run)
 	t.avoid = append(t.avoid, w.info.ID)
 	if current {
 		c.ranOut(t, now)
@@ -331,10 +340,10 @@
 	}
 	c.dirty[j.ID] = j
 	if t.step.spec.Lasting {
-		t.notBefore = now + min(mostPause, firstPause<<min(t.failures, 4))
+		t.notBefore = now + min(mostPause, firstPause<<min(len(t.failed), 4))
 		return
 	}
-	if j.queue.MaxAttempts > 0 && t.failures >= j.queue.MaxAttempts {
+	if j.queue.MaxAttempts > 0 && len(t.failed) >= j.queue.MaxAttempts {
 		c.finish(j, work.Failed)
 	}
 }
--- a/internal/engine/plan.go
+++ b/internal/engine/plan.go
@@ -351,12 +351,7 @@
 func (c *Core) order(p taskplan.Placement, now time.Duration, out *Orders) {
 	w := c.workers[p.Worker]
 	t := c.find(work.TaskRef{StepRef: p.Step.Ref, Index: p.Index})
-	run := t.run + 1
-	if t.step.spec.Gang {
-		for _, member := range t.step.tasks {
-			run = max(run, member.run+1, c.gangRun(t, out))
-		}
-	}
+	run := c.nextRun(t, out)
 	c.attach(t, w, run, taskStarting, now)
 	t.sent = now
 	t.deadline = w.clockNow(now) + min(startAhead, c.bounds.MaxHold)
@@ -368,6 +363,21 @@
 	}})
 }
 
+// nextRun numbers a start; the members of a gang share theirs.
+func (c *Core) nextRun(t *task, out *Orders) int {
+	run := max(t.run, t.step.job.baseRun) + 1
+	if !t.step.spec.Gang {
+		return run
+	}
+	if given := c.gangRun(t, out); given != 0 {
+		return given
+	}
+	for _, member := range t.step.tasks {
+		run = max(run, member.run+1)
+	}
+	return run
+}
+
 // gangRun returns the run that members of the gang were given in this plan.
 func (c *Core) gangRun(t *task, out *Orders) int {
 	for i := range out.Starts {
--- a/internal/engine/progress.go
+++ b/internal/engine/progress.go
@@ -34,9 +34,9 @@
 
 // StepProgress is of one step.
 type StepProgress struct {
-	Done     []int          `json:"done,omitempty"`     // indexes of tasks that are done
-	Failures map[int]int    `json:"failures,omitempty"` // runs that failed, by index
-	Saved    map[int]string `json:"saved,omitempty"`    // newest checkpoints, by index
+	Done   []int          `json:"done,omitempty"`   // indexes of tasks that are done
+	Failed map[int][]int  `json:"failed,omitempty"` // numbers of runs that failed, by index
+	Saved  map[int]string `json:"saved,omitempty"`  // newest checkpoints, by index
 }
 
 // Change is one job's progress to store.
@@ -121,8 +121,8 @@
 					sp.Done = append(sp.Done, i)
 					continue
 				}
-				if t.failures > 0 && !s.spec.Lasting {
-					sp.Failures = put(sp.Failures, i, t.failures)
+				if len(t.failed) > 0 && !s.spec.Lasting {
+					sp.Failed = put(sp.Failed, i, t.failed)
 				}
 				if t.checkpoint != "" {
 					sp.Saved = put(sp.Saved, i, t.checkpoint)
@@ -238,9 +238,9 @@
 			s.job.begun = true
 		}
 	}
-	for i, n := range p.Failures {
+	for i, runs := range p.Failed {
 		if i < len(s.tasks) {
-			s.tasks[i].failures = n
+			s.tasks[i].failed = runs
 			s.job.begun = true
 		}
 	}
@@ -251,11 +251,11 @@
 	}
 }
 
-// Reaffirm finishes jobs that were complete when they were restored.
-func (c *Core) Reaffirm() {
+// Reaffirm ends the restoring of jobs: it opens what is due, as workers may
+// list tasks of it with their first answer, and finishes what was complete.
+func (c *Core) Reaffirm(now time.Duration, wall time.Time) {
+	c.openOccurrences(now, wall)
 	for _, j := range slices.Clone(c.open) {
-		if j.next >= j.Occurrences() {
-			c.advance(j)
-		}
+		c.advance(j)
 	}
 }
--- a/internal/engine/restore.go
+++ b/internal/engine/restore.go
@@ -118,12 +118,12 @@
 		}
 		e.core.Restore(&r, work.JobID(id), byJob[id], now, wall)
 	}
-	e.core.Reaffirm()
+	e.core.Reaffirm(now, wall)
 	for _, info := range e.Registry() {
 		e.core.WorkerSeen(info, now)
-		if !first {
-			e.core.Inherit(info.ID, now+inheritedFor())
-		}
+	}
+	if !first {
+		e.core.Inherit(now + inheritedFor())
 	}
 	return nil
 }
--- a/internal/engine/session.go
+++ b/internal/engine/session.go
@@ -78,7 +78,7 @@
 	e := s.engine
 	for ctx.Err() == nil {
 		e.mu.Lock()
-		e.core.AllowUntil(e.Term.AllowedUntil())
+		e.authority()
 		info, h, due := e.core.HoldFor(s.id, e.Clock.Now())
 		_, exists := e.core.workers[s.id]
 		if !exists {
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -192,34 +192,48 @@
 
 func (r *registry) run(ctx context.Context) {
 	follow(ctx, r.store, r.log, platform.WorkerPrefix, func(kvs []infra.KV) {
-		r.mu.Lock()
-		r.workers = make(map[string]engine.WorkerInfo)
-		r.mu.Unlock()
-		for _, kv := range kvs {
-			r.take(kv)
-		}
+		r.replace(kvs)
 		r.changed()
 	}, func(ev infra.Event) {
-		if ev.Kind == infra.EventDelete {
-			r.mu.Lock()
-			delete(r.workers, ev.KV.Key)
-			r.mu.Unlock()
-		} else {
-			r.take(ev.KV)
-		}
+		r.change(ev)
 		r.changed()
 	})
 }
 
-func (r *registry) take(kv infra.KV) {
+// replace takes the whole list over in one step: a new owner must not see a
+// part of it and think the rest empty.
+func (r *registry) replace(kvs []infra.KV) {
+	workers := make(map[string]engine.WorkerInfo, len(kvs))
+	for _, kv := range kvs {
+		if info, ok := r.read(kv); ok {
+			workers[kv.Key] = info
+		}
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.workers = workers
+}
+
+func (r *registry) change(ev infra.Event) {
+	info, ok := engine.WorkerInfo{}, false
+	if ev.Kind == infra.EventPut {
+		info, ok = r.read(ev.KV)
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if ok {
+		r.workers[ev.KV.Key] = info
+	} else if ev.Kind == infra.EventDelete {
+		delete(r.workers, ev.KV.Key)
+	}
+}
+
+func (r *registry) read(kv infra.KV) (engine.WorkerInfo, bool) {
 	info, err := platform.WorkerOf(kv)
 	if err != nil {
 		r.log.Error(err, "registration is malformed", "key", kv.Key)
-		return
 	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.workers[kv.Key] = info
+	return info, err == nil
 }
 
 func (r *registry) list() []engine.WorkerInfo {
