--- a/internal/engine/core.go
+++ b/internal/engine/core.go
@@ -29,6 +29,7 @@
 	jobs     map[work.JobID]*job
 	open     []*job // not ended, oldest first
 	workers  map[work.WorkerID]*worker
+	over     map[work.WorkerID]bool // lives that have ended; an ID never comes back
 	learned  durations
 	sizes    map[string]*meanSize
 
@@ -37,8 +38,10 @@
 	// startsUntil: no orders beyond it, as the owner's lease is no longer
 	// certain and a successor may rely on our silence.
 	startsUntil time.Duration
-	inherited   time.Duration // see Inherit
-	certain     bool          // no later owner can exist, see SetCertain
+	inherited   time.Duration            // see Inherit
+	fleetKnown  bool                     // the platform's list of VMs was read
+	alive       map[work.WorkerID]string // pools of the workers that it says are up
+	certain     bool                     // no later owner can exist, see SetCertain
 }
 
 // NewCore returns a core that gives its orders under token.
@@ -47,6 +50,7 @@
 		token: token, bounds: bounds, log: log,
 		jobs:    make(map[work.JobID]*job),
 		workers: make(map[work.WorkerID]*worker),
+		over:    make(map[work.WorkerID]bool),
 		learned: make(durations),
 		sizes:   make(map[string]*meanSize),
 		dirty:   make(map[work.JobID]*job),
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -343,15 +343,14 @@
 
 // RegistryChanged makes the engine read the registered workers again.
 func (e *Engine) RegistryChanged() {
-	now := e.Clock.Now()
 	e.mu.Lock()
 	if !e.restored {
 		e.mu.Unlock()
 		return
 	}
 	for _, info := range e.Registry() {
-		e.core.WorkerSeen(info, now)
-		if e.sessions[info.ID] == nil {
+		e.core.WorkerSeen(info)
+		if e.sessions[info.ID] == nil && e.core.workers[info.ID] != nil {
 			e.sessions[info.ID] = newSession(e, info.ID)
 		}
 	}
--- a/internal/engine/fleet.go
+++ b/internal/engine/fleet.go
@@ -111,6 +111,9 @@
 	for _, vm := range list {
 		f.vms[vm.ID] = vm
 	}
+	f.e.mu.Lock()
+	f.e.core.SetFleet(list)
+	f.e.mu.Unlock()
 	f.lives(sent)
 	f.settle(sent)
 	for _, w := range f.e.Waves.Ordered() {
@@ -121,19 +124,14 @@
 // lives ends the workers that the platform says are over: those whose VM has
 // another life or none.
 func (f *fleet) lives(sent time.Duration) {
-	current := make(map[work.WorkerID]bool, len(f.vms))
-	for _, vm := range f.vms {
-		if vm.State == work.VMUp && vm.Worker != "" {
-			current[vm.Worker] = true
-		}
-	}
 	now := f.e.Clock.Now()
 	f.e.mu.Lock()
 	defer f.e.mu.Unlock()
+	current := f.e.core.alive
 	for id, w := range f.e.core.workers {
 		// A worker that was heard after the list was asked for is alive: the
 		// list was older.
-		if !current[id] && w.clockAt < sent && w.missed > 0 {
+		if _, up := current[id]; !up && w.clockAt < sent && w.missed > 0 {
 			f.e.core.WorkerGone(id, "its VM has another life or none", now)
 		}
 	}
--- a/internal/engine/listing.go
+++ b/internal/engine/listing.go
@@ -7,26 +7,20 @@
 	"github.com/pumicestage/pumicestage/policy/work"
 )
 
-// WorkerSeen takes a worker's registration over.
-func (c *Core) WorkerSeen(info WorkerInfo, now time.Duration) (fresh bool) {
-	w := c.workers[info.ID]
-	if w == nil {
-		w = &worker{info: info, inherited: c.inherited, tasks: make(map[work.TaskRef]*task), strays: make(map[work.TaskRef]int)}
-		c.workers[info.ID] = w
-		c.replaceAt(info, now)
-		return true
+// WorkerSeen takes a worker's registration over. The entry of a life that is
+// over may stay for some seconds, beside that of another life at the same address:
+// which of them is over only the worker itself and the platform's list can say.
+func (c *Core) WorkerSeen(info WorkerInfo) {
+	if c.over[info.ID] {
+		return
 	}
-	w.info = info
-	return false
-}
-
-// replaceAt ends the earlier lives at the same address: a worker that listens
-// there proves that they are over.
-func (c *Core) replaceAt(info WorkerInfo, now time.Duration) {
-	for id, w := range c.workers {
-		if id != info.ID && w.info.Address == info.Address && !w.gone {
-			c.WorkerGone(id, "address taken by another", now)
-		}
+	if w := c.workers[info.ID]; w != nil {
+		w.info = info
+		return
+	}
+	c.workers[info.ID] = &worker{
+		info: info, inherited: c.inherited,
+		tasks: make(map[work.TaskRef]*task), strays: make(map[work.TaskRef]int),
 	}
 }
 
@@ -47,6 +41,7 @@
 		return
 	}
 	w.gone = true
+	c.over[id] = true
 	c.log.Info("worker gone", "worker", id, "service", w.info.Service, "tasks", len(w.tasks), "reason", why)
 	c.dropTasks(w, now)
 	delete(c.workers, id)
--- a/internal/engine/plan.go
+++ b/internal/engine/plan.go
@@ -200,16 +200,43 @@
 }
 
 // settled reports whether nothing that an earlier owner started can be running
-// unknown to us: every worker of the service was heard or is certain to be empty.
+// unknown to us: every worker of the service was heard, or the leases it may have
+// are certain to be over. Registrations alone don't tell which workers there are:
+// they lapse while the store is away, and the workers run on.
 func (c *Core) settled(service string, now time.Duration) bool {
+	if now >= c.inherited {
+		return true
+	}
+	if !c.fleetKnown {
+		return false
+	}
+	for id, pool := range c.alive {
+		if pool != service || c.over[id] {
+			continue
+		}
+		if w := c.workers[id]; w == nil || !w.heard {
+			return false
+		}
+	}
 	for _, w := range c.workers {
-		if w.info.Service == service && !w.heard && !w.expired(now) {
+		if w.info.Service == service && !w.heard {
 			return false
 		}
 	}
 	return true
 }
 
+// SetFleet says which workers are alive by the platform's list of VMs.
+func (c *Core) SetFleet(vms []work.VM) {
+	c.fleetKnown = true
+	c.alive = make(map[work.WorkerID]string, len(vms))
+	for _, vm := range vms {
+		if vm.State == work.VMUp && vm.Worker != "" {
+			c.alive[vm.Worker] = vm.Pool
+		}
+	}
+}
+
 // orderOf describes a job to the order.
 func (c *Core) orderOf(j *job, o *occurrence, now time.Duration) joborder.Job {
 	out := joborder.Job{
--- a/internal/engine/restore.go
+++ b/internal/engine/restore.go
@@ -120,7 +120,7 @@
 	}
 	e.core.Reaffirm(now, wall)
 	for _, info := range e.Registry() {
-		e.core.WorkerSeen(info, now)
+		e.core.WorkerSeen(info)
 	}
 	if !first {
 		e.core.Inherit(now + inheritedFor())
