--- a/internal/engine/job.go
+++ b/internal/engine/job.go
@@ -30,7 +30,7 @@
 	where *worker
 
 	sent       time.Duration // when the start was ordered
-	answered   time.Duration // when the worker was first known to have it
+	answered   time.Duration // when the worker was first known to have it, or the start given up
 	deadline   time.Duration // of the start order, on the worker's clock
 	stopSent   time.Duration // last stop order; 0: none
 	stopOK     time.Duration // when a stop was answered; 0: not yet
--- a/internal/engine/listing.go
+++ b/internal/engine/listing.go
@@ -222,7 +222,13 @@
 			c.log.Info("run vanished", "task", t.ref.String(), "run", t.run)
 			c.ranOut(t, now)
 		}
+	case taskDoubtful:
+		// It may yet start: the stop makes the worker reject it.
+		if t.answered < sent {
+			t.step.set(t, taskStopping)
+		}
 	case taskStopping:
+		// Not at the stop's answer: a run goes on for a while after it.
 		if t.stopOK != 0 && t.stopOK < sent {
 			c.ranOut(t, now)
 		}
--- a/internal/engine/plan.go
+++ b/internal/engine/plan.go
@@ -58,7 +58,6 @@
 	}
 	c.openOccurrences(now, wall)
 	c.Expire(now)
-	c.settleDoubtful(now)
 	c.vacate(now)
 	c.planStops(now, &out)
 	c.planPaces(now, &out)
@@ -85,28 +84,15 @@
 	}
 }
 
-// settleDoubtful frees tasks whose start can't take effect any more: its
-// deadline has passed on the worker's clock, and no look since listed it.
-func (c *Core) settleDoubtful(now time.Duration) {
-	for _, w := range c.workers {
-		for _, t := range w.tasks {
-			if t.state == taskDoubtful && t.stopOK != 0 {
-				c.ranOut(t, now)
-			}
-		}
-	}
-}
-
-// planStops sends the stops that are due: of tasks that must end, of starts in
-// doubt, and of runs that nobody wants.
+// planStops sends the stops that are due: of tasks that must end, and of runs
+// that nobody wants.
 func (c *Core) planStops(now time.Duration, out *Orders) {
 	for _, w := range c.workers {
 		if w.gone || !w.heard {
 			continue
 		}
 		for _, t := range w.tasks {
-			wanted := t.state == taskStopping || t.state == taskDoubtful
-			if !wanted || t.stopOK != 0 || t.stopSent != 0 && now < t.stopSent+stopAgain {
+			if t.state != taskStopping || t.stopOK != 0 || t.stopSent != 0 && now < t.stopSent+stopAgain {
 				continue
 			}
 			t.stopSent = now
@@ -437,6 +423,7 @@
 	case OutcomeUnknown:
 		if t.state == taskStarting {
 			t.step.set(t, taskDoubtful)
+			t.answered = now
 		}
 	default:
 		c.notStarted(t, w, out, now)
