Idle VMs follow the backlog; notes of entry VMs are read together

policy/pools: a backlog that outlasts a move draws idle VMs, parked ones first, then from pools whose burst ended last. Jobs named by notes are read 16 at a time and notes removed together; an entry VM that cancels without an owner ends the job's record itself.

--- a/internal/engine/core.go
+++ b/internal/engine/core.go
@@ -34,6 +34,8 @@
 	sizes    map[string]*meanSize
 
 	dirty   map[work.JobID]*job
+	now     time.Duration // of the last plan or answer
+	waits   bool          // tasks were left without room by the last plan
 	deposed bool
 	// startsUntil: no orders beyond it, as the owner's lease is no longer
 	// certain and a successor may rely on our silence.
@@ -156,6 +158,7 @@
 	if t.where != nil {
 		delete(t.where.tasks, t.ref)
 		t.where.full = false
+		t.where.emptySince = c.now
 		t.where = nil
 	}
 	t.stopSent, t.stopOK, t.percent, t.gauge, t.pace = 0, 0, 0, 0, fullPercent
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -158,7 +158,11 @@
 	deposed := e.core.Deposed()
 	all, final := e.core.Dirty()
 	ack := e.core.unacknowledged()
+	backlog := e.core.waits
 	e.mu.Unlock()
+	if backlog {
+		kick(e.fleet.kick)
+	}
 	if deposed {
 		return false
 	}
--- a/internal/engine/fleet.go
+++ b/internal/engine/fleet.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/pumicestage/pumicestage/internal/infra"
@@ -29,6 +30,7 @@
 const (
 	fleetQuiet = 1 * time.Second
 	fleetBusy  = 300 * time.Millisecond
+	fleetLeast = 100 * time.Millisecond // between two passes; each lists the VMs
 	// listTimeout ends a call to the platform's VM service.
 	listTimeout = 1 * time.Second
 	// vmOrderPause keeps orders for one VM apart from an earlier owner's: the
@@ -44,19 +46,29 @@
 type vmOrder struct {
 	sent     time.Duration
 	accepted bool
-	wave     string
+	wave     string        // the order is maintenance of this wave
+	pool     string        // the order is a move to this pool
 	life     work.WorkerID // the worker it had
 	left     bool          // it was seen to be not up since
 }
 
 // fleet looks after VMs: which life each has, and the waves.
 type fleet struct {
-	e      *Engine
-	vms    map[string]work.VM
+	e        *Engine
+	vms      map[string]work.VM
+	waves    map[string]*waveRun
+	lastBusy map[string]time.Duration // when each service last had a backlog
+	began    time.Duration
+	kick     chan struct{}
+
+	mu     sync.Mutex // taken after the engine's
 	orders map[string]*vmOrder
-	waves  map[string]*waveRun
-	began  time.Duration
-	kick   chan struct{}
+}
+
+func (f *fleet) orderOf(vm string) *vmOrder {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.orders[vm]
 }
 
 type waveRun struct {
@@ -70,7 +82,8 @@
 
 func newFleet(e *Engine) *fleet {
 	return &fleet{
-		e: e, orders: make(map[string]*vmOrder), waves: make(map[string]*waveRun), kick: make(chan struct{}, 1),
+		e: e, orders: make(map[string]*vmOrder), waves: make(map[string]*waveRun),
+		lastBusy: make(map[string]time.Duration), kick: make(chan struct{}, 1),
 	}
 }
 
@@ -78,16 +91,32 @@
 	f.began = f.e.Clock.Now()
 	for ctx.Err() == nil {
 		f.pass(ctx)
-		pause := fleetQuiet
-		if f.busy() {
-			pause = fleetBusy
-		}
-		sleep(ctx, pause)
+		f.rest(ctx)
+	}
+}
+
+// rest waits for the next pass: shortly while something goes on, and at once
+// where work begins to wait.
+func (f *fleet) rest(ctx context.Context) {
+	pause := fleetQuiet
+	if f.busy() {
+		pause = fleetBusy
+	}
+	sleep(ctx, fleetLeast)
+	t := time.NewTimer(pause - fleetLeast)
+	defer t.Stop()
+	select {
+	case <-f.kick:
+	case <-t.C:
+	case <-ctx.Done():
 	}
 }
 
 func (f *fleet) busy() bool {
-	if len(f.orders) > 0 {
+	f.mu.Lock()
+	orders := len(f.orders)
+	f.mu.Unlock()
+	if orders > 0 {
 		return true
 	}
 	for _, w := range f.e.Waves.Ordered() {
@@ -119,6 +148,7 @@
 	for _, w := range f.e.Waves.Ordered() {
 		f.wave(ctx, w)
 	}
+	f.rebalance(ctx)
 }
 
 // lives ends the workers that the platform says are over: those whose VM has
@@ -139,6 +169,8 @@
 
 // settle ends orders whose effect is over.
 func (f *fleet) settle(sent time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	for id, o := range f.orders {
 		vm, exists := f.vms[id]
 		switch {
@@ -208,7 +240,8 @@
 	backlog := f.e.core.Backlog()
 	for _, id := range w.VMs {
 		vm, exists := f.vms[id]
-		if o := f.orders[id]; o != nil && o.wave == w.Name {
+		o := f.orderOf(id)
+		if o != nil && o.wave == w.Name {
 			in.Away++
 			continue
 		}
@@ -216,12 +249,12 @@
 			in.Away++
 			continue
 		}
-		if !exists || r.Done[id] {
+		if !exists || r.Done[id] || o != nil {
 			continue
 		}
-		o := f.e.core.Occupied(vm.Worker)
+		on := f.e.core.Occupied(vm.Worker)
 		in.Due = append(in.Due, upkeep.Candidate{
-			VM: vm, Parked: f.e.core.declared.Services[vm.Pool].Standby, Tasks: o.Tasks, Lasting: o.Lasting,
+			VM: vm, Parked: f.e.core.declared.Services[vm.Pool].Standby, Tasks: on.Tasks, Lasting: on.Lasting,
 			Backlog: backlog[vm.Pool] > 0, Cordoned: r.emptying[id],
 		})
 	}
@@ -249,7 +282,7 @@
 	defer f.e.mu.Unlock()
 	chosen := append(slices.Clone(d.Empty), d.Maintain...)
 	for id := range r.emptying {
-		if !slices.Contains(chosen, id) && f.orders[id] == nil {
+		if !slices.Contains(chosen, id) && f.orderOf(id) == nil {
 			delete(r.emptying, id)
 			f.e.core.Cordon(f.vms[id].Worker, "", false)
 		}
@@ -262,16 +295,10 @@
 
 func (f *fleet) maintain(ctx context.Context, w OrderedWave, r *waveRun, id string) {
 	vm := f.vms[id]
-	// Asked again under the lock: a start may have been on its way when the
-	// decision was made.
-	f.e.mu.Lock()
-	tasks := f.e.core.Occupied(vm.Worker).Tasks
-	f.e.mu.Unlock()
-	if tasks > 0 || f.orders[id] != nil {
+	o := f.claimMaintenance(w.Name, vm)
+	if o == nil {
 		return
 	}
-	o := &vmOrder{sent: f.e.Clock.Now(), wave: w.Name, life: vm.Worker}
-	f.orders[id] = o
 	call, cancel := context.WithTimeout(ctx, listTimeout)
 	out := f.e.Machines.Maintain(call, id, w.Name, f.e.Term.Token())
 	cancel()
@@ -287,8 +314,25 @@
 	case VMFenced:
 		f.e.Term.End("the platform knows a later owner")
 	case VMBusy, VMLater, VMInvalid:
+		f.mu.Lock()
 		delete(f.orders, id)
+		f.mu.Unlock()
+	}
+}
+
+// claimMaintenance books the order if the VM is empty; nil where it is not: a
+// start may have been on its way when the decision was made.
+func (f *fleet) claimMaintenance(wave string, vm work.VM) *vmOrder {
+	f.e.mu.Lock()
+	defer f.e.mu.Unlock()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.e.core.Occupied(vm.Worker).Tasks > 0 || f.orders[vm.ID] != nil {
+		return nil
 	}
+	o := &vmOrder{sent: f.e.Clock.Now(), wave: wave, life: vm.Worker}
+	f.orders[vm.ID] = o
+	return o
 }
 
 func (f *fleet) loadWave(ctx context.Context, name string, r *waveRun) bool {
--- /dev/null
+++ b/internal/engine/inbox.go
@@ -0,0 +1,180 @@
+package engine
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"slices"
+	"strings"
+	"sync"
+
+	"github.com/gravitational/trace"
+
+	"github.com/pumicestage/pumicestage/internal/infra"
+	"github.com/pumicestage/pumicestage/policy/work"
+)
+
+// Kinds of notes in the inbox.
+const (
+	NoteSubmit = "submit"
+	NoteCancel = "cancel"
+)
+
+// noteReaders is how many jobs named by notes are read from the store at a
+// time. After seconds without an owner there are hundreds of notes; read one by
+// one they keep the last caller waiting for seconds more.
+const noteReaders = 16
+
+// note is one note of an entry VM.
+type note struct {
+	key  string
+	kind string
+	job  work.JobID
+}
+
+func parseNote(key string) (note, bool) {
+	kind, id, ok := strings.Cut(strings.TrimPrefix(key, infra.WorkInboxPrefix), "/")
+	return note{key: key, kind: kind, job: work.JobID(id)}, ok
+}
+
+// readInbox follows what entry VMs wrote while they could not reach the owner.
+func (e *Engine) readInbox(ctx context.Context) {
+	for ctx.Err() == nil {
+		if err := e.followInbox(ctx); err != nil && ctx.Err() == nil {
+			e.Log.Info("inbox not readable", "error", err.Error())
+			sleep(ctx, storePause)
+		}
+	}
+}
+
+func (e *Engine) followInbox(ctx context.Context) error {
+	kvs, rev, err := e.Store.Range(ctx, infra.WorkInboxPrefix)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	if err := e.readNotes(ctx, keysOf(kvs)); err != nil {
+		return err
+	}
+	watch, cancel := context.WithCancel(ctx)
+	defer cancel()
+	batches, err := e.Store.Watch(watch, infra.WorkInboxPrefix, rev+1)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	for b := range batches {
+		if b.Err != nil {
+			return trace.Wrap(b.Err)
+		}
+		var keys []string
+		for _, ev := range b.Events {
+			if ev.Kind == infra.EventPut {
+				keys = append(keys, ev.KV.Key)
+			}
+		}
+		if err := e.readNotes(ctx, keys); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func keysOf(kvs []infra.KV) []string {
+	keys := make([]string, len(kvs))
+	for i := range kvs {
+		keys[i] = kvs[i].Key
+	}
+	return keys
+}
+
+// readNotes acts on the notes and removes them. Jobs are read before any
+// cancellation is acted on, and a job's record says itself if it is cancelled.
+func (e *Engine) readNotes(ctx context.Context, keys []string) error {
+	var notes []note
+	for _, key := range keys {
+		n, ok := parseNote(key)
+		if !ok {
+			e.Log.Info("inbox key is malformed", "key", key)
+			continue
+		}
+		notes = append(notes, n)
+	}
+	if len(notes) == 0 {
+		return nil
+	}
+	if err := e.readJobs(ctx, notes); err != nil {
+		return err
+	}
+	for _, n := range notes {
+		e.Log.Info("note read", "kind", n.kind, "job", n.job)
+		if n.kind == NoteCancel {
+			e.cancelNoted(n.job)
+		}
+	}
+	return e.removeNotes(ctx, notes)
+}
+
+// cancelNoted cancels a job whose record says so already: nobody waits for it
+// to be stored again.
+func (e *Engine) cancelNoted(id work.JobID) {
+	e.mu.Lock()
+	known := e.core.Cancel(id, func(error) {})
+	e.mu.Unlock()
+	if !known {
+		e.Log.Info("cancelled job is not stored", "job", id)
+	}
+	kick(e.storeKick)
+	kick(e.planKick)
+}
+
+// readJobs reads the jobs that are not known yet, some at a time.
+func (e *Engine) readJobs(ctx context.Context, notes []note) error {
+	slots := make(chan struct{}, noteReaders)
+	errs := make([]error, len(notes))
+	var readers sync.WaitGroup
+	for i, n := range notes {
+		e.mu.Lock()
+		known := e.core.Known(n.job)
+		e.mu.Unlock()
+		if known {
+			continue
+		}
+		slots <- struct{}{}
+		readers.Go(func() {
+			defer func() { <-slots }()
+			errs[i] = e.readJob(ctx, n.job)
+		})
+	}
+	readers.Wait()
+	return trace.Wrap(errors.Join(errs...))
+}
+
+func (e *Engine) readJob(ctx context.Context, id work.JobID) error {
+	kv, _, err := e.Store.Get(ctx, infra.WorkJobKey(string(id)))
+	if err != nil {
+		return err
+	}
+	if kv.ModRevision == 0 {
+		e.Log.Info("note about a job that is not stored", "job", id)
+		return nil
+	}
+	var r JobRecord
+	if err := json.Unmarshal(kv.Value, &r); err != nil {
+		e.Log.Error(err, "job record is malformed", "job", id)
+		return nil
+	}
+	e.found(id, &r)
+	return nil
+}
+
+func (e *Engine) removeNotes(ctx context.Context, notes []note) error {
+	for part := range slices.Chunk(notes, txnEntries) {
+		var ops []infra.Op
+		for _, n := range part {
+			ops = append(ops, infra.Delete(n.key))
+		}
+		if _, err := e.Store.Txn(ctx, infra.Txn{Then: ops}); err != nil {
+			return trace.Wrap(err)
+		}
+	}
+	return nil
+}
--- a/internal/engine/listing.go
+++ b/internal/engine/listing.go
@@ -147,6 +147,7 @@
 	if w == nil {
 		return
 	}
+	c.now = now
 	w.clockSaid(l.Clock, now)
 	w.acked = max(w.acked, h.AckedThrough)
 	if !w.heard {
--- a/internal/engine/plan.go
+++ b/internal/engine/plan.go
@@ -53,6 +53,7 @@
 // jobs are due.
 func (c *Core) Plan(now time.Duration, wall time.Time) Orders {
 	var out Orders
+	c.now = now
 	if c.deposed || now > c.startsUntil {
 		return out
 	}
@@ -61,8 +62,10 @@
 	c.vacate(now)
 	c.planStops(now, &out)
 	c.planPaces(now, &out)
+	c.waits = false
 	for service, steps := range c.waitingSteps(now) {
 		c.planService(service, steps, now, &out)
+		c.waits = c.waits || slices.ContainsFunc(steps, func(w waiting) bool { return w.step.pending > 0 })
 	}
 	return out
 }
--- a/internal/engine/worker.go
+++ b/internal/engine/worker.go
@@ -56,7 +56,8 @@
 	// extended the worker's lease.
 	inherited time.Duration
 
-	tasks map[work.TaskRef]*task
+	tasks      map[work.TaskRef]*task
+	emptySince time.Duration // when its last task left
 	// strays are runs it lists that must not go on.
 	strays map[work.TaskRef]int
 
--- a/internal/jobfront/front.go
+++ b/internal/jobfront/front.go
@@ -157,7 +157,7 @@
 		return state, nil
 	}
 	// The owner may not have read yet what another entry VM stored.
-	r, err := f.record(ctx, id)
+	r, _, err := f.stored(ctx, id)
 	if err != nil {
 		return "", err
 	}
@@ -167,12 +167,7 @@
 	return work.Running, nil
 }
 
-// record reads the job from the store.
-func (f *Front) record(ctx context.Context, id work.JobID) (*engine.JobRecord, error) {
-	r, _, err := f.stored(ctx, id)
-	return r, err
-}
-
+// stored reads the job from the store.
 func (f *Front) stored(ctx context.Context, id work.JobID) (*engine.JobRecord, infra.Revision, error) {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
@@ -202,21 +197,42 @@
 	if err == nil {
 		return nil
 	}
-	r, rev, err := f.stored(ctx, id)
-	if err != nil {
-		return err
-	}
-	if r.State != "" {
-		return nil
-	}
-	_, err = f.txn(ctx, infra.Txn{
-		If:   []infra.Cond{{Key: infra.WorkJobKey(string(id)), ModRevision: rev}},
-		Then: []infra.Op{infra.Put(infra.WorkInboxKey(engine.NoteCancel, string(id)), nil)},
-	})
-	if err != nil {
-		return ErrUncertain
+	return f.storeCancel(ctx, id)
+}
+
+// storeCancel ends the job in the store itself, so that no later owner starts
+// any of it, and leaves a note for the present one.
+func (f *Front) storeCancel(ctx context.Context, id work.JobID) error {
+	for {
+		r, rev, err := f.stored(ctx, id)
+		if err != nil {
+			return err
+		}
+		if r.State != "" {
+			return nil
+		}
+		record, err := json.Marshal(engine.JobRecord{State: work.Cancelled, Ended: f.Clock.Wall()})
+		if err != nil {
+			return &Refusal{Reason: "cancellation can't be stored: " + err.Error()}
+		}
+		key := infra.WorkJobKey(string(id))
+		res, err := f.txn(ctx, infra.Txn{
+			If: []infra.Cond{{Key: key, ModRevision: rev}},
+			Then: []infra.Op{
+				infra.Put(key, record),
+				infra.Put(infra.WorkInboxKey(engine.NoteCancel, string(id)), nil),
+			},
+		})
+		if err == nil && res.Succeeded {
+			return nil
+		}
+		if err != nil {
+			f.Log.Info("cancellation not confirmed", "job", id, "error", err.Error())
+		}
+		if !wait(ctx, storePause) {
+			return ErrUncertain
+		}
 	}
-	return nil
 }
 
 // Waiting counts the queue's jobs of which no task has started.
--- /dev/null
+++ b/policy/pools/pools.go
@@ -0,0 +1,132 @@
+// Package pools decides which VMs change their pool.
+//
+// Load pattern: demand goes round the queues. Each in its turn asks several
+// times its mean for some seconds, more than its pool holds, and next to nothing
+// in between; the VMs of the other pools stand idle meanwhile. With fixed pools
+// most of a burst is late. Idle VMs therefore follow the backlog. A move takes
+// the VM away for a second or two and has a price, so a VM moves only for a
+// backlog that outlasts that, and idle VMs come from where the next burst is
+// furthest: as bursts take turns, that is where the last one has just ended.
+package pools
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+)
+
+// VM is one VM as the decision sees it.
+type VM struct {
+	ID    string
+	Cores float64
+	Empty bool          // nothing runs on it, and it may leave
+	Since time.Duration // how long it has been empty
+}
+
+// Pool is one pool.
+type Pool struct {
+	Name     string
+	Parked   bool // its VMs are off
+	VMs      []VM // up
+	Incoming float64
+	Used     float64       // cores in use
+	Backlog  float64       // core-seconds that wait for room
+	Quiet    time.Duration // since it last had a backlog
+}
+
+// Move is one VM to change its pool.
+type Move struct {
+	VM, From, To string
+}
+
+const (
+	// drainGoal is how fast a backlog should be worked off. The shortest jobs
+	// are late two seconds after their acceptance, of which a move takes most;
+	// a shorter goal moves VMs that then stand idle.
+	drainGoal = 900 * time.Millisecond
+	// keep is how many VMs stay in a pool without load, for what comes first
+	// and for lasting tasks that need another place.
+	keep = 2
+	// emptyFor is how long a VM must have been empty: a step's tasks end
+	// moments before the next step's start.
+	emptyFor = 150 * time.Millisecond
+)
+
+// Decide returns the moves to order now.
+func Decide(pools []Pool) []Move {
+	var moves []Move
+	wanting := wants(pools)
+	donors := donorsOf(pools)
+	for _, w := range wanting {
+		for w.cores > 0 && len(donors) > 0 {
+			d := donors[0]
+			donors = donors[1:]
+			moves = append(moves, Move{VM: d.vm.ID, From: d.from, To: w.name})
+			w.cores -= d.vm.Cores
+		}
+	}
+	return moves
+}
+
+type want struct {
+	name  string
+	cores float64
+}
+
+// wants returns what pools lack, the largest lack first.
+func wants(pools []Pool) []want {
+	var out []want
+	for i := range pools {
+		p := &pools[i]
+		if p.Parked || p.Backlog <= 0 {
+			continue
+		}
+		have := p.Incoming
+		for _, vm := range p.VMs {
+			have += vm.Cores
+		}
+		lack := p.Used + p.Backlog/drainGoal.Seconds() - have
+		if lack > 0 {
+			out = append(out, want{name: p.Name, cores: lack})
+		}
+	}
+	slices.SortFunc(out, func(a, b want) int {
+		return cmp.Or(cmp.Compare(b.cores, a.cores), cmp.Compare(a.name, b.name))
+	})
+	return out
+}
+
+type donor struct {
+	vm    VM
+	from  string
+	quiet time.Duration
+}
+
+// donorsOf returns the VMs that may leave, those that are missed least first:
+// parked ones, then those of pools whose burst ended last.
+func donorsOf(pools []Pool) []donor {
+	var out []donor
+	for i := range pools {
+		p := &pools[i]
+		if p.Backlog > 0 {
+			continue
+		}
+		spare := len(p.VMs) - keep
+		quiet := p.Quiet
+		if p.Parked {
+			spare, quiet = math.MaxInt, -1
+		}
+		for _, vm := range p.VMs {
+			if spare <= 0 {
+				break
+			}
+			if vm.Empty && (p.Parked || vm.Since >= emptyFor) {
+				out = append(out, donor{vm: vm, from: p.Name, quiet: quiet})
+				spare--
+			}
+		}
+	}
+	slices.SortStableFunc(out, func(a, b donor) int { return cmp.Compare(a.quiet, b.quiet) })
+	return out
+}
