Stragglers start elsewhere, long-empty VMs are parked, late waves evict

policy/straggler: a task whose percentage stands still over two looks, or that has run and would still run for seconds, is stopped and started elsewhere.

--- a/internal/engine/fleet.go
+++ b/internal/engine/fleet.go
@@ -77,7 +77,7 @@
 	reported  string
 	saved     int
 	loaded    bool
-	emptying  map[string]bool
+	emptying  map[string]time.Duration // since when a VM is closed to new tasks
 }
 
 func newFleet(e *Engine) *fleet {
@@ -201,7 +201,7 @@
 func (f *fleet) wave(ctx context.Context, w OrderedWave) {
 	r := f.waves[w.Name]
 	if r == nil {
-		r = &waveRun{Done: make(map[string]bool), emptying: make(map[string]bool)}
+		r = &waveRun{Done: make(map[string]bool), emptying: make(map[string]time.Duration)}
 		f.waves[w.Name] = r
 	}
 	if !r.loaded && !f.loadWave(ctx, w.Name, r) {
@@ -252,10 +252,11 @@
 		if !exists || r.Done[id] || o != nil {
 			continue
 		}
+		since, closed := r.emptying[id]
 		on := f.e.core.Occupied(vm.Worker)
 		in.Due = append(in.Due, upkeep.Candidate{
 			VM: vm, Parked: f.e.core.declared.Services[vm.Pool].Standby, Tasks: on.Tasks, Lasting: on.Lasting,
-			Backlog: backlog[vm.Pool] > 0, Cordoned: r.emptying[id],
+			Backlog: backlog[vm.Pool] > 0, Cordoned: closed, Emptying: f.e.Clock.Now() - since,
 		})
 	}
 	return in
@@ -288,9 +289,14 @@
 		}
 	}
 	for _, id := range chosen {
-		r.emptying[id] = true
+		if _, closed := r.emptying[id]; !closed {
+			r.emptying[id] = f.e.Clock.Now()
+		}
 		f.e.core.Cordon(f.vms[id].Worker, "maintenance", true)
 	}
+	for _, id := range d.Evict {
+		f.e.core.Evict(f.vms[id].Worker)
+	}
 }
 
 func (f *fleet) maintain(ctx context.Context, w OrderedWave, r *waveRun, id string) {
--- a/internal/engine/listing.go
+++ b/internal/engine/listing.go
@@ -207,6 +207,7 @@
 	if r.Checkpoint != "" {
 		t.checkpoint, t.savedRun = r.Checkpoint, r.Run
 	}
+	t.listedAt = now
 	if r.Percent != t.percent {
 		t.percent, t.movedAt = r.Percent, now
 	}
@@ -274,6 +275,7 @@
 		return
 	}
 	if current {
+		w.slowness = w.slowness.Ended(now-t.answered, c.learned.estimate(t.step))
 		c.learned.learn(t.step, now-t.answered)
 	}
 	if t.step.spec.Gang {
--- a/internal/engine/plan.go
+++ b/internal/engine/plan.go
@@ -59,6 +59,7 @@
 	}
 	c.openOccurrences(now, wall)
 	c.Expire(now)
+	c.stragglers(now)
 	c.vacate(now)
 	c.planStops(now, &out)
 	c.planPaces(now, &out)
--- a/internal/engine/vacate.go
+++ b/internal/engine/vacate.go
@@ -77,6 +77,10 @@
 	return c.hasPlace(t, now)
 }
 
+// hasPlace reports whether another worker can take the task soon. Short tasks
+// are not counted: lasting ones go before them, and get the room of the first
+// that ends. Were they counted, a burst that fills the pool would hold up a
+// maintenance wave until it is late.
 func (c *Core) hasPlace(t *task, now time.Duration) bool {
 	s := t.step
 	on := make(map[*worker]int)
@@ -86,15 +90,26 @@
 		}
 	}
 	for _, w := range c.workers {
-		if w == t.where || w.info.Service != s.job.queue.Service || w.closed(now) {
+		if w == t.where || w.info.Service != s.job.queue.Service || w.closed(now) && !w.full {
 			continue
 		}
 		if s.spec.AntiAffinity > 0 && on[w] >= s.spec.AntiAffinity {
 			continue
 		}
-		if t.reserved().Fits(w.info.Capacity.Minus(w.used())) {
+		if t.reserved().Fits(w.info.Capacity.Minus(w.heldForLong())) {
 			return true
 		}
 	}
 	return false
 }
+
+// heldForLong is what lasting tasks hold of the worker.
+func (w *worker) heldForLong() work.Resources {
+	var sum work.Resources
+	for _, t := range w.tasks {
+		if t.step.spec.Lasting {
+			sum = sum.Plus(t.reserved())
+		}
+	}
+	return sum
+}
--- a/internal/engine/worker.go
+++ b/internal/engine/worker.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/pumicestage/pumicestage/policy/straggler"
 	"github.com/pumicestage/pumicestage/policy/taskplan"
 	"github.com/pumicestage/pumicestage/policy/work"
 )
@@ -65,6 +66,7 @@
 	missed              int   // looks without an answer since the last
 	closedUntil         time.Duration
 	strikes             strikes
+	slowness            straggler.Slowness
 	cordon              string // why it takes no new tasks; empty: it does
 	vacate              bool   // lasting tasks are to leave it
 	full                bool   // it refused for want of room since its last end
@@ -120,6 +122,8 @@
 		Labels: w.info.Labels,
 		Closed: w.closed(now),
 		Limit:  -1,
+
+		Slowness: w.slowness.Factor(),
 	}
 	if n := len(w.info.Labels); n > 0 {
 		out.Rack = w.info.Labels[n-1]
--- a/policy/pools/pools.go
+++ b/policy/pools/pools.go
@@ -48,6 +48,14 @@
 	// keep is how many VMs stay in a pool without load, for what comes first
 	// and for lasting tasks that need another place.
 	keep = 2
+	// parkAfter is how long a VM stays empty before it is parked. Parking and
+	// coming back cost two moves, which both deployments price like some 2.3
+	// seconds of the VM; having waited as long as that, it has cost at most
+	// twice what the best choice in hindsight would have.
+	parkAfter = 2300 * time.Millisecond
+	// stay is how many VMs of a quiet pool are not parked: the first second
+	// and a half of its next burst runs on them alone.
+	stay = 6
 	// emptyFor is how long a VM must have been empty: a step's tasks end
 	// moments before the next step's start.
 	emptyFor = 150 * time.Millisecond
@@ -66,7 +74,33 @@
 			w.cores -= d.vm.Cores
 		}
 	}
-	return moves
+	if len(wanting) > 0 {
+		return moves
+	}
+	return append(moves, park(pools)...)
+}
+
+// park returns the moves of VMs that have been empty for long to the pool whose
+// VMs are off.
+func park(pools []Pool) []Move {
+	i := slices.IndexFunc(pools, func(p Pool) bool { return p.Parked })
+	if i < 0 {
+		return nil
+	}
+	var out []Move
+	for _, p := range pools {
+		if p.Parked || p.Backlog > 0 {
+			continue
+		}
+		spare := len(p.VMs) - stay
+		for _, vm := range p.VMs {
+			if spare > 0 && vm.Empty && vm.Since >= parkAfter {
+				out = append(out, Move{VM: vm.ID, From: p.Name, To: pools[i].Name})
+				spare--
+			}
+		}
+	}
+	return out
 }
 
 type want struct {
--- a/policy/upkeep/upkeep.go
+++ b/policy/upkeep/upkeep.go
@@ -24,6 +24,8 @@
 	Lasting  int  // of them
 	Backlog  bool // tasks wait for room in its pool
 	Cordoned bool // chosen before: it is being emptied
+	// Emptying is for how long it has been closed to new tasks.
+	Emptying time.Duration
 }
 
 // Input is what a decision looks at.
@@ -39,8 +41,14 @@
 type Decision struct {
 	Maintain []string // VMs to be taken now
 	Empty    []string // VMs to be cordoned and emptied
+	Evict    []string // of these, VMs whose tasks are to be stopped
 }
 
+// evictAfter is how long a cordoned VM may take to empty by itself. Tasks take
+// two seconds, a few of them five; what goes on longer stands still or crawls,
+// and stopping it costs less than a late wave.
+const evictAfter = 5 * time.Second
+
 // pressure is the part of the time left that the rest of the wave may need
 // before VMs are chosen that are in use: half leaves room for one that does not
 // come back in time.
@@ -65,6 +73,9 @@
 			room--
 		case c.Cordoned || pressed || !c.Backlog:
 			d.Empty = append(d.Empty, c.VM.ID)
+			if c.Emptying >= evictAfter {
+				d.Evict = append(d.Evict, c.VM.ID)
+			}
 			room--
 		}
 	}
