A new owner orders VMs at once, but for those an earlier owner keeps busy

Only VMs that are not up at the take-over may be under an order of the earlier owner; the rest may be ordered at once. Ruled out: the take-over itself (restored and all workers heard 0.17 s after the lease was taken), notes (read within 0.1 s), inherited leases.

--- a/internal/engine/fleet.go
+++ b/internal/engine/fleet.go
@@ -33,8 +33,9 @@
 	fleetLeast = 100 * time.Millisecond // between two passes; each lists the VMs
 	// listTimeout ends a call to the platform's VM service.
 	listTimeout = 1 * time.Second
-	// vmOrderPause keeps orders for one VM apart from an earlier owner's: the
-	// deployments count two holders that take turns within a lease as a fault.
+	// vmOrderPause keeps orders for a VM apart from an earlier owner's that is
+	// still being carried out: two owners that take turns at one VM within a
+	// lease undo each other's orders.
 	vmOrderPause = 3200 * time.Millisecond
 	// emptyTime is what emptying a VM takes as a rule: its longest tasks.
 	emptyTime = 2500 * time.Millisecond
@@ -59,7 +60,9 @@
 	waves    map[string]*waveRun
 	lastBusy map[string]time.Duration // when each service last had a backlog
 	began    time.Duration
-	kick     chan struct{}
+	// inherited are the VMs that were not up when this owner took over.
+	inherited map[string]bool
+	kick      chan struct{}
 
 	mu     sync.Mutex // taken after the engine's
 	orders map[string]*vmOrder
@@ -136,6 +139,7 @@
 		f.e.Log.Info("VMs not listed", "error", err.Error())
 		return
 	}
+	f.inherit(list)
 	f.vms = make(map[string]work.VM, len(list))
 	for _, vm := range list {
 		f.vms[vm.ID] = vm
@@ -194,8 +198,27 @@
 // platform may carry one out up to 12 s late.
 const orderOver = 13 * time.Second
 
-func (f *fleet) mayOrder() bool {
-	return f.e.Term.Certain() && f.e.Clock.Now() > f.began+vmOrderPause
+// mayOrder reports whether orders for VMs may be given at all.
+func (f *fleet) mayOrder() bool { return f.e.Term.Certain() }
+
+// inherit notes the VMs that an earlier owner's orders keep busy at the
+// take-over: all that are not up in the first list.
+func (f *fleet) inherit(list []work.VM) {
+	if f.inherited != nil {
+		return
+	}
+	f.inherited = make(map[string]bool)
+	for _, vm := range list {
+		if vm.State != work.VMUp {
+			f.inherited[vm.ID] = true
+		}
+	}
+}
+
+// reserved reports whether the VM is left alone for now, as an earlier owner
+// may just have given it an order.
+func (f *fleet) reserved(vm string) bool {
+	return f.inherited[vm] && f.e.Clock.Now() < f.began+vmOrderPause
 }
 
 func (f *fleet) wave(ctx context.Context, w OrderedWave) {
@@ -333,7 +356,7 @@
 	defer f.e.mu.Unlock()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.e.core.Occupied(vm.Worker).Tasks > 0 || f.orders[vm.ID] != nil {
+	if f.e.core.Occupied(vm.Worker).Tasks > 0 || f.orders[vm.ID] != nil || f.reserved(vm.ID) {
 		return nil
 	}
 	o := &vmOrder{sent: f.e.Clock.Now(), wave: wave, life: vm.Worker}
--- a/internal/engine/moves.go
+++ b/internal/engine/moves.go
@@ -139,7 +139,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	vm := f.vms[m.VM]
-	if f.orders[m.VM] != nil || f.e.core.Occupied(vm.Worker).Tasks > 0 {
+	if f.orders[m.VM] != nil || f.reserved(m.VM) || f.e.core.Occupied(vm.Worker).Tasks > 0 {
 		return nil
 	}
 	f.e.core.Cordon(vm.Worker, "moving", false)
