--- a/internal/infra/contract/commit.go
+++ b/internal/infra/contract/commit.go
@@ -109,7 +109,7 @@
 			wantKind(t, err, infra.KindInvalid)
 		}
 	}},
-	{name: "commit: a conflict without any loss needs no second call", run: func(t *testing.T, s Store) {
+	{name: "commit: a conflict without any loss needs no second call", needs: readsInTxn, run: func(t *testing.T, s Store) {
 		put(t, s.Rival, "a", "rival")
 		res, err := infra.Commit(ctxOf(t), s.Client, change(0, "ours"))
 		wantKind(t, err, infra.KindConflict)
--- a/internal/infra/contract/contract.go
+++ b/internal/infra/contract/contract.go
@@ -39,6 +39,11 @@
 	LoseRequests func(n int)   // of the next n writes
 	Garble       func(n int)   // the next n replies are cut short
 	RateLimit    func()        // from now on one read and one write pass
+	// CondReadsOnly is true where a transaction reads only keys that its
+	// conditions name, and only where they do not hold.
+	CondReadsOnly bool
+	// TextKeys is true where keys are text: bytes that are no UTF-8 do not fit.
+	TextKeys bool
 	// Resumes is true where a watch goes on after the way to the service was
 	// down for a moment.
 	Resumes bool
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -243,7 +243,7 @@
 	n.elections.Wait()
 	n.log.Info("ownership handed over", "took", (n.clock.Now() - began).String())
 	callers.SetKeepAlivesEnabled(false)
-	pause(context.Background(), unreadyFor-(n.clock.Now()-began))
+	pause(context.Background(), min(unreadyFor, n.settings.Shutdown/2)-(n.clock.Now()-began))
 	left := n.settings.Shutdown - drainMargin - (n.clock.Now() - began)
 	ctx, cancel := context.WithTimeout(context.Background(), left)
 	defer cancel()
