--- a/internal/engine/core.go
+++ b/internal/engine/core.go
@@ -33,10 +33,11 @@
 	learned  durations
 	sizes    map[string]*meanSize
 
-	dirty   map[work.JobID]*job
-	now     time.Duration // of the last plan or answer
-	waits   bool          // tasks were left without room by the last plan
-	deposed bool
+	dirty     map[work.JobID]*job
+	now       time.Duration            // of the last plan or answer
+	explained map[string]time.Duration // when work that waits was last logged, by service
+	waits     bool                     // tasks were left without room by the last plan
+	deposed   bool
 	// startsUntil: no orders beyond it, as the owner's lease is no longer
 	// certain and a successor may rely on our silence.
 	startsUntil time.Duration
@@ -56,6 +57,8 @@
 		learned: make(durations),
 		sizes:   make(map[string]*meanSize),
 		dirty:   make(map[work.JobID]*job),
+
+		explained: make(map[string]time.Duration),
 	}
 }
 
--- a/internal/engine/moves.go
+++ b/internal/engine/moves.go
@@ -27,11 +27,11 @@
 	for _, j := range c.open {
 		for _, o := range j.live {
 			for _, s := range o.steps {
-				if s.pending == 0 || s.spec.Lasting || !s.ready() {
+				if s.pending == 0 || !s.ready() {
 					continue
 				}
 				l := out[j.queue.Service]
-				l.backlog += float64(s.pending) * c.learned.estimate(s).Seconds() * cores(s.spec.Size)
+				l.backlog += float64(s.pending) * c.waitsFor(s).Seconds() * cores(s.spec.Size)
 				out[j.queue.Service] = l
 			}
 		}
@@ -39,6 +39,15 @@
 	return out
 }
 
+// waitsFor is how long a task of the step will hold its room. A lasting task
+// wants it for good; it counts as what one more VM is worth to the decision.
+func (c *Core) waitsFor(s *step) time.Duration {
+	if s.spec.Lasting {
+		return pools.DrainGoal
+	}
+	return c.learned.estimate(s)
+}
+
 // rebalance moves idle VMs to where work waits.
 func (f *fleet) rebalance(ctx context.Context) {
 	if !f.mayOrder() {
@@ -100,7 +109,10 @@
 	case p.Parked:
 		p.VMs = append(p.VMs, pools.VM{ID: vm.ID, Cores: size, Empty: true})
 	default:
-		empty := len(w.tasks) == 0 && len(w.strays) == 0 && w.cordon == "" && !w.info.Draining
+		if w.cordon != "" || w.info.Draining {
+			return // it takes nothing new: no capacity
+		}
+		empty := len(w.tasks) == 0 && len(w.strays) == 0
 		p.VMs = append(p.VMs, pools.VM{ID: vm.ID, Cores: size, Empty: empty, Since: now - w.emptySince})
 	}
 }
--- a/internal/engine/plan.go
+++ b/internal/engine/plan.go
@@ -285,12 +285,40 @@
 	for _, p := range taskplan.Plan(workers, steps) {
 		c.order(p, now, out)
 	}
+	c.explain(service, workers, steps, now)
+}
+
+// explainEvery bounds the log lines about work that waits, for each service.
+const explainEvery = 1 * time.Second
+
+// explain logs what keeps the first waiting step of the service from running.
+func (c *Core) explain(service string, workers []*taskplan.Worker, steps []*taskplan.Step, now time.Duration) {
+	for _, s := range steps {
+		st := c.stepOf(s.Ref)
+		if st == nil || st.pending == 0 {
+			continue
+		}
+		if now < c.explained[service]+explainEvery {
+			return
+		}
+		c.explained[service] = now
+		c.log.Info("work waits", "step", s.Ref.String(), "tasks", st.pending, "lasting", s.Step.Lasting,
+			"milli cpu", s.Step.Size.MilliCPU, "memory mb", s.Step.Size.MemoryMB, "workers", taskplan.Binding(workers, s))
+		return
+	}
+}
+
+func (c *Core) stepOf(ref work.StepRef) *step {
+	if t := c.find(work.TaskRef{StepRef: ref}); t != nil {
+		return t.step
+	}
+	return nil
 }
 
 func (c *Core) workersOf(service string, now time.Duration) []*taskplan.Worker {
 	var out []*taskplan.Worker
 	for _, w := range c.workers {
-		if w.info.Service == service && !w.closed(now) {
+		if w.info.Service == service {
 			out = append(out, w.snapshot(now))
 		}
 	}
--- a/policy/pools/pools.go
+++ b/policy/pools/pools.go
@@ -28,7 +28,7 @@
 type Pool struct {
 	Name     string
 	Parked   bool // its VMs are off
-	VMs      []VM // up
+	VMs      []VM // up and open to new tasks
 	Incoming float64
 	Used     float64       // cores in use
 	Backlog  float64       // core-seconds that wait for room
@@ -41,10 +41,10 @@
 }
 
 const (
-	// drainGoal is how fast a backlog should be worked off. The shortest jobs
+	// DrainGoal is how fast a backlog should be worked off. The shortest jobs
 	// are late two seconds after their acceptance, of which a move takes most;
 	// a shorter goal moves VMs that then stand idle.
-	drainGoal = 900 * time.Millisecond
+	DrainGoal = 900 * time.Millisecond
 	// keep is how many VMs stay in a pool without load, for what comes first
 	// and for lasting tasks that need another place.
 	keep = 2
@@ -120,7 +120,7 @@
 		for _, vm := range p.VMs {
 			have += vm.Cores
 		}
-		lack := p.Used + p.Backlog/drainGoal.Seconds() - have
+		lack := p.Used + p.Backlog/DrainGoal.Seconds() - have
 		if lack > 0 {
 			out = append(out, want{name: p.Name, cores: lack})
 		}
--- /dev/null
+++ b/policy/pools/pools_test.go
@@ -0,0 +1,170 @@
+package pools
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+func vms(prefix string, n, empty int, since time.Duration) []VM {
+	var out []VM
+	for i := range n {
+		out = append(out, VM{ID: fmt.Sprintf("%s%d", prefix, i), Cores: 16, Empty: i < empty, Since: since})
+	}
+	return out
+}
+
+// Callers of one queue wait while the VMs of the others stand idle. The burst
+// draws parked VMs first, then those of the pool whose burst has just ended, as
+// its next is furthest away, and leaves every pool what its first tasks need.
+func TestABacklogDrawsWhatIsMissedLeast(t *testing.T) {
+	moves := Decide([]Pool{
+		{Name: "busy", VMs: vms("b", 8, 0, 0), Used: 128, Backlog: 100},
+		{Name: "soon", VMs: vms("s", 8, 8, time.Minute), Quiet: 12 * time.Second},
+		{Name: "over", VMs: vms("o", 8, 8, time.Second), Quiet: time.Second},
+		{Name: "off", Parked: true, VMs: vms("p", 1, 1, 0)},
+	})
+	assert.Equal(t, len(moves), 7, "100 core-seconds within the goal are 112 cores")
+	assert.Equal(t, moves[0].From, "off")
+	for _, m := range moves[1:] {
+		assert.Equal(t, m.From, "over")
+		assert.Equal(t, m.To, "busy")
+	}
+}
+
+// VMs on their way count: without that each look at the same backlog would order
+// as many again, and they would arrive after the burst.
+func TestVMsOnTheirWayAreNotOrderedAgain(t *testing.T) {
+	moves := Decide([]Pool{
+		{Name: "busy", VMs: vms("b", 8, 0, 0), Used: 128, Backlog: 100, Incoming: 112},
+		{Name: "off", Parked: true, VMs: vms("p", 8, 8, 0)},
+	})
+	assert.Equal(t, len(moves), 0)
+}
+
+// A pool that works off its own backlog gives nothing away, and no VM leaves that
+// became empty a moment ago: the next step of a job is about to start on it.
+func TestVMsInUseOrJustEmptyStay(t *testing.T) {
+	moves := Decide([]Pool{
+		{Name: "a", VMs: vms("a", 8, 0, 0), Used: 128, Backlog: 500},
+		{Name: "b", VMs: vms("b", 8, 4, time.Minute), Used: 64, Backlog: 10},
+		{Name: "c", VMs: vms("c", 8, 8, 10*time.Millisecond)},
+	})
+	assert.Equal(t, len(moves), 0)
+}
+
+// A quiet pool keeps what its next burst begins with; the rest is parked once it
+// has been empty for as long as parking and coming back cost.
+func TestLongEmptyVMsAreParked(t *testing.T) {
+	pools := []Pool{
+		{Name: "quiet", VMs: vms("q", 10, 10, parkAfter)},
+		{Name: "fresh", VMs: vms("f", 10, 10, parkAfter-time.Millisecond)},
+		{Name: "off", Parked: true},
+	}
+	moves := Decide(pools)
+	assert.Equal(t, len(moves), 10-stay)
+	for _, m := range moves {
+		assert.Equal(t, m.From, "quiet")
+		assert.Equal(t, m.To, "off")
+	}
+	pools[1].Backlog, pools[1].Used = 1000, 1000
+	for _, m := range Decide(pools) {
+		assert.Equal(t, m.To, "fresh", "while work waits nothing is parked")
+	}
+}
+
+// turn is one queue's burst: its core-seconds arrive evenly over it.
+const (
+	turnLength = 4 * time.Second
+	turnWork   = 4 * 300.0 // core-seconds, for a pool of 128 cores
+	tick       = 100 * time.Millisecond
+	moveTime   = 1500 * time.Millisecond
+)
+
+// simulate plays bursts that go round four pools and returns the core-seconds
+// done within the turns and the moves made.
+func simulate(decide func([]Pool) []Move) (done float64, moves int) {
+	type arrival struct {
+		at time.Duration
+		vm VM
+		to string
+	}
+	pools := []Pool{{Name: "0"}, {Name: "1"}, {Name: "2"}, {Name: "3"}, {Name: "off", Parked: true}}
+	for i := range pools {
+		pools[i].VMs = vms(pools[i].Name+"-", 8, 8, 0)
+	}
+	var under []arrival
+	for now := time.Duration(0); now < 8*turnLength; now += tick {
+		active := int(now/turnLength) % 4
+		pools[active].Backlog += turnWork * tick.Seconds() / turnLength.Seconds()
+		for i := range pools {
+			p := &pools[i]
+			capacity := float64(16*len(p.VMs)) * tick.Seconds()
+			worked := 0.0
+			if !p.Parked {
+				worked = min(capacity, p.Backlog)
+			}
+			p.Backlog -= worked
+			if i == active {
+				done += worked
+			}
+			p.Used = worked / tick.Seconds()
+			p.Quiet += tick
+			if p.Backlog > 0 {
+				p.Quiet = 0
+			}
+			for v := range p.VMs {
+				p.VMs[v].Empty = p.Backlog == 0 && worked == 0
+				p.VMs[v].Since += tick
+				if !p.VMs[v].Empty {
+					p.VMs[v].Since = 0
+				}
+			}
+			p.Incoming = 0
+		}
+		kept := under[:0]
+		for _, a := range under {
+			for i := range pools {
+				if pools[i].Name != a.to {
+					continue
+				}
+				if now >= a.at {
+					pools[i].VMs = append(pools[i].VMs, a.vm)
+				} else {
+					pools[i].Incoming += a.vm.Cores
+				}
+			}
+			if now < a.at {
+				kept = append(kept, a)
+			}
+		}
+		under = kept
+		for _, m := range decide(pools) {
+			moves++
+			for i := range pools {
+				for v := range pools[i].VMs {
+					if pools[i].VMs[v].ID == m.VM {
+						vm := pools[i].VMs[v]
+						vm.Since = 0
+						pools[i].VMs = append(pools[i].VMs[:v:v], pools[i].VMs[v+1:]...)
+						under = append(under, arrival{at: now + moveTime, vm: vm, to: m.To})
+						break
+					}
+				}
+			}
+		}
+	}
+	return done, moves
+}
+
+// Bursts of more than twice a pool's size go round: useful work within the turns
+// against pools that keep their VMs.
+func TestBurstsThatGoRoundAreServedByTheWholeFleet(t *testing.T) {
+	fixed, _ := simulate(func([]Pool) []Move { return nil })
+	moved, moves := simulate(Decide)
+	t.Logf("core-seconds within the turns: fixed pools %.0f, moved %.0f (%d moves)", fixed, moved, moves)
+	assert.Assert(t, moved > 1.25*fixed, "%.0f against %.0f", moved, fixed)
+	assert.Assert(t, moves < 8*40, "more than one move of each VM a turn")
+}
--- a/policy/taskplan/taskplan.go
+++ b/policy/taskplan/taskplan.go
@@ -183,20 +183,45 @@
 	return best
 }
 
-func feasible(w *Worker, s *Step) bool {
-	if w.Closed || w.Limit == 0 {
-		return false
-	}
-	if !Reserved(s.Step).Fits(w.Free) {
-		return false
-	}
-	if s.Step.Requires != "" && !w.has(s.Step.Requires) {
-		return false
+// Reason says why a worker can't take a task.
+type Reason string
+
+// The reasons, in the order in which they are looked at.
+const (
+	ReasonNone    Reason = ""
+	ReasonClosed  Reason = "closed"
+	ReasonRoom    Reason = "no room"
+	ReasonLabel   Reason = "label"
+	ReasonApart   Reason = "anti-affinity"
+	ReasonAdvisor Reason = "no ticket"
+)
+
+// why returns what keeps the step's tasks from the worker.
+func why(w *Worker, s *Step) Reason {
+	switch {
+	case w.Closed || w.Limit == 0:
+		return ReasonClosed
+	case !Reserved(s.Step).Fits(w.Free):
+		return ReasonRoom
+	case s.Step.Requires != "" && !w.has(s.Step.Requires):
+		return ReasonLabel
+	case s.Step.AntiAffinity > 0 && s.OnWorker[w.ID] >= s.Step.AntiAffinity:
+		return ReasonApart
+	case s.Permitted != nil && !s.Permitted[w.ID]:
+		return ReasonAdvisor
 	}
-	if s.Step.AntiAffinity > 0 && s.OnWorker[w.ID] >= s.Step.AntiAffinity {
-		return false
+	return ReasonNone
+}
+
+func feasible(w *Worker, s *Step) bool { return why(w, s) == ReasonNone }
+
+// Binding counts the workers by what keeps the step's tasks from them.
+func Binding(workers []*Worker, s *Step) map[Reason]int {
+	out := make(map[Reason]int)
+	for _, w := range workers {
+		out[why(w, s)]++
 	}
-	return s.Permitted == nil || s.Permitted[w.ID]
+	return out
 }
 
 // Parts of the score. A part outweighs all smaller ones together.
