--- a/internal/engine/core.go
+++ b/internal/engine/core.go
@@ -32,6 +32,7 @@
 	over     map[work.WorkerID]bool // lives that have ended; an ID never comes back
 	learned  durations
 	sizes    map[string]*meanSize
+	arrivals map[string][]arrival // by service
 
 	dirty     map[work.JobID]*job
 	now       time.Duration            // of the last plan or answer
@@ -56,7 +57,9 @@
 		over:    make(map[work.WorkerID]bool),
 		learned: make(durations),
 		sizes:   make(map[string]*meanSize),
-		dirty:   make(map[work.JobID]*job),
+
+		arrivals: make(map[string][]arrival),
+		dirty:    make(map[work.JobID]*job),
 
 		explained: make(map[string]time.Duration),
 	}
@@ -88,7 +91,9 @@
 	if c.jobs[j.ID] != nil {
 		return
 	}
-	c.add(newJob(j, q, now))
+	added := newJob(j, q, now)
+	c.add(added)
+	c.arrived(added, now)
 }
 
 func (c *Core) add(j *job) {
--- a/internal/engine/moves.go
+++ b/internal/engine/moves.go
@@ -14,6 +14,55 @@
 type load struct {
 	used    float64 // cores
 	backlog float64 // core-seconds that wait for room
+	arrives float64 // core-seconds a second that came of late
+}
+
+// Rate of arrival.
+const (
+	// arrivalSpan is what the rate is taken over: a third of what a move takes.
+	arrivalSpan = 500 * time.Millisecond
+	// arrivalLeast is the fewest jobs that make a rate: a single wide job would
+	// pass for a burst.
+	arrivalLeast = 4
+)
+
+// arrival is the work of one job that may start at once.
+type arrival struct {
+	at   time.Duration
+	work float64 // core-seconds
+}
+
+// arrived notes a job for the rate of its service.
+func (c *Core) arrived(j *job, now time.Duration) {
+	sum := 0.0
+	for i := range j.Steps {
+		if s := &j.Steps[i]; len(s.After) == 0 && !s.Lasting {
+			sum += stepWork(s)
+		}
+	}
+	name := j.queue.Service
+	c.arrivals[name] = append(c.recent(name, now), arrival{at: now, work: sum})
+}
+
+// recent returns the arrivals within the span.
+func (c *Core) recent(service string, now time.Duration) []arrival {
+	list := c.arrivals[service]
+	for len(list) > 0 && list[0].at < now-arrivalSpan {
+		list = list[1:]
+	}
+	return list
+}
+
+func (c *Core) arrivalRate(service string, now time.Duration) float64 {
+	list := c.recent(service, now)
+	if len(list) < arrivalLeast {
+		return 0
+	}
+	sum := 0.0
+	for _, a := range list {
+		sum += a.work
+	}
+	return sum / arrivalSpan.Seconds()
 }
 
 // loads returns the load of every service.
@@ -36,6 +85,10 @@
 			}
 		}
 	}
+	for name, l := range out {
+		l.arrives = c.arrivalRate(name, now)
+		out[name] = l
+	}
 	return out
 }
 
@@ -70,7 +123,7 @@
 		if l.backlog > 0 {
 			f.lastBusy[name] = now
 		}
-		byName[name] = &pools.Pool{Name: name, Parked: s.Standby, Used: l.used, Backlog: l.backlog, Quiet: now - f.lastBusy[name]}
+		byName[name] = &pools.Pool{Name: name, Parked: s.Standby, Used: l.used, Backlog: l.backlog, Arriving: l.arrives, Quiet: now - f.lastBusy[name]}
 	}
 	ids := make([]string, 0, len(f.vms))
 	for id := range f.vms {
--- a/policy/pools/pools.go
+++ b/policy/pools/pools.go
@@ -32,6 +32,7 @@
 	Incoming float64
 	Used     float64       // cores in use
 	Backlog  float64       // core-seconds that wait for room
+	Arriving float64       // core-seconds a second that came of late
 	Quiet    time.Duration // since it last had a backlog
 }
 
@@ -120,7 +121,9 @@
 		for _, vm := range p.VMs {
 			have += vm.Cores
 		}
-		lack := p.Used + p.Backlog/DrainGoal.Seconds() - have
+		// The backlog tells what is missed already, what arrives tells it a
+		// second sooner, as a burst begins.
+		lack := max(p.Used+p.Backlog/DrainGoal.Seconds(), p.Arriving) - have
 		if lack > 0 {
 			out = append(out, want{name: p.Name, cores: lack})
 		}
