--- /dev/null
+++ b/internal/engine/cell.go
@@ -0,0 +1,167 @@
+package engine
+
+import (
+	"time"
+
+	"github.com/pumicestage/pumicestage/policy/work"
+)
+
+// CellReport is what the owner of the fleet hears from the owner of a cell.
+type CellReport struct {
+	Used     float64        `msgpack:"u"` // cores in use
+	Backlog  float64        `msgpack:"b"` // core-seconds that wait for room
+	Arriving float64        `msgpack:"a"` // core-seconds a second that came of late
+	Workers  []WorkerReport `msgpack:"w"`
+}
+
+// WorkerReport is one worker of a cell.
+type WorkerReport struct {
+	ID       work.WorkerID `msgpack:"i"`
+	Tasks    int           `msgpack:"t"`
+	Lasting  int           `msgpack:"l"`
+	EmptyFor time.Duration `msgpack:"e"` // 0 while it has tasks
+	Cordon   Cordon        `msgpack:"c"`
+	Draining bool          `msgpack:"d"`
+	Heard    bool          `msgpack:"h"`
+}
+
+// Cordon says that the fleet's owner keeps new tasks off a worker, and why.
+type Cordon struct {
+	Kind CordonKind `msgpack:"k"`
+	// Token is of the owner of the fleet that set it.
+	Token int64 `msgpack:"t"`
+}
+
+// CordonKind is how far a worker is closed.
+type CordonKind uint8
+
+// The kinds of cordon.
+const (
+	Open    CordonKind = iota
+	Vacated            // no new tasks; lasting ones leave
+	Claimed            // empty, and an order for its VM may be under way
+)
+
+// CellOrderKind names what the fleet's owner asks of a cell's.
+type CellOrderKind uint8
+
+// The kinds of CellOrder.
+const (
+	OrderVacate CellOrderKind = iota + 1 // close it, and empty it
+	OrderEvict                           // stop its short tasks as well
+	OrderClaim                           // close it if it is empty; fails otherwise
+	OrderOpen                            // take new tasks again
+	OrderGone                            // its life is over
+)
+
+// CellOrder is one order for one worker.
+type CellOrder struct {
+	Kind   CellOrderKind `msgpack:"k"`
+	Worker work.WorkerID `msgpack:"w"`
+}
+
+// CellSync carries orders and asks for a report made after them.
+type CellSync struct {
+	Token  int64       `msgpack:"t"` // of the owner of the fleet
+	Orders []CellOrder `msgpack:"o"`
+}
+
+// CellAnswer answers a CellSync.
+type CellAnswer struct {
+	Taken  []bool     `msgpack:"t"` // whether each order was carried out
+	Report CellReport `msgpack:"r"`
+}
+
+// Sync carries the fleet owner's orders out and reports. An earlier owner of
+// the fleet is refused.
+func (e *Engine) Sync(s CellSync) (CellAnswer, error) {
+	now := e.Clock.Now()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if !e.restored || s.Token < e.fleetToken {
+		return CellAnswer{}, ErrNotReady
+	}
+	e.fleetToken = s.Token
+	var a CellAnswer
+	for _, o := range s.Orders {
+		a.Taken = append(a.Taken, e.core.obey(o, s.Token, now))
+	}
+	if len(s.Orders) > 0 {
+		kick(e.planKick)
+	}
+	a.Report = e.core.report(now)
+	return a, nil
+}
+
+func (c *Core) obey(o CellOrder, token int64, now time.Duration) bool {
+	w := c.workers[o.Worker]
+	if w == nil {
+		// Nothing runs on a worker that is not known: its VM is parked, or its
+		// life is over.
+		return o.Kind != OrderEvict
+	}
+	switch o.Kind {
+	case OrderVacate:
+		c.setCordon(w, Cordon{Kind: Vacated, Token: token})
+	case OrderEvict:
+		c.evict(w)
+	case OrderClaim:
+		if len(w.tasks)+len(w.strays) > 0 {
+			return false
+		}
+		c.setCordon(w, Cordon{Kind: Claimed, Token: token})
+	case OrderOpen:
+		c.setCordon(w, Cordon{})
+	case OrderGone:
+		c.WorkerGone(o.Worker, "its VM is taken away", now)
+	}
+	return true
+}
+
+func (c *Core) setCordon(w *worker, to Cordon) {
+	if w.cordon == to {
+		return
+	}
+	w.cordon = to
+	c.log.Info("cordon", "worker", w.info.ID, "kind", int(to.Kind), "tasks", len(w.tasks))
+}
+
+// evict stops everything on the worker but lasting tasks, which leave as their
+// steps' limits allow.
+func (c *Core) evict(w *worker) {
+	for _, t := range w.tasks {
+		if t.state == taskActive && !t.step.spec.Lasting {
+			c.log.Info("run evicted", "task", t.ref.String(), "run", t.run, "worker", w.info.ID, "percent", t.percent)
+			t.step.set(t, taskStopping)
+		}
+	}
+}
+
+func (c *Core) report(now time.Duration) CellReport {
+	r := CellReport{Arriving: c.arrivalRate(now)}
+	for _, w := range c.workers {
+		wr := WorkerReport{
+			ID: w.info.ID, Tasks: len(w.tasks) + len(w.strays), Cordon: w.cordon, Draining: w.info.Draining, Heard: w.heard,
+		}
+		if wr.Tasks == 0 {
+			wr.EmptyFor = now - w.emptySince
+		}
+		for _, t := range w.tasks {
+			if t.step.spec.Lasting {
+				wr.Lasting++
+			}
+		}
+		r.Used += cores(w.used())
+		r.Workers = append(r.Workers, wr)
+	}
+	for _, j := range c.open {
+		for _, o := range j.live {
+			for _, s := range o.steps {
+				if s.pending > 0 && s.ready() {
+					r.Backlog += float64(s.pending) * c.waitsFor(s).Seconds() * cores(s.spec.Size)
+				}
+			}
+		}
+	}
+	return r
+}
--- a/internal/engine/core.go
+++ b/internal/engine/core.go
@@ -21,6 +21,7 @@
 // Core is the engine's state machine. It has no clock, network or goroutine:
 // time and answers come in, orders go out. It is not safe for concurrent use.
 type Core struct {
+	cell   string // the service
 	token  int64
 	bounds Bounds
 	log    logr.Logger
@@ -32,12 +33,12 @@
 	over     map[work.WorkerID]bool // lives that have ended; an ID never comes back
 	learned  durations
 	sizes    map[string]*meanSize
-	arrivals map[string][]arrival // by service
+	arrivals []arrival // of late
 
 	dirty     map[work.JobID]*job
-	now       time.Duration            // of the last plan or answer
-	explained map[string]time.Duration // when work that waits was last logged, by service
-	waits     bool                     // tasks were left without room by the last plan
+	now       time.Duration // of the last plan or answer
+	explained time.Duration // when work that waits was last logged
+	waits     bool          // tasks were left without room by the last plan
 	deposed   bool
 	// startsUntil: no orders beyond it, as the owner's lease is no longer
 	// certain and a successor may rely on our silence.
@@ -48,28 +49,30 @@
 	certain     bool                     // no later owner can exist, see SetCertain
 }
 
-// NewCore returns a core that gives its orders under token.
-func NewCore(token int64, bounds Bounds, log logr.Logger) *Core {
+// NewCore returns a core of the service that gives its orders under token.
+func NewCore(cell string, token int64, bounds Bounds, log logr.Logger) *Core {
 	return &Core{
-		token: token, bounds: bounds, log: log,
+		cell: cell, token: token, bounds: bounds, log: log,
 		jobs:    make(map[work.JobID]*job),
 		workers: make(map[work.WorkerID]*worker),
 		over:    make(map[work.WorkerID]bool),
 		learned: make(durations),
 		sizes:   make(map[string]*meanSize),
 
-		arrivals: make(map[string][]arrival),
-		dirty:    make(map[work.JobID]*job),
-
-		explained: make(map[string]time.Duration),
+		dirty: make(map[work.JobID]*job),
 	}
 }
 
-// Declare takes the operator's configuration over.
+// Declare takes the operator's configuration over. A job stays with the service
+// that its queue led to when it was accepted.
 func (c *Core) Declare(d Declared) {
+	if c.declared.Version == d.Version {
+		return
+	}
 	c.declared = d
 	for _, j := range c.open {
 		if q, known := d.Queues[j.Queue]; known {
+			q.Service = c.cell
 			j.queue = q
 		}
 	}
--- a/internal/engine/core_test.go
+++ b/internal/engine/core_test.go
@@ -34,7 +34,7 @@
 
 // successor returns a core of another owner under the token.
 func (b *bench) successor(token int64) *Core {
-	c := NewCore(token, Bounds{MaxHold: 10 * time.Second, PaceDelay: 100 * time.Millisecond}, logr.Discard())
+	c := NewCore(service, token, Bounds{MaxHold: 10 * time.Second, PaceDelay: 100 * time.Millisecond}, logr.Discard())
 	c.Declare(Declared{
 		Queues:   map[string]Queue{queue: {Name: queue, Service: service, MaxAttempts: 3, Stretch: 1.6, Slack: 600 * time.Millisecond}},
 		Services: map[string]Service{service: {Name: service}},
@@ -213,11 +213,9 @@
 	b.t.Helper()
 	records := make(map[work.JobID]*JobRecord)
 	for id, j := range b.core.jobs {
-		kept := j.Job
-		kept.Spec = "spec"
-		records[id] = &JobRecord{Job: &kept, Queue: &j.queue}
-		if j.stored {
-			records[id] = &JobRecord{State: j.final}
+		if !j.stored {
+			kept := j.Job
+			records[id] = &JobRecord{Job: &kept, Queue: j.queue}
 		}
 	}
 	flush := b.core.TakeFlush(100)
@@ -227,7 +225,7 @@
 	}
 	next := b.successor(token)
 	for id, r := range records {
-		next.Restore(r, id, progress[id], b.now, b.wall)
+		next.Restore(r, progress[id], b.now, b.wall)
 	}
 	next.Reaffirm(b.now, b.wall)
 	for _, id := range workers {
@@ -368,12 +366,12 @@
 	list(o.Starts[0], 100)
 	list(o.Starts[1], 100)
 	list(o.Starts[2], 40)
-	b.core.Cordon(o.Starts[0].Worker.ID, "maintenance", true)
+	b.core.obey(CellOrder{Kind: OrderVacate, Worker: o.Starts[0].Worker.ID}, token, b.now)
 	assert.Equal(t, len(b.plan().Stops), 0, "the third is not at work yet")
 	list(o.Starts[2], 100)
 	moved := b.plan()
 	assert.Equal(t, len(moved.Stops), 1)
-	b.core.Cordon(o.Starts[1].Worker.ID, "maintenance", true)
+	b.core.obey(CellOrder{Kind: OrderVacate, Worker: o.Starts[1].Worker.ID}, token, b.now)
 	assert.Equal(t, len(b.plan().Stops), 0, "one is away already")
 }
 
@@ -430,3 +428,22 @@
 		assert.Equal(t, s.Start.Run, 1)
 	}
 }
+
+// A task is cut by a move. The decision saw the VM empty, and a task was started
+// before the order: the claim of the VM and the start are one after the other at
+// the cell's owner, so one of them loses.
+func TestAWorkerInUseIsNotClaimedAndAClaimedOneGetsNothing(t *testing.T) {
+	b := newBench(t)
+	b.worker("w1")
+	b.accept("j1", short(1))
+	o := b.plan()
+	claim := CellOrder{Kind: OrderClaim, Worker: "w1"}
+	assert.Assert(t, !b.core.obey(claim, token, b.now))
+	b.answer(o, OutcomeOK)
+	b.look("w1", Listing{Ended: []RunEnd{ended(1, o.Starts[0], work.Done)}})
+	assert.Assert(t, b.core.obey(claim, token, b.now))
+	b.accept("j2", short(1))
+	assert.Equal(t, len(b.plan().Starts), 0)
+	b.core.obey(CellOrder{Kind: OrderOpen, Worker: "w1"}, token, b.now)
+	assert.Equal(t, len(b.plan().Starts), 1)
+}
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -48,16 +48,16 @@
 
 // Options are what an Engine is made of.
 type Options struct {
+	Cell     string // the service whose workers and jobs these are
 	Store    infra.Store
 	Workers  Workers
 	Machines Machines
 	Advisor  Advisor // nil: no queue is advised
-	Waves    Waves
 	Clock    Clock
 	Log      logr.Logger
 	Bounds   Bounds
 	Term     Term
-	// Registry returns the workers that are registered now.
+	// Registry returns the service's workers that are registered now.
 	Registry func() []WorkerInfo
 	// Declared returns the operator's configuration in force.
 	Declared func() Declared
@@ -74,11 +74,13 @@
 	core     *Core
 	sessions map[work.WorkerID]*session
 	restored bool
+	// fleetToken is of the last owner of the fleet that gave orders.
+	fleetToken int64
 
 	planKick  chan struct{}
 	storeKick chan struct{}
 	writer    writer
-	fleet     *fleet
+	lives     *lives
 	wg        sync.WaitGroup
 }
 
@@ -90,9 +92,9 @@
 		planKick:  make(chan struct{}, 1),
 		storeKick: make(chan struct{}, 1),
 	}
-	e.core = NewCore(o.Term.Token(), o.Bounds, o.Log.WithName("core"))
+	e.core = NewCore(o.Cell, o.Term.Token(), o.Bounds, o.Log.WithName("core"))
 	e.writer = writer{engine: e}
-	e.fleet = newFleet(e)
+	e.lives = &lives{engine: e, kick: make(chan struct{}, 1)}
 	return e
 }
 
@@ -109,14 +111,14 @@
 	if err := e.restore(ctx); err != nil {
 		return err
 	}
-	e.Log.Info("took over", "token", e.Term.Token(), "jobs", len(e.core.jobs), "open", len(e.core.open), "took", (e.Clock.Now() - start).String())
+	e.Log.Info("took over", "cell", e.Cell, "token", e.Term.Token(), "jobs", len(e.core.jobs), "open", len(e.core.open), "took", (e.Clock.Now() - start).String())
 	e.mu.Lock()
 	e.restored = true
 	e.mu.Unlock()
 	e.wg.Go(func() { e.writer.run(ctx) })
 	e.wg.Go(func() { e.readInbox(ctx) })
 	if e.Machines != nil {
-		e.wg.Go(func() { e.fleet.run(ctx) })
+		e.wg.Go(func() { e.lives.run(ctx) })
 	}
 	e.RegistryChanged()
 	return e.planLoop(ctx)
@@ -158,11 +160,7 @@
 	deposed := e.core.Deposed()
 	all, final := e.core.Dirty()
 	ack := e.core.unacknowledged()
-	backlog := e.core.waits
 	e.mu.Unlock()
-	if backlog {
-		kick(e.fleet.kick)
-	}
 	if deposed {
 		return false
 	}
--- a/internal/engine/inbox.go
+++ b/internal/engine/inbox.go
@@ -32,8 +32,8 @@
 	job  work.JobID
 }
 
-func parseNote(key string) (note, bool) {
-	kind, id, ok := strings.Cut(strings.TrimPrefix(key, infra.WorkInboxPrefix), "/")
+func parseNote(cell, key string) (note, bool) {
+	kind, id, ok := strings.Cut(strings.TrimPrefix(key, infra.WorkInboxPrefix(cell)), "/")
 	return note{key: key, kind: kind, job: work.JobID(id)}, ok
 }
 
@@ -48,7 +48,7 @@
 }
 
 func (e *Engine) followInbox(ctx context.Context) error {
-	kvs, rev, err := e.Store.Range(ctx, infra.WorkInboxPrefix)
+	kvs, rev, err := e.Store.Range(ctx, infra.WorkInboxPrefix(e.Cell))
 	if err != nil {
 		return trace.Wrap(err)
 	}
@@ -57,7 +57,7 @@
 	}
 	watch, cancel := context.WithCancel(ctx)
 	defer cancel()
-	batches, err := e.Store.Watch(watch, infra.WorkInboxPrefix, rev+1)
+	batches, err := e.Store.Watch(watch, infra.WorkInboxPrefix(e.Cell), rev+1)
 	if err != nil {
 		return trace.Wrap(err)
 	}
@@ -91,7 +91,7 @@
 func (e *Engine) readNotes(ctx context.Context, keys []string) error {
 	var notes []note
 	for _, key := range keys {
-		n, ok := parseNote(key)
+		n, ok := parseNote(e.Cell, key)
 		if !ok {
 			e.Log.Info("inbox key is malformed", "key", key)
 			continue
@@ -120,7 +120,7 @@
 	known := e.core.Cancel(id, func(error) {})
 	e.mu.Unlock()
 	if !known {
-		e.Log.Info("cancelled job is not stored", "job", id)
+		e.Log.Info("noted job is cancelled already", "job", id)
 	}
 	kick(e.storeKick)
 	kick(e.planKick)
@@ -149,20 +149,20 @@
 }
 
 func (e *Engine) readJob(ctx context.Context, id work.JobID) error {
-	kv, _, err := e.Store.Get(ctx, infra.WorkJobKey(string(id)))
+	kv, _, err := e.Store.Get(ctx, infra.WorkOpenKey(e.Cell, string(id)))
 	if err != nil {
 		return err
 	}
 	if kv.ModRevision == 0 {
-		e.Log.Info("note about a job that is not stored", "job", id)
+		e.Log.Info("noted job has ended", "job", id)
 		return nil
 	}
 	var r JobRecord
-	if err := json.Unmarshal(kv.Value, &r); err != nil {
+	if err := json.Unmarshal(kv.Value, &r); err != nil || r.Job == nil {
 		e.Log.Error(err, "job record is malformed", "job", id)
 		return nil
 	}
-	e.found(id, &r)
+	e.found(&r)
 	return nil
 }
 
--- /dev/null
+++ b/internal/engine/lives.go
@@ -0,0 +1,78 @@
+package engine
+
+import (
+	"context"
+	"time"
+)
+
+// lives reads from the platform's list of VMs which workers are over: at the
+// take-over, and while a worker does not answer. A list is one priced call.
+type lives struct {
+	engine *Engine
+	kick   chan struct{}
+}
+
+const (
+	// livesEvery separates lists while there is reason to read them.
+	livesEvery = 400 * time.Millisecond
+	// livesIdle is how often it is asked whether there is reason.
+	livesIdle = 200 * time.Millisecond
+	// listTimeout ends a call to the platform's VM service.
+	listTimeout = 1 * time.Second
+)
+
+func (l *lives) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		if !l.wanted() {
+			sleep(ctx, livesIdle)
+			continue
+		}
+		l.read(ctx)
+		sleep(ctx, livesEvery)
+	}
+}
+
+// wanted reports whether the list could tell something: before the first, while
+// a worker does not answer, and while an earlier owner's work may be unknown.
+func (l *lives) wanted() bool {
+	e := l.engine
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return !e.core.fleetKnown || e.core.anyMissed() || !e.core.settled(e.Clock.Now())
+}
+
+func (c *Core) anyMissed() bool {
+	for _, w := range c.workers {
+		if w.missed > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+func (l *lives) read(ctx context.Context) {
+	e := l.engine
+	call, cancel := context.WithTimeout(ctx, listTimeout)
+	defer cancel()
+	sent := e.Clock.Now()
+	vms, err := e.Machines.List(call)
+	if err != nil {
+		e.Log.Info("VMs not listed", "error", err.Error())
+		return
+	}
+	e.mu.Lock()
+	e.core.SetFleet(vms)
+	e.core.endLives(sent, e.Clock.Now())
+	e.mu.Unlock()
+	kick(e.planKick)
+}
+
+// endLives ends the workers that do not answer and whose VM has another life or
+// none. sent is when the list was asked for: it is older than any answer since.
+func (c *Core) endLives(sent, now time.Duration) {
+	for id, w := range c.workers {
+		if _, up := c.alive[id]; !up && w.clockAt < sent && w.missed > 0 {
+			c.WorkerGone(id, "its VM has another life or none", now)
+		}
+	}
+}
--- a/internal/engine/metrics.go
+++ b/internal/engine/metrics.go
@@ -59,7 +59,8 @@
 	m.Txns.Add(infra.KindOf(err).String(), 1)
 }
 
-func (m *Metrics) vm(what string) {
+// VM counts an order for a VM.
+func (m *Metrics) VM(what string) {
 	if m != nil {
 		m.VMs.Add(what, 1)
 	}
--- a/internal/engine/plan.go
+++ b/internal/engine/plan.go
@@ -63,11 +63,7 @@
 	c.vacate(now)
 	c.planStops(now, &out)
 	c.planPaces(now, &out)
-	c.waits = false
-	for service, steps := range c.waitingSteps(now) {
-		c.planService(service, steps, now, &out)
-		c.waits = c.waits || slices.ContainsFunc(steps, func(w waiting) bool { return w.step.pending > 0 })
-	}
+	c.planWaiting(c.waitingSteps(now), now, &out)
 	return out
 }
 
@@ -165,11 +161,12 @@
 	rank joborder.Rank
 }
 
-// waitingSteps returns the steps with tasks that may start now, by service.
-func (c *Core) waitingSteps(now time.Duration) map[string][]waiting {
-	out := make(map[string][]waiting)
+// waitingSteps returns the steps with tasks that may start now.
+func (c *Core) waitingSteps(now time.Duration) []waiting {
+	var out []waiting
+	settled := c.settled(now)
 	for _, j := range c.open {
-		if j.restored && !c.settled(j.queue.Service, now) {
+		if j.restored && !settled {
 			continue
 		}
 		var rank *joborder.Rank
@@ -182,7 +179,7 @@
 					r := joborder.Of(c.orderOf(j, o, now))
 					rank = &r
 				}
-				out[j.queue.Service] = append(out[j.queue.Service], waiting{step: s, rank: *rank})
+				out = append(out, waiting{step: s, rank: *rank})
 			}
 		}
 	}
@@ -190,10 +187,10 @@
 }
 
 // settled reports whether nothing that an earlier owner started can be running
-// unknown to us: every worker of the service was heard, or the leases it may have
+// unknown to us: every worker was heard, or the leases it may have
 // are certain to be over. Registrations alone don't tell which workers there are:
 // they lapse while the store is away, and the workers run on.
-func (c *Core) settled(service string, now time.Duration) bool {
+func (c *Core) settled(now time.Duration) bool {
 	if now >= c.inherited {
 		return true
 	}
@@ -201,7 +198,7 @@
 		return false
 	}
 	for id, pool := range c.alive {
-		if pool != service || c.over[id] {
+		if pool != c.cell || c.over[id] {
 			continue
 		}
 		if w := c.workers[id]; w == nil || !w.heard {
@@ -209,7 +206,7 @@
 		}
 	}
 	for _, w := range c.workers {
-		if w.info.Service == service && !w.heard {
+		if !w.heard {
 			return false
 		}
 	}
@@ -261,8 +258,8 @@
 	return out
 }
 
-// planService places the waiting steps of one service.
-func (c *Core) planService(service string, ws []waiting, now time.Duration, out *Orders) {
+// planWaiting places the waiting steps.
+func (c *Core) planWaiting(ws []waiting, now time.Duration, out *Orders) {
 	slices.SortStableFunc(ws, func(a, b waiting) int {
 		if a.rank.Before(b.rank) {
 			return -1
@@ -272,7 +269,7 @@
 		}
 		return 0
 	})
-	workers := c.workersOf(service, now)
+	workers := c.snapshots(now)
 	if len(workers) == 0 {
 		return
 	}
@@ -285,23 +282,23 @@
 	for _, p := range taskplan.Plan(workers, steps) {
 		c.order(p, now, out)
 	}
-	c.explain(service, workers, steps, now)
+	c.explain(workers, steps, now)
 }
 
-// explainEvery bounds the log lines about work that waits, for each service.
+// explainEvery bounds the log lines about work that waits.
 const explainEvery = 1 * time.Second
 
-// explain logs what keeps the first waiting step of the service from running.
-func (c *Core) explain(service string, workers []*taskplan.Worker, steps []*taskplan.Step, now time.Duration) {
+// explain logs what keeps the first waiting step from running.
+func (c *Core) explain(workers []*taskplan.Worker, steps []*taskplan.Step, now time.Duration) {
 	for _, s := range steps {
 		st := c.stepOf(s.Ref)
 		if st == nil || st.pending == 0 {
 			continue
 		}
-		if now < c.explained[service]+explainEvery {
+		if now < c.explained+explainEvery {
 			return
 		}
-		c.explained[service] = now
+		c.explained = now
 		c.log.Info("work waits", "step", s.Ref.String(), "tasks", st.pending, "lasting", s.Step.Lasting,
 			"milli cpu", s.Step.Size.MilliCPU, "memory mb", s.Step.Size.MemoryMB, "workers", taskplan.Binding(workers, s))
 		return
@@ -315,12 +312,10 @@
 	return nil
 }
 
-func (c *Core) workersOf(service string, now time.Duration) []*taskplan.Worker {
-	var out []*taskplan.Worker
+func (c *Core) snapshots(now time.Duration) []*taskplan.Worker {
+	out := make([]*taskplan.Worker, 0, len(c.workers))
 	for _, w := range c.workers {
-		if w.info.Service == service {
-			out = append(out, w.snapshot(now))
-		}
+		out = append(out, w.snapshot(now))
 	}
 	slices.SortFunc(out, func(a, b *taskplan.Worker) int { return cmp.Compare(a.ID, b.ID) })
 	return out
--- a/internal/engine/progress.go
+++ b/internal/engine/progress.go
@@ -8,16 +8,6 @@
 	"github.com/pumicestage/pumicestage/policy/work"
 )
 
-// JobRecord is what the store holds under a job's key. It is made once, when
-// the job is accepted, and replaced by a short one when the job has ended: the
-// key must stay, as it keeps the ID from being used again.
-type JobRecord struct {
-	Job   *work.Job  `json:"job,omitempty"`
-	Queue *Queue     `json:"queue,omitempty"` // as configured when accepted
-	State work.State `json:"state,omitempty"` // empty until the job has ended
-	Ended time.Time  `json:"ended,omitzero"`
-}
-
 // Progress is what the store holds of an open job beside its record. All of it
 // must be stored before the ends it tells of are acknowledged.
 type Progress struct {
@@ -95,8 +85,8 @@
 	return f
 }
 
-// Pending reports whether ends wait to be acknowledged although nothing of them
-// needs to be stored.
+// unacknowledged reports whether ends wait to be acknowledged, although nothing of
+// them may need to be stored.
 func (c *Core) unacknowledged() bool {
 	for _, w := range c.workers {
 		if w.stored < w.seen {
@@ -185,21 +175,15 @@
 }
 
 // Restore adds a job that was accepted before this owner took over.
-func (c *Core) Restore(r *JobRecord, id work.JobID, p *Progress, now time.Duration, wall time.Time) {
-	if c.jobs[id] != nil {
+func (c *Core) Restore(r *JobRecord, p *Progress, now time.Duration, wall time.Time) {
+	if c.jobs[r.Job.ID] != nil {
 		return
 	}
-	if r.State != "" {
-		c.jobs[id] = &job{Job: work.Job{ID: id}, final: r.State, stored: true}
-		return
-	}
-	q := Queue{}
-	if r.Queue != nil {
-		q = *r.Queue
-	}
+	q := r.Queue
 	if known, ok := c.declared.Queues[r.Job.Queue]; ok {
 		q = known
 	}
+	q.Service = c.cell
 	// Its age counts from the acceptance, by the wall clock of the VM that
 	// took it; a clock that is off must not make it older than it can be.
 	age := max(0, wall.Sub(r.Job.Accepted))
--- a/internal/engine/restore.go
+++ b/internal/engine/restore.go
@@ -9,7 +9,6 @@
 	"github.com/gravitational/trace"
 
 	"github.com/pumicestage/pumicestage/internal/infra"
-	"github.com/pumicestage/pumicestage/policy/work"
 )
 
 // OwnerGrace is how long an owner that can't reach the store goes on giving
@@ -49,7 +48,7 @@
 func (e *Engine) seize(ctx context.Context) (first bool, err error) {
 	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
 	defer cancel()
-	kv, _, err := e.Store.Get(ctx, infra.WorkCommitKey)
+	kv, _, err := e.Store.Get(ctx, infra.WorkCommitKey(e.Cell))
 	if err != nil {
 		return false, trace.Wrap(err)
 	}
@@ -72,8 +71,8 @@
 		return false, trace.Wrap(err)
 	}
 	res, err := e.Store.Txn(ctx, infra.Txn{
-		If:   []infra.Cond{{Key: infra.WorkCommitKey, ModRevision: kv.ModRevision}},
-		Then: []infra.Op{infra.Put(infra.WorkCommitKey, mark)},
+		If:   []infra.Cond{{Key: infra.WorkCommitKey(e.Cell), ModRevision: kv.ModRevision}},
+		Then: []infra.Op{infra.Put(infra.WorkCommitKey(e.Cell), mark)},
 	})
 	if err != nil {
 		return false, trace.Wrap(err)
@@ -88,11 +87,11 @@
 func (e *Engine) load(ctx context.Context, first bool) error {
 	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
 	defer cancel()
-	progress, _, err := e.Store.Range(ctx, infra.WorkProgressPrefix)
+	progress, _, err := e.Store.Range(ctx, infra.WorkProgressPrefix(e.Cell))
 	if err != nil {
 		return trace.Wrap(err)
 	}
-	jobs, _, err := e.Store.Range(ctx, infra.WorkJobPrefix)
+	jobs, _, err := e.Store.Range(ctx, infra.WorkOpenPrefix(e.Cell))
 	if err != nil {
 		return trace.Wrap(err)
 	}
@@ -103,20 +102,19 @@
 			e.Log.Error(err, "progress is malformed: the job starts over", "key", kv.Key)
 			continue
 		}
-		byJob[strings.TrimPrefix(kv.Key, infra.WorkProgressPrefix)] = &p
+		byJob[strings.TrimPrefix(kv.Key, infra.WorkProgressPrefix(e.Cell))] = &p
 	}
 	now, wall := e.Clock.Now(), e.Clock.Wall()
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.core.Declare(e.Declared())
 	for _, kv := range jobs {
-		id := strings.TrimPrefix(kv.Key, infra.WorkJobPrefix)
 		var r JobRecord
-		if err := json.Unmarshal(kv.Value, &r); err != nil || r.Job == nil && r.State == "" {
+		if err := json.Unmarshal(kv.Value, &r); err != nil || r.Job == nil {
 			e.Log.Error(err, "job record is malformed and left alone", "key", kv.Key)
 			continue
 		}
-		e.core.Restore(&r, work.JobID(id), byJob[id], now, wall)
+		e.core.Restore(&r, byJob[string(r.Job.ID)], now, wall)
 	}
 	e.core.Reaffirm(now, wall)
 	for _, info := range e.Registry() {
@@ -129,12 +127,12 @@
 }
 
 // found adds a job that an entry VM stored itself.
-func (e *Engine) found(id work.JobID, r *JobRecord) {
+func (e *Engine) found(r *JobRecord) {
 	e.mu.Lock()
-	if e.core.jobs[id] == nil {
-		e.core.Restore(r, id, nil, e.Clock.Now(), e.Clock.Wall())
+	if e.core.jobs[r.Job.ID] == nil {
+		e.core.Restore(r, nil, e.Clock.Now(), e.Clock.Wall())
 		// It was stored after this term began: no earlier owner knew it.
-		e.core.jobs[id].restored = false
+		e.core.jobs[r.Job.ID].restored = false
 	}
 	e.mu.Unlock()
 	kick(e.planKick)
--- a/internal/engine/straggler.go
+++ b/internal/engine/straggler.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"github.com/pumicestage/pumicestage/policy/straggler"
-	"github.com/pumicestage/pumicestage/policy/work"
 )
 
 // stragglers stops what stands still or crawls, so that it starts elsewhere.
@@ -51,18 +50,3 @@
 	t.avoid = append(t.avoid, w.info.ID)
 	t.step.set(t, taskStopping)
 }
-
-// Evict stops everything on the worker but lasting tasks, which leave as their
-// steps' limits allow.
-func (c *Core) Evict(id work.WorkerID) {
-	w := c.workers[id]
-	if w == nil {
-		return
-	}
-	for _, t := range w.tasks {
-		if t.state == taskActive && !t.step.spec.Lasting {
-			c.log.Info("run evicted", "task", t.ref.String(), "run", t.run, "worker", id, "percent", t.percent)
-			t.step.set(t, taskStopping)
-		}
-	}
-}
--- a/internal/engine/vacate.go
+++ b/internal/engine/vacate.go
@@ -6,46 +6,11 @@
 	"github.com/pumicestage/pumicestage/policy/work"
 )
 
-// Cordon keeps new tasks off the worker; vacate also moves lasting tasks away.
-// An empty reason lifts it.
-func (c *Core) Cordon(id work.WorkerID, reason string, vacate bool) {
-	w := c.workers[id]
-	if w == nil || w.cordon == reason && w.vacate == vacate {
-		return
-	}
-	w.cordon, w.vacate = reason, vacate
-	c.log.Info("cordon", "worker", id, "reason", reason, "tasks", len(w.tasks))
-}
-
-// Occupancy says what is on a worker.
-type Occupancy struct {
-	Known   bool
-	Heard   bool
-	Tasks   int
-	Lasting int
-	Used    work.Resources
-}
-
-// Occupied returns what is on the worker by our books.
-func (c *Core) Occupied(id work.WorkerID) Occupancy {
-	w := c.workers[id]
-	if w == nil {
-		return Occupancy{}
-	}
-	o := Occupancy{Known: true, Heard: w.heard, Tasks: len(w.tasks) + len(w.strays), Used: w.used()}
-	for _, t := range w.tasks {
-		if t.step.spec.Lasting {
-			o.Lasting++
-		}
-	}
-	return o
-}
-
 // vacate stops lasting tasks on workers that are to be emptied, so that they
 // start elsewhere, as far as each step's limit on unavailable tasks allows.
 func (c *Core) vacate(now time.Duration) {
 	for _, w := range c.workers {
-		if w.gone || w.missed > 0 || !w.vacate && !w.info.Draining {
+		if w.gone || w.missed > 0 || w.cordon.Kind != Vacated && !w.info.Draining {
 			continue
 		}
 		for _, t := range w.tasks {
@@ -90,7 +55,7 @@
 		}
 	}
 	for _, w := range c.workers {
-		if w == t.where || w.info.Service != s.job.queue.Service || w.closed(now) && !w.full {
+		if w == t.where || w.closed(now) && !w.full {
 			continue
 		}
 		if s.spec.AntiAffinity > 0 && on[w] >= s.spec.AntiAffinity {
--- a/internal/engine/worker.go
+++ b/internal/engine/worker.go
@@ -67,9 +67,8 @@
 	closedUntil         time.Duration
 	strikes             strikes
 	slowness            straggler.Slowness
-	cordon              string // why it takes no new tasks; empty: it does
-	vacate              bool   // lasting tasks are to leave it
-	full                bool   // it refused for want of room since its last end
+	cordon              Cordon
+	full                bool // it refused for want of room since its last end
 }
 
 // strikes counts ends that speak against a worker.
@@ -147,7 +146,7 @@
 }
 
 func (w *worker) closed(now time.Duration) bool {
-	return !w.heard || w.gone || w.info.Draining || w.cordon != "" || w.missed > 0 ||
+	return !w.heard || w.gone || w.info.Draining || w.cordon.Kind != Open || w.missed > 0 ||
 		w.full || now < w.closedUntil || now < w.strikes.until || len(w.strays) > 0
 }
 
--- a/internal/engine/writer.go
+++ b/internal/engine/writer.go
@@ -17,8 +17,11 @@
 	// txnEntries is the most a transaction of the users' store holds.
 	txnEntries = 32
 	// maxCreates leaves room for progress beside new jobs: each job needs a
-	// condition and a write.
-	maxCreates = 10
+	// condition and two writes.
+	maxCreates = 8
+	// endEntries is what an ended job takes: its short key, its record and its
+	// progress.
+	endEntries = 3
 	// gatherQuiet is how long ends that nobody waits for may gather.
 	gatherQuiet = 60 * time.Millisecond
 	// gatherUrgent is how long new jobs and final states may gather.
@@ -39,10 +42,10 @@
 }
 
 type creation struct {
-	job    *work.Job
-	queue  Queue
-	record []byte
-	done   chan error
+	job   *work.Job
+	queue Queue
+	ops   []infra.Op
+	done  chan error
 }
 
 // writer stores what the core decides.
@@ -59,11 +62,11 @@
 
 // create stores a new job with the next batch.
 func (w *writer) create(ctx context.Context, j *work.Job, q Queue) error {
-	record, err := json.Marshal(JobRecord{Job: j, Queue: &q})
+	ops, err := CreateOps(w.engine.Cell, j, q)
 	if err != nil {
 		return err
 	}
-	c := &creation{job: j, queue: q, record: record, done: make(chan error, 1)}
+	c := &creation{job: j, queue: q, ops: ops, done: make(chan error, 1)}
 	w.mu.Lock()
 	if w.busy != 0 && w.engine.Clock.Now() > w.busy+unwellAfter {
 		w.mu.Unlock()
@@ -177,8 +180,7 @@
 	w.busy = w.engine.Clock.Now()
 	left := len(w.waiting)
 	w.mu.Unlock()
-	// An ended job takes two entries: its record and its progress.
-	room := (txnEntries - 2 - 2*n) / 2
+	room := (txnEntries - 2 - 3*n) / endEntries
 	w.engine.mu.Lock()
 	b.flush = w.engine.core.TakeFlush(room)
 	w.engine.mu.Unlock()
@@ -230,14 +232,14 @@
 		panic(err) // two integers: it can't fail
 	}
 	t := infra.Txn{
-		If:   []infra.Cond{{Key: infra.WorkCommitKey, ModRevision: w.rev}},
-		Then: []infra.Op{infra.Put(infra.WorkCommitKey, mark)},
-		Else: []infra.Op{infra.Read(infra.WorkCommitKey)},
+		If:   []infra.Cond{{Key: infra.WorkCommitKey(w.engine.Cell), ModRevision: w.rev}},
+		Then: []infra.Op{infra.Put(infra.WorkCommitKey(w.engine.Cell), mark)},
+		Else: []infra.Op{infra.Read(infra.WorkCommitKey(w.engine.Cell))},
 	}
 	for _, c := range b.creates {
 		key := infra.WorkJobKey(string(c.job.ID))
 		t.If = append(t.If, infra.Cond{Key: key})
-		t.Then = append(t.Then, infra.Put(key, c.record))
+		t.Then = append(t.Then, c.ops...)
 		t.Else = append(t.Else, infra.Read(key))
 	}
 	for _, ch := range b.flush.Changes {
@@ -247,15 +249,14 @@
 }
 
 func (w *writer) changeOps(ch Change) []infra.Op {
-	id := string(ch.Job)
 	if ch.Final == "" {
-		return []infra.Op{infra.Put(infra.WorkProgressKey(id), ch.Progress)}
+		return []infra.Op{infra.Put(infra.WorkProgressKey(w.engine.Cell, string(ch.Job)), ch.Progress)}
 	}
-	record, err := json.Marshal(JobRecord{State: ch.Final, Ended: w.engine.Clock.Wall()})
+	ops, err := EndOps(w.engine.Cell, ch.Job, ch.Final, w.engine.Clock.Wall())
 	if err != nil {
-		panic(err) // a string and a time: it can't fail
+		panic(err) // strings and a time: it can't fail
 	}
-	return []infra.Op{infra.Put(infra.WorkJobKey(id), record), infra.Delete(infra.WorkProgressKey(id))}
+	return append(ops, infra.Delete(infra.WorkProgressKey(w.engine.Cell, string(ch.Job))))
 }
 
 func (w *writer) succeeded(b *batch, rev infra.Revision) {
@@ -301,7 +302,7 @@
 	kept := b.creates[:0]
 	for i, c := range b.creates {
 		if i+1 < len(reads) && reads[i+1].ModRevision != 0 {
-			w.existed(c, reads[i+1])
+			w.existed(c)
 			continue
 		}
 		kept = append(kept, c)
@@ -310,16 +311,10 @@
 	return true
 }
 
-// existed accepts a job whose key is there: it came before by another entry VM.
-func (w *writer) existed(c *creation, kv infra.KV) {
+// existed accepts a job whose key is there: it came before by another entry VM,
+// whose note brings it here if it has not ended.
+func (w *writer) existed(c *creation) {
 	w.engine.Log.Info("job was stored before", "job", c.job.ID)
-	var r JobRecord
-	if err := json.Unmarshal(kv.Value, &r); err != nil {
-		w.engine.Log.Error(err, "job record is malformed", "job", c.job.ID)
-		c.done <- ErrUncertain
-		return
-	}
-	w.engine.found(c.job.ID, &r)
 	c.done <- nil
 }
 
--- a/internal/infra/keys.go
+++ b/internal/infra/keys.go
@@ -45,31 +45,49 @@
 // EntryKey returns the key of an entry VM.
 func EntryKey(id model.EntryID) string { return EntryPrefix + string(id) }
 
-// Keys of the jobs that run as tasks on workers.
+// Keys of the jobs that run as tasks on workers. A cell is the workers of one
+// service and the jobs that run on them.
 const (
-	// WorkOwnerKey is leased by the entry VM that owns the workers. Its
-	// revision is the fencing token of all that owner's orders.
-	WorkOwnerKey = Root + "work/owner"
-	// WorkCommitKey is rewritten in every transaction of the owner and is in
-	// its condition: transactions of an earlier owner, and late ones of the
-	// same, fail.
-	WorkCommitKey = Root + "work/commit"
-	// WorkJobPrefix holds one key per job, for ever: an ID is one job.
+	// WorkOwnerPrefix holds one leased key per duty: a cell, or the fleet. Its
+	// revision is the fencing token of all its owner's orders.
+	WorkOwnerPrefix = Root + "work/owner/"
+	// WorkJobPrefix holds one short key per job, for ever: an ID is one job.
 	WorkJobPrefix = Root + "work/jobs/"
-	// WorkProgressPrefix holds what is done of open jobs.
-	WorkProgressPrefix = Root + "work/progress/"
-	// WorkInboxPrefix holds what entry VMs wrote while they could not reach
-	// the owner, for it to find.
-	WorkInboxPrefix = Root + "work/inbox/"
 	// WorkWavePrefix holds what is done of maintenance waves.
 	WorkWavePrefix = Root + "work/waves/"
+
+	workCommitPrefix   = Root + "work/commit/"
+	workOpenPrefix     = Root + "work/open/"
+	workProgressPrefix = Root + "work/progress/"
+	workInboxPrefix    = Root + "work/inbox/"
 )
 
-// WorkJobKey returns the key of a job.
+// WorkOwnerKey returns the key of the duty's owner.
+func WorkOwnerKey(duty string) string { return WorkOwnerPrefix + duty }
+
+// WorkCommitKey returns the key that every transaction of a cell's owner rewrites
+// and has in its condition: transactions of an earlier owner, and late ones of
+// the same, fail.
+func WorkCommitKey(cell string) string { return workCommitPrefix + cell }
+
+// WorkJobKey returns the key that makes the ID one job.
 func WorkJobKey(id string) string { return WorkJobPrefix + id }
 
-// WorkProgressKey returns the key of a job's progress.
-func WorkProgressKey(id string) string { return WorkProgressPrefix + id }
+// WorkOpenPrefix returns the prefix of the cell's jobs that have not ended.
+func WorkOpenPrefix(cell string) string { return workOpenPrefix + cell + "/" }
+
+// WorkOpenKey returns the key of a job that has not ended.
+func WorkOpenKey(cell, id string) string { return WorkOpenPrefix(cell) + id }
+
+// WorkProgressPrefix returns the prefix of what is done of the cell's open jobs.
+func WorkProgressPrefix(cell string) string { return workProgressPrefix + cell + "/" }
+
+// WorkProgressKey returns the key of an open job's progress.
+func WorkProgressKey(cell, id string) string { return WorkProgressPrefix(cell) + id }
+
+// WorkInboxPrefix returns the prefix of what entry VMs wrote for the cell's owner
+// while they could not reach it.
+func WorkInboxPrefix(cell string) string { return workInboxPrefix + cell + "/" }
 
 // WorkInboxKey returns the key of an entry VM's note about a job.
-func WorkInboxKey(kind, id string) string { return WorkInboxPrefix + kind + "/" + id }
+func WorkInboxKey(cell, kind, id string) string { return WorkInboxPrefix(cell) + kind + "/" + id }
--- a/internal/jobfront/front.go
+++ b/internal/jobfront/front.go
@@ -56,9 +56,10 @@
 
 // Options are what a Front is made of.
 type Options struct {
-	Store  infra.Store
-	Owners func() (ownership.Record, bool)
-	Local  func() Owner // nil result: not the owner
+	Store infra.Store
+	// Owners returns who owns the cell; false where nobody does.
+	Owners func(cell string) (ownership.Record, bool)
+	Local  func(cell string) Owner // nil result: not the owner
 	Link   *ownerlink.Client
 	Self   string // own name
 	Clock  engine.Clock
@@ -77,11 +78,11 @@
 // Submit accepts a job. nil means that it is stored; a *Refusal that it is not
 // and will not be; ErrUncertain that the caller should repeat it.
 func (f *Front) Submit(ctx context.Context, j *work.Job, q engine.Queue) error {
-	err := f.askOwner(ctx, func(ctx context.Context, o Owner, address string) error {
+	err := f.askOwner(ctx, q.Service, func(ctx context.Context, o Owner, p ownerlink.Peer) error {
 		if o != nil {
 			return o.Submit(ctx, j, q)
 		}
-		return f.Link.Submit(ctx, address, j, q)
+		return f.Link.Submit(ctx, p, j, q)
 	})
 	if err == nil {
 		return nil
@@ -92,32 +93,31 @@
 	return f.storeJob(ctx, j, q, certain)
 }
 
-// askOwner calls the owner, wherever it is.
-func (f *Front) askOwner(ctx context.Context, call func(ctx context.Context, o Owner, address string) error) error {
+// askOwner calls the cell's owner, wherever it is.
+func (f *Front) askOwner(ctx context.Context, cell string, call func(ctx context.Context, o Owner, p ownerlink.Peer) error) error {
 	ctx, cancel := context.WithTimeout(ctx, ownerTimeout)
 	defer cancel()
-	if local := f.Local(); local != nil {
-		return call(ctx, local, "")
+	if local := f.Local(cell); local != nil {
+		return call(ctx, local, ownerlink.Peer{})
 	}
-	owner, known := f.Owners()
+	owner, known := f.Owners(cell)
 	if !known || owner.Entry == f.Self {
 		return engine.ErrNotReady
 	}
-	return call(ctx, nil, owner.Address)
+	return call(ctx, nil, ownerlink.Peer{Cell: cell, Address: owner.Address})
 }
 
 // storeJob creates the job in the store. certain says that no earlier try of
 // this request can have taken effect. Creating is idempotent: the same
 // condition that makes a second try fail proves that the first took effect.
 func (f *Front) storeJob(ctx context.Context, j *work.Job, q engine.Queue, certain bool) error {
-	record, err := json.Marshal(engine.JobRecord{Job: j, Queue: &q})
+	ops, err := engine.CreateOps(q.Service, j, q)
 	if err != nil {
 		return &Refusal{Reason: "job can't be stored: " + err.Error()}
 	}
-	key := infra.WorkJobKey(string(j.ID))
 	txn := infra.Txn{
-		If:   []infra.Cond{{Key: key}},
-		Then: []infra.Op{infra.Put(key, record), infra.Put(infra.WorkInboxKey(engine.NoteSubmit, string(j.ID)), nil)},
+		If:   []infra.Cond{{Key: infra.WorkJobKey(string(j.ID))}},
+		Then: append(ops, infra.Put(infra.WorkInboxKey(q.Service, engine.NoteSubmit, string(j.ID)), nil)),
 	}
 	for {
 		_, err := f.txn(ctx, txn)
@@ -142,33 +142,44 @@
 	return f.Store.Txn(ctx, t)
 }
 
-// State returns what the job's caller is told.
-func (f *Front) State(ctx context.Context, id work.JobID) (work.State, error) {
-	var state work.State
-	err := f.askOwner(ctx, func(ctx context.Context, o Owner, address string) (err error) {
-		if o != nil {
-			state, err = o.State(id)
-			return err
-		}
-		state, err = f.Link.State(ctx, address, id)
-		return err
-	})
+// State returns what the job's caller is told. q is the queue that the request
+// came by.
+func (f *Front) State(ctx context.Context, id work.JobID, q engine.Queue) (work.State, error) {
+	state, err := f.ownerState(ctx, id, q.Service)
 	if err == nil {
 		return state, nil
 	}
-	// The owner may not have read yet what another entry VM stored.
-	r, _, err := f.stored(ctx, id)
+	// The owner knows open jobs alone, and may not have read yet what another
+	// entry VM stored.
+	stub, _, err := f.stored(ctx, id)
 	if err != nil {
 		return "", err
 	}
-	if r.State != "" {
-		return r.State, nil
+	if stub.State != "" {
+		return stub.State, nil
+	}
+	if stub.Cell != q.Service {
+		if state, err := f.ownerState(ctx, id, stub.Cell); err == nil {
+			return state, nil
+		}
 	}
 	return work.Running, nil
 }
 
-// stored reads the job from the store.
-func (f *Front) stored(ctx context.Context, id work.JobID) (*engine.JobRecord, infra.Revision, error) {
+func (f *Front) ownerState(ctx context.Context, id work.JobID, cell string) (state work.State, err error) {
+	err = f.askOwner(ctx, cell, func(ctx context.Context, o Owner, p ownerlink.Peer) (err error) {
+		if o != nil {
+			state, err = o.State(id)
+			return err
+		}
+		state, err = f.Link.State(ctx, p, id)
+		return err
+	})
+	return state, err
+}
+
+// stored reads the job's stub from the store.
+func (f *Front) stored(ctx context.Context, id work.JobID) (*engine.JobStub, infra.Revision, error) {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 	kv, _, err := f.Store.Get(ctx, infra.WorkJobKey(string(id)))
@@ -178,50 +189,56 @@
 	if kv.ModRevision == 0 {
 		return nil, 0, ErrUnknownJob
 	}
-	r := new(engine.JobRecord)
-	if err := json.Unmarshal(kv.Value, r); err != nil {
-		f.Log.Error(err, "job record is malformed", "job", id)
-		return nil, 0, &Refusal{Reason: "job record is malformed", RetryAfter: storeBack}
+	stub := new(engine.JobStub)
+	if err := json.Unmarshal(kv.Value, stub); err != nil {
+		f.Log.Error(err, "job's key is malformed", "job", id)
+		return nil, 0, &Refusal{Reason: "job's key is malformed", RetryAfter: storeBack}
 	}
-	return r, kv.ModRevision, nil
+	return stub, kv.ModRevision, nil
 }
 
 // Cancel cancels the job. nil means that it is cancelled or had ended.
-func (f *Front) Cancel(ctx context.Context, id work.JobID) error {
-	err := f.askOwner(ctx, func(ctx context.Context, o Owner, address string) error {
+func (f *Front) Cancel(ctx context.Context, id work.JobID, q engine.Queue) error {
+	err := f.ownerCancel(ctx, id, q.Service)
+	if err == nil {
+		return nil
+	}
+	return f.storeCancel(ctx, id, q.Service)
+}
+
+func (f *Front) ownerCancel(ctx context.Context, id work.JobID, cell string) error {
+	return f.askOwner(ctx, cell, func(ctx context.Context, o Owner, p ownerlink.Peer) error {
 		if o != nil {
 			return o.Cancel(ctx, id)
 		}
-		return f.Link.Cancel(ctx, address, id)
+		return f.Link.Cancel(ctx, p, id)
 	})
-	if err == nil {
-		return nil
-	}
-	return f.storeCancel(ctx, id)
 }
 
 // storeCancel ends the job in the store itself, so that no later owner starts
-// any of it, and leaves a note for the present one.
-func (f *Front) storeCancel(ctx context.Context, id work.JobID) error {
+// any of it, and leaves a note for the present one. asked is the cell whose owner
+// was asked in vain.
+func (f *Front) storeCancel(ctx context.Context, id work.JobID, asked string) error {
 	for {
-		r, rev, err := f.stored(ctx, id)
+		stub, rev, err := f.stored(ctx, id)
 		if err != nil {
 			return err
 		}
-		if r.State != "" {
+		if stub.State != "" {
 			return nil
 		}
-		record, err := json.Marshal(engine.JobRecord{State: work.Cancelled, Ended: f.Clock.Wall()})
+		if stub.Cell != asked {
+			if err := f.ownerCancel(ctx, id, stub.Cell); err == nil {
+				return nil
+			}
+		}
+		ops, err := engine.EndOps(stub.Cell, id, work.Cancelled, f.Clock.Wall())
 		if err != nil {
 			return &Refusal{Reason: "cancellation can't be stored: " + err.Error()}
 		}
-		key := infra.WorkJobKey(string(id))
 		res, err := f.txn(ctx, infra.Txn{
-			If: []infra.Cond{{Key: key, ModRevision: rev}},
-			Then: []infra.Op{
-				infra.Put(key, record),
-				infra.Put(infra.WorkInboxKey(engine.NoteCancel, string(id)), nil),
-			},
+			If:   []infra.Cond{{Key: infra.WorkJobKey(string(id)), ModRevision: rev}},
+			Then: append(ops, infra.Put(infra.WorkInboxKey(stub.Cell, engine.NoteCancel, string(id)), nil)),
 		})
 		if err == nil && res.Succeeded {
 			return nil
@@ -236,14 +253,14 @@
 }
 
 // Waiting counts the queue's jobs of which no task has started.
-func (f *Front) Waiting(ctx context.Context, queue string) (int, error) {
-	n := 0
-	err := f.askOwner(ctx, func(ctx context.Context, o Owner, address string) (err error) {
+func (f *Front) Waiting(ctx context.Context, q engine.Queue) (int, error) {
+	n, queue := 0, q.Name
+	err := f.askOwner(ctx, q.Service, func(ctx context.Context, o Owner, p ownerlink.Peer) (err error) {
 		if o != nil {
 			n, err = o.Waiting(queue)
 			return err
 		}
-		n, err = f.Link.Waiting(ctx, address, queue)
+		n, err = f.Link.Waiting(ctx, p, queue)
 		return err
 	})
 	now := f.Clock.Now()
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -9,6 +9,7 @@
 	"github.com/gravitational/trace"
 
 	"github.com/pumicestage/pumicestage/internal/engine"
+	"github.com/pumicestage/pumicestage/internal/fleetowner"
 	"github.com/pumicestage/pumicestage/internal/infra"
 	"github.com/pumicestage/pumicestage/internal/jobfront"
 	"github.com/pumicestage/pumicestage/platform"
@@ -20,18 +21,27 @@
 // followTimeout ends one read of a prefix.
 const followTimeout = 1500 * time.Millisecond
 
-// follow keeps calling all with everything under the prefix and then each with
-// what changes, until ctx ends.
-func follow(ctx context.Context, store infra.Store, log logr.Logger, prefix string, all func([]infra.KV), each func(infra.Event)) {
+// source is a prefix of the store to be followed.
+type source struct {
+	prefix string
+	// pace is the least time between two answers of the watch: what changes
+	// often is then told together, as each answer is a priced call. 0: none.
+	pace time.Duration
+	all  func([]infra.KV) // takes everything under the prefix over
+	each func(infra.Event)
+}
+
+// follow keeps the source's readers up to date until ctx ends.
+func follow(ctx context.Context, store infra.Store, log logr.Logger, s source) {
+	prefix := s.prefix
 	lost := false
 	for ctx.Err() == nil {
-		err := followOnce(ctx, store, prefix, func(kvs []infra.KV) {
+		err := followOnce(ctx, store, s, func() {
 			if lost {
 				log.Info("store is back", "prefix", prefix)
 				lost = false
 			}
-			all(kvs)
-		}, each)
+		})
 		if ctx.Err() != nil {
 			return
 		}
@@ -50,17 +60,18 @@
 	return err.Error()
 }
 
-func followOnce(ctx context.Context, store infra.Store, prefix string, all func([]infra.KV), each func(infra.Event)) error {
+func followOnce(ctx context.Context, store infra.Store, s source, readable func()) error {
 	call, cancel := context.WithTimeout(ctx, followTimeout)
-	kvs, rev, err := store.Range(call, prefix)
+	kvs, rev, err := store.Range(call, s.prefix)
 	cancel()
 	if err != nil {
 		return trace.Wrap(err)
 	}
-	all(kvs)
+	readable()
+	s.all(kvs)
 	watch, cancel := context.WithCancel(ctx)
 	defer cancel()
-	batches, err := store.Watch(watch, prefix, rev+1)
+	batches, err := store.Watch(watch, s.prefix, rev+1)
 	if err != nil {
 		return trace.Wrap(err)
 	}
@@ -69,7 +80,10 @@
 			return trace.Wrap(b.Err)
 		}
 		for _, ev := range b.Events {
-			each(ev)
+			s.each(ev)
+		}
+		if s.pace > 0 {
+			pause(ctx, s.pace)
 		}
 	}
 	return nil
@@ -91,25 +105,32 @@
 	clock engine.Clock
 	log   logr.Logger
 
+	// changed is called after each change of the configuration.
+	changed func()
+
 	mu     sync.Mutex
 	config *jobfront.Config
 	routes *jobfront.Routes
-	waves  map[string]engine.OrderedWave
+	waves  map[string]fleetowner.OrderedWave
 }
 
-func newOperator(store infra.Store, clock engine.Clock, log logr.Logger) *operator {
-	return &operator{store: store, clock: clock, log: log, waves: make(map[string]engine.OrderedWave)}
+func newOperator(store infra.Store, clock engine.Clock, log logr.Logger, changed func()) *operator {
+	return &operator{store: store, clock: clock, log: log, changed: changed, waves: make(map[string]fleetowner.OrderedWave)}
 }
 
 func (o *operator) run(ctx context.Context) {
-	follow(ctx, o.store, o.log, platform.OperatorPrefix, func(kvs []infra.KV) {
-		for _, kv := range kvs {
-			o.take(kv)
-		}
-	}, func(ev infra.Event) {
-		if ev.Kind == infra.EventPut {
-			o.take(ev.KV)
-		}
+	follow(ctx, o.store, o.log, source{
+		prefix: platform.OperatorPrefix,
+		all: func(kvs []infra.KV) {
+			for _, kv := range kvs {
+				o.take(kv)
+			}
+		},
+		each: func(ev infra.Event) {
+			if ev.Kind == infra.EventPut {
+				o.take(ev.KV)
+			}
+		},
 	})
 }
 
@@ -129,7 +150,7 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if _, known := o.waves[w.Name]; !known {
-		o.waves[w.Name] = engine.OrderedWave{Wave: w, Seen: o.clock.Now()}
+		o.waves[w.Name] = fleetowner.OrderedWave{Wave: w, Seen: o.clock.Now()}
 		o.log.Info("wave ordered", "wave", w.Name, "vms", len(w.VMs), "duration", w.Duration.String(), "at a time", w.MaxAtATime)
 	}
 }
@@ -141,13 +162,21 @@
 		return
 	}
 	routes := jobfront.NewRoutes(c.Routes)
+	if !o.adopt(c, routes) {
+		return
+	}
+	o.log.Info("configuration in force", "version", c.Version, "revision", int64(kv.ModRevision), "routes", len(c.Routes))
+	o.changed()
+}
+
+func (o *operator) adopt(c *jobfront.Config, routes *jobfront.Routes) bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if o.config != nil && c.Version <= o.config.Version {
-		return
+		return false
 	}
 	o.config, o.routes = c, routes
-	o.log.Info("configuration in force", "version", c.Version, "revision", int64(kv.ModRevision), "routes", len(c.Routes))
+	return true
 }
 
 func (o *operator) current() (*jobfront.Config, *jobfront.Routes) {
@@ -164,108 +193,18 @@
 	return c.Declared
 }
 
-// Ordered implements engine.Waves.
-func (o *operator) Ordered() []engine.OrderedWave {
+// Ordered implements fleetowner.Waves.
+func (o *operator) Ordered() []fleetowner.OrderedWave {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	out := make([]engine.OrderedWave, 0, len(o.waves))
+	out := make([]fleetowner.OrderedWave, 0, len(o.waves))
 	for _, w := range o.waves {
 		out = append(out, w)
 	}
 	return out
 }
 
-// Report implements engine.Waves.
+// Report implements fleetowner.Waves.
 func (o *operator) Report(ctx context.Context, wave string, completed bool) error {
 	return platform.ReportWave(ctx, o.store, wave, completed)
 }
-
-// registry holds the registered workers while this entry VM owns them.
-type registry struct {
-	store   infra.Store
-	log     logr.Logger
-	changed func()
-
-	mu      sync.Mutex
-	workers map[string]engine.WorkerInfo
-}
-
-func (r *registry) run(ctx context.Context) {
-	follow(ctx, r.store, r.log, platform.WorkerPrefix, func(kvs []infra.KV) {
-		r.replace(kvs)
-		r.changed()
-	}, func(ev infra.Event) {
-		r.change(ev)
-		r.changed()
-	})
-}
-
-// replace takes the whole list over in one step: a new owner must not see a
-// part of it and think the rest empty.
-func (r *registry) replace(kvs []infra.KV) {
-	workers := make(map[string]engine.WorkerInfo, len(kvs))
-	for _, kv := range kvs {
-		if info, ok := r.read(kv); ok {
-			workers[kv.Key] = info
-		}
-	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.workers = workers
-}
-
-func (r *registry) change(ev infra.Event) {
-	info, ok := engine.WorkerInfo{}, false
-	if ev.Kind == infra.EventPut {
-		info, ok = r.read(ev.KV)
-	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if ok {
-		r.workers[ev.KV.Key] = info
-	} else if ev.Kind == infra.EventDelete {
-		delete(r.workers, ev.KV.Key)
-	}
-}
-
-func (r *registry) read(kv infra.KV) (engine.WorkerInfo, bool) {
-	info, err := platform.WorkerOf(kv)
-	if err != nil {
-		r.log.Error(err, "registration is malformed", "key", kv.Key)
-	}
-	return info, err == nil
-}
-
-func (r *registry) list() []engine.WorkerInfo {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	out := make([]engine.WorkerInfo, 0, len(r.workers))
-	for _, w := range r.workers {
-		out = append(out, w)
-	}
-	return out
-}
-
-// forget drops what an earlier term read.
-func (r *registry) forget() {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.workers = nil
-}
-
-// registryWait is how long a new owner waits for the first list of workers.
-const registryWait = 2 * time.Second
-
-// wait returns once the workers were listed.
-func (r *registry) wait(ctx context.Context) {
-	const look = 5 * time.Millisecond
-	for waited := time.Duration(0); waited < registryWait && ctx.Err() == nil; waited += look {
-		r.mu.Lock()
-		listed := r.workers != nil
-		r.mu.Unlock()
-		if listed {
-			return
-		}
-		pause(ctx, look)
-	}
-}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -50,23 +50,22 @@
 	logs     *logWriter
 	clock    bootClock
 
-	store    infra.Store
-	operator *operator
-	registry *registry
-	elector  *ownership.Elector
-	front    *jobfront.Front
-	metrics  *metrics
+	store     infra.Store
+	operator  *operator
+	registry  *registry
+	directory *ownership.Directory
+	link      *ownerlink.Client
+	workers   *platform.Workers
+	front     *jobfront.Front
+	metrics   *metrics
+	duties    *duties
+	self      ownership.Record
 
 	callers net.Listener
 	ready   net.Listener
 	peers   net.Listener
 
-	engine  atomic.Pointer[engine.Engine]
 	leaving atomic.Bool
-	// electing ends the wish to own; the callers' path goes on.
-	electing     context.Context
-	stopElecting context.CancelFunc
-	elections    sync.WaitGroup
 }
 
 // New opens the listeners and wires the parts.
@@ -91,96 +90,33 @@
 }
 
 func (n *Node) wire(peers string) {
+	n.self = ownership.Record{Entry: n.settings.Name, Address: peers}
 	n.store = platform.NewStore(n.settings.Store, platformTimeout)
-	n.operator = newOperator(n.store, n.clock, n.log.WithName("operator"))
-	n.registry = &registry{store: n.store, log: n.log.WithName("registry"), changed: n.registryChanged}
-	self := ownership.Record{Entry: n.settings.Name, Address: peers}
-	n.elector = ownership.New(ownership.Options{
-		Store: n.store, Self: self, Clock: n.clock, Log: n.log.WithName("ownership"), Grace: engine.OwnerGrace,
-		Own: n.own, Eligible: n.eligible,
-	})
+	n.workers = platform.NewWorkers(n.log.WithName("workers"))
+	n.directory = &ownership.Directory{Log: n.log.WithName("owners")}
+	n.link = &ownerlink.Client{Log: n.log.WithName("link")}
+	n.duties = &duties{node: n, running: make(map[string]bool), engines: make(map[string]*engine.Engine)}
+	n.operator = newOperator(n.store, n.clock, n.log.WithName("operator"), n.duties.ensure)
+	n.registry = &registry{store: n.store, log: n.log.WithName("registry"), changed: n.duties.registryChanged}
 	n.front = jobfront.New(jobfront.Options{
-		Store: n.store, Owners: n.elector.Owner, Local: n.local, Link: &ownerlink.Client{Log: n.log.WithName("link")},
-		Self: self.Entry, Clock: n.clock, Log: n.log.WithName("front"),
+		Store: n.store, Owners: n.duties.cellOwner, Local: n.duties.owner, Link: n.link,
+		Self: n.self.Entry, Clock: n.clock, Log: n.log.WithName("front"),
 	})
 }
 
-func (n *Node) registryChanged() {
-	if e := n.engine.Load(); e != nil {
-		e.RegistryChanged()
-	}
-}
-
-func (n *Node) eligible() bool {
-	c, _ := n.operator.current()
-	return c != nil && !n.leaving.Load()
-}
-
-func (n *Node) local() jobfront.Owner {
-	if e := n.engine.Load(); e != nil {
-		return e
-	}
-	return nil
-}
-
-// own runs the engine for one term.
-func (n *Node) own(ctx context.Context, t *ownership.Term) {
-	term, cancel := context.WithCancel(ctx)
-	defer cancel()
-	e := engine.New(engine.Options{
-		Store:    n.store,
-		Workers:  platform.NewWorkers(n.log.WithName("workers")),
-		Machines: n.machines(),
-		Advisor:  n.advisor(),
-		Waves:    n.operator,
-		Clock:    n.clock,
-		Log:      n.log.WithName("engine"),
-		Bounds: engine.Bounds{
-			MaxHold: n.settings.MaxLease, StopGrace: n.settings.StopTime,
-			Notice: n.settings.Notice, PaceDelay: n.settings.PaceDelay,
-		},
-		Term:     t,
-		Registry: n.registry.list,
-		Declared: n.operator.declared,
-		Metrics:  n.metrics.engine,
-	})
-	n.registry.forget()
-	var follower sync.WaitGroup
-	follower.Go(func() { n.registry.run(term) })
-	n.registry.wait(term)
-	n.engine.Store(e)
-	err := e.Run(term)
-	n.engine.Store(nil)
-	cancel()
-	follower.Wait()
-	n.log.Info("engine ended", "token", t.Token(), "error", errText(err))
-}
-
-func (n *Node) machines() engine.Machines {
-	if n.settings.VMs == "" {
-		return nil
-	}
-	return platform.NewMachines(n.settings.VMs, n.settings.Name, platformTimeout, n.log.WithName("vms"))
-}
-
-func (n *Node) advisor() engine.Advisor {
-	if n.settings.Advisor == "" {
-		return nil
-	}
-	return platform.NewAdvisor(n.settings.Advisor, platformTimeout)
-}
-
 // Run serves until ctx ends, then leaves gracefully.
 func (n *Node) Run(ctx context.Context) error {
 	defer n.logs.Close()
 	n.log.Info("start", "zone", n.settings.Zone, "callers", n.settings.Callers, "store", n.settings.Store)
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
-	n.electing, n.stopElecting = context.WithCancel(background)
+	electing, stopElecting := context.WithCancel(background)
+	defer stopElecting()
+	n.duties.start(electing)
 	var parts sync.WaitGroup
 	parts.Go(func() { n.operator.run(background) })
-	n.elections.Go(func() { n.elector.Run(n.electing) })
-	peers := &ownerlink.Server{Listener: n.peers, Owner: n.owner, Log: n.log.WithName("link")}
+	parts.Go(func() { n.followOwners(background) })
+	peers := &ownerlink.Server{Listener: n.peers, Owner: n.duties.owner, Log: n.log.WithName("link")}
 	parts.Go(func() { peers.Run(background) })
 
 	callers := n.callerServer()
@@ -192,26 +128,18 @@
 	var err error
 	select {
 	case <-ctx.Done():
-		err = n.leave(callers)
+		err = n.leave(callers, stopElecting)
 	case err = <-failed:
 	}
 	stop()
 	ready.Close()
 	callers.Close()
-	n.elections.Wait()
+	n.duties.wg.Wait()
 	parts.Wait()
 	n.log.Info("stop", "error", errText(err))
 	return trace.Wrap(err)
 }
 
-// owner is what peers' calls are answered by.
-func (n *Node) owner() ownerlink.Owner {
-	if e := n.engine.Load(); e != nil {
-		return e
-	}
-	return nil
-}
-
 func (n *Node) callerServer() *http.Server {
 	ingress := &platform.Ingress{
 		Jobs: n.front, Config: n.operator.current, Wall: n.clock.Wall, Log: n.log.WithName("callers"), Done: n.metrics.request,
@@ -233,15 +161,15 @@
 	w.WriteHeader(http.StatusOK)
 }
 
-// leave hands ownership over at once and goes on answering until the balancer
+// leave hands its duties over at once and goes on answering until the balancer
 // has noticed; connections are closed after their present answer.
-func (n *Node) leave(callers *http.Server) error {
+func (n *Node) leave(callers *http.Server, stopElecting func()) error {
 	began := n.clock.Now()
 	n.leaving.Store(true)
 	n.log.Info("leaving", "within", n.settings.Shutdown.String())
-	n.stopElecting()
-	n.elections.Wait()
-	n.log.Info("ownership handed over", "took", (n.clock.Now() - began).String())
+	stopElecting()
+	n.duties.wg.Wait()
+	n.log.Info("duties handed over", "took", (n.clock.Now() - began).String())
 	callers.SetKeepAlivesEnabled(false)
 	pause(context.Background(), min(unreadyFor, n.settings.Shutdown/2)-(n.clock.Now()-began))
 	left := n.settings.Shutdown - drainMargin - (n.clock.Now() - began)
--- /dev/null
+++ b/internal/node/registry.go
@@ -0,0 +1,146 @@
+package node
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"github.com/pumicestage/pumicestage/internal/engine"
+	"github.com/pumicestage/pumicestage/internal/infra"
+	"github.com/pumicestage/pumicestage/platform"
+)
+
+// registry holds the registered workers while this entry VM owns a cell. One
+// watch serves all its cells.
+type registry struct {
+	store   infra.Store
+	log     logr.Logger
+	changed func()
+
+	mu      sync.Mutex
+	users   int
+	stop    context.CancelFunc
+	done    chan struct{}
+	listed  chan struct{} // closed once the workers were listed
+	once    *sync.Once
+	workers map[string]engine.WorkerInfo
+}
+
+// registryPace gathers changes of registrations. Every worker writes its entry
+// each second or two; told one by one they are most of all calls to the store. A
+// worker that joins is used so much later at most, a tenth of what a move takes.
+const registryPace = 150 * time.Millisecond
+
+// registryWait is how long a new owner waits for the first list of workers.
+const registryWait = 2 * time.Second
+
+// hold follows the registrations until release and returns once they were listed.
+func (r *registry) hold(ctx context.Context) {
+	r.mu.Lock()
+	if r.users == 0 {
+		r.startLocked()
+	}
+	r.users++
+	listed := r.listed
+	r.mu.Unlock()
+	t := time.NewTimer(registryWait)
+	defer t.Stop()
+	select {
+	case <-listed:
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
+
+func (r *registry) startLocked() {
+	ctx, cancel := context.WithCancel(context.Background())
+	r.stop, r.done, r.listed, r.once = cancel, make(chan struct{}), make(chan struct{}), new(sync.Once)
+	r.workers = nil
+	done, listed, once := r.done, r.listed, r.once
+	go func() {
+		defer close(done)
+		follow(ctx, r.store, r.log, source{
+			prefix: platform.WorkerPrefix,
+			pace:   registryPace,
+			all: func(kvs []infra.KV) {
+				r.replace(kvs)
+				once.Do(func() { close(listed) })
+				r.changed()
+			},
+			each: func(ev infra.Event) {
+				if r.change(ev) {
+					r.changed()
+				}
+			},
+		})
+	}()
+}
+
+func (r *registry) release() {
+	r.mu.Lock()
+	r.users--
+	if r.users > 0 {
+		r.mu.Unlock()
+		return
+	}
+	stop, done := r.stop, r.done
+	r.mu.Unlock()
+	stop()
+	<-done
+}
+
+// replace takes the whole list over in one step: a new owner must not see a
+// part of it and think the rest empty.
+func (r *registry) replace(kvs []infra.KV) {
+	workers := make(map[string]engine.WorkerInfo, len(kvs))
+	for _, kv := range kvs {
+		if info, ok := r.read(kv); ok {
+			workers[kv.Key] = info
+		}
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.workers = workers
+}
+
+// change takes one change over; false where nothing of it matters.
+func (r *registry) change(ev infra.Event) bool {
+	info, ok := engine.WorkerInfo{}, false
+	if ev.Kind == infra.EventPut {
+		info, ok = r.read(ev.KV)
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !ok {
+		if ev.Kind == infra.EventDelete {
+			delete(r.workers, ev.KV.Key)
+		}
+		return false
+	}
+	old, known := r.workers[ev.KV.Key]
+	r.workers[ev.KV.Key] = info
+	return !known || old.Draining != info.Draining || old.Address != info.Address
+}
+
+func (r *registry) read(kv infra.KV) (engine.WorkerInfo, bool) {
+	info, err := platform.WorkerOf(kv)
+	if err != nil {
+		r.log.Error(err, "registration is malformed", "key", kv.Key)
+	}
+	return info, err == nil
+}
+
+// list returns the service's workers.
+func (r *registry) list(service string) []engine.WorkerInfo {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var out []engine.WorkerInfo
+	for _, w := range r.workers {
+		if w.Service == service {
+			out = append(out, w)
+		}
+	}
+	return out
+}
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -29,6 +29,7 @@
 	VMs     string // host:port of the platform's VM service; empty: none
 	Advisor string // host:port of the advisor; empty: none
 
+	CPUShare  float64 // of a core; VMs with more take duties sooner
 	MemoryMB  int
 	Shutdown  time.Duration // until a stopping process is killed
 	MaxLease  time.Duration // longest lease of a worker
@@ -53,6 +54,7 @@
 	expectsMS      = "a whole number of milliseconds"
 	expectsS       = "a number of seconds"
 	expectsMB      = "a number of megabytes"
+	expectsShare   = "a share of a core above 0"
 	expectsRate    = "a number of calls a second"
 )
 
@@ -69,6 +71,11 @@
 	{"vms", "address", false, expectsAddress, address(func(s *Settings) *string { return &s.VMs })},
 	{"vms", "lists-per-second", false, expectsRate, rate},
 	{"advisor", "address", false, expectsAddress, address(func(s *Settings) *string { return &s.Advisor })},
+	{"limits", "cpu-share", false, expectsShare, func(s *Settings, t string) bool {
+		var err error
+		s.CPUShare, err = strconv.ParseFloat(t, 64)
+		return err == nil && s.CPUShare > 0
+	}},
 	{"limits", "memory-mb", true, expectsMB, positive(func(s *Settings) *int { return &s.MemoryMB })},
 	{"limits", "shutdown-s", true, expectsS, duration(time.Second, func(s *Settings) *time.Duration { return &s.Shutdown })},
 	{"limits", "max-lease-ms", true, expectsMS, duration(time.Millisecond, func(s *Settings) *time.Duration { return &s.MaxLease })},
--- a/internal/ownerlink/client.go
+++ b/internal/ownerlink/client.go
@@ -20,13 +20,18 @@
 // dialTimeout ends a connection attempt; a VM behind a cut does not answer.
 const dialTimeout = 400 * time.Millisecond
 
-// Client calls the owner over one connection, made when first needed.
+// Peer is the owner of a cell and where it is reached.
+type Peer struct {
+	Cell    string
+	Address string
+}
+
+// Client calls owners, over one connection to each address.
 type Client struct {
 	Log logr.Logger
 
-	mu      sync.Mutex
-	address string
-	link    *link
+	mu    sync.Mutex
+	links map[string]*link // by address
 }
 
 type link struct {
@@ -39,9 +44,9 @@
 	dead    bool
 }
 
-// Submit hands a job to the owner at the address.
-func (c *Client) Submit(ctx context.Context, address string, j *work.Job, q engine.Queue) error {
-	resp, err := c.call(ctx, address, &request{Kind: kindSubmit, Job: j, Queue: &q})
+// Submit hands a job to the owner.
+func (c *Client) Submit(ctx context.Context, p Peer, j *work.Job, q engine.Queue) error {
+	resp, err := c.call(ctx, p, &request{Kind: kindSubmit, Job: j, Queue: &q})
 	if err != nil {
 		return err
 	}
@@ -49,8 +54,8 @@
 }
 
 // State asks for a job's state.
-func (c *Client) State(ctx context.Context, address string, id work.JobID) (work.State, error) {
-	resp, err := c.call(ctx, address, &request{Kind: kindState, JobID: id})
+func (c *Client) State(ctx context.Context, p Peer, id work.JobID) (work.State, error) {
+	resp, err := c.call(ctx, p, &request{Kind: kindState, JobID: id})
 	if err != nil {
 		return "", err
 	}
@@ -58,8 +63,8 @@
 }
 
 // Cancel cancels a job.
-func (c *Client) Cancel(ctx context.Context, address string, id work.JobID) error {
-	resp, err := c.call(ctx, address, &request{Kind: kindCancel, JobID: id})
+func (c *Client) Cancel(ctx context.Context, p Peer, id work.JobID) error {
+	resp, err := c.call(ctx, p, &request{Kind: kindCancel, JobID: id})
 	if err != nil {
 		return err
 	}
@@ -67,19 +72,32 @@
 }
 
 // Waiting asks how many jobs of the queue have not begun.
-func (c *Client) Waiting(ctx context.Context, address, queue string) (int, error) {
-	resp, err := c.call(ctx, address, &request{Kind: kindWaiting, Name: queue})
+func (c *Client) Waiting(ctx context.Context, p Peer, queue string) (int, error) {
+	resp, err := c.call(ctx, p, &request{Kind: kindWaiting, Name: queue})
 	if err != nil {
 		return 0, err
 	}
 	return resp.Count, resp.Result.err()
 }
 
+// Sync hands a cell's owner the orders of the fleet's and returns its report.
+func (c *Client) Sync(ctx context.Context, p Peer, s engine.CellSync) (engine.CellAnswer, error) {
+	resp, err := c.call(ctx, p, &request{Kind: kindSync, Sync: &s})
+	if err != nil {
+		return engine.CellAnswer{}, err
+	}
+	if err := resp.Result.err(); err != nil || resp.Sync == nil {
+		return engine.CellAnswer{}, errors.Join(err, engine.ErrNotReady)
+	}
+	return *resp.Sync, nil
+}
+
 // call sends a request and waits for its answer. ErrNotSent is certain; without
 // an answer the error is engine.ErrUncertain, and the connection is given up: it
 // may have gone silent for good while new ones work.
-func (c *Client) call(ctx context.Context, address string, req *request) (*response, error) {
-	l, err := c.connect(ctx, address)
+func (c *Client) call(ctx context.Context, p Peer, req *request) (*response, error) {
+	req.Cell = p.Cell
+	l, err := c.connect(ctx, p.Address)
 	if err != nil {
 		return nil, err
 	}
@@ -106,13 +124,10 @@
 func (c *Client) connect(ctx context.Context, address string) (*link, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.link != nil && c.address == address && !c.link.isDead() {
-		return c.link, nil
-	}
-	if c.link != nil {
-		c.link.close()
-		c.link = nil
+	if l := c.links[address]; l != nil && !l.isDead() {
+		return l, nil
 	}
+	delete(c.links, address)
 	d := net.Dialer{Timeout: dialTimeout}
 	conn, err := d.DialContext(ctx, "tcp", address)
 	if err != nil {
@@ -120,7 +135,10 @@
 		return nil, ErrNotSent
 	}
 	l := &link{conn: conn, out: &lockedWriter{w: bufio.NewWriter(conn), conn: conn}, waiting: make(map[uint64]chan *response)}
-	c.address, c.link = address, l
+	if c.links == nil {
+		c.links = make(map[string]*link)
+	}
+	c.links[address] = l
 	go l.read()
 	return l, nil
 }
--- a/internal/ownerlink/ownerlink.go
+++ b/internal/ownerlink/ownerlink.go
@@ -31,16 +31,20 @@
 	kindState
 	kindCancel
 	kindWaiting
+	kindSync
 )
 
 // request is one call.
 type request struct {
 	ID    uint64        `msgpack:"i"`
 	Kind  kind          `msgpack:"k"`
+	Cell  string        `msgpack:"c"` // whose owner is meant
 	Job   *work.Job     `msgpack:"j,omitempty"`
 	Queue *engine.Queue `msgpack:"q,omitempty"`
 	JobID work.JobID    `msgpack:"d,omitempty"`
 	Name  string        `msgpack:"n,omitempty"` // of a queue
+
+	Sync *engine.CellSync `msgpack:"y,omitempty"`
 }
 
 // result is the outcome of a call, across the wire.
@@ -60,6 +64,8 @@
 	Result result     `msgpack:"r"`
 	State  work.State `msgpack:"s,omitempty"`
 	Count  int        `msgpack:"c,omitempty"`
+
+	Sync *engine.CellAnswer `msgpack:"y,omitempty"`
 }
 
 func resultOf(err error) result {
--- a/internal/ownerlink/server.go
+++ b/internal/ownerlink/server.go
@@ -19,6 +19,7 @@
 	State(id work.JobID) (work.State, error)
 	Cancel(ctx context.Context, id work.JobID) error
 	Waiting(queue string) (int, error)
+	Sync(s engine.CellSync) (engine.CellAnswer, error)
 }
 
 // serveTimeout ends a call at the owner: callers have given up long before.
@@ -27,8 +28,8 @@
 // Server answers calls of other entry VMs.
 type Server struct {
 	Listener net.Listener
-	// Owner returns who answers; nil while this entry VM is not the owner.
-	Owner func() Owner
+	// Owner returns who answers for the cell; nil while this entry VM does not.
+	Owner func(cell string) Owner
 	Log   logr.Logger
 
 	mu    sync.Mutex
@@ -91,7 +92,7 @@
 
 func (s *Server) answer(ctx context.Context, req *request) *response {
 	resp := &response{ID: req.ID, Result: resultNotReady}
-	owner := s.Owner()
+	owner := s.Owner(req.Cell)
 	if owner == nil {
 		return resp
 	}
@@ -107,6 +108,10 @@
 		err = owner.Cancel(ctx, req.JobID)
 	case kindWaiting:
 		resp.Count, err = owner.Waiting(req.Name)
+	case kindSync:
+		var a engine.CellAnswer
+		a, err = owner.Sync(*req.Sync)
+		resp.Sync = &a
 	}
 	resp.Result = resultOf(err)
 	return resp
--- /dev/null
+++ b/internal/ownership/directory.go
@@ -0,0 +1,136 @@
+package ownership
+
+import (
+	"context"
+	"encoding/json"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"github.com/pumicestage/pumicestage/internal/infra"
+)
+
+// Directory is who has which duty, as this entry VM last read it.
+type Directory struct {
+	Log logr.Logger
+
+	mu      sync.Mutex
+	owners  map[string]held
+	read    bool          // the whole list was read at least once
+	changed chan struct{} // closed at the next change
+}
+
+type held struct {
+	Record
+	revision infra.Revision
+}
+
+// Owner returns who has the duty; false where nobody does.
+func (d *Directory) Owner(duty string) (Record, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	h, known := d.owners[duty]
+	return h.Record, known
+}
+
+// Replace takes the whole list over.
+func (d *Directory) Replace(kvs []infra.KV) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.owners = make(map[string]held)
+	d.read = true
+	for _, kv := range kvs {
+		d.putLocked(kv)
+	}
+	d.notifyLocked()
+}
+
+// Change takes one change over.
+func (d *Directory) Change(ev infra.Event) {
+	if ev.Kind == infra.EventDelete {
+		d.remove(ev.KV.Key, ev.KV.ModRevision)
+		return
+	}
+	d.put(ev.KV)
+}
+
+func (d *Directory) put(kv infra.KV) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.putLocked(kv)
+	d.notifyLocked()
+}
+
+func (d *Directory) putLocked(kv infra.KV) {
+	var r Record
+	if err := json.Unmarshal(kv.Value, &r); err != nil {
+		d.Log.Error(err, "owner's record is malformed", "key", kv.Key)
+		return
+	}
+	duty := strings.TrimPrefix(kv.Key, infra.WorkOwnerPrefix)
+	if old, known := d.owners[duty]; known && old.revision >= kv.ModRevision {
+		return
+	}
+	if d.owners == nil {
+		d.owners = make(map[string]held)
+	}
+	d.owners[duty] = held{Record: r, revision: kv.ModRevision}
+	d.Log.Info("owner", "duty", duty, "owner", r.Entry, "revision", int64(kv.ModRevision))
+}
+
+// remove forgets an owner of at most the revision.
+func (d *Directory) remove(key string, at infra.Revision) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	duty := strings.TrimPrefix(key, infra.WorkOwnerPrefix)
+	old, known := d.owners[duty]
+	if !known || old.revision > at {
+		return
+	}
+	delete(d.owners, duty)
+	d.Log.Info("no owner", "duty", duty, "last", old.Entry, "revision", int64(at))
+	d.notifyLocked()
+}
+
+func (d *Directory) notifyLocked() {
+	if d.changed != nil {
+		close(d.changed)
+		d.changed = nil
+	}
+}
+
+func (d *Directory) free(duty string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	_, known := d.owners[duty]
+	return d.read && !known
+}
+
+// recheck bounds a wait, should a change have been missed.
+const recheck = 1 * time.Second
+
+// waitFree returns true once the duty is free; false where it should be asked
+// again.
+func (d *Directory) waitFree(ctx context.Context, duty string) bool {
+	d.mu.Lock()
+	_, known := d.owners[duty]
+	if d.read && !known {
+		d.mu.Unlock()
+		return true
+	}
+	if d.changed == nil {
+		d.changed = make(chan struct{})
+	}
+	changed := d.changed
+	d.mu.Unlock()
+	t := time.NewTimer(recheck)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-changed:
+	case <-t.C:
+	}
+	return false
+}
--- a/internal/ownership/ownership.go
+++ b/internal/ownership/ownership.go
@@ -1,4 +1,4 @@
-// Package ownership decides which entry VM owns the workers: the holder of one
+// Package ownership decides which entry VM has a duty: the holder of the duty's
 // leased key in the platform's store. The key's revision is the owner's fencing
 // token. The lease only saves effort and time; what keeps two owners apart is the
 // token, which workers and the store check.
@@ -36,8 +36,12 @@
 	unreachableFor = renewEvery + callTimeout + 250*time.Millisecond
 	// rankStep spreads the entry VMs' tries for a free key, so that as a rule
 	// the first takes it and the others need not try.
-	rankStep  = 8 * time.Millisecond
-	rankSlots = 8
+	rankStep  = 2 * time.Millisecond
+	rankSlots = 16
+	// dutyStep is what each duty that a VM has puts it behind the others.
+	dutyStep = 50 * time.Millisecond
+	// leastWeight bounds how far behind a small VM stands.
+	leastWeight = 0.25
 )
 
 // Record is what the owner's key holds.
@@ -53,115 +57,60 @@
 
 // Options are what an Elector is made of.
 type Options struct {
-	Store infra.Store
-	Self  Record
-	Clock Clock
-	Log   logr.Logger
+	Duty      string
+	Store     infra.Store
+	Directory *Directory
+	Self      Record
+	// Weight is this VM's share of processor against others'; more takes duties
+	// sooner.
+	Weight float64
+	Clock  Clock
+	Log    logr.Logger
 	// Grace is how long after the lease was last certain orders may go on
 	// while the store can't be reached.
 	Grace time.Duration
 	// Own is run for each term; its context ends with the term.
 	Own func(ctx context.Context, t *Term)
-	// Eligible reports whether this entry VM may take the key now.
-	Eligible func() bool
+	// Eligible reports whether this entry VM may take a duty now, and how many
+	// it has.
+	Eligible func() (ok bool, duties int)
 }
 
-// Elector follows the key, and takes it when it is free.
-type Elector struct {
-	o Options
-
-	mu    sync.Mutex
-	owner Record
-	known bool
-}
+// Elector takes the duty's key when it is free.
+type Elector struct{ o Options }
 
 // New returns an elector.
 func New(o Options) *Elector { return &Elector{o: o} }
 
-// Owner returns the owner as last read; false where there is none.
-func (e *Elector) Owner() (Record, bool) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.owner, e.known
-}
-
-func (e *Elector) setOwner(kv infra.KV) {
-	var r Record
-	known := kv.ModRevision != 0
-	if known {
-		if err := json.Unmarshal(kv.Value, &r); err != nil {
-			e.o.Log.Error(err, "owner's record is malformed")
-			known = false
-		}
-	}
-	e.mu.Lock()
-	changed := e.owner != r || e.known != known
-	e.owner, e.known = r, known
-	e.mu.Unlock()
-	if changed {
-		e.o.Log.Info("owner", "entry", r.Entry, "known", known, "revision", int64(kv.ModRevision))
-	}
-}
-
-// Run follows the key until ctx ends.
+// Run tries for the duty until ctx ends.
 func (e *Elector) Run(ctx context.Context) {
 	for ctx.Err() == nil {
-		err := e.round(ctx)
-		if err != nil && ctx.Err() == nil {
-			e.o.Log.V(1).Info("owner's key not readable", "error", err.Error())
+		if !e.o.Directory.waitFree(ctx, e.o.Duty) {
+			continue
+		}
+		ok, duties := e.o.Eligible()
+		if !ok {
+			pause(ctx, retryPause)
+			continue
+		}
+		pause(ctx, e.rank(duties))
+		if ctx.Err() != nil || !e.o.Directory.free(e.o.Duty) {
+			continue
+		}
+		if err := e.take(ctx); err != nil && ctx.Err() == nil {
+			e.o.Log.V(1).Info("duty not taken", "duty", e.o.Duty, "error", err.Error())
 			pause(ctx, retryPause)
 		}
 	}
 }
 
-// round reads the key once and either follows it until it changes or takes it.
-func (e *Elector) round(ctx context.Context) error {
-	call, cancel := context.WithTimeout(ctx, callTimeout)
-	kv, rev, err := e.o.Store.Get(call, infra.WorkOwnerKey)
-	cancel()
-	if err != nil {
-		return trace.Wrap(err)
-	}
-	e.setOwner(kv)
-	if kv.ModRevision != 0 {
-		return e.follow(ctx, rev)
-	}
-	if !e.o.Eligible() {
-		pause(ctx, retryPause)
-		return nil
-	}
-	pause(ctx, e.rank())
-	return e.take(ctx)
-}
-
-// rank is this entry VM's place in the line for a free key.
-func (e *Elector) rank() time.Duration {
+// rank is this entry VM's place in the line for the free duty. The line differs
+// from duty to duty, so that duties spread; VMs with duties stand behind.
+func (e *Elector) rank(duties int) time.Duration {
 	h := fnv.New32a()
-	h.Write([]byte(e.o.Self.Entry)) // a hash takes every write
-	return time.Duration(h.Sum32()%rankSlots) * rankStep
-}
-
-// follow waits until the key changes.
-func (e *Elector) follow(ctx context.Context, rev infra.Revision) error {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	batches, err := e.o.Store.Watch(ctx, infra.WorkOwnerKey, rev+1)
-	if err != nil {
-		return trace.Wrap(err)
-	}
-	for b := range batches {
-		if b.Err != nil {
-			return trace.Wrap(b.Err)
-		}
-		for _, ev := range b.Events {
-			kv := ev.KV
-			if ev.Kind == infra.EventDelete {
-				return nil
-			}
-			e.setOwner(kv)
-		}
-	}
-	return ctx.Err()
+	h.Write([]byte(e.o.Duty + "/" + e.o.Self.Entry)) // a hash takes every write
+	place := float64(h.Sum32()%rankSlots) / max(leastWeight, e.o.Weight)
+	return time.Duration(place*float64(rankStep)) + time.Duration(duties)*dutyStep
 }
 
 // take makes the key under a fresh lease and runs a term.
@@ -178,16 +127,19 @@
 		return trace.Wrap(err)
 	}
 	res, err := e.o.Store.Txn(call, infra.Txn{
-		If:   []infra.Cond{{Key: infra.WorkOwnerKey}},
-		Then: []infra.Op{infra.PutLeased(infra.WorkOwnerKey, value, lease)},
+		If:   []infra.Cond{{Key: infra.WorkOwnerKey(e.o.Duty)}},
+		Then: []infra.Op{infra.PutLeased(infra.WorkOwnerKey(e.o.Duty), value, lease)},
 	})
 	if err != nil || !res.Succeeded {
 		e.drop(ctx, lease)
+		if err == nil {
+			err = trace.AlreadyExists("another entry VM was first")
+		}
 		return trace.Wrap(err)
 	}
 	t := &Term{elector: e, token: int64(res.Revision), lease: lease, certain: sent + TTL - skew}
 	t.allowed = t.certain
-	e.setOwner(infra.KV{Key: infra.WorkOwnerKey, Value: value, ModRevision: res.Revision})
+	e.o.Directory.put(infra.KV{Key: infra.WorkOwnerKey(e.o.Duty), Value: value, ModRevision: res.Revision})
 	t.run(ctx)
 	return nil
 }
@@ -242,7 +194,7 @@
 	}
 	t.mu.Unlock()
 	if first {
-		t.elector.o.Log.Info("term ends", "token", t.token, "reason", reason)
+		t.elector.o.Log.Info("term ends", "duty", t.elector.o.Duty, "token", t.token, "reason", reason)
 		t.cancel()
 	}
 }
@@ -252,13 +204,14 @@
 	ctx, cancel := context.WithCancel(parent)
 	t.cancel = cancel
 	defer cancel()
-	t.elector.o.Log.Info("term begins", "token", t.token)
+	t.elector.o.Log.Info("term begins", "duty", t.elector.o.Duty, "token", t.token)
 	var renewer sync.WaitGroup
 	renewer.Go(func() { t.renew(ctx) })
 	t.elector.o.Own(ctx, t)
 	t.End("its work ended")
 	renewer.Wait()
 	t.elector.drop(parent, t.lease)
+	t.elector.o.Directory.remove(infra.WorkOwnerKey(t.elector.o.Duty), infra.Revision(t.token))
 }
 
 func (t *Term) renew(ctx context.Context) {
@@ -296,7 +249,7 @@
 		return
 	}
 	now := t.elector.o.Clock.Now()
-	t.elector.o.Log.Info("lease not renewed", "token", t.token, "error", err.Error())
+	t.elector.o.Log.Info("lease not renewed", "duty", t.elector.o.Duty, "token", t.token, "error", err.Error())
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.ended == "" {
