--- a/internal/fleetowner/fleet.go
+++ b/internal/fleetowner/fleet.go
@@ -38,8 +38,12 @@
 
 // Pace of the fleet's reconciler.
 const (
-	passQuiet = 400 * time.Millisecond // while nothing goes on
-	passBusy  = 120 * time.Millisecond // while work waits, or an order or a wave is under way
+	// passEvery separates passes. Reports of cells cost little, and each of
+	// these milliseconds is one later for the VMs that a burst needs.
+	passEvery = 80 * time.Millisecond
+	// listQuiet separates lists of the VMs, which are priced, while no work
+	// waits and no order or wave is under way.
+	listQuiet = 500 * time.Millisecond
 	// listTimeout ends a call to the platform's VM service.
 	listTimeout = 1 * time.Second
 	// syncTimeout ends a call to a cell's owner.
@@ -77,6 +81,7 @@
 	Options
 
 	began    time.Duration
+	listed   time.Duration // when the VMs were last listed
 	vms      map[string]work.VM
 	cells    map[string]*cellView
 	waves    map[string]*waveRun
@@ -121,11 +126,7 @@
 	f.Log.Info("fleet taken over", "token", f.Term.Token())
 	for ctx.Err() == nil {
 		f.pass(ctx)
-		pause := passQuiet
-		if f.busy() {
-			pause = passBusy
-		}
-		sleep(ctx, pause)
+		sleep(ctx, passEvery)
 	}
 }
 
@@ -152,6 +153,9 @@
 // pass looks once at everything and acts on it.
 func (f *Fleet) pass(ctx context.Context) {
 	f.syncCells(ctx, nil)
+	if !f.busy() && f.Clock.Now() < f.listed+listQuiet {
+		return
+	}
 	call, cancel := context.WithTimeout(ctx, listTimeout)
 	sent := f.Clock.Now()
 	list, err := f.Machines.List(call)
@@ -160,6 +164,7 @@
 		f.Log.Info("VMs not listed", "error", err.Error())
 		return
 	}
+	f.listed = sent
 	f.inherit(list)
 	f.vms = make(map[string]work.VM, len(list))
 	for _, vm := range list {
--- a/internal/node/registry.go
+++ b/internal/node/registry.go
@@ -30,8 +30,8 @@
 
 // registryPace gathers changes of registrations. Every worker writes its entry
 // each second or two; told one by one they are most of all calls to the store. A
-// worker that joins is used so much later at most, a tenth of what a move takes.
-const registryPace = 150 * time.Millisecond
+// worker that joins is used so much later at most, a twelfth of what a move takes.
+const registryPace = 120 * time.Millisecond
 
 // registryWait is how long a new owner waits for the first list of workers.
 const registryWait = 2 * time.Second
--- a/internal/ownership/ownership.go
+++ b/internal/ownership/ownership.go
@@ -36,7 +36,7 @@
 	unreachableFor = renewEvery + callTimeout + 250*time.Millisecond
 	// rankStep spreads the entry VMs' tries for a free key, so that as a rule
 	// the first takes it and the others need not try.
-	rankStep  = 2 * time.Millisecond
+	rankStep  = 8 * time.Millisecond
 	rankSlots = 16
 	// dutyStep is what each duty that a VM has puts it behind the others.
 	dutyStep = 50 * time.Millisecond
--- a/policy/pools/pools.go
+++ b/policy/pools/pools.go
@@ -48,7 +48,7 @@
 	DrainGoal = 900 * time.Millisecond
 	// keep is how many VMs stay in a pool without load, for what comes first
 	// and for lasting tasks that need another place.
-	keep = 2
+	keep = 4
 	// parkAfter is how long a VM stays empty before it is parked. Parking and
 	// coming back cost two moves, which both deployments price like some 2.3
 	// seconds of the VM; having waited as long as that, it has cost at most
