Notes are read under a certain lease only; plans bounded; duties go to VMs that can carry them

VMs of 0.19 of a core and 10 Mbit/s took duties as soon as strong ones: places in line go by processor and link.

--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -130,20 +130,28 @@
 	planEvery = 100 * time.Millisecond
 	// planPause lets what happens together be planned together.
 	planPause = 2 * time.Millisecond
+	// planShare bounds the share of time that plans take, as one to so many:
+	// at every answer of a hundred busy workers a long plan would take the
+	// processor from the answers themselves, and leases would run out.
+	planShare = 5
 )
 
 func (e *Engine) planLoop(ctx context.Context) error {
 	tick := time.NewTicker(planEvery)
 	defer tick.Stop()
+	pause := planPause
 	for {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-e.planKick:
-			sleep(ctx, planPause)
+			sleep(ctx, pause)
 		case <-tick.C:
 		}
-		if !e.plan(ctx) {
+		began := e.Clock.Now()
+		ok := e.plan(ctx)
+		pause = min(planEvery, max(planPause, planShare*(e.Clock.Now()-began)))
+		if !ok {
 			e.Term.End("a later owner is known")
 			return ErrNotReady
 		}
--- a/internal/engine/inbox.go
+++ b/internal/engine/inbox.go
@@ -104,6 +104,9 @@
 	if err := e.readJobs(ctx, notes); err != nil {
 		return err
 	}
+	if !e.Term.Certain() {
+		return ErrNotReady
+	}
 	for _, n := range notes {
 		e.Log.Info("note read", "kind", n.kind, "job", n.job)
 		if n.kind == NoteCancel {
@@ -162,6 +165,11 @@
 		e.Log.Error(err, "job record is malformed", "job", id)
 		return nil
 	}
+	// Read without certainty, the note may be a later owner's by now, who
+	// starts the job as well.
+	if !e.Term.Certain() {
+		return ErrNotReady
+	}
 	e.found(&r)
 	return nil
 }
--- /dev/null
+++ b/internal/engine/inbox_test.go
@@ -0,0 +1,78 @@
+package engine
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/jonboulle/clockwork"
+	"gotest.tools/v3/assert"
+
+	"github.com/pumicestage/pumicestage/internal/infra"
+	"github.com/pumicestage/pumicestage/internal/infra/memstore"
+	"github.com/pumicestage/pumicestage/policy/work"
+)
+
+// fakeTerm is a term whose certainty the test sets.
+type fakeTerm struct {
+	certain bool
+	ended   string
+}
+
+func (f *fakeTerm) Token() int64                { return token }
+func (f *fakeTerm) AllowedUntil() time.Duration { return time.Hour }
+func (f *fakeTerm) Certain() bool               { return f.certain }
+func (f *fakeTerm) End(reason string)           { f.ended = reason }
+
+type stillClock struct{}
+
+func (stillClock) Now() time.Duration { return time.Minute }
+func (stillClock) Wall() time.Time    { return epoch }
+
+func newEngine(t *testing.T, term Term) (*Engine, infra.Store) {
+	t.Helper()
+	store := memstore.New(clockwork.NewFakeClock())
+	e := New(Options{
+		Cell: service, Store: store, Clock: stillClock{}, Log: logr.Discard(), Term: term,
+		Registry: func() []WorkerInfo { return nil },
+		Declared: func() Declared { return Declared{} },
+	})
+	e.restored = true
+	return e, store
+}
+
+// storeWithNote stores a job as an entry VM does that can't reach the owner.
+func storeWithNote(t *testing.T, store infra.Store, id work.JobID) string {
+	t.Helper()
+	ops, err := CreateOps(service, &work.Job{ID: id, Queue: queue, Steps: []work.Step{short(1)}}, Queue{Name: queue, Service: service})
+	assert.NilError(t, err)
+	note := infra.WorkInboxKey(service, NoteSubmit, string(id))
+	_, err = store.Txn(context.Background(), infra.Txn{Then: append(ops, infra.Put(note, nil))})
+	assert.NilError(t, err)
+	return note
+}
+
+func TestJobsThatEntryVMsStoredAreFoundByTheirNotes(t *testing.T) {
+	e, store := newEngine(t, &fakeTerm{certain: true})
+	note := storeWithNote(t, store, "j1")
+	assert.NilError(t, e.readNotes(context.Background(), []string{note}))
+	assert.Assert(t, e.core.Known("j1"))
+	kv, _, err := store.Get(context.Background(), note)
+	assert.NilError(t, err)
+	assert.Equal(t, kv.ModRevision, infra.Revision(0), "read notes are removed")
+}
+
+// A job runs twice as a cut heals. The owner inside it, whose lease had lapsed,
+// could read the store again for a moment, found a note, and started a job that
+// its successor had found by the same note.
+func TestAnOwnerThatIsNotCertainLeavesNotesToItsSuccessor(t *testing.T) {
+	term := &fakeTerm{}
+	e, store := newEngine(t, term)
+	note := storeWithNote(t, store, "j1")
+	assert.Assert(t, e.readNotes(context.Background(), []string{note}) != nil)
+	assert.Assert(t, !e.core.Known("j1"))
+	kv, _, err := store.Get(context.Background(), note)
+	assert.NilError(t, err)
+	assert.Assert(t, kv.ModRevision != 0, "the note is the successor's")
+}
--- a/internal/engine/plan.go
+++ b/internal/engine/plan.go
@@ -273,8 +273,12 @@
 	if len(workers) == 0 {
 		return
 	}
-	steps := make([]*taskplan.Step, 0, len(ws))
+	most := taskplan.MostFree(taskplan.Open(workers))
+	var steps []*taskplan.Step
 	for _, v := range ws {
+		if !taskplan.Reserved(v.step.spec).Fits(most) {
+			continue
+		}
 		if s := c.planStep(v.step, workers, now, out); s != nil {
 			steps = append(steps, s)
 		}
@@ -282,34 +286,26 @@
 	for _, p := range taskplan.Plan(workers, steps) {
 		c.order(p, now, out)
 	}
-	c.explain(workers, steps, now)
+	c.explain(ws, workers, now)
 }
 
 // explainEvery bounds the log lines about work that waits.
 const explainEvery = 1 * time.Second
 
 // explain logs what keeps the first waiting step from running.
-func (c *Core) explain(workers []*taskplan.Worker, steps []*taskplan.Step, now time.Duration) {
-	for _, s := range steps {
-		st := c.stepOf(s.Ref)
-		if st == nil || st.pending == 0 {
-			continue
-		}
-		if now < c.explained+explainEvery {
-			return
-		}
-		c.explained = now
-		c.log.Info("work waits", "step", s.Ref.String(), "tasks", st.pending, "lasting", s.Step.Lasting,
-			"milli cpu", s.Step.Size.MilliCPU, "memory mb", s.Step.Size.MemoryMB, "workers", taskplan.Binding(workers, s))
+func (c *Core) explain(ws []waiting, workers []*taskplan.Worker, now time.Duration) {
+	i := slices.IndexFunc(ws, func(w waiting) bool { return w.step.pending > 0 })
+	if i < 0 || now < c.explained+explainEvery {
 		return
 	}
-}
-
-func (c *Core) stepOf(ref work.StepRef) *step {
-	if t := c.find(work.TaskRef{StepRef: ref}); t != nil {
-		return t.step
+	st := ws[i].step
+	s := c.planStep(st, workers, now, &Orders{})
+	if s == nil {
+		return
 	}
-	return nil
+	c.explained = now
+	c.log.Info("work waits", "step", s.Ref.String(), "tasks", st.pending, "lasting", s.Step.Lasting, "steps", len(ws),
+		"milli cpu", s.Step.Size.MilliCPU, "memory mb", s.Step.Size.MemoryMB, "workers", taskplan.Binding(workers, s))
 }
 
 func (c *Core) snapshots(now time.Duration) []*taskplan.Worker {
--- a/internal/node/duties.go
+++ b/internal/node/duties.go
@@ -30,7 +30,7 @@
 	ctx     context.Context // electors run until it ends; nil before the start
 	running map[string]bool
 	engines map[string]*engine.Engine // by cell
-	held    int
+	load    ownership.Load
 	wg      sync.WaitGroup
 }
 
@@ -67,30 +67,14 @@
 	d.running[duty] = true
 	n := d.node
 	e := ownership.New(ownership.Options{
-		Duty: duty, Store: n.store, Directory: n.directory, Self: n.self, Weight: n.settings.CPUShare,
-		Clock: n.clock, Log: n.log.WithName("ownership"), Grace: engine.OwnerGrace, Eligible: d.eligible,
-		Own: func(ctx context.Context, t *ownership.Term) {
-			d.count(1)
-			defer d.count(-1)
-			own(ctx, t)
-		},
+		Duty: duty, Store: n.store, Directory: n.directory, Self: n.self, Weight: n.settings.weight(),
+		Clock: n.clock, Log: n.log.WithName("ownership"), Grace: engine.OwnerGrace, Load: &d.load,
+		Own: own,
 	})
 	ctx := d.ctx
 	d.wg.Go(func() { e.Run(ctx) })
 }
 
-func (d *duties) count(n int) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.held += n
-}
-
-func (d *duties) eligible() (bool, int) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return !d.node.leaving.Load(), d.held
-}
-
 // engine returns the cell's engine while this entry VM owns it.
 func (d *duties) engine(cell string) *engine.Engine {
 	d.mu.Lock()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -96,6 +96,7 @@
 	n.directory = &ownership.Directory{Log: n.log.WithName("owners")}
 	n.link = &ownerlink.Client{Log: n.log.WithName("link")}
 	n.duties = &duties{node: n, running: make(map[string]bool), engines: make(map[string]*engine.Engine)}
+	n.duties.load.May = func() bool { return !n.leaving.Load() }
 	n.operator = newOperator(n.store, n.clock, n.log.WithName("operator"), n.duties.ensure)
 	n.registry = &registry{store: n.store, log: n.log.WithName("registry"), changed: n.duties.registryChanged}
 	n.front = jobfront.New(jobfront.Options{
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -30,6 +30,7 @@
 	Advisor string // host:port of the advisor; empty: none
 
 	CPUShare  float64 // of a core; VMs with more take duties sooner
+	LinkMbps  float64 // of the VM's link, likewise
 	MemoryMB  int
 	Shutdown  time.Duration // until a stopping process is killed
 	MaxLease  time.Duration // longest lease of a worker
@@ -55,6 +56,7 @@
 	expectsS       = "a number of seconds"
 	expectsMB      = "a number of megabytes"
 	expectsShare   = "a share of a core above 0"
+	expectsLink    = "a number of megabits a second above 0"
 	expectsRate    = "a number of calls a second"
 )
 
@@ -71,11 +73,8 @@
 	{"vms", "address", false, expectsAddress, address(func(s *Settings) *string { return &s.VMs })},
 	{"vms", "lists-per-second", false, expectsRate, rate},
 	{"advisor", "address", false, expectsAddress, address(func(s *Settings) *string { return &s.Advisor })},
-	{"limits", "cpu-share", false, expectsShare, func(s *Settings, t string) bool {
-		var err error
-		s.CPUShare, err = strconv.ParseFloat(t, 64)
-		return err == nil && s.CPUShare > 0
-	}},
+	{"limits", "cpu-share", false, expectsShare, above0(func(s *Settings) *float64 { return &s.CPUShare })},
+	{"limits", "link-mbps", false, expectsLink, above0(func(s *Settings) *float64 { return &s.LinkMbps })},
 	{"limits", "memory-mb", true, expectsMB, positive(func(s *Settings) *int { return &s.MemoryMB })},
 	{"limits", "shutdown-s", true, expectsS, duration(time.Second, func(s *Settings) *time.Duration { return &s.Shutdown })},
 	{"limits", "max-lease-ms", true, expectsMS, duration(time.Millisecond, func(s *Settings) *time.Duration { return &s.MaxLease })},
@@ -163,6 +162,27 @@
 	}
 }
 
+func above0(of func(*Settings) *float64) func(*Settings, string) bool {
+	return func(s *Settings, t string) bool {
+		n, err := strconv.ParseFloat(t, 64)
+		*of(s) = n
+		return err == nil && n > 0
+	}
+}
+
+// enoughLink is the link from which processor time alone limits a cell's owner.
+// Five hundred starts a second, each with a specification of a kilobyte or two
+// and its answers, take some ten megabits; a link of that size queues for seconds.
+const enoughLink = 100
+
+// weight is how soon this VM takes duties against others.
+func (s *Settings) weight() float64 {
+	if s.LinkMbps == 0 {
+		return s.CPUShare
+	}
+	return s.CPUShare * min(1, s.LinkMbps/enoughLink)
+}
+
 func duration(unit time.Duration, of func(*Settings) *time.Duration) func(*Settings, string) bool {
 	return func(s *Settings, t string) bool {
 		n, err := strconv.ParseFloat(t, 64)
--- a/internal/ownership/ownership.go
+++ b/internal/ownership/ownership.go
@@ -36,12 +36,12 @@
 	unreachableFor = renewEvery + callTimeout + 250*time.Millisecond
 	// rankStep spreads the entry VMs' tries for a free key, so that as a rule
 	// the first takes it and the others need not try.
-	rankStep  = 8 * time.Millisecond
+	rankStep  = 4 * time.Millisecond
 	rankSlots = 16
 	// dutyStep is what each duty that a VM has puts it behind the others.
 	dutyStep = 50 * time.Millisecond
 	// leastWeight bounds how far behind a small VM stands.
-	leastWeight = 0.25
+	leastWeight = 0.02
 )
 
 // Record is what the owner's key holds.
@@ -61,7 +61,7 @@
 	Store     infra.Store
 	Directory *Directory
 	Self      Record
-	// Weight is this VM's share of processor against others'; more takes duties
+	// Weight is how much this VM can carry against others; more takes duties
 	// sooner.
 	Weight float64
 	Clock  Clock
@@ -71,9 +71,31 @@
 	Grace time.Duration
 	// Own is run for each term; its context ends with the term.
 	Own func(ctx context.Context, t *Term)
-	// Eligible reports whether this entry VM may take a duty now, and how many
-	// it has.
-	Eligible func() (ok bool, duties int)
+	// Load is this entry VM's duties.
+	Load *Load
+}
+
+// Load counts the duties of one entry VM.
+type Load struct {
+	// May reports whether the entry VM may take a duty now.
+	May func() bool
+
+	taking sync.Mutex // held while a duty is taken: one at a time
+	mu     sync.Mutex
+	held   int
+}
+
+// Held returns how many duties the entry VM has.
+func (l *Load) Held() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.held
+}
+
+func (l *Load) add(n int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.held += n
 }
 
 // Elector takes the duty's key when it is free.
@@ -88,20 +110,37 @@
 		if !e.o.Directory.waitFree(ctx, e.o.Duty) {
 			continue
 		}
-		ok, duties := e.o.Eligible()
-		if !ok {
+		if !e.o.Load.May() {
 			pause(ctx, retryPause)
 			continue
 		}
-		pause(ctx, e.rank(duties))
-		if ctx.Err() != nil || !e.o.Directory.free(e.o.Duty) {
-			continue
-		}
-		if err := e.take(ctx); err != nil && ctx.Err() == nil {
+		held := e.o.Load.Held()
+		pause(ctx, e.rank(held))
+		t, err := e.tryTake(ctx, held)
+		if err != nil && ctx.Err() == nil {
 			e.o.Log.V(1).Info("duty not taken", "duty", e.o.Duty, "error", err.Error())
 			pause(ctx, retryPause)
 		}
+		if t != nil {
+			t.run(ctx)
+			e.o.Load.add(-1)
+		}
+	}
+}
+
+// tryTake takes the duty if it is still free, and this entry VM has not taken
+// another while it waited in line: it would have stood behind.
+func (e *Elector) tryTake(ctx context.Context, held int) (*Term, error) {
+	e.o.Load.taking.Lock()
+	defer e.o.Load.taking.Unlock()
+	if ctx.Err() != nil || !e.o.Directory.free(e.o.Duty) || e.o.Load.Held() > held {
+		return nil, nil
+	}
+	t, err := e.take(ctx)
+	if t != nil {
+		e.o.Load.add(1)
 	}
+	return t, err
 }
 
 // rank is this entry VM's place in the line for the free duty. The line differs
@@ -109,22 +148,22 @@
 func (e *Elector) rank(duties int) time.Duration {
 	h := fnv.New32a()
 	h.Write([]byte(e.o.Duty + "/" + e.o.Self.Entry)) // a hash takes every write
-	place := float64(h.Sum32()%rankSlots) / max(leastWeight, e.o.Weight)
+	place := float64(1+h.Sum32()%rankSlots) / max(leastWeight, e.o.Weight)
 	return time.Duration(place*float64(rankStep)) + time.Duration(duties)*dutyStep
 }
 
-// take makes the key under a fresh lease and runs a term.
-func (e *Elector) take(ctx context.Context) error {
+// take makes the key under a fresh lease.
+func (e *Elector) take(ctx context.Context) (*Term, error) {
 	call, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	sent := e.o.Clock.Now()
 	lease, err := e.o.Store.Grant(call, TTL)
 	if err != nil {
-		return trace.Wrap(err)
+		return nil, trace.Wrap(err)
 	}
 	value, err := json.Marshal(e.o.Self)
 	if err != nil {
-		return trace.Wrap(err)
+		return nil, trace.Wrap(err)
 	}
 	res, err := e.o.Store.Txn(call, infra.Txn{
 		If:   []infra.Cond{{Key: infra.WorkOwnerKey(e.o.Duty)}},
@@ -135,13 +174,12 @@
 		if err == nil {
 			err = trace.AlreadyExists("another entry VM was first")
 		}
-		return trace.Wrap(err)
+		return nil, trace.Wrap(err)
 	}
 	t := &Term{elector: e, token: int64(res.Revision), lease: lease, certain: sent + TTL - skew}
 	t.allowed = t.certain
 	e.o.Directory.put(infra.KV{Key: infra.WorkOwnerKey(e.o.Duty), Value: value, ModRevision: res.Revision})
-	t.run(ctx)
-	return nil
+	return t, nil
 }
 
 // drop ends a lease that holds nothing, or holds a key whose transaction was
--- a/policy/taskplan/taskplan.go
+++ b/policy/taskplan/taskplan.go
@@ -60,15 +60,24 @@
 // does not fit lets later ones pass. Workers are changed as they fill.
 func Plan(workers []*Worker, steps []*Step) []Placement {
 	var out []Placement
+	open := Open(workers)
+	most := MostFree(open)
 	for _, s := range steps {
+		// While a pool is full hundreds of steps wait; they are passed over
+		// without a look at every worker.
+		if !Reserved(s.Step).Fits(most) {
+			continue
+		}
 		if s.Step.Gang {
-			out = append(out, planGang(workers, s)...)
+			out = append(out, planGang(open, s)...)
+			most = MostFree(open)
 			continue
 		}
 		for _, t := range s.Tasks {
-			w := choose(workers, s, t)
+			w := choose(open, s, t)
 			if w == nil {
-				continue
+				most = MostFree(open)
+				break // its other tasks are of the same size
 			}
 			take(w, s)
 			out = append(out, Placement{Step: s, Index: t.Index, Worker: w.ID})
@@ -77,6 +86,29 @@
 	return out
 }
 
+// Open returns the workers that take tasks at all.
+func Open(workers []*Worker) []*Worker {
+	out := make([]*Worker, 0, len(workers))
+	for _, w := range workers {
+		if !w.Closed && w.Limit != 0 {
+			out = append(out, w)
+		}
+	}
+	return out
+}
+
+// MostFree returns, for each kind of resource by itself, the most that any of the
+// workers has free. What exceeds it fits nowhere.
+func MostFree(workers []*Worker) work.Resources {
+	var most work.Resources
+	for _, w := range workers {
+		most.MilliCPU = max(most.MilliCPU, w.Free.MilliCPU)
+		most.MemoryMB = max(most.MemoryMB, w.Free.MemoryMB)
+		most.GPU = max(most.GPU, w.Free.GPU)
+	}
+	return most
+}
+
 // planGang places all waiting tasks of the step or none: members that wait for
 // the rest hold room and do no work.
 func planGang(workers []*Worker, s *Step) []Placement {
