Ends are acknowledged up to the first that is not stored

Each end has a place among all ends; those before the first job that is still to be stored are acknowledged. Test of the load: fails before.

--- a/internal/engine/core.go
+++ b/internal/engine/core.go
@@ -36,6 +36,7 @@
 	arrivals []arrival // of late
 
 	dirty     map[work.JobID]*job
+	endings   int64         // ends taken in so far, of all workers
 	now       time.Duration // of the last plan or answer
 	explained time.Duration // when work that waits was last logged
 	waits     bool          // tasks were left without room by the last plan
@@ -153,7 +154,7 @@
 // stored.
 func (c *Core) finish(j *job, state work.State) {
 	j.final = state
-	c.dirty[j.ID] = j
+	c.touch(j)
 	c.open = slices.DeleteFunc(c.open, func(o *job) bool { return o == j })
 	j.eachTask(func(t *task) {
 		switch t.state {
@@ -164,6 +165,14 @@
 	c.log.Info("job ends", "job", j.ID, "state", state, "queue", j.Queue)
 }
 
+// touch notes that the job has something to store.
+func (c *Core) touch(j *job) {
+	if c.dirty[j.ID] == nil {
+		c.dirty[j.ID] = j
+		j.touched = c.endings
+	}
+}
+
 // release takes the task off its worker.
 func (c *Core) release(t *task) {
 	if t.where != nil {
--- a/internal/engine/core_test.go
+++ b/internal/engine/core_test.go
@@ -447,3 +447,35 @@
 	b.core.obey(CellOrder{Kind: OrderOpen, Worker: "w1"}, token, b.now)
 	assert.Equal(t, len(b.plan().Starts), 1)
 }
+
+// A busy cell acknowledges nothing for seconds, and its workers' lists grow. A
+// transaction holds some changes, more came meanwhile, and ends were acknowledged
+// only after a moment in which nothing at all was left to store.
+func TestEndsAreAcknowledgedUnderConstantLoad(t *testing.T) {
+	b := newBench(t)
+	b.worker("w1")
+	b.worker("w2")
+	b.worker("w3")
+	for i := range 6 {
+		b.accept(work.JobID(string(rune('a'+i))), short(2))
+	}
+	o := b.plan()
+	assert.Equal(t, len(o.Starts), 12)
+	b.answer(o, OutcomeOK)
+	ends := make(map[work.WorkerID][]RunEnd)
+	for i, s := range o.Starts {
+		id := s.Worker.ID
+		ends[id] = append(ends[id], ended(int64(len(ends[id])+1), s, work.Done))
+		b.look(id, Listing{Ended: ends[id]})
+		if i%3 == 2 {
+			b.core.Flushed(b.core.TakeFlush(endEntries), nil)
+		}
+	}
+	all, _ := b.core.Dirty()
+	assert.Assert(t, all > 0, "there was always more to store")
+	sum := int64(0)
+	for id := range ends {
+		sum += b.core.workers[id].stored
+	}
+	assert.Equal(t, sum, int64(8), "four jobs of two tasks are stored")
+}
--- a/internal/engine/job.go
+++ b/internal/engine/job.go
@@ -142,7 +142,7 @@
 	stored bool
 	onEnd  []func(error) // told when the final state is stored
 
-	flushing bool
+	touched int64 // ends taken in when it first had something to store
 }
 
 // newJob returns a job at rest; its occurrences are added when they are due.
--- a/internal/engine/listing.go
+++ b/internal/engine/listing.go
@@ -240,13 +240,15 @@
 // ended takes one end over. Its effect must be stored before it is acknowledged.
 func (c *Core) ended(w *worker, e *RunEnd, now time.Duration) {
 	delete(w.strays, e.Task)
+	c.endings++
+	w.unstored = append(w.unstored, endMark{seq: e.Seq, at: c.endings})
 	t := c.find(e.Task)
 	if t == nil {
 		return
 	}
 	if e.Checkpoint != "" && e.Run >= t.savedRun {
 		t.checkpoint, t.savedRun = e.Checkpoint, e.Run
-		c.dirty[t.ref.Job] = t.step.job
+		c.touch(t.step.job)
 	}
 	current := t.where == w && t.run == e.Run
 	t.run = max(t.run, e.Run)
@@ -301,7 +303,7 @@
 	}
 	c.release(t)
 	t.step.set(t, taskDone)
-	c.dirty[t.ref.Job] = t.step.job
+	c.touch(t.step.job)
 }
 
 // advance ends occurrences and the job where all is done.
@@ -342,7 +344,7 @@
 	if j.final != "" || t.state == taskDone {
 		return
 	}
-	c.dirty[j.ID] = j
+	c.touch(j)
 	if t.step.spec.Lasting {
 		t.notBefore = now + min(mostPause, firstPause<<min(len(t.failed), 4))
 		return
--- a/internal/engine/progress.go
+++ b/internal/engine/progress.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"cmp"
 	"encoding/json"
 	"slices"
 	"time"
@@ -40,7 +41,23 @@
 // are stored.
 type Flush struct {
 	Changes []Change
-	seen    map[work.WorkerID]int64
+	// before: all ends taken in before this one have their effects in this
+	// flush or an earlier one.
+	before  int64
+	touched map[work.JobID]int64
+}
+
+// Entries a change takes in a transaction.
+const (
+	progressEntries = 1
+	endEntries      = 3 // the short key, the record and the progress
+)
+
+func (j *job) entries() int {
+	if j.final != "" {
+		return endEntries
+	}
+	return progressEntries
 }
 
 // Dirty counts the jobs with changes to store; final is how many of them ended.
@@ -53,35 +70,32 @@
 	return len(c.dirty), final
 }
 
-// TakeFlush returns the changes to store, at most so many. Ended jobs go first,
-// as their callers wait.
-func (c *Core) TakeFlush(most int) Flush {
+// TakeFlush returns the changes to store, as many as fit in so many entries.
+// Ended jobs go first, as their callers wait, then what has waited longest: ends
+// are acknowledged up to the first whose effect is not stored, and were that to
+// wait for a moment without any change, a busy cell would acknowledge nothing.
+func (c *Core) TakeFlush(entries int) Flush {
 	jobs := make([]*job, 0, len(c.dirty))
 	for _, j := range c.dirty {
 		jobs = append(jobs, j)
 	}
 	slices.SortFunc(jobs, func(a, b *job) int {
-		if (a.final != "") != (b.final != "") {
-			if a.final != "" {
-				return -1
-			}
-			return 1
-		}
-		return int(a.accepted - b.accepted)
+		return cmp.Or(cmp.Compare(b.entries(), a.entries()), cmp.Compare(a.touched, b.touched))
 	})
-	f := Flush{}
-	if len(jobs) <= most {
-		f.seen = make(map[work.WorkerID]int64)
-		for id, w := range c.workers {
-			f.seen[id] = w.seen
-		}
-	} else {
-		jobs = jobs[:most]
-	}
+	f := Flush{touched: make(map[work.JobID]int64)}
 	for _, j := range jobs {
+		if entries < j.entries() {
+			continue
+		}
+		entries -= j.entries()
 		delete(c.dirty, j.ID)
+		f.touched[j.ID] = j.touched
 		f.Changes = append(f.Changes, j.change())
 	}
+	f.before = c.endings + 1
+	for _, j := range c.dirty {
+		f.before = min(f.before, j.touched)
+	}
 	return f
 }
 
@@ -147,6 +161,7 @@
 		}
 		if err != nil {
 			c.dirty[ch.Job] = j
+			j.touched = f.touched[ch.Job]
 			continue
 		}
 		if ch.Final != "" {
@@ -156,10 +171,8 @@
 	if err != nil {
 		return
 	}
-	for id, seq := range f.seen {
-		if w := c.workers[id]; w != nil {
-			w.stored = max(w.stored, seq)
-		}
+	for _, w := range c.workers {
+		w.storedBefore(f.before)
 	}
 }
 
--- a/internal/engine/worker.go
+++ b/internal/engine/worker.go
@@ -62,8 +62,9 @@
 	// strays are runs it lists that must not go on.
 	strays map[work.TaskRef]int
 
-	seen, stored, acked int64 // ends taken in, stored, acknowledged
-	missed              int   // looks without an answer since the last
+	seen, stored, acked int64     // ends taken in, stored, acknowledged
+	unstored            []endMark // of the ends between seen and stored
+	missed              int       // looks without an answer since the last
 	closedUntil         time.Duration
 	strikes             strikes
 	slowness            straggler.Slowness
@@ -71,6 +72,20 @@
 	full                bool // it refused for want of room since its last end
 }
 
+// endMark places an end of the worker among those of all workers.
+type endMark struct {
+	seq int64 // of the worker's ends
+	at  int64 // of all ends taken in
+}
+
+// storedBefore notes that all ends taken in before the mark are stored.
+func (w *worker) storedBefore(mark int64) {
+	for len(w.unstored) > 0 && w.unstored[0].at < mark {
+		w.stored = w.unstored[0].seq
+		w.unstored = w.unstored[1:]
+	}
+}
+
 // strikes counts ends that speak against a worker.
 type strikes struct {
 	failed int // in a row
--- a/internal/engine/writer.go
+++ b/internal/engine/writer.go
@@ -19,9 +19,11 @@
 	// maxCreates leaves room for progress beside new jobs: each job needs a
 	// condition and two writes.
 	maxCreates = 8
-	// endEntries is what an ended job takes: its short key, its record and its
-	// progress.
-	endEntries = 3
+	// commitEntries is what the commit key takes: a condition and a write.
+	commitEntries = 2
+	// createEntries is what a new job takes: its condition, its short key and
+	// its record.
+	createEntries = 3
 	// gatherQuiet is how long ends that nobody waits for may gather.
 	gatherQuiet = 60 * time.Millisecond
 	// gatherUrgent is how long new jobs and final states may gather.
@@ -180,7 +182,7 @@
 	w.busy = w.engine.Clock.Now()
 	left := len(w.waiting)
 	w.mu.Unlock()
-	room := (txnEntries - 2 - 3*n) / endEntries
+	room := txnEntries - commitEntries - createEntries*n
 	w.engine.mu.Lock()
 	b.flush = w.engine.core.TakeFlush(room)
 	w.engine.mu.Unlock()
@@ -221,9 +223,7 @@
 		}
 		sleep(ctx, storePause)
 	}
-	if len(b.flush.seen) > 0 {
-		w.finishFlush(b, nil)
-	}
+	w.finishFlush(b, nil)
 }
 
 func (w *writer) txn(b *batch) infra.Txn {
