--- /dev/null
+++ b/internal/node/settings_test.go
@@ -0,0 +1,62 @@
+package node
+
+import (
+	"errors"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/pumicestage/pumicestage/internal/settings"
+)
+
+const good = `[entry]
+name = e1
+zone = z1
+address = 10.0.0.1
+callers = 10.0.0.1:80
+ready = 10.0.0.1:81
+peer-port-first = 7000
+peer-port-last = 7010
+[store]
+address = 10.1.0.1:8000
+[limits]
+cpu-share = 0.4
+link-mbps = 10
+memory-mb = 284
+shutdown-s = 6
+max-lease-ms = 10000
+stop-ms = 400
+`
+
+func load(t *testing.T, text string) (*Settings, error) {
+	t.Helper()
+	file := filepath.Join(t.TempDir(), "settings.ini")
+	assert.NilError(t, os.WriteFile(file, []byte(text), 0o600))
+	return LoadSettings(file)
+}
+
+func TestSettingsAreRead(t *testing.T) {
+	s, err := load(t, good)
+	assert.NilError(t, err)
+	assert.Equal(t, s.Name, "e1")
+	assert.Equal(t, s.Peers, [2]int{7000, 7010})
+	assert.Equal(t, s.Shutdown, 6*time.Second)
+	assert.Equal(t, s.MaxLease, 10*time.Second)
+	assert.Assert(t, s.weight() < 0.05, "a link of 10 Mbit/s can't carry a cell")
+}
+
+func TestEveryMistakeIsNamedAtOnce(t *testing.T) {
+	bad := strings.NewReplacer("callers = 10.0.0.1:80", "callers = here", "memory-mb = 284", "memory-mb = none", "zone = z1", "zone =").Replace(good)
+	_, err := load(t, bad+"colour = blue\n")
+	var mistakes *settings.Error
+	assert.Assert(t, errors.As(err, &mistakes))
+	var keys []string
+	for _, m := range mistakes.Mistakes {
+		keys = append(keys, m.Section+"/"+m.Key)
+	}
+	assert.DeepEqual(t, keys, []string{"entry/zone", "entry/callers", "limits/memory-mb", "limits/colour"})
+}
--- /dev/null
+++ b/internal/ownership/ownership_test.go
@@ -0,0 +1,144 @@
+package ownership
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/jonboulle/clockwork"
+	"gotest.tools/v3/assert"
+
+	"github.com/pumicestage/pumicestage/internal/infra"
+	"github.com/pumicestage/pumicestage/internal/infra/memstore"
+)
+
+// testClock is moved by the test alone.
+type testClock struct {
+	mu  sync.Mutex
+	now time.Duration
+}
+
+func (c *testClock) Now() time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.now
+}
+
+func (c *testClock) advance(d time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.now += d
+}
+
+const grace = 5 * time.Second
+
+func newElector(t *testing.T, store infra.Store, clock *testClock, entry string) *Elector {
+	t.Helper()
+	d := &Directory{Log: logr.Discard()}
+	d.Replace(nil)
+	return New(Options{
+		Duty: "cell/a", Store: store, Directory: d, Self: Record{Entry: entry, Address: entry + ":1"},
+		Weight: 1, Clock: clock, Log: logr.Discard(), Grace: grace, Load: &Load{May: func() bool { return true }},
+	})
+}
+
+func TestADutyIsTakenOnceAndTokensRise(t *testing.T) {
+	store := memstore.New(clockwork.NewFakeClock())
+	clock := &testClock{now: time.Minute}
+	first := newElector(t, store, clock, "e1")
+	ctx := context.Background()
+	term, err := first.take(ctx)
+	assert.NilError(t, err)
+	_, err = newElector(t, store, clock, "e2").take(ctx)
+	assert.Assert(t, err != nil, "it is taken")
+	first.drop(ctx, term.lease)
+	next, err := newElector(t, store, clock, "e2").take(ctx)
+	assert.NilError(t, err)
+	assert.Assert(t, next.Token() > term.Token())
+}
+
+// An entry VM is suspended for seconds. When it wakes it believes in a lease that
+// has long lapsed, and would give orders beside its successor: only a renewal
+// that was tried and failed lets orders go on.
+func TestAThawedOwnerGivesNoOrdersBeforeItHasAskedTheStore(t *testing.T) {
+	clock := &testClock{now: time.Minute}
+	e := newElector(t, memstore.New(clockwork.NewFakeClock()), clock, "e1")
+	term, err := e.take(context.Background())
+	assert.NilError(t, err)
+	term.cancel = func() {}
+	assert.Assert(t, term.Certain())
+	clock.advance(3 * time.Second)
+	assert.Assert(t, !term.Certain())
+	assert.Assert(t, term.AllowedUntil() < clock.Now())
+
+	term.renewed(clock.Now(), infra.Errorf("keepalive", infra.KindLeaseNotFound, "lapsed"))
+	assert.Equal(t, term.AllowedUntil(), time.Duration(0))
+}
+
+// The store is away: what runs must not lapse for it, and a successor must be
+// able to rely on an end of the old owner's orders.
+func TestOrdersGoOnWhileTheStoreIsAwayForTheGraceAlone(t *testing.T) {
+	clock := &testClock{now: time.Minute}
+	e := newElector(t, memstore.New(clockwork.NewFakeClock()), clock, "e1")
+	term, err := e.take(context.Background())
+	assert.NilError(t, err)
+	away := infra.Errorf("keepalive", infra.KindUnavailable, "%w", errors.New("no answer"))
+	last := term.certain
+	for clock.Now() < last+grace-time.Second {
+		clock.advance(500 * time.Millisecond)
+		term.renewed(clock.Now(), away)
+		assert.Assert(t, term.AllowedUntil() > clock.Now())
+	}
+	clock.advance(10 * time.Second)
+	term.renewed(clock.Now(), away)
+	assert.Assert(t, term.AllowedUntil() <= last+grace)
+	term.renewed(clock.Now(), nil)
+	assert.Assert(t, term.Certain(), "the store is back and the lease lived on")
+}
+
+// All duties went to one VM at the start, as each was taken before the first
+// counted.
+func TestAVMThatTookADutyMeanwhileStandsBehindForTheNext(t *testing.T) {
+	store := memstore.New(clockwork.NewFakeClock())
+	clock := &testClock{now: time.Minute}
+	e := newElector(t, store, clock, "e1")
+	term, err := e.tryTake(context.Background(), 0)
+	assert.NilError(t, err)
+	assert.Assert(t, term != nil)
+	other := newElector(t, store, clock, "e1")
+	other.o.Duty, other.o.Load = "cell/b", e.o.Load
+	term, err = other.tryTake(context.Background(), 0)
+	assert.NilError(t, err)
+	assert.Assert(t, term == nil, "it has one more than when it stood in line")
+	assert.Assert(t, other.rank(1) >= other.rank(0)+dutyStep)
+}
+
+// Small VMs took duties that they can't carry: leases ran out under load.
+func TestSmallVMsStandBehindStrongOnes(t *testing.T) {
+	clock := &testClock{}
+	for _, entry := range []string{"e1", "e2", "e3", "e4", "e5"} {
+		strong := newElector(t, nil, clock, "s"+entry)
+		strong.o.Weight = 0.8
+		small := newElector(t, nil, clock, entry)
+		small.o.Weight = 0.02
+		assert.Assert(t, strong.rank(0) < small.rank(0), "%s: %s, %s", entry, strong.rank(0), small.rank(0))
+	}
+}
+
+func TestTheDirectoryNeverStepsBack(t *testing.T) {
+	d := &Directory{Log: logr.Discard()}
+	key := infra.WorkOwnerKey("cell/a")
+	put := func(entry string, rev infra.Revision) {
+		d.Change(infra.Event{Kind: infra.EventPut, KV: infra.KV{Key: key, Value: []byte(`{"entry":"` + entry + `"}`), ModRevision: rev}})
+	}
+	put("e1", 5)
+	put("e2", 9)
+	put("e1", 5)
+	d.Change(infra.Event{Kind: infra.EventDelete, KV: infra.KV{Key: key, ModRevision: 7}})
+	owner, known := d.Owner("cell/a")
+	assert.Assert(t, known)
+	assert.Equal(t, owner.Entry, "e2")
+}
--- /dev/null
+++ b/policy/straggler/straggler_test.go
@@ -0,0 +1,48 @@
+package straggler
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// A worker reports good health and its tasks stand still: their jobs never end.
+func TestWhatStandsStillIsTold(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		task Task
+		want bool
+	}{
+		{"progress a moment ago", Task{Estimate: time.Second, Still: time.Second, Percent: 40}, false},
+		{"none over two looks", Task{Estimate: time.Second, Still: 2 * time.Second, Percent: 40}, true},
+		{"a long task's percent rises slowly", Task{Estimate: time.Minute, Still: 2 * time.Second, Percent: 40}, false},
+		{"at its end", Task{Estimate: time.Second, Still: time.Minute, Percent: 100}, false},
+	} {
+		t.Run(c.name, func(t *testing.T) { assert.Equal(t, StandsStill(c.task), c.want) })
+	}
+}
+
+// Estimates of single tasks are off by any factor. A sound task that takes ten
+// times its estimate must not be thrown away; one that needs seconds more must.
+func TestCrawlingIsJudgedBySecondsNotByEstimates(t *testing.T) {
+	off := Task{Estimate: 100 * time.Millisecond, Running: time.Second, Percent: 30}
+	assert.Assert(t, !Crawls(off))
+	slow := Task{Estimate: time.Second, Running: 4 * time.Second, Percent: 30}
+	assert.Assert(t, Crawls(slow))
+	nearlyDone := Task{Estimate: time.Second, Running: 4 * time.Second, Percent: 80}
+	assert.Assert(t, !Crawls(nearlyDone))
+}
+
+func TestAWorkerIsCalledSlowAfterSeveralSlowEnds(t *testing.T) {
+	var s Slowness
+	for range 10 {
+		s = s.Ended(time.Second, time.Second)
+	}
+	s = s.Ended(4*time.Second, time.Second)
+	assert.Equal(t, s.Factor(), 1.0, "one slow end proves nothing")
+	for range 5 {
+		s = s.Ended(6*time.Second, time.Second)
+	}
+	assert.Assert(t, s.Factor() > 3)
+}
--- /dev/null
+++ b/policy/upkeep/upkeep_test.go
@@ -0,0 +1,100 @@
+package upkeep
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/pumicestage/pumicestage/policy/work"
+)
+
+func due(id string, tasks int) Candidate {
+	return Candidate{VM: work.VM{ID: id, State: work.VMUp}, Tasks: tasks}
+}
+
+func input(left time.Duration, cs ...Candidate) Input {
+	return Input{Left: left, Each: 5 * time.Second, MaxAtATime: 2, Due: cs}
+}
+
+func TestParkedAndEmptyVMsGoFirst(t *testing.T) {
+	parked := due("parked", 0)
+	parked.Parked = true
+	d := Decide(input(time.Hour, due("used", 4), due("empty", 0), parked))
+	assert.DeepEqual(t, d.Maintain, []string{"parked", "empty"})
+	assert.Equal(t, len(d.Empty), 0)
+}
+
+// A pool in the middle of a burst keeps its VMs while there is time, and gives
+// them up when the wave would be late.
+func TestABurstHoldsAWaveUpOnlyWhileThereIsTime(t *testing.T) {
+	busy := due("busy", 4)
+	busy.Backlog = true
+	assert.Equal(t, len(Decide(input(time.Hour, busy)).Empty), 0)
+	assert.DeepEqual(t, Decide(input(6*time.Second, busy)).Empty, []string{"busy"})
+}
+
+// VMs that are away, or may be, count against the limit: an order without an
+// answer may yet be carried out.
+func TestNoMoreThanTheLimitAreAway(t *testing.T) {
+	in := input(time.Hour, due("a", 0), due("b", 0))
+	in.Away = 1
+	assert.Equal(t, len(Decide(in).Maintain), 1)
+	in.Away = 2
+	assert.Equal(t, len(Decide(in).Maintain), 0)
+}
+
+// What runs on one VM stands still: the wave waits for it for ever.
+func TestAVMThatDoesNotEmptyIsEvicted(t *testing.T) {
+	stuck := due("stuck", 1)
+	stuck.Cordoned, stuck.Emptying = true, evictAfter-time.Millisecond
+	assert.Equal(t, len(Decide(input(time.Hour, stuck)).Evict), 0)
+	stuck.Emptying = evictAfter
+	assert.DeepEqual(t, Decide(input(time.Hour, stuck)).Evict, []string{"stuck"})
+}
+
+// A wave of forty VMs, four at a time, through pools that are busy three quarters
+// of the time, ends in time and empties no VM early that could wait.
+func TestAWaveThroughBusyPoolsEndsInTime(t *testing.T) {
+	const each, total = 3 * time.Second, 60 * time.Second
+	var vms []Candidate
+	for i := range 40 {
+		vms = append(vms, due(fmt.Sprintf("v%02d", i), 3))
+	}
+	back := make(map[string]time.Duration)
+	now := time.Duration(0)
+	for ; len(vms) > 0 && now < 2*total; now += 100 * time.Millisecond {
+		busy := now%(4*time.Second) > time.Second
+		in := Input{Left: total - now, Each: each, MaxAtATime: 4}
+		for id, at := range back {
+			if now < at {
+				in.Away++
+			} else {
+				delete(back, id)
+			}
+		}
+		for i := range vms {
+			vms[i].Backlog = busy
+		}
+		in.Due = vms
+		d := Decide(in)
+		for _, id := range d.Empty {
+			for i := range vms {
+				if vms[i].VM.ID == id {
+					vms[i].Cordoned, vms[i].Tasks = true, max(0, vms[i].Tasks-1)
+				}
+			}
+		}
+		for _, id := range d.Maintain {
+			back[id] = now + 2*time.Second
+			for i := range vms {
+				if vms[i].VM.ID == id {
+					vms = append(vms[:i], vms[i+1:]...)
+					break
+				}
+			}
+		}
+	}
+	assert.Assert(t, now <= total, "took %s", now)
+}
