--- a/internal/engine/core.go
+++ b/internal/engine/core.go
@@ -39,7 +39,6 @@
 	endings   int64         // ends taken in so far, of all workers
 	now       time.Duration // of the last plan or answer
 	explained time.Duration // when work that waits was last logged
-	waits     bool          // tasks were left without room by the last plan
 	deposed   bool
 	// startsUntil: no orders beyond it, as the owner's lease is no longer
 	// certain and a successor may rely on our silence.
@@ -162,7 +161,7 @@
 			t.step.set(t, taskStopping)
 		}
 	})
-	c.log.Info("job ends", "job", j.ID, "state", state, "queue", j.Queue)
+	c.log.Info("job ends", "job", j.ID, "state", state, "queue", j.Queue, "after", (c.now - j.accepted).String(), "config", c.declared.Version)
 }
 
 // touch notes that the job has something to store.
--- a/internal/engine/job.go
+++ b/internal/engine/job.go
@@ -18,9 +18,6 @@
 	taskDone
 )
 
-// onWorker reports whether the task holds, or may hold, room on its worker.
-func (s taskState) onWorker() bool { return s != taskPending && s != taskDone }
-
 // task is one task of a step.
 type task struct {
 	ref   work.TaskRef
--- a/internal/engine/listing.go
+++ b/internal/engine/listing.go
@@ -122,7 +122,7 @@
 	}
 	w.missed++
 	if w.missed == 1 && len(w.tasks) > 0 {
-		c.log.Info("worker does not answer", "worker", id, "tasks", len(w.tasks), "outcome", int(o))
+		c.log.Info("worker does not answer", "worker", id, "tasks", len(w.tasks), "outcome", o.String())
 	}
 	c.Expire(now)
 }
--- a/internal/engine/plan.go
+++ b/internal/engine/plan.go
@@ -392,7 +392,9 @@
 	t.sent = now
 	t.deadline = w.clockNow(now) + min(startAhead, c.bounds.MaxHold)
 	w.deadline = max(w.deadline, t.deadline)
-	c.log.V(1).Info("start", "task", t.ref.String(), "run", run, "worker", w.info.ID, "free", w.info.Capacity.Minus(w.used()).MilliCPU)
+	j := t.step.job
+	c.log.V(1).Info("start", "task", t.ref.String(), "run", run, "worker", w.info.ID, "waited", (now - j.accepted).String(),
+		"config", c.declared.Version, "clock age", (now - w.clockAt).String(), "free milli cpu", w.info.Capacity.MilliCPU-w.used().MilliCPU)
 	out.Starts = append(out.Starts, StartOrder{Worker: w.info, Start: Start{
 		Task: t.ref, Run: run, Spec: t.step.job.Spec, Deadline: t.deadline, Token: c.token,
 		Checkpoint: t.checkpoint, Ticket: t.step.tickets[w.info.ID].text,
@@ -471,7 +473,7 @@
 
 // notStarted handles a start that certainly did not happen.
 func (c *Core) notStarted(t *task, w *worker, out Outcome, now time.Duration) {
-	c.log.Info("start refused", "task", t.ref.String(), "run", t.run, "worker", w.info.ID, "outcome", int(out))
+	c.log.Info("start refused", "task", t.ref.String(), "run", t.run, "worker", w.info.ID, "outcome", out.String())
 	switch out {
 	case OutcomeNoRoom:
 		w.full = true
--- a/internal/engine/ports.go
+++ b/internal/engine/ports.go
@@ -118,6 +118,13 @@
 	VMLater   // refused unread: rate or trouble
 )
 
+var vmOutcomeNames = map[VMOutcome]string{
+	VMUnknown: "unanswered", VMDone: "ok", VMFenced: "fenced", VMBusy: "busy", VMInvalid: "invalid", VMLater: "refused",
+}
+
+// String returns the outcome as logs show it.
+func (o VMOutcome) String() string { return vmOutcomeNames[o] }
+
 // Ticket permits the tasks of one step on one worker.
 type Ticket struct {
 	Worker work.WorkerID
--- a/internal/fleetowner/moves.go
+++ b/internal/fleetowner/moves.go
@@ -37,7 +37,7 @@
 		out := f.Machines.Move(call, id, o.pool, f.Term.Token())
 		cancel()
 		f.Metrics.VM("move")
-		f.Log.Info("VM moves", "vm", id, "from", target[id].From, "to", o.pool, "outcome", int(out))
+		f.Log.Info("VM moves", "vm", id, "from", target[id].From, "to", o.pool, "outcome", out.String())
 		f.outcome(ctx, id, o, out)
 	})
 	f.wg.Wait()
--- a/internal/fleetowner/waves.go
+++ b/internal/fleetowner/waves.go
@@ -140,7 +140,7 @@
 		out := f.Machines.Maintain(call, id, w.Name, f.Term.Token())
 		cancel()
 		f.Metrics.VM("maintain")
-		f.Log.Info("maintenance ordered", "vm", id, "pool", f.vms[id].Pool, "wave", w.Name, "outcome", int(out), "left", (w.Seen + w.Duration - o.sent).String())
+		f.Log.Info("maintenance ordered", "vm", id, "pool", f.vms[id].Pool, "wave", w.Name, "outcome", out.String(), "left", (w.Seen + w.Duration - o.sent).String())
 		f.outcome(ctx, id, o, out)
 	})
 	// The next pass reads the maps that the orders' outcomes use.
--- a/internal/node/logs.go
+++ b/internal/node/logs.go
@@ -1,13 +1,27 @@
 package node
 
 import (
+	"context"
 	"fmt"
 	"io"
+	"log/slog"
 	"sync"
+	"time"
+
+	"golang.org/x/time/rate"
 )
 
+// levelDecisions shows every decision that touches a request or changes what
+// the process believes (verbosity 1).
+const levelDecisions = slog.Level(-1)
+
 // Bounds of the log.
 const (
+	// kindRate and kindBurst bound the lines of each kind. Some two hundred
+	// starts a second are what an owner gives in a burst at today's sizes; a
+	// fault that repeats a line thousands of times costs no more than that.
+	kindRate  = 250 // a second
+	kindBurst = 500
 	// logBuffer is how much may wait for a reader that does not read. A line
 	// takes some 200 bytes; this holds the busiest second several times over.
 	logBuffer = 256 << 10
@@ -83,3 +97,62 @@
 	l.mu.Unlock()
 	<-l.done
 }
+
+// boundedHandler lets so many lines of each kind (message) through and tells now
+// and then how many were left out.
+type boundedHandler struct {
+	slog.Handler
+	kinds *kinds
+}
+
+type kinds struct {
+	mu   sync.Mutex
+	each map[string]*kind
+}
+
+type kind struct {
+	limit   *rate.Limiter
+	leftOut int
+}
+
+func newBoundedHandler(h slog.Handler) *boundedHandler {
+	return &boundedHandler{Handler: h, kinds: &kinds{each: make(map[string]*kind)}}
+}
+
+// Handle implements slog.Handler.
+func (b *boundedHandler) Handle(ctx context.Context, r slog.Record) error {
+	pass, leftOut := b.kinds.admit(r.Message, r.Time)
+	if !pass {
+		return nil
+	}
+	if leftOut > 0 {
+		r.AddAttrs(slog.Int("lines left out before", leftOut))
+	}
+	return b.Handler.Handle(ctx, r)
+}
+
+func (k *kinds) admit(message string, now time.Time) (pass bool, leftOut int) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	one := k.each[message]
+	if one == nil {
+		one = &kind{limit: rate.NewLimiter(kindRate, kindBurst)}
+		k.each[message] = one
+	}
+	if !one.limit.AllowN(now, 1) {
+		one.leftOut++
+		return false, 0
+	}
+	leftOut, one.leftOut = one.leftOut, 0
+	return true, leftOut
+}
+
+// WithAttrs implements slog.Handler.
+func (b *boundedHandler) WithAttrs(attrs []slog.Attr) slog.Handler {
+	return &boundedHandler{Handler: b.Handler.WithAttrs(attrs), kinds: b.kinds}
+}
+
+// WithGroup implements slog.Handler.
+func (b *boundedHandler) WithGroup(name string) slog.Handler {
+	return &boundedHandler{Handler: b.Handler.WithGroup(name), kinds: b.kinds}
+}
--- a/internal/node/logs_test.go
+++ b/internal/node/logs_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"log/slog"
 	"strings"
 	"sync"
 	"testing"
@@ -42,3 +43,18 @@
 	assert.Assert(t, strings.Contains(text, "log lines lost"))
 	assert.Assert(t, sink.out.Len() <= 3*logBuffer)
 }
+
+// One fault repeats one line thousands of times and must not hide the others.
+func TestLinesOfOneKindAreBoundedAndCounted(t *testing.T) {
+	var out bytes.Buffer
+	h := newBoundedHandler(slog.NewJSONHandler(&out, nil))
+	log := slog.New(h)
+	for range 3 * kindBurst {
+		log.Info("again")
+	}
+	log.Info("other")
+	lines := strings.Count(out.String(), "\n")
+	assert.Assert(t, lines >= kindBurst && lines < 2*kindBurst, "%d lines", lines)
+	assert.Assert(t, strings.Contains(out.String(), `"msg":"other"`))
+	assert.Assert(t, h.kinds.each["again"].leftOut > 0)
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -71,7 +71,8 @@
 // New opens the listeners and wires the parts.
 func New(s *Settings, out io.Writer) (*Node, error) {
 	logs := newLogWriter(out)
-	log := logr.FromSlogHandler(slog.NewJSONHandler(logs, &slog.HandlerOptions{Level: slog.LevelInfo})).WithValues("entry", s.Name)
+	handler := newBoundedHandler(slog.NewJSONHandler(logs, &slog.HandlerOptions{Level: levelDecisions}))
+	log := logr.FromSlogHandler(handler).WithValues("entry", s.Name)
 	n := &Node{settings: s, log: log, logs: logs, metrics: newMetrics()}
 	debug.SetMemoryLimit(int64(float64(s.MemoryMB) * memoryShare * (1 << 20)))
 	var err error
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -69,9 +69,9 @@
 	{"entry", "peer-port-first", true, expectsPort, port(func(s *Settings) *int { return &s.Peers[0] })},
 	{"entry", "peer-port-last", true, expectsPort, port(func(s *Settings) *int { return &s.Peers[1] })},
 	{"store", "address", true, expectsAddress, address(func(s *Settings) *string { return &s.Store })},
-	{"store", "writes-per-second", false, expectsRate, rate},
+	{"store", "writes-per-second", false, expectsRate, checkRate},
 	{"vms", "address", false, expectsAddress, address(func(s *Settings) *string { return &s.VMs })},
-	{"vms", "lists-per-second", false, expectsRate, rate},
+	{"vms", "lists-per-second", false, expectsRate, checkRate},
 	{"advisor", "address", false, expectsAddress, address(func(s *Settings) *string { return &s.Advisor })},
 	{"limits", "cpu-share", false, expectsShare, above0(func(s *Settings) *float64 { return &s.CPUShare })},
 	{"limits", "link-mbps", false, expectsLink, above0(func(s *Settings) *float64 { return &s.LinkMbps })},
@@ -191,8 +191,8 @@
 	}
 }
 
-// rate checks a rate that is only shown to operators so far.
-func rate(_ *Settings, t string) bool {
+// checkRate checks a rate that is only shown to operators so far.
+func checkRate(_ *Settings, t string) bool {
 	n, err := strconv.ParseFloat(t, 64)
 	return err == nil && n > 0
 }
