--- a/internal/jobfront/front.go
+++ b/internal/jobfront/front.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"sync"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -13,6 +14,7 @@
 	"github.com/pumicestage/pumicestage/internal/infra"
 	"github.com/pumicestage/pumicestage/internal/ownerlink"
 	"github.com/pumicestage/pumicestage/internal/ownership"
+	"github.com/pumicestage/pumicestage/policy/breaker"
 	"github.com/pumicestage/pumicestage/policy/work"
 )
 
@@ -70,6 +72,9 @@
 type Front struct {
 	Options
 	counts counts
+
+	mu    sync.Mutex
+	store breaker.Breaker
 }
 
 // New returns a front.
@@ -136,10 +141,38 @@
 	}
 }
 
-func (f *Front) txn(ctx context.Context, t infra.Txn) (infra.TxnResult, error) {
+func (f *Front) txn(ctx context.Context, t infra.Txn) (res infra.TxnResult, err error) {
+	err = f.tryStore(ctx, "txn", func(ctx context.Context) error {
+		res, err = f.Store.Txn(ctx, t)
+		return err
+	})
+	return res, err
+}
+
+// errStoreAway is the cause of a call that was not tried.
+var errStoreAway = errors.New("it did not answer a moment ago")
+
+// tryStore calls the store, unless it did not answer a moment ago: then the call
+// is certain not to have been made.
+func (f *Front) tryStore(ctx context.Context, op string, call func(ctx context.Context) error) error {
+	f.mu.Lock()
+	allowed := f.store.Allow(f.Clock.Now())
+	f.mu.Unlock()
+	if !allowed {
+		return infra.Errorf(op, infra.KindUnavailable, "%w", errStoreAway)
+	}
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	return f.Store.Txn(ctx, t)
+	err := call(ctx)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	switch infra.KindOf(err) {
+	case infra.KindUnavailable, infra.KindUnknown, infra.KindRateLimited:
+		f.store.Failed(f.Clock.Now())
+	default:
+		f.store.Succeeded()
+	}
+	return err
 }
 
 // State returns what the job's caller is told. q is the queue that the request
@@ -180,9 +213,11 @@
 
 // stored reads the job's stub from the store.
 func (f *Front) stored(ctx context.Context, id work.JobID) (*engine.JobStub, infra.Revision, error) {
-	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
-	defer cancel()
-	kv, _, err := f.Store.Get(ctx, infra.WorkJobKey(string(id)))
+	var kv infra.KV
+	err := f.tryStore(ctx, "get", func(ctx context.Context) (err error) {
+		kv, _, err = f.Store.Get(ctx, infra.WorkJobKey(string(id)))
+		return err
+	})
 	if err != nil {
 		return nil, 0, &Refusal{Reason: "neither the owner nor the platform's store answers: " + err.Error(), RetryAfter: storeBack}
 	}
--- a/internal/ownerlink/client.go
+++ b/internal/ownerlink/client.go
@@ -11,6 +11,7 @@
 	"github.com/go-logr/logr"
 
 	"github.com/pumicestage/pumicestage/internal/engine"
+	"github.com/pumicestage/pumicestage/policy/breaker"
 	"github.com/pumicestage/pumicestage/policy/work"
 )
 
@@ -31,7 +32,9 @@
 	Log logr.Logger
 
 	mu    sync.Mutex
-	links map[string]*link // by address
+	began time.Time
+	links map[string]*link            // by address
+	dials map[string]*breaker.Breaker // likewise
 }
 
 type link struct {
@@ -121,28 +124,55 @@
 	}
 }
 
+// connect returns the connection to the address. Nobody waits for a VM that did
+// not answer a moment ago.
 func (c *Client) connect(ctx context.Context, address string) (*link, error) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if l := c.links[address]; l != nil && !l.isDead() {
+	l, dial := c.existing(address)
+	if l != nil {
 		return l, nil
 	}
-	delete(c.links, address)
+	if !dial {
+		return nil, ErrNotSent
+	}
 	d := net.Dialer{Timeout: dialTimeout}
 	conn, err := d.DialContext(ctx, "tcp", address)
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	if err != nil {
+		c.dials[address].Failed(time.Since(c.began))
 		c.Log.V(1).Info("owner can't be reached", "address", address, "error", err.Error())
 		return nil, ErrNotSent
 	}
-	l := &link{conn: conn, out: &lockedWriter{w: bufio.NewWriter(conn), conn: conn}, waiting: make(map[uint64]chan *response)}
-	if c.links == nil {
-		c.links = make(map[string]*link)
+	c.dials[address].Succeeded()
+	if other := c.links[address]; other != nil && !other.isDead() {
+		conn.Close()
+		return other, nil
 	}
+	l = &link{conn: conn, out: &lockedWriter{w: bufio.NewWriter(conn), conn: conn}, waiting: make(map[uint64]chan *response)}
 	c.links[address] = l
 	go l.read()
 	return l, nil
 }
 
+// existing returns the connection to the address, or whether one may be tried.
+func (c *Client) existing(address string) (l *link, dial bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.links == nil {
+		c.began = time.Now()
+		c.links = make(map[string]*link)
+		c.dials = make(map[string]*breaker.Breaker)
+	}
+	if l := c.links[address]; l != nil && !l.isDead() {
+		return l, false
+	}
+	delete(c.links, address)
+	if c.dials[address] == nil {
+		c.dials[address] = new(breaker.Breaker)
+	}
+	return nil, c.dials[address].Allow(time.Since(c.began))
+}
+
 func (l *link) isDead() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
