--- a/internal/engine/cell.go
+++ b/internal/engine/cell.go
@@ -11,6 +11,7 @@
 	Used     float64        `msgpack:"u"` // cores in use
 	Backlog  float64        `msgpack:"b"` // core-seconds that wait for room
 	Arriving float64        `msgpack:"a"` // core-seconds a second that came of late
+	Short    int            `msgpack:"s"` // VMs that lasting tasks lack, whatever is free on the others
 	Workers  []WorkerReport `msgpack:"w"`
 }
 
@@ -138,7 +139,7 @@
 }
 
 func (c *Core) report(now time.Duration) CellReport {
-	r := CellReport{Arriving: c.arrivalRate(now)}
+	r := CellReport{Arriving: c.arrivalRate(now), Short: c.short(now)}
 	for _, w := range c.workers {
 		wr := WorkerReport{
 			ID: w.info.ID, Tasks: len(w.tasks) + len(w.strays), Cordon: w.cordon, Draining: w.info.Draining, Heard: w.heard,
@@ -165,3 +166,55 @@
 	}
 	return r
 }
+
+// shortAfter is how long a lasting task waits before it counts as one that finds
+// no place: a plan comes within some milliseconds.
+const shortAfter = 200 * time.Millisecond
+
+// short is how many more VMs the lasting tasks need. Cores that are free don't
+// tell: a step's limit of tasks on one VM asks for different VMs, and a task that
+// is to leave a VM for maintenance needs a place before it may.
+func (c *Core) short(now time.Duration) int {
+	need := 0
+	for _, j := range c.open {
+		if !j.Lasting() || now < j.accepted+shortAfter {
+			continue
+		}
+		for _, o := range j.live {
+			for _, s := range o.steps {
+				need = max(need, s.unplaced(now))
+			}
+		}
+	}
+	return need + c.stuckVMs(now)
+}
+
+// unplaced is how many VMs the step's waiting tasks need if none has room.
+func (s *step) unplaced(now time.Duration) int {
+	if !s.spec.Lasting || s.pending == 0 || !s.ready() {
+		return 0
+	}
+	waiting := 0
+	for _, t := range s.tasks {
+		if t.state == taskPending && now >= t.notBefore+shortAfter {
+			waiting++
+		}
+	}
+	each := max(1, s.spec.AntiAffinity)
+	return (waiting + each - 1) / each
+}
+
+// stuckVMs is 1 if a VM can't be emptied for want of a place for what it has.
+func (c *Core) stuckVMs(now time.Duration) int {
+	for _, w := range c.workers {
+		if w.cordon.Kind != Vacated {
+			continue
+		}
+		for _, t := range w.tasks {
+			if t.step.spec.Lasting && t.state == taskActive && !c.hasPlace(t, now) {
+				return 1
+			}
+		}
+	}
+	return 0
+}
--- a/internal/engine/core_test.go
+++ b/internal/engine/core_test.go
@@ -479,3 +479,25 @@
 	}
 	assert.Equal(t, sum, int64(8), "four jobs of two tasks are stored")
 }
+
+// The operator sees a wave that is late: a lasting task can't leave its VM, as
+// every other VM has one of its step. The cell tells that it is short of a VM.
+func TestACellThatCannotEmptyAVMIsShortOfOne(t *testing.T) {
+	b := newBench(t)
+	b.worker("w1")
+	b.worker("w2")
+	b.accept("j1", lasting(2))
+	o := b.plan()
+	b.answer(o, OutcomeOK)
+	for _, s := range o.Starts {
+		r := run(s)
+		r.Percent = fullPercent
+		b.look(s.Worker.ID, Listing{Running: []Run{r}})
+	}
+	assert.Equal(t, b.core.report(b.now).Short, 0)
+	b.core.obey(CellOrder{Kind: OrderVacate, Worker: o.Starts[0].Worker.ID}, token, b.now)
+	assert.Equal(t, len(b.plan().Stops), 0)
+	assert.Equal(t, b.core.report(b.now).Short, 1)
+	b.worker("w3")
+	assert.Equal(t, len(b.plan().Stops), 1)
+}
--- a/internal/fleetowner/moves.go
+++ b/internal/fleetowner/moves.go
@@ -54,7 +54,7 @@
 		}
 		p := &pools.Pool{Name: name, Parked: s.Standby}
 		if c := f.cells[name]; c != nil {
-			p.Used, p.Backlog, p.Arriving = c.Used, c.Backlog, c.Arriving
+			p.Used, p.Backlog, p.Arriving, p.Short = c.Used, c.Backlog, c.Arriving, c.Short
 		}
 		if p.Backlog > 0 {
 			f.lastBusy[name] = now
--- a/policy/pools/pools.go
+++ b/policy/pools/pools.go
@@ -33,6 +33,7 @@
 	Used     float64       // cores in use
 	Backlog  float64       // core-seconds that wait for room
 	Arriving float64       // core-seconds a second that came of late
+	Short    int           // VMs that are lacked whatever is free on the others
 	Quiet    time.Duration // since it last had a backlog
 }
 
@@ -108,7 +109,7 @@
 	}
 	var out []Move
 	for _, p := range pools {
-		if p.Parked || p.Backlog > 0 {
+		if p.Parked || p.Backlog > 0 || p.Short > 0 {
 			continue
 		}
 		spare := len(p.VMs) - stay
@@ -132,16 +133,18 @@
 	var out []want
 	for i := range pools {
 		p := &pools[i]
-		if p.Parked || p.Backlog <= 0 {
+		if p.Parked || p.Backlog <= 0 && p.Short == 0 {
 			continue
 		}
-		have := p.Incoming
+		have, largest := p.Incoming, 0.0
 		for _, vm := range p.VMs {
 			have += vm.Cores
+			largest = max(largest, vm.Cores)
 		}
 		// The backlog tells what is missed already, what arrives tells it a
 		// second sooner, as a burst begins.
 		lack := max(p.Used+p.Backlog/DrainGoal.Seconds(), p.Arriving) - have
+		lack = max(lack, float64(p.Short)*largest-p.Incoming)
 		if lack > 0 {
 			out = append(out, want{name: p.Name, cores: lack})
 		}
@@ -165,7 +168,7 @@
 	var out []donor
 	for i := range pools {
 		p := &pools[i]
-		if p.Backlog > 0 {
+		if p.Backlog > 0 || p.Short > 0 {
 			continue
 		}
 		spare := len(p.VMs) - keep
--- a/policy/pools/pools_test.go
+++ b/policy/pools/pools_test.go
@@ -34,6 +34,17 @@
 	}
 }
 
+// A wave is late: a lasting task can't leave its VM, as every other has one of its
+// step already. Cores are free, so no backlog shows; the pool is short of VMs.
+func TestAPoolShortOfVMsDrawsThemWithCoresFree(t *testing.T) {
+	moves := Decide([]Pool{
+		{Name: "short", VMs: vms("s", 4, 4, time.Minute), Used: 8, Short: 1},
+		{Name: "off", Parked: true, VMs: vms("p", 3, 3, 0)},
+	})
+	assert.Equal(t, len(moves), 1)
+	assert.Equal(t, moves[0].To, "short")
+}
+
 // VMs on their way count: without that each look at the same backlog would order
 // as many again, and they would arrive after the burst.
 func TestVMsOnTheirWayAreNotOrderedAgain(t *testing.T) {
