--- a/internal/engine/core_test.go
+++ b/internal/engine/core_test.go
@@ -501,3 +501,16 @@
 	b.worker("w3")
 	assert.Equal(t, len(b.plan().Stops), 1)
 }
+
+// A rack goes dark. For a second its workers look idle, and all that waits is
+// sent to them and waits for a timeout there: starts without an answer close them.
+func TestAWorkerThatAnswersNoStartsGetsNoMore(t *testing.T) {
+	b := newBench(t)
+	b.worker("dark")
+	b.accept("j1", short(2))
+	b.answer(b.plan(), OutcomeUnknown)
+	b.accept("j2", short(1))
+	assert.Equal(t, len(b.plan().Starts), 0)
+	b.look("dark", Listing{})
+	assert.Equal(t, len(b.plan().Starts), 1, "a look was answered")
+}
--- a/internal/engine/worker.go
+++ b/internal/engine/worker.go
@@ -160,8 +160,23 @@
 	return out
 }
 
+// doubtLimit is how many starts without an answer close a worker until a look is
+// answered. One may be lost on the way; more, and the worker has stopped
+// answering: what else is sent to it waits for a timeout each.
+const doubtLimit = 2
+
+func (w *worker) doubted() bool {
+	n := 0
+	for _, t := range w.tasks {
+		if t.state == taskDoubtful {
+			n++
+		}
+	}
+	return n >= doubtLimit
+}
+
 func (w *worker) closed(now time.Duration) bool {
-	return !w.heard || w.gone || w.info.Draining || w.cordon.Kind != Open || w.missed > 0 ||
+	return w.doubted() || !w.heard || w.gone || w.info.Draining || w.cordon.Kind != Open || w.missed > 0 ||
 		w.full || now < w.closedUntil || now < w.strikes.until || len(w.strays) > 0
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -64,6 +64,7 @@
 	callers net.Listener
 	ready   net.Listener
 	peers   net.Listener
+	meters  net.Listener // nil: none
 
 	leaving atomic.Bool
 }
@@ -86,6 +87,11 @@
 	if n.peers, err = net.Listen("tcp", peers); err != nil {
 		return nil, trace.Wrap(err)
 	}
+	if s.Metrics != "" {
+		if n.meters, err = net.Listen("tcp", s.Metrics); err != nil {
+			return nil, trace.Wrap(err)
+		}
+	}
 	n.wire(peers)
 	return n, nil
 }
@@ -123,10 +129,16 @@
 
 	callers := n.callerServer()
 	ready := &http.Server{Handler: http.HandlerFunc(n.serveReady), ReadHeaderTimeout: headerTimeout}
-	failed := make(chan error, 2)
+	failed := make(chan error, 3)
 	go func() { failed <- callers.Serve(n.callers) }()
 	go func() { failed <- ready.Serve(n.ready) }()
 
+	if n.meters != nil {
+		meters := &http.Server{Handler: expvar.Handler(), ReadHeaderTimeout: headerTimeout}
+		defer meters.Close()
+		go func() { failed <- meters.Serve(n.meters) }()
+	}
+
 	var err error
 	select {
 	case <-ctx.Done():
@@ -150,11 +162,7 @@
 }
 
 // serveReady answers the balancer: ready once the configuration is known.
-func (n *Node) serveReady(w http.ResponseWriter, r *http.Request) {
-	if r.URL.Path == "/debug/vars" {
-		expvar.Handler().ServeHTTP(w, r)
-		return
-	}
+func (n *Node) serveReady(w http.ResponseWriter, _ *http.Request) {
 	c, _ := n.operator.current()
 	if c == nil || n.leaving.Load() {
 		w.WriteHeader(http.StatusServiceUnavailable)
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -23,6 +23,7 @@
 	Address string // own IP address
 	Callers string // host:port
 	Ready   string // host:port of readiness
+	Metrics string // host:port of counters and histograms; empty: none
 	Peers   [2]int // first and last port for other entry VMs
 
 	Store   string // host:port of the platform's store
@@ -66,6 +67,7 @@
 	{"entry", "address", true, expectsIP, func(s *Settings, t string) bool { s.Address = t; return net.ParseIP(t) != nil }},
 	{"entry", "callers", true, expectsAddress, address(func(s *Settings) *string { return &s.Callers })},
 	{"entry", "ready", true, expectsAddress, address(func(s *Settings) *string { return &s.Ready })},
+	{"entry", "metrics", false, expectsAddress, address(func(s *Settings) *string { return &s.Metrics })},
 	{"entry", "peer-port-first", true, expectsPort, port(func(s *Settings) *int { return &s.Peers[0] })},
 	{"entry", "peer-port-last", true, expectsPort, port(func(s *Settings) *int { return &s.Peers[1] })},
 	{"store", "address", true, expectsAddress, address(func(s *Settings) *string { return &s.Store })},
