--- a/internal/engine/arrivals.go
+++ b/internal/engine/arrivals.go
@@ -15,7 +15,7 @@
 	arrivalLeast = 4
 )
 
-// arrival is the work of one job that may start at once.
+// arrival is the work of one job.
 type arrival struct {
 	at   time.Duration
 	work float64 // core-seconds
@@ -25,7 +25,7 @@
 func (c *Core) arrived(j *job, now time.Duration) {
 	sum := 0.0
 	for i := range j.Steps {
-		if s := &j.Steps[i]; len(s.After) == 0 && !s.Lasting {
+		if s := &j.Steps[i]; !s.Lasting {
 			sum += stepWork(s)
 		}
 	}
--- a/internal/fleetowner/moves.go
+++ b/internal/fleetowner/moves.go
@@ -19,10 +19,12 @@
 
 // rebalance moves idle VMs to where work waits, and parks what is idle for long.
 func (f *Fleet) rebalance(ctx context.Context) {
-	moves := pools.Decide(f.pools())
+	state := f.pools()
+	moves := pools.Decide(state)
 	if len(moves) == 0 {
 		return
 	}
+	f.Log.Info("moves decided", "moves", len(moves), "pools", summaries(state))
 	target := make(map[string]pools.Move, len(moves))
 	ids := make([]string, 0, len(moves))
 	for _, m := range moves {
@@ -104,3 +106,32 @@
 		p.VMs = append(p.VMs, pools.VM{ID: vm.ID, Cores: size, Empty: w.Tasks == 0, Since: w.EmptyFor})
 	}
 }
+
+// summary is a pool as the log shows it.
+type summary struct {
+	Pool     string `json:"pool"`
+	VMs      int    `json:"vms"`
+	Empty    int    `json:"empty"`
+	Incoming int    `json:"incoming cores"`
+	Used     int    `json:"used cores"`
+	Backlog  int    `json:"backlog core seconds"`
+	Arriving int    `json:"arriving core seconds a second"`
+	Short    int    `json:"short of vms"`
+}
+
+func summaries(state []pools.Pool) []summary {
+	out := make([]summary, 0, len(state))
+	for _, p := range state {
+		s := summary{
+			Pool: p.Name, VMs: len(p.VMs), Incoming: int(p.Incoming), Used: int(p.Used),
+			Backlog: int(p.Backlog), Arriving: int(p.Arriving), Short: p.Short,
+		}
+		for _, vm := range p.VMs {
+			if vm.Empty {
+				s.Empty++
+			}
+		}
+		out = append(out, s)
+	}
+	return out
+}
--- a/policy/pools/pools.go
+++ b/policy/pools/pools.go
@@ -141,9 +141,9 @@
 			have += vm.Cores
 			largest = max(largest, vm.Cores)
 		}
-		// The backlog tells what is missed already, what arrives tells it a
-		// second sooner, as a burst begins.
-		lack := max(p.Used+p.Backlog/DrainGoal.Seconds(), p.Arriving) - have
+		// What arrives must be borne from now on, and the backlog worked off
+		// beside it. Cores in use tell no more than what there is.
+		lack := max(p.Used, p.Arriving) + p.Backlog/DrainGoal.Seconds() - have
 		lack = max(lack, float64(p.Short)*largest-p.Incoming)
 		if lack > 0 {
 			out = append(out, want{name: p.Name, cores: lack})
