--- /dev/null
+++ b/internal/engine/orders.go
@@ -0,0 +1,157 @@
+package engine
+
+import (
+	"time"
+
+	"github.com/pumicestage/pumicestage/policy/taskplan"
+	"github.com/pumicestage/pumicestage/policy/work"
+)
+
+// stopAgain is after how long a stop without an answer is sent again.
+const stopAgain = 400 * time.Millisecond
+
+// planStops sends the stops that are due: of tasks that must end, and of runs
+// that nobody wants.
+func (c *Core) planStops(now time.Duration, out *Orders) {
+	for _, w := range c.workers {
+		if w.gone || !w.heard {
+			continue
+		}
+		for _, t := range w.tasks {
+			if t.state != taskStopping || t.stopOK != 0 || t.stopSent != 0 && now < t.stopSent+stopAgain {
+				continue
+			}
+			t.stopSent = now
+			out.Stops = append(out.Stops, StopOrder{Worker: w.info, Task: t.ref, Run: t.run})
+		}
+		for ref, run := range w.strays {
+			out.Stops = append(out.Stops, StopOrder{Worker: w.info, Task: ref, Run: run})
+		}
+		// A stray that runs on is listed again by the next look.
+		clear(w.strays)
+	}
+}
+
+// order books the placement and makes its start.
+func (c *Core) order(p taskplan.Placement, now time.Duration, out *Orders) {
+	w := c.workers[p.Worker]
+	t := c.find(work.TaskRef{StepRef: p.Step.Ref, Index: p.Index})
+	run := c.nextRun(t, out)
+	c.attach(t, w, run, taskStarting, now)
+	t.sent = now
+	t.deadline = w.clockNow(now) + min(startAhead, c.bounds.MaxHold)
+	w.deadline = max(w.deadline, t.deadline)
+	j := t.step.job
+	c.log.V(1).Info("start", "task", t.ref.String(), "run", run, "worker", w.info.ID, "waited", (now - j.accepted).String(),
+		"config", c.declared.Version, "clock age", (now - w.clockAt).String(), "free milli cpu", w.info.Capacity.MilliCPU-w.used().MilliCPU)
+	out.Starts = append(out.Starts, StartOrder{Worker: w.info, Start: Start{
+		Task: t.ref, Run: run, Spec: t.step.job.Spec, Deadline: t.deadline, Token: c.token,
+		Checkpoint: t.checkpoint, Ticket: t.step.tickets[w.info.ID].text,
+	}})
+}
+
+// nextRun numbers a start; the members of a gang share theirs.
+func (c *Core) nextRun(t *task, out *Orders) int {
+	run := max(t.run, t.step.job.baseRun) + 1
+	if !t.step.spec.Gang {
+		return run
+	}
+	if given := c.gangRun(t, out); given != 0 {
+		return given
+	}
+	for _, member := range t.step.tasks {
+		run = max(run, member.run+1)
+	}
+	return run
+}
+
+// gangRun returns the run that members of the gang were given in this plan.
+func (c *Core) gangRun(t *task, out *Orders) int {
+	for i := range out.Starts {
+		if out.Starts[i].Start.Task.StepRef == t.ref.StepRef {
+			return out.Starts[i].Start.Run
+		}
+	}
+	return 0
+}
+
+// StartAnswered takes over what became of a start.
+func (c *Core) StartAnswered(o StartOrder, out Outcome, clock, now time.Duration) {
+	w := c.workers[o.Worker.ID]
+	if w != nil {
+		w.clockSaid(clock, now)
+	}
+	if out == OutcomeFenced {
+		c.deposed = true
+	}
+	if out == OutcomeOtherLife {
+		c.WorkerGone(o.Worker.ID, "another life answers", now)
+	}
+	t := c.find(o.Start.Task)
+	if t == nil || w == nil || t.where != w || t.run != o.Start.Run {
+		return
+	}
+	switch out {
+	case OutcomeOK:
+		c.started(t, w, now)
+	case OutcomeUnknown:
+		if t.state == taskStarting {
+			t.step.set(t, taskDoubtful)
+			t.answered = now
+		}
+	default:
+		c.notStarted(t, w, out, now)
+	}
+}
+
+func (c *Core) started(t *task, w *worker, now time.Duration) {
+	switch t.state {
+	case taskStarting, taskDoubtful:
+		c.attach(t, w, t.run, taskActive, now)
+	case taskStopping:
+		t.answered = now
+	}
+	t.step.job.begun = true
+}
+
+// Pauses of a worker after it refused a start.
+const (
+	refusedPause = 500 * time.Millisecond // unhealthy: others first
+	latePause    = 20 * time.Millisecond  // its clock was misjudged; a look corrects that
+)
+
+// notStarted handles a start that certainly did not happen.
+func (c *Core) notStarted(t *task, w *worker, out Outcome, now time.Duration) {
+	c.log.Info("start refused", "task", t.ref.String(), "run", t.run, "worker", w.info.ID, "outcome", out.String())
+	switch out {
+	case OutcomeNoRoom:
+		w.full = true
+		w.closedUntil = now + lookPause
+	case OutcomeRefused, OutcomeNotSent:
+		w.closedUntil = now + refusedPause
+	case OutcomeLate:
+		w.closedUntil = now + latePause
+	case OutcomeNoTicket:
+		delete(t.step.tickets, w.info.ID)
+	}
+	c.ranOut(t, now)
+}
+
+// StopAnswered takes over what became of a stop.
+func (c *Core) StopAnswered(o StopOrder, out Outcome, now time.Duration) {
+	switch out {
+	case OutcomeFenced:
+		c.deposed = true
+		return
+	case OutcomeOtherLife:
+		c.WorkerGone(o.Worker.ID, "another life answers", now)
+		return
+	}
+	t := c.find(o.Task)
+	if t == nil || t.run != o.Run || t.where == nil || t.where.info.ID != o.Worker.ID {
+		return
+	}
+	if out == OutcomeOK || out == OutcomeOld {
+		t.stopOK = now
+	}
+}
