--- /dev/null
+++ b/internal/fleetowner/fleet_test.go
@@ -0,0 +1,269 @@
+package fleetowner
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/jonboulle/clockwork"
+	"gotest.tools/v3/assert"
+
+	"github.com/pumicestage/pumicestage/internal/engine"
+	"github.com/pumicestage/pumicestage/internal/infra/memstore"
+	"github.com/pumicestage/pumicestage/policy/work"
+)
+
+// rig is a fleet's owner over VMs and cells that do as the test says.
+type rig struct {
+	now     time.Duration
+	certain bool
+	vms     []work.VM
+	reports map[string]engine.CellReport
+	waves   []OrderedWave
+	states  []bool // reported, true for completed
+
+	mu     sync.Mutex
+	orders []engine.CellOrder // as cells got them
+	calls  []string           // as the VM service got them
+	refuse map[work.WorkerID]bool
+	answer engine.VMOutcome
+}
+
+func newRig() *rig {
+	return &rig{now: time.Minute, certain: true, reports: make(map[string]engine.CellReport), refuse: make(map[work.WorkerID]bool), answer: engine.VMDone}
+}
+
+func (r *rig) Now() time.Duration          { return r.now }
+func (r *rig) Wall() time.Time             { return time.Unix(0, 0) }
+func (r *rig) Token() int64                { return 5 }
+func (r *rig) AllowedUntil() time.Duration { return r.now + time.Hour }
+func (r *rig) Certain() bool               { return r.certain }
+func (r *rig) End(string)                  { r.certain = false }
+
+func (r *rig) List(context.Context) ([]work.VM, error) { return slices.Clone(r.vms), nil }
+
+func (r *rig) Move(_ context.Context, vm, pool string, _ int64) engine.VMOutcome {
+	return r.called("move " + vm + " " + pool)
+}
+
+func (r *rig) Maintain(_ context.Context, vm, _ string, _ int64) engine.VMOutcome {
+	return r.called("maintain " + vm)
+}
+
+func (r *rig) called(what string) engine.VMOutcome {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.calls = append(r.calls, what)
+	return r.answer
+}
+
+func (r *rig) Sync(_ context.Context, cell string, s engine.CellSync) (engine.CellAnswer, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	report, known := r.reports[cell]
+	if !known {
+		return engine.CellAnswer{}, engine.ErrNotReady
+	}
+	a := engine.CellAnswer{Report: report}
+	for _, o := range s.Orders {
+		r.orders = append(r.orders, o)
+		a.Taken = append(a.Taken, o.Kind != engine.OrderClaim || !r.refuse[o.Worker])
+	}
+	return a, nil
+}
+
+func (r *rig) Ordered() []OrderedWave { return r.waves }
+
+func (r *rig) Report(_ context.Context, _ string, completed bool) error {
+	r.states = append(r.states, completed)
+	return nil
+}
+
+func (r *rig) fleet() *Fleet {
+	f := New(Options{
+		Store: memstore.New(clockwork.NewFakeClock()), Machines: r, Waves: r, Cells: r, Clock: r, Term: r, Log: logr.Discard(),
+		Declared: func() engine.Declared {
+			return engine.Declared{Services: map[string]engine.Service{"a": {Name: "a"}, "b": {Name: "b"}, "off": {Name: "off", Standby: true}}}
+		},
+	})
+	f.began = r.now
+	return f
+}
+
+// pass lets time go on and looks once.
+func (r *rig) pass(f *Fleet) {
+	r.now += 100 * time.Millisecond
+	f.pass(context.Background())
+}
+
+func (r *rig) vm(id, pool string) {
+	r.vms = append(r.vms, work.VM{ID: id, Pool: pool, State: work.VMUp, Worker: work.WorkerID("w-" + id), Size: work.Resources{MilliCPU: 16000}})
+}
+
+func (r *rig) set(id string, state work.VMState, life work.WorkerID) {
+	for i := range r.vms {
+		if r.vms[i].ID == id {
+			r.vms[i].State, r.vms[i].Worker = state, life
+		}
+	}
+}
+
+func empty(ids ...string) []engine.WorkerReport {
+	var out []engine.WorkerReport
+	for _, id := range ids {
+		out = append(out, engine.WorkerReport{ID: work.WorkerID("w-" + id), Heard: true, EmptyFor: time.Second})
+	}
+	return out
+}
+
+func wave(most int, vms ...string) OrderedWave {
+	return OrderedWave{Wave: work.Wave{Name: "1", VMs: vms, Duration: time.Minute, MaxAtATime: most}, Seen: time.Minute}
+}
+
+func TestAWaveTakesItsVMsInTurnAndIsReported(t *testing.T) {
+	r := newRig()
+	r.vm("v1", "a")
+	r.vm("v2", "a")
+	r.reports["a"], r.reports["b"] = engine.CellReport{Workers: empty("v1", "v2")}, engine.CellReport{}
+	r.waves = []OrderedWave{wave(1, "v1", "v2")}
+	f := r.fleet()
+	r.pass(f)
+	r.pass(f)
+	assert.DeepEqual(t, r.calls, []string{"maintain v1"})
+	r.set("v1", work.VMMaintenance, "")
+	r.pass(f)
+	assert.Equal(t, len(r.calls), 1, "one at a time")
+	r.set("v1", work.VMUp, "w-next")
+	r.pass(f)
+	r.pass(f)
+	assert.DeepEqual(t, r.calls, []string{"maintain v1", "maintain v2"})
+	r.set("v2", work.VMUp, "w-other")
+	r.pass(f)
+	r.pass(f)
+	assert.DeepEqual(t, r.states, []bool{false, true})
+}
+
+// A task is cut by maintenance: it was started after the report. The cell's owner
+// refuses the claim, and without it no order leaves.
+func TestNoOrderWithoutTheCellsClaim(t *testing.T) {
+	r := newRig()
+	r.vm("v1", "a")
+	r.reports["a"] = engine.CellReport{Workers: empty("v1")}
+	r.refuse["w-v1"] = true
+	r.waves = []OrderedWave{wave(1, "v1")}
+	f := r.fleet()
+	r.pass(f)
+	r.pass(f)
+	assert.Equal(t, len(r.calls), 0)
+}
+
+// What runs on the VMs of a cell without an owner is not known: they are left
+// alone, and the wave waits.
+func TestVMsOfACellThatDoesNotReportAreLeftAlone(t *testing.T) {
+	r := newRig()
+	r.vm("v1", "a")
+	r.waves = []OrderedWave{wave(1, "v1")}
+	f := r.fleet()
+	r.pass(f)
+	r.pass(f)
+	assert.Equal(t, len(r.calls), 0)
+	assert.DeepEqual(t, r.states, []bool{false})
+}
+
+// Too many VMs of a wave are away: an order without an answer was carried out
+// late, beside the one that replaced it.
+func TestAnOrderWithoutAnswerCountsAsAway(t *testing.T) {
+	r := newRig()
+	r.vm("v1", "a")
+	r.vm("v2", "a")
+	r.reports["a"] = engine.CellReport{Workers: empty("v1", "v2")}
+	r.answer = engine.VMUnknown
+	r.waves = []OrderedWave{wave(1, "v1", "v2")}
+	f := r.fleet()
+	for range 20 {
+		r.pass(f)
+	}
+	assert.DeepEqual(t, r.calls, []string{"maintain v1"})
+	r.now += orderOver
+	r.pass(f)
+	r.pass(f)
+	assert.Equal(t, len(r.calls), 2, "it is certain by now not to come")
+}
+
+// Two owners that take turns at one VM undo each other's orders: a new one leaves
+// alone what an earlier one may just have ordered.
+func TestANewOwnerLeavesVMsThatAreNotUpAloneForAWhile(t *testing.T) {
+	r := newRig()
+	r.vm("v1", "a")
+	r.set("v1", work.VMMoving, "")
+	r.reports["a"] = engine.CellReport{}
+	r.waves = []OrderedWave{wave(1, "v1")}
+	f := r.fleet()
+	r.pass(f)
+	r.set("v1", work.VMUp, "w-v1")
+	r.reports["a"] = engine.CellReport{Workers: empty("v1")}
+	for range 10 {
+		r.pass(f)
+	}
+	assert.Equal(t, len(r.calls), 0)
+	r.now += vmOrderPause
+	r.pass(f)
+	assert.DeepEqual(t, r.calls, []string{"maintain v1"})
+}
+
+func TestNoOrdersWithoutACertainLease(t *testing.T) {
+	r := newRig()
+	r.vm("v1", "a")
+	r.reports["a"] = engine.CellReport{Workers: empty("v1")}
+	r.waves = []OrderedWave{wave(1, "v1")}
+	r.certain = false
+	f := r.fleet()
+	r.pass(f)
+	r.pass(f)
+	assert.Equal(t, len(r.calls), 0)
+}
+
+// Workers stay closed for ever after an owner of the fleet is gone: what it
+// closed to empty is opened at once, what it claimed once its orders are over.
+func TestWhatAnEarlierOwnerClosedIsOpenedAgain(t *testing.T) {
+	r := newRig()
+	r.vm("v1", "a")
+	r.vm("v2", "a")
+	closed := empty("v1", "v2")
+	closed[0].Cordon = engine.Cordon{Kind: engine.Vacated, Token: 4}
+	closed[1].Cordon = engine.Cordon{Kind: engine.Claimed, Token: 4}
+	r.reports["a"] = engine.CellReport{Workers: closed}
+	f := r.fleet()
+	r.pass(f)
+	assert.DeepEqual(t, r.orders, []engine.CellOrder{{Kind: engine.OrderOpen, Worker: "w-v1"}})
+	r.now += orderOver
+	r.orders = nil
+	r.pass(f)
+	assert.Equal(t, len(r.orders), 2)
+}
+
+func TestABacklogDrawsVMsFromIdlePools(t *testing.T) {
+	r := newRig()
+	for _, id := range []string{"a1", "a2"} {
+		r.vm(id, "a")
+	}
+	for _, id := range []string{"b1", "b2", "b3", "b4"} {
+		r.vm(id, "b")
+	}
+	r.vm("p1", "off")
+	busy := empty("a1", "a2")
+	for i := range busy {
+		busy[i].Tasks, busy[i].EmptyFor = 4, 0
+	}
+	r.reports["a"] = engine.CellReport{Used: 32, Backlog: 20, Workers: busy}
+	r.reports["b"] = engine.CellReport{Workers: empty("b1", "b2", "b3", "b4")}
+	f := r.fleet()
+	r.pass(f)
+	slices.Sort(r.calls)
+	assert.DeepEqual(t, r.calls, []string{"move b1 a", "move p1 a"})
+	r.pass(f)
+	assert.Equal(t, len(r.calls), 2, "those on their way count")
+}
--- /dev/null
+++ b/internal/jobfront/front_test.go
@@ -0,0 +1,172 @@
+package jobfront
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/jonboulle/clockwork"
+	"gotest.tools/v3/assert"
+
+	"github.com/pumicestage/pumicestage/internal/engine"
+	"github.com/pumicestage/pumicestage/internal/infra"
+	"github.com/pumicestage/pumicestage/internal/infra/faulty"
+	"github.com/pumicestage/pumicestage/internal/infra/memstore"
+	"github.com/pumicestage/pumicestage/internal/ownership"
+	"github.com/pumicestage/pumicestage/policy/work"
+)
+
+const cell = "weighting"
+
+var queue = engine.Queue{Name: "weights", Service: cell}
+
+type clock struct{ now time.Duration }
+
+func (c *clock) Now() time.Duration { return c.now }
+func (c *clock) Wall() time.Time    { return time.Unix(0, 0) }
+
+// owner answers as the test says.
+type owner struct {
+	err    error
+	state  work.State
+	count  int
+	cancel int
+}
+
+func (o *owner) Submit(context.Context, *work.Job, engine.Queue) error { return o.err }
+func (o *owner) State(work.JobID) (work.State, error)                  { return o.state, o.err }
+func (o *owner) Cancel(context.Context, work.JobID) error              { o.cancel++; return o.err }
+func (o *owner) Waiting(string) (int, error)                           { return o.count, o.err }
+func (o *owner) Sync(engine.CellSync) (engine.CellAnswer, error)       { return engine.CellAnswer{}, o.err }
+
+type rig struct {
+	front *Front
+	store *faulty.Store
+	owner *owner
+	clock *clock
+}
+
+func newRig(t *testing.T) *rig {
+	t.Helper()
+	r := &rig{store: faulty.Wrap(memstore.New(clockwork.NewFakeClock())), owner: &owner{}, clock: &clock{now: time.Minute}}
+	r.front = New(Options{
+		Store: r.store, Clock: r.clock, Log: logr.Discard(), Self: "e1",
+		Owners: func(string) (ownership.Record, bool) { return ownership.Record{}, false },
+		Local: func(string) Owner {
+			if r.owner == nil {
+				return nil
+			}
+			return r.owner
+		},
+	})
+	return r
+}
+
+func job(id work.JobID) *work.Job {
+	return &work.Job{ID: id, Queue: queue.Name, Steps: []work.Step{{Count: 1}}}
+}
+
+func (r *rig) stored(t *testing.T, key string) bool {
+	t.Helper()
+	kv, _, err := r.store.Get(context.Background(), key)
+	assert.NilError(t, err)
+	return kv.ModRevision != 0
+}
+
+// Callers would be refused for as long as no entry VM owns the cell; the job is
+// stored with a note for the next owner instead.
+func TestWithoutAnOwnerTheJobIsStoredWithANote(t *testing.T) {
+	r := newRig(t)
+	r.owner.err = engine.ErrNotReady
+	assert.NilError(t, r.front.Submit(context.Background(), job("j1"), queue))
+	assert.Assert(t, r.stored(t, infra.WorkOpenKey(cell, "j1")))
+	assert.Assert(t, r.stored(t, infra.WorkInboxKey(cell, engine.NoteSubmit, "j1")))
+	assert.NilError(t, r.front.Submit(context.Background(), job("j1"), queue), "a repeat is the same job")
+}
+
+// The owner did not answer and may have stored the job; the store says that it
+// has. Another answer than acceptance would be false.
+func TestAnUncertainOwnerIsSettledByTheStore(t *testing.T) {
+	r := newRig(t)
+	ops, err := engine.CreateOps(cell, job("j1"), queue)
+	assert.NilError(t, err)
+	_, err = r.store.Txn(context.Background(), infra.Txn{Then: ops})
+	assert.NilError(t, err)
+	r.owner.err = engine.ErrUncertain
+	assert.NilError(t, r.front.Submit(context.Background(), job("j1"), queue))
+	assert.Assert(t, !r.stored(t, infra.WorkInboxKey(cell, engine.NoteSubmit, "j1")), "it was there before")
+}
+
+func TestStatesAndCancellationsWithoutAnOwner(t *testing.T) {
+	r := newRig(t)
+	r.owner.err = engine.ErrNotReady
+	ctx := context.Background()
+	_, err := r.front.State(ctx, "j1", queue)
+	assert.Assert(t, errors.Is(err, ErrUnknownJob))
+	assert.Assert(t, errors.Is(r.front.Cancel(ctx, "j1", queue), ErrUnknownJob))
+
+	assert.NilError(t, r.front.Submit(ctx, job("j1"), queue))
+	state, err := r.front.State(ctx, "j1", queue)
+	assert.NilError(t, err)
+	assert.Equal(t, state, work.Running)
+
+	assert.NilError(t, r.front.Cancel(ctx, "j1", queue))
+	state, err = r.front.State(ctx, "j1", queue)
+	assert.NilError(t, err)
+	assert.Equal(t, state, work.Cancelled)
+	assert.Assert(t, !r.stored(t, infra.WorkOpenKey(cell, "j1")), "no later owner starts it")
+	assert.Assert(t, r.stored(t, infra.WorkInboxKey(cell, engine.NoteCancel, "j1")))
+	assert.NilError(t, r.front.Cancel(ctx, "j1", queue), "it has ended")
+}
+
+// A job's queue leads to another service since it was accepted: its state is with
+// the owner of the cell that took it, not with the one that is asked first.
+func TestAJobIsFoundInTheCellThatTookIt(t *testing.T) {
+	r := newRig(t)
+	r.owner.err = engine.ErrNotReady
+	assert.NilError(t, r.front.Submit(context.Background(), job("j1"), queue))
+	first := r.owner
+	r.front.Local = func(asked string) Owner {
+		if asked == cell {
+			return &owner{state: work.Queued}
+		}
+		return first
+	}
+	first.err = engine.ErrUnknownJob
+	state, err := r.front.State(context.Background(), "j1", engine.Queue{Name: queue.Name, Service: "elsewhere"})
+	assert.NilError(t, err)
+	assert.Equal(t, state, work.Queued)
+}
+
+func TestTheLastCountIsGoodForAMoment(t *testing.T) {
+	r := newRig(t)
+	r.owner.count = 12
+	n, err := r.front.Waiting(context.Background(), queue)
+	assert.NilError(t, err)
+	assert.Equal(t, n, 12)
+	r.owner.err = engine.ErrNotReady
+	r.clock.now += waitingFor
+	n, err = r.front.Waiting(context.Background(), queue)
+	assert.NilError(t, err)
+	assert.Equal(t, n, 12)
+	r.clock.now += time.Millisecond
+	_, err = r.front.Waiting(context.Background(), queue)
+	var refusal *Refusal
+	assert.Assert(t, errors.As(err, &refusal))
+}
+
+func TestTheLongestPrefixLeadsToTheQueue(t *testing.T) {
+	routes := NewRoutes([]Route{
+		{Host: "h", Prefix: "/a/", Queue: "short"}, {Host: "h", Prefix: "/a/b/", Queue: "long"}, {Host: "i", Prefix: "/a/", Queue: "other"},
+	})
+	for _, c := range []struct{ host, path, queue, rest string }{
+		{"h", "/a/1", "short", "1"}, {"h", "/a/b/1", "long", "1"}, {"i", "/a/b/1", "other", "b/1"}, {"h", "/b/1", "", ""}, {"j", "/a/1", "", ""},
+	} {
+		queue, rest, ok := routes.Find(c.host, c.path)
+		assert.Equal(t, ok, c.queue != "")
+		assert.Equal(t, queue, c.queue)
+		assert.Equal(t, rest, c.rest)
+	}
+}
--- /dev/null
+++ b/internal/ownerlink/link_test.go
@@ -0,0 +1,90 @@
+package ownerlink
+
+import (
+	"context"
+	"errors"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"gotest.tools/v3/assert"
+
+	"github.com/pumicestage/pumicestage/internal/engine"
+	"github.com/pumicestage/pumicestage/policy/work"
+)
+
+// owner answers as the test says; a nil gate answers at once.
+type owner struct {
+	err  error
+	gate chan struct{}
+}
+
+func (o *owner) Submit(context.Context, *work.Job, engine.Queue) error { return o.err }
+func (o *owner) State(id work.JobID) (work.State, error) {
+	if o.gate != nil {
+		<-o.gate
+	}
+	return work.Running, o.err
+}
+func (o *owner) Cancel(context.Context, work.JobID) error { return o.err }
+func (o *owner) Waiting(string) (int, error)              { return 7, o.err }
+func (o *owner) Sync(s engine.CellSync) (engine.CellAnswer, error) {
+	return engine.CellAnswer{Taken: []bool{true}, Report: engine.CellReport{Used: float64(s.Token)}}, o.err
+}
+
+func serve(t *testing.T, o Owner) Peer {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	s := &Server{Listener: l, Log: logr.Discard(), Owner: func(cell string) Owner {
+		if cell != "a" {
+			return nil
+		}
+		return o
+	}}
+	go func() { defer close(done); s.Run(ctx) }()
+	t.Cleanup(func() { cancel(); <-done })
+	return Peer{Cell: "a", Address: l.Addr().String()}
+}
+
+func TestCallsAndTheirErrorsCrossTheLink(t *testing.T) {
+	o := &owner{}
+	p := serve(t, o)
+	c := &Client{Log: logr.Discard()}
+	ctx := context.Background()
+	state, err := c.State(ctx, p, "j1")
+	assert.NilError(t, err)
+	assert.Equal(t, state, work.Running)
+	n, err := c.Waiting(ctx, p, "q")
+	assert.NilError(t, err)
+	assert.Equal(t, n, 7)
+	a, err := c.Sync(ctx, p, engine.CellSync{Token: 9})
+	assert.NilError(t, err)
+	assert.Equal(t, a.Report.Used, 9.0)
+	for _, want := range []error{engine.ErrNotReady, engine.ErrStore, engine.ErrUncertain, engine.ErrUnknownJob} {
+		o.err = want
+		assert.Assert(t, errors.Is(c.Cancel(ctx, p, "j1"), want))
+	}
+	assert.Assert(t, errors.Is(c.Cancel(ctx, Peer{Cell: "other", Address: p.Address}, "j1"), engine.ErrNotReady))
+}
+
+// An owner is cut off. What was sent to it is uncertain, what was not sent is
+// certain, and the connection that fell silent is not used again.
+func TestACallWithoutAnAnswerIsUncertainAndOneNotSentIsNot(t *testing.T) {
+	o := &owner{gate: make(chan struct{})}
+	p := serve(t, o)
+	c := &Client{Log: logr.Discard()}
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Millisecond)
+	defer cancel()
+	_, err := c.State(ctx, p, "j1")
+	assert.Assert(t, errors.Is(err, engine.ErrUncertain))
+	close(o.gate)
+	n, err := c.Waiting(context.Background(), p, "q")
+	assert.NilError(t, err, "a new connection works")
+	assert.Equal(t, n, 7)
+	_, err = c.Waiting(context.Background(), Peer{Cell: "a", Address: "127.0.0.1:1"}, "q")
+	assert.Assert(t, errors.Is(err, ErrNotSent))
+}
