A model of take-overs and late orders; strays hold a task back; a late owner starts nothing on new workers

internal/engine/model_test.go drives the real state machine of several owners at once against workers with fences, slow clocks, lost and late orders, lost answers and deaths.

--- a/internal/engine/listing.go
+++ b/internal/engine/listing.go
@@ -20,7 +20,7 @@
 	}
 	c.workers[info.ID] = &worker{
 		info: info, inherited: c.inherited,
-		tasks: make(map[work.TaskRef]*task), strays: make(map[work.TaskRef]int),
+		tasks: make(map[work.TaskRef]*task), strays: make(map[work.TaskRef]*stray),
 	}
 }
 
@@ -93,6 +93,9 @@
 
 func (w *worker) wait() time.Duration {
 	serving, filling := false, false
+	if len(w.strays) > 0 {
+		return lookPause
+	}
 	for _, t := range w.tasks {
 		if t.state == taskDoubtful || t.state == taskStopping {
 			return lookPause
@@ -133,7 +136,7 @@
 		return
 	}
 	for _, w := range c.workers {
-		if w.missed > 0 && len(w.tasks) > 0 && w.expired(now) {
+		if w.missed > 0 && len(w.tasks)+len(w.strays) > 0 && w.expired(now) {
 			c.log.Info("leases of an unreachable worker have run out", "worker", w.info.ID, "tasks", len(w.tasks))
 			c.dropTasks(w, now)
 		}
@@ -155,6 +158,7 @@
 	} else if w.missed > 0 {
 		c.log.Info("worker answers again", "worker", id, "missed", w.missed)
 	}
+	w.unsure = (w.unsure || !w.heard) && !c.certain
 	w.heard = true
 	w.missed = 0
 	for i := range l.Ended {
@@ -169,7 +173,6 @@
 // listed compares what runs with what should.
 func (c *Core) listed(w *worker, running []Run, sent, now time.Duration) {
 	present := make(map[work.TaskRef]int, len(running))
-	clear(w.strays)
 	for i := range running {
 		present[running[i].Task] = running[i].Run
 		c.runs(w, &running[i], now)
@@ -179,26 +182,36 @@
 			c.notListed(t, sent, now)
 		}
 	}
+	for ref, s := range w.strays {
+		if _, runs := present[ref]; !runs && s.stopOK != 0 && s.stopOK < sent {
+			delete(w.strays, ref)
+		}
+	}
 }
 
 // runs takes one listed run over.
 func (c *Core) runs(w *worker, r *Run, now time.Duration) {
 	t := c.find(r.Task)
 	if t == nil || t.state == taskDone {
-		w.strays[r.Task] = r.Run
+		w.strayed(r.Task, r.Run)
 		return
 	}
-	if t.where == nil && t.run <= r.Run {
+	if t.where == nil && t.run <= r.Run || t.where != nil && t.where != w && t.run < r.Run {
 		if t.step.job.final != "" {
-			w.strays[r.Task] = r.Run
+			w.strayed(r.Task, r.Run)
 			return
 		}
-		// An earlier owner's run, or one that was thought lost.
+		// An earlier owner's run, or one that was thought lost. Of two, the
+		// higher: it was ordered after the other had been settled.
+		if t.where != nil {
+			t.where.strayed(t.ref, t.run)
+		}
 		c.log.Info("run adopted", "task", r.Task.String(), "run", r.Run, "worker", w.info.ID)
+		delete(w.strays, r.Task)
 		c.attach(t, w, r.Run, taskActive, now)
 	}
 	if t.where != w || t.run != r.Run {
-		w.strays[r.Task] = r.Run
+		w.strayed(r.Task, r.Run)
 		return
 	}
 	if t.state == taskStarting || t.state == taskDoubtful {
@@ -239,7 +252,9 @@
 
 // ended takes one end over. Its effect must be stored before it is acknowledged.
 func (c *Core) ended(w *worker, e *RunEnd, now time.Duration) {
-	delete(w.strays, e.Task)
+	if s := w.strays[e.Task]; s != nil && s.run <= e.Run {
+		delete(w.strays, e.Task)
+	}
 	c.endings++
 	w.unstored = append(w.unstored, endMark{seq: e.Seq, at: c.endings})
 	t := c.find(e.Task)
@@ -299,7 +314,7 @@
 		return
 	}
 	if t.where != nil && t.run != endedRun {
-		t.where.strays[t.ref] = t.run
+		t.where.strayed(t.ref, t.run)
 	}
 	c.release(t)
 	t.step.set(t, taskDone)
--- /dev/null
+++ b/internal/engine/model_test.go
@@ -0,0 +1,465 @@
+package engine
+
+import (
+	"cmp"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/pumicestage/pumicestage/policy/work"
+)
+
+var (
+	modelSeeds = flag.Int("model-seeds", 60, "how many seeds the model of take-overs runs")
+	modelFirst = flag.Uint64("model-first", 1, "its first seed")
+)
+
+// modelWorker is one life of a worker as the platform promises it: fences, run
+// numbers, a lease on a clock of its own that may be slow, ends listed until they
+// are acknowledged.
+type modelWorker struct {
+	id       work.WorkerID
+	slow     float64 // its clock's rate
+	born     time.Duration
+	token    int64
+	deadline time.Duration
+	running  map[work.TaskRef]int
+	highest  map[work.TaskRef]int
+	ends     []RunEnd
+	seq      int64
+	// lapsed is the last end listed before its lease last lapsed. The platform
+	// does not hold such ends against a later start: they could not be known.
+	lapsed int64
+	dead   bool
+}
+
+func (w *modelWorker) clock(now time.Duration) time.Duration {
+	return time.Second + time.Duration(float64(now-w.born)*w.slow)
+}
+
+// tasks returns what runs, in an order of its own: a seed must play the same.
+func (w *modelWorker) tasks() []work.TaskRef {
+	out := make([]work.TaskRef, 0, len(w.running))
+	for task := range w.running {
+		out = append(out, task)
+	}
+	slices.SortFunc(out, func(a, b work.TaskRef) int { return cmp.Compare(a.String(), b.String()) })
+	return out
+}
+
+func sorted[V any](m map[work.JobID]V) []work.JobID {
+	out := make([]work.JobID, 0, len(m))
+	for id := range m {
+		out = append(out, id)
+	}
+	slices.Sort(out)
+	return out
+}
+
+// modelOwner is one owner: a core, what is on its way from it, and what it reaches.
+type modelOwner struct {
+	core    *Core
+	orders  []func() // each carries one order out and may answer
+	cut     map[work.WorkerID]bool
+	retired bool // gives no orders any more
+}
+
+// model is the world around the cores.
+type model struct {
+	t       *testing.T
+	rng     *rand.Rand
+	now     time.Duration
+	workers []*modelWorker
+	owners  []*modelOwner
+	lives   int
+	token   int64
+
+	// The store.
+	commit   int64 // token of the owner that may write
+	jobs     map[work.JobID]*JobRecord
+	progress map[work.JobID]*Progress
+	ended    map[work.JobID]work.State
+
+	// What workers saw.
+	doneAcked map[work.TaskRef]bool
+	calm      bool // no more faults
+}
+
+const (
+	modelWorkers = 3
+	modelJobs    = 4
+)
+
+func newModel(t *testing.T, seed uint64) *model {
+	m := &model{
+		t: t, rng: rand.New(rand.NewPCG(seed, 1)), now: time.Hour, jobs: make(map[work.JobID]*JobRecord),
+		progress: make(map[work.JobID]*Progress), ended: make(map[work.JobID]work.State), doneAcked: make(map[work.TaskRef]bool),
+	}
+	for range modelWorkers {
+		m.newLife()
+	}
+	for i := range modelJobs {
+		id := work.JobID(fmt.Sprintf("j%d", i))
+		second := short(1)
+		second.After = []int{0}
+		m.jobs[id] = &JobRecord{Job: &work.Job{ID: id, Queue: queue, Spec: "spec", Steps: []work.Step{short(2), second}, Accepted: epoch}, Queue: Queue{Name: queue, Service: service, MaxAttempts: 50}}
+	}
+	m.takeOver(true)
+	return m
+}
+
+func (m *model) newLife() {
+	m.lives++
+	m.workers = append(m.workers, &modelWorker{
+		id: work.WorkerID(fmt.Sprintf("w%d", m.lives)), slow: 0.98 + 0.02*m.rng.Float64(), born: m.now,
+		running: make(map[work.TaskRef]int), highest: make(map[work.TaskRef]int),
+	})
+}
+
+func (m *model) chance(percent int) bool { return m.rng.IntN(100) < percent }
+
+func (m *model) current() *modelOwner { return m.owners[len(m.owners)-1] }
+
+// takeOver begins a new term. The old owner may not know for a while: it goes on
+// for the grace at most, without certainty, and reaches some of the workers.
+func (m *model) takeOver(first bool) {
+	m.token++
+	m.commit = m.token
+	for _, o := range m.owners {
+		o.core.SetCertain(false)
+		o.core.startsUntil = min(o.core.startsUntil, m.now+OwnerGrace)
+		if m.chance(40) {
+			o.retired = true // it was killed
+		}
+	}
+	b := &bench{t: m.t, now: m.now, wall: epoch}
+	o := &modelOwner{core: b.successor(m.token), cut: make(map[work.WorkerID]bool)}
+	o.core.Declare(Declared{Version: 2, Queues: map[string]Queue{queue: {Name: queue, Service: service, MaxAttempts: 50}}})
+	for _, id := range sorted(m.jobs) {
+		if m.ended[id] == "" {
+			o.core.Restore(m.jobs[id], m.progress[id], m.now, epoch)
+		}
+	}
+	o.core.Reaffirm(m.now, epoch)
+	if !first {
+		o.core.Inherit(m.now + inheritedFor())
+	}
+	for _, w := range m.workers {
+		if m.chance(25) && !first {
+			o.cut[w.id] = true
+		}
+	}
+	m.owners = append(m.owners, o)
+	m.register(o)
+}
+
+// register tells the owner which workers there are.
+func (m *model) register(o *modelOwner) {
+	var vms []work.VM
+	for _, w := range m.workers {
+		if w.dead {
+			continue
+		}
+		o.core.WorkerSeen(info(w.id))
+		vms = append(vms, vm("v-"+string(w.id), w.id))
+	}
+	o.core.SetFleet(vms)
+	o.core.endLives(m.now, m.now)
+}
+
+// step is one event of the world.
+func (m *model) step() {
+	m.now += time.Duration(m.rng.IntN(60)) * time.Millisecond
+	m.lapse()
+	o := m.owners[m.rng.IntN(len(m.owners))]
+	if m.calm {
+		o = m.current()
+	}
+	switch m.rng.IntN(10) {
+	case 0, 1:
+		m.plan(o)
+	case 2, 3, 4:
+		m.look(o, m.workers[m.rng.IntN(len(m.workers))])
+	case 5, 6:
+		m.deliver(o)
+	case 7:
+		m.finish(m.workers[m.rng.IntN(len(m.workers))])
+	case 8:
+		m.flush(o)
+	case 9:
+		m.fault()
+	}
+}
+
+func (m *model) plan(o *modelOwner) {
+	if o.retired {
+		return
+	}
+	m.register(o)
+	orders := o.core.Plan(m.now, epoch)
+	slices.SortFunc(orders.Stops, func(a, b StopOrder) int { return cmp.Compare(a.Task.String(), b.Task.String()) })
+	for _, s := range orders.Starts {
+		o.orders = append(o.orders, func() { m.start(o, s) })
+	}
+	for _, s := range orders.Stops {
+		o.orders = append(o.orders, func() { m.stop(o, s) })
+	}
+}
+
+// deliver carries one order out, in any order.
+func (m *model) deliver(o *modelOwner) {
+	if len(o.orders) == 0 {
+		return
+	}
+	i := m.rng.IntN(len(o.orders))
+	order := o.orders[i]
+	o.orders = slices.Delete(o.orders, i, i+1)
+	order()
+}
+
+func (m *model) worker(id work.WorkerID) *modelWorker {
+	i := slices.IndexFunc(m.workers, func(w *modelWorker) bool { return w.id == id })
+	if i < 0 || m.workers[i].dead {
+		return nil
+	}
+	return m.workers[i]
+}
+
+// start plays one start: lost before or after its effect, or carried out late.
+func (m *model) start(o *modelOwner, s StartOrder) {
+	w := m.worker(s.Worker.ID)
+	lost := !m.calm && m.chance(15) || o.cut[s.Worker.ID]
+	if w == nil {
+		o.core.StartAnswered(s, OutcomeOtherLife, 0, m.now)
+		return
+	}
+	if lost {
+		o.core.StartAnswered(s, OutcomeUnknown, 0, m.now)
+		if m.chance(50) {
+			o.orders = append(o.orders, func() { m.begin(w, s) })
+		}
+		return
+	}
+	out := m.begin(w, s)
+	if !m.calm && m.chance(10) {
+		out = OutcomeUnknown
+	}
+	o.core.StartAnswered(s, out, w.clock(m.now), m.now)
+}
+
+func (m *model) begin(w *modelWorker, s StartOrder) Outcome {
+	st := s.Start
+	live, runs := w.running[st.Task]
+	switch {
+	case w.dead:
+		return OutcomeOtherLife
+	case st.Token < w.token:
+		return OutcomeFenced
+	case st.Run <= w.highest[st.Task] || runs && live > st.Run:
+		return OutcomeOld
+	case st.Deadline < w.clock(m.now):
+		return OutcomeLate
+	case runs:
+		return OutcomeOK
+	}
+	w.token, w.deadline = st.Token, max(w.deadline, st.Deadline)
+	m.began(w, st.Task, st.Run)
+	w.running[st.Task] = st.Run
+	return OutcomeOK
+}
+
+// began holds the promise: no other run of the task, and none after an end as
+// done that was acknowledged.
+func (m *model) began(on *modelWorker, task work.TaskRef, run int) {
+	for _, w := range m.workers {
+		if other, runs := w.running[task]; runs && !w.dead {
+			m.t.Fatalf("%s: run %d begins on %s beside run %d on %s", task, run, on.id, other, w.id)
+		}
+	}
+	assert.Assert(m.t, !m.doneAcked[task], "%s: run %d begins after it was done and acknowledged", task, run)
+}
+
+func (m *model) stop(o *modelOwner, s StopOrder) {
+	w := m.worker(s.Worker.ID)
+	if w == nil {
+		o.core.StopAnswered(s, OutcomeOtherLife, m.now)
+		return
+	}
+	if !m.calm && m.chance(15) || o.cut[w.id] {
+		o.core.StopAnswered(s, OutcomeUnknown, m.now)
+		return
+	}
+	if m.token > 0 && w.token > o.core.token {
+		o.core.StopAnswered(s, OutcomeFenced, m.now)
+		return
+	}
+	w.token = o.core.token
+	w.highest[s.Task] = max(w.highest[s.Task], s.Run)
+	if run, runs := w.running[s.Task]; runs && run <= s.Run {
+		// It goes on for a moment after the answer.
+		o.orders = append(o.orders, func() { m.end(w, s.Task, work.Stopped) })
+	}
+	o.core.StopAnswered(s, OutcomeOK, m.now)
+}
+
+func (m *model) end(w *modelWorker, task work.TaskRef, how work.End) {
+	run, runs := w.running[task]
+	if !runs || w.dead {
+		return
+	}
+	delete(w.running, task)
+	w.highest[task] = max(w.highest[task], run)
+	w.seq++
+	w.ends = append(w.ends, RunEnd{Seq: w.seq, Task: task, Run: run, How: how})
+}
+
+// look plays one look; its answer may be lost after its effect.
+func (m *model) look(o *modelOwner, w *modelWorker) {
+	if o.retired {
+		return
+	}
+	_, h, due := o.core.HoldFor(w.id, m.now)
+	if !due {
+		return
+	}
+	switch {
+	case w.dead:
+		o.core.HoldFailed(w.id, OutcomeOtherLife, m.now)
+		return
+	case o.cut[w.id]:
+		o.core.HoldFailed(w.id, OutcomeUnknown, m.now)
+		return
+	case h.Token < w.token:
+		o.core.HoldFailed(w.id, OutcomeFenced, m.now)
+		return
+	}
+	w.token, w.deadline = h.Token, max(w.deadline, h.Deadline)
+	for len(w.ends) > 0 && w.ends[0].Seq <= h.AckedThrough {
+		if w.ends[0].How == work.Done && w.ends[0].Seq > w.lapsed {
+			m.doneAcked[w.ends[0].Task] = true
+		}
+		w.ends = w.ends[1:]
+	}
+	l := Listing{Clock: w.clock(m.now), Ended: slices.Clone(w.ends)}
+	for _, task := range w.tasks() {
+		l.Running = append(l.Running, Run{Task: task, Run: w.running[task], Percent: 1 + m.rng.IntN(90)})
+	}
+	if !m.calm && m.chance(10) {
+		o.core.HoldFailed(w.id, OutcomeUnknown, m.now)
+		return
+	}
+	o.core.HoldAnswered(w.id, h, l, m.now, m.now)
+}
+
+func (m *model) lapse() {
+	for _, w := range m.workers {
+		if w.clock(m.now) <= w.deadline {
+			continue
+		}
+		for _, task := range w.tasks() {
+			m.end(w, task, work.Lapsed)
+		}
+		w.lapsed = w.seq
+	}
+}
+
+func (m *model) finish(w *modelWorker) {
+	tasks := w.tasks()
+	if len(tasks) == 0 {
+		return
+	}
+	how := work.Done
+	if !m.calm && m.chance(20) {
+		how = work.Faulted
+	}
+	m.end(w, tasks[m.rng.IntN(len(tasks))], how)
+}
+
+// flush plays one transaction. An earlier owner's fails; an answer may be lost
+// after the effect, and the owner then stores the same again.
+func (m *model) flush(o *modelOwner) {
+	if o.retired {
+		return
+	}
+	f := o.core.TakeFlush(3)
+	if o.core.token != m.commit {
+		o.core.Flushed(f, ErrUncertain)
+		return
+	}
+	for _, ch := range f.Changes {
+		if ch.Final != "" {
+			m.ended[ch.Job] = ch.Final
+			continue
+		}
+		m.progress[ch.Job] = decodeProgress(m.t, ch)
+	}
+	if !m.calm && m.chance(10) {
+		o.core.Flushed(f, ErrUncertain)
+		return
+	}
+	o.core.Flushed(f, nil)
+}
+
+func (m *model) fault() {
+	if m.calm {
+		return
+	}
+	switch m.rng.IntN(12) {
+	case 0:
+		m.takeOver(false)
+	case 1:
+		w := m.workers[m.rng.IntN(len(m.workers))]
+		if !w.dead {
+			w.dead = true
+			m.newLife()
+		}
+	case 2, 3:
+		clear(m.current().cut)
+	}
+}
+
+// heal ends all faults: old owners have gone, everything is reached.
+func (m *model) heal() {
+	m.calm = true
+	m.takeOver(false)
+	clear(m.current().cut)
+	for _, o := range m.owners[:len(m.owners)-1] {
+		o.retired = true
+		o.orders = nil
+	}
+}
+
+func (m *model) allEnded() bool {
+	for id := range m.jobs {
+		if m.ended[id] != work.Completed {
+			return false
+		}
+	}
+	return true
+}
+
+// Owners change while orders are lost and carried out late, answers are lost
+// after their effect, workers die, clocks are slow and an owner that lost its
+// lease goes on for its grace: no task runs twice, and once it is calm every job
+// is completed.
+func TestNoTaskRunsTwiceThroughTakeOversAndLateOrders(t *testing.T) {
+	for i := range *modelSeeds {
+		seed := *modelFirst + uint64(i)
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			m := newModel(t, seed)
+			for range 1500 {
+				m.step()
+			}
+			m.heal()
+			for i := 0; i < 20000 && !m.allEnded(); i++ {
+				m.step()
+			}
+			assert.Assert(t, m.allEnded(), "states: %v", m.ended)
+		})
+	}
+}
--- a/internal/engine/orders.go
+++ b/internal/engine/orders.go
@@ -24,11 +24,13 @@
 			t.stopSent = now
 			out.Stops = append(out.Stops, StopOrder{Worker: w.info, Task: t.ref, Run: t.run})
 		}
-		for ref, run := range w.strays {
-			out.Stops = append(out.Stops, StopOrder{Worker: w.info, Task: ref, Run: run})
+		for ref, s := range w.strays {
+			if s.stopOK != 0 || s.sent != 0 && now < s.sent+stopAgain {
+				continue
+			}
+			s.sent = now
+			out.Stops = append(out.Stops, StopOrder{Worker: w.info, Task: ref, Run: s.run})
 		}
-		// A stray that runs on is listed again by the next look.
-		clear(w.strays)
 	}
 }
 
@@ -147,11 +149,17 @@
 		c.WorkerGone(o.Worker.ID, "another life answers", now)
 		return
 	}
+	answered := out == OutcomeOK || out == OutcomeOld
+	if w := c.workers[o.Worker.ID]; w != nil && answered {
+		if s := w.strays[o.Task]; s != nil && s.run <= o.Run {
+			s.stopOK = now
+		}
+	}
 	t := c.find(o.Task)
 	if t == nil || t.run != o.Run || t.where == nil || t.where.info.ID != o.Worker.ID {
 		return
 	}
-	if out == OutcomeOK || out == OutcomeOld {
+	if answered {
 		t.stopOK = now
 	}
 }
--- a/internal/engine/plan.go
+++ b/internal/engine/plan.go
@@ -203,11 +203,21 @@
 	return out
 }
 
+// hasStray reports whether a run of the task is still to be stopped somewhere.
+func (c *Core) hasStray(ref work.TaskRef) bool {
+	for _, w := range c.workers {
+		if w.strays[ref] != nil {
+			return true
+		}
+	}
+	return false
+}
+
 // planStep describes a step to the plan; nil where none of it may start yet.
 func (c *Core) planStep(s *step, workers []*taskplan.Worker, now time.Duration, out *Orders) *taskplan.Step {
 	ps := &taskplan.Step{Ref: s.ref(), Step: s.spec, OnWorker: make(map[work.WorkerID]int)}
 	for _, t := range s.tasks {
-		if t.state == taskPending && now >= t.notBefore {
+		if t.state == taskPending && now >= t.notBefore && !c.hasStray(t.ref) {
 			ps.Tasks = append(ps.Tasks, taskplan.Task{Index: t.ref.Index, Avoid: t.avoid})
 		}
 		if t.where != nil {
--- a/internal/engine/progress.go
+++ b/internal/engine/progress.go
@@ -80,7 +80,7 @@
 		jobs = append(jobs, j)
 	}
 	slices.SortFunc(jobs, func(a, b *job) int {
-		return cmp.Or(cmp.Compare(b.entries(), a.entries()), cmp.Compare(a.touched, b.touched))
+		return cmp.Or(cmp.Compare(b.entries(), a.entries()), cmp.Compare(a.touched, b.touched), cmp.Compare(a.ID, b.ID))
 	})
 	f := Flush{touched: make(map[work.JobID]int64)}
 	for _, j := range jobs {
--- a/internal/engine/worker.go
+++ b/internal/engine/worker.go
@@ -48,6 +48,9 @@
 type worker struct {
 	info  WorkerInfo
 	heard bool // it answered a look that carried our token
+	// unsure: it was first heard while a later owner could exist, which does
+	// not count it among the workers that may run something of ours.
+	unsure bool
 	gone  bool // certain: this life is over
 
 	clock    time.Duration // the worker's clock ...
@@ -59,8 +62,9 @@
 
 	tasks      map[work.TaskRef]*task
 	emptySince time.Duration // when its last task left
-	// strays are runs it lists that must not go on.
-	strays map[work.TaskRef]int
+	// strays are runs there that must not go on. A task does not start anywhere
+	// while one of its runs is a stray somewhere.
+	strays map[work.TaskRef]*stray
 
 	seen, stored, acked int64     // ends taken in, stored, acknowledged
 	unstored            []endMark // of the ends between seen and stored
@@ -72,6 +76,21 @@
 	full                bool // it refused for want of room since its last end
 }
 
+// stray is a run that is to be stopped and is no task's present run.
+type stray struct {
+	run    int
+	sent   time.Duration // last stop; 0: none yet
+	stopOK time.Duration // when a stop was answered; 0: not yet
+}
+
+// strayed notes a run that must not go on.
+func (w *worker) strayed(ref work.TaskRef, run int) {
+	if s := w.strays[ref]; s != nil && s.run >= run {
+		return
+	}
+	w.strays[ref] = &stray{run: run}
+}
+
 // endMark places an end of the worker among those of all workers.
 type endMark struct {
 	seq int64 // of the worker's ends
@@ -176,7 +195,7 @@
 }
 
 func (w *worker) closed(now time.Duration) bool {
-	return w.doubted() || !w.heard || w.gone || w.info.Draining || w.cordon.Kind != Open || w.missed > 0 ||
+	return w.doubted() || w.unsure || !w.heard || w.gone || w.info.Draining || w.cordon.Kind != Open || w.missed > 0 ||
 		w.full || now < w.closedUntil || now < w.strikes.until || len(w.strays) > 0
 }
 
