--- a/internal/engine/worker.go
+++ b/internal/engine/worker.go
@@ -51,7 +51,7 @@
 	// unsure: it was first heard while a later owner could exist, which does
 	// not count it among the workers that may run something of ours.
 	unsure bool
-	gone  bool // certain: this life is over
+	gone   bool // certain: this life is over
 
 	clock    time.Duration // the worker's clock ...
 	clockAt  time.Duration // ... when we got the answer that told it; 0: never
