--- a/internal/engine/core.go
+++ b/internal/engine/core.go
@@ -31,6 +31,7 @@
 	open     []*job // not ended, oldest first
 	workers  map[work.WorkerID]*worker
 	over     map[work.WorkerID]bool // lives that have ended; an ID never comes back
+	stale    []staleJob             // ended jobs, oldest first
 	learned  durations
 	sizes    map[string]*meanSize
 	arrivals []arrival // of late
--- a/internal/engine/core_test.go
+++ b/internal/engine/core_test.go
@@ -564,3 +564,20 @@
 	b.look("late", Listing{})
 	assert.Assert(t, len(b.plan().Starts) > 0)
 }
+
+// A daemon's memory grows for as long as it owns a cell, until it is killed.
+func TestEndedJobsAreForgottenAfterAWhile(t *testing.T) {
+	b := newBench(t)
+	b.worker("w1")
+	b.accept("j1", short(1))
+	o := b.plan()
+	b.answer(o, OutcomeOK)
+	b.look("w1", Listing{Ended: []RunEnd{ended(1, o.Starts[0], work.Done)}})
+	b.flush()
+	b.now += keepEnded / 2
+	b.plan()
+	assert.Assert(t, b.core.Known("j1"))
+	b.now += keepEnded
+	b.plan()
+	assert.Assert(t, !b.core.Known("j1"))
+}
--- a/internal/engine/plan.go
+++ b/internal/engine/plan.go
@@ -53,6 +53,7 @@
 	if c.deposed || now > c.startsUntil {
 		return out
 	}
+	c.forgetEnded(now)
 	c.openOccurrences(now, wall)
 	c.Expire(now)
 	c.stragglers(now)
--- a/internal/engine/progress.go
+++ b/internal/engine/progress.go
@@ -182,11 +182,48 @@
 		f(nil)
 	}
 	j.onEnd = nil
+	c.stale = append(c.stale, staleJob{id: j.ID, at: c.now})
 	// What still runs is stopped as strays or by its own stop orders; the
 	// tasks are kept until their workers have ended them.
 	j.Spec = ""
 }
 
+// keepEnded is how long an ended job is kept in memory. Callers ask for states
+// mostly right after the end; later ones are answered from the store.
+const keepEnded = 3 * time.Minute
+
+// staleJob is a job that ended, and when that was stored.
+type staleJob struct {
+	id work.JobID
+	at time.Duration
+}
+
+// forgetEnded drops jobs that ended long ago: a term may last for weeks.
+func (c *Core) forgetEnded(now time.Duration) {
+	for len(c.stale) > 0 && now > c.stale[0].at+keepEnded {
+		id := c.stale[0].id
+		c.stale = c.stale[1:]
+		if c.stillRuns(id) {
+			c.stale = append(c.stale, staleJob{id: id, at: now})
+			continue
+		}
+		delete(c.jobs, id)
+	}
+}
+
+// stillRuns reports whether a worker has something of the job. Its tasks are
+// needed until they are certain to be over: they hold room there.
+func (c *Core) stillRuns(id work.JobID) bool {
+	for _, w := range c.workers {
+		for ref := range w.tasks {
+			if ref.Job == id {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // Restore adds a job that was accepted before this owner took over.
 func (c *Core) Restore(r *JobRecord, p *Progress, now time.Duration, wall time.Time) {
 	if c.jobs[r.Job.ID] != nil {
