A cell claims only what it knows to be empty, under a certain lease

Read in the diff: a cell's owner that had just taken over, or had lost its lease unknowingly, granted the fleet's owner a worker that it did not know or had not heard: the VM would have been taken under running tasks.

--- a/internal/engine/cell.go
+++ b/internal/engine/cell.go
@@ -74,12 +74,13 @@
 }
 
 // Sync carries the fleet owner's orders out and reports. An earlier owner of
-// the fleet is refused.
+// the fleet is refused. So is everyone while a later owner of this cell can exist:
+// what is empty by our books may be in use by its.
 func (e *Engine) Sync(s CellSync) (CellAnswer, error) {
 	now := e.Clock.Now()
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if !e.restored || s.Token < e.fleetToken {
+	if !e.restored || s.Token < e.fleetToken || !e.Term.Certain() {
 		return CellAnswer{}, ErrNotReady
 	}
 	e.fleetToken = s.Token
@@ -97,9 +98,7 @@
 func (c *Core) obey(o CellOrder, token int64, now time.Duration) bool {
 	w := c.workers[o.Worker]
 	if w == nil {
-		// Nothing runs on a worker that is not known: its VM is parked, or its
-		// life is over.
-		return o.Kind != OrderEvict
+		return o.Kind == OrderGone || o.Kind == OrderOpen
 	}
 	switch o.Kind {
 	case OrderVacate:
@@ -107,7 +106,9 @@
 	case OrderEvict:
 		c.evict(w)
 	case OrderClaim:
-		if len(w.tasks)+len(w.strays) > 0 {
+		// An owner that has just taken over knows a worker before it knows
+		// what runs there.
+		if !w.heard || w.missed > 0 || len(w.tasks)+len(w.strays) > 0 {
 			return false
 		}
 		c.setCordon(w, Cordon{Kind: Claimed, Token: token})
--- a/internal/engine/core_test.go
+++ b/internal/engine/core_test.go
@@ -581,3 +581,18 @@
 	b.plan()
 	assert.Assert(t, !b.core.Known("j1"))
 }
+
+// Maintenance ends tasks that a new owner of the cell had not heard of yet. It
+// claims nothing of what it does not know, or can't reach.
+func TestOnlyWhatIsKnownToBeEmptyIsClaimed(t *testing.T) {
+	b := newBench(t)
+	claim := CellOrder{Kind: OrderClaim, Worker: "w1"}
+	assert.Assert(t, !b.core.obey(claim, token, b.now), "not registered here")
+	b.core.WorkerSeen(info("w1"))
+	assert.Assert(t, !b.core.obey(claim, token, b.now), "not heard yet")
+	b.look("w1", Listing{})
+	b.core.HoldFailed("w1", OutcomeUnknown, b.now)
+	assert.Assert(t, !b.core.obey(claim, token, b.now), "does not answer")
+	b.look("w1", Listing{})
+	assert.Assert(t, b.core.obey(claim, token, b.now))
+}
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -94,7 +94,7 @@
 	}
 	e.core = NewCore(o.Cell, o.Term.Token(), o.Bounds, o.Log.WithName("core"))
 	e.writer = writer{engine: e}
-	e.lives = &lives{engine: e, kick: make(chan struct{}, 1)}
+	e.lives = &lives{engine: e}
 	return e
 }
 
--- a/internal/engine/inbox_test.go
+++ b/internal/engine/inbox_test.go
@@ -76,3 +76,17 @@
 	assert.NilError(t, err)
 	assert.Assert(t, kv.ModRevision != 0, "the note is the successor's")
 }
+
+// A VM is maintained under running tasks. The owner of its cell had lost its lease
+// and answered the fleet's owner from old books, while its successor used the VM.
+func TestAnOwnerThatIsNotCertainAnswersNothingToTheFleet(t *testing.T) {
+	term := &fakeTerm{certain: true}
+	e, _ := newEngine(t, term)
+	_, err := e.Sync(CellSync{Token: 3})
+	assert.NilError(t, err)
+	_, err = e.Sync(CellSync{Token: 2})
+	assert.Assert(t, err != nil, "an earlier owner of the fleet")
+	term.certain = false
+	_, err = e.Sync(CellSync{Token: 3})
+	assert.Assert(t, err != nil)
+}
--- a/internal/engine/lives.go
+++ b/internal/engine/lives.go
@@ -7,10 +7,7 @@
 
 // lives reads from the platform's list of VMs which workers are over: at the
 // take-over, and while a worker does not answer. A list is one priced call.
-type lives struct {
-	engine *Engine
-	kick   chan struct{}
-}
+type lives struct{ engine *Engine }
 
 const (
 	// livesEvery separates lists while there is reason to read them.
--- a/internal/engine/session.go
+++ b/internal/engine/session.go
@@ -134,11 +134,9 @@
 		e.core.HoldFailed(s.id, out, e.Clock.Now())
 	}
 	e.mu.Unlock()
-	if out != OutcomeOK || len(l.Ended) > 0 || !sameQuiet(l, h) {
+	// An answer that came because its time was up brings nothing to plan on.
+	if out != OutcomeOK || len(l.Ended) > 0 || h.Wait <= lookPause {
 		kick(e.planKick)
 	}
 	return out == OutcomeOK
 }
-
-// sameQuiet reports whether the answer brought nothing to plan on.
-func sameQuiet(l Listing, h Hold) bool { return len(l.Ended) == 0 && h.Wait > lookPause }
