Calls that time out reset their connections

Orders for VMs also ask for a certain lease right before they leave. Ruled out: a term that lived on (its lease had lapsed, and a pass orders nothing without certainty).

--- a/internal/fleetowner/orders.go
+++ b/internal/fleetowner/orders.go
@@ -158,6 +158,13 @@
 	}
 	slices.Sort(ids)
 	for _, id := range ids {
-		f.wg.Go(func() { do(id, booked[id]) })
+		f.wg.Go(func() {
+			// Asked again right before it leaves: claims took a while.
+			if !f.Term.Certain() {
+				f.outcome(context.Background(), id, booked[id], engine.VMLater)
+				return
+			}
+			do(id, booked[id])
+		})
 	}
 }
--- a/internal/infra/httpcall/httpcall.go
+++ b/internal/infra/httpcall/httpcall.go
@@ -115,11 +115,31 @@
 		Enable: true, Idle: keepAliveIdle, Interval: keepAliveProbe, Count: keepAliveCount,
 	}}
 	return &http.Client{Transport: &http.Transport{
-		DialContext: d.DialContext, TLSClientConfig: config, TLSHandshakeTimeout: DefaultTimeout,
+		DialContext: resetting(d.DialContext), TLSClientConfig: config, TLSHandshakeTimeout: DefaultTimeout,
 		MaxIdleConnsPerHost: idleConns, IdleConnTimeout: idleTimeout,
 	}}
 }
 
+// resetting makes connections that are reset when they are closed. A call that
+// timed out behind a partition still lies in the kernel's buffer; after an orderly
+// close it would be delivered as the partition heals, seconds later, beside what
+// has been ordered since. A reset drops it.
+func resetting(dial func(ctx context.Context, network, address string) (net.Conn, error)) func(ctx context.Context, network, address string) (net.Conn, error) {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		c, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		if tcp, ok := c.(*net.TCPConn); ok {
+			if err := tcp.SetLinger(0); err != nil {
+				c.Close()
+				return nil, err
+			}
+		}
+		return c, nil
+	}
+}
+
 // Do sends the call to one endpoint after the other until one answers. A write
 // moves on only where it certainly was not sent: a second copy could take
 // effect after the first. Errors are *infra.Error.
