--- a/internal/engine/core_test.go
+++ b/internal/engine/core_test.go
@@ -53,7 +53,7 @@
 	return WorkerInfo{ID: id, Service: service, Address: string(id) + ":80", Capacity: work.Resources{MilliCPU: 8000, MemoryMB: 16000}, Labels: []string{"a", "r1"}}
 }
 
-// look has the worker answer a look that is sent and answered now.
+// look has the worker answer a poll that is sent and answered now.
 func (b *bench) look(id work.WorkerID, l Listing) Hold {
 	b.t.Helper()
 	b.now += time.Millisecond
@@ -156,7 +156,7 @@
 	b.accept("j1", short(1))
 	o := b.plan()
 	b.answer(o, OutcomeUnknown)
-	assert.Equal(t, len(b.plan().Stops), 0, "a look tells first whether it runs")
+	assert.Equal(t, len(b.plan().Stops), 0, "a poll tells first whether it runs")
 	b.look("w1", Listing{})
 	stop := b.plan()
 	assert.Equal(t, len(stop.Stops), 1)
@@ -171,7 +171,7 @@
 	assert.Assert(t, again.Starts[0].Start.Run > o.Starts[0].Start.Run)
 }
 
-// The same lost answer, but the worker has begun the task: a look shows it, and
+// The same lost answer, but the worker has begun the task: a poll shows it, and
 // the work is kept.
 func TestAStartWithoutAnswerThatIsListedGoesOn(t *testing.T) {
 	b := newBench(t)
@@ -512,7 +512,7 @@
 	b.accept("j2", short(1))
 	assert.Equal(t, len(b.plan().Starts), 0)
 	b.look("dark", Listing{})
-	assert.Equal(t, len(b.plan().Starts), 1, "a look was answered")
+	assert.Equal(t, len(b.plan().Starts), 1, "a poll was answered")
 }
 
 // A task runs beside itself after a take-over: two runs of it are listed, the
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -37,7 +37,7 @@
 type Term interface {
 	// Token is the fencing token of all orders of the term.
 	Token() int64
-	// AllowedUntil is until when orders may be given without another look at
+	// AllowedUntil is until when orders may be given without another check of
 	// the lease, on the engine's clock.
 	AllowedUntil() time.Duration
 	// Certain reports whether no other owner can exist now.
--- a/internal/engine/job.go
+++ b/internal/engine/job.go
@@ -34,7 +34,7 @@
 	checkpoint string
 	savedRun   int // the run the checkpoint is of
 	percent    int
-	listedAt   time.Duration // when a look last told its percent
+	listedAt   time.Duration // when a poll last told its percent
 	movedAt    time.Duration // when percent last rose
 	gauge      int
 	pace       int // percent of its share it may use; 100 at its start
--- a/internal/engine/listing.go
+++ b/internal/engine/listing.go
@@ -66,7 +66,7 @@
 	c.requeue(t)
 }
 
-// HoldFor returns the next look at the worker, or false where none is needed.
+// HoldFor returns the next poll of the worker, or false where none is needed.
 func (c *Core) HoldFor(id work.WorkerID, now time.Duration) (WorkerInfo, Hold, bool) {
 	w := c.workers[id]
 	if w == nil || w.gone || now > c.startsUntil {
@@ -94,11 +94,11 @@
 func (w *worker) wait() time.Duration {
 	serving, filling := false, false
 	if len(w.strays) > 0 {
-		return lookPause
+		return pollPause
 	}
 	for _, t := range w.tasks {
 		if t.state == taskDoubtful || t.state == taskStopping {
-			return lookPause
+			return pollPause
 		}
 		serving = serving || t.step.spec.Serving()
 		filling = filling || t.step.spec.Fill
@@ -106,10 +106,10 @@
 	if serving && filling {
 		return serveWait
 	}
-	return lookWait
+	return pollWait
 }
 
-// HoldFailed notes a look that was not answered.
+// HoldFailed notes a poll that was not answered.
 func (c *Core) HoldFailed(id work.WorkerID, o Outcome, now time.Duration) {
 	w := c.workers[id]
 	if w == nil {
@@ -143,7 +143,7 @@
 	}
 }
 
-// HoldAnswered takes a worker's answer over. sent is when the look was sent and
+// HoldAnswered takes a worker's answer over. sent is when the poll was sent and
 // h what it carried.
 func (c *Core) HoldAnswered(id work.WorkerID, h Hold, l Listing, sent, now time.Duration) {
 	w := c.workers[id]
@@ -228,7 +228,7 @@
 }
 
 // notListed handles a task that should be there by our books and is neither
-// listed as running nor as ended. A look that left before the worker answered
+// listed as running nor as ended. A poll that left before the worker answered
 // the start proves nothing: answers overtake each other.
 func (c *Core) notListed(t *task, sent, now time.Duration) {
 	switch t.state {
--- a/internal/engine/metrics.go
+++ b/internal/engine/metrics.go
@@ -10,7 +10,7 @@
 type Metrics struct {
 	Starts *expvar.Map // by outcome
 	Stops  *expvar.Map
-	Looks  *expvar.Map
+	Polls  *expvar.Map
 	Txns   *expvar.Map
 	VMs    *expvar.Map // orders for VMs, by kind
 }
@@ -18,7 +18,7 @@
 // NewMetrics returns counters, not published yet.
 func NewMetrics() *Metrics {
 	m := func() *expvar.Map { return new(expvar.Map).Init() }
-	return &Metrics{Starts: m(), Stops: m(), Looks: m(), Txns: m(), VMs: m()}
+	return &Metrics{Starts: m(), Stops: m(), Polls: m(), Txns: m(), VMs: m()}
 }
 
 var outcomeNames = map[Outcome]string{
@@ -42,9 +42,9 @@
 	}
 }
 
-func (m *Metrics) look(o Outcome) {
+func (m *Metrics) poll(o Outcome) {
 	if m != nil {
-		m.Looks.Add(o.String(), 1)
+		m.Polls.Add(o.String(), 1)
 	}
 }
 
--- a/internal/engine/model_test.go
+++ b/internal/engine/model_test.go
@@ -318,7 +318,7 @@
 	w.ends = append(w.ends, RunEnd{Seq: w.seq, Task: task, Run: run, How: how})
 }
 
-// look plays one look; its answer may be lost after its effect.
+// look plays one poll; its answer may be lost after its effect.
 func (m *model) look(o *modelOwner, w *modelWorker) {
 	if o.retired {
 		return
--- a/internal/engine/orders.go
+++ b/internal/engine/orders.go
@@ -119,7 +119,7 @@
 // Pauses of a worker after it refused a start.
 const (
 	refusedPause = 500 * time.Millisecond // unhealthy: others first
-	latePause    = 20 * time.Millisecond  // its clock was misjudged; a look corrects that
+	latePause    = 20 * time.Millisecond  // its clock was misjudged; a poll corrects that
 )
 
 // notStarted handles a start that certainly did not happen.
@@ -128,7 +128,7 @@
 	switch out {
 	case OutcomeNoRoom:
 		w.full = true
-		w.closedUntil = now + lookPause
+		w.closedUntil = now + pollPause
 	case OutcomeRefused, OutcomeNotSent:
 		w.closedUntil = now + refusedPause
 	case OutcomeLate:
--- a/internal/engine/session.go
+++ b/internal/engine/session.go
@@ -7,7 +7,7 @@
 	"github.com/pumicestage/pumicestage/policy/work"
 )
 
-// Connections to one worker: one for looks, which occupy theirs while they
+// Connections to one worker: one for polls, which occupy theirs while they
 // wait, and some for orders. New connections are dear at one deployment.
 const orderSlots = 3
 
@@ -30,7 +30,7 @@
 	return e.sessions[id]
 }
 
-// startSessions starts the look loops of new workers. The engine's context is
+// startSessions starts the poll loops of new workers. The engine's context is
 // the one of its term.
 func (e *Engine) startSessions() {
 	e.mu.Lock()
@@ -49,7 +49,7 @@
 	}
 }
 
-// wakeAll lets idle sessions look whether there is something to do.
+// wakeAll lets idle sessions check whether there is something to do.
 func (e *Engine) wakeAll() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -70,10 +70,10 @@
 	})
 }
 
-// failedPause separates looks at a worker that does not answer.
+// failedPause separates polls of a worker that does not answer.
 const failedPause = 150 * time.Millisecond
 
-// run looks at the worker for as long as something is or may be there.
+// run polls the worker for as long as something is or may be there.
 func (s *session) run(ctx context.Context) {
 	e := s.engine
 	for ctx.Err() == nil {
@@ -92,15 +92,15 @@
 			s.idle(ctx)
 			continue
 		}
-		pause := lookPause
-		if !s.look(ctx, &info, h) {
+		pause := pollPause
+		if !s.poll(ctx, &info, h) {
 			pause = failedPause
 		}
 		sleep(ctx, pause)
 	}
 }
 
-// idleEvery looks again at whether there is something to do, should a wake-up
+// idleEvery checks again whether there is something to do, should a wake-up
 // have been missed while orders were not allowed.
 const idleEvery = 1 * time.Second
 
@@ -114,19 +114,19 @@
 	}
 }
 
-func (s *session) look(ctx context.Context, info *WorkerInfo, h Hold) bool {
+func (s *session) poll(ctx context.Context, info *WorkerInfo, h Hold) bool {
 	e := s.engine
 	if !e.allowed() {
 		return false
 	}
 	sent := e.Clock.Now()
-	call, cancel := context.WithTimeout(ctx, h.Wait+lookTimeout)
+	call, cancel := context.WithTimeout(ctx, h.Wait+pollTimeout)
 	l, out := e.Workers.Hold(call, info, h)
 	cancel()
 	if ctx.Err() != nil {
 		return false
 	}
-	e.Metrics.look(out)
+	e.Metrics.poll(out)
 	e.mu.Lock()
 	if out == OutcomeOK {
 		e.core.HoldAnswered(s.id, h, l, sent, e.Clock.Now())
@@ -135,7 +135,7 @@
 	}
 	e.mu.Unlock()
 	// An answer that came because its time was up brings nothing to plan on.
-	if out != OutcomeOK || len(l.Ended) > 0 || h.Wait <= lookPause {
+	if out != OutcomeOK || len(l.Ended) > 0 || h.Wait <= pollPause {
 		kick(e.planKick)
 	}
 	return out == OutcomeOK
--- a/internal/engine/straggler.go
+++ b/internal/engine/straggler.go
@@ -36,7 +36,7 @@
 	}
 }
 
-// progressOf describes the task as the last look showed it: its percentage is of
+// progressOf describes the task as the last poll showed it: its percentage is of
 // then, and may be a second old.
 func (c *Core) progressOf(t *task) straggler.Task {
 	return straggler.Task{
--- a/internal/engine/worker.go
+++ b/internal/engine/worker.go
@@ -12,7 +12,7 @@
 // Lease times. A worker kills what it runs when its lease ends, and a task may
 // start elsewhere only once that is certain.
 const (
-	// LeaseAhead is how far each look extends a worker's lease. Looks come
+	// LeaseAhead is how far each poll extends a worker's lease. Polls come
 	// every second at most, so at least three seconds are left when the owner
 	// dies; a successor has been measured to hold all workers two seconds
 	// after. Longer would delay the restart of what an unreachable worker ran.
@@ -28,26 +28,26 @@
 	expirySlack = 100 * time.Millisecond
 )
 
-// Pace of looks at workers.
+// Pace of polls.
 const (
-	// lookWait is how long a worker may hold an answer back for an end. It is
+	// pollWait is how long a worker may hold an answer back for an end. It is
 	// also the longest time between extensions of a lease.
-	lookWait = 1 * time.Second
-	// lookPause is the least time between two looks at one worker. Ends of
-	// short tasks come many a second; each look is priced and costs processor
+	pollWait = 1 * time.Second
+	// pollPause is the least time between two polls of one worker. Ends of
+	// short tasks come many a second; each poll is priced and costs processor
 	// time, and a step loses at most this much between its tasks.
-	lookPause = 30 * time.Millisecond
-	// serveWait replaces lookWait where fill tasks run beside serving ones, so
+	pollPause = 30 * time.Millisecond
+	// serveWait replaces pollWait where fill tasks run beside serving ones, so
 	// that pacing follows within a second.
 	serveWait = 400 * time.Millisecond
-	// lookTimeout is how long an answer may take beyond the wait asked for.
-	lookTimeout = 900 * time.Millisecond
+	// pollTimeout is how long an answer may take beyond the wait asked for.
+	pollTimeout = 900 * time.Millisecond
 )
 
 // worker is one worker of ours.
 type worker struct {
 	info  WorkerInfo
-	heard bool // it answered a look that carried our token
+	heard bool // it answered a poll that carried our token
 	// unsure: it was first heard while a later owner could exist, which does
 	// not count it among the workers that may run something of ours.
 	unsure bool
@@ -68,7 +68,7 @@
 
 	seen, stored, acked int64     // ends taken in, stored, acknowledged
 	unstored            []endMark // of the ends between seen and stored
-	missed              int       // looks without an answer since the last
+	missed              int       // polls without an answer since the last
 	closedUntil         time.Duration
 	strikes             strikes
 	slowness            straggler.Slowness
@@ -179,7 +179,7 @@
 	return out
 }
 
-// doubtLimit is how many starts without an answer close a worker until a look is
+// doubtLimit is how many starts without an answer close a worker until a poll is
 // answered. One may be lost on the way; more, and the worker has stopped
 // answering: what else is sent to it waits for a timeout each.
 const doubtLimit = 2
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -35,7 +35,7 @@
 		expvar.Publish("request_us", expvar.Func(m.quantiles))
 		expvar.Publish("starts", m.engine.Starts)
 		expvar.Publish("stops", m.engine.Stops)
-		expvar.Publish("looks", m.engine.Looks)
+		expvar.Publish("polls", m.engine.Polls)
 		expvar.Publish("store_txns", m.engine.Txns)
 		expvar.Publish("vm_orders", m.engine.VMs)
 	})
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -36,7 +36,7 @@
 	memoryShare = 0.75
 )
 
-// Times of a graceful shutdown. The balancer takes two misses of a look a
+// Times of a graceful shutdown. The balancer takes two misses of a probe a
 // second to send new connections elsewhere; until then they must be answered.
 const (
 	unreadyFor  = 2600 * time.Millisecond
