Engine tests by subject; words with a second meaning

Change: harness, takeover and claim tests in files of their own; rig.running sets the doubled scene; the five files name the characters.

--- a/internal/config/values.go
+++ b/internal/config/values.go
@@ -11,7 +11,7 @@
 
 // nameRule says in words what validName takes. Names become parts of store
 // keys and words of the command language.
-const nameRule = "1 to 63 letters, digits, '-', '_' or '.', starting with a letter or digit"
+const nameRule = "1 to 63 of a-z, A-Z, 0-9, '-', '_' or '.', starting with none of the last three"
 
 const maxNameLength = 63
 
@@ -30,8 +30,8 @@
 		return false
 	}
 	for i, r := range s {
-		letter := r >= 'a' && r <= 'z' || r >= 'A' && r <= 'Z' || r >= '0' && r <= '9'
-		if letter || i > 0 && strings.ContainsRune("-_.", r) {
+		alnum := r >= 'a' && r <= 'z' || r >= 'A' && r <= 'Z' || r >= '0' && r <= '9'
+		if alnum || i > 0 && strings.ContainsRune("-_.", r) {
 			continue
 		}
 		return false
--- /dev/null
+++ b/internal/engine/claim_test.go
@@ -0,0 +1,65 @@
+package engine
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/pumicestage/pumicestage/policy/work"
+)
+
+// A task is cut by a move. The decision saw the VM empty, and a task was started
+// before the order: the claim of the VM and the start are one after the other at
+// the cell's owner, so one of them loses.
+func TestAWorkerInUseIsNotClaimedAndAClaimedOneGetsNothing(t *testing.T) {
+	b := newRig(t)
+	b.worker("w1")
+	b.accept("j1", short(1))
+	o := b.plan()
+	claim := CellOrder{Kind: OrderClaim, Worker: "w1"}
+	assert.Assert(t, !b.core.obey(claim, token, b.now))
+	b.answer(o, OutcomeOK)
+	b.look("w1", Listing{Ended: []RunEnd{ended(1, o.Starts[0], work.Done)}})
+	assert.Assert(t, b.core.obey(claim, token, b.now))
+	b.accept("j2", short(1))
+	assert.Equal(t, len(b.plan().Starts), 0)
+	b.core.obey(CellOrder{Kind: OrderOpen, Worker: "w1"}, token, b.now)
+	assert.Equal(t, len(b.plan().Starts), 1)
+}
+
+// The operator sees a wave that is late: a lasting task can't leave its VM, as
+// every other VM has one of its step. The cell tells that it is short of a VM.
+func TestACellThatCannotEmptyAVMIsShortOfOne(t *testing.T) {
+	b := newRig(t)
+	b.worker("w1")
+	b.worker("w2")
+	b.accept("j1", lasting(2))
+	o := b.plan()
+	b.answer(o, OutcomeOK)
+	for _, s := range o.Starts {
+		r := run(s)
+		r.Percent = fullPercent
+		b.look(s.Worker.ID, Listing{Running: []Run{r}})
+	}
+	assert.Equal(t, b.core.report(b.now).Short, 0)
+	b.core.obey(CellOrder{Kind: OrderVacate, Worker: o.Starts[0].Worker.ID}, token, b.now)
+	assert.Equal(t, len(b.plan().Stops), 0)
+	assert.Equal(t, b.core.report(b.now).Short, 1)
+	b.worker("w3")
+	assert.Equal(t, len(b.plan().Stops), 1)
+}
+
+// Maintenance ends tasks that a new owner of the cell had not heard of yet. It
+// claims nothing of what it does not know, or can't reach.
+func TestOnlyWhatIsKnownToBeEmptyIsClaimed(t *testing.T) {
+	b := newRig(t)
+	claim := CellOrder{Kind: OrderClaim, Worker: "w1"}
+	assert.Assert(t, !b.core.obey(claim, token, b.now), "not registered here")
+	b.core.WorkerSeen(info("w1"))
+	assert.Assert(t, !b.core.obey(claim, token, b.now), "not heard yet")
+	b.look("w1", Listing{})
+	b.core.HoldFailed("w1", OutcomeUnknown, b.now)
+	assert.Assert(t, !b.core.obey(claim, token, b.now), "does not answer")
+	b.look("w1", Listing{})
+	assert.Assert(t, b.core.obey(claim, token, b.now))
+}
--- /dev/null
+++ b/internal/engine/harness_test.go
@@ -0,0 +1,112 @@
+package engine
+
+import (
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"github.com/pumicestage/pumicestage/policy/work"
+)
+
+// rig is a core with a clock of its own and workers that do as the test says.
+type rig struct {
+	t    *testing.T
+	core *Core
+	now  time.Duration
+	wall time.Time
+}
+
+const (
+	service = "weighting"
+	queue   = "weights"
+	token   = 7
+)
+
+var epoch = time.Date(2026, 5, 4, 8, 0, 0, 0, time.UTC)
+
+func newRig(t *testing.T) *rig {
+	b := &rig{t: t, now: time.Hour, wall: epoch}
+	b.core = b.successor(token)
+	return b
+}
+
+// successor returns a core of another owner under the token.
+func (b *rig) successor(token int64) *Core {
+	c := NewCore(service, token, Bounds{MaxHold: 10 * time.Second, PaceDelay: 100 * time.Millisecond}, logr.Discard())
+	c.Declare(Declared{
+		Queues:   map[string]Queue{queue: {Name: queue, Service: service, MaxAttempts: 3, Stretch: 1.6, Slack: 600 * time.Millisecond}},
+		Services: map[string]Service{service: {Name: service}},
+	})
+	c.AllowUntil(b.now + time.Hour)
+	c.SetCertain(true)
+	return c
+}
+
+func (b *rig) worker(id work.WorkerID) {
+	b.core.WorkerSeen(info(id))
+	b.look(id, Listing{})
+}
+
+func info(id work.WorkerID) WorkerInfo {
+	return WorkerInfo{ID: id, Service: service, Address: string(id) + ":80", Capacity: work.Resources{MilliCPU: 8000, MemoryMB: 16000}, Labels: []string{"a", "r1"}}
+}
+
+// look has the worker answer a poll that is sent and answered now.
+func (b *rig) look(id work.WorkerID, l Listing) Hold {
+	b.t.Helper()
+	b.now += time.Millisecond
+	_, h, _ := b.core.HoldFor(id, b.now)
+	l.Clock = b.now
+	b.core.HoldAnswered(id, h, l, b.now, b.now)
+	return h
+}
+
+func (b *rig) accept(id work.JobID, steps ...work.Step) {
+	b.core.Accept(&work.Job{ID: id, Queue: queue, Spec: "spec", Steps: steps, Accepted: b.wall}, b.core.declared.Queues[queue], b.now)
+}
+
+func (b *rig) plan() Orders {
+	b.now += time.Millisecond
+	return b.core.Plan(b.now, b.wall)
+}
+
+// running has job j1 with that step running on the workers, and returns the orders.
+func (b *rig) running(step work.Step, workers ...work.WorkerID) Orders {
+	for _, id := range workers {
+		b.worker(id)
+	}
+	b.accept("j1", step)
+	o := b.plan()
+	b.answer(o, OutcomeOK)
+	return o
+}
+
+// answer gives every start the outcome.
+func (b *rig) answer(o Orders, out Outcome) {
+	for _, s := range o.Starts {
+		b.now += time.Millisecond
+		b.core.StartAnswered(s, out, b.now, b.now)
+	}
+}
+
+func (b *rig) flush() {
+	f := b.core.TakeFlush(100)
+	b.core.Flushed(f, nil)
+}
+
+func short(count int) work.Step {
+	return work.Step{Count: count, Size: work.Resources{MilliCPU: 2000, MemoryMB: 1000}, Estimate: time.Second}
+}
+
+func lasting(count int) work.Step {
+	s := short(count)
+	s.Lasting, s.AntiAffinity, s.MaxUnavailable = true, 1, 1
+	return s
+}
+
+func run(s StartOrder) Run { return Run{Task: s.Start.Task, Run: s.Start.Run} }
+
+func ended(seq int64, s StartOrder, how work.End) RunEnd {
+	return RunEnd{Seq: seq, Task: s.Start.Task, Run: s.Start.Run, How: how}
+}
--- a/internal/engine/model_test.go
+++ b/internal/engine/model_test.go
@@ -137,7 +137,7 @@
 			o.retired = true // it was killed
 		}
 	}
-	b := &bench{t: m.t, now: m.now, wall: epoch}
+	b := &rig{t: m.t, now: m.now, wall: epoch}
 	o := &modelOwner{core: b.successor(m.token), cut: make(map[work.WorkerID]bool)}
 	o.core.Declare(Declared{Version: 2, Queues: map[string]Queue{queue: {Name: queue, Service: service, MaxAttempts: 50}}})
 	for _, id := range sorted(m.jobs) {
--- /dev/null
+++ b/internal/engine/takeover_test.go
@@ -0,0 +1,192 @@
+package engine
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/pumicestage/pumicestage/policy/work"
+)
+
+// A caller's job is shown as failed with attempts left. A run failed, its end
+// was stored but not yet acknowledged, and the owner died: the worker listed the
+// end to the successor again, which must not count it as a second failure.
+func TestAFailureListedAgainToASuccessorCountsOnce(t *testing.T) {
+	b := newRig(t)
+	b.worker("w1")
+	b.accept("j1", short(1))
+	var ends []RunEnd
+	for seq := int64(1); seq <= 2; seq++ {
+		o := b.plan()
+		assert.Equal(t, len(o.Starts), 1)
+		b.answer(o, OutcomeOK)
+		ends = append(ends, ended(seq, o.Starts[0], work.Faulted))
+		b.look("w1", Listing{Ended: ends})
+	}
+	b.takeOver(8, "w1")
+	b.core.SetFleet([]work.VM{vm("v1", "w1")})
+	b.look("w1", Listing{Ended: ends})
+	assert.Equal(t, len(b.plan().Starts), 1, "one attempt is left")
+	state, _ := b.core.State("j1")
+	assert.Assert(t, state != work.Failed)
+}
+
+// takeOver replaces the core by a successor's, restored from what is stored, and
+// registers the workers.
+func (b *rig) takeOver(token int64, workers ...work.WorkerID) {
+	b.t.Helper()
+	records := make(map[work.JobID]*JobRecord)
+	for id, j := range b.core.jobs {
+		if !j.stored {
+			kept := j.Job
+			records[id] = &JobRecord{Job: &kept, Queue: j.queue}
+		}
+	}
+	flush := b.core.TakeFlush(100)
+	progress := make(map[work.JobID]*Progress)
+	for _, ch := range flush.Changes {
+		progress[ch.Job] = decodeProgress(b.t, ch)
+	}
+	next := b.successor(token)
+	for id, r := range records {
+		next.Restore(r, progress[id], b.now, b.wall)
+	}
+	next.Reaffirm(b.now, b.wall)
+	for _, id := range workers {
+		next.WorkerSeen(info(id))
+	}
+	next.Inherit(b.now + inheritedFor())
+	b.core = next
+}
+
+// The caller's work is thrown away, or runs twice, at every change of owner: the
+// successor takes what runs for strays, or starts it anew elsewhere, before the
+// workers have said what they run.
+func TestASuccessorAdoptsWhatRunsAndStartsNothingBefore(t *testing.T) {
+	b := newRig(t)
+	b.worker("w1")
+	b.worker("w2")
+	b.accept("j1", short(1))
+	b.accept("j2", short(1))
+	o := b.plan()
+	b.answer(o, OutcomeOK)
+	byWorker := make(map[work.WorkerID][]Run)
+	for _, s := range o.Starts {
+		byWorker[s.Worker.ID] = append(byWorker[s.Worker.ID], run(s))
+	}
+	b.takeOver(8, "w1", "w2")
+	b.core.SetFleet([]work.VM{vm("v1", "w1"), vm("v2", "w2")})
+	assert.Equal(t, len(b.plan().Starts), 0, "no worker was heard yet")
+	b.look("w1", Listing{Running: byWorker["w1"]})
+	assert.Equal(t, len(b.plan().Starts), 0, "w2 may run the rest")
+	b.look("w2", Listing{Running: byWorker["w2"]})
+	next := b.plan()
+	assert.Equal(t, len(next.Starts)+len(next.Stops), 0, "all of it runs")
+}
+
+func vm(id string, w work.WorkerID) work.VM {
+	return work.VM{ID: id, Pool: service, State: work.VMUp, Worker: w}
+}
+
+// Everything runs twice after an outage of the store. Registrations lapsed in
+// it while the workers ran on; the new owner saw none, so none was unheard, and it
+// started all jobs anew as the registrations came back.
+func TestASuccessorDoesNotTrustAnEmptyListOfWorkers(t *testing.T) {
+	b := newRig(t)
+	b.worker("w1")
+	b.accept("j1", short(1))
+	b.answer(b.plan(), OutcomeOK)
+	b.takeOver(8)
+	b.core.WorkerSeen(info("w3"))
+	b.look("w3", Listing{})
+	assert.Equal(t, len(b.plan().Starts), 0, "the VM list was not read")
+	b.core.SetFleet([]work.VM{vm("v1", "w1"), vm("v3", "w3")})
+	assert.Equal(t, len(b.plan().Starts), 0, "w1 lives by the VM list and was not heard")
+	b.core.SetFleet([]work.VM{{ID: "v1", Pool: service, State: work.VMDown}, vm("v3", "w3")})
+	assert.Equal(t, len(b.plan().Starts), 1, "w1 is over")
+}
+
+// A task runs on both sides of a cut. The owner inside it can't reach the workers
+// outside, whose leases its successor extends; by its own books they have run
+// out. Without certainty of its lease it must not restart what ran there.
+func TestAnOwnerCutOffRestartsNothingOfUnreachableWorkers(t *testing.T) {
+	b := newRig(t)
+	b.running(short(8), "near", "far")
+	b.core.SetCertain(false)
+	b.core.HoldFailed("far", OutcomeUnknown, b.now)
+	b.now += 20 * time.Second
+	assert.Equal(t, len(b.plan().Starts), 0)
+	b.core.SetCertain(true)
+	b.core.HoldFailed("far", OutcomeUnknown, b.now)
+	assert.Assert(t, len(b.core.workers["far"].tasks) == 0, "with certainty it is restarted")
+}
+
+// A pool's work is lost and started anew several times a second. The entry of a
+// worker that ended stays for seconds beside that of the next at its address, and
+// each in turn was taken for proof that the other is over.
+func TestTwoRegistrationsAtOneAddressEndNeither(t *testing.T) {
+	b := newRig(t)
+	next := info("next")
+	next.Address = info("old").Address
+	b.core.WorkerSeen(info("old"))
+	b.core.WorkerSeen(next)
+	b.look("next", Listing{})
+	b.accept("j1", short(1))
+	b.answer(b.plan(), OutcomeOK)
+	for range 3 {
+		b.core.WorkerSeen(info("old"))
+		b.core.WorkerSeen(next)
+	}
+	assert.Equal(t, len(b.core.workers["next"].tasks), 1)
+
+	b.core.HoldFailed("old", OutcomeOtherLife, b.now)
+	b.core.WorkerSeen(info("old"))
+	assert.Assert(t, b.core.workers["old"] == nil, "an ID that is over does not come back")
+}
+
+// A task runs beside itself after a take-over: two runs of it are listed, the
+// older one first. The newer was ordered after the older had been settled; it is
+// kept, and the task starts nowhere until the other is certain to be over.
+func TestOfTwoListedRunsTheHigherIsKept(t *testing.T) {
+	b := newRig(t)
+	b.accept("j1", short(1))
+	b.takeOver(8, "w1", "w2", "w3")
+	b.core.SetFleet([]work.VM{vm("v1", "w1"), vm("v2", "w2"), vm("v3", "w3")})
+	ref := work.TaskRef{StepRef: work.StepRef{Job: "j1"}}
+	b.look("w3", Listing{})
+	b.look("w1", Listing{Running: []Run{{Task: ref, Run: 1}}})
+	b.look("w2", Listing{Running: []Run{{Task: ref, Run: 2}}})
+	stops := b.plan().Stops
+	assert.Equal(t, len(stops), 1)
+	assert.Equal(t, stops[0].Worker.ID, work.WorkerID("w1"))
+	b.look("w2", Listing{Ended: []RunEnd{{Seq: 1, Task: ref, Run: 2, How: work.Faulted}}})
+	assert.Equal(t, len(b.plan().Starts), 0, "run 1 is still being stopped")
+	b.core.StopAnswered(stops[0], OutcomeOK, b.now)
+	b.look("w1", Listing{Ended: []RunEnd{{Seq: 1, Task: ref, Run: 1, How: work.Stopped}}})
+	assert.Equal(t, len(b.plan().Starts), 1)
+}
+
+// A task that was done runs again. An owner that can't reach the store, in its
+// grace, saw the worker go; its successor had acknowledged the end before.
+func TestAnOwnerThatIsNotCertainBeginsOnlyWhatWasNeverStarted(t *testing.T) {
+	b := newRig(t)
+	o := b.running(short(1), "w1", "w2")
+	b.core.SetCertain(false)
+	b.core.WorkerGone(o.Starts[0].Worker.ID, "test", b.now)
+	b.accept("j2", short(1))
+	starts := b.plan().Starts
+	assert.Equal(t, len(starts), 1)
+	assert.Equal(t, starts[0].Start.Task.Job, work.JobID("j2"))
+
+	b.core.WorkerSeen(info("late"))
+	b.look("late", Listing{})
+	b.accept("j3", short(4))
+	b.accept("j4", short(4))
+	for _, s := range b.plan().Starts {
+		assert.Assert(t, s.Worker.ID != "late", "its successor does not wait for this one")
+	}
+	b.core.SetCertain(true)
+	b.look("late", Listing{})
+	assert.Assert(t, len(b.plan().Starts) > 0)
+}
--- a/internal/infra/contract/store.go
+++ b/internal/infra/contract/store.go
@@ -108,7 +108,7 @@
 
 func readsInTxn(s Store) bool { return !s.CondReadsOnly }
 
-// oddKey is a key that sorts after letters and is not plain ASCII.
+// oddKey is a key that sorts after a to z and is not plain ASCII.
 func oddKey(s Store) string {
 	if s.TextKeys {
 		return "\u00ff"
--- a/internal/infra/etcdjson/etcdjson_test.go
+++ b/internal/infra/etcdjson/etcdjson_test.go
@@ -8,18 +8,18 @@
 	"gotest.tools/v3/assert"
 )
 
-// words are all strings of up to n letters.
-func words(letters []string, n int) []string {
+// words are all strings of up to n alphabet.
+func words(alphabet []string, n int) []string {
 	if n == 0 {
 		return []string{""}
 	}
-	shorter := words(letters, n-1)
+	shorter := words(alphabet, n-1)
 	all := append([]string{}, shorter...)
 	for _, w := range shorter {
 		if len(w) != n-1 {
 			continue
 		}
-		for _, l := range letters {
+		for _, l := range alphabet {
 			all = append(all, w+l)
 		}
 	}
@@ -29,9 +29,9 @@
 // A range from the prefix to its end must hold the keys with that prefix and
 // no other: one key more, and a VM of another pool is drained.
 func TestPrefixEnd(t *testing.T) {
-	letters := []string{"\x00", "a", "b", "\xfe", "\xff"}
-	keys := words(letters, 4)
-	for _, prefix := range words(letters, 3) {
+	alphabet := []string{"\x00", "a", "b", "\xfe", "\xff"}
+	keys := words(alphabet, 4)
+	for _, prefix := range words(alphabet, 3) {
 		end := string(PrefixEnd(prefix))
 		for _, key := range keys {
 			within := key >= prefix && (end == "\x00" || key < end)
--- a/internal/jobs/submit.go
+++ b/internal/jobs/submit.go
@@ -55,7 +55,7 @@
 
 func (j *Jobs) check(change model.ChangeID, all []model.Job) error {
 	if !plain(string(change)) {
-		return &Refusal{Code: CodeInvalid, Field: "change", Detail: "want 1 to 64 of letters, digits, '-' and '_'"}
+		return &Refusal{Code: CodeInvalid, Field: "change", Detail: "want 1 to 64 of a-z, A-Z, 0-9, '-' and '_'"}
 	}
 	if len(all) == 0 || len(all) > maxBatch {
 		return &Refusal{Code: CodeInvalid, Field: "jobs", Detail: fmt.Sprintf("%d jobs, 1 to %d may be submitted at once", len(all), maxBatch)}
@@ -103,8 +103,8 @@
 		return false
 	}
 	for _, c := range s {
-		letter := 'a' <= c && c <= 'z' || 'A' <= c && c <= 'Z'
-		if !letter && !('0' <= c && c <= '9') && c != '-' && c != '_' {
+		alpha := 'a' <= c && c <= 'z' || 'A' <= c && c <= 'Z'
+		if !alpha && !('0' <= c && c <= '9') && c != '-' && c != '_' {
 			return false
 		}
 	}
--- a/internal/settings/fields.go
+++ b/internal/settings/fields.go
@@ -21,7 +21,7 @@
 }
 
 const (
-	expectsName     = "a name of letters, digits, '-' and '.'"
+	expectsName     = "a name of a-z, A-Z, 0-9, '-' and '.'"
 	expectsAddress  = "host:port with an IP number as host"
 	expectsURL      = "http:// or https:// with host and port"
 	expectsDuration = "a positive duration such as 500ms or 2s"
@@ -130,8 +130,8 @@
 
 func isName(t string) bool {
 	for _, r := range t {
-		letter := r >= 'a' && r <= 'z' || r >= 'A' && r <= 'Z' || r >= '0' && r <= '9'
-		if !letter && r != '-' && r != '.' {
+		alnum := r >= 'a' && r <= 'z' || r >= 'A' && r <= 'Z' || r >= '0' && r <= '9'
+		if !alnum && r != '-' && r != '.' {
 			return false
 		}
 	}
