--- a/internal/claim/group.go
+++ b/internal/claim/group.go
@@ -9,6 +9,7 @@
 	"golang.org/x/time/rate"
 
 	"github.com/pumicestage/pumicestage/internal/infra"
+	"github.com/pumicestage/pumicestage/internal/sleep"
 )
 
 const (
@@ -231,9 +232,9 @@
 			lost = nil
 		case infra.IsKind(err, infra.KindUnknown):
 			lost = err
-			pause(ctx, lostPause)
+			sleep.For(ctx, lostPause)
 		case lost != nil || infra.IsKind(err, infra.KindRateLimited):
-			pause(ctx, lostPause)
+			sleep.For(ctx, lostPause)
 		case isPoisoned(err) && len(group) > 1:
 			c.commitHalves(ctx, group)
 			return
@@ -311,12 +312,3 @@
 		p.done <- o
 	}
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/claim/ledger.go
+++ b/internal/claim/ledger.go
@@ -12,6 +12,7 @@
 	"github.com/gravitational/trace"
 
 	"github.com/pumicestage/pumicestage/internal/infra"
+	"github.com/pumicestage/pumicestage/internal/sleep"
 	"github.com/pumicestage/pumicestage/internal/view"
 	"github.com/pumicestage/pumicestage/policy/model"
 )
@@ -133,7 +134,7 @@
 // daemon stops is unknown for ever.
 func (l *Ledger) drain() {
 	for until := time.Now().Add(drainFor); len(l.settles) > 0 && time.Now().Before(until); {
-		pause(l.ctx, lostPause)
+		sleep.For(l.ctx, lostPause)
 	}
 }
 
--- a/internal/claim/settle.go
+++ b/internal/claim/settle.go
@@ -7,6 +7,7 @@
 	"github.com/gravitational/trace"
 
 	"github.com/pumicestage/pumicestage/internal/infra"
+	"github.com/pumicestage/pumicestage/internal/sleep"
 )
 
 // settleLater runs f in the background and returns its result by a channel.
@@ -101,7 +102,7 @@
 			w.mod = rev
 			continue
 		}
-		pause(l.ctx, wait)
+		sleep.For(l.ctx, wait)
 		if l.ctx.Err() != nil {
 			return trace.Wrap(errClosing, "%v", o.err)
 		}
--- a/internal/claim/sweep.go
+++ b/internal/claim/sweep.go
@@ -7,6 +7,7 @@
 
 	"github.com/pumicestage/pumicestage/internal/infra"
 	"github.com/pumicestage/pumicestage/internal/peer"
+	"github.com/pumicestage/pumicestage/internal/sleep"
 )
 
 const (
@@ -26,7 +27,7 @@
 func (l *Ledger) sweepLoop(ctx context.Context) {
 	for ctx.Err() == nil {
 		now := l.earliest()
-		pause(ctx, now.Truncate(sweepEvery).Add(sweepEvery).Sub(now))
+		sleep.For(ctx, now.Truncate(sweepEvery).Add(sweepEvery).Sub(now))
 		if ctx.Err() != nil {
 			return
 		}
--- a/internal/daemon/leave.go
+++ b/internal/daemon/leave.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/gravitational/trace"
+
+	"github.com/pumicestage/pumicestage/internal/sleep"
 )
 
 // notice is how long a leaving entry VM goes on taking requests after it has
@@ -28,7 +30,7 @@
 		case <-ctx.Done():
 		}
 	}()
-	pause(ctx, notice)
+	sleep.For(ctx, notice)
 	if err := d.entry.Drain(ctx); err != nil {
 		return trace.Wrap(err, "requests still in flight after %s", d.settings.Drain)
 	}
--- a/internal/daemon/soon.go
+++ b/internal/daemon/soon.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/pumicestage/pumicestage/internal/fleet"
+	"github.com/pumicestage/pumicestage/internal/sleep"
 	"github.com/pumicestage/pumicestage/policy/model"
 )
 
@@ -34,7 +35,7 @@
 			}
 			m.runs.Store(&running)
 		}
-		pause(ctx, soonEvery)
+		sleep.For(ctx, soonEvery)
 	}
 }
 
--- a/internal/daemon/wake.go
+++ b/internal/daemon/wake.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"github.com/pumicestage/pumicestage/internal/sleep"
 )
 
 // wakeSpacing bounds how often new declarations wake the reconciler, should
@@ -21,19 +23,10 @@
 			generation = g
 			d.fleet.Wake()
 		}
-		pause(ctx, wakeSpacing)
+		sleep.For(ctx, wakeSpacing)
 		select {
 		case <-ctx.Done():
 		case <-changed:
 		}
 	}
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -9,6 +9,7 @@
 	"github.com/go-logr/logr"
 
 	"github.com/pumicestage/pumicestage/internal/infra"
+	"github.com/pumicestage/pumicestage/internal/sleep"
 	"github.com/pumicestage/pumicestage/policy/work"
 )
 
@@ -145,7 +146,7 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-e.planKick:
-			sleep(ctx, pause)
+			sleep.For(ctx, pause)
 		case <-tick.C:
 		}
 		began := e.Clock.Now()
@@ -375,12 +376,3 @@
 	default:
 	}
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/internal/engine/inbox.go
+++ b/internal/engine/inbox.go
@@ -11,6 +11,7 @@
 	"github.com/gravitational/trace"
 
 	"github.com/pumicestage/pumicestage/internal/infra"
+	"github.com/pumicestage/pumicestage/internal/sleep"
 	"github.com/pumicestage/pumicestage/policy/work"
 )
 
@@ -42,7 +43,7 @@
 	for ctx.Err() == nil {
 		if err := e.followInbox(ctx); err != nil && ctx.Err() == nil {
 			e.Log.Info("inbox not readable", "error", err.Error())
-			sleep(ctx, storePause)
+			sleep.For(ctx, storePause)
 		}
 	}
 }
--- a/internal/engine/lives.go
+++ b/internal/engine/lives.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"github.com/pumicestage/pumicestage/internal/sleep"
 )
 
 // lives reads from the platform's list of VMs which workers are over: at the
@@ -21,11 +23,11 @@
 func (l *lives) run(ctx context.Context) {
 	for ctx.Err() == nil {
 		if !l.wanted() {
-			sleep(ctx, livesIdle)
+			sleep.For(ctx, livesIdle)
 			continue
 		}
 		l.read(ctx)
-		sleep(ctx, livesEvery)
+		sleep.For(ctx, livesEvery)
 	}
 }
 
--- a/internal/engine/restore.go
+++ b/internal/engine/restore.go
@@ -9,6 +9,7 @@
 	"github.com/gravitational/trace"
 
 	"github.com/pumicestage/pumicestage/internal/infra"
+	"github.com/pumicestage/pumicestage/internal/sleep"
 )
 
 // OwnerGrace is how long an owner that can't reach the store goes on giving
@@ -39,7 +40,7 @@
 			return err
 		}
 		e.Log.Info("can't take over yet", "error", err.Error())
-		sleep(ctx, storePause)
+		sleep.For(ctx, storePause)
 	}
 	return ctx.Err()
 }
--- a/internal/engine/session.go
+++ b/internal/engine/session.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/pumicestage/pumicestage/internal/sleep"
 	"github.com/pumicestage/pumicestage/policy/work"
 )
 
@@ -96,7 +97,7 @@
 		if !s.poll(ctx, &info, h) {
 			pause = failedPause
 		}
-		sleep(ctx, pause)
+		sleep.For(ctx, pause)
 	}
 }
 
--- a/internal/engine/writer.go
+++ b/internal/engine/writer.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/pumicestage/pumicestage/internal/infra"
+	"github.com/pumicestage/pumicestage/internal/sleep"
 	"github.com/pumicestage/pumicestage/policy/work"
 )
 
@@ -144,7 +145,7 @@
 // gather waits for company: shortly if somebody waits for an answer.
 func (w *writer) gather(ctx context.Context) {
 	if w.urgent() {
-		sleep(ctx, gatherUrgent)
+		sleep.For(ctx, gatherUrgent)
 		return
 	}
 	end := w.engine.Clock.Now() + gatherQuiet
@@ -221,7 +222,7 @@
 		if !b.sent {
 			w.refuse(b)
 		}
-		sleep(ctx, storePause)
+		sleep.For(ctx, storePause)
 	}
 	w.finishFlush(b, nil)
 }
--- a/internal/fleetowner/fleet.go
+++ b/internal/fleetowner/fleet.go
@@ -13,6 +13,7 @@
 
 	"github.com/pumicestage/pumicestage/internal/engine"
 	"github.com/pumicestage/pumicestage/internal/infra"
+	"github.com/pumicestage/pumicestage/internal/sleep"
 	"github.com/pumicestage/pumicestage/policy/work"
 )
 
@@ -108,7 +109,7 @@
 	f.Log.Info("fleet taken over", "token", f.Term.Token())
 	for ctx.Err() == nil {
 		f.pass(ctx)
-		sleep(ctx, passEvery)
+		sleep.For(ctx, passEvery)
 	}
 }
 
@@ -163,12 +164,3 @@
 	f.send(ctx, append(orders, f.openStale()...))
 	f.rebalance(ctx)
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/internal/jobfront/front.go
+++ b/internal/jobfront/front.go
@@ -14,6 +14,7 @@
 	"github.com/pumicestage/pumicestage/internal/infra"
 	"github.com/pumicestage/pumicestage/internal/ownerlink"
 	"github.com/pumicestage/pumicestage/internal/ownership"
+	"github.com/pumicestage/pumicestage/internal/sleep"
 	"github.com/pumicestage/pumicestage/policy/breaker"
 	"github.com/pumicestage/pumicestage/policy/work"
 )
@@ -135,7 +136,7 @@
 		if certain {
 			return &Refusal{Reason: "the platform's store does not take the job: " + err.Error(), RetryAfter: storeBack}
 		}
-		if !wait(ctx, storePause) {
+		if !sleep.For(ctx, storePause) {
 			return ErrUncertain
 		}
 	}
@@ -281,7 +282,7 @@
 		if err != nil {
 			f.Log.Info("cancellation not confirmed", "job", id, "error", err.Error())
 		}
-		if !wait(ctx, storePause) {
+		if !sleep.For(ctx, storePause) {
 			return ErrUncertain
 		}
 	}
@@ -308,14 +309,3 @@
 	}
 	return 0, &Refusal{Reason: "the owner does not answer: " + err.Error(), RetryAfter: storeBack}
 }
-
-func wait(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -12,6 +12,7 @@
 	"github.com/pumicestage/pumicestage/internal/fleetowner"
 	"github.com/pumicestage/pumicestage/internal/infra"
 	"github.com/pumicestage/pumicestage/internal/jobfront"
+	"github.com/pumicestage/pumicestage/internal/sleep"
 	"github.com/pumicestage/pumicestage/platform"
 )
 
@@ -49,7 +50,7 @@
 			log.Info("store lost", "prefix", prefix, "error", errText(err))
 			lost = true
 		}
-		pause(ctx, followPause)
+		sleep.For(ctx, followPause)
 	}
 }
 
@@ -83,21 +84,12 @@
 			s.each(ev)
 		}
 		if s.pace > 0 {
-			pause(ctx, s.pace)
+			sleep.For(ctx, s.pace)
 		}
 	}
 	return nil
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
-
 // operator holds what the operator wrote, as this entry VM knows it. The
 // configuration never steps back.
 type operator struct {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -21,6 +21,7 @@
 	"github.com/pumicestage/pumicestage/internal/jobfront"
 	"github.com/pumicestage/pumicestage/internal/ownerlink"
 	"github.com/pumicestage/pumicestage/internal/ownership"
+	"github.com/pumicestage/pumicestage/internal/sleep"
 	"github.com/pumicestage/pumicestage/platform"
 )
 
@@ -181,7 +182,7 @@
 	n.duties.wg.Wait()
 	n.log.Info("duties handed over", "took", (n.clock.Now() - began).String())
 	callers.SetKeepAlivesEnabled(false)
-	pause(context.Background(), min(unreadyFor, n.settings.Shutdown/2)-(n.clock.Now()-began))
+	sleep.For(context.Background(), min(unreadyFor, n.settings.Shutdown/2)-(n.clock.Now()-began))
 	left := n.settings.Shutdown - drainMargin - (n.clock.Now() - began)
 	ctx, cancel := context.WithTimeout(context.Background(), left)
 	defer cancel()
--- a/internal/ownership/ownership.go
+++ b/internal/ownership/ownership.go
@@ -15,6 +15,7 @@
 	"github.com/gravitational/trace"
 
 	"github.com/pumicestage/pumicestage/internal/infra"
+	"github.com/pumicestage/pumicestage/internal/sleep"
 )
 
 // Times of the lease.
@@ -111,15 +112,15 @@
 			continue
 		}
 		if !e.o.Load.May() {
-			pause(ctx, retryPause)
+			sleep.For(ctx, retryPause)
 			continue
 		}
 		held := e.o.Load.Held()
-		pause(ctx, e.rank(held))
+		sleep.For(ctx, e.rank(held))
 		t, err := e.tryTake(ctx, held)
 		if err != nil && ctx.Err() == nil {
 			e.o.Log.V(1).Info("duty not taken", "duty", e.o.Duty, "error", err.Error())
-			pause(ctx, retryPause)
+			sleep.For(ctx, retryPause)
 		}
 		if t != nil {
 			t.run(ctx)
@@ -254,7 +255,7 @@
 
 func (t *Term) renew(ctx context.Context) {
 	for ctx.Err() == nil {
-		pause(ctx, renewEvery)
+		sleep.For(ctx, renewEvery)
 		if ctx.Err() != nil {
 			return
 		}
@@ -294,12 +295,3 @@
 		t.allowed = max(t.allowed, min(now+unreachableFor, t.certain+t.elector.o.Grace))
 	}
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/internal/peer/inbound.go
+++ b/internal/peer/inbound.go
@@ -8,6 +8,7 @@
 	"net"
 	"time"
 
+	"github.com/pumicestage/pumicestage/internal/sleep"
 	"github.com/pumicestage/pumicestage/policy/model"
 )
 
@@ -34,7 +35,7 @@
 			if errors.Is(err, net.ErrClosed) {
 				return err
 			}
-			sleep(m.ctx, redialMin)
+			sleep.For(m.ctx, redialMin)
 			continue
 		}
 		m.takeIn(conn)
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/pumicestage/pumicestage/internal/sleep"
 	"github.com/pumicestage/pumicestage/policy/model"
 )
 
@@ -97,20 +98,11 @@
 		if time.Since(started) > redialMax {
 			wait = redialMin
 		}
-		sleep(ctx, wait/2+rand.N(wait/2))
+		sleep.For(ctx, wait/2+rand.N(wait/2))
 		wait = min(2*wait, redialMax)
 	}
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
-
 // connectOnce dials, says hello and sends until the connection fails.
 func (l *link) connectOnce(ctx context.Context) error {
 	conn, err := l.dial(ctx)
--- a/internal/relay/cluster_test.go
+++ b/internal/relay/cluster_test.go
@@ -20,6 +20,7 @@
 	"github.com/pumicestage/pumicestage/internal/infra/memstore"
 	"github.com/pumicestage/pumicestage/internal/peer"
 	"github.com/pumicestage/pumicestage/internal/peer/peertest"
+	"github.com/pumicestage/pumicestage/internal/sleep"
 	"github.com/pumicestage/pumicestage/internal/view"
 	"github.com/pumicestage/pumicestage/policy/model"
 )
@@ -135,7 +136,7 @@
 				continue // as over a half-open connection
 			}
 			if delay > 0 {
-				sleep(ctx, delay)
+				sleep.For(ctx, delay)
 			}
 			select {
 			case out <- b:
@@ -184,7 +185,7 @@
 		} else {
 			c.putVM(id, fmt.Sprint("write ", i))
 		}
-		sleep(ctx, 500*time.Millisecond)
+		sleep.For(ctx, 500*time.Millisecond)
 	}
 }
 
--- a/internal/relay/poll.go
+++ b/internal/relay/poll.go
@@ -8,6 +8,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/pumicestage/pumicestage/internal/peer"
+	"github.com/pumicestage/pumicestage/internal/sleep"
 	"github.com/pumicestage/pumicestage/policy/model"
 )
 
@@ -62,7 +63,7 @@
 		if time.Since(last) >= wait && r.pollOnce() {
 			last = time.Now()
 		}
-		sleep(ctx, decideEvery/5)
+		sleep.For(ctx, decideEvery/5)
 	}
 }
 
@@ -179,7 +180,7 @@
 		case <-ctx.Done():
 		}
 		if since := time.Since(pushed); since < pushEvery {
-			sleep(ctx, pushEvery-since)
+			sleep.For(ctx, pushEvery-since)
 		}
 	}
 }
--- a/internal/relay/register.go
+++ b/internal/relay/register.go
@@ -9,6 +9,7 @@
 	"github.com/gravitational/trace"
 
 	"github.com/pumicestage/pumicestage/internal/infra"
+	"github.com/pumicestage/pumicestage/internal/sleep"
 	"github.com/pumicestage/pumicestage/internal/view"
 )
 
@@ -37,7 +38,7 @@
 			r.opts.Log.V(1).Info("registration not renewed", "cause", err)
 			wait = registerRetry
 		}
-		sleep(ctx, wait)
+		sleep.For(ctx, wait)
 	}
 	if lease != 0 {
 		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), callTimeout)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -15,6 +15,7 @@
 
 	"github.com/pumicestage/pumicestage/internal/infra"
 	"github.com/pumicestage/pumicestage/internal/peer"
+	"github.com/pumicestage/pumicestage/internal/sleep"
 	"github.com/pumicestage/pumicestage/internal/view"
 	"github.com/pumicestage/pumicestage/policy/model"
 )
@@ -132,7 +133,7 @@
 			close()
 			close = nil
 		}
-		sleep(ctx, decideEvery)
+		sleep.For(ctx, decideEvery)
 	}
 	if close != nil {
 		close()
@@ -159,7 +160,7 @@
 func (r *Relay) awaitPeers(ctx context.Context) {
 	until := time.Now().Add(startGrace)
 	for ctx.Err() == nil && time.Now().Before(until) && r.state.versions().Generation == 0 {
-		sleep(ctx, decideEvery/5)
+		sleep.For(ctx, decideEvery/5)
 	}
 }
 
@@ -181,12 +182,3 @@
 }
 
 func (r *Relay) age() time.Duration { return time.Since(r.opts.View.Load().AsOf) }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/relay/source.go
+++ b/internal/relay/source.go
@@ -11,6 +11,7 @@
 	"github.com/gravitational/trace"
 
 	"github.com/pumicestage/pumicestage/internal/infra"
+	"github.com/pumicestage/pumicestage/internal/sleep"
 	"github.com/pumicestage/pumicestage/policy/model"
 )
 
@@ -79,7 +80,7 @@
 		if time.Since(started) > reopenMax {
 			wait = reopenMin
 		}
-		sleep(ctx, wait/2+rand.N(wait/2))
+		sleep.For(ctx, wait/2+rand.N(wait/2))
 		wait = min(2*wait, reopenMax)
 	}
 }
