Size in cores has one place

Cause: the engine and the fleet's owner each had the same function and weight. Change: work.Resources.Cores. Measured: engine and fleetowner pass.

--- a/internal/engine/cell.go
+++ b/internal/engine/cell.go
@@ -153,14 +153,14 @@
 				wr.Lasting++
 			}
 		}
-		r.Used += cores(w.used())
+		r.Used += w.used().Cores()
 		r.Workers = append(r.Workers, wr)
 	}
 	for _, j := range c.open {
 		for _, o := range j.live {
 			for _, s := range o.steps {
 				if s.pending > 0 && s.ready() {
-					r.Backlog += float64(s.pending) * c.waitsFor(s).Seconds() * cores(s.spec.Size)
+					r.Backlog += float64(s.pending) * c.waitsFor(s).Seconds() * s.spec.Size.Cores()
 				}
 			}
 		}
--- a/internal/engine/job.go
+++ b/internal/engine/job.go
@@ -152,15 +152,7 @@
 }
 
 func stepWork(s *work.Step) float64 {
-	return float64(s.Count) * s.Estimate.Seconds() * cores(s.Size)
-}
-
-// gpuCores is what an accelerator counts for beside cores; the deployments
-// price one as eight.
-const gpuCores = 8
-
-func cores(r work.Resources) float64 {
-	return float64(r.MilliCPU)/1000 + gpuCores*float64(r.GPU)
+	return float64(s.Count) * s.Estimate.Seconds() * s.Size.Cores()
 }
 
 func (j *job) addOccurrence(due time.Duration) *occurrence {
--- a/internal/fleetowner/moves.go
+++ b/internal/fleetowner/moves.go
@@ -10,13 +10,6 @@
 	"github.com/pumicestage/pumicestage/policy/work"
 )
 
-// gpuCores is what an accelerator counts for beside cores.
-const gpuCores = 8
-
-func cores(r work.Resources) float64 {
-	return float64(r.MilliCPU)/1000 + gpuCores*float64(r.GPU)
-}
-
 // rebalance moves idle VMs to where work waits, and parks what is idle for long.
 func (f *Fleet) rebalance(ctx context.Context) {
 	state := f.pools()
@@ -82,7 +75,7 @@
 
 // addVM adds the VM to its pool, or to the one it is on its way to.
 func (f *Fleet) addVM(byName map[string]*pools.Pool, vm work.VM) {
-	size := cores(vm.Size)
+	size := vm.Size.Cores()
 	if o := f.orderOf(vm.ID); o != nil {
 		if p := byName[o.pool]; p != nil {
 			p.Incoming += size
--- a/policy/work/work.go
+++ b/policy/work/work.go
@@ -22,6 +22,16 @@
 	GPU      int64 `json:"gpu,omitempty" msgpack:"g,omitempty"` // whole accelerators
 }
 
+// gpuCores is what an accelerator counts for beside cores; the deployments
+// price one as eight.
+const gpuCores = 8
+
+// Cores is one figure for all of r, to compare amounts of work: cores, and an
+// accelerator as eight of them. Memory does not count.
+func (r Resources) Cores() float64 {
+	return float64(r.MilliCPU)/1000 + gpuCores*float64(r.GPU)
+}
+
 // Fits reports whether r is within free in every dimension.
 func (r Resources) Fits(free Resources) bool {
 	return r.MilliCPU <= free.MilliCPU && r.MemoryMB <= free.MemoryMB && r.GPU <= free.GPU
