A permission that is taken back ends the orders

Cause: Core.AllowUntil kept the latest time it ever got. Term.End sets the permission to zero; a plan or a poll between that and the end of the engine's context went by the old one and could start a task or extend a lease beside the successor. Change: the time is taken as given. Measured: TestOrdersEndWithAPermissionThatIsTakenBack, 1 start before, 0 after.

--- a/internal/engine/core.go
+++ b/internal/engine/core.go
@@ -79,8 +79,9 @@
 	}
 }
 
-// AllowUntil lets the core give orders until then.
-func (c *Core) AllowUntil(t time.Duration) { c.startsUntil = max(c.startsUntil, t) }
+// AllowUntil lets the core give orders until then; an earlier time than before
+// takes permission back.
+func (c *Core) AllowUntil(t time.Duration) { c.startsUntil = t }
 
 // SetCertain says whether it is certain that no later owner exists. While it is
 // not, what ran on unreachable workers is not restarted: a successor on the
--- a/internal/engine/takeover_test.go
+++ b/internal/engine/takeover_test.go
@@ -190,3 +190,15 @@
 	b.look("late", Listing{})
 	assert.Assert(t, len(b.plan().Starts) > 0)
 }
+
+// A task runs twice. An owner gave its term up; its core went by the longest
+// permission it ever had and ordered a start beside the successor's.
+func TestOrdersEndWithAPermissionThatIsTakenBack(t *testing.T) {
+	b := newRig(t)
+	b.worker("w1")
+	b.accept("j1", short(1))
+	b.core.AllowUntil(b.now - time.Millisecond)
+	assert.Equal(t, len(b.plan().Starts), 0)
+	_, _, due := b.core.HoldFor("w1", b.now)
+	assert.Assert(t, !due, "no extension of leases either")
+}
