An advised queue without an advisor waits

Cause: the engine called a nil advisor when the operator made a queue advised on a deployment without one; the entry VM crashed, and then its successor. Change: the step's jobs wait and the log says why at each try. Measured: TestAnAdvisedQueueWithoutAnAdvisorWaits, a panic before.

--- /dev/null
+++ b/internal/engine/advise_test.go
@@ -0,0 +1,27 @@
+package engine
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/pumicestage/pumicestage/policy/work"
+)
+
+// The entry VM crashes, and each that takes the cell over after it. The operator
+// made a queue advised on a deployment that has no advisor; the first of its
+// jobs is planned.
+func TestAnAdvisedQueueWithoutAnAdvisorWaits(t *testing.T) {
+	e, _ := newEngine(t, &fakeTerm{certain: true})
+	b := &rig{t: t, core: e.core, now: e.Clock.Now(), wall: epoch}
+	e.core.AllowUntil(b.now + time.Hour)
+	e.core.SetCertain(true)
+	b.worker("w1")
+	e.core.SetFleet([]work.VM{vm("v1", "w1")})
+	e.core.Accept(&work.Job{ID: "j1", Queue: queue, Steps: []work.Step{short(1)}}, Queue{Name: queue, Service: service, Advised: true}, b.now)
+	o := b.plan()
+	assert.Equal(t, len(o.Advice), 1)
+	e.advise(t.Context(), o.Advice[0])
+	assert.Equal(t, len(b.plan().Starts), 0, "not without a ticket")
+}
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -273,7 +273,7 @@
 	call, cancel := context.WithTimeout(ctx, adviceTimeout)
 	defer cancel()
 	sent := e.Clock.Now()
-	tickets, validity, err := e.Advisor.Advise(call, o.Step, o.Workers)
+	tickets, validity, err := e.askAdvisor(call, o)
 	if err != nil {
 		e.Log.Info("no advice", "step", o.Step.String(), "workers", len(o.Workers), "error", err.Error())
 	}
@@ -283,6 +283,17 @@
 	kick(e.planKick)
 }
 
+// errNoAdvisor: the operator's queue needs advice and the deployment has nobody
+// to give it. The queue's jobs wait; the log says why at every try.
+var errNoAdvisor = errors.New("engine: the queue is advised and no advisor is set")
+
+func (e *Engine) askAdvisor(ctx context.Context, o AdviceOrder) ([]Ticket, time.Duration, error) {
+	if e.Advisor == nil {
+		return nil, 0, errNoAdvisor
+	}
+	return e.Advisor.Advise(ctx, o.Step, o.Workers)
+}
+
 // Submit accepts a job: it is stored when nil is returned.
 func (e *Engine) Submit(ctx context.Context, j *work.Job, q Queue) error {
 	e.mu.Lock()
