Settings and fields that nothing reads are gone

Cause: four settings (writes-per-second, lists-per-second, stop-ms, notice-ms) and five fields were carried from the deploy file and the operator's configuration to the engine and decided nothing there; a comment said that the rates were shown to operators, which they were not. A settings file that still has the keys is refused by section and key.

--- a/internal/engine/core.go
+++ b/internal/engine/core.go
@@ -13,8 +13,6 @@
 // Bounds are the deployment's figures that the engine keeps to.
 type Bounds struct {
 	MaxHold   time.Duration // longest lease a worker grants
-	StopGrace time.Duration // longest a stop takes
-	Notice    time.Duration // a lasting task not at work for so long counts as away
 	PaceDelay time.Duration // until a change of pace shows
 }
 
--- a/internal/engine/ports.go
+++ b/internal/engine/ports.go
@@ -145,14 +145,12 @@
 	Stretch     float64       // objective: this many times the longest chain of work ...
 	Slack       time.Duration // ... and this much more
 	Advised     bool          // placement needs the advisor's tickets
-	PerWorker   time.Duration // what the advisor takes for each worker it is asked about
 }
 
 // Service is a pool of VMs.
 type Service struct {
 	Name    string
 	Standby bool // its VMs are off
-	Guards  bool // its workers refuse what does not fit
 }
 
 // Declared is the part of the operator's configuration that jobs need.
--- a/internal/node/duties.go
+++ b/internal/node/duties.go
@@ -125,8 +125,7 @@
 		Clock:    n.clock,
 		Log:      n.log.WithName("engine").WithValues("cell", cell),
 		Bounds: engine.Bounds{
-			MaxHold: n.settings.MaxLease, StopGrace: n.settings.StopTime,
-			Notice: n.settings.Notice, PaceDelay: n.settings.PaceDelay,
+			MaxHold: n.settings.MaxLease, PaceDelay: n.settings.PaceDelay,
 		},
 		Term:     t,
 		Registry: func() []engine.WorkerInfo { return n.registry.list(cell) },
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -35,8 +35,6 @@
 	MemoryMB  int
 	Shutdown  time.Duration // until a stopping process is killed
 	MaxLease  time.Duration // longest lease of a worker
-	StopTime  time.Duration // longest a stop takes
-	Notice    time.Duration // a lasting task not at work for so long counts as away
 	PaceDelay time.Duration // until a change of pace shows
 }
 
@@ -58,7 +56,6 @@
 	expectsMB      = "a number of megabytes"
 	expectsShare   = "a share of a core above 0"
 	expectsLink    = "a number of megabits a second above 0"
-	expectsRate    = "a number of calls a second"
 )
 
 var entryFields = []entryField{
@@ -71,17 +68,13 @@
 	{"entry", "peer-port-first", true, expectsPort, port(func(s *Settings) *int { return &s.Peers[0] })},
 	{"entry", "peer-port-last", true, expectsPort, port(func(s *Settings) *int { return &s.Peers[1] })},
 	{"store", "address", true, expectsAddress, address(func(s *Settings) *string { return &s.Store })},
-	{"store", "writes-per-second", false, expectsRate, checkRate},
 	{"vms", "address", false, expectsAddress, address(func(s *Settings) *string { return &s.VMs })},
-	{"vms", "lists-per-second", false, expectsRate, checkRate},
 	{"advisor", "address", false, expectsAddress, address(func(s *Settings) *string { return &s.Advisor })},
 	{"limits", "cpu-share", false, expectsShare, above0(func(s *Settings) *float64 { return &s.CPUShare })},
 	{"limits", "link-mbps", false, expectsLink, above0(func(s *Settings) *float64 { return &s.LinkMbps })},
 	{"limits", "memory-mb", true, expectsMB, positive(func(s *Settings) *int { return &s.MemoryMB })},
 	{"limits", "shutdown-s", true, expectsS, duration(time.Second, func(s *Settings) *time.Duration { return &s.Shutdown })},
 	{"limits", "max-lease-ms", true, expectsMS, duration(time.Millisecond, func(s *Settings) *time.Duration { return &s.MaxLease })},
-	{"limits", "stop-ms", true, expectsMS, duration(time.Millisecond, func(s *Settings) *time.Duration { return &s.StopTime })},
-	{"limits", "notice-ms", false, expectsMS, duration(time.Millisecond, func(s *Settings) *time.Duration { return &s.Notice })},
 	{"limits", "pace-delay-ms", false, expectsMS, duration(time.Millisecond, func(s *Settings) *time.Duration { return &s.PaceDelay })},
 }
 
@@ -192,9 +185,3 @@
 		return err == nil && n >= 0
 	}
 }
-
-// checkRate checks a rate that is only shown to operators so far.
-func checkRate(_ *Settings, t string) bool {
-	n, err := strconv.ParseFloat(t, 64)
-	return err == nil && n > 0
-}
--- a/internal/node/settings_test.go
+++ b/internal/node/settings_test.go
@@ -29,7 +29,6 @@
 memory-mb = 284
 shutdown-s = 6
 max-lease-ms = 10000
-stop-ms = 400
 `
 
 func load(t *testing.T, text string) (*Settings, error) {
