Explaining why a step waits no longer counts as asking the advisor

Cause: the log line about waiting work built the step's plan a second time and threw the orders away. Where every worker with room was closed for a moment, the step was skipped by the plan and described by the log line, which marked the advisor as asked; the answer that would clear the mark never came, and the job waited until its cell changed owners. Ruled out: the plan's own question, which is always sent. Change: reading tickets and ordering the question are two functions; the log line does the first alone. Measured: TestExplainingWhyAStepWaitsDoesNotAskForIt, 0 questions before, 1 after.

--- a/internal/engine/advice.go
+++ b/internal/engine/advice.go
@@ -16,25 +16,34 @@
 	ticketMargin = 150 * time.Millisecond
 )
 
-// permitted returns the workers with valid tickets, and asks for more.
-func (c *Core) permitted(s *step, workers []*taskplan.Worker, now time.Duration, out *Orders) map[work.WorkerID]bool {
+// permitted returns those of the workers that the step has valid tickets for.
+func (s *step) permitted(workers []*taskplan.Worker, now time.Duration) map[work.WorkerID]bool {
 	ok := make(map[work.WorkerID]bool)
-	var ask []work.WorkerID
 	for _, w := range workers {
 		if t, has := s.tickets[w.ID]; has && now+ticketMargin < t.expires {
 			ok[w.ID] = true
-			continue
 		}
-		if taskplan.Reserved(s.spec).Fits(w.Free) && len(ask) < adviceBatch {
+	}
+	return ok
+}
+
+// askAdvice orders a question about workers with room where the step has fewer
+// tickets than tasks that wait.
+func (s *step) askAdvice(workers []*taskplan.Worker, permitted map[work.WorkerID]bool, now time.Duration, out *Orders) {
+	if s.asking || len(permitted) >= s.pending || s.asked != 0 && now < s.asked+adviceAgain {
+		return
+	}
+	var ask []work.WorkerID
+	for _, w := range workers {
+		if !permitted[w.ID] && taskplan.Reserved(s.spec).Fits(w.Free) && len(ask) < adviceBatch {
 			ask = append(ask, w.ID)
 		}
 	}
-	due := s.asked == 0 || now >= s.asked+adviceAgain
-	if !s.asking && len(ask) > 0 && due && len(ok) < s.pending {
-		s.asking, s.asked = true, now
-		out.Advice = append(out.Advice, AdviceOrder{Step: s.ref(), Workers: ask})
+	if len(ask) == 0 {
+		return
 	}
-	return ok
+	s.asking, s.asked = true, now
+	out.Advice = append(out.Advice, AdviceOrder{Step: s.ref(), Workers: ask})
 }
 
 // Advised takes the advisor's answer over.
--- a/internal/engine/advise_test.go
+++ b/internal/engine/advise_test.go
@@ -25,3 +25,16 @@
 	e.advise(t.Context(), o.Advice[0])
 	assert.Equal(t, len(b.plan().Starts), 0, "not without a ticket")
 }
+
+// A job of an advised queue never starts. All its workers were closed for a moment;
+// the line that explains why it waits marked the advisor as asked, and nobody
+// asked it.
+func TestExplainingWhyAStepWaitsDoesNotAskForIt(t *testing.T) {
+	b := newRig(t)
+	b.worker("w1")
+	b.core.workers["w1"].closedUntil = b.now + refusedPause
+	b.core.Accept(&work.Job{ID: "j1", Queue: queue, Steps: []work.Step{short(1)}}, Queue{Name: queue, Service: service, Advised: true}, b.now)
+	assert.Equal(t, len(b.plan().Advice), 0, "no worker is open")
+	b.now += refusedPause + explainEvery + adviceAgain
+	assert.Equal(t, len(b.plan().Advice), 1)
+}
--- a/internal/engine/plan.go
+++ b/internal/engine/plan.go
@@ -166,9 +166,14 @@
 		if !taskplan.Reserved(v.step.spec).Fits(most) {
 			continue
 		}
-		if s := c.planStep(v.step, workers, now, out); s != nil {
-			steps = append(steps, s)
+		s := c.planStep(v.step, workers, now)
+		if s == nil {
+			continue
+		}
+		if v.step.job.queue.Advised {
+			v.step.askAdvice(workers, s.Permitted, now, out)
 		}
+		steps = append(steps, s)
 	}
 	for _, p := range taskplan.Plan(workers, steps) {
 		c.order(p, now, out)
@@ -186,7 +191,7 @@
 		return
 	}
 	st := ws[i].step
-	s := c.planStep(st, workers, now, &Orders{})
+	s := c.planStep(st, workers, now)
 	if s == nil {
 		return
 	}
@@ -226,7 +231,7 @@
 }
 
 // planStep describes a step to the plan; nil where none of it may start yet.
-func (c *Core) planStep(s *step, workers []*taskplan.Worker, now time.Duration, out *Orders) *taskplan.Step {
+func (c *Core) planStep(s *step, workers []*taskplan.Worker, now time.Duration) *taskplan.Step {
 	ps := &taskplan.Step{Ref: s.ref(), Step: s.spec, OnWorker: make(map[work.WorkerID]int)}
 	for _, t := range s.tasks {
 		if t.state == taskPending && now >= t.notBefore && c.mayBegin(t) {
@@ -240,7 +245,7 @@
 		return nil
 	}
 	if s.job.queue.Advised {
-		ps.Permitted = c.permitted(s, workers, now, out)
+		ps.Permitted = s.permitted(workers, now)
 	}
 	return ps
 }
