Tests for safeguards that none could see fail

Cause: 13 safeguards of the engine, the fleet's owner and the terms were taken out one at a time on a copy; six kinds of removal went unseen: the check of certainty in Expire, the inherited lease bound, the age of a list of VMs, the writer's own mark and its refusals, a renewal after the end of a term.

--- a/internal/engine/takeover_test.go
+++ b/internal/engine/takeover_test.go
@@ -115,8 +115,11 @@
 	b.running(short(8), "near", "far")
 	b.core.SetCertain(false)
 	b.core.HoldFailed("far", OutcomeUnknown, b.now)
+	held := len(b.core.workers["far"].tasks)
+	assert.Assert(t, held > 0)
 	b.now += 20 * time.Second
 	assert.Equal(t, len(b.plan().Starts), 0)
+	assert.Equal(t, len(b.core.workers["far"].tasks), held, "it still counts as running there")
 	b.core.SetCertain(true)
 	b.core.HoldFailed("far", OutcomeUnknown, b.now)
 	assert.Assert(t, len(b.core.workers["far"].tasks) == 0, "with certainty it is restarted")
@@ -202,3 +205,39 @@
 	_, _, due := b.core.HoldFor("w1", b.now)
 	assert.Assert(t, !due, "no extension of leases either")
 }
+
+// A task runs twice. A successor heard a worker once, took its run over and lost
+// the worker before it had extended anything: the lease there is the earlier
+// owner's, and the successor's books have none.
+func TestAnAdoptedRunIsNotRestartedBeforeTheEarlierOwnersLeaseIsOver(t *testing.T) {
+	b := newRig(t)
+	o := b.running(short(1), "w1")
+	b.takeOver(8, "w1", "w2")
+	b.core.SetFleet([]work.VM{vm("v1", "w1"), vm("v2", "w2")})
+	b.look("w1", Listing{Running: []Run{run(o.Starts[0])}})
+	b.look("w2", Listing{})
+	inherited := b.now + 5*time.Second
+	b.core.Inherit(inherited)
+	b.core.HoldFailed("w1", OutcomeUnknown, b.now)
+	for b.now < inherited-10*time.Millisecond {
+		assert.Equal(t, len(b.plan().Starts), 0)
+		b.now += 50 * time.Millisecond
+	}
+	b.now = inherited + expirySlack
+	assert.Equal(t, len(b.plan().Starts), 1)
+}
+
+// A worker that is well is given up, and its tasks run twice. It registered after
+// the list of VMs was asked for, and missed one poll since.
+func TestAListOlderThanAWorkersAnswerEndsNothing(t *testing.T) {
+	b := newRig(t)
+	b.running(short(1), "w1")
+	asked := b.now
+	b.look("w1", Listing{})
+	b.core.HoldFailed("w1", OutcomeUnknown, b.now)
+	b.core.SetFleet(nil)
+	b.core.endLives(asked, b.now)
+	assert.Assert(t, b.core.workers["w1"] != nil)
+	b.core.endLives(b.now+time.Millisecond, b.now+time.Millisecond)
+	assert.Assert(t, b.core.workers["w1"] == nil, "a list since then ends it")
+}
--- a/internal/fleetowner/fleet_test.go
+++ b/internal/fleetowner/fleet_test.go
@@ -224,6 +224,7 @@
 	r.pass(f)
 	r.pass(f)
 	assert.Equal(t, len(r.calls), 0)
+	assert.Equal(t, len(r.orders), 0, "no cell is told to close a VM either")
 }
 
 // Workers stay closed for ever after an owner of the fleet is gone: what it
--- a/internal/node/duties.go
+++ b/internal/node/duties.go
@@ -135,7 +135,14 @@
 	d.set(cell, e)
 	err := e.Run(ctx)
 	d.set(cell, nil)
-	n.log.Info("engine ended", "cell", cell, "token", t.Token(), "error", errText(err))
+	n.log.Info("engine ended", "cell", cell, "token", t.Token(), "reason", endReason(err))
+}
+
+func endReason(err error) string {
+	if err == nil {
+		return "the term is over"
+	}
+	return err.Error()
 }
 
 // ownFleet looks after VMs for one term.
--- a/internal/ownership/ownership_test.go
+++ b/internal/ownership/ownership_test.go
@@ -99,6 +99,20 @@
 	assert.Assert(t, term.Certain(), "the store is back and the lease lived on")
 }
 
+// Two owners give orders. One gave its term up while a renewal was under way, and
+// the answer to that brought the permission back.
+func TestARenewalThatWasUnderWayDoesNotBringAnEndedTermBack(t *testing.T) {
+	clock := &testClock{now: time.Minute}
+	e := newElector(t, memstore.New(clockwork.NewFakeClock()), clock, "e1")
+	term, err := e.take(context.Background())
+	assert.NilError(t, err)
+	term.cancel = func() {}
+	term.End("test")
+	term.renewed(clock.Now(), nil)
+	assert.Equal(t, term.AllowedUntil(), time.Duration(0))
+	assert.Assert(t, !term.Certain())
+}
+
 // All duties went to one VM at the start, as each was taken before the first
 // counted.
 func TestAVMThatTookADutyMeanwhileStandsBehindForTheNext(t *testing.T) {
