VMs are drawn by the labels that waiting work asks for

Ruled out: placement (the log's reasons are "label" and "no room", on VMs as they are), the advisor and the order.

Change: cells report the part of their load that asks for a label; pools draw VMs with it, give the others away, and leave what nobody waits for to be parked. Work without a label keeps off VMs whose label other work asked for in the last ten seconds. Steps that fit on no VM known no longer count as backlog, which would draw VMs for ever.

Tests of both in policy/pools.

--- a/internal/engine/cell.go
+++ b/internal/engine/cell.go
@@ -13,6 +13,14 @@
 	Arriving float64        `msgpack:"a"` // core-seconds a second that came of late
 	Short    int            `msgpack:"s"` // VMs that lasting tasks lack, whatever is free on the others
 	Workers  []WorkerReport `msgpack:"w"`
+	// Bound is the part of the load that only workers with the label can take.
+	Bound map[string]BoundLoad `msgpack:"l,omitempty"`
+}
+
+// BoundLoad is load that asks for a label.
+type BoundLoad struct {
+	Used    float64 `msgpack:"u"` // cores in use
+	Backlog float64 `msgpack:"b"` // core-seconds that wait for room
 }
 
 // WorkerReport is one worker of a cell.
@@ -140,27 +148,17 @@
 }
 
 func (c *Core) report(now time.Duration) CellReport {
-	r := CellReport{Arriving: c.arrivalRate(now), Short: c.short(now)}
+	r := CellReport{Arriving: c.arrivalRate(now), Short: c.short(now), Bound: make(map[string]BoundLoad)}
 	for _, w := range c.workers {
-		wr := WorkerReport{
-			ID: w.info.ID, Tasks: len(w.tasks) + len(w.strays), Cordon: w.cordon, Draining: w.info.Draining, Heard: w.heard,
-		}
-		if wr.Tasks == 0 {
-			wr.EmptyFor = now - w.emptySince
-		}
-		for _, t := range w.tasks {
-			if t.step.spec.Lasting {
-				wr.Lasting++
-			}
-		}
-		r.Used += w.used().Cores()
-		r.Workers = append(r.Workers, wr)
+		r.addWorker(w, now)
 	}
+	most := c.mostCapacity()
 	for _, j := range c.open {
 		for _, o := range j.live {
 			for _, s := range o.steps {
-				if s.pending > 0 && s.ready() {
-					r.Backlog += float64(s.pending) * c.waitsFor(s).Seconds() * s.spec.Size.Cores()
+				// What fits on no VM would draw VMs for ever.
+				if s.pending > 0 && s.ready() && s.reserved().Fits(most) {
+					r.addWaiting(s, float64(s.pending)*c.waitsFor(s).Seconds()*s.spec.Size.Cores())
 				}
 			}
 		}
@@ -168,6 +166,46 @@
 	return r
 }
 
+func (r *CellReport) addWorker(w *worker, now time.Duration) {
+	wr := WorkerReport{
+		ID: w.info.ID, Tasks: len(w.tasks) + len(w.strays), Cordon: w.cordon, Draining: w.info.Draining, Heard: w.heard,
+	}
+	if wr.Tasks == 0 {
+		wr.EmptyFor = now - w.emptySince
+	}
+	for _, t := range w.tasks {
+		if t.step.spec.Lasting {
+			wr.Lasting++
+		}
+		if label := t.step.spec.Requires; label != "" {
+			b := r.Bound[label]
+			b.Used += t.reserved().Cores()
+			r.Bound[label] = b
+		}
+	}
+	r.Used += w.used().Cores()
+	r.Workers = append(r.Workers, wr)
+}
+
+func (r *CellReport) addWaiting(s *step, coreSeconds float64) {
+	r.Backlog += coreSeconds
+	if label := s.spec.Requires; label != "" {
+		b := r.Bound[label]
+		b.Backlog += coreSeconds
+		r.Bound[label] = b
+	}
+}
+
+// mostCapacity is, for each kind of resource by itself, the most that any VM known
+// to the cell has.
+func (c *Core) mostCapacity() work.Resources {
+	most := c.largestVM
+	for _, w := range c.workers {
+		most = most.Most(w.info.Capacity)
+	}
+	return most
+}
+
 // shortAfter is how long a lasting task waits before it counts as one that finds
 // no place: a plan comes within some milliseconds.
 const shortAfter = 200 * time.Millisecond
--- a/internal/engine/core.go
+++ b/internal/engine/core.go
@@ -45,7 +45,9 @@
 	inherited   time.Duration            // see Inherit
 	fleetKnown  bool                     // the platform's list of VMs was read
 	alive       map[work.WorkerID]string // pools of the workers that it says are up
+	largestVM   work.Resources           // the most that any VM of that list has, by kind
 	certain     bool                     // no later owner can exist, see SetCertain
+	sought      map[string]time.Duration // labels that steps asked for, and when last
 }
 
 // NewCore returns a core of the service that gives its orders under token.
@@ -57,6 +59,7 @@
 		over:    make(map[work.WorkerID]bool),
 		learned: make(durations),
 		sizes:   make(map[string]*meanSize),
+		sought:  make(map[string]time.Duration),
 
 		dirty: make(map[work.JobID]*job),
 	}
@@ -275,5 +278,7 @@
 	return time.Duration(float64(s.spec.Estimate) * d.ratio(s))
 }
 
-// reserved returns what the task holds of a worker.
-func (t *task) reserved() work.Resources { return taskplan.Reserved(t.step.spec) }
+// reserved returns what a task of the step holds of a worker.
+func (s *step) reserved() work.Resources { return taskplan.Reserved(s.spec) }
+
+func (t *task) reserved() work.Resources { return t.step.reserved() }
--- a/internal/engine/plan.go
+++ b/internal/engine/plan.go
@@ -100,6 +100,9 @@
 				if s.pending == 0 || !s.ready() {
 					continue
 				}
+				if s.spec.Requires != "" {
+					c.sought[s.spec.Requires] = now
+				}
 				if rank == nil {
 					r := joborder.Of(c.orderOf(j, o, now))
 					rank = &r
@@ -203,12 +206,26 @@
 func (c *Core) snapshots(now time.Duration) []*taskplan.Worker {
 	out := make([]*taskplan.Worker, 0, len(c.workers))
 	for _, w := range c.workers {
-		out = append(out, w.snapshot(now))
+		snap := w.snapshot(now)
+		snap.Sought = c.seeks(w.info.Labels, now)
+		out = append(out, snap)
 	}
 	slices.SortFunc(out, func(a, b *taskplan.Worker) int { return cmp.Compare(a.ID, b.ID) })
 	return out
 }
 
+// soughtFor is how long room is kept for work that asks for a label after the last
+// of it waited: steps of a job follow each other within seconds.
+const soughtFor = 10 * time.Second
+
+// seeks reports whether work asked for one of the labels of late.
+func (c *Core) seeks(labels []string, now time.Duration) bool {
+	return len(c.sought) > 0 && slices.ContainsFunc(labels, func(label string) bool {
+		at, known := c.sought[label]
+		return known && now < at+soughtFor
+	})
+}
+
 // mayBegin reports whether the task may start at all now. While a later owner can
 // exist, a task that was started before is its business: it may have adopted the
 // run, or acknowledged its end. One that was never started it leaves alone until
--- a/internal/engine/settled.go
+++ b/internal/engine/settled.go
@@ -37,7 +37,9 @@
 func (c *Core) SetFleet(vms []work.VM) {
 	c.fleetKnown = true
 	c.alive = make(map[work.WorkerID]string, len(vms))
+	c.largestVM = work.Resources{}
 	for _, vm := range vms {
+		c.largestVM = c.largestVM.Most(vm.Size)
 		if vm.State == work.VMUp && vm.Worker != "" {
 			c.alive[vm.Worker] = vm.Pool
 		}
--- a/internal/fleetowner/moves.go
+++ b/internal/fleetowner/moves.go
@@ -50,6 +50,7 @@
 		p := &pools.Pool{Name: name, Parked: s.Standby}
 		if c := f.cells[name]; c != nil {
 			p.Used, p.Backlog, p.Arriving, p.Short = c.Used, c.Backlog, c.Arriving, c.Short
+			p.Bound = boundOf(c.Bound)
 		}
 		if p.Backlog > 0 {
 			f.lastBusy[name] = now
@@ -73,12 +74,20 @@
 	return out
 }
 
+func boundOf(loads map[string]engine.BoundLoad) map[string]pools.Bound {
+	out := make(map[string]pools.Bound, len(loads))
+	for label, l := range loads {
+		out[label] = pools.Bound{Used: l.Used, Backlog: l.Backlog}
+	}
+	return out
+}
+
 // addVM adds the VM to its pool, or to the one it is on its way to.
 func (f *Fleet) addVM(byName map[string]*pools.Pool, vm work.VM) {
-	size := vm.Size.Cores()
+	out := pools.VM{ID: vm.ID, Cores: vm.Size.Cores(), Labels: vm.Labels}
 	if o := f.orderOf(vm.ID); o != nil {
 		if p := byName[o.pool]; p != nil {
-			p.Incoming += size
+			p.Coming = append(p.Coming, out)
 		}
 		return
 	}
@@ -89,14 +98,16 @@
 	w := f.worker(vm)
 	switch {
 	case vm.State == work.VMMoving || vm.State == work.VMUp && !p.Parked && (w == nil || !w.Heard):
-		p.Incoming += size
+		p.Coming = append(p.Coming, out)
 	case vm.State != work.VMUp:
 	case p.Parked:
-		p.VMs = append(p.VMs, pools.VM{ID: vm.ID, Cores: size, Empty: !f.reserved(vm.ID)})
+		out.Empty = !f.reserved(vm.ID)
+		p.VMs = append(p.VMs, out)
 	case w.Cordon.Kind != engine.Open || w.Draining:
 		// It takes nothing new: no capacity.
 	default:
-		p.VMs = append(p.VMs, pools.VM{ID: vm.ID, Cores: size, Empty: w.Tasks == 0, Since: w.EmptyFor})
+		out.Empty, out.Since = w.Tasks == 0, w.EmptyFor
+		p.VMs = append(p.VMs, out)
 	}
 }
 
@@ -105,20 +116,24 @@
 	Pool     string `json:"pool"`
 	VMs      int    `json:"vms"`
 	Empty    int    `json:"empty"`
-	Incoming int    `json:"incoming cores"`
+	Incoming int    `json:"incoming vms"`
 	Used     int    `json:"used cores"`
 	Backlog  int    `json:"backlog core seconds"`
 	Arriving int    `json:"arriving core seconds a second"`
 	Short    int    `json:"short of vms"`
+	Labels   int    `json:"backlog bound to labels"`
 }
 
 func summaries(state []pools.Pool) []summary {
 	out := make([]summary, 0, len(state))
 	for _, p := range state {
 		s := summary{
-			Pool: p.Name, VMs: len(p.VMs), Incoming: int(p.Incoming), Used: int(p.Used),
+			Pool: p.Name, VMs: len(p.VMs), Incoming: len(p.Coming), Used: int(p.Used),
 			Backlog: int(p.Backlog), Arriving: int(p.Arriving), Short: p.Short,
 		}
+		for _, b := range p.Bound {
+			s.Labels += int(b.Backlog)
+		}
 		for _, vm := range p.VMs {
 			if vm.Empty {
 				s.Empty++
--- a/policy/pools/pools.go
+++ b/policy/pools/pools.go
@@ -7,6 +7,10 @@
 // the VM away for a second or two and has a price, so a VM moves only for a
 // backlog that outlasts that, and idle VMs come from where the next burst is
 // furthest: as bursts take turns, that is where the last one has just ended.
+//
+// Work that asks for a label waits although its pool has VMs enough, of another
+// kind: for it the pool draws VMs with the label, and gives the others away. A pool
+// that kept them for a backlog they can't take would let all other pools starve.
 package pools
 
 import (
@@ -18,23 +22,65 @@
 
 // VM is one VM as the decision sees it.
 type VM struct {
-	ID    string
-	Cores float64
-	Empty bool          // nothing runs on it, and it may leave
-	Since time.Duration // how long it has been empty
+	ID     string
+	Cores  float64
+	Labels []string
+	Empty  bool          // nothing runs on it, and it may leave
+	Since  time.Duration // how long it has been empty
 }
 
 // Pool is one pool.
 type Pool struct {
 	Name     string
-	Parked   bool // its VMs are off
-	VMs      []VM // up and open to new tasks
-	Incoming float64
+	Parked   bool          // its VMs are off
+	VMs      []VM          // up and open to new tasks
+	Coming   []VM          // on their way
 	Used     float64       // cores in use
 	Backlog  float64       // core-seconds that wait for room
 	Arriving float64       // core-seconds a second that came of late
 	Short    int           // VMs that are lacked whatever is free on the others
 	Quiet    time.Duration // since it last had a backlog
+	// Bound is the part of the load that only VMs with the label can take.
+	Bound map[string]Bound
+}
+
+// Bound is load that asks for a label.
+type Bound struct {
+	Used    float64 // cores in use
+	Backlog float64 // core-seconds that wait for room
+}
+
+func (v *VM) has(label string) bool { return label == "" || slices.Contains(v.Labels, label) }
+
+// free is the backlog that any VM can take.
+func (p *Pool) free() float64 {
+	out := p.Backlog
+	for _, b := range p.Bound {
+		out -= b.Backlog
+	}
+	return out
+}
+
+// waitsFor reports whether work of the pool waits for a label of the VM.
+func (p *Pool) waitsFor(vm *VM) bool {
+	for label, b := range p.Bound {
+		if b.Backlog > 0 && vm.has(label) {
+			return true
+		}
+	}
+	return false
+}
+
+// cores is what the pool has, or is about to have, with the label.
+func (p *Pool) cores(label string) (sum float64) {
+	for _, vms := range [][]VM{p.VMs, p.Coming} {
+		for i := range vms {
+			if vms[i].has(label) {
+				sum += vms[i].Cores
+			}
+		}
+	}
+	return sum
 }
 
 // Move is one VM to change its pool.
@@ -73,9 +119,13 @@
 	wanting := wants(pools)
 	donors := donorsOf(pools, shareOf(split, keepShare))
 	for _, w := range wanting {
-		for w.cores > 0 && len(donors) > 0 {
-			d := donors[0]
-			donors = donors[1:]
+		for w.cores > 0 {
+			i := donorFor(w, wanting, donors)
+			if i < 0 {
+				break
+			}
+			d := donors[i]
+			donors = slices.Delete(donors, i, i+1)
 			moves = append(moves, Move{VM: d.vm.ID, From: d.from, To: w.name})
 			w.cores -= d.vm.Cores
 		}
@@ -123,12 +173,15 @@
 	return out
 }
 
+// want is what a pool lacks.
 type want struct {
 	name  string
+	label string // of the VMs; empty: any
 	cores float64
 }
 
-// wants returns what pools lack, the largest lack first.
+// wants returns what pools lack: VMs with a label first, as others can't stand in
+// for them, then the largest lack.
 func wants(pools []Pool) []want {
 	var out []want
 	for i := range pools {
@@ -136,25 +189,74 @@
 		if p.Parked || p.Backlog <= 0 && p.Short == 0 {
 			continue
 		}
-		have, largest := p.Incoming, 0.0
-		for _, vm := range p.VMs {
-			have += vm.Cores
-			largest = max(largest, vm.Cores)
-		}
-		// What arrives must be borne from now on, and the backlog worked off
-		// beside it. Cores in use tell no more than what there is.
-		lack := max(p.Used, p.Arriving) + p.Backlog/DrainGoal.Seconds() - have
-		lack = max(lack, float64(p.Short)*largest-p.Incoming)
-		if lack > 0 {
+		lack := p.lack()
+		for label, b := range p.Bound {
+			cores := b.Used + b.Backlog/DrainGoal.Seconds() - p.cores(label)
+			if b.Backlog <= 0 || cores <= 0 || !exists(pools, label) {
+				continue
+			}
+			out = append(out, want{name: p.Name, label: label, cores: cores})
+			lack -= cores
+		}
+		if lack > 0 && (p.free() > 0 || p.Short > 0) {
 			out = append(out, want{name: p.Name, cores: lack})
 		}
 	}
 	slices.SortFunc(out, func(a, b want) int {
-		return cmp.Or(cmp.Compare(b.cores, a.cores), cmp.Compare(a.name, b.name))
+		return cmp.Or(-cmp.Compare(min(len(a.label), 1), min(len(b.label), 1)), cmp.Compare(b.cores, a.cores),
+			cmp.Compare(a.name, b.name), cmp.Compare(a.label, b.label))
 	})
 	return out
 }
 
+// lack is what the pool lacks in all, whatever the labels.
+func (p *Pool) lack() float64 {
+	coming, largest := 0.0, 0.0
+	for _, vm := range p.Coming {
+		coming += vm.Cores
+	}
+	for _, vm := range p.VMs {
+		largest = max(largest, vm.Cores)
+	}
+	// What arrives must be borne from now on, and the backlog worked off beside
+	// it. Cores in use tell no more than what there is.
+	lack := max(p.Used, p.Arriving) + p.Backlog/DrainGoal.Seconds() - p.cores("")
+	return max(lack, float64(p.Short)*largest-coming)
+}
+
+// exists reports whether any VM has the label: a lack that nothing can end must
+// not keep idle VMs from being parked.
+func exists(pools []Pool, label string) bool {
+	for i := range pools {
+		if pools[i].cores(label) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// donorFor returns the VM that is missed least among those that serve the want: at
+// best one without a label that another lacks. -1: there is none.
+func donorFor(w want, all []want, donors []donor) int {
+	second := -1
+	for i := range donors {
+		if !donors[i].vm.has(w.label) {
+			continue
+		}
+		if w.label != "" || !anyLacks(all, &donors[i].vm) {
+			return i
+		}
+		if second < 0 {
+			second = i
+		}
+	}
+	return second
+}
+
+func anyLacks(all []want, vm *VM) bool {
+	return slices.ContainsFunc(all, func(w want) bool { return w.label != "" && vm.has(w.label) })
+}
+
 type donor struct {
 	vm    VM
 	from  string
@@ -168,7 +270,7 @@
 	var out []donor
 	for i := range pools {
 		p := &pools[i]
-		if p.Backlog > 0 || p.Short > 0 {
+		if p.free() > 0 || p.Short > 0 {
 			continue
 		}
 		spare := len(p.VMs) - keep
@@ -180,7 +282,7 @@
 			if spare <= 0 {
 				break
 			}
-			if vm.Empty && (p.Parked || vm.Since >= emptyFor) {
+			if vm.Empty && !p.waitsFor(&vm) && (p.Parked || vm.Since >= emptyFor) {
 				out = append(out, donor{vm: vm, from: p.Name, quiet: quiet})
 				spare--
 			}
--- a/policy/pools/pools_test.go
+++ b/policy/pools/pools_test.go
@@ -49,7 +49,7 @@
 // as many again, and they would arrive after the burst.
 func TestVMsOnTheirWayAreNotOrderedAgain(t *testing.T) {
 	moves := Decide([]Pool{
-		{Name: "busy", VMs: vms("b", 8, 0, 0), Used: 128, Backlog: 100, Incoming: 112},
+		{Name: "busy", VMs: vms("b", 8, 0, 0), Used: 128, Backlog: 100, Coming: vms("c", 7, 0, 0)},
 		{Name: "off", Parked: true, VMs: vms("p", 8, 8, 0)},
 	})
 	assert.Equal(t, len(moves), 0)
@@ -87,6 +87,46 @@
 	}
 }
 
+// labelled gives every VM the label.
+func labelled(vms []VM, label string) []VM {
+	for i := range vms {
+		vms[i].Labels = []string{label}
+	}
+	return vms
+}
+
+// Callers wait for work that asks for a label while their pool has thirty idle VMs
+// without it, and the other pools have none left to begin with: the pool counted
+// as busy and gave nothing away. It draws VMs with the label, and the others go
+// where any VM will do.
+func TestABacklogForALabelDrawsVMsWithItAndKeepsNoOthers(t *testing.T) {
+	moves := Decide([]Pool{
+		{Name: "bound", VMs: vms("x", 30, 30, time.Minute), Backlog: 40, Bound: map[string]Bound{"big": {Backlog: 40}}},
+		{Name: "busy", VMs: vms("b", 4, 0, 0), Used: 64, Backlog: 80},
+		{Name: "off", Parked: true, VMs: labelled(vms("p", 4, 4, 0), "big")},
+	})
+	to := make(map[string]int)
+	for _, m := range moves {
+		to[m.From+" to "+m.To]++
+	}
+	assert.DeepEqual(t, to, map[string]int{"off to bound": 3, "bound to busy": 6})
+}
+
+// Work for a label that no VM has waits for ever. It must neither draw VMs for ever
+// nor keep idle ones from being parked.
+func TestALackThatNothingCanEndMovesNothing(t *testing.T) {
+	pools := []Pool{
+		{Name: "bound", VMs: vms("x", 4, 4, time.Second), Backlog: 40, Bound: map[string]Bound{"none": {Backlog: 40}}},
+		{Name: "quiet", VMs: vms("q", 12, 12, time.Minute)},
+		{Name: "off", Parked: true},
+	}
+	for _, m := range Decide(pools) {
+		assert.Equal(t, m.To, "off")
+		assert.Equal(t, m.From, "quiet")
+	}
+	assert.Assert(t, len(Decide(pools)) > 0)
+}
+
 // turn is one queue's burst: its core-seconds arrive evenly over it.
 const (
 	turnLength = 4 * time.Second
@@ -134,7 +174,7 @@
 					p.VMs[v].Since = 0
 				}
 			}
-			p.Incoming = 0
+			p.Coming = nil
 		}
 		kept := under[:0]
 		for _, a := range under {
@@ -145,7 +185,7 @@
 				if now >= a.at {
 					pools[i].VMs = append(pools[i].VMs, a.vm)
 				} else {
-					pools[i].Incoming += a.vm.Cores
+					pools[i].Coming = append(pools[i].Coming, a.vm)
 				}
 			}
 			if now < a.at {
--- a/policy/taskplan/taskplan.go
+++ b/policy/taskplan/taskplan.go
@@ -30,6 +30,7 @@
 	Serving  int     // serving tasks there
 	Filling  int     // fill tasks there
 	Slowness float64 // duration of its tasks against its peers'; 1 is usual
+	Sought   bool    // has a label that other work asks for
 }
 
 func (w *Worker) has(label string) bool { return slices.Contains(w.Labels, label) }
@@ -102,9 +103,7 @@
 func MostFree(workers []*Worker) work.Resources {
 	var most work.Resources
 	for _, w := range workers {
-		most.MilliCPU = max(most.MilliCPU, w.Free.MilliCPU)
-		most.MemoryMB = max(most.MemoryMB, w.Free.MemoryMB)
-		most.GPU = max(most.GPU, w.Free.GPU)
+		most = most.Most(w.Free)
 	}
 	return most
 }
@@ -262,6 +261,7 @@
 	scoreDisturbed = 100  // fill beside serving tasks or the reverse: they slow each other
 	scoreFar       = 30   // away from the data: 1.5 to 2 times as long
 	scoreSlow      = 20   // times how much slower than its peers it is
+	scoreSought    = 15   // work that asks for no label takes the room of work that can't go elsewhere
 	scoreMixed     = 5    // tasks that last and short ones on one VM keep it from being emptied
 	scoreFill      = 1    // best fit
 )
@@ -277,6 +277,9 @@
 	if s.Step.DataRack != "" && !w.has(s.Step.DataRack) {
 		score += scoreFar
 	}
+	if w.Sought && s.Step.Requires == "" {
+		score += scoreSought
+	}
 	score += scoreSlow * max(0, w.Slowness-1)
 	if s.Step.Lasting && w.Lasting == 0 {
 		score += scoreMixed
--- a/policy/work/work.go
+++ b/policy/work/work.go
@@ -47,6 +47,11 @@
 	return Resources{r.MilliCPU - o.MilliCPU, r.MemoryMB - o.MemoryMB, r.GPU - o.GPU}
 }
 
+// Most returns the larger of the two in every dimension.
+func (r Resources) Most(o Resources) Resources {
+	return Resources{max(r.MilliCPU, o.MilliCPU), max(r.MemoryMB, o.MemoryMB), max(r.GPU, o.GPU)}
+}
+
 // Times returns r n times over.
 func (r Resources) Times(n int64) Resources {
 	return Resources{r.MilliCPU * n, r.MemoryMB * n, r.GPU * n}
