Most polls of a busy worker tell of ends alone, and large cells poll less often

Each worker ends a task every 64 ms and was polled at each end: some four thousand answers a second, each with all ten runs of the worker, decoded at the VM that forwards and again at the owner, to take in one or two ends.

Change: policy/polling. A poll may leave out what runs if it was listed in the last half second and nothing is in doubt, being stopped, or paced; the pause between polls grows with the busy workers of the cell, 30 ms as before up to 85 of them, 100 ms from 285.

--- a/internal/engine/core.go
+++ b/internal/engine/core.go
@@ -38,6 +38,7 @@
 	endings   int64                 // ends taken in so far, of all workers
 	now       time.Duration         // of the last plan or answer
 	explained time.Duration         // when work that waits was last logged
+	busy      int                   // workers with tasks, as of the last plan
 	judged    time.Duration         // when running tasks were last judged
 	astray    map[work.TaskRef]bool // tasks with a run that is to be stopped, as of this plan
 	deposed   bool
--- a/internal/engine/listing.go
+++ b/internal/engine/listing.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/pumicestage/pumicestage/policy/polling"
 	"github.com/pumicestage/pumicestage/policy/work"
 )
 
@@ -88,17 +89,19 @@
 		h.Deadline = w.clockNow(now) + min(LeaseAhead, c.bounds.MaxHold)
 		w.deadline = max(w.deadline, h.Deadline)
 	}
+	// A short wait means that the list is to settle or to pace something.
+	h.Brief = polling.Brief(now-w.listedAt, h.Wait != pollWait || w.missed > 0)
 	return w.info, h, true
 }
 
 func (w *worker) wait() time.Duration {
 	serving, filling := false, false
 	if len(w.strays) > 0 {
-		return pollPause
+		return pollSoon
 	}
 	for _, t := range w.tasks {
 		if t.state == taskDoubtful || t.state == taskStopping {
-			return pollPause
+			return pollSoon
 		}
 		serving = serving || t.step.spec.Serving()
 		filling = filling || t.step.spec.Fill
@@ -167,7 +170,10 @@
 			c.ended(w, e, now)
 		}
 	}
-	c.listed(w, l.Running, sent, now)
+	if !l.Brief {
+		w.listedAt = sent
+		c.listed(w, l.Running, sent, now)
+	}
 }
 
 // listed compares what runs with what should.
--- a/internal/engine/orders.go
+++ b/internal/engine/orders.go
@@ -128,7 +128,7 @@
 	switch out {
 	case OutcomeNoRoom:
 		w.full = true
-		w.closedUntil = now + pollPause
+		w.closedUntil = now + pollSoon
 	case OutcomeRefused, OutcomeNotSent:
 		w.closedUntil = now + refusedPause
 	case OutcomeLate:
--- a/internal/engine/ports.go
+++ b/internal/engine/ports.go
@@ -48,6 +48,7 @@
 // Listing is what a worker answers when it is looked at.
 type Listing struct {
 	Clock   time.Duration // the worker's own clock
+	Brief   bool          // Running was left out
 	Running []Run
 	Ended   []RunEnd
 }
@@ -58,6 +59,7 @@
 	AckedThrough int64
 	Deadline     time.Duration // on the worker's clock; 0: extends nothing
 	Wait         time.Duration // how long the answer may wait for an end
+	Brief        bool          // what runs need not be told
 }
 
 // Start orders one run of a task.
--- a/internal/engine/session.go
+++ b/internal/engine/session.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/pumicestage/pumicestage/internal/sleep"
+	"github.com/pumicestage/pumicestage/policy/polling"
 	"github.com/pumicestage/pumicestage/policy/work"
 )
 
@@ -82,6 +83,7 @@
 		e.authority()
 		info, h, due := e.core.HoldFor(s.id, e.Clock.Now())
 		_, exists := e.core.workers[s.id]
+		pause := polling.Pause(e.core.busy)
 		if !exists {
 			delete(e.sessions, s.id)
 		}
@@ -93,7 +95,6 @@
 			s.idle(ctx)
 			continue
 		}
-		pause := pollPause
 		if !s.poll(ctx, &info, h) {
 			pause = failedPause
 		}
@@ -136,7 +137,7 @@
 	}
 	e.mu.Unlock()
 	// An answer that came because its time was up brings nothing to plan on.
-	if out != OutcomeOK || len(l.Ended) > 0 || h.Wait <= pollPause {
+	if out != OutcomeOK || len(l.Ended) > 0 || h.Wait <= pollSoon {
 		kick(e.planKick)
 	}
 	return out == OutcomeOK
--- a/internal/engine/worker.go
+++ b/internal/engine/worker.go
@@ -33,10 +33,9 @@
 	// pollWait is how long a worker may hold an answer back for an end. It is
 	// also the longest time between extensions of a lease.
 	pollWait = 1 * time.Second
-	// pollPause is the least time between two polls of one worker. Ends of
-	// short tasks come many a second; each poll is priced and costs processor
-	// time, and a step loses at most this much between its tasks.
-	pollPause = 30 * time.Millisecond
+	// pollSoon is how long an answer may wait where something is in doubt or
+	// being stopped.
+	pollSoon = 30 * time.Millisecond
 	// serveWait replaces pollWait where fill tasks run beside serving ones, so
 	// that pacing follows within a second.
 	serveWait = 400 * time.Millisecond
@@ -67,9 +66,10 @@
 	// while one of its runs is a stray somewhere.
 	strays map[work.TaskRef]*stray
 
-	seen, stored, acked int64     // ends taken in, stored, acknowledged
-	unstored            []endMark // of the ends between seen and stored
-	missed              int       // polls without an answer since the last
+	listedAt            time.Duration // when it last told what runs, as of the poll's sending
+	seen, stored, acked int64         // ends taken in, stored, acknowledged
+	unstored            []endMark     // of the ends between seen and stored
+	missed              int           // polls without an answer since the last
 	closedUntil         time.Duration
 	strikes             strikes
 	slowness            straggler.Slowness
--- /dev/null
+++ b/policy/polling/polling_test.go
@@ -0,0 +1,26 @@
+package polling
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// A burst on three hundred workers: their owner must not be asked more than it can
+// take in, nor may the steps of a small cell wait for it.
+func TestPollsAreBoundedOverACell(t *testing.T) {
+	for _, workers := range []int{1, 12, 48, 100, 280} {
+		rate := float64(workers) / Pause(workers).Seconds()
+		assert.Assert(t, rate <= 3000, "%d workers: %.0f polls a second", workers, rate)
+	}
+	assert.Equal(t, Pause(48), leastPause)
+	assert.Equal(t, Pause(5000), mostPause)
+}
+
+// What is in doubt is settled by the list alone.
+func TestTheListIsLeftOutOnlyWhileItIsFreshAndSettlesNothing(t *testing.T) {
+	assert.Assert(t, Brief(fullEvery-time.Millisecond, false))
+	assert.Assert(t, !Brief(fullEvery, false))
+	assert.Assert(t, !Brief(0, true))
+}
