A wave's age outlives its owner, and a cell asks for as many VMs as may move at a time

An owner of the fleet on an entry VM that was started after the wave was ordered took all of its time as left; the first owner now notes when it saw the wave, and the earlier of the two counts. A cell whose VMs can't be emptied for want of places asked for one more VM at a time; it asks for as many as one step may have on the move. Both tests fail first (the first seen red with the change taken out).

--- a/internal/engine/cell.go
+++ b/internal/engine/cell.go
@@ -240,17 +240,36 @@
 	return (waiting + each - 1) / each
 }
 
-// stuckVMs is 1 if a VM can't be emptied for want of a place for what it has.
+// stuckVMs is how many VMs would let the VMs that are to be emptied go on: as many as
+// one step may have tasks on the move at a time. With one at a time a wave over a
+// large pool is late, as each takes seconds to come. Steps share what comes.
 func (c *Core) stuckVMs(now time.Duration) int {
-	for _, w := range c.workers {
-		if w.cordon.Kind != Vacated {
+	need := 0
+	for _, j := range c.open {
+		if !j.Lasting() {
 			continue
 		}
-		for _, t := range w.tasks {
-			if t.step.spec.Lasting && t.state == taskActive && !c.hasPlace(t, now) {
-				return 1
+		for _, o := range j.live {
+			for _, s := range o.steps {
+				need = max(need, min(c.stuckTasks(s, now), max(1, s.spec.MaxUnavailable)))
 			}
 		}
 	}
-	return 0
+	return need
+}
+
+// stuckTasks counts the step's lasting tasks that are to leave their VMs and have no
+// place to go.
+func (c *Core) stuckTasks(s *step, now time.Duration) int {
+	n := 0
+	for _, t := range s.tasks {
+		if !s.spec.Lasting || t.state != taskActive || t.where.cordon.Kind != Vacated {
+			continue
+		}
+		if n == 0 && c.hasPlace(t, now) {
+			return 0
+		}
+		n++
+	}
+	return n
 }
--- a/internal/engine/claim_test.go
+++ b/internal/engine/claim_test.go
@@ -49,6 +49,30 @@
 	assert.Equal(t, len(b.plan().Stops), 1)
 }
 
+// The operator sees a wave over a large pool that is late: each of its VMs waits
+// for one more VM, and the pool drew them one after the other. It draws as many as
+// the step lets move at a time.
+func TestACellIsShortOfAsManyVMsAsMayMoveAtATime(t *testing.T) {
+	b := newRig(t)
+	for _, id := range []work.WorkerID{"w1", "w2", "w3", "w4"} {
+		b.worker(id)
+	}
+	step := lasting(4)
+	step.MaxUnavailable = 2
+	b.accept("j1", step)
+	o := b.plan()
+	b.answer(o, OutcomeOK)
+	for i, s := range o.Starts {
+		r := run(s)
+		r.Percent = fullPercent
+		b.look(s.Worker.ID, Listing{Running: []Run{r}})
+		if i < 3 {
+			b.core.obey(CellOrder{Kind: OrderVacate, Worker: s.Worker.ID}, token, b.now)
+		}
+	}
+	assert.Equal(t, b.core.report(b.now).Short, 2)
+}
+
 // Maintenance ends tasks that a new owner of the cell had not heard of yet. It
 // claims nothing of what it does not know, or can't reach.
 func TestOnlyWhatIsKnownToBeEmptyIsClaimed(t *testing.T) {
--- a/internal/fleetowner/fleet_test.go
+++ b/internal/fleetowner/fleet_test.go
@@ -37,7 +37,7 @@
 }
 
 func (r *rig) Now() time.Duration          { return r.now }
-func (r *rig) Wall() time.Time             { return time.Unix(0, 0) }
+func (r *rig) Wall() time.Time             { return time.Unix(0, 0).Add(r.now) }
 func (r *rig) Token() int64                { return 5 }
 func (r *rig) AllowedUntil() time.Duration { return r.now + time.Hour }
 func (r *rig) Certain() bool               { return r.certain }
@@ -214,6 +214,30 @@
 	assert.DeepEqual(t, r.calls, []string{"maintain v1"})
 }
 
+// The operator sees a wave that is late: its owner was replaced by an entry VM that
+// started after the wave was ordered, and thought that all of the time was left. The
+// first owner notes when it saw the wave.
+func TestANewOwnerKnowsHowLongAWaveHasBeenGoingOn(t *testing.T) {
+	r := newRig()
+	r.vm("v1", "a")
+	busy := empty("v1")
+	busy[0].Tasks, busy[0].EmptyFor = 1, 0
+	r.reports["a"] = engine.CellReport{Backlog: 100, Workers: busy}
+	r.waves = []OrderedWave{wave(1, "v1")}
+	first := r.fleet()
+	r.pass(first)
+	r.pass(first)
+	assert.Equal(t, len(r.orders), 0, "there is time: a VM in use is left alone")
+	r.now += r.waves[0].Duration - 5*time.Second
+	r.waves[0].Seen = r.now
+	second := r.fleet()
+	second.Store = first.Store
+	r.pass(second)
+	r.pass(second)
+	assert.Assert(t, len(r.orders) > 0)
+	assert.Equal(t, r.orders[0].Kind, engine.OrderVacate)
+}
+
 func TestNoOrdersWithoutACertainLease(t *testing.T) {
 	r := newRig()
 	r.vm("v1", "a")
--- a/internal/fleetowner/waves.go
+++ b/internal/fleetowner/waves.go
@@ -19,14 +19,21 @@
 	maintenanceTime = 2700 * time.Millisecond
 )
 
+// unsaved says that nothing of a wave is stored yet.
+const unsaved = -1
+
 // waveRun is how a wave stands.
 type waveRun struct {
 	Done      map[string]bool `json:"done"`
 	Completed bool            `json:"completed,omitempty"`
-	reported  string
-	saved     int
-	loaded    bool
-	emptying  map[string]time.Duration // since when a VM is closed to new tasks
+	// Seen is when the first owner of the fleet saw the wave, by its wall clock. An
+	// entry VM that was started since would think that all of the time is left.
+	Seen time.Time `json:"seen,omitzero"`
+
+	reported string
+	saved    int // how many were done when it was last stored
+	loaded   bool
+	emptying map[string]time.Duration // since when a VM is closed to new tasks
 }
 
 // wave takes one wave a step further and returns what cells are to do for it.
@@ -39,6 +46,7 @@
 	if !r.loaded && !f.loadWave(ctx, w.Name, r) {
 		return nil
 	}
+	w.Seen = f.since(w, r)
 	if r.Completed {
 		f.report(ctx, w.Name, r)
 		return nil
@@ -60,6 +68,16 @@
 	return orders
 }
 
+// since returns when the wave was ordered, on our clock: by what the first owner
+// noted or what we saw ourselves, whichever is earlier. Too early makes it hurry.
+func (f *Fleet) since(w OrderedWave, r *waveRun) time.Duration {
+	now, wall := f.Clock.Now(), f.Clock.Wall()
+	if r.Seen.IsZero() {
+		r.Seen = wall.Add(w.Seen - now)
+	}
+	return min(w.Seen, now-wall.Sub(r.Seen))
+}
+
 func (f *Fleet) input(w OrderedWave, r *waveRun) upkeep.Input {
 	in := upkeep.Input{
 		Left:       w.Seen + w.Duration - f.Clock.Now(),
@@ -165,6 +183,9 @@
 	}
 	r.loaded = true
 	r.saved = len(r.Done)
+	if kv.ModRevision == 0 {
+		r.saved = unsaved
+	}
 	return true
 }
 
