VMs of a wave with lasting tasks are emptied from the start

Some tasks moved to VMs that the same wave took next.

Change: a wave's VMs with lasting tasks are closed and emptied from its start, after those that are empty. Cells are told which workers' VMs are due, and lasting tasks rather go elsewhere.

--- a/internal/engine/cell.go
+++ b/internal/engine/cell.go
@@ -49,8 +49,12 @@
 	Open    CordonKind = iota
 	Vacated            // no new tasks; lasting ones leave
 	Claimed            // empty, and an order for its VM may be under way
+	Due                // open, but its VM's maintenance is to come: lasting tasks rather go elsewhere
 )
 
+// Closes reports whether the worker takes nothing new.
+func (c Cordon) Closes() bool { return c.Kind == Vacated || c.Kind == Claimed }
+
 // CellOrderKind names what the fleet's owner asks of a cell's.
 type CellOrderKind uint8
 
@@ -61,6 +65,7 @@
 	OrderClaim                           // close it if it is empty; fails otherwise
 	OrderOpen                            // take new tasks again
 	OrderGone                            // its life is over
+	OrderDue                             // its VM's maintenance is to come
 )
 
 // CellOrder is one order for one worker.
@@ -122,6 +127,8 @@
 		c.setCordon(w, Cordon{Kind: Claimed, Token: token})
 	case OrderOpen:
 		c.setCordon(w, Cordon{})
+	case OrderDue:
+		c.setCordon(w, Cordon{Kind: Due, Token: token})
 	case OrderGone:
 		c.WorkerGone(o.Worker, "its VM is taken away", now)
 	}
--- a/internal/engine/worker.go
+++ b/internal/engine/worker.go
@@ -192,6 +192,7 @@
 
 		Lasting: w.load.lasting, Serving: w.load.serving, Filling: w.load.filling,
 		Slowness: w.slowness.Factor(),
+		Due:      w.cordon.Kind == Due,
 	}
 	if n := len(w.info.Labels); n > 0 {
 		out.Rack = w.info.Labels[n-1]
@@ -218,7 +219,7 @@
 }
 
 func (w *worker) closed(now time.Duration) bool {
-	return w.doubted() || w.unsure || !w.heard || w.gone || w.info.Draining || w.cordon.Kind != Open || w.missed > 0 ||
+	return w.doubted() || w.unsure || !w.heard || w.gone || w.info.Draining || w.cordon.Closes() || w.missed > 0 ||
 		w.full || now < w.closedUntil || now < w.strikes.until || len(w.strays) > 0
 }
 
--- a/internal/fleetowner/fleet.go
+++ b/internal/fleetowner/fleet.go
@@ -85,6 +85,7 @@
 	vms      map[string]work.VM
 	cells    map[string]*cellView
 	waves    map[string]*waveRun
+	due      map[work.WorkerID]bool   // workers whose VMs a wave has yet to take
 	lastBusy map[string]time.Duration // when each service last had a backlog
 	// inherited are the VMs that were not up when this owner took over.
 	inherited map[string]bool
@@ -98,7 +99,7 @@
 func New(o Options) *Fleet {
 	return &Fleet{
 		Options: o, waves: make(map[string]*waveRun), lastBusy: make(map[string]time.Duration),
-		orders: make(map[string]*vmOrder), cells: make(map[string]*cellView),
+		orders: make(map[string]*vmOrder), due: make(map[work.WorkerID]bool), cells: make(map[string]*cellView),
 	}
 }
 
@@ -158,9 +159,10 @@
 		return
 	}
 	var orders []cellOrder
+	clear(f.due)
 	for _, w := range f.Waves.Ordered() {
 		orders = append(orders, f.wave(ctx, w)...)
 	}
-	f.send(ctx, append(orders, f.openStale()...))
+	f.send(ctx, append(orders, f.restCordons()...))
 	f.rebalance(ctx)
 }
--- a/internal/fleetowner/moves.go
+++ b/internal/fleetowner/moves.go
@@ -103,7 +103,7 @@
 	case p.Parked:
 		out.Empty = !f.reserved(vm.ID)
 		p.VMs = append(p.VMs, out)
-	case w.Cordon.Kind != engine.Open || w.Draining:
+	case w.Cordon.Closes() || w.Draining:
 		// It takes nothing new: no capacity.
 	default:
 		out.Empty, out.Since = w.Tasks == 0, w.EmptyFor
--- a/internal/fleetowner/orders.go
+++ b/internal/fleetowner/orders.go
@@ -69,10 +69,11 @@
 	}
 }
 
-// openStale opens workers that nobody has a reason to keep closed: an order that
-// was given up, or what an earlier owner of the fleet left behind. Its claims are
-// kept until its orders are certain to be over.
-func (f *Fleet) openStale() []cellOrder {
+// restCordons are the orders for workers that nobody has a reason to keep closed: an
+// order that was given up, or what an earlier owner of the fleet left behind. Its
+// claims are kept until its orders are certain to be over. Workers whose VMs a wave
+// has yet to take are told so.
+func (f *Fleet) restCordons() []cellOrder {
 	wanted := make(map[work.WorkerID]bool)
 	for _, r := range f.waves {
 		for id := range r.emptying {
@@ -88,14 +89,18 @@
 	for cell, c := range f.cells {
 		for i := range c.Workers {
 			w := &c.Workers[i]
-			if w.Cordon.Kind == engine.Open || wanted[w.ID] {
+			kind, order := engine.Open, engine.OrderOpen
+			if f.due[w.ID] {
+				kind, order = engine.Due, engine.OrderDue
+			}
+			if w.Cordon.Kind == kind || wanted[w.ID] {
 				continue
 			}
 			foreign := w.Cordon.Token != f.Term.Token()
 			if w.Cordon.Kind == engine.Claimed && foreign && f.Clock.Now() < f.began+orderOver {
 				continue
 			}
-			out = append(out, cellOrder{cell: cell, order: engine.CellOrder{Kind: engine.OrderOpen, Worker: w.ID}})
+			out = append(out, cellOrder{cell: cell, order: engine.CellOrder{Kind: order, Worker: w.ID}})
 		}
 	}
 	return out
--- a/internal/fleetowner/waves.go
+++ b/internal/fleetowner/waves.go
@@ -93,6 +93,7 @@
 		case !exists || r.Done[id]:
 		default:
 			in.Due = append(in.Due, f.candidate(r, vm, o != nil))
+			f.due[vm.Worker] = true
 		}
 	}
 	return in
@@ -136,7 +137,7 @@
 		if _, closed := r.emptying[id]; !closed {
 			r.emptying[id] = f.Clock.Now()
 		}
-		if report := f.worker(f.vms[id]); report == nil || report.Cordon.Kind == engine.Open {
+		if report := f.worker(f.vms[id]); report == nil || !report.Cordon.Closes() {
 			add(engine.OrderVacate, id)
 		}
 	}
--- a/policy/taskplan/taskplan.go
+++ b/policy/taskplan/taskplan.go
@@ -30,6 +30,7 @@
 	Serving  int     // serving tasks there
 	Filling  int     // fill tasks there
 	Slowness float64 // duration of its tasks against its peers'; 1 is usual
+	Due      bool    // its VM's maintenance is to come
 	Sought   bool    // has a label that other work asks for
 }
 
@@ -262,6 +263,7 @@
 	scoreFar       = 30   // away from the data: 1.5 to 2 times as long
 	scoreSlow      = 20   // times how much slower than its peers it is
 	scoreSought    = 15   // work that asks for no label takes the room of work that can't go elsewhere
+	scoreDue       = 10   // a lasting task would have to move again for the VM's maintenance
 	scoreMixed     = 5    // tasks that last and short ones on one VM keep it from being emptied
 	scoreFill      = 1    // best fit
 )
@@ -281,6 +283,9 @@
 		score += scoreSought
 	}
 	score += scoreSlow * max(0, w.Slowness-1)
+	if s.Step.Lasting && w.Due {
+		score += scoreDue
+	}
 	if s.Step.Lasting && w.Lasting == 0 {
 		score += scoreMixed
 	}
--- a/policy/taskplan/taskplan_test.go
+++ b/policy/taskplan/taskplan_test.go
@@ -53,6 +53,12 @@
 	near.DataRack = "r7"
 	apart := spec(1000)
 	apart.AntiAffinity = 1
+	dueSoon := worker("a", 1000)
+	dueSoon.Due, dueSoon.Lasting = true, 3
+	lasting := spec(1000)
+	lasting.Lasting = true
+	sought := worker("a", 1000)
+	sought.Sought = true
 	ticketed := step("j", 2, spec(1000))
 	ticketed.Permitted = map[work.WorkerID]bool{"b": true}
 
@@ -63,6 +69,9 @@
 		want    []string
 	}{
 		{"short tasks go where least is left, so that VMs become empty", []*Worker{worker("a", 8000), worker("b", 3000)}, []*Step{step("j", 1, spec(1000))}, []string{"j>b"}},
+		{"lasting tasks keep off VMs whose maintenance is to come", []*Worker{dueSoon, worker("b", 8000)}, []*Step{step("j", 1, lasting)}, []string{"j>b"}},
+		{"short ones do not", []*Worker{dueSoon, worker("b", 8000)}, []*Step{step("j", 1, spec(1000))}, []string{"j>a"}},
+		{"work without a label keeps off VMs whose label is sought", []*Worker{sought, worker("b", 8000)}, []*Step{step("j", 1, spec(1000))}, []string{"j>b"}},
 		{"what does not fit lets later steps pass", []*Worker{worker("a", 2000)}, []*Step{step("big", 1, spec(4000)), step("small", 1, spec(1000))}, []string{"small>a"}},
 		{"closed workers get nothing", []*Worker{closed, worker("b", 8000)}, []*Step{step("j", 1, spec(1000))}, []string{"j>b"}},
 		{"a worker on probation gets one", []*Worker{limited}, []*Step{step("j", 3, spec(1000))}, []string{"j>a"}},
--- a/policy/upkeep/upkeep.go
+++ b/policy/upkeep/upkeep.go
@@ -5,7 +5,9 @@
 // them and takes from pools in the middle of a burst; waiting for quiet lets the
 // wave run late. So empty VMs go first, parked ones before all; VMs with work
 // are cordoned and go once it has ended; and the choice gets less particular as
-// the time left shrinks to what the rest needs.
+// the time left shrinks to what the rest needs. VMs with lasting tasks are emptied
+// from the start, burst or not: a step lets one or two of its tasks move at a time,
+// each takes seconds, and a step with a dozen on VMs of the wave needs half a minute.
 package upkeep
 
 import (
@@ -71,7 +73,7 @@
 		case c.Tasks == 0 && (c.Parked || c.Cordoned || pressed || !c.Backlog):
 			d.Maintain = append(d.Maintain, c.VM.ID)
 			room--
-		case c.Cordoned || pressed || !c.Backlog:
+		case c.Cordoned || pressed || !c.Backlog || c.Lasting > 0:
 			d.Empty = append(d.Empty, c.VM.ID)
 			if c.Emptying >= evictAfter {
 				d.Evict = append(d.Evict, c.VM.ID)
--- a/policy/upkeep/upkeep_test.go
+++ b/policy/upkeep/upkeep_test.go
@@ -35,6 +35,19 @@
 	assert.DeepEqual(t, Decide(input(6*time.Second, busy)).Empty, []string{"busy"})
 }
 
+// A wave is late: a step bears one of its lasting tasks away at a time, a dozen are
+// on VMs of the wave, and emptying began when the burst was over. These VMs begin at
+// once, after those that are empty.
+func TestVMsWithLastingTasksAreEmptiedFromTheStart(t *testing.T) {
+	lasting := due("lasting", 3)
+	lasting.Backlog, lasting.Lasting = true, 2
+	short := due("short", 3)
+	short.Backlog = true
+	d := Decide(input(time.Hour, short, lasting, due("empty", 0)))
+	assert.DeepEqual(t, d.Maintain, []string{"empty"})
+	assert.DeepEqual(t, d.Empty, []string{"lasting"})
+}
+
 // VMs that are away, or may be, count against the limit: an order without an
 // answer may yet be carried out.
 func TestNoMoreThanTheLimitAreAway(t *testing.T) {
