A new owner stops no lasting task while an earlier owner's stop may be under way

Cause: an owner ordered one of them to stop and was replaced. A worker lists a run that is being stopped like any other, at 100 percent, until the stop is through; the new owner adopted it as at work, and emptying the VM for the wave stopped a second one 50 ms after its take-over.

Ruled out: the earlier owner's order being carried out late (its token is fenced by the poll that adopts), and the count of tasks away (right for what it was told).

Change: an adopted run counts as at work once a list that was asked for after the stop grace shows it so; the grace comes with the settings. Nor does a task whose worker did not answer the last poll.

--- a/internal/engine/core.go
+++ b/internal/engine/core.go
@@ -14,6 +14,7 @@
 type Bounds struct {
 	MaxHold   time.Duration // longest lease a worker grants
 	PaceDelay time.Duration // until a change of pace shows
+	StopGrace time.Duration // a stop takes at most
 }
 
 // Core is the engine's state machine. It has no clock, network or goroutine:
@@ -187,6 +188,7 @@
 		t.where.emptySince = c.now
 		t.where = nil
 	}
+	t.stopsOver = 0
 	t.stopSent, t.stopOK, t.percent, t.gauge, t.pace = 0, 0, 0, 0, fullPercent
 }
 
--- a/internal/engine/harness_test.go
+++ b/internal/engine/harness_test.go
@@ -33,7 +33,7 @@
 
 // successor returns a core of another owner under the token.
 func (b *rig) successor(token int64) *Core {
-	c := NewCore(service, token, Bounds{MaxHold: 10 * time.Second, PaceDelay: 100 * time.Millisecond}, logr.Discard())
+	c := NewCore(service, token, Bounds{MaxHold: 10 * time.Second, PaceDelay: 100 * time.Millisecond, StopGrace: 400 * time.Millisecond}, logr.Discard())
 	c.Declare(Declared{
 		Version:  1,
 		Queues:   map[string]Queue{queue: {Name: queue, Service: service, MaxAttempts: 3, Stretch: 1.6, Slack: 600 * time.Millisecond}},
--- a/internal/engine/job.go
+++ b/internal/engine/job.go
@@ -37,8 +37,10 @@
 	listedAt   time.Duration // when a poll last told its percent
 	movedAt    time.Duration // when percent last rose
 	gauge      int
-	pace       int // percent of its share it may use; 100 at its start
-	paceSent   time.Duration
+	// stopsOver: a list asked for after it tells of any stop by an earlier owner.
+	stopsOver time.Duration
+	pace      int // percent of its share it may use; 100 at its start
+	paceSent  time.Duration
 
 	// failed holds the numbers of the runs that failed. An end that was stored
 	// and not acknowledged is listed again to the next owner: counted twice it
@@ -48,8 +50,13 @@
 	notBefore time.Duration // pause before the next start, for tasks that keep failing
 }
 
-// atWork reports whether a lasting task serves: its start-up is over.
-func (t *task) atWork() bool { return t.state == taskActive && t.percent >= fullPercent }
+// atWork reports whether a lasting task serves for certain: its start-up is over,
+// its worker answers, and no stop of an earlier owner can be under way there. A
+// worker lists a run that is being stopped as it lists any other; a new owner that
+// took it to be at work stopped a second one beside it.
+func (t *task) atWork() bool {
+	return t.state == taskActive && t.percent >= fullPercent && t.where.missed == 0 && t.where.listedAt >= t.stopsOver
+}
 
 // fullPercent is what a worker lists for a lasting task once it is at work.
 const fullPercent = 100
--- a/internal/engine/listing.go
+++ b/internal/engine/listing.go
@@ -215,6 +215,7 @@
 		c.log.Info("run adopted", "task", r.Task.String(), "run", r.Run, "worker", w.info.ID)
 		delete(w.strays, r.Task)
 		c.attach(t, w, r.Run, taskActive, now)
+		t.stopsOver = now + c.bounds.StopGrace + expirySlack
 	}
 	if t.where != w || t.run != r.Run {
 		w.strayed(r.Task, r.Run)
--- a/internal/engine/takeover_test.go
+++ b/internal/engine/takeover_test.go
@@ -241,3 +241,35 @@
 	b.core.endLives(b.now+time.Millisecond, b.now+time.Millisecond)
 	assert.Assert(t, b.core.workers["w1"] == nil, "a list since then ends it")
 }
+
+// The caller's step loses two tasks where it bears the loss of one. An owner orders
+// one of them to stop and is replaced; its worker lists the run for as long as the
+// stop takes, and the new owner, asked to empty a VM, stops another.
+func TestANewOwnerStopsNothingWhileAnEarlierStopMayBeUnderWay(t *testing.T) {
+	b := newRig(t)
+	o := b.running(lasting(2), "w1", "w2")
+	b.worker("w3")
+	record := &JobRecord{Job: &b.core.jobs["j1"].Job, Queue: b.core.declared.Queues[queue]}
+	b.core = b.successor(token + 1)
+	b.core.Restore(record, nil, b.now, b.wall)
+	b.core.Reaffirm(b.now, b.wall)
+	list := func() {
+		for _, s := range o.Starts {
+			r := run(s)
+			r.Percent = fullPercent
+			b.core.WorkerSeen(info(s.Worker.ID))
+			b.look(s.Worker.ID, Listing{Running: []Run{r}})
+		}
+	}
+	list()
+	b.worker("w3")
+	b.core.obey(CellOrder{Kind: OrderVacate, Worker: o.Starts[0].Worker.ID}, token, b.now)
+	for range 8 {
+		b.now += 50 * time.Millisecond
+		list()
+		assert.Equal(t, len(b.plan().Stops), 0)
+	}
+	b.now += 400 * time.Millisecond
+	list()
+	assert.Equal(t, len(b.plan().Stops), 1)
+}
--- a/internal/node/duties.go
+++ b/internal/node/duties.go
@@ -127,7 +127,7 @@
 		Clock:    n.clock,
 		Log:      n.log.WithName("engine").WithValues("cell", cell),
 		Bounds: engine.Bounds{
-			MaxHold: n.settings.MaxLease, PaceDelay: n.settings.PaceDelay,
+			MaxHold: n.settings.MaxLease, PaceDelay: n.settings.PaceDelay, StopGrace: n.settings.StopGrace,
 		},
 		Term:     t,
 		Registry: func() []engine.WorkerInfo { return n.registry.list(cell) },
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -36,6 +36,7 @@
 	Shutdown  time.Duration // until a stopping process is killed
 	MaxLease  time.Duration // longest lease of a worker
 	PaceDelay time.Duration // until a change of pace shows
+	StopGrace time.Duration // a worker's stop of a task takes at most
 }
 
 // entryField is one key of the file.
@@ -75,6 +76,7 @@
 	{"limits", "memory-mb", true, expectsMB, positive(func(s *Settings) *int { return &s.MemoryMB })},
 	{"limits", "shutdown-s", true, expectsS, duration(time.Second, func(s *Settings) *time.Duration { return &s.Shutdown })},
 	{"limits", "max-lease-ms", true, expectsMS, duration(time.Millisecond, func(s *Settings) *time.Duration { return &s.MaxLease })},
+	{"limits", "stop-grace-ms", true, expectsMS, duration(time.Millisecond, func(s *Settings) *time.Duration { return &s.StopGrace })},
 	{"limits", "pace-delay-ms", false, expectsMS, duration(time.Millisecond, func(s *Settings) *time.Duration { return &s.PaceDelay })},
 }
 
--- a/internal/node/settings_test.go
+++ b/internal/node/settings_test.go
@@ -29,6 +29,7 @@
 memory-mb = 284
 shutdown-s = 6
 max-lease-ms = 10000
+stop-grace-ms = 400
 `
 
 func load(t *testing.T, text string) (*Settings, error) {
@@ -45,6 +46,7 @@
 	assert.Equal(t, s.Peers, [2]int{7000, 7010})
 	assert.Equal(t, s.Shutdown, 6*time.Second)
 	assert.Equal(t, s.MaxLease, 10*time.Second)
+	assert.Equal(t, s.StopGrace, 400*time.Millisecond)
 	assert.Assert(t, s.weight() < 0.05, "a link of 10 Mbit/s can't carry a cell")
 }
 
