A job is explained from the running system; SIGHUP reads the settings again

`pumicestage explain job ID` asks any entry VM, at its metrics address, where a job stands and why: the owner of its cell tells state, age, objective, place in the order, each run and its worker, and what keeps waiting tasks from every worker; without an owner the store's word is told. The same figures the log has, without a search for the id. Read only; specifications are not told.

SIGHUP was ignored. It now reads and checks the file, takes the memory limit over, and writes one line that names what changed; a file with mistakes changes nothing.

--- /dev/null
+++ b/cmd/pumicestage/explain.go
@@ -0,0 +1,145 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"github.com/pumicestage/pumicestage/internal/engine"
+	"github.com/pumicestage/pumicestage/internal/jobfront"
+)
+
+// defaultEntry is the metrics address of an entry VM on this machine.
+const defaultEntry = "127.0.0.1:9464"
+
+// maxReport bounds an answer: a job's report names each run under way.
+const maxReport = 4 << 20
+
+// explainFlags are the flags of explain.
+type explainFlags struct {
+	job   string
+	entry string
+}
+
+func addExplain(app *kingpin.Application, c *cli) {
+	f := &explainFlags{}
+	cmd := app.Command("explain", "Explain from the running system, on the users' platform.")
+	job := cmd.Command("job", "Say where a job stands and why.")
+	job.Arg("id", "The job's ID.").Required().StringVar(&f.job)
+	job.Flag("entry", "Metrics address of any entry VM, HOST:PORT.").Envar("PUMICESTAGE_ENTRY").Default(defaultEntry).StringVar(&f.entry)
+	job.Action(action(func(ctx context.Context) error { return c.explainJob(ctx, f) }))
+}
+
+func (c *cli) explainJob(ctx context.Context, f *explainFlags) error {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	raw, err := getPage(ctx, f.entry, "/explain/"+url.PathEscape(f.job))
+	if err != nil {
+		return err
+	}
+	if c.output == outputJSON {
+		_, err := c.stdout.Write(raw)
+		return err
+	}
+	var r jobfront.Report
+	if err := json.Unmarshal(raw, &r); err != nil {
+		return fmt.Errorf("the entry VM's answer is malformed: %w", err)
+	}
+	printReport(c.stdout, &r)
+	return nil
+}
+
+// getPage reads one page of an entry VM's metrics address, which speaks plain HTTP.
+func getPage(ctx context.Context, entry, path string) ([]byte, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+entry+path, nil)
+	if err != nil {
+		return nil, err
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return nil, err
+	}
+	defer resp.Body.Close()
+	raw, err := io.ReadAll(io.LimitReader(resp.Body, maxReport))
+	if err != nil {
+		return nil, err
+	}
+	if resp.StatusCode != http.StatusOK {
+		return nil, fmt.Errorf("%s answers %d: %s", entry, resp.StatusCode, strings.TrimSpace(string(raw)))
+	}
+	return raw, nil
+}
+
+func printReport(w io.Writer, r *jobfront.Report) {
+	fmt.Fprintf(w, "job %s of service %s\n", r.Job, r.Cell)
+	if r.Stored != "" {
+		fmt.Fprintf(w, "the store says: %s at %s\n", r.Stored, r.Ended.Format(time.RFC3339Nano))
+	}
+	e := r.Explanation
+	if e == nil {
+		fmt.Fprintf(w, "owner %s does not explain it: %s\n", orNobody(r.Owner), r.Missing)
+		return
+	}
+	fmt.Fprintf(w, "owner %s, token %d, configuration %d\n", orNobody(r.Owner), e.Token, e.Config)
+	fmt.Fprintf(w, "%s in queue %s for %s, objective %s, %s of work left: %s\n", e.State, e.Queue, e.Age, e.Objective, e.Left, e.Tier)
+	if e.Restored && !e.Settled {
+		fmt.Fprintln(w, "an earlier owner accepted it, and not all workers were heard since: nothing of it begins yet")
+	}
+	for i := range e.Steps {
+		printStep(w, &e.Steps[i])
+	}
+}
+
+func orNobody(owner string) string {
+	if owner == "" {
+		return "(nobody)"
+	}
+	return owner
+}
+
+func printStep(w io.Writer, s *engine.StepExplanation) {
+	fmt.Fprintf(w, "step %s:%s\n", s.Step, counts(s.Tasks))
+	if len(s.After) > 0 {
+		fmt.Fprintf(w, "  begins after steps %v\n", s.After)
+	}
+	if len(s.Waits) > 0 {
+		fmt.Fprintf(w, "  workers for what waits:%s\n", counts(s.Waits))
+	}
+	for i := range s.Runs {
+		r := &s.Runs[i]
+		fmt.Fprintf(w, "  %s run %d %s on %s for %s, %d%%", r.Task, r.Run, r.State, r.Worker, r.For, r.Percent)
+		if r.Failures > 0 {
+			fmt.Fprintf(w, ", failed %d times before", r.Failures)
+		}
+		if r.Silent > 0 {
+			fmt.Fprintf(w, ", its worker did not answer %d polls", r.Silent)
+		}
+		fmt.Fprintln(w)
+	}
+}
+
+// counts prints what is counted by name, in the order of names.
+func counts[K ~string](m map[K]int) string {
+	names := make([]K, 0, len(m))
+	for name := range m {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	var b strings.Builder
+	for _, name := range names {
+		label := string(name)
+		if label == "" {
+			label = "free"
+		}
+		fmt.Fprintf(&b, " %d %s", m[name], label)
+	}
+	return b.String()
+}
--- /dev/null
+++ b/cmd/pumicestage/explain_test.go
@@ -0,0 +1,77 @@
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/pumicestage/pumicestage/internal/engine"
+	"github.com/pumicestage/pumicestage/internal/jobfront"
+	"github.com/pumicestage/pumicestage/policy/taskplan"
+	"github.com/pumicestage/pumicestage/policy/work"
+)
+
+func explainFrom(t *testing.T, report *jobfront.Report, args ...string) (status int, out, problems string) {
+	t.Helper()
+	entry := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if report == nil || r.URL.Path != "/explain/"+string(report.Job) {
+			http.Error(w, "no such job", http.StatusNotFound)
+			return
+		}
+		assert.Check(t, json.NewEncoder(w).Encode(report))
+	}))
+	defer entry.Close()
+	var stdout, stderr bytes.Buffer
+	args = append([]string{"explain", "job", "5c0e7a21d94b36f8", "--entry", strings.TrimPrefix(entry.URL, "http://")}, args...)
+	status = run(args, newCLI(strings.NewReader(""), &stdout, &stderr))
+	return status, stdout.String(), stderr.String()
+}
+
+func TestExplainJobPrintsWhereItStandsAndWhy(t *testing.T) {
+	report := &jobfront.Report{Job: "5c0e7a21d94b36f8", Cell: "weighting", Owner: "entry-2", Explanation: &engine.Explanation{
+		State: work.Running, Queue: "weights", Token: 412, Config: 7, Age: 1500 * time.Millisecond, Objective: 4 * time.Second,
+		Left: 2 * time.Second, Tier: "in time", Restored: true,
+		Steps: []engine.StepExplanation{{
+			Step: "5c0e7a21d94b36f8.0.0", Tasks: map[string]int{"running": 1, "waiting": 2}, Waits: map[taskplan.Reason]int{taskplan.ReasonRoom: 3},
+			Runs: []engine.RunExplanation{{Task: "5c0e7a21d94b36f8.0.0.1", Run: 2, Worker: "i-1", State: "running", Percent: 40, For: time.Second, Failures: 1, Silent: 2}},
+		}},
+	}}
+	status, out, _ := explainFrom(t, report)
+	assert.Equal(t, status, exitDone)
+	assert.Equal(t, out, `job 5c0e7a21d94b36f8 of service weighting
+owner entry-2, token 412, configuration 7
+running in queue weights for 1.5s, objective 4s, 2s of work left: in time
+an earlier owner accepted it, and not all workers were heard since: nothing of it begins yet
+step 5c0e7a21d94b36f8.0.0: 1 running 2 waiting
+  workers for what waits: 3 no room
+  5c0e7a21d94b36f8.0.0.1 run 2 running on i-1 for 1s, 40%, failed 1 times before, its worker did not answer 2 polls
+`)
+	status, out, _ = explainFrom(t, report, "-o", "json")
+	assert.Equal(t, status, exitDone)
+	assert.Assert(t, json.Valid([]byte(out)))
+}
+
+func TestExplainJobWithoutAnOwnerSaysWhatTheStoreKnows(t *testing.T) {
+	ended := time.Date(2026, 5, 4, 8, 0, 0, 0, time.UTC)
+	status, out, _ := explainFrom(t, &jobfront.Report{
+		Job: "5c0e7a21d94b36f8", Cell: "weighting", Stored: work.Completed, Ended: ended, Missing: "engine: not ready",
+	})
+	assert.Equal(t, status, exitDone)
+	assert.Equal(t, out, `job 5c0e7a21d94b36f8 of service weighting
+the store says: completed at 2026-05-04T08:00:00Z
+owner (nobody) does not explain it: engine: not ready
+`)
+}
+
+func TestExplainOfAnUnknownJobIsRefused(t *testing.T) {
+	status, out, problems := explainFrom(t, nil)
+	assert.Equal(t, status, exitRefused)
+	assert.Equal(t, out, "")
+	assert.Assert(t, strings.Contains(problems, "no such job"), problems)
+}
--- a/cmd/pumicestage/main.go
+++ b/cmd/pumicestage/main.go
@@ -18,6 +18,7 @@
 	addQuery,
 	addDo,
 	addAudit,
+	addExplain,
 	addTop,
 	addShell,
 	addToken,
--- a/cmd/pumicestaged/main.go
+++ b/cmd/pumicestaged/main.go
@@ -73,7 +73,13 @@
 	}
 	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer cancel()
-	signal.Ignore(syscall.SIGHUP) // the settings it could change are read at start
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	go func() {
+		for range hup {
+			n.Reload(file)
+		}
+	}()
 	if err := n.Run(ctx); err != nil {
 		fmt.Fprintln(os.Stderr, "pumicestaged:", err)
 		return exitFailed
--- a/internal/jobfront/front_test.go
+++ b/internal/jobfront/front_test.go
@@ -41,6 +41,10 @@
 func (o *owner) Waiting(string) (int, error)                           { return o.count, o.err }
 func (o *owner) Sync(engine.CellSync) (engine.CellAnswer, error)       { return engine.CellAnswer{}, o.err }
 
+func (o *owner) Explain(id work.JobID) (engine.Explanation, error) {
+	return engine.Explanation{Job: id, State: o.state}, o.err
+}
+
 type rig struct {
 	front *Front
 	store *faulty.Store
@@ -170,3 +174,28 @@
 		assert.Equal(t, rest, c.rest)
 	}
 }
+
+// An operator asks about a job whose owner was lost: what the store knows is told,
+// and why there is no more.
+func TestAJobIsExplainedByItsOwnerAndByTheStore(t *testing.T) {
+	r := newRig(t)
+	ctx := context.Background()
+	_, err := r.front.Explain(ctx, "j1")
+	assert.Assert(t, errors.Is(err, ErrUnknownJob))
+	r.owner.err = engine.ErrNotReady
+	assert.NilError(t, r.front.Submit(ctx, job("j1"), queue))
+	report, err := r.front.Explain(ctx, "j1")
+	assert.NilError(t, err)
+	assert.Equal(t, report.Cell, cell)
+	assert.Equal(t, report.Missing, engine.ErrNotReady.Error())
+	r.owner.err, r.owner.state = nil, work.Queued
+	report, err = r.front.Explain(ctx, "j1")
+	assert.NilError(t, err)
+	assert.Equal(t, report.Explanation.State, work.Queued)
+	assert.NilError(t, r.front.Cancel(ctx, "j1", queue))
+	r.owner.err = engine.ErrUnknownJob
+	assert.NilError(t, r.front.storeCancel(ctx, "j1", cell))
+	report, err = r.front.Explain(ctx, "j1")
+	assert.NilError(t, err)
+	assert.Equal(t, report.Stored, work.Cancelled)
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -2,12 +2,10 @@
 
 import (
 	"context"
-	"expvar"
 	"io"
 	"log/slog"
 	"net"
 	"net/http"
-	"runtime/debug"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -77,7 +75,7 @@
 	handler := newBoundedHandler(slog.NewJSONHandler(logs, &slog.HandlerOptions{Level: levelDecisions}))
 	log := logr.FromSlogHandler(handler).WithValues("entry", s.Name)
 	n := &Node{settings: s, log: log, logs: logs, metrics: newMetrics()}
-	debug.SetMemoryLimit(int64(float64(s.MemoryMB) * memoryShare * (1 << 20)))
+	limitMemory(s.MemoryMB)
 	var err error
 	if n.callers, err = net.Listen("tcp", s.Callers); err != nil {
 		return nil, trace.Wrap(err)
@@ -138,7 +136,7 @@
 	go func() { failed <- ready.Serve(n.ready) }()
 
 	if n.meters != nil {
-		meters := &http.Server{Handler: expvar.Handler(), ReadHeaderTimeout: headerTimeout}
+		meters := &http.Server{Handler: n.inspectHandler(), ReadHeaderTimeout: headerTimeout}
 		defer meters.Close()
 		go func() { failed <- meters.Serve(n.meters) }()
 	}
--- /dev/null
+++ b/internal/node/reload.go
@@ -0,0 +1,34 @@
+package node
+
+import (
+	"runtime/debug"
+	"slices"
+)
+
+// Reload reads the settings file again and takes over what can change while the
+// process runs: the memory it may use. Whatever else changed is named in the log and
+// counts from the next start, as does a file with mistakes.
+func (n *Node) Reload(file string) {
+	next, err := LoadSettings(file)
+	if err != nil {
+		n.log.Error(err, "reload: the settings in force stay", "file", file)
+		return
+	}
+	changed := changedKeys(n.settings, next)
+	limitMemory(next.MemoryMB)
+	n.log.Info("reload", "file", file, "changed", changed, "memory mb", next.MemoryMB)
+}
+
+func limitMemory(mb int) { debug.SetMemoryLimit(int64(float64(mb) * memoryShare * (1 << 20))) }
+
+// changedKeys names the keys whose values differ, as section and key.
+func changedKeys(old, next *Settings) []string {
+	changed := []string{}
+	for key, value := range next.given {
+		if old.given[key] != value {
+			changed = append(changed, key)
+		}
+	}
+	slices.Sort(changed)
+	return changed
+}
--- /dev/null
+++ b/internal/node/reload_test.go
@@ -0,0 +1,36 @@
+package node
+
+import (
+	"os"
+	"path/filepath"
+	"runtime/debug"
+	"strings"
+	"testing"
+
+	"github.com/go-logr/logr/funcr"
+	"gotest.tools/v3/assert"
+)
+
+// The operator changes the settings of a running entry VM: what counts at once does,
+// and the log names all that changed. A file with a mistake changes nothing.
+func TestReloadTakesOverWhatItCanAndNamesTheRest(t *testing.T) {
+	old := debug.SetMemoryLimit(-1)
+	defer debug.SetMemoryLimit(old)
+	s, err := load(t, good)
+	assert.NilError(t, err)
+	var lines []string
+	n := &Node{settings: s, log: funcr.New(func(_, line string) { lines = append(lines, line) }, funcr.Options{})}
+	file := filepath.Join(t.TempDir(), "settings.ini")
+
+	write := func(text string) { assert.NilError(t, os.WriteFile(file, []byte(text), 0o600)) }
+	write(strings.NewReplacer("memory-mb = 284", "memory-mb = 400", "shutdown-s = 6", "shutdown-s = 9").Replace(good))
+	n.Reload(file)
+	assert.Equal(t, debug.SetMemoryLimit(-1), int64(400*memoryShare*(1<<20)))
+	assert.Assert(t, strings.Contains(lines[0], "limits.memory-mb"), lines[0])
+	assert.Assert(t, strings.Contains(lines[0], "limits.shutdown-s"), lines[0])
+
+	write(strings.Replace(good, "memory-mb = 284", "memory-mb = none", 1))
+	n.Reload(file)
+	assert.Equal(t, debug.SetMemoryLimit(-1), int64(400*memoryShare*(1<<20)))
+	assert.Assert(t, strings.Contains(lines[1], "the settings in force stay"), lines[1])
+}
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -37,6 +37,8 @@
 	MaxLease  time.Duration // longest lease of a worker
 	PaceDelay time.Duration // until a change of pace shows
 	StopGrace time.Duration // a worker's stop of a task takes at most
+
+	given map[string]string // as the file has them, by section and key
 }
 
 // entryField is one key of the file.
@@ -87,10 +89,11 @@
 	if err != nil {
 		return nil, fmt.Errorf("settings: %w", err)
 	}
-	s := new(Settings)
+	s := &Settings{given: make(map[string]string)}
 	var mistakes []settings.Mistake
 	for _, fd := range entryFields {
 		given := strings.TrimSpace(f.Section(fd.section).Key(fd.key).String())
+		s.given[fd.section+"."+fd.key] = given
 		m := settings.Mistake{Section: fd.section, Key: fd.key, Given: given, Expected: fd.expects}
 		switch {
 		case given == "" && fd.required:
--- a/internal/ownerlink/client.go
+++ b/internal/ownerlink/client.go
@@ -95,6 +95,18 @@
 	return *resp.Sync, nil
 }
 
+// Explain asks the owner where a job stands and why.
+func (c *Client) Explain(ctx context.Context, p Peer, id work.JobID) (engine.Explanation, error) {
+	resp, err := c.call(ctx, p, &request{Kind: kindExplain, JobID: id})
+	if err != nil {
+		return engine.Explanation{}, err
+	}
+	if err := resp.Result.err(); err != nil || resp.Explanation == nil {
+		return engine.Explanation{}, errors.Join(err, engine.ErrNotReady)
+	}
+	return *resp.Explanation, nil
+}
+
 // call sends a request and waits for its answer. ErrNotSent is certain; without
 // an answer the error is engine.ErrUncertain, and the connection is given up: it
 // may have gone silent for good while new ones work.
--- a/internal/ownerlink/link_test.go
+++ b/internal/ownerlink/link_test.go
@@ -33,6 +33,10 @@
 	return engine.CellAnswer{Taken: []bool{true}, Report: engine.CellReport{Used: float64(s.Token)}}, o.err
 }
 
+func (o *owner) Explain(id work.JobID) (engine.Explanation, error) {
+	return engine.Explanation{Job: id, Age: time.Second, Steps: []engine.StepExplanation{{Step: "s", Tasks: map[string]int{"waiting": 2}}}}, o.err
+}
+
 func serve(t *testing.T, o Owner) Peer {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -64,6 +68,10 @@
 	a, err := c.Sync(ctx, p, engine.CellSync{Token: 9})
 	assert.NilError(t, err)
 	assert.Equal(t, a.Report.Used, 9.0)
+	e, err := c.Explain(ctx, p, "j1")
+	assert.NilError(t, err)
+	want, _ := o.Explain("j1")
+	assert.DeepEqual(t, e, want)
 	for _, want := range []error{engine.ErrNotReady, engine.ErrStore, engine.ErrUncertain, engine.ErrUnknownJob} {
 		o.err = want
 		assert.Assert(t, errors.Is(c.Cancel(ctx, p, "j1"), want))
--- a/internal/ownerlink/ownerlink.go
+++ b/internal/ownerlink/ownerlink.go
@@ -37,6 +37,7 @@
 	kindWaiting
 	kindSync
 	kindWorker
+	kindExplain
 )
 
 // request is one call.
@@ -73,6 +74,8 @@
 
 	Sync   *engine.CellAnswer `msgpack:"y,omitempty"`
 	Worker msgpack.RawMessage `msgpack:"w,omitempty"` // a packed workerAnswer
+
+	Explanation *engine.Explanation `msgpack:"e,omitempty"`
 }
 
 func resultOf(err error) result {
--- a/internal/ownerlink/server.go
+++ b/internal/ownerlink/server.go
@@ -20,6 +20,7 @@
 	Cancel(ctx context.Context, id work.JobID) error
 	Waiting(queue string) (int, error)
 	Sync(s engine.CellSync) (engine.CellAnswer, error)
+	Explain(id work.JobID) (engine.Explanation, error)
 }
 
 // serveTimeout ends a call at the owner: callers have given up long before.
@@ -118,6 +119,10 @@
 		var a engine.CellAnswer
 		a, err = owner.Sync(*req.Sync)
 		resp.Sync = &a
+	case kindExplain:
+		var e engine.Explanation
+		e, err = owner.Explain(req.JobID)
+		resp.Explanation = &e
 	}
 	resp.Result = resultOf(err)
 	return resp
--- a/policy/joborder/joborder.go
+++ b/policy/joborder/joborder.go
@@ -42,6 +42,11 @@
 	TierUseless             // runs only on what nobody else wants
 )
 
+var tierNames = [...]string{TierLasting: "lasting", TierOnTime: "in time", TierLate: "late", TierUseless: "too late to be of use"}
+
+// String returns the tier as operators read it.
+func (t Tier) String() string { return tierNames[t] }
+
 // Job is what the order looks at.
 type Job struct {
 	Priority  int // of its queue, 0 first
