dev-jobs: a whole deployment for jobs on loopback, in one command

The README's first command shows the older platform alone; nothing let a newcomer see jobs on the users' platform without the users' bench.

--- /dev/null
+++ b/cmd/pumicestage/devjobs.go
@@ -0,0 +1,31 @@
+package main
+
+import (
+	"context"
+	"io"
+	"os/signal"
+	"syscall"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"github.com/pumicestage/pumicestage/internal/devjobs"
+)
+
+// addDevJobs registers the verb that runs a deployment for jobs on loopback.
+func addDevJobs(app *kingpin.Application, c *cli) {
+	cmd := app.Command("dev-jobs", "Run a whole deployment for jobs on loopback: stand-in of the users' platform, entry VMs.")
+	once := cmd.Flag("once", "Send load, run a wave and shut entry VMs down under it, report; exit non-zero where a promise broke.").Bool()
+	verbose := cmd.Flag("verbose", "Log the entry VMs' decisions.").Bool()
+	cmd.Action(action(func(ctx context.Context) error {
+		ctx, cancel := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
+		defer cancel()
+		log := io.Discard
+		if *verbose {
+			log = c.stderr
+		}
+		if *once {
+			return devjobs.Once(ctx, c.stdout, log)
+		}
+		return devjobs.Serve(ctx, c.stdout, log)
+	}))
+}
--- a/cmd/pumicestage/main.go
+++ b/cmd/pumicestage/main.go
@@ -23,6 +23,7 @@
 	addShell,
 	addToken,
 	addDev,
+	addDevJobs,
 }
 
 func main() {
--- /dev/null
+++ b/internal/devjobs/deployment.go
@@ -0,0 +1,173 @@
+// Package devjobs runs a whole deployment for jobs on loopback: the stand-in of the
+// users' platform and entry VMs on it, in one process. It is for trying things out
+// and for tests of the whole path; nothing of it runs in production.
+package devjobs
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"strconv"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"github.com/pumicestage/pumicestage/internal/node"
+	"github.com/pumicestage/pumicestage/platform/standin"
+)
+
+// Options are what a Deployment is made of.
+type Options struct {
+	Services []standin.Service
+	Queues   []standin.Queue
+	Entries  int       // entry VMs
+	Log      io.Writer // of all entry VMs; nil: none
+	// FixedPorts has the entry VMs listen where FirstCallers and FirstMetrics say,
+	// each next one a port higher, instead of anywhere.
+	FixedPorts bool
+}
+
+// Ports of the first entry VM with FixedPorts.
+const (
+	FirstCallers = 18280
+	FirstMetrics = 19464
+)
+
+// Bounds of the stand-in, which is quick.
+const (
+	shutdown  = 1 * time.Second
+	maxLease  = 10 * time.Second
+	stopGrace = 400 * time.Millisecond
+	memoryMB  = 256
+)
+
+// Deployment is a running platform with its entry VMs.
+type Deployment struct {
+	Platform *standin.Platform
+	Entries  []*Entry // those that were not stopped
+
+	options Options
+	started int
+}
+
+// Entry is one entry VM.
+type Entry struct {
+	Name    string
+	Callers string // host:port of callers
+	Metrics string // host:port of counters and explanations
+
+	stop context.CancelFunc
+	done chan struct{}
+	err  error // of its run; to be read once done
+}
+
+// Start starts the platform and the entry VMs. Close ends them, also after an error.
+func Start(o Options) (*Deployment, error) {
+	if o.Log == nil {
+		o.Log = io.Discard
+	}
+	p, err := standin.New(o.Services, o.Queues)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	d := &Deployment{Platform: p, options: o}
+	for range o.Entries {
+		if err := d.StartEntry(); err != nil {
+			return nil, errors.Join(err, d.Close())
+		}
+	}
+	return d, nil
+}
+
+// StartEntry adds an entry VM.
+func (d *Deployment) StartEntry() error {
+	n := d.started
+	d.started++
+	callers, metrics, err := d.addresses(n)
+	if err != nil {
+		return err
+	}
+	ready, err := freeAddress()
+	if err != nil {
+		return err
+	}
+	peer, err := freeAddress()
+	if err != nil {
+		return err
+	}
+	_, text, err := net.SplitHostPort(peer)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	port, err := strconv.Atoi(text)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	e := &Entry{Name: fmt.Sprintf("entry-%d", n), Callers: callers, Metrics: metrics, done: make(chan struct{})}
+	vm, err := node.New(&node.Settings{
+		Name: e.Name, Zone: "z1", Address: "127.0.0.1", Callers: callers, Ready: ready, Metrics: metrics, Peers: [2]int{port, port},
+		Store: d.Platform.StoreAddress, VMs: d.Platform.VMAddress, MemoryMB: memoryMB,
+		Shutdown: shutdown, MaxLease: maxLease, StopGrace: stopGrace,
+	}, d.options.Log)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	e.stop = cancel
+	go func() {
+		defer close(e.done)
+		e.err = vm.Run(ctx)
+	}()
+	d.Entries = append(d.Entries, e)
+	return nil
+}
+
+func (d *Deployment) addresses(n int) (callers, metrics string, err error) {
+	if d.options.FixedPorts {
+		return loopback(FirstCallers + n), loopback(FirstMetrics + n), nil
+	}
+	if callers, err = freeAddress(); err != nil {
+		return "", "", err
+	}
+	metrics, err = freeAddress()
+	return callers, metrics, err
+}
+
+func loopback(port int) string { return net.JoinHostPort("127.0.0.1", strconv.Itoa(port)) }
+
+func freeAddress() (string, error) {
+	l, err := net.Listen("tcp", loopback(0))
+	if err != nil {
+		return "", trace.Wrap(err)
+	}
+	defer l.Close()
+	return l.Addr().String(), nil
+}
+
+// StopFirst shuts the first entry VM down gracefully and returns once it has ended.
+func (d *Deployment) StopFirst() error {
+	e := d.Entries[0]
+	d.Entries = d.Entries[1:]
+	return e.end()
+}
+
+func (e *Entry) end() error {
+	e.stop()
+	<-e.done
+	return e.err
+}
+
+// Close ends everything.
+func (d *Deployment) Close() error {
+	for _, e := range d.Entries {
+		e.stop()
+	}
+	var errs []error
+	for _, e := range d.Entries {
+		errs = append(errs, e.end())
+	}
+	d.Platform.Close()
+	return errors.Join(errs...)
+}
