What waits counts as its step has shown

A task that waits now counts at least as long as the longest running one of its step. The test fails first.

--- a/internal/engine/arrivals.go
+++ b/internal/engine/arrivals.go
@@ -52,11 +52,19 @@
 	return sum / arrivalSpan.Seconds()
 }
 
-// waitsFor is how long a task of the step will hold its room. A lasting task
-// wants it for good; it counts as what one more VM is worth to the decision.
-func (c *Core) waitsFor(s *step) time.Duration {
+// waitsFor is how long a task of the step will hold its room: as learned, or as long
+// as the longest of its step has run by now, as estimates may be off by any factor. A
+// lasting task wants its room for good; it counts as what one more VM is worth to the
+// decision.
+func (c *Core) waitsFor(s *step, now time.Duration) time.Duration {
 	if s.spec.Lasting {
 		return pools.DrainGoal
 	}
-	return c.learned.estimate(s)
+	held := c.learned.estimate(s)
+	for _, t := range s.tasks {
+		if t.state == taskActive {
+			held = max(held, now-t.answered)
+		}
+	}
+	return held
 }
--- a/internal/engine/cell.go
+++ b/internal/engine/cell.go
@@ -165,7 +165,7 @@
 			for _, s := range o.steps {
 				// What fits on no VM would draw VMs for ever.
 				if s.pending > 0 && s.ready() && s.reserved().Fits(most) {
-					r.addWaiting(s, float64(s.pending)*c.waitsFor(s).Seconds()*s.spec.Size.Cores())
+					r.addWaiting(s, float64(s.pending)*c.waitsFor(s, now).Seconds()*s.spec.Size.Cores())
 				}
 			}
 		}
--- a/internal/engine/claim_test.go
+++ b/internal/engine/claim_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -49,6 +50,23 @@
 	assert.Equal(t, len(b.plan().Stops), 1)
 }
 
+// A job's second half waits for twenty seconds with VMs parked: its caller guessed
+// 20 ms a task, so what waits counted as nothing. It counts as what its running half
+// has shown.
+func TestWhatWaitsCountsAsItsStepHasShown(t *testing.T) {
+	b := newRig(t)
+	b.worker("w1") // room for four tasks
+	step := short(8)
+	step.Estimate = 20 * time.Millisecond
+	b.accept("j1", step)
+	o := b.plan()
+	b.answer(o, OutcomeOK)
+	assert.Assert(t, b.core.report(b.now).Backlog < 1)
+	b.now += 10 * time.Second
+	backlog := b.core.report(b.now).Backlog
+	assert.Assert(t, backlog >= 4*10*step.Size.Cores(), "%f core-seconds", backlog)
+}
+
 // The operator sees a wave over a large pool that is late: each of its VMs waits
 // for one more VM, and the pool drew them one after the other. It draws as many as
 // the step lets move at a time.
