A take-over reads what it needs at once

Seven calls came one after the other: lease, key, list of workers, commit key read and rewritten, progress, open jobs.

Change: progress and open jobs are read at once, while the list of workers comes. What fences earlier owners comes before all three, as it did, so their order is free. The test fails first: with one read after the other it waits for its time limit.

--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -58,6 +58,9 @@
 	Log      logr.Logger
 	Bounds   Bounds
 	Term     Term
+	// Listed returns once the registered workers were listed, or could not be for a
+	// while.
+	Listed func(ctx context.Context)
 	// Registry returns the service's workers that are registered now.
 	Registry func() []WorkerInfo
 	// Declared returns the operator's configuration in force.
--- a/internal/engine/restore.go
+++ b/internal/engine/restore.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -88,13 +89,9 @@
 func (e *Engine) load(ctx context.Context, first bool) error {
 	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
 	defer cancel()
-	progress, _, err := e.Store.Range(ctx, infra.WorkProgressPrefix(e.Cell))
+	progress, jobs, err := e.readStored(ctx)
 	if err != nil {
-		return trace.Wrap(err)
-	}
-	jobs, _, err := e.Store.Range(ctx, infra.WorkOpenPrefix(e.Cell))
-	if err != nil {
-		return trace.Wrap(err)
+		return err
 	}
 	byJob := make(map[string]*Progress, len(progress))
 	for _, kv := range progress {
@@ -127,6 +124,21 @@
 	return nil
 }
 
+// readStored reads the cell's progress and open jobs, and waits for the list of
+// workers meanwhile: while the store is slow each call takes a fifth of a second, and
+// nobody owns the cell. No earlier owner writes any more, so their order is free.
+func (e *Engine) readStored(ctx context.Context) (progress, jobs []infra.KV, err error) {
+	var progressErr, jobsErr error
+	var readers sync.WaitGroup
+	readers.Go(func() { progress, _, progressErr = e.Store.Range(ctx, infra.WorkProgressPrefix(e.Cell)) })
+	readers.Go(func() { jobs, _, jobsErr = e.Store.Range(ctx, infra.WorkOpenPrefix(e.Cell)) })
+	if e.Listed != nil {
+		readers.Go(func() { e.Listed(ctx) })
+	}
+	readers.Wait()
+	return progress, jobs, trace.NewAggregate(progressErr, jobsErr)
+}
+
 // found adds a job that an entry VM stored itself.
 func (e *Engine) found(r *JobRecord) {
 	e.mu.Lock()
--- a/internal/engine/takeover_test.go
+++ b/internal/engine/takeover_test.go
@@ -1,11 +1,14 @@
 package engine
 
 import (
+	"context"
+	"sync"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
+	"github.com/pumicestage/pumicestage/internal/infra"
 	"github.com/pumicestage/pumicestage/policy/work"
 )
 
@@ -273,3 +276,42 @@
 	list()
 	assert.Equal(t, len(b.plan().Stops), 1)
 }
+
+// meeting is a store whose reads of prefixes, and the list of workers, are answered
+// once all three were asked for.
+type meeting struct {
+	infra.Store
+	all sync.WaitGroup
+}
+
+func (m *meeting) join(ctx context.Context) error {
+	m.all.Done()
+	met := make(chan struct{})
+	go func() { m.all.Wait(); close(met) }()
+	select {
+	case <-met:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func (m *meeting) Range(ctx context.Context, prefix string) ([]infra.KV, infra.Revision, error) {
+	if err := m.join(ctx); err != nil {
+		return nil, 0, err
+	}
+	return m.Store.Range(ctx, prefix)
+}
+
+// Callers wait while the store is slow and an owner was replaced: the new one read one
+// thing after the other, a fifth of a second each, with nobody owning the cell. What it
+// reads does not depend on each other and is asked for at once.
+func TestATakeOverReadsAtOnce(t *testing.T) {
+	e, store := newEngine(t, &fakeTerm{certain: true})
+	m := &meeting{Store: store}
+	m.all.Add(3)
+	e.Store, e.Listed = m, func(ctx context.Context) { assert.Check(t, m.join(ctx)) }
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	assert.NilError(t, e.load(ctx, true))
+}
--- a/internal/node/duties.go
+++ b/internal/node/duties.go
@@ -114,7 +114,7 @@
 // ownCell runs the cell's engine for one term.
 func (d *duties) ownCell(ctx context.Context, cell string, t *ownership.Term) {
 	n := d.node
-	n.registry.hold(ctx)
+	n.registry.hold()
 	defer n.registry.release()
 	n.members.follow.hold()
 	defer n.members.follow.release()
@@ -130,6 +130,7 @@
 			MaxHold: n.settings.MaxLease, PaceDelay: n.settings.PaceDelay, StopGrace: n.settings.StopGrace,
 		},
 		Term:     t,
+		Listed:   n.registry.wait,
 		Registry: func() []engine.WorkerInfo { return n.registry.list(cell) },
 		Declared: n.operator.declared,
 		Metrics:  n.metrics.engine,
--- a/internal/node/registry.go
+++ b/internal/node/registry.go
@@ -39,9 +39,11 @@
 // registryWait is how long a new owner waits for the first list of workers.
 const registryWait = 2 * time.Second
 
-// hold follows the registrations until release and returns once they were listed.
-func (r *registry) hold(ctx context.Context) {
-	r.follow.hold()
+// hold follows the registrations until release.
+func (r *registry) hold() { r.follow.hold() }
+
+// wait returns once the workers were listed, or after registryWait.
+func (r *registry) wait(ctx context.Context) {
 	r.mu.Lock()
 	listed := r.listed
 	r.mu.Unlock()
