An owner's transactions overlap while more waits than one holds

A transaction holds 32 entries; eight new jobs take 24 of them, which left room for two ends, and with one transaction at a time some hundred a second were made. 1,103 of 2,346 jobs were of no use any more when they were told.

Change: up to four transactions are under way, each under a commit key of its own; others join one only while what callers wait for does not fit into it. A job is in one at a time; ends are acknowledged up to the first whose transaction is under way; a take-over rewrites all four keys. New jobs leave half of the room to ends where both wait, and the progress of a job that never stored any is not deleted.

--- a/internal/engine/core.go
+++ b/internal/engine/core.go
@@ -36,6 +36,7 @@
 	arrivals []arrival // of late
 
 	dirty     map[work.JobID]*job
+	flying    map[work.JobID]int64  // jobs with a change under way to the store, and when each was touched
 	endings   int64                 // ends taken in so far, of all workers
 	now       time.Duration         // of the last plan or answer
 	explained time.Duration         // when work that waits was last logged
@@ -66,6 +67,7 @@
 		sought:  make(map[string]time.Duration),
 
 		dirty:  make(map[work.JobID]*job),
+		flying: make(map[work.JobID]int64),
 		astray: make(map[work.TaskRef]bool),
 	}
 }
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -83,7 +83,7 @@
 
 	planKick  chan struct{}
 	storeKick chan struct{}
-	writer    writer
+	writer    *writer
 	lives     *lives
 	wg        sync.WaitGroup
 }
@@ -97,7 +97,7 @@
 		storeKick: make(chan struct{}, 1),
 	}
 	e.core = NewCore(o.Cell, o.Term.Token(), o.Bounds, o.Log.WithName("core"))
-	e.writer = writer{engine: e}
+	e.writer = newWriter(e)
 	e.lives = &lives{engine: e}
 	return e
 }
--- a/internal/engine/job.go
+++ b/internal/engine/job.go
@@ -146,6 +146,7 @@
 	stored bool
 	onEnd  []func(error) // told when the final state is stored
 
+	kept    bool  // some progress of it may be stored
 	touched int64 // ends taken in when it first had something to store
 }
 
--- a/internal/engine/model_test.go
+++ b/internal/engine/model_test.go
@@ -88,6 +88,8 @@
 	// What workers saw.
 	doneAcked map[work.TaskRef]bool
 	calm      bool // no more faults
+	// overlap: outcomes of transactions come later and in any order.
+	overlap bool
 }
 
 const (
@@ -401,11 +403,15 @@
 		}
 		m.progress[ch.Job] = decodeProgress(m.t, ch)
 	}
+	var err error
 	if !m.calm && m.chance(10) {
-		o.core.Flushed(f, ErrUncertain)
+		err = ErrUncertain
+	}
+	if m.overlap && m.chance(50) {
+		o.orders = append(o.orders, func() { o.core.Flushed(f, err) })
 		return
 	}
-	o.core.Flushed(f, nil)
+	o.core.Flushed(f, err)
 }
 
 func (m *model) fault() {
@@ -460,9 +466,10 @@
 	for i := range *modelSeeds {
 		seeds = append(seeds, *modelFirst+uint64(i))
 	}
-	for _, seed := range seeds {
+	for i, seed := range seeds {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			m := newModel(t, seed)
+			m.overlap = i >= len(keptSeeds) // these play as they did
 			for range 1500 {
 				m.step()
 			}
--- a/internal/engine/progress.go
+++ b/internal/engine/progress.go
@@ -35,68 +35,86 @@
 	Job      work.JobID
 	Final    work.State // set: the job has ended
 	Progress []byte     // else
+	// Clear: an earlier progress of a job that has ended may be stored.
+	Clear bool
 }
 
-// Flush is a set of changes, and the ends that may be acknowledged once they
-// are stored.
+// Flush is a set of changes under way to the store. Several may be at a time, no
+// two of the same job.
 type Flush struct {
 	Changes []Change
-	// before: all ends taken in before this one have their effects in this
-	// flush or an earlier one.
-	before  int64
-	touched map[work.JobID]int64
 }
 
 // Entries a change takes in a transaction.
 const (
 	progressEntries = 1
-	endEntries      = 3 // the short key, the record and the progress
+	endEntries      = 2 // the short key and the record
+	clearEntries    = 1 // the progress of a job that has ended
 )
 
 func (j *job) entries() int {
-	if j.final != "" {
-		return endEntries
+	switch {
+	case j.final == "":
+		return progressEntries
+	case j.kept:
+		return endEntries + clearEntries
 	}
-	return progressEntries
+	return endEntries
 }
 
-// Dirty counts the jobs with changes to store; final is how many of them ended.
+// Dirty counts the jobs with changes to store that are not under way; final is how
+// many of them ended.
 func (c *Core) Dirty() (all, final int) {
-	for _, j := range c.dirty {
+	for id, j := range c.dirty {
+		if _, flying := c.flying[id]; flying {
+			continue
+		}
+		all++
 		if j.final != "" {
 			final++
 		}
 	}
-	return len(c.dirty), final
+	return all, final
 }
 
-// TakeFlush returns the changes to store, as many as fit in so many entries.
+// TakeFlush returns changes to store, as many as fit in so many entries, and none of
+// a job of which an earlier one is under way: it could take effect after this one.
 // Ended jobs go first, as their callers wait, then what has waited longest: ends
 // are acknowledged up to the first whose effect is not stored, and were that to
 // wait for a moment without any change, a busy cell would acknowledge nothing.
 func (c *Core) TakeFlush(entries int) Flush {
 	jobs := make([]*job, 0, len(c.dirty))
-	for _, j := range c.dirty {
-		jobs = append(jobs, j)
+	for id, j := range c.dirty {
+		if _, flying := c.flying[id]; !flying {
+			jobs = append(jobs, j)
+		}
 	}
 	slices.SortFunc(jobs, func(a, b *job) int {
 		return cmp.Or(cmp.Compare(b.entries(), a.entries()), cmp.Compare(a.touched, b.touched), cmp.Compare(a.ID, b.ID))
 	})
-	f := Flush{touched: make(map[work.JobID]int64)}
+	var f Flush
 	for _, j := range jobs {
 		if entries < j.entries() {
 			continue
 		}
 		entries -= j.entries()
 		delete(c.dirty, j.ID)
-		f.touched[j.ID] = j.touched
+		c.flying[j.ID] = j.touched
 		f.Changes = append(f.Changes, j.change())
 	}
-	f.before = c.endings + 1
+	return f
+}
+
+// storedMark is the first end taken in whose effect may not be stored.
+func (c *Core) storedMark() int64 {
+	mark := c.endings + 1
 	for _, j := range c.dirty {
-		f.before = min(f.before, j.touched)
+		mark = min(mark, j.touched)
 	}
-	return f
+	for _, touched := range c.flying {
+		mark = min(mark, touched)
+	}
+	return mark
 }
 
 // unacknowledged reports whether ends wait to be acknowledged, although nothing of
@@ -112,7 +130,7 @@
 
 func (j *job) change() Change {
 	if j.final != "" {
-		return Change{Job: j.ID, Final: j.final}
+		return Change{Job: j.ID, Final: j.final, Clear: j.kept}
 	}
 	p := Progress{Next: j.next}
 	for _, o := range j.live {
@@ -152,28 +170,37 @@
 	return m
 }
 
-// Flushed says that the changes are stored, or with an error that they are not.
-func (c *Core) Flushed(f Flush, err error) {
+// Flushed says that the changes are stored, or with an error that they are not. It
+// returns the idle workers that have ends to be acknowledged since.
+func (c *Core) Flushed(f Flush, err error) []work.WorkerID {
 	for _, ch := range f.Changes {
+		touched := c.flying[ch.Job]
+		delete(c.flying, ch.Job)
 		j := c.jobs[ch.Job]
-		if j == nil {
-			continue
-		}
-		if err != nil {
+		switch {
+		case j == nil:
+		case err != nil:
 			c.dirty[ch.Job] = j
-			j.touched = f.touched[ch.Job]
-			continue
-		}
-		if ch.Final != "" {
+			j.touched = touched
+			// It may have taken effect all the same.
+			j.kept = j.kept || ch.Final == ""
+		case ch.Final != "":
 			c.endStored(j)
+		default:
+			j.kept = true
 		}
 	}
 	if err != nil {
-		return
+		return nil
 	}
-	for _, w := range c.workers {
-		w.storedBefore(f.before)
+	var acknowledge []work.WorkerID
+	mark := c.storedMark()
+	for id, w := range c.workers {
+		if w.storedBefore(mark) && len(w.tasks) == 0 {
+			acknowledge = append(acknowledge, id)
+		}
 	}
+	return acknowledge
 }
 
 func (c *Core) endStored(j *job) {
@@ -239,6 +266,7 @@
 	age := max(0, wall.Sub(r.Job.Accepted))
 	j := newJob(r.Job, q, now-age)
 	j.restored = true
+	j.kept = p != nil
 	if p != nil {
 		j.restore(p)
 	} else {
--- a/internal/engine/progress_test.go
+++ b/internal/engine/progress_test.go
@@ -5,6 +5,8 @@
 	"testing"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/pumicestage/pumicestage/policy/work"
 )
 
 func decodeProgress(t *testing.T, ch Change) *Progress {
@@ -16,3 +18,53 @@
 	assert.NilError(t, json.Unmarshal(ch.Progress, p))
 	return p
 }
+
+// A worker forgets an end whose effect is stored by a transaction that is still under
+// way, and the task runs again after a take-over: a later transaction was through
+// first, and all ends up to its own were acknowledged.
+func TestEndsAreAcknowledgedUpToTheFirstTransactionUnderWay(t *testing.T) {
+	b := newRig(t)
+	b.worker("w1")
+	b.accept("j1", short(2))
+	b.accept("j2", short(2))
+	o := b.plan()
+	b.answer(o, OutcomeOK)
+	of := func(id work.JobID) StartOrder {
+		for _, s := range o.Starts {
+			if s.Start.Task.Job == id {
+				return s
+			}
+		}
+		t.Fatal("no start of ", id)
+		return StartOrder{}
+	}
+	b.look("w1", Listing{Brief: true, Ended: []RunEnd{ended(1, of("j1"), work.Done)}})
+	first := b.core.TakeFlush(progressEntries)
+	b.look("w1", Listing{Brief: true, Ended: []RunEnd{ended(2, of("j2"), work.Done)}})
+	second := b.core.TakeFlush(progressEntries)
+	assert.Equal(t, second.Changes[0].Job, work.JobID("j2"))
+	assert.Equal(t, len(b.core.Flushed(second, nil)), 0)
+	assert.Equal(t, b.core.workers["w1"].stored, int64(0))
+	b.core.Flushed(first, nil)
+	assert.Equal(t, b.core.workers["w1"].stored, int64(2))
+}
+
+// A caller's job goes back: an older progress took effect after a newer one. A job
+// with a change under way is in no other transaction until that is known.
+func TestAJobIsInOneTransactionAtATime(t *testing.T) {
+	b := newRig(t)
+	b.worker("w1")
+	b.accept("j1", short(2))
+	o := b.plan()
+	b.answer(o, OutcomeOK)
+	b.look("w1", Listing{Brief: true, Ended: []RunEnd{ended(1, o.Starts[0], work.Done)}})
+	first := b.core.TakeFlush(100)
+	b.look("w1", Listing{Brief: true, Ended: []RunEnd{ended(2, o.Starts[1], work.Done)}})
+	assert.Equal(t, len(b.core.TakeFlush(100).Changes), 0)
+	all, final := b.core.Dirty()
+	assert.Equal(t, all+final, 0, "there is nothing that could be sent")
+	b.core.Flushed(first, ErrUncertain)
+	again := b.core.TakeFlush(100)
+	assert.Equal(t, again.Changes[0].Final, work.Completed)
+	assert.Assert(t, again.Changes[0].Clear, "the first may have taken effect")
+}
--- a/internal/engine/restore.go
+++ b/internal/engine/restore.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -29,11 +30,11 @@
 // loadTimeout ends one try at reading what is stored.
 const loadTimeout = 3 * time.Second
 
-// restore takes the commit key over, which fences every transaction of earlier
+// restore takes the commit keys over, which fences every transaction of earlier
 // owners, and then reads all jobs.
 func (e *Engine) restore(ctx context.Context) error {
 	for ctx.Err() == nil {
-		first, err := e.seize(ctx)
+		first, err := e.seizeAll(ctx)
 		if err == nil {
 			err = e.load(ctx, first)
 		}
@@ -46,11 +47,28 @@
 	return ctx.Err()
 }
 
-// seize writes the commit key; first reports that nobody had before.
-func (e *Engine) seize(ctx context.Context) (first bool, err error) {
+// seizeAll writes all commit keys; first reports that nobody had before.
+func (e *Engine) seizeAll(ctx context.Context) (first bool, err error) {
 	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
 	defer cancel()
-	kv, _, err := e.Store.Get(ctx, infra.WorkCommitKey(e.Cell))
+	var fresh [committers]bool
+	var errs [committers]error
+	var writers sync.WaitGroup
+	for i, c := range e.writer.committers {
+		writers.Go(func() { fresh[i], errs[i] = e.seize(ctx, c) })
+	}
+	writers.Wait()
+	for _, err := range errs {
+		if trace.IsCompareFailed(err) {
+			return false, err
+		}
+	}
+	return !slices.Contains(fresh[:], false), trace.NewAggregate(errs[:]...)
+}
+
+// seize writes a commit key; fresh reports that it did not exist.
+func (e *Engine) seize(ctx context.Context, c *committer) (fresh bool, err error) {
+	kv, _, err := e.Store.Get(ctx, c.key)
 	if err != nil {
 		return false, trace.Wrap(err)
 	}
@@ -65,7 +83,7 @@
 	}
 	if old.Token == e.Term.Token() {
 		// An earlier try of ours took effect without an answer.
-		e.writer.rev = kv.ModRevision
+		c.rev = kv.ModRevision
 		return false, nil
 	}
 	mark, err := json.Marshal(commitMark{Token: e.Term.Token()})
@@ -73,8 +91,8 @@
 		return false, trace.Wrap(err)
 	}
 	res, err := e.Store.Txn(ctx, infra.Txn{
-		If:   []infra.Cond{{Key: infra.WorkCommitKey(e.Cell), ModRevision: kv.ModRevision}},
-		Then: []infra.Op{infra.Put(infra.WorkCommitKey(e.Cell), mark)},
+		If:   []infra.Cond{{Key: c.key, ModRevision: kv.ModRevision}},
+		Then: []infra.Op{infra.Put(c.key, mark)},
 	})
 	if err != nil {
 		return false, trace.Wrap(err)
@@ -82,7 +100,7 @@
 	if !res.Succeeded {
 		return false, trace.ConnectionProblem(nil, "the commit key changed meanwhile")
 	}
-	e.writer.rev = res.Revision
+	c.rev = res.Revision
 	return kv.ModRevision == 0, nil
 }
 
--- a/internal/engine/session.go
+++ b/internal/engine/session.go
@@ -51,15 +51,6 @@
 	}
 }
 
-// wakeAll lets idle sessions check whether there is something to do.
-func (e *Engine) wakeAll() {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	for _, s := range e.sessions {
-		kick(s.kick)
-	}
-}
-
 // do runs an order in one of the worker's slots.
 func (s *session) do(ctx context.Context, f func()) {
 	s.engine.wg.Go(func() {
--- a/internal/engine/worker.go
+++ b/internal/engine/worker.go
@@ -98,12 +98,15 @@
 	at  int64 // of all ends taken in
 }
 
-// storedBefore notes that all ends taken in before the mark are stored.
-func (w *worker) storedBefore(mark int64) {
+// storedBefore notes that all ends taken in before the mark are stored; it reports
+// whether any of this worker's are that were not.
+func (w *worker) storedBefore(mark int64) bool {
+	before := w.stored
 	for len(w.unstored) > 0 && w.unstored[0].at < mark {
 		w.stored = w.unstored[0].seq
 		w.unstored = w.unstored[1:]
 	}
+	return w.stored > before
 }
 
 // strikes counts ends that speak against a worker.
--- a/internal/engine/writer.go
+++ b/internal/engine/writer.go
@@ -11,15 +11,24 @@
 	"github.com/pumicestage/pumicestage/policy/work"
 )
 
-// The owner's writes go out one transaction at a time, each with what has
-// gathered meanwhile: the store takes a few hundred writes a second, tasks end
-// and jobs come faster than that.
+// The owner's writes go out in transactions, each with what has gathered meanwhile:
+// the store takes a few hundred writes a second, tasks end and jobs come faster than
+// that. One transaction at a time is under way, and more while more waits than one
+// holds: a store that answers in four milliseconds takes a hundred a second one by one,
+// each with the ends of five jobs, and a burst of a large service has four hundred
+// jobs a second.
 const (
 	// txnEntries is the most a transaction of the users' store holds.
 	txnEntries = 32
-	// maxCreates leaves room for progress beside new jobs: each job needs a
-	// condition and two writes.
+	// committers bounds the transactions under way at a time; with all of them a
+	// cell makes some four hundred calls a second, a third of what the store of a
+	// large deployment takes from all.
+	committers = 4
+	// maxCreates leaves room for progress beside new jobs.
 	maxCreates = 8
+	// sharedCreates is the same while ended jobs wait as well: callers of both
+	// wait, and new ones alone would leave room for three ends.
+	sharedCreates = 5
 	// commitEntries is what the commit key takes: a condition and a write.
 	commitEntries = 2
 	// createEntries is what a new job takes: its condition, its short key and
@@ -53,14 +62,33 @@
 
 // writer stores what the core decides.
 type writer struct {
-	engine *Engine
+	engine     *Engine
+	committers [committers]*committer
 
 	mu      sync.Mutex
 	waiting []*creation
-	busy    time.Duration // since when the present batch is under way; 0: none
+	active  int // committers at work
 
-	rev infra.Revision // of the commit key
-	seq int64
+	// gathering is told what comes while a committer gathers.
+	gathering chan struct{}
+}
+
+// committer sends one transaction at a time, under a commit key of its own.
+type committer struct {
+	w   *writer
+	key string
+
+	rev  infra.Revision // of the key
+	seq  int64
+	busy time.Duration // since when the present batch is under way; 0: none. Locked by the writer
+}
+
+func newWriter(e *Engine) *writer {
+	w := &writer{engine: e, gathering: make(chan struct{}, 1)}
+	for i := range w.committers {
+		w.committers[i] = &committer{w: w, key: infra.WorkCommitKey(e.Cell, i)}
+	}
+	return w
 }
 
 // create stores a new job with the next batch.
@@ -71,7 +99,7 @@
 	}
 	c := &creation{job: j, queue: q, ops: ops, done: make(chan error, 1)}
 	w.mu.Lock()
-	if w.busy != 0 && w.engine.Clock.Now() > w.busy+unwellAfter {
+	if w.unwellLocked() {
 		w.mu.Unlock()
 		return ErrStore
 	}
@@ -89,6 +117,17 @@
 	}
 }
 
+// unwellLocked reports whether a transaction has been under way for long.
+func (w *writer) unwellLocked() bool {
+	now := w.engine.Clock.Now()
+	for _, c := range w.committers {
+		if c.busy != 0 && now > c.busy+unwellAfter {
+			return true
+		}
+	}
+	return false
+}
+
 // withdraw takes back a job that is in no batch yet.
 func (w *writer) withdraw(c *creation) bool {
 	w.mu.Lock()
@@ -114,24 +153,61 @@
 func (b *batch) empty() bool { return len(b.creates) == 0 && len(b.flush.Changes) == 0 }
 
 func (w *writer) run(ctx context.Context) {
+	var all sync.WaitGroup
+	for _, c := range w.committers {
+		all.Go(func() { c.run(ctx) })
+	}
+	all.Wait()
+	w.refuseAll()
+}
+
+func (c *committer) run(ctx context.Context) {
 	for {
 		select {
 		case <-ctx.Done():
-			w.refuseAll()
 			return
-		case <-w.engine.storeKick:
+		case <-c.w.engine.storeKick:
+		}
+		first, begin := c.w.begin()
+		if !begin {
+			kick(c.w.gathering)
+			continue
+		}
+		if first {
+			c.w.gather(ctx)
 		}
-		w.gather(ctx)
-		b := w.take()
-		w.store(ctx, b)
-		w.rest()
+		c.store(ctx, c.take())
+		c.rest()
 	}
 }
 
+// begin reports whether a committer is to take a batch now, and whether it is the only
+// one. Others join it while more waits than one transaction holds; sooner they would
+// but share the same writes out over more calls.
+func (w *writer) begin() (first, ok bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.active > 0 && w.urgentEntries(len(w.waiting)) < txnEntries-commitEntries {
+		return false, false
+	}
+	w.active++
+	return w.active == 1, true
+}
+
+// urgentEntries counts the entries of what callers wait for.
+func (w *writer) urgentEntries(creates int) int {
+	w.engine.mu.Lock()
+	defer w.engine.mu.Unlock()
+	_, final := w.engine.core.Dirty()
+	return creates*createEntries + final*endEntries
+}
+
 // rest ends a batch and asks for the next if more has gathered.
-func (w *writer) rest() {
+func (c *committer) rest() {
+	w := c.w
 	w.mu.Lock()
-	w.busy = 0
+	w.active--
+	c.busy = 0
 	more := len(w.waiting) > 0
 	w.mu.Unlock()
 	w.engine.mu.Lock()
@@ -152,7 +228,7 @@
 	for w.engine.Clock.Now() < end && ctx.Err() == nil {
 		t := time.NewTimer(end - w.engine.Clock.Now())
 		select {
-		case <-w.engine.storeKick:
+		case <-w.gathering:
 			if w.urgent() {
 				end = 0
 			}
@@ -167,37 +243,42 @@
 	w.mu.Lock()
 	creates := len(w.waiting)
 	w.mu.Unlock()
-	w.engine.mu.Lock()
-	defer w.engine.mu.Unlock()
-	_, final := w.engine.core.Dirty()
-	return creates > 0 || final > 0
+	return w.urgentEntries(creates) > 0
 }
 
-func (w *writer) take() *batch {
-	w.seq++
-	b := &batch{seq: w.seq}
+func (c *committer) take() *batch {
+	w := c.w
+	c.seq++
+	b := &batch{seq: c.seq}
+	w.engine.mu.Lock()
+	_, final := w.engine.core.Dirty()
+	w.engine.mu.Unlock()
 	w.mu.Lock()
 	n := min(len(w.waiting), maxCreates)
+	if final > 0 {
+		n = min(n, sharedCreates)
+	}
 	b.creates = append(b.creates, w.waiting[:n]...)
 	w.waiting = append(w.waiting[:0], w.waiting[n:]...)
-	w.busy = w.engine.Clock.Now()
+	c.busy = w.engine.Clock.Now()
 	left := len(w.waiting)
 	w.mu.Unlock()
-	room := txnEntries - commitEntries - createEntries*n
 	w.engine.mu.Lock()
-	b.flush = w.engine.core.TakeFlush(room)
+	b.flush = w.engine.core.TakeFlush(txnEntries - commitEntries - createEntries*n)
+	all, _ := w.engine.core.Dirty()
 	w.engine.mu.Unlock()
-	if left > 0 {
+	if left > 0 || all > 0 {
 		kick(w.engine.storeKick)
 	}
 	return b
 }
 
 // store sends the batch until its outcome is known.
-func (w *writer) store(ctx context.Context, b *batch) {
+func (c *committer) store(ctx context.Context, b *batch) {
+	w := c.w
 	for !b.empty() {
 		call, cancel := context.WithTimeout(ctx, storeTimeout)
-		res, err := w.engine.Store.Txn(call, w.txn(b))
+		res, err := w.engine.Store.Txn(call, c.txn(b))
 		cancel()
 		w.engine.Metrics.txn(err)
 		if err != nil && ctx.Err() != nil {
@@ -207,10 +288,10 @@
 		}
 		if err == nil {
 			if res.Succeeded {
-				w.succeeded(b, res.Revision)
+				c.succeeded(b, res.Revision)
 				return
 			}
-			if !w.conflict(b, res.Reads) {
+			if !c.conflict(b, res.Reads) {
 				return
 			}
 			continue
@@ -227,20 +308,21 @@
 	w.finishFlush(b, nil)
 }
 
-func (w *writer) txn(b *batch) infra.Txn {
+func (c *committer) txn(b *batch) infra.Txn {
+	w := c.w
 	mark, err := json.Marshal(commitMark{Token: w.engine.Term.Token(), Seq: b.seq})
 	if err != nil {
 		panic(err) // two integers: it can't fail
 	}
 	t := infra.Txn{
-		If:   []infra.Cond{{Key: infra.WorkCommitKey(w.engine.Cell), ModRevision: w.rev}},
-		Then: []infra.Op{infra.Put(infra.WorkCommitKey(w.engine.Cell), mark)},
-		Else: []infra.Op{infra.Read(infra.WorkCommitKey(w.engine.Cell))},
+		If:   []infra.Cond{{Key: c.key, ModRevision: c.rev}},
+		Then: []infra.Op{infra.Put(c.key, mark)},
+		Else: []infra.Op{infra.Read(c.key)},
 	}
-	for _, c := range b.creates {
-		key := infra.WorkJobKey(string(c.job.ID))
+	for _, create := range b.creates {
+		key := infra.WorkJobKey(string(create.job.ID))
 		t.If = append(t.If, infra.Cond{Key: key})
-		t.Then = append(t.Then, c.ops...)
+		t.Then = append(t.Then, create.ops...)
 		t.Else = append(t.Else, infra.Read(key))
 	}
 	for _, ch := range b.flush.Changes {
@@ -257,29 +339,35 @@
 	if err != nil {
 		panic(err) // strings and a time: it can't fail
 	}
-	return append(ops, infra.Delete(infra.WorkProgressKey(w.engine.Cell, string(ch.Job))))
+	if ch.Clear {
+		ops = append(ops, infra.Delete(infra.WorkProgressKey(w.engine.Cell, string(ch.Job))))
+	}
+	return ops
 }
 
-func (w *writer) succeeded(b *batch, rev infra.Revision) {
-	w.rev = rev
-	for _, c := range b.creates {
-		w.engine.accepted(c.job, c.queue)
-		c.done <- nil
+func (c *committer) succeeded(b *batch, rev infra.Revision) {
+	c.rev = rev
+	for _, create := range b.creates {
+		c.w.engine.accepted(create.job, create.queue)
+		create.done <- nil
 	}
-	w.finishFlush(b, nil)
+	c.w.finishFlush(b, nil)
 }
 
 func (w *writer) finishFlush(b *batch, err error) {
 	w.engine.mu.Lock()
-	w.engine.core.Flushed(b.flush, err)
+	acknowledge := w.engine.core.Flushed(b.flush, err)
 	w.engine.mu.Unlock()
 	b.flush = Flush{}
-	w.engine.wakeAll()
+	for _, id := range acknowledge {
+		w.engine.wake(id)
+	}
 }
 
 // conflict sorts out why the conditions failed; true where the rest of the
 // batch is to be sent again.
-func (w *writer) conflict(b *batch, reads []infra.KV) bool {
+func (c *committer) conflict(b *batch, reads []infra.KV) bool {
+	w := c.w
 	var mark commitMark
 	if len(reads) > 0 && reads[0].ModRevision != 0 {
 		if err := json.Unmarshal(reads[0].Value, &mark); err != nil {
@@ -292,21 +380,21 @@
 		w.engine.Term.End("a later owner has written")
 		return false
 	}
-	if reads[0].ModRevision != w.rev {
+	if reads[0].ModRevision != c.rev {
 		if mark.Seq == b.seq {
-			w.succeeded(b, reads[0].ModRevision)
+			c.succeeded(b, reads[0].ModRevision)
 			return false
 		}
-		w.rev = reads[0].ModRevision
+		c.rev = reads[0].ModRevision
 		return true
 	}
 	kept := b.creates[:0]
-	for i, c := range b.creates {
+	for i, create := range b.creates {
 		if i+1 < len(reads) && reads[i+1].ModRevision != 0 {
-			w.existed(c)
+			w.existed(create)
 			continue
 		}
-		kept = append(kept, c)
+		kept = append(kept, create)
 	}
 	b.creates = kept
 	return true
--- a/internal/infra/keys.go
+++ b/internal/infra/keys.go
@@ -1,6 +1,10 @@
 package infra
 
-import "github.com/pumicestage/pumicestage/policy/model"
+import (
+	"strconv"
+
+	"github.com/pumicestage/pumicestage/policy/model"
+)
 
 // The key space. Every key of the system is made here, so that no two parts
 // use one key for two things.
@@ -71,10 +75,15 @@
 // WorkOwnerKey returns the key of the duty's owner.
 func WorkOwnerKey(duty string) string { return WorkOwnerPrefix + duty }
 
-// WorkCommitKey returns the key that every transaction of a cell's owner rewrites
-// and has in its condition: transactions of an earlier owner, and late ones of
-// the same, fail.
-func WorkCommitKey(cell string) string { return workCommitPrefix + cell }
+// WorkCommitKey returns a key that transactions of a cell's owner rewrite and have in
+// their condition: those of an earlier owner, and late ones of the same, fail. An owner
+// has several, one for each transaction that may be under way at a time.
+func WorkCommitKey(cell string, n int) string {
+	if n == 0 {
+		return workCommitPrefix + cell
+	}
+	return workCommitPrefix + cell + "/" + strconv.Itoa(n)
+}
 
 // WorkJobKey returns the key that makes the ID one job.
 func WorkJobKey(id string) string { return WorkJobPrefix + id }
