Short keys of ended jobs are deleted ten minutes after their state may be asked

The store grew with every job there ever was: the key that makes an ID one job stayed for ever. The holder of the fleet's duty lists these keys every five minutes and deletes those of jobs that ended longer ago than the deployment's status time and ten minutes, each under the condition that it is unchanged. Callers repeat requests for seconds at most. Test over the in-memory store: 41 of 43 keys go, the recent and the open one stay.

--- a/internal/devjobs/deployment.go
+++ b/internal/devjobs/deployment.go
@@ -40,6 +40,7 @@
 	shutdown  = 1 * time.Second
 	maxLease  = 10 * time.Second
 	stopGrace = 400 * time.Millisecond
+	status    = 2 * time.Minute
 	memoryMB  = 256
 )
 
@@ -109,7 +110,7 @@
 	vm, err := node.New(&node.Settings{
 		Name: e.Name, Zone: "z1", Address: "127.0.0.1", Callers: callers, Ready: ready, Metrics: metrics, Peers: [2]int{port, port},
 		Store: d.Platform.StoreAddress, VMs: d.Platform.VMAddress, MemoryMB: memoryMB,
-		Shutdown: shutdown, MaxLease: maxLease, StopGrace: stopGrace,
+		Shutdown: shutdown, MaxLease: maxLease, StopGrace: stopGrace, Status: status,
 	}, d.options.Log)
 	if err != nil {
 		return trace.Wrap(err)
--- /dev/null
+++ b/internal/engine/retention_test.go
@@ -0,0 +1,46 @@
+package engine
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/jonboulle/clockwork"
+	"gotest.tools/v3/assert"
+
+	"github.com/pumicestage/pumicestage/internal/infra"
+	"github.com/pumicestage/pumicestage/internal/infra/memstore"
+	"github.com/pumicestage/pumicestage/policy/work"
+)
+
+// The store grows with every job there ever was. Keys of jobs that ended long ago go;
+// those whose state may still be asked, whose request may still be repeated, or that
+// have not ended stay.
+func TestShortKeysOfJobsThatEndedLongAgoAreDeleted(t *testing.T) {
+	ctx := context.Background()
+	store := memstore.New(clockwork.NewFakeClock())
+	const status = 2 * time.Minute
+	r := &Retention{Store: store, Clock: stillClock{}, Log: logr.Discard(), Status: status}
+	put := func(id string, state work.State, ended time.Time) {
+		ops, err := EndOps(service, work.JobID(id), state, ended)
+		assert.NilError(t, err)
+		_, err = store.Txn(ctx, infra.Txn{Then: ops})
+		assert.NilError(t, err)
+	}
+	edge := epoch.Add(-status - keepAfterStatus)
+	for i := range 40 { // more than one transaction holds
+		put(fmt.Sprintf("old%d", i), work.Completed, edge.Add(-time.Second))
+	}
+	put("cancelled", work.Cancelled, edge.Add(-time.Hour))
+	put("recent", work.Completed, edge.Add(time.Second))
+	put("open", "", time.Time{})
+
+	deleted, err := r.Pass(ctx)
+	assert.NilError(t, err)
+	assert.Equal(t, deleted, 41)
+	kvs, _, err := store.Range(ctx, infra.WorkJobPrefix)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, keysOf(kvs), []string{infra.WorkJobKey("open"), infra.WorkJobKey("recent")})
+}
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -37,6 +37,7 @@
 	MaxLease  time.Duration // longest lease of a worker
 	PaceDelay time.Duration // until a change of pace shows
 	StopGrace time.Duration // a worker's stop of a task takes at most
+	Status    time.Duration // for how long a job's state may be asked after its end
 
 	given map[string]string // as the file has them, by section and key
 }
@@ -79,6 +80,7 @@
 	{"limits", "shutdown-s", true, expectsS, duration(time.Second, func(s *Settings) *time.Duration { return &s.Shutdown })},
 	{"limits", "max-lease-ms", true, expectsMS, duration(time.Millisecond, func(s *Settings) *time.Duration { return &s.MaxLease })},
 	{"limits", "stop-grace-ms", true, expectsMS, duration(time.Millisecond, func(s *Settings) *time.Duration { return &s.StopGrace })},
+	{"limits", "status-s", true, expectsS, duration(time.Second, func(s *Settings) *time.Duration { return &s.Status })},
 	{"limits", "pace-delay-ms", false, expectsMS, duration(time.Millisecond, func(s *Settings) *time.Duration { return &s.PaceDelay })},
 }
 
