The stand-in has an advisor; an advised queue over the whole path

Calls to the advisor had met none but a fake in a unit test. Ten jobs of thirteen tasks through two entry VMs: all done, none on a worker that was not approved, fewer calls than tasks.

--- a/internal/devjobs/deployment.go
+++ b/internal/devjobs/deployment.go
@@ -109,7 +109,7 @@
 	e := &Entry{Name: fmt.Sprintf("entry-%d", n), Callers: callers, Metrics: metrics, done: make(chan struct{})}
 	vm, err := node.New(&node.Settings{
 		Name: e.Name, Zone: "z1", Address: "127.0.0.1", Callers: callers, Ready: ready, Metrics: metrics, Peers: [2]int{port, port},
-		Store: d.Platform.StoreAddress, VMs: d.Platform.VMAddress, MemoryMB: memoryMB,
+		Store: d.Platform.StoreAddress, VMs: d.Platform.VMAddress, Advisor: d.Platform.AdvisorAddress, MemoryMB: memoryMB,
 		Shutdown: shutdown, MaxLease: maxLease, StopGrace: stopGrace, Status: status,
 	}, d.options.Log)
 	if err != nil {
