Steps that can't fit are not described to the plan

While a pool is full hundreds of steps wait, and each plan described all of them, with the tasks that wait and where the others are, before it placed the first: what had room at the beginning of a plan was gone after some. They are described one after the other now, and passed over once nothing has room for them.

--- a/internal/engine/plan.go
+++ b/internal/engine/plan.go
@@ -171,10 +171,9 @@
 	if len(workers) == 0 {
 		return
 	}
-	most := taskplan.MostFree(taskplan.Open(workers))
-	var steps []*taskplan.Step
+	planner := taskplan.NewPlanner(workers)
 	for _, v := range ws {
-		if !taskplan.Reserved(v.step.spec).Fits(most) {
+		if !planner.MayFit(v.step.spec) {
 			continue
 		}
 		s := c.planStep(v.step, workers, now)
@@ -184,10 +183,9 @@
 		if v.step.job.queue.Advised {
 			v.step.askAdvice(workers, s.Permitted, now, out)
 		}
-		steps = append(steps, s)
-	}
-	for _, p := range taskplan.Plan(workers, steps) {
-		c.order(p, now, out)
+		for _, p := range planner.Place(s) {
+			c.order(p, now, out)
+		}
 	}
 	c.explain(ws, workers, now)
 }
--- a/policy/taskplan/taskplan.go
+++ b/policy/taskplan/taskplan.go
@@ -62,28 +62,48 @@
 // does not fit lets later ones pass. Workers are changed as they fill.
 func Plan(workers []*Worker, steps []*Step) []Placement {
 	var out []Placement
-	open := Open(workers)
-	most := MostFree(open)
+	p := NewPlanner(workers)
 	for _, s := range steps {
-		// While a pool is full hundreds of steps wait; they are passed over
-		// without a look at every worker.
-		if !Reserved(s.Step).Fits(most) {
-			continue
-		}
-		if s.Step.Gang {
-			out = append(out, planGang(open, s)...)
-			most = MostFree(open)
-			continue
-		}
-		for _, t := range s.Tasks {
-			w := choose(open, s, t)
-			if w == nil {
-				most = MostFree(open)
-				break // its other tasks are of the same size
-			}
-			take(w, s)
-			out = append(out, Placement{Step: s, Index: t.Index, Worker: w.ID})
+		out = append(out, p.Place(s)...)
+	}
+	return out
+}
+
+// Planner places steps one after the other.
+type Planner struct {
+	open []*Worker
+	most work.Resources // see MostFree
+}
+
+// NewPlanner returns a planner over the workers, which are changed as they fill.
+func NewPlanner(workers []*Worker) *Planner {
+	open := Open(workers)
+	return &Planner{open: open, most: MostFree(open)}
+}
+
+// MayFit reports whether a worker may have room for a task of the step. While a pool
+// is full hundreds of steps wait; they are passed over without a look at every worker.
+func (p *Planner) MayFit(s *work.Step) bool { return Reserved(s).Fits(p.most) }
+
+// Place places what it can of the step.
+func (p *Planner) Place(s *Step) []Placement {
+	if !p.MayFit(s.Step) {
+		return nil
+	}
+	if s.Step.Gang {
+		out := planGang(p.open, s)
+		p.most = MostFree(p.open)
+		return out
+	}
+	var out []Placement
+	for _, t := range s.Tasks {
+		w := choose(p.open, s, t)
+		if w == nil {
+			p.most = MostFree(p.open)
+			break // its other tasks are of the same size
 		}
+		take(w, s)
+		out = append(out, Placement{Step: s, Index: t.Index, Worker: w.ID})
 	}
 	return out
 }
