A call that is given up does not end the connection that others use

Cause (found by reading): calls between entry VMs share a connection for each address. A call whose context ended gave the connection up, as one that falls silent must be. It did so as well when the caller had merely left, or when an owner's term was over: every other request on its way to that owner became uncertain, and callers were told 504 or waited for the store to settle it.

Change: only a timeout ends the connection; a cancelled call is forgotten. An owner whose term ends no longer notes its entry VMs as silent either.

--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -167,10 +168,14 @@
 }
 
 // call makes a call by way of another entry VM, or itself where there is none or
-// where it is certain that nothing was sent.
-func (w *Workers) call(to *engine.WorkerInfo, forwarded func(f ownerlink.Forwarded) (engine.Outcome, ownerlink.Reached), direct func() engine.Outcome) {
+// where it is certain that nothing was sent. Both ways keep what they return for the
+// caller themselves.
+func (w *Workers) call(ctx context.Context, to *engine.WorkerInfo, forwarded func(f ownerlink.Forwarded) (engine.Outcome, ownerlink.Reached), direct func() engine.Outcome) {
 	if p, ok := w.via(to); ok {
 		out, reached := forwarded(ownerlink.Forwarded{Link: w.Link, Address: p.Address})
+		if errors.Is(ctx.Err(), context.Canceled) {
+			return // the term is over; what the call came to says nothing of its path
+		}
 		w.came(to.ID, p, reached, out)
 		if reached != ownerlink.ReachedNothing {
 			return
@@ -181,9 +186,9 @@
 
 // Start implements engine.Workers.
 func (w *Workers) Start(ctx context.Context, to *engine.WorkerInfo, s engine.Start) (out engine.Outcome, clock time.Duration) {
-	w.call(to, func(f ownerlink.Forwarded) (reached engine.Outcome, how ownerlink.Reached) {
-		out, clock, how = f.Start(ctx, to, s)
-		return out, how
+	w.call(ctx, to, func(f ownerlink.Forwarded) (o engine.Outcome, reached ownerlink.Reached) {
+		out, clock, reached = f.Start(ctx, to, s)
+		return out, reached
 	}, func() engine.Outcome {
 		out, clock = w.Direct.Start(ctx, to, s)
 		return out
@@ -193,10 +198,9 @@
 
 // Stop implements engine.Workers.
 func (w *Workers) Stop(ctx context.Context, to *engine.WorkerInfo, task work.TaskRef, run int, token int64) (out engine.Outcome) {
-	w.call(to, func(f ownerlink.Forwarded) (engine.Outcome, ownerlink.Reached) {
-		var how ownerlink.Reached
-		out, how = f.Stop(ctx, to, task, run, token)
-		return out, how
+	w.call(ctx, to, func(f ownerlink.Forwarded) (o engine.Outcome, reached ownerlink.Reached) {
+		out, reached = f.Stop(ctx, to, task, run, token)
+		return out, reached
 	}, func() engine.Outcome {
 		out = w.Direct.Stop(ctx, to, task, run, token)
 		return out
@@ -206,10 +210,9 @@
 
 // Hold implements engine.Workers.
 func (w *Workers) Hold(ctx context.Context, to *engine.WorkerInfo, h engine.Hold) (l engine.Listing, out engine.Outcome) {
-	w.call(to, func(f ownerlink.Forwarded) (engine.Outcome, ownerlink.Reached) {
-		var how ownerlink.Reached
-		l, out, how = f.Hold(ctx, to, h)
-		return out, how
+	w.call(ctx, to, func(f ownerlink.Forwarded) (o engine.Outcome, reached ownerlink.Reached) {
+		l, out, reached = f.Hold(ctx, to, h)
+		return out, reached
 	}, func() engine.Outcome {
 		l, out = w.Direct.Hold(ctx, to, h)
 		return out
@@ -219,10 +222,9 @@
 
 // Pace implements engine.Workers.
 func (w *Workers) Pace(ctx context.Context, to *engine.WorkerInfo, task work.TaskRef, run, percent int, token int64) (out engine.Outcome) {
-	w.call(to, func(f ownerlink.Forwarded) (engine.Outcome, ownerlink.Reached) {
-		var how ownerlink.Reached
-		out, how = f.Pace(ctx, to, task, run, percent, token)
-		return out, how
+	w.call(ctx, to, func(f ownerlink.Forwarded) (o engine.Outcome, reached ownerlink.Reached) {
+		out, reached = f.Pace(ctx, to, task, run, percent, token)
+		return out, reached
 	}, func() engine.Outcome {
 		out = w.Direct.Pace(ctx, to, task, run, percent, token)
 		return out
--- a/internal/ownerlink/client.go
+++ b/internal/ownerlink/client.go
@@ -131,7 +131,13 @@
 		}
 		return resp, nil
 	case <-ctx.Done():
-		l.close()
+		if errors.Is(ctx.Err(), context.Canceled) {
+			// Whoever asked has left; that says nothing of the connection, on
+			// which calls of others wait.
+			l.forget(req.ID)
+		} else {
+			l.close()
+		}
 		return nil, engine.ErrUncertain
 	}
 }
@@ -219,6 +225,13 @@
 	return true
 }
 
+// forget drops a call that nobody waits for any more.
+func (l *link) forget(id uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.waiting, id)
+}
+
 func (l *link) read() {
 	r := bufio.NewReader(l.conn)
 	for {
--- a/internal/ownerlink/link_test.go
+++ b/internal/ownerlink/link_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"net"
+	"runtime"
+	"sync"
 	"testing"
 	"time"
 
@@ -16,12 +18,16 @@
 
 // owner answers as the test says; a nil gate answers at once.
 type owner struct {
-	err  error
-	gate chan struct{}
+	err     error
+	gate    chan struct{}
+	reached chan struct{} // told of each call, unless nil
 }
 
 func (o *owner) Submit(context.Context, *work.Job, engine.Queue) error { return o.err }
 func (o *owner) State(id work.JobID) (work.State, error) {
+	if o.reached != nil {
+		o.reached <- struct{}{}
+	}
 	if o.gate != nil {
 		<-o.gate
 	}
@@ -96,3 +102,42 @@
 	_, err = c.Waiting(context.Background(), Peer{Cell: "a", Address: "127.0.0.1:1"}, "q")
 	assert.Assert(t, errors.Is(err, ErrNotSent))
 }
+
+// A caller leaves while its request is at the owner. Requests of others wait on the
+// same connection: they get their answers.
+func TestACallThatIsGivenUpDoesNotEndTheConnection(t *testing.T) {
+	o := &owner{gate: make(chan struct{}), reached: make(chan struct{}, 2)}
+	p := serve(t, o)
+	c := &Client{Log: logr.Discard()}
+	leaving, leave := context.WithCancel(context.Background())
+	var calls sync.WaitGroup
+	calls.Go(func() {
+		_, err := c.State(leaving, p, "j1")
+		assert.Check(t, errors.Is(err, engine.ErrUncertain))
+	})
+	<-o.reached
+	calls.Go(func() {
+		state, err := c.State(context.Background(), p, "j2")
+		assert.Check(t, err)
+		assert.Check(t, state == work.Running)
+	})
+	<-o.reached
+	leave()
+	for c.waiting() > 1 {
+		runtime.Gosched()
+	}
+	close(o.gate)
+	calls.Wait()
+}
+
+// waiting counts the calls without an answer.
+func (c *Client) waiting() (n int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, l := range c.links {
+		l.mu.Lock()
+		n += len(l.waiting)
+		l.mu.Unlock()
+	}
+	return n
+}
