--- a/cmd/pumicestage/devjobs.go
+++ b/cmd/pumicestage/devjobs.go
@@ -15,6 +15,7 @@
 func addDevJobs(app *kingpin.Application, c *cli) {
 	cmd := app.Command("dev-jobs", "Run a whole deployment for jobs on loopback: stand-in of the users' platform, entry VMs.")
 	once := cmd.Flag("once", "Send load, run a wave and shut entry VMs down under it, report; exit non-zero where a promise broke.").Bool()
+	alone := cmd.Flag("platform", "Run the stand-in alone and print settings for an entry daemon on it.").Bool()
 	verbose := cmd.Flag("verbose", "Log the entry VMs' decisions.").Bool()
 	cmd.Action(action(func(ctx context.Context) error {
 		ctx, cancel := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
@@ -23,6 +24,9 @@
 		if *verbose {
 			log = c.stderr
 		}
+		if *alone {
+			return devjobs.ServePlatform(ctx, c.stdout)
+		}
 		if *once {
 			return devjobs.Once(ctx, c.stdout, log)
 		}
--- a/internal/devjobs/deployment.go
+++ b/internal/devjobs/deployment.go
@@ -42,6 +42,7 @@
 	stopGrace = 400 * time.Millisecond
 	status    = 2 * time.Minute
 	memoryMB  = 256
+	cpuShare  = 0.4 // with it a free duty is taken within a quarter of a second
 )
 
 // Deployment is a running platform with its entry VMs.
@@ -109,7 +110,7 @@
 	e := &Entry{Name: fmt.Sprintf("entry-%d", n), Callers: callers, Metrics: metrics, done: make(chan struct{})}
 	vm, err := node.New(&node.Settings{
 		Name: e.Name, Zone: "z1", Address: "127.0.0.1", Callers: callers, Ready: ready, Metrics: metrics, Peers: [2]int{port, port},
-		Store: d.Platform.StoreAddress, VMs: d.Platform.VMAddress, Advisor: d.Platform.AdvisorAddress, MemoryMB: memoryMB,
+		Store: d.Platform.StoreAddress, VMs: d.Platform.VMAddress, Advisor: d.Platform.AdvisorAddress, MemoryMB: memoryMB, CPUShare: cpuShare,
 		Shutdown: shutdown, MaxLease: maxLease, StopGrace: stopGrace, Status: status,
 	}, d.options.Log)
 	if err != nil {
--- a/internal/devjobs/run.go
+++ b/internal/devjobs/run.go
@@ -62,6 +62,52 @@
 	return d.Close()
 }
 
+// settingsExample is a whole settings file of an entry VM on the stand-in; the name, the
+// addresses of the store and the VM service, and ports are filled in.
+const settingsExample = `[entry]
+name = entry-0
+zone = z1
+address = 127.0.0.1
+callers = %s
+ready = %s
+metrics = %s
+peer-port-first = %d
+peer-port-last = %d
+[store]
+address = %s
+[vms]
+address = %s
+[advisor]
+address = %s
+[limits]
+cpu-share = %g
+memory-mb = %d
+shutdown-s = %d
+max-lease-ms = %d
+stop-grace-ms = %d
+status-s = %d
+`
+
+// Ports of the example's settings beside the callers' and the metrics'.
+const (
+	exampleReady = 18380
+	examplePeers = 18480
+)
+
+// ServePlatform runs the stand-in of the platform alone until ctx ends, for entry
+// daemons that are processes of their own, and prints settings for one.
+func ServePlatform(ctx context.Context, out io.Writer) error {
+	p, err := standin.New(exampleServices, exampleQueues)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	defer p.Close()
+	fmt.Fprintf(out, settingsExample, loopback(FirstCallers), loopback(exampleReady), loopback(FirstMetrics), examplePeers, examplePeers,
+		p.StoreAddress, p.VMAddress, p.AdvisorAddress, cpuShare, memoryMB, int(shutdown.Seconds()), maxLease.Milliseconds(), stopGrace.Milliseconds(), int(status.Seconds()))
+	<-ctx.Done()
+	return nil
+}
+
 // Once runs a load on the example deployment, with a maintenance wave over all VMs and
 // the loss of an entry VM after the other meanwhile, and reports. ErrBroken: a job did
 // not complete, or something ran twice.
--- a/internal/devjobs/run_test.go
+++ b/internal/devjobs/run_test.go
@@ -4,10 +4,14 @@
 	"bytes"
 	"context"
 	"io"
+	"os"
+	"path/filepath"
 	"strings"
 	"testing"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/pumicestage/pumicestage/internal/node"
 )
 
 // What a newcomer runs first keeps its promises: every job completes and nothing runs
@@ -19,3 +23,16 @@
 		assert.Assert(t, strings.Contains(out.String(), line), out.String())
 	}
 }
+
+// The settings that the stand-in prints are whole: an entry daemon takes them.
+func TestTheSettingsForAnEntryDaemonAreWhole(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	var out bytes.Buffer
+	assert.NilError(t, ServePlatform(ctx, &out))
+	file := filepath.Join(t.TempDir(), "settings.ini")
+	assert.NilError(t, os.WriteFile(file, out.Bytes(), 0o600))
+	s, err := node.LoadSettings(file)
+	assert.NilError(t, err)
+	assert.Assert(t, s.Store != "" && s.VMs != "" && s.Advisor != "")
+}
--- a/internal/engine/writer_test.go
+++ b/internal/engine/writer_test.go
@@ -132,7 +132,7 @@
 }
 
 // laterTerm is the term of a successor.
-type laterTerm struct{ fakeTerm }
+type laterTerm struct{}
 
 func (laterTerm) Token() int64                { return token + 1 }
 func (laterTerm) AllowedUntil() time.Duration { return time.Hour }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -152,10 +152,17 @@
 	callers.Close()
 	n.duties.wg.Wait()
 	parts.Wait()
-	n.log.Info("stop", "error", errText(err))
+	n.log.Info("stop", "reason", stopReason(err))
 	return trace.Wrap(err)
 }
 
+func stopReason(err error) string {
+	if err == nil {
+		return "shut down"
+	}
+	return err.Error()
+}
+
 func (n *Node) callerServer() *http.Server {
 	ingress := &platform.Ingress{
 		Jobs: n.front, Config: n.operator.current, Wall: n.clock.Wall, Log: n.log.WithName("callers"), Done: n.metrics.request,
