--- a/internal/ownership/ownership.go
+++ b/internal/ownership/ownership.go
@@ -109,7 +109,11 @@
 }
 
 // Elector takes the duty's key when it is free.
-type Elector struct{ o Options }
+type Elector struct {
+	o Options
+	// pause waits, unless ctx ends before; a test lets its own clock go on instead.
+	pause func(ctx context.Context, d time.Duration) bool
+}
 
 // ttl is how long leases of duties last.
 func (o *Options) ttl() time.Duration { return max(TTL, o.LeastTTL) }
@@ -120,7 +124,7 @@
 }
 
 // New returns an elector.
-func New(o Options) *Elector { return &Elector{o: o} }
+func New(o Options) *Elector { return &Elector{o: o, pause: sleep.For} }
 
 // Run tries for the duty until ctx ends.
 func (e *Elector) Run(ctx context.Context) {
@@ -275,7 +279,7 @@
 // slow; renewals repeated do no harm.
 func (t *Term) renew(ctx context.Context) {
 	timeout := firstTimeout
-	for sleep.For(ctx, renewEvery) {
+	for t.elector.pause(ctx, renewEvery) {
 		for ctx.Err() == nil {
 			call, cancel := context.WithTimeout(ctx, timeout)
 			sent := t.elector.o.Clock.Now()
@@ -290,7 +294,7 @@
 				break
 			}
 			timeout = min(2*timeout, callTimeout)
-			sleep.For(ctx, againPause)
+			t.elector.pause(ctx, againPause)
 		}
 	}
 }
--- a/internal/ownership/ownership_test.go
+++ b/internal/ownership/ownership_test.go
@@ -163,7 +163,7 @@
 	infra.Store
 	clock  *testClock
 	lost   int
-	answer chan struct{} // told of the first renewal that is answered
+	answer chan time.Duration // told when the first renewal that is answered was sent
 }
 
 func (l *losing) KeepAlive(ctx context.Context, lease infra.LeaseID) error {
@@ -171,7 +171,10 @@
 		return err
 	}
 	if l.lost == 0 {
-		l.answer <- struct{}{}
+		select {
+		case l.answer <- l.clock.Now():
+		default:
+		}
 		return nil
 	}
 	l.lost--
@@ -186,19 +189,23 @@
 // row leave the lease certain all the while.
 func TestLostAnswersOfRenewalsDoNotCostTheDuty(t *testing.T) {
 	clock := &testClock{now: time.Minute}
-	l := &losing{Store: memstore.New(clockwork.NewFakeClock()), clock: clock, lost: 2, answer: make(chan struct{}, 1)}
+	l := &losing{Store: memstore.New(clockwork.NewFakeClock()), clock: clock, lost: 2, answer: make(chan time.Duration, 1)}
 	e := newElector(t, l, clock, "e1")
 	term, err := e.take(context.Background())
 	assert.NilError(t, err)
+	certain := term.certain
 	ctx, cancel := context.WithCancel(context.Background())
 	term.cancel = cancel
-	clock.advance(renewEvery)
+	e.pause = func(ctx context.Context, d time.Duration) bool {
+		clock.advance(d)
+		return ctx.Err() == nil
+	}
 	var renewer sync.WaitGroup
 	renewer.Go(func() { term.renew(ctx) })
-	<-l.answer
-	assert.Assert(t, term.Certain(), "certain until %s, now %s", term.certain, clock.Now())
+	answered := <-l.answer
 	cancel()
 	renewer.Wait()
+	assert.Assert(t, answered < certain, "answered at %s, certain until %s", answered, certain)
 }
 
 func TestALeaseIsNoShorterThanTheStoreGrants(t *testing.T) {
