--- a/internal/node/reload.go
+++ b/internal/node/reload.go
@@ -1,10 +1,37 @@
 package node
 
 import (
+	"bytes"
+	"context"
+	"os"
 	"runtime/debug"
 	"slices"
+	"time"
+
+	"github.com/pumicestage/pumicestage/internal/sleep"
 )
 
+// WatchEvery is how often the settings file is looked at: it may change without a
+// signal.
+const WatchEvery = 5 * time.Second
+
+// WatchSettings reloads the file whenever its content has changed, until ctx ends.
+func (n *Node) WatchSettings(ctx context.Context, file string, every time.Duration) {
+	var last []byte
+	for sleep.For(ctx, every) {
+		now, err := os.ReadFile(file)
+		if err != nil || bytes.Equal(now, last) {
+			continue // it may be just being replaced
+		}
+		first := last == nil
+		last = now
+		if next, err := LoadSettings(file); first && err == nil && len(changedKeys(n.settings, next)) == 0 {
+			continue // as it was read at the start
+		}
+		n.Reload(file)
+	}
+}
+
 // Reload reads the settings file again and takes over what can change while the
 // process runs: the memory it may use. Whatever else changed is named in the log and
 // counts from the next start, as does a file with mistakes.
--- a/internal/node/reload_test.go
+++ b/internal/node/reload_test.go
@@ -1,11 +1,13 @@
 package node
 
 import (
+	"context"
 	"os"
 	"path/filepath"
 	"runtime/debug"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/go-logr/logr/funcr"
 	"gotest.tools/v3/assert"
@@ -34,3 +36,25 @@
 	assert.Equal(t, debug.SetMemoryLimit(-1), int64(400*memoryShare*(1<<20)))
 	assert.Assert(t, strings.Contains(lines[1], "the settings in force stay"), lines[1])
 }
+
+// The settings change and nobody sends a signal.
+func TestSettingsThatChangeWithoutASignalAreReloaded(t *testing.T) {
+	old := debug.SetMemoryLimit(-1)
+	defer debug.SetMemoryLimit(old)
+	s, err := load(t, good)
+	assert.NilError(t, err)
+	lines := make(chan string, 1)
+	n := &Node{settings: s, log: funcr.New(func(_, line string) { lines <- line }, funcr.Options{})}
+	file := filepath.Join(t.TempDir(), "settings.ini")
+	assert.NilError(t, os.WriteFile(file, []byte(good), 0o600))
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { defer close(done); n.WatchSettings(ctx, file, time.Millisecond) }()
+	next := file + ".next"
+	assert.NilError(t, os.WriteFile(next, []byte(strings.Replace(good, "memory-mb = 284", "memory-mb = 500", 1)), 0o600))
+	assert.NilError(t, os.Rename(next, file))
+	line := <-lines
+	cancel()
+	<-done
+	assert.Assert(t, strings.Contains(line, "reload") && strings.Contains(line, "limits.memory-mb"), line)
+}
