Cells are explained from the running system

`pumicestage explain cells` prints a row for each service: who owns its cell, jobs by state, how long the oldest that has not begun waits, workers, busy and silent ones, cores in use and what waits for room.

Tests: the state machine's summary, across the link, a cell without an owner, the command's table. Nothing that decides has changed.

--- a/cmd/pumicestage/explain.go
+++ b/cmd/pumicestage/explain.go
@@ -9,6 +9,7 @@
 	"net/url"
 	"slices"
 	"strings"
+	"text/tabwriter"
 	"time"
 
 	"github.com/alecthomas/kingpin/v2"
@@ -36,6 +37,43 @@
 	job.Arg("id", "The job's ID.").Required().StringVar(&f.job)
 	job.Flag("entry", "Metrics address of any entry VM, HOST:PORT.").Envar("PUMICESTAGE_ENTRY").Default(defaultEntry).StringVar(&f.entry)
 	job.Action(action(func(ctx context.Context) error { return c.explainJob(ctx, f) }))
+	cells := cmd.Command("cells", "Say how the cells stand: their owners, jobs, workers and load.")
+	cells.Flag("entry", "Metrics address of any entry VM, HOST:PORT.").Envar("PUMICESTAGE_ENTRY").Default(defaultEntry).StringVar(&f.entry)
+	cells.Action(action(func(ctx context.Context) error { return c.explainCells(ctx, f) }))
+}
+
+func (c *cli) explainCells(ctx context.Context, f *explainFlags) error {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	raw, err := getPage(ctx, f.entry, "/cells")
+	if err != nil {
+		return err
+	}
+	if c.output == outputJSON {
+		_, err := c.stdout.Write(raw)
+		return err
+	}
+	var reports []jobfront.CellReport
+	if err := json.Unmarshal(raw, &reports); err != nil {
+		return fmt.Errorf("the entry VM's answer is malformed: %w", err)
+	}
+	return printCells(c.stdout, reports)
+}
+
+func printCells(out io.Writer, reports []jobfront.CellReport) error {
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "CELL\tOWNER\tJOBS\tOLDEST WAITS\tWORKERS\tBUSY\tSILENT\tCORES\tBACKLOG")
+	for _, r := range reports {
+		s := r.Summary
+		if s == nil {
+			// Empty cells keep the columns of the rows around it in line.
+			fmt.Fprintf(w, "%s\t%s\t%s\t\t\t\t\t\t\n", r.Cell, orNobody(r.Owner), r.Missing)
+			continue
+		}
+		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%d\t%d\t%d\t%.0f\t%.0f\n", r.Cell, orNobody(r.Owner),
+			strings.TrimSpace(counts(s.Jobs)), s.Oldest.Round(time.Millisecond), s.Workers, s.Busy, s.Silent, s.Used, s.Backlog)
+	}
+	return w.Flush()
 }
 
 func (c *cli) explainJob(ctx context.Context, f *explainFlags) error {
--- a/cmd/pumicestage/explain_test.go
+++ b/cmd/pumicestage/explain_test.go
@@ -75,3 +75,28 @@
 	assert.Equal(t, out, "")
 	assert.Assert(t, strings.Contains(problems, "no such job"), problems)
 }
+
+func TestExplainCellsPrintsARowForEach(t *testing.T) {
+	entry := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		assert.Check(t, r.URL.Path == "/cells")
+		assert.Check(t, json.NewEncoder(w).Encode([]jobfront.CellReport{
+			{Cell: "booking", Missing: "engine: not ready"},
+			{Cell: "weighting", Owner: "entry-2", Summary: &engine.Summary{
+				Jobs: map[work.State]int{work.Queued: 3, work.Running: 8}, Oldest: 1234567 * time.Microsecond, Workers: 9, Busy: 7, Silent: 1, Used: 71.5, Backlog: 12,
+			}},
+		}))
+	}))
+	defer entry.Close()
+	var stdout, stderr bytes.Buffer
+	args := []string{"explain", "cells", "--entry", strings.TrimPrefix(entry.URL, "http://")}
+	assert.Equal(t, run(args, newCLI(strings.NewReader(""), &stdout, &stderr)), exitDone, stderr.String())
+	var lines []string
+	for line := range strings.Lines(stdout.String()) {
+		lines = append(lines, strings.TrimRight(line, " \n"))
+	}
+	assert.DeepEqual(t, lines, []string{
+		"CELL       OWNER     JOBS                OLDEST WAITS  WORKERS  BUSY  SILENT  CORES  BACKLOG",
+		"booking    (nobody)  engine: not ready",
+		"weighting  entry-2   3 queued 8 running  1.235s        9        7     1       72     12",
+	})
+}
--- a/internal/engine/explain_test.go
+++ b/internal/engine/explain_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -30,3 +31,25 @@
 	_, known = b.core.Explain("j2", b.now)
 	assert.Assert(t, !known)
 }
+
+// An operator looks at a cell in trouble: what waits, for how long, and how many of its
+// workers answer.
+func TestASummaryTellsWhatWaitsAndWhoAnswers(t *testing.T) {
+	b := newRig(t)
+	b.worker("w1") // room for four tasks
+	b.worker("w2")
+	b.accept("j1", short(8))
+	b.answer(b.plan(), OutcomeOK)
+	b.accept("j2", short(2))
+	b.plan()
+	b.now += time.Second - time.Millisecond
+	b.core.HoldFailed("w2", OutcomeUnknown, b.now)
+	s := b.core.Summary(b.now)
+	assert.DeepEqual(t, s.Jobs, map[work.State]int{work.Running: 1, work.Queued: 1})
+	assert.Equal(t, s.Oldest, time.Second)
+	assert.Equal(t, s.Workers, 2)
+	assert.Equal(t, s.Busy, 2)
+	assert.Equal(t, s.Silent, 1)
+	assert.Equal(t, s.Used, 16.0)
+	assert.Assert(t, s.Backlog > 0, "%f", s.Backlog)
+}
--- a/internal/jobfront/explain.go
+++ b/internal/jobfront/explain.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/pumicestage/pumicestage/internal/engine"
@@ -50,3 +51,44 @@
 	}
 	return r, nil
 }
+
+// CellReport is what is known of a cell, for operators.
+type CellReport struct {
+	Cell    string          `json:"cell"`
+	Owner   string          `json:"owner,omitempty"` // empty: nobody
+	Summary *engine.Summary `json:"summary,omitempty"`
+	Missing string          `json:"missing,omitempty"` // why there is no summary
+}
+
+// Cells says how each cell stands, in the order given.
+func (f *Front) Cells(ctx context.Context, cells []string) []CellReport {
+	out := make([]CellReport, len(cells))
+	var asks sync.WaitGroup
+	for i, cell := range cells {
+		asks.Go(func() { out[i] = f.cell(ctx, cell) })
+	}
+	asks.Wait()
+	return out
+}
+
+func (f *Front) cell(ctx context.Context, cell string) CellReport {
+	r := CellReport{Cell: cell}
+	if owner, known := f.Owners(cell); known {
+		r.Owner = owner.Entry
+	}
+	err := f.askOwner(ctx, cell, func(ctx context.Context, o Owner, p ownerlink.Peer) error {
+		ask := func() (engine.Summary, error) { return f.Link.Summary(ctx, p) }
+		if o != nil {
+			ask = o.Summary
+		}
+		s, err := ask()
+		if err == nil {
+			r.Summary = &s
+		}
+		return err
+	})
+	if err != nil {
+		r.Missing = err.Error()
+	}
+	return r
+}
--- a/internal/jobfront/front_test.go
+++ b/internal/jobfront/front_test.go
@@ -45,6 +45,10 @@
 	return engine.Explanation{Job: id, State: o.state}, o.err
 }
 
+func (o *owner) Summary() (engine.Summary, error) {
+	return engine.Summary{Cell: cell, Workers: 3}, o.err
+}
+
 type rig struct {
 	front *Front
 	store *faulty.Store
@@ -199,3 +203,19 @@
 	assert.NilError(t, err)
 	assert.Equal(t, report.Stored, work.Cancelled)
 }
+
+// An operator looks at all cells while one has no owner: that one is named, with why.
+func TestEveryCellIsListedWithOrWithoutItsOwner(t *testing.T) {
+	r := newRig(t)
+	r.front.Local = func(asked string) Owner {
+		if asked == cell {
+			return r.owner
+		}
+		return nil
+	}
+	cells := r.front.Cells(context.Background(), []string{cell, "elsewhere"})
+	assert.Equal(t, len(cells), 2)
+	assert.Equal(t, cells[0].Summary.Workers, 3)
+	assert.Assert(t, cells[1].Summary == nil)
+	assert.Equal(t, cells[1].Missing, engine.ErrNotReady.Error())
+}
--- a/internal/node/inspect.go
+++ b/internal/node/inspect.go
@@ -5,6 +5,7 @@
 	"errors"
 	"expvar"
 	"net/http"
+	"slices"
 
 	"github.com/gorilla/mux"
 
@@ -12,11 +13,12 @@
 	"github.com/pumicestage/pumicestage/policy/work"
 )
 
-// inspectHandler serves the metrics address: counters, and what is known of a job.
-// It changes nothing and tells no specification.
+// inspectHandler serves the metrics address: counters, how the cells stand, and what is
+// known of a job. It changes nothing and tells no specification.
 func (n *Node) inspectHandler() http.Handler {
 	r := mux.NewRouter()
 	r.Handle("/debug/vars", expvar.Handler())
+	r.HandleFunc("/cells", n.listCells).Methods(http.MethodGet)
 	r.HandleFunc("/explain/{job}", n.explainJob).Methods(http.MethodGet)
 	return r
 }
@@ -31,8 +33,23 @@
 		http.Error(w, err.Error(), http.StatusServiceUnavailable)
 		return
 	}
+	n.writeJSON(w, report)
+}
+
+func (n *Node) listCells(w http.ResponseWriter, r *http.Request) {
+	var cells []string
+	for name, s := range n.operator.declared().Services {
+		if !s.Standby {
+			cells = append(cells, name)
+		}
+	}
+	slices.Sort(cells)
+	n.writeJSON(w, n.front.Cells(r.Context(), cells))
+}
+
+func (n *Node) writeJSON(w http.ResponseWriter, v any) {
 	w.Header().Set("Content-Type", "application/json")
-	if err := json.NewEncoder(w).Encode(report); err != nil {
+	if err := json.NewEncoder(w).Encode(v); err != nil {
 		n.log.V(1).Info("operator has gone", "error", err.Error())
 	}
 }
--- a/internal/ownerlink/client.go
+++ b/internal/ownerlink/client.go
@@ -107,6 +107,18 @@
 	return *resp.Explanation, nil
 }
 
+// Summary asks the owner how its cell stands.
+func (c *Client) Summary(ctx context.Context, p Peer) (engine.Summary, error) {
+	resp, err := c.call(ctx, p, &request{Kind: kindSummary})
+	if err != nil {
+		return engine.Summary{}, err
+	}
+	if err := resp.Result.err(); err != nil || resp.Summary == nil {
+		return engine.Summary{}, errors.Join(err, engine.ErrNotReady)
+	}
+	return *resp.Summary, nil
+}
+
 // call sends a request and waits for its answer. ErrNotSent is certain; without
 // an answer the error is engine.ErrUncertain, and the connection is given up: it
 // may have gone silent for good while new ones work.
--- a/internal/ownerlink/link_test.go
+++ b/internal/ownerlink/link_test.go
@@ -43,6 +43,10 @@
 	return engine.Explanation{Job: id, Age: time.Second, Steps: []engine.StepExplanation{{Step: "s", Tasks: map[string]int{"waiting": 2}}}}, o.err
 }
 
+func (o *owner) Summary() (engine.Summary, error) {
+	return engine.Summary{Cell: "a", Jobs: map[work.State]int{work.Running: 2}, Backlog: 1.5}, o.err
+}
+
 func serve(t *testing.T, o Owner) Peer {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -78,6 +82,10 @@
 	assert.NilError(t, err)
 	want, _ := o.Explain("j1")
 	assert.DeepEqual(t, e, want)
+	sum, err := c.Summary(ctx, p)
+	assert.NilError(t, err)
+	wantSum, _ := o.Summary()
+	assert.DeepEqual(t, sum, wantSum)
 	for _, want := range []error{engine.ErrNotReady, engine.ErrStore, engine.ErrUncertain, engine.ErrUnknownJob} {
 		o.err = want
 		assert.Assert(t, errors.Is(c.Cancel(ctx, p, "j1"), want))
--- a/internal/ownerlink/ownerlink.go
+++ b/internal/ownerlink/ownerlink.go
@@ -38,6 +38,7 @@
 	kindSync
 	kindWorker
 	kindExplain
+	kindSummary
 )
 
 // request is one call.
@@ -76,6 +77,7 @@
 	Worker msgpack.RawMessage `msgpack:"w,omitempty"` // a packed workerAnswer
 
 	Explanation *engine.Explanation `msgpack:"e,omitempty"`
+	Summary     *engine.Summary     `msgpack:"u,omitempty"`
 }
 
 func resultOf(err error) result {
--- a/internal/ownerlink/server.go
+++ b/internal/ownerlink/server.go
@@ -21,6 +21,7 @@
 	Waiting(queue string) (int, error)
 	Sync(s engine.CellSync) (engine.CellAnswer, error)
 	Explain(id work.JobID) (engine.Explanation, error)
+	Summary() (engine.Summary, error)
 }
 
 // serveTimeout ends a call at the owner: callers have given up long before.
@@ -123,6 +124,10 @@
 		var e engine.Explanation
 		e, err = owner.Explain(req.JobID)
 		resp.Explanation = &e
+	case kindSummary:
+		var sum engine.Summary
+		sum, err = owner.Summary()
+		resp.Summary = &sum
 	}
 	resp.Result = resultOf(err)
 	return resp
