A place in line for a duty is for one vacancy

Change: a vacancy has a number, and who finds another one after its wait begins anew. The test fails without the comparison by construction: the duty is free in all three cases. Ruled out: the weights of the line.

--- a/internal/ownership/directory.go
+++ b/internal/ownership/directory.go
@@ -18,6 +18,8 @@
 
 	mu      sync.Mutex
 	owners  map[string]held
+	// vacated counts how often each duty was seen to become free.
+	vacated map[string]int
 	read    bool          // the whole list was read at least once
 	changed chan struct{} // closed at the next change
 }
@@ -39,11 +41,17 @@
 func (d *Directory) Replace(kvs []infra.KV) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	before := d.owners
 	d.owners = make(map[string]held)
 	d.read = true
 	for _, kv := range kvs {
 		d.putLocked(kv)
 	}
+	for duty := range before {
+		if _, known := d.owners[duty]; !known {
+			d.vacateLocked(duty)
+		}
+	}
 	d.notifyLocked()
 }
 
@@ -90,6 +98,7 @@
 		return
 	}
 	delete(d.owners, duty)
+	d.vacateLocked(duty)
 	d.Log.Info("no owner", "duty", duty, "last", old.Entry, "revision", int64(at))
 	d.notifyLocked()
 }
@@ -101,11 +110,20 @@
 	}
 }
 
-func (d *Directory) free(duty string) bool {
+func (d *Directory) vacateLocked(duty string) {
+	if d.vacated == nil {
+		d.vacated = make(map[string]int)
+	}
+	d.vacated[duty]++
+}
+
+// vacancy reports whether the duty is free, and how often it had become so: another
+// number is another vacancy.
+func (d *Directory) vacancy(duty string) (n int, free bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	_, known := d.owners[duty]
-	return d.read && !known
+	return d.vacated[duty], d.read && !known
 }
 
 // recheck bounds a wait, should a change have been missed.
--- a/internal/ownership/ownership.go
+++ b/internal/ownership/ownership.go
@@ -137,8 +137,9 @@
 			continue
 		}
 		held := e.o.Load.Held()
+		vacancy, _ := e.o.Directory.vacancy(e.o.Duty)
 		sleep.For(ctx, e.rank(held))
-		t, err := e.tryTake(ctx, held)
+		t, err := e.tryTake(ctx, held, vacancy)
 		if err != nil && ctx.Err() == nil {
 			e.o.Log.V(1).Info("duty not taken", "duty", e.o.Duty, "error", err.Error())
 			sleep.For(ctx, retryPause)
@@ -151,11 +152,14 @@
 }
 
 // tryTake takes the duty if it is still free, and this entry VM has not taken
-// another while it waited in line: it would have stood behind.
-func (e *Elector) tryTake(ctx context.Context, held int) (*Term, error) {
+// another while it waited in line: it would have stood behind. Nor if the duty was
+// taken and became free again meanwhile: those who can carry more have just begun to
+// wait, and a small VM at the end of the line of before would be first.
+func (e *Elector) tryTake(ctx context.Context, held, vacancy int) (*Term, error) {
 	e.o.Load.taking.Lock()
 	defer e.o.Load.taking.Unlock()
-	if ctx.Err() != nil || !e.o.Directory.free(e.o.Duty) || e.o.Load.Held() > held {
+	now, free := e.o.Directory.vacancy(e.o.Duty)
+	if ctx.Err() != nil || !free || now != vacancy || e.o.Load.Held() > held {
 		return nil, nil
 	}
 	t, err := e.take(ctx)
--- a/internal/ownership/ownership_test.go
+++ b/internal/ownership/ownership_test.go
@@ -119,12 +119,12 @@
 	store := memstore.New(clockwork.NewFakeClock())
 	clock := &testClock{now: time.Minute}
 	e := newElector(t, store, clock, "e1")
-	term, err := e.tryTake(context.Background(), 0)
+	term, err := e.tryTake(context.Background(), 0, 0)
 	assert.NilError(t, err)
 	assert.Assert(t, term != nil)
 	other := newElector(t, store, clock, "e1")
 	other.o.Duty, other.o.Load = "cell/b", e.o.Load
-	term, err = other.tryTake(context.Background(), 0)
+	term, err = other.tryTake(context.Background(), 0, 0)
 	assert.NilError(t, err)
 	assert.Assert(t, term == nil, "it has one more than when it stood in line")
 	assert.Assert(t, other.rank(1) >= other.rank(0)+dutyStep)
@@ -214,3 +214,34 @@
 	assert.Assert(t, o.sure() < 3*time.Second)
 	assert.Equal(t, (&Options{}).ttl(), TTL)
 }
+
+// Callers of a large service wait: a VM of a fifth of a core owns it. It stood in line
+// for seconds, as it should; the duty was taken and given up again within them, and its
+// turn of before came first in the new line.
+func TestALineIsForOneVacancyOnly(t *testing.T) {
+	ctx := context.Background()
+	store := memstore.New(clockwork.NewFakeClock())
+	clock := &testClock{now: time.Minute}
+	small := newElector(t, store, clock, "small")
+	before, free := small.o.Directory.vacancy(small.o.Duty)
+	assert.Assert(t, free)
+	kv := infra.KV{Key: infra.WorkOwnerKey(small.o.Duty), Value: []byte(`{"entry":"large"}`), ModRevision: 5}
+	small.o.Directory.put(kv)
+	small.o.Directory.remove(kv.Key, 6)
+	term, err := small.tryTake(ctx, 0, before)
+	assert.NilError(t, err)
+	assert.Assert(t, term == nil, "its line was for the vacancy before")
+
+	again, free := small.o.Directory.vacancy(small.o.Duty)
+	assert.Assert(t, free)
+	small.o.Directory.put(kv)
+	small.o.Directory.Replace(nil) // the store was away: the list shows that the owner went
+	term, err = small.tryTake(ctx, 0, again)
+	assert.NilError(t, err)
+	assert.Assert(t, term == nil)
+
+	last, _ := small.o.Directory.vacancy(small.o.Duty)
+	term, err = small.tryTake(ctx, 0, last)
+	assert.NilError(t, err)
+	assert.Assert(t, term != nil)
+}
