--- a/internal/ownership/directory.go
+++ b/internal/ownership/directory.go
@@ -16,8 +16,8 @@
 type Directory struct {
 	Log logr.Logger
 
-	mu      sync.Mutex
-	owners  map[string]held
+	mu     sync.Mutex
+	owners map[string]held
 	// vacated counts how often each duty was seen to become free.
 	vacated map[string]int
 	read    bool          // the whole list was read at least once
