A VM is claimed once all ends of its worker are stored

Cause: the store was busy or away, ends were taken in and not stored, and the worker, empty by its owner's books, was claimed for a move or maintenance. Its life ended with it, and the list of ends; then the owner was killed. Its successor had neither.

Change: a worker with ends that are not stored is not claimed. One older test now stores the end before it claims, as owners must.

--- a/internal/engine/cell.go
+++ b/internal/engine/cell.go
@@ -123,8 +123,10 @@
 		c.evict(w)
 	case OrderClaim:
 		// An owner that has just taken over knows a worker before it knows
-		// what runs there.
-		if !w.heard || w.missed > 0 || len(w.tasks)+len(w.strays) > 0 {
+		// what runs there. And ends that are not stored are known to the worker
+		// alone beside us: were its life to end, a successor would have done work
+		// done again.
+		if !w.heard || w.missed > 0 || len(w.tasks)+len(w.strays) > 0 || w.stored < w.seen {
 			return false
 		}
 		c.setCordon(w, Cordon{Kind: Claimed, Token: token})
--- a/internal/engine/claim_test.go
+++ b/internal/engine/claim_test.go
@@ -21,6 +21,7 @@
 	assert.Assert(t, !b.core.obey(claim, token, b.now))
 	b.answer(o, OutcomeOK)
 	b.look("w1", Listing{Ended: []RunEnd{ended(1, o.Starts[0], work.Done)}})
+	b.flush()
 	assert.Assert(t, b.core.obey(claim, token, b.now))
 	b.accept("j2", short(1))
 	assert.Equal(t, len(b.plan().Starts), 0)
@@ -110,6 +111,24 @@
 	assert.Equal(t, b.core.report(b.now).Serial, 2)
 }
 
+// A caller's task runs twice: it had ended well, its worker's VM was moved while the
+// store did not take the end, and then the owner was lost. The worker was the only other
+// that knew. A VM is claimed once all ends of its worker are stored.
+func TestAWorkerIsNotClaimedWhileItsEndsAreNotStored(t *testing.T) {
+	b := newRig(t)
+	b.worker("w1")
+	b.accept("j1", short(1))
+	o := b.plan()
+	b.answer(o, OutcomeOK)
+	b.look("w1", Listing{Ended: []RunEnd{ended(1, o.Starts[0], work.Done)}})
+	claim := CellOrder{Kind: OrderClaim, Worker: "w1"}
+	assert.Assert(t, !b.core.obey(claim, token, b.now), "it ended, and that is not stored")
+	under := b.core.TakeFlush(100)
+	assert.Assert(t, !b.core.obey(claim, token, b.now), "it is on its way")
+	b.core.Flushed(under, nil)
+	assert.Assert(t, b.core.obey(claim, token, b.now))
+}
+
 // Maintenance ends tasks that a new owner of the cell had not heard of yet. It
 // claims nothing of what it does not know, or can't reach.
 func TestOnlyWhatIsKnownToBeEmptyIsClaimed(t *testing.T) {
