--- a/policy/forwarding/forwarding.go
+++ b/policy/forwarding/forwarding.go
@@ -103,7 +103,7 @@
 	return (float64(mix(h.Sum64())>>11) + 1) / (1 << 53)
 }
 
-// mix spreads a hash over all its bits: names that differ in the last letter
+// mix spreads a hash over all its bits: names that differ in the last character
 // alone differ in few high bits before.
 func mix(x uint64) uint64 {
 	x ^= x >> 33
