Errors that were passed over without a line are logged

Cause: reading the change as a newcomer: a call to forward that could not be encoded, one of a kind not known here, and settings that could not be read left no line. Ruled out: settings that are taken out of the file are named by a reload (all known keys are compared). go test -race ./internal/node ./internal/ownerlink ./internal/forward: ok.

--- a/internal/node/reload.go
+++ b/internal/node/reload.go
@@ -20,8 +20,12 @@
 	var last []byte
 	for sleep.For(ctx, every) {
 		now, err := os.ReadFile(file)
-		if err != nil || bytes.Equal(now, last) {
-			continue // it may be just being replaced
+		if err != nil {
+			n.log.V(1).Info("settings not read; the next look may", "file", file, "error", err.Error())
+			continue
+		}
+		if bytes.Equal(now, last) {
+			continue
 		}
 		first := last == nil
 		last = now
--- a/internal/ownerlink/workers.go
+++ b/internal/ownerlink/workers.go
@@ -109,6 +109,7 @@
 	c.Budget = time.Until(end) - forwardMargin
 	raw, err := pack(&c)
 	if err != nil {
+		f.Link.Log.Error(err, "call to forward not encoded", "worker", w.ID)
 		return workerAnswer{Outcome: engine.OutcomeNotSent}, ReachedNothing
 	}
 	resp, err := f.Link.call(ctx, Peer{Address: f.Address}, &request{Kind: kindWorker, Worker: raw})
@@ -144,6 +145,7 @@
 	defer cancel()
 	a, ok := s.callWorker(ctx, &c)
 	if !ok {
+		s.Log.Info("call to forward is of a kind not known here", "kind", c.Kind, "worker", c.Worker)
 		return
 	}
 	packed, err := pack(a)
