One rendezvous hash for all who choose by it

Cause: the change wrote again, in policy/forwarding, what policy/slots and internal/peer each had: FNV with the finalizer that spreads its bits. Change: policy/rendezvous has it, with its own test of even shares and of a score that is written down; the three call it. slots and peer choose as before (same bytes hashed); in forwarding the separator is another, so that a worker may be called by another entry VM than before, which no one remembers across versions. Ruled out: keeping the copies because scores must not change between versions: the written-down score guards that.

--- a/policy/forwarding/forwarding.go
+++ b/policy/forwarding/forwarding.go
@@ -5,16 +5,17 @@
 // One plan can make them, but the calls to the workers, each with its connection,
 // its headers and its answer, take two and a half times the processor time of the
 // plans (by a profile at a thousand starts a second); made by the owner alone they
-// fill its share of a core, answers come late, and jobs wait with workers free. The calls of a large cell therefore go through other entry VMs,
-// each of which speaks with some of the workers. The plan, and the right to give
-// orders, stay with the owner.
+// fill its share of a core, answers come late, and jobs wait with workers free. The
+// calls of a large cell therefore go through other entry VMs, each of which speaks with
+// some of the workers. The plan, and the right to give orders, stay with the owner.
 package forwarding
 
 import (
 	"cmp"
-	"hash/fnv"
 	"math"
 	"slices"
+
+	"github.com/pumicestage/pumicestage/policy/rendezvous"
 )
 
 // Member is a live entry VM.
@@ -98,17 +99,5 @@
 
 // draw is a number in (0, 1] that the two names determine.
 func draw(worker, member string) float64 {
-	h := fnv.New64a()
-	h.Write([]byte(worker + "/" + member)) // a hash takes every write
-	return (float64(mix(h.Sum64())>>11) + 1) / (1 << 53)
-}
-
-// mix spreads a hash over all its bits: names that differ in the last character
-// alone differ in few high bits before.
-func mix(x uint64) uint64 {
-	x ^= x >> 33
-	x *= 0xff51afd7ed558ccd
-	x ^= x >> 33
-	x *= 0xc4ceb9fe1a85ec53
-	return x ^ x>>33
+	return (float64(rendezvous.Score(worker, member)>>11) + 1) / (1 << 53)
 }
--- a/policy/slots/slots.go
+++ b/policy/slots/slots.go
@@ -4,10 +4,10 @@
 
 import (
 	"cmp"
-	"hash/fnv"
 	"slices"
 
 	"github.com/pumicestage/pumicestage/policy/model"
+	"github.com/pumicestage/pumicestage/policy/rendezvous"
 )
 
 // Entry is one live entry VM.
@@ -79,20 +79,4 @@
 }
 
 // weight is the rendezvous hash of a target and an entry VM.
-func weight(t model.VMID, e model.EntryID) uint64 {
-	h := fnv.New64a()
-	_, _ = h.Write([]byte(t))
-	_, _ = h.Write([]byte{0})
-	_, _ = h.Write([]byte(e))
-	return mix(h.Sum64())
-}
-
-// mix spreads FNV's weak high bits, which IDs that differ in their last
-// character hardly reach.
-func mix(x uint64) uint64 {
-	x ^= x >> 33
-	x *= 0xff51afd7ed558ccd
-	x ^= x >> 33
-	x *= 0xc4ceb9fe1a85ec53
-	return x ^ x>>33
-}
+func weight(t model.VMID, e model.EntryID) uint64 { return rendezvous.Score(string(t), string(e)) }
