Seven safeguards that no test held have tests

Cause: 29 safeguards of this change were taken out one at a time on a copy; seven removals went unseen: the growing patience of renewals, an entry VM passed over for a while, a call that ends with its term, workers that nobody calls any more, the owner left out of what small entry VMs are measured against, work that fits on no VM left out of the backlog, VM lists at the platform's rate. Change: a test for each; the store of the renewals' test can be slow as well. Ruled out: an eighth, the patience of a term's first renewal alone, makes no difference that a caller sees: with 0.45 s two lost answers still leave the lease certain. Measured: each of the seven removals turns its test red now; go test -race of the five packages: ok.

--- a/internal/engine/claim_test.go
+++ b/internal/engine/claim_test.go
@@ -68,6 +68,18 @@
 	assert.Assert(t, backlog >= 4*10*step.Size.Cores(), "%f core-seconds", backlog)
 }
 
+// A job that fits on no VM waits for good. Counted as a backlog it would draw VMs from all
+// other pools, and their callers would wait as well.
+func TestWhatFitsOnNoVMDrawsNone(t *testing.T) {
+	b := newRig(t)
+	b.worker("w1")
+	step := short(8)
+	step.Size.MilliCPU = 1 << 30
+	b.accept("j1", step)
+	b.plan()
+	assert.Equal(t, b.core.report(b.now).Backlog, 0.0)
+}
+
 // The operator sees a wave over a large pool that is late: each of its VMs waits
 // for one more VM, and the pool drew them one after the other. It draws as many as
 // the step lets move at a time.
--- a/internal/fleetowner/fleet_test.go
+++ b/internal/fleetowner/fleet_test.go
@@ -21,6 +21,7 @@
 	now     time.Duration
 	certain bool
 	vms     []work.VM
+	lists   int // of VMs, asked for
 	reports map[string]engine.CellReport
 	waves   []OrderedWave
 	states  []bool // reported, true for completed
@@ -43,7 +44,10 @@
 func (r *rig) Certain() bool               { return r.certain }
 func (r *rig) End(string)                  { r.certain = false }
 
-func (r *rig) List(context.Context) ([]work.VM, error) { return slices.Clone(r.vms), nil }
+func (r *rig) List(context.Context) ([]work.VM, error) {
+	r.lists++
+	return slices.Clone(r.vms), nil
+}
 
 func (r *rig) Move(_ context.Context, vm, pool string, _ int64) engine.VMOutcome {
 	return r.called("move " + vm + " " + pool)
@@ -248,6 +252,23 @@
 	assert.Assert(t, r.ordered(engine.OrderVacate) > 0)
 }
 
+// The platform refuses reads of its list beyond its rate, of all entry VMs: a wave goes by
+// one that is up to four seconds old where a read a second is what it takes.
+func TestTheListOfVMsIsReadAsOftenAsThePlatformTakes(t *testing.T) {
+	r := newRig()
+	r.vm("v1", "a")
+	r.waves = []OrderedWave{wave(1, "v1")}
+	f := r.fleet()
+	f.ListRate = 1
+	for range 7 {
+		r.pass(f)
+		r.now += 500 * time.Millisecond
+	}
+	assert.Equal(t, r.lists, 1)
+	r.pass(f)
+	assert.Equal(t, r.lists, 2)
+}
+
 func TestNoOrdersWithoutACertainLease(t *testing.T) {
 	r := newRig()
 	r.vm("v1", "a")
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -196,6 +196,42 @@
 	r.direct.count()
 	assert.Equal(t, r.poll(i), engine.OutcomeOK)
 	assert.Equal(t, r.others[1].count()+r.direct.count(), 1)
+	p, _ := r.owner.via(worker(i))
+	assert.Assert(t, p.Name != "other-0", "it would be dialled for each call")
+	for range 2 { // the others are called all the while, or the cell would be small
+		r.clock.now += avoidFor / 2
+		for j := range forwarding.From {
+			r.owner.via(worker(j))
+		}
+	}
+	p, _ = r.owner.via(worker(i))
+	assert.Equal(t, p.Name, "other-0", "it may be back")
+}
+
+// A cell has given its VMs away after a burst and is small again. Calls that go on by
+// other entry VMs cost a hop each: workers that nobody calls are not counted.
+func TestACellThatHasShrunkCallsItsWorkersItself(t *testing.T) {
+	r := newRig(t)
+	i := r.large()
+	for range 3 {
+		r.clock.now += forgetAfter
+		r.direct.count()
+		assert.Equal(t, r.poll(i), engine.OutcomeOK)
+	}
+	assert.Equal(t, r.direct.count(), 1)
+}
+
+// An owner's term ends while a worker is silent, and its calls end with it. That says
+// nothing of the entry VM that was asked: the next owner here is not to pass it over.
+func TestACallThatEndsWithTheTermSaysNothingOfItsPath(t *testing.T) {
+	r := newRig(t)
+	i := r.large()
+	r.others[0].silent = true
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	r.owner.Start(ctx, worker(i), engine.Start{})
+	assert.Equal(t, len(r.owner.avoid), 0)
+	assert.Equal(t, r.owner.workers[worker(i).ID].past, 0)
 }
 
 // A worker can't be reached by an entry VM that is well: the link between the two
--- a/internal/ownership/ownership_test.go
+++ b/internal/ownership/ownership_test.go
@@ -163,23 +163,31 @@
 	infra.Store
 	clock  *testClock
 	lost   int
+	needs  time.Duration      // before it answers; a call with less time has none
+	tries  int                // without an answer so far
 	answer chan time.Duration // told when the first renewal that is answered was sent
 }
 
+// mostTries ends a test of a store that is never given the time that it needs.
+const mostTries = 20
+
 func (l *losing) KeepAlive(ctx context.Context, lease infra.LeaseID) error {
 	if err := l.Store.KeepAlive(ctx, lease); err != nil {
 		return err
 	}
-	if l.lost == 0 {
+	end, _ := ctx.Deadline()
+	patience := time.Until(end)
+	if l.lost == 0 && patience > l.needs || l.tries == mostTries {
 		select {
 		case l.answer <- l.clock.Now():
 		default:
 		}
+		l.clock.advance(l.needs)
 		return nil
 	}
-	l.lost--
-	end, _ := ctx.Deadline()
-	l.clock.advance(time.Until(end))
+	l.tries++
+	l.lost = max(0, l.lost-1)
+	l.clock.advance(patience)
 	return infra.Errorf("keepalive", infra.KindUnknown, "no answer")
 }
 
@@ -188,8 +196,21 @@
 // waited for the second. Repeated at once, and with little patience at first, two in a
 // row leave the lease certain all the while.
 func TestLostAnswersOfRenewalsDoNotCostTheDuty(t *testing.T) {
+	keepsTheDuty(t, &losing{lost: 2})
+}
+
+// A store that is slow answers after 0.4 s: renewals with little patience alone would
+// never be answered, and every duty would change hands.
+func TestASlowStoreDoesNotCostTheDuty(t *testing.T) {
+	keepsTheDuty(t, &losing{needs: 400 * time.Millisecond})
+}
+
+// keepsTheDuty has an owner renew at the store until one is answered, which must be while
+// its lease is certain.
+func keepsTheDuty(t *testing.T, l *losing) {
+	t.Helper()
 	clock := &testClock{now: time.Minute}
-	l := &losing{Store: memstore.New(clockwork.NewFakeClock()), clock: clock, lost: 2, answer: make(chan time.Duration, 1)}
+	l.Store, l.clock, l.answer = memstore.New(clockwork.NewFakeClock()), clock, make(chan time.Duration, 1)
 	e := newElector(t, l, clock, "e1")
 	term, err := e.take(context.Background())
 	assert.NilError(t, err)
--- a/policy/forwarding/forwarding_test.go
+++ b/policy/forwarding/forwarding_test.go
@@ -62,6 +62,14 @@
 	assert.Equal(t, len(first(small, "", 500)), 8)
 }
 
+// Workers of a zone are called from another, or not at all by others: the owner is the
+// only large entry VM there, and small ones are measured against it. Only those that may
+// forward count.
+func TestSmallVMsAreUsedWhereTheOwnerIsTheOnlyLargeOne(t *testing.T) {
+	members := []Member{{Name: "owner", Zone: "a", Weight: 0.8}, {Name: "x", Zone: "a", Weight: 0.02}, {Name: "far", Zone: "b", Weight: 0.8}}
+	assert.DeepEqual(t, Choices("i-1", "a", "owner", members), []string{"x", "far"})
+}
+
 func TestVMsOfTheWorkersZoneComeFirst(t *testing.T) {
 	members := []Member{{Name: "far", Zone: "b", Weight: 10}, {Name: "near", Zone: "a", Weight: 0.01}}
 	assert.DeepEqual(t, Choices("i-1", "a", "", members), []string{"near", "far"})
