--- a/internal/dev/jobs_test.go
+++ b/internal/dev/jobs_test.go
@@ -35,6 +35,12 @@
 	c.platform.Faults.Clear()
 	c.entries[0].kill()
 
+	defer func() {
+		if t.Failed() {
+			all, err := c.entries[1].Jobs().List(ctx)
+			t.Logf("jobs: %+v, error: %v, VMs: %+v", all, err, c.platform.Machines.Tally())
+		}
+	}()
 	c.await(t, "the end of every job", func() bool {
 		all, err := c.entries[1].Jobs().List(ctx)
 		for _, r := range all {
