--- a/internal/engine/core_test.go
+++ b/internal/engine/core_test.go
@@ -258,3 +258,19 @@
 	b.plan()
 	assert.Assert(t, !b.core.Known("j1"))
 }
+
+// A task is started on a worker of which nobody knows whether it takes tasks: another
+// writer has overwritten its registration. What it runs goes on; new tasks go elsewhere.
+func TestAWorkerWithAnUnreadableRegistrationTakesNothingNew(t *testing.T) {
+	b := newRig(t)
+	b.running(short(1), "w1")
+	odd := info("w1")
+	odd.Unreadable = true
+	b.core.WorkerSeen(odd)
+	b.accept("j2", short(1))
+	assert.Equal(t, len(b.plan().Starts), 0)
+	_, _, polled := b.core.HoldFor("w1", b.now)
+	assert.Assert(t, polled, "its running task keeps its lease")
+	b.core.WorkerSeen(info("w1"))
+	assert.Equal(t, len(b.plan().Starts), 1)
+}
--- a/internal/engine/ports.go
+++ b/internal/engine/ports.go
@@ -20,6 +20,9 @@
 	Capacity work.Resources
 	Labels   []string
 	Draining bool
+	// Unreadable: its registration was overwritten by one that can't be read. What runs
+	// there goes on; it takes nothing new until it registers again.
+	Unreadable bool
 	// Clock is the worker's own clock when it wrote the registration. Only
 	// answers of the worker itself are used for deadlines.
 	Clock time.Duration
--- a/internal/engine/worker.go
+++ b/internal/engine/worker.go
@@ -222,7 +222,7 @@
 }
 
 func (w *worker) closed(now time.Duration) bool {
-	return w.doubted() || w.unsure || !w.heard || w.gone || w.info.Draining || w.cordon.Closes() || w.missed > 0 ||
+	return w.doubted() || w.unsure || !w.heard || w.gone || w.info.Draining || w.info.Unreadable || w.cordon.Closes() || w.missed > 0 ||
 		w.full || now < w.closedUntil || now < w.strikes.until || len(w.strays) > 0
 }
 
--- a/internal/members/members.go
+++ b/internal/members/members.go
@@ -154,12 +154,13 @@
 }
 
 func (d *Directory) putLocked(kv infra.KV) {
+	name := strings.TrimPrefix(kv.Key, infra.WorkEntryPrefix)
 	var r Record
-	if err := json.Unmarshal(kv.Value, &r); err != nil {
-		d.Log.Error(err, "entry VM's record is malformed", "key", kv.Key)
+	if err := json.Unmarshal(kv.Value, &r); err != nil || r.Address == "" {
+		d.Log.Error(err, "entry VM's record is malformed and names none", "key", kv.Key)
+		delete(d.members, name)
 		return
 	}
-	name := strings.TrimPrefix(kv.Key, infra.WorkEntryPrefix)
 	if d.members == nil {
 		d.members = make(map[string]Member)
 	}
--- a/internal/members/members_test.go
+++ b/internal/members/members_test.go
@@ -95,3 +95,19 @@
 		assert.DeepEqual(t, m.Record, self())
 	}
 }
+
+// Calls to workers go by way of an entry VM that no address is known of, and time out:
+// another writer's entry was taken for a member. It names none; the others hold.
+func TestEntriesOfAnotherWriterNameNoMember(t *testing.T) {
+	d := &Directory{Log: logr.Discard()}
+	put := func(name, value string) infra.KV {
+		return infra.KV{Key: infra.WorkEntryPrefix + name, Value: []byte(value)}
+	}
+	const good = `{"zone":"a","address":"10.0.0.1:7000","weight":0.4}`
+	d.Replace([]infra.KV{put("e1", good), put("e2", `{"zone":"a"}`), put("e3", "\xff"), put("e4", `[]`)})
+	live, _ := d.Live()
+	assert.Equal(t, len(live), 1)
+	d.Change(infra.Event{Kind: infra.EventPut, KV: put("e1", `{"address":7}`)})
+	live, _ = d.Live()
+	assert.Equal(t, len(live), 0)
+}
--- a/internal/node/registry.go
+++ b/internal/node/registry.go
@@ -88,42 +88,45 @@
 // replace takes the whole list over in one step: a new owner must not see a
 // part of it and think the rest empty.
 func (r *registry) replace(kvs []infra.KV) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	workers := make(map[string]engine.WorkerInfo, len(kvs))
 	for _, kv := range kvs {
-		if info, ok := r.read(kv); ok {
+		if info, ok := r.readLocked(kv); ok {
 			workers[kv.Key] = info
 		}
 	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
 	r.workers = workers
 }
 
 // change takes one change over; false where nothing of it matters.
 func (r *registry) change(ev infra.Event) bool {
-	info, ok := engine.WorkerInfo{}, false
-	if ev.Kind == infra.EventPut {
-		info, ok = r.read(ev.KV)
-	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if ev.Kind == infra.EventDelete {
+		delete(r.workers, ev.KV.Key)
+		return false
+	}
+	info, ok := r.readLocked(ev.KV)
 	if !ok {
-		if ev.Kind == infra.EventDelete {
-			delete(r.workers, ev.KV.Key)
-		}
 		return false
 	}
 	old, known := r.workers[ev.KV.Key]
 	r.workers[ev.KV.Key] = info
-	return !known || old.Draining != info.Draining || old.Address != info.Address
+	return !known || old.Draining != info.Draining || old.Address != info.Address || old.Unreadable != info.Unreadable
 }
 
-func (r *registry) read(kv infra.KV) (engine.WorkerInfo, bool) {
+// readLocked reads a registration; false where it names no worker. One that was readable
+// before names the worker that is known, which takes nothing new.
+func (r *registry) readLocked(kv infra.KV) (engine.WorkerInfo, bool) {
 	info, err := platform.WorkerOf(kv)
-	if err != nil {
-		r.log.Error(err, "registration is malformed", "key", kv.Key)
+	if err == nil {
+		return info, true
 	}
-	return info, err == nil
+	r.log.Error(err, "registration is malformed and names no worker", "key", kv.Key)
+	info, known := r.workers[kv.Key]
+	info.Unreadable = true
+	return info, known
 }
 
 // list returns the service's workers.
--- a/internal/ownership/directory.go
+++ b/internal/ownership/directory.go
@@ -73,8 +73,8 @@
 
 func (d *Directory) putLocked(kv infra.KV) {
 	var r Record
-	if err := json.Unmarshal(kv.Value, &r); err != nil {
-		d.Log.Error(err, "owner's record is malformed", "key", kv.Key)
+	if err := json.Unmarshal(kv.Value, &r); err != nil || r.Entry == "" {
+		d.Log.Error(err, "owner's record is malformed and names none", "key", kv.Key)
 		return
 	}
 	duty := strings.TrimPrefix(kv.Key, infra.WorkOwnerPrefix)
