Entry VMs that are cut off turn unready, and callers reach other zones

Cause: while a zone was cut off its entry VMs went on saying that they are ready. Change: an entry VM probes the store by stale reads; once it is silent and owners in other zones are too, it answers the balancer with 503 and closes connections after the answer. Ruled out: turning unready whenever the store is silent, since in an outage all would, and nobody does better elsewhere; a VM cut from the store alone still reaches the owners.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -15,7 +15,6 @@
 	"github.com/gravitational/trace"
 
 	"github.com/pumicestage/pumicestage/internal/engine"
-	"github.com/pumicestage/pumicestage/internal/infra"
 	"github.com/pumicestage/pumicestage/internal/jobfront"
 	"github.com/pumicestage/pumicestage/internal/ownerlink"
 	"github.com/pumicestage/pumicestage/internal/ownership"
@@ -49,7 +48,8 @@
 	logs     *logWriter
 	clock    bootClock
 
-	store     infra.Store
+	store     *platform.Store
+	reach     *reach
 	operator  *operator
 	registry  *registry
 	directory *ownership.Directory
@@ -97,7 +97,7 @@
 }
 
 func (n *Node) wire(peers string) {
-	n.self = ownership.Record{Entry: n.settings.Name, Address: peers}
+	n.self = ownership.Record{Entry: n.settings.Name, Address: peers, Zone: n.settings.Zone}
 	n.store = platform.NewStore(n.settings.Store, platformTimeout)
 	n.workers = platform.NewWorkers(n.log.WithName("workers"))
 	n.directory = &ownership.Directory{Log: n.log.WithName("owners")}
@@ -130,6 +130,8 @@
 	parts.Go(func() { n.publisher().Run(electing) })
 
 	callers := n.callerServer()
+	n.reach = n.newReach(callers)
+	parts.Go(func() { n.reach.run(background) })
 	ready := &http.Server{Handler: http.HandlerFunc(n.serveReady), ReadHeaderTimeout: headerTimeout}
 	failed := make(chan error, 3)
 	go func() { failed <- callers.Serve(n.callers) }()
@@ -170,10 +172,24 @@
 	return &http.Server{Handler: ingress.Handler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
 }
 
-// serveReady answers the balancer: ready once the configuration is known.
+// newReach returns what tells whether this entry VM is cut off. While it is, connections
+// are closed after their answer: a caller's next one goes by the balancer, to an entry VM
+// that may serve it.
+func (n *Node) newReach(callers *http.Server) *reach {
+	return &reach{
+		store:     n.store.Ping,
+		elsewhere: func() []ownership.Record { return n.directory.Elsewhere(n.settings.Zone) },
+		ping:      n.link.Ping,
+		turned:    func(cutOff bool) { callers.SetKeepAlivesEnabled(!cutOff && !n.leaving.Load()) },
+		log:       n.log.WithName("reach"),
+	}
+}
+
+// serveReady answers the balancer: ready once the configuration is known, unless callers
+// are better served elsewhere.
 func (n *Node) serveReady(w http.ResponseWriter, _ *http.Request) {
 	c, _ := n.operator.current()
-	if c == nil || n.leaving.Load() {
+	if c == nil || n.leaving.Load() || n.reach.cutOff.Load() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
--- a/internal/ownerlink/client.go
+++ b/internal/ownerlink/client.go
@@ -119,6 +119,12 @@
 	return *resp.Summary, nil
 }
 
+// Ping reports whether the entry VM at the address answers.
+func (c *Client) Ping(ctx context.Context, address string) bool {
+	_, err := c.call(ctx, Peer{Address: address}, &request{Kind: kindPing})
+	return err == nil
+}
+
 // call sends a request and waits for its answer. ErrNotSent is certain; without
 // an answer the error is engine.ErrUncertain, and the connection is given up: it
 // may have gone silent for good while new ones work.
--- a/internal/ownerlink/link_test.go
+++ b/internal/ownerlink/link_test.go
@@ -149,3 +149,11 @@
 	}
 	return n
 }
+
+// An entry VM without any duty answers a ping; one that is gone does not.
+func TestPing(t *testing.T) {
+	p := serve(t, &owner{})
+	c := &Client{Log: logr.Discard()}
+	assert.Equal(t, c.Ping(t.Context(), p.Address), true)
+	assert.Equal(t, c.Ping(t.Context(), "127.0.0.1:1"), false)
+}
--- a/internal/ownerlink/ownerlink.go
+++ b/internal/ownerlink/ownerlink.go
@@ -39,6 +39,7 @@
 	kindWorker
 	kindExplain
 	kindSummary
+	kindPing
 )
 
 // request is one call.
--- a/internal/ownerlink/server.go
+++ b/internal/ownerlink/server.go
@@ -100,6 +100,10 @@
 		s.forward(ctx, req.Worker, resp)
 		return resp
 	}
+	if req.Kind == kindPing {
+		resp.Result = resultOK
+		return resp
+	}
 	owner := s.Owner(req.Cell)
 	if owner == nil {
 		return resp
--- a/internal/ownership/ownership.go
+++ b/internal/ownership/ownership.go
@@ -56,6 +56,7 @@
 type Record struct {
 	Entry   string `json:"entry"`   // name of the entry VM
 	Address string `json:"address"` // where its peers reach it
+	Zone    string `json:"zone,omitempty"`
 }
 
 // Clock tells the time since the VM's start, suspended spells included.
