Workers that no watch tells of are looked up by the list of VMs

Cause: while the store drops its history, watches are silent for seconds. Change: the owner of the fleet tells a cell of workers that live by the list of VMs and are missing in its reports for 150 ms; the cell's entry VM reads their registrations one by one, 32 at a time. What a lagging watch tells afterwards is not taken for newer. Ruled out: shorter pauses between watches, since these watches get no answer at all.

--- a/internal/engine/cell.go
+++ b/internal/engine/cell.go
@@ -81,6 +81,9 @@
 type CellSync struct {
 	Token  int64       `msgpack:"t"` // of the owner of the fleet
 	Orders []CellOrder `msgpack:"o"`
+	// Joined are workers that live in the cell's pool by the platform's list of VMs and
+	// are missing in the cell's reports.
+	Joined []work.WorkerID `msgpack:"j,omitempty"`
 }
 
 // CellAnswer answers a CellSync.
@@ -107,10 +110,24 @@
 	if len(s.Orders) > 0 {
 		kick(e.planKick)
 	}
+	if unknown := e.core.unknown(s.Joined); len(unknown) > 0 && e.Lookup != nil {
+		e.Lookup(unknown)
+	}
 	a.Report = e.core.report(now)
 	return a, nil
 }
 
+// unknown returns those of the workers that were neither seen nor are over.
+func (c *Core) unknown(ids []work.WorkerID) []work.WorkerID {
+	var out []work.WorkerID
+	for _, id := range ids {
+		if c.workers[id] == nil && !c.over[id] {
+			out = append(out, id)
+		}
+	}
+	return out
+}
+
 func (c *Core) obey(o CellOrder, token int64, now time.Duration) bool {
 	w := c.workers[o.Worker]
 	if w == nil {
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -63,6 +63,9 @@
 	Listed func(ctx context.Context)
 	// Registry returns the service's workers that are registered now.
 	Registry func() []WorkerInfo
+	// Lookup has the registrations of these workers read one by one, without waiting for
+	// them; nil: it can't.
+	Lookup func(ids []work.WorkerID)
 	// Declared returns the operator's configuration in force.
 	Declared func() Declared
 	Metrics  *Metrics
--- a/internal/fleetowner/cells.go
+++ b/internal/fleetowner/cells.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	"github.com/pumicestage/pumicestage/internal/engine"
 	"github.com/pumicestage/pumicestage/policy/work"
@@ -32,6 +33,10 @@
 	for _, o := range orders {
 		byCell[o.cell] = append(byCell[o.cell], o.order)
 	}
+	var joined map[string][]work.WorkerID
+	if orders == nil {
+		joined = f.joined()
+	}
 	var mu sync.Mutex
 	var calls sync.WaitGroup
 	views := make(map[string]*cellView)
@@ -41,7 +46,7 @@
 			continue
 		}
 		calls.Go(func() {
-			a, err := f.syncCell(ctx, cell, list)
+			a, err := f.syncCell(ctx, cell, engine.CellSync{Token: f.Term.Token(), Orders: list, Joined: joined[cell]})
 			if err != nil {
 				return
 			}
@@ -60,16 +65,44 @@
 	return taken
 }
 
-func (f *Fleet) syncCell(ctx context.Context, cell string, orders []engine.CellOrder) (engine.CellAnswer, error) {
+func (f *Fleet) syncCell(ctx context.Context, cell string, s engine.CellSync) (engine.CellAnswer, error) {
 	call, cancel := context.WithTimeout(ctx, syncTimeout)
 	defer cancel()
-	a, err := f.Cells.Sync(call, cell, engine.CellSync{Token: f.Term.Token(), Orders: orders})
+	a, err := f.Cells.Sync(call, cell, s)
 	if err != nil {
-		f.Log.V(1).Info("cell does not report", "cell", cell, "orders", len(orders), "error", err.Error())
+		f.Log.V(1).Info("cell does not report", "cell", cell, "orders", len(s.Orders), "error", err.Error())
 	}
 	return a, err
 }
 
+// joinedAfter is how long a worker of the list of VMs must be missing in the reports of
+// its cell before the cell is told of it. Its registration comes by a watch within a
+// tenth of a second as a rule, and to read it costs a call.
+const joinedAfter = 150 * time.Millisecond
+
+// joined returns, for each cell, the workers that live by the list of VMs and have been
+// missing in its reports for a while.
+func (f *Fleet) joined() map[string][]work.WorkerID {
+	now := f.Clock.Now()
+	out := make(map[string][]work.WorkerID)
+	missing := make(map[work.WorkerID]time.Duration)
+	for _, vm := range f.vms {
+		if vm.State != work.VMUp || vm.Worker == "" || f.cells[vm.Pool] == nil || f.worker(vm) != nil {
+			continue
+		}
+		since, known := f.missing[vm.Worker]
+		if !known {
+			since = now
+		}
+		missing[vm.Worker] = since
+		if now-since >= joinedAfter {
+			out[vm.Pool] = append(out[vm.Pool], vm.Worker)
+		}
+	}
+	f.missing = missing
+	return out
+}
+
 func viewOf(r engine.CellReport) *cellView {
 	v := &cellView{CellReport: r, byID: make(map[work.WorkerID]*engine.WorkerReport, len(r.Workers))}
 	for i := range v.Workers {
--- a/internal/fleetowner/fleet_test.go
+++ b/internal/fleetowner/fleet_test.go
@@ -31,6 +31,7 @@
 	calls  []string           // as the VM service got them
 	refuse map[work.WorkerID]bool
 	answer engine.VMOutcome
+	joined []work.WorkerID // as the last cell was told that was told of any
 }
 
 func newRig() *rig {
@@ -72,6 +73,9 @@
 		return engine.CellAnswer{}, engine.ErrNotReady
 	}
 	a := engine.CellAnswer{Report: report}
+	if len(s.Joined) > 0 {
+		r.joined = s.Joined
+	}
 	for _, o := range s.Orders {
 		r.orders = append(r.orders, o)
 		a.Taken = append(a.Taken, o.Kind != engine.OrderClaim || !r.refuse[o.Worker])
@@ -346,3 +350,22 @@
 	r.pass(f)
 	assert.Equal(t, len(r.calls), 2, "those on their way count")
 }
+
+// A cell does not use a VM that has come: its registration has not reached it. It is told
+// of workers that the list of VMs shows and its reports lack, but not of one whose
+// registration is a moment late, as reading it costs a call.
+func TestACellIsToldOfWorkersItDoesNotReport(t *testing.T) {
+	r := newRig()
+	r.vm("v1", "a")
+	r.vm("v2", "a")
+	r.vm("v3", "a")
+	r.set("v3", work.VMMoving, "w-v3")
+	r.reports["a"], r.reports["b"] = engine.CellReport{Workers: empty("v1"), Backlog: 1}, engine.CellReport{}
+	f := r.fleet()
+	r.pass(f)
+	r.pass(f)
+	assert.Equal(t, len(r.joined), 0)
+	r.pass(f)
+	r.pass(f)
+	assert.DeepEqual(t, r.joined, []work.WorkerID{"w-v2"})
+}
--- a/internal/node/duties.go
+++ b/internal/node/duties.go
@@ -132,6 +132,7 @@
 		Term:     t,
 		Listed:   n.registry.wait,
 		Registry: func() []engine.WorkerInfo { return n.registry.list(cell) },
+		Lookup:   n.registry.lookup,
 		Declared: n.operator.declared,
 		Metrics:  n.metrics.engine,
 		ListRate: n.settings.ListRate,
--- a/internal/node/registry.go
+++ b/internal/node/registry.go
@@ -10,6 +10,7 @@
 	"github.com/pumicestage/pumicestage/internal/engine"
 	"github.com/pumicestage/pumicestage/internal/infra"
 	"github.com/pumicestage/pumicestage/platform"
+	"github.com/pumicestage/pumicestage/policy/work"
 )
 
 // registry holds the registered workers while this entry VM owns a cell. One
@@ -21,12 +22,19 @@
 	follow  shared
 
 	mu      sync.Mutex
-	listed  chan struct{} // closed once the workers were listed
-	workers map[string]engine.WorkerInfo
+	listed  chan struct{}           // closed once the workers were listed
+	workers map[string]registration // by key
+	asked   map[work.WorkerID]bool  // being looked up
+}
+
+// registration is a worker's entry and the revision at which it was read.
+type registration struct {
+	engine.WorkerInfo
+	at infra.Revision
 }
 
 func newRegistry(store infra.Store, log logr.Logger, changed func()) *registry {
-	r := &registry{store: store, log: log, changed: changed}
+	r := &registry{store: store, log: log, changed: changed, asked: make(map[work.WorkerID]bool), workers: make(map[string]registration)}
 	r.follow.begin, r.follow.run = r.begin, r.run
 	return r
 }
@@ -61,7 +69,7 @@
 func (r *registry) begin() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.listed, r.workers = make(chan struct{}), nil
+	r.listed, r.workers = make(chan struct{}), make(map[string]registration)
 }
 
 func (r *registry) run(ctx context.Context) {
@@ -90,10 +98,10 @@
 func (r *registry) replace(kvs []infra.KV) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	workers := make(map[string]engine.WorkerInfo, len(kvs))
+	workers := make(map[string]registration, len(kvs))
 	for _, kv := range kvs {
 		if info, ok := r.readLocked(kv); ok {
-			workers[kv.Key] = info
+			workers[kv.Key] = registration{WorkerInfo: info, at: kv.ModRevision}
 		}
 	}
 	r.workers = workers
@@ -107,12 +115,17 @@
 		delete(r.workers, ev.KV.Key)
 		return false
 	}
+	old, known := r.workers[ev.KV.Key]
+	// A watch that lags tells of a state from before a lookup: a worker that is leaving
+	// would be ready again for a while.
+	if ev.KV.ModRevision < old.at {
+		return false
+	}
 	info, ok := r.readLocked(ev.KV)
 	if !ok {
 		return false
 	}
-	old, known := r.workers[ev.KV.Key]
-	r.workers[ev.KV.Key] = info
+	r.workers[ev.KV.Key] = registration{WorkerInfo: info, at: ev.KV.ModRevision}
 	return !known || old.Draining != info.Draining || old.Address != info.Address || old.Unreadable != info.Unreadable
 }
 
@@ -124,9 +137,50 @@
 		return info, true
 	}
 	r.log.Error(err, "registration is malformed and names no worker", "key", kv.Key)
-	info, known := r.workers[kv.Key]
-	info.Unreadable = true
-	return info, known
+	last, known := r.workers[kv.Key]
+	last.Unreadable = true
+	return last.WorkerInfo, known
+}
+
+const (
+	// lookupTimeout ends the read of one registration, and with it, while the store is
+	// away, separates the tries.
+	lookupTimeout = 700 * time.Millisecond
+	// lookupsAtOnce bounds reads of registrations in progress. A burst that draws a whole
+	// fleet of today's sizes waits for ten of them one after the other, 40 ms in all.
+	lookupsAtOnce = 32
+)
+
+// lookup reads the registrations of workers that the platform's list of VMs names and no
+// watch has told of. Watches may be silent for seconds, while the platform drops its
+// history: VMs that a burst had drawn stood idle for up to 2.7 s, and callers waited.
+func (r *registry) lookup(ids []work.WorkerID) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, id := range ids {
+		if r.asked[id] || len(r.asked) >= lookupsAtOnce {
+			continue
+		}
+		r.asked[id] = true
+		go r.read(id)
+	}
+}
+
+func (r *registry) read(id work.WorkerID) {
+	ctx, cancel := context.WithTimeout(context.Background(), lookupTimeout)
+	kv, _, err := r.store.Get(ctx, platform.WorkerPrefix+string(id))
+	if err != nil {
+		r.log.V(1).Info("registration not read", "worker", id, "error", err.Error())
+		<-ctx.Done() // what is away is not asked again at once
+	}
+	cancel()
+	found := kv.ModRevision != 0 && r.change(infra.Event{Kind: infra.EventPut, KV: kv})
+	r.mu.Lock()
+	delete(r.asked, id)
+	r.mu.Unlock()
+	if found {
+		r.changed()
+	}
 }
 
 // list returns the service's workers.
@@ -136,7 +190,7 @@
 	var out []engine.WorkerInfo
 	for _, w := range r.workers {
 		if w.Service == service {
-			out = append(out, w)
+			out = append(out, w.WorkerInfo)
 		}
 	}
 	return out
--- a/internal/node/registry_test.go
+++ b/internal/node/registry_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"context"
 	"fmt"
 	"testing"
 
@@ -9,6 +10,7 @@
 
 	"github.com/pumicestage/pumicestage/internal/infra"
 	"github.com/pumicestage/pumicestage/platform"
+	"github.com/pumicestage/pumicestage/policy/work"
 )
 
 func registered(id, state string) infra.KV {
@@ -41,3 +43,52 @@
 	assert.Equal(t, r.change(infra.Event{Kind: infra.EventPut, KV: registered("i-1", "ready")}), true)
 	assert.Equal(t, r.list("a")[0].Unreadable, false)
 }
+
+// oneKey is a store that has one key, and says when it is read.
+type oneKey struct {
+	infra.Store
+	kv    infra.KV
+	reads chan string
+}
+
+func (s *oneKey) Get(_ context.Context, key string) (infra.KV, infra.Revision, error) {
+	s.reads <- key
+	if key == s.kv.Key {
+		return s.kv, 1, nil
+	}
+	return infra.KV{Key: key}, 1, nil
+}
+
+// Callers wait while VMs that were drawn for them stand idle: the watch that tells of
+// registrations is silent for seconds. The list of VMs names the workers, and their
+// registrations are read one by one; a worker that has none yet is asked for again.
+func TestAWorkerThatNoWatchTellsOfIsLookedUp(t *testing.T) {
+	store := &oneKey{kv: registered("i-1", "ready"), reads: make(chan string)}
+	store.kv.ModRevision = 1
+	changed := make(chan struct{})
+	r := newRegistry(store, logr.Discard(), func() { close(changed) })
+	r.replace(nil)
+	r.lookup([]work.WorkerID{"i-1"})
+	r.lookup([]work.WorkerID{"i-1"})
+	assert.Equal(t, <-store.reads, platform.WorkerPrefix+"i-1")
+	<-changed
+	assert.Equal(t, len(r.list("a")), 1)
+	r.lookup([]work.WorkerID{"i-2"})
+	assert.Equal(t, <-store.reads, platform.WorkerPrefix+"i-2", "and no second read of i-1")
+	assert.Equal(t, len(r.list("a")), 1)
+}
+
+// A task goes to a worker that is leaving: it was looked up as leaving, and the watch, which
+// lags, told of it as ready afterwards. What is older than what was read changes nothing.
+func TestALaggingWatchDoesNotMakeALeavingWorkerReady(t *testing.T) {
+	r := newRegistry(nil, logr.Discard(), nil)
+	put := func(state string, at infra.Revision) infra.Event {
+		kv := registered("i-1", state)
+		kv.ModRevision = at
+		return infra.Event{Kind: infra.EventPut, KV: kv}
+	}
+	assert.Equal(t, r.change(put("draining", 7)), true)
+	assert.Equal(t, r.change(put("ready", 5)), false)
+	assert.Equal(t, r.list("a")[0].Draining, true)
+	assert.Equal(t, r.change(put("ready", 8)), true)
+}
