A leaving entry VM keeps its duties while the store is away, and leaves its leases to others

Cause: entry VMs that were restarted during an outage of the store gave up their duties at once, though nobody could take them, and could not end their leases. Change: a leaving entry VM keeps its duties while the store is away, as long as its shutdown allows. A lease that can't be ended is handed to an entry VM that stays, which ends it with the store's first answer. Ruled out: staying on beyond the time to shut down. Tests: a lease that can't be ended is left to others, one that stays ends it.

--- /dev/null
+++ b/internal/node/leases.go
@@ -0,0 +1,64 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"github.com/pumicestage/pumicestage/internal/infra"
+	"github.com/pumicestage/pumicestage/internal/sleep"
+	"github.com/pumicestage/pumicestage/policy/cutoff"
+)
+
+const (
+	// endLeaseEvery separates tries to end a lease.
+	endLeaseEvery = 100 * time.Millisecond
+	// endLeaseWithin is when it is given up: outages of the store last some seconds, and
+	// once it is back the lease runs out by itself.
+	endLeaseWithin = 15 * time.Second
+	// handLeaseTimeout ends one attempt to hand a lease to another entry VM.
+	handLeaseTimeout = 300 * time.Millisecond
+)
+
+// leases ends leases that their holders could not end, as the store was away when they
+// left. Their duties would have no owner for the length of a lease after its return, 1.6 s
+// in which the backlog of the outage waits.
+type leases struct {
+	store  infra.Store
+	give   func(ctx context.Context, address string, lease int64) error
+	others func() []cutoff.Peer // of other zones
+	log    logr.Logger
+}
+
+// inherit hands the lease to another entry VM; one will do, as any reaches the same store.
+func (l *leases) inherit(lease infra.LeaseID) {
+	for _, p := range l.others() {
+		ctx, cancel := context.WithTimeout(context.Background(), handLeaseTimeout)
+		err := l.give(ctx, p.Address, int64(lease))
+		cancel()
+		l.log.Info("lease handed over", "lease", int64(lease), "to", p.Name, "error", errText(err))
+		if err == nil {
+			return
+		}
+	}
+}
+
+// end ends the lease as soon as the store answers.
+func (l *leases) end(ctx context.Context, lease infra.LeaseID) {
+	ctx, cancel := context.WithTimeout(ctx, endLeaseWithin)
+	defer cancel()
+	for {
+		call, done := context.WithTimeout(ctx, probeTimeout)
+		err := l.store.Revoke(call, lease)
+		done()
+		if err == nil || infra.IsKind(err, infra.KindLeaseNotFound) {
+			l.log.Info("lease of another entry VM ended", "lease", int64(lease))
+			return
+		}
+		if !sleep.For(ctx, endLeaseEvery) {
+			l.log.Info("lease of another entry VM not ended", "lease", int64(lease), "error", err.Error())
+			return
+		}
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -15,11 +15,13 @@
 	"github.com/gravitational/trace"
 
 	"github.com/pumicestage/pumicestage/internal/engine"
+	"github.com/pumicestage/pumicestage/internal/infra"
 	"github.com/pumicestage/pumicestage/internal/jobfront"
 	"github.com/pumicestage/pumicestage/internal/ownerlink"
 	"github.com/pumicestage/pumicestage/internal/ownership"
 	"github.com/pumicestage/pumicestage/internal/sleep"
 	"github.com/pumicestage/pumicestage/platform"
+	"github.com/pumicestage/pumicestage/policy/cutoff"
 )
 
 // Limits of the callers' listener and of calls to the platform.
@@ -39,6 +41,10 @@
 const (
 	unreadyFor  = 2600 * time.Millisecond
 	drainMargin = 700 * time.Millisecond // before the process would be killed
+	// handoverMargin is what handing duties over takes while the store is away, a call to it
+	// and one to each of some entry VMs that may be silent, and the last answers.
+	handoverMargin  = 1800 * time.Millisecond
+	keepDutiesEvery = 50 * time.Millisecond
 )
 
 // Node is one entry VM.
@@ -50,6 +56,7 @@
 
 	store     *platform.Store
 	reach     *reach
+	leases    *leases
 	operator  *operator
 	registry  *registry
 	directory *ownership.Directory
@@ -97,7 +104,7 @@
 }
 
 func (n *Node) wire(peers string) {
-	n.self = ownership.Record{Entry: n.settings.Name, Address: peers, Zone: n.settings.Zone}
+	n.self = ownership.Record{Entry: n.settings.Name, Address: peers}
 	n.store = platform.NewStore(n.settings.Store, platformTimeout)
 	n.workers = platform.NewWorkers(n.log.WithName("workers"))
 	n.directory = &ownership.Directory{Log: n.log.WithName("owners")}
@@ -107,6 +114,13 @@
 	n.operator = newOperator(n.store, n.clock, n.log.WithName("operator"), n.duties.ensure)
 	n.registry = newRegistry(n.store, n.log.WithName("registry"), n.duties.registryChanged)
 	n.members = newEntryVMs(n.store, n.log.WithName("members"))
+	n.reach = &reach{
+		zone: n.settings.Zone, store: n.store, ping: n.link.Ping, clock: n.clock, log: n.log.WithName("reach"),
+	}
+	n.leases = &leases{
+		store: n.store, give: n.link.EndLease, log: n.log.WithName("leases"),
+		others: func() []cutoff.Peer { return cutoff.Ask(n.reach.others(), n.settings.Zone) },
+	}
 	n.front = jobfront.New(jobfront.Options{
 		Store: n.store, Owners: n.duties.cellOwner, Local: n.duties.owner, Link: n.link,
 		Self: n.self.Entry, Clock: n.clock, Log: n.log.WithName("front"),
@@ -126,11 +140,12 @@
 	parts.Go(func() { n.operator.run(background) })
 	parts.Go(func() { n.followOwners(background) })
 	peers := &ownerlink.Server{Listener: n.peers, Owner: n.duties.owner, Workers: n.workers, Log: n.log.WithName("link")}
+	peers.EndLease = func(lease int64) { go n.leases.end(background, infra.LeaseID(lease)) }
 	parts.Go(func() { peers.Run(background) })
 	parts.Go(func() { n.publisher().Run(electing) })
 
 	callers := n.callerServer()
-	n.reach = n.newReach(callers)
+	n.reach.turned = func(cutOff bool) { callers.SetKeepAlivesEnabled(!cutOff && !n.leaving.Load()) }
 	parts.Go(func() { n.reach.run(background) })
 	ready := &http.Server{Handler: http.HandlerFunc(n.serveReady), ReadHeaderTimeout: headerTimeout}
 	failed := make(chan error, 3)
@@ -172,19 +187,6 @@
 	return &http.Server{Handler: ingress.Handler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
 }
 
-// newReach returns what tells whether this entry VM is cut off. While it is, connections
-// are closed after their answer: a caller's next one goes by the balancer, to an entry VM
-// that may serve it.
-func (n *Node) newReach(callers *http.Server) *reach {
-	return &reach{
-		store:     n.store.Ping,
-		elsewhere: func() []ownership.Record { return n.directory.Elsewhere(n.settings.Zone) },
-		ping:      n.link.Ping,
-		turned:    func(cutOff bool) { callers.SetKeepAlivesEnabled(!cutOff && !n.leaving.Load()) },
-		log:       n.log.WithName("reach"),
-	}
-}
-
 // serveReady answers the balancer: ready once the configuration is known, unless callers
 // are better served elsewhere.
 func (n *Node) serveReady(w http.ResponseWriter, _ *http.Request) {
@@ -196,12 +198,22 @@
 	w.WriteHeader(http.StatusOK)
 }
 
+// keepDuties waits while the store is away, for as long as the shutdown allows: nobody
+// could take this VM's duties over, and what waits in its cells would stand still.
+func (n *Node) keepDuties(began time.Duration) {
+	until := began + n.settings.Shutdown - drainMargin - handoverMargin
+	for n.reach.storeAway.Load() && n.clock.Now() < until {
+		sleep.For(context.Background(), keepDutiesEvery)
+	}
+}
+
 // leave hands its duties over at once and goes on answering until the balancer
 // has noticed; connections are closed after their present answer.
 func (n *Node) leave(callers *http.Server, stopElecting func()) error {
 	began := n.clock.Now()
 	n.leaving.Store(true)
 	n.log.Info("leaving", "within", n.settings.Shutdown.String())
+	n.keepDuties(began)
 	stopElecting()
 	n.duties.wg.Wait()
 	n.log.Info("duties handed over", "took", (n.clock.Now() - began).String())
--- a/internal/node/reach.go
+++ b/internal/node/reach.go
@@ -8,7 +8,8 @@
 
 	"github.com/go-logr/logr"
 
-	"github.com/pumicestage/pumicestage/internal/ownership"
+	"github.com/pumicestage/pumicestage/internal/infra"
+	"github.com/pumicestage/pumicestage/internal/members"
 	"github.com/pumicestage/pumicestage/internal/sleep"
 	"github.com/pumicestage/pumicestage/policy/cutoff"
 )
@@ -21,22 +22,35 @@
 	// probeTimeout ends each question. A slow store was seen to take a quarter of a
 	// second, an entry VM with a slowed processor less.
 	probeTimeout = 400 * time.Millisecond
-	// probePeers is how many entry VMs of other zones are asked once the store is
-	// silent: one of them may be restarting.
-	probePeers = 3
+	// peersEvery is how old the list of entry VMs may be: VMs are replaced a few times a
+	// day, and two of each zone are asked.
+	peersEvery = 10 * time.Second
 )
 
-// reach knows whether this entry VM is cut off from the rest.
+// stale reads the store without certainty, at a tenth of the price.
+type stale interface {
+	Ping(ctx context.Context) error
+	// Peek returns the first page under the prefix.
+	Peek(ctx context.Context, prefix string) ([]infra.KV, error)
+}
+
+// reach knows whether this entry VM reaches the store, and whether it is cut off.
 type reach struct {
-	store func(ctx context.Context) error
-	// elsewhere returns owners of duties in other zones.
-	elsewhere func() []ownership.Record
-	ping      func(ctx context.Context, address string) bool
-	// turned is called when this entry VM is cut off, and when no longer.
+	zone  string // its own
+	store stale
+	ping  func(ctx context.Context, address string) bool
+	// turned is called when this entry VM is cut off, and when no longer. While it is,
+	// connections are closed after their answer: a caller's next one goes by the balancer,
+	// to an entry VM that may serve it.
 	turned func(cutOff bool)
+	clock  interface{ Now() time.Duration }
 	log    logr.Logger
 
-	cutOff atomic.Bool
+	peers  members.Directory
+	listed time.Duration // when the peers were last listed; 0: never
+
+	cutOff    atomic.Bool
+	storeAway atomic.Bool // at the last look
 }
 
 func (r *reach) run(ctx context.Context) {
@@ -48,7 +62,11 @@
 
 func (r *reach) look(ctx context.Context) {
 	p := r.probe(ctx)
-	if ctx.Err() != nil || p.CutOff() == r.cutOff.Load() {
+	if ctx.Err() != nil {
+		return
+	}
+	r.storeAway.Store(!p.Store)
+	if p.CutOff() == r.cutOff.Load() {
 		return
 	}
 	r.cutOff.Store(p.CutOff())
@@ -59,16 +77,15 @@
 func (r *reach) probe(ctx context.Context) cutoff.Probe {
 	call, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
-	if err := r.store(call); err == nil {
+	if err := r.askStore(call); err == nil {
 		return cutoff.Probe{Store: true}
 	}
 	call, cancel = context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	var answered atomic.Int64
 	var asks sync.WaitGroup
-	peers := r.elsewhere()
-	peers = peers[:min(len(peers), probePeers)]
-	for _, p := range peers {
+	ask := cutoff.Ask(r.others(), r.zone)
+	for _, p := range ask {
 		asks.Go(func() {
 			if r.ping(call, p.Address) {
 				answered.Add(1)
@@ -76,5 +93,28 @@
 		})
 	}
 	asks.Wait()
-	return cutoff.Probe{Asked: len(peers), Answered: int(answered.Load())}
+	return cutoff.Probe{Asked: len(ask), Answered: int(answered.Load())}
+}
+
+// askStore asks for any answer, and now and then for the list of entry VMs.
+func (r *reach) askStore(ctx context.Context) error {
+	now := r.clock.Now()
+	if r.listed != 0 && now < r.listed+peersEvery {
+		return r.store.Ping(ctx)
+	}
+	kvs, err := r.store.Peek(ctx, infra.WorkEntryPrefix)
+	if err == nil {
+		r.peers.Replace(kvs)
+		r.listed = now
+	}
+	return err
+}
+
+func (r *reach) others() []cutoff.Peer {
+	live, _ := r.peers.Live()
+	out := make([]cutoff.Peer, 0, len(live))
+	for _, m := range live {
+		out = append(out, cutoff.Peer{Name: m.Name, Zone: m.Zone, Address: m.Address})
+	}
+	return out
 }
--- a/internal/ownerlink/client.go
+++ b/internal/ownerlink/client.go
@@ -125,6 +125,12 @@
 	return err == nil
 }
 
+// EndLease asks the entry VM at the address to end a lease as soon as the store answers.
+func (c *Client) EndLease(ctx context.Context, address string, lease int64) error {
+	_, err := c.call(ctx, Peer{Address: address}, &request{Kind: kindEndLease, Lease: lease})
+	return err
+}
+
 // call sends a request and waits for its answer. ErrNotSent is certain; without
 // an answer the error is engine.ErrUncertain, and the connection is given up: it
 // may have gone silent for good while new ones work.
--- a/internal/ownerlink/link_test.go
+++ b/internal/ownerlink/link_test.go
@@ -157,3 +157,19 @@
 	assert.Equal(t, c.Ping(t.Context(), p.Address), true)
 	assert.Equal(t, c.Ping(t.Context(), "127.0.0.1:1"), false)
 }
+
+// A lease that its holder can't end crosses the link to somebody who stays.
+func TestEndLease(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	var ended int64
+	s := &Server{Listener: l, Log: logr.Discard(), EndLease: func(lease int64) { ended = lease }}
+	go func() { defer close(done); s.Run(ctx) }()
+	c := &Client{Log: logr.Discard()}
+	assert.NilError(t, c.EndLease(t.Context(), l.Addr().String(), 9))
+	cancel()
+	<-done
+	assert.Equal(t, ended, int64(9))
+}
--- a/internal/ownerlink/ownerlink.go
+++ b/internal/ownerlink/ownerlink.go
@@ -40,6 +40,7 @@
 	kindExplain
 	kindSummary
 	kindPing
+	kindEndLease
 )
 
 // request is one call.
@@ -52,6 +53,8 @@
 	JobID work.JobID    `msgpack:"d,omitempty"`
 	Name  string        `msgpack:"n,omitempty"` // of a queue
 
+	Lease int64 `msgpack:"l,omitempty"` // to be ended
+
 	Sync   *engine.CellSync   `msgpack:"y,omitempty"`
 	Worker msgpack.RawMessage `msgpack:"w,omitempty"` // a packed workerCall
 }
--- a/internal/ownerlink/server.go
+++ b/internal/ownerlink/server.go
@@ -34,7 +34,9 @@
 	Owner func(cell string) Owner
 	// Workers is how this entry VM speaks with workers for owners; nil: it does not.
 	Workers engine.Workers
-	Log     logr.Logger
+	// EndLease ends a lease that its holder could not end, without waiting; nil: it does not.
+	EndLease func(lease int64)
+	Log      logr.Logger
 
 	mu    sync.Mutex
 	conns map[net.Conn]struct{}
@@ -100,9 +102,16 @@
 		s.forward(ctx, req.Worker, resp)
 		return resp
 	}
-	if req.Kind == kindPing {
+	switch req.Kind {
+	case kindPing:
 		resp.Result = resultOK
 		return resp
+	case kindEndLease:
+		if s.EndLease != nil {
+			s.EndLease(req.Lease)
+			resp.Result = resultOK
+		}
+		return resp
 	}
 	owner := s.Owner(req.Cell)
 	if owner == nil {
--- a/internal/ownership/directory.go
+++ b/internal/ownership/directory.go
@@ -1,10 +1,8 @@
 package ownership
 
 import (
-	"cmp"
 	"context"
 	"encoding/json"
-	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -39,20 +37,6 @@
 	return h.Record, known
 }
 
-// Elsewhere returns those who have a duty and are in another zone, each once, by name.
-func (d *Directory) Elsewhere(zone string) []Record {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	var out []Record
-	for _, h := range d.owners {
-		if h.Zone != "" && h.Zone != zone && !slices.Contains(out, h.Record) {
-			out = append(out, h.Record)
-		}
-	}
-	slices.SortFunc(out, func(a, b Record) int { return cmp.Compare(a.Entry, b.Entry) })
-	return out
-}
-
 // Replace takes the whole list over.
 func (d *Directory) Replace(kvs []infra.KV) {
 	d.mu.Lock()
--- a/internal/ownership/ownership.go
+++ b/internal/ownership/ownership.go
@@ -56,7 +56,6 @@
 type Record struct {
 	Entry   string `json:"entry"`   // name of the entry VM
 	Address string `json:"address"` // where its peers reach it
-	Zone    string `json:"zone,omitempty"`
 }
 
 // Clock tells the time since the VM's start, suspended spells included.
@@ -84,6 +83,8 @@
 	Own func(ctx context.Context, t *Term)
 	// Load is this entry VM's duties.
 	Load *Load
+	// Inherit is given a lease that could not be ended, for others to end; nil: it runs out.
+	Inherit func(lease infra.LeaseID)
 }
 
 // Load counts the duties of one entry VM.
@@ -215,7 +216,10 @@
 	call, cancel := context.WithTimeout(context.WithoutCancel(ctx), callTimeout)
 	defer cancel()
 	if err := e.o.Store.Revoke(call, lease); err != nil {
-		e.o.Log.V(1).Info("lease not ended; it runs out", "lease", int64(lease), "error", err.Error())
+		e.o.Log.V(1).Info("lease not ended", "lease", int64(lease), "error", err.Error())
+		if e.o.Inherit != nil {
+			e.o.Inherit(lease)
+		}
 	}
 }
 
--- a/internal/ownership/ownership_test.go
+++ b/internal/ownership/ownership_test.go
@@ -266,3 +266,22 @@
 	assert.NilError(t, err)
 	assert.Assert(t, term != nil)
 }
+
+// revokeFails is a store that takes no end of a lease.
+type revokeFails struct{ infra.Store }
+
+func (revokeFails) Revoke(context.Context, infra.LeaseID) error {
+	return infra.Errorf("revoke", infra.KindUnavailable, "away")
+}
+
+// An entry VM leaves during an outage of the store: it can't end its lease, and as the store
+// is back nobody owns the duty until that has run out. Whoever stays ends it instead.
+func TestALeaseThatCantBeEndedIsLeftToOthers(t *testing.T) {
+	e := newElector(t, revokeFails{memstore.New(clockwork.NewFakeClock())}, &testClock{now: time.Minute}, "e1")
+	var left []infra.LeaseID
+	e.o.Inherit = func(lease infra.LeaseID) { left = append(left, lease) }
+	term, err := e.take(context.Background())
+	assert.NilError(t, err)
+	e.drop(context.Background(), term.lease)
+	assert.DeepEqual(t, left, []infra.LeaseID{term.lease})
+}
--- a/policy/cutoff/cutoff_test.go
+++ b/policy/cutoff/cutoff_test.go
@@ -25,3 +25,14 @@
 		assert.Equal(t, c.probe.CutOff(), c.want, what)
 	}
 }
+
+// Callers are sent from one zone to the next during an outage of the store, as the one zone
+// that was asked is cut off. Every other zone is asked, and two of its entry VMs.
+func TestEveryOtherZoneIsAsked(t *testing.T) {
+	peers := []Peer{{Name: "c1", Zone: "c"}, {Name: "b3", Zone: "b"}, {Name: "a1", Zone: "a"}, {Name: "b2", Zone: "b"}, {Name: "b1", Zone: "b"}}
+	var names []string
+	for _, p := range Ask(peers, "a") {
+		names = append(names, p.Name)
+	}
+	assert.DeepEqual(t, names, []string{"b1", "b2", "c1"})
+}
