A maintenance that was done before leaves the worker its life

Cause: a new owner of the fleet that does not know what an earlier one has done orders the maintenance again; the platform answers that it is done, and nothing happens. Change: a move ends the life at its answer, a maintenance once the list shows it.

--- a/internal/fleetowner/fleet.go
+++ b/internal/fleetowner/fleet.go
@@ -179,6 +179,6 @@
 	for _, vm := range list {
 		f.vms[vm.ID] = vm
 	}
-	f.settle(sent)
+	f.send(ctx, f.cellsOf(f.settle(sent)))
 	return true
 }
--- a/internal/fleetowner/fleet_test.go
+++ b/internal/fleetowner/fleet_test.go
@@ -365,3 +365,27 @@
 	r.pass(f)
 	assert.DeepEqual(t, r.joined, []work.WorkerID{"w-v2"})
 }
+
+// A VM stands idle for good. Its maintenance was ordered again by a new owner of the fleet,
+// which did not know that it was done; the platform accepts that and does nothing, and the
+// cell was told that the worker's life is over. It is over once the list shows another.
+func TestAMaintenanceThatWasDoneBeforeLeavesTheWorkerItsLife(t *testing.T) {
+	r := newRig()
+	r.vm("v1", "a")
+	r.vm("v2", "a")
+	r.reports["a"] = engine.CellReport{Workers: empty("v1", "v2")}
+	r.waves = []OrderedWave{wave(1, "v1", "v2")}
+	f := r.fleet()
+	for range 15 {
+		r.pass(f)
+	}
+	assert.DeepEqual(t, r.calls, []string{"maintain v1", "maintain v2"})
+	assert.Equal(t, r.ordered(engine.OrderGone), 0)
+	r.set("v2", work.VMMaintenance, "")
+	r.pass(f)
+	assert.Equal(t, r.ordered(engine.OrderGone), 1)
+	r.set("v2", work.VMUp, "w-next")
+	r.pass(f)
+	r.pass(f)
+	assert.Equal(t, r.ordered(engine.OrderGone), 1, "told once")
+}
--- a/internal/fleetowner/orders.go
+++ b/internal/fleetowner/orders.go
@@ -14,10 +14,13 @@
 	sent time.Duration
 	wave string // the order is maintenance of this wave
 	pool string // the order is a move to this pool
+	cell string // the VM's pool as it was ordered
 	life work.WorkerID
 	left bool // the VM was seen to be not up since
 	// accepted: the platform has begun to carry it out.
 	accepted bool
+	// ended: the cell was told that the life is over.
+	ended bool
 }
 
 // inherit notes the VMs that an earlier owner's orders keep busy at the
@@ -46,12 +49,16 @@
 	return f.orders[vm]
 }
 
-// settle ends orders whose effect is over.
-func (f *Fleet) settle(sent time.Duration) {
+// settle ends orders whose effect is over, and returns what cells are to know of them.
+func (f *Fleet) settle(sent time.Duration) (gone []cellOrder) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for id, o := range f.orders {
 		vm, exists := f.vms[id]
+		if !o.ended && (!exists || vm.State != work.VMUp || vm.Worker != o.life) {
+			o.ended = true
+			gone = append(gone, cellOrder{cell: o.cell, order: engine.CellOrder{Kind: engine.OrderGone, Worker: o.life}})
+		}
 		switch {
 		case !exists:
 			delete(f.orders, id)
@@ -67,6 +74,12 @@
 			delete(f.orders, id)
 		}
 	}
+	return gone
+}
+
+// cellsOf leaves out the orders for VMs that were parked: no cell has them.
+func (f *Fleet) cellsOf(orders []cellOrder) []cellOrder {
+	return slices.DeleteFunc(orders, func(o cellOrder) bool { return f.parked(o.cell) })
 }
 
 // restCordons are the orders for workers that nobody has a reason to keep closed: an
@@ -130,6 +143,7 @@
 			continue
 		}
 		o := book(vm)
+		o.cell = vm.Pool
 		f.orders[vm.ID] = o
 		out[vm.ID] = o
 	}
@@ -140,11 +154,16 @@
 func (f *Fleet) outcome(ctx context.Context, id string, o *vmOrder, out engine.VMOutcome) {
 	switch out {
 	case engine.VMDone:
+		// A maintenance is accepted as well where it was done before, by an order of an
+		// earlier owner: the life goes on. Taken for over, its VM stood idle for good. So
+		// only a move tells the cell now, and a maintenance once the list shows it.
+		move := o.wave == ""
 		f.mu.Lock()
 		o.accepted = true
+		o.ended = o.ended || move
 		f.mu.Unlock()
-		if vm := f.vms[id]; !f.parked(vm.Pool) {
-			f.send(ctx, []cellOrder{{cell: vm.Pool, order: engine.CellOrder{Kind: engine.OrderGone, Worker: o.life}}})
+		if move && !f.parked(o.cell) {
+			f.send(ctx, []cellOrder{{cell: o.cell, order: engine.CellOrder{Kind: engine.OrderGone, Worker: o.life}}})
 		}
 	case engine.VMFenced:
 		f.Term.End("the platform knows a later owner")
