--- a/internal/ownership/ownership.go
+++ b/internal/ownership/ownership.go
@@ -215,7 +215,7 @@
 func (e *Elector) drop(ctx context.Context, lease infra.LeaseID) {
 	call, cancel := context.WithTimeout(context.WithoutCancel(ctx), callTimeout)
 	defer cancel()
-	if err := e.o.Store.Revoke(call, lease); err != nil {
+	if err := e.o.Store.Revoke(call, lease); err != nil && !infra.IsKind(err, infra.KindLeaseNotFound) {
 		e.o.Log.V(1).Info("lease not ended", "lease", int64(lease), "error", err.Error())
 		if e.o.Inherit != nil {
 			e.o.Inherit(lease)
--- a/internal/ownership/ownership_test.go
+++ b/internal/ownership/ownership_test.go
@@ -268,20 +268,27 @@
 }
 
 // revokeFails is a store that takes no end of a lease.
-type revokeFails struct{ infra.Store }
+type revokeFails struct {
+	infra.Store
+	kind infra.Kind
+}
 
-func (revokeFails) Revoke(context.Context, infra.LeaseID) error {
-	return infra.Errorf("revoke", infra.KindUnavailable, "away")
+func (s *revokeFails) Revoke(context.Context, infra.LeaseID) error {
+	return infra.Errorf("revoke", s.kind, "not ended")
 }
 
 // An entry VM leaves during an outage of the store: it can't end its lease, and as the store
 // is back nobody owns the duty until that has run out. Whoever stays ends it instead.
 func TestALeaseThatCantBeEndedIsLeftToOthers(t *testing.T) {
-	e := newElector(t, revokeFails{memstore.New(clockwork.NewFakeClock())}, &testClock{now: time.Minute}, "e1")
+	store := &revokeFails{memstore.New(clockwork.NewFakeClock()), infra.KindUnavailable}
+	e := newElector(t, store, &testClock{now: time.Minute}, "e1")
 	var left []infra.LeaseID
 	e.o.Inherit = func(lease infra.LeaseID) { left = append(left, lease) }
 	term, err := e.take(context.Background())
 	assert.NilError(t, err)
 	e.drop(context.Background(), term.lease)
 	assert.DeepEqual(t, left, []infra.LeaseID{term.lease})
+	store.kind = infra.KindLeaseNotFound
+	e.drop(context.Background(), term.lease)
+	assert.Equal(t, len(left), 1, "it is over already")
 }
