--- a/internal/node/reach_test.go
+++ b/internal/node/reach_test.go
@@ -4,13 +4,17 @@
 	"context"
 	"errors"
 	"fmt"
+	"net/http"
+	"net/http/httptest"
 	"testing"
 	"time"
 
 	"github.com/go-logr/logr"
 	"gotest.tools/v3/assert"
 
+	"github.com/pumicestage/pumicestage/internal/engine"
 	"github.com/pumicestage/pumicestage/internal/infra"
+	"github.com/pumicestage/pumicestage/internal/jobfront"
 )
 
 // ticking is a clock that goes on by a minute at each look.
@@ -58,3 +62,42 @@
 	assert.Equal(t, look(), false)
 	assert.DeepEqual(t, turns, []bool{true, false})
 }
+
+// The balancer is told: an entry VM that is cut off, or leaves, takes no new connections.
+func TestReadiness(t *testing.T) {
+	n := &Node{operator: newOperator(nil, bootClock{}, logr.Discard(), func() {}), reach: &reach{}}
+	status := func() int {
+		w := httptest.NewRecorder()
+		n.serveReady(w, nil)
+		return w.Code
+	}
+	assert.Equal(t, status(), http.StatusServiceUnavailable, "no configuration yet")
+	n.operator.adopt(&jobfront.Config{Declared: engine.Declared{Version: 1}}, jobfront.NewRoutes(nil))
+	assert.Equal(t, status(), http.StatusOK)
+	n.reach.cutOff.Store(true)
+	assert.Equal(t, status(), http.StatusServiceUnavailable)
+	n.reach.cutOff.Store(false)
+	assert.Equal(t, status(), http.StatusOK)
+	n.leaving.Store(true)
+	assert.Equal(t, status(), http.StatusServiceUnavailable)
+}
+
+// An entry VM leaves during an outage of the store. It keeps its duties until the store is
+// back, and hands them over in time if that does not come.
+func TestDutiesAreKeptWhileTheStoreIsAway(t *testing.T) {
+	n := &Node{settings: &Settings{Shutdown: time.Hour}, reach: &reach{}}
+	n.keepDuties(n.clock.Now())
+	n.reach.storeAway.Store(true)
+	kept := make(chan struct{})
+	go func() { n.keepDuties(n.clock.Now()); close(kept) }()
+	select {
+	case <-kept:
+		t.Fatal("handed over to nobody")
+	case <-time.After(3 * keepDutiesEvery):
+	}
+	n.reach.storeAway.Store(false)
+	<-kept
+	n.reach.storeAway.Store(true)
+	n.settings.Shutdown = handoverMargin
+	n.keepDuties(n.clock.Now()) // returns
+}
