--- a/internal/engine/claim_test.go
+++ b/internal/engine/claim_test.go
@@ -167,3 +167,12 @@
 	assert.Equal(t, len(r.Workers), 1)
 	assert.Assert(t, r.Workers[0].EmptyFor <= time.Second, "%s", r.Workers[0].EmptyFor)
 }
+
+// Reads of the store are spent on workers that are known, or whose life is over.
+func TestOnlyWorkersThatAreNewAreLookedUp(t *testing.T) {
+	b := newRig(t)
+	b.worker("known")
+	b.worker("over")
+	b.core.WorkerGone("over", "test", b.now)
+	assert.DeepEqual(t, b.core.unknown([]work.WorkerID{"known", "over", "new"}), []work.WorkerID{"new"})
+}
--- a/internal/ownership/ownership_test.go
+++ b/internal/ownership/ownership_test.go
@@ -292,3 +292,17 @@
 	e.drop(context.Background(), term.lease)
 	assert.Equal(t, len(left), 1, "it is over already")
 }
+
+// Calls go to nobody: another writer's entry was taken for an owner. It names none.
+func TestAnEntryOfAnotherWriterNamesNoOwner(t *testing.T) {
+	d := &Directory{Log: logr.Discard()}
+	d.Replace([]infra.KV{
+		{Key: infra.WorkOwnerKey("a"), Value: []byte(`{"address":"10.0.0.1:1"}`), ModRevision: 1},
+		{Key: infra.WorkOwnerKey("b"), Value: []byte("\xff"), ModRevision: 2},
+		{Key: infra.WorkOwnerKey("c"), Value: []byte(`{"entry":"e1","address":"10.0.0.1:1"}`), ModRevision: 3},
+	})
+	for duty, want := range map[string]bool{"a": false, "b": false, "c": true} {
+		_, known := d.Owner(duty)
+		assert.Equal(t, known, want, duty)
+	}
+}
