Work that waits for workers that were not heard is no backlog

Cause: a new owner may not go on with jobs of before until it has heard every worker or their leases are over. Change: what may not start is left out of the report; a test fails without it.

--- a/internal/engine/cell.go
+++ b/internal/engine/cell.go
@@ -182,7 +182,13 @@
 		r.addWorker(w, now)
 	}
 	most := c.mostCapacity()
+	settled := c.settled(now)
 	for _, j := range c.open {
+		// What may not start yet waits for workers that are not heard, not for room. A pool
+		// with a backlog keeps its VMs: 18 idle ones stood beside a burst for five seconds.
+		if j.restored && !settled {
+			continue
+		}
 		for _, o := range j.live {
 			for _, s := range o.steps {
 				// What fits on no VM would draw VMs for ever.
--- a/internal/engine/takeover_test.go
+++ b/internal/engine/takeover_test.go
@@ -315,3 +315,20 @@
 	defer cancel()
 	assert.NilError(t, e.load(ctx, true))
 }
+
+// Callers of a burst wait while idle VMs stand in another pool. Its owner has just taken
+// over with a zone cut off, and jobs of before wait for workers there that it has not heard.
+// They want no room, so they are no backlog, for which a pool would keep its VMs.
+func TestWorkThatWaitsForUnheardWorkersIsNoBacklog(t *testing.T) {
+	b := newRig(t)
+	b.worker("w1")
+	b.accept("j1", short(2))
+	b.takeOver(8, "w1", "w2")
+	b.core.SetFleet([]work.VM{vm("v1", "w1"), vm("v2", "w2")})
+	b.look("w1", Listing{})
+	assert.Equal(t, len(b.plan().Starts), 0, "w2 may run it")
+	assert.Equal(t, b.core.report(b.now).Backlog, 0.0)
+	b.look("w2", Listing{})
+	assert.Assert(t, b.core.report(b.now).Backlog > 0)
+	assert.Equal(t, len(b.plan().Starts), 2)
+}
