--- a/internal/node/leases.go
+++ b/internal/node/leases.go
@@ -31,8 +31,8 @@
 	log    logr.Logger
 }
 
-// inherit hands the lease to another entry VM; one will do, as any reaches the same store.
-func (l *leases) inherit(lease infra.LeaseID) {
+// handOver hands the lease to another entry VM; one will do, as any reaches the same store.
+func (l *leases) handOver(lease infra.LeaseID) {
 	for _, p := range l.others() {
 		ctx, cancel := context.WithTimeout(context.Background(), handLeaseTimeout)
 		err := l.give(ctx, p.Address, int64(lease))
--- a/internal/node/leases_test.go
+++ b/internal/node/leases_test.go
@@ -47,7 +47,7 @@
 			return nil
 		},
 	}
-	leaves.inherit(7)
+	leaves.handOver(7)
 	assert.DeepEqual(t, given, []string{"b:1", "c:1"})
 	assert.DeepEqual(t, store.ended, []infra.LeaseID{7})
 }
--- a/internal/ownership/ownership.go
+++ b/internal/ownership/ownership.go
@@ -83,8 +83,8 @@
 	Own func(ctx context.Context, t *Term)
 	// Load is this entry VM's duties.
 	Load *Load
-	// Inherit is given a lease that could not be ended, for others to end; nil: it runs out.
-	Inherit func(lease infra.LeaseID)
+	// HandOver is given a lease that could not be ended, for others to end; nil: it runs out.
+	HandOver func(lease infra.LeaseID)
 }
 
 // Load counts the duties of one entry VM.
@@ -217,8 +217,8 @@
 	defer cancel()
 	if err := e.o.Store.Revoke(call, lease); err != nil && !infra.IsKind(err, infra.KindLeaseNotFound) {
 		e.o.Log.V(1).Info("lease not ended", "lease", int64(lease), "error", err.Error())
-		if e.o.Inherit != nil {
-			e.o.Inherit(lease)
+		if e.o.HandOver != nil {
+			e.o.HandOver(lease)
 		}
 	}
 }
