--- a/internal/node/leases.go
+++ b/internal/node/leases.go
@@ -37,10 +37,11 @@
 		ctx, cancel := context.WithTimeout(context.Background(), handLeaseTimeout)
 		err := l.give(ctx, p.Address, int64(lease))
 		cancel()
-		l.log.Info("lease handed over", "lease", int64(lease), "to", p.Name, "error", errText(err))
 		if err == nil {
+			l.log.Info("lease handed over", "lease", int64(lease), "to", p.Name)
 			return
 		}
+		l.log.Info("lease not handed over", "lease", int64(lease), "to", p.Name, "error", err.Error())
 	}
 }
 
--- a/internal/node/leases_test.go
+++ b/internal/node/leases_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"testing"
 
 	"github.com/go-logr/logr"
+	"github.com/go-logr/logr/funcr"
 	"gotest.tools/v3/assert"
 
 	"github.com/pumicestage/pumicestage/internal/infra"
@@ -34,9 +36,9 @@
 func TestALeaseIsEndedByAnEntryVMThatStays(t *testing.T) {
 	store := &awayAtFirst{failures: 2}
 	stays := &leases{store: store, log: logr.Discard()}
-	var given []string
+	var given, lines []string
 	leaves := &leases{
-		log:    logr.Discard(),
+		log:    funcr.NewJSON(func(line string) { lines = append(lines, message(t, line)) }, funcr.Options{}),
 		others: func() []cutoff.Peer { return []cutoff.Peer{{Address: "b:1"}, {Address: "c:1"}, {Address: "d:1"}} },
 		give: func(ctx context.Context, address string, lease int64) error {
 			given = append(given, address)
@@ -48,6 +50,17 @@
 		},
 	}
 	leaves.handOver(7)
+	assert.DeepEqual(t, lines, []string{"lease not handed over", "lease handed over"})
 	assert.DeepEqual(t, given, []string{"b:1", "c:1"})
 	assert.DeepEqual(t, store.ended, []infra.LeaseID{7})
 }
+
+// message is what a log line says.
+func message(t *testing.T, line string) string {
+	t.Helper()
+	var l struct {
+		Msg string `json:"msg"`
+	}
+	assert.NilError(t, json.Unmarshal([]byte(line), &l))
+	return l.Msg
+}
--- a/internal/node/leave.go
+++ b/internal/node/leave.go
@@ -20,8 +20,8 @@
 	keepDutiesEvery = 50 * time.Millisecond
 )
 
-// keepDuties waits while the store is away, for as long as the shutdown allows: nobody
-// could take this VM's duties over, and what waits in its cells would stand still.
+// keepDuties waits while the store is away, for as long as the shutdown allows: duties can't
+// be handed over without it, and what waits in this VM's cells would stand still.
 func (n *Node) keepDuties(began time.Duration) {
 	until := began + n.settings.Shutdown - drainMargin - handoverMargin
 	for n.reach.storeAway.Load() && n.clock.Now() < until {
@@ -29,8 +29,8 @@
 	}
 }
 
-// leave hands its duties over at once and goes on answering until the balancer
-// has noticed; connections are closed after their present answer.
+// leave hands its duties over, at once unless the store is away, and goes on answering
+// until the balancer has noticed; connections are closed after their present answer.
 func (n *Node) leave(callers *http.Server, stopElecting func()) error {
 	began := n.clock.Now()
 	n.leaving.Store(true)
--- a/internal/ownership/directory.go
+++ b/internal/ownership/directory.go
@@ -33,8 +33,8 @@
 func (d *Directory) Owner(duty string) (Record, bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	h, known := d.owners[duty]
-	return h.Record, known
+	h := d.owners[duty]
+	return h.Record, h.Entry != ""
 }
 
 // Replace takes the whole list over.
@@ -74,8 +74,9 @@
 func (d *Directory) putLocked(kv infra.KV) {
 	var r Record
 	if err := json.Unmarshal(kv.Value, &r); err != nil || r.Entry == "" {
+		// The duty is not free: its key stands.
 		d.Log.Error(err, "owner's record is malformed and names none", "key", kv.Key)
-		return
+		r = Record{}
 	}
 	duty := strings.TrimPrefix(kv.Key, infra.WorkOwnerPrefix)
 	if old, known := d.owners[duty]; known && old.revision >= kv.ModRevision {
--- a/internal/ownership/ownership_test.go
+++ b/internal/ownership/ownership_test.go
@@ -305,4 +305,9 @@
 		_, known := d.Owner(duty)
 		assert.Equal(t, known, want, duty)
 	}
+	d.Change(infra.Event{Kind: infra.EventPut, KV: infra.KV{Key: infra.WorkOwnerKey("c"), Value: []byte("7"), ModRevision: 4}})
+	_, known := d.Owner("c")
+	assert.Equal(t, known, false, "its key was overwritten")
+	_, free := d.vacancy("c")
+	assert.Equal(t, free, false, "nobody can take it while the key stands")
 }
