A lost answer of a worker costs 0.3 s, not two seconds of the worker

Cause: where workers leave one order in twenty unanswered, a poll that waits for an end was missed after 1.9 s, the one after it waited up to a second again, and a worker takes nothing meanwhile. A start that was lost was settled after 0.8 s, too late for a short job. Ruled out: the processor. Change: polls of workers with short tasks wait 0.3 s for an end, answers and orders are missed 0.3 s later, the first missed poll is repeated at once and asks for an answer at once; a worker that stays silent is asked less and less often.

--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -218,8 +218,9 @@
 }
 
 // orderTimeout ends a start or stop without an answer. Workers answer in a few
-// milliseconds; what is later is settled by a stop.
-const orderTimeout = 800 * time.Millisecond
+// milliseconds, and what is later is settled by a list and a stop: a short task whose
+// start was lost is begun again within half a second and can still be in time.
+const orderTimeout = 300 * time.Millisecond
 
 // allowed is asked right before an order leaves: a VM that was suspended
 // between planning and sending may have a successor.
--- a/internal/engine/listing.go
+++ b/internal/engine/listing.go
@@ -83,19 +83,24 @@
 	if len(w.tasks) > 0 {
 		h.Wait = w.wait()
 	}
+	// After a lost answer the next is to tell at once whether the worker lives: until then
+	// nothing starts there.
+	if w.missed > 0 {
+		h.Wait = min(h.Wait, pollSoon)
+	}
 	// A worker that did not answer gets no further extension: what it runs
 	// must be certain to end, so that it can start elsewhere.
 	if len(w.tasks) > 0 && w.missed == 0 {
 		h.Deadline = w.clockNow(now) + min(LeaseAhead, c.bounds.MaxHold)
 		w.deadline = max(w.deadline, h.Deadline)
 	}
-	// A short wait means that the list is to settle or to pace something.
-	h.Brief = polling.Brief(now-w.listedAt, h.Wait != pollWait || w.missed > 0)
+	// These waits mean that the list is to settle or to pace something.
+	h.Brief = polling.Brief(now-w.listedAt, h.Wait == pollSoon || h.Wait == serveWait || w.missed > 0)
 	return w.info, h, true
 }
 
 func (w *worker) wait() time.Duration {
-	serving, filling := false, false
+	serving, filling, short := false, false, false
 	if len(w.strays) > 0 {
 		return pollSoon
 	}
@@ -105,9 +110,13 @@
 		}
 		serving = serving || t.step.spec.Serving()
 		filling = filling || t.step.spec.Fill
+		short = short || !t.step.spec.Lasting
 	}
-	if serving && filling {
+	switch {
+	case serving && filling:
 		return serveWait
+	case short:
+		return pollWaitShort
 	}
 	return pollWait
 }
--- a/internal/engine/session.go
+++ b/internal/engine/session.go
@@ -63,8 +63,19 @@
 	})
 }
 
-// failedPause separates polls of a worker that does not answer.
-const failedPause = 150 * time.Millisecond
+// Pauses between polls of a worker that does not answer. The first is repeated at once, as
+// a single answer may be lost; one that stays silent costs a connection each time.
+const (
+	failedPause     = 150 * time.Millisecond
+	mostFailedPause = 600 * time.Millisecond
+)
+
+func pauseAfter(missed int) time.Duration {
+	if missed <= 1 {
+		return 0
+	}
+	return min(mostFailedPause, failedPause<<min(missed-2, 4))
+}
 
 // run polls the worker for as long as something is or may be there.
 func (s *session) run(ctx context.Context) {
@@ -87,7 +98,7 @@
 			continue
 		}
 		if !s.poll(ctx, &info, h) {
-			pause = failedPause
+			pause = pauseAfter(e.missed(s.id))
 		}
 		sleep.For(ctx, pause)
 	}
@@ -107,6 +118,16 @@
 	}
 }
 
+// missed is how many polls of the worker were not answered since the last that was.
+func (e *Engine) missed(id work.WorkerID) int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if w := e.core.workers[id]; w != nil {
+		return w.missed
+	}
+	return 0
+}
+
 func (s *session) poll(ctx context.Context, info *WorkerInfo, h Hold) bool {
 	e := s.engine
 	if !e.allowed() {
--- a/internal/engine/worker.go
+++ b/internal/engine/worker.go
@@ -33,14 +33,18 @@
 	// pollWait is how long a worker may hold an answer back for an end. It is
 	// also the longest time between extensions of a lease.
 	pollWait = 1 * time.Second
+	// pollWaitShort replaces pollWait where short tasks run: an answer that is lost costs
+	// the wait, and until it is missed no end there is known and nothing starts.
+	pollWaitShort = 300 * time.Millisecond
 	// pollSoon is how long an answer may wait where something is in doubt or
 	// being stopped.
 	pollSoon = 30 * time.Millisecond
 	// serveWait replaces pollWait where fill tasks run beside serving ones, so
 	// that pacing follows within a second.
 	serveWait = 400 * time.Millisecond
-	// pollTimeout is how long an answer may take beyond the wait asked for.
-	pollTimeout = 900 * time.Millisecond
+	// pollTimeout is how long an answer may take beyond the wait asked for. Workers answer
+	// in a few milliseconds; the poll after one that was lost shows that they live.
+	pollTimeout = 300 * time.Millisecond
 )
 
 // worker is one worker of ours.
--- a/internal/ownerlink/workers.go
+++ b/internal/ownerlink/workers.go
@@ -15,7 +15,7 @@
 // forwardMargin is how much sooner than the owner the forwarding entry VM gives a
 // call up: its answer, that the worker did not answer, must come before the owner
 // gives up the connection with all other calls on it.
-const forwardMargin = 120 * time.Millisecond
+const forwardMargin = 80 * time.Millisecond
 
 // workerKind names a call to a worker.
 type workerKind uint8
