A watch that left changes out is read on at once, and long lists have time page by page

Cause of DRAIN at 3,006 workers: an answer of a watch brings 500 changes at the most, workers write some two thousand times a second, and a pause of half a second after each answer let the list of workers fall ever further behind, by 0.25 s in each half second. A worker that left was known five seconds later, with 4 s allowed. The same for what grows with the fleet: a list was given 1.5 s for all its pages, open jobs 3 s; at a store that takes 0.2 s a page, lists of over 3,500 workers or jobs would never have come. Each page has the time of its call now. Test: TestAWatchThatLeftChangesOutIsReadOnAtOnce hangs without the change.

--- a/internal/engine/restore.go
+++ b/internal/engine/restore.go
@@ -27,8 +27,8 @@
 	return OwnerGrace + lease + expirySlack
 }
 
-// loadTimeout ends one try at reading what is stored.
-const loadTimeout = 3 * time.Second
+// seizeTimeout ends one try at writing the commit keys.
+const seizeTimeout = 3 * time.Second
 
 // restore takes the commit keys over, which fences every transaction of earlier
 // owners, and then reads all jobs.
@@ -49,7 +49,7 @@
 
 // seizeAll writes all commit keys; first reports that nobody had before.
 func (e *Engine) seizeAll(ctx context.Context) (first bool, err error) {
-	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
+	ctx, cancel := context.WithTimeout(ctx, seizeTimeout)
 	defer cancel()
 	var fresh [committers]bool
 	var errs [committers]error
@@ -105,8 +105,6 @@
 }
 
 func (e *Engine) load(ctx context.Context, first bool) error {
-	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
-	defer cancel()
 	progress, jobs, err := e.readStored(ctx)
 	if err != nil {
 		return err
@@ -144,7 +142,9 @@
 
 // readStored reads the cell's progress and open jobs, and waits for the list of
 // workers meanwhile: while the store is slow each call takes a fifth of a second, and
-// nobody owns the cell. No earlier owner writes any more, so their order is free.
+// nobody owns the cell. No earlier owner writes any more, so their order is free. Each page
+// has its time at the store's client: a bound on all of them would never let a cell of
+// thousands of jobs be read from a slow store.
 func (e *Engine) readStored(ctx context.Context) (progress, jobs []infra.KV, err error) {
 	var progressErr, jobsErr error
 	var readers sync.WaitGroup
--- a/internal/infra/platform.go
+++ b/internal/infra/platform.go
@@ -115,6 +115,8 @@
 	Events   []Event
 	Revision Revision
 	Err      error
+	// More says that later events were there and found no room in the answer.
+	More bool
 }
 
 // Store is the platform's key-value service. Every call ends by the context's
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -19,14 +19,14 @@
 // followPause separates tries to read what could not be read.
 const followPause = 150 * time.Millisecond
 
-// followTimeout ends one read of a prefix.
-const followTimeout = 1500 * time.Millisecond
-
 // source is a prefix of the store to be followed.
 type source struct {
 	prefix string
 	// pace is the least time between two answers of the watch: what changes
-	// often is then told together, as each answer is a priced call. 0: none.
+	// often is then told together, as each answer is a priced call. 0: none. After an answer
+	// that left something out the next is asked for at once: three thousand workers write
+	// two thousand times a second, an answer holds five hundred, and at one each half
+	// second a worker that leaves was known only after seconds.
 	pace time.Duration
 	all  func([]infra.KV) // takes everything under the prefix over
 	each func(infra.Event)
@@ -62,9 +62,9 @@
 }
 
 func followOnce(ctx context.Context, store infra.Store, s source, readable func()) error {
-	call, cancel := context.WithTimeout(ctx, followTimeout)
-	kvs, rev, err := store.Range(call, s.prefix)
-	cancel()
+	// Each page of the list has its time. All together would never do for a long list at a
+	// slow store.
+	kvs, rev, err := store.Range(ctx, s.prefix)
 	if err != nil {
 		return trace.Wrap(err)
 	}
@@ -83,7 +83,7 @@
 		for _, ev := range b.Events {
 			s.each(ev)
 		}
-		if s.pace > 0 {
+		if s.pace > 0 && !b.More {
 			sleep.For(ctx, s.pace)
 		}
 	}
--- /dev/null
+++ b/internal/node/follow_test.go
@@ -0,0 +1,59 @@
+package node
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"gotest.tools/v3/assert"
+
+	"github.com/pumicestage/pumicestage/internal/infra"
+)
+
+// fullAnswers is a store whose watch answers with batches, all but the last of them full.
+type fullAnswers struct {
+	infra.Store
+	batches int
+}
+
+func (f *fullAnswers) Range(context.Context, string) ([]infra.KV, infra.Revision, error) {
+	return nil, 1, nil
+}
+
+func (f *fullAnswers) Watch(ctx context.Context, _ string, from infra.Revision) (<-chan infra.WatchBatch, error) {
+	out := make(chan infra.WatchBatch)
+	go func() {
+		defer close(out)
+		for i := range f.batches {
+			rev := from + infra.Revision(i)
+			b := infra.WatchBatch{Revision: rev, More: i+1 < f.batches, Events: []infra.Event{{KV: infra.KV{Key: "k", ModRevision: rev}}}}
+			select {
+			case out <- b:
+			case <-ctx.Done():
+				return
+			}
+		}
+	}()
+	return out, nil
+}
+
+// A worker said that it leaves, and its owner started tasks there for five seconds more: the
+// watch brings five hundred changes with an answer, three thousand workers make two thousand
+// a second, and a pause was made after each answer, so that it fell ever further behind. It
+// pauses only where an answer left nothing out.
+func TestAWatchThatLeftChangesOutIsReadOnAtOnce(t *testing.T) {
+	const batches = 40
+	ctx, cancel := context.WithCancel(t.Context())
+	seen := 0
+	follow(ctx, &fullAnswers{batches: batches}, logr.Discard(), source{
+		pace: time.Hour,
+		all:  func([]infra.KV) {},
+		each: func(infra.Event) {
+			if seen++; seen == batches {
+				cancel()
+			}
+		},
+	})
+	assert.Equal(t, seen, batches)
+}
