An owner that is behind its work measures it, does less, and hands its cell over

Cause (by a model of an owner's processor that drives the core, and by the code): what is ready to run waits longer than the time-outs of calls; answers that have arrived count as missing, so that workers pass for silent, renewals for unanswered, and connections with all their calls are given up; starts are given without bound, two thousand in one plan, and everything else waits behind them. Change: policy/overload. A probe waits in line every 25 ms. Calls get three times the longest wait more; a poll without an answer while this VM is that late marks nobody silent, a link that brought other answers stays. While the least wait stands above 40 ms, polls are fewer and fewer starts are under way; never more than 200.

--- a/internal/engine/core.go
+++ b/internal/engine/core.go
@@ -1,11 +1,13 @@
 package engine
 
 import (
+	"math"
 	"slices"
 	"time"
 
 	"github.com/go-logr/logr"
 
+	"github.com/pumicestage/pumicestage/policy/overload"
 	"github.com/pumicestage/pumicestage/policy/taskplan"
 	"github.com/pumicestage/pumicestage/policy/work"
 )
@@ -52,6 +54,10 @@
 	alive       map[work.WorkerID]string // pools of the workers that it says are up
 	largestVM   work.Resources           // the most that any VM of that list has, by kind
 	certain     bool                     // no later owner can exist, see SetCertain
+	governor    overload.Governor
+	unread      int                      // polls without an answer while this owner was behind
+	mayStart    int                      // starts in a plan
+	held        bool                     // the last plan kept starts back
 	sought      map[string]time.Duration // labels that steps asked for, and when last
 }
 
@@ -66,6 +72,8 @@
 		sizes:   make(map[string]*meanSize),
 		sought:  make(map[string]time.Duration),
 
+		mayStart: math.MaxInt,
+
 		dirty:  make(map[work.JobID]*job),
 		flying: make(map[work.JobID]int64),
 		astray: make(map[work.TaskRef]bool),
@@ -96,6 +104,25 @@
 // other side of a cut may have adopted it and extend its leases.
 func (c *Core) SetCertain(certain bool) { c.certain = certain }
 
+// Strain takes over how long what is ready to run waits for the processor at the least.
+func (c *Core) Strain(standing, now time.Duration) {
+	before := c.governor.Level()
+	c.governor.Adjust(standing, now)
+	after := c.governor.Level()
+	if (before == 1) != (after == 1) {
+		c.log.Info("owner behind its work", "behind", after > 1, "waits", standing.String(), "unread", c.unread, "workers", len(c.workers), "open", len(c.open))
+	}
+}
+
+// Level is by how much less this owner does as it is behind; 1 is nothing less.
+func (c *Core) Level() float64 { return c.governor.Level() }
+
+// LimitStarts bounds the starts of the next plan; underWay have no answer yet.
+func (c *Core) LimitStarts(underWay int) { c.mayStart = c.governor.Starts(underWay) }
+
+// Held reports whether the last plan kept starts back until others are answered.
+func (c *Core) Held() bool { return c.held }
+
 // Deposed reports whether a worker or the store knows a later owner.
 func (c *Core) Deposed() bool { return c.deposed }
 
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -4,12 +4,14 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-logr/logr"
 
 	"github.com/pumicestage/pumicestage/internal/infra"
 	"github.com/pumicestage/pumicestage/internal/sleep"
+	"github.com/pumicestage/pumicestage/policy/overload"
 	"github.com/pumicestage/pumicestage/policy/work"
 )
 
@@ -45,6 +47,8 @@
 	Certain() bool
 	// End gives the term up.
 	End(reason string)
+	// Relieve gives it up to another entry VM, as this one is behind its work.
+	Relieve()
 }
 
 // Options are what an Engine is made of.
@@ -69,6 +73,9 @@
 	// Declared returns the operator's configuration in force.
 	Declared func() Declared
 	Metrics  *Metrics
+	Pressure Pressure // nil: not measured
+	// Successor tells what other entry VM could take the cell over; nil: none.
+	Successor func() overload.Successor
 	// ListRate is how many reads of the list of VMs the platform takes a second, from
 	// all entry VMs together; 0: any number.
 	ListRate float64
@@ -87,6 +94,10 @@
 	// fleetToken is of the last owner of the fleet that gave orders.
 	fleetToken int64
 
+	relief overload.Relief
+	began  time.Duration // of the term
+	starts atomic.Int64  // given and not answered yet
+
 	planKick  chan struct{}
 	storeKick chan struct{}
 	writer    *writer
@@ -117,11 +128,11 @@
 		e.wg.Wait()
 	}()
 	e.ctx = ctx
-	start := e.Clock.Now()
+	e.began = e.Clock.Now()
 	if err := e.restore(ctx); err != nil {
 		return err
 	}
-	e.Log.Info("took over", "cell", e.Cell, "token", e.Term.Token(), "jobs", len(e.core.jobs), "open", len(e.core.open), "took", (e.Clock.Now() - start).String())
+	e.Log.Info("took over", "cell", e.Cell, "token", e.Term.Token(), "jobs", len(e.core.jobs), "open", len(e.core.open), "took", (e.Clock.Now() - e.began).String())
 	e.mu.Lock()
 	e.restored = true
 	e.mu.Unlock()
@@ -165,6 +176,10 @@
 			e.Term.End("a later owner is known")
 			return ErrNotReady
 		}
+		if e.relieved() {
+			e.Term.Relieve()
+			return ErrNotReady
+		}
 	}
 }
 
@@ -174,6 +189,8 @@
 	e.mu.Lock()
 	e.authority()
 	e.core.Declare(e.Declared())
+	e.core.Strain(e.standing(), now)
+	e.core.LimitStarts(int(e.starts.Load()))
 	orders := e.core.Plan(now, e.Clock.Wall())
 	deposed := e.core.Deposed()
 	all, final := e.core.Dirty()
@@ -198,7 +215,11 @@
 func (e *Engine) send(ctx context.Context, o *Orders) {
 	for i := range o.Starts {
 		if s := e.session(o.Starts[i].Worker.ID); s != nil {
-			s.do(ctx, func() { e.start(ctx, o.Starts[i]) })
+			e.starts.Add(1)
+			s.do(ctx, func() {
+				e.start(ctx, o.Starts[i])
+				e.starts.Add(-1)
+			})
 		}
 	}
 	for i := range o.Stops {
@@ -222,6 +243,38 @@
 // start was lost is begun again within half a second and can still be in time.
 const orderTimeout = 300 * time.Millisecond
 
+// behind is the longest that anything waited for the processor of late.
+func (e *Engine) behind() time.Duration {
+	if e.Pressure == nil {
+		return 0
+	}
+	return e.Pressure.Behind()
+}
+
+func (e *Engine) standing() time.Duration {
+	if e.Pressure == nil {
+		return 0
+	}
+	return e.Pressure.Standing()
+}
+
+// within gives a call so much time, and more while this owner is behind.
+func (e *Engine) within(ctx context.Context, d time.Duration) (context.Context, context.CancelFunc) {
+	return context.WithTimeout(ctx, d+overload.Patience(e.behind()))
+}
+
+// relieved reports whether the cell is to be handed over to a VM that can bear it.
+func (e *Engine) relieved() bool {
+	if e.Successor == nil {
+		return false
+	}
+	now := e.Clock.Now()
+	e.mu.Lock()
+	level := e.core.Level()
+	e.mu.Unlock()
+	return e.relief.Due(level, e.Successor, now-e.began, now)
+}
+
 // allowed is asked right before an order leaves: a VM that was suspended
 // between planning and sending may have a successor.
 func (e *Engine) allowed() bool { return e.Clock.Now() <= e.Term.AllowedUntil() }
@@ -229,16 +282,17 @@
 func (e *Engine) start(ctx context.Context, o StartOrder) {
 	out, clock := OutcomeNotSent, time.Duration(0)
 	if e.allowed() {
-		call, cancel := context.WithTimeout(ctx, orderTimeout)
+		call, cancel := e.within(ctx, orderTimeout)
 		out, clock = e.Workers.Start(call, &o.Worker, o.Start)
 		cancel()
 	}
 	e.Metrics.start(out)
 	e.mu.Lock()
 	e.core.StartAnswered(o, out, clock, e.Clock.Now())
+	held := e.core.Held()
 	e.mu.Unlock()
 	e.wake(o.Worker.ID)
-	if out != OutcomeOK {
+	if out != OutcomeOK || held {
 		kick(e.planKick)
 	}
 }
@@ -247,7 +301,7 @@
 	if !e.allowed() {
 		return
 	}
-	call, cancel := context.WithTimeout(ctx, orderTimeout)
+	call, cancel := e.within(ctx, orderTimeout)
 	defer cancel()
 	out := e.Workers.Stop(call, &o.Worker, o.Task, o.Run, e.Term.Token())
 	e.Metrics.stop(out)
@@ -262,7 +316,7 @@
 	if !e.allowed() {
 		return
 	}
-	call, cancel := context.WithTimeout(ctx, orderTimeout)
+	call, cancel := e.within(ctx, orderTimeout)
 	defer cancel()
 	out := e.Workers.Pace(call, &o.Worker, o.Task, o.Run, o.Percent, e.Term.Token())
 	e.Log.Info("pace", "task", o.Task.String(), "worker", o.Worker.ID, "percent", o.Percent, "outcome", out.String())
--- a/internal/engine/listing.go
+++ b/internal/engine/listing.go
@@ -121,6 +121,11 @@
 	return pollWait
 }
 
+// HoldUnread notes a poll whose answer did not come while this owner was behind its work:
+// it may lie here unread, and says nothing of the worker. Taken for silent, the worker
+// would not have its lease extended, and its work would end.
+func (c *Core) HoldUnread() { c.unread++ }
+
 // HoldFailed notes a poll that was not answered.
 func (c *Core) HoldFailed(id work.WorkerID, o Outcome, now time.Duration) {
 	w := c.workers[id]
--- a/internal/engine/plan.go
+++ b/internal/engine/plan.go
@@ -167,12 +167,17 @@
 		}
 		return 0
 	})
+	c.held = false
 	workers := c.snapshots(now)
 	if len(workers) == 0 {
 		return
 	}
 	planner := taskplan.NewPlanner(workers)
 	for _, v := range ws {
+		if len(out.Starts) >= c.mayStart {
+			c.held = true
+			break
+		}
 		if !planner.MayFit(v.step.spec) {
 			continue
 		}
--- a/internal/engine/ports.go
+++ b/internal/engine/ports.go
@@ -95,6 +95,14 @@
 	OutcomeNotSent   // no connection was had; nothing was done
 )
 
+// Pressure tells how long what is ready to run waits for this VM's processor.
+type Pressure interface {
+	// Behind is the longest wait of the last second.
+	Behind() time.Duration
+	// Standing is the least wait of late.
+	Standing() time.Duration
+}
+
 // Workers gives orders to workers.
 type Workers interface {
 	Start(ctx context.Context, w *WorkerInfo, s Start) (Outcome, time.Duration)
--- a/internal/engine/session.go
+++ b/internal/engine/session.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/pumicestage/pumicestage/internal/sleep"
+	"github.com/pumicestage/pumicestage/policy/overload"
 	"github.com/pumicestage/pumicestage/policy/polling"
 	"github.com/pumicestage/pumicestage/policy/work"
 )
@@ -85,7 +86,7 @@
 		e.authority()
 		info, h, due := e.core.HoldFor(s.id, e.Clock.Now())
 		_, exists := e.core.workers[s.id]
-		pause := polling.Pause(e.core.busy)
+		pause := e.core.governor.Pause(polling.Pause(e.core.busy))
 		if !exists {
 			delete(e.sessions, s.id)
 		}
@@ -134,17 +135,21 @@
 		return false
 	}
 	sent := e.Clock.Now()
-	call, cancel := context.WithTimeout(ctx, h.Wait+pollTimeout)
+	call, cancel := e.within(ctx, h.Wait+pollTimeout)
 	l, out := e.Workers.Hold(call, info, h)
 	cancel()
 	if ctx.Err() != nil {
 		return false
 	}
 	e.Metrics.poll(out)
+	behind := e.behind()
 	e.mu.Lock()
-	if out == OutcomeOK {
+	switch {
+	case out == OutcomeOK:
 		e.core.HoldAnswered(s.id, h, l, sent, e.Clock.Now())
-	} else {
+	case overload.OwnDoing(behind) && (out == OutcomeUnknown || out == OutcomeNotSent):
+		e.core.HoldUnread()
+	default:
 		e.core.HoldFailed(s.id, out, e.Clock.Now())
 	}
 	e.mu.Unlock()
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -15,6 +15,7 @@
 	"github.com/pumicestage/pumicestage/internal/engine"
 	"github.com/pumicestage/pumicestage/internal/ownerlink"
 	"github.com/pumicestage/pumicestage/policy/forwarding"
+	"github.com/pumicestage/pumicestage/policy/overload"
 	"github.com/pumicestage/pumicestage/policy/work"
 )
 
@@ -48,6 +49,8 @@
 	Self   string // own name
 	Clock  engine.Clock
 	Log    logr.Logger
+	// Behind is how long what is ready to run waits on this VM; nil: it does not.
+	Behind func() time.Duration
 }
 
 // Workers implements engine.Workers for one cell.
@@ -143,6 +146,9 @@
 func (w *Workers) came(to work.WorkerID, p Peer, reached ownerlink.Reached, out engine.Outcome) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if reached == ownerlink.ReachedUnknown && w.Behind != nil && overload.OwnDoing(w.Behind()) {
+		return // its answer may lie here unread
+	}
 	if reached != ownerlink.ReachedWorker {
 		if _, known := w.avoid[p.Name]; !known || w.avoid[p.Name] <= w.Clock.Now() {
 			w.Log.Info("entry VM does not forward", "entry", p.Name, "sent", reached == ownerlink.ReachedUnknown)
--- a/internal/node/duties.go
+++ b/internal/node/duties.go
@@ -69,7 +69,7 @@
 	e := ownership.New(ownership.Options{
 		Duty: duty, Store: n.store, Directory: n.directory, Self: n.self, Weight: n.settings.weight(),
 		Clock: n.clock, Log: n.log.WithName("ownership"), Grace: engine.OwnerGrace, Load: &d.load,
-		LeastTTL: n.settings.LeastTTL, Own: own, HandOver: n.leases.handOver,
+		LeastTTL: n.settings.LeastTTL, Own: own, HandOver: n.leases.handOver, Behind: n.pressure.Behind,
 	})
 	ctx := d.ctx
 	d.wg.Go(func() { e.Run(ctx) })
@@ -118,6 +118,8 @@
 	defer n.registry.release()
 	n.members.follow.hold()
 	defer n.members.follow.release()
+	n.pressure.follow.hold()
+	defer n.pressure.follow.release()
 	e := engine.New(engine.Options{
 		Cell:     cell,
 		Store:    n.store,
@@ -136,6 +138,7 @@
 		Declared: n.operator.declared,
 		Metrics:  n.metrics.engine,
 		ListRate: n.settings.ListRate,
+		Pressure: n.pressure, Successor: n.successor,
 	})
 	d.set(cell, e)
 	err := e.Run(ctx)
--- a/internal/node/entryvms.go
+++ b/internal/node/entryvms.go
@@ -10,6 +10,7 @@
 	"github.com/pumicestage/pumicestage/internal/infra"
 	"github.com/pumicestage/pumicestage/internal/members"
 	"github.com/pumicestage/pumicestage/policy/forwarding"
+	"github.com/pumicestage/pumicestage/policy/overload"
 )
 
 // entryVMs are the other entry VMs, known while this one owns a cell.
@@ -44,10 +45,28 @@
 	}
 }
 
+// successor tells what other entry VM could take a duty over from this one.
+func (n *Node) successor() overload.Successor {
+	live, _ := n.members.directory.Live()
+	owners := n.directory.Entries()
+	own := n.settings.weight()
+	best := overload.NoSuccessor
+	for _, m := range live {
+		if m.Name == n.settings.Name || owners[m.Name] || m.Weight < own {
+			continue
+		}
+		if m.Weight > own {
+			return overload.LargerSuccessor
+		}
+		best = overload.EqualSuccessor
+	}
+	return best
+}
+
 // workersOf returns how this entry VM, as the cell's owner, speaks with its workers.
 func (n *Node) workersOf(cell string) engine.Workers {
 	return forward.New(forward.Options{
 		Direct: n.workers, Link: n.link, Peers: n.members, Self: n.settings.Name, Clock: n.clock,
-		Log: n.log.WithName("forward").WithValues("cell", cell),
+		Log: n.log.WithName("forward").WithValues("cell", cell), Behind: n.pressure.Behind,
 	})
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -49,6 +49,7 @@
 	registry  *registry
 	directory *ownership.Directory
 	members   *entryVMs
+	pressure  *pressure
 	link      *ownerlink.Client
 	workers   *platform.Workers
 	front     *jobfront.Front
@@ -96,7 +97,8 @@
 	n.store = platform.NewStore(n.settings.Store, platformTimeout)
 	n.workers = platform.NewWorkers(n.log.WithName("workers"))
 	n.directory = &ownership.Directory{Log: n.log.WithName("owners")}
-	n.link = &ownerlink.Client{Log: n.log.WithName("link")}
+	n.pressure = newPressure(n.clock)
+	n.link = &ownerlink.Client{Log: n.log.WithName("link"), Behind: n.pressure.Behind}
 	n.duties = &duties{node: n, running: make(map[string]bool), engines: make(map[string]*engine.Engine)}
 	n.duties.load.May = func() bool { return !n.leaving.Load() }
 	n.operator = newOperator(n.store, n.clock, n.log.WithName("operator"), n.duties.ensure)
--- /dev/null
+++ b/internal/node/pressure.go
@@ -0,0 +1,49 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"github.com/pumicestage/pumicestage/internal/engine"
+	"github.com/pumicestage/pumicestage/internal/sleep"
+	"github.com/pumicestage/pumicestage/policy/overload"
+)
+
+// pressure measures, while this entry VM has a duty, how long what is ready to run waits
+// for the processor.
+type pressure struct {
+	clock  engine.Clock
+	meter  overload.Meter
+	follow shared
+}
+
+func newPressure(clock engine.Clock) *pressure {
+	p := &pressure{clock: clock}
+	p.follow.begin, p.follow.run = func() {}, p.run
+	return p
+}
+
+// Behind implements engine.Pressure.
+func (p *pressure) Behind() time.Duration { return p.meter.Behind(p.clock.Now()) }
+
+// Standing implements engine.Pressure.
+func (p *pressure) Standing() time.Duration { return p.meter.Standing(p.clock.Now()) }
+
+func (p *pressure) run(ctx context.Context) {
+	for sleep.For(ctx, overload.Every) {
+		p.probe()
+	}
+}
+
+// probe waits in line once. The runtime runs the newest goroutine next and lets the others
+// wait; the second one here takes that place, so that the first waits as answers do.
+func (p *pressure) probe() {
+	ran := make(chan struct{})
+	p.meter.Begin(p.clock.Now())
+	go func() {
+		p.meter.End(p.clock.Now())
+		close(ran)
+	}()
+	go func() {}()
+	<-ran
+}
--- a/internal/ownerlink/client.go
+++ b/internal/ownerlink/client.go
@@ -12,6 +12,7 @@
 
 	"github.com/pumicestage/pumicestage/internal/engine"
 	"github.com/pumicestage/pumicestage/policy/breaker"
+	"github.com/pumicestage/pumicestage/policy/overload"
 	"github.com/pumicestage/pumicestage/policy/work"
 )
 
@@ -30,6 +31,8 @@
 // Client calls owners, over one connection to each address.
 type Client struct {
 	Log logr.Logger
+	// Behind is how long what is ready to run waits on this VM; nil: it does not.
+	Behind func() time.Duration
 
 	mu    sync.Mutex
 	began time.Time
@@ -44,6 +47,7 @@
 	mu      sync.Mutex
 	nextID  uint64
 	waiting map[uint64]chan *response
+	heard   uint64 // answers so far
 	dead    bool
 }
 
@@ -131,9 +135,11 @@
 	return err
 }
 
-// call sends a request and waits for its answer. ErrNotSent is certain; without
-// an answer the error is engine.ErrUncertain, and the connection is given up: it
-// may have gone silent for good while new ones work.
+// call sends a request and waits for its answer. ErrNotSent is certain; without an answer
+// the error is engine.ErrUncertain. A connection on which nothing came meanwhile is given
+// up: it may have gone silent for good while new ones work. One that brought other answers
+// stays, and so does one that this VM had no time to read: with it all calls on it would
+// be given up, and repeated by a VM that is behind as it is.
 func (c *Client) call(ctx context.Context, p Peer, req *request) (*response, error) {
 	req.Cell = p.Cell
 	l, err := c.connect(ctx, p.Address)
@@ -141,7 +147,8 @@
 		return nil, err
 	}
 	answer := make(chan *response, 1)
-	if !l.add(req, answer) {
+	heard, added := l.add(req, answer)
+	if !added {
 		return nil, ErrNotSent
 	}
 	if err := l.out.write(req); err != nil {
@@ -155,11 +162,10 @@
 		}
 		return resp, nil
 	case <-ctx.Done():
-		if errors.Is(ctx.Err(), context.Canceled) {
-			// Whoever asked has left; that says nothing of the connection, on
-			// which calls of others wait.
-			l.forget(req.ID)
-		} else {
+		// Whoever asked may have left; that says nothing of the connection, on which
+		// calls of others wait.
+		lives := l.forget(req.ID) > heard
+		if !lives && !errors.Is(ctx.Err(), context.Canceled) && !c.behind() {
 			l.close()
 		}
 		return nil, engine.ErrUncertain
@@ -237,23 +243,29 @@
 	return l.dead
 }
 
-func (l *link) add(req *request, answer chan *response) bool {
+// behind reports whether an answer may lie here unread.
+func (c *Client) behind() bool { return c.Behind != nil && overload.OwnDoing(c.Behind()) }
+
+// add notes a call; heard counts the answers that had come before it.
+func (l *link) add(req *request, answer chan *response) (heard uint64, ok bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.dead {
-		return false
+		return 0, false
 	}
 	l.nextID++
 	req.ID = l.nextID
 	l.waiting[req.ID] = answer
-	return true
+	return l.heard, true
 }
 
-// forget drops a call that nobody waits for any more.
-func (l *link) forget(id uint64) {
+// forget drops a call that nobody waits for any more, and returns how many answers have
+// come so far.
+func (l *link) forget(id uint64) (heard uint64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	delete(l.waiting, id)
+	return l.heard
 }
 
 func (l *link) read() {
@@ -265,6 +277,7 @@
 			return
 		}
 		l.mu.Lock()
+		l.heard++
 		answer := l.waiting[resp.ID]
 		delete(l.waiting, resp.ID)
 		l.mu.Unlock()
--- a/internal/ownership/directory.go
+++ b/internal/ownership/directory.go
@@ -37,6 +37,17 @@
 	return h.Record, h.Entry != ""
 }
 
+// Entries returns the entry VMs that have a duty.
+func (d *Directory) Entries() map[string]bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	out := make(map[string]bool, len(d.owners))
+	for _, h := range d.owners {
+		out[h.Entry] = true
+	}
+	return out
+}
+
 // Replace takes the whole list over.
 func (d *Directory) Replace(kvs []infra.KV) {
 	d.mu.Lock()
--- a/internal/ownership/ownership.go
+++ b/internal/ownership/ownership.go
@@ -16,6 +16,7 @@
 
 	"github.com/pumicestage/pumicestage/internal/infra"
 	"github.com/pumicestage/pumicestage/internal/sleep"
+	"github.com/pumicestage/pumicestage/policy/overload"
 )
 
 // Times of the lease.
@@ -48,6 +49,9 @@
 	rankSlots = 16
 	// dutyStep is what each duty that a VM has puts it behind the others.
 	dutyStep = 50 * time.Millisecond
+	// standBackFor is how long a VM that handed a duty over as it could not bear it leaves
+	// it to others: they try within a quarter of a second.
+	standBackFor = 1 * time.Second
 	// leastWeight bounds how far behind a small VM stands.
 	leastWeight = 0.02
 )
@@ -83,6 +87,8 @@
 	Own func(ctx context.Context, t *Term)
 	// Load is this entry VM's duties.
 	Load *Load
+	// Behind is how long what is ready to run waits on this VM; nil: it does not.
+	Behind func() time.Duration
 	// HandOver is given a lease that could not be ended, for others to end; nil: it runs out.
 	HandOver func(lease infra.LeaseID)
 }
@@ -149,10 +155,18 @@
 		if t != nil {
 			t.run(ctx)
 			e.o.Load.add(-1)
+			e.standBack(ctx, t)
 		}
 	}
 }
 
+// standBack lets others take a duty that this VM gave up as it was behind.
+func (e *Elector) standBack(ctx context.Context, t *Term) {
+	if t.relieved() {
+		sleep.For(ctx, standBackFor)
+	}
+}
+
 // tryTake takes the duty if it is still free, and this entry VM has not taken
 // another while it waited in line: it would have stood behind. Nor if the duty was
 // taken and became free again meanwhile: those who can carry more have just begun to
@@ -234,6 +248,7 @@
 	certain time.Duration // no other owner before
 	allowed time.Duration // orders may be given until
 	ended   string
+	behind  bool // it was ended by Relieve
 }
 
 // Token is the fencing token of the term's orders.
@@ -253,6 +268,20 @@
 	return t.ended == "" && t.elector.o.Clock.Now() < t.certain
 }
 
+// Relieve gives the term up to another entry VM, as this one is behind its work.
+func (t *Term) Relieve() {
+	t.mu.Lock()
+	t.behind = true
+	t.mu.Unlock()
+	t.End("behind its work while another VM is free")
+}
+
+func (t *Term) relieved() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.behind
+}
+
 // End gives the term up.
 func (t *Term) End(reason string) {
 	t.mu.Lock()
@@ -290,7 +319,7 @@
 	timeout := firstTimeout
 	for t.elector.pause(ctx, renewEvery) {
 		for ctx.Err() == nil {
-			call, cancel := context.WithTimeout(ctx, timeout)
+			call, cancel := context.WithTimeout(ctx, timeout+t.elector.patience())
 			sent := t.elector.o.Clock.Now()
 			err := t.elector.o.Store.KeepAlive(call, t.lease)
 			cancel()
@@ -308,6 +337,16 @@
 	}
 }
 
+// patience is what a renewal gets more while this VM is behind. The store has renewed the
+// lease and the answer lies here unread: given up, the owner would be without certainty
+// while nobody else can take the duty.
+func (e *Elector) patience() time.Duration {
+	if e.o.Behind == nil {
+		return 0
+	}
+	return overload.Patience(e.o.Behind())
+}
+
 // renewed takes the outcome of a renewal over. Only a renewal that failed
 // lets orders go on past the lease: a VM that was suspended, and has not asked
 // yet, must assume that it has a successor.
