--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -269,3 +269,18 @@
 	assert.NilError(t, ctx.Err(), "answered before the owner's own timeout")
 	assert.Equal(t, r.owner.avoid["other-0"], time.Duration(0))
 }
+
+// An owner that is behind reads the answers of entry VMs late. Passed over for that, all of
+// them would be, and the owner would make every call itself, which it can bear least now.
+func TestAnOwnerThatIsBehindPassesNobodyOver(t *testing.T) {
+	r := newRig(t)
+	i := r.large()
+	behind := time.Second
+	r.owner.Behind = func() time.Duration { return behind }
+	p, _ := r.owner.via(worker(i))
+	r.owner.came(worker(i).ID, p, ownerlink.ReachedUnknown, engine.OutcomeUnknown)
+	assert.Equal(t, len(r.owner.avoid), 0)
+	behind = 0
+	r.owner.came(worker(i).ID, p, ownerlink.ReachedUnknown, engine.OutcomeUnknown)
+	assert.Equal(t, len(r.owner.avoid), 1)
+}
--- a/internal/ownerlink/link_test.go
+++ b/internal/ownerlink/link_test.go
@@ -173,3 +173,40 @@
 	<-done
 	assert.Equal(t, ended, int64(9))
 }
+
+// A VM answers some calls and is late with one: a worker that it calls for the owner is
+// silent, or its processor is slow. Given up with that one, all other calls on the connection
+// would be uncertain, and be made again by an owner that has enough to do.
+func TestAConnectionThatBringsOtherAnswersStays(t *testing.T) {
+	o := &owner{gate: make(chan struct{}), reached: make(chan struct{}, 2)}
+	p := serve(t, o)
+	c := &Client{Log: logr.Discard()}
+	late, giveUp := context.WithTimeout(context.Background(), 100*time.Millisecond)
+	defer giveUp()
+	var calls sync.WaitGroup
+	calls.Go(func() {
+		_, err := c.State(late, p, "j1")
+		assert.Check(t, errors.Is(err, engine.ErrUncertain))
+	})
+	<-o.reached
+	_, err := c.Waiting(context.Background(), p, "q")
+	assert.NilError(t, err)
+	before := c.links[p.Address]
+	calls.Wait()
+	assert.Assert(t, !before.isDead())
+	close(o.gate)
+}
+
+// Nothing came on a connection in time, as this VM had no time to read it.
+func TestAConnectionThatWasNotReadStays(t *testing.T) {
+	o := &owner{gate: make(chan struct{})}
+	p := serve(t, o)
+	c := &Client{Log: logr.Discard(), Behind: func() time.Duration { return time.Second }}
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Millisecond)
+	defer cancel()
+	_, err := c.State(ctx, p, "j1")
+	assert.Assert(t, errors.Is(err, engine.ErrUncertain))
+	assert.Assert(t, !c.links[p.Address].isDead())
+	assert.Equal(t, c.waiting(), 0, "nobody waits for the answer any more")
+	close(o.gate)
+}
--- a/internal/ownership/ownership.go
+++ b/internal/ownership/ownership.go
@@ -163,7 +163,7 @@
 // standBack lets others take a duty that this VM gave up as it was behind.
 func (e *Elector) standBack(ctx context.Context, t *Term) {
 	if t.relieved() {
-		sleep.For(ctx, standBackFor)
+		e.pause(ctx, standBackFor)
 	}
 }
 
