--- /dev/null
+++ b/internal/engine/behind.go
@@ -0,0 +1,59 @@
+package engine
+
+import (
+	"context"
+	"time"
+
+	"github.com/pumicestage/pumicestage/policy/overload"
+)
+
+// behind is the longest that anything waited for the processor of late.
+func (e *Engine) behind() time.Duration {
+	if e.Pressure == nil {
+		return 0
+	}
+	return e.Pressure.Behind()
+}
+
+func (e *Engine) standing() time.Duration {
+	if e.Pressure == nil {
+		return 0
+	}
+	return e.Pressure.Standing()
+}
+
+// within gives a call so much time, and more while this owner is behind.
+func (e *Engine) within(ctx context.Context, d time.Duration) (context.Context, context.CancelFunc) {
+	return context.WithTimeout(ctx, d+overload.Patience(e.behind()))
+}
+
+// relieved reports whether the cell is to be handed over to a VM that can bear it.
+func (e *Engine) relieved() bool {
+	if e.Successor == nil {
+		return false
+	}
+	now := e.Clock.Now()
+	e.mu.Lock()
+	level := e.core.Level()
+	e.mu.Unlock()
+	return e.relief.Due(level, e.Successor, now-e.began, now)
+}
+
+// Strain takes over how long what is ready to run waits for the processor at the least.
+func (c *Core) Strain(standing, now time.Duration) {
+	before := c.governor.Level()
+	c.governor.Adjust(standing, now)
+	after := c.governor.Level()
+	if (before == 1) != (after == 1) {
+		c.log.Info("owner behind its work", "behind", after > 1, "waits", standing.String(), "unread", c.unread, "workers", len(c.workers), "open", len(c.open))
+	}
+}
+
+// Level is by how much less this owner does as it is behind; 1 is nothing less.
+func (c *Core) Level() float64 { return c.governor.Level() }
+
+// LimitStarts bounds the starts of the next plan; underWay have no answer yet.
+func (c *Core) LimitStarts(underWay int) { c.mayStart = c.governor.Starts(underWay) }
+
+// Held reports whether the last plan kept starts back until others are answered.
+func (c *Core) Held() bool { return c.held }
--- a/internal/engine/core.go
+++ b/internal/engine/core.go
@@ -104,25 +104,6 @@
 // other side of a cut may have adopted it and extend its leases.
 func (c *Core) SetCertain(certain bool) { c.certain = certain }
 
-// Strain takes over how long what is ready to run waits for the processor at the least.
-func (c *Core) Strain(standing, now time.Duration) {
-	before := c.governor.Level()
-	c.governor.Adjust(standing, now)
-	after := c.governor.Level()
-	if (before == 1) != (after == 1) {
-		c.log.Info("owner behind its work", "behind", after > 1, "waits", standing.String(), "unread", c.unread, "workers", len(c.workers), "open", len(c.open))
-	}
-}
-
-// Level is by how much less this owner does as it is behind; 1 is nothing less.
-func (c *Core) Level() float64 { return c.governor.Level() }
-
-// LimitStarts bounds the starts of the next plan; underWay have no answer yet.
-func (c *Core) LimitStarts(underWay int) { c.mayStart = c.governor.Starts(underWay) }
-
-// Held reports whether the last plan kept starts back until others are answered.
-func (c *Core) Held() bool { return c.held }
-
 // Deposed reports whether a worker or the store knows a later owner.
 func (c *Core) Deposed() bool { return c.deposed }
 
