A poll that says nothing of its worker is followed by the usual pause

Found in reading: after a poll that was not counted against its worker, or was not allowed, the pause was none, so that polls that fail at once would have kept an owner behind that is.

--- a/internal/engine/behind_test.go
+++ b/internal/engine/behind_test.go
@@ -35,6 +35,7 @@
 	}
 	poll()
 	assert.Equal(t, w.missed, 0)
+	assert.Equal(t, pauseAfter(e.missed("w1"), time.Second), time.Second, "polls without a pause would keep it behind")
 	vm.behind = 0
 	poll()
 	assert.Equal(t, w.missed, 1, "one that keeps up knows that the worker did not answer")
--- a/internal/engine/load_test.go
+++ b/internal/engine/load_test.go
@@ -284,7 +284,7 @@
 		o.core.HoldUnread()
 	default:
 		o.core.HoldFailed(id, OutcomeUnknown, o.now)
-		pause = pauseAfter(o.core.workers[id].missed)
+		pause = pauseAfter(o.core.workers[id].missed, pause)
 	}
 	o.finish()
 	o.kick()
--- a/internal/engine/poll_test.go
+++ b/internal/engine/poll_test.go
@@ -19,7 +19,7 @@
 	assert.Assert(t, due)
 	assert.Equal(t, h.Wait, pollWaitShort)
 	b.core.HoldFailed("w1", OutcomeUnknown, b.now)
-	assert.Equal(t, pauseAfter(b.core.workers["w1"].missed), time.Duration(0))
+	assert.Equal(t, pauseAfter(b.core.workers["w1"].missed, pollSoon), time.Duration(0))
 	_, h, due = b.core.HoldFor("w1", b.now)
 	assert.Assert(t, due)
 	assert.Assert(t, h.Wait <= pollSoon)
@@ -35,6 +35,6 @@
 	b.running(lasting(1), "w1")
 	_, h, _ := b.core.HoldFor("w1", b.now)
 	assert.Equal(t, h.Wait, pollWait)
-	assert.Equal(t, pauseAfter(2), failedPause)
-	assert.Equal(t, pauseAfter(100), mostFailedPause)
+	assert.Equal(t, pauseAfter(2, 0), failedPause)
+	assert.Equal(t, pauseAfter(100, 0), mostFailedPause)
 }
--- a/internal/engine/send.go
+++ b/internal/engine/send.go
@@ -6,6 +6,7 @@
 	"time"
 )
 
+// send gives a plan's orders, each in a goroutine of its own and a slot of its worker's.
 func (e *Engine) send(ctx context.Context, o *Orders) {
 	for i := range o.Starts {
 		if s := e.session(o.Starts[i].Worker.ID); s != nil {
--- a/internal/engine/session.go
+++ b/internal/engine/session.go
@@ -64,15 +64,22 @@
 	})
 }
 
-// Pauses between polls of a worker that does not answer. The first is repeated at once, as
-// a single answer may be lost; one that stays silent costs a connection each time.
+// Pauses between polls of a worker that does not answer. One that stays silent costs a
+// connection each time.
 const (
 	failedPause     = 150 * time.Millisecond
 	mostFailedPause = 600 * time.Millisecond
 )
 
-func pauseAfter(missed int) time.Duration {
-	if missed <= 1 {
+// pauseAfter is the pause after so many polls that a worker did not answer. The first is
+// repeated at once, as a single answer may be lost. A poll that says nothing of the worker,
+// as this owner was behind or might not poll, is followed by the usual pause: without one
+// the polls themselves would keep it behind.
+func pauseAfter(missed int, usual time.Duration) time.Duration {
+	switch missed {
+	case 0:
+		return usual
+	case 1:
 		return 0
 	}
 	return min(mostFailedPause, failedPause<<min(missed-2, 4))
@@ -99,7 +106,7 @@
 			continue
 		}
 		if !s.poll(ctx, &info, h) {
-			pause = pauseAfter(e.missed(s.id))
+			pause = pauseAfter(e.missed(s.id), pause)
 		}
 		sleep.For(ctx, pause)
 	}
