--- a/internal/node/pressure.go
+++ b/internal/node/pressure.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/pumicestage/pumicestage/internal/engine"
@@ -13,8 +14,10 @@
 // for the processor.
 type pressure struct {
 	clock  engine.Clock
-	meter  overload.Meter
 	follow shared
+
+	mu    sync.Mutex
+	meter overload.Meter
 }
 
 func newPressure(clock engine.Clock) *pressure {
@@ -24,10 +27,18 @@
 }
 
 // Behind implements engine.Pressure.
-func (p *pressure) Behind() time.Duration { return p.meter.Behind(p.clock.Now()) }
+func (p *pressure) Behind() time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.meter.Behind(p.clock.Now())
+}
 
 // Standing implements engine.Pressure.
-func (p *pressure) Standing() time.Duration { return p.meter.Standing(p.clock.Now()) }
+func (p *pressure) Standing() time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.meter.Standing(p.clock.Now())
+}
 
 func (p *pressure) run(ctx context.Context) {
 	for sleep.For(ctx, overload.Every) {
@@ -39,9 +50,13 @@
 // wait; the second one here takes that place, so that the first waits as answers do.
 func (p *pressure) probe() {
 	ran := make(chan struct{})
+	p.mu.Lock()
 	p.meter.Begin(p.clock.Now())
+	p.mu.Unlock()
 	go func() {
+		p.mu.Lock()
 		p.meter.End(p.clock.Now())
+		p.mu.Unlock()
 		close(ran)
 	}()
 	go func() {}()
--- a/policy/overload/meter.go
+++ b/policy/overload/meter.go
@@ -15,10 +15,7 @@
 // the duty over.
 package overload
 
-import (
-	"sync"
-	"time"
-)
+import "time"
 
 const (
 	// Every separates two probes. A queue of a tenth of a second is seen by four of them.
@@ -39,9 +36,8 @@
 }
 
 // Meter holds how long what was ready to run waited of late. The zero value has measured
-// nothing. It is safe for concurrent use.
+// nothing. It is not safe for concurrent use.
 type Meter struct {
-	mu     sync.Mutex
 	probes [kept]probe
 	next   int
 	asked  time.Duration // when the probe under way was made; 0: none
@@ -49,15 +45,11 @@
 
 // Begin notes that a probe was made.
 func (m *Meter) Begin(now time.Duration) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
 	m.asked = now
 }
 
 // End notes that the probe has run.
 func (m *Meter) End(now time.Duration) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
 	m.probes[m.next] = probe{at: now, wait: now - m.asked}
 	m.next = (m.next + 1) % kept
 	m.asked = 0
@@ -66,8 +58,6 @@
 // Behind is the longest that anything waited in the last second: as long may an answer
 // that has arrived have waited to be read.
 func (m *Meter) Behind(now time.Duration) time.Duration {
-	m.mu.Lock()
-	defer m.mu.Unlock()
 	longest := m.underWay(now)
 	for _, p := range m.probes {
 		if p.at != 0 && p.at > now-recent {
@@ -79,8 +69,6 @@
 
 // Standing is the least that anything waited of late: a queue that does not empty.
 func (m *Meter) Standing(now time.Duration) time.Duration {
-	m.mu.Lock()
-	defer m.mu.Unlock()
 	least := m.underWay(now)
 	found := false
 	for _, p := range m.probes {
