How far an owner is behind in the metrics and in the summary of its cell

processor_wait_us tells the longest and the standing wait, a cell's summary its level; both cost nothing until they are read. Behaviour is as before.

--- a/internal/engine/summary.go
+++ b/internal/engine/summary.go
@@ -22,6 +22,8 @@
 	Arriving float64       `json:"arriving_core_seconds_a_second"`
 	// Short is how many VMs lasting tasks lack.
 	Short int `json:"short_of_vms"`
+	// Level is by how much less the owner does as it is behind its work; 1 is nothing less.
+	Level float64 `json:"level"`
 	// Unstored counts the jobs with changes that are not on their way to the store.
 	Unstored int `json:"unstored"`
 }
@@ -41,7 +43,7 @@
 	r := c.report(now)
 	s := Summary{
 		Cell: c.cell, Token: c.token, Jobs: make(map[work.State]int), Workers: len(c.workers),
-		Used: r.Used, Backlog: r.Backlog, Arriving: r.Arriving, Short: r.Short,
+		Used: r.Used, Backlog: r.Backlog, Arriving: r.Arriving, Short: r.Short, Level: c.Level(),
 	}
 	for _, j := range c.open {
 		s.Jobs[j.state()]++
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -15,6 +15,7 @@
 type metrics struct {
 	engine   *engine.Metrics
 	requests *expvar.Map // by method and status
+	pressure *pressure
 
 	mu      sync.Mutex
 	latency *hdrhistogram.Histogram // of callers' requests, in microseconds
@@ -28,11 +29,12 @@
 
 var publish sync.Once
 
-func newMetrics() *metrics {
-	m := &metrics{engine: engine.NewMetrics(), requests: new(expvar.Map).Init(), latency: hdrhistogram.New(1, latencyMax, latencyDigits)}
+func newMetrics(p *pressure) *metrics {
+	m := &metrics{pressure: p, engine: engine.NewMetrics(), requests: new(expvar.Map).Init(), latency: hdrhistogram.New(1, latencyMax, latencyDigits)}
 	publish.Do(func() {
 		expvar.Publish("requests", m.requests)
 		expvar.Publish("request_us", expvar.Func(m.quantiles))
+		expvar.Publish("processor_wait_us", expvar.Func(m.waits))
 		expvar.Publish("starts", m.engine.Starts)
 		expvar.Publish("stops", m.engine.Stops)
 		expvar.Publish("polls", m.engine.Polls)
@@ -52,6 +54,12 @@
 	}
 }
 
+// waits tells how long what is ready to run waits for the processor, in microseconds; 0
+// where this entry VM has no cell.
+func (m *metrics) waits() any {
+	return map[string]int64{"longest": m.pressure.Behind().Microseconds(), "standing": m.pressure.Standing().Microseconds()}
+}
+
 func (m *metrics) quantiles() any {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -70,7 +70,7 @@
 	logs := newLogWriter(out)
 	handler := newBoundedHandler(slog.NewJSONHandler(logs, &slog.HandlerOptions{Level: levelDecisions}))
 	log := logr.FromSlogHandler(handler).WithValues("entry", s.Name)
-	n := &Node{settings: s, log: log, logs: logs, metrics: newMetrics()}
+	n := &Node{settings: s, log: log, logs: logs}
 	limitMemory(s.MemoryMB)
 	var err error
 	if n.callers, err = net.Listen("tcp", s.Callers); err != nil {
@@ -98,6 +98,7 @@
 	n.workers = platform.NewWorkers(n.log.WithName("workers"))
 	n.directory = &ownership.Directory{Log: n.log.WithName("owners")}
 	n.pressure = newPressure(n.clock)
+	n.metrics = newMetrics(n.pressure)
 	n.link = &ownerlink.Client{Log: n.log.WithName("link"), Behind: n.pressure.Behind}
 	n.duties = &duties{node: n, running: make(map[string]bool), engines: make(map[string]*engine.Engine)}
 	n.duties.load.May = func() bool { return !n.leaving.Load() }
--- a/internal/node/pressure_test.go
+++ b/internal/node/pressure_test.go
@@ -17,6 +17,8 @@
 	p.probe()
 	assert.Assert(t, p.Behind() > 0)
 	assert.Assert(t, p.Standing() <= p.Behind())
+	waits, is := newMetrics(p).waits().(map[string]int64)
+	assert.Assert(t, is && waits["longest"] >= waits["standing"])
 }
 
 // A cell goes from a VM that is behind to a smaller one, or to one with a cell of its own,
