--- /dev/null
+++ b/internal/engine/restore_test.go
@@ -0,0 +1,36 @@
+package engine
+
+import (
+	"context"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/pumicestage/pumicestage/internal/infra"
+)
+
+// unhurried is a store that notes whether lists had to be read within a time.
+type unhurried struct {
+	infra.Store
+	lists, bounded int
+}
+
+func (u *unhurried) Range(ctx context.Context, prefix string) ([]infra.KV, infra.Revision, error) {
+	u.lists++
+	if _, is := ctx.Deadline(); is {
+		u.bounded++
+	}
+	return u.Store.Range(ctx, prefix)
+}
+
+// A cell stays without an owner while the store is slow: thousands of open jobs are dozens of
+// pages of a fifth of a second each, and the time for all of them was over before the last,
+// again and again. Each page has its own time, at the store's client.
+func TestATakeOverReadsAsManyJobsAsThereAre(t *testing.T) {
+	e, inner := newEngine(t, &fakeTerm{certain: true})
+	store := &unhurried{Store: inner}
+	e.Store = store
+	assert.NilError(t, e.load(t.Context(), true))
+	assert.Equal(t, store.lists, 2, "open jobs and their progress")
+	assert.Equal(t, store.bounded, 0)
+}
--- a/internal/node/follow_test.go
+++ b/internal/node/follow_test.go
@@ -15,9 +15,11 @@
 type fullAnswers struct {
 	infra.Store
 	batches int
+	bounded bool // the list had to be read within a time
 }
 
-func (f *fullAnswers) Range(context.Context, string) ([]infra.KV, infra.Revision, error) {
+func (f *fullAnswers) Range(ctx context.Context, _ string) ([]infra.KV, infra.Revision, error) {
+	_, f.bounded = ctx.Deadline()
 	return nil, 1, nil
 }
 
@@ -46,7 +48,8 @@
 	const batches = 40
 	ctx, cancel := context.WithCancel(t.Context())
 	seen := 0
-	follow(ctx, &fullAnswers{batches: batches}, logr.Discard(), source{
+	store := &fullAnswers{batches: batches}
+	follow(ctx, store, logr.Discard(), source{
 		pace: time.Hour,
 		all:  func([]infra.KV) {},
 		each: func(infra.Event) {
@@ -56,4 +59,5 @@
 		},
 	})
 	assert.Equal(t, seen, batches)
+	assert.Assert(t, !store.bounded, "a list of thousands would never come from a slow store")
 }
