--- a/internal/engine/restore_test.go
+++ b/internal/engine/restore_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -12,13 +13,13 @@
 // unhurried is a store that notes whether lists had to be read within a time.
 type unhurried struct {
 	infra.Store
-	lists, bounded int
+	lists, bounded atomic.Int32 // they are read side by side
 }
 
 func (u *unhurried) Range(ctx context.Context, prefix string) ([]infra.KV, infra.Revision, error) {
-	u.lists++
+	u.lists.Add(1)
 	if _, is := ctx.Deadline(); is {
-		u.bounded++
+		u.bounded.Add(1)
 	}
 	return u.Store.Range(ctx, prefix)
 }
@@ -31,6 +32,6 @@
 	store := &unhurried{Store: inner}
 	e.Store = store
 	assert.NilError(t, e.load(t.Context(), true))
-	assert.Equal(t, store.lists, 2, "open jobs and their progress")
-	assert.Equal(t, store.bounded, 0)
+	assert.Equal(t, store.lists.Load(), int32(2), "open jobs and their progress")
+	assert.Equal(t, store.bounded.Load(), int32(0))
 }
