--- a/internal/engine/poll_test.go
+++ b/internal/engine/poll_test.go
@@ -38,3 +38,18 @@
 	assert.Equal(t, pauseAfter(2, 0), failedPause)
 	assert.Equal(t, pauseAfter(100, 0), mostFailedPause)
 }
+
+// A worker says that it leaves and is given a task, which dies with it.
+func TestALeavingWorkerTakesNothingNew(t *testing.T) {
+	b := newRig(t)
+	b.worker("w1")
+	leaving := info("w1")
+	leaving.Draining = true
+	b.core.WorkerSeen(leaving)
+	b.accept("j1", short(1))
+	assert.Equal(t, len(b.plan().Starts), 0)
+	b.worker("w2")
+	o := b.plan()
+	assert.Equal(t, len(o.Starts), 1)
+	assert.Equal(t, o.Starts[0].Worker.ID, work.WorkerID("w2"))
+}
