--- a/internal/node/pressure.go
+++ b/internal/node/pressure.go
@@ -10,8 +10,8 @@
 	"github.com/pumicestage/pumicestage/policy/overload"
 )
 
-// pressure measures, while this entry VM has a duty, how long what is ready to run waits
-// for the processor.
+// pressure measures the scheduling delay of this process while it has a cell: how long what
+// is ready to run waits for the processor.
 type pressure struct {
 	clock  engine.Clock
 	follow shared
--- a/policy/overload/governor.go
+++ b/policy/overload/governor.go
@@ -28,8 +28,8 @@
 	leastStarts = 8
 )
 
-// Governor says how much of an owner's work is done while it is behind. The zero value
-// leaves nothing out.
+// Governor sheds an owner's load while it is behind: it says how much of the usual polls and
+// starts is left, by multiplicative decrease and increase. The zero value sheds nothing.
 type Governor struct {
 	level float64 // 1 and less: nothing is left out
 	at    time.Duration
--- a/policy/overload/meter.go
+++ b/policy/overload/meter.go
@@ -1,5 +1,5 @@
-// Package overload tells how far a process is behind its own work, what it then does
-// less often, and when it hands its duty over.
+// Package overload tells how far a process is behind its own work, which load it then
+// sheds, and when it hands its duty over.
 //
 // Load pattern: the owner of a large service places a thousand tasks a second in a burst,
 // and its VM loses most of its processor for some seconds. What is ready to run waits for
@@ -9,10 +9,10 @@
 // processor bears makes work that keeps it so, and the service stays down after the
 // processor is back.
 //
-// An owner therefore measures how long what is ready waits. It gives its calls that much
-// more time and takes no worker for silent meanwhile; it polls less often and has fewer
-// starts under way until little waits; and if that lasts while another VM is free, it hands
-// the duty over.
+// An owner therefore measures how long what is ready waits, the scheduling delay of its
+// process. It gives its calls that much more time and takes no worker for silent meanwhile;
+// it sheds load, with fewer polls and fewer starts under way, until the delay is small; and
+// if that lasts while another VM is free, it hands the duty over.
 package overload
 
 import "time"
