Addresses of tests, soak and local deployments that nobody else can take

Cause: a daemon's or target's port was chosen by listening on 127.0.0.1:0 and closing again, so it lay in the range from which the kernel gives ports to outgoing connections. Taken by one, the daemon can't start until that connection is over: TestSoak/2 showed hundreds of "address already in use" and then "no owner after the start". A fake target that reboots has the same fault, and the error of its Boot was swallowed. Weighed: ports outside that range (they differ by system, and two runs can choose the same one between choice and use) against an address of 127/8 for each process: chosen, as no outgoing connection comes from it and no other living process has it. A daemon on a VM whose port is taken for a moment tries again for three seconds with one log line, then ends.

--- a/internal/dev/cluster.go
+++ b/internal/dev/cluster.go
@@ -152,7 +152,11 @@
 			t.Down()
 			return t.Counts().Cut - before
 		},
-		OnStart:  func() { _ = t.Boot() }, // a port taken meanwhile shows as a VM that stays down
+		OnStart: func() {
+			if err := t.Boot(); err != nil {
+				c.log.Error(err, "VM stays down", "vm", id)
+			}
+		},
 		Requests: t.InFlight,
 	}
 }
--- a/internal/devjobs/deployment.go
+++ b/internal/devjobs/deployment.go
@@ -14,6 +14,7 @@
 
 	"github.com/gravitational/trace"
 
+	"github.com/pumicestage/pumicestage/internal/loopback"
 	"github.com/pumicestage/pumicestage/internal/node"
 	"github.com/pumicestage/pumicestage/platform/standin"
 )
@@ -87,19 +88,8 @@
 func (d *Deployment) StartEntry() error {
 	n := d.started
 	d.started++
-	callers, metrics, err := d.addresses(n)
-	if err != nil {
-		return err
-	}
-	ready, err := freeAddress()
-	if err != nil {
-		return err
-	}
-	peer, err := freeAddress()
-	if err != nil {
-		return err
-	}
-	_, text, err := net.SplitHostPort(peer)
+	callers, metrics := d.addresses(n)
+	host, text, err := net.SplitHostPort(loopback.Reserve())
 	if err != nil {
 		return trace.Wrap(err)
 	}
@@ -109,7 +99,7 @@
 	}
 	e := &Entry{Name: fmt.Sprintf("entry-%d", n), Callers: callers, Metrics: metrics, done: make(chan struct{})}
 	vm, err := node.New(&node.Settings{
-		Name: e.Name, Zone: "z1", Address: "127.0.0.1", Callers: callers, Ready: ready, Metrics: metrics, Peers: [2]int{port, port},
+		Name: e.Name, Zone: "z1", Address: host, Callers: callers, Ready: loopback.Reserve(), Metrics: metrics, Peers: [2]int{port, port},
 		Store: d.Platform.StoreAddress, VMs: d.Platform.VMAddress, Advisor: d.Platform.AdvisorAddress, MemoryMB: memoryMB, CPUShare: cpuShare,
 		Shutdown: shutdown, MaxLease: maxLease, StopGrace: stopGrace, Status: status,
 	}, d.options.Log)
@@ -126,27 +116,14 @@
 	return nil
 }
 
-func (d *Deployment) addresses(n int) (callers, metrics string, err error) {
+func (d *Deployment) addresses(n int) (callers, metrics string) {
 	if d.options.FixedPorts {
-		return loopback(FirstCallers + n), loopback(FirstMetrics + n), nil
+		return fixed(FirstCallers + n), fixed(FirstMetrics + n)
 	}
-	if callers, err = freeAddress(); err != nil {
-		return "", "", err
-	}
-	metrics, err = freeAddress()
-	return callers, metrics, err
+	return loopback.Reserve(), loopback.Reserve()
 }
 
-func loopback(port int) string { return net.JoinHostPort("127.0.0.1", strconv.Itoa(port)) }
-
-func freeAddress() (string, error) {
-	l, err := net.Listen("tcp", loopback(0))
-	if err != nil {
-		return "", trace.Wrap(err)
-	}
-	defer l.Close()
-	return l.Addr().String(), nil
-}
+func fixed(port int) string { return net.JoinHostPort("127.0.0.1", strconv.Itoa(port)) }
 
 // StopFirst shuts the first entry VM down gracefully and returns once it has ended.
 func (d *Deployment) StopFirst() error {
--- a/internal/faketarget/target.go
+++ b/internal/faketarget/target.go
@@ -15,6 +15,8 @@
 	"time"
 
 	"github.com/gravitational/trace"
+
+	"github.com/pumicestage/pumicestage/internal/loopback"
 )
 
 // Options configure a Target.
@@ -66,7 +68,7 @@
 		o.Slots = 8
 	}
 	if o.Address == "" {
-		o.Address = "127.0.0.1:0"
+		o.Address = loopback.Reserve()
 	}
 	t := &Target{opts: o, slow: 1}
 	t.counts.Runs = make(map[string]int)
--- /dev/null
+++ b/internal/node/listen_test.go
@@ -0,0 +1,42 @@
+package node
+
+import (
+	"net"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"gotest.tools/v3/assert"
+
+	"github.com/pumicestage/pumicestage/internal/loopback"
+)
+
+// A daemon is replaced while the old process is still ending: the new one finds its port
+// taken, and callers find nobody for as long as the supervisor waits between starts. It
+// gets the port as soon as it is free.
+func TestAPortThatIsTakenForAMomentIsWaitedFor(t *testing.T) {
+	address := loopback.Reserve()
+	old, err := net.Listen("tcp", address)
+	assert.NilError(t, err)
+	pauses := 0
+	l, err := listen(address, func(time.Duration) {
+		if pauses++; pauses == 3 {
+			assert.NilError(t, old.Close())
+		}
+	}, logr.Discard())
+	assert.NilError(t, err)
+	assert.Equal(t, pauses, 3)
+	assert.NilError(t, l.Close())
+}
+
+// The settings name a port of another program: the daemon ends and says so.
+func TestAPortThatStaysTakenEndsTheStart(t *testing.T) {
+	address := loopback.Reserve()
+	other, err := net.Listen("tcp", address)
+	assert.NilError(t, err)
+	defer other.Close()
+	pauses := 0
+	_, err = listen(address, func(time.Duration) { pauses++ }, logr.Discard())
+	assert.ErrorContains(t, err, "address already in use")
+	assert.Equal(t, pauses, listenTries-1)
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -72,26 +72,40 @@
 	log := logr.FromSlogHandler(handler).WithValues("entry", s.Name)
 	n := &Node{settings: s, log: log, logs: logs}
 	limitMemory(s.MemoryMB)
-	var err error
-	if n.callers, err = net.Listen("tcp", s.Callers); err != nil {
-		return nil, trace.Wrap(err)
-	}
-	if n.ready, err = net.Listen("tcp", s.Ready); err != nil {
-		return nil, trace.Wrap(err)
-	}
 	peers := net.JoinHostPort(s.Address, strconv.Itoa(s.Peers[0]))
-	if n.peers, err = net.Listen("tcp", peers); err != nil {
+	if err := n.listen(peers); err != nil {
+		n.closeListeners()
 		return nil, trace.Wrap(err)
 	}
-	if s.Metrics != "" {
-		if n.meters, err = net.Listen("tcp", s.Metrics); err != nil {
-			return nil, trace.Wrap(err)
-		}
-	}
 	n.wire(peers)
 	return n, nil
 }
 
+func (n *Node) listen(peers string) error {
+	for _, l := range []struct {
+		into    *net.Listener
+		address string
+	}{{&n.callers, n.settings.Callers}, {&n.ready, n.settings.Ready}, {&n.peers, peers}, {&n.meters, n.settings.Metrics}} {
+		if l.address == "" {
+			continue
+		}
+		opened, err := listen(l.address, time.Sleep, n.log)
+		if err != nil {
+			return err
+		}
+		*l.into = opened
+	}
+	return nil
+}
+
+func (n *Node) closeListeners() {
+	for _, l := range []net.Listener{n.callers, n.ready, n.peers, n.meters} {
+		if l != nil {
+			l.Close()
+		}
+	}
+}
+
 func (n *Node) wire(peers string) {
 	n.self = ownership.Record{Entry: n.settings.Name, Address: peers}
 	n.store = platform.NewStore(n.settings.Store, platformTimeout)
