Workspaces: keys at every entry VM, and configurations that entry VMs tell each other

Cause: the path in use knew no workspaces. Change: a configuration with workspaces makes every route that is not open ask for a key. Keys are kept as digests; a job is stored with its workspace (record and stub); another workspace's is neither shown nor cancelled (410: that an ID is taken is nobody else's business), and its ID can't be used (409). A key that is given on an open route is checked as well; jobs there are nobody's. A configuration without workspaces opens every route, as before. In force: each call and answer between entry VMs tells the version of the configuration and how long ago it was known to be the newest. An owner turns calls of an older configuration down and the entry VM fetches the newer one before it decides again; one that the store turns away hears of it by the probes that it sends anyway. An unknown key is refused only by a configuration confirmed within half a second, by one read for all who ask; where that fails, 503 with a time to return. With revoke-everywhere no key is accepted by a configuration that was not confirmed within revoke-ms; without it, what was last known holds. Weighed: reads of one's own (45 entry VMs, each a priced call a second, and nothing while the store turns them away) against hearsay on calls that are made anyway: chosen, no call of its own.

--- a/internal/devjobs/deployment.go
+++ b/internal/devjobs/deployment.go
@@ -23,8 +23,10 @@
 type Options struct {
 	Services []standin.Service
 	Queues   []standin.Queue
-	Entries  int       // entry VMs
-	Log      io.Writer // of all entry VMs; nil: none
+	// Workspaces have keys and limits; nil: there are none, and no route asks for a key.
+	Workspaces []standin.Workspace
+	Entries    int       // entry VMs
+	Log        io.Writer // of all entry VMs; nil: none
 	// FixedPorts has the entry VMs listen where FirstCallers and FirstMetrics say,
 	// each next one a port higher, instead of anywhere.
 	FixedPorts bool
@@ -36,6 +38,9 @@
 	FirstMetrics = 19464
 )
 
+// firstVersion is of the configuration that a deployment starts with.
+const firstVersion = 2
+
 // Bounds of the stand-in, which is quick.
 const (
 	shutdown  = 1 * time.Second
@@ -75,6 +80,10 @@
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
+	if err := p.Declare(firstVersion, o.Services, o.Queues, o.Workspaces); err != nil {
+		p.Close()
+		return nil, trace.Wrap(err)
+	}
 	d := &Deployment{Platform: p, options: o}
 	for range o.Entries {
 		if err := d.StartEntry(); err != nil {
--- a/internal/engine/committer.go
+++ b/internal/engine/committer.go
@@ -161,7 +161,7 @@
 	if ch.Final == "" {
 		return []infra.Op{infra.Put(infra.WorkProgressKey(w.engine.Cell, string(ch.Job)), ch.Progress)}
 	}
-	ops, err := EndOps(w.engine.Cell, ch.Job, ch.Final, w.engine.Clock.Wall())
+	ops, err := EndOps(ch.Job, JobStub{Cell: w.engine.Cell, Workspace: ch.Workspace, State: ch.Final, Ended: w.engine.Clock.Wall()})
 	if err != nil {
 		panic(err) // strings and a time: it can't fail
 	}
@@ -207,7 +207,7 @@
 	kept := b.creates[:0]
 	for i, create := range b.creates {
 		if i+1 < len(reads) && reads[i+1].ModRevision != 0 {
-			w.existed(create)
+			w.existed(create, reads[i+1].Value)
 			continue
 		}
 		kept = append(kept, create)
--- a/internal/engine/core.go
+++ b/internal/engine/core.go
@@ -129,6 +129,18 @@
 // Known reports whether the job is one of ours.
 func (c *Core) Known(id work.JobID) bool { return c.jobs[id] != nil }
 
+// isOf reports whether the job is the workspace's.
+func (c *Core) isOf(id work.JobID, workspace work.WorkspaceName) bool {
+	j := c.jobs[id]
+	return j != nil && j.Workspace == workspace
+}
+
+// shows reports whether callers of the workspace may see and cancel the job.
+func (c *Core) shows(id work.JobID, workspace work.WorkspaceName) bool {
+	j := c.jobs[id]
+	return j != nil && Shows(j.Workspace, workspace)
+}
+
 // State returns what a caller is told of the job.
 func (c *Core) State(id work.JobID) (work.State, bool) {
 	j := c.jobs[id]
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -24,8 +24,13 @@
 	ErrStore = errors.New("engine: the store does not answer")
 	// ErrUncertain: the store was sent the change and did not answer.
 	ErrUncertain = errors.New("engine: the store did not confirm")
-	// ErrUnknownJob: no such job.
+	// ErrUnknownJob: no such job, or another workspace's: a caller learns nothing of those.
 	ErrUnknownJob = errors.New("engine: no such job")
+	// ErrOtherWorkspace: a job of another workspace has the ID. Nothing was stored.
+	ErrOtherWorkspace = errors.New("engine: the ID is a job of another workspace")
+	// ErrBehind: the caller's entry VM goes by an older configuration than the owner's. Nothing
+	// was done; it is told what is in force and decides anew.
+	ErrBehind = errors.New("engine: a newer configuration is in force")
 )
 
 // Clock is where an engine's time comes from.
@@ -215,12 +220,14 @@
 // Submit accepts a job: it is stored when nil is returned.
 func (e *Engine) Submit(ctx context.Context, j *work.Job, q Queue) error {
 	e.mu.Lock()
-	ready, known := e.restored, e.core.Known(j.ID)
+	ready, known, other := e.restored, e.core.Known(j.ID), !e.core.isOf(j.ID, j.Workspace)
 	e.mu.Unlock()
-	if !ready {
+	switch {
+	case !ready:
 		return ErrNotReady
-	}
-	if known {
+	case known && other:
+		return ErrOtherWorkspace
+	case known:
 		return nil
 	}
 	return e.writer.create(ctx, j, q)
@@ -234,29 +241,29 @@
 	kick(e.planKick)
 }
 
-// State returns what the job's caller is told.
-func (e *Engine) State(id work.JobID) (work.State, error) {
+// State returns what a caller of the workspace is told of the job.
+func (e *Engine) State(id work.JobID, workspace work.WorkspaceName) (work.State, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if !e.restored {
 		return "", ErrNotReady
 	}
 	s, known := e.core.State(id)
-	if !known {
+	if !known || !e.core.shows(id, workspace) {
 		return "", ErrUnknownJob
 	}
 	return s, nil
 }
 
-// Cancel cancels the job; it is stored when nil is returned.
-func (e *Engine) Cancel(ctx context.Context, id work.JobID) error {
+// Cancel cancels the job for a caller of the workspace; it is stored when nil is returned.
+func (e *Engine) Cancel(ctx context.Context, id work.JobID, workspace work.WorkspaceName) error {
 	done := make(chan error, 1)
 	e.mu.Lock()
 	if !e.restored {
 		e.mu.Unlock()
 		return ErrNotReady
 	}
-	known := e.core.Cancel(id, func(err error) { done <- err })
+	known := e.core.shows(id, workspace) && e.core.Cancel(id, func(err error) { done <- err })
 	e.mu.Unlock()
 	if !known {
 		return ErrUnknownJob
--- a/internal/engine/ports.go
+++ b/internal/engine/ports.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/pumicestage/pumicestage/policy/work"
+	"github.com/pumicestage/pumicestage/policy/workspace"
 )
 
 // WorkerInfo is what a worker's registration says.
@@ -158,6 +159,7 @@
 	Stretch     float64       // objective: this many times the longest chain of work ...
 	Slack       time.Duration // ... and this much more
 	Advised     bool          // placement needs the advisor's tickets
+	Open        bool          // callers need no key
 }
 
 // Service is a pool of VMs.
@@ -171,4 +173,6 @@
 	Version  int64
 	Queues   map[string]Queue
 	Services map[string]Service
+	// Workspaces are those with keys; a job of one that is not among them has no limit.
+	Workspaces map[work.WorkspaceName]workspace.Workspace
 }
--- a/internal/engine/progress.go
+++ b/internal/engine/progress.go
@@ -32,9 +32,10 @@
 
 // Change is one job's progress to store.
 type Change struct {
-	Job      work.JobID
-	Final    work.State // set: the job has ended
-	Progress []byte     // else
+	Job       work.JobID
+	Workspace work.WorkspaceName
+	Final     work.State // set: the job has ended
+	Progress  []byte     // else
 	// Clear: an earlier progress of a job that has ended may be stored.
 	Clear bool
 }
@@ -130,7 +131,7 @@
 
 func (j *job) change() Change {
 	if j.final != "" {
-		return Change{Job: j.ID, Final: j.final, Clear: j.kept}
+		return Change{Job: j.ID, Workspace: j.Workspace, Final: j.final, Clear: j.kept}
 	}
 	p := Progress{Next: j.next}
 	for _, o := range j.live {
--- a/internal/engine/records.go
+++ b/internal/engine/records.go
@@ -12,7 +12,10 @@
 // asked for. It is made when the job is accepted and must stay: it keeps the ID
 // from being used again.
 type JobStub struct {
-	Cell  string     `json:"cell,omitempty"`  // whose owner knows more
+	Cell string `json:"cell,omitempty"` // whose owner knows more
+	// Workspace is whose the job is; empty: it may be asked about and cancelled by anybody.
+	Workspace work.WorkspaceName `json:"workspace,omitempty"`
+
 	State work.State `json:"state,omitempty"` // empty until the job has ended
 	Ended time.Time  `json:"ended,omitzero"`
 }
@@ -26,7 +29,7 @@
 // CreateOps returns the writes that accept a job. They belong under the condition
 // that the job's key is absent.
 func CreateOps(cell string, j *work.Job, q Queue) ([]infra.Op, error) {
-	stub, err := json.Marshal(JobStub{Cell: cell})
+	stub, err := json.Marshal(JobStub{Cell: cell, Workspace: j.Workspace})
 	if err != nil {
 		return nil, err
 	}
@@ -38,11 +41,25 @@
 	return []infra.Op{infra.Put(infra.WorkJobKey(id), stub), infra.Put(infra.WorkOpenKey(cell, id), record)}, nil
 }
 
-// EndOps returns the writes that end a job.
-func EndOps(cell string, id work.JobID, state work.State, wall time.Time) ([]infra.Op, error) {
-	stub, err := json.Marshal(JobStub{Cell: cell, State: state, Ended: wall})
+// EndOps returns the writes that end a job in the way that the stub says.
+func EndOps(id work.JobID, stub JobStub) ([]infra.Op, error) {
+	raw, err := json.Marshal(stub)
 	if err != nil {
 		return nil, err
 	}
-	return []infra.Op{infra.Put(infra.WorkJobKey(string(id)), stub), infra.Delete(infra.WorkOpenKey(cell, string(id)))}, nil
+	return []infra.Op{infra.Put(infra.WorkJobKey(string(id)), raw), infra.Delete(infra.WorkOpenKey(stub.Cell, string(id)))}, nil
 }
+
+// SameWorkspace is nil where the stub is of a job that the caller handed in before, and
+// ErrOtherWorkspace where the ID is another workspace's. A stub that can't be read is taken
+// for the caller's: the job is there, and a repeated call must not be told that it is not.
+func SameWorkspace(stub []byte, j *work.Job) error {
+	var s JobStub
+	if err := json.Unmarshal(stub, &s); err == nil && s.Workspace != j.Workspace {
+		return ErrOtherWorkspace
+	}
+	return nil
+}
+
+// Shows reports whether callers of the workspace may see and cancel a job of the owner's.
+func Shows(owner, caller work.WorkspaceName) bool { return owner == "" || owner == caller }
--- a/internal/engine/retention_test.go
+++ b/internal/engine/retention_test.go
@@ -24,7 +24,7 @@
 	const status = 2 * time.Minute
 	r := &Retention{Store: store, Clock: stillClock{}, Log: logr.Discard(), Status: status}
 	put := func(id string, state work.State, ended time.Time) {
-		ops, err := EndOps(service, work.JobID(id), state, ended)
+		ops, err := EndOps(work.JobID(id), JobStub{Cell: service, State: state, Ended: ended})
 		assert.NilError(t, err)
 		_, err = store.Txn(ctx, infra.Txn{Then: ops})
 		assert.NilError(t, err)
--- a/internal/engine/writer.go
+++ b/internal/engine/writer.go
@@ -194,9 +194,10 @@
 
 // existed accepts a job whose key is there: it came before by another entry VM,
 // whose note brings it here if it has not ended.
-func (w *writer) existed(c *creation) {
-	w.engine.Log.Info("job was stored before", "job", c.job.ID)
-	c.done <- nil
+func (w *writer) existed(c *creation, stub []byte) {
+	err := SameWorkspace(stub, c.job)
+	w.engine.Log.Info("job was stored before", "job", c.job.ID, "workspace", c.job.Workspace, "another workspace's", err != nil)
+	c.done <- err
 }
 
 // refuse gives the batch up where it is certain that nothing of it is or will
--- a/internal/infra/platform.go
+++ b/internal/infra/platform.go
@@ -117,6 +117,9 @@
 	Err      error
 	// More says that later events were there and found no room in the answer.
 	More bool
+	// Age is how long ago, at most, the store held nothing later than what the watch has told
+	// with this batch, which may be without events; 0: not known.
+	Age time.Duration
 }
 
 // Store is the platform's key-value service. Every call ends by the context's
--- a/internal/jobfront/front.go
+++ b/internal/jobfront/front.go
@@ -81,8 +81,8 @@
 // New returns a front.
 func New(o Options) *Front { return &Front{Options: o, counts: counts{m: make(map[string]count)}} }
 
-// Submit accepts a job. nil means that it is stored; a *Refusal that it is not
-// and will not be; ErrUncertain that the caller should repeat it.
+// Submit accepts a job. nil means that it is stored; a *Refusal, ErrOtherWorkspace or ErrBehind
+// that it is not and will not be; ErrUncertain that the caller should repeat it.
 func (f *Front) Submit(ctx context.Context, j *work.Job, q engine.Queue) error {
 	err := f.askOwner(ctx, q.Service, func(ctx context.Context, o Owner, p ownerlink.Peer) error {
 		if o != nil {
@@ -90,8 +90,8 @@
 		}
 		return f.Link.Submit(ctx, p, j, q)
 	})
-	if err == nil {
-		return nil
+	if err == nil || settled(err) {
+		return err
 	}
 	// The owner may be away, or cut from the store while this VM is not.
 	certain := !errors.Is(err, engine.ErrUncertain)
@@ -99,6 +99,12 @@
 	return f.storeJob(ctx, j, q, certain)
 }
 
+// settled reports whether an owner's error is the last word, whatever the store says: the
+// request is another workspace's, or was decided by a configuration that is not in force.
+func settled(err error) bool {
+	return errors.Is(err, engine.ErrOtherWorkspace) || errors.Is(err, engine.ErrBehind)
+}
+
 // askOwner calls the cell's owner, wherever it is.
 func (f *Front) askOwner(ctx context.Context, cell string, call func(ctx context.Context, o Owner, p ownerlink.Peer) error) error {
 	ctx, cancel := context.WithTimeout(ctx, ownerTimeout)
@@ -124,11 +130,17 @@
 	txn := infra.Txn{
 		If:   []infra.Cond{{Key: infra.WorkJobKey(string(j.ID))}},
 		Then: append(ops, infra.Put(infra.WorkInboxKey(q.Service, engine.NoteSubmit, string(j.ID)), nil)),
+		Else: []infra.Op{infra.Read(infra.WorkJobKey(string(j.ID)))},
 	}
 	for {
-		_, err := f.txn(ctx, txn)
-		if err == nil {
-			return nil // made now, or there before: one ID is one job
+		res, err := f.txn(ctx, txn)
+		switch {
+		case err == nil && res.Succeeded:
+			return nil
+		case err == nil && len(res.Reads) > 0: // there before: one ID is one job
+			return engine.SameWorkspace(res.Reads[0].Value, j)
+		case err == nil:
+			return nil
 		}
 		if infra.IsKind(err, infra.KindUnknown) {
 			certain = false
@@ -176,16 +188,16 @@
 	return err
 }
 
-// State returns what the job's caller is told. q is the queue that the request
-// came by.
-func (f *Front) State(ctx context.Context, id work.JobID, q engine.Queue) (work.State, error) {
-	state, err := f.ownerState(ctx, id, q.Service)
-	if err == nil {
-		return state, nil
+// State returns what a caller of the workspace is told of the job. q is the queue that the
+// request came by.
+func (f *Front) State(ctx context.Context, id work.JobID, q engine.Queue, by work.WorkspaceName) (work.State, error) {
+	state, err := f.ownerState(ctx, id, q.Service, by)
+	if err == nil || settled(err) {
+		return state, err
 	}
 	// The owner knows open jobs alone, and may not have read yet what another
 	// entry VM stored.
-	stub, _, err := f.stored(ctx, id)
+	stub, _, err := f.storedFor(ctx, id, by)
 	if err != nil {
 		return "", err
 	}
@@ -193,25 +205,36 @@
 		return stub.State, nil
 	}
 	if stub.Cell != q.Service {
-		if state, err := f.ownerState(ctx, id, stub.Cell); err == nil {
+		if state, err := f.ownerState(ctx, id, stub.Cell, by); err == nil {
 			return state, nil
 		}
 	}
 	return work.Running, nil
 }
 
-func (f *Front) ownerState(ctx context.Context, id work.JobID, cell string) (state work.State, err error) {
+func (f *Front) ownerState(ctx context.Context, id work.JobID, cell string, by work.WorkspaceName) (state work.State, err error) {
 	err = f.askOwner(ctx, cell, func(ctx context.Context, o Owner, p ownerlink.Peer) (err error) {
 		if o != nil {
-			state, err = o.State(id)
+			state, err = o.State(id, by)
 			return err
 		}
-		state, err = f.Link.State(ctx, p, id)
+		state, err = f.Link.State(ctx, p, id, by)
 		return err
 	})
 	return state, err
 }
 
+// storedFor reads the job's stub for a caller of the workspace. Another workspace's job is none
+// to them: that an ID is taken is nobody else's business.
+func (f *Front) storedFor(ctx context.Context, id work.JobID, by work.WorkspaceName) (*engine.JobStub, infra.Revision, error) {
+	stub, rev, err := f.stored(ctx, id)
+	if err == nil && !engine.Shows(stub.Workspace, by) {
+		f.Log.Info("another workspace's job was asked for", "job", id, "workspace", stub.Workspace, "by", by)
+		return nil, 0, ErrUnknownJob
+	}
+	return stub, rev, err
+}
+
 // stored reads the job's stub from the store.
 func (f *Front) stored(ctx context.Context, id work.JobID) (*engine.JobStub, infra.Revision, error) {
 	var kv infra.KV
@@ -233,30 +256,31 @@
 	return stub, kv.ModRevision, nil
 }
 
-// Cancel cancels the job. nil means that it is cancelled or had ended.
-func (f *Front) Cancel(ctx context.Context, id work.JobID, q engine.Queue) error {
-	err := f.ownerCancel(ctx, id, q.Service)
-	if err == nil {
-		return nil
+// Cancel cancels the job for a caller of the workspace. nil means that it is cancelled or had
+// ended.
+func (f *Front) Cancel(ctx context.Context, id work.JobID, q engine.Queue, by work.WorkspaceName) error {
+	err := f.ownerCancel(ctx, id, q.Service, by)
+	if err == nil || settled(err) {
+		return err
 	}
-	return f.storeCancel(ctx, id, q.Service)
+	return f.storeCancel(ctx, id, q.Service, by)
 }
 
-func (f *Front) ownerCancel(ctx context.Context, id work.JobID, cell string) error {
+func (f *Front) ownerCancel(ctx context.Context, id work.JobID, cell string, by work.WorkspaceName) error {
 	return f.askOwner(ctx, cell, func(ctx context.Context, o Owner, p ownerlink.Peer) error {
 		if o != nil {
-			return o.Cancel(ctx, id)
+			return o.Cancel(ctx, id, by)
 		}
-		return f.Link.Cancel(ctx, p, id)
+		return f.Link.Cancel(ctx, p, id, by)
 	})
 }
 
 // storeCancel ends the job in the store itself, so that no later owner starts
 // any of it, and leaves a note for the present one. asked is the cell whose owner
 // was asked in vain.
-func (f *Front) storeCancel(ctx context.Context, id work.JobID, asked string) error {
+func (f *Front) storeCancel(ctx context.Context, id work.JobID, asked string, by work.WorkspaceName) error {
 	for {
-		stub, rev, err := f.stored(ctx, id)
+		stub, rev, err := f.storedFor(ctx, id, by)
 		if err != nil {
 			return err
 		}
@@ -264,11 +288,12 @@
 			return nil
 		}
 		if stub.Cell != asked {
-			if err := f.ownerCancel(ctx, id, stub.Cell); err == nil {
+			if err := f.ownerCancel(ctx, id, stub.Cell, by); err == nil {
 				return nil
 			}
 		}
-		ops, err := engine.EndOps(stub.Cell, id, work.Cancelled, f.Clock.Wall())
+		end := engine.JobStub{Cell: stub.Cell, Workspace: stub.Workspace, State: work.Cancelled, Ended: f.Clock.Wall()}
+		ops, err := engine.EndOps(id, end)
 		if err != nil {
 			return &Refusal{Reason: "cancellation can't be stored: " + err.Error()}
 		}
@@ -300,6 +325,9 @@
 		return err
 	})
 	now := f.Clock.Now()
+	if settled(err) {
+		return 0, err
+	}
 	if err == nil {
 		f.counts.set(queue, n, now)
 		return n, nil
--- a/internal/jobfront/front_test.go
+++ b/internal/jobfront/front_test.go
@@ -35,11 +35,14 @@
 	cancel int
 }
 
-func (o *owner) Submit(context.Context, *work.Job, engine.Queue) error { return o.err }
-func (o *owner) State(work.JobID) (work.State, error)                  { return o.state, o.err }
-func (o *owner) Cancel(context.Context, work.JobID) error              { o.cancel++; return o.err }
-func (o *owner) Waiting(string) (int, error)                           { return o.count, o.err }
-func (o *owner) Sync(engine.CellSync) (engine.CellAnswer, error)       { return engine.CellAnswer{}, o.err }
+func (o *owner) Submit(context.Context, *work.Job, engine.Queue) error    { return o.err }
+func (o *owner) State(work.JobID, work.WorkspaceName) (work.State, error) { return o.state, o.err }
+func (o *owner) Cancel(context.Context, work.JobID, work.WorkspaceName) error {
+	o.cancel++
+	return o.err
+}
+func (o *owner) Waiting(string) (int, error)                     { return o.count, o.err }
+func (o *owner) Sync(engine.CellSync) (engine.CellAnswer, error) { return engine.CellAnswer{}, o.err }
 
 func (o *owner) Explain(id work.JobID) (engine.Explanation, error) {
 	return engine.Explanation{Job: id, State: o.state}, o.err
@@ -111,22 +114,22 @@
 	r := newRig(t)
 	r.owner.err = engine.ErrNotReady
 	ctx := context.Background()
-	_, err := r.front.State(ctx, "j1", queue)
+	_, err := r.front.State(ctx, "j1", queue, "")
 	assert.Assert(t, errors.Is(err, ErrUnknownJob))
-	assert.Assert(t, errors.Is(r.front.Cancel(ctx, "j1", queue), ErrUnknownJob))
+	assert.Assert(t, errors.Is(r.front.Cancel(ctx, "j1", queue, ""), ErrUnknownJob))
 
 	assert.NilError(t, r.front.Submit(ctx, job("j1"), queue))
-	state, err := r.front.State(ctx, "j1", queue)
+	state, err := r.front.State(ctx, "j1", queue, "")
 	assert.NilError(t, err)
 	assert.Equal(t, state, work.Running)
 
-	assert.NilError(t, r.front.Cancel(ctx, "j1", queue))
-	state, err = r.front.State(ctx, "j1", queue)
+	assert.NilError(t, r.front.Cancel(ctx, "j1", queue, ""))
+	state, err = r.front.State(ctx, "j1", queue, "")
 	assert.NilError(t, err)
 	assert.Equal(t, state, work.Cancelled)
 	assert.Assert(t, !r.stored(t, infra.WorkOpenKey(cell, "j1")), "no later owner starts it")
 	assert.Assert(t, r.stored(t, infra.WorkInboxKey(cell, engine.NoteCancel, "j1")))
-	assert.NilError(t, r.front.Cancel(ctx, "j1", queue), "it has ended")
+	assert.NilError(t, r.front.Cancel(ctx, "j1", queue, ""), "it has ended")
 }
 
 // A job's queue leads to another service since it was accepted: its state is with
@@ -143,7 +146,7 @@
 		return first
 	}
 	first.err = engine.ErrUnknownJob
-	state, err := r.front.State(context.Background(), "j1", engine.Queue{Name: queue.Name, Service: "elsewhere"})
+	state, err := r.front.State(context.Background(), "j1", engine.Queue{Name: queue.Name, Service: "elsewhere"}, "")
 	assert.NilError(t, err)
 	assert.Equal(t, state, work.Queued)
 }
@@ -196,9 +199,9 @@
 	report, err = r.front.Explain(ctx, "j1")
 	assert.NilError(t, err)
 	assert.Equal(t, report.Explanation.State, work.Queued)
-	assert.NilError(t, r.front.Cancel(ctx, "j1", queue))
+	assert.NilError(t, r.front.Cancel(ctx, "j1", queue, ""))
 	r.owner.err = engine.ErrUnknownJob
-	assert.NilError(t, r.front.storeCancel(ctx, "j1", cell))
+	assert.NilError(t, r.front.storeCancel(ctx, "j1", cell, ""))
 	report, err = r.front.Explain(ctx, "j1")
 	assert.NilError(t, err)
 	assert.Equal(t, report.Stored, work.Cancelled)
@@ -219,3 +222,39 @@
 	assert.Assert(t, cells[1].Summary == nil)
 	assert.Equal(t, cells[1].Missing, engine.ErrNotReady.Error())
 }
+
+// A caller guesses the ID of another workspace's job. It is told nothing of it and can't cancel
+// it, neither by the owner, which knows the job, nor by the store; nor does a submission under
+// that ID look accepted.
+func TestAnotherWorkspacesJobIsNeitherShownNorCancelled(t *testing.T) {
+	r := newRig(t)
+	ctx := context.Background()
+	r.owner.err = engine.ErrNotReady
+	theirs := job("j1")
+	theirs.Workspace = "red"
+	assert.NilError(t, r.front.Submit(ctx, theirs, queue))
+	for _, err := range []error{engine.ErrNotReady, engine.ErrUnknownJob} {
+		r.owner.err = err
+		_, state := r.front.State(ctx, "j1", queue, "blue")
+		assert.Assert(t, errors.Is(state, ErrUnknownJob))
+		assert.Assert(t, errors.Is(r.front.Cancel(ctx, "j1", queue, "blue"), ErrUnknownJob))
+	}
+	ours := job("j1")
+	ours.Workspace = "blue"
+	assert.Assert(t, errors.Is(r.front.Submit(ctx, ours, queue), engine.ErrOtherWorkspace))
+	assert.NilError(t, r.front.Submit(ctx, theirs, queue), "a repeat is the same job")
+	state, err := r.front.State(ctx, "j1", queue, "red")
+	assert.NilError(t, err)
+	assert.Equal(t, state, work.Running)
+	assert.NilError(t, r.front.Cancel(ctx, "j1", queue, "red"))
+	_, err = r.front.State(ctx, "j1", queue, "blue")
+	assert.Assert(t, errors.Is(err, ErrUnknownJob), "nor is its end shown")
+}
+
+// The owner goes by a newer configuration: the job must not be stored behind its back.
+func TestACallDecidedByAnOldConfigurationIsNotCarriedOutByTheStore(t *testing.T) {
+	r := newRig(t)
+	r.owner.err = engine.ErrBehind
+	assert.Assert(t, errors.Is(r.front.Submit(context.Background(), job("j1"), queue), engine.ErrBehind))
+	assert.Assert(t, !r.stored(t, infra.WorkJobKey("j1")))
+}
--- a/internal/jobfront/routes.go
+++ b/internal/jobfront/routes.go
@@ -9,6 +9,7 @@
 	"strings"
 
 	"github.com/pumicestage/pumicestage/internal/engine"
+	"github.com/pumicestage/pumicestage/policy/workspace"
 )
 
 // Route leads requests to a queue.
@@ -22,6 +23,7 @@
 type Config struct {
 	engine.Declared
 	Routes []Route
+	Keys   workspace.Keys
 }
 
 // Routes finds the queue of a request. The zero value has no routes.
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -2,18 +2,13 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"github.com/go-logr/logr"
 	"github.com/gravitational/trace"
 
-	"github.com/pumicestage/pumicestage/internal/engine"
-	"github.com/pumicestage/pumicestage/internal/fleetowner"
 	"github.com/pumicestage/pumicestage/internal/infra"
-	"github.com/pumicestage/pumicestage/internal/jobfront"
 	"github.com/pumicestage/pumicestage/internal/sleep"
-	"github.com/pumicestage/pumicestage/platform"
 )
 
 // followPause separates tries to read what could not be read.
@@ -30,6 +25,9 @@
 	pace time.Duration
 	all  func([]infra.KV) // takes everything under the prefix over
 	each func(infra.Event)
+	// current is told how long ago, at most, the store held nothing later than what was read;
+	// nil: nobody asks.
+	current func(age time.Duration)
 }
 
 // follow keeps the source's readers up to date until ctx ends.
@@ -61,7 +59,14 @@
 	return err.Error()
 }
 
+func (s *source) tell(age time.Duration) {
+	if s.current != nil {
+		s.current(age)
+	}
+}
+
 func followOnce(ctx context.Context, store infra.Store, s source, readable func()) error {
+	asked := bootClock{}.Now()
 	// Each page of the list has its time. All together would never do for a long list at a
 	// slow store.
 	kvs, rev, err := store.Range(ctx, s.prefix)
@@ -70,6 +75,7 @@
 	}
 	readable()
 	s.all(kvs)
+	s.tell(bootClock{}.Now() - asked)
 	watch, cancel := context.WithCancel(ctx)
 	defer cancel()
 	batches, err := store.Watch(watch, s.prefix, rev+1)
@@ -83,120 +89,12 @@
 		for _, ev := range b.Events {
 			s.each(ev)
 		}
-		if s.pace > 0 && !b.More {
+		if b.Age > 0 {
+			s.tell(b.Age)
+		}
+		if s.pace > 0 && !b.More && len(b.Events) > 0 {
 			sleep.For(ctx, s.pace)
 		}
 	}
 	return nil
 }
-
-// operator holds what the operator wrote, as this entry VM knows it. The
-// configuration never steps back.
-type operator struct {
-	store infra.Store
-	clock engine.Clock
-	log   logr.Logger
-
-	// changed is called after each change of the configuration.
-	changed func()
-
-	mu     sync.Mutex
-	config *jobfront.Config
-	routes *jobfront.Routes
-	waves  map[string]fleetowner.OrderedWave
-}
-
-func newOperator(store infra.Store, clock engine.Clock, log logr.Logger, changed func()) *operator {
-	return &operator{store: store, clock: clock, log: log, changed: changed, waves: make(map[string]fleetowner.OrderedWave)}
-}
-
-func (o *operator) run(ctx context.Context) {
-	follow(ctx, o.store, o.log, source{
-		prefix: platform.OperatorPrefix,
-		all: func(kvs []infra.KV) {
-			for _, kv := range kvs {
-				o.take(kv)
-			}
-		},
-		each: func(ev infra.Event) {
-			if ev.Kind == infra.EventPut {
-				o.take(ev.KV)
-			}
-		},
-	})
-}
-
-func (o *operator) take(kv infra.KV) {
-	if kv.Key == platform.ConfigKey {
-		o.takeConfig(kv)
-		return
-	}
-	w, is, err := platform.WaveOf(kv)
-	if err != nil {
-		o.log.Error(err, "wave is malformed", "key", kv.Key)
-		return
-	}
-	if !is {
-		return
-	}
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	if _, known := o.waves[w.Name]; !known {
-		o.waves[w.Name] = fleetowner.OrderedWave{Wave: w, Seen: o.clock.Now()}
-		o.log.Info("wave ordered", "wave", w.Name, "vms", len(w.VMs), "duration", w.Duration.String(), "at a time", w.MaxAtATime)
-	}
-}
-
-func (o *operator) takeConfig(kv infra.KV) {
-	c, err := platform.ConfigOf(kv.Value)
-	if err != nil {
-		o.log.Error(err, "configuration is malformed; the last one stays in force", "revision", int64(kv.ModRevision))
-		return
-	}
-	routes := jobfront.NewRoutes(c.Routes)
-	if !o.adopt(c, routes) {
-		return
-	}
-	o.log.Info("configuration in force", "version", c.Version, "revision", int64(kv.ModRevision), "routes", len(c.Routes))
-	o.changed()
-}
-
-func (o *operator) adopt(c *jobfront.Config, routes *jobfront.Routes) bool {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	if o.config != nil && c.Version <= o.config.Version {
-		return false
-	}
-	o.config, o.routes = c, routes
-	return true
-}
-
-func (o *operator) current() (*jobfront.Config, *jobfront.Routes) {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	return o.config, o.routes
-}
-
-func (o *operator) declared() engine.Declared {
-	c, _ := o.current()
-	if c == nil {
-		return engine.Declared{}
-	}
-	return c.Declared
-}
-
-// Ordered implements fleetowner.Waves.
-func (o *operator) Ordered() []fleetowner.OrderedWave {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	out := make([]fleetowner.OrderedWave, 0, len(o.waves))
-	for _, w := range o.waves {
-		out = append(out, w)
-	}
-	return out
-}
-
-// Report implements fleetowner.Waves.
-func (o *operator) Report(ctx context.Context, wave string, completed bool) error {
-	return platform.ReportWave(ctx, o.store, wave, completed)
-}
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -15,7 +15,9 @@
 type metrics struct {
 	engine   *engine.Metrics
 	requests *expvar.Map // by method and status
-	pressure *pressure
+	// turnedAway counts calls turned away by their keys, by reason.
+	turnedAway *expvar.Map
+	pressure   *pressure
 
 	mu      sync.Mutex
 	latency *hdrhistogram.Histogram // of callers' requests, in microseconds
@@ -30,9 +32,10 @@
 var publish sync.Once
 
 func newMetrics(p *pressure) *metrics {
-	m := &metrics{pressure: p, engine: engine.NewMetrics(), requests: new(expvar.Map).Init(), latency: hdrhistogram.New(1, latencyMax, latencyDigits)}
+	m := &metrics{pressure: p, engine: engine.NewMetrics(), requests: new(expvar.Map).Init(), turnedAway: new(expvar.Map).Init(), latency: hdrhistogram.New(1, latencyMax, latencyDigits)}
 	publish.Do(func() {
 		expvar.Publish("requests", m.requests)
+		expvar.Publish("turned_away_by_key", m.turnedAway)
 		expvar.Publish("request_us", expvar.Func(m.quantiles))
 		expvar.Publish("processor_wait_us", expvar.Func(m.waits))
 		expvar.Publish("starts", m.engine.Starts)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -109,14 +109,15 @@
 func (n *Node) wire(peers string) {
 	n.self = ownership.Record{Entry: n.settings.Name, Address: peers}
 	n.store = platform.NewStore(n.settings.Store, platformTimeout)
+	n.store.Now = n.clock.Now
 	n.workers = platform.NewWorkers(n.log.WithName("workers"))
 	n.directory = &ownership.Directory{Log: n.log.WithName("owners")}
 	n.pressure = newPressure(n.clock)
 	n.metrics = newMetrics(n.pressure)
-	n.link = &ownerlink.Client{Log: n.log.WithName("link"), Behind: n.pressure.Behind}
 	n.duties = &duties{node: n, running: make(map[string]bool), engines: make(map[string]*engine.Engine)}
 	n.duties.load.May = func() bool { return !n.leaving.Load() }
 	n.operator = newOperator(n.store, n.clock, n.log.WithName("operator"), n.duties.ensure)
+	n.link = &ownerlink.Client{Log: n.log.WithName("link"), Behind: n.pressure.Behind, Configs: n.operator}
 	n.registry = newRegistry(n.store, n.log.WithName("registry"), n.duties.registryChanged)
 	n.members = newEntryVMs(n.store, n.log.WithName("members"))
 	n.reach = &reach{
@@ -144,7 +145,7 @@
 	var parts sync.WaitGroup
 	parts.Go(func() { n.operator.run(background) })
 	parts.Go(func() { n.followOwners(background) })
-	peers := &ownerlink.Server{Listener: n.peers, Owner: n.duties.owner, Workers: n.workers, Log: n.log.WithName("link")}
+	peers := &ownerlink.Server{Listener: n.peers, Owner: n.duties.owner, Workers: n.workers, Configs: n.operator, Log: n.log.WithName("link")}
 	peers.EndLease = func(lease int64) { go n.leases.end(background, infra.LeaseID(lease)) }
 	parts.Go(func() { peers.Run(background) })
 	parts.Go(func() { n.publisher().Run(electing) })
@@ -186,8 +187,12 @@
 }
 
 func (n *Node) callerServer() *http.Server {
+	gate := &jobfront.Gate{Configs: n.operator, Log: n.log.WithName("gate"), Refused: n.metrics.turnedAway}
+	if n.settings.RevokeEverywhere {
+		gate.Most = n.settings.RevokeWithin
+	}
 	ingress := &platform.Ingress{
-		Jobs: n.front, Config: n.operator.current, Wall: n.clock.Wall, Log: n.log.WithName("callers"), Done: n.metrics.request,
+		Jobs: n.front, Gate: gate, Config: n.operator.current, Wall: n.clock.Wall, Log: n.log.WithName("callers"), Done: n.metrics.request,
 	}
 	return &http.Server{Handler: ingress.Handler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
 }
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -41,6 +41,13 @@
 	StopGrace time.Duration // a worker's stop of a task takes at most
 	Status    time.Duration // for how long a job's state may be asked after its end
 
+	// RevokeEverywhere: an entry VM that could not confirm its configuration for RevokeWithin
+	// accepts no keys, as one may have been taken away meanwhile.
+	RevokeEverywhere bool
+	RevokeWithin     time.Duration
+	// ConfigWithin is the time within which a configuration is in force everywhere.
+	ConfigWithin time.Duration
+
 	given map[string]string // as the file has them, by section and key
 }
 
@@ -62,6 +69,7 @@
 	expectsMB      = "a number of megabytes"
 	expectsRate    = "a number of calls a second above 0"
 	expectsShare   = "a share of a core above 0"
+	expectsSwitch  = "true or false"
 	expectsLink    = "a number of megabits a second above 0"
 )
 
@@ -86,6 +94,9 @@
 	{"limits", "max-lease-ms", true, expectsMS, duration(time.Millisecond, func(s *Settings) *time.Duration { return &s.MaxLease })},
 	{"limits", "stop-grace-ms", true, expectsMS, duration(time.Millisecond, func(s *Settings) *time.Duration { return &s.StopGrace })},
 	{"limits", "status-s", true, expectsS, duration(time.Second, func(s *Settings) *time.Duration { return &s.Status })},
+	{"callers", "revoke-everywhere", false, expectsSwitch, toggle(func(s *Settings) *bool { return &s.RevokeEverywhere })},
+	{"callers", "revoke-ms", false, expectsMS, duration(time.Millisecond, func(s *Settings) *time.Duration { return &s.RevokeWithin })},
+	{"callers", "config-in-force-ms", false, expectsMS, duration(time.Millisecond, func(s *Settings) *time.Duration { return &s.ConfigWithin })},
 	{"limits", "pace-delay-ms", false, expectsMS, duration(time.Millisecond, func(s *Settings) *time.Duration { return &s.PaceDelay })},
 }
 
@@ -116,6 +127,11 @@
 			Section: "entry", Key: "peer-port-last", Given: strconv.Itoa(s.Peers[1]), Expected: "a port not below peer-port-first",
 		})
 	}
+	if s.RevokeEverywhere && s.RevokeWithin == 0 {
+		mistakes = append(mistakes, settings.Mistake{
+			Section: "callers", Key: "revoke-ms", Expected: "missing, expected with revoke-everywhere",
+		})
+	}
 	if len(mistakes) > 0 {
 		return nil, &settings.Error{File: file, Mistakes: mistakes}
 	}
@@ -169,6 +185,14 @@
 	}
 }
 
+func toggle(of func(*Settings) *bool) func(*Settings, string) bool {
+	return func(s *Settings, t string) bool {
+		on, err := strconv.ParseBool(t)
+		*of(s) = on
+		return err == nil
+	}
+}
+
 func above0(of func(*Settings) *float64) func(*Settings, string) bool {
 	return func(s *Settings, t string) bool {
 		n, err := strconv.ParseFloat(t, 64)
--- a/internal/ownerlink/client.go
+++ b/internal/ownerlink/client.go
@@ -33,6 +33,10 @@
 	Log logr.Logger
 	// Behind is how long what is ready to run waits on this VM; nil: it does not.
 	Behind func() time.Duration
+	// Configs compares configurations with those who answer; nil: they are not compared.
+	Configs Configs
+
+	fetching sync.Mutex // held while a newer configuration is fetched
 
 	mu    sync.Mutex
 	began time.Time
@@ -60,18 +64,18 @@
 	return resp.Result.err()
 }
 
-// State asks for a job's state.
-func (c *Client) State(ctx context.Context, p Peer, id work.JobID) (work.State, error) {
-	resp, err := c.call(ctx, p, &request{Kind: kindState, JobID: id})
+// State asks for a job's state, for a caller of the workspace.
+func (c *Client) State(ctx context.Context, p Peer, id work.JobID, by work.WorkspaceName) (work.State, error) {
+	resp, err := c.call(ctx, p, &request{Kind: kindState, JobID: id, Workspace: by})
 	if err != nil {
 		return "", err
 	}
 	return resp.State, resp.Result.err()
 }
 
-// Cancel cancels a job.
-func (c *Client) Cancel(ctx context.Context, p Peer, id work.JobID) error {
-	resp, err := c.call(ctx, p, &request{Kind: kindCancel, JobID: id})
+// Cancel cancels a job, for a caller of the workspace.
+func (c *Client) Cancel(ctx context.Context, p Peer, id work.JobID, by work.WorkspaceName) error {
+	resp, err := c.call(ctx, p, &request{Kind: kindCancel, JobID: id, Workspace: by})
 	if err != nil {
 		return err
 	}
@@ -135,12 +139,27 @@
 	return err
 }
 
-// call sends a request and waits for its answer. ErrNotSent is certain; without an answer
+// call sends a request and waits for its answer, as exchange does, and compares configurations
+// with whoever answers.
+func (c *Client) call(ctx context.Context, p Peer, req *request) (*response, error) {
+	var sent time.Duration
+	if c.Configs != nil {
+		req.Config = c.Configs.Standing()
+		sent = c.Configs.Now()
+	}
+	resp, err := c.exchange(ctx, p, req)
+	if err == nil {
+		c.compare(ctx, p.Address, resp, sent)
+	}
+	return resp, err
+}
+
+// exchange sends a request and waits for its answer. ErrNotSent is certain; without an answer
 // the error is engine.ErrUncertain. A connection on which nothing came meanwhile is given
 // up: it may have gone silent for good while new ones work. One that brought other answers
 // stays, and so does one that this VM had no time to read: with it all calls on it would
 // be given up, and repeated by a VM that is behind as it is.
-func (c *Client) call(ctx context.Context, p Peer, req *request) (*response, error) {
+func (c *Client) exchange(ctx context.Context, p Peer, req *request) (*response, error) {
 	req.Cell = p.Cell
 	l, err := c.connect(ctx, p.Address)
 	if err != nil {
--- a/internal/ownerlink/link_test.go
+++ b/internal/ownerlink/link_test.go
@@ -24,7 +24,7 @@
 }
 
 func (o *owner) Submit(context.Context, *work.Job, engine.Queue) error { return o.err }
-func (o *owner) State(id work.JobID) (work.State, error) {
+func (o *owner) State(id work.JobID, _ work.WorkspaceName) (work.State, error) {
 	if o.reached != nil {
 		o.reached <- struct{}{}
 	}
@@ -33,8 +33,8 @@
 	}
 	return work.Running, o.err
 }
-func (o *owner) Cancel(context.Context, work.JobID) error { return o.err }
-func (o *owner) Waiting(string) (int, error)              { return 7, o.err }
+func (o *owner) Cancel(context.Context, work.JobID, work.WorkspaceName) error { return o.err }
+func (o *owner) Waiting(string) (int, error)                                  { return 7, o.err }
 func (o *owner) Sync(s engine.CellSync) (engine.CellAnswer, error) {
 	return engine.CellAnswer{Taken: []bool{true}, Report: engine.CellReport{Used: float64(s.Token)}}, o.err
 }
@@ -69,7 +69,7 @@
 	p := serve(t, o)
 	c := &Client{Log: logr.Discard()}
 	ctx := context.Background()
-	state, err := c.State(ctx, p, "j1")
+	state, err := c.State(ctx, p, "j1", "")
 	assert.NilError(t, err)
 	assert.Equal(t, state, work.Running)
 	n, err := c.Waiting(ctx, p, "q")
@@ -88,9 +88,9 @@
 	assert.DeepEqual(t, sum, wantSum)
 	for _, want := range []error{engine.ErrNotReady, engine.ErrStore, engine.ErrUncertain, engine.ErrUnknownJob} {
 		o.err = want
-		assert.Assert(t, errors.Is(c.Cancel(ctx, p, "j1"), want))
+		assert.Assert(t, errors.Is(c.Cancel(ctx, p, "j1", ""), want))
 	}
-	assert.Assert(t, errors.Is(c.Cancel(ctx, Peer{Cell: "other", Address: p.Address}, "j1"), engine.ErrNotReady))
+	assert.Assert(t, errors.Is(c.Cancel(ctx, Peer{Cell: "other", Address: p.Address}, "j1", ""), engine.ErrNotReady))
 }
 
 // An owner is cut off. What was sent to it is uncertain, what was not sent is
@@ -101,7 +101,7 @@
 	c := &Client{Log: logr.Discard()}
 	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Millisecond)
 	defer cancel()
-	_, err := c.State(ctx, p, "j1")
+	_, err := c.State(ctx, p, "j1", "")
 	assert.Assert(t, errors.Is(err, engine.ErrUncertain))
 	close(o.gate)
 	n, err := c.Waiting(context.Background(), p, "q")
@@ -120,12 +120,12 @@
 	leaving, leave := context.WithCancel(context.Background())
 	var calls sync.WaitGroup
 	calls.Go(func() {
-		_, err := c.State(leaving, p, "j1")
+		_, err := c.State(leaving, p, "j1", "")
 		assert.Check(t, errors.Is(err, engine.ErrUncertain))
 	})
 	<-o.reached
 	calls.Go(func() {
-		state, err := c.State(context.Background(), p, "j2")
+		state, err := c.State(context.Background(), p, "j2", "")
 		assert.Check(t, err)
 		assert.Check(t, state == work.Running)
 	})
@@ -185,7 +185,7 @@
 	defer giveUp()
 	var calls sync.WaitGroup
 	calls.Go(func() {
-		_, err := c.State(late, p, "j1")
+		_, err := c.State(late, p, "j1", "")
 		assert.Check(t, errors.Is(err, engine.ErrUncertain))
 	})
 	<-o.reached
@@ -204,7 +204,7 @@
 	c := &Client{Log: logr.Discard(), Behind: func() time.Duration { return time.Second }}
 	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Millisecond)
 	defer cancel()
-	_, err := c.State(ctx, p, "j1")
+	_, err := c.State(ctx, p, "j1", "")
 	assert.Assert(t, errors.Is(err, engine.ErrUncertain))
 	assert.Assert(t, !c.links[p.Address].isDead())
 	assert.Equal(t, c.waiting(), 0, "nobody waits for the answer any more")
--- a/internal/ownerlink/ownerlink.go
+++ b/internal/ownerlink/ownerlink.go
@@ -41,8 +41,15 @@
 	kindSummary
 	kindPing
 	kindEndLease
+	kindConfig
 )
 
+// byCallers reports whether the call carries a caller's request, on which the configuration
+// decides.
+func (k kind) byCallers() bool {
+	return k == kindSubmit || k == kindState || k == kindCancel || k == kindWaiting
+}
+
 // request is one call.
 type request struct {
 	ID    uint64        `msgpack:"i"`
@@ -53,6 +60,9 @@
 	JobID work.JobID    `msgpack:"d,omitempty"`
 	Name  string        `msgpack:"n,omitempty"` // of a queue
 
+	Workspace work.WorkspaceName `msgpack:"o,omitempty"` // of the caller
+	Config    Standing           `msgpack:"v,omitempty"` // of the entry VM that calls
+
 	Lease int64 `msgpack:"l,omitempty"` // to be ended
 
 	Sync   *engine.CellSync   `msgpack:"y,omitempty"`
@@ -68,6 +78,8 @@
 	resultStore
 	resultUncertain
 	resultUnknownJob
+	resultOtherWorkspace
+	resultBehind
 )
 
 // response answers one call.
@@ -76,6 +88,8 @@
 	Result result     `msgpack:"r"`
 	State  work.State `msgpack:"s,omitempty"`
 	Count  int        `msgpack:"c,omitempty"`
+	Config Standing   `msgpack:"v,omitempty"` // of the entry VM that answers
+	Packed []byte     `msgpack:"p,omitempty"` // a whole configuration
 
 	Sync   *engine.CellAnswer `msgpack:"y,omitempty"`
 	Worker msgpack.RawMessage `msgpack:"w,omitempty"` // a packed workerAnswer
@@ -94,6 +108,8 @@
 		return resultStore
 	case errors.Is(err, engine.ErrUnknownJob):
 		return resultUnknownJob
+	case errors.Is(err, engine.ErrOtherWorkspace):
+		return resultOtherWorkspace
 	}
 	return resultUncertain
 }
@@ -108,6 +124,10 @@
 		return engine.ErrStore
 	case resultUnknownJob:
 		return engine.ErrUnknownJob
+	case resultOtherWorkspace:
+		return engine.ErrOtherWorkspace
+	case resultBehind:
+		return engine.ErrBehind
 	}
 	return engine.ErrUncertain
 }
--- a/internal/ownerlink/server.go
+++ b/internal/ownerlink/server.go
@@ -16,8 +16,8 @@
 // Owner answers the calls; an engine while this entry VM is the owner.
 type Owner interface {
 	Submit(ctx context.Context, j *work.Job, q engine.Queue) error
-	State(id work.JobID) (work.State, error)
-	Cancel(ctx context.Context, id work.JobID) error
+	State(id work.JobID, by work.WorkspaceName) (work.State, error)
+	Cancel(ctx context.Context, id work.JobID, by work.WorkspaceName) error
 	Waiting(queue string) (int, error)
 	Sync(s engine.CellSync) (engine.CellAnswer, error)
 	Explain(id work.JobID) (engine.Explanation, error)
@@ -36,6 +36,7 @@
 	Workers engine.Workers
 	// EndLease ends a lease that its holder could not end, without waiting; nil: it does not.
 	EndLease func(lease int64)
+	Configs  Configs // nil: configurations are not compared
 	Log      logr.Logger
 
 	mu    sync.Mutex
@@ -98,6 +99,12 @@
 
 func (s *Server) answer(ctx context.Context, req *request) *response {
 	resp := &response{ID: req.ID, Result: resultNotReady}
+	if s.Configs != nil {
+		resp.Config = s.Configs.Standing()
+		if req.Config.Version > resp.Config.Version {
+			s.Configs.Behind()
+		}
+	}
 	if req.Kind == kindWorker {
 		s.forward(ctx, req.Worker, resp)
 		return resp
@@ -106,6 +113,12 @@
 	case kindPing:
 		resp.Result = resultOK
 		return resp
+	case kindConfig:
+		if s.Configs != nil {
+			resp.Packed = s.Configs.Packed()
+			resp.Result = resultOK
+		}
+		return resp
 	case kindEndLease:
 		if s.EndLease != nil {
 			s.EndLease(req.Lease)
@@ -117,6 +130,10 @@
 	if owner == nil {
 		return resp
 	}
+	if req.Kind.byCallers() && req.Config.Version != 0 && req.Config.Version < resp.Config.Version {
+		resp.Result = resultBehind
+		return resp
+	}
 	ctx, cancel := context.WithTimeout(ctx, serveTimeout)
 	defer cancel()
 	var err error
@@ -124,9 +141,9 @@
 	case kindSubmit:
 		err = owner.Submit(ctx, req.Job, *req.Queue)
 	case kindState:
-		resp.State, err = owner.State(req.JobID)
+		resp.State, err = owner.State(req.JobID, req.Workspace)
 	case kindCancel:
-		err = owner.Cancel(ctx, req.JobID)
+		err = owner.Cancel(ctx, req.JobID, req.Workspace)
 	case kindWaiting:
 		resp.Count, err = owner.Waiting(req.Name)
 	case kindSync:
--- a/policy/work/work.go
+++ b/policy/work/work.go
@@ -11,6 +11,10 @@
 // JobID is chosen by the caller. One ID is one job, for ever.
 type JobID string
 
+// WorkspaceName names a workspace: a tenant of the fleet, with keys and a limit of its own.
+// Empty: nobody's, as on routes that are open to all.
+type WorkspaceName string
+
 // WorkerID names one life of a worker: after a crash, a move or maintenance the
 // VM has a worker with another ID, which runs nothing of what the last one ran.
 type WorkerID string
@@ -96,11 +100,13 @@
 
 // Job is what a caller submitted.
 type Job struct {
-	ID       JobID    `json:"id" msgpack:"i"`
-	Queue    string   `json:"queue" msgpack:"q"`
-	Spec     string   `json:"spec" msgpack:"s"`
-	Steps    []Step   `json:"steps" msgpack:"t"`
-	Schedule Schedule `json:"schedule,omitzero" msgpack:"r,omitempty"`
+	ID    JobID  `json:"id" msgpack:"i"`
+	Queue string `json:"queue" msgpack:"q"`
+	Spec  string `json:"spec" msgpack:"s"`
+	// Workspace is whose key came with the job, and whose limit its tasks count towards.
+	Workspace WorkspaceName `json:"workspace,omitempty" msgpack:"o,omitempty"`
+	Steps     []Step        `json:"steps" msgpack:"t"`
+	Schedule  Schedule      `json:"schedule,omitzero" msgpack:"r,omitempty"`
 	// Accepted is when the entry VM read the request, by its wall clock.
 	Accepted time.Time `json:"accepted" msgpack:"a"`
 }
