--- a/internal/engine/cell.go
+++ b/internal/engine/cell.go
@@ -192,7 +192,7 @@
 		for _, o := range j.live {
 			for _, s := range o.steps {
 				// What fits on no VM would draw VMs for ever.
-				if s.pending > 0 && s.ready() && s.reserved().Fits(most) {
+				if s.pending > 0 && s.ready() && s.reserved().Fits(most) && !c.atLimit(s) {
 					r.addWaiting(s, float64(s.pending)*c.waitsFor(s, now).Seconds()*s.spec.Size.Cores())
 				}
 			}
--- a/internal/engine/core.go
+++ b/internal/engine/core.go
@@ -17,6 +17,9 @@
 	MaxHold   time.Duration // longest lease a worker grants
 	PaceDelay time.Duration // until a change of pace shows
 	StopGrace time.Duration // a stop takes at most
+	// ConfigWithin is the time within which a configuration is in force everywhere; 0: not
+	// bounded.
+	ConfigWithin time.Duration
 }
 
 // Core is the engine's state machine. It has no clock, network or goroutine:
@@ -35,6 +38,7 @@
 	stale    []staleJob             // ended jobs, oldest first
 	learned  durations
 	sizes    map[string]*meanSize
+	limits   *limits
 	arrivals []arrival // of late
 
 	dirty     map[work.JobID]*job
@@ -70,6 +74,7 @@
 		over:    make(map[work.WorkerID]bool),
 		learned: make(durations),
 		sizes:   make(map[string]*meanSize),
+		limits:  newLimits(),
 		sought:  make(map[string]time.Duration),
 
 		mayStart: math.MaxInt,
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -56,6 +56,14 @@
 	Relieve()
 }
 
+// Configs tells how sure the entry VM is of its configuration.
+type Configs interface {
+	// Confirmed is when it was last known to be the newest, on the engine's clock.
+	Confirmed() time.Duration
+	// Confirm reads the newest.
+	Confirm(ctx context.Context) error
+}
+
 // Options are what an Engine is made of.
 type Options struct {
 	Cell     string // the service whose workers and jobs these are
@@ -77,6 +85,10 @@
 	Lookup func(ids []work.WorkerID)
 	// Declared returns the operator's configuration in force.
 	Declared func() Declared
+	// Configs tells how sure it is that the configuration is the newest; nil: always.
+	Configs Configs
+	// OwnerKey is the key of the cell's owner, whose revision is the term's token.
+	OwnerKey string
 	Metrics  *Metrics
 	Pressure Pressure // nil: not measured
 	// Successor tells what other entry VM could take the cell over; nil: none.
@@ -105,6 +117,7 @@
 
 	planKick  chan struct{}
 	storeKick chan struct{}
+	shareKick chan struct{}
 	writer    *writer
 	lives     *lives
 	wg        sync.WaitGroup
@@ -117,6 +130,7 @@
 		sessions:  make(map[work.WorkerID]*session),
 		planKick:  make(chan struct{}, 1),
 		storeKick: make(chan struct{}, 1),
+		shareKick: make(chan struct{}, 1),
 	}
 	e.core = NewCore(o.Cell, o.Term.Token(), o.Bounds, o.Log.WithName("core"))
 	e.writer = newWriter(e)
@@ -143,6 +157,7 @@
 	e.mu.Unlock()
 	e.wg.Go(func() { e.writer.run(ctx) })
 	e.wg.Go(func() { e.readInbox(ctx) })
+	e.wg.Go(func() { e.runShares(ctx) })
 	if e.Machines != nil {
 		e.wg.Go(func() { e.lives.run(ctx) })
 	}
@@ -194,12 +209,16 @@
 	e.mu.Lock()
 	e.authority()
 	e.core.Declare(e.Declared())
+	if e.Configs != nil {
+		e.core.Confirm(e.Configs.Confirmed())
+	}
 	e.core.Strain(e.standing(), now)
 	e.core.LimitStarts(int(e.starts.Load()))
 	orders := e.core.Plan(now, e.Clock.Wall())
 	deposed := e.core.Deposed()
 	all, final := e.core.Dirty()
 	ack := e.core.unacknowledged()
+	wants := e.core.wantsShares()
 	e.mu.Unlock()
 	if deposed {
 		return false
@@ -207,6 +226,9 @@
 	if all > 0 || final > 0 || ack {
 		kick(e.storeKick)
 	}
+	if wants {
+		kick(e.shareKick)
+	}
 	e.send(ctx, &orders)
 	return true
 }
--- /dev/null
+++ b/internal/engine/limits.go
@@ -0,0 +1,227 @@
+package engine
+
+import (
+	"time"
+
+	"github.com/pumicestage/pumicestage/internal/infra"
+	"github.com/pumicestage/pumicestage/policy/taskplan"
+	"github.com/pumicestage/pumicestage/policy/work"
+	"github.com/pumicestage/pumicestage/policy/workspace"
+)
+
+// account is what the cell knows of one workspace: what runs here, and how much of the
+// workspace's limit it may use.
+type account struct {
+	name  work.WorkspaceName
+	used  work.Resources // by tasks on workers, those that are being stopped among them
+	limit work.Resources // in force; all 0: none
+	loose bool           // the limit is above what all VMs can run
+
+	ledger workspace.Ledger // as last read or written
+	rev    infra.Revision   // of its key; 0: there is none
+	broken bool             // the key can't be read: the cell has its base alone
+	usable workspace.Parts  // beyond the base, certain to be this cell's
+
+	// As of the last plan.
+	left   work.Resources  // of what the cell may use
+	wanted work.Resources  // by tasks that its share held back
+	inUse  workspace.Parts // beyond the base
+	need   workspace.Parts // likewise, with what was wanted
+
+	// peak is the greatest need since the last review, and lastPeak that before.
+	peak, lastPeak workspace.Parts
+	reviewed       time.Duration
+	looked         time.Duration // when the ledger was last read to see what others hold
+	sending        bool          // a change of the ledger is under way
+}
+
+// short reports whether work waits that a larger share would let start.
+func (a *account) short() bool { return a.wanted != work.Resources{} && a.need > a.usable }
+
+func (a *account) limited() bool { return a.limit != work.Resources{} && !a.loose }
+
+// limits are the accounts of the cell's workspaces.
+type limits struct {
+	accounts  map[work.WorkspaceName]*account
+	confirmed time.Duration // when the configuration was last known to be the newest
+	// fleet is what all VMs of the platform's list can run.
+	fleet work.Resources
+}
+
+func newLimits() *limits { return &limits{accounts: make(map[work.WorkspaceName]*account)} }
+
+func (l *limits) of(name work.WorkspaceName) *account {
+	a := l.accounts[name]
+	if a == nil {
+		a = &account{name: name}
+		l.accounts[name] = a
+	}
+	return a
+}
+
+// count notes that the task came to a worker (1) or left it (-1).
+func (l *limits) count(t *task, n int64) {
+	if name := t.step.job.Workspace; name != "" {
+		a := l.of(name)
+		a.used = a.used.Plus(t.step.spec.Size.Times(n))
+	}
+}
+
+// looseMargin is by how much a limit must exceed all VMs to be no limit: VMs are added, and the
+// list of them is seconds old.
+const looseMargin = 1.25
+
+// loose reports whether the limit binds nowhere, whatever runs.
+func (l *limits) loose(limit work.Resources) bool {
+	above := func(limit, all int64) bool {
+		return limit == 0 || all > 0 && float64(limit) >= looseMargin*float64(all)
+	}
+	return above(limit.MilliCPU, l.fleet.MilliCPU) && above(limit.MemoryMB, l.fleet.MemoryMB) &&
+		(limit.GPU == 0 || float64(limit.GPU) >= looseMargin*float64(l.fleet.GPU) && l.fleet.MilliCPU > 0)
+}
+
+// cells is among how many cells limits are divided.
+func (c *Core) cells() int {
+	n := 0
+	for _, s := range c.declared.Services {
+		if !s.Standby {
+			n++
+		}
+	}
+	return n
+}
+
+// Confirm says when the configuration was last known to be the newest.
+func (c *Core) Confirm(at time.Duration) { c.limits.confirmed = max(c.limits.confirmed, at) }
+
+// share is what the cell may use of the workspace's limit. What it holds beyond its base it may
+// use only while its configuration is certain to be in force: an owner that is cut off or was
+// frozen may have missed that the limit was cut, and would begin work far above it.
+func (c *Core) share(a *account, now time.Duration) workspace.Parts {
+	base := workspace.Base(c.cells())
+	if within := c.bounds.ConfigWithin; within > 0 && now > c.limits.confirmed+within {
+		return base
+	}
+	return base + a.usable
+}
+
+// openAccounts begins a plan: what may still be started for each workspace.
+func (c *Core) openAccounts(now time.Duration) {
+	unseen := c.unseen(now)
+	strays := c.strayUse()
+	for name, a := range c.limits.accounts {
+		a.limit = c.declared.Workspaces[name].Limit
+		a.loose = c.limits.loose(a.limit)
+		runs := a.used.Plus(strays[name]).Plus(unseen[name])
+		a.left = c.share(a, now).Of(a.limit).Minus(runs)
+		a.wanted = work.Resources{}
+		a.inUse = max(0, workspace.PartsFor(runs, a.limit)-workspace.Base(c.cells()))
+	}
+}
+
+// strayUse is what runs that nobody wants hold of each workspace's limit until they have ended.
+// Of one whose job has been forgotten nothing is known; it ends within a stop's time.
+func (c *Core) strayUse() map[work.WorkspaceName]work.Resources {
+	out := make(map[work.WorkspaceName]work.Resources)
+	for _, w := range c.workers {
+		for ref := range w.strays {
+			if t := c.find(ref); t != nil && t.where != w {
+				name := t.step.job.Workspace
+				out[name] = out[name].Plus(t.step.spec.Size)
+			}
+		}
+	}
+	return out
+}
+
+// unseen is what an earlier owner may have running for each workspace on workers that were not
+// heard yet: no more than those can run, nor than the tasks that wait of the jobs it knew.
+func (c *Core) unseen(now time.Duration) map[work.WorkspaceName]work.Resources {
+	out := make(map[work.WorkspaceName]work.Resources)
+	if c.settled(now) {
+		return out
+	}
+	for _, j := range c.open {
+		if j.Workspace == "" || !j.restored {
+			continue
+		}
+		j.eachTask(func(t *task) {
+			if t.state == taskPending {
+				out[j.Workspace] = out[j.Workspace].Plus(t.step.spec.Size)
+			}
+		})
+	}
+	if room, known := c.unheardRoom(); known {
+		for name, r := range out {
+			out[name] = r.Least(room)
+		}
+	}
+	return out
+}
+
+// unheardRoom is what the workers that were not heard can run; false while it is not known
+// which there are.
+func (c *Core) unheardRoom() (room work.Resources, known bool) {
+	for id, pool := range c.alive {
+		if w := c.workers[id]; pool == c.cell && w == nil && !c.over[id] {
+			room = room.Plus(c.largestVM)
+		}
+	}
+	for _, w := range c.workers {
+		if !w.heard {
+			room = room.Plus(w.info.Capacity)
+		}
+	}
+	return room, c.fleetKnown
+}
+
+// allow returns how many of the step's waiting tasks its workspace's share lets start now. What
+// finds no room in the pool is not wanted of the limit.
+func (c *Core) allow(s *step, waiting int, pool *taskplan.Planner) int {
+	if s.job.Workspace == "" {
+		return waiting
+	}
+	a := c.limits.of(s.job.Workspace)
+	if !a.limited() {
+		return waiting
+	}
+	n := workspace.Fitting(s.spec.Size, a.left, a.limit, waiting)
+	if n < waiting {
+		held := s.spec.Size.Times(int64(waiting - n))
+		a.wanted = a.wanted.Plus(held).Least(a.wanted.Most(pool.Room()))
+	}
+	if s.spec.Gang && n < waiting {
+		return 0
+	}
+	return n
+}
+
+// atLimit reports whether the step waits for its workspace's limit, all of which is in use: more
+// VMs would stand idle beside it.
+func (c *Core) atLimit(s *step) bool {
+	a := c.limits.accounts[s.job.Workspace]
+	return a != nil && a.limited() && a.short() && a.ledger.Wants[c.cell] > 0
+}
+
+// spend notes a start of the step in its workspace's account.
+func (c *Core) spend(s *step) {
+	if s.job.Workspace != "" {
+		a := c.limits.of(s.job.Workspace)
+		a.left = a.left.Minus(s.spec.Size)
+	}
+}
+
+// closeAccounts ends a plan: what each workspace needs of its limit here.
+func (c *Core) closeAccounts() {
+	base := workspace.Base(c.cells())
+	for _, a := range c.limits.accounts {
+		if !a.limited() {
+			a.need, a.wanted = 0, work.Resources{}
+			continue
+		}
+		runs := c.share(a, c.now).Of(a.limit).Minus(a.left)
+		a.need = max(0, workspace.PartsFor(runs.Plus(a.wanted), a.limit)-base)
+		a.need = min(a.need, workspace.Whole)
+		a.peak = max(a.peak, a.need)
+	}
+}
--- a/internal/engine/metrics.go
+++ b/internal/engine/metrics.go
@@ -13,12 +13,13 @@
 	Polls  *expvar.Map
 	Txns   *expvar.Map
 	VMs    *expvar.Map // orders for VMs, by kind
+	Shares *expvar.Map // changes of what cells hold of limits, by outcome
 }
 
 // NewMetrics returns counters, not published yet.
 func NewMetrics() *Metrics {
 	m := func() *expvar.Map { return new(expvar.Map).Init() }
-	return &Metrics{Starts: m(), Stops: m(), Polls: m(), Txns: m(), VMs: m()}
+	return &Metrics{Starts: m(), Stops: m(), Polls: m(), Txns: m(), VMs: m(), Shares: m()}
 }
 
 var outcomeNames = map[Outcome]string{
@@ -59,6 +60,18 @@
 	m.Txns.Add(infra.KindOf(err).String(), 1)
 }
 
+func (m *Metrics) share(stored bool, err error) {
+	switch {
+	case m == nil:
+	case err != nil:
+		m.Shares.Add(infra.KindOf(err).String(), 1)
+	case stored:
+		m.Shares.Add("stored", 1)
+	default:
+		m.Shares.Add("another cell was first", 1)
+	}
+}
+
 // VM counts an order for a VM.
 func (m *Metrics) VM(what string) {
 	if m != nil {
--- a/internal/engine/plan.go
+++ b/internal/engine/plan.go
@@ -173,6 +173,8 @@
 		return
 	}
 	planner := taskplan.NewPlanner(workers)
+	c.openAccounts(now)
+	defer c.closeAccounts()
 	for _, v := range ws {
 		if len(out.Starts) >= c.mayStart {
 			c.held = true
@@ -185,11 +187,16 @@
 		if s == nil {
 			continue
 		}
+		s.Tasks = s.Tasks[:c.allow(v.step, len(s.Tasks), planner)]
+		if len(s.Tasks) == 0 {
+			continue
+		}
 		if v.step.job.queue.Advised {
 			v.step.askAdvice(workers, s.Permitted, now, out)
 		}
 		for _, p := range planner.Place(s) {
 			c.order(p, now, out)
+			c.spend(v.step)
 		}
 	}
 	c.explain(ws, workers, now)
--- a/internal/engine/restore.go
+++ b/internal/engine/restore.go
@@ -105,7 +105,7 @@
 }
 
 func (e *Engine) load(ctx context.Context, first bool) error {
-	progress, jobs, err := e.readStored(ctx)
+	progress, jobs, ledgers, err := e.readStored(ctx)
 	if err != nil {
 		return err
 	}
@@ -122,6 +122,9 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.core.Declare(e.Declared())
+	for _, kv := range ledgers {
+		e.core.RestoreLedger(kv)
+	}
 	for _, kv := range jobs {
 		var r JobRecord
 		if err := json.Unmarshal(kv.Value, &r); err != nil || r.Job == nil {
@@ -140,21 +143,24 @@
 	return nil
 }
 
-// readStored reads the cell's progress and open jobs, and waits for the list of
+// readStored reads the cell's progress and open jobs and what it holds of limits, and waits for the list of
 // workers meanwhile: while the store is slow each call takes a fifth of a second, and
 // nobody owns the cell. No earlier owner writes any more, so their order is free. Each page
 // has its time at the store's client: a bound on all of them would never let a cell of
 // thousands of jobs be read from a slow store.
-func (e *Engine) readStored(ctx context.Context) (progress, jobs []infra.KV, err error) {
-	var progressErr, jobsErr error
+func (e *Engine) readStored(ctx context.Context) (progress, jobs, ledgers []infra.KV, err error) {
+	var progressErr, jobsErr, ledgersErr error
 	var readers sync.WaitGroup
 	readers.Go(func() { progress, _, progressErr = e.Store.Range(ctx, infra.WorkProgressPrefix(e.Cell)) })
 	readers.Go(func() { jobs, _, jobsErr = e.Store.Range(ctx, infra.WorkOpenPrefix(e.Cell)) })
+	if len(e.Declared().Workspaces) > 0 {
+		readers.Go(func() { ledgers, _, ledgersErr = e.Store.Range(ctx, infra.WorkLimitPrefix) })
+	}
 	if e.Listed != nil {
 		readers.Go(func() { e.Listed(ctx) })
 	}
 	readers.Wait()
-	return progress, jobs, trace.NewAggregate(progressErr, jobsErr)
+	return progress, jobs, ledgers, trace.NewAggregate(progressErr, jobsErr, ledgersErr)
 }
 
 // found adds a job that an entry VM stored itself.
--- a/internal/engine/settled.go
+++ b/internal/engine/settled.go
@@ -38,7 +38,9 @@
 	c.fleetKnown = true
 	c.alive = make(map[work.WorkerID]string, len(vms))
 	c.largestVM = work.Resources{}
+	c.limits.fleet = work.Resources{}
 	for _, vm := range vms {
+		c.limits.fleet = c.limits.fleet.Plus(vm.Size)
 		c.largestVM = c.largestVM.Most(vm.Size)
 		if vm.State == work.VMUp && vm.Worker != "" {
 			c.alive[vm.Worker] = vm.Pool
--- /dev/null
+++ b/internal/engine/shares.go
@@ -0,0 +1,295 @@
+package engine
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/pumicestage/pumicestage/internal/infra"
+	"github.com/pumicestage/pumicestage/internal/sleep"
+	"github.com/pumicestage/pumicestage/policy/work"
+	"github.com/pumicestage/pumicestage/policy/workspace"
+)
+
+const (
+	// reviewEvery is how often it is looked whether a workspace uses what the cell holds for
+	// it. What it did not need for two of these goes back: within a second or so, so that a
+	// burst in another cell finds it.
+	reviewEvery = 500 * time.Millisecond
+	// sharesEvery is how often it is asked whether anything is to be done.
+	sharesEvery = 50 * time.Millisecond
+	// claimsInTxn is how many ledgers fit into a transaction beside the owner's key, each with
+	// a condition and a write.
+	claimsInTxn = (txnEntries - 1) / 2
+	// claimTries bounds how often a change is made anew as another cell was first.
+	claimTries = 4
+	// claimTimeout ends a transaction without an answer.
+	claimTimeout = 700 * time.Millisecond
+)
+
+// shareClaim is a change of what the cell holds of a workspace's limit.
+type shareClaim struct {
+	workspace work.WorkspaceName
+	rev       infra.Revision // on which it is based
+	workspace.Settlement
+}
+
+// Claims returns the changes of ledgers that are due, the most wanting first, and notes that
+// they are under way. What is to be given back is not used from here on: were the change
+// carried out late, another cell would have it already.
+func (c *Core) Claims(now time.Duration) []shareClaim {
+	var out []shareClaim
+	for name, a := range c.limits.accounts {
+		if a.sending || a.broken {
+			continue
+		}
+		claim, due := c.claimOf(a, now)
+		if !due {
+			continue
+		}
+		s := a.ledger.Settle(claim)
+		a.usable = min(a.usable, s.Use)
+		if s.Hold == a.ledger.Held[c.cell] && s.Ledger.Wants[c.cell] == a.ledger.Wants[c.cell] && s.Use <= a.usable {
+			continue // nothing changes
+		}
+		out = append(out, shareClaim{workspace: name, rev: a.rev, Settlement: s})
+	}
+	slices.SortFunc(out, func(x, y shareClaim) int { return cmp.Compare(y.Hold, x.Hold) })
+	if len(out) > claimsInTxn {
+		out = out[:claimsInTxn]
+	}
+	for i := range out {
+		c.limits.of(out[i].workspace).sending = true
+	}
+	return out
+}
+
+// claimOf says whether the account's share is to change, and what it claims.
+func (c *Core) claimOf(a *account, now time.Duration) (workspace.Claim, bool) {
+	held := a.ledger.Held[c.cell]
+	claim := workspace.Claim{Cell: c.cell, Need: a.need, InUse: a.inUse}
+	wants := a.short()
+	if wants && a.ledger.Wants[c.cell] == 0 {
+		return claim, true
+	}
+	if now < a.reviewed+reviewEvery {
+		return claim, false
+	}
+	a.reviewed = now
+	claim.Need = max(a.need, a.peak, a.lastPeak)
+	a.lastPeak, a.peak = a.peak, a.need
+	idle := workspace.Idle(held, claim.Need) || a.ledger.Wants[c.cell] > 0 && !wants
+	return claim, idle || wants || a.usable < min(held, claim.Need) || a.ledger.Contended(claim)
+}
+
+// wantsShares reports whether a workspace's work waits for a share that was not asked for yet.
+func (c *Core) wantsShares() bool {
+	for _, a := range c.limits.accounts {
+		if a.limited() && a.short() && !a.sending && a.ledger.Wants[c.cell] == 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// contended reports whether ledgers are to be read: where this cell waits for what others hold,
+// and, half as often, where it holds more than its even share and others may wait.
+func (c *Core) contended(now time.Duration) bool {
+	even, due := workspace.Even(c.cells()), false
+	for _, a := range c.limits.accounts {
+		waits, above := a.ledger.Wants[c.cell] > 0, a.ledger.Held[c.cell] > even
+		if !a.sending && (waits && now >= a.looked+reviewEvery || above && now >= a.looked+2*reviewEvery) {
+			a.looked, due = now, true
+		}
+	}
+	return due
+}
+
+// holdsShares reports whether the cell uses more of any limit than its base.
+func (c *Core) holdsShares() bool {
+	for _, a := range c.limits.accounts {
+		if a.ledger.Held[c.cell] > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// Claimed takes over that the change was stored.
+func (c *Core) Claimed(s shareClaim, rev infra.Revision) {
+	a := c.limits.of(s.workspace)
+	a.sending = false
+	a.ledger, a.rev = s.Ledger, rev
+	if s.Ledger.Empty() {
+		a.rev = 0
+	}
+	if before := a.usable; s.Use != before {
+		c.log.V(1).Info("share of a limit", "workspace", a.name, "parts", s.Use, "before", before, "held", s.Hold, "need", a.need, "wanted", s.Ledger.Wants[c.cell])
+	}
+	a.usable = s.Use
+}
+
+// ClaimFailed takes over that the change was not, or may not have been, stored.
+func (c *Core) ClaimFailed(s shareClaim) { c.limits.of(s.workspace).sending = false }
+
+// LedgerRead takes a ledger over as the store has it. It never raises what the cell may use: a
+// change of its own that was not answered may yet be carried out, and give back what was read;
+// only a change that is stored settles that.
+func (c *Core) LedgerRead(name work.WorkspaceName, value []byte, rev infra.Revision) {
+	a := c.limits.of(name)
+	var l workspace.Ledger
+	a.broken = false
+	if rev != 0 {
+		if err := json.Unmarshal(value, &l); err != nil {
+			c.log.Error(err, "ledger of a limit is malformed: the cell uses its base alone", "workspace", name)
+			a.broken = true
+		}
+	}
+	a.ledger, a.rev = l, rev
+	a.usable = min(a.usable, l.Held[c.cell])
+}
+
+// LedgerSeen takes a ledger over that was read while nothing of this cell's was under way.
+func (c *Core) LedgerSeen(kv infra.KV) {
+	name := workspaceOf(kv.Key)
+	if a := c.limits.of(name); !a.sending && kv.ModRevision > a.rev {
+		c.LedgerRead(name, kv.Value, kv.ModRevision)
+	}
+}
+
+func workspaceOf(key string) work.WorkspaceName {
+	return work.WorkspaceName(strings.TrimPrefix(key, infra.WorkLimitPrefix))
+}
+
+// RestoreLedger takes over what earlier owners held. Nothing of theirs can be carried out any
+// more: the owner's key, which is in the condition of every change, is another one.
+func (c *Core) RestoreLedger(kv infra.KV) {
+	name := workspaceOf(kv.Key)
+	c.LedgerRead(name, kv.Value, kv.ModRevision)
+	a := c.limits.of(name)
+	a.usable = a.ledger.Held[c.cell]
+}
+
+// runShares keeps what the cell holds of workspaces' limits.
+func (e *Engine) runShares(ctx context.Context) {
+	tick := time.NewTicker(sharesEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-e.shareKick:
+		case <-tick.C:
+		}
+		e.confirmConfig(ctx)
+		e.readContended(ctx)
+		e.claim(ctx)
+	}
+}
+
+// confirmConfig reads the configuration before what the cell holds can't be used for want of it.
+func (e *Engine) confirmConfig(ctx context.Context) {
+	within := e.Bounds.ConfigWithin
+	if e.Configs == nil || within == 0 || e.Clock.Now() < e.Configs.Confirmed()+within/2 {
+		return
+	}
+	e.mu.Lock()
+	holds := e.core.holdsShares()
+	e.mu.Unlock()
+	if !holds {
+		return
+	}
+	if err := e.Configs.Confirm(ctx); err != nil {
+		e.Log.V(1).Info("configuration not confirmed", "error", err.Error())
+	}
+}
+
+// readContended reads what other cells hold and wait for, where that matters to this one: nobody
+// else tells it.
+func (e *Engine) readContended(ctx context.Context) {
+	e.mu.Lock()
+	due := e.core.contended(e.Clock.Now())
+	e.mu.Unlock()
+	if !due {
+		return
+	}
+	kvs, _, err := e.Store.Range(ctx, infra.WorkLimitPrefix)
+	if err != nil {
+		e.Log.V(1).Info("ledgers of limits not read", "error", err.Error())
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, kv := range kvs {
+		e.core.LedgerSeen(kv)
+	}
+}
+
+// claim makes the changes that are due.
+func (e *Engine) claim(ctx context.Context) {
+	for range claimTries {
+		e.mu.Lock()
+		claims := e.core.Claims(e.Clock.Now())
+		e.mu.Unlock()
+		if len(claims) == 0 {
+			return
+		}
+		if !e.storeClaims(ctx, claims) {
+			sleep.For(ctx, storePause)
+			return
+		}
+		kick(e.planKick)
+	}
+}
+
+// storeClaims writes the changes in one transaction; false where the store does not take it. It
+// fails as a whole where one ledger has changed; what they are now is then known.
+func (e *Engine) storeClaims(ctx context.Context, claims []shareClaim) bool {
+	call, cancel := context.WithTimeout(ctx, claimTimeout)
+	defer cancel()
+	txn, err := e.claimTxn(claims)
+	if err != nil {
+		e.Log.Error(err, "share of a limit can't be stored")
+		return false
+	}
+	res, err := e.Store.Txn(call, txn)
+	e.Metrics.share(res.Succeeded, err)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for i := range claims {
+		switch {
+		case err == nil && res.Succeeded:
+			e.core.Claimed(claims[i], res.Revision)
+			continue
+		case err == nil:
+			e.core.LedgerRead(claims[i].workspace, res.Reads[i].Value, res.Reads[i].ModRevision)
+		}
+		e.core.ClaimFailed(claims[i])
+	}
+	if err != nil {
+		e.Log.Info("share of a limit not stored", "workspaces", len(claims), "error", err.Error())
+	}
+	return err == nil
+}
+
+func (e *Engine) claimTxn(claims []shareClaim) (infra.Txn, error) {
+	txn := infra.Txn{If: []infra.Cond{{Key: e.OwnerKey, ModRevision: infra.Revision(e.Term.Token())}}}
+	for i := range claims {
+		key := infra.WorkLimitKey(string(claims[i].workspace))
+		txn.If = append(txn.If, infra.Cond{Key: key, ModRevision: claims[i].rev})
+		txn.Else = append(txn.Else, infra.Read(key))
+		if claims[i].Ledger.Empty() {
+			txn.Then = append(txn.Then, infra.Delete(key))
+			continue
+		}
+		raw, err := json.Marshal(claims[i].Ledger)
+		if err != nil {
+			return infra.Txn{}, err
+		}
+		txn.Then = append(txn.Then, infra.Put(key, raw))
+	}
+	return txn, nil
+}
--- a/internal/infra/keys.go
+++ b/internal/infra/keys.go
@@ -63,6 +63,9 @@
 	// WorkEntryPrefix holds one leased key per live entry VM.
 	WorkEntryPrefix = Root + "work/entries/"
 
+	// WorkLimitPrefix holds one key per workspace whose limit cells hold parts of.
+	WorkLimitPrefix = Root + "work/limits/"
+
 	workCommitPrefix   = Root + "work/commit/"
 	workOpenPrefix     = Root + "work/open/"
 	workProgressPrefix = Root + "work/progress/"
@@ -72,6 +75,9 @@
 // WorkEntryKey returns the key of a live entry VM.
 func WorkEntryKey(name string) string { return WorkEntryPrefix + name }
 
+// WorkLimitKey returns the key of what cells hold of the workspace's limit.
+func WorkLimitKey(workspace string) string { return WorkLimitPrefix + workspace }
+
 // WorkOwnerKey returns the key of the duty's owner.
 func WorkOwnerKey(duty string) string { return WorkOwnerPrefix + duty }
 
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -43,6 +43,7 @@
 		expvar.Publish("polls", m.engine.Polls)
 		expvar.Publish("store_txns", m.engine.Txns)
 		expvar.Publish("vm_orders", m.engine.VMs)
+		expvar.Publish("limit_shares", m.engine.Shares)
 	})
 	return m
 }
--- a/policy/taskplan/taskplan.go
+++ b/policy/taskplan/taskplan.go
@@ -85,6 +85,15 @@
 // is full hundreds of steps wait; they are passed over without a look at every worker.
 func (p *Planner) MayFit(s *work.Step) bool { return Reserved(s).Fits(p.most) }
 
+// Room is what all workers together have free.
+func (p *Planner) Room() work.Resources {
+	var room work.Resources
+	for _, w := range p.open {
+		room = room.Plus(w.Free)
+	}
+	return room
+}
+
 // Place places what it can of the step.
 func (p *Planner) Place(s *Step) []Placement {
 	if !p.MayFit(s.Step) {
--- a/policy/work/work.go
+++ b/policy/work/work.go
@@ -56,6 +56,11 @@
 	return Resources{max(r.MilliCPU, o.MilliCPU), max(r.MemoryMB, o.MemoryMB), max(r.GPU, o.GPU)}
 }
 
+// Least returns the smaller of the two in every dimension.
+func (r Resources) Least(o Resources) Resources {
+	return Resources{min(r.MilliCPU, o.MilliCPU), min(r.MemoryMB, o.MemoryMB), min(r.GPU, o.GPU)}
+}
+
 // Times returns r n times over.
 func (r Resources) Times(n int64) Resources {
 	return Resources{r.MilliCPU * n, r.MemoryMB * n, r.GPU * n}
