--- a/internal/engine/harness_test.go
+++ b/internal/engine/harness_test.go
@@ -32,8 +32,12 @@
 }
 
 // successor returns a core of another owner under the token.
-func (b *rig) successor(token int64) *Core {
-	c := NewCore(service, token, Bounds{MaxHold: 10 * time.Second, PaceDelay: 100 * time.Millisecond, StopGrace: 400 * time.Millisecond}, logr.Discard())
+func (b *rig) successor(token int64) *Core { return b.successorWithin(token, rigBounds) }
+
+var rigBounds = Bounds{MaxHold: 10 * time.Second, PaceDelay: 100 * time.Millisecond, StopGrace: 400 * time.Millisecond}
+
+func (b *rig) successorWithin(token int64, bounds Bounds) *Core {
+	c := NewCore(service, token, bounds, logr.Discard())
 	c.Declare(Declared{
 		Version:  1,
 		Queues:   map[string]Queue{queue: {Name: queue, Service: service, MaxAttempts: 3, Stretch: 1.6, Slack: 600 * time.Millisecond}},
--- a/internal/engine/limits.go
+++ b/internal/engine/limits.go
@@ -16,6 +16,9 @@
 	used  work.Resources // by tasks on workers, those that are being stopped among them
 	limit work.Resources // in force; all 0: none
 	loose bool           // the limit is above what all VMs can run
+	// planned: a plan has found what runs and is needed. A successor that gave back before that
+	// would give back what its predecessor's work still uses.
+	planned bool
 
 	ledger workspace.Ledger // as last read or written
 	rev    infra.Revision   // of its key; 0: there is none
@@ -25,8 +28,7 @@
 	// As of the last plan.
 	left   work.Resources  // of what the cell may use
 	wanted work.Resources  // by tasks that its share held back
-	inUse  workspace.Parts // beyond the base
-	need   workspace.Parts // likewise, with what was wanted
+	need   workspace.Parts // beyond the base, for what runs and what was wanted
 
 	// peak is the greatest need since the last review, and lastPeak that before.
 	peak, lastPeak workspace.Parts
@@ -107,18 +109,30 @@
 
 // openAccounts begins a plan: what may still be started for each workspace.
 func (c *Core) openAccounts(now time.Duration) {
-	unseen := c.unseen(now)
-	strays := c.strayUse()
+	hidden := c.hiddenUse(now)
 	for name, a := range c.limits.accounts {
 		a.limit = c.declared.Workspaces[name].Limit
 		a.loose = c.limits.loose(a.limit)
-		runs := a.used.Plus(strays[name]).Plus(unseen[name])
-		a.left = c.share(a, now).Of(a.limit).Minus(runs)
+		a.planned = true
+		a.left = c.share(a, now).Of(a.limit).Minus(a.used).Minus(hidden[name])
 		a.wanted = work.Resources{}
-		a.inUse = max(0, workspace.PartsFor(runs, a.limit)-workspace.Base(c.cells()))
 	}
 }
 
+// beyondBase is how much of the limit an amount takes beyond the cell's base.
+func (c *Core) beyondBase(amount, limit work.Resources) workspace.Parts {
+	return max(0, workspace.PartsFor(amount, limit)-workspace.Base(c.cells()))
+}
+
+// hiddenUse is what counts towards limits beside the tasks on workers.
+func (c *Core) hiddenUse(now time.Duration) map[work.WorkspaceName]work.Resources {
+	out := c.unseen(now)
+	for name, r := range c.strayUse() {
+		out[name] = out[name].Plus(r)
+	}
+	return out
+}
+
 // strayUse is what runs that nobody wants hold of each workspace's limit until they have ended.
 // Of one whose job has been forgotten nothing is known; it ends within a stop's time.
 func (c *Core) strayUse() map[work.WorkspaceName]work.Resources {
@@ -213,15 +227,13 @@
 
 // closeAccounts ends a plan: what each workspace needs of its limit here.
 func (c *Core) closeAccounts() {
-	base := workspace.Base(c.cells())
 	for _, a := range c.limits.accounts {
 		if !a.limited() {
 			a.need, a.wanted = 0, work.Resources{}
 			continue
 		}
 		runs := c.share(a, c.now).Of(a.limit).Minus(a.left)
-		a.need = max(0, workspace.PartsFor(runs.Plus(a.wanted), a.limit)-base)
-		a.need = min(a.need, workspace.Whole)
+		a.need = min(workspace.Whole, c.beyondBase(runs.Plus(a.wanted), a.limit))
 		a.peak = max(a.peak, a.need)
 	}
 }
--- a/internal/engine/model_test.go
+++ b/internal/engine/model_test.go
@@ -11,6 +11,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/pumicestage/pumicestage/internal/infra"
 	"github.com/pumicestage/pumicestage/policy/work"
 )
 
@@ -90,6 +91,8 @@
 	calm      bool // no more faults
 	// overlap: outcomes of transactions come later and in any order.
 	overlap bool
+	bounds  Bounds
+	limited *limitWorld // nil: no workspace has a limit
 }
 
 const (
@@ -101,6 +104,7 @@
 	m := &model{
 		t: t, rng: rand.New(rand.NewPCG(seed, 1)), now: time.Hour, jobs: make(map[work.JobID]*JobRecord),
 		progress: make(map[work.JobID]*Progress), ended: make(map[work.JobID]work.State), doneAcked: make(map[work.TaskRef]bool),
+		bounds: rigBounds,
 	}
 	for range modelWorkers {
 		m.newLife()
@@ -140,8 +144,12 @@
 		}
 	}
 	b := &rig{t: m.t, now: m.now, wall: epoch}
-	o := &modelOwner{core: b.successor(m.token), cut: make(map[work.WorkerID]bool)}
+	o := &modelOwner{core: b.successorWithin(m.token, m.bounds), cut: make(map[work.WorkerID]bool)}
 	o.core.Declare(Declared{Version: 2, Queues: map[string]Queue{queue: {Name: queue, Service: service, MaxAttempts: 50}}})
+	if m.limited != nil {
+		m.limited.hear(o)
+		o.core.RestoreLedger(infra.KV{Key: infra.WorkLimitKey(string(limitedName)), Value: m.limited.value, ModRevision: m.limited.rev})
+	}
 	for _, id := range sorted(m.jobs) {
 		if m.ended[id] == "" {
 			o.core.Restore(m.jobs[id], m.progress[id], m.now, epoch)
@@ -272,6 +280,9 @@
 	w.token, w.deadline = st.Token, max(w.deadline, st.Deadline)
 	m.began(w, st.Task, st.Run)
 	w.running[st.Task] = st.Run
+	if m.limited != nil {
+		m.limited.began()
+	}
 	return OutcomeOK
 }
 
--- a/internal/engine/plan.go
+++ b/internal/engine/plan.go
@@ -168,13 +168,13 @@
 		return 0
 	})
 	c.held = false
+	c.openAccounts(now)
+	defer c.closeAccounts()
 	workers := c.snapshots(now)
 	if len(workers) == 0 {
 		return
 	}
 	planner := taskplan.NewPlanner(workers)
-	c.openAccounts(now)
-	defer c.closeAccounts()
 	for _, v := range ws {
 		if len(out.Starts) >= c.mayStart {
 			c.held = true
--- a/internal/engine/shares.go
+++ b/internal/engine/shares.go
@@ -42,11 +42,14 @@
 // carried out late, another cell would have it already.
 func (c *Core) Claims(now time.Duration) []shareClaim {
 	var out []shareClaim
+	hidden := c.hiddenUse(now)
 	for name, a := range c.limits.accounts {
-		if a.sending || a.broken {
+		if a.sending || a.broken || !a.planned {
 			continue
 		}
 		claim, due := c.claimOf(a, now)
+		// What was started or adopted since the last plan is in use, too.
+		claim.InUse = c.beyondBase(a.used.Plus(hidden[name]), a.limit)
 		if !due {
 			continue
 		}
@@ -70,7 +73,7 @@
 // claimOf says whether the account's share is to change, and what it claims.
 func (c *Core) claimOf(a *account, now time.Duration) (workspace.Claim, bool) {
 	held := a.ledger.Held[c.cell]
-	claim := workspace.Claim{Cell: c.cell, Need: a.need, InUse: a.inUse}
+	claim := workspace.Claim{Cell: c.cell, Need: a.need}
 	wants := a.short()
 	if wants && a.ledger.Wants[c.cell] == 0 {
 		return claim, true
