--- a/internal/engine/core.go
+++ b/internal/engine/core.go
@@ -39,6 +39,7 @@
 	learned  durations
 	sizes    map[string]*meanSize
 	limits   *limits
+	cells    []string  // among which limits are divided
 	arrivals []arrival // of late
 
 	dirty     map[work.JobID]*job
@@ -92,6 +93,7 @@
 		return
 	}
 	c.declared = d
+	c.cells = cellsOf(d)
 	for _, j := range c.open {
 		if q, known := d.Queues[j.Queue]; known {
 			q.Service = c.cell
--- a/internal/engine/limits.go
+++ b/internal/engine/limits.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"slices"
 	"time"
 
 	"github.com/pumicestage/pumicestage/internal/infra"
@@ -22,23 +23,43 @@
 
 	ledger workspace.Ledger // as last read or written
 	rev    infra.Revision   // of its key; 0: there is none
-	broken bool             // the key can't be read: the cell has its base alone
-	usable workspace.Parts  // beyond the base, certain to be this cell's
+	broken bool             // the key can't be read: the cell goes on with what it had
+	// own is what is certain to be this cell's, where told is set; else it has its even share.
+	own  workspace.Parts
+	told bool
 
 	// As of the last plan.
 	left   work.Resources  // of what the cell may use
 	wanted work.Resources  // by tasks that its share held back
-	need   workspace.Parts // beyond the base, for what runs and what was wanted
+	need   workspace.Parts // for what runs and what was wanted
 
 	// peak is the greatest need since the last review, and lastPeak that before.
 	peak, lastPeak workspace.Parts
 	reviewed       time.Duration
-	looked         time.Duration // when the ledger was last read to see what others hold
+	looked         time.Duration // when the ledger was last read to see what others have
+	called         bool          // another cell said that it waits, or that it gave back
 	sending        bool          // a change of the ledger is under way
+	// doubt: one was not answered and may be carried out late, until another has been stored.
+	doubt bool
+}
+
+// share is what the cell has, of so many.
+func (a *account) share(cells int) workspace.Parts {
+	if a.told {
+		return a.own
+	}
+	return workspace.Even(cells)
+}
+
+// lower bounds what the cell has from here on.
+func (a *account) lower(to workspace.Parts, cells int) {
+	a.own, a.told = min(a.share(cells), to), true
 }
 
 // short reports whether work waits that a larger share would let start.
-func (a *account) short() bool { return a.wanted != work.Resources{} && a.need > a.usable }
+func (a *account) short(cells int) bool {
+	return a.wanted != work.Resources{} && a.need > a.share(cells)
+}
 
 func (a *account) limited() bool { return a.limit != work.Resources{} && !a.loose }
 
@@ -82,29 +103,30 @@
 		(limit.GPU == 0 || float64(limit.GPU) >= looseMargin*float64(l.fleet.GPU) && l.fleet.MilliCPU > 0)
 }
 
-// cells is among how many cells limits are divided.
-func (c *Core) cells() int {
-	n := 0
-	for _, s := range c.declared.Services {
+// cellsOf names the cells among which limits are divided.
+func cellsOf(d Declared) []string {
+	var out []string
+	for name, s := range d.Services {
 		if !s.Standby {
-			n++
+			out = append(out, name)
 		}
 	}
-	return n
+	slices.Sort(out)
+	return out
 }
 
 // Confirm says when the configuration was last known to be the newest.
 func (c *Core) Confirm(at time.Duration) { c.limits.confirmed = max(c.limits.confirmed, at) }
 
-// share is what the cell may use of the workspace's limit. What it holds beyond its base it may
-// use only while its configuration is certain to be in force: an owner that is cut off or was
-// frozen may have missed that the limit was cut, and would begin work far above it.
+// share is what the cell may use of the workspace's limit. More than a little of it only while
+// the configuration is certain to be in force: an owner that is cut off or was frozen may have
+// missed that the limit was cut, and would begin work far above it.
 func (c *Core) share(a *account, now time.Duration) workspace.Parts {
-	base := workspace.Base(c.cells())
+	share := a.share(len(c.cells))
 	if within := c.bounds.ConfigWithin; within > 0 && now > c.limits.confirmed+within {
-		return base
+		return min(share, workspace.Provisional(len(c.cells)))
 	}
-	return base + a.usable
+	return share
 }
 
 // openAccounts begins a plan: what may still be started for each workspace.
@@ -119,11 +141,6 @@
 	}
 }
 
-// beyondBase is how much of the limit an amount takes beyond the cell's base.
-func (c *Core) beyondBase(amount, limit work.Resources) workspace.Parts {
-	return max(0, workspace.PartsFor(amount, limit)-workspace.Base(c.cells()))
-}
-
 // hiddenUse is what counts towards limits beside the tasks on workers.
 func (c *Core) hiddenUse(now time.Duration) map[work.WorkspaceName]work.Resources {
 	out := c.unseen(now)
@@ -214,7 +231,7 @@
 // VMs would stand idle beside it.
 func (c *Core) atLimit(s *step) bool {
 	a := c.limits.accounts[s.job.Workspace]
-	return a != nil && a.limited() && a.short() && a.ledger.Wants[c.cell] > 0
+	return a != nil && a.limited() && a.short(len(c.cells)) && a.ledger.Wants[c.cell] > 0
 }
 
 // spend notes a start of the step in its workspace's account.
@@ -233,7 +250,7 @@
 			continue
 		}
 		runs := c.share(a, c.now).Of(a.limit).Minus(a.left)
-		a.need = min(workspace.Whole, c.beyondBase(runs.Plus(a.wanted), a.limit))
+		a.need = min(workspace.Whole, workspace.PartsFor(runs.Plus(a.wanted), a.limit))
 		a.peak = max(a.peak, a.need)
 	}
 }
--- a/internal/engine/shares.go
+++ b/internal/engine/shares.go
@@ -21,6 +21,9 @@
 	reviewEvery = 500 * time.Millisecond
 	// sharesEvery is how often it is asked whether anything is to be done.
 	sharesEvery = 50 * time.Millisecond
+	// confirmAhead is how much sooner than it must the configuration is read again where its
+	// watch told nothing: the read takes milliseconds, from a slow store a fifth of a second.
+	confirmAhead = 300 * time.Millisecond
 	// claimsInTxn is how many ledgers fit into a transaction beside the owner's key, each with
 	// a condition and a write.
 	claimsInTxn = (txnEntries - 1) / 2
@@ -47,20 +50,27 @@
 		if a.sending || a.broken || !a.planned {
 			continue
 		}
-		claim, due := c.claimOf(a, now)
-		// What was started or adopted since the last plan is in use, too.
-		claim.InUse = c.beyondBase(a.used.Plus(hidden[name]), a.limit)
-		if !due {
+		claim := workspace.Claim{
+			Cell: c.cell, Cells: c.cells, Need: a.need,
+			// What was started or adopted since the last plan is in use, too.
+			InUse: workspace.PartsFor(a.used.Plus(hidden[name]), a.limit),
+		}
+		if !c.claimDue(a, &claim, now) {
 			continue
 		}
 		s := a.ledger.Settle(claim)
-		a.usable = min(a.usable, s.Use)
-		if s.Hold == a.ledger.Held[c.cell] && s.Ledger.Wants[c.cell] == a.ledger.Wants[c.cell] && s.Use <= a.usable {
-			continue // nothing changes
+		if a.doubt {
+			// A key that is absent has no revision by which the earlier change would fail.
+			s.Ledger.Has[c.cell] = s.Has
+		}
+		if s.Has == a.ledger.Of(c.cell, len(c.cells)) && s.Ledger.Wants[c.cell] == a.ledger.Wants[c.cell] && s.Use <= a.share(len(c.cells)) && !a.doubt {
+			a.lower(s.Use, len(c.cells))
+			continue // the ledger says so already
 		}
+		a.lower(s.Use, len(c.cells))
 		out = append(out, shareClaim{workspace: name, rev: a.rev, Settlement: s})
 	}
-	slices.SortFunc(out, func(x, y shareClaim) int { return cmp.Compare(y.Hold, x.Hold) })
+	slices.SortFunc(out, func(x, y shareClaim) int { return cmp.Compare(y.Has, x.Has) })
 	if len(out) > claimsInTxn {
 		out = out[:claimsInTxn]
 	}
@@ -70,51 +80,59 @@
 	return out
 }
 
-// claimOf says whether the account's share is to change, and what it claims.
-func (c *Core) claimOf(a *account, now time.Duration) (workspace.Claim, bool) {
-	held := a.ledger.Held[c.cell]
-	claim := workspace.Claim{Cell: c.cell, Need: a.need}
-	wants := a.short()
-	if wants && a.ledger.Wants[c.cell] == 0 {
-		return claim, true
+// claimDue says whether the account's share is to change, and completes the claim.
+func (c *Core) claimDue(a *account, claim *workspace.Claim, now time.Duration) bool {
+	wants, asked := a.short(len(c.cells)), a.ledger.Wants[c.cell] > 0
+	if wants && !asked {
+		return true
 	}
-	if now < a.reviewed+reviewEvery {
-		return claim, false
+	if now < a.reviewed+reviewEvery && !a.called {
+		return false
 	}
-	a.reviewed = now
+	a.reviewed, a.called = now, false
 	claim.Need = max(a.need, a.peak, a.lastPeak)
 	a.lastPeak, a.peak = a.peak, a.need
-	idle := workspace.Idle(held, claim.Need) || a.ledger.Wants[c.cell] > 0 && !wants
-	return claim, idle || wants || a.usable < min(held, claim.Need) || a.ledger.Contended(claim)
+	restores := a.told && a.own < min(a.ledger.Of(c.cell, len(c.cells)), claim.Need)
+	return wants || asked || restores || a.doubt || a.ledger.Idle(*claim) || a.ledger.Contended(*claim)
 }
 
 // wantsShares reports whether a workspace's work waits for a share that was not asked for yet.
 func (c *Core) wantsShares() bool {
 	for _, a := range c.limits.accounts {
-		if a.limited() && a.short() && !a.sending && a.ledger.Wants[c.cell] == 0 {
+		if a.limited() && a.short(len(c.cells)) && !a.sending && a.ledger.Wants[c.cell] == 0 {
 			return true
 		}
 	}
 	return false
 }
 
-// contended reports whether ledgers are to be read: where this cell waits for what others hold,
-// and, half as often, where it holds more than its even share and others may wait.
+// contended reports whether ledgers are to be read: where another cell called, where this one
+// waits for what others have, and, half as often, where it has more than its even share and a
+// call of others may have been lost.
 func (c *Core) contended(now time.Duration) bool {
-	even, due := workspace.Even(c.cells()), false
+	even, due := workspace.Even(len(c.cells)), false
 	for _, a := range c.limits.accounts {
-		waits, above := a.ledger.Wants[c.cell] > 0, a.ledger.Held[c.cell] > even
-		if !a.sending && (waits && now >= a.looked+reviewEvery || above && now >= a.looked+2*reviewEvery) {
-			a.looked, due = now, true
+		waits, above := a.ledger.Wants[c.cell] > 0, a.ledger.Of(c.cell, len(c.cells)) > even
+		if a.sending || !a.called && !(waits && now >= a.looked+reviewEvery) && !(above && now >= a.looked+2*reviewEvery) {
+			continue
 		}
+		a.looked, due = now, true
 	}
 	return due
 }
 
-// holdsShares reports whether the cell uses more of any limit than its base.
-func (c *Core) holdsShares() bool {
+// CallFor notes that another cell waits for some of the workspaces' limits, or gave back.
+func (c *Core) CallFor(names []work.WorkspaceName) {
+	for _, name := range names {
+		c.limits.of(name).called = true
+	}
+}
+
+// usesShares reports whether the cell uses more of a limit than it may without being sure of the
+// configuration.
+func (c *Core) usesShares() bool {
 	for _, a := range c.limits.accounts {
-		if a.ledger.Held[c.cell] > 0 {
+		if a.limited() && a.need > workspace.Provisional(len(c.cells)) {
 			return true
 		}
 	}
@@ -124,19 +142,22 @@
 // Claimed takes over that the change was stored.
 func (c *Core) Claimed(s shareClaim, rev infra.Revision) {
 	a := c.limits.of(s.workspace)
-	a.sending = false
+	a.sending, a.doubt = false, false
 	a.ledger, a.rev = s.Ledger, rev
 	if s.Ledger.Empty() {
 		a.rev = 0
 	}
-	if before := a.usable; s.Use != before {
-		c.log.V(1).Info("share of a limit", "workspace", a.name, "parts", s.Use, "before", before, "held", s.Hold, "need", a.need, "wanted", s.Ledger.Wants[c.cell])
-	}
-	a.usable = s.Use
+	c.log.Info("share of a limit", "workspace", a.name, "parts", s.Use, "of", workspace.Whole, "has", s.Has, "need", a.need, "waits", s.Ledger.Wants[c.cell] > 0)
+	a.own = s.Use
+	_, a.told = s.Ledger.Has[c.cell]
 }
 
-// ClaimFailed takes over that the change was not, or may not have been, stored.
-func (c *Core) ClaimFailed(s shareClaim) { c.limits.of(s.workspace).sending = false }
+// ClaimFailed takes over that the change was not stored; doubt says that it may yet be.
+func (c *Core) ClaimFailed(s shareClaim, doubt bool) {
+	a := c.limits.of(s.workspace)
+	a.sending = false
+	a.doubt = a.doubt || doubt
+}
 
 // LedgerRead takes a ledger over as the store has it. It never raises what the cell may use: a
 // change of its own that was not answered may yet be carried out, and give back what was read;
@@ -147,12 +168,14 @@
 	a.broken = false
 	if rev != 0 {
 		if err := json.Unmarshal(value, &l); err != nil {
-			c.log.Error(err, "ledger of a limit is malformed: the cell uses its base alone", "workspace", name)
+			c.log.Error(err, "ledger of a limit is malformed: the cell goes on with what it had", "workspace", name)
 			a.broken = true
 		}
 	}
 	a.ledger, a.rev = l, rev
-	a.usable = min(a.usable, l.Held[c.cell])
+	if has, named := l.Has[c.cell]; named {
+		a.lower(has, len(c.cells))
+	}
 }
 
 // LedgerSeen takes a ledger over that was read while nothing of this cell's was under way.
@@ -167,13 +190,18 @@
 	return work.WorkspaceName(strings.TrimPrefix(key, infra.WorkLimitPrefix))
 }
 
-// RestoreLedger takes over what earlier owners held. Nothing of theirs can be carried out any
+// RestoreLedger takes over what earlier owners had. Nothing of theirs can be carried out any
 // more: the owner's key, which is in the condition of every change, is another one.
 func (c *Core) RestoreLedger(kv infra.KV) {
 	name := workspaceOf(kv.Key)
 	c.LedgerRead(name, kv.Value, kv.ModRevision)
 	a := c.limits.of(name)
-	a.usable = a.ledger.Held[c.cell]
+	if a.broken {
+		a.lower(0, len(c.cells))
+		return
+	}
+	a.own, a.told = a.ledger.Has[c.cell], false
+	_, a.told = a.ledger.Has[c.cell]
 }
 
 // runShares keeps what the cell holds of workspaces' limits.
@@ -193,16 +221,16 @@
 	}
 }
 
-// confirmConfig reads the configuration before what the cell holds can't be used for want of it.
+// confirmConfig reads the configuration before what the cell has can't be used for want of it.
 func (e *Engine) confirmConfig(ctx context.Context) {
 	within := e.Bounds.ConfigWithin
-	if e.Configs == nil || within == 0 || e.Clock.Now() < e.Configs.Confirmed()+within/2 {
+	if e.Configs == nil || within == 0 || e.Clock.Now() < e.Configs.Confirmed()+within-confirmAhead {
 		return
 	}
 	e.mu.Lock()
-	holds := e.core.holdsShares()
+	uses := e.core.usesShares()
 	e.mu.Unlock()
-	if !holds {
+	if !uses {
 		return
 	}
 	if err := e.Configs.Confirm(ctx); err != nil {
@@ -245,6 +273,7 @@
 			return
 		}
 		kick(e.planKick)
+		e.callOthers(claims)
 	}
 }
 
@@ -270,7 +299,7 @@
 		case err == nil:
 			e.core.LedgerRead(claims[i].workspace, res.Reads[i].Value, res.Reads[i].ModRevision)
 		}
-		e.core.ClaimFailed(claims[i])
+		e.core.ClaimFailed(claims[i], infra.IsKind(err, infra.KindUnknown))
 	}
 	if err != nil {
 		e.Log.Info("share of a limit not stored", "workspaces", len(claims), "error", err.Error())
@@ -278,6 +307,39 @@
 	return err == nil
 }
 
+// callOthers tells the other cells of workspaces for which this one waits, or in which it gave
+// back what another waits for: they look at the ledgers, which they do on their own only while
+// they have more than their even share.
+func (e *Engine) callOthers(claims []shareClaim) {
+	if e.Call == nil {
+		return
+	}
+	var names []work.WorkspaceName
+	for i := range claims {
+		if len(claims[i].Ledger.Wants) > 0 {
+			names = append(names, claims[i].workspace)
+		}
+	}
+	if len(names) > 0 {
+		e.Call(names)
+	}
+}
+
+// CallFor is told by another cell that it waits for some of the workspaces' limits, or gave back.
+func (e *Engine) CallFor(names []work.WorkspaceName) error {
+	e.mu.Lock()
+	ready := e.restored
+	if ready {
+		e.core.CallFor(names)
+	}
+	e.mu.Unlock()
+	if !ready {
+		return ErrNotReady
+	}
+	kick(e.shareKick)
+	return nil
+}
+
 func (e *Engine) claimTxn(claims []shareClaim) (infra.Txn, error) {
 	txn := infra.Txn{If: []infra.Cond{{Key: e.OwnerKey, ModRevision: infra.Revision(e.Term.Token())}}}
 	for i := range claims {
--- a/internal/ownerlink/client.go
+++ b/internal/ownerlink/client.go
@@ -103,6 +103,15 @@
 	return *resp.Sync, nil
 }
 
+// CallFor tells a cell's owner that another cell waits for the workspaces' limits, or gave back.
+func (c *Client) CallFor(ctx context.Context, p Peer, names []work.WorkspaceName) error {
+	resp, err := c.call(ctx, p, &request{Kind: kindCallFor, Workspaces: names})
+	if err != nil {
+		return err
+	}
+	return resp.Result.err()
+}
+
 // Explain asks the owner where a job stands and why.
 func (c *Client) Explain(ctx context.Context, p Peer, id work.JobID) (engine.Explanation, error) {
 	resp, err := c.call(ctx, p, &request{Kind: kindExplain, JobID: id})
--- a/internal/ownerlink/ownerlink.go
+++ b/internal/ownerlink/ownerlink.go
@@ -42,6 +42,7 @@
 	kindPing
 	kindEndLease
 	kindConfig
+	kindCallFor
 )
 
 // byCallers reports whether the call carries a caller's request, on which the configuration
@@ -64,6 +65,8 @@
 	Config    Standing           `msgpack:"v,omitempty"` // of the entry VM that calls
 
 	Lease int64 `msgpack:"l,omitempty"` // to be ended
+	// Workspaces are those whose limits another cell waits for, or gave back of.
+	Workspaces []work.WorkspaceName `msgpack:"ws,omitempty"`
 
 	Sync   *engine.CellSync   `msgpack:"y,omitempty"`
 	Worker msgpack.RawMessage `msgpack:"w,omitempty"` // a packed workerCall
--- a/policy/workspace/ledger.go
+++ b/policy/workspace/ledger.go
@@ -7,32 +7,33 @@
 	"github.com/pumicestage/pumicestage/policy/work"
 )
 
-// Parts of a workspace's limit. Cells hold parts and not amounts: a limit that is cut or raised
-// is so in every cell at once, without a change of what they hold.
+// Parts of a workspace's limit. Cells have parts and not amounts: a limit that is cut or raised
+// is so in every cell at once, without a change of what they have.
 type Parts int
 
 const (
 	// Whole is a whole limit.
 	Whole Parts = 10_000
-	// baseParts are divided evenly among the cells and need no record: a cell starts work of a
-	// workspace that is far from its limit without a call, also while the store is away. The
-	// rest is drawn, so that one cell alone can use nine tenths of the limit.
-	baseParts = Whole / 10
-	reserve   = Whole - baseParts
-	// drawStep is what holdings are rounded up to, so that a workspace whose work grows is not
-	// drawn for at every job.
+	// evenParts are divided evenly among the cells without a record: a workspace whose use in
+	// each cell is below that costs no call, also while the store is away. The rest is there at
+	// once for a cell that needs more, and bounds what an owner uses that has not heard of a
+	// new cell.
+	evenParts = Whole * 9 / 10
+	// provisionalParts are divided among owners that can't tell whether the limit was cut.
+	provisionalParts = Whole / 10
+	// drawStep is what claims are rounded up to, so that work which grows is not claimed for at
+	// every job.
 	drawStep = Whole / 40
-	// headroom beyond what is needed is drawn where it is left over: a fourth.
+	// headroom beyond what is needed is claimed where it is left over: a fourth.
 	headroom = 4
 )
 
-// Base is what each of so many cells may use without a record.
-func Base(cells int) Parts {
-	if cells <= 0 {
-		return 0
-	}
-	return baseParts / Parts(cells)
-}
+// Even is what each of so many cells may use without a record.
+func Even(cells int) Parts { return evenParts / Parts(max(1, cells)) }
+
+// Provisional is what an owner of one of so many cells may use while it can't tell whether the
+// limit was cut.
+func Provisional(cells int) Parts { return provisionalParts / Parts(max(1, cells)) }
 
 // Of returns so many parts of the limit; a kind of resource without a limit stays 0.
 func (p Parts) Of(limit work.Resources) work.Resources {
@@ -70,30 +71,45 @@
 	return max(0, min(most, left/size))
 }
 
-// Ledger tells what the cells hold of one workspace's limit beyond their bases. It lies in the
-// store and is changed under the condition that nobody else has: what all of them hold never
-// exceeds the reserve.
+// Ledger tells what cells have of one workspace's limit where that is not their even share. It
+// lies in the store and is changed under the condition that nobody else has: all cells together
+// never have more than the whole. A cell's entry is changed by its own owner alone.
 type Ledger struct {
-	Held map[string]Parts `json:"held,omitempty"` // by cell
+	Has map[string]Parts `json:"has,omitempty"` // by cell; one that is not named has its even share
 	// Wants tells what cells need that found less than that left.
 	Wants map[string]Parts `json:"wants,omitempty"`
 }
 
 // Empty reports whether the ledger need not be kept.
-func (l *Ledger) Empty() bool { return len(l.Held) == 0 && len(l.Wants) == 0 }
+func (l *Ledger) Empty() bool { return len(l.Has) == 0 && len(l.Wants) == 0 }
 
-func (l *Ledger) left() Parts {
-	left := reserve
-	for _, held := range l.Held {
-		left -= held
+// Of returns what the cell has, among so many.
+func (l *Ledger) Of(cell string, cells int) Parts {
+	if has, named := l.Has[cell]; named {
+		return has
 	}
-	return left
+	return Even(cells)
+}
+
+// left is what no cell has. A cell that is named and no longer declared still has its entry.
+func (l *Ledger) left(cells []string) Parts {
+	left := Whole
+	for _, has := range l.Has {
+		left -= has
+	}
+	for _, cell := range cells {
+		if _, named := l.Has[cell]; !named {
+			left -= Even(len(cells))
+		}
+	}
+	return max(0, left)
 }
 
 // Claim is what a cell asks of a ledger.
 type Claim struct {
-	Cell string
-	Need Parts // beyond its base, for what runs and waits
+	Cell  string
+	Cells []string // all that the limit is divided among
+	Need  Parts    // for what runs and waits
 	// InUse cannot be given back: it runs.
 	InUse Parts
 }
@@ -101,106 +117,101 @@
 // Settlement is what becomes of a claim.
 type Settlement struct {
 	Ledger Ledger
-	// Hold is what the ledger then says of the cell.
-	Hold Parts
-	// Use is what the cell may begin work by. It is less than Hold while the cell gives back:
-	// what runs is held until it ends, and nothing new takes its place.
+	// Has is what the ledger then says of the cell.
+	Has Parts
+	// Use is what the cell may begin work by. It is less while the cell gives back: what runs
+	// stays the cell's until it ends, and nothing new takes its place.
 	Use Parts
 }
 
 // Settle returns the ledger as the claim changes it. A cell gets what it needs, and some more,
-// while that is left. Where several need more than there is, each gets as much as the others,
-// or all it needs: a cell that holds more than that gives it back as its runs end.
+// while that is left, and keeps its even share while nobody else wants any of it. Where several
+// need more than there is, each gets as much as the others, or all it needs: a cell that has
+// more than that gives it back as its runs end.
 func (l *Ledger) Settle(c Claim) Settlement {
-	held := l.Held[c.Cell]
-	most := held + l.left()
-	ask := roundUp(c.Need + c.Need/headroom)
-	if l.othersWant(c.Cell) {
-		most = min(most, l.evenShare(c))
+	has := l.Of(c.Cell, len(c.Cells))
+	most := has + l.left(c.Cells)
+	ask := max(Even(len(c.Cells)), roundUp(c.Need+c.Need/headroom))
+	if l.othersWant(c) {
+		most = min(most, l.fairShare(c))
 		ask = c.Need
 	}
 	use := min(ask, most)
-	hold := max(use, min(c.InUse, held))
-	out := Ledger{Held: with(l.Held, c.Cell, hold), Wants: with(l.Wants, c.Cell, 0)}
-	if hold < c.Need {
+	now := max(use, min(c.InUse, has))
+	out := Ledger{Has: with(l.Has, c.Cell, now), Wants: without(l.Wants, c.Cell)}
+	if now == Even(len(c.Cells)) {
+		delete(out.Has, c.Cell)
+	}
+	if use < c.Need {
 		out.Wants = with(l.Wants, c.Cell, c.Need)
 	}
-	return Settlement{Ledger: out, Hold: hold, Use: use}
+	return Settlement{Ledger: out, Has: now, Use: use}
 }
 
-// Idle reports whether a cell that holds so much may give some of it back.
-func Idle(held, need Parts) bool {
-	return held > 0 && (need <= 0 || roundUp(need+need/headroom) <= held-drawStep)
+// Idle reports whether the cell has more than its even share and may give some of it back.
+func (l *Ledger) Idle(c Claim) bool {
+	has, even := l.Of(c.Cell, len(c.Cells)), Even(len(c.Cells))
+	return has > even && max(even, roundUp(c.Need+c.Need/headroom)) <= has-drawStep
+}
+
+// Contended reports whether the cell has more than its share while another one waits.
+func (l *Ledger) Contended(c Claim) bool {
+	return l.othersWant(c) && l.Of(c.Cell, len(c.Cells)) > min(c.Need, l.fairShare(c))
 }
 
 func roundUp(p Parts) Parts { return (p + drawStep - 1) / drawStep * drawStep }
 
-// othersWant reports whether another cell needs more than it holds.
-func (l *Ledger) othersWant(cell string) bool {
+// othersWant reports whether another cell needs more than it has.
+func (l *Ledger) othersWant(c Claim) bool {
 	for other, wants := range l.Wants {
-		if other != cell && wants > l.Held[other] {
+		if other != c.Cell && wants > l.Of(other, len(c.Cells)) {
 			return true
 		}
 	}
 	return false
 }
 
-// Contended reports whether the cell holds more than is its share while another one waits.
-func (l *Ledger) Contended(c Claim) bool {
-	return l.othersWant(c.Cell) && l.Held[c.Cell] > l.evenShare(c)
-}
-
-// Even is what each of so many cells would hold if all needed more than there is.
-func Even(cells int) Parts {
-	if cells <= 0 {
-		return 0
-	}
-	return reserve / Parts(cells)
-}
-
-// evenShare divides the reserve among the cells by what each needs: the least needs are met
-// whole, the others get the same.
-func (l *Ledger) evenShare(c Claim) Parts {
+// fairShare divides the limit among the cells by what each needs: the least needs are met whole,
+// the others get the same. A cell that is not named may use its even share.
+func (l *Ledger) fairShare(c Claim) Parts {
 	needs := []Parts{c.Need}
-	for _, other := range l.cells() {
-		if other != c.Cell {
-			needs = append(needs, max(l.Held[other], l.Wants[other]))
-		}
+	for _, other := range l.others(c) {
+		needs = append(needs, max(l.Of(other, len(c.Cells)), l.Wants[other]))
 	}
 	slices.SortFunc(needs, cmp.Compare[Parts])
-	left := reserve
+	left := Whole
 	for i, need := range needs {
-		even := left / Parts(len(needs)-i)
-		if need >= even {
-			return even
+		same := left / Parts(len(needs)-i)
+		if need >= same {
+			return same
 		}
 		left -= need
 	}
 	return Whole
 }
 
-func (l *Ledger) cells() []string {
-	var out []string
-	for cell := range l.Held {
-		out = append(out, cell)
-	}
-	for cell := range l.Wants {
-		if _, holds := l.Held[cell]; !holds {
+func (l *Ledger) others(c Claim) []string {
+	out := slices.Clone(c.Cells)
+	for cell := range l.Has {
+		if !slices.Contains(out, cell) {
 			out = append(out, cell)
 		}
 	}
-	return out
+	return slices.DeleteFunc(out, func(cell string) bool { return cell == c.Cell })
 }
 
-// with returns a copy with the cell's entry; 0 is no entry.
 func with(m map[string]Parts, cell string, p Parts) map[string]Parts {
+	out := without(m, cell)
+	out[cell] = p
+	return out
+}
+
+func without(m map[string]Parts, cell string) map[string]Parts {
 	out := make(map[string]Parts, len(m)+1)
 	for k, v := range m {
-		out[k] = v
-	}
-	out[cell] = p
-	if p == 0 {
-		delete(out, cell)
+		if k != cell {
+			out[k] = v
+		}
 	}
 	return out
 }
