--- a/internal/engine/explain.go
+++ b/internal/engine/explain.go
@@ -6,6 +6,7 @@
 	"github.com/pumicestage/pumicestage/policy/joborder"
 	"github.com/pumicestage/pumicestage/policy/taskplan"
 	"github.com/pumicestage/pumicestage/policy/work"
+	"github.com/pumicestage/pumicestage/policy/workspace"
 )
 
 // Explanation says where a job stands and why, as its cell's owner sees it.
@@ -38,7 +39,27 @@
 	After []int `json:"after,omitempty"`
 	// Waits counts the workers by what keeps the step's waiting tasks from them.
 	Waits map[taskplan.Reason]int `json:"waits,omitempty"`
-	Runs  []RunExplanation        `json:"runs,omitempty"`
+	// Limit says how the step stands with its workspace's limit, where tasks of it wait.
+	Limit *LimitExplanation `json:"limit,omitempty"`
+	Runs  []RunExplanation  `json:"runs,omitempty"`
+}
+
+// LimitExplanation is how much of its limit a workspace uses and may use in the cell.
+type LimitExplanation struct {
+	Workspace work.WorkspaceName `json:"workspace"`
+	Limit     work.Resources     `json:"limit"` // in all cells together
+	Used      work.Resources     `json:"used_here"`
+	May       work.Resources     `json:"may_use_here"`
+	// Holds says that tasks of the step would start if the cell had more of the limit.
+	Holds bool `json:"holds_tasks_back"`
+	// Others is what other cells have, in ten thousandths of the limit, where it is not an
+	// even share.
+	Others map[string]workspace.Parts `json:"others,omitempty"`
+	// Never: a task, or the gang, is larger than the whole limit.
+	Never bool `json:"can_never_start"`
+	// ConfigAge is how long ago the limit was known to be the newest; beyond the time within
+	// which configurations are in force little may start.
+	ConfigAge time.Duration `json:"config_age_ns"`
 }
 
 // RunExplanation is one run under way.
@@ -101,6 +122,31 @@
 	}
 	if ps := c.planStep(s, workers, now); ps != nil {
 		out.Waits = taskplan.Binding(workers, ps)
+		out.Limit = c.explainLimit(s, len(ps.Tasks), now)
+	}
+	return out
+}
+
+func (c *Core) explainLimit(s *step, waiting int, now time.Duration) *LimitExplanation {
+	a := c.limits.accounts[s.job.Workspace]
+	if a == nil || !a.limited() {
+		return nil
+	}
+	out := &LimitExplanation{
+		Workspace: a.name, Limit: a.limit, Used: a.used, May: c.share(a, now).Of(a.limit), ConfigAge: now - c.limits.confirmed,
+		Holds: workspace.Fitting(s.spec.Size, a.left, a.limit, waiting) < waiting,
+		Never: workspace.Fitting(s.spec.Size, a.limit, a.limit, waiting) < 1,
+	}
+	if s.spec.Gang {
+		out.Never = workspace.Fitting(s.spec.Size, a.limit, a.limit, len(s.tasks)) < len(s.tasks)
+	}
+	for cell, has := range a.ledger.Has {
+		if cell != c.cell {
+			if out.Others == nil {
+				out.Others = make(map[string]workspace.Parts)
+			}
+			out.Others[cell] = has
+		}
 	}
 	return out
 }
--- a/internal/engine/limits.go
+++ b/internal/engine/limits.go
@@ -132,6 +132,9 @@
 // openAccounts begins a plan: what may still be started for each workspace.
 func (c *Core) openAccounts(now time.Duration) {
 	hidden := c.hiddenUse(now)
+	for name := range c.declared.Workspaces {
+		c.limits.of(name) // the first job of a workspace is limited as all others are
+	}
 	for name, a := range c.limits.accounts {
 		a.limit = c.declared.Workspaces[name].Limit
 		a.loose = c.limits.loose(a.limit)
