--- a/internal/engine/bench_test.go
+++ b/internal/engine/bench_test.go
@@ -8,6 +8,7 @@
 	"github.com/go-logr/logr"
 
 	"github.com/pumicestage/pumicestage/policy/work"
+	"github.com/pumicestage/pumicestage/policy/workspace"
 )
 
 // grown is a cell of a grown deployment in the middle of a burst: its workers
@@ -47,6 +48,37 @@
 	}
 }
 
+// BenchmarkPlanOfManyWorkspaces is a plan over two thousand waiting steps of 82 workspaces while
+// the pool is full, without limits, far from them, and with each at its limit.
+func BenchmarkPlanOfManyWorkspaces(b *testing.B) {
+	const workspaces, waiting = 82, 2000
+	for _, c := range []struct {
+		name  string
+		limit int64 // in tasks
+	}{{"no limits", 0}, {"far from limits", 10_000}, {"at limits", 1}} {
+		b.Run(c.name, func(b *testing.B) {
+			core, now := grown(b, 70, 0)
+			d := Declared{Version: 2, Queues: core.declared.Queues, Services: map[string]Service{service: {Name: service}}, Workspaces: make(map[work.WorkspaceName]workspace.Workspace)}
+			for i := range workspaces {
+				name := work.WorkspaceName(fmt.Sprintf("ws%d", i))
+				d.Workspaces[name] = workspace.Workspace{Name: name, Limit: short(1).Size.Times(c.limit)}
+			}
+			core.Declare(d)
+			for i := range waiting {
+				name := work.WorkspaceName(fmt.Sprintf("ws%d", i%workspaces))
+				j := &work.Job{ID: work.JobID(fmt.Sprintf("%016x", i)), Queue: queue, Workspace: name, Steps: []work.Step{short(8)}}
+				core.Accept(j, d.Queues[queue], now)
+			}
+			core.Plan(now, epoch)
+			b.ReportAllocs()
+			for b.Loop() {
+				now += time.Millisecond
+				core.Plan(now, epoch)
+			}
+		})
+	}
+}
+
 // BenchmarkReport is what the fleet's owner asks of each cell several times a
 // second.
 func BenchmarkReport(b *testing.B) {
--- a/internal/engine/core.go
+++ b/internal/engine/core.go
@@ -126,6 +126,9 @@
 
 func (c *Core) add(j *job) {
 	c.jobs[j.ID] = j
+	if j.Workspace != "" {
+		j.account = c.limits.of(j.Workspace)
+	}
 	if j.final != "" {
 		return
 	}
--- a/internal/engine/explain.go
+++ b/internal/engine/explain.go
@@ -128,7 +128,7 @@
 }
 
 func (c *Core) explainLimit(s *step, waiting int, now time.Duration) *LimitExplanation {
-	a := c.limits.accounts[s.job.Workspace]
+	a := s.job.account
 	if a == nil || !a.limited() {
 		return nil
 	}
--- a/internal/engine/job.go
+++ b/internal/engine/job.go
@@ -127,7 +127,8 @@
 // job is an accepted job.
 type job struct {
 	work.Job
-	queue    Queue // as last configured
+	queue    Queue    // as last configured
+	account  *account // of its workspace; nil: it has none
 	accepted time.Duration
 	// restored is set on jobs that were accepted before this owner took over:
 	// an earlier owner may have tasks of theirs running.
--- a/internal/engine/limits.go
+++ b/internal/engine/limits.go
@@ -31,6 +31,7 @@
 	// As of the last plan.
 	left   work.Resources  // of what the cell may use
 	wanted work.Resources  // by tasks that its share held back
+	sated  bool            // no more would find room in the pool
 	need   workspace.Parts // for what runs and what was wanted
 
 	// peak is the greatest need since the last review, and lastPeak that before.
@@ -82,10 +83,9 @@
 	return a
 }
 
-// count notes that the task came to a worker (1) or left it (-1).
-func (l *limits) count(t *task, n int64) {
-	if name := t.step.job.Workspace; name != "" {
-		a := l.of(name)
+// count notes in its workspace's account that the task came to a worker (1) or left it (-1).
+func (t *task) count(n int64) {
+	if a := t.step.job.account; a != nil {
 		a.used = a.used.Plus(t.step.spec.Size.Times(n))
 	}
 }
@@ -140,7 +140,7 @@
 		a.loose = c.limits.loose(a.limit)
 		a.planned = true
 		a.left = c.share(a, now).Of(a.limit).Minus(a.used).Minus(hidden[name])
-		a.wanted = work.Resources{}
+		a.wanted, a.sated = work.Resources{}, false
 	}
 }
 
@@ -209,20 +209,16 @@
 	return room, c.fleetKnown
 }
 
-// allow returns how many of the step's waiting tasks its workspace's share lets start now. What
-// finds no room in the pool is not wanted of the limit.
-func (c *Core) allow(s *step, waiting int, pool *taskplan.Planner) int {
-	if s.job.Workspace == "" {
-		return waiting
-	}
-	a := c.limits.of(s.job.Workspace)
-	if !a.limited() {
+// allowed returns how many of so many waiting tasks of the step its workspace's share lets start
+// now.
+func (s *step) allowed(waiting int, pool *taskplan.Planner) int {
+	a := s.job.account
+	if a == nil || !a.limited() {
 		return waiting
 	}
 	n := workspace.Fitting(s.spec.Size, a.left, a.limit, waiting)
 	if n < waiting {
-		held := s.spec.Size.Times(int64(waiting - n))
-		a.wanted = a.wanted.Plus(held).Least(a.wanted.Most(pool.Room()))
+		a.want(s.spec.Size.Times(int64(waiting-n)), pool)
 	}
 	if s.spec.Gang && n < waiting {
 		return 0
@@ -230,17 +226,39 @@
 	return n
 }
 
+// exhausted reports whether the share of the step's workspace lets none of its tasks start.
+func (s *step) exhausted(pool *taskplan.Planner) bool {
+	a := s.job.account
+	if a == nil || !a.limited() || workspace.Fitting(s.spec.Size, a.left, a.limit, 1) == 1 {
+		return false
+	}
+	a.want(s.spec.Size.Times(int64(s.pending)), pool)
+	return true
+}
+
+// want notes tasks that the share held back. What finds no room in the pool is not wanted of the
+// limit.
+func (a *account) want(size work.Resources, pool *taskplan.Planner) {
+	if a.sated {
+		return
+	}
+	before := a.wanted
+	a.wanted = before.Plus(size)
+	if room := pool.Room(); !a.wanted.Fits(room) {
+		a.wanted, a.sated = before.Most(a.wanted.Least(room)), true
+	}
+}
+
 // atLimit reports whether the step waits for its workspace's limit, all of which is in use: more
 // VMs would stand idle beside it.
 func (c *Core) atLimit(s *step) bool {
-	a := c.limits.accounts[s.job.Workspace]
+	a := s.job.account
 	return a != nil && a.limited() && a.short(len(c.cells)) && a.ledger.Wants[c.cell] > 0
 }
 
 // spend notes a start of the step in its workspace's account.
-func (c *Core) spend(s *step) {
-	if s.job.Workspace != "" {
-		a := c.limits.of(s.job.Workspace)
+func (s *step) spend() {
+	if a := s.job.account; a != nil {
 		a.left = a.left.Minus(s.spec.Size)
 	}
 }
--- a/internal/engine/limits_test.go
+++ b/internal/engine/limits_test.go
@@ -174,6 +174,30 @@
 	assert.Equal(t, r.account().left.MilliCPU, short(1).Size.MilliCPU*36/10-4*short(1).Size.MilliCPU)
 }
 
+// Another cell waits for all of the limit. What this one has running stays its own until it ends,
+// or the other would start beside it.
+func TestWhatRunsIsNotGivenBack(t *testing.T) {
+	r := newLimitRig(t, 10)
+	r.worker("w1")
+	r.ledger(r.core, workspace.Ledger{Wants: map[string]workspace.Parts{otherCell: workspace.Whole}})
+	r.acceptRed("j1", short(3))
+	o := r.plan()
+	r.answer(o, OutcomeOK)
+	r.core.CallFor([]work.WorkspaceName{redName})
+	l := r.store(r.core.Claims(r.now))
+	assert.Assert(t, l.Has[service] >= 3000)
+	for i := range o.Starts {
+		r.look("w1", Listing{Ended: []RunEnd{ended(int64(i+1), o.Starts[i], work.Done)}})
+	}
+	r.flush()
+	r.plan()
+	for range 3 {
+		r.now += reviewEvery
+		l = r.store(r.core.Claims(r.now))
+	}
+	assert.Equal(t, l.Has[service], workspace.Parts(0))
+}
+
 // The change by which a cell gives parts back is not answered. Carried out seconds later, it
 // lets another cell use them: this one may not use them either way, until a change that it is
 // certain of has made the first one void.
@@ -241,13 +265,18 @@
 
 // A limit above what all VMs can run binds nowhere: it costs no call even where one cell runs all.
 func TestALimitAboveTheFleetIsNone(t *testing.T) {
-	r := newLimitRig(t, 100)
-	r.core.SetFleet([]work.VM{{ID: "v1", Worker: "w1", Pool: service, State: work.VMUp, Size: info("w1").Capacity}})
+	r := newLimitRig(t, 10)
+	size := info("w1").Capacity
+	size.MemoryMB = 0
+	r.core.SetFleet([]work.VM{
+		{ID: "v1", Worker: "w1", Pool: service, State: work.VMUp, Size: size},
+		{ID: "v2", Worker: "w2", Pool: service, State: work.VMUp, Size: work.Resources{MilliCPU: size.MilliCPU, MemoryMB: 8000}},
+	})
 	for _, id := range []work.WorkerID{"w1", "w2"} {
 		r.worker(id)
 	}
 	r.acceptRed("j1", short(60))
-	r.plan()
+	assert.Equal(t, len(r.plan().Starts), 8)
 	assert.Equal(t, len(r.core.Claims(r.now)), 0)
 }
 
--- a/internal/engine/listing.go
+++ b/internal/engine/listing.go
@@ -20,7 +20,7 @@
 		return
 	}
 	c.workers[info.ID] = &worker{
-		info: info, inherited: c.inherited, limits: c.limits,
+		info: info, inherited: c.inherited,
 		tasks: make(map[work.TaskRef]*task), strays: make(map[work.TaskRef]*stray),
 	}
 }
--- a/internal/engine/plan.go
+++ b/internal/engine/plan.go
@@ -180,14 +180,16 @@
 			c.held = true
 			break
 		}
-		if !planner.MayFit(v.step.spec) {
+		// Steps that find no room, or none within their workspace's limit, are passed over
+		// without a look at their tasks: hundreds of them wait.
+		if !planner.MayFit(v.step.spec) || v.step.exhausted(planner) {
 			continue
 		}
 		s := c.planStep(v.step, workers, now)
 		if s == nil {
 			continue
 		}
-		s.Tasks = s.Tasks[:c.allow(v.step, len(s.Tasks), planner)]
+		s.Tasks = s.Tasks[:v.step.allowed(len(s.Tasks), planner)]
 		if len(s.Tasks) == 0 {
 			continue
 		}
@@ -196,7 +198,7 @@
 		}
 		for _, p := range planner.Place(s) {
 			c.order(p, now, out)
-			c.spend(v.step)
+			v.step.spend()
 		}
 	}
 	c.explain(ws, workers, now)
--- a/internal/engine/worker.go
+++ b/internal/engine/worker.go
@@ -65,7 +65,6 @@
 
 	tasks      map[work.TaskRef]*task // changed by add and remove alone
 	load       load                   // of these tasks
-	limits     *limits                // of the workspaces that the tasks are of
 	emptySince time.Duration          // when its last task left, or it was first heard
 	// strays are runs there that must not go on. A task does not start anywhere
 	// while one of its runs is a stray somewhere.
@@ -178,7 +177,7 @@
 	}
 	w.tasks[t.ref] = t
 	w.load.count(t.step, 1)
-	w.limits.count(t, 1)
+	t.count(1)
 }
 
 func (w *worker) remove(t *task) {
@@ -187,7 +186,7 @@
 	}
 	delete(w.tasks, t.ref)
 	w.load.count(t.step, -1)
-	w.limits.count(t, -1)
+	t.count(-1)
 }
 
 // snapshot is the worker as a plan sees it.
