--- a/cmd/pumicestage/explain.go
+++ b/cmd/pumicestage/explain.go
@@ -16,6 +16,8 @@
 
 	"github.com/pumicestage/pumicestage/internal/engine"
 	"github.com/pumicestage/pumicestage/internal/jobfront"
+	"github.com/pumicestage/pumicestage/policy/work"
+	"github.com/pumicestage/pumicestage/policy/workspace"
 )
 
 // defaultEntry is the metrics address of an entry VM on this machine.
@@ -40,9 +42,21 @@
 	cells := cmd.Command("cells", "Say how the cells stand: their owners, jobs, workers and load.")
 	cells.Flag("entry", "Metrics address of any entry VM, HOST:PORT.").Envar("PUMICESTAGE_ENTRY").Default(defaultEntry).StringVar(&f.entry)
 	cells.Action(action(func(ctx context.Context) error { return c.explainCells(ctx, f) }))
+	workspaces := cmd.Command("workspaces", "Say what each workspace uses of its limit in each cell, and what waits for it.")
+	workspaces.Flag("entry", "Metrics address of any entry VM, HOST:PORT.").Envar("PUMICESTAGE_ENTRY").Default(defaultEntry).StringVar(&f.entry)
+	workspaces.Action(action(func(ctx context.Context) error { return c.explainWorkspaces(ctx, f) }))
 }
 
 func (c *cli) explainCells(ctx context.Context, f *explainFlags) error {
+	return c.printCellPage(ctx, f, printCells)
+}
+
+func (c *cli) explainWorkspaces(ctx context.Context, f *explainFlags) error {
+	return c.printCellPage(ctx, f, printWorkspaces)
+}
+
+// printCellPage reads how the cells stand and prints that, or what came.
+func (c *cli) printCellPage(ctx context.Context, f *explainFlags, print func(io.Writer, []jobfront.CellReport) error) error {
 	ctx, cancel := context.WithTimeout(ctx, c.timeout)
 	defer cancel()
 	raw, err := getPage(ctx, f.entry, "/cells")
@@ -57,7 +71,22 @@
 	if err := json.Unmarshal(raw, &reports); err != nil {
 		return fmt.Errorf("the entry VM's answer is malformed: %w", err)
 	}
-	return printCells(c.stdout, reports)
+	return print(c.stdout, reports)
+}
+
+func printWorkspaces(out io.Writer, reports []jobfront.CellReport) error {
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "WORKSPACE\tCELL\tUSED HERE\tALLOWED HERE\tLIMIT IN ALL\tWAITS FOR IT")
+	for _, r := range reports {
+		if r.Summary == nil {
+			fmt.Fprintf(w, "\t%s\t%s\t\t\t\n", r.Cell, r.Missing)
+			continue
+		}
+		for _, u := range r.Summary.Workspaces {
+			fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%t\n", u.Workspace, r.Cell, amount(u.Used), amount(u.May), amount(u.Limit), u.Waits)
+		}
+	}
+	return w.Flush()
 }
 
 func printCells(out io.Writer, reports []jobfront.CellReport) error {
@@ -151,6 +180,9 @@
 	if len(s.Waits) > 0 {
 		fmt.Fprintf(w, "  workers for what waits:%s\n", counts(s.Waits))
 	}
+	if s.Limit != nil {
+		printLimit(w, s.Limit)
+	}
 	for i := range s.Runs {
 		r := &s.Runs[i]
 		fmt.Fprintf(w, "  %s run %d %s on %s for %s, %d%%", r.Task, r.Run, r.State, r.Worker, r.For, r.Percent)
@@ -164,6 +196,43 @@
 	}
 }
 
+func printLimit(w io.Writer, l *engine.LimitExplanation) {
+	verdict := "does not hold it back"
+	switch {
+	case l.Never:
+		verdict = "can never start: a task, or the gang, is larger than the whole limit"
+	case l.Holds:
+		verdict = "waits for its workspace's limit"
+	}
+	fmt.Fprintf(w, "  limit of workspace %s: %s in all cells; here %s used, %s allowed: %s\n", l.Workspace, amount(l.Limit), amount(l.Used), amount(l.May), verdict)
+	others := make([]string, 0, len(l.Others))
+	for cell, has := range l.Others {
+		others = append(others, fmt.Sprintf("%s %.1f%%", cell, 100*float64(has)/float64(workspace.Whole)))
+	}
+	if len(others) > 0 {
+		slices.Sort(others)
+		fmt.Fprintf(w, "  other cells have of it: %s; those not named an even share\n", strings.Join(others, ", "))
+	}
+}
+
+// amount prints an amount of resources; kinds of which there is none are left out.
+func amount(r work.Resources) string {
+	var parts []string
+	if r.MilliCPU != 0 {
+		parts = append(parts, fmt.Sprintf("%.1f cores", float64(r.MilliCPU)/1000))
+	}
+	if r.MemoryMB != 0 {
+		parts = append(parts, fmt.Sprintf("%d MB", r.MemoryMB))
+	}
+	if r.GPU != 0 {
+		parts = append(parts, fmt.Sprintf("%d accelerators", r.GPU))
+	}
+	if len(parts) == 0 {
+		return "none"
+	}
+	return strings.Join(parts, " ")
+}
+
 // counts prints what is counted by name, in the order of names.
 func counts[K ~string](m map[K]int) string {
 	names := make([]K, 0, len(m))
--- a/cmd/pumicestage/explain_test.go
+++ b/cmd/pumicestage/explain_test.go
@@ -15,6 +15,7 @@
 	"github.com/pumicestage/pumicestage/internal/jobfront"
 	"github.com/pumicestage/pumicestage/policy/taskplan"
 	"github.com/pumicestage/pumicestage/policy/work"
+	"github.com/pumicestage/pumicestage/policy/workspace"
 )
 
 func explainFrom(t *testing.T, report *jobfront.Report, args ...string) (status int, out, problems string) {
@@ -39,6 +40,10 @@
 		Left: 2 * time.Second, Tier: "in time", Restored: true,
 		Steps: []engine.StepExplanation{{
 			Step: "5c0e7a21d94b36f8.0.0", Tasks: map[string]int{"running": 1, "waiting": 2}, Waits: map[taskplan.Reason]int{taskplan.ReasonRoom: 3},
+			Limit: &engine.LimitExplanation{
+				Workspace: "red", Limit: work.Resources{MilliCPU: 8000, MemoryMB: 64000}, Used: work.Resources{MilliCPU: 1500, MemoryMB: 9000},
+				May: work.Resources{MilliCPU: 2000, MemoryMB: 16000}, Holds: true, Others: map[string]workspace.Parts{"tabulation": 7500},
+			},
 			Runs: []engine.RunExplanation{{Task: "5c0e7a21d94b36f8.0.0.1", Run: 2, Worker: "i-1", State: "running", Percent: 40, For: time.Second, Failures: 1, Silent: 2}},
 		}},
 	}}
@@ -50,6 +55,8 @@
 an earlier owner accepted it, and not all workers were heard since: nothing of it begins yet
 step 5c0e7a21d94b36f8.0.0: 1 running 2 waiting
   workers for what waits: 3 no room
+  limit of workspace red: 8.0 cores 64000 MB in all cells; here 1.5 cores 9000 MB used, 2.0 cores 16000 MB allowed: waits for its workspace's limit
+  other cells have of it: tabulation 75.0%; those not named an even share
   5c0e7a21d94b36f8.0.0.1 run 2 running on i-1 for 1s, 40%, failed 1 times before, its worker did not answer 2 polls
 `)
 	status, out, _ = explainFrom(t, report, "-o", "json")
@@ -76,6 +83,30 @@
 	assert.Assert(t, strings.Contains(problems, "no such job"), problems)
 }
 
+func TestExplainWorkspacesPrintsWhatEachUsesWhere(t *testing.T) {
+	entry := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		assert.Check(t, json.NewEncoder(w).Encode([]jobfront.CellReport{
+			{Cell: "booking", Missing: "engine: not ready"},
+			{Cell: "weighting", Summary: &engine.Summary{Workspaces: []engine.WorkspaceUse{{
+				Workspace: "red", Used: work.Resources{MilliCPU: 1500}, May: work.Resources{MilliCPU: 2000}, Limit: work.Resources{MilliCPU: 8000}, Waits: true,
+			}}}},
+		}))
+	}))
+	defer entry.Close()
+	var stdout, stderr bytes.Buffer
+	args := []string{"explain", "workspaces", "--entry", strings.TrimPrefix(entry.URL, "http://")}
+	assert.Equal(t, run(args, newCLI(strings.NewReader(""), &stdout, &stderr)), exitDone, stderr.String())
+	var lines []string
+	for line := range strings.Lines(stdout.String()) {
+		lines = append(lines, strings.TrimRight(line, " \n"))
+	}
+	assert.DeepEqual(t, lines, []string{
+		"WORKSPACE  CELL       USED HERE          ALLOWED HERE  LIMIT IN ALL  WAITS FOR IT",
+		"           booking    engine: not ready",
+		"red        weighting  1.5 cores          2.0 cores     8.0 cores     true",
+	})
+}
+
 func TestExplainCellsPrintsARowForEach(t *testing.T) {
 	entry := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		assert.Check(t, r.URL.Path == "/cells")
--- a/internal/devjobs/run.go
+++ b/internal/devjobs/run.go
@@ -18,7 +18,12 @@
 var (
 	exampleServices = []standin.Service{{Name: "weighting", VMs: 8, Slots: 6}, {Name: "spare", Standby: true, VMs: 2, Slots: 6}}
 	example         = standin.Caller{Host: "jobs.example", Prefix: "/weights/"}
-	exampleQueues   = []standin.Queue{{Name: "weights", Host: example.Host, Prefix: example.Prefix, Service: "weighting", Attempts: 3}}
+	exampleKeyed    = standin.Caller{Host: example.Host, Prefix: "/checks/", Key: "key-1"}
+	exampleQueues   = []standin.Queue{
+		{Name: "weights", Host: example.Host, Prefix: example.Prefix, Service: "weighting", Attempts: 3},
+		{Name: "checks", Host: exampleKeyed.Host, Prefix: exampleKeyed.Prefix, Service: "weighting", Attempts: 3, Keyed: true},
+	}
+	exampleWorkspace = standin.Workspace{Name: "red", Keys: []string{exampleKeyed.Key, "key-2"}, Weight: 1, Tasks: 6}
 )
 
 const (
@@ -43,7 +48,7 @@
 var ErrBroken = errors.New("devjobs: a promise broke")
 
 func exampleOptions(log io.Writer, fixed bool) Options {
-	return Options{Services: exampleServices, Queues: exampleQueues, Entries: exampleEntries, Log: log, FixedPorts: fixed}
+	return Options{Services: exampleServices, Queues: exampleQueues, Workspaces: []standin.Workspace{exampleWorkspace}, Entries: exampleEntries, Log: log, FixedPorts: fixed}
 }
 
 // Serve runs the example deployment until ctx ends.
@@ -133,6 +138,8 @@
 	wave            time.Duration
 	done            int // tasks that ended well, by the workers' count
 	twice           []string
+	keyed           keyedPlay
+	over            []string // starts above the workspace's limit
 }
 
 func (d *Deployment) play(ctx context.Context) (*report, error) {
@@ -141,7 +148,13 @@
 	if err := d.Platform.OrderWave(exampleWave, waveAtATime); err != nil {
 		return nil, trace.Wrap(err)
 	}
+	var keyed keyedPlay
 	for i := range onceJobs {
+		if i%keyedEvery == 0 {
+			if err := keyed.step(ctx, d); err != nil {
+				return nil, err
+			}
+		}
 		if i == onceJobs/3 || i == 2*onceJobs/3 {
 			if err := d.StopFirst(); err != nil {
 				return nil, err
@@ -159,6 +172,10 @@
 		}
 	}
 	r.finished = time.Since(began)
+	if err := keyed.finish(ctx, d); err != nil {
+		return nil, err
+	}
+	r.keyed = keyed
 	for d.Platform.WaveState(exampleWave) != "completed" {
 		if !sleep.For(ctx, look) {
 			return nil, trace.LimitExceeded("the wave is not completed after %s", oncePatience)
@@ -166,14 +183,19 @@
 	}
 	r.wave = time.Since(began)
 	r.done, r.twice = d.Platform.Witness.Done(), d.Platform.Witness.Twice()
+	r.over = d.Platform.Witness.Over()
 	return r, nil
 }
 
 // handIn hands the job in as callers do: again, at another entry VM, until it is
 // accepted.
 func (d *Deployment) handIn(ctx context.Context, j standin.Job, first int) error {
+	return d.handInBy(ctx, &example, j, first)
+}
+
+func (d *Deployment) handInBy(ctx context.Context, from *standin.Caller, j standin.Job, first int) error {
 	for try := range callerTries {
-		status, err := example.Submit(ctx, d.Entries[(first+try)%len(d.Entries)].Callers, j)
+		status, err := from.Submit(ctx, d.Entries[(first+try)%len(d.Entries)].Callers, j)
 		if err == nil && status == http.StatusOK {
 			return nil
 		}
@@ -199,9 +221,12 @@
 	fmt.Fprintf(out, "jobs completed        %d of %d, the last after %.1f s\n", r.completed, r.jobs, r.finished.Seconds())
 	fmt.Fprintf(out, "tasks done            %d\n", r.done)
 	fmt.Fprintf(out, "tasks run twice       %d\n", len(r.twice))
+	fmt.Fprintf(out, "starts over a limit   %d, by a workspace of %d tasks that has %d jobs of %d\n", len(r.over), exampleWorkspace.Tasks, r.keyed.accepted, onceTasks+1)
+	fmt.Fprintf(out, "revoked key           refused by all entry VMs after %.2f s, served again %d times\n", r.keyed.revoked.Seconds(), r.keyed.servedAgain)
 	fmt.Fprintf(out, "entry VMs shut down   2 of %d under the load of %.1f s\n", exampleEntries, r.accepted.Seconds())
 	fmt.Fprintf(out, "maintenance wave      all %d VMs in %.1f s\n", exampleVMs(), r.wave.Seconds())
-	if r.completed != r.jobs || len(r.twice) > 0 || r.done < r.jobs*(onceTasks+1) {
+	if r.completed != r.jobs || len(r.twice) > 0 || r.done < (r.jobs+r.keyed.accepted)*(onceTasks+1) ||
+		len(r.over) > 0 || r.keyed.servedAgain > 0 {
 		return ErrBroken
 	}
 	return nil
--- a/internal/devjobs/run_test.go
+++ b/internal/devjobs/run_test.go
@@ -19,7 +19,7 @@
 func TestTheExampleKeepsItsPromises(t *testing.T) {
 	var out bytes.Buffer
 	assert.NilError(t, Once(context.Background(), &out, io.Discard))
-	for _, line := range []string{"jobs completed        120 of 120", "tasks done            600", "tasks run twice       0"} {
+	for _, line := range []string{"jobs completed        120 of 120", "tasks done            700", "tasks run twice       0", "starts over a limit   0", "served again 0 times"} {
 		assert.Assert(t, strings.Contains(out.String(), line), out.String())
 	}
 }
--- a/internal/engine/explain.go
+++ b/internal/engine/explain.go
@@ -15,6 +15,8 @@
 	Queue   string     `json:"queue"`
 	Service string     `json:"service"`
 	State   work.State `json:"state"`
+
+	Workspace work.WorkspaceName `json:"workspace,omitempty"`
 	// Token is of the owner that explains; Config the configuration it goes by.
 	Token  int64 `json:"token"`
 	Config int64 `json:"config"`
@@ -86,7 +88,7 @@
 		return Explanation{}, false
 	}
 	e := Explanation{
-		Job: id, Queue: j.Queue, Service: c.cell, State: j.state(), Token: c.token, Config: c.declared.Version,
+		Job: id, Queue: j.Queue, Workspace: j.Workspace, Service: c.cell, State: j.state(), Token: c.token, Config: c.declared.Version,
 		Age: now - j.accepted, Restored: j.restored, Settled: c.settled(now),
 	}
 	workers := c.snapshots(now)
--- a/internal/engine/summary.go
+++ b/internal/engine/summary.go
@@ -1,6 +1,8 @@
 package engine
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/pumicestage/pumicestage/policy/work"
@@ -26,6 +28,31 @@
 	Level float64 `json:"level"`
 	// Unstored counts the jobs with changes that are not on their way to the store.
 	Unstored int `json:"unstored"`
+	// Workspaces are those with something running or waiting here, by name.
+	Workspaces []WorkspaceUse `json:"workspaces,omitempty"`
+}
+
+// WorkspaceUse is what a workspace uses of its limit in a cell.
+type WorkspaceUse struct {
+	Workspace work.WorkspaceName `json:"workspace"`
+	Used      work.Resources     `json:"used_here"`
+	May       work.Resources     `json:"may_use_here"`
+	Limit     work.Resources     `json:"limit"` // in all cells together; none: without limit
+	Waits     bool               `json:"waits"` // tasks would start if the cell had more of the limit
+}
+
+func (c *Core) workspaceUse(now time.Duration) []WorkspaceUse {
+	var out []WorkspaceUse
+	for name, a := range c.limits.accounts {
+		if a.used == (work.Resources{}) && a.wanted == (work.Resources{}) {
+			continue
+		}
+		out = append(out, WorkspaceUse{
+			Workspace: name, Used: a.used, May: c.share(a, now).Of(a.limit), Limit: a.limit, Waits: a.wanted != work.Resources{},
+		})
+	}
+	slices.SortFunc(out, func(a, b WorkspaceUse) int { return cmp.Compare(a.Workspace, b.Workspace) })
+	return out
 }
 
 // Summary says how the cell stands.
@@ -60,5 +87,6 @@
 		}
 	}
 	s.Unstored, _ = c.Dirty()
+	s.Workspaces = c.workspaceUse(now)
 	return s
 }
