--- a/internal/engine/core.go
+++ b/internal/engine/core.go
@@ -121,6 +121,9 @@
 	}
 	added := newJob(j, q, now)
 	c.add(added)
+	if a := added.account; a != nil {
+		added.beyond = !a.arrivals.Take(c.declared.Workspaces[a.name].Weight, now)
+	}
 	c.arrived(added, now)
 }
 
--- a/internal/engine/job.go
+++ b/internal/engine/job.go
@@ -129,6 +129,7 @@
 	work.Job
 	queue    Queue    // as last configured
 	account  *account // of its workspace; nil: it has none
+	beyond   bool     // its workspace had handed in more than its weight when it came
 	accepted time.Duration
 	// restored is set on jobs that were accepted before this owner took over:
 	// an earlier owner may have tasks of theirs running.
--- a/internal/engine/limits.go
+++ b/internal/engine/limits.go
@@ -21,6 +21,8 @@
 	// would give back what its predecessor's work still uses.
 	planned bool
 
+	arrivals workspace.Arrivals
+
 	ledger workspace.Ledger // as last read or written
 	rev    infra.Revision   // of its key; 0: there is none
 	broken bool             // the key can't be read: the cell goes on with what it had
--- /dev/null
+++ b/internal/engine/weights_test.go
@@ -0,0 +1,137 @@
+package engine
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/pumicestage/pumicestage/policy/work"
+	"github.com/pumicestage/pumicestage/policy/workspace"
+)
+
+// handover is a number of jobs of one task that a workspace hands in at once.
+type handover struct {
+	at   time.Duration
+	name work.WorkspaceName
+	jobs int
+}
+
+// inTime plays the arrivals on a pool of eight tasks of a second each and counts, by workspace,
+// the jobs that end within their objective of 2.2 s.
+func inTime(t *testing.T, workspaces []workspace.Workspace, arrivals []handover) map[work.WorkspaceName]int {
+	const end, step = 12 * time.Second, 50 * time.Millisecond
+	b := newRig(t)
+	declared := Declared{Version: 2, Queues: b.core.declared.Queues, Services: b.core.declared.Services, Workspaces: make(map[work.WorkspaceName]workspace.Workspace)}
+	for _, w := range workspaces {
+		declared.Workspaces[w.Name] = w
+	}
+	b.core.Declare(declared)
+	ids := []work.WorkerID{"w1", "w2"}
+	for _, id := range ids {
+		b.worker(id)
+	}
+	type live struct {
+		order StartOrder
+		until time.Duration
+	}
+	var runs []live
+	seq := make(map[work.WorkerID]int64)
+	accepted := make(map[work.JobID]time.Duration)
+	out := make(map[work.WorkspaceName]int)
+	began := b.now
+	for b.now < began+end {
+		for len(arrivals) > 0 && b.now >= began+arrivals[0].at {
+			a := arrivals[0]
+			arrivals = arrivals[1:]
+			for range a.jobs {
+				id := work.JobID(fmt.Sprintf("%s-%d", a.name, len(accepted)))
+				accepted[id] = b.now
+				b.core.Accept(&work.Job{ID: id, Queue: queue, Workspace: a.name, Spec: "spec", Steps: []work.Step{short(1)}, Accepted: b.wall}, declared.Queues[queue], b.now)
+			}
+		}
+		o := b.plan()
+		b.answer(o, OutcomeOK)
+		for _, s := range o.Starts {
+			runs = append(runs, live{order: s, until: b.now + time.Second})
+		}
+		b.now += step
+		kept := runs[:0]
+		for _, r := range runs {
+			if b.now < r.until {
+				kept = append(kept, r)
+				continue
+			}
+			worker := r.order.Worker.ID
+			seq[worker]++
+			b.core.HoldAnswered(worker, Hold{}, Listing{Clock: b.now, Brief: true, Ended: []RunEnd{ended(seq[worker], r.order, work.Done)}}, b.now, b.now)
+			j := b.core.jobs[r.order.Start.Task.Job]
+			if b.now-accepted[j.ID] <= 2200*time.Millisecond {
+				out[j.Workspace]++
+			}
+		}
+		runs = kept
+		b.flush()
+	}
+	return out
+}
+
+func weighted(name work.WorkspaceName, weight int) workspace.Workspace {
+	return workspace.Workspace{Name: name, Weight: weight}
+}
+
+// One workspace hands in sixty jobs at once, another four a second: the pool does eight a second.
+// Ordered by age and cost alone, the four wait behind the sixty and are late, all of them; those
+// beyond the first one's weight are late instead.
+func TestAHeavyWorkspaceDoesNotPushOthersOut(t *testing.T) {
+	arrivals := []handover{{0, "heavy", 60}}
+	for s := range 5 {
+		arrivals = append(arrivals, handover{time.Duration(s)*time.Second + 100*time.Millisecond, "light", 4})
+	}
+	without := inTime(t, []workspace.Workspace{weighted("heavy", 0), weighted("light", 0)}, arrivals)
+	with := inTime(t, []workspace.Workspace{weighted("heavy", 4), weighted("light", 4)}, arrivals)
+	assert.Assert(t, with["light"] >= 18, "%d of 20, %d without weights", with["light"], without["light"])
+	assert.Assert(t, with["light"] > without["light"])
+	assert.Assert(t, with["heavy"]+with["light"] >= without["heavy"]+without["light"], "%v, without weights %v", with, without)
+}
+
+// Nobody else has work: what is beyond the weight runs at once, in time.
+func TestAnIdleShareIsUsedByOthers(t *testing.T) {
+	got := inTime(t, []workspace.Workspace{weighted("heavy", 1), weighted("light", 100)}, []handover{{0, "heavy", 16}})
+	assert.Equal(t, got["heavy"], 16)
+}
+
+// A workspace comes back after seconds without work, as another one fills the pool beyond its
+// weight: it is served from the next plan on.
+func TestAWorkspaceThatComesBackHasItsShareAtOnce(t *testing.T) {
+	got := inTime(t, []workspace.Workspace{weighted("heavy", 2), weighted("light", 8)}, []handover{
+		{0, "light", 4}, {2 * time.Second, "heavy", 60}, {5 * time.Second, "light", 8},
+	})
+	assert.Equal(t, got["light"], 12)
+}
+
+// Twenty workspaces come at once, each within its weight: what fits is served, whosever it is.
+func TestTwentyWorkspacesAtOnce(t *testing.T) {
+	var workspaces []workspace.Workspace
+	var arrivals []handover
+	for i := range 20 {
+		name := work.WorkspaceName(fmt.Sprintf("w%02d", i))
+		workspaces = append(workspaces, weighted(name, 1+i%5))
+		arrivals = append(arrivals, handover{0, name, 1})
+	}
+	total := 0
+	for _, n := range inTime(t, workspaces, arrivals) {
+		total += n
+	}
+	assert.Equal(t, total, 16, "two rounds of the pool")
+}
+
+// A limit and a weight together: the heavy one is held to its limit, and what it leaves serves
+// the other in time.
+func TestLimitsAndSharesTogether(t *testing.T) {
+	heavy := weighted("heavy", 100)
+	heavy.Limit = short(1).Size.Times(3)
+	got := inTime(t, []workspace.Workspace{heavy, weighted("light", 4)}, []handover{{0, "heavy", 40}, {time.Second, "light", 4}, {2 * time.Second, "light", 4}})
+	assert.Equal(t, got["light"], 8)
+}
--- a/policy/joborder/joborder.go
+++ b/policy/joborder/joborder.go
@@ -58,11 +58,13 @@
 	Work      float64       // core-seconds still to do
 	Size      float64       // core-seconds in all
 	MeanSize  float64       // of the jobs of its queue; 0 if unknown
+	Beyond    bool          // its workspace had handed in more than its weight when it came
 }
 
 // Rank is a place in the order; lower goes first.
 type Rank struct {
 	Tier     Tier
+	Beyond   bool // its workspace's weight
 	Priority int
 	Cost     float64 // core-seconds for one unit of value
 }
@@ -72,6 +74,9 @@
 	if r.Tier != o.Tier {
 		return r.Tier < o.Tier
 	}
+	if r.Beyond != o.Beyond {
+		return o.Beyond
+	}
 	if r.Priority != o.Priority {
 		return r.Priority < o.Priority
 	}
@@ -80,7 +85,7 @@
 
 // Of returns the job's place.
 func Of(j Job) Rank {
-	return Rank{Tier: tier(j), Priority: j.Priority, Cost: cost(j)}
+	return Rank{Tier: tier(j), Beyond: j.Beyond, Priority: j.Priority, Cost: cost(j)}
 }
 
 func tier(j Job) Tier {
--- /dev/null
+++ b/policy/workspace/arrivals_test.go
@@ -0,0 +1,44 @@
+package workspace
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+func within(a *Arrivals, weight, jobs int, from, pause time.Duration) (n int) {
+	for i := range jobs {
+		if a.Take(weight, from+time.Duration(i)*pause) {
+			n++
+		}
+	}
+	return n
+}
+
+func TestJobsBeyondTheWeightAreTold(t *testing.T) {
+	for _, c := range []struct {
+		name          string
+		weight, jobs  int
+		pause         time.Duration
+		within, least int
+	}{
+		{"a few", 10, 5, time.Second, 5, 5},
+		{"a second's worth at once", 10, 10, 0, 10, 10},
+		{"a burst", 10, 200, time.Millisecond, 11, 11},
+		{"twice the weight for long", 10, 200, 50 * time.Millisecond, 110, 108},
+		{"no weight", 0, 1000, 0, 1000, 1000},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			n := within(new(Arrivals), c.weight, c.jobs, time.Hour, c.pause)
+			assert.Assert(t, n <= c.within && n >= c.least, "%d", n)
+		})
+	}
+}
+
+// A workspace that was idle for an hour has a second's worth, not an hour's.
+func TestAnIdleWorkspaceSavesNothingUp(t *testing.T) {
+	var a Arrivals
+	assert.Assert(t, a.Take(10, 0))
+	assert.Equal(t, within(&a, 10, 100, time.Hour, 0), 10)
+}
