--- a/internal/engine/shares.go
+++ b/internal/engine/shares.go
@@ -19,6 +19,9 @@
 	// it. What it did not need for two of these goes back: within a second or so, so that a
 	// burst in another cell finds it.
 	reviewEvery = 500 * time.Millisecond
+	// giveBackEvery separates changes by which parts are given back that others wait for, as the
+	// runs that hold them end: each is a transaction.
+	giveBackEvery = 100 * time.Millisecond
 	// sharesEvery is how often it is asked whether anything is to be done.
 	sharesEvery = 50 * time.Millisecond
 	// confirmAhead is how much sooner than it must the configuration is read again where its
@@ -86,12 +89,20 @@
 	if wants && !asked {
 		return true
 	}
+	ending := a.told && claim.InUse < a.ledger.Of(c.cell, len(c.cells)) && a.own < a.ledger.Of(c.cell, len(c.cells))
+	if ending && a.ledger.Contended(*claim) && now >= a.reviewed+giveBackEvery {
+		a.reviewed = now
+		return true
+	}
 	if now < a.reviewed+reviewEvery && !a.called {
 		return false
 	}
 	a.reviewed, a.called = now, false
 	claim.Need = max(a.need, a.peak, a.lastPeak)
 	a.lastPeak, a.peak = a.peak, a.need
+	if now := (workspace.Claim{Cell: c.cell, Cells: c.cells, Need: a.need}); a.ledger.Contended(now) {
+		claim.Need = a.need // what it may need again is of use elsewhere now
+	}
 	restores := a.told && a.own < min(a.ledger.Of(c.cell, len(c.cells)), claim.Need)
 	return wants || asked || restores || a.doubt || a.ledger.Idle(*claim) || a.ledger.Contended(*claim)
 }
--- a/internal/ownerlink/configs.go
+++ b/internal/ownerlink/configs.go
@@ -9,8 +9,6 @@
 // that an entry VM which the store turns away, or whose watch has gone silent, hears of a newer
 // configuration from those that it speaks with anyway.
 type Standing struct {
-	_msgpack struct{} `msgpack:",as_array"` // few bytes: there are hundreds of calls a second
-
 	Version int64 `msgpack:"v"`
 	// Age is how long ago it was known to be the newest, in milliseconds.
 	AgeMS int64 `msgpack:"a"`
