Claims apart from their sending, plainer names, three weak places found by reading

What a cell claims (claims.go, no network) and how that is stored (shares.go) stand apart; what was told, own, called, sated, doubt is explicit, granted, lookNow, filled, inDoubt. Found by reading, none seen in a run: a ledger that can't be read, once another cell had asked to look at it, would have been read every 50 ms for ever; each call by a newer configuration started a goroutine of its own while the store was away; an owner whose configuration had no workspaces as it took over did not read the ledgers of those that came back. A loop over all workspaces in each plan is gone, as accounts are made when a job is accepted. Two tests of take-overs count one more read, the ledgers'.

--- /dev/null
+++ b/internal/engine/claims.go
@@ -0,0 +1,213 @@
+package engine
+
+import (
+	"cmp"
+	"encoding/json"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/pumicestage/pumicestage/internal/infra"
+	"github.com/pumicestage/pumicestage/policy/work"
+	"github.com/pumicestage/pumicestage/policy/workspace"
+)
+
+const (
+	// reviewEvery is how often it is looked whether a workspace uses what the cell has for it.
+	// What it did not need for two of these goes back: within a second or so, so that a burst
+	// in another cell finds it.
+	reviewEvery = 500 * time.Millisecond
+	// giveBackEvery separates changes by which parts are given back that others wait for, as the
+	// runs that hold them end: each is a transaction.
+	giveBackEvery = 100 * time.Millisecond
+	// claimsInTxn is how many ledgers fit into a transaction beside the owner's key, each with
+	// a condition and a write.
+	claimsInTxn = (txnEntries - 1) / 2
+)
+
+// shareClaim is a change of what the cell holds of a workspace's limit.
+type shareClaim struct {
+	workspace work.WorkspaceName
+	rev       infra.Revision // on which it is based
+	workspace.Settlement
+}
+
+// Claims returns the changes of ledgers that are due, the largest first, and notes that they are
+// under way. What is to be given back is not used from here on: were the change carried out late,
+// another cell would have it already.
+func (c *Core) Claims(now time.Duration) []shareClaim {
+	var out []shareClaim
+	hidden := c.hiddenUse(now)
+	for name, a := range c.limits.accounts {
+		if a.inFlight || a.unreadable || !a.planned {
+			continue
+		}
+		claim := workspace.Claim{
+			Cell: c.cell, Cells: c.cells, Need: a.need,
+			// What was started or adopted since the last plan is in use, too.
+			InUse: workspace.PartsFor(a.used.Plus(hidden[name]), a.limit),
+		}
+		if !c.claimDue(a, &claim, now) {
+			continue
+		}
+		if s, changes := c.settle(a, claim); changes {
+			out = append(out, shareClaim{workspace: name, rev: a.rev, Settlement: s})
+		}
+	}
+	slices.SortFunc(out, func(x, y shareClaim) int { return cmp.Compare(y.Has, x.Has) })
+	if len(out) > claimsInTxn {
+		out = out[:claimsInTxn] // the others are due again at the next review
+	}
+	for i := range out {
+		c.limits.of(out[i].workspace).inFlight = true
+	}
+	return out
+}
+
+// claimDue says whether the account's share is to change, and completes the claim.
+func (c *Core) claimDue(a *account, claim *workspace.Claim, now time.Duration) bool {
+	has := a.ledger.Of(c.cell, len(c.cells))
+	waits, noted := a.short(len(c.cells)), a.ledger.Wants[c.cell] > 0
+	if waits && !noted {
+		return true
+	}
+	givesBack := a.explicit && a.granted < has && claim.InUse < has && a.ledger.Contended(*claim)
+	if givesBack && now >= a.reviewed+giveBackEvery {
+		a.reviewed = now
+		return true
+	}
+	if now < a.reviewed+reviewEvery {
+		return false
+	}
+	a.reviewed = now
+	peak := max(a.need, a.peak, a.lastPeak)
+	a.lastPeak, a.peak = a.peak, a.need
+	if a.ledger.Contended(*claim) {
+		return true // what it may need again is of use elsewhere now
+	}
+	claim.Need = peak
+	restores := a.explicit && a.granted < min(has, claim.Need)
+	return waits || noted || restores || a.inDoubt || a.ledger.Idle(*claim)
+}
+
+// settle settles the claim with the ledger as it is known; false where the ledger says so already.
+func (c *Core) settle(a *account, claim workspace.Claim) (workspace.Settlement, bool) {
+	before := a.share(len(c.cells))
+	s := a.ledger.Settle(claim)
+	a.lower(s.Use, len(c.cells))
+	if a.inDoubt {
+		// A key that is absent has no revision by which the earlier change would fail.
+		s.Ledger.Has[c.cell] = s.Has
+		return s, true
+	}
+	same := s.Has == a.ledger.Of(c.cell, len(c.cells)) && s.Ledger.Wants[c.cell] == a.ledger.Wants[c.cell]
+	return s, !same || s.Use > before
+}
+
+// wantsShares reports whether a workspace's work waits for a share that was not asked for yet.
+func (c *Core) wantsShares() bool {
+	for _, a := range c.limits.accounts {
+		if a.limited() && a.short(len(c.cells)) && !a.inFlight && a.ledger.Wants[c.cell] == 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// lookDue reports whether ledgers are to be read: where another cell asked for that, where this
+// one waits for what others have, and, half as often, where it has more than its even share and
+// the word of others may have been lost.
+func (c *Core) lookDue(now time.Duration) bool {
+	even, due := workspace.Even(len(c.cells)), false
+	for _, a := range c.limits.accounts {
+		waits, above := a.ledger.Wants[c.cell] > 0, a.ledger.Of(c.cell, len(c.cells)) > even
+		if a.inFlight || !a.lookNow && !(waits && now >= a.looked+reviewEvery) && !(above && now >= a.looked+2*reviewEvery) {
+			continue
+		}
+		a.looked, a.lookNow, due = now, false, true
+	}
+	return due
+}
+
+// LookAtLimits notes that another cell waits for some of the workspaces' limits, or gave back.
+func (c *Core) LookAtLimits(names []work.WorkspaceName) {
+	for _, name := range names {
+		a := c.limits.of(name)
+		a.lookNow, a.reviewed = true, 0
+	}
+}
+
+// usesShares reports whether the cell uses more of a limit than it may without being sure of the
+// configuration.
+func (c *Core) usesShares() bool {
+	for _, a := range c.limits.accounts {
+		if a.limited() && a.need > workspace.Provisional(len(c.cells)) {
+			return true
+		}
+	}
+	return false
+}
+
+// Claimed takes over that the change was stored.
+func (c *Core) Claimed(s shareClaim, rev infra.Revision) {
+	a := c.limits.of(s.workspace)
+	a.inFlight, a.inDoubt = false, false
+	a.ledger, a.rev = s.Ledger, rev
+	if s.Ledger.Empty() {
+		a.rev = 0
+	}
+	c.log.Info("share of a limit", "workspace", a.name, "parts", s.Use, "of", workspace.Whole, "has", s.Has, "need", a.need, "waits", s.Ledger.Wants[c.cell] > 0)
+	a.granted = s.Use
+	_, a.explicit = s.Ledger.Has[c.cell]
+}
+
+// ClaimFailed takes over that the change was not stored; doubt says that it may yet be.
+func (c *Core) ClaimFailed(s shareClaim, doubt bool) {
+	a := c.limits.of(s.workspace)
+	a.inFlight = false
+	a.inDoubt = a.inDoubt || doubt
+}
+
+// LedgerRead takes a ledger over as the store has it. It never raises what the cell may use: a
+// change of its own that was not answered may yet be carried out, and give back what was read;
+// only a change that is stored settles that.
+func (c *Core) LedgerRead(name work.WorkspaceName, value []byte, rev infra.Revision) {
+	a := c.limits.of(name)
+	var l workspace.Ledger
+	a.unreadable = false
+	if rev != 0 {
+		if err := json.Unmarshal(value, &l); err != nil {
+			c.log.Error(err, "ledger of a limit is malformed: the cell goes on with what it had", "workspace", name)
+			a.unreadable = true
+		}
+	}
+	a.ledger, a.rev = l, rev
+	if has, named := l.Has[c.cell]; named {
+		a.lower(has, len(c.cells))
+	}
+}
+
+// LedgerSeen takes a ledger over that was read while nothing of this cell's was under way.
+func (c *Core) LedgerSeen(kv infra.KV) {
+	name := workspaceOf(kv.Key)
+	if a := c.limits.of(name); !a.inFlight && kv.ModRevision > a.rev {
+		c.LedgerRead(name, kv.Value, kv.ModRevision)
+	}
+}
+
+func workspaceOf(key string) work.WorkspaceName {
+	return work.WorkspaceName(strings.TrimPrefix(key, infra.WorkLimitPrefix))
+}
+
+// RestoreLedger takes over what earlier owners had. Nothing of theirs can be carried out any
+// more: the owner's key, which is in the condition of every change, is another one.
+func (c *Core) RestoreLedger(kv infra.KV) {
+	name := workspaceOf(kv.Key)
+	c.LedgerRead(name, kv.Value, kv.ModRevision)
+	a := c.limits.of(name)
+	if a.unreadable {
+		a.lower(0, len(c.cells))
+		return
+	}
+	a.granted, a.explicit = a.ledger.Has[c.cell]
+}
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -87,9 +87,9 @@
 	Declared func() Declared
 	// Configs tells how sure it is that the configuration is the newest; nil: always.
 	Configs Configs
-	// Call tells the owners of the other cells to look at the ledgers of these workspaces,
+	// TellCells tells the owners of the other cells to look at the ledgers of these workspaces,
 	// without waiting for them; nil: it can't.
-	Call func(names []work.WorkspaceName)
+	TellCells func(names []work.WorkspaceName)
 	// OwnerKey is the key of the cell's owner, whose revision is the term's token.
 	OwnerKey string
 	Metrics  *Metrics
--- a/internal/engine/limits.go
+++ b/internal/engine/limits.go
@@ -25,38 +25,39 @@
 
 	ledger workspace.Ledger // as last read or written
 	rev    infra.Revision   // of its key; 0: there is none
-	broken bool             // the key can't be read: the cell goes on with what it had
-	// own is what is certain to be this cell's, where told is set; else it has its even share.
-	own  workspace.Parts
-	told bool
+	// granted is what is certain to be this cell's, where explicit is set; else it has its even
+	// share.
+	granted    workspace.Parts
+	explicit   bool
+	unreadable bool // the ledger: the cell goes on with what it had
 
 	// As of the last plan.
 	left   work.Resources  // of what the cell may use
 	wanted work.Resources  // by tasks that its share held back
-	sated  bool            // no more would find room in the pool
+	filled bool            // no more would find room in the pool
 	need   workspace.Parts // for what runs and what was wanted
 
 	// peak is the greatest need since the last review, and lastPeak that before.
 	peak, lastPeak workspace.Parts
 	reviewed       time.Duration
 	looked         time.Duration // when the ledger was last read to see what others have
-	called         bool          // another cell said that it waits, or that it gave back
-	sending        bool          // a change of the ledger is under way
-	// doubt: one was not answered and may be carried out late, until another has been stored.
-	doubt bool
+	lookNow        bool          // another cell said that it waits, or that it gave back
+	inFlight       bool          // a change of the ledger is under way
+	// inDoubt: one was not answered and may be carried out late, until another has been stored.
+	inDoubt bool
 }
 
 // share is what the cell has, of so many.
 func (a *account) share(cells int) workspace.Parts {
-	if a.told {
-		return a.own
+	if a.explicit {
+		return a.granted
 	}
 	return workspace.Even(cells)
 }
 
 // lower bounds what the cell has from here on.
 func (a *account) lower(to workspace.Parts, cells int) {
-	a.own, a.told = min(a.share(cells), to), true
+	a.granted, a.explicit = min(a.share(cells), to), true
 }
 
 // short reports whether work waits that a larger share would let start.
@@ -134,15 +135,12 @@
 // openAccounts begins a plan: what may still be started for each workspace.
 func (c *Core) openAccounts(now time.Duration) {
 	hidden := c.hiddenUse(now)
-	for name := range c.declared.Workspaces {
-		c.limits.of(name) // the first job of a workspace is limited as all others are
-	}
 	for name, a := range c.limits.accounts {
 		a.limit = c.declared.Workspaces[name].Limit
 		a.loose = c.limits.loose(a.limit)
 		a.planned = true
 		a.left = c.share(a, now).Of(a.limit).Minus(a.used).Minus(hidden[name])
-		a.wanted, a.sated = work.Resources{}, false
+		a.wanted, a.filled = work.Resources{}, false
 	}
 }
 
@@ -241,13 +239,13 @@
 // want notes tasks that the share held back. What finds no room in the pool is not wanted of the
 // limit.
 func (a *account) want(size work.Resources, pool *taskplan.Planner) {
-	if a.sated {
+	if a.filled {
 		return
 	}
 	before := a.wanted
 	a.wanted = before.Plus(size)
 	if room := pool.Room(); !a.wanted.Fits(room) {
-		a.wanted, a.sated = before.Most(a.wanted.Least(room)), true
+		a.wanted, a.filled = before.Most(a.wanted.Least(room)), true
 	}
 }
 
--- a/internal/engine/limits_model_test.go
+++ b/internal/engine/limits_model_test.go
@@ -147,9 +147,9 @@
 		}
 	}
 	if w.m.chance(30) {
-		o.core.CallFor([]work.WorkspaceName{limitedName})
+		o.core.LookAtLimits([]work.WorkspaceName{limitedName})
 	}
-	if o.core.contended(w.m.now) {
+	if o.core.lookDue(w.m.now) {
 		o.core.LedgerSeen(infra.KV{Key: infra.WorkLimitKey(string(limitedName)), Value: w.value, ModRevision: w.rev})
 	}
 }
--- a/internal/engine/limits_test.go
+++ b/internal/engine/limits_test.go
@@ -183,7 +183,7 @@
 	r.acceptRed("j1", short(3))
 	o := r.plan()
 	r.answer(o, OutcomeOK)
-	r.core.CallFor([]work.WorkspaceName{redName})
+	r.core.LookAtLimits([]work.WorkspaceName{redName})
 	l := r.store(r.core.Claims(r.now))
 	assert.Assert(t, l.Has[service] >= 3000)
 	for i := range o.Starts {
@@ -198,6 +198,22 @@
 	assert.Equal(t, l.Has[service], workspace.Parts(0))
 }
 
+// A successor lends what its predecessor left, as another cell waits for it, and hears in that
+// moment of a run that goes on: what the run holds is kept, though no plan has counted it.
+func TestARunAdoptedSinceTheLastPlanIsNotGivenBack(t *testing.T) {
+	r := newLimitRig(t, 10)
+	r.core.Restore(&JobRecord{Job: &work.Job{ID: "j0", Queue: queue, Workspace: redName, Steps: []work.Step{short(1)}, Accepted: r.wall}}, nil, r.now, r.wall)
+	r.core.SetFleet(nil)
+	r.ledger(r.core, workspace.Ledger{Wants: map[string]workspace.Parts{otherCell: workspace.Whole}})
+	r.plan()
+	r.account().need = 0
+	r.core.WorkerSeen(info("w1"))
+	r.look("w1", Listing{Running: []Run{{Task: work.TaskRef{StepRef: work.StepRef{Job: "j0"}}, Run: 1}}})
+	r.core.LookAtLimits([]work.WorkspaceName{redName})
+	l := r.store(r.core.Claims(r.now))
+	assert.Equal(t, l.Has[service], workspace.Parts(1000))
+}
+
 // The change by which a cell gives parts back is not answered. Carried out seconds later, it
 // lets another cell use them: this one may not use them either way, until a change that it is
 // certain of has made the first one void.
@@ -209,7 +225,7 @@
 	}
 	r.ledger(r.core, before)
 	r.plan()
-	r.core.CallFor([]work.WorkspaceName{redName})
+	r.core.LookAtLimits([]work.WorkspaceName{redName})
 	lend := r.core.Claims(r.now)
 	assert.Equal(t, len(lend), 1)
 	assert.Equal(t, lend[0].Use, workspace.Parts(0))
--- a/internal/engine/restore.go
+++ b/internal/engine/restore.go
@@ -153,9 +153,7 @@
 	var readers sync.WaitGroup
 	readers.Go(func() { progress, _, progressErr = e.Store.Range(ctx, infra.WorkProgressPrefix(e.Cell)) })
 	readers.Go(func() { jobs, _, jobsErr = e.Store.Range(ctx, infra.WorkOpenPrefix(e.Cell)) })
-	if len(e.Declared().Workspaces) > 0 {
-		readers.Go(func() { ledgers, _, ledgersErr = e.Store.Range(ctx, infra.WorkLimitPrefix) })
-	}
+	readers.Go(func() { ledgers, _, ledgersErr = e.Store.Range(ctx, infra.WorkLimitPrefix) })
 	if e.Listed != nil {
 		readers.Go(func() { e.Listed(ctx) })
 	}
--- a/internal/engine/restore_test.go
+++ b/internal/engine/restore_test.go
@@ -32,6 +32,6 @@
 	store := &unhurried{Store: inner}
 	e.Store = store
 	assert.NilError(t, e.load(t.Context(), true))
-	assert.Equal(t, store.lists.Load(), int32(2), "open jobs and their progress")
+	assert.Equal(t, store.lists.Load(), int32(3), "open jobs, their progress, ledgers of limits")
 	assert.Equal(t, store.bounded.Load(), int32(0))
 }
--- a/internal/engine/takeover_test.go
+++ b/internal/engine/takeover_test.go
@@ -278,7 +278,7 @@
 }
 
 // meeting is a store whose reads of prefixes, and the list of workers, are answered
-// once all three were asked for.
+// once all four were asked for.
 type meeting struct {
 	infra.Store
 	all sync.WaitGroup
@@ -309,7 +309,7 @@
 func TestATakeOverReadsAtOnce(t *testing.T) {
 	e, store := newEngine(t, &fakeTerm{certain: true})
 	m := &meeting{Store: store}
-	m.all.Add(3)
+	m.all.Add(4)
 	e.Store, e.Listed = m, func(ctx context.Context) { assert.Check(t, m.join(ctx)) }
 	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
 	defer cancel()
--- a/internal/node/duties.go
+++ b/internal/node/duties.go
@@ -140,10 +140,10 @@
 		Lookup:   n.registry.lookup,
 		Declared: n.operator.declared,
 		Configs:  n.operator, OwnerKey: infra.WorkOwnerKey(cellDuty(cell)),
-		Call:     func(names []work.WorkspaceName) { d.callOthers(cell, names) },
-		Metrics:  n.metrics.engine,
-		ListRate: n.settings.ListRate,
-		Pressure: n.pressure, Successor: n.successor,
+		TellCells: func(names []work.WorkspaceName) { d.tellCells(cell, names) },
+		Metrics:   n.metrics.engine,
+		ListRate:  n.settings.ListRate,
+		Pressure:  n.pressure, Successor: n.successor,
 	})
 	d.set(cell, e)
 	err := e.Run(ctx)
@@ -189,34 +189,34 @@
 	return d.node.link.Sync(ctx, ownerlink.Peer{Cell: cell, Address: owner.Address}, s)
 }
 
-// callTimeout ends the word to another cell's owner; one that misses it looks by itself.
-const callTimeout = 500 * time.Millisecond
+// tellTimeout ends the word to another cell's owner; one that misses it looks by itself.
+const tellTimeout = 500 * time.Millisecond
 
-// callOthers tells the owners of all other cells to look at the ledgers of the workspaces.
-func (d *duties) callOthers(from string, names []work.WorkspaceName) {
+// tellCells tells the owners of all other cells to look at the ledgers of the workspaces.
+func (d *duties) tellCells(from string, names []work.WorkspaceName) {
 	for cell, s := range d.node.operator.declared().Services {
 		if cell == from || s.Standby {
 			continue
 		}
 		go func() {
-			if err := d.callFor(cell, names); err != nil {
+			if err := d.tellCell(cell, names); err != nil {
 				d.node.log.V(1).Info("cell not told of limits", "cell", cell, "error", err.Error())
 			}
 		}()
 	}
 }
 
-func (d *duties) callFor(cell string, names []work.WorkspaceName) error {
+func (d *duties) tellCell(cell string, names []work.WorkspaceName) error {
 	if e := d.engine(cell); e != nil {
-		return e.CallFor(names)
+		return e.LookAtLimits(names)
 	}
 	owner, known := d.cellOwner(cell)
 	if !known || owner.Entry == d.node.self.Entry {
 		return engine.ErrNotReady
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), tellTimeout)
 	defer cancel()
-	return d.node.link.CallFor(ctx, ownerlink.Peer{Cell: cell, Address: owner.Address}, names)
+	return d.node.link.LookAtLimits(ctx, ownerlink.Peer{Cell: cell, Address: owner.Address}, names)
 }
 
 func (d *duties) cellOwner(cell string) (ownership.Record, bool) {
--- a/internal/node/operator.go
+++ b/internal/node/operator.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -27,8 +28,8 @@
 	confirmPause = 250 * time.Millisecond
 )
 
-// errConfirmedInVain: the store did not answer a moment ago.
-var errConfirmedInVain = errors.New("node: the store did not answer a moment ago")
+// errStoreSilent: the store is not asked, as it did not answer a moment ago.
+var errStoreSilent = errors.New("node: the store did not answer a moment ago")
 
 // operator holds what the operator wrote, as this entry VM knows it. The
 // configuration never steps back.
@@ -40,6 +41,7 @@
 	// changed is called after each change of the configuration.
 	changed func()
 
+	catchingUp atomic.Bool   // a read is under way as another entry VM has a newer one
 	confirming sync.Mutex    // held while the configuration is read on demand
 	failedAt   time.Duration // when such a read last failed; 0: it did not
 
@@ -108,7 +110,7 @@
 		return nil // another caller's read began after this one asked
 	}
 	if o.failedAt != 0 && o.clock.Now() < o.failedAt+confirmPause {
-		return errConfirmedInVain
+		return errStoreSilent
 	}
 	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
 	defer cancel()
@@ -126,8 +128,6 @@
 	return nil
 }
 
-// The other entry VMs' view of the configuration, see ownerlink.Configs.
-
 // Standing implements ownerlink.Configs.
 func (o *operator) Standing() ownerlink.Standing {
 	o.mu.Lock()
@@ -154,7 +154,11 @@
 
 // Behind implements ownerlink.Configs.
 func (o *operator) Behind() {
+	if !o.catchingUp.CompareAndSwap(false, true) {
+		return
+	}
 	go func() {
+		defer o.catchingUp.Store(false)
 		if err := o.Confirm(context.Background()); err != nil {
 			o.log.Info("another entry VM has a newer configuration, and the store does not tell it", "error", err.Error())
 		}
--- a/internal/node/operator_test.go
+++ b/internal/node/operator_test.go
@@ -102,7 +102,7 @@
 		assert.Assert(t, r.Confirm(t.Context()) != nil)
 	}
 	r.store.SetDown(false)
-	assert.Equal(t, r.Confirm(t.Context()), errConfirmedInVain)
+	assert.Equal(t, r.Confirm(t.Context()), errStoreSilent)
 	r.clock.now += confirmPause
 	assert.NilError(t, r.Confirm(t.Context()))
 	assert.Equal(t, r.Age(), time.Duration(0))
--- a/internal/ownerlink/client.go
+++ b/internal/ownerlink/client.go
@@ -103,9 +103,9 @@
 	return *resp.Sync, nil
 }
 
-// CallFor tells a cell's owner that another cell waits for the workspaces' limits, or gave back.
-func (c *Client) CallFor(ctx context.Context, p Peer, names []work.WorkspaceName) error {
-	resp, err := c.call(ctx, p, &request{Kind: kindCallFor, Workspaces: names})
+// LookAtLimits tells a cell's owner that another cell waits for the workspaces' limits, or gave back.
+func (c *Client) LookAtLimits(ctx context.Context, p Peer, names []work.WorkspaceName) error {
+	resp, err := c.call(ctx, p, &request{Kind: kindLookAtLimits, Workspaces: names})
 	if err != nil {
 		return err
 	}
--- a/internal/ownerlink/ownerlink.go
+++ b/internal/ownerlink/ownerlink.go
@@ -42,7 +42,7 @@
 	kindPing
 	kindEndLease
 	kindConfig
-	kindCallFor
+	kindLookAtLimits
 )
 
 // byCallers reports whether the call carries a caller's request, on which the configuration
--- a/internal/ownerlink/server.go
+++ b/internal/ownerlink/server.go
@@ -22,7 +22,7 @@
 	Sync(s engine.CellSync) (engine.CellAnswer, error)
 	Explain(id work.JobID) (engine.Explanation, error)
 	Summary() (engine.Summary, error)
-	CallFor(names []work.WorkspaceName) error
+	LookAtLimits(names []work.WorkspaceName) error
 }
 
 // serveTimeout ends a call at the owner: callers have given up long before.
@@ -151,8 +151,8 @@
 		var a engine.CellAnswer
 		a, err = owner.Sync(*req.Sync)
 		resp.Sync = &a
-	case kindCallFor:
-		err = owner.CallFor(req.Workspaces)
+	case kindLookAtLimits:
+		err = owner.LookAtLimits(req.Workspaces)
 	case kindExplain:
 		var e engine.Explanation
 		e, err = owner.Explain(req.JobID)
