A configuration that the own watch is about to tell is not fetched from its owner

Cause: owners turn calls of an older configuration down, and the entry VM fetched the newer one at once. The watches of a hundred entry VMs tell of a change within some milliseconds of each other, but not in the same one: all that ask the owner in between fetched some kilobytes from it, over a link that may carry a megabyte a second. Now a caller whose request was turned down waits up to 0.1 s for the own watch, and what nobody waits for 0.4 s; one fetch at a time is begun for the latter. Test: the watch tells at the third look; nothing is fetched. Fails without the wait.

--- a/internal/ownerlink/client.go
+++ b/internal/ownerlink/client.go
@@ -6,6 +6,7 @@
 	"errors"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -36,7 +37,8 @@
 	// Configs compares configurations with those who answer; nil: they are not compared.
 	Configs Configs
 
-	fetching sync.Mutex // held while a newer configuration is fetched
+	fetching sync.Mutex  // held while a newer configuration is fetched
+	catching atomic.Bool // that is about to be done, and nobody waits for it
 
 	mu    sync.Mutex
 	began time.Time
--- a/internal/ownerlink/configs.go
+++ b/internal/ownerlink/configs.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"github.com/pumicestage/pumicestage/internal/sleep"
 )
 
 // Standing is how an entry VM's configuration stands. It goes with every call and answer, so
@@ -33,22 +35,50 @@
 	Take(packed []byte, s Standing, sent time.Duration)
 }
 
+const (
+	// watchLead is how long a caller whose request was turned down waits for the entry VM's own
+	// watch of the store, which tells all entry VMs within some milliseconds of each other. Were
+	// all of them to fetch what it is about to tell, an owner on a small link would send the
+	// same configuration a hundred times, and nothing else for a second.
+	watchLead = 100 * time.Millisecond
+	// watchGrace is the same where nobody waits.
+	watchGrace = 400 * time.Millisecond
+	// watchLook separates looks whether the watch has told.
+	watchLook = 10 * time.Millisecond
+)
+
 // fetchTimeout ends the call for a newer configuration: a few kilobytes from an entry VM that
 // answered a moment ago.
 const fetchTimeout = 400 * time.Millisecond
 
 // compare takes note of how the answering entry VM's configuration stands, and fetches it where
-// it is newer. A caller whose request was turned down for that waits for it; for all others it
-// goes on beside them.
+// it is newer and the own watch does not tell of it. A caller whose request was turned down for
+// that waits for it; for all others it goes on beside them.
 func (c *Client) compare(ctx context.Context, address string, resp *response, sent time.Duration) {
 	if c.Configs == nil || resp.Config.Version == 0 || !c.Configs.Heard(resp.Config, sent) {
 		return
 	}
 	if resp.Result == resultBehind {
-		c.fetch(ctx, address, resp.Config, sent)
+		c.catchUp(ctx, watchLead, address, resp.Config, sent)
 		return
 	}
-	go c.fetch(context.WithoutCancel(ctx), address, resp.Config, sent)
+	if c.catching.CompareAndSwap(false, true) {
+		go func() {
+			defer c.catching.Store(false)
+			c.catchUp(context.WithoutCancel(ctx), watchGrace, address, resp.Config, sent)
+		}()
+	}
+}
+
+// catchUp waits for the own watch to tell of the configuration that was heard of, and fetches it
+// where that does not.
+func (c *Client) catchUp(ctx context.Context, lead time.Duration, address string, heard Standing, heardAt time.Duration) {
+	for waited := time.Duration(0); waited < lead; waited += watchLook {
+		if !sleep.For(ctx, watchLook) || !c.Configs.Heard(heard, heardAt) {
+			return
+		}
+	}
+	c.fetch(ctx, address, heard, heardAt)
 }
 
 // fetch has one caller at a time ask for the configuration that was heard of at some time after
--- a/internal/ownerlink/configs_test.go
+++ b/internal/ownerlink/configs_test.go
@@ -21,6 +21,8 @@
 	standing Standing
 	behind   int
 	taken    int
+	packed   int           // times that it was fetched
+	tellsIn  int           // looks until the own watch tells the next version; 0: it does not
 	changed  chan struct{} // told of each that is taken, unless nil
 }
 
@@ -30,7 +32,12 @@
 	return c.standing
 }
 
-func (c *configs) Packed() []byte { return []byte("config") }
+func (c *configs) Packed() []byte {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.packed++
+	return []byte("config")
+}
 
 func (c *configs) Behind() {
 	c.mu.Lock()
@@ -38,8 +45,17 @@
 	c.behind++
 }
 
-func (c *configs) Heard(s Standing, _ time.Duration) bool { return s.Version > c.Standing().Version }
-func (c *configs) Now() time.Duration                     { return time.Hour }
+func (c *configs) Heard(s Standing, _ time.Duration) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.tellsIn == 1 {
+		c.standing.Version++
+	}
+	c.tellsIn = max(0, c.tellsIn-1)
+	return s.Version > c.standing.Version
+}
+
+func (c *configs) Now() time.Duration { return time.Hour }
 
 func (c *configs) Take(packed []byte, s Standing, _ time.Duration) {
 	c.mu.Lock()
@@ -91,6 +107,20 @@
 	assert.Equal(t, older.Standing().Version, int64(8))
 }
 
+// A configuration changes, and the owner's watch tells of it some milliseconds before those of a
+// hundred other entry VMs. If each of them fetched it from the owner, its link would carry nothing
+// else for a second; the own watch tells it first.
+func TestAConfigurationThatTheOwnWatchTellsIsNotFetched(t *testing.T) {
+	// The watch tells between the third and the fourth look.
+	older := &configs{standing: Standing{Version: 7}, tellsIn: 3}
+	newer := &configs{standing: Standing{Version: 8}}
+	c := &Client{Log: logr.Discard(), Configs: older}
+	p := serveConfigs(t, &owner{}, newer)
+	assert.Assert(t, errors.Is(c.Submit(t.Context(), p, &work.Job{ID: "j1"}, engine.Queue{}), engine.ErrBehind))
+	assert.Equal(t, older.Standing().Version, int64(8))
+	assert.Equal(t, newer.packed, 0)
+}
+
 // An owner's own watch is silent. A call by a newer configuration is carried out, and the owner
 // reads its own again.
 func TestAnOwnerThatIsBehindIsToldSo(t *testing.T) {
