--- a/policy/work/work.go
+++ b/policy/work/work.go
@@ -11,7 +11,7 @@
 // JobID is chosen by the caller. One ID is one job, for ever.
 type JobID string
 
-// WorkspaceName names a workspace: a tenant of the fleet, with keys and a limit of its own.
+// WorkspaceName names a workspace, which has keys and a limit of its own.
 // Empty: nobody's, as on routes that are open to all.
 type WorkspaceName string
 
