A ledger of a limit is never deleted: an absent key lets an old change through

Cause, found by reading: a claim made while there was no ledger expects an absent key. Not answered, it is carried out up to seconds late if the key is absent then. The next claim left a ledger, but a later one, with all cells back at their even shares, deleted it; the late one would then have lent away what this cell uses again, and two cells together could exceed the limit. Now an empty ledger is stored as such; some bytes a workspace stay. The special case for a change in doubt goes, and so does the revision 0 after a deletion. Test: the transaction of a claim that leaves an empty ledger writes it; red with the deletion put back.

--- a/internal/engine/claims.go
+++ b/internal/engine/claims.go
@@ -95,13 +95,8 @@
 	before := a.share(len(c.cells))
 	s := a.ledger.Settle(claim)
 	a.lower(s.Use, len(c.cells))
-	if a.inDoubt {
-		// A key that is absent has no revision by which the earlier change would fail.
-		s.Ledger.Has[c.cell] = s.Has
-		return s, true
-	}
 	same := s.Has == a.ledger.Of(c.cell, len(c.cells)) && s.Ledger.Wants[c.cell] == a.ledger.Wants[c.cell]
-	return s, !same || s.Use > before
+	return s, !same || s.Use > before || a.inDoubt // what is stored makes the earlier change fail
 }
 
 // wantsShares reports whether a workspace's work waits for a share that was not asked for yet.
@@ -153,9 +148,6 @@
 	a := c.limits.of(s.workspace)
 	a.inFlight, a.inDoubt = false, false
 	a.ledger, a.rev = s.Ledger, rev
-	if s.Ledger.Empty() {
-		a.rev = 0
-	}
 	c.log.Info("share of a limit", "workspace", a.name, "parts", s.Use, "of", workspace.Whole, "has", s.Has, "need", a.need, "waits", s.Ledger.Wants[c.cell] > 0)
 	a.granted = s.Use
 	_, a.explicit = s.Ledger.Has[c.cell]
--- a/internal/engine/limits_model_test.go
+++ b/internal/engine/limits_model_test.go
@@ -163,10 +163,6 @@
 }
 
 func (w *limitWorld) put(l workspace.Ledger) {
-	if l.Empty() {
-		w.value, w.rev = nil, 0
-		return
-	}
 	raw, err := json.Marshal(l)
 	assert.NilError(w.m.t, err)
 	w.next++
--- a/internal/engine/limits_test.go
+++ b/internal/engine/limits_test.go
@@ -238,9 +238,10 @@
 	assert.Equal(t, len(r.plan().Starts), 3)
 }
 
-// The same where there was no ledger: the change that settles it must leave one, or the first
-// would find the key absent, as it expects, and be carried out.
-func TestAChangeInDoubtIsFollowedByOneThatLeavesALedger(t *testing.T) {
+// The same where there was no ledger, which the first change expects. The change that settles it
+// leaves one though no cell is named any more, and so does every later one: deleted, the key would
+// be absent again, and the first be carried out seconds late.
+func TestALedgerStaysOnceThereWasOne(t *testing.T) {
 	r := newLimitRig(t, 10)
 	r.worker("w1")
 	r.acceptRed("j1", short(8))
@@ -256,9 +257,21 @@
 	}
 	r.plan()
 	r.now += reviewEvery
-	again := r.core.Claims(r.now)
-	assert.Equal(t, len(again), 1)
-	assert.Assert(t, !again[0].Ledger.Empty())
+	var last []shareClaim
+	for range 10 {
+		r.plan()
+		r.now += reviewEvery
+		if claims := r.core.Claims(r.now); len(claims) > 0 {
+			last = claims
+			r.store(claims)
+		}
+	}
+	assert.Assert(t, last[0].Ledger.Empty())
+	e, _ := newEngine(t, &fakeTerm{certain: true})
+	txn, err := e.claimTxn(last)
+	assert.NilError(t, err)
+	assert.Equal(t, txn.Then[0].Kind, infra.OpPut)
+	assert.Assert(t, r.account().rev != 0)
 }
 
 // A gang that is wider than its workspace may ever run must not hold up others of the workspace.
--- a/internal/engine/shares.go
+++ b/internal/engine/shares.go
@@ -158,16 +158,15 @@
 	return nil
 }
 
+// claimTxn makes the transaction. A ledger in which no cell is named any more stays: were its key
+// deleted, a change that was not answered, made as there was none, would find it absent again and
+// be carried out late.
 func (e *Engine) claimTxn(claims []shareClaim) (infra.Txn, error) {
 	txn := infra.Txn{If: []infra.Cond{{Key: e.OwnerKey, ModRevision: infra.Revision(e.Term.Token())}}}
 	for i := range claims {
 		key := infra.WorkLimitKey(string(claims[i].workspace))
 		txn.If = append(txn.If, infra.Cond{Key: key, ModRevision: claims[i].rev})
 		txn.Else = append(txn.Else, infra.Read(key))
-		if claims[i].Ledger.Empty() {
-			txn.Then = append(txn.Then, infra.Delete(key))
-			continue
-		}
 		raw, err := json.Marshal(claims[i].Ledger)
 		if err != nil {
 			return infra.Txn{}, err
--- a/policy/workspace/ledger.go
+++ b/policy/workspace/ledger.go
@@ -80,7 +80,7 @@
 	Wants map[string]Parts `json:"wants,omitempty"`
 }
 
-// Empty reports whether the ledger need not be kept.
+// Empty reports whether every cell has its even share and none waits.
 func (l *Ledger) Empty() bool { return len(l.Has) == 0 && len(l.Wants) == 0 }
 
 // Of returns what the cell has, among so many.
