Crashes are judged by when they came, by kind and by what was lost with them

A job in ten that crashes its workers took the queue down for all others: every crash made suspects of all that ran there, up to seventeen sound tasks, and each was tried on a worker of its own until it was seen for half a second.

Now each crash is weighed against each run by the time from its start to the moment the worker fell silent, by how often workers crash by themselves and by how many jobs of the queue crashed workers of late. The few runs that explain it are suspects; those of one job share a worker on trial; one worker in twelve is on trial or lost to trials at a time; jobs of a hazardous kind begin on a worker one after the other and away from lasting work. Crashes of several workers in the same moment blame nobody. A lasting job is never given up, as callers are promised that it is restarted; it is restarted with pauses.

A task that crashes its workers after a second is given up at five crashes, not four, where nothing is known of its kind; right after its start at three, and at two once its kind is known.

--- a/internal/engine/core.go
+++ b/internal/engine/core.go
@@ -58,10 +58,15 @@
 	// startsUntil: no orders beyond it, as the owner's lease is no longer
 	// certain and a successor may rely on our silence.
 	startsUntil      time.Duration
-	inherited        time.Duration            // see Inherit
-	fleetKnown       bool                     // the platform's list of VMs was read
-	roomKnown        time.Duration            // see RoomKnown
-	crashRate        crashes.Rate             // of workers, by themselves
+	inherited        time.Duration // see Inherit
+	fleetKnown       bool          // the platform's list of VMs was read
+	roomKnown        time.Duration // see RoomKnown
+	crashRate        crashes.Rate  // of workers, by themselves
+	kinds            map[kindKey]*crashes.Kind
+	unjudged         []crash
+	silences         crashes.Silences
+	trials           crashes.Trials
+	onsets           crashes.Onsets
 	lostUnheard      bool                     // a worker crashed that this owner never heard
 	presumedResolved bool                     // see resolvePresumed
 	alive            map[work.WorkerID]string // pools of the workers that it says are up
@@ -83,6 +88,7 @@
 		over:    make(map[work.WorkerID]bool),
 		learned: make(durations),
 		sizes:   make(map[string]*meanSize),
+		kinds:   make(map[kindKey]*crashes.Kind),
 		limits:  newLimits(),
 		sought:  make(map[string]time.Duration),
 
@@ -204,6 +210,9 @@
 // stored.
 func (c *Core) finish(j *job, state work.State) {
 	j.final = state
+	if state == work.Completed {
+		c.kindOf(j).Completed(c.now)
+	}
 	c.touch(j)
 	c.open = slices.DeleteFunc(c.open, func(o *job) bool { return o == j })
 	j.eachTask(func(t *task) {
@@ -248,6 +257,7 @@
 	}
 	t.where, t.run = w, run
 	t.movedAt = now
+	t.trialLasts = c.onsets.Trial()
 	w.add(t)
 	t.step.set(t, state)
 	if state == taskActive {
--- a/internal/engine/job.go
+++ b/internal/engine/job.go
@@ -55,8 +55,11 @@
 
 	crashes crashes.Record // of workers under the task
 	// trial is the job's evidence that says that the next start may crash a worker; 0: none.
-	trial     int
-	crashedAt []string // addresses of the workers that crashed under it
+	trial int
+	// trialLasts is how long its run must be seen to go on to be trusted.
+	trialLasts time.Duration
+	suspected  bool     // what is known of the crashes makes it a suspect
+	crashedAt  []string // addresses of the workers that crashed under it
 	// presumed is the run by which the crash is noted that a start by an earlier owner is
 	// taken to have caused; 0: none.
 	presumed int
--- a/internal/engine/listing.go
+++ b/internal/engine/listing.go
@@ -20,6 +20,7 @@
 		w.info = info
 		return
 	}
+	c.trials.Back(info.Address)
 	c.workers[info.ID] = &worker{
 		info: info, inherited: c.inherited,
 		tasks: make(map[work.TaskRef]*task), strays: make(map[work.TaskRef]*stray),
@@ -91,9 +92,11 @@
 		}
 		serving = serving || t.step.spec.Serving()
 		filling = filling || t.step.spec.Fill
-		short = short || !t.step.spec.Lasting || t.suspect()
+		short = short || !t.step.spec.Lasting
 	}
 	switch {
+	case w.tries((*task).suspect):
+		return pollSoon
 	case serving && filling:
 		return serveWait
 	case short:
@@ -122,6 +125,7 @@
 		return
 	}
 	w.missed++
+	c.fellSilent(w, now)
 	if w.missed == 1 && len(w.tasks) > 0 {
 		c.log.Info("worker does not answer", "worker", id, "tasks", len(w.tasks), "outcome", o.String())
 	}
@@ -162,7 +166,7 @@
 	w.lapsed = nil
 	w.unsure = (w.unsure || !w.heard) && !c.certain
 	w.heard, w.unlisted = true, false
-	w.missed = 0
+	w.missed, w.silentSince = 0, 0
 	for i := range l.Ended {
 		if e := &l.Ended[i]; e.Seq > w.seen {
 			w.seen = e.Seq
--- a/internal/engine/losses.go
+++ b/internal/engine/losses.go
@@ -43,7 +43,7 @@
 	c.log.Info("worker gone", "worker", w.info.ID, "service", w.info.Service, "tasks", len(w.tasks), "reason", why, "cause", cause)
 	if cause == lossCrash {
 		c.lostUnheard = c.lostUnheard || !w.heard
-		c.blame(w, now)
+		c.crashed(w, now)
 	}
 	c.dropTasks(w, cause, now)
 	delete(c.workers, w.info.ID)
@@ -57,7 +57,7 @@
 		c.log.V(1).Info("run lost", "task", t.ref.String(), "run", t.run, "worker", w.info.ID, "cause", cause,
 			"seen running for", w.seenRunning(t).String(), "losses", t.losses)
 		if cause == lossLease {
-			w.lapsed = append(w.lapsed, w.lossOf(t))
+			w.lapsed = append(w.lapsed, w.lossOf(t, now))
 		}
 		c.ranOut(t, now)
 	}
@@ -78,64 +78,196 @@
 	task   *task
 	run    int
 	ran    time.Duration // as last seen
+	most   time.Duration // as its worker fell silent
 	unsent bool          // its start had not been sent
 	unseen bool          // the worker may have crashed before the start came there
 }
 
-func (w *worker) lossOf(t *task) lostRun {
+func (w *worker) lossOf(t *task, now time.Duration) lostRun {
 	unanswered := t.answered == 0 || t.state == taskDoubtful
-	return lostRun{
+	l := lostRun{
 		task: t, run: t.run, ran: w.seenRunning(t),
 		unsent: t.answered == 0 && t.left == 0, unseen: unanswered && t.left > w.clockAt+crashes.Trial,
 	}
+	silent := w.silentAt(now)
+	switch {
+	case l.ran > 0:
+		l.most = l.ran + max(0, silent-w.clockAt)
+	case t.left > 0:
+		l.most = max(0, silent-t.left)
+	default:
+		l.most = max(0, silent-t.answered)
+	}
+	return l
+}
+
+// fellSilent notes that the worker did not answer, for the first time since it last did.
+func (c *Core) fellSilent(w *worker, now time.Duration) {
+	if w.silentSince == 0 {
+		w.silentSince = now
+		c.silences.Fell(now, now)
+	}
+}
+
+// silentAt is when the worker fell silent; now, if it answered until now.
+func (w *worker) silentAt(now time.Duration) time.Duration {
+	if w.silentSince != 0 {
+		return w.silentSince
+	}
+	return now
+}
+
+// crash is a crash of a worker that is still to be judged.
+type crash struct {
+	worker *worker
+	at     time.Duration // when it fell silent
+	lost   []lostRun
+	tried  bool // a suspect was on trial there
 }
 
-// blame notes a crash of the worker against what may have caused it: what runs there, and
-// what did until its leases ran out unreached.
-func (c *Core) blame(w *worker, now time.Duration) {
+// crashed notes that the worker crashed, with what ran there and what did until its leases ran
+// out unreached. That starts nowhere until the crash is judged.
+func (c *Core) crashed(w *worker, now time.Duration) {
 	lost := w.lapsed
 	for _, t := range w.tasks {
-		lost = append(lost, w.lossOf(t))
+		lost = append(lost, w.lossOf(t, now))
 	}
 	lost = slices.DeleteFunc(lost, func(l lostRun) bool { return l.unsent })
-	lostRuns := make([]crashes.LostRun, len(lost))
-	for i, l := range lost {
-		lostRuns[i] = crashes.LostRun{Ran: l.ran, Unseen: l.unseen, Lasting: l.task.step.spec.Lasting, Record: l.task.crashes}
+	c.fellSilent(w, now)
+	at := w.silentAt(now)
+	for _, l := range lost {
+		l.task.notBefore = max(l.task.notBefore, at+crashes.Settle)
 	}
+	c.unjudged = append(c.unjudged, crash{worker: w, at: at, lost: lost, tried: w.tries((*task).suspect)})
+	c.judgeCrashes(now)
+}
+
+// judgeCrashes blames tasks for the crashes of which it is known by now whether other workers
+// were lost with them.
+func (c *Core) judgeCrashes(now time.Duration) {
+	var wait []crash
+	for _, cr := range c.unjudged {
+		if now < cr.at+crashes.Settle {
+			wait = append(wait, cr)
+			continue
+		}
+		c.blame(&cr, now)
+	}
+	c.unjudged = wait
+}
+
+// blame notes a crash against what may have caused it.
+func (c *Core) blame(cr *crash, now time.Duration) {
+	w := cr.worker
+	if c.silences.Together(cr.at) {
+		c.log.Info("worker crashed together with others", "worker", w.info.ID, "runs", len(cr.lost))
+		c.crashRate.Crashed(1, len(c.workers), now)
+		return
+	}
+	lostRuns := make([]crashes.LostRun, len(cr.lost))
+	for i, l := range cr.lost {
+		j := l.task.step.job
+		lostRuns[i] = crashes.LostRun{
+			Job: string(j.ID), Ran: l.ran, Most: l.most, Unseen: l.unseen, Lasting: l.task.step.spec.Lasting,
+			Record: l.task.crashes, Prior: c.kindOf(j).Prior(now),
+		}
+	}
+	verdict := crashes.Judge(lostRuns, c.crashRate.PerWorker(now))
 	// What ran on a worker that was never heard is not known.
-	if w.heard && !slices.ContainsFunc(lostRuns, func(v crashes.LostRun) bool { return v.OnTrial() }) {
-		c.crashRate.Crashed(c.untried(), now)
+	if w.heard {
+		c.crashRate.Crashed(verdict.ByItself, len(c.workers), now)
+	}
+	if cr.tried {
+		c.trials.Lost(w.info.Address, now)
 	}
-	for i, b := range crashes.Blames(lostRuns) {
-		if crash, blamed := b.Crash(lost[i].run); blamed {
-			c.crashedUnder(lost[i], w, crash, now)
+	for i, blamed := range verdict.Blamed {
+		c.kindOf(cr.lost[i].task.step.job).Crashed(verdict.First[i], now)
+		if blamed.Factor > 0 {
+			blamed.Run, blamed.Life = cr.lost[i].run, string(w.info.ID)
+			c.crashedUnder(cr.lost[i], w, blamed, now)
 		}
 	}
+	for _, l := range cr.lost {
+		c.giveUpPoison(l.task, now)
+	}
 }
 
-// crashedUnder adds a crash to the task's record, and gives its job up when the record says
-// that the task crashes whatever starts it.
-func (c *Core) crashedUnder(l lostRun, w *worker, crash crashes.Crash, now time.Duration) {
+// crashedUnder adds a crash to the task's record.
+func (c *Core) crashedUnder(l lostRun, w *worker, blamed crashes.Crash, now time.Duration) {
 	t, j := l.task, l.task.step.job
 	if j.final != "" || t.state == taskDone {
 		return
 	}
-	t.crashes = t.crashes.With(crash)
+	t.crashes = t.crashes.With(blamed)
 	t.crashedAt = append(t.crashedAt, w.info.Address)
 	t.trial = 0
+	c.judgeRecord(t, now)
+	if t.step.spec.Lasting {
+		t.notBefore = now + min(mostCrashPause, firstCrashPause<<min(len(t.crashes), 5))
+	}
 	j.evidence++
 	c.touch(j)
-	c.log.Info("worker crashed under a task", "task", t.ref.String(), "run", l.run, "worker", w.info.ID, "early", crash.Early, "presumed", crash.Presumed,
-		"seen running for", l.ran.String(), "crashes", len(t.crashes))
-	c.giveUpPoison(t, now)
+	c.log.Info("worker crashed under a task", "task", t.ref.String(), "run", l.run, "worker", w.info.ID, "factor", blamed.Factor, "presumed", blamed.Presumed,
+		"seen running for", l.ran.String(), "at most", l.most.String(), "crashes", len(t.crashes), "suspect", t.suspected)
+}
+
+// Pauses between starts of a lasting task under which workers crash. It is never given up,
+// as callers are promised that it is restarted however it ends, and it must not take one
+// worker after the other.
+const (
+	firstCrashPause = 100 * time.Millisecond
+	mostCrashPause  = 2 * time.Second
+)
+
+// kindKey names a kind of job: those that behave alike.
+type kindKey struct {
+	queue   string
+	lasting bool
+}
+
+// kindOf is what is known of jobs like this one.
+func (c *Core) kindOf(j *job) *crashes.Kind {
+	key := kindKey{queue: j.Queue, lasting: j.Lasting()}
+	k := c.kinds[key]
+	if k == nil {
+		k = &crashes.Kind{}
+		c.kinds[key] = k
+	}
+	return k
+}
+
+// judgeRecord decides whether the task is a suspect, after a change of its record.
+func (c *Core) judgeRecord(t *task, now time.Duration) {
+	t.suspected = t.crashes.Suspect(c.kindOf(t.step.job).Prior(now))
 }
 
 // giveUpPoison gives the task's job up when the crashes say that the task crashes whatever
 // starts it.
 func (c *Core) giveUpPoison(t *task, now time.Duration) {
-	if rate := c.crashRate.PerWorker(now); t.crashes.Poison(rate) {
-		c.log.Info("task given up", "task", t.ref.String(), "crashes", len(t.crashes), "crashes of a worker a second", rate)
-		c.finish(t.step.job, work.Failed)
+	j := t.step.job
+	if j.final != "" || t.state == taskDone || t.step.spec.Lasting {
+		return
+	}
+	if prior := c.kindOf(j).Prior(now); t.crashes.Poison(prior) {
+		c.onsets.Saw(t.crashes)
+		c.log.Info("task given up", "task", t.ref.String(), "crashes", len(t.crashes), "share of such jobs", prior)
+		c.finish(j, work.Failed)
+		c.acquitBeside(t, now)
+	}
+}
+
+// acquitBeside takes back what was noted of other tasks for the crashes that the task, now
+// known for what it is, explains.
+func (c *Core) acquitBeside(poison *task, now time.Duration) {
+	lives := poison.crashes.Lives()
+	for _, j := range c.open {
+		j.eachTask(func(t *task) {
+			if left := t.crashes.Acquit(lives); len(left) < len(t.crashes) {
+				t.crashes = left
+				c.judgeRecord(t, now)
+				c.touch(j)
+			}
+		})
 	}
 }
 
@@ -168,7 +300,7 @@
 	}
 	run := crashes.LostRun{Ran: t.where.seenRunning(t), Lasting: t.step.spec.Lasting}
 	if run.Clear() {
-		t.crashes = nil
+		t.crashes, t.crashedAt, t.suspected = nil, nil, false
 		c.touch(t.step.job)
 	}
 }
@@ -189,11 +321,24 @@
 	return out
 }
 
-// untried counts the workers without a run on trial.
-func (c *Core) untried() int {
+// freshOn is the job whose tasks have just begun on the worker, if its kind crashes many; empty
+// where none have.
+func (c *Core) freshOn(w *worker, now time.Duration) work.JobID {
+	spacing := c.onsets.Spacing()
+	for _, t := range w.tasks {
+		begun := t.state == taskActive && now >= t.answered+spacing
+		if !begun && !t.step.spec.Lasting && c.kindOf(t.step.job).Hot(now) {
+			return t.ref.Job
+		}
+	}
+	return ""
+}
+
+// trying counts the workers on which suspects are on trial.
+func (c *Core) trying() int {
 	n := 0
 	for _, w := range c.workers {
-		if !w.tries(func(*task) bool { return true }) {
+		if w.tries((*task).suspect) {
 			n++
 		}
 	}
@@ -203,19 +348,19 @@
 // tries reports whether one of those tasks is on trial there.
 func (w *worker) tries(of func(*task) bool) bool {
 	for _, t := range w.tasks {
-		if of(t) && w.seenRunning(t) < crashes.Trial {
+		if of(t) && w.seenRunning(t) < t.trialLasts {
 			return true
 		}
 	}
 	return false
 }
 
-func (t *task) suspect() bool { return t.crashes.Suspect() }
+func (t *task) suspect() bool { return t.suspected }
 
 // onTrial reports whether it is on its way to the store, or stored, that the task may crash a
 // worker, and no run of it has shown otherwise since.
 func (t *task) onTrial() bool {
-	return t.trial != 0 && (t.where == nil || t.where.seenRunning(t) < crashes.Trial)
+	return t.trial != 0 && (t.where == nil || t.where.seenRunning(t) < t.trialLasts)
 }
 
 // askTrials has it stored, of the suspects of the step that may start now, that a start of
@@ -251,5 +396,6 @@
 	}
 	t.crashes = t.crashes.Without(t.presumed)
 	t.presumed = 0
+	c.judgeRecord(t, c.now)
 	c.touch(t.step.job)
 }
--- a/internal/engine/orders.go
+++ b/internal/engine/orders.go
@@ -90,6 +90,12 @@
 	w := c.workers[o.Worker.ID]
 	if w != nil {
 		w.clockSaid(clock, now)
+		switch out {
+		case OutcomeUnknown, OutcomeNotSent:
+			c.fellSilent(w, now)
+		case OutcomeOK:
+			w.silentSince = 0
+		}
 	}
 	if out == OutcomeFenced {
 		c.deposed = true
--- a/internal/engine/plan.go
+++ b/internal/engine/plan.go
@@ -58,6 +58,7 @@
 		return out
 	}
 	c.forgetEnded(now)
+	c.judgeCrashes(now)
 	c.openOccurrences(now, wall)
 	c.Expire(now)
 	if now >= c.judged+judgeEvery {
@@ -179,6 +180,7 @@
 		return
 	}
 	planner := taskplan.NewPlanner(workers)
+	planner.Trials = c.trials.Room(len(c.workers), c.trying(), now)
 	for _, v := range ws {
 		if len(out.Starts) >= c.mayStart {
 			c.held = true
@@ -239,6 +241,7 @@
 		snap := w.snapshot(now)
 		snap.Closed = snap.Closed || doubt
 		snap.Sought = c.seeks(w.info.Labels, now)
+		snap.Fresh = c.freshOn(w, now)
 		out = append(out, snap)
 	}
 	slices.SortFunc(out, func(a, b *taskplan.Worker) int { return cmp.Compare(a.ID, b.ID) })
@@ -285,7 +288,10 @@
 
 // planStep describes a step to the plan; nil where none of it may start yet.
 func (c *Core) planStep(s *step, workers []*taskplan.Worker, now time.Duration) *taskplan.Step {
-	ps := &taskplan.Step{Ref: s.ref(), Step: s.spec, OnWorker: make(map[work.WorkerID]int)}
+	ps := &taskplan.Step{
+		Ref: s.ref(), Step: s.spec, OnWorker: make(map[work.WorkerID]int),
+		Hazardous: !s.spec.Lasting && c.kindOf(s.job).Hot(now),
+	}
 	for _, t := range s.tasks {
 		if c.isDue(t, now) && t.mayBeTried() {
 			ps.Tasks = append(ps.Tasks, taskplan.Task{Index: t.ref.Index, Avoid: t.avoided(c.workers), Suspect: t.suspect()})
--- a/internal/engine/progress.go
+++ b/internal/engine/progress.go
@@ -288,6 +288,7 @@
 		j.baseRun = restoredRuns
 	}
 	c.add(j)
+	j.eachTask(func(t *task) { c.judgeRecord(t, now) })
 }
 
 // restoredRuns is added to the run numbers of restored tasks. An earlier owner
--- a/internal/engine/worker.go
+++ b/internal/engine/worker.go
@@ -76,6 +76,7 @@
 	seen, stored, acked int64         // ends taken in, stored, acknowledged
 	unstored            []endMark     // of the ends between seen and stored
 	missed              int           // polls without an answer since the last
+	silentSince         time.Duration // first call without an answer since; 0: none
 	closedUntil         time.Duration
 	strikes             strikes
 	slowness            straggler.Slowness
--- a/policy/crashes/crashes.go
+++ b/policy/crashes/crashes.go
@@ -1,14 +1,16 @@
 // Package crashes judges tasks by the workers that crashed while they ran there.
 //
-// Load pattern: a task of some job crashes each worker that starts it. Started again
-// wherever there is room, it takes a pool down one worker after the other, and all that
-// runs beside it is lost each time. A count by task alone would give the neighbours up as
-// well: they lose as many workers. So a crash says more of a run that had just begun than
-// of one that had gone on for a while, and a suspect is tried apart from others, so that
-// the next crash tells which it was.
+// Load pattern: one job in ten of a burst has a task that crashes each worker that starts
+// it. All that runs beside it is lost as well, and were each of those neighbours suspected
+// as much as the task that had just begun, the pool would be taken up with trying sound
+// tasks apart from others. So every crash is weighed by how long each run had gone on, by
+// how often workers crash by themselves, and by how many jobs of the kind were given up of
+// late: the few runs that explain it are suspects, the others start anew as if nothing had
+// happened.
 package crashes
 
 import (
+	"math"
 	"slices"
 	"time"
 )
@@ -24,58 +26,81 @@
 
 const (
 	// mostCrashes is how many workers may crash under a task, whatever the odds are that it
-	// is sound.
+	// is sound: the platform allows no further start.
 	mostCrashes = 5
-	// poisonChance is how unlikely it must be that the workers crashed by themselves for a task
-	// to be given up. A cell starts some hundred thousand tasks a day.
-	poisonChance = 1e-6
-	// suspectChance is the same for a task to be tried apart from others.
-	suspectChance = 0.01
-	// presumedChance is how likely a presumed crash is to be none of the task's.
-	presumedChance = 0.05
 	// certainCrashes is how many crashes that are not presumed a task is given up for at the
 	// least, but for mostCrashes.
 	certainCrashes = 2
-	// seenLate is how much longer than it was seen to go on a run may have gone on: the pause
-	// between two answers of its worker.
-	seenLate = 300 * time.Millisecond
+	// poisonOdds are the odds at which a task is given up. A cell judges some hundred crashes
+	// on a bad day.
+	poisonOdds = 1e4
+	// suspectOdds are the odds from which on a task is tried apart from others: one in four.
+	suspectOdds = 0.25
+	// presumedFactor is how much a presumed crash speaks against its task.
+	presumedFactor = 20
+	// unratedFactor stands for a crash that an owner of an older version noted.
+	unratedFactor = 30
+	// leastFactor is how much a crash must speak against a run to be noted.
+	leastFactor = 1.1
 )
 
+// A task that crashes its worker does so within these times of its start; each order of
+// magnitude between is as likely as another.
+const (
+	shortestOnset = 1 * time.Millisecond
+	longestOnset  = 10 * time.Second
+)
+
+// timingSlack is how exactly the moment of a crash and that of a start are known.
+const timingSlack = 5 * time.Millisecond
+
 // Crash is one run of a task that ended with a crash of its worker.
 type Crash struct {
-	Run   int  `json:"run"`
-	Early bool `json:"early,omitempty"` // the run had not outlasted its trial
+	Run  int    `json:"run"`
+	Life string `json:"life,omitempty"` // of the worker
+	// Factor is how many times likelier the crash is if the task causes it than if not.
+	Factor float64 `json:"factor,omitempty"`
+	// Within is how long the run had gone on at the most.
+	Within time.Duration `json:"within_ns,omitempty"`
 	// Presumed: it is not known whether the worker lived to see the run.
 	Presumed bool `json:"presumed,omitempty"`
 }
 
+func (c Crash) factor() float64 {
+	switch {
+	case c.Presumed:
+		return presumedFactor
+	case c.Factor == 0:
+		return unratedFactor
+	}
+	return c.Factor
+}
+
 // Record holds the crashes under a task, each run once.
 type Record []Crash
 
-// chance is how likely it is that all the workers crashed by themselves, at so many crashes
-// of one worker a second.
-func (r Record) chance(rate float64) float64 {
-	chance := 1.0
+// odds are those that the task crashes its workers, where prior is the share of such jobs
+// among those of its kind.
+func (r Record) odds(prior float64) float64 {
+	odds := prior / (1 - prior)
 	for _, c := range r {
-		switch {
-		case c.Presumed:
-			chance *= presumedChance
-		case c.Early:
-			chance *= min(1, rate*(Trial+seenLate).Seconds())
-		default:
-			chance *= min(1, rate*Cleared.Seconds())
-		}
+		odds *= c.factor()
 	}
-	return chance
+	return odds
+}
+
+// chance is the same as a probability.
+func (r Record) chance(prior float64) float64 {
+	odds := r.odds(prior)
+	return odds / (1 + odds)
 }
 
 // Suspect reports whether the task is to be tried apart from others.
-func (r Record) Suspect() bool { return r.chance(usualRate) <= suspectChance }
+func (r Record) Suspect(prior float64) bool { return len(r) > 0 && r.odds(prior) >= suspectOdds }
 
-// Poison reports whether the task crashes whatever starts it, as far as can be told where
-// workers crash by themselves so often a second each. It is to be given up.
-func (r Record) Poison(rate float64) bool {
-	return len(r) >= mostCrashes || r.certain() >= certainCrashes && r.chance(rate) <= poisonChance
+// Poison reports whether the task crashes whatever starts it. It is to be given up.
+func (r Record) Poison(prior float64) bool {
+	return len(r) >= mostCrashes || r.certain() >= certainCrashes && r.odds(prior) >= poisonOdds
 }
 
 // certain counts the crashes that are not presumed.
@@ -103,6 +128,22 @@
 	return slices.DeleteFunc(slices.Clone(r), func(c Crash) bool { return c.Run == run })
 }
 
+// Lives returns the lives of workers that ended so.
+func (r Record) Lives() []string {
+	var out []string
+	for _, c := range r {
+		if c.Life != "" {
+			out = append(out, c.Life)
+		}
+	}
+	return out
+}
+
+// Acquit returns the record without the crashes of those lives.
+func (r Record) Acquit(lives []string) Record {
+	return slices.DeleteFunc(slices.Clone(r), func(c Crash) bool { return slices.Contains(lives, c.Life) })
+}
+
 // Latest returns the highest run in the record.
 func (r Record) Latest() int {
 	latest := 0
@@ -114,51 +155,68 @@
 
 // LostRun is a run that ended with a crash of its worker.
 type LostRun struct {
-	Ran time.Duration // how long it was seen to go on
+	Job string // whose run it is: a job is given up as a whole
+	// Ran and Most bound how long it had gone on: as last seen, and as the worker fell silent.
+	Ran, Most time.Duration
 	// Unseen: the worker did not answer the start, nor anything else for long before.
 	Unseen  bool
 	Lasting bool
-	Record  Record // of its task before
+	Record  Record  // of its task before
+	Prior   float64 // the share of jobs of its kind that crash workers
 }
 
-// OnTrial reports whether the run had not gone on for long enough to be trusted.
-func (v *LostRun) OnTrial() bool { return v.Ran < Trial }
-
 // Clear reports whether the run shows that its task does not crash its workers.
 func (v *LostRun) Clear() bool { return v.Lasting && v.Ran >= Cleared }
 
-// Blame is what a crash says of one of its lostRuns.
-type Blame int8
-
-// The kinds of blame.
-const (
-	None Blame = iota
-	Late
-	Early
-	Presumed
-)
+// density is how likely the run is to crash its worker at that moment if its task is one
+// that does, a second: the mean over the time in which it may have happened.
+func (v *LostRun) density() float64 {
+	if v.Clear() || v.Unseen {
+		return 0
+	}
+	from := max(v.Ran, shortestOnset)
+	to := max(v.Most, from+timingSlack)
+	return math.Log(float64(to)/float64(from)) / math.Log(float64(longestOnset)/float64(shortestOnset)) / (to - from).Seconds()
+}
 
-// Crash returns what is noted of the run, or false where it is not blamed.
-func (b Blame) Crash(run int) (Crash, bool) {
-	return Crash{Run: run, Early: b == Early, Presumed: b == Presumed}, b != None
+// Verdict is what the crash of one worker says.
+type Verdict struct {
+	// Blamed are the crashes to be noted of the runs, in their order; with factor 0 none is.
+	Blamed []Crash
+	// First is, by run, how likely it is that its job caused this crash and none before; of
+	// the runs of one job the first bears it.
+	First []float64
+	// ByItself is how likely it is that none of the runs caused it.
+	ByItself float64
 }
 
-// Blames says what the crash of one worker says of each of the runs there. A suspect on
-// trial takes the blame off those that had outlasted theirs and have lost no worker so far.
-func Blames(lostRuns []LostRun) []Blame {
-	suspected := slices.ContainsFunc(lostRuns, func(v LostRun) bool { return v.OnTrial() && v.Record.Suspect() })
-	out := make([]Blame, len(lostRuns))
+// Judge says what the crash of one worker says of each of the runs there, where workers crash
+// by themselves so often a second each.
+func Judge(lostRuns []LostRun, rate float64) Verdict {
+	byJob := make(map[string]float64)
 	for i := range lostRuns {
 		v := &lostRuns[i]
+		byJob[v.Job] = max(byJob[v.Job], v.Record.chance(v.Prior)*v.density())
+	}
+	all := rate
+	for _, d := range byJob {
+		all += d
+	}
+	out := Verdict{Blamed: make([]Crash, len(lostRuns)), First: make([]float64, len(lostRuns)), ByItself: rate / all}
+	counted := make(map[string]bool)
+	for i := range lostRuns {
+		v := &lostRuns[i]
+		others := all - byJob[v.Job]
+		factor := (v.density() + others) / others
 		switch {
 		case v.Unseen:
-			out[i] = Presumed
-		case v.OnTrial():
-			out[i] = Early
-		case v.Clear() || suspected && len(v.Record) == 0:
-			out[i] = None
-		default:
-			out[i] = Late
+			out.Blamed[i] = Crash{Presumed: true, Factor: presumedFactor}
+		case factor >= leastFactor:
+			out.Blamed[i] = Crash{Factor: factor, Within: v.Most}
+		}
+		if !counted[v.Job] {
+			counted[v.Job] = true
+			out.First[i] = byJob[v.Job] / all * (1 - v.Record.chance(v.Prior))
 		}
 	}
 	return out
--- a/policy/crashes/rate.go
+++ b/policy/crashes/rate.go
@@ -11,21 +11,20 @@
 	rateWindow = 10 * time.Second
 )
 
-// Rate estimates how often workers crash by themselves, from crashes of workers on which no
-// run was on trial. The zero value has seen none.
+// Rate estimates how often workers crash by themselves. The zero value has seen none.
 type Rate struct {
 	seen []ownCrash
 }
 
 type ownCrash struct {
 	at    time.Duration
-	among int // workers without a run on trial, this one included
+	share float64 // of a crash by itself, for each worker there was
 }
 
-// Crashed notes a crash of a worker without a run on trial, one of so many.
-func (r *Rate) Crashed(among int, now time.Duration) {
+// Crashed notes a crash of one worker of so many, and how likely it was by itself.
+func (r *Rate) Crashed(byItself float64, among int, now time.Duration) {
 	r.forget(now)
-	r.seen = append(r.seen, ownCrash{at: now, among: max(1, among)})
+	r.seen = append(r.seen, ownCrash{at: now, share: byItself / float64(max(1, among))})
 }
 
 func (r *Rate) forget(now time.Duration) {
@@ -34,13 +33,12 @@
 	}
 }
 
-// PerWorker is the rate in crashes of one worker a second. Each crash counts by the workers
-// among which it was, as those with a run on trial are left out.
+// PerWorker is the rate in crashes of one worker a second.
 func (r *Rate) PerWorker(now time.Duration) float64 {
 	r.forget(now)
 	sum := 0.0
 	for _, c := range r.seen {
-		sum += 1 / float64(c.among)
+		sum += c.share
 	}
 	return usualRate + sum/rateWindow.Seconds()
 }
--- /dev/null
+++ b/policy/crashes/trials.go
@@ -0,0 +1,91 @@
+package crashes
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// trialShare is the part of a pool that may be lost to suspects at a time: one worker in so
+	// many, and one at the least.
+	trialShare = 12
+	// mostAway is for how long a worker lost to a suspect is waited for.
+	mostAway = 10 * time.Second
+)
+
+// Trials bounds how much of a pool suspects may take down: while a worker that one of them
+// crashed is away, there is one less for the next. The zero value has lost none.
+type Trials struct {
+	away map[string]time.Duration // when the worker at the address was lost
+}
+
+// Lost notes that a suspect on trial crashed the worker at the address.
+func (t *Trials) Lost(address string, now time.Duration) {
+	if t.away == nil {
+		t.away = make(map[string]time.Duration)
+	}
+	t.away[address] = now
+}
+
+// Back notes that a worker is there again.
+func (t *Trials) Back(address string) { delete(t.away, address) }
+
+// Room is on how many more workers suspects may be tried, of so many in the pool while they
+// are tried on so many.
+func (t *Trials) Room(workers, trying int, now time.Duration) int {
+	for address, at := range t.away {
+		if now > at+mostAway {
+			delete(t.away, address)
+		}
+	}
+	return max(1, (workers+len(t.away))/trialShare) - trying - len(t.away)
+}
+
+const (
+	// leastTrial is the shortest trial: an answer of the worker in between must be seen.
+	leastTrial = 50 * time.Millisecond
+	// onsetMargin is how much longer than the longest onset of late a trial lasts.
+	onsetMargin = 4
+	// onsetsKept is how many onsets are remembered; with fewer than leastOnsets nothing is
+	// concluded from them.
+	onsetsKept, leastOnsets = 8, 3
+
+	// Bounds of the spacing of jobs on a worker, and how much longer it is than the longest
+	// onset of late.
+	leastSpacing, usualSpacing, mostSpacing = 20 * time.Millisecond, 40 * time.Millisecond, 100 * time.Millisecond
+	spacingMargin                           = 2
+)
+
+// Onsets learns how long after their starts tasks crash their workers, from those that were
+// given up. The zero value has seen none.
+type Onsets struct {
+	seen []time.Duration
+}
+
+// Saw notes the crashes under a task that was given up.
+func (o *Onsets) Saw(r Record) {
+	for _, c := range r {
+		if c.Within > 0 {
+			o.seen = append(o.seen, c.Within)
+		}
+	}
+	o.seen = o.seen[max(0, len(o.seen)-onsetsKept):]
+}
+
+// Spacing is how long the tasks of one job run on a worker before those of another begin there,
+// for a crash to tell whose doing it was.
+func (o *Onsets) Spacing() time.Duration {
+	if len(o.seen) < leastOnsets {
+		return usualSpacing
+	}
+	return min(mostSpacing, max(leastSpacing, spacingMargin*slices.Max(o.seen)))
+}
+
+// Trial is how long a suspect is seen to go on until it is taken not to crash its worker by
+// being started.
+func (o *Onsets) Trial() time.Duration {
+	if len(o.seen) < leastOnsets {
+		return Trial
+	}
+	return min(Trial, max(leastTrial, onsetMargin*slices.Max(o.seen)))
+}
--- a/policy/taskplan/taskplan.go
+++ b/policy/taskplan/taskplan.go
@@ -33,6 +33,10 @@
 	Due      bool    // its VM's maintenance is to come
 	Sought   bool    // has a label that other work asks for
 	Tasks    int     // all tasks there
+	// Fresh is the job whose hazardous tasks have just begun there; empty: none.
+	Fresh work.JobID
+
+	trial *Step // whose suspects were placed there in this plan; nothing else goes beside them
 }
 
 func (w *Worker) has(label string) bool { return slices.Contains(w.Labels, label) }
@@ -44,6 +48,9 @@
 	Tasks     []Task
 	OnWorker  map[work.WorkerID]int  // tasks of the step there now
 	Permitted map[work.WorkerID]bool // nil: every worker
+	// Hazardous: its tasks are short, and of a kind that crashes many workers. They keep away
+	// from tasks that last, and those of two jobs do not begin on one worker at the same time.
+	Hazardous bool
 }
 
 // Task is a task that waits.
@@ -51,7 +58,7 @@
 	Index int
 	Avoid []work.WorkerID // where it failed; taken only if nothing else is left
 	// Suspect: it may crash its worker. It goes where least would be lost, and nothing is
-	// placed beside it.
+	// placed beside it but suspects of its step, with which it is given up.
 	Suspect bool
 }
 
@@ -77,12 +84,14 @@
 type Planner struct {
 	open []*Worker
 	most work.Resources // see MostFree
+	// Trials is on how many more workers suspects may be placed.
+	Trials int
 }
 
 // NewPlanner returns a planner over the workers, which are changed as they fill.
 func NewPlanner(workers []*Worker) *Planner {
 	open := Open(workers)
-	return &Planner{open: open, most: MostFree(open)}
+	return &Planner{open: open, most: MostFree(open), Trials: math.MaxInt}
 }
 
 // MayFit reports whether a worker may have room for a task of the step. While a pool
@@ -110,20 +119,39 @@
 	}
 	var out []Placement
 	for _, t := range s.Tasks {
+		if t.Suspect {
+			out = append(out, p.try(s, t)...)
+			continue
+		}
 		w := choose(p.open, s, t)
 		if w == nil {
 			p.most = MostFree(p.open)
 			break // its other tasks are of the same size
 		}
 		take(w, s)
-		if t.Suspect {
-			w.Limit = 0
-		}
 		out = append(out, Placement{Step: s, Index: t.Index, Worker: w.ID})
 	}
 	return out
 }
 
+// try places a suspect, beside those of its step if it can.
+func (p *Planner) try(s *Step, t Task) []Placement {
+	open := p.open
+	if p.Trials <= 0 {
+		open = slices.DeleteFunc(slices.Clone(open), func(w *Worker) bool { return !s.shares(w, t) })
+	}
+	w := choose(open, s, t)
+	if w == nil {
+		return nil
+	}
+	if w.trial == nil {
+		w.trial = s
+		p.Trials--
+	}
+	take(w, s)
+	return []Placement{{Step: s, Index: t.Index, Worker: w.ID}}
+}
+
 // Open returns the workers that take tasks at all.
 func Open(workers []*Worker) []*Worker {
 	out := make([]*Worker, 0, len(workers))
@@ -201,7 +229,7 @@
 	// The members of a gang start or fail together: they are tried together.
 	if slices.ContainsFunc(s.Tasks, func(t Task) bool { return t.Suspect }) {
 		for _, w := range taken {
-			w.Limit = 0
+			w.trial = s
 		}
 	}
 	return out
@@ -241,6 +269,15 @@
 	if s.Step.Fill {
 		w.Filling += n
 	}
+	if s.Hazardous {
+		w.Fresh = s.Ref.Job
+	}
+}
+
+// shares reports whether the task may go beside the suspects on trial there: they are given up
+// together. A step that lasts is not, and each of its suspects is tried by itself.
+func (s *Step) shares(w *Worker, t Task) bool {
+	return w.trial == s && t.Suspect && !s.Step.Lasting
 }
 
 // choose returns the worker with the lowest score, or nil.
@@ -248,7 +285,7 @@
 	var best *Worker
 	bestScore := math.Inf(1)
 	for _, w := range workers {
-		if !feasible(w, s) {
+		if !feasible(w, s) || w.trial != nil && !s.shares(w, t) {
 			continue
 		}
 		if score := scoreOf(w, s, t); score < bestScore {
@@ -269,6 +306,7 @@
 	ReasonLabel   Reason = "label"
 	ReasonApart   Reason = "anti-affinity"
 	ReasonAdvisor Reason = "no ticket"
+	ReasonFresh   Reason = "hazardous tasks have just begun"
 )
 
 // why returns what keeps the step's tasks from the worker.
@@ -284,6 +322,8 @@
 		return ReasonApart
 	case s.Permitted != nil && !s.Permitted[w.ID]:
 		return ReasonAdvisor
+	case s.Hazardous && w.Fresh != "" && w.Fresh != s.Ref.Job:
+		return ReasonFresh
 	}
 	return ReasonNone
 }
@@ -302,6 +342,7 @@
 // Parts of the score. A part outweighs all smaller ones together.
 const (
 	scoreAvoid     = 1000 // failed there before
+	scoreExposed   = 300  // hazardous tasks beside lasting ones
 	scoreBeside    = 180  // for each task, up to mostBeside, that a suspect would take along
 	scoreDisturbed = 100  // fill beside serving tasks or the reverse: they slow each other
 	scoreFar       = 30   // away from the data: 1.5 to 2 times as long
@@ -323,7 +364,10 @@
 	if s.Step.Fill && w.Serving > 0 || s.Step.Serving() && w.Filling > 0 {
 		score += scoreDisturbed
 	}
-	if t.Suspect {
+	if s.Hazardous && w.Lasting > 0 {
+		score += scoreExposed
+	}
+	if t.Suspect && w.trial == nil {
 		score += scoreBeside * float64(min(w.Tasks, mostBeside))
 	}
 	if s.Step.DataRack != "" && !w.has(s.Step.DataRack) {
