Suspects wait behind other work, and get VMs that nobody lacks

- a suspect is one that is likelier at fault than not by half; given up at odds of 1000
- crashes at the same moment raise the rate of crashes by themselves instead of ending blame: what had just begun still stands out
- suspects are no backlog; once no other short work has waited for 3 s half of the idle workers try them, and the fleet's owner lends VMs that no other pool lacks
- jobs of a hazardous kind are rather not begun beside each other; as a must it left eleven workers with room unused

What is left: a crash takes a worker for three seconds, and two a faulty job are a third of the pool's time in a burst that asks for more than it holds.

--- a/internal/engine/cell.go
+++ b/internal/engine/cell.go
@@ -13,6 +13,8 @@
 	Arriving float64        `msgpack:"a"` // core-seconds a second that came of late
 	Short    int            `msgpack:"s"` // VMs that lasting tasks lack, whatever is free on the others
 	Workers  []WorkerReport `msgpack:"w"`
+	// Spare is how many empty VMs it could use while no other cell lacks any.
+	Spare int `msgpack:"p,omitempty"`
 	// Serial is how many moves must follow one on the other until no lasting task is on
 	// a worker whose VM a wave has yet to take.
 	Serial int `msgpack:"m,omitempty"`
@@ -177,7 +179,7 @@
 }
 
 func (c *Core) report(now time.Duration) CellReport {
-	r := CellReport{Arriving: c.arrivalRate(now), Short: c.short(now), Serial: c.serialMoves(), Bound: make(map[string]BoundLoad)}
+	r := CellReport{Arriving: c.arrivalRate(now), Short: c.short(now), Spare: c.wantedForTrials(now), Serial: c.serialMoves(), Bound: make(map[string]BoundLoad)}
 	for _, w := range c.workers {
 		r.addWorker(w, now)
 	}
@@ -192,8 +194,8 @@
 		for _, o := range j.live {
 			for _, s := range o.steps {
 				// What fits on no VM would draw VMs for ever.
-				if s.pending > 0 && s.ready() && s.reserved().Fits(most) && !c.atLimit(s) {
-					r.addWaiting(s, float64(s.pending)*c.waitsFor(s, now).Seconds()*s.spec.Size.Cores())
+				if n := s.pending - s.suspects(); n > 0 && s.ready() && s.reserved().Fits(most) && !c.atLimit(s) {
+					r.addWaiting(s, float64(n)*c.waitsFor(s, now).Seconds()*s.spec.Size.Cores())
 				}
 			}
 		}
--- a/internal/engine/core.go
+++ b/internal/engine/core.go
@@ -66,6 +66,7 @@
 	unjudged         []crash
 	silences         crashes.Silences
 	trials           crashes.Trials
+	othersWaited     time.Duration // when short work other than suspects last waited
 	onsets           crashes.Onsets
 	lostUnheard      bool                     // a worker crashed that this owner never heard
 	presumedResolved bool                     // see resolvePresumed
--- a/internal/engine/losses.go
+++ b/internal/engine/losses.go
@@ -159,20 +159,24 @@
 // blame notes a crash against what may have caused it.
 func (c *Core) blame(cr *crash, now time.Duration) {
 	w := cr.worker
-	if c.silences.Together(cr.at) {
-		c.log.Info("worker crashed together with others", "worker", w.info.ID, "runs", len(cr.lost))
-		c.crashRate.Crashed(1, len(c.workers), now)
-		return
+	rate := c.crashRate.PerWorker(now)
+	if common := c.silences.Rate(cr.at, len(c.workers)); common > 0 {
+		c.log.Info("worker crashed together with others", "worker", w.info.ID, "runs", len(cr.lost), "common rate", common)
+		rate += common
 	}
 	lostRuns := make([]crashes.LostRun, len(cr.lost))
 	for i, l := range cr.lost {
 		j := l.task.step.job
+		job := string(j.ID)
+		if l.task.step.spec.Lasting {
+			job = l.task.ref.String() // it is judged for itself, as its job is never given up
+		}
 		lostRuns[i] = crashes.LostRun{
-			Job: string(j.ID), Ran: l.ran, Most: l.most, Unseen: l.unseen, Lasting: l.task.step.spec.Lasting,
+			Job: job, Ran: l.ran, Most: l.most, Unseen: l.unseen, Lasting: l.task.step.spec.Lasting,
 			Record: l.task.crashes, Prior: c.kindOf(j).Prior(now),
 		}
 	}
-	verdict := crashes.Judge(lostRuns, c.crashRate.PerWorker(now))
+	verdict := crashes.Judge(lostRuns, rate)
 	// What ran on a worker that was never heard is not known.
 	if w.heard {
 		c.crashRate.Crashed(verdict.ByItself, len(c.workers), now)
@@ -181,12 +185,14 @@
 		c.trials.Lost(w.info.Address, now)
 	}
 	for i, blamed := range verdict.Blamed {
-		c.kindOf(cr.lost[i].task.step.job).Crashed(verdict.First[i], now)
 		if blamed.Factor > 0 {
 			blamed.Run, blamed.Life = cr.lost[i].run, string(w.info.ID)
 			c.crashedUnder(cr.lost[i], w, blamed, now)
 		}
 	}
+	for i, l := range cr.lost {
+		c.kindOf(l.task.step.job).Crashed(verdict.First[i], now)
+	}
 	for _, l := range cr.lost {
 		c.giveUpPoison(l.task, now)
 	}
@@ -321,6 +327,74 @@
 	return out
 }
 
+// suspects counts the step's tasks that wait for a trial.
+func (s *step) suspects() int {
+	n := 0
+	for _, t := range s.tasks {
+		if t.state == taskPending && t.suspect() {
+			n++
+		}
+	}
+	return n
+}
+
+// othersWaitedFor is for how long after other short work waited suspects get no more workers than
+// they always do: bursts come with pauses of a moment.
+const othersWaitedFor = 3 * time.Second
+
+// wantedForTrials is how many VMs suspects could use. As a backlog they would draw VMs that other
+// pools need; while other work waits here they wait.
+func (c *Core) wantedForTrials(now time.Duration) int {
+	if now < c.othersWaited+othersWaitedFor {
+		return 0
+	}
+	suspects := 0
+	for _, j := range c.open {
+		for _, o := range j.live {
+			for _, s := range o.steps {
+				if s.pending > 0 && s.ready() && s.suspects() > 0 {
+					suspects++
+				}
+			}
+		}
+	}
+	return crashes.WorkersFor(suspects)
+}
+
+// noteOthers notes whether, of the steps that waited before this plan, other short work than
+// suspects still does.
+func (c *Core) noteOthers(ws []waiting, now time.Duration) {
+	if slices.ContainsFunc(ws, func(w waiting) bool { return !w.step.spec.Lasting && w.step.suspects() < w.step.pending }) {
+		c.othersWaited = now
+	}
+}
+
+// trialRoom is on how many more workers suspects may be tried.
+func (c *Core) trialRoom(now time.Duration) int {
+	idle := 0
+	if now >= c.othersWaited+othersWaitedFor {
+		idle = c.idle(now)
+	}
+	trying := 0
+	for _, w := range c.workers {
+		if w.tries((*task).suspect) {
+			trying++
+		}
+	}
+	return c.trials.Room(len(c.workers), idle, trying, now)
+}
+
+// idle counts the workers that would take a task and have none.
+func (c *Core) idle(now time.Duration) int {
+	n := 0
+	for _, w := range c.workers {
+		if len(w.tasks) == 0 && !w.closed(now) {
+			n++
+		}
+	}
+	return n
+}
+
 // freshOn is the job whose tasks have just begun on the worker, if its kind crashes many; empty
 // where none have.
 func (c *Core) freshOn(w *worker, now time.Duration) work.JobID {
@@ -334,17 +408,6 @@
 	return ""
 }
 
-// trying counts the workers on which suspects are on trial.
-func (c *Core) trying() int {
-	n := 0
-	for _, w := range c.workers {
-		if w.tries((*task).suspect) {
-			n++
-		}
-	}
-	return n
-}
-
 // tries reports whether one of those tasks is on trial there.
 func (w *worker) tries(of func(*task) bool) bool {
 	for _, t := range w.tasks {
--- a/internal/engine/plan.go
+++ b/internal/engine/plan.go
@@ -180,7 +180,7 @@
 		return
 	}
 	planner := taskplan.NewPlanner(workers)
-	planner.Trials = c.trials.Room(len(c.workers), c.trying(), now)
+	planner.Trials = c.trialRoom(now)
 	for _, v := range ws {
 		if len(out.Starts) >= c.mayStart {
 			c.held = true
@@ -208,6 +208,7 @@
 			v.step.spend()
 		}
 	}
+	c.noteOthers(ws, now)
 	c.explain(ws, workers, now)
 }
 
--- a/internal/fleetowner/moves.go
+++ b/internal/fleetowner/moves.go
@@ -49,7 +49,7 @@
 		}
 		p := &pools.Pool{Name: name, Parked: s.Standby}
 		if c := f.cells[name]; c != nil {
-			p.Used, p.Backlog, p.Arriving, p.Short = c.Used, c.Backlog, c.Arriving, c.Short
+			p.Used, p.Backlog, p.Arriving, p.Short, p.Spare = c.Used, c.Backlog, c.Arriving, c.Short, c.Spare
 			p.Bound = boundOf(c.Bound)
 		}
 		if p.Backlog > 0 {
--- a/policy/crashes/common.go
+++ b/policy/crashes/common.go
@@ -26,16 +26,20 @@
 	s.seen = append(s.seen, at)
 }
 
-// Together reports whether so many workers fell silent around that moment that a cause common
-// to all is likelier than tasks: several, and far more than of late.
-func (s *Silences) Together(at time.Duration) bool {
+// Rate is how often one worker of so many crashes by a cause common to several around that
+// moment, a second: 0 unless several fell silent then, and far more than of late. What many
+// tasks that begin at the same moment do still stands out against it.
+func (s *Silences) Rate(at time.Duration, workers int) float64 {
 	around := 0
 	for _, other := range s.seen {
 		if other >= at-Settle && other <= at+Settle {
 			around++
 		}
 	}
-	others := around - 1
+	others := float64(around - 1)
 	usual := float64(len(s.seen)-around) * float64(2*Settle) / float64(rateWindow)
-	return others >= leastCommon && float64(others) >= unusual*usual
+	if others < leastCommon || others < unusual*usual {
+		return 0
+	}
+	return others / float64(max(1, workers)) / (2 * Settle).Seconds()
 }
--- a/policy/crashes/crashes.go
+++ b/policy/crashes/crashes.go
@@ -33,11 +33,11 @@
 	certainCrashes = 2
 	// poisonOdds are the odds at which a task is given up. A cell judges some hundred crashes
 	// on a bad day.
-	poisonOdds = 1e4
-	// suspectOdds are the odds from which on a task is tried apart from others: one in four.
-	suspectOdds = 0.25
+	poisonOdds = 1e3
+	// suspectOdds are the odds from which on a task is tried apart from others.
+	suspectOdds = 0.5
 	// presumedFactor is how much a presumed crash speaks against its task.
-	presumedFactor = 20
+	presumedFactor = 25
 	// unratedFactor stands for a crash that an owner of an older version noted.
 	unratedFactor = 30
 	// leastFactor is how much a crash must speak against a run to be noted.
--- a/policy/pools/pools.go
+++ b/policy/pools/pools.go
@@ -40,6 +40,8 @@
 	Arriving float64       // core-seconds a second that came of late
 	Short    int           // VMs that are lacked whatever is free on the others
 	Quiet    time.Duration // since it last had a backlog
+	// Spare is how many empty VMs it could use while no other pool lacks any.
+	Spare int
 	// Bound is the part of the load that only VMs with the label can take.
 	Bound map[string]Bound
 }
@@ -148,9 +150,31 @@
 	if len(wanting) > 0 {
 		return moves
 	}
+	moves = append(moves, lend(pools, donors)...)
 	return append(moves, park(pools, shareOf(split, stayShare))...)
 }
 
+// lend returns the moves of VMs that nobody lacks to pools that could use some.
+func lend(pools []Pool, donors []donor) []Move {
+	var out []Move
+	for i := range pools {
+		p := &pools[i]
+		need := p.Spare - len(p.Coming)
+		for _, vm := range p.VMs {
+			if vm.Empty {
+				need--
+			}
+		}
+		for _, d := range donors {
+			if need > 0 && d.from != p.Name && !slices.ContainsFunc(out, func(m Move) bool { return m.VM == d.vm.ID }) {
+				out = append(out, Move{VM: d.vm.ID, From: d.from, To: p.Name})
+				need--
+			}
+		}
+	}
+	return out
+}
+
 // equalSplit is how many VMs each pool had if all were split evenly. Those on their way
 // count: without them each round of moves makes the split smaller, so that the next moves
 // more, until next to nothing is left in any pool.
@@ -176,7 +200,7 @@
 	}
 	var out []Move
 	for _, p := range pools {
-		if p.Parked || p.Backlog > 0 || p.Short > 0 {
+		if p.Parked || p.Backlog > 0 || p.Short > 0 || p.Spare > 0 {
 			continue
 		}
 		spare := len(p.VMs) - stay
--- a/policy/pools/pools_test.go
+++ b/policy/pools/pools_test.go
@@ -262,3 +262,21 @@
 	})
 	assert.Equal(t, len(moves), 15, "300 cores and a little, less the 64 there are")
 }
+
+// A pool that could use VMs for what it tries apart takes them from others that have a backlog, or
+// none although they stand idle.
+func TestSpareVMsAreLentWhileNobodyLacksAny(t *testing.T) {
+	tries := Pool{Name: "tries", VMs: vms("t", 6, 1, time.Minute), Spare: 3}
+	idle := Pool{Name: "idle", VMs: vms("i", 8, 8, time.Second), Quiet: time.Second}
+	moves := Decide([]Pool{tries, idle})
+	assert.Equal(t, len(moves), 2)
+	for _, m := range moves {
+		assert.Equal(t, m.From, "idle")
+		assert.Equal(t, m.To, "tries")
+	}
+	busy := Pool{Name: "busy", VMs: vms("b", 4, 0, 0), Used: 64, Backlog: 200}
+	for _, m := range Decide([]Pool{tries, idle, busy}) {
+		assert.Equal(t, m.To, "busy")
+	}
+	assert.Equal(t, len(Decide([]Pool{tries, {Name: "kept", VMs: vms("k", 3, 3, time.Second)}})), 1, "what a pool keeps is not lent")
+}
--- a/policy/taskplan/taskplan.go
+++ b/policy/taskplan/taskplan.go
@@ -49,7 +49,7 @@
 	OnWorker  map[work.WorkerID]int  // tasks of the step there now
 	Permitted map[work.WorkerID]bool // nil: every worker
 	// Hazardous: its tasks are short, and of a kind that crashes many workers. They keep away
-	// from tasks that last, and those of two jobs do not begin on one worker at the same time.
+	// from tasks that last, and those of two jobs from beginning on one worker at the same time.
 	Hazardous bool
 }
 
@@ -306,7 +306,6 @@
 	ReasonLabel   Reason = "label"
 	ReasonApart   Reason = "anti-affinity"
 	ReasonAdvisor Reason = "no ticket"
-	ReasonFresh   Reason = "hazardous tasks have just begun"
 )
 
 // why returns what keeps the step's tasks from the worker.
@@ -322,8 +321,6 @@
 		return ReasonApart
 	case s.Permitted != nil && !s.Permitted[w.ID]:
 		return ReasonAdvisor
-	case s.Hazardous && w.Fresh != "" && w.Fresh != s.Ref.Job:
-		return ReasonFresh
 	}
 	return ReasonNone
 }
@@ -348,6 +345,7 @@
 	scoreFar       = 30   // away from the data: 1.5 to 2 times as long
 	scoreSlow      = 20   // times how much slower than its peers it is
 	scoreSought    = 15   // work that asks for no label takes the room of work that can't go elsewhere
+	scoreFresh     = 25   // hazardous tasks beside ones of another job that have just begun
 	scoreDue       = 10   // a lasting task would have to move again for the VM's maintenance
 	scoreMixed     = 5    // tasks that last and short ones on one VM keep it from being emptied
 	scoreFill      = 1    // best fit
@@ -367,6 +365,9 @@
 	if s.Hazardous && w.Lasting > 0 {
 		score += scoreExposed
 	}
+	if s.Hazardous && w.Fresh != "" && w.Fresh != s.Ref.Job {
+		score += scoreFresh
+	}
 	if t.Suspect && w.trial == nil {
 		score += scoreBeside * float64(min(w.Tasks, mostBeside))
 	}
