A worker that starts again under its ID is another life

The platform lets a worker start again under the ID that it had, with its counts, clock and fences anew, and tells the lives apart by the field born. It was read nowhere. What that cost, by tests that fail on the code before: the ends of the new life were taken for ones already seen, as they are numbered anew, so that its jobs never ended; what the life before ran was taken for vanished one by one; a start meant for it ran twice.

A change of life is an event on the worker's entry, decided in one place: what the worker itself answers. A registration of another life only closes the worker and has it asked, as registrations come late and out of order. The engine then goes the way of a crash; starts that may yet reach the new life are stopped there before their tasks start anywhere; the new life takes nothing before its room is registered, and stays cordoned. Weighed: ID and life as the key of everything, which touches reports, cordons, tickets, forwarding and the list of VMs, none of which knows lives.

Found by the stand-in's test while it was written: a registration of a life between two polls, never heard, closed its worker for good; a life that had registered before the one before was known to be over was lost with it. Both have tests.

A born that is no whole number above nought, or missing where the worker told one before, makes an entry that can't be read. Workers that tell none are served as before.

--- a/internal/engine/cell.go
+++ b/internal/engine/cell.go
@@ -123,7 +123,7 @@
 func (c *Core) unknown(ids []work.WorkerID) []work.WorkerID {
 	var out []work.WorkerID
 	for _, id := range ids {
-		if c.workers[id] == nil && !c.over[id] {
+		if c.workers[id] == nil && len(c.over[id]) == 0 {
 			out = append(out, id)
 		}
 	}
--- a/internal/engine/core.go
+++ b/internal/engine/core.go
@@ -38,8 +38,8 @@
 	jobs     map[work.JobID]*job
 	open     []*job // not ended, oldest first
 	workers  map[work.WorkerID]*worker
-	over     map[work.WorkerID]bool // lives that have ended; an ID never comes back
-	stale    []staleJob             // ended jobs, oldest first
+	over     map[work.WorkerID][]work.Life // lives that have ended
+	stale    []staleJob                    // ended jobs, oldest first
 	learned  durations
 	sizes    map[string]*meanSize
 	limits   *limits
@@ -86,7 +86,7 @@
 		cell: cell, token: token, bounds: bounds, log: log,
 		jobs:    make(map[work.JobID]*job),
 		workers: make(map[work.WorkerID]*worker),
-		over:    make(map[work.WorkerID]bool),
+		over:    make(map[work.WorkerID][]work.Life),
 		learned: make(durations),
 		sizes:   make(map[string]*meanSize),
 		kinds:   make(map[kindKey]*crashes.Kind),
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -326,14 +326,20 @@
 		e.mu.Unlock()
 		return
 	}
+	var ask []work.WorkerID
 	for _, info := range e.Registry() {
-		e.core.WorkerSeen(info)
+		if e.core.WorkerSeen(info) {
+			ask = append(ask, info.ID)
+		}
 		if e.sessions[info.ID] == nil && e.core.workers[info.ID] != nil {
 			e.sessions[info.ID] = newSession(e, info.ID)
 		}
 	}
 	e.mu.Unlock()
 	e.startSessions()
+	for _, id := range ask {
+		e.wake(id)
+	}
 	kick(e.planKick)
 }
 
--- a/internal/engine/limits.go
+++ b/internal/engine/limits.go
@@ -197,7 +197,7 @@
 // which there are.
 func (c *Core) unheardRoom() (room work.Resources, known bool) {
 	for id, pool := range c.alive {
-		if w := c.workers[id]; pool == c.cell && w == nil && !c.over[id] {
+		if w := c.workers[id]; pool == c.cell && w == nil && len(c.over[id]) == 0 {
 			room = room.Plus(c.largestVM)
 		}
 	}
--- a/internal/engine/listing.go
+++ b/internal/engine/listing.go
@@ -11,20 +11,26 @@
 
 // WorkerSeen takes a worker's registration over. The entry of a life that is
 // over may stay for some seconds, beside that of another life at the same address:
-// which of them is over only the worker itself and the platform's list can say.
-func (c *Core) WorkerSeen(info WorkerInfo) {
-	if c.over[info.ID] {
-		return
-	}
-	if w := c.workers[info.ID]; w != nil {
-		w.info = info
-		return
+// which of them is over only the worker itself and the platform's list can say. ask reports
+// that the worker is to be polled to tell.
+func (c *Core) WorkerSeen(info WorkerInfo) (ask bool) {
+	if c.isOver(info.ID, info.Life) {
+		return false
 	}
-	c.trials.Back(info.Address)
-	c.workers[info.ID] = &worker{
-		info: info, inherited: c.inherited,
-		tasks: make(map[work.TaskRef]*task), strays: make(map[work.TaskRef]*stray),
+	w := c.workers[info.ID]
+	switch {
+	case w == nil:
+		c.join(info)
+	case info.Life == 0 || w.info.Life == 0 || info.Life == w.info.Life:
+		if info.Life == 0 {
+			info.Life = w.info.Life
+		}
+		w.info, w.unregistered, w.next = info, false, nil
+	default:
+		ask = w.next == nil
+		w.next = &info
 	}
+	return ask
 }
 
 // Inherit says until when, on our clock, an earlier owner may have extended the
@@ -55,10 +61,13 @@
 	if w == nil || w.gone || now > c.startsUntil {
 		return WorkerInfo{}, Hold{}, false
 	}
-	if w.heard && len(w.tasks) == 0 && len(w.strays) == 0 && w.acked >= w.seen && w.missed == 0 && !w.unlisted {
+	if w.heard && len(w.tasks) == 0 && len(w.strays) == 0 && w.acked >= w.seen && w.missed == 0 && !w.unlisted && w.next == nil {
 		return WorkerInfo{}, Hold{}, false
 	}
 	h := Hold{Token: c.token, AckedThrough: w.stored}
+	if w.next != nil {
+		h.next = w.next.Life
+	}
 	if !w.heard {
 		return w.info, h, true
 	}
@@ -153,6 +162,22 @@
 		return
 	}
 	c.now = now
+	if l.Life != 0 && l.Life != w.info.Life {
+		switch {
+		case c.isOver(id, l.Life):
+			return
+		case w.info.Life == 0:
+			w.info.Life = l.Life
+		default:
+			w = c.startedAgain(w, l.Life, sent, now)
+			h.AckedThrough = 0 // counts the ends of the life before
+		}
+	}
+	// The registration was there before this answer was asked for: its life was an earlier one.
+	if w.next != nil && l.Life == w.info.Life && h.next == w.next.Life {
+		c.over[id] = append(c.over[id], w.next.Life)
+		w.next = nil
+	}
 	w.clockSaid(l.Clock, now)
 	w.acked = max(w.acked, h.AckedThrough)
 	if !w.heard {
--- a/internal/engine/lives.go
+++ b/internal/engine/lives.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/pumicestage/pumicestage/internal/sleep"
@@ -101,3 +102,49 @@
 		e.wake(id)
 	}
 }
+
+// isOver reports whether that life of the worker is known to have ended.
+func (c *Core) isOver(id work.WorkerID, life work.Life) bool {
+	return slices.Contains(c.over[id], life)
+}
+
+// join adds a worker that was not known.
+func (c *Core) join(info WorkerInfo) *worker {
+	w := &worker{
+		info: info, inherited: c.inherited,
+		tasks: make(map[work.TaskRef]*task), strays: make(map[work.TaskRef]*stray),
+	}
+	c.workers[info.ID] = w
+	c.trials.Back(info.Address)
+	return w
+}
+
+// startedAgain ends the worker's life, as another answered a poll under its ID, and returns
+// that one. Starts that were meant for the life before, and whose answers did not come before
+// the poll left, may yet reach the new one: the platform tells lives apart by ID. Their runs
+// are stopped there before their tasks start anywhere.
+func (c *Core) startedAgain(old *worker, life work.Life, sent, now time.Duration) *worker {
+	type late struct {
+		ref work.TaskRef
+		run int
+	}
+	var mayCome []late
+	for ref, t := range old.tasks {
+		if t.state == taskStarting || t.state == taskDoubtful || t.answered >= sent {
+			mayCome = append(mayCome, late{ref, t.run})
+		}
+	}
+	info, registered := old.info, false
+	if old.next != nil && old.next.Life == life {
+		info, registered = *old.next, true
+	}
+	old.next = nil
+	c.WorkerGone(old.info.ID, "it started again", now)
+	info.Life = life
+	w := c.join(info)
+	w.cordon, w.unregistered = old.cordon, !registered
+	for _, l := range mayCome {
+		w.strayed(l.ref, l.run)
+	}
+	return w
+}
--- a/internal/engine/losses.go
+++ b/internal/engine/losses.go
@@ -39,7 +39,7 @@
 		return
 	}
 	w.gone = true
-	c.over[w.info.ID] = true
+	c.over[w.info.ID] = append(c.over[w.info.ID], w.info.Life)
 	c.log.Info("worker gone", "worker", w.info.ID, "service", w.info.Service, "tasks", len(w.tasks), "reason", why, "cause", cause)
 	if cause == lossCrash {
 		c.lostUnheard = c.lostUnheard || !w.heard
@@ -47,6 +47,9 @@
 	}
 	c.dropTasks(w, cause, now)
 	delete(c.workers, w.info.ID)
+	if w.next != nil {
+		c.WorkerSeen(*w.next)
+	}
 }
 
 // dropTasks takes everything off the worker: none of it runs any more.
--- a/internal/engine/settled.go
+++ b/internal/engine/settled.go
@@ -18,7 +18,7 @@
 		return false
 	}
 	for id, pool := range c.alive {
-		if pool != c.cell || c.over[id] {
+		if pool != c.cell || c.workers[id] == nil && len(c.over[id]) > 0 {
 			continue
 		}
 		if w := c.workers[id]; w == nil || !w.heard {
--- a/internal/engine/worker.go
+++ b/internal/engine/worker.go
@@ -57,6 +57,12 @@
 	// unlisted: the list of VMs does not show this life, and it has answered nothing since.
 	unlisted bool
 	gone     bool // certain: this life is over
+	// next is the registration of another life under this one's ID: which of them lives the
+	// worker is asked. nil: none.
+	next *WorkerInfo
+	// unregistered: this life answered before it registered, and may be of another kind than
+	// the one before.
+	unregistered bool
 
 	clock    time.Duration // the worker's clock ...
 	clockAt  time.Duration // ... when we got the answer that told it; 0: never
@@ -233,7 +239,7 @@
 }
 
 func (w *worker) closed(now time.Duration) bool {
-	return w.doubted() || w.unsure || !w.heard || w.unlisted || w.gone || w.info.Draining || w.info.Unreadable || w.cordon.Closes() || w.missed > 0 ||
+	return w.doubted() || w.unsure || w.next != nil || w.unregistered || !w.heard || w.unlisted || w.gone || w.info.Draining || w.info.Unreadable || w.cordon.Closes() || w.missed > 0 ||
 		w.full || now < w.closedUntil || now < w.strikes.until || len(w.strays) > 0 || w.tries((*task).suspect)
 }
 
--- a/internal/node/registry.go
+++ b/internal/node/registry.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -144,19 +145,25 @@
 		return false
 	}
 	r.workers[ev.KV.Key] = registration{WorkerInfo: info, at: ev.KV.ModRevision}
-	return !known || old.Draining != info.Draining || old.Address != info.Address || old.Unreadable != info.Unreadable ||
+	return !known || old.Draining != info.Draining || old.Address != info.Address || old.Life != info.Life || old.Unreadable != info.Unreadable ||
 		old.Capacity != info.Capacity
 }
 
+// errNoLife: a worker that told its life before registers without.
+var errNoLife = errors.New("node: registration does not tell the worker's life")
+
 // readLocked reads a registration; false where it names no worker. One that was readable
 // before names the worker that is known, which takes nothing new.
 func (r *registry) readLocked(kv infra.KV) (engine.WorkerInfo, bool) {
 	info, err := platform.WorkerOf(kv)
+	last, known := r.workers[kv.Key]
+	if err == nil && known && last.Life != 0 && info.Life == 0 {
+		err = errNoLife
+	}
 	if err == nil {
 		return info, true
 	}
 	r.log.Error(err, "registration is malformed and names no worker", "key", kv.Key)
-	last, known := r.workers[kv.Key]
 	last.Unreadable = true
 	return last.WorkerInfo, known
 }
--- a/internal/node/registry_test.go
+++ b/internal/node/registry_test.go
@@ -107,3 +107,20 @@
 	assert.Equal(t, r.list("a")[0].Capacity.MilliCPU, int64(2000))
 	assert.Equal(t, r.change(with(8000)), true, "more room")
 }
+
+// A worker that starts again under its ID is taken for the life before.
+func TestOwnersAreToldOfAWorkerThatStartsAgain(t *testing.T) {
+	r := newRegistry(nil, logr.Discard(), nil)
+	born := func(ms string) infra.Event {
+		const entry = `{"service":"a","address":"10.0.0.1:80","state":"ready","capacity":{"cpu":8000}%s}`
+		return infra.Event{Kind: infra.EventPut, KV: infra.KV{Key: platform.WorkerPrefix + "i-1", Value: fmt.Appendf(nil, entry, ms)}}
+	}
+	assert.Equal(t, r.change(born(`,"born":1000`)), true)
+	assert.Equal(t, r.change(born(`,"born":1000`)), false)
+	assert.Equal(t, r.change(born(`,"born":2000`)), true)
+	assert.Equal(t, r.list("a")[0].Life, work.Life(2000))
+	assert.Equal(t, r.change(born("")), true, "an entry that lacks what the worker told before")
+	assert.Equal(t, r.list("a")[0].Unreadable, true)
+	assert.Equal(t, r.change(born(`,"born":2000`)), true)
+	assert.Equal(t, r.list("a")[0].Unreadable, false)
+}
--- a/policy/work/work.go
+++ b/policy/work/work.go
@@ -15,10 +15,15 @@
 // Empty: nobody's, as on routes that are open to all.
 type WorkspaceName string
 
-// WorkerID names one life of a worker: after a crash, a move or maintenance the
-// VM has a worker with another ID, which runs nothing of what the last one ran.
+// WorkerID names a worker. After a move or maintenance the VM has a worker with another ID;
+// after a crash it may have one with the same ID and another Life. A new life runs nothing of
+// what the last one ran.
 type WorkerID string
 
+// Life tells the lives of a worker that starts again under its ID apart: the moment of its
+// start by its own clock, compared for equality alone. 0: not told.
+type Life int64
+
 // Resources are what a task asks for or a worker offers.
 type Resources struct {
 	MilliCPU int64 `json:"milli_cpu,omitempty" msgpack:"c,omitempty"` // thousandths of a core
