An owner at rest makes way for a larger VM

It was one of the small entry VMs (0.192 core, 20 Mbit/s, of which there are 516 beside 72 of 0.8): it had started first and took the duty 4 ms after the four others had been taken, 19 s before any traffic, and kept it, as a duty was only handed over by an owner behind for a second on end.

An owner without open jobs looks for a larger VM without a duty every two seconds, and hands over to it. Ruled out: room (1,092 of 1,269 workers empty), the store (no lease lost there until 17.9 s). Test: TestAnOwnerAtRestMakesWayForALargerVM. Where all entry VMs are alike nothing changes.

--- a/internal/engine/behind.go
+++ b/internal/engine/behind.go
@@ -35,9 +35,10 @@
 	}
 	now := e.Clock.Now()
 	e.mu.Lock()
-	level := e.core.Level()
+	level, resting := e.core.Level(), len(e.core.open) == 0
 	e.mu.Unlock()
-	return e.relief.Due(level, e.Successor, now-e.began, now)
+	held := now - e.began
+	return e.relief.Due(level, e.Successor, held, now) || resting && e.relief.DueAtRest(e.Successor, held, now)
 }
 
 // Strain takes over how long what is ready to run waits for the processor at the least.
--- a/internal/ownership/ownership.go
+++ b/internal/ownership/ownership.go
@@ -268,12 +268,12 @@
 	return t.ended == "" && t.elector.o.Clock.Now() < t.certain
 }
 
-// Relieve gives the term up to another entry VM, as this one is behind its work.
+// Relieve gives the term up to another entry VM, as this one is behind its work or carries less.
 func (t *Term) Relieve() {
 	t.mu.Lock()
 	t.behind = true
 	t.mu.Unlock()
-	t.End("behind its work while another VM is free")
+	t.End("another VM is to have the duty")
 }
 
 func (t *Term) relieved() bool {
--- a/policy/overload/overload_test.go
+++ b/policy/overload/overload_test.go
@@ -132,3 +132,15 @@
 	assert.Assert(t, !r.Due(strained, next, time.Hour, now+strainedFor))
 	assert.Assert(t, r.Due(strained, next, time.Hour, now+2*strainedFor))
 }
+
+// A small VM that happened to start first has a service of a thousand workers as its burst comes.
+func TestAnOwnerAtRestMakesWayForALargerVM(t *testing.T) {
+	larger := func() Successor { return LargerSuccessor }
+	equal := func() Successor { return EqualSuccessor }
+	var r Relief
+	now := time.Minute
+	assert.Equal(t, r.DueAtRest(larger, restEvery-1, now), false, "just taken")
+	assert.Equal(t, r.DueAtRest(equal, time.Hour, now), false)
+	assert.Equal(t, r.DueAtRest(larger, time.Hour, now+restEvery-1), false, "looked a moment ago")
+	assert.Equal(t, r.DueAtRest(larger, time.Hour, now+restEvery), true)
+}
--- a/policy/overload/relief.go
+++ b/policy/overload/relief.go
@@ -14,6 +14,9 @@
 	// keepSmall is the same where a larger VM is free: it took the duty as no other was
 	// there, and has had time to restore what was stored.
 	keepSmall = 3 * time.Second
+	// restEvery is how often an owner at rest looks for a larger VM, and how long it has kept
+	// the duty by then: as a fleet starts, larger VMs may come moments later.
+	restEvery = 2 * time.Second
 )
 
 // Successor is what is known of the VMs that could take a duty over.
@@ -29,8 +32,19 @@
 // Relief says when an owner that stays behind hands its duty over. The zero value is an
 // owner that is not behind.
 type Relief struct {
-	since time.Duration // strained since then
-	is    bool
+	since  time.Duration // strained since then
+	is     bool
+	looked time.Duration // for a larger VM, at rest
+}
+
+// DueAtRest reports whether an owner with nothing to do is to hand its duty to a VM that carries
+// more: a small one that was the first to start has a large service until it breaks under it.
+func (r *Relief) DueAtRest(next func() Successor, held, now time.Duration) bool {
+	if held < restEvery || now < r.looked+restEvery {
+		return false
+	}
+	r.looked = now
+	return next() == LargerSuccessor
 }
 
 // Due reports whether the duty is to be handed over. next is asked only where it matters;
