Empty workers of one kind are looked at once for each task

Each task placed looked at every worker of its pool, and each plan sorted them: the cost of a start grew with the pool, which grows with the fleet. A plan now keeps empty workers by what they are and looks at the first of each kind, at the first in the rack of the data, and at those in use; workers are sorted as they come and go; the room for trials is counted only where a suspect waits.

--- a/internal/engine/bench_test.go
+++ b/internal/engine/bench_test.go
@@ -208,3 +208,27 @@
 		b.StartTimer()
 	}
 }
+
+// BenchmarkStartsInALargePool is what the starts of a burst cost the owner of a pool that is
+// nearly empty: twelve jobs arrive between two plans. The figure to read is the time a start.
+func BenchmarkStartsInALargePool(b *testing.B) {
+	for _, workers := range []int{365, 1460, 2920} {
+		b.Run(fmt.Sprintf("workers=%d", workers), func(b *testing.B) {
+			starts := 0
+			for b.Loop() {
+				b.StopTimer()
+				c, now := grown(b, workers, 0)
+				b.StartTimer()
+				for plan := range 10 {
+					for i := range 12 {
+						j := &work.Job{ID: work.JobID(fmt.Sprintf("%08x%08x", plan, i)), Queue: queue, Steps: []work.Step{short(8)}}
+						c.Accept(j, c.declared.Queues[queue], now)
+					}
+					now += burstPlans
+					starts += len(c.Plan(now, epoch).Starts)
+				}
+			}
+			b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(starts), "ns/start")
+		})
+	}
+}
--- a/internal/engine/core.go
+++ b/internal/engine/core.go
@@ -38,6 +38,7 @@
 	jobs     map[work.JobID]*job
 	open     []*job // not ended, oldest first
 	workers  map[work.WorkerID]*worker
+	sorted   []*worker                     // these by ID; nil: to be sorted anew
 	over     map[work.WorkerID][]work.Life // lives that have ended
 	stale    []staleJob                    // ended jobs, oldest first
 	learned  durations
--- a/internal/engine/lives.go
+++ b/internal/engine/lives.go
@@ -115,6 +115,7 @@
 		tasks: make(map[work.TaskRef]*task), strays: make(map[work.TaskRef]*stray),
 	}
 	c.workers[info.ID] = w
+	c.sorted = nil
 	c.trials.Back(info.Address)
 	return w
 }
--- a/internal/engine/losses.go
+++ b/internal/engine/losses.go
@@ -47,6 +47,7 @@
 	}
 	c.dropTasks(w, cause, now)
 	delete(c.workers, w.info.ID)
+	c.sorted = nil
 	if w.next != nil {
 		c.WorkerSeen(*w.next)
 	}
--- a/internal/engine/plan.go
+++ b/internal/engine/plan.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -180,7 +181,9 @@
 		return
 	}
 	planner := taskplan.NewPlanner(workers)
-	planner.Trials = c.trialRoom(now)
+	if slices.ContainsFunc(ws, func(w waiting) bool { return w.step.suspects() > 0 }) {
+		planner.Trials = c.trialRoom(now)
+	}
 	for _, v := range ws {
 		if len(out.Starts) >= c.mayStart {
 			c.held = true
@@ -232,23 +235,33 @@
 }
 
 func (c *Core) snapshots(now time.Duration) []*taskplan.Worker {
-	out := make([]*taskplan.Worker, 0, len(c.workers))
+	ordered := c.ordered()
+	snaps := make([]taskplan.Worker, len(ordered))
+	out := make([]*taskplan.Worker, len(ordered))
 	c.busy = 0
 	doubt := c.roomInDoubt(now)
-	for _, w := range c.workers {
+	for i, w := range ordered {
 		if len(w.tasks) > 0 {
 			c.busy++
 		}
-		snap := w.snapshot(now)
+		w.snapshot(&snaps[i], now)
+		snap := &snaps[i]
 		snap.Closed = snap.Closed || doubt
 		snap.Sought = c.seeks(w.info.Labels, now)
 		snap.Fresh = c.freshOn(w, now)
-		out = append(out, snap)
+		out[i] = snap
 	}
-	slices.SortFunc(out, func(a, b *taskplan.Worker) int { return cmp.Compare(a.ID, b.ID) })
 	return out
 }
 
+// ordered returns the workers by ID. They are sorted as they come and go, not for each plan.
+func (c *Core) ordered() []*worker {
+	if c.sorted == nil {
+		c.sorted = slices.SortedFunc(maps.Values(c.workers), func(a, b *worker) int { return cmp.Compare(a.info.ID, b.info.ID) })
+	}
+	return c.sorted
+}
+
 // soughtFor is how long room is kept for work that asks for a label after the last
 // of it waited: steps of a job follow each other within seconds.
 const soughtFor = 10 * time.Second
--- a/internal/engine/worker.go
+++ b/internal/engine/worker.go
@@ -199,9 +199,9 @@
 	t.count(-1)
 }
 
-// snapshot is the worker as a plan sees it.
-func (w *worker) snapshot(now time.Duration) *taskplan.Worker {
-	out := &taskplan.Worker{
+// snapshot describes the worker as a plan sees it.
+func (w *worker) snapshot(out *taskplan.Worker, now time.Duration) {
+	*out = taskplan.Worker{
 		ID:     w.info.ID,
 		Total:  w.info.Capacity,
 		Free:   w.info.Capacity.Minus(w.load.reserved),
@@ -220,7 +220,6 @@
 	if w.strikes.probe {
 		out.Limit = max(0, 1-len(w.tasks))
 	}
-	return out
 }
 
 // doubtLimit is how many starts without an answer close a worker until a poll is
--- a/policy/taskplan/taskplan.go
+++ b/policy/taskplan/taskplan.go
@@ -83,7 +83,12 @@
 // Planner places steps one after the other.
 type Planner struct {
 	open []*Worker
-	most work.Resources // see MostFree
+	// used are the open workers that differ from others by what runs there; empty are the
+	// rest, by what they are. A thousand empty workers of one kind are as good as the first.
+	used  []*Worker
+	empty map[emptyKind][]*Worker
+	kinds []emptyKind
+	most  work.Resources // see MostFree
 	// Trials is on how many more workers suspects may be placed.
 	Trials int
 }
@@ -91,7 +96,75 @@
 // NewPlanner returns a planner over the workers, which are changed as they fill.
 func NewPlanner(workers []*Worker) *Planner {
 	open := Open(workers)
-	return &Planner{open: open, most: MostFree(open), Trials: math.MaxInt}
+	p := &Planner{open: open, empty: make(map[emptyKind][]*Worker), most: MostFree(open), Trials: math.MaxInt}
+	for _, w := range open {
+		kind, interchangeable := kindOf(w)
+		if !interchangeable {
+			p.used = append(p.used, w)
+			continue
+		}
+		if p.empty[kind] == nil {
+			p.kinds = append(p.kinds, kind)
+		}
+		p.empty[kind] = append(p.empty[kind], w)
+	}
+	return p
+}
+
+// emptyKind is what an empty worker is to a step that asks for no rack.
+type emptyKind struct {
+	total  work.Resources
+	label  string
+	slow   float64
+	due    bool
+	sought bool
+}
+
+// kindOf returns the worker's kind; false where something there makes it differ from others.
+func kindOf(w *Worker) (emptyKind, bool) {
+	if w.Tasks > 0 || w.Limit >= 0 || w.Free != w.Total || len(w.Labels) > 2 {
+		return emptyKind{}, false
+	}
+	kind := emptyKind{total: w.Total, slow: w.Slowness, due: w.Due, sought: w.Sought}
+	if len(w.Labels) > 1 {
+		kind.label = w.Labels[0]
+	}
+	return kind, true
+}
+
+// candidates are the workers to choose from for the task: those in use, and of each kind of
+// empty ones the first, and the first in the rack of the data. Steps that tell workers apart
+// by more choose from all.
+func (p *Planner) candidates(s *Step, t Task) []*Worker {
+	if s.Permitted != nil || s.Step.Requires != "" || len(t.Avoid) > 0 {
+		return p.open
+	}
+	out := slices.Clone(p.used)
+	for _, kind := range p.kinds {
+		group := p.empty[kind]
+		if len(group) == 0 {
+			continue
+		}
+		out = append(out, group[0])
+		if s.Step.DataRack == "" {
+			continue
+		}
+		if i := slices.IndexFunc(group, func(w *Worker) bool { return w.has(s.Step.DataRack) }); i > 0 {
+			out = append(out, group[i])
+		}
+	}
+	return out
+}
+
+// occupied takes the worker off the empty ones.
+func (p *Planner) occupied(w *Worker) {
+	for _, kind := range p.kinds {
+		if i := slices.Index(p.empty[kind], w); i >= 0 {
+			p.empty[kind] = slices.Delete(p.empty[kind], i, i+1)
+			p.used = append(p.used, w)
+			return
+		}
+	}
 }
 
 // MayFit reports whether a worker may have room for a task of the step. While a pool
@@ -114,26 +187,42 @@
 	}
 	if s.Step.Gang {
 		out := planGang(p.open, s)
+		for _, placed := range out {
+			p.occupied(p.worker(placed.Worker))
+		}
 		p.most = MostFree(p.open)
 		return out
 	}
 	var out []Placement
+	var from []*Worker
 	for _, t := range s.Tasks {
 		if t.Suspect {
 			out = append(out, p.try(s, t)...)
 			continue
 		}
-		w := choose(p.open, s, t)
+		if from == nil || len(t.Avoid) > 0 {
+			from = p.candidates(s, t)
+		}
+		w := choose(from, s, t)
 		if w == nil {
 			p.most = MostFree(p.open)
 			break // its other tasks are of the same size
 		}
+		if w.Tasks == 0 || len(t.Avoid) > 0 {
+			p.occupied(w)
+			from = nil
+		}
 		take(w, s)
 		out = append(out, Placement{Step: s, Index: t.Index, Worker: w.ID})
 	}
 	return out
 }
 
+func (p *Planner) worker(id work.WorkerID) *Worker {
+	i := slices.IndexFunc(p.open, func(w *Worker) bool { return w.ID == id })
+	return p.open[i]
+}
+
 // try places a suspect, beside those of its step if it can.
 func (p *Planner) try(s *Step, t Task) []Placement {
 	open := p.open
@@ -148,6 +237,7 @@
 		w.trial = s
 		p.Trials--
 	}
+	p.occupied(w)
 	take(w, s)
 	return []Placement{{Step: s, Index: t.Index, Worker: w.ID}}
 }
