--- a/internal/fleetowner/fleet.go
+++ b/internal/fleetowner/fleet.go
@@ -15,6 +15,7 @@
 	"github.com/pumicestage/pumicestage/internal/infra"
 	"github.com/pumicestage/pumicestage/internal/sleep"
 	"github.com/pumicestage/pumicestage/policy/polling"
+	"github.com/pumicestage/pumicestage/policy/pools"
 	"github.com/pumicestage/pumicestage/policy/work"
 )
 
@@ -91,6 +92,7 @@
 	waves    map[string]*waveRun
 	due      map[work.WorkerID]bool   // workers whose VMs a wave has yet to take
 	lastBusy map[string]time.Duration // when each service last had a backlog
+	peaks    map[string]*pools.Peak   // by pool
 	// inherited are the VMs that were not up when this owner took over.
 	inherited map[string]bool
 	wg        sync.WaitGroup
@@ -102,7 +104,7 @@
 // New returns the duty for a term.
 func New(o Options) *Fleet {
 	return &Fleet{
-		Options: o, waves: make(map[string]*waveRun), lastBusy: make(map[string]time.Duration),
+		Options: o, waves: make(map[string]*waveRun), lastBusy: make(map[string]time.Duration), peaks: make(map[string]*pools.Peak),
 		orders: make(map[string]*vmOrder), due: make(map[work.WorkerID]bool), cells: make(map[string]*cellView),
 	}
 }
