--- a/internal/engine/plan.go
+++ b/internal/engine/plan.go
@@ -239,7 +239,7 @@
 	snaps := make([]taskplan.Worker, len(ordered))
 	out := make([]*taskplan.Worker, len(ordered))
 	c.busy = 0
-	doubt := c.roomInDoubt(now)
+	doubt, hazards := c.roomInDoubt(now), c.hazards(now)
 	for i, w := range ordered {
 		if len(w.tasks) > 0 {
 			c.busy++
@@ -248,7 +248,9 @@
 		snap := &snaps[i]
 		snap.Closed = snap.Closed || doubt
 		snap.Sought = c.seeks(w.info.Labels, now)
-		snap.Fresh = c.freshOn(w, now)
+		if hazards {
+			snap.Fresh = c.freshOn(w, now)
+		}
 		out[i] = snap
 	}
 	return out
