--- a/policy/crashes/common.go
+++ b/policy/crashes/common.go
@@ -6,7 +6,8 @@
 	// Settle is for how long after a worker fell silent others are waited for that may have
 	// fallen silent with it: a rack, a zone or a switch is not lost by what one task does.
 	Settle = 100 * time.Millisecond
-	// leastCommon is how many others make a common cause, at the least.
+	// leastCommon is how many others make a common cause, at the least; in a smaller pool, all
+	// of them.
 	leastCommon = 3
 	// unusual is how many times more than usual they must be.
 	unusual = 3
@@ -38,7 +39,7 @@
 	}
 	others := float64(around - 1)
 	usual := float64(len(s.seen)-around) * float64(2*Settle) / float64(rateWindow)
-	if others < leastCommon || others < unusual*usual {
+	if others < 1 || others < float64(min(leastCommon, workers-1)) || others < unusual*usual {
 		return 0
 	}
 	return others / float64(max(1, workers)) / (2 * Settle).Seconds()
