--- a/internal/fleetowner/fleet.go
+++ b/internal/fleetowner/fleet.go
@@ -15,7 +15,6 @@
 	"github.com/pumicestage/pumicestage/internal/infra"
 	"github.com/pumicestage/pumicestage/internal/sleep"
 	"github.com/pumicestage/pumicestage/policy/polling"
-	"github.com/pumicestage/pumicestage/policy/pools"
 	"github.com/pumicestage/pumicestage/policy/work"
 )
 
@@ -92,7 +91,6 @@
 	waves    map[string]*waveRun
 	due      map[work.WorkerID]bool   // workers whose VMs a wave has yet to take
 	lastBusy map[string]time.Duration // when each service last had a backlog
-	peaks    map[string]*pools.Peak   // by pool
 	// inherited are the VMs that were not up when this owner took over.
 	inherited map[string]bool
 	wg        sync.WaitGroup
@@ -104,7 +102,7 @@
 // New returns the duty for a term.
 func New(o Options) *Fleet {
 	return &Fleet{
-		Options: o, waves: make(map[string]*waveRun), lastBusy: make(map[string]time.Duration), peaks: make(map[string]*pools.Peak),
+		Options: o, waves: make(map[string]*waveRun), lastBusy: make(map[string]time.Duration),
 		orders: make(map[string]*vmOrder), due: make(map[work.WorkerID]bool), cells: make(map[string]*cellView),
 	}
 }
--- a/internal/fleetowner/moves.go
+++ b/internal/fleetowner/moves.go
@@ -68,34 +68,13 @@
 		f.addVM(byName, f.vms[id])
 	}
 	out := make([]pools.Pool, 0, len(byName))
-	for name, p := range byName {
-		p.Peak = f.peakOf(name, p, now)
+	for _, p := range byName {
 		out = append(out, *p)
 	}
 	slices.SortFunc(out, func(a, b pools.Pool) int { return cmp.Compare(a.Name, b.Name) })
 	return out
 }
 
-// peakOf notes how many of the pool's VMs are in use, and returns how many were at most of late.
-func (f *Fleet) peakOf(name string, p *pools.Pool, now time.Duration) int {
-	if p.Parked {
-		return 0
-	}
-	peak := f.peaks[name]
-	if peak == nil {
-		peak = &pools.Peak{}
-		f.peaks[name] = peak
-	}
-	inUse := 0
-	for i := range p.VMs {
-		if !p.VMs[i].Empty {
-			inUse++
-		}
-	}
-	peak.Saw(inUse, now)
-	return peak.Most()
-}
-
 func boundOf(loads map[string]engine.BoundLoad) map[string]pools.Bound {
 	out := make(map[string]pools.Bound, len(loads))
 	for label, l := range loads {
--- a/policy/pools/pools.go
+++ b/policy/pools/pools.go
@@ -40,8 +40,6 @@
 	Arriving float64       // core-seconds a second that came of late
 	Short    int           // VMs that are lacked whatever is free on the others
 	Quiet    time.Duration // since it last had a backlog
-	// Peak is how many of its VMs were in use at most of late; 0: not known.
-	Peak int
 	// Spare is how many empty VMs it could use while no other pool lacks any.
 	Spare int
 	// Bound is the part of the load that only VMs with the label can take.
@@ -126,10 +124,6 @@
 	// first second and a half of its next burst runs on them alone. A half did
 	// better than a third and a sixth, and as well as two thirds for less.
 	stayShare = 1.0 / 2
-	// peakMargin is by how much the next peak of a pool may be higher than those of late,
-	// and leastStays how many VMs more stay: peaks of few tasks differ by more.
-	peakMargin = 1.5
-	leastStays = 4
 	// emptyFor is how long a VM must have been empty: a step's tasks end
 	// moments before the next step's start.
 	emptyFor = 150 * time.Millisecond
@@ -209,7 +203,7 @@
 		if p.Parked || p.Backlog > 0 || p.Short > 0 || p.Spare > 0 {
 			continue
 		}
-		spare := len(p.VMs) - p.stays(stay)
+		spare := len(p.VMs) - stay
 		for _, vm := range p.VMs {
 			if spare > 0 && vm.Empty && vm.Since >= parkAfter {
 				out = append(out, Move{VM: vm.ID, From: p.Name, To: pools[i].Name})
@@ -220,15 +214,6 @@
 	return out
 }
 
-// stays is how many VMs of the quiet pool are not parked: a share of the split, or less where
-// its own peaks ask for less.
-func (p *Pool) stays(share int) int {
-	if p.Peak == 0 {
-		return share
-	}
-	return min(share, int(math.Ceil(peakMargin*float64(p.Peak)))+leastStays)
-}
-
 // want is what a pool lacks.
 type want struct {
 	name  string
--- a/policy/pools/pools_test.go
+++ b/policy/pools/pools_test.go
@@ -280,31 +280,3 @@
 	}
 	assert.Equal(t, len(Decide([]Pool{tries, {Name: "kept", VMs: vms("k", 3, 3, time.Second)}})), 1, "what a pool keeps is not lent")
 }
-
-// A pool of a thousand keeps half of its VMs although its bursts take a tenth of them.
-func TestAPoolKeepsWhatItsPeaksAskFor(t *testing.T) {
-	parked := func(peak int) int {
-		return len(Decide([]Pool{
-			{Name: "large", VMs: vms("l", 100, 95, time.Hour), Peak: peak},
-			{Name: "off", Parked: true},
-		}))
-	}
-	assert.Equal(t, parked(0), 50, "not known: half of the split stays")
-	assert.Equal(t, parked(10), 81)
-	assert.Equal(t, parked(90), 50, "no more than the half")
-}
-
-// A pool is emptied between two of its bursts, as it seems to need nothing.
-func TestAPeakIsKnownOnceASpanWasSeenWhole(t *testing.T) {
-	var p Peak
-	now := time.Hour
-	p.Saw(0, now)
-	assert.Equal(t, p.Most(), 0)
-	p.Saw(3, now+time.Minute)
-	p.Saw(40, now+time.Minute+halfSpan/2)
-	assert.Equal(t, p.Most(), 0, "not seen whole")
-	p.Saw(2, now+time.Minute+halfSpan)
-	assert.Equal(t, p.Most(), 40)
-	p.Saw(2, now+time.Minute+2*halfSpan)
-	assert.Equal(t, p.Most(), 2, "forgotten")
-}
