--- a/internal/fleetowner/moves.go
+++ b/internal/fleetowner/moves.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"context"
 	"slices"
-	"time"
 
 	"github.com/pumicestage/pumicestage/internal/engine"
 	"github.com/pumicestage/pumicestage/policy/pools"
