A record of crashes holds the latest five

Found by reading: a lasting task under which workers crash is never given up since, and its record grew by one crash every two seconds without end: towards the store's largest value, and with some ninety crashes odds beyond any number, after which shares and rates were no numbers either. Records keep the latest five, the most that any other task may have; addresses of crashed workers are noted once. Test: TestARecordHoldsTheLatestCrashes (400 crashes), red without the bound.

--- a/internal/engine/losses.go
+++ b/internal/engine/losses.go
@@ -209,7 +209,9 @@
 		return
 	}
 	t.crashes = t.crashes.With(blamed)
-	t.crashedAt = append(t.crashedAt, w.info.Address)
+	if !slices.Contains(t.crashedAt, w.info.Address) {
+		t.crashedAt = append(t.crashedAt, w.info.Address)
+	}
 	t.trial = 0
 	c.judgeRecord(t, now)
 	if t.step.spec.Lasting {
--- a/policy/crashes/crashes.go
+++ b/policy/crashes/crashes.go
@@ -114,13 +114,15 @@
 	return n
 }
 
-// With returns the record with the crash added. One that is known already, as two
-// observers tell of it or an owner learns of it again, changes nothing.
+// With returns the record with the crash added, and no more than the latest mostCrashes: a lasting
+// task is never given up. One that is known already, as two observers tell of it or an owner
+// learns of it again, changes nothing.
 func (r Record) With(c Crash) Record {
 	if slices.ContainsFunc(r, func(known Crash) bool { return known.Run == c.Run }) {
 		return r
 	}
-	return append(slices.Clone(r), c)
+	out := append(slices.Clone(r), c)
+	return out[max(0, len(out)-mostCrashes):]
 }
 
 // Without returns the record without the run's crash.
--- a/policy/crashes/crashes_test.go
+++ b/policy/crashes/crashes_test.go
@@ -224,3 +224,12 @@
 	one.Fell(time.Minute, time.Minute)
 	assert.Equal(t, one.Rate(time.Minute, 1), 0.0)
 }
+
+// The record of a lasting task, which is never given up, outgrows the store, and its odds any number.
+func TestARecordHoldsTheLatestCrashes(t *testing.T) {
+	r := under(0, hot, calm, 400)
+	assert.Equal(t, len(r), 5)
+	assert.Equal(t, r.Latest(), 400)
+	verdict := crashes.Judge([]crashes.LostRun{{Job: "j", Most: time.Millisecond, Record: r, Prior: hot}}, calm)
+	assert.Check(t, verdict.ByItself > 0 && verdict.ByItself < 1)
+}
