A stand-in worker whose life ended answers no call that waits

What was seen: in 5 of 48 plays, 24 at a time, a faulty task was started 3 or 4 times more after 3 workers had crashed under it, 2 allowed (TestAJobThatCrashesWorkersIsGivenUpAmongSoundOnes).

Cause: the stand-in cleared what ran as a worker crashed, but let a poll that waited go on, and answered it with an empty list as that same life. A run that a life no longer lists without an end is not a crash, so the crash spoke against nobody. A process that dies answers nothing.

New case of the workers' contract, red without it (answers ok where no answer is due).

--- a/internal/engine/contract/contract.go
+++ b/internal/engine/contract/contract.go
@@ -19,6 +19,8 @@
 	Worker engine.WorkerInfo
 	// Silence leaves all further calls without an answer.
 	Silence func()
+	// Crash ends the worker's life with all that runs and waits there.
+	Crash func()
 	// Unreachable is an address that refuses connections.
 	Unreachable string
 	// Advised is the specification of tasks that need a ticket.
@@ -154,6 +156,13 @@
 		out, _ := w.Client.Start(ctx, &w.Worker, start(0, 1, 5, long))
 		assert.Equal(t, out, engine.OutcomeUnknown)
 	}},
+	{"a life that ends answers no call that waits", func(t *testing.T, w *Workers) {
+		assert.Equal(t, w.start(t, start(0, 1, 5, long)), engine.OutcomeOK)
+		crashed := time.AfterFunc(giveUp, w.Crash)
+		defer crashed.Stop()
+		_, out := w.Client.Hold(t.Context(), &w.Worker, engine.Hold{Token: 5, Wait: 4 * giveUp})
+		assert.Equal(t, out, engine.OutcomeUnknown)
+	}},
 	{"a call without a connection was not sent", func(t *testing.T, w *Workers) {
 		w.Worker.Address = w.Unreachable
 		assert.Equal(t, w.start(t, start(0, 1, 5, long)), engine.OutcomeNotSent)
