--- a/internal/dev/load.go
+++ b/internal/dev/load.go
@@ -39,6 +39,27 @@
 
 	mu     sync.Mutex
 	notRun []string // keys of requests that were said not to have run
+	broke  []string // how the first connections broke
+}
+
+// brokeShown is how many broken connections are told apart.
+const brokeShown = 10
+
+// brokeWith counts a connection that broke so long after its request.
+func (t *Tally) brokeWith(err error, id string, after time.Duration) {
+	t.Broken.Add(1)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if len(t.broke) < brokeShown {
+		t.broke = append(t.broke, fmt.Sprintf("%s after %s: %v", id, after.Round(time.Millisecond), err))
+	}
+}
+
+// breaks tells how the first connections broke.
+func (t *Tally) breaks() string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return strings.Join(t.broke, "\n")
 }
 
 // saidNotRun remembers a key, to be checked against what the targets ran.
@@ -132,30 +153,31 @@
 	req.Header.Set("Pumicestage-Caller", caller)
 	// Repeatable services need no key; here it lets the targets count by it.
 	req.Header.Set("Idempotency-Key", `"`+id+`"`)
+	sent := time.Now()
 	resp, err := l.client.Do(req)
 	if err != nil {
-		l.failed(err)
+		l.failed(err, id, time.Since(sent))
 		return
 	}
 	defer resp.Body.Close()
 	body, err := io.ReadAll(resp.Body)
-	l.count(resp, id, string(body), err)
+	if err != nil {
+		l.tally.brokeWith(err, id, time.Since(sent))
+		return
+	}
+	l.count(resp, id, string(body))
 }
 
 // failed tells a connection that was never taken from one that broke.
-func (l *load) failed(err error) {
+func (l *load) failed(err error, id string, after time.Duration) {
 	if errors.Is(err, syscall.ECONNREFUSED) {
 		l.tally.Refused.Add(1)
 		return
 	}
-	l.tally.Broken.Add(1)
+	l.tally.brokeWith(err, id, after)
 }
 
-func (l *load) count(resp *http.Response, id, body string, err error) {
-	if err != nil {
-		l.tally.Broken.Add(1)
-		return
-	}
+func (l *load) count(resp *http.Response, id, body string) {
 	switch resp.Header.Get("Pumicestage-Outcome") {
 	case "ran":
 		l.tally.Ran.Add(1)
