A crash is not blamed on a start that may have come too late, nor on a run that goes on

What callers could see: a sound job given up.

Cause: for a start without an answer the judge took the moment of the crash to lie after it. The worker may have crashed at any time since it last answered. That time counts as much now (LostRun.Before). And runs found in the life that followed are taken out before the crash is judged.

The model draws lives under one ID, registrations that come late, the longest lease of a worker and cancels, and asks in the end that nothing of ended jobs runs on.

--- a/internal/engine/lives_test.go
+++ b/internal/engine/lives_test.go
@@ -6,6 +6,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/pumicestage/pumicestage/policy/crashes"
 	"github.com/pumicestage/pumicestage/policy/work"
 )
 
@@ -268,3 +269,14 @@
 	assert.Equal(t, len(o.Stops), 1)
 	assert.Equal(t, o.Stops[0].Run, start.Start.Run)
 }
+
+// A job is given up for a crash under a task that goes on in the next life, which its start had
+// reached.
+func TestARunThatGoesOnInTheNextLifeIsNotBlamed(t *testing.T) {
+	b := lifeRig(t)
+	start := b.startOn("j1", OutcomeUnknown)
+	b.look("w1", Listing{Life: secondLife, Running: []Run{run(start)}})
+	b.now += crashes.Settle
+	b.core.judgeCrashes(b.now)
+	assert.Equal(t, len(b.core.find(start.Start.Task).crashes), 0)
+}
--- a/internal/engine/losses.go
+++ b/internal/engine/losses.go
@@ -84,14 +84,15 @@
 	ran    time.Duration // as last seen
 	most   time.Duration // as its worker fell silent
 	unsent bool          // its start had not been sent
-	unseen bool          // the worker may have crashed before the start came there
+	before time.Duration // as long before its start the worker may have crashed already
+	unseen bool          // that long that the crash says little
 }
 
 func (w *worker) lossOf(t *task, now time.Duration) lostRun {
-	unanswered := t.answered == 0 || t.state == taskDoubtful
-	l := lostRun{
-		task: t, run: t.run, ran: w.seenRunning(t),
-		unsent: t.answered == 0 && t.left == 0, unseen: unanswered && t.left > w.clockAt+crashes.Trial,
+	l := lostRun{task: t, run: t.run, ran: w.seenRunning(t), unsent: t.answered == 0 && t.left == 0}
+	if !t.shown && t.state != taskActive {
+		l.before = max(0, t.left-w.clockAt)
+		l.unseen = l.before > crashes.Trial
 	}
 	silent := w.silentAt(now)
 	switch {
@@ -160,9 +161,16 @@
 	c.unjudged = wait
 }
 
+// goesOnAfter reports whether the run was found in a life that followed the worker: its start had
+// reached that one.
+func (l *lostRun) goesOnAfter(w *worker) bool {
+	return l.task.where != nil && l.task.where != w && l.task.run == l.run
+}
+
 // blame notes a crash against what may have caused it.
 func (c *Core) blame(cr *crash, now time.Duration) {
 	w := cr.worker
+	cr.lost = slices.DeleteFunc(cr.lost, func(l lostRun) bool { return l.goesOnAfter(w) })
 	rate := c.crashRate.PerWorker(now)
 	if common := c.silences.Rate(cr.at, len(c.workers)); common > 0 {
 		c.log.Info("worker crashed together with others", "worker", w.info.ID, "runs", len(cr.lost), "common rate", common)
@@ -176,7 +184,7 @@
 			job = l.task.ref.String() // it is judged for itself, as its job is never given up
 		}
 		lostRuns[i] = crashes.LostRun{
-			Job: job, Ran: l.ran, Most: l.most, Unseen: l.unseen, Lasting: l.task.step.spec.Lasting,
+			Job: job, Ran: l.ran, Most: l.most, Before: l.before, Unseen: l.unseen, Lasting: l.task.step.spec.Lasting,
 			Record: l.task.crashes, Prior: c.kindOf(j).Prior(now),
 		}
 	}
--- a/internal/engine/model_end_test.go
+++ b/internal/engine/model_end_test.go
@@ -6,7 +6,27 @@
 // which two workers had crashed.
 func (m *model) allEnded() bool {
 	for id := range m.jobs {
-		if m.ended[id] != work.Completed && !(m.ended[id] == work.Failed && m.mayBeGivenUp(id)) {
+		switch m.ended[id] {
+		case work.Completed:
+		case work.Failed:
+			if !m.mayBeGivenUp(id) {
+				return false
+			}
+		case work.Cancelled:
+			if !m.again {
+				return false
+			}
+		default:
+			return false
+		}
+	}
+	return true
+}
+
+// idle reports whether nothing runs on a worker that is up.
+func (m *model) idle() bool {
+	for _, w := range m.workers {
+		if !w.dead && len(w.running) > 0 {
 			return false
 		}
 	}
--- a/internal/engine/model_test.go
+++ b/internal/engine/model_test.go
@@ -25,12 +25,14 @@
 // are acknowledged.
 type modelWorker struct {
 	id       work.WorkerID
+	life     work.Life
 	slow     float64 // its clock's rate
 	born     time.Duration
 	token    int64
 	deadline time.Duration
 	running  map[work.TaskRef]int
 	highest  map[work.TaskRef]int
+	inDoubt  map[work.TaskRef]bool // whose starts or ends are not known for certain
 	ends     []RunEnd
 	seq      int64
 	// lapsed is the last end listed before its lease last lapsed. The platform
@@ -88,8 +90,11 @@
 
 	// What workers saw.
 	doneAcked map[work.TaskRef]bool
-	crashed   map[work.TaskRef]int // workers that crashed while they ran it
+	crashed   map[work.TaskRef]int // workers that crashed while they ran it, or may have
+	cancelled map[work.JobID]bool  // as was acknowledged
 	calm      bool                 // no more faults
+	// again: workers start again under their IDs, and registrations come late; jobs are cancelled.
+	again bool
 	// overlap: outcomes of transactions come later and in any order.
 	overlap bool
 	bounds  Bounds
@@ -105,8 +110,8 @@
 	m := &model{
 		t: t, rng: rand.New(rand.NewPCG(seed, 1)), now: time.Hour, jobs: make(map[work.JobID]*JobRecord),
 		progress: make(map[work.JobID]*Progress), ended: make(map[work.JobID]work.State), doneAcked: make(map[work.TaskRef]bool),
-		crashed: make(map[work.TaskRef]int),
-		bounds:  rigBounds,
+		crashed: make(map[work.TaskRef]int), cancelled: make(map[work.JobID]bool),
+		bounds: rigBounds,
 	}
 	for range modelWorkers {
 		m.newLife()
@@ -121,14 +126,6 @@
 	return m
 }
 
-func (m *model) newLife() {
-	m.lives++
-	m.workers = append(m.workers, &modelWorker{
-		id: work.WorkerID(fmt.Sprintf("w%d", m.lives)), slow: 0.98 + 0.02*m.rng.Float64(), born: m.now,
-		running: make(map[work.TaskRef]int), highest: make(map[work.TaskRef]int),
-	})
-}
-
 func (m *model) chance(percent int) bool { return m.rng.IntN(100) < percent }
 
 func (m *model) current() *modelOwner { return m.owners[len(m.owners)-1] }
@@ -177,7 +174,9 @@
 		if w.dead {
 			continue
 		}
-		o.core.WorkerSeen(info(w.id))
+		if !m.again || m.calm || m.chance(70) {
+			o.core.WorkerSeen(infoOf(w.id, w.life))
+		}
 		vms = append(vms, vm("v-"+string(w.id), w.id))
 	}
 	o.core.SetFleet(vms)
@@ -234,33 +233,35 @@
 	order()
 }
 
-func (m *model) worker(id work.WorkerID) *modelWorker {
-	i := slices.IndexFunc(m.workers, func(w *modelWorker) bool { return w.id == id })
-	if i < 0 || m.workers[i].dead {
-		return nil
-	}
-	return m.workers[i]
-}
-
 // start plays one start: lost before or after its effect, or carried out late.
 func (m *model) start(o *modelOwner, s StartOrder) {
-	o.core.StartLeaves(s, m.now)
+	if leaves := o.core.StartLeaves(s, m.now); m.again && !leaves {
+		o.core.StartAnswered(s, OutcomeNotSent, 0, m.now)
+		return
+	}
 	w := m.worker(s.Worker.ID)
 	lost := !m.calm && m.chance(15) || o.cut[s.Worker.ID]
-	if w == nil {
+	if w == nil || w.life != s.Worker.Life && o != m.current() {
 		o.core.StartAnswered(s, OutcomeOtherLife, 0, m.now)
 		return
 	}
 	if lost {
 		o.core.StartAnswered(s, OutcomeUnknown, 0, m.now)
+		w.inDoubt[s.Start.Task] = true
 		if m.chance(50) {
-			o.orders = append(o.orders, func() { m.begin(w, s) })
+			sent := m.now
+			o.orders = append(o.orders, func() {
+				if !m.again || m.now < sent+lateOrders {
+					m.beginLate(o, w, s)
+				}
+			})
 		}
 		return
 	}
 	out := m.begin(w, s)
 	if !m.calm && m.chance(10) {
 		out = OutcomeUnknown
+		w.inDoubt[s.Start.Task] = true
 	}
 	o.core.StartAnswered(s, out, w.clock(m.now), m.now)
 }
@@ -280,7 +281,7 @@
 	case runs:
 		return OutcomeOK
 	}
-	w.token, w.deadline = st.Token, max(w.deadline, st.Deadline)
+	w.token, w.deadline = st.Token, w.holds(st.Deadline, m.now)
 	m.began(w, st.Task, st.Run)
 	w.running[st.Task] = st.Run
 	if m.limited != nil {
@@ -297,6 +298,7 @@
 			m.t.Fatalf("%s: run %d begins on %s beside run %d on %s", task, run, on.id, other, w.id)
 		}
 	}
+	assert.Assert(m.t, !m.calm || !m.cancelled[task.Job], "%s: run %d begins though its job was cancelled", task, run)
 	assert.Assert(m.t, !m.doneAcked[task], "%s: run %d begins after it was done and acknowledged", task, run)
 }
 
@@ -339,6 +341,9 @@
 	if o.retired {
 		return
 	}
+	if now := m.worker(w.id); now != nil {
+		w = now
+	}
 	_, h, due := o.core.HoldFor(w.id, m.now)
 	if !due {
 		return
@@ -354,14 +359,14 @@
 		o.core.HoldFailed(w.id, OutcomeFenced, m.now)
 		return
 	}
-	w.token, w.deadline = h.Token, max(w.deadline, h.Deadline)
+	w.token, w.deadline = h.Token, w.holds(h.Deadline, m.now)
 	for len(w.ends) > 0 && w.ends[0].Seq <= h.AckedThrough {
 		if w.ends[0].How == work.Done && w.ends[0].Seq > w.lapsed {
 			m.doneAcked[w.ends[0].Task] = true
 		}
 		w.ends = w.ends[1:]
 	}
-	l := Listing{Clock: w.clock(m.now), Ended: slices.Clone(w.ends), Brief: h.Brief}
+	l := Listing{Life: w.life, Clock: w.clock(m.now), Ended: slices.Clone(w.ends), Brief: h.Brief}
 	for _, task := range w.tasks() {
 		r := Run{Task: task, Run: w.running[task], Percent: 1 + m.rng.IntN(90)}
 		if !h.Brief {
@@ -436,16 +441,15 @@
 	case 0:
 		m.takeOver(false)
 	case 1:
-		w := m.workers[m.rng.IntN(len(m.workers))]
-		if !w.dead {
-			w.dead = true
-			for task := range w.running {
-				m.crashed[task]++
-			}
-			m.newLife()
+		if w := m.workers[m.rng.IntN(len(m.workers))]; !w.dead {
+			m.crash(w)
 		}
 	case 2, 3:
 		clear(m.current().cut)
+	case 4:
+		if m.again {
+			m.cancel()
+		}
 	}
 }
 
--- a/policy/crashes/crashes.go
+++ b/policy/crashes/crashes.go
@@ -160,6 +160,9 @@
 	Job string // whose run it is: a job is given up as a whole
 	// Ran and Most bound how long it had gone on: as last seen, and as the worker fell silent.
 	Ran, Most time.Duration
+	// Before is how long before its start the worker may have crashed already; 0 where it
+	// answered the start.
+	Before time.Duration
 	// Unseen: the worker did not answer the start, nor anything else for long before.
 	Unseen  bool
 	Lasting bool
@@ -171,14 +174,15 @@
 func (v *LostRun) Clear() bool { return v.Lasting && v.Ran >= Cleared }
 
 // density is how likely the run is to crash its worker at that moment if its task is one
-// that does, a second: the mean over the time in which it may have happened.
+// that does, a second: the mean over the time in which it may have happened, with that
+// before its start.
 func (v *LostRun) density() float64 {
 	if v.Clear() || v.Unseen {
 		return 0
 	}
 	from := max(v.Ran, shortestOnset)
 	to := max(v.Most, from+timingSlack)
-	return math.Log(float64(to)/float64(from)) / math.Log(float64(longestOnset)/float64(shortestOnset)) / (to - from).Seconds()
+	return math.Log(float64(to)/float64(from)) / math.Log(float64(longestOnset)/float64(shortestOnset)) / (v.Before + to - from).Seconds()
 }
 
 // Verdict is what the crash of one worker says.
--- a/policy/crashes/crashes_test.go
+++ b/policy/crashes/crashes_test.go
@@ -233,3 +233,12 @@
 	verdict := crashes.Judge([]crashes.LostRun{{Job: "j", Most: time.Millisecond, Record: r, Prior: hot}}, calm)
 	assert.Check(t, verdict.ByItself > 0 && verdict.ByItself < 1)
 }
+
+// A worker crashes by itself, the next start there finds no connection, and is blamed as if the
+// worker had crashed right under it.
+func TestAStartThatMayHaveComeTooLateIsBlamedLess(t *testing.T) {
+	factor := func(before time.Duration) float64 {
+		return crashes.Judge([]crashes.LostRun{{Job: "j", Most: time.Millisecond, Before: before, Prior: 0.02}}, 0.01).Blamed[0].Factor
+	}
+	assert.Assert(t, factor(300*time.Millisecond) < factor(0)/30)
+}
