What is too late to be of use neither draws VMs nor keeps them from others

Cause, from a play with all logs: for the allocator all that waits is a backlog. A pool with a backlog gives no VM away, and the largest lack is served first. So jobs that are of no use to anybody any more kept hundreds of VMs, while pools of some twenty VMs had jobs that could be in time.

Change: a cell reports what is too late apart, by the tier of its last plan. The allocator goes by the rest, and by all only where nothing else waits.

--- a/internal/engine/cell.go
+++ b/internal/engine/cell.go
@@ -3,15 +3,17 @@
 import (
 	"time"
 
+	"github.com/pumicestage/pumicestage/policy/joborder"
 	"github.com/pumicestage/pumicestage/policy/work"
 )
 
 // CellReport is what the owner of the fleet hears from the owner of a cell.
 type CellReport struct {
-	Used     float64        `msgpack:"u"` // cores in use
-	Backlog  float64        `msgpack:"b"` // core-seconds that wait for room
-	Arriving float64        `msgpack:"a"` // core-seconds a second that came of late
-	Short    int            `msgpack:"s"` // VMs that lasting tasks lack, whatever is free on the others
+	Used     float64        `msgpack:"u"`           // cores in use
+	Backlog  float64        `msgpack:"b"`           // core-seconds that wait for room and are still of use
+	Leftover float64        `msgpack:"o,omitempty"` // core-seconds that wait and are too late to be
+	Arriving float64        `msgpack:"a"`           // core-seconds a second that came of late
+	Short    int            `msgpack:"s"`           // VMs that lasting tasks lack, whatever is free on the others
 	Workers  []WorkerReport `msgpack:"w"`
 	// Spare is how many empty VMs it could use while no other cell lacks any.
 	Spare int `msgpack:"p,omitempty"`
@@ -24,8 +26,9 @@
 
 // BoundLoad is load that asks for a label.
 type BoundLoad struct {
-	Used    float64 `msgpack:"u"` // cores in use
-	Backlog float64 `msgpack:"b"` // core-seconds that wait for room
+	Used     float64 `msgpack:"u"` // cores in use
+	Backlog  float64 `msgpack:"b"` // core-seconds that wait for room and are still of use
+	Leftover float64 `msgpack:"o,omitempty"`
 }
 
 // WorkerReport is one worker of a cell.
@@ -86,6 +89,8 @@
 	// Joined are workers that live in the cell's pool by the platform's list of VMs and
 	// are missing in the cell's reports.
 	Joined []work.WorkerID `msgpack:"j,omitempty"`
+	// Lack: other cells lack VMs for work that is still of use, and none are idle.
+	Lack bool `msgpack:"l,omitempty"`
 }
 
 // CellAnswer answers a CellSync.
@@ -105,6 +110,9 @@
 		return CellAnswer{}, ErrNotReady
 	}
 	e.fleetToken = s.Token
+	if s.Lack {
+		e.core.lackElsewhere(now)
+	}
 	var a CellAnswer
 	for _, o := range s.Orders {
 		a.Taken = append(a.Taken, e.core.obey(o, s.Token, now))
@@ -195,7 +203,7 @@
 			for _, s := range o.steps {
 				// What fits on no VM would draw VMs for ever.
 				if n := s.pending - s.suspects(); n > 0 && s.ready() && s.reserved().Fits(most) && !c.atLimit(s) {
-					r.addWaiting(s, float64(n)*c.waitsFor(s, now).Seconds()*s.spec.Size.Cores())
+					r.addWaiting(s, o.tier, float64(n)*c.waitsFor(s, now).Seconds()*s.spec.Size.Cores())
 				}
 			}
 		}
@@ -221,15 +229,24 @@
 	r.Workers = append(r.Workers, wr)
 }
 
-func (r *CellReport) addWaiting(s *step, coreSeconds float64) {
-	r.Backlog += coreSeconds
+func (r *CellReport) addWaiting(s *step, tier joborder.Tier, coreSeconds float64) {
+	useful, leftover := coreSeconds, 0.0
+	if tier == joborder.TierUseless {
+		useful, leftover = 0, coreSeconds
+	}
+	r.Backlog += useful
+	r.Leftover += leftover
 	if label := s.spec.Requires; label != "" {
 		b := r.Bound[label]
-		b.Backlog += coreSeconds
+		b.Backlog += useful
+		b.Leftover += leftover
 		r.Bound[label] = b
 	}
 }
 
+// Waits reports whether anything waits for room.
+func (r *CellReport) Waits() bool { return r.Backlog > 0 || r.Leftover > 0 }
+
 // mostCapacity is, for each kind of resource by itself, the most that any VM known
 // to the cell has.
 func (c *Core) mostCapacity() work.Resources {
--- a/internal/engine/job.go
+++ b/internal/engine/job.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/pumicestage/pumicestage/policy/crashes"
+	"github.com/pumicestage/pumicestage/policy/joborder"
 	"github.com/pumicestage/pumicestage/policy/work"
 )
 
@@ -129,6 +130,7 @@
 	number int
 	due    time.Duration
 	steps  []*step
+	tier   joborder.Tier // as of the last plan in which a step of it waited
 }
 
 func (o *occurrence) finished() bool {
--- a/internal/engine/plan.go
+++ b/internal/engine/plan.go
@@ -119,6 +119,7 @@
 				if rank == nil {
 					r := joborder.Of(c.orderOf(j, o, now))
 					rank = &r
+					o.tier = r.Tier
 				}
 				out = append(out, waiting{step: s, rank: *rank})
 			}
@@ -189,6 +190,9 @@
 			c.held = true
 			break
 		}
+		if v.rank.Tier == joborder.TierUseless && c.yields(now) {
+			break
+		}
 		// Steps that find no room, or none within their workspace's limit, are passed over
 		// without a look at their tasks: hundreds of them wait.
 		if !planner.MayFit(v.step.spec) || v.step.exhausted(planner) {
--- a/internal/fleetowner/fleet.go
+++ b/internal/fleetowner/fleet.go
@@ -91,6 +91,7 @@
 	waves    map[string]*waveRun
 	due      map[work.WorkerID]bool   // workers whose VMs a wave has yet to take
 	lastBusy map[string]time.Duration // when each service last had a backlog
+	lacking  []string                 // cells that lack VMs beyond those that could be moved, as of the last decision
 	// inherited are the VMs that were not up when this owner took over.
 	inherited map[string]bool
 	wg        sync.WaitGroup
@@ -126,7 +127,7 @@
 		return true
 	}
 	for _, c := range f.cells {
-		if c.Backlog > 0 || c.Arriving > 0 || c.Short > 0 || c.Spare > 0 {
+		if c.Waits() || c.Arriving > 0 || c.Short > 0 || c.Spare > 0 {
 			return true
 		}
 	}
--- a/internal/fleetowner/moves.go
+++ b/internal/fleetowner/moves.go
@@ -14,6 +14,7 @@
 func (f *Fleet) rebalance(ctx context.Context) {
 	state := f.pools()
 	moves := pools.Decide(state)
+	f.lacking = pools.Lacking(state, moves)
 	if len(moves) == 0 {
 		return
 	}
@@ -50,9 +51,9 @@
 		p := &pools.Pool{Name: name, Parked: s.Standby}
 		if c := f.cells[name]; c != nil {
 			p.Used, p.Backlog, p.Arriving, p.Short, p.Spare = c.Used, c.Backlog, c.Arriving, c.Short, c.Spare
-			p.Bound = boundOf(c.Bound)
+			p.Leftover, p.Bound = c.Leftover, boundOf(c.Bound)
 		}
-		if p.Backlog > 0 {
+		if p.Backlog > 0 || p.Leftover > 0 {
 			f.lastBusy[name] = now
 		}
 		p.Quiet = now - f.lastBusy[name]
@@ -77,7 +78,7 @@
 func boundOf(loads map[string]engine.BoundLoad) map[string]pools.Bound {
 	out := make(map[string]pools.Bound, len(loads))
 	for label, l := range loads {
-		out[label] = pools.Bound{Used: l.Used, Backlog: l.Backlog}
+		out[label] = pools.Bound{Used: l.Used, Backlog: l.Backlog, Leftover: l.Leftover}
 	}
 	return out
 }
@@ -119,6 +120,7 @@
 	Incoming int    `json:"incoming vms"`
 	Used     int    `json:"used cores"`
 	Backlog  int    `json:"backlog core seconds"`
+	Leftover int    `json:"core seconds too late to be of use"`
 	Arriving int    `json:"arriving core seconds a second"`
 	Short    int    `json:"short of vms"`
 	Labels   int    `json:"backlog bound to labels"`
@@ -129,7 +131,7 @@
 	for _, p := range state {
 		s := summary{
 			Pool: p.Name, VMs: len(p.VMs), Incoming: len(p.Coming), Used: int(p.Used),
-			Backlog: int(p.Backlog), Arriving: int(p.Arriving), Short: p.Short,
+			Backlog: int(p.Backlog), Leftover: int(p.Leftover), Arriving: int(p.Arriving), Short: p.Short,
 		}
 		for _, b := range p.Bound {
 			s.Labels += int(b.Backlog)
--- a/internal/fleetowner/waves.go
+++ b/internal/fleetowner/waves.go
@@ -112,7 +112,7 @@
 		c.Emptying = f.Clock.Now() - since
 	}
 	if view := f.cells[vm.Pool]; view != nil {
-		c.Backlog = view.Backlog > 0
+		c.Backlog = view.Waits()
 		c.Serial = time.Duration(view.Serial) * lastingMove
 	}
 	report := f.worker(vm)
--- a/policy/pools/pools.go
+++ b/policy/pools/pools.go
@@ -8,6 +8,10 @@
 // backlog that outlasts that, and idle VMs come from where the next burst is
 // furthest: as bursts take turns, that is where the last one has just ended.
 //
+// What is left of a burst that was more than the fleet bears is of no use to its callers any
+// more, and takes seconds to be worked off. It draws VMs only while nothing waits that is still
+// of use, and keeps none from where something does.
+//
 // Work that asks for a label waits although its pool has VMs enough, of another
 // kind: for it the pool draws VMs with the label, and gives the others away. A pool
 // that kept them for a backlog they can't take would let all other pools starve.
@@ -36,7 +40,8 @@
 	VMs      []VM          // up and open to new tasks
 	Coming   []VM          // on their way
 	Used     float64       // cores in use
-	Backlog  float64       // core-seconds that wait for room
+	Backlog  float64       // core-seconds that wait for room and are still of use
+	Leftover float64       // core-seconds that wait for room, too late to be of use
 	Arriving float64       // core-seconds a second that came of late
 	Short    int           // VMs that are lacked whatever is free on the others
 	Quiet    time.Duration // since it last had a backlog
@@ -48,8 +53,9 @@
 
 // Bound is load that asks for a label.
 type Bound struct {
-	Used    float64 // cores in use
-	Backlog float64 // core-seconds that wait for room
+	Used     float64 // cores in use
+	Backlog  float64 // core-seconds that wait for room and are still of use
+	Leftover float64
 }
 
 func (v *VM) has(label string) bool { return label == "" || slices.Contains(v.Labels, label) }
@@ -133,6 +139,9 @@
 func Decide(pools []Pool) []Move {
 	var moves []Move
 	split := equalSplit(pools)
+	if !slices.ContainsFunc(pools, func(p Pool) bool { return p.waitsInTime() }) {
+		pools = withLeftovers(pools)
+	}
 	wanting := wants(pools)
 	donors := donorsOf(pools, shareOf(split, keepShare))
 	for _, w := range wanting {
@@ -154,6 +163,55 @@
 	return append(moves, park(pools, shareOf(split, stayShare))...)
 }
 
+// waitsInTime reports whether the pool lacks something for work that is still of use.
+func (p *Pool) waitsInTime() bool { return !p.Parked && (p.Backlog > 0 || p.Short > 0) }
+
+// withLeftovers returns the pools with all that waits as their backlog.
+func withLeftovers(pools []Pool) []Pool {
+	out := slices.Clone(pools)
+	for i := range out {
+		p := &out[i]
+		p.Backlog += p.Leftover
+		bound := make(map[string]Bound, len(p.Bound))
+		for label, b := range p.Bound {
+			b.Backlog += b.Leftover
+			bound[label] = b
+		}
+		p.Bound = bound
+	}
+	return out
+}
+
+// Lacking returns the pools whose lack for work that is still of use the moves don't end.
+func Lacking(pools []Pool, moves []Move) []string {
+	var out []string
+	for _, w := range wants(pools) {
+		for _, m := range moves {
+			if m.To == w.name {
+				w.cores -= coresOf(pools, m)
+			}
+		}
+		if w.cores > 0 && !slices.Contains(out, w.name) {
+			out = append(out, w.name)
+		}
+	}
+	return out
+}
+
+func coresOf(pools []Pool, m Move) float64 {
+	for i := range pools {
+		if pools[i].Name != m.From {
+			continue
+		}
+		for _, vm := range pools[i].VMs {
+			if vm.ID == m.VM {
+				return vm.Cores
+			}
+		}
+	}
+	return 0
+}
+
 // lend returns the moves of VMs that nobody lacks to pools that could use some.
 func lend(pools []Pool, donors []donor) []Move {
 	var out []Move
--- a/policy/pools/pools_test.go
+++ b/policy/pools/pools_test.go
@@ -280,3 +280,33 @@
 	}
 	assert.Equal(t, len(Decide([]Pool{tries, {Name: "kept", VMs: vms("k", 3, 3, time.Second)}})), 1, "what a pool keeps is not lent")
 }
+
+// A burst was more than the fleet bears. What is left of it, too late for its callers, kept the
+// VMs that it had drawn until all was worked off, and jobs of other queues that could still have
+// been in time waited as long.
+func TestLeftoversOfABurstKeepNoVMsFromWorkThatIsStillOfUse(t *testing.T) {
+	pools := []Pool{
+		{Name: "burst", VMs: vms("b", 16, 6, time.Second), Used: 160, Leftover: 3000},
+		{Name: "steady", VMs: vms("s", 4, 0, 0), Used: 64, Backlog: 50},
+	}
+	moves := Decide(pools)
+	assert.Equal(t, len(moves), 4, "50 core-seconds within the goal are 56 cores")
+	for _, m := range moves {
+		assert.Equal(t, m.To, "steady")
+	}
+	assert.Equal(t, len(Lacking(pools, moves)), 0)
+	pools[0].VMs = vms("b", 16, 0, 0)
+	assert.Equal(t, len(Decide(pools)), 0)
+	assert.DeepEqual(t, Lacking(pools, nil), []string{"steady"})
+}
+
+// What is too late to be of use is worked off all the same once nothing else waits.
+func TestLeftoversDrawVMsWhileNothingElseWaits(t *testing.T) {
+	pools := []Pool{
+		{Name: "burst", VMs: vms("b", 4, 0, 0), Used: 64, Leftover: 50, Bound: map[string]Bound{"gpu": {Leftover: 20}}},
+		{Name: "idle", VMs: vms("i", 8, 8, time.Second)},
+	}
+	moves := Decide(pools)
+	assert.Equal(t, len(moves), 4)
+	assert.Equal(t, len(Lacking(pools, nil)), 0, "nobody is kept from anything for it")
+}
