A clock tells lives apart by what one that began anew could show

An answer that is overtaken by another has a clock a moment older, and counted as of an unknown life: its run was not shown until a full list came, and acknowledgements waited. A life that began since the worker was last heard can't show more than that time and two seconds; what shows more is of this life, whatever came in between.

--- a/internal/devjobs/run.go
+++ b/internal/devjobs/run.go
@@ -36,6 +36,8 @@
 	oncePace  = 25 * time.Millisecond
 	onceSpec  = "150ms"
 	onceTasks = 4
+	// onceRestarts is how many workers start again under their IDs meanwhile.
+	onceRestarts = 2
 	// oncePatience ends Once where something does not come.
 	oncePatience = 60 * time.Second
 	// look separates looks at what is awaited.
@@ -137,7 +139,7 @@
 	accepted        time.Duration // from the first try to the last acceptance
 	finished        time.Duration // until the last job was shown as completed
 	wave            time.Duration
-	done            int // tasks that ended well, by the workers' count
+	done            int // runs that ended well, by the workers' count
 	twice           []string
 	keyed           keyedPlay
 	over            []string // starts above the workspace's limit
@@ -161,6 +163,11 @@
 				return nil, err
 			}
 		}
+		if i == onceJobs/2 {
+			if err := d.restartWorkers(); err != nil {
+				return nil, err
+			}
+		}
 		if err := d.handIn(ctx, standin.Job{ID: standin.JobID(i), Spec: onceSpec, Tasks: onceTasks}, i); err != nil {
 			return nil, err
 		}
@@ -188,6 +195,17 @@
 	return r, nil
 }
 
+// restartWorkers ends the lives of some workers unannounced, where they are not away for their
+// maintenance; the next begin under their IDs.
+func (d *Deployment) restartWorkers() error {
+	for vm := range onceRestarts {
+		if err := d.Platform.StartAgain(vm); err != nil {
+			return trace.Wrap(err)
+		}
+	}
+	return nil
+}
+
 // handIn hands the job in as callers do: again, at another entry VM, until it is
 // accepted.
 func (d *Deployment) handIn(ctx context.Context, j standin.Job, first int) error {
@@ -225,6 +243,7 @@
 	fmt.Fprintf(out, "starts over a limit   %d, by a workspace of %d tasks that has %d jobs of %d\n", len(r.over), exampleWorkspace.Tasks, r.keyed.accepted, onceTasks+1)
 	fmt.Fprintf(out, "revoked key           refused by all entry VMs after %.2f s, served again %d times\n", r.keyed.revoked.Seconds(), r.keyed.servedAgain)
 	fmt.Fprintf(out, "entry VMs shut down   2 of %d under the load of %.1f s\n", exampleEntries, r.accepted.Seconds())
+	fmt.Fprintf(out, "workers that crashed  %d at the most, and began again under their IDs\n", onceRestarts)
 	fmt.Fprintf(out, "maintenance wave      all %d VMs in %.1f s\n", exampleVMs(), r.wave.Seconds())
 	if r.completed != r.jobs || len(r.twice) > 0 || r.done < (r.jobs+r.keyed.accepted)*(onceTasks+1) ||
 		len(r.over) > 0 || r.keyed.servedAgain > 0 {
--- a/internal/engine/cell.go
+++ b/internal/engine/cell.go
@@ -11,7 +11,7 @@
 type CellReport struct {
 	Used     float64        `msgpack:"u"`           // cores in use
 	Backlog  float64        `msgpack:"b"`           // core-seconds that wait for room and are still of use
-	Leftover float64        `msgpack:"o,omitempty"` // core-seconds that wait and are too late to be
+	Leftover float64        `msgpack:"o,omitempty"` // core-seconds that wait, too late to be of use
 	Arriving float64        `msgpack:"a"`           // core-seconds a second that came of late
 	Short    int            `msgpack:"s"`           // VMs that lasting tasks lack, whatever is free on the others
 	Workers  []WorkerReport `msgpack:"w"`
@@ -26,9 +26,9 @@
 
 // BoundLoad is load that asks for a label.
 type BoundLoad struct {
-	Used     float64 `msgpack:"u"` // cores in use
-	Backlog  float64 `msgpack:"b"` // core-seconds that wait for room and are still of use
-	Leftover float64 `msgpack:"o,omitempty"`
+	Used     float64 `msgpack:"u"`           // cores in use
+	Backlog  float64 `msgpack:"b"`           // core-seconds that wait for room and are still of use
+	Leftover float64 `msgpack:"o,omitempty"` // core-seconds that wait, too late to be of use
 }
 
 // WorkerReport is one worker of a cell.
--- a/internal/engine/lives.go
+++ b/internal/engine/lives.go
@@ -123,10 +123,10 @@
 // clockAnew is the most that a worker's clock shows as its life begins.
 const clockAnew = 2 * time.Second
 
-// sameLife reports whether an answer with that clock is certainly of this life: its clock has
-// gone on, and one that had begun anew since could not have come so far.
+// sameLife reports whether an answer with that clock is certainly of this life: that of one which
+// began since this one was last heard could not have come so far.
 func (w *worker) sameLife(clock, now time.Duration) bool {
-	return clock >= w.clock && w.clock > now-w.clockAt+clockAnew
+	return w.clockAt != 0 && clock > now-w.clockAt+clockAnew
 }
 
 // mayReachNext reports whether a run may have begun in a life that follows this one unnoticed.
--- a/policy/pools/pools.go
+++ b/policy/pools/pools.go
@@ -55,7 +55,7 @@
 type Bound struct {
 	Used     float64 // cores in use
 	Backlog  float64 // core-seconds that wait for room and are still of use
-	Leftover float64
+	Leftover float64 // core-seconds that wait for room, too late to be of use
 }
 
 func (v *VM) has(label string) bool { return label == "" || slices.Contains(v.Labels, label) }
