--- a/internal/engine/listing.go
+++ b/internal/engine/listing.go
@@ -172,7 +172,7 @@
 		case w.info.Life == 0:
 			w.info.Life = l.Life
 		default:
-			w = c.startedAgain(w, l.Life, sent, now)
+			w = c.startedAgain(w, l.Life, now)
 			h.AckedThrough = 0 // counts the ends of the life before
 		}
 	}
