Crashes that another task explains still count towards the platform's bound

Cause, from the kept logs: two faulty tasks ran on one worker and crashed it together. As one was given up, the crash was taken off the other's record, which went from three crashes back to two and came to six or seven starts before it held five.

Change: such a crash stays in the record, acquitted. It says nothing of the task any more, but for a suspect it counts towards the five. A sound task is no suspect once its crashes are explained, and is not given up for them.

--- a/internal/engine/losses.go
+++ b/internal/engine/losses.go
@@ -282,7 +282,7 @@
 	lives := poison.crashes.Lives()
 	for _, j := range c.open {
 		j.eachTask(func(t *task) {
-			if left := t.crashes.Acquit(lives); len(left) < len(t.crashes) {
+			if left, changed := t.crashes.Acquit(lives); changed {
 				t.crashes = left
 				c.judgeRecord(t, now)
 				c.touch(j)
--- a/policy/crashes/crashes.go
+++ b/policy/crashes/crashes.go
@@ -64,10 +64,14 @@
 	Within time.Duration `json:"within_ns,omitempty"`
 	// Presumed: it is not known whether the worker lived to see the run.
 	Presumed bool `json:"presumed,omitempty"`
+	// Acquitted: another task, known for what it is, explains the crash.
+	Acquitted bool `json:"acquitted,omitempty"`
 }
 
 func (c Crash) factor() float64 {
 	switch {
+	case c.Acquitted:
+		return 1
 	case c.Presumed:
 		return presumedFactor
 	case c.Factor == 0:
@@ -96,18 +100,31 @@
 }
 
 // Suspect reports whether the task is to be tried apart from others.
-func (r Record) Suspect(prior float64) bool { return len(r) > 0 && r.odds(prior) >= suspectOdds }
+func (r Record) Suspect(prior float64) bool {
+	return r.count(Crash.counts) > 0 && r.odds(prior) >= suspectOdds
+}
 
-// Poison reports whether the task crashes whatever starts it. It is to be given up.
+// Poison reports whether the task crashes whatever starts it. It is to be given up. Crashes that
+// another task explains count for a suspect all the same as far as the platform's bound goes: of
+// two faulty tasks on one worker only one can be known to have caused its crash.
 func (r Record) Poison(prior float64) bool {
-	return len(r) >= mostCrashes || r.certain() >= certainCrashes && r.odds(prior) >= poisonOdds
+	switch {
+	case r.count(Crash.counts) >= mostCrashes:
+		return true
+	case len(r) >= mostCrashes && r.Suspect(prior):
+		return true
+	}
+	return r.count(Crash.certain) >= certainCrashes && r.odds(prior) >= poisonOdds
 }
 
-// certain counts the crashes that are not presumed.
-func (r Record) certain() int {
+func (c Crash) counts() bool { return !c.Acquitted }
+
+func (c Crash) certain() bool { return c.counts() && !c.Presumed }
+
+func (r Record) count(which func(Crash) bool) int {
 	n := 0
 	for _, c := range r {
-		if !c.Presumed {
+		if which(c) {
 			n++
 		}
 	}
@@ -141,9 +158,15 @@
 	return out
 }
 
-// Acquit returns the record without the crashes of those lives.
-func (r Record) Acquit(lives []string) Record {
-	return slices.DeleteFunc(slices.Clone(r), func(c Crash) bool { return slices.Contains(lives, c.Life) })
+// Acquit takes the crashes of those lives as explained, and reports whether that changes any.
+func (r Record) Acquit(lives []string) (Record, bool) {
+	out, changed := slices.Clone(r), false
+	for i := range out {
+		if c := &out[i]; c.Life != "" && !c.Acquitted && slices.Contains(lives, c.Life) {
+			c.Acquitted, changed = true, true
+		}
+	}
+	return out, changed
 }
 
 // Latest returns the highest run in the record.
