A wave is not held by work that is too late to be of use

Cause: a wave leaves a VM alone while its pool has work waiting. What is too late waits longer since it yields, and held the wave as well.

Change: a wave goes by what is still of use. Test red before.

--- a/internal/fleetowner/fleet_test.go
+++ b/internal/fleetowner/fleet_test.go
@@ -419,3 +419,19 @@
 	r.pass(f)
 	assert.Equal(t, r.ordered(engine.OrderGone), 1, "told once")
 }
+
+// A wave misses its end: it leaves VMs alone while work waits, and what is too late to be of use
+// waits for as long as other cells lack VMs.
+func TestAWaveGoesOnWhileOnlyLateWorkWaits(t *testing.T) {
+	r := newRig()
+	r.vm("a1", "a")
+	f := r.fleet()
+	waits := func(report engine.CellReport) bool {
+		report.Workers = empty("a1")
+		r.reports["a"] = report
+		r.pass(f)
+		return f.candidate(&waveRun{}, r.vms[0], false).Backlog
+	}
+	assert.Equal(t, waits(engine.CellReport{Leftover: 20}), false)
+	assert.Equal(t, waits(engine.CellReport{Backlog: 20}), true)
+}
--- a/internal/fleetowner/waves.go
+++ b/internal/fleetowner/waves.go
@@ -112,7 +112,7 @@
 		c.Emptying = f.Clock.Now() - since
 	}
 	if view := f.cells[vm.Pool]; view != nil {
-		c.Backlog = view.Waits()
+		c.Backlog = view.Backlog > 0
 		c.Serial = time.Duration(view.Serial) * lastingMove
 	}
 	report := f.worker(vm)
