Cells no longer leave late jobs unbegun for others

Cause: a cell that is told that others lack VMs began no late job. Why it was told for so long was not traced. Change: that word, and all that acted on it, is taken out; the allocator still goes by what is of use first.

--- a/internal/engine/cell.go
+++ b/internal/engine/cell.go
@@ -89,8 +89,6 @@
 	// Joined are workers that live in the cell's pool by the platform's list of VMs and
 	// are missing in the cell's reports.
 	Joined []work.WorkerID `msgpack:"j,omitempty"`
-	// Lack: other cells lack VMs for work that is still of use, and none are idle.
-	Lack bool `msgpack:"l,omitempty"`
 }
 
 // CellAnswer answers a CellSync.
@@ -110,9 +108,6 @@
 		return CellAnswer{}, ErrNotReady
 	}
 	e.fleetToken = s.Token
-	if s.Lack {
-		e.core.lackElsewhere(now)
-	}
 	var a CellAnswer
 	for _, o := range s.Orders {
 		a.Taken = append(a.Taken, e.core.obey(o, s.Token, now))
--- a/internal/engine/core.go
+++ b/internal/engine/core.go
@@ -60,8 +60,6 @@
 	// certain and a successor may rely on our silence.
 	startsUntil      time.Duration
 	inherited        time.Duration // see Inherit
-	lackAt           time.Duration // when other cells were last said to lack VMs; 0: never
-	lackSince        time.Duration // since when that was said again and again
 	fleetKnown       bool          // the platform's list of VMs was read
 	roomKnown        time.Duration // see RoomKnown
 	crashRate        crashes.Rate  // of workers, by themselves
--- a/internal/engine/plan.go
+++ b/internal/engine/plan.go
@@ -190,9 +190,6 @@
 			c.held = true
 			break
 		}
-		if v.rank.Tier == joborder.TierUseless && c.yields(now) {
-			break
-		}
 		// Steps that find no room, or none within their workspace's limit, are passed over
 		// without a look at their tasks: hundreds of them wait.
 		if !planner.MayFit(v.step.spec) || v.step.exhausted(planner) {
--- a/internal/fleetowner/cells.go
+++ b/internal/fleetowner/cells.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"sync"
 
 	"github.com/pumicestage/pumicestage/internal/engine"
@@ -46,7 +45,7 @@
 			continue
 		}
 		calls.Go(func() {
-			a, err := f.syncCell(ctx, cell, engine.CellSync{Token: f.Term.Token(), Orders: list, Joined: joined[cell], Lack: f.lackedBeside(cell)})
+			a, err := f.syncCell(ctx, cell, engine.CellSync{Token: f.Term.Token(), Orders: list, Joined: joined[cell]})
 			if err != nil {
 				return
 			}
@@ -65,11 +64,6 @@
 	return taken
 }
 
-// lackedBeside reports whether another cell lacks VMs that none could be moved to.
-func (f *Fleet) lackedBeside(cell string) bool {
-	return slices.ContainsFunc(f.lacking, func(name string) bool { return name != cell })
-}
-
 func (f *Fleet) syncCell(ctx context.Context, cell string, s engine.CellSync) (engine.CellAnswer, error) {
 	call, cancel := context.WithTimeout(ctx, syncTimeout)
 	defer cancel()
--- a/internal/fleetowner/fleet.go
+++ b/internal/fleetowner/fleet.go
@@ -91,7 +91,6 @@
 	waves    map[string]*waveRun
 	due      map[work.WorkerID]bool   // workers whose VMs a wave has yet to take
 	lastBusy map[string]time.Duration // when each service last had a backlog
-	lacking  []string                 // cells that lack VMs beyond those that could be moved, as of the last decision
 	// inherited are the VMs that were not up when this owner took over.
 	inherited map[string]bool
 	wg        sync.WaitGroup
--- a/internal/fleetowner/moves.go
+++ b/internal/fleetowner/moves.go
@@ -14,7 +14,6 @@
 func (f *Fleet) rebalance(ctx context.Context) {
 	state := f.pools()
 	moves := pools.Decide(state)
-	f.lacking = pools.Lacking(state, moves)
 	if len(moves) == 0 {
 		return
 	}
--- a/policy/pools/pools.go
+++ b/policy/pools/pools.go
@@ -182,36 +182,6 @@
 	return out
 }
 
-// Lacking returns the pools whose lack for work that is still of use the moves don't end.
-func Lacking(pools []Pool, moves []Move) []string {
-	var out []string
-	for _, w := range wants(pools) {
-		for _, m := range moves {
-			if m.To == w.name {
-				w.cores -= coresOf(pools, m)
-			}
-		}
-		if w.cores > 0 && !slices.Contains(out, w.name) {
-			out = append(out, w.name)
-		}
-	}
-	return out
-}
-
-func coresOf(pools []Pool, m Move) float64 {
-	for i := range pools {
-		if pools[i].Name != m.From {
-			continue
-		}
-		for _, vm := range pools[i].VMs {
-			if vm.ID == m.VM {
-				return vm.Cores
-			}
-		}
-	}
-	return 0
-}
-
 // lend returns the moves of VMs that nobody lacks to pools that could use some.
 func lend(pools []Pool, donors []donor) []Move {
 	var out []Move
