Bound an owner's unanswered starts by how fast answers come

Cause: the link of the cell's owner, 2 Mbit/s there. Up to 200 starts of some 900 bytes were under way, 0.7 s of that link. Traced by counting bytes and response times at the owner: the fastest answer in a quarter of a second took 7 ms at first, 101 ms after 1.7 s and 216 ms after 3.7 s, then all calls timed out, were repeated, and 70 of 199 KB/s were starts given up. Workers that answered passed for silent until their leases had run out, and tasks whose ends were in lost answers were started again. The first guess, a lease that the owner misjudged, is ruled out: the deadlines and the worker's clock agree.

Change: a window of starts in the manner of TCP's congestion control. It opens by fast answers while starts wait for it and shrinks while even the fastest recent answer is slow. Silent or slow workers don't close it.

--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -122,6 +122,7 @@
 	fleetToken int64
 
 	handover         overload.Handover
+	startWindow      overload.StartWindow
 	startedAt        time.Duration // when Run began
 	unansweredStarts atomic.Int64  // start orders sent and not answered yet
 
@@ -230,7 +231,9 @@
 		e.core.CapacityKnownAt(e.RegistryCompleteAt())
 	}
 	e.core.AdjustLoad(e.minSchedulingDelay(), now)
-	e.core.LimitStarts(int(e.unansweredStarts.Load()))
+	unanswered := int(e.unansweredStarts.Load())
+	e.core.LimitStarts(unanswered)
+	e.core.CapStarts(e.startWindow.Left(unanswered))
 	orders := e.core.Plan(now, e.Clock.Wall())
 	deposed := e.core.Deposed()
 	all, final := e.core.Dirty()
--- a/internal/engine/overload.go
+++ b/internal/engine/overload.go
@@ -32,6 +32,21 @@
 	return context.WithTimeout(ctx, d+overload.ExtraTimeout(e.maxSchedulingDelay()))
 }
 
+// observeResponse tells the start window how a start or stop ended that was sent at that time. e.mu
+// must be held.
+func (e *Engine) observeResponse(out Outcome, sent time.Duration) {
+	now, narrow := e.Clock.Now(), e.startWindow.Narrow()
+	switch out {
+	case OutcomeUnknown, OutcomeNotSent:
+		e.startWindow.Unanswered(now-sent, now)
+	default:
+		e.startWindow.Answered(now-sent, e.core.StartsDeferred(), now)
+	}
+	if e.startWindow.Narrow() != narrow {
+		e.Log.Info("slow answers of all workers limit the starts", "limited", !narrow, "starts", e.startWindow.Size(), "took", (now - sent).String())
+	}
+}
+
 // handOverDue reports whether the cell is to be handed over to another VM: because this owner stays
 // overloaded, or because it has no open jobs and a larger VM is free.
 func (e *Engine) handOverDue() bool {
@@ -64,6 +79,9 @@
 // answered yet.
 func (c *Core) LimitStarts(unanswered int) { c.startsLeft = c.governor.StartsLeft(unanswered) }
 
+// CapStarts lowers the bound on the starts of the next plan to n, if it is higher.
+func (c *Core) CapStarts(n int) { c.startsLeft = min(c.startsLeft, n) }
+
 // pollPause returns the pause between two polls of a worker.
 func (c *Core) pollPause() time.Duration {
 	return c.governor.PollPause(polling.MinInterval(c.busyWorkers))
--- a/internal/engine/overload_test.go
+++ b/internal/engine/overload_test.go
@@ -72,6 +72,30 @@
 	assert.Assert(t, !b.core.StartsDeferred())
 }
 
+// Guards against starts that fill the link of the owner's VM, so that calls to workers time out
+// and workers that answer are taken for silent: the answers to starts and stops must bound the
+// starts of the next plan.
+func TestSlowAnswersLimitStarts(t *testing.T) {
+	e, _ := newEngine(t, &fakeTerm{certain: true})
+	clock := &advancingClock{now: time.Minute}
+	e.Clock = clock
+	e.plan(t.Context())
+	before := e.core.startsLeft
+	e.observeResponse(OutcomeOK, clock.Now())
+	for range 20 {
+		now := clock.Now()
+		for range 4 {
+			e.startWindow.Answered(time.Second, false, now)
+		}
+		e.observeResponse(OutcomeUnknown, now-time.Second)
+	}
+	e.plan(t.Context())
+	assert.Assert(t, e.core.startsLeft < before/2, "%d, then %d", before, e.core.startsLeft)
+	e.unansweredStarts.Store(int64(e.startWindow.Size()))
+	e.plan(t.Context())
+	assert.Equal(t, e.core.startsLeft, 0)
+}
+
 // advancingClock advances by 100 ms with each call of Now.
 type advancingClock struct {
 	mu  sync.Mutex
--- a/internal/engine/send.go
+++ b/internal/engine/send.go
@@ -45,13 +45,18 @@
 
 func (e *Engine) start(ctx context.Context, o StartOrder) {
 	out, clock := OutcomeNotSent, time.Duration(0)
-	if e.ordersAllowed() && e.startSending(o) {
+	send := e.ordersAllowed() && e.startSending(o)
+	sent := e.Clock.Now()
+	if send {
 		call, cancel := e.withExtraTimeout(ctx, orderTimeout)
 		out, clock = e.Workers.Start(call, &o.Worker, o.Start)
 		cancel()
 	}
 	e.Metrics.countStart(out)
 	e.mu.Lock()
+	if send {
+		e.observeResponse(out, sent)
+	}
 	e.core.StartAnswered(o, out, clock, e.Clock.Now())
 	held := e.core.StartsDeferred()
 	e.mu.Unlock()
@@ -75,9 +80,11 @@
 	}
 	call, cancel := e.withExtraTimeout(ctx, orderTimeout)
 	defer cancel()
+	sent := e.Clock.Now()
 	out := e.Workers.Stop(call, &o.Worker, o.Task, o.Run, e.Term.Token())
 	e.Metrics.countStop(out)
 	e.mu.Lock()
+	e.observeResponse(out, sent)
 	e.core.StopAnswered(o, out, e.Clock.Now())
 	e.mu.Unlock()
 	e.wake(o.Worker.ID)
