Don't forward calls that leave no time for the answer

The budget of a call to a worker that another entry VM makes was reckoned before the connection to that VM was opened, which may take all of the call's time, and it could be negative. The worker was then called, or reported as not reached, when the owner had given up; an owner that gives up on a connection that brought nothing else closes it, and the outcome of all other calls on it is uncertain.

The connection is opened first now, and a call whose time is within the margin for the answer is not sent: the owner knows that the worker was not called and calls it directly.

--- a/internal/ownerlink/link_test.go
+++ b/internal/ownerlink/link_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"runtime"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -176,6 +177,46 @@
 	assert.Equal(t, ended, int64(9))
 }
 
+// countingWorkers counts the calls that are forwarded to it, and answers them.
+type countingWorkers struct {
+	engine.Workers
+	calls atomic.Int64
+}
+
+func (w *countingWorkers) Stop(context.Context, *engine.WorkerInfo, work.TaskRef, int, int64) engine.Outcome {
+	w.calls.Add(1)
+	return engine.OutcomeOK
+}
+
+// Guards against a call that is forwarded although its timeout leaves no time to answer: the
+// worker would be called when the owner has given up, and the connection be closed with all other
+// calls on it. The owner must be told that the worker was not called.
+func TestACallWithoutTimeForAnAnswerIsNotForwarded(t *testing.T) {
+	workers := &countingWorkers{}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	s := &Server{Listener: l, Log: logr.Discard(), Workers: workers}
+	go func() { defer close(done); s.Run(ctx) }()
+	t.Cleanup(func() { cancel(); <-done })
+	f := ForwardingClient{Link: &Client{Log: logr.Discard()}, Address: l.Addr().String()}
+	for _, c := range []struct {
+		timeout time.Duration
+		result  ForwardResult
+		calls   int64
+	}{
+		{forwardMargin, ForwardNotSent, 0},
+		{time.Minute, ForwardAnswered, 1},
+	} {
+		call, end := context.WithTimeout(t.Context(), c.timeout)
+		_, result := f.Stop(call, &engine.WorkerInfo{ID: "w1"}, work.TaskRef{}, 1, 1)
+		end()
+		assert.Equal(t, result, c.result, "timeout %s", c.timeout)
+		assert.Equal(t, workers.calls.Load(), c.calls, "timeout %s", c.timeout)
+	}
+}
+
 // An entry VM answers some calls and is late with one, as the worker that it calls does not
 // answer or its processor is slow. Closing the connection on that timeout would make the outcome
 // of all other calls on it uncertain, and a busy owner would repeat them.
--- a/internal/ownerlink/workers.go
+++ b/internal/ownerlink/workers.go
@@ -108,7 +108,15 @@
 	if !bounded {
 		end = time.Now().Add(serveTimeout)
 	}
+	// Connecting may take a part of the time, so that what is left is known only afterwards.
+	if _, err := f.Link.connect(ctx, f.Address); err != nil {
+		return workerAnswer{Outcome: engine.OutcomeNotSent}, ForwardNotSent
+	}
 	c.Budget = time.Until(end) - forwardMargin
+	if c.Budget <= 0 {
+		f.Link.Log.V(1).Info("no time left to forward a call", "worker", w.ID, "address", f.Address)
+		return workerAnswer{Outcome: engine.OutcomeNotSent}, ForwardNotSent
+	}
 	raw, err := pack(&c)
 	if err != nil {
 		f.Link.Log.Error(err, "encoding a call to a worker for forwarding failed", "worker", w.ID)
