EndLease fails where the peer does not end leases

Read in the code, no run showed it. An entry VM that shuts down while the store is away asks others to end its leases, one after the other until one accepts. An entry VM that can't end leases answered "not ready", which was taken for success: the lease was logged as handed over, nobody ended it, and its duty had no owner until it ran out, 1.6 s in which callers wait.

The answer's result is returned now, so that the next entry VM is asked. The new test failed before with a nil error. The other calls of the client that return no data look at the result already; Ping asks only whether there is an answer, and a configuration without a version is not taken.

--- a/internal/ownerlink/client.go
+++ b/internal/ownerlink/client.go
@@ -155,11 +155,14 @@
 	return err == nil
 }
 
-// EndLease asks the entry VM at the address to end a lease as soon as the store answers. The
-// error tells only whether the request was answered.
+// EndLease asks the entry VM at the address to end a lease as soon as the store answers. nil means
+// that it will try to; engine.ErrNotReady that it does not end leases.
 func (c *Client) EndLease(ctx context.Context, address string, lease int64) error {
-	_, err := c.call(ctx, Peer{Address: address}, &request{Kind: kindEndLease, Lease: lease})
-	return err
+	resp, err := c.call(ctx, Peer{Address: address}, &request{Kind: kindEndLease, Lease: lease})
+	if err != nil {
+		return err
+	}
+	return resp.Result.err()
 }
 
 // call sends a request and waits for its answer, as exchange does, and compares this entry
--- a/internal/ownerlink/link_test.go
+++ b/internal/ownerlink/link_test.go
@@ -177,6 +177,14 @@
 	assert.Equal(t, ended, int64(9))
 }
 
+// Guards against an owner that shuts down and takes its lease for handed over, although the other
+// entry VM can't end leases: its duties would have no owner until the lease runs out.
+func TestEndLeaseFailsWhereThePeerDoesNotEndLeases(t *testing.T) {
+	p := serve(t, &fakeOwner{})
+	c := &Client{Log: logr.Discard()}
+	assert.ErrorIs(t, c.EndLease(t.Context(), p.Address, 9), engine.ErrNotReady)
+}
+
 // countingWorkers counts the calls that are forwarded to it, and answers them.
 type countingWorkers struct {
 	engine.Workers
