A crash names the worker's incarnation, not its ID

Each start takes a worker down with all that runs on it.

Cause: where workers start again under their IDs, the crashes of a task that is given up were taken to explain what another task had done to a later incarnation under the same ID.

--- a/internal/engine/crash_sim_test.go
+++ b/internal/engine/crash_sim_test.go
@@ -29,6 +29,10 @@
 	ended          map[work.JobID]work.State
 	detectionDelay time.Duration // from a crash until the list of VMs shows it
 	storeAvailable bool          // the store accepts changes
+	vmAbsence      time.Duration // from a crash until the VM is back
+	noticeDelay    time.Duration // from a crash until polls of the worker fail
+	// keepsID reports whether the worker that follows a crashed one has its ID; nil: none has.
+	keepsID func() bool
 
 	// spontaneousRate is the probability per second that a worker crashes without a task as the cause.
 	spontaneousRate     float64
@@ -45,15 +49,18 @@
 type vmReturn struct {
 	at      time.Duration
 	address string
+	id      work.WorkerID // of the new worker; empty: a new one
 }
 
 // simWorker is one incarnation of a simulated worker.
 type simWorker struct {
 	address    string
+	born       work.Incarnation
 	runs       map[work.TaskRef]simRun
 	ends       []RunEnd
 	seq        int64
 	dead       bool
+	noticedAt  time.Duration // when polls of it fail
 	detectedAt time.Duration // when the list of VMs shows that it has ended
 }
 
@@ -76,7 +83,7 @@
 	w := &crashSim{
 		rig: rig{t: t, now: time.Hour, wall: epoch}, rng: rand.New(rand.NewPCG(seed, 1)),
 		simWorkers: make(map[work.WorkerID]*simWorker), progress: make(map[work.JobID]*Progress), records: make(map[work.JobID]*JobRecord),
-		ended: make(map[work.JobID]work.State), storeAvailable: true, detectionDelay: simDetectionDelay,
+		ended: make(map[work.JobID]work.State), storeAvailable: true, detectionDelay: simDetectionDelay, vmAbsence: simVMAbsence,
 		crashAfter: func(work.TaskRef) time.Duration { return 0 },
 		workTime:   func(work.TaskRef) time.Duration { return time.Second },
 		starts:     make(map[work.TaskRef]int), crashesUnder: make(map[work.TaskRef]int),
@@ -84,21 +91,29 @@
 	}
 	w.core = w.successor(token)
 	for i := range workers {
-		w.join(fmt.Sprintf("v%d:80", i))
+		w.join(fmt.Sprintf("v%d:80", i), "")
 	}
 	return w
 }
 
-func (w *crashSim) join(address string) {
+// between returns a random duration of at least from and less than to, in whole milliseconds.
+func (w *crashSim) between(from, to time.Duration) time.Duration {
+	return from + time.Duration(w.rng.IntN(int((to-from)/time.Millisecond)))*time.Millisecond
+}
+
+// join adds a worker on the VM with the address. It has that ID, or a new one if that is empty.
+func (w *crashSim) join(address string, id work.WorkerID) {
 	w.joined++
-	id := work.WorkerID(fmt.Sprintf("w%d", w.joined))
-	w.simWorkers[id] = &simWorker{address: address, runs: make(map[work.TaskRef]simRun)}
+	if id == "" {
+		id = work.WorkerID(fmt.Sprintf("w%d", w.joined))
+	}
+	w.simWorkers[id] = &simWorker{address: address, born: work.Incarnation(w.joined), runs: make(map[work.TaskRef]simRun)}
 	w.register(id)
 }
 
 func (w *crashSim) register(id work.WorkerID) {
 	i := info(id)
-	i.Address = w.simWorkers[id].address
+	i.Address, i.Incarnation = w.simWorkers[id].address, w.simWorkers[id].born
 	w.core.WorkerRegistered(i)
 	w.poll(id)
 }
@@ -192,14 +207,14 @@
 		case w.now >= l.detectedAt:
 			delete(w.simWorkers, id)
 			w.core.WorkerGone(id, "its VM runs another incarnation or none", w.now)
-		default:
+		case w.now >= l.noticedAt:
 			w.core.PollFailed(id, OutcomeNotSent, w.now)
 		}
 	}
 	for len(w.returns) > 0 && w.now >= w.returns[0].at {
-		address := w.returns[0].address
+		r := w.returns[0]
 		w.returns = w.returns[1:]
-		w.join(address)
+		w.join(r.address, r.id)
 	}
 }
 
@@ -221,8 +236,13 @@
 			w.breakGang(ref.StepRef)
 		}
 	}
-	l.dead, l.detectedAt = true, w.now+w.detectionDelay
-	w.returns = append(w.returns, vmReturn{at: w.now + simVMAbsence, address: l.address})
+	l.dead, l.noticedAt = true, w.now+w.noticeDelay
+	l.detectedAt = l.noticedAt + w.detectionDelay
+	next := vmReturn{at: w.now + w.vmAbsence, address: l.address}
+	if w.keepsID != nil && w.keepsID() {
+		next.id = id
+	}
+	w.returns = append(w.returns, next)
 }
 
 // breakGang ends the runs of a gang that lost a member.
@@ -262,7 +282,7 @@
 	if !due || l.dead {
 		return
 	}
-	listing := Listing{Clock: w.now, Ended: slices.Clone(l.ends)}
+	listing := Listing{Clock: w.now, Life: l.born, Ended: slices.Clone(l.ends)}
 	for _, ref := range l.tasks() {
 		listing.Running = append(listing.Running, Run{Task: ref, Run: l.runs[ref].run, Percent: fullPercent})
 	}
--- a/internal/engine/crash_test.go
+++ b/internal/engine/crash_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -59,6 +60,53 @@
 	}
 }
 
+// Guards against a faulty task that crashes one worker after another because its crashes are taken
+// to be explained by another task that crashed a later incarnation under the same ID. It needs slow
+// detection of crashes, so that no single crash proves the fault.
+func TestCrashesAreCountedWhereWorkersKeepTheirIDs(t *testing.T) {
+	const firstSeed = 1021
+	for seed := range uint64(*crashSeeds) {
+		w := newSeededCrashSim(t, 5, firstSeed+seed)
+		w.vmAbsence, w.spontaneousRate = 300*time.Millisecond, 0.1
+		w.keepsID = func() bool { return w.rng.IntN(2) == 0 }
+		workTimes := make(map[work.TaskRef]time.Duration)
+		w.workTime = func(ref work.TaskRef) time.Duration {
+			if workTimes[ref] == 0 {
+				workTimes[ref] = w.between(10*time.Millisecond, 130*time.Millisecond)
+			}
+			return workTimes[ref]
+		}
+		var faulty []work.JobID
+		w.crashAfter = func(ref work.TaskRef) time.Duration {
+			if slices.Contains(faulty, ref.Job) {
+				return simTick
+			}
+			return 0
+		}
+		nextSound, nextFaulty, sound := w.now, w.now, 0
+		for end := w.now + 12*time.Second; w.now < end; {
+			w.noticeDelay = w.between(0, 600*time.Millisecond)
+			w.detectionDelay = w.between(10*time.Millisecond, 610*time.Millisecond)
+			if w.now >= nextSound {
+				sound++
+				w.submit(work.JobID(fmt.Sprintf("sound%d", sound)), short(3))
+				nextSound = w.now + w.between(20*time.Millisecond, 80*time.Millisecond)
+			}
+			if w.now >= nextFaulty {
+				id := work.JobID(fmt.Sprintf("faulty%d", len(faulty)))
+				faulty = append(faulty, id)
+				w.submit(id, short(1+w.rng.IntN(3)))
+				nextFaulty = w.now + w.between(500*time.Millisecond, 3*time.Second)
+			}
+			w.run(simTick)
+		}
+		w.run(30 * time.Second)
+		for _, id := range faulty {
+			assertGivenUp(t, w, id)
+		}
+	}
+}
+
 // Guards against giving up sound jobs together with a faulty one because they lost the same
 // workers.
 func TestSoundWorkBesideACrashingTaskIsDone(t *testing.T) {
--- a/internal/engine/incarnations.go
+++ b/internal/engine/incarnations.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
 	"time"
 
@@ -104,6 +105,15 @@
 	}
 }
 
+// incarnationID returns text that tells this incarnation from all others, also from those under
+// the same ID.
+func (w *worker) incarnationID() string {
+	if w.info.Incarnation == 0 {
+		return string(w.info.ID)
+	}
+	return fmt.Sprintf("%s/%d", w.info.ID, w.info.Incarnation)
+}
+
 // hasEnded reports whether that incarnation of the worker is known to have ended.
 func (c *Core) hasEnded(id work.WorkerID, incarnation work.Incarnation) bool {
 	return slices.Contains(c.endedIncarnations[id], incarnation)
--- a/internal/engine/losses.go
+++ b/internal/engine/losses.go
@@ -202,7 +202,7 @@
 	}
 	for i, blamed := range verdict.Blamed {
 		if blamed.Factor > 0 {
-			blamed.Run, blamed.Worker = cr.lost[i].run, string(w.info.ID)
+			blamed.Run, blamed.Worker = cr.lost[i].run, w.incarnationID()
 			c.recordTaskCrash(cr.lost[i], w, blamed, now)
 		}
 	}
--- a/policy/crashes/crashes.go
+++ b/policy/crashes/crashes.go
@@ -60,7 +60,7 @@
 // Crash is one run of a task that ended with a crash of its worker.
 type Crash struct {
 	Run    int    `json:"run"`
-	Worker string `json:"life,omitempty"` // ID of the worker; empty if unknown. Later incarnations may have the same ID
+	Worker string `json:"life,omitempty"` // the worker's incarnation, as the owner names it; empty if unknown
 	// Factor is the likelihood ratio: how many times likelier the crash is if the task causes
 	// crashes than if it doesn't. 0 stands for unratedFactor.
 	Factor float64 `json:"factor,omitempty"`
@@ -156,7 +156,7 @@
 	return slices.DeleteFunc(slices.Clone(r), func(c Crash) bool { return c.Run == run })
 }
 
-// Workers returns the known IDs of the workers that crashed.
+// Workers returns the known incarnations of workers that crashed.
 func (r Record) Workers() []string {
 	var out []string
 	for _, c := range r {
