A commit key that can't be read names no later owner

Read in the code; the new test shows it. If a commit key was missing or malformed, an owner ended its term "as a later owner has written", and all jobs in its batch were answered as not ready. Its successors failed to take the malformed key over and retried for ever: the cell had no owner until somebody repaired the key.

Only a mark with a greater token ends the term now. A key that is missing or malformed is written over under the condition that it has not changed, by the owner and in a take-over; a batch that may be stored already finds its jobs by their own keys. An answer of the store without the key still ends the term, for that reason.

--- a/internal/engine/committer.go
+++ b/internal/engine/committer.go
@@ -188,19 +188,34 @@
 	c.w.finishFlush(b, nil)
 }
 
+// decodeMark decodes a commit key. One that is missing or malformed names no owner, and its mark is
+// zero: the key is then written over, under the condition that it has not changed.
+func (e *Engine) decodeMark(kv infra.KV) commitMark {
+	var mark commitMark
+	if kv.ModRevision == 0 {
+		return mark
+	}
+	if err := json.Unmarshal(kv.Value, &mark); err != nil {
+		e.Log.Error(err, "commit key is malformed, taken for free", "key", kv.Key)
+		return commitMark{}
+	}
+	return mark
+}
+
 // conflict handles a transaction whose conditions failed; reads holds the commit key and
 // then the key of each new job. It reports whether the rest of the batch must be sent again:
 // not if a later owner has written, which ends the term, nor if an earlier attempt of this
 // batch took effect. New jobs that are stored already are taken out of the batch.
 func (c *committer) conflict(b *batch, reads []infra.KV) bool {
 	w := c.w
-	var mark commitMark
-	if len(reads) > 0 && reads[0].ModRevision != 0 {
-		if err := json.Unmarshal(reads[0].Value, &mark); err != nil {
-			w.engine.Log.Error(err, "commit key is malformed")
-		}
+	if len(reads) == 0 {
+		w.engine.Log.Info("the store's answer to a failed transaction lacks the commit key", "key", c.key)
+		w.abandon(b)
+		w.engine.Term.End("the store's answer lacks the commit key")
+		return false
 	}
-	if len(reads) == 0 || mark.Token != w.engine.Term.Token() {
+	mark := w.engine.decodeMark(reads[0])
+	if mark.Token > w.engine.Term.Token() {
 		w.engine.Log.Info("fenced: a later owner has written the commit key", "token", mark.Token)
 		w.abandon(b)
 		w.engine.Term.End("a later owner has written")
--- a/internal/engine/restore.go
+++ b/internal/engine/restore.go
@@ -74,12 +74,7 @@
 	if err != nil {
 		return false, trace.Wrap(err)
 	}
-	var old commitMark
-	if kv.ModRevision != 0 {
-		if err := json.Unmarshal(kv.Value, &old); err != nil {
-			return false, trace.Wrap(err, "commit key is malformed")
-		}
-	}
+	old := e.decodeMark(kv)
 	if old.Token > e.Term.Token() {
 		return false, trace.CompareFailed("a later owner with token %d has written commit key %q", old.Token, c.key)
 	}
--- a/internal/engine/writer_test.go
+++ b/internal/engine/writer_test.go
@@ -140,6 +140,43 @@
 	}
 }
 
+// Guards against a cell that loses its owner, and finds no other, because a commit key is missing or
+// can't be read: such a key names no later owner.
+func TestAnUnreadableCommitKeyNamesNoOwner(t *testing.T) {
+	for name, change := range map[string]infra.Op{
+		"malformed": infra.Put(infra.WorkCommitKey(service, 0), []byte("{")),
+		"removed":   infra.Delete(infra.WorkCommitKey(service, 0)),
+	} {
+		t.Run(name, func(t *testing.T) {
+			term := &fakeTerm{certain: true}
+			e, store := newEngine(t, term)
+			_, err := e.takeCommitKeys(t.Context())
+			assert.NilError(t, err)
+			for i := range 2 {
+				_, err = store.Txn(t.Context(), infra.Txn{Then: []infra.Op{change}})
+				assert.NilError(t, err)
+				create := newCreation(t, work.JobID(fmt.Sprintf("j%d", i)))
+				e.writer.committers[0].store(t.Context(), &batch{creates: []*creation{create}, seq: int64(i + 1)})
+				assert.NilError(t, <-create.done)
+			}
+			assert.Equal(t, term.ended, "")
+
+			_, err = store.Txn(t.Context(), infra.Txn{Then: []infra.Op{change}})
+			assert.NilError(t, err)
+			next := New(Options{
+				Cell: service, Store: store, Clock: fixedClock{}, Log: logr.Discard(), Term: successorTerm{},
+				Registry: func() []WorkerInfo { return nil }, Declared: func() Declared { return Declared{} },
+			})
+			_, err = next.takeCommitKeys(t.Context())
+			assert.NilError(t, err)
+			create := newCreation(t, "j9")
+			e.writer.committers[0].store(t.Context(), &batch{creates: []*creation{create}, seq: 3})
+			assert.ErrorIs(t, <-create.done, ErrNotReady)
+			assert.Equal(t, term.ended, "a later owner has written")
+		})
+	}
+}
+
 // successorTerm is the Term of the owner that follows newEngine's. Its lease is certain and allows
 // orders for the first hour on the engine's clock.
 type successorTerm struct{}
