A wave whose window is full gives no refusal as its reason

Read in the code; the new case shows it. If the last remaining VM filled the window, `explain wave` named an earlier refusal as what holds the wave, such as a VM that an order holds, though the wave waits for nothing but the VMs that are out. The window is compared after the last VM as well now.

--- a/policy/wave/planner.go
+++ b/policy/wave/planner.go
@@ -155,9 +155,8 @@
 	return p.selectUpTo(free)
 }
 
-// selectUpTo returns at most limit VMs that may be taken out now. If it reaches
-// the end of the remaining VMs, it also returns why the first refused one was
-// refused.
+// selectUpTo returns at most limit VMs that may be taken out now. If it returns
+// fewer, it also returns why the first refused one was refused.
 func (p *planner) selectUpTo(limit int) ([]model.VMID, string) {
 	p.countServices()
 	p.sortRemaining()
@@ -165,7 +164,7 @@
 	var reason string
 	for _, v := range p.remaining {
 		if len(stops) == limit {
-			return stops, ""
+			break
 		}
 		if refusal := p.refusalReason(v); refusal != "" {
 			if reason == "" {
@@ -178,6 +177,9 @@
 		}
 		stops = append(stops, v.ID)
 	}
+	if len(stops) == limit {
+		return stops, ""
+	}
 	return stops, reason
 }
 
--- a/policy/wave/wave_test.go
+++ b/policy/wave/wave_test.go
@@ -86,6 +86,10 @@
 			markHeld(&s.VMs[0], model.VMRebooting)
 		}, Hold, 0, "waits for the canary VMs"},
 		{"declared batch size limits the stops", newSnapshot(5, 10, 4, 7, preferRollOutTime), func(s *Snapshot) { s.Wave.MaxBatch = 3 }, Go, 3, ""},
+		{"an earlier refusal is no reason once the window is full", newSnapshot(1, 2, 1, 0, preferRollOutTime), func(s *Snapshot) {
+			s.Wave.MaxBatch = 1
+			s.VMs[0].Holder = "order c1"
+		}, Go, 1, ""},
 		{"no headroom", newSnapshot(1, 10, 4, 10, preferRollOutTime), nil, Hold, 0, "service s0 has 10 of 10 VMs up and needs 10"},
 		{"the last headroom may be used without a reserve", newSnapshot(1, 10, 4, 9, preferRollOutTime), nil, Go, 1, "service s0 has 9 of 10 VMs up and needs 9"},
 		{"a failure uses up the headroom", newSnapshot(1, 10, 4, 9, preferRollOutTime), func(s *Snapshot) { s.VMs[9].Up = false }, Hold, 0, "service s0 has 9 of 10 VMs up and needs 9"},
