Store that a wave is completed, also if no further VM was done

Read in the code; the new test shows it. A wave's progress was stored only if the number of VMs that were done had changed. A wave that was completed as its last VM left the fleet was reported as completed and not stored so; the next owner of the fleet reported it as running, and maintained the VM if it came back. If storing failed in the pass that completed the wave, it was never tried again.

The progress is stored if the number or the completion has changed, in each pass until it is, and before the report, so that an owner that is lost in between leaves a successor that reports. Before, the test saw the states running, completed, running.

--- a/internal/fleetowner/fleet_test.go
+++ b/internal/fleetowner/fleet_test.go
@@ -257,6 +257,41 @@
 	assert.Assert(t, r.countOrders(engine.OrderVacate) > 0)
 }
 
+// Guards against a wave that is reported as running after it was reported as completed, and ordered
+// again for a VM that comes back: the next owner must know that it is completed, also where that
+// followed from a VM that left.
+func TestANewOwnerKnowsThatAWaveIsCompleted(t *testing.T) {
+	r := newFixture()
+	r.addVM("v1", "a")
+	r.addVM("v2", "a")
+	r.reports["a"], r.reports["b"] = engine.CellReport{Workers: idleWorkers("v1", "v2")}, engine.CellReport{}
+	r.waves = []OrderedWave{wave(1, "v1", "v2")}
+	first := r.fleet()
+	r.pass(first)
+	r.pass(first)
+	r.setVM("v1", work.VMMaintenance, "")
+	r.pass(first)
+	r.setVM("v1", work.VMUp, "w-next")
+	r.refusedClaims["w-v2"] = true
+	r.pass(first)
+	both := r.vms
+	r.vms = both[:1]
+	r.pass(first)
+	r.pass(first)
+	assert.DeepEqual(t, r.reportedStates, []bool{false, true})
+
+	r.vms = both
+	delete(r.refusedClaims, "w-v2")
+	calls := len(r.calls)
+	second := r.fleet()
+	second.Store = first.Store
+	for range 3 {
+		r.pass(second)
+	}
+	assert.DeepEqual(t, r.reportedStates, []bool{false, true, true})
+	assert.Equal(t, len(r.calls), calls, "nothing is ordered for a completed wave")
+}
+
 // The platform refuses reads of the list of VMs beyond a rate for all entry VMs together. With
 // one read per second a wave must work with a list that is up to four seconds old.
 func TestTheListOfVMsIsReadWithinThePlatformsRate(t *testing.T) {
--- a/internal/fleetowner/waves.go
+++ b/internal/fleetowner/waves.go
@@ -24,8 +24,11 @@
 	maintenanceTime = 2700 * time.Millisecond
 )
 
-// neverSaved is the value of waveRun.saved while nothing of the wave is stored.
-const neverSaved = -1
+// savedProgress tells which progress of a wave was stored.
+type savedProgress struct {
+	done      int // the number of VMs that were done
+	completed bool
+}
 
 // waveRun is the progress of a wave. Its exported fields are stored.
 type waveRun struct {
@@ -36,7 +39,7 @@
 	Seen time.Time `json:"seen,omitzero"`
 
 	reported      string
-	saved         int // the number of VMs that were done when the progress was last stored
+	saved         *savedProgress // what was stored last; nil: nothing
 	loaded        bool
 	drainingSince map[string]time.Duration // by VM: since when it has been closed to new tasks
 }
@@ -53,23 +56,24 @@
 		return nil
 	}
 	w.Seen = f.orderedAt(w, r)
-	if r.Completed {
-		f.report(ctx, w.Name, r)
-		return nil
+	var in upkeep.Input
+	if !r.Completed {
+		in = f.upkeepInput(w, r)
 	}
-	in := f.upkeepInput(w, r)
-	if len(in.Remaining) == 0 && in.Unavailable == 0 {
+	if !r.Completed && len(in.Remaining) == 0 && in.Unavailable == 0 {
 		r.Completed = true
 		clear(r.drainingSince)
 		f.Log.Info("wave completed", "wave", w.Name, "took", (f.Clock.Now() - w.Seen).String())
 	}
-	f.report(ctx, w.Name, r)
-	var orders []cellOrder
-	if !r.Completed {
-		d := upkeep.Decide(in)
-		f.maintain(ctx, w, r, d.Maintain)
-		orders = f.drainOrders(r, d)
+	if r.Completed {
+		f.saveWave(ctx, w.Name, r)
+		f.report(ctx, w.Name, r)
+		return nil
 	}
+	f.report(ctx, w.Name, r)
+	d := upkeep.Decide(in)
+	f.maintain(ctx, w, r, d.Maintain)
+	orders := f.drainOrders(r, d)
 	f.saveWave(ctx, w.Name, r)
 	return orders
 }
@@ -196,17 +200,22 @@
 		r.Done = make(map[string]bool)
 	}
 	r.loaded = true
-	r.saved = len(r.Done)
-	if kv.ModRevision == 0 {
-		r.saved = neverSaved
+	if kv.ModRevision != 0 {
+		r.saved = r.progress()
 	}
 	return true
 }
 
-// saveWave stores the progress if the number of VMs that are done has changed, so that the next
-// owner need not order the same maintenance again. A failure is logged and retried in the next pass.
+// progress returns the part of the progress whose changes are stored.
+func (r *waveRun) progress() *savedProgress {
+	return &savedProgress{done: len(r.Done), completed: r.Completed}
+}
+
+// saveWave stores the progress if it has changed, so that the next owner neither orders the same
+// maintenance again nor takes a completed wave for running. A failure is logged and retried in the
+// next pass.
 func (f *Fleet) saveWave(ctx context.Context, name string, r *waveRun) {
-	if r.saved == len(r.Done) {
+	if r.saved != nil && *r.saved == *r.progress() {
 		return
 	}
 	raw, err := json.Marshal(r)
@@ -219,7 +228,7 @@
 		f.Log.Info("storing the progress of a wave failed", "wave", name, "error", err.Error())
 		return
 	}
-	r.saved = len(r.Done)
+	r.saved = r.progress()
 }
 
 // report tells the operator the state of the wave if it has changed.
