A cancellation that partly took effect is uncertain, not refused

Read in the code; the new test shows it. Cancelling more jobs than one transaction holds takes several. If the first certainly failed and another took effect, or may have, the operator was told for each job that it was refused as the store is unavailable, which says that nothing was changed. The conversion looked at the first of the joined errors only.

Cancel returns an uncertain error now if any transaction took effect or any is uncertain, so that the order's outcome is unknown and a repeat under its change ID cancels the rest. Both cases of the test came back without an error before, with all jobs refused.

--- a/internal/jobs/cancel.go
+++ b/internal/jobs/cancel.go
@@ -4,6 +4,8 @@
 	"context"
 	"fmt"
 
+	"github.com/gravitational/trace"
+
 	"github.com/pumicestage/pumicestage/policy/model"
 )
 
@@ -21,7 +23,8 @@
 // or running as soon as their task has stopped. Jobs of a group share a write, and
 // one transaction has up to maxTxnGroups groups, so cancelling thousands of jobs
 // takes few transactions. A repeat under the same change ID is idempotent. After
-// an error some jobs may not be cancelled, and a repeat cancels the rest.
+// an *Error that is Uncertain some jobs may be cancelled, and a repeat cancels the
+// rest; after any other error none is.
 func (j *Jobs) Cancel(ctx context.Context, change model.ChangeID, why string, ids []model.JobID) ([]Cancellation, error) {
 	if err := j.fetch(ctx, ids); err != nil {
 		return nil, err
@@ -33,13 +36,13 @@
 		changes[i] = transition{id, func(r *Record) bool { return r.cancel(j, change, why, &out[i]) }}
 	}
 	done, err := j.write(ctx, changes)
-	if err != nil {
-		return out, err
-	}
 	if len(done) > 0 {
 		j.Wake()
 	}
-	return out, nil
+	if err != nil && (len(done) > 0 || anyUncertain(err)) {
+		return out, trace.Wrap(&Error{Op: "cancel jobs", Change: change, Uncertain: true, Err: err})
+	}
+	return out, err
 }
 
 func (r *Record) cancel(j *Jobs, by model.ChangeID, why string, out *Cancellation) bool {
--- a/internal/jobs/errors.go
+++ b/internal/jobs/errors.go
@@ -1,7 +1,9 @@
 package jobs
 
 import (
+	"errors"
 	"fmt"
+	"slices"
 
 	"github.com/gravitational/trace"
 
@@ -60,3 +62,13 @@
 	}
 	return trace.Wrap(&Error{Op: op, Change: change, Uncertain: infra.IsKind(err, infra.KindUnknown), Err: err})
 }
+
+// anyUncertain reports whether err, or any of the errors joined in it, is an *Error
+// that is Uncertain.
+func anyUncertain(err error) bool {
+	if joined, ok := err.(interface{ Unwrap() []error }); ok {
+		return slices.ContainsFunc(joined.Unwrap(), anyUncertain)
+	}
+	var e *Error
+	return errors.As(err, &e) && e.Uncertain
+}
--- a/internal/jobs/jobsport/jobsport_test.go
+++ b/internal/jobs/jobsport/jobsport_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"testing"
 
 	"github.com/go-logr/logr"
@@ -9,6 +10,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/pumicestage/pumicestage/internal/command"
+	"github.com/pumicestage/pumicestage/internal/infra"
 	"github.com/pumicestage/pumicestage/internal/infra/faulty"
 	"github.com/pumicestage/pumicestage/internal/infra/memstore"
 	"github.com/pumicestage/pumicestage/internal/infra/standin"
@@ -73,6 +75,42 @@
 	assert.Equal(t, len(left[1].History), 2)
 }
 
+// Guards against an operator who is told that nothing was cancelled although one of several
+// transactions took effect, or may have.
+func TestCancelThatPartlyTookEffectIsUncertain(t *testing.T) {
+	const groups, jobsPerGroup = 49, 64 // one group more than a transaction takes
+	for name, second := range map[string]func(*faulty.Store){
+		"the other transaction took effect": func(s *faulty.Store) { s.SetDown(false) },
+		"the other one is unknown":          func(s *faulty.Store) { s.SetDown(false); s.LoseRequests(3) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			j, x, store := newExecutor(t)
+			job := model.Job{Team: "panel", Kind: "dedup", Repeatable: true, Declared: model.Resources{MilliCPU: 1}}
+			all := make([]model.Job, groups*jobsPerGroup)
+			for i := range all {
+				all[i] = job
+			}
+			_, err := j.Submit(context.Background(), "c", all)
+			assert.NilError(t, err)
+			writes := 0
+			store.BeforeWrite(func(string, infra.Txn) {
+				switch writes++; writes {
+				case 1:
+					store.SetDown(true)
+				case 2:
+					second(store)
+				}
+			})
+			_, err = execute(t, x, "cancel jobs where team = panel", "x-1")
+			var uncertain *command.UncertainError
+			assert.Assert(t, errors.As(err, &uncertain), "%v", err)
+			store.BeforeWrite(nil)
+			_, err = execute(t, x, "cancel jobs where team = panel", "x-1")
+			assert.NilError(t, err, "a repeat cancels the rest")
+		})
+	}
+}
+
 func TestMatches(t *testing.T) {
 	r := &jobs.Record{Job: model.Job{ID: "c.1", Team: "panel", Class: model.ClassUrgent}, State: jobs.Waiting}
 	for _, tc := range []struct {
