A submit that is refused stores none of its jobs

Read in the code; the new tests show it. A submit that agrees with an earlier one as far as the shorter of them goes was taken for a repeat. Where the store was away for the first of two transactions, the second was made all the same, so that a later submit could meet a part of an earlier one.

A group is written only if the previous one of its submit was, so that what is stored is a prefix and the first group decides; each group carries a digest of the whole submit, by which a repeat is told from other jobs. Groups of earlier versions have no digest and are compared by their own jobs as before.

--- a/internal/jobs/failure_test.go
+++ b/internal/jobs/failure_test.go
@@ -370,6 +370,57 @@
 	}
 }
 
+func TestRefusedSubmitStoresNothing(t *testing.T) {
+	// A change ID that was used before is used for other jobs, which fill several
+	// groups. The submit is refused, and none of its jobs may run.
+	const first, other = 3, 3 * groupSize
+	w := newTestCluster(t, 2, 2)
+	_, err := w.entries[0].Submit(w.ctx(), "c-1", copiesOf(first, nonRepeatableJob()))
+	assert.NilError(t, err)
+	_, err = w.entries[1].Submit(w.ctx(), "c-1", copiesOf(other, nonRepeatableJob()))
+	assert.ErrorContains(t, err, "used for other jobs")
+	all, err := w.entries[0].List(w.ctx())
+	assert.NilError(t, err)
+	assert.Equal(t, len(all), first)
+}
+
+func TestSubmitUnderTheIDOfALongerOrShorterOneIsRefused(t *testing.T) {
+	// The jobs of the two submits agree as far as the shorter one goes, and it fills
+	// its groups.
+	for _, c := range []struct{ first, other int }{{groupSize, 2 * groupSize}, {2 * groupSize, groupSize}} {
+		w := newTestCluster(t, 2, 2)
+		_, err := w.entries[0].Submit(w.ctx(), "c-1", copiesOf(c.first, nonRepeatableJob()))
+		assert.NilError(t, err)
+		_, err = w.entries[1].Submit(w.ctx(), "c-1", copiesOf(c.other, nonRepeatableJob()))
+		assert.ErrorContains(t, err, "used for other jobs")
+		again, err := w.entries[1].Submit(w.ctx(), "c-1", copiesOf(c.first, nonRepeatableJob()))
+		assert.NilError(t, err)
+		assert.Equal(t, len(again), c.first)
+		all, err := w.entries[0].List(w.ctx())
+		assert.NilError(t, err)
+		assert.Equal(t, len(all), c.first)
+	}
+}
+
+func TestSubmitThatFailsBehindAnotherStoresAPrefix(t *testing.T) {
+	// The store is away while the first of two transactions of a submit is made, and
+	// back for the second. The second must not be made: a submit of other jobs under
+	// the same change ID could then neither be refused nor stored as a whole.
+	const jobs = (maxTxnGroups + 1) * groupSize
+	w := newTestCluster(t, 2, 1)
+	store, writes := w.entries[0].store, 0
+	store.BeforeWrite(func(string, infra.Txn) { writes++; store.SetDown(writes == 1) })
+	_, err := w.entries[0].Submit(w.ctx(), "c-1", copiesOf(jobs, nonRepeatableJob()))
+	assert.ErrorContains(t, err, "service down")
+	store.BeforeWrite(nil)
+	store.SetDown(false)
+	all, err := w.entries[0].List(w.ctx())
+	assert.NilError(t, err)
+	assert.Equal(t, len(all), 0)
+	_, err = w.entries[0].Submit(w.ctx(), "c-1", copiesOf(jobs, nonRepeatableJob()))
+	assert.NilError(t, err)
+}
+
 func TestLeavingWorker(t *testing.T) {
 	// A worker is drained. New jobs must be placed on other workers, and a task that
 	// checkpoints is moved; a task that can't is left to finish.
--- a/internal/jobs/record.go
+++ b/internal/jobs/record.go
@@ -95,10 +95,13 @@
 type group struct {
 	Change model.ChangeID // ID of the last write, to tell whether a write with a lost reply took effect
 	Jobs   []Record
+	// Submission is the digest of all jobs that were submitted together, in this and
+	// other groups; empty in groups of earlier versions.
+	Submission string `json:",omitempty"`
 }
 
 func (g *group) clone() *group {
-	out := &group{Change: g.Change, Jobs: make([]Record, len(g.Jobs))}
+	out := &group{Change: g.Change, Submission: g.Submission, Jobs: make([]Record, len(g.Jobs))}
 	copy(out.Jobs, g.Jobs)
 	for i := range out.Jobs {
 		out.Jobs[i].History = append([]HistoryEntry(nil), out.Jobs[i].History...)
--- a/internal/jobs/submit.go
+++ b/internal/jobs/submit.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"crypto/sha256"
+	"encoding/hex"
 	"encoding/json"
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -14,14 +17,15 @@
 const (
 	maxNameBytes  = 128  // bytes of a job's team, kind, pool or zone
 	maxSubmitJobs = 5000 // jobs in one submit
+	digestBytes   = 16   // bytes of a submission's digest
 )
 
 // Submit stores the jobs and returns their IDs, in order. It sets the fields ID
 // and SubmittedAt. The change ID makes it idempotent: a repeat returns the same
-// IDs and adds nothing; an empty one is replaced by a new ID. Errors are *Refusal
-// or *Error. After an *Error that is Uncertain, or any *Error for a batch of more
-// than one group, some jobs may be stored, and a repeat under the same change ID
-// stores the rest.
+// IDs and adds nothing; an empty one is replaced by a new ID. Errors are *Refusal,
+// after which nothing is stored, or *Error. After an *Error that is Uncertain, or any
+// *Error for a batch of more than one group, the first jobs may be stored, and a
+// repeat under the same change ID stores the rest.
 func (j *Jobs) Submit(ctx context.Context, change model.ChangeID, all []model.Job) ([]model.JobID, error) {
 	if change == "" {
 		change = j.changeID()
@@ -30,9 +34,13 @@
 		return nil, err
 	}
 	ids := make([]model.JobID, len(all))
+	digest, err := submissionDigest(all)
+	if err != nil {
+		return nil, wrapError("encode jobs", change, infra.Errorf("encode", infra.KindInvalid, "%w", err))
+	}
 	var parts []*submission
 	for from := 0; from < len(all); from += groupSize {
-		g := &group{Change: change}
+		g := &group{Change: change, Submission: digest}
 		for i, job := range all[from:min(from+groupSize, len(all))] {
 			job.ID, job.SubmittedAt = jobID(change, from+i), j.clock.Now().UTC()
 			ids[from+i] = job.ID
@@ -44,6 +52,9 @@
 		if err != nil {
 			return nil, err
 		}
+		if len(parts) > 0 {
+			part.previous = parts[len(parts)-1]
+		}
 		parts = append(parts, part)
 	}
 	if err := j.batcher.add(ctx, j, parts); err != nil {
@@ -54,6 +65,20 @@
 	return ids, nil
 }
 
+// submissionDigest returns text that is equal only for submits of the same jobs.
+func submissionDigest(all []model.Job) (string, error) {
+	jobs := slices.Clone(all)
+	for i := range jobs {
+		jobs[i].ID, jobs[i].SubmittedAt = "", time.Time{}
+	}
+	raw, err := json.Marshal(jobs)
+	if err != nil {
+		return "", err
+	}
+	sum := sha256.Sum256(raw)
+	return hex.EncodeToString(sum[:digestBytes]), nil
+}
+
 // validate returns a *Refusal if the change ID, the number of jobs or a job is
 // invalid.
 func (j *Jobs) validate(change model.ChangeID, all []model.Job) error {
@@ -130,6 +155,16 @@
 	group *group
 	value []byte     // group, encoded
 	done  chan error // receives the result of the write
+	// previous is the group before this one in the same submit; nil if it is the
+	// first. A group is not written if the previous one was not.
+	previous *submission
+	err      error // the result of the write, once it is known
+}
+
+// finish passes the result of the write on.
+func (s *submission) finish(err error) {
+	s.err = err
+	s.done <- err
 }
 
 func newSubmission(key string, g *group) (*submission, error) {
@@ -137,7 +172,7 @@
 	if err != nil {
 		return nil, wrapError("encode jobs", g.Change, infra.Errorf("encode", infra.KindInvalid, "%w", err))
 	}
-	return &submission{key, g, value, make(chan error, 1)}, nil
+	return &submission{key: key, group: g, value: value, done: make(chan error, 1)}, nil
 }
 
 // add queues the parts for writing, waits for all of them, and returns the first
@@ -196,8 +231,12 @@
 
 // create writes new groups in one transaction. If one of them exists already,
 // each is written in a transaction of its own, so that a repeated submit doesn't
-// fail the others.
+// fail the others. Groups whose submit has failed are left out.
 func (j *Jobs) create(ctx context.Context, batch []*submission) {
+	batch = withoutFailed(batch)
+	if len(batch) == 0 {
+		return
+	}
 	ctx, cancel := context.WithTimeout(ctx, submitTimeout)
 	defer cancel()
 	txn := infra.Txn{}
@@ -210,19 +249,33 @@
 	case err == nil:
 		for _, s := range batch {
 			j.mirror.put(s.key, storedGroup{group: s.group, rev: res.Revision})
-			s.done <- nil
+			s.finish(nil)
 		}
 	case infra.IsKind(err, infra.KindConflict) && len(batch) > 1:
 		for _, s := range batch {
 			j.create(ctx, []*submission{s})
 		}
 	case infra.IsKind(err, infra.KindConflict):
-		batch[0].done <- j.resolveRepeat(batch[0], res)
+		batch[0].finish(j.resolveRepeat(batch[0], res))
 	default:
 		for _, s := range batch {
-			s.done <- wrapError("submit", s.group.Change, err)
+			s.finish(wrapError("submit", s.group.Change, err))
+		}
+	}
+}
+
+// withoutFailed returns the groups whose previous group, if any, was written or is
+// written with them. The others fail as that one did.
+func withoutFailed(batch []*submission) []*submission {
+	var out []*submission
+	for _, s := range batch {
+		if s.previous != nil && s.previous.err != nil {
+			s.finish(s.previous.err)
+			continue
 		}
+		out = append(out, s)
 	}
+	return out
 }
 
 // resolveRepeat returns nil if the group that is already stored has the same jobs,
@@ -236,7 +289,7 @@
 		return err
 	}
 	j.mirror.put(s.key, existing)
-	same := len(existing.Jobs) == len(s.group.Jobs)
+	same := len(existing.Jobs) == len(s.group.Jobs) && (existing.Submission == "" || existing.Submission == s.group.Submission)
 	for i := 0; same && i < len(existing.Jobs); i++ {
 		a, b := existing.Jobs[i].Job, s.group.Jobs[i].Job
 		a.SubmittedAt = b.SubmittedAt
