explain wave names who started it, and who changed it since

Read in the code; the new test shows it. A wave's record keeps who wrote it last, and `explain wave` and `explain vm` gave that name after "started": an operator who paused a wave that somebody else had started was shown as its starter, under the change that paused it.

The record keeps who started the run; for records of earlier versions the starter is known as long as the run's own change was the last one, and left out otherwise. A state that another change set is a reason of its own. With the old lines of explain the test reads "started by boris (change c-2)" where ana started it with c-1. Jobs and VMs keep who acted per entry.

--- a/internal/fleet/records.go
+++ b/internal/fleet/records.go
@@ -54,10 +54,13 @@
 
 // WaveRecord is the value of a wave's key and describes its last run.
 type WaveRecord struct {
-	Name    model.WaveName
-	Run     model.ChangeID // the change that started this run
-	Change  model.ChangeID // the change that wrote this state
-	Actor   string         // who requested the state: an operator or an entry VM
+	Name   model.WaveName
+	Run    model.ChangeID // the change that started this run
+	Change model.ChangeID // the change that wrote this state
+	Actor  string         // who requested the state: an operator or an entry VM
+	// StartedBy is who started this run; empty in records of earlier versions.
+	StartedBy string `json:",omitempty"`
+
 	State   WaveState
 	Reason  string
 	Pools   []model.PoolName
--- a/internal/fleet/waveorder.go
+++ b/internal/fleet/waveorder.go
@@ -31,7 +31,7 @@
 	if s := c.value.State; s == WaveRunning || s == WavePaused {
 		return Outcome{}, refuse(CodeConflict, orderHolder(c.value.Run), c.rev, "wave %s is %s already, started by order %s", name, s, c.value.Run)
 	}
-	c.value = WaveRecord{Name: name, Run: o.Change, State: WaveRunning, Pools: pools, Started: p.now}
+	c.value = WaveRecord{Name: name, Run: o.Change, State: WaveRunning, Pools: pools, Started: p.now, StartedBy: o.Actor}
 	return f.putWave(ctx, c, o, "start wave")
 }
 
--- a/internal/operator/wiring/waves.go
+++ b/internal/operator/wiring/waves.go
@@ -23,10 +23,15 @@
 	found := make([]query.WaveStatus, len(statuses))
 	for i, s := range statuses {
 		r := s.Record
+		startedBy := r.StartedBy
+		if startedBy == "" && r.Change == r.Run {
+			startedBy = r.Actor
+		}
 		found[i] = query.WaveStatus{
 			Name: r.Name, State: string(r.State), Pools: r.Pools,
 			Total: s.Progress.Total, Done: s.Progress.Done, OutOfService: s.Progress.Out, Failed: s.Progress.Failed,
-			Reason: s.BlockReason, Started: r.Started, Ended: r.Ended, Forecast: s.Forecast, Actor: r.Actor, Change: r.Change,
+			Reason: s.BlockReason, Started: r.Started, Ended: r.Ended, Forecast: s.Forecast,
+			StartedBy: startedBy, Run: r.Run, Actor: r.Actor, Change: r.Change,
 		}
 	}
 	return found, nil
--- a/internal/query/explain.go
+++ b/internal/query/explain.go
@@ -108,7 +108,7 @@
 	}
 	for _, w := range waves {
 		if string(w.Name) == name {
-			x.add(w.Started, "wave %s started%s; it is %s, %d of %d VMs done%s", w.Name, actorSuffix(w.Actor), w.State, w.Done, w.Total, reasonSuffix(w.Reason, ""))
+			x.add(w.Started, "wave %s started%s; it is %s, %d of %d VMs done%s", w.Name, actorSuffix(w.StartedBy), w.State, w.Done, w.Total, reasonSuffix(w.Reason, ""))
 		}
 	}
 }
@@ -165,7 +165,10 @@
 	x.CurrentState = fmt.Sprintf("%s, %d of %d VMs done, %d out, %d failed", w.State, w.Done, w.Total, w.OutOfService, w.Failed)
 	x.add(time.Time{}, "goes through pools %s", joinNames(w.Pools))
 	if !w.Started.IsZero() {
-		x.add(w.Started, "started%s%s", actorSuffix(w.Actor), reasonSuffix("", w.Change))
+		x.add(w.Started, "started%s%s", actorSuffix(w.StartedBy), reasonSuffix("", w.Run))
+	}
+	if w.Change != w.Run {
+		x.add(time.Time{}, "set to %s%s%s", w.State, actorSuffix(w.Actor), reasonSuffix("", w.Change))
 	}
 	for _, vm := range sortedVMs(s) {
 		if vm.Holder == "wave "+x.Name {
--- a/internal/query/query_test.go
+++ b/internal/query/query_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -59,7 +60,7 @@
 		heard:   []PeerStatus{{Entry: "e1", Zone: "a", LastHeard: epoch, Generation: 3}, {Entry: "e2", Zone: "b", LastHeard: epoch.Add(-time.Minute)}},
 		budgets: []Headroom{{Service: "web", VMs: 3, Available: 2, Required: 2}, {Service: "web", Zone: "a", VMs: 2, Available: 1, Required: 1}},
 		waves: []WaveStatus{{Name: "spring", State: "running", Pools: []model.PoolName{"web"}, Total: 3, Done: 1, OutOfService: 1,
-			Reason: "service web has no headroom", Started: epoch.Add(-time.Hour), Actor: "ana", Change: "c-1", Forecast: 5 * time.Minute}},
+			Reason: "service web has no headroom", Started: epoch.Add(-time.Hour), StartedBy: "ana", Run: "c-1", Actor: "ana", Change: "c-1", Forecast: 5 * time.Minute}},
 		jobs: []JobStatus{{Job: model.Job{ID: "j9", Team: "t", Kind: "k", SubmittedAt: epoch.Add(-time.Hour)}, State: "unplaceable",
 			Since: epoch, Reason: "needs 9 cores, the largest worker has 8"}},
 		history: []Reason{{At: epoch.Add(-2 * time.Hour), Text: "done: drain vm v9 by ana"}},
@@ -178,6 +179,28 @@
 	}
 }
 
+// Guards against an operator who paused a wave being named as the one who started it.
+func TestExplainWaveNamesWhoStartedIt(t *testing.T) {
+	e, src, _ := newEngine(t)
+	w := &src.waves[0]
+	w.State, w.Actor, w.Change = "paused", "boris", "c-2"
+	answer, err := ask(t, e, "explain wave spring")
+	assert.NilError(t, err)
+	var texts []string
+	for _, r := range answer.Explanation.Reasons {
+		texts = append(texts, r.Text)
+	}
+	all := strings.Join(texts, "\n")
+	assert.Assert(t, strings.Contains(all, "started by ana (change c-1)"), all)
+	assert.Assert(t, strings.Contains(all, "set to paused by boris (change c-2)"), all)
+
+	answer, err = ask(t, e, "explain vm v3")
+	assert.NilError(t, err)
+	assert.Assert(t, slices.ContainsFunc(answer.Explanation.Reasons, func(r Reason) bool {
+		return strings.HasPrefix(r.Text, "wave spring started by ana; it is paused")
+	}), "%v", answer.Explanation.Reasons)
+}
+
 // Guards against an answer from a partitioned entry VM being taken for current.
 // Its view stops being updated, so the answer must state the age of the view
 // and the zones that the entry VM receives no messages from.
--- a/internal/query/sources.go
+++ b/internal/query/sources.go
@@ -104,6 +104,8 @@
 	Started      time.Time
 	Ended        time.Time
 	Forecast     time.Duration  // estimated time to its end; 0 if unknown
+	StartedBy    string         // who started this run; empty if unknown
+	Run          model.ChangeID // the change that started this run
 	Actor        string         // who requested State: an operator or an entry VM
 	Change       model.ChangeID // the change that wrote State
 }
