Settings refuse addresses of services without a host

Read in the code; the new tests show it. "http://:18300" passed the check of a URL of the platform's services, and an entry daemon started that calls itself and fails at every call. The same stood in the settings of the users' platform: the store's ":8000" passed, and so did a port that is no number.

A URL needs a host beside its port, and the addresses of the store, the VM service and the advisor a host and a numeric port; listeners may still do without a host. Both tests failed before at their first case.

--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -89,11 +89,11 @@
 	{"entry", "metrics", false, expectsAddress, address(func(s *Settings) *string { return &s.Metrics })},
 	{"entry", "peer-port-first", true, expectsPort, port(func(s *Settings) *int { return &s.Peers[0] })},
 	{"entry", "peer-port-last", true, expectsPort, port(func(s *Settings) *int { return &s.Peers[1] })},
-	{"store", "address", true, expectsAddress, address(func(s *Settings) *string { return &s.Store })},
+	{"store", "address", true, expectsAddress, serviceAddress(func(s *Settings) *string { return &s.Store })},
 	{"store", "least-lease-ms", false, expectsMS, duration(time.Millisecond, func(s *Settings) *time.Duration { return &s.MinTTL })},
-	{"vms", "address", false, expectsAddress, address(func(s *Settings) *string { return &s.VMs })},
+	{"vms", "address", false, expectsAddress, serviceAddress(func(s *Settings) *string { return &s.VMs })},
 	{"vms", "rate-per-s", false, expectsRate, positiveFloat(func(s *Settings) *float64 { return &s.ListRate })},
-	{"advisor", "address", false, expectsAddress, address(func(s *Settings) *string { return &s.Advisor })},
+	{"advisor", "address", false, expectsAddress, serviceAddress(func(s *Settings) *string { return &s.Advisor })},
 	{"limits", "cpu-share", false, expectsShare, positiveFloat(func(s *Settings) *float64 { return &s.CPUShare })},
 	{"limits", "link-mbps", false, expectsMbps, positiveFloat(func(s *Settings) *float64 { return &s.LinkMbps })},
 	{"limits", "memory-mb", true, expectsMB, positiveInt(func(s *Settings) *int { return &s.MemoryMB })},
@@ -171,15 +171,30 @@
 	}
 }
 
-// address returns a settingField.set that accepts host:port.
+// address returns a settingField.set that accepts host:port. Without a host it stands for all
+// addresses of this VM.
 func address(field func(*Settings) *string) func(*Settings, string) bool {
 	return func(s *Settings, t string) bool {
 		*field(s) = t
-		_, _, err := net.SplitHostPort(t)
-		return err == nil
+		_, port, err := net.SplitHostPort(t)
+		return err == nil && isPort(port)
 	}
 }
 
+// serviceAddress returns a settingField.set that accepts the host:port of a service to call.
+func serviceAddress(field func(*Settings) *string) func(*Settings, string) bool {
+	set := address(field)
+	return func(s *Settings, t string) bool {
+		host, _, err := net.SplitHostPort(t)
+		return set(s, t) && err == nil && host != ""
+	}
+}
+
+func isPort(t string) bool {
+	n, err := strconv.ParseUint(t, 10, 16)
+	return err == nil && n > 0
+}
+
 // port returns a settingField.set that accepts a port number from 1 to 65535.
 func port(field func(*Settings) *int) func(*Settings, string) bool {
 	return func(s *Settings, t string) bool {
--- a/internal/node/settings_test.go
+++ b/internal/node/settings_test.go
@@ -52,6 +52,17 @@
 	assert.Assert(t, s.weight() < 0.05, "a link of 10 Mbit/s is too slow for a cell's owner")
 }
 
+// Guards against an entry VM that starts with the address of a service that it can't call, and is
+// told of it by failing calls only.
+func TestAddressesOfServicesNeedHostAndPort(t *testing.T) {
+	for _, address := range []string{":8000", "10.1.0.1:", "10.1.0.1:http", "10.1.0.1"} {
+		_, err := loadText(t, strings.ReplaceAll(validSettings, "10.1.0.1:8000", address))
+		assert.ErrorContains(t, err, "[store] address", address)
+	}
+	_, err := loadText(t, strings.ReplaceAll(validSettings, "callers = 10.0.0.1:80", "callers = :80"))
+	assert.NilError(t, err, "a listener may take all addresses")
+}
+
 func TestEveryMistakeIsNamedAtOnce(t *testing.T) {
 	bad := strings.NewReplacer("callers = 10.0.0.1:80", "callers = here", "memory-mb = 284", "memory-mb = none", "zone = z1", "zone =").Replace(validSettings)
 	_, err := loadText(t, bad+"colour = blue\n")
--- a/internal/settings/fields.go
+++ b/internal/settings/fields.go
@@ -156,7 +156,7 @@
 
 func isURL(t string) bool {
 	u, err := url.Parse(t)
-	return err == nil && (u.Scheme == "http" || u.Scheme == "https") && u.Port() != ""
+	return err == nil && (u.Scheme == "http" || u.Scheme == "https") && u.Hostname() != "" && u.Port() != ""
 }
 
 // splitList splits a comma-separated list and drops empty items.
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"strings"
 	"testing"
 	"time"
 
@@ -75,6 +76,14 @@
 	assert.DeepEqual(t, got, want)
 }
 
+// Guards against a daemon that starts with the address of a service that it can't call.
+func TestLoadRefusesURLsWithoutHostOrPort(t *testing.T) {
+	for _, url := range []string{"http://:18300", "http://127.0.0.1", "http://", "https://:", "127.0.0.1:18300"} {
+		_, err := load(t, strings.ReplaceAll(validText, "http://127.0.0.1:18300", url))
+		assert.ErrorContains(t, err, "[platform] store", url)
+	}
+}
+
 func TestLoadLimits(t *testing.T) {
 	s, err := load(t, validText+"[limits]\nbody-rate = 100\ninside = 7\nwrite-timeout = 3s\n")
 	assert.NilError(t, err)
