Set a crash against the cell as it was before the losses

Cause: workers lost at the same moment may be lost by a common cause, whose rate is their share of the cell. The cell was counted after they were gone: four lost of five counted as four for each worker left, a rate of 20 crashes per worker and second where 5 is the most there can be. Faulty tasks that one plan starts on all workers explained each other away in this way.

Change: crashes are set against the size of the cell before the series of losses; so are the rate of spontaneous crashes and the number of others that a common cause takes.

The new test fails without it.

--- a/internal/engine/crash_test.go
+++ b/internal/engine/crash_test.go
@@ -60,6 +60,50 @@
 	}
 }
 
+// crashBurst submits sound and faulty jobs to a small cell for some seconds. Its workers are back
+// soon after a crash, half of them under the same ID. Before each step of the simulation, delays sets
+// how fast crashes are noticed. At each submission of faulty jobs there are up to faultyAtOnce, of
+// which all tasks crash their workers. It returns the jobs of both kinds.
+func (w *crashSim) crashBurst(faultyAtOnce int, delays func()) (sound, faulty []work.JobID) {
+	const length = 12 * time.Second
+	w.vmAbsence, w.spontaneousRate = 300*time.Millisecond, 0.1
+	w.keepsID = func() bool { return w.rng.IntN(2) == 0 }
+	workTimes := make(map[work.TaskRef]time.Duration)
+	w.workTime = func(ref work.TaskRef) time.Duration {
+		if workTimes[ref] == 0 {
+			workTimes[ref] = w.between(10*time.Millisecond, 130*time.Millisecond)
+		}
+		return workTimes[ref]
+	}
+	w.crashAfter = func(ref work.TaskRef) time.Duration {
+		if slices.Contains(faulty, ref.Job) {
+			return simTick
+		}
+		return 0
+	}
+	nextSound, nextFaulty := w.now, w.now
+	for end := w.now + length; w.now < end; {
+		delays()
+		if w.now >= nextSound {
+			id := work.JobID(fmt.Sprintf("sound%d", len(sound)))
+			sound = append(sound, id)
+			w.submit(id, short(3))
+			nextSound = w.now + w.between(20*time.Millisecond, 80*time.Millisecond)
+		}
+		if w.now >= nextFaulty {
+			for range 1 + w.rng.IntN(faultyAtOnce) {
+				id := work.JobID(fmt.Sprintf("faulty%d", len(faulty)))
+				faulty = append(faulty, id)
+				w.submit(id, short(1+w.rng.IntN(3)))
+			}
+			nextFaulty = w.now + w.between(500*time.Millisecond, 3*time.Second)
+		}
+		w.run(simTick)
+	}
+	w.run(30 * time.Second)
+	return sound, faulty
+}
+
 // Guards against a faulty task that crashes one worker after another because its crashes are taken
 // to be explained by another task that crashed a later incarnation under the same ID. It needs slow
 // detection of crashes, so that no single crash proves the fault.
@@ -67,46 +111,45 @@
 	const firstSeed = 1021
 	for seed := range uint64(*crashSeeds) {
 		w := newSeededCrashSim(t, 5, firstSeed+seed)
-		w.vmAbsence, w.spontaneousRate = 300*time.Millisecond, 0.1
-		w.keepsID = func() bool { return w.rng.IntN(2) == 0 }
-		workTimes := make(map[work.TaskRef]time.Duration)
-		w.workTime = func(ref work.TaskRef) time.Duration {
-			if workTimes[ref] == 0 {
-				workTimes[ref] = w.between(10*time.Millisecond, 130*time.Millisecond)
-			}
-			return workTimes[ref]
-		}
-		var faulty []work.JobID
-		w.crashAfter = func(ref work.TaskRef) time.Duration {
-			if slices.Contains(faulty, ref.Job) {
-				return simTick
-			}
-			return 0
-		}
-		nextSound, nextFaulty, sound := w.now, w.now, 0
-		for end := w.now + 12*time.Second; w.now < end; {
+		_, faulty := w.crashBurst(1, func() {
 			w.noticeDelay = w.between(0, 600*time.Millisecond)
 			w.detectionDelay = w.between(10*time.Millisecond, 610*time.Millisecond)
-			if w.now >= nextSound {
-				sound++
-				w.submit(work.JobID(fmt.Sprintf("sound%d", sound)), short(3))
-				nextSound = w.now + w.between(20*time.Millisecond, 80*time.Millisecond)
-			}
-			if w.now >= nextFaulty {
-				id := work.JobID(fmt.Sprintf("faulty%d", len(faulty)))
-				faulty = append(faulty, id)
-				w.submit(id, short(1+w.rng.IntN(3)))
-				nextFaulty = w.now + w.between(500*time.Millisecond, 3*time.Second)
-			}
-			w.run(simTick)
+		})
+		for _, id := range faulty {
+			assertGivenUp(t, w, id)
 		}
-		w.run(30 * time.Second)
+	}
+}
+
+// Guards against faulty tasks that crash most of a small cell again and again, and sound jobs beside
+// them that are given up in their place, because workers that they crash at the same moment are taken
+// for lost by a common cause.
+func TestTasksThatCrashWorkersTogetherAreNoCommonCause(t *testing.T) {
+	const firstSeed = 1018
+	givenUp, soundGivenUp := 0, 0
+	for seed := range uint64(*crashSeeds) {
+		w := newSeededCrashSim(t, 5, firstSeed+seed)
+		sound, faulty := w.crashBurst(3, func() {
+			w.noticeDelay, w.detectionDelay = w.between(0, 30*time.Millisecond), simTick
+		})
 		for _, id := range faulty {
 			assertGivenUp(t, w, id)
+			givenUp++
+		}
+		for _, id := range sound {
+			if w.ended[id] != work.Completed {
+				t.Logf("seed %d: %s %s", firstSeed+seed, id, w.ended[id])
+				givenUp++
+				soundGivenUp++
+			}
 		}
 	}
+	assert.Assert(t, soundGivenUp*oddsOfGivingUp <= givenUp, "%d of %d jobs given up were sound", soundGivenUp, givenUp)
 }
 
+// oddsOfGivingUp is how many times likelier a job that is given up must be faulty than sound.
+const oddsOfGivingUp = 1000
+
 // Guards against giving up sound jobs together with a faulty one because they lost the same
 // workers.
 func TestSoundWorkBesideACrashingTaskIsDone(t *testing.T) {
--- a/internal/engine/losses.go
+++ b/internal/engine/losses.go
@@ -114,9 +114,24 @@
 	if w.silentSince == 0 {
 		w.silentSince = now
 		c.correlatedLosses.Record(now, now)
+		c.losses.add(len(c.workers), now)
 	}
 }
 
+// lossSeries is a series of workers that fell silent shortly after each other.
+type lossSeries struct {
+	last    time.Duration // when the last one fell silent
+	workers int           // of the cell before the series
+}
+
+// add records that one of so many workers fell silent.
+func (s *lossSeries) add(workers int, now time.Duration) {
+	if now > s.last+crashes.CorrelationWindow {
+		s.workers = 0
+	}
+	s.last, s.workers = now, max(s.workers, workers)
+}
+
 // silentFrom returns when the worker fell silent; now, if it answered until now.
 func (w *worker) silentFrom(now time.Duration) time.Duration {
 	if w.silentSince != 0 {
@@ -130,6 +145,7 @@
 	worker      *worker
 	at          time.Duration // when it fell silent
 	lost        []lostRun
+	workers     int  // workers of the cell before this one and those around it were lost
 	duringTrial bool // a suspect was on trial there
 }
 
@@ -147,7 +163,7 @@
 	for _, l := range lost {
 		l.task.notBefore = max(l.task.notBefore, at+crashes.CorrelationWindow)
 	}
-	c.unattributed = append(c.unattributed, crash{worker: w, at: at, lost: lost, duringTrial: w.runsTrial((*task).suspect)})
+	c.unattributed = append(c.unattributed, crash{worker: w, at: at, lost: lost, workers: max(c.losses.workers, len(c.workers)), duringTrial: w.runsTrial((*task).suspect)})
 	c.attributeDueCrashes(now)
 }
 
@@ -176,7 +192,7 @@
 	w := cr.worker
 	cr.lost = slices.DeleteFunc(cr.lost, func(l lostRun) bool { return l.continuedAfter(w) })
 	rate := c.crashRate.PerWorker(now)
-	if common := c.correlatedLosses.Rate(cr.at, len(c.workers)); common > 0 {
+	if common := c.correlatedLosses.Rate(cr.at, cr.workers); common > 0 {
 		c.log.Info("worker crashed together with others", "worker", w.info.ID, "runs", len(cr.lost), "common rate", common)
 		rate += common
 	}
@@ -195,7 +211,7 @@
 	verdict := crashes.Attribute(lostRuns, rate)
 	// The runs of a worker that never answered are not known.
 	if w.contacted {
-		c.crashRate.Crashed(verdict.Spontaneous, len(c.workers), now)
+		c.crashRate.Crashed(verdict.Spontaneous, cr.workers, now)
 	}
 	if cr.duringTrial {
 		c.trials.Lost(w.info.Address, now)
