The test of jobs in a wave decides on jobs whose start was lost

It kills the entry VM that places the jobs.

The test gives the verdict as an operator does who looks at the VMs, and logs it.

--- a/internal/dev/jobs_test.go
+++ b/internal/dev/jobs_test.go
@@ -15,8 +15,8 @@
 
 // A wave reboots VMs on which jobs run, the platform loses replies, and the entry
 // VM that places the jobs is lost. A job that is not repeatable must start
-// exactly once and finish. A reboot must wait for every task, or move it if it
-// checkpoints.
+// exactly once and finish, after an operator's verdict if its start was not
+// answered. A reboot must wait for every task, or move it if it checkpoints.
 func TestWaveNeitherCutsNorRepeatsJobs(t *testing.T) {
 	t.Parallel()
 	c := startSmall(t)
@@ -43,6 +43,7 @@
 	}()
 	c.await(t, "the end of every job", func() bool {
 		all, err := c.entries[1].Jobs().List(ctx)
+		c.decideUnknown(t, all)
 		for _, r := range all {
 			if r.State != jobs.Succeeded {
 				return false
@@ -60,6 +61,25 @@
 	}
 }
 
+// decideUnknown gives the verdict on jobs whose outcome is unknown, as an operator
+// does who looks at the VMs: the entry VM that was to start them was lost, or its
+// starts were, before it was answered.
+func (c *cluster) decideUnknown(t *testing.T, all []jobs.Record) {
+	t.Helper()
+	tally := c.platform.Machines.Tally()
+	for _, r := range all {
+		if r.State != jobs.Unknown {
+			continue
+		}
+		verdict := jobs.VerdictNotRun
+		if tally.Starts[r.ID] > 0 {
+			verdict = jobs.VerdictRan
+		}
+		t.Logf("job %s is unknown, %s: %s", r.ID, r.Reason, verdict)
+		assert.NilError(t, c.entries[1].Jobs().Decide(context.Background(), r.ID, verdict, "test"))
+	}
+}
+
 // checkpoints reports whether the nth job can be stopped and resumed elsewhere.
 func checkpoints(n int) bool { return n%4 == 0 }
 
