The balancer of a test learns of a shutdown when the test says

Its premise is a balancer that learns of a shutdown half a second late. It was told by the test's own goroutine, which a starved process runs late; entry VMs take requests for two seconds of not being ready and refuse them then, as they should.

The balancer is given the time at which it learns, before the shutdown begins.

--- a/internal/dev/load.go
+++ b/internal/dev/load.go
@@ -89,19 +89,32 @@
 // balancer simulates the platform's load balancer: it picks a random entry VM
 // among those that it was told are ready.
 type balancer struct {
-	mu    sync.Mutex
-	bases []string
+	mu     sync.Mutex
+	bases  []string
+	next   []string // replaces bases at nextAt; nil: nothing does
+	nextAt time.Time
 }
 
 func (b *balancer) set(bases []string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.bases = bases
+	b.bases, b.next = bases, nil
+}
+
+// setAt makes the balancer learn at the given time that these entry VMs are ready. It does
+// not depend on when a goroutine runs that would otherwise have to wait until then.
+func (b *balancer) setAt(at time.Time, bases []string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.next, b.nextAt = bases, at
 }
 
 func (b *balancer) pick(rng *rand.Rand) string {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if b.next != nil && !time.Now().Before(b.nextAt) {
+		b.bases, b.next = b.next, nil
+	}
 	return b.bases[rng.IntN(len(b.bases))]
 }
 
--- a/internal/dev/replace_test.go
+++ b/internal/dev/replace_test.go
@@ -9,7 +9,7 @@
 )
 
 // balancerLag is the time until the platform's balancer learns that an entry VM
-// is not ready.
+// shuts down, and is not ready.
 const balancerLag = 500 * time.Millisecond
 
 // Every entry VM is replaced, one after the other, while callers keep sending over
@@ -24,10 +24,9 @@
 	for n := range c.entries {
 		old := c.entries[n]
 		rest := c.without(n)
+		l.balancer.setAt(time.Now().Add(balancerLag), rest)
 		old.stop()
 		c.await(t, "not ready", func() bool { return !old.Ready() })
-		time.Sleep(balancerLag)
-		l.balancer.set(rest)
 		<-old.done
 		next, err := c.startEntry(context.Background(), n, old.Self().Zone, []string{c.entries[(n+1)%len(c.entries)].Self().Peer})
 		assert.NilError(t, err)
