--- a/internal/engine/core.go
+++ b/internal/engine/core.go
@@ -69,7 +69,7 @@
 	kinds            map[kindKey]*crashes.Kind
 	unattributed     []crash // crashes whose cause is not decided yet
 	correlatedLosses crashes.CorrelatedLosses
-	losses           lossSeries // the latest series
+	losses           lossSeries // of workers, the latest
 	trials           crashes.Trials
 	othersWaitedAt   time.Duration // when short tasks that are not suspects last waited
 	timesToCrash     crashes.TimesToCrash
--- a/internal/fleetowner/waves.go
+++ b/internal/fleetowner/waves.go
@@ -59,11 +59,7 @@
 	var in upkeep.Input
 	if !r.Completed {
 		in = f.upkeepInput(w, r)
-	}
-	if !r.Completed && len(in.Remaining) == 0 && in.Unavailable == 0 {
-		r.Completed = true
-		clear(r.drainingSince)
-		f.Log.Info("wave completed", "wave", w.Name, "took", (f.Clock.Now() - w.Seen).String())
+		f.completeIfDone(w, r, in)
 	}
 	if r.Completed {
 		f.saveWave(ctx, w.Name, r)
@@ -78,6 +74,16 @@
 	return orders
 }
 
+// completeIfDone marks the wave as completed if none of its VMs remains or is being maintained.
+func (f *Fleet) completeIfDone(w OrderedWave, r *waveRun, in upkeep.Input) {
+	if len(in.Remaining) > 0 || in.Unavailable > 0 {
+		return
+	}
+	r.Completed = true
+	clear(r.drainingSince)
+	f.Log.Info("wave completed", "wave", w.Name, "took", (f.Clock.Now() - w.Seen).String())
+}
+
 // orderedAt returns when the wave was ordered, on this entry VM's monotonic clock: when the
 // first owner saw it or when this entry VM did, whichever is earlier. A value that is too early
 // only makes the wave more urgent.
