A test that a wave's record keeps who started it

The new test starts and pauses a wave under two names and reads both back; without the field set at the start it gives an empty name.

--- a/internal/operator/wiring/wiring_test.go
+++ b/internal/operator/wiring/wiring_test.go
@@ -348,3 +348,20 @@
 	assert.Equal(t, len(got), 1, "%q", got)
 	assert.Equal(t, got[0], fmt.Sprintf("vm %s: in-pool, pool portal -> leaving, pool portal, held by wave spring", out))
 }
+
+// Guards against a wave whose record forgets who started it once somebody else has changed it.
+func TestWavesTellWhoStartedAndWhoChangedThem(t *testing.T) {
+	w := newFixture(t, "encuesta-viva")
+	_, err := w.do(t, "c-1", "start wave spring")
+	assert.NilError(t, err)
+	_, err = w.fleet.PauseWave(ctx, "spring", fleet.Order{Change: "c-2", Actor: "boris"})
+	assert.NilError(t, err)
+	waves, err := Waves{Fleet: w.fleet}.Waves(ctx)
+	assert.NilError(t, err)
+	assert.Equal(t, len(waves), 1)
+	got := waves[0]
+	assert.Equal(t, got.StartedBy, "ana")
+	assert.Equal(t, got.Run, model.ChangeID("c-1"))
+	assert.Equal(t, got.Actor, "boris")
+	assert.Equal(t, got.Change, model.ChangeID("c-2"))
+}
