A job whose progress can't be read doesn't start over

Cause: load passed no progress for such a job, which is also what it passes for a job of which nothing is stored yet. All tasks were then waiting again; once their ends are acknowledged, nothing but the progress tells that they are done. The next change also overwrote the value, run numbers began anew at 100, and the key stayed after the job's end.

Evidence: TestTasksThatMayBeDoneDoNotStartWhileProgressIsUnreadable has a task end, stored and acknowledged, replaces the value and has another owner take over. On the code before: "j1.0.0.0 started", the task that was done, in the first plan.

Change: the progress is restored as unreadable. Tasks without a run are held, a state of its own, so that they are neither planned nor counted as backlog; long-running tasks and occurrences due more than 10 s later are not held. Listed runs are adopted, their ends are stored in a value that carries the old one, and an owner that can read that merges both.

Why it is enough: an owner starts no short task of the job of which it does not have the whole history, whatever else happens to it, and the next owner finds the mark or the unreadable value itself. Callers see `running`, may cancel, and see `completed` only when all tasks are known to be done.

Not closed: a key that was deleted looks like one never written.

--- a/cmd/pumicestage/explain.go
+++ b/cmd/pumicestage/explain.go
@@ -212,6 +212,9 @@
 	if e.Restored && !e.Settled {
 		fmt.Fprintln(w, "an earlier owner accepted it, and not all workers were heard since: nothing of it begins yet")
 	}
+	if e.ProgressUnreadable {
+		fmt.Fprintln(w, "its stored progress can't be read: tasks that may be done are held")
+	}
 	if e.Zone != "" {
 		fmt.Fprintf(w, "its short tasks prefer zone %s\n", e.Zone)
 	}
--- a/internal/engine/core.go
+++ b/internal/engine/core.go
@@ -255,10 +255,10 @@
 	t.stopSentAt, t.stopAnsweredAt, t.percent, t.gauge, t.pace = 0, 0, 0, 0, fullPercent
 }
 
-// requeue releases the task and makes it pending again.
+// requeue releases the task and makes it pending again, or held.
 func (c *Core) requeue(t *task) {
 	c.release(t)
-	t.step.set(t, taskPending)
+	t.step.set(t, t.step.stateWithoutRun())
 }
 
 // attach records that the given run of the task is, or may be, on the worker.
--- a/internal/engine/explain.go
+++ b/internal/engine/explain.go
@@ -32,6 +32,9 @@
 	// can be unknown to this one. Until then no task of a restored job starts.
 	Restored bool `json:"restored"`
 	Settled  bool `json:"settled"`
+	// ProgressUnreadable says that stored progress of the job can't be read, so that those of its
+	// tasks are held that may be done.
+	ProgressUnreadable bool `json:"progress_unreadable,omitempty"`
 
 	// Zone is the availability zone that its short tasks prefer now; empty if there is none.
 	Zone string `json:"zone,omitempty"`
@@ -98,7 +101,7 @@
 }
 
 var taskStateNames = map[taskState]string{
-	taskPending: "waiting", taskStarting: "starting", taskUncertain: "in doubt", taskActive: "running", taskStopping: "stopping", taskDone: "done",
+	taskPending: "waiting", taskStarting: "starting", taskUncertain: "in doubt", taskActive: "running", taskStopping: "stopping", taskDone: "done", taskHeld: "held",
 }
 
 // Explain returns the explanation of the job's state; false if the job is not known.
@@ -110,6 +113,7 @@
 	e := Explanation{
 		Job: id, Queue: j.Queue, Workspace: j.Workspace, Service: c.cell, State: j.state(), Token: c.token, Config: c.declared.Version,
 		Age: now - j.accepted, Restored: j.restored, Settled: c.settled(now),
+		ProgressUnreadable: j.unreadable != nil,
 	}
 	workers := c.snapshots(now)
 	e.Zone = c.explainZone(j, workers)
--- a/internal/engine/job.go
+++ b/internal/engine/job.go
@@ -18,6 +18,9 @@
 	taskActive              // its worker confirmed that it runs
 	taskStopping            // it runs and is to be stopped
 	taskDone
+	// taskHeld is the state of a task that has no run, and must not start, because it is not known
+	// whether it is done; see UnreadableProgress.
+	taskHeld
 )
 
 // task is one task of a step.
@@ -90,6 +93,7 @@
 	tasks         []*task
 	done          int
 	pending       int
+	held          bool // its tasks are taskHeld instead of taskPending
 	tickets       map[work.WorkerID]ticket
 	adviceAskedAt time.Duration // when the advisor was last asked; 0: never
 	advicePending bool
@@ -115,6 +119,14 @@
 	return true
 }
 
+// stateWithoutRun returns the state of the step's tasks that are not known to be done and have no run.
+func (s *step) stateWithoutRun() taskState {
+	if s.held {
+		return taskHeld
+	}
+	return taskPending
+}
+
 // set sets the state of a task and updates the step's counts.
 func (s *step) set(t *task, state taskState) {
 	if t.state == taskPending {
@@ -176,6 +188,8 @@
 	// first evidenceStored are stored.
 	evidence, evidenceSent, evidenceStored int
 
+	unreadable *UnreadableProgress // progress of it that could not be read; nil: none
+
 	progressStored bool  // progress of it may be in the store
 	dirtySinceEnd  int64 // Core.endsSeen when it became dirty
 
@@ -203,12 +217,14 @@
 	o := &occurrence{number: j.nextOccurrence, due: due}
 	j.nextOccurrence++
 	for i := range j.Steps {
-		s := &step{job: j, occ: o, number: i, spec: &j.Steps[i]}
+		s := &step{job: j, occ: o, number: i, spec: &j.Steps[i], held: j.holds(&j.Steps[i], o.number)}
 		for n := range s.spec.Count {
-			t := &task{ref: work.TaskRef{StepRef: s.ref(), Index: n}, step: s, pace: fullPercent}
+			t := &task{ref: work.TaskRef{StepRef: s.ref(), Index: n}, step: s, pace: fullPercent, state: s.stateWithoutRun()}
 			s.tasks = append(s.tasks, t)
 		}
-		s.pending = len(s.tasks)
+		if !s.held {
+			s.pending = len(s.tasks)
+		}
 		o.steps = append(o.steps, s)
 	}
 	j.liveOccurrences = append(j.liveOccurrences, o)
--- a/internal/engine/limits.go
+++ b/internal/engine/limits.go
@@ -180,7 +180,7 @@
 
 // possibleInheritedUsage returns, by workspace, an upper bound of what an earlier owner may have
 // running on workers that have not answered yet: the capacity of those workers, or the size of the
-// pending tasks of restored jobs if that is less.
+// pending and held tasks of restored jobs if that is less.
 func (c *Core) possibleInheritedUsage(now time.Duration) map[work.WorkspaceName]work.Resources {
 	out := make(map[work.WorkspaceName]work.Resources)
 	if c.settled(now) {
@@ -191,7 +191,7 @@
 			continue
 		}
 		j.eachTask(func(t *task) {
-			if t.state == taskPending {
+			if t.state == taskPending || t.state == taskHeld {
 				out[j.Workspace] = out[j.Workspace].Plus(t.step.spec.Size)
 			}
 		})
--- a/internal/engine/listing.go
+++ b/internal/engine/listing.go
@@ -44,13 +44,13 @@
 }
 
 // handleIncompleteRun handles the end of a run that did not complete its task. The task is
-// queued again, unless its job has ended.
+// queued again, or held, unless its job has ended.
 func (c *Core) handleIncompleteRun(t *task, now time.Duration) {
 	c.clearDisprovenCrashes(t)
 	t.trial = 0
 	if t.step.job.final != "" {
 		c.release(t)
-		t.step.set(t, taskPending)
+		t.step.set(t, t.step.stateWithoutRun())
 		return
 	}
 	c.requeue(t)
--- a/internal/engine/progress.go
+++ b/internal/engine/progress.go
@@ -17,6 +17,9 @@
 	Next        int                  `json:"next,omitempty"` // number of the next occurrence to begin
 	Run         int                  `json:"run,omitempty"`  // highest run number of any task
 	Occurrences []OccurrenceProgress `json:"occurrences,omitempty"`
+	// Unreadable is set if earlier progress of the job could not be read: the rest then holds only
+	// what owners have learned since.
+	Unreadable *UnreadableProgress `json:"unreadable,omitempty"`
 }
 
 // OccurrenceProgress is the progress of an occurrence that has begun and not ended.
@@ -145,7 +148,7 @@
 	if j.final != "" {
 		return Change{Job: j.ID, Workspace: j.Workspace, Final: j.final, DeleteProgress: j.progressStored}
 	}
-	p := Progress{Next: j.nextOccurrence, Run: j.baseRun}
+	p := Progress{Next: j.nextOccurrence, Run: j.baseRun, Unreadable: j.unreadable}
 	for _, o := range j.liveOccurrences {
 		op := OccurrenceProgress{Number: o.number}
 		for _, s := range o.steps {
@@ -309,6 +312,10 @@
 // restore sets the job's state from its stored progress.
 func (j *job) restore(p *Progress) {
 	j.baseRun = p.Run + restoredRunOffset
+	if p.Unreadable != nil {
+		j.unreadable = p.Unreadable
+		j.begun = true // progress is first stored after a start
+	}
 	for _, op := range p.Occurrences {
 		j.nextOccurrence = op.Number
 		o := j.addOccurrence(j.accepted)
--- a/internal/engine/restore.go
+++ b/internal/engine/restore.go
@@ -108,16 +108,16 @@
 	if err != nil {
 		return err
 	}
+	now, wall := e.Clock.Now(), e.Clock.Wall()
 	byJob := make(map[string]*Progress, len(progress))
 	for _, kv := range progress {
-		var p Progress
-		if err := json.Unmarshal(kv.Value, &p); err != nil {
-			e.Log.Error(err, "job progress is malformed, the job starts over", "key", kv.Key)
-			continue
+		id := strings.TrimPrefix(kv.Key, infra.WorkProgressPrefix(e.Cell))
+		p, err := readProgress(kv.Value, wall)
+		if err != nil {
+			e.Log.Error(err, "job progress is malformed, tasks that may be done are held", "job", id, "key", kv.Key)
 		}
-		byJob[strings.TrimPrefix(kv.Key, infra.WorkProgressPrefix(e.Cell))] = &p
+		byJob[id] = p
 	}
-	now, wall := e.Clock.Now(), e.Clock.Wall()
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.core.Configure(e.Declared())
--- /dev/null
+++ b/internal/engine/unreadable.go
@@ -0,0 +1,134 @@
+package engine
+
+import (
+	"encoding/json"
+	"slices"
+	"time"
+
+	"github.com/pumicestage/pumicestage/policy/work"
+)
+
+// UnreadableProgress is stored progress of a job that an owner could not read. Tasks may be done, or
+// may have failed or crashed workers as often as allowed, that the job's Progress does not tell of.
+type UnreadableProgress struct {
+	// Value is the stored value, for a later owner that can read it; empty if it is longer than
+	// maxUnreadableBytes.
+	Value []byte `json:"value,omitempty"`
+	// Before is the time of day from which occurrences are due that had certainly not begun when
+	// the value was stored.
+	Before time.Time `json:"before"`
+}
+
+const (
+	// maxUnreadableBytes bounds a value that is kept. A change that the store refuses for its size
+	// would keep the ends of other jobs in its transaction from being stored.
+	maxUnreadableBytes = 16 << 10
+	// maxWallClockError is how far the wall clocks of two owners may differ. An earlier owner with
+	// a clock ahead of this one's has begun occurrences that are not due here.
+	maxWallClockError = 10 * time.Second
+	// unreadableRunOffset is added to run numbers that can't be read. Each take-over adds
+	// restoredRunOffset, so that it exceeds those of thousands of owners.
+	unreadableRunOffset = 1 << 20
+)
+
+// readProgress decodes the stored progress of a job at the time of day wall. If the value can't be
+// read, the result is what has to be assumed of the job, with Unreadable set, and the error tells
+// why. If an earlier owner could not read a value that this one can, the result includes it.
+func readProgress(value []byte, wall time.Time) (*Progress, error) {
+	p := new(Progress)
+	if err := json.Unmarshal(value, p); err != nil {
+		return &Progress{Run: unreadableRunOffset, Unreadable: keepUnreadable(value, wall)}, err
+	}
+	if p.Unreadable == nil {
+		return p, nil
+	}
+	earlier, err := readProgress(p.Unreadable.Value, wall)
+	if err != nil {
+		return p, err
+	}
+	return mergeProgress(earlier, p), nil
+}
+
+func keepUnreadable(value []byte, wall time.Time) *UnreadableProgress {
+	u := &UnreadableProgress{Before: wall.Add(maxWallClockError)}
+	if len(value) <= maxUnreadableBytes {
+		u.Value = value
+	}
+	return u
+}
+
+// mergeProgress returns the progress of a job of which earlier was stored first, and later by owners
+// that could not read it.
+func mergeProgress(earlier, later *Progress) *Progress {
+	out := &Progress{Next: max(earlier.Next, later.Next), Run: max(earlier.Run, later.Run), Unreadable: earlier.Unreadable}
+	for _, o := range earlier.Occurrences {
+		if i := later.find(o.Number); i >= 0 {
+			o = mergeOccurrence(o, later.Occurrences[i])
+		} else if o.Number < later.Next {
+			continue // it has finished since
+		}
+		out.Occurrences = append(out.Occurrences, o)
+	}
+	for _, o := range later.Occurrences {
+		// One that had begun and that earlier doesn't list had finished.
+		if o.Number >= earlier.Next {
+			out.Occurrences = append(out.Occurrences, o)
+		}
+	}
+	return out
+}
+
+// find returns the index of the occurrence in p.Occurrences; -1 if it is not there.
+func (p *Progress) find(number int) int {
+	return slices.IndexFunc(p.Occurrences, func(o OccurrenceProgress) bool { return o.Number == number })
+}
+
+func mergeOccurrence(earlier, later OccurrenceProgress) OccurrenceProgress {
+	out := OccurrenceProgress{Number: earlier.Number}
+	for i, step := range earlier.Steps {
+		if i < len(later.Steps) {
+			step = mergeStep(step, later.Steps[i])
+		}
+		out.Steps = append(out.Steps, step)
+	}
+	return out
+}
+
+func mergeStep(earlier, later StepProgress) StepProgress {
+	out := StepProgress{
+		Done:   union(earlier.Done, later.Done),
+		Trials: union(earlier.Trials, later.Trials),
+	}
+	for _, p := range []StepProgress{earlier, later} {
+		for i, runs := range p.Failed {
+			out.Failed = put(out.Failed, i, union(out.Failed[i], runs))
+		}
+		for i, checkpoint := range p.Saved {
+			out.Saved = put(out.Saved, i, checkpoint)
+		}
+		for i, record := range p.Crashed {
+			merged := out.Crashed[i]
+			for _, crash := range record {
+				merged = merged.With(crash)
+			}
+			out.Crashed = put(out.Crashed, i, merged)
+		}
+	}
+	return out
+}
+
+func union(a, b []int) []int {
+	out := slices.Concat(a, b)
+	slices.Sort(out)
+	return slices.Compact(out)
+}
+
+// holds reports whether the tasks of a step of the occurrence that are not running are held: without
+// the job's whole progress it is not known whether they may start once more. Long-running tasks
+// have no end after which they may not.
+func (j *job) holds(s *work.Step, occurrence int) bool {
+	if j.unreadable == nil || s.LongRunning {
+		return false
+	}
+	return !j.Timed() || j.Schedule.Due(occurrence).Before(j.unreadable.Before)
+}
--- /dev/null
+++ b/internal/engine/unreadable_test.go
@@ -0,0 +1,309 @@
+package engine
+
+import (
+	"encoding/json"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/jonboulle/clockwork"
+	"gotest.tools/v3/assert"
+
+	"github.com/pumicestage/pumicestage/internal/infra"
+	"github.com/pumicestage/pumicestage/internal/infra/memstore"
+	"github.com/pumicestage/pumicestage/policy/work"
+)
+
+// storedRig is a rig whose owners leave their state in a store, from which the next owner takes over.
+type storedRig struct {
+	*rig
+	engine *Engine
+	store  infra.Store
+}
+
+// rigTime is the clock of a rig.
+type rigTime struct{ *rig }
+
+func (c rigTime) Now() time.Duration { return c.now }
+func (c rigTime) Wall() time.Time    { return c.wall }
+
+func newStoredRig(t *testing.T) *storedRig {
+	b := &storedRig{rig: newRig(t), store: memstore.New(clockwork.NewFakeClock())}
+	b.takeOver()
+	return b
+}
+
+// takeOver has another owner restore the cell. Its workers are w1 and w2, which it has not polled.
+func (b *storedRig) takeOver() {
+	b.t.Helper()
+	declared := b.core.declared
+	b.engine = New(Options{
+		Cell: service, Store: b.store, Clock: rigTime{b.rig}, Log: logr.Discard(), Term: &fakeTerm{certain: true}, Bounds: rigBounds,
+		Registry: func() []WorkerInfo { return []WorkerInfo{info("w1"), info("w2")} },
+		Declared: func() Declared { return declared },
+	})
+	assert.NilError(b.t, b.engine.load(b.t.Context(), false))
+	b.engine.restored = true
+	b.core = b.engine.core
+	b.core.AllowUntil(b.now + time.Hour)
+	b.core.SetCertain(true)
+	b.core.SetFleet([]work.VM{vm("v1", "w1"), vm("v2", "w2")})
+}
+
+// submit stores a job and has the owner accept it.
+func (b *storedRig) submit(j *work.Job) {
+	b.t.Helper()
+	j.Queue, j.Spec, j.Accepted = queue, "spec", b.wall
+	q := b.core.declared.Queues[queue]
+	ops, err := CreateOps(service, j, q)
+	assert.NilError(b.t, err)
+	b.write(ops...)
+	b.core.Accept(j, q, b.now)
+}
+
+// flush stores all pending changes.
+func (b *storedRig) flush() {
+	b.t.Helper()
+	f := b.core.TakeFlush(100)
+	for _, ch := range f.Changes {
+		b.write(b.engine.writer.changeOps(ch)...)
+	}
+	b.core.Flushed(f, nil)
+}
+
+func (b *storedRig) write(ops ...infra.Op) {
+	b.t.Helper()
+	_, err := b.store.Txn(b.t.Context(), infra.Txn{Then: ops})
+	assert.NilError(b.t, err)
+}
+
+// progressOf returns the stored progress of the job; empty if there is none.
+func (b *storedRig) progressOf(id work.JobID) string {
+	b.t.Helper()
+	kv, _, err := b.store.Get(b.t.Context(), infra.WorkProgressKey(service, string(id)))
+	assert.NilError(b.t, err)
+	return string(kv.Value)
+}
+
+// overwriteProgress has another writer replace the stored progress of the job.
+func (b *storedRig) overwriteProgress(id work.JobID, value string) {
+	b.t.Helper()
+	b.write(infra.Put(infra.WorkProgressKey(service, string(id)), []byte(value)))
+}
+
+// startAll plans, has every start carried out and returns them by task.
+func (b *storedRig) startAll() map[string]StartOrder {
+	b.t.Helper()
+	o := b.plan()
+	b.answer(o, OutcomeOK)
+	out := make(map[string]StartOrder)
+	for _, s := range o.Starts {
+		out[s.Start.Task.String()] = s
+	}
+	return out
+}
+
+// listAll has both workers answer a poll: w1 as l says, w2 with nothing.
+func (b *storedRig) listAll(l Listing) {
+	b.t.Helper()
+	b.poll("w1", l)
+	b.poll("w2", Listing{})
+}
+
+// oneOfTwoDone runs job j1 of two tasks on w1 until task 0 is done, stored and acknowledged, while
+// task 1 goes on, which it returns. Job j2 waits with a task done likewise.
+func (b *storedRig) oneOfTwoDone() StartOrder {
+	b.t.Helper()
+	b.poll("w1", Listing{})
+	b.submit(&work.Job{ID: "j1", Steps: []work.Step{short(2)}})
+	first := b.startAll()
+	b.poll("w2", Listing{})
+	b.submit(&work.Job{ID: "j2", Steps: []work.Step{short(1), {Count: 1, Size: short(1).Size, Estimate: time.Second, After: []int{0}}}})
+	other := b.startAll()["j2.0.0.0"]
+	ends := []RunEnd{ended(1, first["j1.0.0.0"], work.Done)}
+	l := Listing{Ended: ends, Running: []Run{run(first["j1.0.0.1"])}}
+	if other.Worker.ID == "w1" {
+		l.Ended = append(l.Ended, ended(2, other, work.Done))
+		b.poll("w1", l)
+	} else {
+		b.poll("w1", l)
+		b.poll("w2", Listing{Ended: []RunEnd{ended(1, other, work.Done)}})
+	}
+	b.flush()
+	assert.Assert(b.t, b.progressOf("j1") != "")
+	assert.Assert(b.t, b.progressOf("j2") != "")
+	return first["j1.0.0.1"]
+}
+
+const malformedProgress = `{"next":1,"occurrences":[{"number":0,"steps":[{"done":["0"]}]}]}`
+
+// Guards against tasks that run again although they are done: their job's stored progress can't be read
+// at a take-over, and the job started over. Other jobs go on.
+func TestTasksThatMayBeDoneDoNotStartWhileProgressIsUnreadable(t *testing.T) {
+	b := newStoredRig(t)
+	b.oneOfTwoDone()
+	b.overwriteProgress("j1", malformedProgress)
+	for range 3 {
+		b.takeOver()
+		b.listAll(Listing{})
+		for range 20 {
+			for task := range b.startAll() {
+				assert.Assert(t, task == "j2.0.1.0", "%s started", task)
+			}
+			b.now += time.Second
+		}
+		state, err := b.engine.State("j1", "")
+		assert.NilError(t, err)
+		assert.Equal(t, state, work.Running)
+		assert.Equal(t, b.progressOf("j1"), malformedProgress)
+	}
+}
+
+// Guards against work that is lost with unreadable progress: runs that go on are adopted, their ends are
+// stored and acknowledged, and an owner that can read the value has the rest run, once.
+func TestAnOwnerThatCanReadTheProgressCompletesTheJob(t *testing.T) {
+	b := newStoredRig(t)
+	b.poll("w1", Listing{})
+	b.submit(&work.Job{ID: "j1", Steps: []work.Step{short(3)}})
+	first := b.startAll()
+	b.poll("w1", Listing{Ended: []RunEnd{ended(1, first["j1.0.0.0"], work.Done)}, Running: []Run{run(first["j1.0.0.1"]), run(first["j1.0.0.2"])}})
+	b.flush()
+	readable := b.progressOf("j1")
+	b.overwriteProgress("j1", malformedProgress)
+
+	b.takeOver()
+	b.listAll(Listing{Running: []Run{run(first["j1.0.0.1"])}})
+	assert.Equal(t, len(b.startAll()), 0, "task 2 may be done")
+	b.poll("w1", Listing{Ended: []RunEnd{ended(2, first["j1.0.0.1"], work.Done)}})
+	b.flush()
+	assert.Equal(t, b.core.workers["w1"].stored, int64(2), "the end is acknowledged")
+
+	b.takeOver()
+	b.listAll(Listing{})
+	assert.Equal(t, len(b.startAll()), 0)
+	stored, err := readProgress([]byte(b.progressOf("j1")), b.wall)
+	assert.Assert(t, err != nil)
+	assert.Equal(t, string(stored.Unreadable.Value), malformedProgress)
+
+	// The next owner runs a version that can read the value.
+	stored.Unreadable.Value = []byte(readable)
+	raw, err := json.Marshal(stored)
+	assert.NilError(t, err)
+	b.overwriteProgress("j1", string(raw))
+	b.takeOver()
+	b.listAll(Listing{})
+	last := b.startAll()
+	assert.Equal(t, len(last), 1)
+	b.poll("w1", Listing{})
+	s := last["j1.0.0.2"]
+	b.poll(s.Worker.ID, Listing{Ended: []RunEnd{ended(1, s, work.Done)}})
+	b.flush()
+	state, err := b.engine.State("j1", "")
+	assert.NilError(t, err)
+	assert.Equal(t, state, work.Completed)
+	assert.Equal(t, b.progressOf("j1"), "")
+}
+
+// Guards against a job that nobody can end: the cancellation of a job with unreadable progress is stored,
+// and its runs are stopped.
+func TestAJobWithUnreadableProgressCanBeCancelled(t *testing.T) {
+	b := newStoredRig(t)
+	going := b.oneOfTwoDone()
+	b.overwriteProgress("j1", malformedProgress)
+	b.takeOver()
+	b.listAll(Listing{Running: []Run{run(going)}})
+	e, err := b.engine.Explain("j1")
+	assert.NilError(t, err)
+	assert.Assert(t, e.ProgressUnreadable)
+	assert.DeepEqual(t, e.Steps[0].Tasks, map[string]int{"running": 1, "held": 1})
+	assert.Assert(t, b.core.Cancel("j1", func(err error) { assert.NilError(t, err) }))
+	stops := b.plan().Stops
+	assert.Equal(t, len(stops), 1)
+	assert.Equal(t, stops[0].Task, going.Start.Task)
+	b.flush()
+	state, err := b.engine.State("j1", "")
+	assert.NilError(t, err)
+	assert.Equal(t, state, work.Cancelled)
+	assert.Equal(t, b.progressOf("j1"), "")
+}
+
+// Guards against a job that fails or never ends although all of its tasks are known to be done: the ends
+// were listed again to the owner that could not read the progress.
+func TestUnreadableProgressThatWorkersStillListCompletesTheJob(t *testing.T) {
+	b := newStoredRig(t)
+	b.poll("w1", Listing{})
+	b.submit(&work.Job{ID: "j1", Steps: []work.Step{short(2)}})
+	first := b.startAll()
+	ends := []RunEnd{ended(1, first["j1.0.0.0"], work.Done), ended(2, first["j1.0.0.1"], work.Done)}
+	b.poll("w1", Listing{Ended: ends[:1], Running: []Run{run(first["j1.0.0.1"])}})
+	b.flush()
+	b.overwriteProgress("j1", "")
+	b.takeOver()
+	b.listAll(Listing{Ended: ends})
+	b.flush()
+	state, err := b.engine.State("j1", "")
+	assert.NilError(t, err)
+	assert.Equal(t, state, work.Completed)
+}
+
+// Guards against an outage of tasks that may start again at any time: long-running tasks, and those of
+// occurrences that are due only after the take-over, don't depend on the unreadable progress.
+func TestUnreadableProgressHoldsNoTaskThatCanNotBeDone(t *testing.T) {
+	b := newStoredRig(t)
+	b.submit(&work.Job{ID: "lasting", Steps: []work.Step{longRunning(1)}})
+	b.submit(&work.Job{ID: "repeated", Steps: []work.Step{short(1)}, Schedule: work.Schedule{Times: 4, First: b.wall, Every: time.Minute}})
+	b.overwriteProgress("lasting", malformedProgress)
+	b.overwriteProgress("repeated", malformedProgress)
+	b.takeOver()
+	b.listAll(Listing{})
+	started := b.startAll()
+	assert.Equal(t, len(started), 1)
+	lasting := started["lasting.0.0.0"]
+	assert.Assert(t, lasting.Start.Run > unreadableRunOffset, "no earlier run has the number")
+
+	b.wall = b.wall.Add(time.Minute)
+	started = b.startAll()
+	assert.Equal(t, len(started), 1)
+	second := started["repeated.1.0.0"]
+	b.poll(second.Worker.ID, Listing{Ended: []RunEnd{ended(1, second, work.Done)}})
+	b.flush()
+	b.takeOver()
+	running := run(lasting)
+	running.Percent = fullPercent
+	b.poll(lasting.Worker.ID, Listing{Running: []Run{running}})
+	b.listAll(Listing{Running: []Run{running}})
+	assert.Equal(t, len(b.startAll()), 0, "the second occurrence is done, the first may be")
+	assert.Equal(t, len(b.core.jobs["repeated"].liveOccurrences), 1)
+}
+
+// Guards against ends of other jobs that can't be stored, because a value beside them is too large.
+func TestLongUnreadableProgressIsNotKept(t *testing.T) {
+	long := "[" + strings.Repeat(" ", maxUnreadableBytes)
+	p, err := readProgress([]byte(long), epoch)
+	assert.Assert(t, err != nil)
+	assert.Equal(t, len(p.Unreadable.Value), 0)
+	raw, err := json.Marshal(p)
+	assert.NilError(t, err)
+	again, err := readProgress(raw, epoch.Add(time.Hour))
+	assert.Assert(t, err != nil)
+	assert.Equal(t, again.Unreadable.Before, p.Unreadable.Before)
+}
+
+// Guards against tasks that run again, or wait for ever, after a value can be read again: what was done
+// before it was stored and what was done since both count.
+func TestMergedProgressHoldsWhatBothTell(t *testing.T) {
+	earlier := &Progress{Next: 4, Run: 7, Occurrences: []OccurrenceProgress{
+		{Number: 1, Steps: []StepProgress{{Done: []int{0}}}},
+		{Number: 2, Steps: []StepProgress{{Done: []int{1, 2}, Failed: map[int][]int{0: {3}, 3: {2}}, Saved: map[int]string{0: "a", 3: "b"}}}},
+		{Number: 3, Steps: []StepProgress{{Trials: []int{0}}}},
+	}}
+	later := &Progress{Next: 3, Run: 1 << 20, Occurrences: []OccurrenceProgress{
+		{Number: 0, Steps: []StepProgress{{}}},
+		{Number: 2, Steps: []StepProgress{{Done: []int{3}, Failed: map[int][]int{0: {3, 4}}, Saved: map[int]string{0: "c"}}}},
+	}}
+	assert.DeepEqual(t, mergeProgress(earlier, later), &Progress{Next: 4, Run: 1 << 20, Occurrences: []OccurrenceProgress{
+		{Number: 2, Steps: []StepProgress{{Done: []int{1, 2, 3}, Failed: map[int][]int{0: {3, 4}, 3: {2}}, Saved: map[int]string{0: "c", 3: "b"}}}},
+		{Number: 3, Steps: []StepProgress{{Trials: []int{0}}}},
+	}})
+}
