Stored progress that doesn't fit its job is unreadable

What callers would have seen: tasks that were done ran again after a take-over, or all jobs of a cell stood still, because every entry VM that took the cell over ended with "index out of range".

Cause: stored progress was applied to the job as it was decoded. `null`, `{}` and values of another shape decode without an error, as nothing done or as indexes that the job doesn't have. Indexes that are too large were passed over, negative ones and further steps were used.

Evidence: TestProgressThatDoesNotFitItsJobIsUnreadable, 17 values.

Why it is enough: Progress.check requires what Core.change always writes (the steps of the job, indexes within them, occurrences that have begun, something left to do), so that nothing applies an index unchecked; what fails is held as a value that can't be decoded.

The bounds checks in step.restore, which passed over large indexes, are gone with it.

--- a/internal/engine/progress.go
+++ b/internal/engine/progress.go
@@ -326,37 +326,27 @@
 	j.nextOccurrence = max(j.nextOccurrence, p.Next)
 }
 
-// restore sets the state of the step's tasks. Indexes beyond the step's tasks are ignored.
+// restore sets the state of the step's tasks. p must fit the step, see Progress.check.
 func (s *step) restore(p *StepProgress) {
 	for _, i := range p.Done {
-		if i < len(s.tasks) {
-			s.set(s.tasks[i], taskDone)
-			s.job.begun = true
-		}
+		s.set(s.tasks[i], taskDone)
+		s.job.begun = true
 	}
 	for i, runs := range p.Failed {
-		if i < len(s.tasks) {
-			s.tasks[i].failedRuns = runs
-			s.job.begun = true
-		}
+		s.tasks[i].failedRuns = runs
+		s.job.begun = true
 	}
 	for i, record := range p.Crashed {
-		if i < len(s.tasks) {
-			s.tasks[i].crashes = record
-			s.job.begun = true
-		}
+		s.tasks[i].crashes = record
+		s.job.begun = true
 	}
 	for _, i := range p.Trials {
-		if i < len(s.tasks) {
-			t := s.tasks[i]
-			t.presumedRun = s.job.baseRun
-			t.crashes = t.crashes.With(crashes.Crash{Run: t.presumedRun, Presumed: true})
-		}
+		t := s.tasks[i]
+		t.presumedRun = s.job.baseRun
+		t.crashes = t.crashes.With(crashes.Crash{Run: t.presumedRun, Presumed: true})
 	}
 	for i, saved := range p.Saved {
-		if i < len(s.tasks) {
-			s.tasks[i].checkpoint = saved
-		}
+		s.tasks[i].checkpoint = saved
 	}
 }
 
--- a/internal/engine/restore.go
+++ b/internal/engine/restore.go
@@ -12,6 +12,7 @@
 
 	"github.com/pumicestage/pumicestage/internal/infra"
 	"github.com/pumicestage/pumicestage/internal/sleep"
+	"github.com/pumicestage/pumicestage/policy/work"
 )
 
 // OwnerGrace is how long an owner that can't reach the store goes on giving orders after its
@@ -109,14 +110,9 @@
 		return err
 	}
 	now, wall := e.Clock.Now(), e.Clock.Wall()
-	byJob := make(map[string]*Progress, len(progress))
+	byJob := make(map[string]infra.KV, len(progress))
 	for _, kv := range progress {
-		id := strings.TrimPrefix(kv.Key, infra.WorkProgressPrefix(e.Cell))
-		p, err := readProgress(kv.Value, wall)
-		if err != nil {
-			e.Log.Error(err, "job progress is malformed, tasks that may be done are held", "job", id, "key", kv.Key)
-		}
-		byJob[id] = p
+		byJob[strings.TrimPrefix(kv.Key, infra.WorkProgressPrefix(e.Cell))] = kv
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -130,7 +126,7 @@
 			e.Log.Error(err, "job record is malformed, the job is not restored", "key", kv.Key)
 			continue
 		}
-		e.core.Restore(&r, byJob[string(r.Job.ID)], now, wall)
+		e.core.Restore(&r, e.progressOf(r.Job, byJob, wall), now, wall)
 	}
 	e.core.FinishRestore(now, wall)
 	for _, info := range e.Registry() {
@@ -142,6 +138,20 @@
 	return nil
 }
 
+// progressOf returns the progress of the job, at the time of day wall, from the stored values by job
+// ID; nil if none is stored.
+func (e *Engine) progressOf(j *work.Job, stored map[string]infra.KV, wall time.Time) *Progress {
+	kv, found := stored[string(j.ID)]
+	if !found {
+		return nil
+	}
+	p, err := readProgress(kv.Value, j, wall)
+	if err != nil {
+		e.Log.Error(err, "job progress is malformed, tasks that may be done are held", "job", j.ID, "key", kv.Key)
+	}
+	return p
+}
+
 // readStored reads the progress of the cell's jobs, its open jobs and the ledgers of limits,
 // and at the same time waits for the list of workers. It does so in parallel, because a slow
 // store takes a fifth of a second for each call while no owner serves the cell; the order
--- a/internal/engine/unreadable.go
+++ b/internal/engine/unreadable.go
@@ -2,9 +2,13 @@
 
 import (
 	"encoding/json"
+	"maps"
+	"math"
 	"slices"
 	"time"
 
+	"github.com/gravitational/trace"
+
 	"github.com/pumicestage/pumicestage/policy/work"
 )
 
@@ -29,26 +33,75 @@
 	// unreadableRunOffset is added to run numbers that can't be read. Each take-over adds
 	// restoredRunOffset, so that it exceeds those of thousands of owners.
 	unreadableRunOffset = 1 << 20
+	// maxStoredRun bounds run numbers in stored progress, so that those derived from them don't overflow.
+	maxStoredRun = math.MaxInt / 2
 )
 
-// readProgress decodes the stored progress of a job at the time of day wall. If the value can't be
+// readProgress decodes the stored progress of job j at the time of day wall. If the value can't be
 // read, the result is what has to be assumed of the job, with Unreadable set, and the error tells
 // why. If an earlier owner could not read a value that this one can, the result includes it.
-func readProgress(value []byte, wall time.Time) (*Progress, error) {
+func readProgress(value []byte, j *work.Job, wall time.Time) (*Progress, error) {
 	p := new(Progress)
-	if err := json.Unmarshal(value, p); err != nil {
+	err := json.Unmarshal(value, p)
+	if err == nil {
+		err = p.check(j)
+	}
+	if err != nil {
 		return &Progress{Run: unreadableRunOffset, Unreadable: keepUnreadable(value, wall)}, err
 	}
 	if p.Unreadable == nil {
 		return p, nil
 	}
-	earlier, err := readProgress(p.Unreadable.Value, wall)
+	earlier, err := readProgress(p.Unreadable.Value, j, wall)
 	if err != nil {
 		return p, err
 	}
 	return mergeProgress(earlier, p), nil
 }
 
+// check returns an error if p can't be progress of the job. Values of other types, such as null, also
+// decode without an error.
+func (p *Progress) check(j *work.Job) error {
+	if p.Next < 1 || p.Next > j.Occurrences() {
+		return trace.BadParameter("next occurrence %d is not in 1 to %d", p.Next, j.Occurrences())
+	}
+	if p.Next == j.Occurrences() && len(p.Occurrences) == 0 {
+		return trace.BadParameter("all occurrences are finished, and the job has not ended")
+	}
+	if p.Run < 0 || p.Run > maxStoredRun {
+		return trace.BadParameter("run number %d is not in 0 to %d", p.Run, maxStoredRun)
+	}
+	for i := range p.Occurrences {
+		o := &p.Occurrences[i]
+		if o.Number < 0 || o.Number >= p.Next || p.find(o.Number) != i {
+			return trace.BadParameter("occurrence %d has not begun, or is listed twice", o.Number)
+		}
+		if len(o.Steps) != len(j.Steps) {
+			return trace.BadParameter("occurrence %d has %d steps, the job has %d", o.Number, len(o.Steps), len(j.Steps))
+		}
+		for n := range o.Steps {
+			if err := o.Steps[n].check(j.Steps[n].Count); err != nil {
+				return trace.Wrap(err, "occurrence %d, step %d", o.Number, n)
+			}
+		}
+	}
+	return nil
+}
+
+// check returns an error if p can't be progress of a step of so many tasks.
+func (p *StepProgress) check(tasks int) error {
+	indexes := slices.Concat(p.Done, p.Trials)
+	indexes = slices.AppendSeq(indexes, maps.Keys(p.Failed))
+	indexes = slices.AppendSeq(indexes, maps.Keys(p.Saved))
+	indexes = slices.AppendSeq(indexes, maps.Keys(p.Crashed))
+	for _, i := range indexes {
+		if i < 0 || i >= tasks {
+			return trace.BadParameter("task %d of a step of %d tasks", i, tasks)
+		}
+	}
+	return nil
+}
+
 func keepUnreadable(value []byte, wall time.Time) *UnreadableProgress {
 	u := &UnreadableProgress{Before: wall.Add(maxWallClockError)}
 	if len(value) <= maxUnreadableBytes {
--- a/internal/engine/unreadable_test.go
+++ b/internal/engine/unreadable_test.go
@@ -182,7 +182,7 @@
 	b.takeOver()
 	b.listAll(Listing{})
 	assert.Equal(t, len(b.startAll()), 0)
-	stored, err := readProgress([]byte(b.progressOf("j1")), b.wall)
+	stored, err := readProgress([]byte(b.progressOf("j1")), &b.core.jobs["j1"].Job, b.wall)
 	assert.Assert(t, err != nil)
 	assert.Equal(t, string(stored.Unreadable.Value), malformedProgress)
 
@@ -280,12 +280,13 @@
 // Guards against ends of other jobs that can't be stored, because a value beside them is too large.
 func TestLongUnreadableProgressIsNotKept(t *testing.T) {
 	long := "[" + strings.Repeat(" ", maxUnreadableBytes)
-	p, err := readProgress([]byte(long), epoch)
+	p, err := readProgress([]byte(long), &work.Job{Steps: []work.Step{short(1)}}, epoch)
 	assert.Assert(t, err != nil)
 	assert.Equal(t, len(p.Unreadable.Value), 0)
+	p.Next, p.Occurrences = 1, []OccurrenceProgress{{Steps: []StepProgress{{}}}}
 	raw, err := json.Marshal(p)
 	assert.NilError(t, err)
-	again, err := readProgress(raw, epoch.Add(time.Hour))
+	again, err := readProgress(raw, &work.Job{Steps: []work.Step{short(1)}}, epoch.Add(time.Hour))
 	assert.Assert(t, err != nil)
 	assert.Equal(t, again.Unreadable.Before, p.Unreadable.Before)
 }
@@ -307,3 +308,41 @@
 		{Number: 3, Steps: []StepProgress{{Trials: []int{0}}}},
 	}})
 }
+
+// Guards against a cell that no entry VM can own, and against jobs that start over: stored progress is
+// valid JSON that doesn't fit its job. Each owner panicked on it, or took it for a job that had not begun.
+func TestProgressThatDoesNotFitItsJobIsUnreadable(t *testing.T) {
+	for name, value := range map[string]string{
+		"null":                 `null`,
+		"empty object":         `{}`,
+		"other object":         `{"version":2,"state":"none"}`,
+		"more steps":           `{"next":1,"occurrences":[{"number":0,"steps":[{"done":[0]},{"done":[0]}]}]}`,
+		"fewer steps":          `{"next":1,"occurrences":[{"number":0,"steps":[]}]}`,
+		"negative index":       `{"next":1,"occurrences":[{"number":0,"steps":[{"done":[-1]}]}]}`,
+		"index too large":      `{"next":1,"occurrences":[{"number":0,"steps":[{"done":[2]}]}]}`,
+		"failed index":         `{"next":1,"occurrences":[{"number":0,"steps":[{"failed":{"-1":[1]}}]}]}`,
+		"crashed index":        `{"next":1,"occurrences":[{"number":0,"steps":[{"crashed":{"-1":[]}}]}]}`,
+		"trial index":          `{"next":1,"occurrences":[{"number":0,"steps":[{"trials":[-1]}]}]}`,
+		"saved index":          `{"next":1,"occurrences":[{"number":0,"steps":[{"saved":{"-1":"x"}}]}]}`,
+		"negative occurrence":  `{"next":1,"occurrences":[{"number":-1,"steps":[{"done":[0]}]}]}`,
+		"unknown occurrence":   `{"next":2,"occurrences":[{"number":1,"steps":[{"done":[0]}]}]}`,
+		"occurrence not begun": `{"next":0,"occurrences":[{"number":0,"steps":[{"done":[0]}]}]}`,
+		"occurrence twice":     `{"next":1,"occurrences":[{"number":0,"steps":[{}]},{"number":0,"steps":[{}]}]}`,
+		"all is over":          `{"next":1}`,
+		"negative run":         `{"next":1,"run":-200,"occurrences":[{"number":0,"steps":[{"done":[0]}]}]}`,
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newStoredRig(t)
+			b.oneOfTwoDone()
+			b.overwriteProgress("j1", value)
+			b.takeOver()
+			b.listAll(Listing{})
+			started := b.startAll()
+			assert.Equal(t, len(started), 1)
+			assert.Equal(t, started["j2.0.1.0"].Start.Task.Job, work.JobID("j2"))
+			state, err := b.engine.State("j1", "")
+			assert.NilError(t, err)
+			assert.Equal(t, state, work.Running)
+		})
+	}
+}
