--- a/internal/engine/model_test.go
+++ b/internal/engine/model_test.go
@@ -98,8 +98,11 @@
 	restarts bool
 	// concurrentTxns: outcomes of transactions may come later and in any order.
 	concurrentTxns bool
-	bounds         Bounds
-	limited        *limitWorld // nil: no workspace has a limit
+	// unreadable: the progress of random jobs can't be read from a take-over until the faults end.
+	unreadable bool
+	spoiled    int // how often progress became unreadable
+	bounds     Bounds
+	limited    *limitWorld // nil: no workspace has a limit
 }
 
 const (
@@ -139,6 +142,9 @@
 func (m *model) takeOver(first bool) {
 	m.token++
 	m.commit = m.token
+	if m.unreadable && !m.faultsOff {
+		m.spoilProgress()
+	}
 	for _, o := range m.owners {
 		o.core.SetCertain(false)
 		o.core.ordersUntil = min(o.core.ordersUntil, m.now+OwnerGrace)
@@ -467,6 +473,7 @@
 // heal ends all faults: earlier owners are stopped, and the current one reaches all workers.
 func (m *model) heal() {
 	m.faultsOff = true
+	m.readSpoiledProgress()
 	m.takeOver(false)
 	clear(m.current().unreachable)
 	for _, o := range m.owners[:len(m.owners)-1] {
