Stored jobs are decoded before the engine's lock is taken

Seen in reading: with the check against the job, progress was decoded under the lock, as records were before, so that callers who reached a new owner waited for all of it instead of being told at once that it is not ready.

Change: decodeJobs decodes records and progress before the lock; only Core.Restore is under it.

--- a/internal/engine/restore.go
+++ b/internal/engine/restore.go
@@ -12,7 +12,6 @@
 
 	"github.com/pumicestage/pumicestage/internal/infra"
 	"github.com/pumicestage/pumicestage/internal/sleep"
-	"github.com/pumicestage/pumicestage/policy/work"
 )
 
 // OwnerGrace is how long an owner that can't reach the store goes on giving orders after its
@@ -110,23 +109,15 @@
 		return err
 	}
 	now, wall := e.Clock.Now(), e.Clock.Wall()
-	byJob := make(map[string]infra.KV, len(progress))
-	for _, kv := range progress {
-		byJob[strings.TrimPrefix(kv.Key, infra.WorkProgressPrefix(e.Cell))] = kv
-	}
+	stored := e.decodeJobs(jobs, progress, wall)
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.core.Configure(e.Declared())
 	for _, kv := range ledgers {
 		e.core.RestoreLedger(kv)
 	}
-	for _, kv := range jobs {
-		var r JobRecord
-		if err := json.Unmarshal(kv.Value, &r); err != nil || r.Job == nil {
-			e.Log.Error(err, "job record is malformed, the job is not restored", "key", kv.Key)
-			continue
-		}
-		e.core.Restore(&r, e.progressOf(r.Job, byJob, wall), now, wall)
+	for _, s := range stored {
+		e.core.Restore(s.record, s.progress, now, wall)
 	}
 	e.core.FinishRestore(now, wall)
 	for _, info := range e.Registry() {
@@ -138,18 +129,36 @@
 	return nil
 }
 
-// progressOf returns the progress of the job, at the time of day wall, from the stored values by job
-// ID; nil if none is stored.
-func (e *Engine) progressOf(j *work.Job, stored map[string]infra.KV, wall time.Time) *Progress {
-	kv, found := stored[string(j.ID)]
-	if !found {
-		return nil
-	}
-	p, err := readProgress(kv.Value, j, wall)
-	if err != nil {
-		e.Log.Error(err, "job progress is malformed, tasks that may be done are held", "job", j.ID, "key", kv.Key)
+// storedJob is an open job as it was stored.
+type storedJob struct {
+	record   *JobRecord
+	progress *Progress // nil: none is stored
+}
+
+// decodeJobs decodes the records of the open jobs and their progress at the time of day wall. A job whose
+// record is malformed is left out.
+func (e *Engine) decodeJobs(jobs, progress []infra.KV, wall time.Time) []storedJob {
+	byJob := make(map[string]infra.KV, len(progress))
+	for _, kv := range progress {
+		byJob[strings.TrimPrefix(kv.Key, infra.WorkProgressPrefix(e.Cell))] = kv
+	}
+	out := make([]storedJob, 0, len(jobs))
+	for _, kv := range jobs {
+		r := new(JobRecord)
+		if err := json.Unmarshal(kv.Value, r); err != nil || r.Job == nil {
+			e.Log.Error(err, "job record is malformed, the job is not restored", "key", kv.Key)
+			continue
+		}
+		s := storedJob{record: r}
+		if kv, found := byJob[string(r.Job.ID)]; found {
+			var err error
+			if s.progress, err = readProgress(kv.Value, r.Job, wall); err != nil {
+				e.Log.Error(err, "job progress is malformed, tasks that may be done are held", "job", r.Job.ID, "key", kv.Key)
+			}
+		}
+		out = append(out, s)
 	}
-	return p
+	return out
 }
 
 // readStored reads the progress of the cell's jobs, its open jobs and the ledgers of limits,
