--- a/internal/engine/unreadable.go
+++ b/internal/engine/unreadable.go
@@ -18,8 +18,8 @@
 	// Value is the stored value, for a later owner that can read it; empty if it is longer than
 	// maxUnreadableBytes.
 	Value []byte `json:"value,omitempty"`
-	// Before is the time of day from which occurrences are due that had certainly not begun when
-	// the value was stored.
+	// Before is the time of day from which on no occurrence that is due had begun when the value was
+	// stored. Occurrences due before it may be done.
 	Before time.Time `json:"before"`
 }
 
@@ -59,8 +59,8 @@
 	return mergeProgress(earlier, p), nil
 }
 
-// check returns an error if p can't be progress of the job. Values of other types, such as null, also
-// decode without an error.
+// check returns an error if p can't be progress of the job: JSON of another shape, such as null, also
+// decodes without an error.
 func (p *Progress) check(j *work.Job) error {
 	if p.Next < 1 || p.Next > j.Occurrences() {
 		return trace.BadParameter("next occurrence %d is not in 1 to %d", p.Next, j.Occurrences())
@@ -111,9 +111,9 @@
 }
 
 // mergeProgress returns the progress of a job of which earlier was stored first, and later by owners
-// that could not read it.
+// that could not read it. Both must fit the job, see Progress.check.
 func mergeProgress(earlier, later *Progress) *Progress {
-	out := &Progress{Next: max(earlier.Next, later.Next), Run: max(earlier.Run, later.Run), Unreadable: earlier.Unreadable}
+	out := &Progress{Next: max(earlier.Next, later.Next), Run: max(earlier.Run, later.Run)}
 	for _, o := range earlier.Occurrences {
 		if i := later.find(o.Number); i >= 0 {
 			o = mergeOccurrence(o, later.Occurrences[i])
@@ -139,10 +139,7 @@
 func mergeOccurrence(earlier, later OccurrenceProgress) OccurrenceProgress {
 	out := OccurrenceProgress{Number: earlier.Number}
 	for i, step := range earlier.Steps {
-		if i < len(later.Steps) {
-			step = mergeStep(step, later.Steps[i])
-		}
-		out.Steps = append(out.Steps, step)
+		out.Steps = append(out.Steps, mergeStep(step, later.Steps[i]))
 	}
 	return out
 }
@@ -176,9 +173,9 @@
 	return slices.Compact(out)
 }
 
-// holds reports whether the tasks of a step of the occurrence that are not running are held: without
-// the job's whole progress it is not known whether they may start once more. Long-running tasks
-// have no end after which they may not.
+// holds reports whether those tasks of the step that have no run are held in the occurrence with the
+// number: without the job's whole progress it is not known whether they may start once more.
+// Long-running tasks have no end after which they may not.
 func (j *job) holds(s *work.Step, occurrence int) bool {
 	if j.unreadable == nil || s.LongRunning {
 		return false
