A mark of unreadable progress without its time is unreadable itself

What callers would have seen: done tasks of a repeated job ran again after a take-over, as before, where the mark `unreadable` in the stored progress had no `before`, as after a repair by hand that drops it.

Cause: tasks are held in occurrences that are due before that time, and none is due before the zero time.

Evidence: TestAMarkWithoutItsTimeIsUnreadable starts a task of the first occurrence without the change. Found by reading the change once more.

Why it is enough: Progress.check refuses the value, so that it is held as a whole under a time of its own.

--- a/internal/engine/unreadable.go
+++ b/internal/engine/unreadable.go
@@ -68,6 +68,9 @@
 	if p.Next == j.Occurrences() && len(p.Occurrences) == 0 {
 		return trace.BadParameter("all occurrences are finished, and the job has not ended")
 	}
+	if p.Unreadable != nil && p.Unreadable.Before.IsZero() {
+		return trace.BadParameter("the mark of unreadable progress lacks its time")
+	}
 	if p.Run < 0 || p.Run > maxStoredRun {
 		return trace.BadParameter("run number %d is not in 0 to %d", p.Run, maxStoredRun)
 	}
--- a/internal/engine/unreadable_test.go
+++ b/internal/engine/unreadable_test.go
@@ -372,3 +372,14 @@
 		assert.Assert(t, task != "j1.0.0.1", "%s started", task)
 	}
 }
+
+// Guards against tasks of a repeated job that run again although they are done: a mark of unreadable
+// progress that lacks its time held none of its occurrences.
+func TestAMarkWithoutItsTimeIsUnreadable(t *testing.T) {
+	b := newStoredRig(t)
+	b.submit(&work.Job{ID: "repeated", Steps: []work.Step{short(1)}, Schedule: work.Schedule{Times: 4, First: b.wall, Every: time.Minute}})
+	b.overwriteProgress("repeated", `{"next":1,"occurrences":[{"number":0,"steps":[{}]}],"unreadable":{"value":"e30="}}`)
+	b.takeOver()
+	b.listAll(Listing{})
+	assert.Equal(t, len(b.startAll()), 0)
+}
