Merged progress fails a job whose task has no attempt left

What callers would have seen: a task started once more after it had failed max-attempts times, or after five workers had crashed under it, instead of its job being shown as failed. Only after progress that one owner could not read, and a later one could.

Cause: the limits are compared as a failure or crash is recorded. While earlier ones can't be read, the last is recorded beside too few, and the owner that merges both parts records nothing.

Evidence: TestMergedFailuresFailTheJob (two failures before, the third while the progress is unreadable, three allowed) and TestMergedCrashesFailTheJob (three and two): a start each without the change.

Why it is enough: both parts together are compared once, as the merged progress is restored, before any plan. Only merged progress is: what one owner has counted throughout was compared then. Presumed crashes are left to resolvePresumed. The test of the merge expects the mark that it now sets; its other values are unchanged.

--- a/internal/engine/job.go
+++ b/internal/engine/job.go
@@ -248,6 +248,11 @@
 	return o.steps[ref.Step].tasks[ref.Index]
 }
 
+// outOfAttempts reports whether the task, which is not long-running, has failed as often as allowed.
+func (j *job) outOfAttempts(t *task) bool {
+	return j.queue.MaxAttempts > 0 && len(t.failedRuns) >= j.queue.MaxAttempts
+}
+
 // state returns the job's state as callers see it.
 func (j *job) state() work.State {
 	if j.final != "" && j.stored {
--- a/internal/engine/listing.go
+++ b/internal/engine/listing.go
@@ -423,7 +423,7 @@
 		t.notBefore = now + min(maxRestartPause, initialRestartPause<<min(len(t.failedRuns), 4))
 		return
 	}
-	if j.queue.MaxAttempts > 0 && len(t.failedRuns) >= j.queue.MaxAttempts {
+	if j.outOfAttempts(t) {
 		c.finish(j, work.Failed)
 	}
 }
--- a/internal/engine/progress.go
+++ b/internal/engine/progress.go
@@ -20,6 +20,9 @@
 	// Unreadable is set if earlier progress of the job could not be read: the rest then holds only
 	// what owners have learned since.
 	Unreadable *UnreadableProgress `json:"unreadable,omitempty"`
+	// Merged is set on the result of mergeProgress. No owner has counted the failures and crashes of
+	// both parts together.
+	Merged bool `json:"-"`
 }
 
 // OccurrenceProgress is the progress of an occurrence that has begun and not ended.
@@ -301,6 +304,9 @@
 	}
 	c.add(j)
 	j.eachTask(func(t *task) { c.updateSuspected(t, now) })
+	if p != nil && p.Merged {
+		c.failExhausted(j, now)
+	}
 }
 
 // restoredRunOffset is added to the run numbers of restored tasks. An earlier owner may have
--- a/internal/engine/unreadable.go
+++ b/internal/engine/unreadable.go
@@ -116,7 +116,7 @@
 // mergeProgress returns the progress of a job of which earlier was stored first, and later by owners
 // that could not read it. Both must fit the job, see Progress.check.
 func mergeProgress(earlier, later *Progress) *Progress {
-	out := &Progress{Next: max(earlier.Next, later.Next), Run: max(earlier.Run, later.Run)}
+	out := &Progress{Next: max(earlier.Next, later.Next), Run: max(earlier.Run, later.Run), Merged: true}
 	for _, o := range earlier.Occurrences {
 		if i := later.find(o.Number); i >= 0 {
 			o = mergeOccurrence(o, later.Occurrences[i])
@@ -185,3 +185,21 @@
 	}
 	return !j.Timed() || j.Schedule.Due(occurrence).Before(j.unreadable.Before)
 }
+
+// failExhausted fails the job if one of its tasks has failed, or crashed workers, as often as allowed. A
+// crash that is only presumed counts once it is known whether it happened, see resolvePresumed.
+func (c *Core) failExhausted(j *job, now time.Duration) {
+	j.eachTask(func(t *task) {
+		if j.final != "" || t.state == taskDone || t.step.spec.LongRunning {
+			return
+		}
+		if j.outOfAttempts(t) {
+			c.log.Info("job failed, as its task has failed as often as allowed", "task", t.ref.String(), "failures", len(t.failedRuns))
+			c.finish(j, work.Failed)
+			return
+		}
+		if t.crashes.Without(t.presumedRun).Poison(c.kindOf(j).Prior(now)) {
+			c.failPoisonTask(t, now)
+		}
+	})
+}
--- a/internal/engine/unreadable_test.go
+++ b/internal/engine/unreadable_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"strings"
 	"testing"
 	"time"
@@ -12,6 +13,7 @@
 
 	"github.com/pumicestage/pumicestage/internal/infra"
 	"github.com/pumicestage/pumicestage/internal/infra/memstore"
+	"github.com/pumicestage/pumicestage/policy/crashes"
 	"github.com/pumicestage/pumicestage/policy/work"
 )
 
@@ -303,7 +305,7 @@
 		{Number: 0, Steps: []StepProgress{{}}},
 		{Number: 2, Steps: []StepProgress{{Done: []int{3}, Failed: map[int][]int{0: {3, 4}}, Saved: map[int]string{0: "c"}}}},
 	}}
-	assert.DeepEqual(t, mergeProgress(earlier, later), &Progress{Next: 4, Run: 1 << 20, Occurrences: []OccurrenceProgress{
+	assert.DeepEqual(t, mergeProgress(earlier, later), &Progress{Next: 4, Run: 1 << 20, Merged: true, Occurrences: []OccurrenceProgress{
 		{Number: 2, Steps: []StepProgress{{Done: []int{1, 2, 3}, Failed: map[int][]int{0: {3, 4}, 3: {2}}, Saved: map[int]string{0: "c", 3: "b"}}}},
 		{Number: 3, Steps: []StepProgress{{Trials: []int{0}}}},
 	}})
@@ -373,6 +375,81 @@
 	}
 }
 
+// readableAgain replaces the unreadable value that the job's stored progress carries.
+func (b *storedRig) readableAgain(id work.JobID, value string) {
+	b.t.Helper()
+	p := new(Progress)
+	assert.NilError(b.t, json.Unmarshal([]byte(b.progressOf(id)), p))
+	p.Unreadable.Value = []byte(value)
+	raw, err := json.Marshal(p)
+	assert.NilError(b.t, err)
+	b.overwriteProgress(id, string(raw))
+}
+
+// Guards against a start after the last allowed attempt: a task failed as often as allowed, the last time
+// while what was stored of the failures before could not be read.
+func TestMergedFailuresFailTheJob(t *testing.T) {
+	b := newStoredRig(t)
+	b.poll("w1", Listing{})
+	b.submit(&work.Job{ID: "j1", Steps: []work.Step{short(1)}})
+	var ends []RunEnd
+	for seq := int64(1); seq <= 2; seq++ {
+		ends = append(ends, ended(seq, b.startAll()["j1.0.0.0"], work.Faulted))
+		b.poll("w1", Listing{Ended: ends})
+	}
+	b.flush()
+	readable := b.progressOf("j1")
+	last := b.startAll()["j1.0.0.0"]
+	b.overwriteProgress("j1", malformedProgress)
+	b.takeOver()
+	b.listAll(Listing{Running: []Run{run(last)}})
+	b.poll("w1", Listing{Ended: []RunEnd{ended(3, last, work.Faulted)}})
+	b.flush()
+	state, err := b.engine.State("j1", "")
+	assert.NilError(t, err)
+	assert.Equal(t, state, work.Running, "one failure is known")
+
+	b.readableAgain("j1", readable)
+	b.takeOver()
+	b.listAll(Listing{})
+	assert.Equal(t, len(b.startAll()), 0)
+	b.flush()
+	state, err = b.engine.State("j1", "")
+	assert.NilError(t, err)
+	assert.Equal(t, state, work.Failed)
+}
+
+// Guards against a start of a task that crashes its workers beyond the crashes that are allowed, of which
+// some were recorded while those before could not be read.
+func TestMergedCrashesFailTheJob(t *testing.T) {
+	crashed := func(from, to int) string {
+		var record crashes.Record
+		for i := from; i <= to; i++ {
+			record = record.With(crashes.Crash{Run: i, Worker: fmt.Sprint("w", i), Factor: 20})
+		}
+		raw, err := json.Marshal(Progress{Next: 1, Run: to, Occurrences: []OccurrenceProgress{{Steps: []StepProgress{{Crashed: map[int]crashes.Record{0: record}}}}}})
+		assert.NilError(t, err)
+		return string(raw)
+	}
+	b := newStoredRig(t)
+	b.submit(&work.Job{ID: "j1", Steps: []work.Step{short(1)}})
+	later := new(Progress)
+	assert.NilError(t, json.Unmarshal([]byte(crashed(4, 5)), later))
+	later.Unreadable = &UnreadableProgress{Value: []byte(crashed(1, 3)), Before: b.wall}
+	raw, err := json.Marshal(later)
+	assert.NilError(t, err)
+	b.overwriteProgress("j1", string(raw))
+	b.takeOver()
+	b.listAll(Listing{})
+	for range 2 { // a suspect starts only once its trial is stored
+		assert.Equal(t, len(b.startAll()), 0)
+		b.flush()
+	}
+	state, err := b.engine.State("j1", "")
+	assert.NilError(t, err)
+	assert.Equal(t, state, work.Failed)
+}
+
 // Guards against tasks of a repeated job that run again although they are done: a mark of unreadable
 // progress that lacks its time held none of its occurrences.
 func TestAMarkWithoutItsTimeIsUnreadable(t *testing.T) {
