--- /dev/null
+++ b/review/standin/scenarios.go
@@ -0,0 +1,369 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+	"sync"
+	"time"
+)
+
+func timeMS(ms int) time.Duration { return time.Duration(ms) * time.Millisecond }
+
+// Bounds of the rule LOST for tasks that last.
+const (
+	lastsFrom = 6 * time.Second // after the task's last run
+	lastsFor  = 3 * time.Second
+)
+
+// prepare adds machines to a pool, writes the first configuration and waits for the entry VMs.
+func (d *deployment) prepare(pools map[string]int, cpu int64, services []service, routes []route) error {
+	zones := []string{"hall-a", "hall-b", "hall-c"}
+	n := 0
+	for _, s := range services {
+		for i := range pools[s.name] {
+			if _, err := d.addMachine(fmt.Sprintf("m-%02d", n), s.name, zones[i%len(zones)], fmt.Sprintf("r1-%d", n), cpu, 65536); err != nil {
+				return err
+			}
+			n++
+		}
+	}
+	d.configure(2, services, routes)
+	return d.awaitReady()
+}
+
+// playRestart: tasks that last fail now and then, three times on one runner in all. Each has to be
+// restarted.
+func playRestart(d *deployment, trouble bool) (verdict, error) {
+	clean := route{"r-panel", "cubo38.example", "/panel/", "tabula", 2}
+	dedup := route{"r-dedup", "cubo38.example", "/dedup/", "tabula", 2}
+	if err := d.prepare(map[string]int{"tabula": 3}, 32000, []service{{"tabula"}}, []route{clean, dedup}); err != nil {
+		return verdict{}, err
+	}
+	const one, two = "5c0e7a21d94b36f8", "1b7d90ce32a4f865"
+	s := step{count: 3, apart: 1, cpu: 2700, memory: 6800, estimate: 900 * time.Millisecond, lasts: true}
+	for _, j := range []struct {
+		r  route
+		id string
+	}{{clean, one}, {dedup, two}} {
+		if err := d.submit(j.r, j.id, "lasts "+j.id, taskSpec{cpu: s.cpu}, s); err != nil {
+			return verdict{}, err
+		}
+	}
+	var tasks []string
+	for i := range 3 {
+		tasks = append(tasks, fmt.Sprintf("%s.0.0.%d", one, i), fmt.Sprintf("%s.0.0.%d", two, i))
+	}
+	allRun := func() bool {
+		for _, t := range tasks {
+			if _, runs := d.running(t); !runs {
+				return false
+			}
+		}
+		return true
+	}
+	if !await(10*time.Second, allRun) {
+		return verdict{}, fmt.Errorf("the six tasks do not all run after 10 s")
+	}
+	time.Sleep(4 * time.Second)
+	if !trouble {
+		time.Sleep(30 * time.Second)
+		return verdict{!allRun(), fmt.Sprintf("nothing failed; all six tasks run: %t", allRun())}, nil
+	}
+	// One task of each job is on the same machine, as each job has one on each of the three.
+	first := tasks[0]
+	r, _ := d.running(first)
+	second := ""
+	for _, t := range tasks {
+		if o, runs := d.running(t); runs && o.Worker == r.Worker && t != first {
+			second = t
+		}
+	}
+	if second == "" {
+		return verdict{}, fmt.Errorf("the runner of %s has no task of the other job", first)
+	}
+	for i, t := range []string{first, second, first} {
+		r, runs := d.running(t)
+		if !runs {
+			return verdict{}, fmt.Errorf("%s does not run", t)
+		}
+		d.rec.add("failure %d: %s run %d fails by its own fault on %s", i+1, t, r.Number, r.Worker.name())
+		if !r.Worker.end(t, r.Number, "failed") {
+			return verdict{}, fmt.Errorf("%s run %d had ended", t, r.Number)
+		}
+		failed := time.Now()
+		restarted := func() bool { _, runs := d.running(t); return runs }
+		if !await(lastsFrom+lastsFor, restarted) {
+			again := await(35*time.Second, restarted)
+			d.state(clean, one)
+			return verdict{true, fmt.Sprintf("LOST: %s, whose last run ended %.1f s ago, was not started for %s and more while runner %s used %d of %d thousandths of a core; started later: %t",
+				t, time.Since(failed).Seconds(), lastsFrom+lastsFor, r.Worker.id, s.cpu, r.Worker.m.cpu, again)}, nil
+		}
+		d.rec.add("%s runs again after %.1f s", t, time.Since(failed).Seconds())
+		time.Sleep(8 * time.Second)
+	}
+	return verdict{false, "each task that failed was restarted in time"}, nil
+}
+
+// finish is finish_s of the site: so long after the end of the traffic jobs are asked for.
+const finish = 14 * time.Second
+
+// playClosed: two jobs that can never be done come among sound ones to a service whose runners also
+// have tasks that last. Later sound jobs have to run.
+func playClosed(d *deployment, trouble bool) (verdict, error) {
+	quick := route{"r-crosstab", "cubo38.example", "/crosstab/", "tabula", 4}
+	clean := route{"r-panel", "cubo38.example", "/panel/", "tabula", 2}
+	if err := d.prepare(map[string]int{"tabula": 3}, 32000, []service{{"tabula"}}, []route{quick, clean}); err != nil {
+		return verdict{}, err
+	}
+	lasting := step{count: 3, apart: 1, cpu: 2700, memory: 6800, estimate: 900 * time.Millisecond, lasts: true}
+	if err := d.submit(clean, "5c0e7a21d94b36f8", "lasts", taskSpec{cpu: lasting.cpu}, lasting); err != nil {
+		return verdict{}, err
+	}
+	short := step{count: 6, cpu: 1800, memory: 2500, estimate: 640 * time.Millisecond}
+	sound := taskSpec{cpu: short.cpu, takes: 640 * time.Millisecond}
+	hopeless := taskSpec{cpu: short.cpu, takes: 200 * time.Millisecond, fails: true}
+	jobs := 0
+	submit := func(n int, spec string, s taskSpec) (ids []string, err error) {
+		for range n {
+			jobs++
+			id := fmt.Sprintf("%016x", jobs)
+			if err := d.submit(quick, id, spec, s, short); err != nil {
+				return nil, err
+			}
+			ids = append(ids, id)
+		}
+		return ids, nil
+	}
+	ended := func(ids []string, limit time.Duration) bool {
+		return await(limit, func() bool {
+			for _, id := range ids {
+				if !d.ended(id) {
+					return false
+				}
+			}
+			return true
+		})
+	}
+	before, err := submit(40, "sound", sound)
+	if err != nil {
+		return verdict{}, err
+	}
+	if !ended(before, 20*time.Second) {
+		return verdict{}, fmt.Errorf("the first 40 jobs are not done after 20 s")
+	}
+	d.rec.add("the first 40 jobs are done")
+	time.Sleep(2 * time.Second)
+	if trouble {
+		if _, err := submit(2, "hopeless", hopeless); err != nil {
+			return verdict{}, err
+		}
+	}
+	time.Sleep(12 * time.Second)
+	later, err := submit(5, "sound", sound)
+	if err != nil {
+		return verdict{}, err
+	}
+	last := time.Now()
+	all := ended(later, finish)
+	var none []string
+	for _, id := range later {
+		if len(d.runsOf(id+".0.0.0")) == 0 {
+			none = append(none, id)
+		}
+	}
+	if all || len(none) == 0 {
+		return verdict{false, fmt.Sprintf("the five jobs that came last are done: %t", all)}, nil
+	}
+	// From finish on, for the time of the rule and well beyond.
+	again := ended(none, 25*time.Second)
+	for _, id := range none {
+		d.state(quick, id)
+	}
+	used := d.coresInUse()
+	if again {
+		return verdict{true, fmt.Sprintf("LOST: %d of 5 jobs had not begun %s after the last was accepted; they ran later", len(none), finish)}, nil
+	}
+	return verdict{true, fmt.Sprintf("LOST: %d of 5 accepted jobs have not begun %.0f s after the last was accepted; %d of %d thousandths of a core of the service are in use",
+		len(none), time.Since(last).Seconds(), used, 3*32000)}, nil
+}
+
+// playLate: an order to start gets no answer and is carried out 5 s later; the runner crashes meanwhile
+// and starts again under its ID.
+func playLate(d *deployment, trouble bool) (verdict, error) {
+	r := route{"r-ruta", "cubo38.example", "/ruta/", "campo", 3}
+	if err := d.prepare(map[string]int{"campo": 2}, 16000, []service{{"campo"}}, []route{r}); err != nil {
+		return verdict{}, err
+	}
+	time.Sleep(4 * time.Second)
+	const job = "5c0e7a21d94b36f8"
+	const task = job + ".0.0.0"
+	const takes = 12 * time.Second
+	if trouble {
+		var once sync.Once
+		for _, m := range d.machines {
+			m.holdUp = func(t string) (late time.Duration) {
+				once.Do(func() {
+					late = 5 * time.Second
+					time.AfterFunc(100*time.Millisecond, func() { d.crash(m, 3*time.Second, true) })
+				})
+				return late
+			}
+		}
+	}
+	if err := d.submit(r, job, "one task", taskSpec{cpu: 3300, takes: takes}, step{count: 1, cpu: 3300, memory: 5500, estimate: takes}); err != nil {
+		return verdict{}, err
+	}
+	await(45*time.Second, func() bool { return d.state(r, job) == "completed" || !sleepFor(time.Second) })
+	time.Sleep(2 * time.Second)
+	runs := d.runsOf(task)
+	if len(runs) == 0 {
+		return verdict{}, fmt.Errorf("the task never ran")
+	}
+	for i, a := range runs {
+		for _, b := range runs[i+1:] {
+			end := a.Ended
+			if end.IsZero() || !b.Ended.IsZero() && b.Ended.Before(end) {
+				end = b.Ended
+			}
+			if end.IsZero() {
+				end = time.Now()
+			}
+			if both := end.Sub(b.Started); both > 0 {
+				return verdict{true, fmt.Sprintf("TWICE: run %d on %s and run %d on %s of %s went on at the same time for %.1f s; they ended %s and %s",
+					a.Number, a.Worker.name(), b.Number, b.Worker.name(), task, both.Seconds(), a.How, b.How)}, nil
+			}
+			if a.How == "done" {
+				return verdict{true, fmt.Sprintf("TWICE: run %d of %s started after run %d was done", b.Number, task, a.Number)}, nil
+			}
+		}
+	}
+	return verdict{false, fmt.Sprintf("no two of the %d runs of %s went on at the same time", len(runs), task)}, nil
+}
+
+// sleepFor sleeps and returns true.
+func sleepFor(t time.Duration) bool { time.Sleep(t); return true }
+
+// playCount: a configuration sends a queue, in which jobs wait, to another service.
+func playCount(d *deployment, trouble bool) (verdict, error) {
+	q := route{"r-weight", "cubo38.example", "/weight/", "pondera", 3}
+	other := route{"r-incentive", "cubo38.example", "/incentive/", "premia", 3}
+	services := []service{{"pondera"}, {"premia"}}
+	if err := d.prepare(map[string]int{"pondera": 1, "premia": 1}, 8000, services, []route{q, other}); err != nil {
+		return verdict{}, err
+	}
+	time.Sleep(4 * time.Second)
+	whole := step{count: 1, cpu: 8000, memory: 5500, estimate: 100 * time.Second}
+	long := taskSpec{cpu: 8000, takes: 100 * time.Second}
+	if err := d.submit(other, "00000000000000ff", "long", long, whole); err != nil {
+		return verdict{}, err
+	}
+	if err := d.submit(q, "00000000000000f0", "long", long, whole); err != nil {
+		return verdict{}, err
+	}
+	time.Sleep(2 * time.Second)
+	const jobs = 10
+	for i := range jobs {
+		if err := d.submit(q, fmt.Sprintf("%016x", i+1), "long", long, whole); err != nil {
+			return verdict{}, err
+		}
+	}
+	accepted := time.Now()
+	begun := func() (n int) {
+		for i := range jobs {
+			if len(d.runsOf(fmt.Sprintf("%016x.0.0.0", i+1))) > 0 {
+				n++
+			}
+		}
+		return n
+	}
+	time.Sleep(7 * time.Second)
+	for range entryVMs {
+		if n := d.waiting(q); n < (jobs-begun())/2 {
+			return verdict{}, fmt.Errorf("%d of %d jobs were told to wait before the configuration changed", n, jobs-begun())
+		}
+	}
+	if trouble {
+		q.service = "premia"
+		d.configure(5, services, []route{q, other})
+	}
+	time.Sleep(10 * time.Second) // beyond the time in which a configuration has to be in force, and to be in touch
+	worst, told := jobs, []string{}
+	for range 5 * entryVMs {
+		n := d.waiting(q)
+		told = append(told, fmt.Sprint(n))
+		if n >= 0 {
+			worst = min(worst, n)
+		}
+		time.Sleep(time.Second)
+	}
+	for i := range 2 {
+		d.state(q, fmt.Sprintf("%016x", i+1))
+	}
+	left := jobs - begun()
+	text := fmt.Sprintf("%d jobs, accepted more than %.0f s ago, have not begun; told as waiting: %s", left, time.Since(accepted).Seconds()-15, strings.Join(told, " "))
+	if 2*worst < left {
+		return verdict{true, "MIXED: " + text}, nil
+	}
+	return verdict{false, text}, nil
+}
+
+// playWave: a call for upkeep gets no answer, and the machine's runner crashes.
+func playWave(d *deployment, trouble bool) (verdict, error) {
+	r := route{"r-panel", "cubo38.example", "/panel/", "tabula", 2}
+	if err := d.prepare(map[string]int{"tabula": 3}, 32000, []service{{"tabula"}}, []route{r}); err != nil {
+		return verdict{}, err
+	}
+	time.Sleep(4 * time.Second)
+	if trouble {
+		lostFor := ""
+		d.mu.Lock()
+		d.loseUpkeep = func(id string) bool {
+			d.mu.Lock()
+			defer d.mu.Unlock()
+			if lostFor != "" {
+				return false
+			}
+			lostFor = id
+			for _, m := range d.machines {
+				if m.id == id {
+					time.AfterFunc(2*time.Second, func() { d.crash(m, 3*time.Second, false) })
+				}
+			}
+			return true
+		}
+		d.mu.Unlock()
+	}
+	ids := []string{}
+	for _, m := range d.machines {
+		ids = append(ids, m.id)
+	}
+	d.put(wire("wave")+"1", map[string]any{"wave": 1, "machines": ids, "duration-s": 26, wire("most"): 1})
+	d.rec.add("the operator orders wave 1 of %s, one at a time, in 26 s", strings.Join(ids, ", "))
+	state := func() string {
+		var s struct {
+			State string `json:"state"`
+		}
+		if json.Unmarshal(d.read(wire("status")+"1"), &s) != nil {
+			return ""
+		}
+		return s.State
+	}
+	if !await(70*time.Second, func() bool { return state() == "completed" }) {
+		return verdict{}, fmt.Errorf("the wave is not completed after 70 s")
+	}
+	d.rec.add("wave 1 is said to be completed")
+	time.Sleep(3 * time.Second)
+	var missing []string
+	d.mu.Lock()
+	for _, m := range d.machines {
+		if _, begun := d.upkeeps[m.id]; !begun {
+			missing = append(missing, m.id)
+		}
+	}
+	d.mu.Unlock()
+	if len(missing) > 0 {
+		return verdict{true, "MIXED: the wave is said to be completed, and these machines have not begun their upkeep: " + strings.Join(missing, ", ")}, nil
+	}
+	return verdict{false, "all machines of the wave have begun their upkeep"}, nil
+}
