--- a/review/standin/deployment.go
+++ b/review/standin/deployment.go
@@ -95,7 +95,10 @@
 }
 
 // service and route are parts of the operator's configuration.
-type service struct{ name string }
+type service struct {
+	name    string
+	standby bool // its machines are off
+}
 
 type route struct {
 	name, host, prefix, service string
@@ -113,7 +116,7 @@
 	}
 	for _, s := range services {
 		ss = append(ss, map[string]any{
-			"name": s.name, "health-path": "/health", "max-connections": 64, "protocol": "h1", "tls": false, wire("guards"): true, "standby": false,
+			"name": s.name, "health-path": "/health", "max-connections": 64, "protocol": "h1", "tls": false, wire("guards"): true, "standby": s.standby,
 		})
 	}
 	d.put(wire("config"), map[string]any{"version": version, "routes": rs, "services": ss, "limits": map[string]any{"max-body-bytes": 262144}})
@@ -156,6 +159,8 @@
 	cpu, memory  int64
 	estimate     time.Duration
 	lasts        bool
+	needs        string // label that the runner must have
+	mayMiss      int    // tasks that may be unavailable at a time
 }
 
 // call sends a client's request to the next entry VM in turn and records it; the status is 0 without
@@ -202,6 +207,12 @@
 		if st.apart > 0 {
 			w["anti-affinity"] = st.apart
 		}
+		if st.needs != "" {
+			w["requirements"] = st.needs
+		}
+		if st.mayMiss > 0 {
+			w["max-unavailable"] = st.mayMiss
+		}
 		ws = append(ws, w)
 	}
 	for end := time.Now().Add(10 * time.Second); time.Now().Before(end); time.Sleep(300 * time.Millisecond) {
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -25,6 +25,7 @@
 	"late":    {bounds{6_000, 200, 4000, 3000}, true, playLate},
 	"closed":  {bounds{10_000, 400, 3000, 2000}, false, playClosed},
 	"restart": {bounds{10_000, 400, 3000, 2000}, false, playRestart},
+	"label":   {bounds{10_000, 400, 3000, 2000}, false, playLabel},
 	"wave":    {bounds{10_000, 400, 3000, 2000}, false, playWave},
 	"count":   {bounds{10_000, 400, 3000, 2000}, false, playCount},
 }
--- a/review/standin/platform.go
+++ b/review/standin/platform.go
@@ -42,6 +42,7 @@
 	tellsBorn bool
 
 	mu       sync.Mutex
+	standby  map[string]bool     // pools whose machines are off
 	specs    map[string]taskSpec // by specification
 	jobSpec  map[string]string   // by job ID
 	machines []*machine
@@ -56,6 +57,7 @@
 // machine is a VM; its worker's address stays over all incarnations.
 type machine struct {
 	id, pool, zone, rack, addr string
+	kind                       string // the first of its labels
 	cpu, memory                int64
 	state                      string
 	worker                     *worker
@@ -67,7 +69,7 @@
 func newPlatform(rec *recorder, maxHold time.Duration) (*platform, error) {
 	p := &platform{
 		rec: rec, store: standin.NewStore(clockwork.NewRealClock()), maxHold: maxHold,
-		specs: make(map[string]taskSpec), jobSpec: make(map[string]string), upkeeps: make(map[string]time.Time),
+		standby: make(map[string]bool), specs: make(map[string]taskSpec), jobSpec: make(map[string]string), upkeeps: make(map[string]time.Time),
 	}
 	var err error
 	if p.storeAddr, err = listen(p.store); err != nil {
@@ -167,16 +169,19 @@
 	}
 }
 
-func (p *platform) addMachine(id, pool, zone, rack string, cpu, memory int64) (*machine, error) {
-	m := &machine{id: id, pool: pool, zone: zone, rack: rack, cpu: cpu, memory: memory, state: "up"}
+func (p *platform) addMachine(id, pool, zone, kind, rack string, cpu, memory int64) (*machine, error) {
+	m := &machine{id: id, pool: pool, zone: zone, kind: kind, rack: rack, cpu: cpu, memory: memory, state: "up"}
 	var err error
 	if m.addr, err = listen(http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) { p.serveWorker(m, rw, r) })); err != nil {
 		return nil, err
 	}
 	p.mu.Lock()
 	p.machines = append(p.machines, m)
+	off := p.standby[pool]
 	p.mu.Unlock()
-	p.boot(m, "", 8*time.Minute)
+	if !off {
+		p.boot(m, "", 8*time.Minute)
+	}
 	return m, nil
 }
 
@@ -194,7 +199,7 @@
 	}
 	m.worker, m.state = w, "up"
 	p.mu.Unlock()
-	p.rec.add("machine %s (%s) is up with runner %s", m.id, m.pool, w.name())
+	p.rec.add("machine %s (pool %s, kind %s) is up with runner %s", m.id, m.pool, m.kind, w.name())
 	go w.expire()
 	go p.beat(w)
 }
@@ -211,7 +216,7 @@
 		}
 		e := map[string]any{
 			"service": w.m.pool, "address": w.m.addr, "zone": w.m.zone, "version": "v1", "slots": 8, "state": "ready", "cold-remaining-ms": 0,
-			"capacity": map[string]any{"cpu": w.m.cpu, wire("memory"): w.m.memory, "gpu": 0}, "labels": []string{"a", w.m.rack},
+			"capacity": map[string]any{"cpu": w.m.cpu, wire("memory"): w.m.memory, "gpu": 0}, "labels": []string{w.m.kind, w.m.rack},
 			"clock-ms": w.clock().Milliseconds(), "sequence": seq,
 		}
 		if p.tellsBorn {
@@ -224,7 +229,7 @@
 	p.mu.Lock()
 	current := w.m.worker
 	p.mu.Unlock()
-	if current == w || current.id != w.id {
+	if current == w || current == nil || current.id != w.id {
 		if _, err := p.store.Mem.Txn(context.Background(), infra.Txn{Then: []infra.Op{infra.Delete(key)}}); err != nil {
 			panic(err)
 		}
@@ -277,7 +282,7 @@
 	p.mu.Lock()
 	w, state := m.worker, m.state
 	p.mu.Unlock()
-	if state != "up" {
+	if state != "up" || w == nil {
 		if _, late := rw.(discard); late {
 			p.rec.add("machine %s is not up: the order is lost", m.id)
 			return
@@ -302,11 +307,11 @@
 		rows := []map[string]any{}
 		for _, m := range p.machines {
 			id := ""
-			if m.state == "up" {
+			if m.state == "up" && m.worker != nil {
 				id = m.worker.id
 			}
 			rows = append(rows, map[string]any{
-				"machine": m.id, "pool": m.pool, "state": m.state, "zone": m.zone, "labels": []string{"a", m.rack}, "id": id,
+				"machine": m.id, "pool": m.pool, "state": m.state, "zone": m.zone, "labels": []string{m.kind, m.rack}, "id": id,
 				"capacity": map[string]any{"cpu": m.cpu, wire("memory"): m.memory, "gpu": 0},
 			})
 		}
@@ -357,9 +362,21 @@
 		m.pool = o.Pool
 	}
 	p.mu.Unlock()
-	p.rec.add("%s of machine %s begins", r.URL.Path, m.id)
-	w.kill("lost")
-	time.AfterFunc(takes, func() { p.boot(m, "", 0) })
+	p.rec.add("%s of machine %s begins, to pool %s", r.URL.Path, m.id, m.pool)
+	if w != nil {
+		w.kill("lost")
+	}
+	time.AfterFunc(takes, func() {
+		p.mu.Lock()
+		off := p.standby[m.pool]
+		if off {
+			m.worker, m.state = nil, "up"
+		}
+		p.mu.Unlock()
+		if !off {
+			p.boot(m, "", 0)
+		}
+	})
 	reply(rw, http.StatusOK, map[string]any{})
 }
 
--- a/review/standin/scenarios.go
+++ b/review/standin/scenarios.go
@@ -16,13 +16,23 @@
 	lastsFor  = 3 * time.Second
 )
 
+// kindOf returns the kind of a pool's i-th machine: the first is of another kind than the others, but
+// for the spare ones.
+func kindOf(s service, i int) string {
+	if i == 0 && !s.standby {
+		return "b"
+	}
+	return "a"
+}
+
 // prepare adds machines to a pool, writes the first configuration and waits for the entry VMs.
 func (d *deployment) prepare(pools map[string]int, cpu int64, services []service, routes []route) error {
 	zones := []string{"hall-a", "hall-b", "hall-c"}
 	n := 0
 	for _, s := range services {
+		d.standby[s.name] = s.standby
 		for i := range pools[s.name] {
-			if _, err := d.addMachine(fmt.Sprintf("m-%02d", n), s.name, zones[i%len(zones)], fmt.Sprintf("r1-%d", n), cpu, 65536); err != nil {
+			if _, err := d.addMachine(fmt.Sprintf("m-%02d", n), s.name, zones[i%len(zones)], kindOf(s, i), fmt.Sprintf("r1-%d", n), cpu, 65536); err != nil {
 				return err
 			}
 			n++
@@ -37,7 +47,7 @@
 func playRestart(d *deployment, trouble bool) (verdict, error) {
 	clean := route{"r-panel", "cubo38.example", "/panel/", "tabula", 2}
 	dedup := route{"r-dedup", "cubo38.example", "/dedup/", "tabula", 2}
-	if err := d.prepare(map[string]int{"tabula": 3}, 32000, []service{{"tabula"}}, []route{clean, dedup}); err != nil {
+	if err := d.prepare(map[string]int{"tabula": 3}, 32000, []service{{name: "tabula"}}, []route{clean, dedup}); err != nil {
 		return verdict{}, err
 	}
 	const one, two = "5c0e7a21d94b36f8", "1b7d90ce32a4f865"
@@ -113,7 +123,7 @@
 func playClosed(d *deployment, trouble bool) (verdict, error) {
 	quick := route{"r-crosstab", "cubo38.example", "/crosstab/", "tabula", 4}
 	clean := route{"r-panel", "cubo38.example", "/panel/", "tabula", 2}
-	if err := d.prepare(map[string]int{"tabula": 3}, 32000, []service{{"tabula"}}, []route{quick, clean}); err != nil {
+	if err := d.prepare(map[string]int{"tabula": 3}, 32000, []service{{name: "tabula"}}, []route{quick, clean}); err != nil {
 		return verdict{}, err
 	}
 	lasting := step{count: 3, apart: 1, cpu: 2700, memory: 6800, estimate: 900 * time.Millisecond, lasts: true}
@@ -192,7 +202,7 @@
 // and starts again under its ID.
 func playLate(d *deployment, trouble bool) (verdict, error) {
 	r := route{"r-ruta", "cubo38.example", "/ruta/", "campo", 3}
-	if err := d.prepare(map[string]int{"campo": 2}, 16000, []service{{"campo"}}, []route{r}); err != nil {
+	if err := d.prepare(map[string]int{"campo": 2}, 16000, []service{{name: "campo"}}, []route{r}); err != nil {
 		return verdict{}, err
 	}
 	time.Sleep(4 * time.Second)
@@ -248,7 +258,7 @@
 func playCount(d *deployment, trouble bool) (verdict, error) {
 	q := route{"r-weight", "cubo38.example", "/weight/", "pondera", 3}
 	other := route{"r-incentive", "cubo38.example", "/incentive/", "premia", 3}
-	services := []service{{"pondera"}, {"premia"}}
+	services := []service{{name: "pondera"}, {name: "premia"}}
 	if err := d.prepare(map[string]int{"pondera": 1, "premia": 1}, 8000, services, []route{q, other}); err != nil {
 		return verdict{}, err
 	}
@@ -308,10 +318,70 @@
 	return verdict{false, text}, nil
 }
 
+// playLabel: a wave comes to a machine that alone has the label that two tasks that last require. Both
+// have to run, and the wave to go on.
+func playLabel(d *deployment, trouble bool) (verdict, error) {
+	r := route{"r-panel", "cubo38.example", "/panel/", "tabula", 2}
+	if err := d.prepare(map[string]int{"tabula": 3, "misc-svc": 2}, 32000, []service{{name: "tabula"}, {name: "misc-svc", standby: true}}, []route{r}); err != nil {
+		return verdict{}, err
+	}
+	const job = "5c0e7a21d94b36f8"
+	s := step{count: 2, cpu: 2700, memory: 6800, estimate: 900 * time.Millisecond, lasts: true, needs: "b", mayMiss: 1}
+	if err := d.submit(r, job, "lasts", taskSpec{cpu: s.cpu}, s); err != nil {
+		return verdict{}, err
+	}
+	tasks := []string{job + ".0.0.0", job + ".0.0.1"}
+	for _, t := range tasks {
+		if !await(10*time.Second, func() bool { _, runs := d.running(t); return runs }) {
+			return verdict{}, fmt.Errorf("%s does not run after 10 s", t)
+		}
+	}
+	time.Sleep(8 * time.Second)
+	m := d.machines[0]
+	const duration, most = 26, 1
+	if trouble {
+		d.put(wire("wave")+"1", map[string]any{"wave": 1, "machines": []string{m.id}, "duration-s": duration, wire("most"): most})
+		d.rec.add("the operator orders wave 1 of machine %s, %d at a time, in %d s", m.id, most, duration)
+	}
+	// Well beyond the time of the wave and of the rule.
+	time.Sleep(duration*time.Second + 25*time.Second)
+	var text []string
+	broken := false
+	for _, t := range tasks {
+		runs := d.runsOf(t)
+		last := runs[len(runs)-1]
+		if last.Ended.IsZero() {
+			text = append(text, fmt.Sprintf("%s runs", t))
+			continue
+		}
+		gone := time.Since(last.Ended)
+		text = append(text, fmt.Sprintf("%s, whose last run ended (%s) %.1f s ago, doesn't run", t, last.How, gone.Seconds()))
+		broken = broken || gone > lastsFrom+lastsFor
+	}
+	d.state(r, job)
+	all := fmt.Sprintf("%s; machine %s is %s with %d of %d thousandths of a core in use; wave 1 is said to be %q",
+		strings.Join(text, "; "), m.id, m.state, d.coresInUse(), m.cpu, d.waveState())
+	if broken {
+		return verdict{true, "LOST: " + all}, nil
+	}
+	return verdict{false, all}, nil
+}
+
+// waveState returns what the system says of wave 1; empty if it says nothing.
+func (d *deployment) waveState() string {
+	var s struct {
+		State string `json:"state"`
+	}
+	if json.Unmarshal(d.read(wire("status")+"1"), &s) != nil {
+		return ""
+	}
+	return s.State
+}
+
 // playWave: a call for upkeep gets no answer, and the machine's runner crashes.
 func playWave(d *deployment, trouble bool) (verdict, error) {
 	r := route{"r-panel", "cubo38.example", "/panel/", "tabula", 2}
-	if err := d.prepare(map[string]int{"tabula": 3}, 32000, []service{{"tabula"}}, []route{r}); err != nil {
+	if err := d.prepare(map[string]int{"tabula": 3}, 32000, []service{{name: "tabula"}}, []route{r}); err != nil {
 		return verdict{}, err
 	}
 	time.Sleep(4 * time.Second)
@@ -340,16 +410,7 @@
 	}
 	d.put(wire("wave")+"1", map[string]any{"wave": 1, "machines": ids, "duration-s": 26, wire("most"): 1})
 	d.rec.add("the operator orders wave 1 of %s, one at a time, in 26 s", strings.Join(ids, ", "))
-	state := func() string {
-		var s struct {
-			State string `json:"state"`
-		}
-		if json.Unmarshal(d.read(wire("status")+"1"), &s) != nil {
-			return ""
-		}
-		return s.State
-	}
-	if !await(70*time.Second, func() bool { return state() == "completed" }) {
+	if !await(70*time.Second, func() bool { return d.waveState() == "completed" }) {
 		return verdict{}, fmt.Errorf("the wave is not completed after 70 s")
 	}
 	d.rec.add("wave 1 is said to be completed")
