--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -3,4 +3,4 @@
 # couldn't run. TROUBLE=0 plays it without the disruption. Build first: the command of
 # deploy/system.toml, then review/build.sh.
 here=$(cd "$(dirname "$0")" && pwd) || exit 2
-exec sh "$here/../play.sh" closed "$here"
+exec sh "$here/../play.sh" label "$here"
--- a/review/standin/deployment.go
+++ b/review/standin/deployment.go
@@ -196,6 +196,7 @@
 // submit hands a job in, repeatedly where the outcome is open or the job was refused, for 10 s.
 func (d *deployment) submit(r route, id, spec string, s taskSpec, steps ...step) error {
 	d.mu.Lock()
+	s.cpu, s.memory = steps[0].cpu, steps[0].memory
 	d.specs[spec], d.jobSpec[id] = s, spec
 	d.mu.Unlock()
 	var ws []map[string]any
--- a/review/standin/platform.go
+++ b/review/standin/platform.go
@@ -27,9 +27,10 @@
 
 // taskSpec is what the tasks of a specification do.
 type taskSpec struct {
-	cpu   int64
-	takes time.Duration // 0: they last
-	fails bool          // every run fails by its own fault
+	cpu    int64
+	memory int64
+	takes  time.Duration // 0: they last
+	fails  bool          // every run fails by its own fault
 }
 
 // platform is the users' platform on loopback. The store is the project's own stand-in.
@@ -127,23 +128,47 @@
 	return out
 }
 
-// ended reports whether every task of the job that was ever started, and at least its first one, has
-// ended as done.
-func (p *platform) ended(job string) bool {
+// tasksOf returns how many of the job's tasks run and how many are done.
+func (p *platform) tasksOf(job string) (running, done int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	done := make(map[string]bool)
+	ended := make(map[string]bool)
 	for _, r := range p.runs {
 		if strings.HasPrefix(r.Task, job+".") {
-			done[r.Task] = done[r.Task] || r.How == "done"
+			if r.Ended.IsZero() {
+				running++
+			}
+			ended[r.Task] = ended[r.Task] || r.How == "done"
+		}
+	}
+	for _, d := range ended {
+		if d {
+			done++
 		}
 	}
-	for _, d := range done {
-		if !d {
-			return false
+	return running, done
+}
+
+// roomTwice reports whether a machine of the pool that is up, and of the kind if one is given, has room
+// for the task twice over.
+func (p *platform) roomTwice(pool, kind string, cpu, memory int64) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, m := range p.machines {
+		if m.pool != pool || m.state != "up" || m.worker == nil || kind != "" && m.kind != kind {
+			continue
+		}
+		freeCPU, freeMemory := m.cpu, m.memory
+		for _, r := range p.runs {
+			if r.Worker == m.worker && r.Ended.IsZero() {
+				freeCPU, freeMemory = freeCPU-r.cpu, freeMemory-r.memory
+			}
+		}
+		if freeCPU >= 2*cpu && freeMemory >= 2*memory {
+			return true
 		}
 	}
-	return len(done) > 0
+	return false
 }
 
 // coresInUse returns the thousandths of a core that run now on all machines.
--- a/review/standin/scenarios.go
+++ b/review/standin/scenarios.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -119,83 +120,76 @@
 const finish = 14 * time.Second
 
 // playClosed: two jobs that can never be done come among sound ones to a service whose runners also
-// have tasks that last. Later sound jobs have to run.
+// have tasks that last. All sound jobs have to run.
 func playClosed(d *deployment, trouble bool) (verdict, error) {
 	quick := route{"r-crosstab", "cubo38.example", "/crosstab/", "tabula", 4}
 	clean := route{"r-panel", "cubo38.example", "/panel/", "tabula", 2}
-	if err := d.prepare(map[string]int{"tabula": 3}, 32000, []service{{name: "tabula"}}, []route{quick, clean}); err != nil {
+	const cores = 32000
+	if err := d.prepare(map[string]int{"tabula": 3}, cores, []service{{name: "tabula"}}, []route{quick, clean}); err != nil {
 		return verdict{}, err
 	}
 	lasting := step{count: 3, apart: 1, cpu: 2700, memory: 6800, estimate: 900 * time.Millisecond, lasts: true}
-	if err := d.submit(clean, "5c0e7a21d94b36f8", "lasts", taskSpec{cpu: lasting.cpu}, lasting); err != nil {
+	if err := d.submit(clean, "5c0e7a21d94b36f8", "lasts", taskSpec{}, lasting); err != nil {
 		return verdict{}, err
 	}
-	short := step{count: 6, cpu: 1800, memory: 2500, estimate: 640 * time.Millisecond}
-	sound := taskSpec{cpu: short.cpu, takes: 640 * time.Millisecond}
-	hopeless := taskSpec{cpu: short.cpu, takes: 200 * time.Millisecond, fails: true}
-	jobs := 0
-	submit := func(n int, spec string, s taskSpec) (ids []string, err error) {
-		for range n {
-			jobs++
-			id := fmt.Sprintf("%016x", jobs)
-			if err := d.submit(quick, id, spec, s, short); err != nil {
-				return nil, err
-			}
+	time.Sleep(4 * time.Second)
+	short := step{count: 4, cpu: 1800, memory: 2500, estimate: 640 * time.Millisecond}
+	sound, hopeless := taskSpec{takes: 640 * time.Millisecond}, taskSpec{takes: 1200 * time.Millisecond, fails: true}
+	var ids []string // of the sound jobs
+	submit := func(n int, spec string, s taskSpec) error {
+		id := fmt.Sprintf("%016x", n)
+		if s != hopeless {
 			ids = append(ids, id)
 		}
-		return ids, nil
-	}
-	ended := func(ids []string, limit time.Duration) bool {
-		return await(limit, func() bool {
-			for _, id := range ids {
-				if !d.ended(id) {
-					return false
-				}
+		return d.submit(quick, id, spec, s, short)
+	}
+	// 38 jobs in 3.4 s, two of them hopeless: a share of 0.053.
+	for n := 1; n <= 38; n++ {
+		spec, s := "sound", sound
+		if n == 32 || n == 36 {
+			if !trouble {
+				continue
 			}
-			return true
-		})
-	}
-	before, err := submit(40, "sound", sound)
-	if err != nil {
-		return verdict{}, err
-	}
-	if !ended(before, 20*time.Second) {
-		return verdict{}, fmt.Errorf("the first 40 jobs are not done after 20 s")
-	}
-	d.rec.add("the first 40 jobs are done")
-	time.Sleep(2 * time.Second)
-	if trouble {
-		if _, err := submit(2, "hopeless", hopeless); err != nil {
+			spec, s = "hopeless", hopeless
+		}
+		if err := submit(n, spec, s); err != nil {
 			return verdict{}, err
 		}
+		time.Sleep(85 * time.Millisecond)
 	}
 	time.Sleep(12 * time.Second)
-	later, err := submit(5, "sound", sound)
-	if err != nil {
-		return verdict{}, err
+	for n := 39; n <= 43; n++ {
+		if err := submit(n, "sound", sound); err != nil {
+			return verdict{}, err
+		}
 	}
-	last := time.Now()
-	all := ended(later, finish)
-	var none []string
-	for _, id := range later {
-		if len(d.runsOf(id+".0.0.0")) == 0 {
-			none = append(none, id)
+	time.Sleep(finish)
+	// idle returns the jobs that have nothing running though their turn has come and there is room.
+	idle := func() (out []string) {
+		if 2*d.coresInUse() >= 3*cores || !d.roomTwice("tabula", "", short.cpu, short.memory) {
+			return nil
+		}
+		for _, id := range ids {
+			if running, done := d.tasksOf(id); running == 0 && done < short.count {
+				out = append(out, id)
+			}
 		}
+		return out
 	}
-	if all || len(none) == 0 {
-		return verdict{false, fmt.Sprintf("the five jobs that came last are done: %t", all)}, nil
+	broken := idle()
+	for end := time.Now().Add(lastsFor); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		now := idle()
+		broken = slices.DeleteFunc(broken, func(id string) bool { return !slices.Contains(now, id) })
 	}
-	// From finish on, for the time of the rule and well beyond.
-	again := ended(none, 25*time.Second)
-	for _, id := range none {
-		d.state(quick, id)
+	if len(broken) == 0 {
+		return verdict{false, fmt.Sprintf("none of the %d sound jobs had nothing running for %s with room for it", len(ids), lastsFor)}, nil
 	}
-	used := d.coresInUse()
-	if again {
-		return verdict{true, fmt.Sprintf("LOST: %d of 5 jobs had not begun %s after the last was accepted; they ran later", len(none), finish)}, nil
+	time.Sleep(15 * time.Second)
+	for _, id := range broken {
+		d.state(quick, id)
 	}
-	return verdict{true, fmt.Sprintf("LOST: %d of 5 accepted jobs have not begun %.0f s after the last was accepted; %d of %d thousandths of a core of the service are in use",
-		len(none), time.Since(last).Seconds(), used, 3*32000)}, nil
+	return verdict{true, fmt.Sprintf("LOST: %d of %d sound jobs had nothing running for %s, %s after the last was accepted; 15 s later it is %d of them, and %d of %d thousandths of a core are in use",
+		len(broken), len(ids), lastsFor, finish, len(idle()), d.coresInUse(), 3*cores)}, nil
 }
 
 // playLate: an order to start gets no answer and is carried out 5 s later; the runner crashes meanwhile
@@ -343,25 +337,38 @@
 		d.put(wire("wave")+"1", map[string]any{"wave": 1, "machines": []string{m.id}, "duration-s": duration, wire("most"): most})
 		d.rec.add("the operator orders wave 1 of machine %s, %d at a time, in %d s", m.id, most, duration)
 	}
-	// Well beyond the time of the wave and of the rule.
-	time.Sleep(duration*time.Second + 25*time.Second)
+	// Beyond the time of the wave, and calm for longer than the rule asks.
+	time.Sleep(duration*time.Second + 15*time.Second)
+	lost := func() (out []string) {
+		if !d.roomTwice("tabula", s.needs, s.cpu, s.memory) {
+			return nil
+		}
+		for _, t := range tasks {
+			runs := d.runsOf(t)
+			if last := runs[len(runs)-1]; !last.Ended.IsZero() && time.Since(last.Ended) > lastsFrom {
+				out = append(out, t)
+			}
+		}
+		return out
+	}
+	broken := lost()
+	for end := time.Now().Add(lastsFor); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		now := lost()
+		broken = slices.DeleteFunc(broken, func(t string) bool { return !slices.Contains(now, t) })
+	}
 	var text []string
-	broken := false
 	for _, t := range tasks {
 		runs := d.runsOf(t)
-		last := runs[len(runs)-1]
-		if last.Ended.IsZero() {
+		if last := runs[len(runs)-1]; last.Ended.IsZero() {
 			text = append(text, fmt.Sprintf("%s runs", t))
-			continue
+		} else {
+			text = append(text, fmt.Sprintf("%s, whose last run ended (%s) %.1f s ago, doesn't run", t, last.How, time.Since(last.Ended).Seconds()))
 		}
-		gone := time.Since(last.Ended)
-		text = append(text, fmt.Sprintf("%s, whose last run ended (%s) %.1f s ago, doesn't run", t, last.How, gone.Seconds()))
-		broken = broken || gone > lastsFrom+lastsFor
 	}
 	d.state(r, job)
 	all := fmt.Sprintf("%s; machine %s is %s with %d of %d thousandths of a core in use; wave 1 is said to be %q",
 		strings.Join(text, "; "), m.id, m.state, d.coresInUse(), m.cpu, d.waveState())
-	if broken {
+	if len(broken) > 0 {
 		return verdict{true, "LOST: " + all}, nil
 	}
 	return verdict{false, all}, nil
--- a/review/standin/worker.go
+++ b/review/standin/worker.go
@@ -16,6 +16,7 @@
 	Ended   time.Time // zero while it runs
 	How     string
 	cpu     int64
+	memory  int64
 	timer   *time.Timer
 }
 
@@ -101,9 +102,9 @@
 		return "fence"
 	}
 	live := w.running[o.task]
-	var used int64
+	var used, usedMemory int64
 	for _, r := range w.running {
-		used += r.cpu
+		used, usedMemory = used+r.cpu, usedMemory+r.memory
 	}
 	s := w.p.specOf(o.spec)
 	switch {
@@ -114,12 +115,12 @@
 		return "old"
 	case o.deadline < w.clock():
 		return "late"
-	case used+s.cpu > w.m.cpu:
+	case used+s.cpu > w.m.cpu || usedMemory+s.memory > w.m.memory:
 		w.extend(o.deadline)
 		return "room"
 	}
 	w.extend(o.deadline)
-	r := &run{Task: o.task, Number: o.run, Worker: w, Started: time.Now(), cpu: s.cpu}
+	r := &run{Task: o.task, Number: o.run, Worker: w, Started: time.Now(), cpu: s.cpu, memory: s.memory}
 	if s.takes > 0 {
 		how := "done"
 		if s.fails {
