Logs tell what closes a worker, where a task could go, and what settled an order

closed() is now decided by closedReason(), in the same order and with the same result; "work is waiting" counts the reasons. Pauses and their ends, the worker that a moved task could go to, and the evidence by which an order for a VM is settled are logged. No decision changes.

--- a/internal/engine/listing.go
+++ b/internal/engine/listing.go
@@ -338,7 +338,7 @@
 // taskDone processes the end of a run that did its work. current reports that it is the run
 // recorded for the task.
 func (c *Core) taskDone(w *worker, t *task, e *RunEnd, current bool, now time.Duration) {
-	w.failures.recordSuccess()
+	c.recordWorkerSuccess(w)
 	if t.state == taskDone {
 		return
 	}
@@ -408,7 +408,7 @@
 		return
 	}
 	c.log.Info("run failed", "task", t.ref.String(), "run", e.Run, "worker", w.info.ID, "failures", len(t.failedRuns)+1)
-	w.failures.recordFailure(t.ref.Job, now)
+	c.recordWorkerFailure(w, t.ref.Job, now)
 	t.failedRuns = append(t.failedRuns, e.Run)
 	t.avoid = append(t.avoid, w.info.ID)
 	if current {
--- a/internal/engine/plan.go
+++ b/internal/engine/plan.go
@@ -240,7 +240,24 @@
 	}
 	c.explainedAt = now
 	c.log.Info("work is waiting", "step", s.Ref.String(), "tasks", st.pending, "lasting", s.Step.LongRunning, "steps", len(ws),
-		"milli cpu", s.Step.Size.MilliCPU, "memory mb", s.Step.Size.MemoryMB, "workers", taskplan.CountRejections(workers, s))
+		"milli cpu", s.Step.Size.MilliCPU, "memory mb", s.Step.Size.MemoryMB, "workers", taskplan.CountRejections(workers, s), "closed by", c.closedReasons(workers, now))
+}
+
+// closedReasons counts the workers that take no new tasks, by the reason.
+func (c *Core) closedReasons(workers []*taskplan.Worker, now time.Duration) map[closedReason]int {
+	out := make(map[closedReason]int)
+	for _, snap := range workers {
+		reason := c.workers[snap.ID].closedReason(now)
+		switch {
+		case reason != notClosed:
+			out[reason]++
+		case snap.Closed:
+			out[closedCapacity]++
+		case snap.Limit == 0:
+			out[closedProbe]++
+		}
+	}
+	return out
 }
 
 // snapshots returns the workers by ID as the planner sees them, and updates busyWorkers.
--- a/internal/engine/straggler.go
+++ b/internal/engine/straggler.go
@@ -30,7 +30,7 @@
 func (c *Core) checkProgress(w *worker, t *task, now time.Duration) {
 	run := c.progress(t)
 	if straggler.Stalled(run) {
-		w.failures.recordFailure(t.ref.Job, now)
+		c.recordWorkerFailure(w, t.ref.Job, now)
 		c.abandon(t, w, "stands still", run)
 		return
 	}
--- a/internal/engine/vacate.go
+++ b/internal/engine/vacate.go
@@ -2,6 +2,8 @@
 
 import (
 	"time"
+
+	"github.com/pumicestage/pumicestage/policy/work"
 )
 
 // vacate stops long-running tasks on workers that are to be emptied, so that they start elsewhere.
@@ -16,10 +18,16 @@
 			if t.state != taskActive || !t.step.spec.LongRunning {
 				continue
 			}
-			if w.info.Draining || c.stopAllowed(t, now) {
-				c.log.Info("moving long-running task", "task", t.ref.String(), "from", w.info.ID, "draining", w.info.Draining)
-				t.step.set(t, taskStopping)
+			if !w.info.Draining && !c.stopAllowed(t, now) {
+				continue
+			}
+			place, labels := work.WorkerID(""), []string(nil)
+			if to := c.possiblePlace(t, now); to != nil {
+				place, labels = to.info.ID, to.info.Labels
 			}
+			c.log.Info("moving long-running task", "task", t.ref.String(), "from", w.info.ID, "draining", w.info.Draining,
+				"possible worker", place, "labels", labels, "requires", t.step.spec.Requires)
+			t.step.set(t, taskStopping)
 		}
 	}
 }
@@ -41,13 +49,16 @@
 	return c.canBePlaced(t, now)
 }
 
-// canBePlaced reports whether another worker can take the task soon. Capacity that short tasks use
-// counts as free for long-running ones, which are placed first and get the capacity of the first
-// short task that ends. Otherwise a burst of short tasks that fills the pool would delay a
-// maintenance wave until it is late.
-func (c *Core) canBePlaced(t *task, now time.Duration) bool {
+// canBePlaced reports whether another worker can take the task soon.
+func (c *Core) canBePlaced(t *task, now time.Duration) bool { return c.possiblePlace(t, now) != nil }
+
+// possiblePlace returns a worker that can take the task soon in place of its own; nil if there is
+// none. Capacity that short tasks use counts as free for long-running ones, which are placed first
+// and get the capacity of the first short task that ends. Otherwise a burst of short tasks that
+// fills the pool would delay a maintenance wave until it is late.
+func (c *Core) possiblePlace(t *task, now time.Duration) *worker {
 	if c.capacityUncertain(now) {
-		return false
+		return nil
 	}
 	s := t.step
 	on := make(map[*worker]int)
@@ -64,8 +75,8 @@
 			continue
 		}
 		if t.reserved().Fits(w.info.Capacity.Minus(w.load.longRunningReserved)) {
-			return true
+			return w
 		}
 	}
-	return false
+	return nil
 }
--- a/internal/engine/worker.go
+++ b/internal/engine/worker.go
@@ -245,10 +245,63 @@
 	return n >= maxUnansweredStarts
 }
 
+// closedReason says why a worker takes no new tasks. The values appear in logs.
+type closedReason string
+
+// The reasons, in the order in which they are checked.
+const (
+	notClosed                closedReason = ""
+	closedUnansweredStarts   closedReason = "unanswered starts"
+	closedOwnershipUncertain closedReason = "ownership uncertain"
+	closedIncarnation        closedReason = "incarnation unknown"
+	closedNotPolled          closedReason = "not polled yet"
+	closedGone               closedReason = "gone"
+	closedDraining           closedReason = "draining"
+	closedUnreadable         closedReason = "registration unreadable"
+	closedCordon             closedReason = "cordon"
+	closedSilent             closedReason = "no answer to polls"
+	closedRefused            closedReason = "refused a start"
+	closedFailures           closedReason = "failed runs"
+	closedOrphanedRuns       closedReason = "orphaned runs"
+	closedTrial              closedReason = "trial of a suspect"
+	closedProbe              closedReason = "one task at a time after failed runs"
+	closedCapacity           closedReason = "capacity uncertain"
+)
+
 // closed reports whether the worker takes no new tasks now.
-func (w *worker) closed(now time.Duration) bool {
-	return w.tooManyUnansweredStarts() || w.ownershipUncertain || w.nextIncarnation != nil || w.unregistered || !w.contacted || w.unlisted || w.gone || w.info.Draining || w.info.Unreadable || w.cordon.Closes() || w.missedPolls > 0 ||
-		w.full || now < w.closedUntil || now < w.failures.until || len(w.orphanedRuns) > 0 || w.runsTrial((*task).suspect)
+func (w *worker) closed(now time.Duration) bool { return w.closedReason(now) != notClosed }
+
+// closedReason returns why the worker takes no new tasks now, or notClosed.
+func (w *worker) closedReason(now time.Duration) closedReason {
+	switch {
+	case w.tooManyUnansweredStarts():
+		return closedUnansweredStarts
+	case w.ownershipUncertain:
+		return closedOwnershipUncertain
+	case w.nextIncarnation != nil || w.unregistered:
+		return closedIncarnation
+	case !w.contacted:
+		return closedNotPolled
+	case w.unlisted || w.gone:
+		return closedGone
+	case w.info.Draining:
+		return closedDraining
+	case w.info.Unreadable:
+		return closedUnreadable
+	case w.cordon.Closes():
+		return closedCordon
+	case w.missedPolls > 0:
+		return closedSilent
+	case w.full || now < w.closedUntil:
+		return closedRefused
+	case now < w.failures.until:
+		return closedFailures
+	case len(w.orphanedRuns) > 0:
+		return closedOrphanedRuns
+	case w.runsTrial((*task).suspect):
+		return closedTrial
+	}
+	return notClosed
 }
 
 // Thresholds on consecutive failures. A worker that fails what it starts looks idle and would
@@ -260,8 +313,8 @@
 )
 
 // recordFailure counts a failed run of the job, and pauses the worker once the thresholds are
-// reached or it fails its probe.
-func (s *consecutiveFailures) recordFailure(id work.JobID, now time.Duration) {
+// reached or it fails its probe. It reports whether the worker is paused by it.
+func (s *consecutiveFailures) recordFailure(id work.JobID, now time.Duration) (paused bool) {
 	s.count++
 	if !slices.Contains(s.jobs, id) {
 		s.jobs = append(s.jobs, id)
@@ -269,8 +322,26 @@
 	if s.probe || s.count >= minFailuresToPause && len(s.jobs) >= minFailedJobsToPause {
 		s.until = now + workerFailurePause
 		s.probe = true
+		return true
 	}
+	return false
 }
 
 // recordSuccess forgets the failures before.
 func (s *consecutiveFailures) recordSuccess() { *s = consecutiveFailures{} }
+
+// recordWorkerFailure counts a failed run of the job against the worker.
+func (c *Core) recordWorkerFailure(w *worker, id work.JobID, now time.Duration) {
+	if w.failures.recordFailure(id, now) {
+		c.log.Info("worker paused after failed runs", "worker", w.info.ID, "failures", w.failures.count, "jobs", len(w.failures.jobs),
+			"tasks", len(w.tasks), "lasting", w.load.longRunning, "pause", workerFailurePause.String())
+	}
+}
+
+// recordWorkerSuccess forgets the worker's failures.
+func (c *Core) recordWorkerSuccess(w *worker) {
+	if w.failures.probe {
+		c.log.Info("worker takes tasks without limit again", "worker", w.info.ID, "failures", w.failures.count)
+	}
+	w.failures.recordSuccess()
+}
--- a/internal/fleetowner/orders.go
+++ b/internal/fleetowner/orders.go
@@ -17,6 +17,8 @@
 	cell        string // the VM's pool when the order was made
 	incarnation work.WorkerID
 	seenNotUp   bool // a list after the order showed the VM as not up
+	// seenState is the last state other than up in which a list after the order showed the VM.
+	seenState work.VMState
 	// accepted is set once the platform has begun to carry out the order.
 	accepted bool
 	// reportedGone is set once the cell has been told that the incarnation has ended.
@@ -65,13 +67,15 @@
 		case !exists:
 			delete(f.orders, id)
 		case vm.State != work.VMUp:
-			o.seenNotUp = true
+			o.seenNotUp, o.seenState = true, vm.State
 		case sent > o.sent && (o.seenNotUp || vm.Worker != o.incarnation || o.accepted && sent > o.sent+acceptedOrderDelay):
+			f.logSettled(id, o, "carried out", sent)
 			if r := f.waves[o.wave]; r != nil {
 				r.Done[id] = true
 			}
 			delete(f.orders, id)
 		case sent > o.sent+orderExpiry:
+			f.logSettled(id, o, "expired", sent)
 			// Either never carried out, or complete long ago.
 			delete(f.orders, id)
 		}
@@ -79,6 +83,13 @@
 	return gone
 }
 
+// logSettled logs what an order is taken for by the list of VMs that was requested at sent, and by
+// what evidence.
+func (f *Fleet) logSettled(id string, o *vmOrder, as string, sent time.Duration) {
+	f.Log.Info("order for a VM settled", "vm", id, "wave", o.wave, "pool", o.pool, "as", as, "accepted", o.accepted, "seen", o.seenState,
+		"worker before", o.incarnation, "worker", f.vms[id].Worker, "after", (sent - o.sent).String())
+}
+
 // withoutStandby removes the orders for VMs of standby pools, which have no cell.
 func (f *Fleet) withoutStandby(orders []cellOrder) []cellOrder {
 	return slices.DeleteFunc(orders, func(o cellOrder) bool { return f.isStandby(o.cell) })
