Long-running tasks leave room for a trial on a worker on which runs failed

Cause: after three failed runs of two jobs a worker takes one task at a time until one is done. Every task on it counted, and a long-running one never ends as done, so that it held the only place for good.

Change: only tasks started since are trials, and one that outlasts the failed runs twice (1 to 5 s) is none any more. Long-running tasks that stay at work take back failures of such tasks, not those of short ones. A gang is one trial. Tasks that failed before get a trial last: without that, hopeless jobs would use up the trials in front of sound ones.

--- a/internal/engine/limits.go
+++ b/internal/engine/limits.go
@@ -221,7 +221,8 @@
 }
 
 // startableWithinLimit returns how many of the step's waiting tasks the workspace's share allows to
-// start now: for a gang, all or none.
+// start now: for a gang, all or none. Tasks that it doesn't allow are recorded as held back from the
+// pool, unless pool is nil.
 func (s *step) startableWithinLimit(waiting int, pool *taskplan.Planner) int {
 	a := s.job.account
 	if a == nil || !a.limited() {
@@ -237,7 +238,8 @@
 	return n
 }
 
-// shareExhausted reports whether the workspace's share allows none of the step's tasks to start.
+// shareExhausted reports whether the workspace's share allows none of the step's tasks to start, and
+// records them as startableWithinLimit does.
 func (s *step) shareExhausted(pool *taskplan.Planner) bool {
 	a := s.job.account
 	if a == nil || !a.limited() || workspace.Fitting(s.spec.Size, a.remaining, a.limit, 1) == 1 {
@@ -251,7 +253,7 @@
 // share of the workspace's limit is used up. The sum is bounded by the pool's free capacity: a larger share
 // would not let tasks start that the pool can't hold.
 func (a *account) recordHeldBack(size work.Resources, pool *taskplan.Planner) {
-	if a.poolExhausted {
+	if pool == nil || a.poolExhausted {
 		return
 	}
 	before := a.heldBack
--- a/internal/engine/listing.go
+++ b/internal/engine/listing.go
@@ -212,6 +212,7 @@
 		w.listedAt = sent
 		c.reconcileRunning(w, l.Running, sent, now)
 	}
+	c.observeLongRunning(w)
 }
 
 // reconcileRunning compares the runs that a worker listed with those that it should have.
@@ -338,7 +339,7 @@
 // taskDone processes the end of a run that did its work. current reports that it is the run
 // recorded for the task.
 func (c *Core) taskDone(w *worker, t *task, e *RunEnd, current bool, now time.Duration) {
-	c.recordWorkerSuccess(w)
+	c.recordSuccess(w)
 	if t.state == taskDone {
 		return
 	}
@@ -408,7 +409,11 @@
 		return
 	}
 	c.log.Info("run failed", "task", t.ref.String(), "run", e.Run, "worker", w.info.ID, "failures", len(t.failedRuns)+1)
-	c.recordWorkerFailure(w, t.ref.Job, now)
+	lasted := time.Duration(0)
+	if current {
+		lasted = t.runTime(now)
+	}
+	c.recordFailure(w, t, lasted, now)
 	t.failedRuns = append(t.failedRuns, e.Run)
 	t.avoid = append(t.avoid, w.info.ID)
 	if current {
--- a/internal/engine/plan.go
+++ b/internal/engine/plan.go
@@ -191,6 +191,16 @@
 	if slices.ContainsFunc(ws, func(w waitingStep) bool { return w.step.suspects() > 0 }) {
 		planner.TrialWorkersLeft = c.trialCapacity(now)
 	}
+	c.placeWaiting(ws, planner, workers, now, out)
+	if planner.LimitsLeft() {
+		c.placeRetries(ws, planner, workers, now, out)
+	}
+	c.recordOtherWaiting(ws, now)
+	c.explain(ws, workers, now)
+}
+
+// placeWaiting adds start orders for the waiting steps.
+func (c *Core) placeWaiting(ws []waitingStep, planner *taskplan.Planner, workers []*taskplan.Worker, now time.Duration, out *Orders) {
 	for _, v := range ws {
 		if len(out.Starts) >= c.startsLeft {
 			c.startsDeferred = true
@@ -213,14 +223,37 @@
 		if v.step.job.queue.Advised {
 			v.step.askAdvice(workers, s.Permitted, now, out)
 		}
-		s.Zone = c.preferredZone(v.step, planner)
-		for _, p := range planner.Place(s) {
-			c.issueStart(p, now, out)
-			v.step.chargeStart()
+		c.place(v.step, s, planner, now, out)
+	}
+}
+
+// placeRetries adds start orders for tasks that failed before, on workers on probation that no
+// other waiting task uses.
+func (c *Core) placeRetries(ws []waitingStep, planner *taskplan.Planner, workers []*taskplan.Worker, now time.Duration, out *Orders) {
+	for _, v := range ws {
+		if len(out.Starts) >= c.startsLeft || !planner.LimitsLeft() {
+			return
 		}
+		if v.step.pending == 0 || !planner.MayFit(v.step.spec) {
+			continue
+		}
+		s := c.planStep(v.step, workers, now)
+		if s == nil || !slices.ContainsFunc(s.Tasks, func(t taskplan.Task) bool { return len(t.Avoid) > 0 }) {
+			continue
+		}
+		s.RetryTrials = true
+		s.Tasks = s.Tasks[:v.step.startableWithinLimit(len(s.Tasks), nil)]
+		c.place(v.step, s, planner, now, out)
+	}
+}
+
+// place adds start orders for those of the step's tasks that the planner places.
+func (c *Core) place(st *step, s *taskplan.Step, planner *taskplan.Planner, now time.Duration, out *Orders) {
+	s.Zone = c.preferredZone(st, planner)
+	for _, p := range planner.Place(s) {
+		c.issueStart(p, now, out)
+		st.chargeStart()
 	}
-	c.recordOtherWaiting(ws, now)
-	c.explain(ws, workers, now)
 }
 
 // explainInterval is the minimum time between two log lines about waiting work.
@@ -254,7 +287,7 @@
 		case snap.Closed:
 			out[closedCapacity]++
 		case snap.Limit == 0:
-			out[closedProbe]++
+			out[closedProbation]++
 		}
 	}
 	return out
--- a/internal/engine/straggler.go
+++ b/internal/engine/straggler.go
@@ -30,7 +30,7 @@
 func (c *Core) checkProgress(w *worker, t *task, now time.Duration) {
 	run := c.progress(t)
 	if straggler.Stalled(run) {
-		c.recordWorkerFailure(w, t.ref.Job, now)
+		c.recordFailure(w, t, run.Running, now)
 		c.abandon(t, w, "stands still", run)
 		return
 	}
--- a/internal/engine/worker.go
+++ b/internal/engine/worker.go
@@ -1,7 +1,6 @@
 package engine
 
 import (
-	"slices"
 	"time"
 
 	"github.com/pumicestage/pumicestage/policy/straggler"
@@ -87,7 +86,7 @@
 	missedSince         time.Duration // when the first of them was given up
 	silentSince         time.Duration // first call without an answer since the last answer; 0: none
 	closedUntil         time.Duration
-	failures            consecutiveFailures
+	failures            workerFailures
 	slowness            straggler.Slowness
 	cordon              Cordon
 	full                bool      // it refused a start for lack of capacity since its last end
@@ -127,14 +126,6 @@
 	return w.stored > before
 }
 
-// consecutiveFailures counts a worker's failed runs since its last success.
-type consecutiveFailures struct {
-	count int // since the last success
-	jobs  []work.JobID
-	until time.Duration // the worker takes no new tasks before
-	probe bool          // one task at a time until one is done
-}
-
 // clockNow returns a lower bound of the worker's clock.
 func (w *worker) clockNow(now time.Duration) time.Duration {
 	return w.clock + time.Duration(float64(now-w.clockAt)*(1-maxClockDrift))
@@ -214,7 +205,7 @@
 		Free:   w.info.Capacity.Minus(w.load.reserved),
 		Labels: w.info.Labels,
 		Closed: w.closed(now),
-		Limit:  -1,
+		Limit:  w.mayStart(),
 
 		LongRunning: w.load.longRunning, Serving: w.load.serving, BestEffort: w.load.bestEffort,
 		Slowness:       w.slowness.Factor(),
@@ -224,9 +215,6 @@
 	if n := len(w.info.Labels); n > 0 {
 		out.Rack = w.info.Labels[n-1]
 	}
-	if w.failures.probe {
-		out.Limit = max(0, 1-len(w.tasks))
-	}
 }
 
 // maxUnansweredStarts is the number of unanswered starts that closes a worker until it answers
@@ -264,7 +252,7 @@
 	closedFailures           closedReason = "failed runs"
 	closedOrphanedRuns       closedReason = "orphaned runs"
 	closedTrial              closedReason = "trial of a suspect"
-	closedProbe              closedReason = "one task at a time after failed runs"
+	closedProbation          closedReason = "trial after failed runs"
 	closedCapacity           closedReason = "capacity uncertain"
 )
 
@@ -303,45 +291,3 @@
 	}
 	return notClosed
 }
-
-// Thresholds on consecutive failures. A worker that fails what it starts looks idle and would
-// get every waiting task of the pool, and each failure costs a job one of its few attempts.
-const (
-	minFailuresToPause   = 3 // consecutive failures, without a success in between
-	minFailedJobsToPause = 2 // jobs that they must come from: one job that always fails proves nothing
-	workerFailurePause   = 3 * time.Second
-)
-
-// recordFailure counts a failed run of the job, and pauses the worker once the thresholds are
-// reached or it fails its probe. It reports whether the worker is paused by it.
-func (s *consecutiveFailures) recordFailure(id work.JobID, now time.Duration) (paused bool) {
-	s.count++
-	if !slices.Contains(s.jobs, id) {
-		s.jobs = append(s.jobs, id)
-	}
-	if s.probe || s.count >= minFailuresToPause && len(s.jobs) >= minFailedJobsToPause {
-		s.until = now + workerFailurePause
-		s.probe = true
-		return true
-	}
-	return false
-}
-
-// recordSuccess forgets the failures before.
-func (s *consecutiveFailures) recordSuccess() { *s = consecutiveFailures{} }
-
-// recordWorkerFailure counts a failed run of the job against the worker.
-func (c *Core) recordWorkerFailure(w *worker, id work.JobID, now time.Duration) {
-	if w.failures.recordFailure(id, now) {
-		c.log.Info("worker paused after failed runs", "worker", w.info.ID, "failures", w.failures.count, "jobs", len(w.failures.jobs),
-			"tasks", len(w.tasks), "lasting", w.load.longRunning, "pause", workerFailurePause.String())
-	}
-}
-
-// recordWorkerSuccess forgets the worker's failures.
-func (c *Core) recordWorkerSuccess(w *worker) {
-	if w.failures.probe {
-		c.log.Info("worker takes tasks without limit again", "worker", w.info.ID, "failures", w.failures.count)
-	}
-	w.failures.recordSuccess()
-}
--- a/policy/taskplan/taskplan.go
+++ b/policy/taskplan/taskplan.go
@@ -26,7 +26,7 @@
 	Rack           string
 	Zone           string  // availability zone; empty: no step prefers a zone
 	Closed         bool    // accepts no new tasks: leaving, cordoned, or not heard from
-	Limit          int     // max tasks to place now; negative: any number
+	Limit          int     // max tasks to place now, a gang counting as one; negative: any number. See Step.RetryTrials
 	LongRunning    int     // long-running tasks on the worker
 	Serving        int     // serving tasks on the worker
 	BestEffort     int     // best-effort tasks on the worker
@@ -57,12 +57,15 @@
 	// Zone is the availability zone in which its tasks are preferably placed (see
 	// Planner.PreferredZone); empty: none. No task waits for it.
 	Zone string
+	// RetryTrials allows tasks that failed before on workers with a Limit. Such a worker is on
+	// trial, and if the task fails again, that says little about the worker.
+	RetryTrials bool
 }
 
 // Task is a waiting task.
 type Task struct {
 	Index int             // index of the task in its step
-	Avoid []work.WorkerID // workers on which it failed; used only if no other has capacity
+	Avoid []work.WorkerID // workers on which it failed; used only if no other has capacity. See Step.RetryTrials
 	// Suspect: the task may crash its worker. It is placed where the fewest tasks would be lost,
 	// and nothing is placed beside it except suspects of the same step: if the task turns out to
 	// crash workers, its job is given up, and the other suspects with it. A long-running step is
@@ -226,6 +229,9 @@
 		w := choose(from, s, t)
 		if w == nil {
 			p.maxFree = MaxFree(p.open)
+			if len(t.Avoid) > 0 && !s.RetryTrials && p.LimitsLeft() {
+				continue // a limit may allow the step's other tasks
+			}
 			break // the step's other tasks have the same size
 		}
 		wasEmpty := w.Tasks == 0
@@ -240,6 +246,11 @@
 	return out
 }
 
+// LimitsLeft reports whether a worker with a Limit may still get a task.
+func (p *Planner) LimitsLeft() bool {
+	return slices.ContainsFunc(p.open, func(w *Worker) bool { return w.Limit > 0 })
+}
+
 func (p *Planner) worker(id work.WorkerID) *Worker {
 	i := slices.IndexFunc(p.open, func(w *Worker) bool { return w.ID == id })
 	return p.open[i]
@@ -325,7 +336,20 @@
 	return nil
 }
 
+// placeGangOn places the gang on the workers. Its members fail together, so all of them count once
+// against a worker's Limit: if each counted, a gang could be larger than what all limits allow.
 func placeGangOn(workers []*Worker, s *Step) []Placement {
+	for _, w := range workers {
+		if w.Limit > 0 {
+			defer func(limit, tasks int) {
+				w.Limit = limit
+				if w.Tasks > tasks {
+					w.Limit--
+				}
+			}(w.Limit, w.Tasks)
+			w.Limit += len(s.Tasks)
+		}
+	}
 	var out []Placement
 	var taken []*Worker
 	for _, t := range s.Tasks {
@@ -400,7 +424,7 @@
 	var best *Worker
 	bestScore := math.Inf(1)
 	for _, w := range workers {
-		if !feasible(w, s) || w.trialStep != nil && !s.sharesTrial(w, t) {
+		if !feasible(w, s) || w.trialStep != nil && !s.sharesTrial(w, t) || w.Limit >= 0 && len(t.Avoid) > 0 && !s.RetryTrials {
 			continue
 		}
 		if score := scoreOf(w, s, t); score < bestScore {
--- a/policy/taskplan/taskplan_test.go
+++ b/policy/taskplan/taskplan_test.go
@@ -196,3 +196,41 @@
 	s.Hazardous = true
 	assert.DeepEqual(t, placements(Plan([]*Worker{a, b}, []*Step{s})), []string{"s>b", "s>b"})
 }
+
+// Guards against a worker on trial that is closed again and again by tasks that fail anywhere,
+// while others wait.
+func TestTasksThatFailedBeforeGetNoTrialUnlessAllowed(t *testing.T) {
+	w := worker("a", 8000)
+	w.Limit = 1
+	failed, sound := step("failed", 2, spec(1000)), step("sound", 1, spec(1000))
+	failed.Tasks[0].Avoid = []work.WorkerID{"b"}
+	p := NewPlanner([]*Worker{w})
+	assert.Equal(t, len(p.Place(&Step{Ref: failed.Ref, Step: failed.Step, OnWorker: failed.OnWorker, Tasks: failed.Tasks[:1]})), 0)
+	assert.DeepEqual(t, placements(p.Place(sound)), []string{"sound>a"})
+	assert.Assert(t, !p.LimitsLeft())
+	w.Limit = 1
+	got := p.Place(failed)
+	assert.Equal(t, len(got), 1)
+	assert.Equal(t, got[0].Index, 1, "the task that has not failed")
+	w.Limit, failed.RetryTrials = 1, true
+	got = p.Place(failed)
+	assert.Equal(t, len(got), 1)
+	assert.Equal(t, got[0].Index, 0)
+}
+
+// Guards against gangs that can't be placed on workers on trial, as each member counts, and against
+// members that are placed beside another trial.
+func TestAGangCountsOnceAgainstALimit(t *testing.T) {
+	gang := spec(1000)
+	gang.Gang = true
+	a, b := worker("a", 2000), worker("b", 8000)
+	a.Limit, b.Limit = 1, 2
+	p := NewPlanner([]*Worker{a, b})
+	assert.Equal(t, len(p.Place(step("g1", 4, gang))), 4)
+	assert.Equal(t, a.Limit, 0)
+	assert.Equal(t, b.Limit, 1)
+	assert.Equal(t, len(p.Place(step("g2", 9, gang))), 0, "too large")
+	assert.Equal(t, b.Limit, 1)
+	b.Limit = 0
+	assert.Equal(t, len(p.Place(step("g3", 1, gang))), 0)
+}
