A crash after an unanswered order for a VM is not its maintenance

Cause: an order was complete once a list of VMs had shown the VM as not up, for whatever cause, or another incarnation on it.

Change: only an answer, or the state that belongs to the order, completes it. Maintenance that is open as its incarnation ended otherwise is ordered again on the next one, which the platform accepts without effect if it was done; until that is accepted the order counts as a VM away, and its worker is emptied. Unanswered moves are no longer taken for made after a crash either.

--- a/internal/fleetowner/orders.go
+++ b/internal/fleetowner/orders.go
@@ -16,15 +16,43 @@
 	pool        string // the order is a move to this pool
 	cell        string // the VM's pool when the order was made
 	incarnation work.WorkerID
-	seenNotUp   bool // a list after the order showed the VM as not up
 	// seenState is the last state other than up in which a list after the order showed the VM.
 	seenState work.VMState
+	// begun is set once a list after the order has shown that it is, or was, carried out.
+	begun bool
 	// accepted is set once the platform has begun to carry out the order.
 	accepted bool
+	// repeated is set on an order that was sent again while the first call, which was not
+	// answered, may still be carried out.
+	repeated bool
 	// reportedGone is set once the cell has been told that the incarnation has ended.
 	reportedGone bool
 }
 
+// shownBy reports whether the state of the VM after the order shows that it is, or was, carried out.
+// A VM that is down, or has another incarnation, may have crashed instead.
+func (o *vmOrder) shownBy(vm work.VM) bool {
+	if o.wave != "" {
+		return vm.State == work.VMMaintenance
+	}
+	return vm.State == work.VMMoving || vm.Pool == o.pool
+}
+
+// completeBy reports whether the order is complete by a list of VMs that was requested at sent and
+// shows the VM as up.
+func (o *vmOrder) completeBy(vm work.VM, sent time.Duration) bool {
+	if sent <= o.sent {
+		return false
+	}
+	return o.begun || o.shownBy(vm) || o.accepted && (vm.Worker != o.incarnation || sent > o.sent+acceptedOrderDelay)
+}
+
+// undecided reports whether it is open if the order will take effect, although the incarnation
+// that it was made for has ended.
+func (o *vmOrder) undecided(vm work.VM) bool {
+	return !o.accepted && !o.begun && vm.State == work.VMUp && vm.Worker != o.incarnation
+}
+
 // recordInherited records the VMs for which an order of an earlier owner may be in progress:
 // all that are not up in the first list of the term.
 func (f *Fleet) recordInherited(list []work.VM) {
@@ -67,8 +95,8 @@
 		case !exists:
 			delete(f.orders, id)
 		case vm.State != work.VMUp:
-			o.seenNotUp, o.seenState = true, vm.State
-		case sent > o.sent && (o.seenNotUp || vm.Worker != o.incarnation || o.accepted && sent > o.sent+acceptedOrderDelay):
+			o.seenState, o.begun = vm.State, o.begun || o.shownBy(vm)
+		case o.completeBy(vm, sent):
 			f.logSettled(id, o, "carried out", sent)
 			if r := f.waves[o.wave]; r != nil {
 				r.Done[id] = true
@@ -107,8 +135,8 @@
 		}
 	}
 	f.mu.Lock()
-	for _, o := range f.orders {
-		wanted[o.incarnation] = true
+	for id, o := range f.orders {
+		wanted[o.incarnation], wanted[f.vms[id].Worker] = true, true
 	}
 	f.mu.Unlock()
 	var out []cellOrder
@@ -166,8 +194,8 @@
 }
 
 // recordOutcome updates an order by the platform's answer to it. A refused order is removed; one
-// without an answer stays until its effect shows or it expires. If the platform knows a later
-// owner, the term ends.
+// without an answer, to this call or an earlier one, stays until its effect shows or it expires. If
+// the platform knows a later owner, the term ends.
 func (f *Fleet) recordOutcome(ctx context.Context, id string, o *vmOrder, out engine.VMOutcome) {
 	switch out {
 	case engine.VMDone:
@@ -187,7 +215,9 @@
 		f.Term.End("the platform knows a later owner")
 	case engine.VMBusy, engine.VMRefused, engine.VMInvalid:
 		f.mu.Lock()
-		delete(f.orders, id)
+		if !o.repeated {
+			delete(f.orders, id)
+		}
 		f.mu.Unlock()
 	}
 }
--- a/internal/fleetowner/waves.go
+++ b/internal/fleetowner/waves.go
@@ -67,9 +67,10 @@
 		return nil
 	}
 	f.report(ctx, w.Name, r)
+	orders := f.repeatUndecided(ctx, w)
 	d := upkeep.Decide(in)
 	f.maintain(ctx, w, r, d.Maintain)
-	orders := f.drainOrders(r, d)
+	orders = append(orders, f.drainOrders(r, d)...)
 	f.saveWave(ctx, w.Name, r)
 	return orders
 }
@@ -176,12 +177,46 @@
 	for id := range orders {
 		delete(r.drainingSince, id)
 	}
+	f.orderMaintenance(ctx, w, orders)
+}
+
+// repeatUndecided orders the maintenance of VMs again whose order was not answered and whose
+// incarnation has ended since, for an unknown cause: the platform accepts an order that was
+// carried out before and does nothing. VMs that can't be claimed keep their order; repeatUndecided
+// returns orders for cells to empty them, as the first call may still be carried out.
+func (f *Fleet) repeatUndecided(ctx context.Context, w OrderedWave) (vacate []cellOrder) {
+	orders := make(map[string]*vmOrder)
+	var claims []cellOrder
+	for _, id := range w.VMs {
+		if o := f.orderOf(id); o != nil && o.wave == w.Name && o.undecided(f.vms[id]) {
+			orders[id] = o
+			claims = append(claims, cellOrder{cell: f.vms[id].Pool, order: engine.CellOrder{Kind: engine.OrderClaim, Worker: f.vms[id].Worker}})
+		}
+	}
+	taken := f.send(ctx, f.withoutStandby(claims))
+	f.mu.Lock()
+	for id, o := range orders {
+		vm := f.vms[id]
+		if !f.isStandby(vm.Pool) && !taken[vm.Worker] {
+			vacate = append(vacate, cellOrder{cell: vm.Pool, order: engine.CellOrder{Kind: engine.OrderVacate, Worker: vm.Worker}})
+			delete(orders, id)
+			continue
+		}
+		o.sent, o.cell, o.incarnation, o.reportedGone, o.repeated = f.Clock.Now(), vm.Pool, vm.Worker, false, true
+	}
+	f.mu.Unlock()
+	f.orderMaintenance(ctx, w, orders)
+	return vacate
+}
+
+// orderMaintenance orders the maintenance of the VMs and waits for the answers.
+func (f *Fleet) orderMaintenance(ctx context.Context, w OrderedWave, orders map[string]*vmOrder) {
 	f.execute(orders, func(id string, o *vmOrder) {
 		call, cancel := context.WithTimeout(ctx, listTimeout)
 		out := f.Machines.Maintain(call, id, w.Name, f.Term.Token())
 		cancel()
 		f.Metrics.CountVMOrder("maintain")
-		f.Log.Info("maintenance ordered", "vm", id, "pool", f.vms[id].Pool, "wave", w.Name, "outcome", out.String(), "left", (w.Seen + w.Duration - o.sent).String())
+		f.Log.Info("maintenance ordered", "vm", id, "pool", f.vms[id].Pool, "wave", w.Name, "outcome", out.String(), "repeated", o.repeated, "left", (w.Seen + w.Duration - o.sent).String())
 		f.recordOutcome(ctx, id, o, out)
 	})
 	// The next pass must not run while recordOutcome uses the same maps.
