A task is stopped for maintenance only where its label lets it start again

Cause: whether a task has another place was decided without the label that it requires and without the advisor's approval, which the planner asks for, and no cordon was taken back that led nowhere. Evidence, with the log lines added before: the task that requires b was moved for "possible worker i-7f3a02, labels a r1-1"; from then on "closed by" is one cordon.

Change: a place needs label and approval. Missing VMs are counted and drawn by label. Tasks that no other worker can take are stopped together after 4 s if their steps' limits allow it, so that a wave is done where it may be. A VM that can't be emptied, or for which tasks have waited 2.5 s, is opened again and its maintenance postponed by 10 s; the wave's other VMs go on.

--- a/internal/engine/advice.go
+++ b/internal/engine/advice.go
@@ -67,3 +67,39 @@
 		s.tickets[tk.Worker] = ticket{text: tk.Ticket, expires: sent + validity}
 	}
 }
+
+// approvedOn reports whether the advisor is known to allow the step's tasks on the worker. Its answer
+// doesn't change during the worker's incarnation, even if the ticket has expired.
+func (s *step) approvedOn(w *worker) bool {
+	if !s.job.queue.Advised {
+		return true
+	}
+	_, has := s.tickets[w.info.ID]
+	return has
+}
+
+// askAdviceForMove adds a request to out for workers that could take the running task if the advisor
+// allows it, unless it allows one of them already or was asked recently.
+func (c *Core) askAdviceForMove(t *task, now time.Duration, out *Orders) {
+	s := t.step
+	if !s.job.queue.Advised || s.advicePending || s.adviceAskedAt != 0 && now < s.adviceAskedAt+adviceRetryInterval || c.capacityUncertain(now) {
+		return
+	}
+	var ask []work.WorkerID
+	for _, w := range c.ordered() {
+		if w == t.worker || w.closed(now) || s.spec.Requires != "" && !w.hasLabel(s.spec.Requires) || !t.reserved().Fits(w.info.Capacity.Minus(w.load.longRunningReserved)) {
+			continue
+		}
+		if s.approvedOn(w) {
+			return
+		}
+		if len(ask) < maxAdviceBatch {
+			ask = append(ask, w.info.ID)
+		}
+	}
+	if len(ask) == 0 {
+		return
+	}
+	s.advicePending, s.adviceAskedAt = true, now
+	out.Advice = append(out.Advice, AdviceOrder{Step: s.ref(), Workers: ask})
+}
--- a/internal/engine/cell.go
+++ b/internal/engine/cell.go
@@ -15,7 +15,7 @@
 	Backlog        float64        `msgpack:"b"`           // waiting core-seconds of jobs that are still of use
 	ExpiredBacklog float64        `msgpack:"o,omitempty"` // waiting core-seconds of jobs that are too late to be of use
 	ArrivalRate    float64        `msgpack:"a"`           // recently submitted core-seconds per second
-	MissingVMs     int            `msgpack:"s"`           // additional VMs that long-running tasks need, whatever is free on the others
+	MissingVMs     int            `msgpack:"s"`           // additional VMs that long-running tasks without a label need, whatever is free on the others
 	Workers        []WorkerReport `msgpack:"w"`
 	// TrialVMs is how many empty VMs the cell could use for tasks that may crash their worker,
 	// as long as no other cell lacks VMs.
@@ -32,6 +32,7 @@
 	Used           float64 `msgpack:"u"`           // cores in use
 	Backlog        float64 `msgpack:"b"`           // waiting core-seconds of jobs that are still of use
 	ExpiredBacklog float64 `msgpack:"o,omitempty"` // waiting core-seconds of jobs that are too late to be of use
+	MissingVMs     int     `msgpack:"s,omitempty"` // additional VMs with the label that long-running tasks need
 }
 
 // WorkerReport is the state of one worker of a cell.
@@ -43,6 +44,9 @@
 	Cordon      Cordon        `msgpack:"c"`
 	Draining    bool          `msgpack:"d"`
 	Polled      bool          `msgpack:"h"` // it has answered a poll of this owner
+	// CordonBlocked means that the worker must not be cordoned to be emptied: tasks that can run only
+	// on it may not all be stopped, or wait for it.
+	CordonBlocked bool `msgpack:"b,omitempty"`
 	// Silent means that the worker is polled and does not answer, see silentAfter.
 	Silent bool `msgpack:"s,omitempty"`
 	// Zone is the zone of its registration, if CellSync.Zones asks for it.
@@ -160,7 +164,7 @@
 	}
 	switch o.Kind {
 	case OrderVacate:
-		c.setCordon(w, Cordon{Kind: CordonVacate, Token: token})
+		c.setCordon(w, Cordon{Kind: CordonVacate, Token: token}, now)
 	case OrderEvict:
 		c.evict(w)
 	case OrderClaim:
@@ -170,21 +174,27 @@
 		if !w.contacted || w.missedPolls > 0 || len(w.tasks)+len(w.orphanedRuns) > 0 || w.stored < w.seen {
 			return false
 		}
-		c.setCordon(w, Cordon{Kind: CordonClaimed, Token: token})
+		c.setCordon(w, Cordon{Kind: CordonClaimed, Token: token}, now)
 	case OrderUncordon:
-		c.setCordon(w, Cordon{})
+		c.setCordon(w, Cordon{}, now)
 	case OrderMaintenanceDue:
-		c.setCordon(w, Cordon{Kind: CordonMaintenanceDue, Token: token})
+		c.setCordon(w, Cordon{Kind: CordonMaintenanceDue, Token: token}, now)
 	case OrderWorkerRemoved:
 		c.endIncarnation(w, "its VM is taken away", lossPlanned, now)
 	}
 	return true
 }
 
-func (c *Core) setCordon(w *worker, to Cordon) {
+func (c *Core) setCordon(w *worker, to Cordon, now time.Duration) {
 	if w.cordon == to {
 		return
 	}
+	switch {
+	case to.Kind != CordonVacate:
+		w.vacateSince, w.wantedSince = 0, 0
+	case w.vacateSince == 0:
+		w.vacateSince = now
+	}
 	w.cordon = to
 	c.log.Info("cordon", "worker", w.info.ID, "kind", int(to.Kind), "tasks", len(w.tasks))
 }
@@ -201,9 +211,12 @@
 }
 
 func (c *Core) report(now time.Duration) CellReport {
-	r := CellReport{ArrivalRate: c.arrivalRate(now), MissingVMs: c.missingVMs(now), TrialVMs: c.vmsForTrials(now), SerialMoves: c.serialMoves(), ByLabel: make(map[string]LabelLoad)}
+	r := CellReport{ArrivalRate: c.arrivalRate(now), TrialVMs: c.vmsForTrials(now), SerialMoves: c.serialMoves(), ByLabel: make(map[string]LabelLoad)}
 	for _, w := range c.workers {
-		r.addWorker(w, now, c.reportsSilent(w, now))
+		r.addWorker(w, now, c.reportsSilent(w, now), c.cordonBlocked(w, now))
+	}
+	for label, n := range c.missingVMs(now) {
+		r.addMissingVMs(label, n)
 	}
 	largest := c.maxCapacity()
 	settled := c.settled(now)
@@ -226,10 +239,21 @@
 	return r
 }
 
-func (r *CellReport) addWorker(w *worker, now time.Duration, silent bool) {
+// addMissingVMs adds that n VMs with the label are missing; any VM will do if it is empty.
+func (r *CellReport) addMissingVMs(label string, n int) {
+	if label == "" || n == 0 {
+		r.MissingVMs += n
+		return
+	}
+	b := r.ByLabel[label]
+	b.MissingVMs += n
+	r.ByLabel[label] = b
+}
+
+func (r *CellReport) addWorker(w *worker, now time.Duration, silent, cordonBlocked bool) {
 	wr := WorkerReport{
 		ID: w.info.ID, Tasks: len(w.tasks) + len(w.orphanedRuns), LongRunning: w.load.longRunning, Cordon: w.cordon, Draining: w.info.Draining, Polled: w.contacted,
-		Silent: silent,
+		Silent: silent, CordonBlocked: cordonBlocked,
 	}
 	if wr.Tasks == 0 {
 		wr.EmptyFor = now - w.emptySince
@@ -277,22 +301,30 @@
 // placed: the next plan comes within milliseconds.
 const placementGrace = 200 * time.Millisecond
 
-// missingVMs returns how many more VMs the long-running tasks need. The number of free cores does
-// not show it: a step's limit of tasks on one VM asks for different VMs, and a task that is to leave
-// a VM for maintenance needs a place elsewhere before it may be stopped.
-func (c *Core) missingVMs(now time.Duration) int {
-	need := 0
+// missingVMs returns how many more VMs the long-running tasks need, by the label that the VMs must
+// have; empty stands for any VM. The number of free cores does not show it: a step's limit of tasks on
+// one VM asks for different VMs, and a task that is to leave a VM for maintenance needs a place
+// elsewhere before it may be stopped.
+func (c *Core) missingVMs(now time.Duration) map[string]int {
+	pending, blocked := make(map[string]int), make(map[string]int)
 	for _, j := range c.open {
-		if !j.LongRunning() || now < j.accepted+placementGrace {
+		if !j.LongRunning() {
 			continue
 		}
 		for _, o := range j.liveOccurrences {
 			for _, s := range o.steps {
-				need = max(need, s.vmsForPending(now))
+				label := s.spec.Requires
+				if now >= j.accepted+placementGrace {
+					pending[label] = max(pending[label], s.vmsForPending(now))
+				}
+				blocked[label] = max(blocked[label], c.vmsForBlockedMoves(s, now))
 			}
 		}
 	}
-	return need + c.vmsForBlockedMoves(now)
+	for label, n := range blocked {
+		pending[label] += n
+	}
+	return pending
 }
 
 // vmsForPending returns how many VMs the step's pending tasks need if no present VM has free
@@ -338,32 +370,24 @@
 			n++
 		}
 	}
-	each := max(1, s.spec.MaxUnavailable)
+	each := s.maxUnavailable()
 	return (n + each - 1) / each
 }
 
-// vmsForBlockedMoves returns how many additional VMs would let long-running tasks leave the VMs
-// that are to be emptied: as many as the tasks that one step may have on the move at a time. If only
-// one VM was requested at a time, a wave over a large pool would be late, as each VM takes seconds to
-// start. Steps share the VMs that come.
-func (c *Core) vmsForBlockedMoves(now time.Duration) int {
-	need := 0
-	for _, j := range c.open {
-		if !j.LongRunning() {
-			continue
-		}
-		for _, o := range j.liveOccurrences {
-			for _, s := range o.steps {
-				need = max(need, min(c.blockedMoves(s, now), max(1, s.spec.MaxUnavailable)))
-			}
-		}
-	}
-	return need
+// vmsForBlockedMoves returns how many additional VMs would let long-running tasks of the step leave
+// the VMs that are to be emptied: as many as may be on the move at a time. If only one VM was
+// requested at a time, a wave over a large pool would be late, as each VM takes seconds to start.
+// Steps share the VMs that come.
+func (c *Core) vmsForBlockedMoves(s *step, now time.Duration) int {
+	return min(c.blockedMoves(s, now), s.maxUnavailable())
 }
 
 // blockedMoves returns the number of the step's long-running tasks that are to leave their VMs and
 // can't be placed elsewhere.
 func (c *Core) blockedMoves(s *step, now time.Duration) int {
+	if s.advicePending {
+		return 0
+	}
 	n := 0
 	for _, t := range s.tasks {
 		if !s.spec.LongRunning || t.state != taskActive || t.worker.cordon.Kind != CordonVacate {
--- a/internal/engine/plan.go
+++ b/internal/engine/plan.go
@@ -70,7 +70,7 @@
 		c.stopStragglers(now)
 		c.planPacing(now, &out)
 	}
-	c.vacate(now)
+	c.vacate(now, &out)
 	c.planStops(now, &out)
 	c.findOrphanedRuns()
 	c.planWaiting(c.waitingSteps(now), now, &out)
@@ -196,6 +196,7 @@
 		c.placeRetries(ws, planner, workers, now, out)
 	}
 	c.recordOtherWaiting(ws, now)
+	c.observeWanted(ws, workers, now)
 	c.explain(ws, workers, now)
 }
 
--- a/internal/engine/vacate.go
+++ b/internal/engine/vacate.go
@@ -1,15 +1,17 @@
 package engine
 
 import (
+	"slices"
 	"time"
 
+	"github.com/pumicestage/pumicestage/policy/taskplan"
 	"github.com/pumicestage/pumicestage/policy/work"
 )
 
 // vacate stops long-running tasks on workers that are to be emptied, so that they start elsewhere.
 // On draining workers it stops all of them, on others only as many as each step's limit on
 // unavailable tasks allows.
-func (c *Core) vacate(now time.Duration) {
+func (c *Core) vacate(now time.Duration, out *Orders) {
 	for _, w := range c.workers {
 		if w.gone || w.missedPolls > 0 || w.cordon.Kind != CordonVacate && !w.info.Draining {
 			continue
@@ -18,35 +20,164 @@
 			if t.state != taskActive || !t.step.spec.LongRunning {
 				continue
 			}
-			if !w.info.Draining && !c.stopAllowed(t, now) {
+			if !w.info.Draining && !c.stopAllowed(t) {
 				continue
 			}
-			place, labels := work.WorkerID(""), []string(nil)
-			if to := c.possiblePlace(t, now); to != nil {
-				place, labels = to.info.ID, to.info.Labels
+			place := c.possiblePlace(t, now)
+			if !w.info.Draining && place == nil {
+				c.askAdviceForMove(t, now, out)
+				continue
+			}
+			c.stopForMove(t, place)
+		}
+		c.stopBound(w, now)
+	}
+}
+
+// stopForMove marks the task to be stopped; place is a worker that could take it, or nil.
+func (c *Core) stopForMove(t *task, place *worker) {
+	id, labels := work.WorkerID(""), []string(nil)
+	if place != nil {
+		id, labels = place.info.ID, place.info.Labels
+	}
+	c.log.Info("moving long-running task", "task", t.ref.String(), "from", t.worker.info.ID, "draining", t.worker.info.Draining,
+		"possible worker", id, "labels", labels, "requires", t.step.spec.Requires)
+	t.step.set(t, taskStopping)
+}
+
+// labelledVMPatience is how long a VM with a label that long-running tasks require is waited for when
+// their worker is to be emptied. It is requested meanwhile, see missingVMs.
+const labelledVMPatience = 4 * time.Second
+
+// stopBound stops all tasks of a worker that is to be emptied if no other worker can take any of them,
+// and their steps' limits allow them to be unavailable together. They start again on the worker's
+// next incarnation.
+func (c *Core) stopBound(w *worker, now time.Duration) {
+	if w.cordon.Kind != CordonVacate || len(w.tasks) == 0 || len(w.orphanedRuns) > 0 || c.capacityUncertain(now) {
+		return
+	}
+	for _, t := range w.tasks {
+		if t.state != taskActive || !t.step.spec.LongRunning || !c.bound(t, now) || !t.step.mayLose(w) {
+			return
+		}
+	}
+	for _, t := range w.tasks {
+		c.stopForMove(t, nil)
+	}
+}
+
+// bound reports whether the task requires a label that no other worker of the cell has, and none
+// with it has come although the task's worker is to be emptied for labelledVMPatience.
+func (c *Core) bound(t *task, now time.Duration) bool {
+	label := t.step.spec.Requires
+	if label == "" || t.worker.vacateSince == 0 || now < t.worker.vacateSince+labelledVMPatience {
+		return false
+	}
+	for _, w := range c.workers {
+		if w != t.worker && w.hasLabel(label) && !w.info.Draining {
+			return false
+		}
+	}
+	return true
+}
+
+func (w *worker) hasLabel(label string) bool { return slices.Contains(w.info.Labels, label) }
+
+// maxUnavailable returns how many tasks of the step may be unavailable at a time.
+func (s *step) maxUnavailable() int { return max(1, s.spec.MaxUnavailable) }
+
+// mayLose reports whether all tasks of the step on the worker may be unavailable together, beside
+// those that are unavailable now.
+func (s *step) mayLose(w *worker) bool {
+	n := 0
+	for _, t := range s.tasks {
+		if t.worker == w || !t.serving() {
+			n++
+		}
+	}
+	return n <= s.maxUnavailable()
+}
+
+// pinned reports whether the worker can't be emptied: more tasks of a step can run only on it than
+// may be unavailable at a time.
+func (c *Core) pinned(w *worker, now time.Duration) bool {
+	var counts map[*step]int
+	for _, t := range w.tasks {
+		if !t.step.spec.LongRunning || t.step.spec.Requires == "" || !c.bound(t, now) {
+			continue
+		}
+		if counts == nil {
+			counts = make(map[*step]int)
+		}
+		counts[t.step]++
+		if counts[t.step] > t.step.maxUnavailable() {
+			return true
+		}
+	}
+	return false
+}
+
+// wantedPatience is how long tasks wait that only a cordoned worker could take until the cordon has
+// to be removed. A VM that is moved to the pool arrives within this time.
+const wantedPatience = 2500 * time.Millisecond
+
+// observeWanted records which workers that are to be emptied could take a waiting task that no
+// other worker takes. It is called after the plan has placed what it could.
+func (c *Core) observeWanted(ws []waitingStep, workers []*taskplan.Worker, now time.Duration) {
+	for _, w := range c.workers {
+		if w.cordon.Kind != CordonVacate || c.startsDeferred || c.capacityUncertain(now) ||
+			!slices.ContainsFunc(ws, func(v waitingStep) bool { return c.wants(v.step, w, workers, now) }) {
+			w.wantedSince = 0
+			continue
+		}
+		if w.wantedSince == 0 {
+			w.wantedSince = now
+		}
+	}
+}
+
+// wants reports whether a due task of the step could start on the cordoned worker, and nowhere else:
+// a long-running one that has not been placed, or another one that requires a label which only
+// cordoned workers have.
+func (c *Core) wants(s *step, w *worker, workers []*taskplan.Worker, now time.Duration) bool {
+	label := s.spec.Requires
+	if s.pending == 0 || !s.spec.LongRunning && label == "" || label != "" && !w.hasLabel(label) || c.waitsForLimit(s) {
+		return false
+	}
+	if !s.spec.LongRunning {
+		for _, o := range c.workers {
+			if o.hasLabel(label) && !o.cordon.Closes() && !o.info.Draining {
+				return false
 			}
-			c.log.Info("moving long-running task", "task", t.ref.String(), "from", w.info.ID, "draining", w.info.Draining,
-				"possible worker", place, "labels", labels, "requires", t.step.spec.Requires)
-			t.step.set(t, taskStopping)
 		}
 	}
+	if !s.reserved().Fits(w.info.Capacity.Minus(w.load.reserved)) {
+		return false
+	}
+	ps := c.planStep(s, workers, now)
+	if ps == nil || slices.ContainsFunc(ps.Tasks, func(t taskplan.Task) bool { return t.Suspect }) {
+		return false
+	}
+	return s.spec.AntiAffinity == 0 || ps.OnWorker[w.info.ID] < s.spec.AntiAffinity
+}
+
+// cordonBlocked reports whether a cordon of the worker does not lead to its maintenance, or keeps
+// tasks from running that could run nowhere else.
+func (c *Core) cordonBlocked(w *worker, now time.Duration) bool {
+	return w.wantedSince != 0 && now >= w.wantedSince+wantedPatience || c.pinned(w, now)
 }
 
 // stopAllowed reports whether the task may be stopped to move it. Every other task of its step that
 // is not certain to be serving counts as unavailable, whatever the cause: if only the stops of this
-// owner counted, a failure and a move together could exceed the step's limit. The task must also
-// have a place to go to.
-func (c *Core) stopAllowed(t *task, now time.Duration) bool {
+// owner counted, a failure and a move together could exceed the step's limit.
+func (c *Core) stopAllowed(t *task) bool {
 	away := 0
 	for _, o := range t.step.tasks {
 		if o != t && !o.serving() {
 			away++
 		}
 	}
-	if away >= max(1, t.step.spec.MaxUnavailable) {
-		return false
-	}
-	return c.canBePlaced(t, now)
+	return away < t.step.maxUnavailable()
 }
 
 // canBePlaced reports whether another worker can take the task soon.
@@ -68,7 +199,10 @@
 		}
 	}
 	for _, w := range c.workers {
-		if w == t.worker || w.closed(now) && !w.full {
+		if w == t.worker || w.closed(now) && !w.full || w.mayStart() == 0 {
+			continue
+		}
+		if s.spec.Requires != "" && !w.hasLabel(s.spec.Requires) || !s.approvedOn(w) {
 			continue
 		}
 		if s.spec.AntiAffinity > 0 && on[w] >= s.spec.AntiAffinity {
--- a/internal/engine/worker.go
+++ b/internal/engine/worker.go
@@ -89,8 +89,10 @@
 	failures            workerFailures
 	slowness            straggler.Slowness
 	cordon              Cordon
-	full                bool      // it refused a start for lack of capacity since its last end
-	expiredRuns         []lostRun // lost as its leases ran out while it was unreachable; cleared once it answers
+	vacateSince         time.Duration // when it was cordoned to be emptied; 0: it is not
+	wantedSince         time.Duration // since when tasks wait that only it could take, were it not cordoned; 0: none do
+	full                bool          // it refused a start for lack of capacity since its last end
+	expiredRuns         []lostRun     // lost as its leases ran out while it was unreachable; cleared once it answers
 }
 
 // orphanedRun is a run that must be stopped and is not its task's current run.
--- a/internal/fleetowner/moves.go
+++ b/internal/fleetowner/moves.go
@@ -79,7 +79,7 @@
 func boundLoads(loads map[string]engine.LabelLoad) map[string]pools.LabelDemand {
 	out := make(map[string]pools.LabelDemand, len(loads))
 	for label, l := range loads {
-		out[label] = pools.LabelDemand{Used: l.Used, Backlog: l.Backlog, LateBacklog: l.ExpiredBacklog}
+		out[label] = pools.LabelDemand{Used: l.Used, Backlog: l.Backlog, LateBacklog: l.ExpiredBacklog, MissingVMs: l.MissingVMs}
 	}
 	return out
 }
--- a/internal/fleetowner/orders_test.go
+++ b/internal/fleetowner/orders_test.go
@@ -1,6 +1,7 @@
 package fleetowner
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -130,3 +131,37 @@
 	r.pass(f)
 	assert.Assert(t, f.orderOf("v1") == nil, "expired")
 }
+
+// Guards against a wave that cuts tasks, or stands still, as one of its VMs can't be emptied: the VM
+// is opened and tried again later, and the others go on.
+func TestAVMThatMustNotBeCordonedIsPostponed(t *testing.T) {
+	r := newFixture()
+	r.addVM("v1", "a")
+	r.addVM("v2", "a")
+	busy := idleWorkers("v1", "v2")
+	busy[0].Tasks, busy[0].LongRunning, busy[1].Tasks = 2, 2, 3
+	r.reports["a"] = engine.CellReport{Workers: busy}
+	r.waves = []OrderedWave{wave(1, "v1", "v2")}
+	f := r.fleet()
+	vacated := func(id work.WorkerID) bool {
+		r.orders = nil
+		r.pass(f)
+		r.pass(f)
+		return slices.Contains(r.orders, engine.CellOrder{Kind: engine.OrderVacate, Worker: id})
+	}
+	assert.Assert(t, vacated("w-v2"), "the one without long-running tasks first")
+	busy[1].Tasks, busy[1].Cordon = 0, engine.Cordon{Kind: engine.CordonVacate, Token: r.Token()}
+	r.pass(f)
+	r.setVM("v2", work.VMMaintenance, "")
+	r.pass(f)
+	r.setVM("v2", work.VMUp, "w-next")
+	r.pass(f)
+	assert.Assert(t, vacated("w-v1"))
+	busy[0].Cordon, busy[0].CordonBlocked = engine.Cordon{Kind: engine.CordonVacate, Token: r.Token()}, true
+	r.pass(f)
+	busy[0].Cordon, busy[0].CordonBlocked = engine.Cordon{Kind: engine.CordonMaintenanceDue, Token: r.Token()}, false
+	assert.Assert(t, !vacated("w-v1"))
+	r.now += postponement
+	assert.Assert(t, vacated("w-v1"))
+	assert.DeepEqual(t, r.reportedStates, []bool{false})
+}
--- a/internal/fleetowner/waves.go
+++ b/internal/fleetowner/waves.go
@@ -22,6 +22,8 @@
 	// maintenanceTime is the time that the maintenance of one VM takes, including the
 	// detection that it is up again.
 	maintenanceTime = 2700 * time.Millisecond
+	// postponement is how long a VM is not drained after its cell has reported that it must not be.
+	postponement = 10 * time.Second
 )
 
 // savedProgress tells which progress of a wave was stored.
@@ -42,6 +44,7 @@
 	saved         *savedProgress // what was stored last; nil: nothing
 	loaded        bool
 	drainingSince map[string]time.Duration // by VM: since when it has been closed to new tasks
+	postponed     map[string]time.Duration // by VM: until when it is not drained
 }
 
 // advanceWave orders the maintenance that the wave needs next, reports and stores its progress,
@@ -49,7 +52,7 @@
 func (f *Fleet) advanceWave(ctx context.Context, w OrderedWave) []cellOrder {
 	r := f.waves[w.Name]
 	if r == nil {
-		r = &waveRun{Done: make(map[string]bool), drainingSince: make(map[string]time.Duration)}
+		r = &waveRun{Done: make(map[string]bool), drainingSince: make(map[string]time.Duration), postponed: make(map[string]time.Duration)}
 		f.waves[w.Name] = r
 	}
 	if !r.loaded && !f.loadWave(ctx, w.Name, r) {
@@ -138,10 +141,24 @@
 		c.VM.State = work.VMMoving
 	case report != nil:
 		c.Tasks, c.LongRunning = report.Tasks, report.LongRunning
+		c.Postponed = f.postpone(r, vm, report)
 	}
 	return c
 }
 
+// postpone reports whether the VM must not be drained for now, by its cell's report.
+func (f *Fleet) postpone(r *waveRun, vm work.VM, report *engine.WorkerReport) bool {
+	now := f.Clock.Now()
+	if report.CordonBlocked {
+		if now >= r.postponed[vm.ID] {
+			f.Log.Info("maintenance of VM postponed: it alone can run some of its tasks, or waiting ones", "vm", vm.ID, "pool", vm.Pool,
+				"worker", vm.Worker, "tasks", report.Tasks, "lasting", report.LongRunning)
+		}
+		r.postponed[vm.ID] = now + postponement
+	}
+	return now < r.postponed[vm.ID]
+}
+
 // drainOrders records which VMs are draining and returns the orders for their cells. VMs that
 // are no longer chosen are opened by cordonUpdates.
 func (f *Fleet) drainOrders(r *waveRun, d upkeep.Decision) []cellOrder {
--- a/policy/pools/pools.go
+++ b/policy/pools/pools.go
@@ -63,6 +63,7 @@
 	Used        float64 // cores in use
 	Backlog     float64 // waiting work that is still of use, in core-seconds
 	LateBacklog float64 // waiting work that is too late to be of use, in core-seconds
+	MissingVMs  int     // VMs with the label needed in addition, however much is free on the others
 }
 
 func (v *VM) hasLabel(label string) bool { return label == "" || slices.Contains(v.Labels, label) }
@@ -95,17 +96,32 @@
 
 // cores returns the cores of the pool's VMs with the label, incoming ones included;
 // of all its VMs if label is empty.
-func (p *Pool) cores(label string) (sum float64) {
-	for _, vms := range [][]VM{p.VMs, p.Incoming} {
-		for i := range vms {
-			if vms[i].hasLabel(label) {
-				sum += vms[i].Cores
-			}
+func (p *Pool) cores(label string) float64 {
+	return coresOf(p.VMs, label) + coresOf(p.Incoming, label)
+}
+
+// coresOf returns the cores of those of the VMs that have the label.
+func coresOf(vms []VM, label string) (sum float64) {
+	for i := range vms {
+		if vms[i].hasLabel(label) {
+			sum += vms[i].Cores
 		}
 	}
 	return sum
 }
 
+// largestVM returns the cores of the largest VM with the label that accepts tasks or is parked.
+func largestVM(pools []Pool, label string) (cores float64) {
+	for i := range pools {
+		for v := range pools[i].VMs {
+			if vm := &pools[i].VMs[v]; vm.hasLabel(label) {
+				cores = max(cores, vm.Cores)
+			}
+		}
+	}
+	return cores
+}
+
 // Move is an order to move a VM from one pool to another.
 type Move struct {
 	VM, From, To string
@@ -202,6 +218,16 @@
 	return p.MissingVMs > 0 || p.LostTasks && p.Used > p.cores("")
 }
 
+// lacksLabelledVMs reports whether the pool needs further VMs with some label.
+func (p *Pool) lacksLabelledVMs() bool {
+	for _, b := range p.ByLabel {
+		if b.MissingVMs > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // withLateBacklog returns a copy of the pools whose backlog includes the late
 // backlog.
 func withLateBacklog(pools []Pool) []Pool {
@@ -299,13 +325,17 @@
 	var out []shortage
 	for i := range pools {
 		p := &pools[i]
-		if p.Parked || p.Backlog <= 0 && !p.lacksVMs() {
+		if p.Parked || p.Backlog <= 0 && !p.lacksVMs() && !p.lacksLabelledVMs() {
 			continue
 		}
 		missing, missingNow := p.missingCores(arrivalFactor*p.ArrivalRate), p.missingCores(0)
 		for label, b := range p.ByLabel {
-			cores := b.Used + b.Backlog/DrainTime.Seconds() - p.cores(label)
-			if b.Backlog <= 0 || cores <= 0 || !labelExists(pools, label) {
+			cores := 0.0
+			if b.Backlog > 0 {
+				cores = b.Used + b.Backlog/DrainTime.Seconds() - p.cores(label)
+			}
+			cores = max(cores, float64(b.MissingVMs)*largestVM(pools, label)-coresOf(p.Incoming, label))
+			if cores <= 0 || !labelExists(pools, label) {
 				continue
 			}
 			out = append(out, shortage{name: p.Name, label: label, cores: cores, coresNow: cores})
--- a/policy/pools/pools_test.go
+++ b/policy/pools/pools_test.go
@@ -309,3 +309,20 @@
 	moves := Decide(pools, Limits{})
 	assert.Equal(t, len(moves), 4)
 }
+
+// Guards against a long-running task that can't leave its VM for maintenance: a VM with the label that
+// it requires is idle elsewhere. VMs without the label would be moved for nothing.
+func TestMissingVMsWithALabelAreRequestedByTheLabel(t *testing.T) {
+	parked := vms("p", 3, 3, 0)
+	parked[2].Labels = []string{"gpu"}
+	state := []Pool{
+		{Name: "bound", VMs: vms("b", 4, 4, time.Minute), Used: 8, ByLabel: map[string]LabelDemand{"gpu": {Used: 2, MissingVMs: 1}}},
+		{Name: "off", Parked: true, VMs: parked},
+	}
+	moves := Decide(state, Limits{})
+	assert.DeepEqual(t, moves, []Move{{VM: "p2", From: "off", To: "bound"}})
+	state[0].Incoming, state[1].VMs = parked[2:], parked[:2]
+	assert.Equal(t, len(Decide(state, Limits{NoParking: true})), 0, "it is on its way")
+	state[0].Incoming = nil
+	assert.Equal(t, len(Decide(state, Limits{NoParking: true})), 0, "no VM has the label")
+}
--- a/policy/upkeep/upkeep.go
+++ b/policy/upkeep/upkeep.go
@@ -34,6 +34,7 @@
 	Cordoned       bool // chosen before and now draining
 	// CordonedFor is how long it has been closed to new tasks.
 	CordonedFor time.Duration
+	Postponed   bool // must not be cordoned for now
 }
 
 // Input is the state of a wave that Decide works on.
@@ -76,7 +77,7 @@
 			break
 		}
 		switch {
-		case c.VM.State != work.VMUp:
+		case c.VM.State != work.VMUp || c.Postponed:
 			continue
 		case c.Tasks == 0 && (c.Parked || c.Cordoned || behind || !c.Backlog):
 			d.Maintain = append(d.Maintain, c.VM.ID)
--- a/policy/upkeep/upkeep_test.go
+++ b/policy/upkeep/upkeep_test.go
@@ -116,3 +116,14 @@
 	}
 	assert.Assert(t, now <= total, "took %s", now)
 }
+
+// Guards against a wave that stands still, as a VM that can't be emptied takes the place of another.
+func TestAPostponedVMTakesNoPlace(t *testing.T) {
+	postponed := candidate("postponed", 1)
+	postponed.Postponed, postponed.Cordoned = true, true
+	in := input(time.Second, postponed, candidate("other", 2))
+	in.MaxAtATime = 1
+	d := Decide(in)
+	assert.DeepEqual(t, d.Drain, []string{"other"})
+	assert.Equal(t, len(d.Maintain), 0)
+}
