Idle workers are polled again once no later owner can exist

Before the fix TestAnIdleWorkerIsPolledOnceOwnershipIsCertain fails (no poll is due); now it passes, with the other tests of take-overs. Not played with processes.

--- a/internal/engine/listing.go
+++ b/internal/engine/listing.go
@@ -62,7 +62,7 @@
 	if w == nil || w.gone || now > c.ordersUntil {
 		return WorkerInfo{}, Hold{}, false
 	}
-	if w.contacted && len(w.tasks) == 0 && len(w.orphanedRuns) == 0 && w.acked >= w.seen && w.missedPolls == 0 && !w.unlisted && w.nextIncarnation == nil {
+	if w.idle() && !(w.ownershipUncertain && c.certain) {
 		return WorkerInfo{}, Hold{}, false
 	}
 	h := Hold{Token: c.token}
@@ -95,6 +95,11 @@
 	return w.info, h, true
 }
 
+// idle reports whether a poll of the worker would tell nothing new.
+func (w *worker) idle() bool {
+	return w.contacted && len(w.tasks) == 0 && len(w.orphanedRuns) == 0 && w.acked >= w.seen && w.missedPolls == 0 && !w.unlisted && w.nextIncarnation == nil
+}
+
 // wait returns how long the answer to the next poll may wait for the end of a run.
 func (w *worker) wait() time.Duration {
 	serving, bestEffort, short := false, false, false
--- a/internal/engine/takeover_test.go
+++ b/internal/engine/takeover_test.go
@@ -197,6 +197,29 @@
 	assert.Assert(t, len(b.plan().Starts) > 0)
 }
 
+// Guards against an idle worker that gets no task for good: its first answer came while a later owner
+// could exist, and workers without tasks were not polled again.
+func TestAnIdleWorkerIsPolledOnceOwnershipIsCertain(t *testing.T) {
+	b := newRig(t)
+	b.core.SetCertain(false)
+	b.core.WorkerRegistered(info("w1"))
+	pollIfDue := func() bool {
+		b.now += time.Second
+		_, _, due := b.core.NextPoll("w1", b.now)
+		if due {
+			b.poll("w1", Listing{})
+		}
+		return due
+	}
+	assert.Assert(t, pollIfDue())
+	assert.Assert(t, !pollIfDue(), "it could not tell anything new")
+	b.core.SetCertain(true)
+	b.accept("j1", short(1))
+	assert.Equal(t, len(b.plan().Starts), 0)
+	assert.Assert(t, pollIfDue())
+	assert.Equal(t, len(b.plan().Starts), 1)
+}
+
 // Guards against a task that runs twice: an owner gave its term up, but its core relied on the latest
 // deadline it had ever been allowed and ordered a start beside its successor's.
 func TestNoOrdersAfterTheTermsPermissionIsWithdrawn(t *testing.T) {
