Waves go on where anti-affinity or another drained VM leaves a task no place

A task whose only other worker with the label already has one of its step waited for good, and of two drained VMs with the label each waited for the other.

Change: "no other worker could take it" is decided by label, approval, anti-affinity and room for long-running tasks, whether the worker is open or not; and a drained VM is opened if the task of another drained one can only go there, the first by ID staying closed. Only tasks that require a label are concerned.

--- a/internal/engine/vacate.go
+++ b/internal/engine/vacate.go
@@ -49,7 +49,7 @@
 // their worker is to be emptied. It is requested meanwhile, see missingVMs.
 const labelledVMPatience = 4 * time.Second
 
-// stopBound stops all tasks of a worker that is to be emptied if no other worker can take any of them,
+// stopBound stops all tasks of a worker that is to be emptied if no other worker could take any of them,
 // and their steps' limits allow them to be unavailable together. They start again on the worker's
 // next incarnation.
 func (c *Core) stopBound(w *worker, now time.Duration) {
@@ -66,15 +66,15 @@
 	}
 }
 
-// bound reports whether the task requires a label that no other worker of the cell has, and none
-// with it has come although the task's worker is to be emptied for labelledVMPatience.
+// bound reports whether the task requires a label and no other worker of the cell could take it if it
+// were open, and none has come although the task's worker is to be emptied for labelledVMPatience.
 func (c *Core) bound(t *task, now time.Duration) bool {
-	label := t.step.spec.Requires
-	if label == "" || t.worker.vacateSince == 0 || now < t.worker.vacateSince+labelledVMPatience {
+	if t.step.spec.Requires == "" || t.worker.vacateSince == 0 || now < t.worker.vacateSince+labelledVMPatience {
 		return false
 	}
+	on := t.step.tasksOnWorkers()
 	for _, w := range c.workers {
-		if w != t.worker && w.hasLabel(label) && !w.info.Draining {
+		if t.couldMoveTo(w, on) {
 			return false
 		}
 	}
@@ -121,21 +121,42 @@
 // to be removed. A VM that is moved to the pool arrives within this time.
 const wantedPatience = 2500 * time.Millisecond
 
-// observeWanted records which workers that are to be emptied could take a waiting task that no
-// other worker takes. It is called after the plan has placed what it could.
+// observeWanted records which workers that are to be emptied could take a task that no other worker
+// takes: a waiting one, or one that is to leave its worker. It is called after the plan has placed what
+// it could.
 func (c *Core) observeWanted(ws []waitingStep, workers []*taskplan.Worker, now time.Duration) {
 	for _, w := range c.workers {
-		if w.cordon.Kind != CordonVacate || c.startsDeferred || c.capacityUncertain(now) ||
-			!slices.ContainsFunc(ws, func(v waitingStep) bool { return c.wants(v.step, w, workers, now) }) {
+		if w.cordon.Kind != CordonVacate || c.startsDeferred || c.capacityUncertain(now) {
 			w.wantedSince = 0
 			continue
 		}
-		if w.wantedSince == 0 {
+		waiting := func(v waitingStep) bool { return c.wants(v.step, w, workers, now) }
+		switch {
+		case !slices.ContainsFunc(ws, waiting) && !c.wantedForMove(w, now):
+			w.wantedSince = 0
+		case w.wantedSince == 0:
 			w.wantedSince = now
 		}
 	}
 }
 
+// wantedForMove reports whether a task that requires a label can leave its worker, which is to be
+// emptied, only for w, which is to be emptied as well. Of such workers the first by ID is emptied
+// first.
+func (c *Core) wantedForMove(w *worker, now time.Duration) bool {
+	for _, o := range c.workers {
+		if o.cordon.Kind != CordonVacate || o.info.ID >= w.info.ID {
+			continue
+		}
+		for _, t := range o.tasks {
+			if t.state == taskActive && t.step.spec.LongRunning && t.step.spec.Requires != "" && t.couldMoveTo(w, t.step.tasksOnWorkers()) && !c.canBePlaced(t, now) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // wants reports whether a due task of the step could start on the cordoned worker, and nowhere else:
 // a long-running one that has not been placed, or another one that requires a label which only
 // cordoned workers have.
@@ -191,26 +212,38 @@
 	if c.capacityUncertain(now) {
 		return nil
 	}
-	s := t.step
-	on := make(map[*worker]int)
-	for _, o := range s.tasks {
-		if o.worker != nil {
-			on[o.worker]++
-		}
-	}
+	on := t.step.tasksOnWorkers()
 	for _, w := range c.workers {
-		if w == t.worker || w.closed(now) && !w.full || w.mayStart() == 0 {
-			continue
-		}
-		if s.spec.Requires != "" && !w.hasLabel(s.spec.Requires) || !s.approvedOn(w) {
+		if w.closed(now) && !w.full || w.mayStart() == 0 {
 			continue
 		}
-		if s.spec.AntiAffinity > 0 && on[w] >= s.spec.AntiAffinity {
-			continue
-		}
-		if t.reserved().Fits(w.info.Capacity.Minus(w.load.longRunningReserved)) {
+		if t.couldMoveTo(w, on) {
 			return w
 		}
 	}
 	return nil
 }
+
+// tasksOnWorkers returns the number of the step's tasks on each worker.
+func (s *step) tasksOnWorkers() map[*worker]int {
+	on := make(map[*worker]int)
+	for _, t := range s.tasks {
+		if t.worker != nil {
+			on[t.worker]++
+		}
+	}
+	return on
+}
+
+// couldMoveTo reports whether the worker could take the running task if it took any new ones; on is
+// that of tasksOnWorkers.
+func (t *task) couldMoveTo(w *worker, on map[*worker]int) bool {
+	s := t.step
+	if w == t.worker || w.info.Draining || s.spec.Requires != "" && !w.hasLabel(s.spec.Requires) || !s.approvedOn(w) {
+		return false
+	}
+	if s.spec.AntiAffinity > 0 && on[w] >= s.spec.AntiAffinity {
+		return false
+	}
+	return t.reserved().Fits(w.info.Capacity.Minus(w.load.longRunningReserved))
+}
--- a/internal/engine/vacate_test.go
+++ b/internal/engine/vacate_test.go
@@ -200,3 +200,45 @@
 	answer(b.plan().Advice[0], Ticket{Worker: "w2", Ticket: "t"})
 	assert.Equal(t, len(b.plan().Stops), 1)
 }
+
+// Guards against a wave that is never done: the only other worker with the label has a task of the step,
+// and may have no second one. Each task leaves in its turn.
+func TestATaskThatAntiAffinityKeepsFromMovingLeavesForTheMaintenance(t *testing.T) {
+	b := newRig(t)
+	b.labelledWorker("w1", "b", "r1")
+	b.labelledWorker("w2", "b", "r1")
+	step := labelled(2, 1)
+	step.AntiAffinity = 1
+	b.accept("j1", step)
+	o := b.plan()
+	assert.Equal(t, len(o.Starts), 2)
+	b.answer(o, OutcomeOK)
+	b.serve(o.Starts...)
+	b.core.applyOrder(CellOrder{Kind: OrderVacate, Worker: "w1"}, token, b.now)
+	b.core.applyOrder(CellOrder{Kind: OrderVacate, Worker: "w2"}, token, b.now)
+	assert.Equal(t, len(b.plan().Stops), 0)
+	b.now += labelledVMPatience
+	assert.Equal(t, len(b.plan().Stops), 1, "one at a time")
+}
+
+// Guards against a wave that stands still, as all workers with a label are to be emptied at a time and
+// each waits for a place on another.
+func TestOfAllWorkersWithALabelOneIsEmptiedFirst(t *testing.T) {
+	b := newRig(t)
+	b.labelledWorker("w1", "b", "r1")
+	b.accept("j1", labelled(1, 1))
+	o := b.plan()
+	b.answer(o, OutcomeOK)
+	b.labelledWorker("w2", "b", "r1")
+	b.serve(o.Starts...)
+	b.core.applyOrder(CellOrder{Kind: OrderVacate, Worker: "w1"}, token, b.now)
+	b.core.applyOrder(CellOrder{Kind: OrderVacate, Worker: "w2"}, token, b.now)
+	b.plan()
+	b.now += wantedPatience
+	b.serve(o.Starts...)
+	assert.Equal(t, len(b.plan().Stops), 0)
+	assert.Assert(t, !b.reportOn("w1").CordonBlocked)
+	assert.Assert(t, b.reportOn("w2").CordonBlocked)
+	b.core.applyOrder(CellOrder{Kind: OrderMaintenanceDue, Worker: "w2"}, token, b.now)
+	assert.Equal(t, len(b.plan().Stops), 1)
+}
