Placement of gangs and the check of a move read in one step each

Read once more as a newcomer would: the limits of workers on trial were restored by deferred closures in a loop, the request for advice repeated the check of a move, and a cordon yielded to tasks of an advised queue that the advisor may not allow on its worker.

placeGangOn raises and restores the limits around placeMembers; fitsOn is shared by the move and the request for advice; wants asks for the approval.

--- a/internal/engine/advice.go
+++ b/internal/engine/advice.go
@@ -78,22 +78,17 @@
 	return has
 }
 
-// askAdviceForMove adds a request to out for workers that could take the running task if the advisor
-// allows it, unless it allows one of them already or was asked recently.
+// askAdviceForMove adds a request to out for the workers that could take the running task if the advisor
+// allows it, unless it was asked recently.
 func (c *Core) askAdviceForMove(t *task, now time.Duration, out *Orders) {
 	s := t.step
 	if !s.job.queue.Advised || s.advicePending || s.adviceAskedAt != 0 && now < s.adviceAskedAt+adviceRetryInterval || c.capacityUncertain(now) {
 		return
 	}
+	on := s.tasksOnWorkers()
 	var ask []work.WorkerID
 	for _, w := range c.ordered() {
-		if w == t.worker || w.closed(now) || s.spec.Requires != "" && !w.hasLabel(s.spec.Requires) || !t.reserved().Fits(w.info.Capacity.Minus(w.load.longRunningReserved)) {
-			continue
-		}
-		if s.approvedOn(w) {
-			return
-		}
-		if len(ask) < maxAdviceBatch {
+		if len(ask) < maxAdviceBatch && !w.closed(now) && t.fitsOn(w, on) && !s.approvedOn(w) {
 			ask = append(ask, w.info.ID)
 		}
 	}
--- a/internal/engine/vacate.go
+++ b/internal/engine/vacate.go
@@ -162,7 +162,10 @@
 // cordoned workers have.
 func (c *Core) wants(s *step, w *worker, workers []*taskplan.Worker, now time.Duration) bool {
 	label := s.spec.Requires
-	if s.pending == 0 || !s.spec.LongRunning && label == "" || label != "" && !w.hasLabel(label) || c.waitsForLimit(s) {
+	if s.pending == 0 || !s.spec.LongRunning && label == "" || c.waitsForLimit(s) {
+		return false
+	}
+	if label != "" && !w.hasLabel(label) || !s.approvedOn(w) {
 		return false
 	}
 	if !s.spec.LongRunning {
@@ -238,11 +241,18 @@
 // couldMoveTo reports whether the worker could take the running task if it took any new ones; on is
 // that of tasksOnWorkers.
 func (t *task) couldMoveTo(w *worker, on map[*worker]int) bool {
-	s := t.step
-	if w == t.worker || w.info.Draining || s.spec.Requires != "" && !w.hasLabel(s.spec.Requires) || !s.approvedOn(w) {
+	return t.fitsOn(w, on) && t.step.approvedOn(w)
+}
+
+// fitsOn is couldMoveTo without the advisor's approval.
+func (t *task) fitsOn(w *worker, on map[*worker]int) bool {
+	s := t.step.spec
+	switch {
+	case w == t.worker || w.info.Draining:
 		return false
-	}
-	if s.spec.AntiAffinity > 0 && on[w] >= s.spec.AntiAffinity {
+	case s.Requires != "" && !w.hasLabel(s.Requires):
+		return false
+	case s.AntiAffinity > 0 && on[w] >= s.AntiAffinity:
 		return false
 	}
 	return t.reserved().Fits(w.info.Capacity.Minus(w.load.longRunningReserved))
--- a/internal/fleetowner/orders.go
+++ b/internal/fleetowner/orders.go
@@ -103,8 +103,8 @@
 			}
 			delete(f.orders, id)
 		case sent > o.sent+orderExpiry:
-			f.logSettled(id, o, "expired", sent)
 			// Either never carried out, or complete long ago.
+			f.logSettled(id, o, "expired", sent)
 			delete(f.orders, id)
 		}
 	}
--- a/policy/taskplan/taskplan.go
+++ b/policy/taskplan/taskplan.go
@@ -339,17 +339,24 @@
 // placeGangOn places the gang on the workers. Its members fail together, so all of them count once
 // against a worker's Limit: if each counted, a gang could be larger than what all limits allow.
 func placeGangOn(workers []*Worker, s *Step) []Placement {
+	limits := make(map[*Worker]int)
 	for _, w := range workers {
 		if w.Limit > 0 {
-			defer func(limit, tasks int) {
-				w.Limit = limit
-				if w.Tasks > tasks {
-					w.Limit--
-				}
-			}(w.Limit, w.Tasks)
-			w.Limit += len(s.Tasks)
+			limits[w] = w.Limit
+			w.Limit = len(s.Tasks)
 		}
 	}
+	out := placeMembers(workers, s)
+	for w, limit := range limits {
+		if slices.ContainsFunc(out, func(p Placement) bool { return p.Worker == w.ID }) {
+			limit--
+		}
+		w.Limit = limit
+	}
+	return out
+}
+
+func placeMembers(workers []*Worker, s *Step) []Placement {
 	var out []Placement
 	var taken []*Worker
 	for _, t := range s.Tasks {
