Log on what ground a cancellation is acknowledged, and when a creation is confirmed

The hypotheses about cancelled jobs that run on can't be told apart by the logs: an entry VM logs the same line whether the owner or the store took the cancellation, and none where it answers that there is no such job; an owner doesn't log when it learns that a job was created. Both are logged now, with the job's ID. go test ./internal/jobfront and ./internal/engine pass; no logic is changed.

--- a/internal/engine/committer.go
+++ b/internal/engine/committer.go
@@ -182,6 +182,7 @@
 func (c *committer) succeeded(b *batch, rev infra.Revision) {
 	c.rev = rev
 	for _, create := range b.creates {
+		c.w.engine.Log.V(1).Info("creation of job confirmed", "job", create.job.ID, "seq", b.seq, "revision", int64(rev), "attempts unanswered", b.mayBeStored)
 		c.w.engine.jobStored(create.job, create.queue)
 		create.done <- nil
 	}
--- a/internal/jobfront/front.go
+++ b/internal/jobfront/front.go
@@ -320,10 +320,33 @@
 		return f.refuseChange()
 	}
 	err = f.cancelByOwner(ctx, id, q.Service, workspace)
+	if err == nil {
+		f.logCancellation(id, cancelledByOwner)
+	}
 	if err == nil || isFinal(err) {
 		return err
 	}
-	return f.cancelInStore(ctx, id, q.Service, workspace, errors.Is(err, engine.ErrUncertain))
+	err = f.cancelInStore(ctx, id, q.Service, workspace, errors.Is(err, engine.ErrUncertain))
+	if errors.Is(err, ErrUnknownJob) {
+		f.logCancellation(id, cancelledUnknown)
+	}
+	return err
+}
+
+// cancelledBy tells on what ground a cancellation is acknowledged. The values appear in logs.
+type cancelledBy string
+
+// The grounds of an acknowledgement.
+const (
+	cancelledByOwner   cancelledBy = "owner"       // the owner has stored the job's end
+	cancelledInStore   cancelledBy = "store"       // this entry VM has stored it
+	cancelledEndedStub cancelledBy = "ended stub"  // the job had ended
+	cancelledUnknown   cancelledBy = "no such job" // answered as such
+)
+
+// logCancellation logs that the job's cancellation is acknowledged to the caller.
+func (f *Front) logCancellation(id work.JobID, by cancelledBy) {
+	f.Log.Info("cancellation acknowledged", "job", id, "by", by)
 }
 
 func (f *Front) cancelByOwner(ctx context.Context, id work.JobID, cell string, workspace work.WorkspaceName) error {
@@ -370,11 +393,13 @@
 		return false, err
 	}
 	if stub.State != "" {
+		f.logCancellation(id, cancelledEndedStub)
 		return false, nil
 	}
 	if stub.Cell != triedCell {
 		err := f.cancelByOwner(ctx, id, stub.Cell, workspace)
 		if err == nil {
+			f.logCancellation(id, cancelledByOwner)
 			return false, nil
 		}
 		sent = errors.Is(err, engine.ErrUncertain)
@@ -389,6 +414,7 @@
 		Then: append(ops, infra.Put(infra.WorkInboxKey(stub.Cell, engine.InboxCancel, string(id)), nil)),
 	})
 	if err == nil && res.Succeeded {
+		f.logCancellation(id, cancelledInStore)
 		return sent, nil
 	}
 	if err != nil {
