Failing tests: jobs run on after their cancellation was acknowledged

Two ways to acknowledge a cancellation don't bind the owner that runs the job. An owner that has not heard yet that its transaction created a job handles and deletes the message of the job's cancellation, and adds the job when the answer comes. And "no such job" is answered while a submission is on its way, which is stored afterwards.

--- /dev/null
+++ b/internal/jobfront/cancel_test.go
@@ -0,0 +1,28 @@
+package jobfront
+
+import (
+	"context"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/pumicestage/pumicestage/internal/engine"
+	"github.com/pumicestage/pumicestage/internal/infra"
+)
+
+// Guards against a job that runs although its cancellation was answered with "no such job": a
+// submission was still on its way then, and was stored afterwards.
+func TestASubmissionThatArrivesAfterTheJobsCancellationIsNotRun(t *testing.T) {
+	for name, ownerErr := range map[string]error{"without an owner": engine.ErrNotReady, "unknown to the owner": engine.ErrUnknownJob} {
+		t.Run(name, func(t *testing.T) {
+			r := newFixture(t)
+			ctx := context.Background()
+			r.owner.err = ownerErr
+			assert.ErrorIs(t, r.front.Cancel(ctx, "j1", queue, ""), ErrUnknownJob)
+			r.owner.err = engine.ErrNotReady
+			assert.NilError(t, r.front.Submit(ctx, newJob("j1"), queue))
+			assert.Assert(t, !r.stored(t, infra.WorkOpenKey(cell, "j1")), "the job's record is stored")
+			assert.Assert(t, !r.stored(t, infra.WorkInboxKey(cell, engine.InboxSubmit, "j1")))
+		})
+	}
+}
