Cancellations of jobs whose creation is unconfirmed take effect

What callers saw: a cancellation was acknowledged, and the job's tasks started seconds later and ran to their end, or for good.

Cause: an owner that has sent the transaction which creates a job knows the job only once the answer is handled, which takes seconds if answers are lost. Meanwhile the caller repeats the submission elsewhere, is told that the job is accepted, as it is stored, and cancels it; the owner doesn't know the job, so the entry VM stores the end with an inbox message. The owner took a message for a job that it didn't know for one of a job that had ended, deleted it, and added the job when the answer to its own transaction came: a late answer overrode what was stored after it.

Change: the core knows which jobs are being created, from the moment they are queued until the outcome is known, and remembers that such a job was cancelled in the store; Accept doesn't add it then. Nothing needs to be kept once no creation of the job is open: its key in the store makes later ones fail.

--- a/internal/engine/committer.go
+++ b/internal/engine/committer.go
@@ -184,7 +184,7 @@
 	for _, create := range b.creates {
 		c.w.engine.Log.V(1).Info("creation of job confirmed", "job", create.job.ID, "seq", b.seq, "revision", int64(rev), "attempts unanswered", b.mayBeStored)
 		c.w.engine.jobStored(create.job, create.queue)
-		create.done <- nil
+		c.w.finish(create, nil)
 	}
 	c.w.finishFlush(b, nil)
 }
--- a/internal/engine/core.go
+++ b/internal/engine/core.go
@@ -41,7 +41,8 @@
 
 	declared          Declared
 	jobs              map[work.JobID]*job
-	open              []*job // jobs that have not ended, oldest first
+	unconfirmed       map[work.JobID]*unconfirmedJob // jobs being created
+	open              []*job                         // jobs that have not ended, oldest first
 	workers           map[work.WorkerID]*worker
 	sorted            []*worker                            // workers by ID; nil: has to be rebuilt
 	endedIncarnations map[work.WorkerID][]work.Incarnation // incarnations that have ended
@@ -95,6 +96,7 @@
 	return &Core{
 		cell: cell, token: token, bounds: bounds, log: log,
 		jobs:              make(map[work.JobID]*job),
+		unconfirmed:       make(map[work.JobID]*unconfirmedJob),
 		workers:           make(map[work.WorkerID]*worker),
 		endedIncarnations: make(map[work.WorkerID][]work.Incarnation),
 		durationRatios:    make(estimateRatios),
@@ -139,11 +141,16 @@
 // Deposed reports whether a worker or the store has shown that a later owner exists.
 func (c *Core) Deposed() bool { return c.deposed }
 
-// Accept adds a stored job. A job that is already known is left unchanged.
+// Accept adds a stored job. A job that is already known is left unchanged, and one that was
+// cancelled in the store meanwhile is not added.
 func (c *Core) Accept(j *work.Job, q Queue, now time.Duration) {
 	if c.jobs[j.ID] != nil {
 		return
 	}
+	if c.cancelledUnconfirmed(j.ID) {
+		c.log.Info("job was cancelled before its creation was confirmed", "job", j.ID)
+		return
+	}
 	added := newJob(j, q, now)
 	c.add(added)
 	if a := added.account; a != nil {
--- a/internal/engine/inbox.go
+++ b/internal/engine/inbox.go
@@ -129,7 +129,7 @@
 // already, so nobody waits for that to be stored.
 func (e *Engine) cancelFromInbox(id work.JobID) {
 	e.mu.Lock()
-	known := e.core.Cancel(id, func(error) {})
+	known := e.core.CancelledInStore(id)
 	e.mu.Unlock()
 	if !known {
 		e.Log.Info("job of inbox message is cancelled already", "job", id)
--- a/internal/engine/writer.go
+++ b/internal/engine/writer.go
@@ -91,6 +91,7 @@
 		w.mu.Unlock()
 		return ErrStore
 	}
+	w.begin(c)
 	w.waiting = append(w.waiting, c)
 	w.mu.Unlock()
 	kick(w.engine.storeKick)
@@ -105,6 +106,22 @@
 	}
 }
 
+// begin tells the core that the creation's outcome is open. w.mu may be held.
+func (w *writer) begin(c *creation) {
+	w.engine.mu.Lock()
+	defer w.engine.mu.Unlock()
+	w.engine.core.CreationBegins(c.job.ID)
+}
+
+// finish tells the core that the creation's outcome is known, and passes it to the caller. w.mu
+// may be held.
+func (w *writer) finish(c *creation, err error) {
+	w.engine.mu.Lock()
+	w.engine.core.CreationEnds(c.job.ID)
+	w.engine.mu.Unlock()
+	c.done <- err
+}
+
 // stalledLocked reports whether a transaction has been in flight for longer than
 // stalledAfter. The caller holds w.mu.
 func (w *writer) stalledLocked() bool {
@@ -124,6 +141,7 @@
 	for i, o := range w.waiting {
 		if o == c {
 			w.waiting = append(w.waiting[:i], w.waiting[i+1:]...)
+			w.finish(c, ErrStore)
 			return true
 		}
 	}
@@ -209,14 +227,14 @@
 func (w *writer) alreadyStored(c *creation, stub []byte) {
 	err := SameWorkspace(stub, c.job)
 	w.engine.Log.Info("job is already stored", "job", c.job.ID, "workspace", c.job.Workspace, "another workspace's", err != nil)
-	c.done <- err
+	w.finish(c, err)
 }
 
 // refuse fails the batch's creations and all waiting ones with ErrStore. It is called only
 // if it is certain that none of them is or will be stored.
 func (w *writer) refuse(b *batch) {
 	for _, c := range b.creates {
-		c.done <- ErrStore
+		w.finish(c, ErrStore)
 	}
 	b.creates = nil
 	w.mu.Lock()
@@ -224,7 +242,7 @@
 	w.waiting = nil
 	w.mu.Unlock()
 	for _, c := range waiting {
-		c.done <- ErrStore
+		w.finish(c, ErrStore)
 	}
 }
 
@@ -233,9 +251,9 @@
 func (w *writer) abandon(b *batch) {
 	for _, c := range b.creates {
 		if b.mayBeStored {
-			c.done <- ErrUncertain
+			w.finish(c, ErrUncertain)
 		} else {
-			c.done <- ErrNotReady
+			w.finish(c, ErrNotReady)
 		}
 	}
 	w.engine.mu.Lock()
@@ -248,7 +266,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	for _, c := range w.waiting {
-		c.done <- ErrNotReady
+		w.finish(c, ErrNotReady)
 	}
 	w.waiting = nil
 }
