A cancellation that is answered with "no such job" keeps the job from being created

What callers saw: a submission got no answer in time, its cancellation was answered with "no such job", and the job ran. The submission was still on its way: in a request that an entry VM read late, in an owner's transaction, or in one that the store carried out late.

Cause: the answer told what the store held at that moment, and bound nothing that came after it. It is of one class with the cancellation that an owner forgot: what is decided by an earlier state takes effect after an acknowledgement.

Change: a cancellation that finds no key of the job writes one, on the condition that there is none, which says that the job was cancelled before it was created. Whatever creates jobs is conditional on the absence of that key. A cancellation of an unknown job costs a write.

TestStatesAndCancellationsWithoutAnOwner submitted a job under the ID whose cancellation it had just been told was unknown, and wanted it to run; that is the fault.

--- a/internal/engine/creation_test.go
+++ b/internal/engine/creation_test.go
@@ -44,6 +44,20 @@
 	return key
 }
 
+// Guards against a job that runs although its cancellation was answered with "no such job": the
+// transaction that creates it was on its way to the store.
+func TestAJobCancelledBeforeItsCreationIsStoredIsNotCreated(t *testing.T) {
+	e, store := newEngine(t, &fakeTerm{certain: true})
+	ops, err := PreventOps(service, "j1", "", epoch)
+	assert.NilError(t, err)
+	_, err = store.Txn(t.Context(), infra.Txn{Then: ops})
+	assert.NilError(t, err)
+	c := newCreation(t, "j1")
+	e.writer.committers[0].store(t.Context(), &batch{creates: []*creation{c}, seq: 1})
+	assert.ErrorIs(t, <-c.done, ErrCancelledEarly)
+	assert.Assert(t, !e.core.Known("j1"))
+}
+
 // Guards against a job that runs although its cancellation was acknowledged: it was cancelled in the
 // store, and the inbox message handled, before the owner learned that its own transaction had created
 // the job.
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -30,6 +30,9 @@
 	ErrUnknownJob = errors.New("engine: no such job")
 	// ErrOtherWorkspace means that a job of another workspace has the ID. Nothing was stored.
 	ErrOtherWorkspace = errors.New("engine: the ID is a job of another workspace")
+	// ErrCancelledEarly means that the job was cancelled before a submission of it was stored.
+	// Nothing was stored or will be.
+	ErrCancelledEarly = errors.New("engine: the job was cancelled before it was submitted")
 	// ErrStaleConfig means that the calling entry VM uses an older configuration than the
 	// owner. Nothing was done; the entry VM is sent the newer one and handles the request again.
 	ErrStaleConfig = errors.New("engine: a newer configuration is in force")
@@ -262,7 +265,8 @@
 }
 
 // Submit accepts a job. nil means that the job is stored, now or by an earlier call with the
-// same ID; other errors are ErrNotReady, ErrOtherWorkspace, ErrStore and ErrUncertain.
+// same ID; other errors are ErrNotReady, ErrOtherWorkspace, ErrCancelledEarly, ErrStore and
+// ErrUncertain.
 func (e *Engine) Submit(ctx context.Context, j *work.Job, q Queue) error {
 	e.mu.Lock()
 	ready, known, other := e.restored, e.core.Known(j.ID), !e.core.isOf(j.ID, j.Workspace)
--- a/internal/engine/records.go
+++ b/internal/engine/records.go
@@ -18,6 +18,10 @@
 
 	State work.State `json:"state,omitempty"` // empty until the job has ended
 	Ended time.Time  `json:"ended,omitzero"`
+
+	// NeverCreated is set if the job was cancelled before any submission of it was stored. Callers
+	// are told that there is no such job.
+	NeverCreated bool `json:"never-created,omitempty"`
 }
 
 // JobRecord is the stored description of a job that has not ended.
@@ -51,14 +55,29 @@
 	return []infra.Op{infra.Put(infra.WorkJobKey(string(id)), raw), infra.Delete(infra.WorkOpenKey(stub.Cell, string(id)))}, nil
 }
 
-// SameWorkspace returns nil if the stored stub belongs to j's workspace, so that j repeats an
-// earlier submission, and ErrOtherWorkspace if another workspace uses the ID. A malformed
-// stub counts as the caller's: the job exists, and a repeated submission must not be told
-// that it doesn't.
-func SameWorkspace(stub []byte, j *work.Job) error {
+// PreventOps returns the write that keeps a job from being created: a submission that is stored later
+// finds the job key. The transaction must be conditional on the absence of the job key.
+func PreventOps(cell string, id work.JobID, workspace work.WorkspaceName, at time.Time) ([]infra.Op, error) {
+	raw, err := json.Marshal(JobStub{Cell: cell, Workspace: workspace, State: work.Cancelled, Ended: at, NeverCreated: true})
+	if err != nil {
+		return nil, err
+	}
+	return []infra.Op{infra.Put(infra.WorkJobKey(string(id)), raw)}, nil
+}
+
+// CheckRepeat returns nil if j repeats the submission of the job with the stored stub,
+// ErrOtherWorkspace if another workspace uses the ID, and ErrCancelledEarly if the job was cancelled
+// before it was created. A malformed stub counts as the caller's: the job exists, and a repeated
+// submission must not be told that it doesn't.
+func CheckRepeat(stub []byte, j *work.Job) error {
 	var s JobStub
-	if err := json.Unmarshal(stub, &s); err == nil && s.Workspace != j.Workspace {
+	switch err := json.Unmarshal(stub, &s); {
+	case err != nil:
+		return nil
+	case s.Workspace != j.Workspace:
 		return ErrOtherWorkspace
+	case s.NeverCreated:
+		return ErrCancelledEarly
 	}
 	return nil
 }
--- a/internal/engine/writer.go
+++ b/internal/engine/writer.go
@@ -78,8 +78,8 @@
 }
 
 // create stores a new job with the next batch and waits for the outcome. ErrStore and
-// ErrNotReady mean that it is not stored, ErrUncertain that it may be, and
-// ErrOtherWorkspace that the ID belongs to a job of another workspace.
+// ErrNotReady mean that it is not stored, ErrUncertain that it may be, and other errors are
+// those of CheckRepeat.
 func (w *writer) create(ctx context.Context, j *work.Job, q Queue) error {
 	ops, err := CreateOps(w.engine.Cell, j, q)
 	if err != nil {
@@ -225,8 +225,12 @@
 // alreadyStored completes a creation whose job key exists: another entry VM stored the job
 // before, and its inbox message brings the job here unless it has ended.
 func (w *writer) alreadyStored(c *creation, stub []byte) {
-	err := SameWorkspace(stub, c.job)
-	w.engine.Log.Info("job is already stored", "job", c.job.ID, "workspace", c.job.Workspace, "another workspace's", err != nil)
+	err := CheckRepeat(stub, c.job)
+	if err != nil {
+		w.engine.Log.Info("job can't be created", "job", c.job.ID, "workspace", c.job.Workspace, "reason", err.Error())
+	} else {
+		w.engine.Log.Info("job is already stored", "job", c.job.ID, "workspace", c.job.Workspace)
+	}
 	w.finish(c, err)
 }
 
--- a/internal/jobfront/cancel_test.go
+++ b/internal/jobfront/cancel_test.go
@@ -20,9 +20,13 @@
 			r.owner.err = ownerErr
 			assert.ErrorIs(t, r.front.Cancel(ctx, "j1", queue, ""), ErrUnknownJob)
 			r.owner.err = engine.ErrNotReady
-			assert.NilError(t, r.front.Submit(ctx, newJob("j1"), queue))
+			assert.ErrorIs(t, r.front.Submit(ctx, newJob("j1"), queue), engine.ErrCancelledEarly)
 			assert.Assert(t, !r.stored(t, infra.WorkOpenKey(cell, "j1")), "the job's record is stored")
 			assert.Assert(t, !r.stored(t, infra.WorkInboxKey(cell, engine.InboxSubmit, "j1")))
+
+			_, err := r.front.State(ctx, "j1", queue, "")
+			assert.ErrorIs(t, err, ErrUnknownJob)
+			assert.ErrorIs(t, r.front.Cancel(ctx, "j1", queue, ""), ErrUnknownJob)
 		})
 	}
 }
--- a/internal/jobfront/front.go
+++ b/internal/jobfront/front.go
@@ -100,8 +100,8 @@
 func New(o Options) *Front { return &Front{Options: o, counts: countCache{m: make(map[string]count)}} }
 
 // Submit accepts a job. It returns nil if the job is stored; a *Refusal,
-// engine.ErrOtherWorkspace or engine.ErrStaleConfig if it is not and will not be; ErrUncertain if the
-// caller should repeat the request.
+// engine.ErrOtherWorkspace, engine.ErrCancelledEarly or engine.ErrStaleConfig if it is not and will
+// not be; ErrUncertain if the caller should repeat the request.
 func (f *Front) Submit(ctx context.Context, j *work.Job, q engine.Queue) (err error) {
 	ctx, end := f.begin(ctx, 0)
 	defer func() { end(err) }()
@@ -128,9 +128,13 @@
 }
 
 // isFinal reports whether an owner's error ends the request without recourse to the store: the
-// job is another workspace's, or this entry VM's configuration is older than the owner's.
-func isFinal(err error) bool {
-	return errors.Is(err, engine.ErrOtherWorkspace) || errors.Is(err, engine.ErrStaleConfig)
+// job's key rules it out, or this entry VM's configuration is older than the owner's.
+func isFinal(err error) bool { return ruledOut(err) || errors.Is(err, engine.ErrStaleConfig) }
+
+// ruledOut reports whether the job can't be created because of what its key holds: a job of another
+// workspace, or a cancellation.
+func ruledOut(err error) bool {
+	return errors.Is(err, engine.ErrOtherWorkspace) || errors.Is(err, engine.ErrCancelledEarly)
 }
 
 // callOwner runs call for the cell's owner: with the engine o if the owner is this entry VM,
@@ -169,7 +173,7 @@
 		case err == nil && res.Succeeded:
 			return nil
 		case err == nil && len(res.Reads) > 0: // it exists already: an ID belongs to one job
-			return engine.SameWorkspace(res.Reads[0].Value, j)
+			return engine.CheckRepeat(res.Reads[0].Value, j)
 		case err == nil:
 			return nil
 		}
@@ -186,14 +190,14 @@
 			continue
 		}
 		ownerCallDue = f.Clock.Now() + ownerRetryInterval
-		if err := f.resubmitToOwner(ctx, j, q); err == nil || errors.Is(err, engine.ErrOtherWorkspace) {
+		if err := f.resubmitToOwner(ctx, j, q); err == nil || ruledOut(err) {
 			return err
 		}
 	}
 }
 
 // resubmitToOwner submits a job, which an earlier attempt may have stored, to the owner once more,
-// as a repeat by the caller would. Only nil and engine.ErrOtherWorkspace tell what became of that
+// as a repeat by the caller would. Only nil and errors that ruledOut reports tell what became of that
 // attempt: a refusal by the owner is about this one.
 func (f *Front) resubmitToOwner(ctx context.Context, j *work.Job, q engine.Queue) error {
 	ctx, cancel := context.WithTimeout(ctx, ownerRetryTimeout)
@@ -278,18 +282,27 @@
 	return state, err
 }
 
+// errNoStub is the ErrUnknownJob of a job that has no stub.
+var errNoStub = fmt.Errorf("%w: it has no key in the store", ErrUnknownJob)
+
 // readStubFor reads the job's stub for a caller of the workspace. It returns ErrUnknownJob for
 // another workspace's job: callers must not learn which IDs other workspaces use.
 func (f *Front) readStubFor(ctx context.Context, id work.JobID, workspace work.WorkspaceName) (*engine.JobStub, infra.Revision, error) {
 	stub, rev, err := f.readStub(ctx, id)
-	if err == nil && !engine.MayAccess(stub.Workspace, workspace) {
+	switch {
+	case err != nil:
+		return nil, 0, err
+	case !engine.MayAccess(stub.Workspace, workspace):
 		f.Log.Info("request for another workspace's job", "job", id, "workspace", stub.Workspace, "by", workspace)
 		return nil, 0, ErrUnknownJob
+	case stub.NeverCreated:
+		return nil, 0, ErrUnknownJob
 	}
-	return stub, rev, err
+	return stub, rev, nil
 }
 
-// readStub reads the job's stub, i.e. its short record, and its revision from the store.
+// readStub reads the job's stub, i.e. its short record, and its revision from the store. It returns
+// errNoStub if there is none.
 func (f *Front) readStub(ctx context.Context, id work.JobID) (*engine.JobStub, infra.Revision, error) {
 	var kv infra.KV
 	err := f.callStore(ctx, "get", func(ctx context.Context) (err error) {
@@ -300,7 +313,7 @@
 		return nil, 0, f.refuse("neither the owner nor the platform's store answers: " + err.Error())
 	}
 	if kv.ModRevision == 0 {
-		return nil, 0, ErrUnknownJob
+		return nil, 0, errNoStub
 	}
 	stub := new(engine.JobStub)
 	if err := json.Unmarshal(kv.Value, stub); err != nil {
@@ -389,6 +402,9 @@
 // taken effect. Errors but errNotConfirmed end the request.
 func (f *Front) tryCancelInStore(ctx context.Context, id work.JobID, triedCell string, workspace work.WorkspaceName) (sent bool, err error) {
 	stub, rev, err := f.readStubFor(ctx, id, workspace)
+	if errors.Is(err, errNoStub) {
+		return f.preventCreation(ctx, id, triedCell, workspace)
+	}
 	if err != nil {
 		return false, err
 	}
@@ -423,6 +439,23 @@
 	return sent || infra.IsKind(err, infra.KindUnknown), errNotConfirmed
 }
 
+// preventCreation keeps a job without a stub from being created by a submission that is still on its
+// way, so that ErrUnknownJob stays true. Its results are those of tryCancelInStore.
+func (f *Front) preventCreation(ctx context.Context, id work.JobID, cell string, workspace work.WorkspaceName) (sent bool, err error) {
+	ops, err := engine.PreventOps(cell, id, workspace, f.Clock.Wall())
+	if err != nil {
+		return false, &Refusal{Reason: "cancellation can't be stored: " + err.Error()}
+	}
+	res, err := f.runTxn(ctx, infra.Txn{If: []infra.Cond{{Key: infra.WorkJobKey(string(id))}}, Then: ops})
+	if err == nil && res.Succeeded {
+		return false, ErrUnknownJob
+	}
+	if err != nil {
+		f.Log.Info("cancellation of an unknown job not confirmed", "job", id, "error", err.Error())
+	}
+	return infra.IsKind(err, infra.KindUnknown), errNotConfirmed
+}
+
 // Waiting returns the number of the queue's jobs of which no task has started. While the owner
 // does not answer, it returns the last count, if that is recent enough, or a *Refusal.
 func (f *Front) Waiting(ctx context.Context, q engine.Queue) (n int, err error) {
--- a/internal/jobfront/front_test.go
+++ b/internal/jobfront/front_test.go
@@ -116,9 +116,9 @@
 	r := newFixture(t)
 	r.owner.err = engine.ErrNotReady
 	ctx := context.Background()
-	_, err := r.front.State(ctx, "j1", queue, "")
+	_, err := r.front.State(ctx, "j0", queue, "")
 	assert.Assert(t, errors.Is(err, ErrUnknownJob))
-	assert.Assert(t, errors.Is(r.front.Cancel(ctx, "j1", queue, ""), ErrUnknownJob))
+	assert.Assert(t, errors.Is(r.front.Cancel(ctx, "j0", queue, ""), ErrUnknownJob))
 
 	assert.NilError(t, r.front.Submit(ctx, newJob("j1"), queue))
 	state, err := r.front.State(ctx, "j1", queue, "")
--- a/internal/ownerlink/ownerlink.go
+++ b/internal/ownerlink/ownerlink.go
@@ -85,6 +85,7 @@
 	resultUnknownJob
 	resultOtherWorkspace
 	resultOutdatedConfig
+	resultCancelledEarly
 )
 
 // response answers one call.
@@ -117,6 +118,8 @@
 		return resultUnknownJob
 	case errors.Is(err, engine.ErrOtherWorkspace):
 		return resultOtherWorkspace
+	case errors.Is(err, engine.ErrCancelledEarly):
+		return resultCancelledEarly
 	}
 	return resultUncertain
 }
@@ -136,6 +139,8 @@
 		return engine.ErrOtherWorkspace
 	case resultOutdatedConfig:
 		return engine.ErrStaleConfig
+	case resultCancelledEarly:
+		return engine.ErrCancelledEarly
 	}
 	return engine.ErrUncertain
 }
