Two submissions of a job are not stored by one transaction

Found while following the paths of a creation: a caller whose connection broke repeats its submission, and both wait for the same batch. The transaction then writes the job's key twice, which the store's stand-in rejects as invalid, so that all jobs of the batch and all that wait are refused, though the store is well.

Change: a batch takes creations of different jobs only; the repeat finds the job stored by the next one.

Evidence: TestTwoSubmissionsOfAJobAreStoredOneAfterTheOther failed before ("the store does not answer"), and passes with the tests of the writer.

--- a/internal/engine/committer.go
+++ b/internal/engine/committer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"time"
 
 	"github.com/pumicestage/pumicestage/internal/infra"
@@ -89,13 +90,12 @@
 	if final > 0 {
 		n = min(n, maxCreatesBesideEnds)
 	}
-	b.creates = append(b.creates, w.waiting[:n]...)
-	w.waiting = append(w.waiting[:0], w.waiting[n:]...)
+	b.creates, w.waiting = takeDistinct(w.waiting, n)
 	c.batchSince = w.engine.Clock.Now()
 	left := len(w.waiting)
 	w.mu.Unlock()
 	w.engine.mu.Lock()
-	b.flush = w.engine.core.TakeFlush(txnEntries - commitEntries - createEntries*n)
+	b.flush = w.engine.core.TakeFlush(txnEntries - commitEntries - createEntries*len(b.creates))
 	all, _ := w.engine.core.Dirty()
 	w.engine.mu.Unlock()
 	if left > 0 || all > 0 {
@@ -104,6 +104,20 @@
 	return b
 }
 
+// takeDistinct takes up to n creations of different jobs and returns them and the rest. The store
+// rejects a transaction that writes a key twice.
+func takeDistinct(waiting []*creation, n int) (taken, left []*creation) {
+	for _, c := range waiting {
+		repeats := slices.ContainsFunc(taken, func(o *creation) bool { return o.job.ID == c.job.ID })
+		if len(taken) == n || repeats {
+			left = append(left, c)
+		} else {
+			taken = append(taken, c)
+		}
+	}
+	return taken, left
+}
+
 // store sends the batch until its outcome is known or ctx ends. If the store certainly did
 // not take it, pending creations fail with ErrStore and the changes are sent again.
 func (c *committer) store(ctx context.Context, b *batch) {
--- a/internal/engine/writer_test.go
+++ b/internal/engine/writer_test.go
@@ -59,6 +59,22 @@
 	assert.Equal(t, len(e.writer.waiting), 0)
 }
 
+// Guards against a job that is refused, and others with it, because two submissions of it would be
+// stored by one transaction, which the store rejects.
+func TestTwoSubmissionsOfAJobAreStoredOneAfterTheOther(t *testing.T) {
+	e, _ := newEngine(t, &fakeTerm{certain: true})
+	first, repeat, other := newCreation(t, "j1"), newCreation(t, "j1"), newCreation(t, "j2")
+	e.writer.waiting = []*creation{first, repeat, other}
+	c := e.writer.committers[0]
+	for len(e.writer.waiting) > 0 {
+		c.store(t.Context(), c.nextBatch())
+	}
+	for _, c := range []*creation{first, repeat, other} {
+		assert.Equal(t, len(c.done), 1)
+		assert.NilError(t, <-c.done)
+	}
+}
+
 // waitingJobs returns the number of creations that are in no batch yet.
 func waitingJobs(w *writer) int {
 	w.mu.Lock()
