A run that a full list of ends may leave out is not taken for lost

Found by following what an owner concludes from an answer (tasks that run twice). A worker lists at most 500 ends in an answer. An owner took a run that is listed neither as running nor as ended for lost and started its task again; where ends can't be acknowledged for long, as while the store is away, the run may have ended as done and be left out: an incomplete answer overrides what the worker knows.

The field is encoded last, after those that entry VMs of the older code know.

Not shown to be the users' case: the workers of their record had 22 to 32 ends.

--- a/internal/engine/listing.go
+++ b/internal/engine/listing.go
@@ -215,20 +215,20 @@
 	}
 	if !l.Brief {
 		w.listedAt = sent
-		c.reconcileRunning(w, l.Running, sent, now)
+		c.reconcileRunning(w, &l, sent, now)
 	}
 	c.observeLongRunning(w)
 }
 
 // reconcileRunning compares the runs that a worker listed with those that it should have.
-func (c *Core) reconcileRunning(w *worker, running []Run, sent, now time.Duration) {
-	present := make(map[work.TaskRef]int, len(running))
-	for i := range running {
-		present[running[i].Task] = running[i].Run
-		c.observeRun(w, &running[i], now)
+func (c *Core) reconcileRunning(w *worker, l *Listing, sent, now time.Duration) {
+	present := make(map[work.TaskRef]int, len(l.Running))
+	for i := range l.Running {
+		present[l.Running[i].Task] = l.Running[i].Run
+		c.observeRun(w, &l.Running[i], now)
 	}
 	for ref, t := range w.tasks {
-		if present[ref] != t.run {
+		if present[ref] != t.run && !l.MoreEnds {
 			c.handleUnlistedTask(t, sent, now)
 		}
 	}
--- a/internal/engine/long_list_of_ends_test.go
+++ b/internal/engine/long_list_of_ends_test.go
@@ -30,6 +30,6 @@
 		ends = append(ends, RunEnd{Seq: seq + 1, Task: old, Run: 1, How: work.Done})
 	}
 	// The end of the run of j1 has the next number, and is listed once the others are acknowledged.
-	b.poll(o.Starts[0].Worker.ID, Listing{Ended: ends})
+	b.poll(o.Starts[0].Worker.ID, Listing{Ended: ends, MoreEnds: true})
 	assert.Equal(t, len(b.plan().Starts), 0, "the run may have ended as done")
 }
--- a/internal/engine/ports.go
+++ b/internal/engine/ports.go
@@ -58,6 +58,9 @@
 	Running []Run
 	Ended   []RunEnd
 	Life    work.Incarnation // incarnation that answers
+	// MoreEnds: ends may be left out until those listed are acknowledged. A run that is listed nowhere
+	// may have ended.
+	MoreEnds bool
 }
 
 // Hold is a poll of a worker. It extends the lease of all runs on the worker and asks for a
