Runs and ends of an occurrence that a clock ahead has begun are taken over

What callers saw: a task of a repeated job ran twice. An owner whose clock is ahead begins an occurrence; its successor, by whose clock the occurrence isn't due yet, took the listed runs for those of no task, stopped them, and acknowledged their ends without storing them. Once the occurrence was due, its tasks started again, also those that were done.

Change: a listed run or end of an occurrence that hasn't begun here shows that an earlier owner has begun it, and it begins here too. Its remaining tasks wait until it is due by this owner's clock, as before.

Not shown to be the users' case: the sites of the report have no repeated jobs.

--- a/internal/engine/core.go
+++ b/internal/engine/core.go
@@ -57,6 +57,7 @@
 	storing           map[work.JobID]int64  // jobs whose change is being stored, with their dirtySinceEnd
 	endsSeen          int64                 // ends of runs that were received so far, from all workers
 	now               time.Duration         // time of the last plan or answer
+	wall              time.Time             // time of day as of the last plan or restore
 	explainedAt       time.Duration         // when waiting work was last logged
 	busyWorkers       int                   // workers with tasks, as of the last plan
 	progressCheckedAt time.Duration         // when the progress of running tasks was last checked
@@ -292,6 +293,23 @@
 	return j.task(ref)
 }
 
+// findListed returns the task of a run that a worker lists; nil if there is none. If the run is of an
+// occurrence that has not begun here, an earlier owner with a clock ahead of this one has begun it,
+// and it begins here too; its tasks start once it is due by this owner's clock.
+func (c *Core) findListed(ref work.TaskRef, now time.Duration) *task {
+	j := c.jobs[ref.Job]
+	if j == nil {
+		return nil
+	}
+	if j.final == "" && j.Timed() && ref.Occurrence < j.Occurrences() {
+		for j.nextOccurrence <= ref.Occurrence {
+			c.log.Info("occurrence was begun by an earlier owner", "job", j.ID, "occurrence", j.nextOccurrence)
+			j.addOccurrence(now + max(0, j.Schedule.Due(j.nextOccurrence).Sub(c.wall)))
+		}
+	}
+	return j.task(ref)
+}
+
 func (c *Core) queueSize(queue string) *meanSize {
 	m := c.sizes[queue]
 	if m == nil {
--- a/internal/engine/listing.go
+++ b/internal/engine/listing.go
@@ -241,7 +241,7 @@
 
 // observeRun takes over one run that a worker listed.
 func (c *Core) observeRun(w *worker, r *Run, now time.Duration) {
-	t := c.find(r.Task)
+	t := c.findListed(r.Task, now)
 	if t == nil || t.state == taskDone {
 		w.markOrphaned(r.Task, r.Run)
 		return
@@ -317,7 +317,7 @@
 	}
 	c.endsSeen++
 	w.unstored = append(w.unstored, endMark{seq: e.Seq, at: c.endsSeen})
-	t := c.find(e.Task)
+	t := c.findListed(e.Task, now)
 	if t == nil {
 		return
 	}
--- a/internal/engine/plan.go
+++ b/internal/engine/plan.go
@@ -79,6 +79,7 @@
 
 // openOccurrences adds the occurrences of open jobs that are due.
 func (c *Core) openOccurrences(now time.Duration, wall time.Time) {
+	c.wall = wall
 	for _, j := range c.open {
 		for j.nextOccurrence < j.Occurrences() {
 			due := now
@@ -114,6 +115,9 @@
 		}
 		var rank *joborder.Rank
 		for _, o := range j.liveOccurrences {
+			if now < o.due {
+				continue
+			}
 			for _, s := range o.steps {
 				if s.pending == 0 || !s.ready() {
 					continue
