A repeated submission is not stored together with its job's end

A caller repeats a submission before the creation of the job is confirmed, and the repeat waits for a later transaction; by then the job may have ended, and the transaction held its end as well. The store rejects one that writes a key twice. If its first attempt had no answer, the committer sent it again for the rest of the term: ends were not stored, and cancellations waited.

Change: a batch doesn't take creations of jobs that the core knows by then; they are repeats, and answered as such.

--- a/internal/engine/committer.go
+++ b/internal/engine/committer.go
@@ -95,15 +95,33 @@
 	left := len(w.waiting)
 	w.mu.Unlock()
 	w.engine.mu.Lock()
+	repeats := b.removeKnown(w.engine.core)
 	b.flush = w.engine.core.TakeFlush(txnEntries - commitEntries - createEntries*len(b.creates))
 	all, _ := w.engine.core.Dirty()
 	w.engine.mu.Unlock()
+	for c, err := range repeats {
+		w.finish(c, err)
+	}
 	if left > 0 || all > 0 {
 		kick(w.engine.storeKick)
 	}
 	return b
 }
 
+// removeKnown takes the creations of jobs that the core knows by now out of the batch, and returns
+// them with their outcomes. The batch may hold such a job's end, which writes the same key.
+func (b *batch) removeKnown(core *Core) map[*creation]error {
+	repeats := make(map[*creation]error)
+	b.creates = slices.DeleteFunc(b.creates, func(c *creation) bool {
+		known := core.Known(c.job.ID)
+		if known {
+			repeats[c] = core.checkRepeat(c.job)
+		}
+		return known
+	})
+	return repeats
+}
+
 // takeDistinct takes up to n creations of different jobs and returns them and the rest. The store
 // rejects a transaction that writes a key twice.
 func takeDistinct(waiting []*creation, n int) (taken, left []*creation) {
--- a/internal/engine/core.go
+++ b/internal/engine/core.go
@@ -181,6 +181,15 @@
 	return j != nil && j.Workspace == workspace
 }
 
+// checkRepeat returns nil if the known job is of j's workspace, so that j repeats its submission, and
+// ErrOtherWorkspace otherwise.
+func (c *Core) checkRepeat(j *work.Job) error {
+	if !c.isOf(j.ID, j.Workspace) {
+		return ErrOtherWorkspace
+	}
+	return nil
+}
+
 // shows reports whether callers of the workspace may see and cancel the job.
 func (c *Core) shows(id work.JobID, workspace work.WorkspaceName) bool {
 	j := c.jobs[id]
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -269,15 +269,13 @@
 // ErrUncertain.
 func (e *Engine) Submit(ctx context.Context, j *work.Job, q Queue) error {
 	e.mu.Lock()
-	ready, known, other := e.restored, e.core.Known(j.ID), !e.core.isOf(j.ID, j.Workspace)
+	ready, known, repeat := e.restored, e.core.Known(j.ID), e.core.checkRepeat(j)
 	e.mu.Unlock()
 	switch {
 	case !ready:
 		return ErrNotReady
-	case known && other:
-		return ErrOtherWorkspace
 	case known:
-		return nil
+		return repeat
 	}
 	return e.writer.create(ctx, j, q)
 }
