Cancellations in the inbox don't wait for reads of other jobs

Found by the review of the trace, as another way to the users' case: an entry VM acknowledges a cancellation, and the owner in force, which knows the job, goes on for seconds.

Cause: the owner acted on the messages of its inbox only once the jobs of all of them had been read, also those of cancelled jobs, which have no record and are read again at each attempt. A store that loses a share of its answers so keeps it from every cancellation.

Change: stored cancellations take effect as soon as their messages are read, also without a certain lease, since a stored end is final. Only jobs of submissions are read; what is handled is deleted, and the rest is tried again.

--- a/internal/engine/inbox.go
+++ b/internal/engine/inbox.go
@@ -93,36 +93,31 @@
 	return keys
 }
 
-// handleMessages handles the messages under the keys and deletes them. It reads all jobs before
-// it acts on cancellations, and a job's record itself tells whether the job is cancelled. It
-// returns ErrNotReady, and leaves the messages to the next owner, if this owner is not certain
-// of its lease.
+// handleMessages handles the messages under the keys and deletes those that it has handled. Stored
+// cancellations take effect at once: they wait neither for reads of other jobs nor for a certain lease.
+// It returns an error if messages are left: ErrNotReady, with which they are left to the next owner, if
+// this owner is not certain of its lease, or that of a read.
 func (e *Engine) handleMessages(ctx context.Context, keys []string) error {
-	var messages []inboxMessage
+	var cancels, submits []inboxMessage
 	for _, key := range keys {
 		n, ok := parseInboxKey(e.Cell, key)
-		if !ok {
+		switch {
+		case !ok:
 			e.Log.Info("inbox key is malformed", "key", key)
-			continue
+		case n.kind == InboxCancel:
+			e.Log.Info("inbox message read", "kind", n.kind, "job", n.job)
+			e.cancelFromInbox(n.job)
+			cancels = append(cancels, n)
+		default:
+			submits = append(submits, n)
 		}
-		messages = append(messages, n)
-	}
-	if len(messages) == 0 {
-		return nil
 	}
-	if err := e.readJobs(ctx, messages); err != nil {
-		return err
-	}
-	if !e.Term.Certain() {
+	added, err := e.readJobs(ctx, submits)
+	handled := append(cancels, added...)
+	if len(handled) > 0 && !e.Term.Certain() {
 		return ErrNotReady
 	}
-	for _, n := range messages {
-		e.Log.Info("inbox message read", "kind", n.kind, "job", n.job)
-		if n.kind == InboxCancel {
-			e.cancelFromInbox(n.job)
-		}
-	}
-	return e.deleteMessages(ctx, messages)
+	return trace.Wrap(errors.Join(err, e.deleteMessages(ctx, handled)))
 }
 
 // cancelFromInbox cancels a job in the core. Its stored record is marked as cancelled
@@ -138,9 +133,9 @@
 	kick(e.planKick)
 }
 
-// readJobs reads the jobs of the messages that the core doesn't know yet, inboxReaders at a
-// time.
-func (e *Engine) readJobs(ctx context.Context, messages []inboxMessage) error {
+// readJobs reads the jobs of the messages that the core doesn't know yet, inboxReaders at a time, and
+// adds them to the core. It returns the messages that are handled, and the errors of the others.
+func (e *Engine) readJobs(ctx context.Context, messages []inboxMessage) (handled []inboxMessage, err error) {
 	slots := make(chan struct{}, inboxReaders)
 	errs := make([]error, len(messages))
 	var readers sync.WaitGroup
@@ -158,7 +153,13 @@
 		})
 	}
 	readers.Wait()
-	return trace.Wrap(errors.Join(errs...))
+	for i, n := range messages {
+		if errs[i] == nil {
+			e.Log.Info("inbox message read", "kind", n.kind, "job", n.job)
+			handled = append(handled, n)
+		}
+	}
+	return handled, errors.Join(errs...)
 }
 
 // readJob reads a job's record and adds the job to the core. A job that has ended, or whose
