A job that was cancelled before its submission is refused as such on any queue

On an open queue jobs have no workspace, but the key of the caller who cancels may have one; the caller's own late submission was then answered as if another workspace had the ID (409), where the truth is that the job was cancelled and is never run (503). The cancellation is looked at first.

Evidence: TestASubmissionToAnOpenQueueIsRefusedAfterItsCallersCancellation failed before and passes. That a workspace can cancel an unknown ID before another workspace submits a job under it stays: it could as well submit a job there, and an ID is one job over all workspaces.

--- a/internal/engine/records.go
+++ b/internal/engine/records.go
@@ -74,10 +74,10 @@
 	switch err := json.Unmarshal(stub, &s); {
 	case err != nil:
 		return nil
-	case s.Workspace != j.Workspace:
-		return ErrOtherWorkspace
 	case s.NeverCreated:
 		return ErrCancelledEarly
+	case s.Workspace != j.Workspace:
+		return ErrOtherWorkspace
 	}
 	return nil
 }
--- a/internal/jobfront/cancel_test.go
+++ b/internal/jobfront/cancel_test.go
@@ -30,3 +30,12 @@
 		})
 	}
 }
+
+// Guards against a submission to an open queue that is answered as if another workspace had the ID:
+// such jobs have no workspace, and their caller had cancelled the ID with its key.
+func TestASubmissionToAnOpenQueueIsRefusedAfterItsCallersCancellation(t *testing.T) {
+	r := newFixture(t)
+	r.owner.err = engine.ErrNotReady
+	assert.ErrorIs(t, r.front.Cancel(t.Context(), "j1", queue, "blue"), ErrUnknownJob)
+	assert.ErrorIs(t, r.front.Submit(t.Context(), newJob("j1"), queue), engine.ErrCancelledEarly)
+}
