A late write of a wave's progress doesn't replace a later one

The fleet's owner stored the progress of a wave without a condition; an attempt of a former pass or owner could make the next owner take a completed wave for a running one, and order maintenance again (which the platform takes for done).

Change: the write is conditional on the stored progress that this owner knows; after a conflict it takes in what is stored and writes again in the next pass.

--- a/internal/fleetowner/waves.go
+++ b/internal/fleetowner/waves.go
@@ -42,6 +42,7 @@
 
 	reported      string
 	saved         *savedProgress // what was stored last; nil: nothing
+	rev           infra.Revision // of what is stored; 0: nothing
 	loaded        bool
 	drainingSince map[string]time.Duration // by VM: since when it has been closed to new tasks
 	postponed     map[string]time.Duration // by VM: until when it is not drained
@@ -249,6 +250,17 @@
 		f.Log.Info("reading the progress of a wave failed", "wave", name, "error", err.Error())
 		return false
 	}
+	f.mergeStored(name, r, kv)
+	r.loaded = true
+	if kv.ModRevision != 0 {
+		r.saved = r.progress()
+	}
+	return true
+}
+
+// mergeStored adds the stored progress to r.
+func (f *Fleet) mergeStored(name string, r *waveRun, kv infra.KV) {
+	r.rev = kv.ModRevision
 	if kv.ModRevision != 0 {
 		if err := json.Unmarshal(kv.Value, r); err != nil {
 			f.Log.Error(err, "decoding the progress of a wave failed: maintenance of its VMs is ordered again, which is harmless", "wave", name)
@@ -257,11 +269,6 @@
 	if r.Done == nil {
 		r.Done = make(map[string]bool)
 	}
-	r.loaded = true
-	if kv.ModRevision != 0 {
-		r.saved = r.progress()
-	}
-	return true
 }
 
 // progress returns the part of the progress whose changes are stored.
@@ -271,7 +278,8 @@
 
 // saveWave stores the progress if it has changed, so that the next owner neither orders the same
 // maintenance again nor takes a completed wave for running. A failure is logged and retried in the
-// next pass.
+// next pass. The write is conditional on what was stored before, so that an earlier attempt without an
+// answer, or one of a former owner, doesn't replace it later.
 func (f *Fleet) saveWave(ctx context.Context, name string, r *waveRun) {
 	if r.saved != nil && *r.saved == *r.progress() {
 		return
@@ -282,11 +290,21 @@
 	}
 	call, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	if _, err := f.Store.Txn(call, infra.Txn{Then: []infra.Op{infra.Put(infra.WorkWavePrefix+name, raw)}}); err != nil {
+	key := infra.WorkWavePrefix + name
+	res, err := f.Store.Txn(call, infra.Txn{
+		If:   []infra.Cond{{Key: key, ModRevision: r.rev}},
+		Then: []infra.Op{infra.Put(key, raw)},
+		Else: []infra.Op{infra.Read(key)},
+	})
+	switch {
+	case err != nil:
 		f.Log.Info("storing the progress of a wave failed", "wave", name, "error", err.Error())
-		return
+	case res.Succeeded:
+		r.rev, r.saved = res.Revision, r.progress()
+	case len(res.Reads) > 0:
+		f.Log.Info("the stored progress of a wave was changed by another write", "wave", name)
+		f.mergeStored(name, r, res.Reads[0])
 	}
-	r.saved = r.progress()
 }
 
 // report tells the operator the state of the wave if it has changed.
