Failing test: two submissions of one job in one transaction block the owner

A caller that repeats a submission before the first is stored can have both in one batch of a committer. The store rejects a transaction that writes a key twice. If an earlier attempt got no answer, the batch can't be refused, and it is sent again until the term ends: its callers get no answer, the changes in it are never stored, and new jobs are refused as the batch counts as stalled.

--- a/internal/engine/creation_test.go
+++ b/internal/engine/creation_test.go
@@ -2,13 +2,16 @@
 
 import (
 	"context"
+	"runtime"
 	"sync"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
 	"github.com/pumicestage/pumicestage/internal/infra"
+	"github.com/pumicestage/pumicestage/internal/infra/faulty"
 	"github.com/pumicestage/pumicestage/policy/work"
 )
 
@@ -82,3 +85,29 @@
 		})
 	}
 }
+
+// Guards against an owner that stores nothing more until its term ends: a caller repeated a submission
+// before the first was stored, both were in one transaction, which the store rejects as it writes a
+// key twice, and an earlier attempt at the transaction had got no answer.
+func TestTwoSubmissionsOfOneJobAreStoredThoughAnAnswerIsLost(t *testing.T) {
+	e, inner := newEngine(t, &fakeTerm{certain: true})
+	store := faulty.Wrap(inner)
+	store.LoseRequests(1)
+	e.Store = store
+	ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+	defer cancel()
+	var callers sync.WaitGroup
+	for _, id := range []work.JobID{"j1", "j1", "j2"} {
+		c := newCreation(t, id)
+		callers.Go(func() { assert.Check(t, e.writer.create(ctx, c.job, c.queue)) })
+	}
+	for waitingJobs(e.writer) < 3 {
+		runtime.Gosched()
+	}
+	var writer sync.WaitGroup
+	writer.Go(func() { e.writer.run(ctx) })
+	callers.Wait()
+	cancel()
+	writer.Wait()
+	assert.Assert(t, e.core.Known("j1") && e.core.Known("j2"))
+}
