Failing test: a job's end and a repeated submission in one transaction block the owner

A batch takes creations of different jobs only, but it may hold a creation of a job whose end it stores too: the submission came while the job was not known, an inbox message brought the job, and it was cancelled before the next batch. The store rejects the transaction, as it writes the job key twice; if an earlier attempt got no answer, it is sent again until the term ends. Its changes are never stored, and new jobs are refused as the batch counts as stalled.

--- a/internal/engine/creation_test.go
+++ b/internal/engine/creation_test.go
@@ -111,3 +111,28 @@
 	writer.Wait()
 	assert.Assert(t, e.core.Known("j1") && e.core.Known("j2"))
 }
+
+// Guards against an owner that stores nothing more until its term ends: a repeated submission of a job
+// and the job's end were in one transaction, which the store rejects as it writes a key twice, and an
+// earlier attempt at the transaction had got no answer.
+func TestAJobsEndIsStoredBesideARepeatedSubmissionThoughAnAnswerIsLost(t *testing.T) {
+	e, inner := newEngine(t, &fakeTerm{certain: true})
+	assert.NilError(t, e.handleMessages(t.Context(), []string{storeWithMessage(t, inner, "j1")}))
+	repeat := newCreation(t, "j1")
+	e.writer.waiting = []*creation{repeat}
+	ended := make(chan error, 1)
+	assert.Assert(t, e.core.Cancel("j1", func(err error) { ended <- err }))
+
+	store := faulty.Wrap(inner)
+	store.LoseRequests(1)
+	e.Store = store
+	ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+	defer cancel()
+	c := e.writer.committers[0]
+	for all := 1; all > 0 || len(e.writer.waiting) > 0; all, _ = e.core.Dirty() {
+		c.store(ctx, c.nextBatch())
+		assert.NilError(t, ctx.Err())
+	}
+	assert.NilError(t, <-repeat.done)
+	assert.NilError(t, <-ended)
+}
