Failing test: a cancellation in the inbox waits for reads of other jobs

The owner acts on the messages of a batch only once the jobs of all of them have been read. Jobs that have ended are never known to the core, so that they are read again at each attempt. A store that loses a share of its answers thus keeps the owner from all cancellations, also of jobs that it knows and needn't read, and from deleting any message.

--- a/internal/engine/inbox_test.go
+++ b/internal/engine/inbox_test.go
@@ -96,3 +96,28 @@
 	_, err = e.Sync(CellSync{Token: 3})
 	assert.Assert(t, err != nil)
 }
+
+// unreadableStore rejects reads of one key.
+type unreadableStore struct {
+	infra.Store
+	key string
+}
+
+func (s *unreadableStore) Get(ctx context.Context, key string) (infra.KV, infra.Revision, error) {
+	if key == s.key {
+		return infra.KV{}, 0, infra.Errorf("get", infra.KindUnavailable, "rejected")
+	}
+	return s.Store.Get(ctx, key)
+}
+
+// Guards against a cancelled job that runs on while the store loses some answers: the cancellation of
+// a job that the owner knew waited until the jobs of all other messages could be read.
+func TestACancellationDoesNotWaitForReadsOfOtherJobs(t *testing.T) {
+	e, inner := newEngine(t, &fakeTerm{certain: true})
+	assert.NilError(t, e.handleMessages(t.Context(), []string{storeWithMessage(t, inner, "j1")}))
+	cancelled := storeCancellation(t, inner, "j1")
+	submitted := storeWithMessage(t, inner, "j2")
+	e.Store = &unreadableStore{Store: inner, key: infra.WorkOpenKey(service, "j2")}
+	assert.Assert(t, e.handleMessages(t.Context(), []string{cancelled, submitted}) != nil, "j2 is left to the next attempt")
+	assert.Equal(t, len(e.core.open), 0, "open jobs")
+}
