Failing tests: a workspace's cancellation prevents another workspace's job

A cancellation of an unknown ID writes the job key with the workspace of its caller. A submission of another workspace under that ID is then refused with 409, though its job doesn't exist and the other workspace could not have cancelled it. On a queue that is open, jobs have no workspace, but a caller's key may have one: its own later submission is refused with 409 instead of 503.

--- /dev/null
+++ b/internal/jobfront/prevent_test.go
@@ -0,0 +1,33 @@
+package jobfront
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/pumicestage/pumicestage/internal/engine"
+	"github.com/pumicestage/pumicestage/policy/work"
+)
+
+// Guards against a workspace that keeps another one's job from being created: it may not cancel that
+// job, but cancelled its ID before the submission was stored.
+func TestAnotherWorkspacesCancellationDoesNotPreventAJob(t *testing.T) {
+	r := newFixture(t)
+	r.owner.err = engine.ErrNotReady
+	assert.ErrorIs(t, r.front.Cancel(t.Context(), "j1", queue, "blue"), ErrUnknownJob)
+	theirs := newJob("j1")
+	theirs.Workspace = "red"
+	assert.NilError(t, r.front.Submit(t.Context(), theirs, queue))
+	state, err := r.front.State(t.Context(), "j1", queue, "red")
+	assert.NilError(t, err)
+	assert.Equal(t, state, work.Running)
+}
+
+// Guards against a submission to an open queue that is answered as if another workspace had the ID:
+// such jobs have no workspace, and their caller had cancelled the ID with its key.
+func TestASubmissionToAnOpenQueueIsRefusedAfterItsCallersCancellation(t *testing.T) {
+	r := newFixture(t)
+	r.owner.err = engine.ErrNotReady
+	assert.ErrorIs(t, r.front.Cancel(t.Context(), "j1", queue, "blue"), ErrUnknownJob)
+	assert.ErrorIs(t, r.front.Submit(t.Context(), newJob("j1"), queue), engine.ErrCancelledEarly)
+}
