A late write of an entry VM's key doesn't remove it for good

An attempt without an answer, carried out late, moved the key back to the lease of that attempt. If the revocation of that lease had no answer either, the key went with it, while this VM renewed the other lease and never wrote the key again.

Change: each write is conditional on the key as it was last known; after a conflict it is tried at once on what was read. A key left by the VM's former process costs one call more.

--- a/internal/members/members.go
+++ b/internal/members/members.go
@@ -46,6 +46,8 @@
 	Log   logr.Logger
 	// Renew is the time between renewals of the lease; 0 means a third of the lease.
 	Renew time.Duration
+
+	rev infra.Revision // of the key as last known; 0: there is none
 }
 
 // Run keeps the key in the store until ctx ends, and then removes it.
@@ -74,13 +76,36 @@
 	if err != nil {
 		return 0, trace.Wrap(err)
 	}
-	_, err = p.Store.Txn(call, infra.Txn{Then: []infra.Op{infra.PutLeased(infra.WorkEntryKey(p.Name), value, lease)}})
+	err = p.put(call, value, lease)
 	if err != nil {
 		p.revoke(ctx, lease)
 	}
 	return lease, trace.Wrap(err)
 }
 
+// put writes the key with the lease. Each attempt is conditional on the key as it was: carried out
+// late, it would move the key back to a lease that has ended.
+func (p *Publisher) put(ctx context.Context, value []byte, lease infra.LeaseID) error {
+	key := infra.WorkEntryKey(p.Name)
+	for {
+		res, err := p.Store.Txn(ctx, infra.Txn{
+			If:   []infra.Cond{{Key: key, ModRevision: p.rev}},
+			Then: []infra.Op{infra.PutLeased(key, value, lease)},
+			Else: []infra.Op{infra.Read(key)},
+		})
+		switch {
+		case err != nil:
+			return err
+		case res.Succeeded:
+			p.rev = res.Revision
+			return nil
+		case len(res.Reads) == 0:
+			return infra.Errorf("publish", infra.KindUnavailable, "the answer lacks the key")
+		}
+		p.rev = res.Reads[0].ModRevision
+	}
+}
+
 // renewLease renews the lease until it has expired or ctx ends.
 func (p *Publisher) renewLease(ctx context.Context, lease infra.LeaseID) {
 	for sleep.For(ctx, cmp.Or(p.Renew, renewEvery)) {
