Another workspace's cancellation doesn't keep a job from being created

Found by the review: a cancellation of an unknown ID kept every workspace from submitting a job under it, also one whose jobs the canceller may not cancel.

Change: CheckRepeat tells that such a key may be replaced; the creation is then conditional on that revision of the key, in an owner's transaction and in an entry VM's.

--- a/internal/engine/committer.go
+++ b/internal/engine/committer.go
@@ -185,7 +185,7 @@
 	}
 	for _, create := range b.creates {
 		key := infra.WorkJobKey(string(create.job.ID))
-		t.If = append(t.If, infra.Cond{Key: key})
+		t.If = append(t.If, infra.Cond{Key: key, ModRevision: create.rev})
 		t.Then = append(t.Then, create.ops...)
 		t.Else = append(t.Else, infra.Read(key))
 	}
@@ -264,11 +264,9 @@
 	}
 	kept := b.creates[:0]
 	for i, create := range b.creates {
-		if i+1 < len(reads) && reads[i+1].ModRevision != 0 {
-			w.alreadyStored(create, reads[i+1].Value)
-			continue
+		if i+1 >= len(reads) || reads[i+1].ModRevision == create.rev || !w.handleExisting(create, reads[i+1]) {
+			kept = append(kept, create)
 		}
-		kept = append(kept, create)
 	}
 	b.creates = kept
 	return true
--- a/internal/engine/creation_test.go
+++ b/internal/engine/creation_test.go
@@ -61,6 +61,20 @@
 	assert.Assert(t, !e.core.Known("j1"))
 }
 
+// Guards against a workspace that keeps another one's job from being created by cancelling its ID.
+func TestAnotherWorkspacesCancellationDoesNotPreventACreation(t *testing.T) {
+	e, store := newEngine(t, &fakeTerm{certain: true})
+	ops, err := PreventOps(service, "j1", "blue", epoch)
+	assert.NilError(t, err)
+	_, err = store.Txn(t.Context(), infra.Txn{Then: ops})
+	assert.NilError(t, err)
+	c := newCreation(t, "j1")
+	c.job.Workspace = "red"
+	e.writer.committers[0].store(t.Context(), &batch{creates: []*creation{c}, seq: 1})
+	assert.NilError(t, <-c.done)
+	assert.Assert(t, e.core.Known("j1"))
+}
+
 // Guards against a job that runs although its cancellation was acknowledged: it was cancelled in the
 // store, and the inbox message handled, before the owner learned that its own transaction had created
 // the job.
--- a/internal/engine/records.go
+++ b/internal/engine/records.go
@@ -65,21 +65,26 @@
 	return []infra.Op{infra.Put(infra.WorkJobKey(string(id)), raw)}, nil
 }
 
-// CheckRepeat returns nil if j repeats the submission of the job with the stored stub,
-// ErrOtherWorkspace if another workspace uses the ID, and ErrCancelledEarly if the job was cancelled
-// before it was created. A malformed stub counts as the caller's: the job exists, and a repeated
-// submission must not be told that it doesn't.
-func CheckRepeat(stub []byte, j *work.Job) error {
+// CheckRepeat tells what the job key under j's ID means for j. It returns nil if j repeats the
+// submission of that job, ErrOtherWorkspace if another workspace uses the ID, and ErrCancelledEarly if
+// the job was cancelled before it was created. free tells that j may be created in place of the key:
+// there is none, or a workspace that may not cancel j has cancelled the ID. A malformed stub counts as the caller's: the
+// job exists, and a repeated submission must not be told that it doesn't.
+func CheckRepeat(key infra.KV, j *work.Job) (free bool, err error) {
 	var s JobStub
-	switch err := json.Unmarshal(stub, &s); {
+	switch err := json.Unmarshal(key.Value, &s); {
+	case key.ModRevision == 0:
+		return true, nil
 	case err != nil:
-		return nil
+		return false, nil
+	case s.NeverCreated && !MayAccess(j.Workspace, s.Workspace):
+		return true, nil
 	case s.NeverCreated:
-		return ErrCancelledEarly
+		return false, ErrCancelledEarly
 	case s.Workspace != j.Workspace:
-		return ErrOtherWorkspace
+		return false, ErrOtherWorkspace
 	}
-	return nil
+	return false, nil
 }
 
 // MayAccess reports whether callers of workspace caller may query and cancel a job of
--- a/internal/engine/writer.go
+++ b/internal/engine/writer.go
@@ -53,7 +53,8 @@
 	job   *work.Job
 	queue Queue
 	ops   []infra.Op
-	done  chan error // receives the outcome; nil: the job is stored
+	rev   infra.Revision // of the job key that the job replaces; 0: there must be none
+	done  chan error     // receives the outcome; nil: the job is stored
 }
 
 // writer stores new jobs and the core's changes of jobs in the store.
@@ -222,16 +223,22 @@
 	}
 }
 
-// alreadyStored completes a creation whose job key exists: another entry VM stored the job
-// before, and its inbox message brings the job here unless it has ended.
-func (w *writer) alreadyStored(c *creation, stub []byte) {
-	err := CheckRepeat(stub, c.job)
+// handleExisting handles a creation whose job key has changed. It reports whether the creation is
+// completed: another entry VM stored the job before, and its inbox message brings the job here unless
+// it has ended, or the key rules the job out.
+func (w *writer) handleExisting(c *creation, key infra.KV) (completed bool) {
+	free, err := CheckRepeat(key, c.job)
+	if free {
+		c.rev = key.ModRevision
+		return false
+	}
 	if err != nil {
 		w.engine.Log.Info("job can't be created", "job", c.job.ID, "workspace", c.job.Workspace, "reason", err.Error())
 	} else {
 		w.engine.Log.Info("job is already stored", "job", c.job.ID, "workspace", c.job.Workspace)
 	}
 	w.finish(c, err)
+	return true
 }
 
 // refuse fails the batch's creations and all waiting ones with ErrStore. It is called only
--- a/internal/jobfront/cancel_test.go
+++ b/internal/jobfront/cancel_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/pumicestage/pumicestage/internal/engine"
 	"github.com/pumicestage/pumicestage/internal/infra"
+	"github.com/pumicestage/pumicestage/policy/work"
 )
 
 // Guards against a job that runs although its cancellation was answered with "no such job": a
@@ -39,3 +40,17 @@
 	assert.ErrorIs(t, r.front.Cancel(t.Context(), "j1", queue, "blue"), ErrUnknownJob)
 	assert.ErrorIs(t, r.front.Submit(t.Context(), newJob("j1"), queue), engine.ErrCancelledEarly)
 }
+
+// Guards against a workspace that keeps another one's job from being created: it may not cancel that
+// job, but cancelled its ID before the submission was stored.
+func TestAnotherWorkspacesCancellationDoesNotPreventAJob(t *testing.T) {
+	r := newFixture(t)
+	r.owner.err = engine.ErrNotReady
+	assert.ErrorIs(t, r.front.Cancel(t.Context(), "j1", queue, "blue"), ErrUnknownJob)
+	theirs := newJob("j1")
+	theirs.Workspace = "red"
+	assert.NilError(t, r.front.Submit(t.Context(), theirs, queue))
+	state, err := r.front.State(t.Context(), "j1", queue, "red")
+	assert.NilError(t, err)
+	assert.Equal(t, state, work.Running)
+}
--- a/internal/jobfront/front.go
+++ b/internal/jobfront/front.go
@@ -173,7 +173,12 @@
 		case err == nil && res.Succeeded:
 			return nil
 		case err == nil && len(res.Reads) > 0: // it exists already: an ID belongs to one job
-			return engine.CheckRepeat(res.Reads[0].Value, j)
+			free, err := engine.CheckRepeat(res.Reads[0], j)
+			if !free {
+				return err
+			}
+			txn.If[0].ModRevision = res.Reads[0].ModRevision
+			continue
 		case err == nil:
 			return nil
 		}
