Model with wall clocks apart and full lists of ends, and a second failing test of these

Cause: the model had neither repeated jobs nor a limit on the ends in an answer. A new owner also counts a worker as heard whose list of ends is full, and starts tasks whose ends it can't know. The new test fails, as intended.

--- a/internal/engine/long_list_of_ends_test.go
+++ b/internal/engine/long_list_of_ends_test.go
@@ -33,3 +33,22 @@
 	b.poll(o.Starts[0].Worker.ID, Listing{Ended: ends})
 	assert.Equal(t, len(b.plan().Starts), 0, "the run may have ended as done")
 }
+
+// Guards against a task that starts again although it was done: a worker lists a new owner as many ends as fit
+// into one answer, and the end of the task is not among them.
+func TestASuccessorStartsNothingWhileAListOfEndsIsFull(t *testing.T) {
+	b := newRig(t)
+	b.accept("j1", short(1))
+	b.takeOver(token+1, "w1")
+	b.core.SetFleet([]work.VM{vm("v1", "w1")})
+	var ends []RunEnd
+	for seq := range int64(endsPerAnswer) {
+		old := work.TaskRef{StepRef: work.StepRef{Job: work.JobID(fmt.Sprintf("before%d", seq))}}
+		ends = append(ends, RunEnd{Seq: seq + 1, Task: old, Run: 1, How: work.Done})
+	}
+	b.poll("w1", Listing{Ended: ends})
+	assert.Equal(t, len(b.plan().Starts), 0, "its run may have ended as done")
+	b.flush()
+	b.poll("w1", Listing{Ended: []RunEnd{{Seq: endsPerAnswer + 1, Task: work.TaskRef{StepRef: work.StepRef{Job: "j1"}}, Run: 1, How: work.Done}}})
+	assert.Equal(t, len(b.plan().Starts), 0)
+}
--- a/internal/engine/model_terms_test.go
+++ b/internal/engine/model_terms_test.go
@@ -13,7 +13,11 @@
 	"github.com/pumicestage/pumicestage/policy/work"
 )
 
-var termSeeds = flag.Int("term-model-seeds", 15, "number of seeds for the model of terms")
+var (
+	termSeeds     = flag.Int("term-model-seeds", 15, "number of seeds for the model of terms")
+	termWallSkews = flag.Bool("term-model-wall-skews", false, "repeated jobs, and owners whose wall clocks differ by up to two seconds")
+	termMaxEnds   = flag.Int("term-model-max-ends", 0, "ends that a worker of the model lists in one answer; 0: all")
+)
 
 // Times of an owner's lease in the model, as in package ownership.
 const (
@@ -67,6 +71,7 @@
 
 func newTermModel(t *testing.T, seed uint64) *termModel {
 	m := &termModel{
+		wallSkews: *termWallSkews, maxEnds: *termMaxEnds,
 		model: newModel(t, seed), inbox: make(map[work.JobID]bool),
 		started: make(map[work.TaskRef]int), endedAt: make(map[*modelWorker][]int),
 	}
