A successor starts nothing while a worker's list of ends is full

A new owner counts a worker as heard once it has answered, also if the answer holds as many ends as a worker lists at once. The ends that it leaves out are unknown to this owner, and their tasks started again.

Change: what earlier owners left running isn't settled while a worker's last list of ends is full, however long ago the take-over is: the ends that are known are stored and acknowledged, and the others are listed then.

The tests of the engine pass.

--- a/internal/engine/listing.go
+++ b/internal/engine/listing.go
@@ -205,7 +205,7 @@
 	}
 	w.expiredRuns = nil
 	w.ownershipUncertain = (w.ownershipUncertain || !w.contacted) && !c.certain
-	w.contacted, w.unlisted = true, false
+	w.contacted, w.unlisted, w.moreEnds = true, false, l.MoreEnds
 	w.missedPolls, w.silentSince = 0, 0
 	for i := range l.Ended {
 		if e := &l.Ended[i]; e.Seq > w.seen {
--- a/internal/engine/long_list_of_ends_test.go
+++ b/internal/engine/long_list_of_ends_test.go
@@ -46,7 +46,7 @@
 		old := work.TaskRef{StepRef: work.StepRef{Job: work.JobID(fmt.Sprintf("before%d", seq))}}
 		ends = append(ends, RunEnd{Seq: seq + 1, Task: old, Run: 1, How: work.Done})
 	}
-	b.poll("w1", Listing{Ended: ends})
+	b.poll("w1", Listing{Ended: ends, MoreEnds: true})
 	assert.Equal(t, len(b.plan().Starts), 0, "its run may have ended as done")
 	b.flush()
 	b.poll("w1", Listing{Ended: []RunEnd{{Seq: endsPerAnswer + 1, Task: work.TaskRef{StepRef: work.StepRef{Job: "j1"}}, Run: 1, How: work.Done}}})
--- a/internal/engine/worker.go
+++ b/internal/engine/worker.go
@@ -54,6 +54,7 @@
 	// not count among the workers that may run this owner's tasks. An answer that comes once
 	// no later owner can exist clears it.
 	ownershipUncertain bool
+	moreEnds           bool // its last answer may have left ends out, see Listing.MoreEnds
 	// unlisted: the list of VMs does not show this incarnation, and it has answered nothing
 	// since.
 	unlisted bool
