Failing tests: a full list of ends before a start of a restored task or of an orphaned run's

Cause: while a list of ends is full, a new owner counts the worker as heard and starts tasks of restored jobs, and an orphaned run that is listed nowhere counts as ended. Change: both tests and the model of terms set Listing.MoreEnds; no product code.

--- a/internal/engine/long_list_of_ends_test.go
+++ b/internal/engine/long_list_of_ends_test.go
@@ -46,9 +46,27 @@
 		old := work.TaskRef{StepRef: work.StepRef{Job: work.JobID(fmt.Sprintf("before%d", seq))}}
 		ends = append(ends, RunEnd{Seq: seq + 1, Task: old, Run: 1, How: work.Done})
 	}
-	b.poll("w1", Listing{Ended: ends})
+	b.poll("w1", Listing{Ended: ends, MoreEnds: true})
 	assert.Equal(t, len(b.plan().Starts), 0, "its run may have ended as done")
 	b.flush()
 	b.poll("w1", Listing{Ended: []RunEnd{{Seq: endsPerAnswer + 1, Task: work.TaskRef{StepRef: work.StepRef{Job: "j1"}}, Run: 1, How: work.Done}}})
 	assert.Equal(t, len(b.plan().Starts), 0)
 }
+
+// Guards against a task that starts again although it was done: the stop of an orphaned run is answered, and the
+// run's end as done is not among the ends that fit into one answer.
+func TestAnOrphanedRunIsKeptWhileAListOfEndsIsFull(t *testing.T) {
+	b := newRig(t)
+	b.accept("j1", short(1))
+	b.takeOver(token+1, "w1", "w2")
+	b.core.SetFleet([]work.VM{vm("v1", "w1"), vm("v2", "w2")})
+	ref := work.TaskRef{StepRef: work.StepRef{Job: "j1"}}
+	b.poll("w1", Listing{Running: []Run{{Task: ref, Run: 1}}})
+	b.poll("w2", Listing{Running: []Run{{Task: ref, Run: 2}}})
+	stops := b.plan().Stops
+	assert.Equal(t, len(stops), 1)
+	b.poll("w2", Listing{Ended: []RunEnd{{Seq: 1, Task: ref, Run: 2, How: work.Faulted}}})
+	b.core.StopAnswered(stops[0], OutcomeOK, b.now)
+	b.poll("w1", Listing{MoreEnds: true})
+	assert.Equal(t, len(b.plan().Starts), 0, "run 1 may have ended as done")
+}
--- a/internal/engine/model_terms_test.go
+++ b/internal/engine/model_terms_test.go
@@ -417,7 +417,7 @@
 	}
 	l := Listing{Life: w.incarnation, Clock: w.clock(m.now), Ended: slices.Clone(w.ends), Brief: h.Brief}
 	if m.maxEnds > 0 && len(l.Ended) > m.maxEnds {
-		l.Ended = l.Ended[:m.maxEnds]
+		l.Ended, l.MoreEnds = l.Ended[:m.maxEnds], true
 	}
 	for _, task := range w.tasks() {
 		if !h.Brief {
