An orphaned run that a full list of ends may leave out is kept

Found while following full lists of ends. The stop of an orphaned run was answered, and a list that leaves ends out didn't show the run; its end as done may be among those left out, and the task started again.

Evidence: TestAnOrphanedRunIsKeptWhileAListOfEndsIsFull failed before and passes with the other tests of lists and the model of terms.

--- a/internal/engine/listing.go
+++ b/internal/engine/listing.go
@@ -233,7 +233,7 @@
 		}
 	}
 	for ref, s := range w.orphanedRuns {
-		if _, runs := present[ref]; !runs && s.stopOK != 0 && s.stopOK < sent {
+		if _, runs := present[ref]; !runs && !l.MoreEnds && s.stopOK != 0 && s.stopOK < sent {
 			delete(w.orphanedRuns, ref)
 		}
 	}
