Each workspace's cancellation of an unknown job binds that workspace's submissions

The key that a cancellation of an unknown ID leaves named one workspace. Another workspace that cancelled the same ID afterwards was answered "no such job" without a write, and its late submission could replace the key and ran.

Change: the key lists the workspaces that have cancelled the ID (CancelledBy in place of NeverCreated and Workspace). It keeps a job from being created if one of them may cancel that job.

--- a/internal/engine/creation_test.go
+++ b/internal/engine/creation_test.go
@@ -51,7 +51,7 @@
 // transaction that creates it was on its way to the store.
 func TestAJobCancelledBeforeItsCreationIsStoredIsNotCreated(t *testing.T) {
 	e, store := newEngine(t, &fakeTerm{certain: true})
-	ops, err := PreventOps(service, "j1", "", epoch)
+	ops, err := PreventOps(service, "j1", []work.WorkspaceName{""}, epoch)
 	assert.NilError(t, err)
 	_, err = store.Txn(t.Context(), infra.Txn{Then: ops})
 	assert.NilError(t, err)
@@ -64,7 +64,7 @@
 // Guards against a workspace that keeps another one's job from being created by cancelling its ID.
 func TestAnotherWorkspacesCancellationDoesNotPreventACreation(t *testing.T) {
 	e, store := newEngine(t, &fakeTerm{certain: true})
-	ops, err := PreventOps(service, "j1", "blue", epoch)
+	ops, err := PreventOps(service, "j1", []work.WorkspaceName{"blue"}, epoch)
 	assert.NilError(t, err)
 	_, err = store.Txn(t.Context(), infra.Txn{Then: ops})
 	assert.NilError(t, err)
--- a/internal/engine/records.go
+++ b/internal/engine/records.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"slices"
 	"time"
 
 	"github.com/pumicestage/pumicestage/internal/infra"
@@ -19,9 +20,17 @@
 	State work.State `json:"state,omitempty"` // empty until the job has ended
 	Ended time.Time  `json:"ended,omitzero"`
 
-	// NeverCreated is set if the job was cancelled before any submission of it was stored. Callers
-	// are told that there is no such job.
-	NeverCreated bool `json:"never-created,omitempty"`
+	// CancelledBy holds the workspaces of the callers that cancelled the job before any submission of
+	// it was stored; empty: the job was created. "" stands for a caller without a workspace.
+	CancelledBy []work.WorkspaceName `json:"cancelled-by,omitempty"`
+}
+
+// NeverCreated reports whether the job was only cancelled. Callers are told that there is no such job.
+func (s *JobStub) NeverCreated() bool { return len(s.CancelledBy) > 0 }
+
+// prevents reports whether one of the cancellations keeps a job of the workspace from being created.
+func (s *JobStub) prevents(workspace work.WorkspaceName) bool {
+	return slices.ContainsFunc(s.CancelledBy, func(by work.WorkspaceName) bool { return MayAccess(workspace, by) })
 }
 
 // JobRecord is the stored description of a job that has not ended.
@@ -55,10 +64,11 @@
 	return []infra.Op{infra.Put(infra.WorkJobKey(string(id)), raw), infra.Delete(infra.WorkOpenKey(stub.Cell, string(id)))}, nil
 }
 
-// PreventOps returns the write that keeps a job from being created: a submission that is stored later
-// finds the job key. The transaction must be conditional on the absence of the job key.
-func PreventOps(cell string, id work.JobID, workspace work.WorkspaceName, at time.Time) ([]infra.Op, error) {
-	raw, err := json.Marshal(JobStub{Cell: cell, Workspace: workspace, State: work.Cancelled, Ended: at, NeverCreated: true})
+// PreventOps returns the write that keeps the cancellers' jobs from being created under the ID: a
+// submission that is stored later finds the job key. The transaction must be conditional on the job
+// key, which doesn't exist or holds the earlier cancellations.
+func PreventOps(cell string, id work.JobID, cancelledBy []work.WorkspaceName, at time.Time) ([]infra.Op, error) {
+	raw, err := json.Marshal(JobStub{Cell: cell, State: work.Cancelled, Ended: at, CancelledBy: cancelledBy})
 	if err != nil {
 		return nil, err
 	}
@@ -68,7 +78,7 @@
 // CheckRepeat tells what the job key under j's ID means for j. It returns nil if j repeats the
 // submission of that job, ErrOtherWorkspace if another workspace uses the ID, and ErrCancelledEarly if
 // the job was cancelled before it was created. free tells that j may be created in place of the key:
-// there is none, or a workspace that may not cancel j has cancelled the ID. A malformed stub counts as the caller's: the
+// there is none, or only workspaces that may not cancel j have cancelled the ID. A malformed stub counts as the caller's: the
 // job exists, and a repeated submission must not be told that it doesn't.
 func CheckRepeat(key infra.KV, j *work.Job) (free bool, err error) {
 	var s JobStub
@@ -77,10 +87,10 @@
 		return true, nil
 	case err != nil:
 		return false, nil
-	case s.NeverCreated && !MayAccess(j.Workspace, s.Workspace):
-		return true, nil
-	case s.NeverCreated:
+	case s.prevents(j.Workspace):
 		return false, ErrCancelledEarly
+	case s.NeverCreated():
+		return true, nil
 	case s.Workspace != j.Workspace:
 		return false, ErrOtherWorkspace
 	}
--- a/internal/jobfront/front.go
+++ b/internal/jobfront/front.go
@@ -6,6 +6,7 @@
 	"errors"
 	"expvar"
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -294,16 +295,23 @@
 // another workspace's job: callers must not learn which IDs other workspaces use.
 func (f *Front) readStubFor(ctx context.Context, id work.JobID, workspace work.WorkspaceName) (*engine.JobStub, infra.Revision, error) {
 	stub, rev, err := f.readStub(ctx, id)
-	switch {
-	case err != nil:
-		return nil, 0, err
-	case !engine.MayAccess(stub.Workspace, workspace):
+	if err == nil {
+		err = f.checkAccess(id, stub, workspace)
+	}
+	return stub, rev, err
+}
+
+// checkAccess returns ErrUnknownJob if callers of the workspace must be told that there is no job with
+// this stub.
+func (f *Front) checkAccess(id work.JobID, stub *engine.JobStub, workspace work.WorkspaceName) error {
+	if stub.NeverCreated() {
+		return ErrUnknownJob
+	}
+	if !engine.MayAccess(stub.Workspace, workspace) {
 		f.Log.Info("request for another workspace's job", "job", id, "workspace", stub.Workspace, "by", workspace)
-		return nil, 0, ErrUnknownJob
-	case stub.NeverCreated:
-		return nil, 0, ErrUnknownJob
+		return ErrUnknownJob
 	}
-	return stub, rev, nil
+	return nil
 }
 
 // readStub reads the job's stub, i.e. its short record, and its revision from the store. It returns
@@ -406,13 +414,19 @@
 // tryCancelInStore tries once what cancelInStore does. sent tells that a failed attempt may have
 // taken effect. Errors but errNotConfirmed end the request.
 func (f *Front) tryCancelInStore(ctx context.Context, id work.JobID, triedCell string, workspace work.WorkspaceName) (sent bool, err error) {
-	stub, rev, err := f.readStubFor(ctx, id, workspace)
+	stub, rev, err := f.readStub(ctx, id)
 	if errors.Is(err, errNoStub) {
-		return f.preventCreation(ctx, id, triedCell, workspace)
+		return f.preventCreation(ctx, id, &engine.JobStub{Cell: triedCell}, 0, workspace)
 	}
 	if err != nil {
 		return false, err
 	}
+	if stub.NeverCreated() {
+		return f.preventCreation(ctx, id, stub, rev, workspace)
+	}
+	if err := f.checkAccess(id, stub, workspace); err != nil {
+		return false, err
+	}
 	if stub.State != "" {
 		f.logCancellation(id, cancelledEndedStub)
 		return false, nil
@@ -444,14 +458,18 @@
 	return sent || infra.IsKind(err, infra.KindUnknown), errNotConfirmed
 }
 
-// preventCreation keeps a job without a stub from being created by a submission that is still on its
-// way, so that ErrUnknownJob stays true. Its results are those of tryCancelInStore.
-func (f *Front) preventCreation(ctx context.Context, id work.JobID, cell string, workspace work.WorkspaceName) (sent bool, err error) {
-	ops, err := engine.PreventOps(cell, id, workspace, f.Clock.Wall())
+// preventCreation keeps a job that doesn't exist from being created by a submission that is still on
+// its way, so that ErrUnknownJob stays true. stub holds earlier cancellations of it and rev is its
+// revision, 0 if there is none. The results are those of tryCancelInStore.
+func (f *Front) preventCreation(ctx context.Context, id work.JobID, stub *engine.JobStub, rev infra.Revision, workspace work.WorkspaceName) (sent bool, err error) {
+	if slices.Contains(stub.CancelledBy, workspace) {
+		return false, ErrUnknownJob
+	}
+	ops, err := engine.PreventOps(stub.Cell, id, append(stub.CancelledBy, workspace), f.Clock.Wall())
 	if err != nil {
 		return false, &Refusal{Reason: "cancellation can't be stored: " + err.Error()}
 	}
-	res, err := f.runTxn(ctx, infra.Txn{If: []infra.Cond{{Key: infra.WorkJobKey(string(id))}}, Then: ops})
+	res, err := f.runTxn(ctx, infra.Txn{If: []infra.Cond{{Key: infra.WorkJobKey(string(id)), ModRevision: rev}}, Then: ops})
 	if err == nil && res.Succeeded {
 		return false, ErrUnknownJob
 	}
