Inbox messages are logged once they are handled

Found by the review: since cancellations take effect without a certain lease, an owner that isn't certain of its lease logged every message again with each attempt, ten times a second. A message is logged when it is about to be deleted, with a field that tells whether the job was unknown. No decision is changed.

--- a/internal/engine/inbox.go
+++ b/internal/engine/inbox.go
@@ -32,6 +32,8 @@
 	key  string
 	kind string
 	job  work.JobID
+
+	unknown bool // a cancellation of a job that the core doesn't know
 }
 
 // parseInboxKey returns the message under a key of the cell's inbox; false if the key is
@@ -105,8 +107,7 @@
 		case !ok:
 			e.Log.Info("inbox key is malformed", "key", key)
 		case n.kind == InboxCancel:
-			e.Log.Info("inbox message read", "kind", n.kind, "job", n.job)
-			e.cancelFromInbox(n.job)
+			n.unknown = !e.cancelFromInbox(n.job)
 			cancels = append(cancels, n)
 		default:
 			submits = append(submits, n)
@@ -117,20 +118,21 @@
 	if len(handled) > 0 && !e.Term.Certain() {
 		return ErrNotReady
 	}
+	for _, n := range handled {
+		e.Log.Info("inbox message read", "kind", n.kind, "job", n.job, "unknown", n.unknown)
+	}
 	return trace.Wrap(errors.Join(err, e.deleteMessages(ctx, handled)))
 }
 
-// cancelFromInbox cancels a job in the core. Its stored record is marked as cancelled
-// already, so nobody waits for that to be stored.
-func (e *Engine) cancelFromInbox(id work.JobID) {
+// cancelFromInbox cancels a job in the core and reports whether the job is known there. Its end is
+// stored already, so nobody waits for that.
+func (e *Engine) cancelFromInbox(id work.JobID) (known bool) {
 	e.mu.Lock()
-	known := e.core.CancelledInStore(id)
+	known = e.core.CancelledInStore(id)
 	e.mu.Unlock()
-	if !known {
-		e.Log.Info("job of inbox message is cancelled already", "job", id)
-	}
 	kick(e.storeKick)
 	kick(e.planKick)
+	return known
 }
 
 // readJobs reads the jobs of the messages that the core doesn't know yet, inboxReaders at a time, and
@@ -155,7 +157,6 @@
 	readers.Wait()
 	for i, n := range messages {
 		if errs[i] == nil {
-			e.Log.Info("inbox message read", "kind", n.kind, "job", n.job)
 			handled = append(handled, n)
 		}
 	}
--- a/internal/engine/records.go
+++ b/internal/engine/records.go
@@ -78,8 +78,8 @@
 // CheckRepeat tells what the job key under j's ID means for j. It returns nil if j repeats the
 // submission of that job, ErrOtherWorkspace if another workspace uses the ID, and ErrCancelledEarly if
 // the job was cancelled before it was created. free tells that j may be created in place of the key:
-// there is none, or only workspaces that may not cancel j have cancelled the ID. A malformed stub counts as the caller's: the
-// job exists, and a repeated submission must not be told that it doesn't.
+// there is none, or only workspaces that may not cancel j have cancelled the ID. A malformed stub counts
+// as the caller's: the job exists, and a repeated submission must not be told that it doesn't.
 func CheckRepeat(key infra.KV, j *work.Job) (free bool, err error) {
 	var s JobStub
 	switch err := json.Unmarshal(key.Value, &s); {
