--- a/internal/members/members_test.go
+++ b/internal/members/members_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"testing"
 	"time"
 
@@ -111,3 +112,50 @@
 	live, _ = d.Live()
 	assert.Equal(t, len(live), 0)
 }
+
+// lateStore carries the first transaction out late, without an answer, and doesn't answer the
+// revocation that follows it.
+type lateStore struct {
+	infra.Store
+	late    *infra.Txn
+	revoked bool
+}
+
+func (s *lateStore) Txn(ctx context.Context, t infra.Txn) (infra.TxnResult, error) {
+	if s.late == nil {
+		s.late = &t
+		return infra.TxnResult{}, infra.Errorf("txn", infra.KindUnknown, "no answer")
+	}
+	return s.Store.Txn(ctx, t)
+}
+
+func (s *lateStore) Revoke(ctx context.Context, lease infra.LeaseID) error {
+	if !s.revoked {
+		s.revoked = true
+		return infra.Errorf("revoke", infra.KindUnknown, "no answer")
+	}
+	return s.Store.Revoke(ctx, lease)
+}
+
+// Guards against a VM that stays unknown to the others for good: an earlier write of its key, which got
+// no answer, was carried out late, and the key was removed with the lease of that write.
+func TestALateWriteOfTheKeyDoesNotRemoveItForGood(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	store := &lateStore{Store: memstore.New(clock)}
+	ctx, cancel := context.WithCancel(t.Context())
+	var publisher sync.WaitGroup
+	publisher.Go(func() {
+		p := &Publisher{Store: store, Name: "e1", Self: self(), Log: logr.Discard(), Renew: time.Millisecond}
+		p.Run(ctx)
+	})
+	eventually(t, "key", func() bool { return countKeys(t, store) == 1 })
+	_, err := store.Store.Txn(ctx, *store.late)
+	assert.NilError(t, err)
+	for range 3 {
+		clock.Advance(ttl / 2)
+		time.Sleep(50 * time.Millisecond) // the publisher renews its lease
+	}
+	eventually(t, "key after the first lease has expired", func() bool { return countKeys(t, store) == 1 })
+	cancel()
+	publisher.Wait()
+}
