--- a/internal/engine/committer.go
+++ b/internal/engine/committer.go
@@ -95,15 +95,33 @@
 	left := len(w.waiting)
 	w.mu.Unlock()
 	w.engine.mu.Lock()
+	repeats := b.removeKnown(w.engine.core)
 	b.flush = w.engine.core.TakeFlush(txnEntries - commitEntries - createEntries*len(b.creates))
 	all, _ := w.engine.core.Dirty()
 	w.engine.mu.Unlock()
+	for c, err := range repeats {
+		w.finish(c, err)
+	}
 	if left > 0 || all > 0 {
 		kick(w.engine.storeKick)
 	}
 	return b
 }
 
+// removeKnown takes the creations of jobs that the core knows by now out of the batch, and returns
+// them with their outcomes. The batch may hold such a job's end, which writes the same key.
+func (b *batch) removeKnown(core *Core) map[*creation]error {
+	repeats := make(map[*creation]error)
+	b.creates = slices.DeleteFunc(b.creates, func(c *creation) bool {
+		known := core.Known(c.job.ID)
+		if known {
+			repeats[c] = core.checkRepeat(c.job)
+		}
+		return known
+	})
+	return repeats
+}
+
 // takeDistinct takes up to n creations of different jobs and returns them and the rest. The store
 // rejects a transaction that writes a key twice.
 func takeDistinct(waiting []*creation, n int) (taken, left []*creation) {
@@ -167,7 +185,7 @@
 	}
 	for _, create := range b.creates {
 		key := infra.WorkJobKey(string(create.job.ID))
-		t.If = append(t.If, infra.Cond{Key: key})
+		t.If = append(t.If, infra.Cond{Key: key, ModRevision: create.rev})
 		t.Then = append(t.Then, create.ops...)
 		t.Else = append(t.Else, infra.Read(key))
 	}
@@ -246,11 +264,9 @@
 	}
 	kept := b.creates[:0]
 	for i, create := range b.creates {
-		if i+1 < len(reads) && reads[i+1].ModRevision != 0 {
-			w.alreadyStored(create, reads[i+1].Value)
-			continue
+		if i+1 >= len(reads) || reads[i+1].ModRevision == create.rev || !w.handleExisting(create, reads[i+1]) {
+			kept = append(kept, create)
 		}
-		kept = append(kept, create)
 	}
 	b.creates = kept
 	return true
