--- a/internal/engine/creation_test.go
+++ b/internal/engine/creation_test.go
@@ -150,3 +150,53 @@
 	assert.NilError(t, <-repeat.done)
 	assert.NilError(t, <-ended)
 }
+
+// Guards against jobs that are remembered as unconfirmed for the rest of a term, whatever becomes of
+// their creations.
+func TestNoCreationIsRememberedOnceItsOutcomeIsKnown(t *testing.T) {
+	e, inner := newEngine(t, &fakeTerm{certain: true})
+	store := faulty.Wrap(inner)
+	e.Store = store
+	w := e.writer
+	submit := func(ctx context.Context, id work.JobID, outcome func()) error {
+		done := make(chan error, 1)
+		go func() { done <- w.create(ctx, newCreation(t, id).job, Queue{Name: queue, Service: service}) }()
+		for waitingJobs(w) == 0 {
+			runtime.Gosched()
+		}
+		assert.Equal(t, len(e.core.unconfirmed), 1)
+		outcome()
+		err := <-done
+		assert.Equal(t, len(e.core.unconfirmed), 0, "after the outcome %v", err)
+		return err
+	}
+	storeBatch := func() { w.committers[0].store(t.Context(), w.committers[0].nextBatch()) }
+	assert.NilError(t, submit(t.Context(), "stored", storeBatch))
+	storeWithMessage(t, inner, "repeated")
+	assert.NilError(t, submit(t.Context(), "repeated", storeBatch))
+	ctx, cancel := context.WithCancel(t.Context())
+	assert.ErrorIs(t, submit(ctx, "withdrawn", cancel), ErrStore)
+	store.SetDown(true)
+	assert.ErrorIs(t, submit(t.Context(), "refused", storeBatch), ErrStore)
+	assert.ErrorIs(t, submit(t.Context(), "waiting", func() { w.refuse(&batch{}) }), ErrStore)
+	assert.ErrorIs(t, submit(t.Context(), "at the end of the term", w.refuseAll), ErrNotReady)
+}
+
+// Guards against a cancelled job that runs: a repeated submission was given up before the outcome of
+// the first was known, and the cancellation was forgotten with it.
+func TestACancellationIsRememberedWhileAnyCreationIsUnconfirmed(t *testing.T) {
+	e, inner := newEngine(t, &fakeTerm{certain: true})
+	first := newCreation(t, "j1")
+	e.Store = &lateStore{Store: inner, meanwhile: func() {
+		key := storeCancellation(t, inner, "j1")
+		assert.Check(t, e.handleMessages(t.Context(), []string{key}))
+		ctx, cancel := context.WithCancel(t.Context())
+		cancel()
+		repeat := newCreation(t, "j1")
+		assert.ErrorIs(t, e.writer.create(ctx, repeat.job, repeat.queue), ErrStore)
+	}}
+	e.writer.begin(first)
+	e.writer.committers[0].store(t.Context(), &batch{creates: []*creation{first}, seq: 1})
+	assert.NilError(t, <-first.done)
+	assert.Equal(t, len(e.core.open), 0, "open jobs")
+}
