Model of cancellations: each part of the model makes its own random choices

Cause: with one random source a seed gave another sequence of events in each run. Change: one source for each caller, entry VM, store connection, worker and cell.

--- a/internal/jobfront/cancel_model_store_test.go
+++ b/internal/jobfront/cancel_model_store_test.go
@@ -26,6 +26,7 @@
 // modelStore is an entry VM's connection to the store.
 type modelStore struct {
 	infra.Store
+	*dice
 	m  *cancelModel
 	vm *entryVM
 
@@ -42,7 +43,7 @@
 func (s *modelStore) draw() storeMode {
 	s.m.mu.Lock()
 	defer s.m.mu.Unlock()
-	if s.m.healed || s.m.rng.IntN(100) >= s.percent {
+	if s.m.healed || !s.chance(s.percent) {
 		return storeOK
 	}
 	return s.mode
@@ -51,8 +52,8 @@
 // unanswered waits until a call without an answer is given up, or its connection is reset.
 func (s *modelStore) unanswered(ctx context.Context) {
 	wait := storeTimeout
-	if s.m.chance(30) {
-		wait = s.m.between(1, 300)
+	if s.chance(30) {
+		wait = s.between(1, 300)
 	}
 	sleep.For(ctx, wait)
 	s.vm.thaw()
@@ -108,11 +109,11 @@
 		s.unanswered(ctx)
 		return infra.Errorf(op, infra.KindUnavailable, "no answer")
 	}
-	sleep.For(s.m.ctx, s.m.between(0, 4))
+	sleep.For(s.m.ctx, s.between(0, 4))
 	err := call()
-	wait := s.m.between(0, 8)
+	wait := s.between(0, 8)
 	if mode == storeSlow {
-		wait = s.m.between(0, int(storeTimeout/time.Millisecond))
+		wait = s.between(0, int(storeTimeout/time.Millisecond))
 	}
 	answered := sleep.For(ctx, wait)
 	s.vm.thaw()
@@ -138,7 +139,7 @@
 		return infra.TxnResult{}, lost
 	case storeActsLate:
 		s.m.tasks.Go(func() {
-			sleep.For(s.m.ctx, s.m.between(0, int(maxLateness/time.Millisecond)))
+			sleep.For(s.m.ctx, s.between(0, int(maxLateness/time.Millisecond)))
 			if res, err := s.Store.Txn(context.Background(), t); err == nil && res.Succeeded {
 				s.m.count("transactions carried out late")
 			}
@@ -146,16 +147,16 @@
 		s.unanswered(ctx)
 		return infra.TxnResult{}, lost
 	}
-	sleep.For(s.m.ctx, s.m.between(0, 4))
+	sleep.For(s.m.ctx, s.between(0, 4))
 	res, err := s.Store.Txn(context.Background(), t)
-	wait := s.m.between(0, 8)
+	wait := s.between(0, 8)
 	switch mode {
 	case storeLosesAnswers:
 		s.m.count("transactions whose answer was lost")
 		s.unanswered(ctx)
 		return infra.TxnResult{}, lost
 	case storeSlow:
-		wait = s.m.between(0, 1200)
+		wait = s.between(0, 1200)
 	}
 	answered := wait < storeTimeout && sleep.For(ctx, wait)
 	s.vm.thaw()
@@ -187,7 +188,7 @@
 		defer cancel()
 		for b := range in {
 			s.vm.thaw()
-			sleep.For(ctx, s.m.between(0, 5))
+			sleep.For(ctx, s.between(0, 5))
 			if fails() {
 				b = infra.WatchBatch{Err: infra.Errorf("watch", infra.KindUnavailable, "cut")}
 			}
--- a/internal/jobfront/cancel_model_test.go
+++ b/internal/jobfront/cancel_model_test.go
@@ -23,6 +23,8 @@
 var (
 	cancelSeeds = flag.Int("cancel-seeds", 12, "number of seeds for the model of cancellations")
 	cancelFirst = flag.Uint64("cancel-first", 1, "first seed for the model of cancellations")
+	// Without it, only lines about jobs with a violation are printed.
+	cancelAllLines = flag.Bool("cancel-all-lines", false, "print all log lines of a failed seed of the model of cancellations")
 )
 
 // Times of the model.
@@ -41,6 +43,7 @@
 
 // modelJob is a job with what its callers were told about it.
 type modelJob struct {
+	*dice
 	id        work.JobID
 	workspace work.WorkspaceName
 	step      work.Step
@@ -66,8 +69,8 @@
 // whether the job was accepted.
 func (m *cancelModel) submit(j *modelJob) bool {
 	for range 6 {
-		v := m.anyEntry()
-		err, answered := m.request(v, func(ctx context.Context) error {
+		v := m.anyEntry(j.dice)
+		err, answered := m.request(j.dice, v, func(ctx context.Context) error {
 			copied := &work.Job{ID: j.id, Queue: modelQueue, Spec: "spec", Workspace: j.workspace, Steps: []work.Step{j.step}, Accepted: time.Now()}
 			return v.front.Submit(ctx, copied, m.queueAt(v))
 		})
@@ -78,16 +81,16 @@
 			m.locked(func() { j.accepted = true })
 			return true
 		case answered && errors.As(err, &refusal):
-			if m.chance(50) {
+			if j.chance(50) {
 				return false
 			}
-			m.wait(200, 1200)
+			m.wait(j.dice, 200, 1200)
 		default:
 			m.locked(func() { j.uncertain = true })
-			if m.chance(15) {
+			if j.chance(15) {
 				return false
 			}
-			m.wait(1, 300)
+			m.wait(j.dice, 1, 300)
 		}
 	}
 	return false
@@ -96,9 +99,9 @@
 // cancel has a caller cancel the job until that is acknowledged or the model ends.
 func (m *cancelModel) cancel(j *modelJob) {
 	for m.ctx.Err() == nil {
-		v := m.anyEntry()
+		v := m.anyEntry(j.dice)
 		m.locked(func() { j.cancels++ })
-		err, answered := m.request(v, func(ctx context.Context) error { return v.front.Cancel(ctx, j.id, m.queueAt(v), j.workspace) })
+		err, answered := m.request(j.dice, v, func(ctx context.Context) error { return v.front.Cancel(ctx, j.id, m.queueAt(v), j.workspace) })
 		m.logf("caller: cancellation of %s to %s: answered %v, %v", j.id, v.name, answered, err)
 		if answered && (err == nil || errors.Is(err, jobfront.ErrUnknownJob)) {
 			m.locked(func() {
@@ -108,15 +111,15 @@
 			})
 			return
 		}
-		m.wait(10, 400)
+		m.wait(j.dice, 10, 400)
 	}
 }
 
 // cancelByOther has a caller of another workspace cancel the job, which must have no effect.
 func (m *cancelModel) cancelByOther(j *modelJob) {
-	v := m.anyEntry()
+	v := m.anyEntry(j.dice)
 	m.locked(func() { j.foreign++ })
-	err, answered := m.request(v, func(ctx context.Context) error { return v.front.Cancel(ctx, j.id, m.queueAt(v), "other") })
+	err, answered := m.request(j.dice, v, func(ctx context.Context) error { return v.front.Cancel(ctx, j.id, m.queueAt(v), "other") })
 	m.logf("caller of another workspace: cancellation of %s to %s: answered %v, %v", j.id, v.name, answered, err)
 	if answered && err == nil {
 		m.violate("%s of workspace %q is cancelled for another workspace", j.id, j.workspace)
@@ -125,23 +128,23 @@
 
 // runJob simulates the callers of one job.
 func (m *cancelModel) runJob(j *modelJob) {
-	m.wait(0, int(modelFaults/time.Millisecond)-3000)
+	m.wait(j.dice, 0, int(modelFaults/time.Millisecond)-3000)
 	accepted := m.submit(j)
-	if accepted && m.chance(30) {
+	if accepted && j.chance(30) {
 		m.tasks.Go(func() { // a repeated request that arrives seconds after its answer
-			m.wait(0, 4000)
+			m.wait(j.dice, 0, 4000)
 			m.submit(j)
 		})
 	}
-	if accepted && j.workspace != "" && m.chance(50) {
-		m.wait(0, 1000)
+	if accepted && j.workspace != "" && j.chance(50) {
+		m.wait(j.dice, 0, 1000)
 		m.cancelByOther(j)
 	}
-	if !m.chance(70) {
+	if !j.chance(70) {
 		return
 	}
-	m.wait(0, []int{30, 300, 2000}[m.intN(3)])
-	if m.chance(15) {
+	m.wait(j.dice, 0, []int{30, 300, 2000}[j.intN(3)])
+	if j.chance(15) {
 		m.tasks.Go(func() { m.cancel(j) }) // two requests at the same time
 	}
 	m.cancel(j)
@@ -228,7 +231,7 @@
 		m.end()
 		violations = m.violations
 		for _, line := range m.lines {
-			if slices.ContainsFunc(m.jobs, func(j *modelJob) bool { return m.suspect[j.id] && strings.Contains(line, string(j.id)) }) {
+			if *cancelAllLines || slices.ContainsFunc(m.jobs, func(j *modelJob) bool { return m.suspect[j.id] && strings.Contains(line, string(j.id)) }) {
 				lines = append(lines, line)
 			}
 		}
--- a/internal/jobfront/cancel_model_workers_test.go
+++ b/internal/jobfront/cancel_model_workers_test.go
@@ -24,8 +24,9 @@
 
 // modelWorker is a worker with the guarantees that the platform gives: fencing by token, run numbers, one
 // lease for all runs, stops that take a while, and ends that are listed until they are acknowledged. All
-// its fields but the first three are guarded by cancelModel.mu.
+// its fields but the first four are guarded by cancelModel.mu.
 type modelWorker struct {
+	*dice
 	m    *cancelModel
 	id   work.WorkerID
 	cell string
@@ -144,7 +145,7 @@
 	w.token = token
 	w.highest[ref] = max(w.highest[ref], run)
 	if r := w.running[ref]; r != nil && r.run <= run && r.stopAt == 0 {
-		r.stopAt = m.now() + time.Duration(m.rng.IntN(int(modelStopGrace)))
+		r.stopAt = m.now() + w.between(0, int(modelStopGrace/time.Millisecond))
 	}
 	return engine.OutcomeOK
 }
@@ -189,7 +190,7 @@
 	m := c.m
 	c.vm.thaw()
 	if c.vm.fails() {
-		fate := m.intN(4)
+		fate := c.vm.intN(4)
 		m.count([]string{"not sent", "lost", "late", "answer lost"}[fate] + ": " + what)
 		switch fate {
 		case 0:
@@ -198,7 +199,7 @@
 			sleep.For(ctx, time.Second)
 		case 2:
 			m.tasks.Go(func() {
-				sleep.For(m.ctx, m.between(0, int(maxLateness/time.Millisecond)))
+				sleep.For(m.ctx, c.vm.between(0, int(maxLateness/time.Millisecond)))
 				f(m.ctx)
 			})
 			sleep.For(ctx, time.Second)
@@ -209,9 +210,9 @@
 		c.vm.thaw()
 		return engine.OutcomeUnknown
 	}
-	sleep.For(m.ctx, m.between(0, 4))
+	sleep.For(m.ctx, c.vm.between(0, 4))
 	out := f(ctx)
-	sleep.For(m.ctx, m.between(0, 4))
+	sleep.For(m.ctx, c.vm.between(0, 4))
 	c.vm.thaw()
 	if ctx.Err() != nil {
 		return engine.OutcomeUnknown
--- a/internal/jobfront/cancel_model_world_test.go
+++ b/internal/jobfront/cancel_model_world_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"hash/fnv"
 	"math/rand/v2"
 	"sync"
 	"testing"
@@ -41,12 +42,40 @@
 func (c modelClock) Now() time.Duration { return time.Minute + time.Since(c.start) }
 func (c modelClock) Wall() time.Time    { return time.Now() }
 
+// dice makes the random choices of one part of the model. Each part has its own, so that a choice of one
+// part changes as little as possible of what others do with the same seed.
+type dice struct {
+	mu  sync.Mutex
+	rng *rand.Rand
+}
+
+// newDice returns the dice of the named part.
+func newDice(seed uint64, part string) *dice {
+	h := fnv.New64a()
+	h.Write([]byte(part)) // never returns an error
+	return &dice{rng: rand.New(rand.NewPCG(seed, h.Sum64()))}
+}
+
+func (d *dice) intN(n int) int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.rng.IntN(n)
+}
+
+func (d *dice) chance(percent int) bool { return d.intN(100) < percent }
+
+// between returns a random time of at least from and less than to milliseconds.
+func (d *dice) between(from, to int) time.Duration {
+	return time.Duration(from*1000+d.intN((to-from)*1000)) * time.Microsecond
+}
+
 // cancelModel simulates what surrounds the fronts and engines of several entry VMs: the store, the network
 // between all of them, ownership, workers and callers.
 type cancelModel struct {
 	t       *testing.T
 	ctx     context.Context // of the whole run
 	stop    context.CancelFunc
+	seed    uint64
 	tasks   sync.WaitGroup
 	clock   modelClock
 	store   *memstore.Store
@@ -54,8 +83,9 @@
 	workers []*modelWorker
 	jobs    []*modelJob
 
+	*dice // for the layout of the model
+
 	mu         sync.Mutex
-	rng        *rand.Rand
 	healed     bool
 	tokens     int64
 	owners     map[string]*modelTerm // by cell: the latest term
@@ -67,23 +97,23 @@
 
 func newCancelModel(t *testing.T, seed uint64) *cancelModel {
 	m := &cancelModel{
-		t: t, clock: modelClock{time.Now()}, store: memstore.New(clockwork.NewRealClock()), rng: rand.New(rand.NewPCG(seed, 1)),
+		t: t, clock: modelClock{time.Now()}, store: memstore.New(clockwork.NewRealClock()), dice: newDice(seed, "layout"), seed: seed,
 		owners: make(map[string]*modelTerm), suspect: make(map[work.JobID]bool), counts: make(map[string]int),
 	}
 	m.ctx, m.stop = context.WithCancel(t.Context())
 	for _, cell := range modelCells {
 		for range modelWorkers {
 			m.workers = append(m.workers, &modelWorker{
-				m: m, id: work.WorkerID(fmt.Sprintf("w%d", len(m.workers))), cell: cell,
+				m: m, dice: newDice(seed, fmt.Sprint("worker", len(m.workers))), id: work.WorkerID(fmt.Sprintf("w%d", len(m.workers))), cell: cell,
 				running: make(map[work.TaskRef]*modelRun), highest: make(map[work.TaskRef]int),
 			})
 		}
 	}
 	moveAt := m.now() + m.between(2000, 12000)
 	for i := range modelEntries {
-		v := &entryVM{m: m, name: fmt.Sprintf("e%d", i), engines: make(map[string]*engine.Engine), believed: make(map[string]*modelTerm)}
+		v := &entryVM{m: m, dice: newDice(seed, fmt.Sprint("entry", i)), name: fmt.Sprintf("e%d", i), engines: make(map[string]*engine.Engine), believed: make(map[string]*modelTerm)}
 		v.configuredAt = moveAt + m.between(0, 2000)
-		v.store = &modelStore{m: m, vm: v, Store: m.store}
+		v.store = &modelStore{m: m, dice: newDice(seed, fmt.Sprint("store", i)), vm: v, Store: m.store}
 		v.cutOff = &jobfront.CutOff{}
 		v.log = funcr.New(func(prefix, args string) { m.logf("%s %s %s", v.name, prefix, args) }, funcr.Options{Verbosity: 1})
 		o := jobfront.Options{
@@ -96,10 +126,10 @@
 		}
 		v.front = jobfront.New(o)
 		m.entries = append(m.entries, v)
-		m.tasks.Go(v.injectFaults)
+		m.tasks.Go(func() { v.injectFaults(newDice(seed, fmt.Sprint("faults", i))) })
 	}
 	for i := range modelJobs {
-		j := &modelJob{id: work.JobID(fmt.Sprintf("%016x", 0xa00+i)), step: work.Step{Count: 1 + m.intN(3), Size: work.Resources{MilliCPU: 100, MemoryMB: 100}}}
+		j := &modelJob{dice: newDice(seed, fmt.Sprint("job", i)), id: work.JobID(fmt.Sprintf("%016x", 0xa00+i)), step: work.Step{Count: 1 + m.intN(3), Size: work.Resources{MilliCPU: 100, MemoryMB: 100}}}
 		if m.chance(50) {
 			j.step.LongRunning = true
 		} else {
@@ -111,8 +141,9 @@
 		m.jobs = append(m.jobs, j)
 	}
 	for _, cell := range modelCells {
-		m.beginTerm(cell)
-		m.tasks.Go(func() { m.changeOwners(cell) })
+		d := newDice(seed, cell)
+		m.beginTerm(d, cell)
+		m.tasks.Go(func() { m.changeOwners(d, cell) })
 	}
 	m.tasks.Go(m.tickWorkers)
 	return m
@@ -126,21 +157,8 @@
 	f()
 }
 
-func (m *cancelModel) intN(n int) int {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.rng.IntN(n)
-}
-
-func (m *cancelModel) chance(percent int) bool { return m.intN(100) < percent }
-
-// between returns a random time of at least from and less than to milliseconds.
-func (m *cancelModel) between(from, to int) time.Duration {
-	return time.Duration(from+m.intN(to-from))*time.Millisecond + time.Duration(m.intN(1000))*time.Microsecond
-}
-
 // wait sleeps for a random time of so many milliseconds.
-func (m *cancelModel) wait(from, to int) { sleep.For(m.ctx, m.between(from, to)) }
+func (m *cancelModel) wait(d *dice, from, to int) { sleep.For(m.ctx, d.between(from, to)) }
 
 func (m *cancelModel) faulty() bool {
 	m.mu.Lock()
@@ -148,7 +166,8 @@
 	return !m.healed
 }
 
-func (m *cancelModel) anyEntry() *entryVM { return m.entries[m.intN(len(m.entries))] }
+// anyEntry returns an entry VM that the dice choose.
+func (m *cancelModel) anyEntry(d *dice) *entryVM { return m.entries[d.intN(len(m.entries))] }
 
 func (m *cancelModel) count(what string) { m.locked(func() { m.counts[what]++ }) }
 
@@ -209,6 +228,7 @@
 
 // entryVM is an entry VM: a front, the engines of the cells that it owns, and its connections.
 type entryVM struct {
+	*dice
 	m            *cancelModel
 	name         string
 	front        *jobfront.Front
@@ -237,34 +257,34 @@
 }
 
 // injectFaults changes the entry VM's connections at random until the faults end.
-func (v *entryVM) injectFaults() {
+func (v *entryVM) injectFaults(d *dice) {
 	m := v.m
 	for m.faulty() && m.ctx.Err() == nil {
-		m.wait(100, 2500)
+		m.wait(d, 100, 2500)
 		if !m.faulty() {
 			return
 		}
-		switch m.intN(8) {
+		switch d.intN(8) {
 		case 0, 1:
-			v.store.setMode(storeLosesAnswers, 40+m.intN(60))
+			v.store.setMode(storeLosesAnswers, 40+d.intN(60))
 		case 2:
-			v.store.setMode(storeActsLate, 30+m.intN(60))
+			v.store.setMode(storeActsLate, 30+d.intN(60))
 		case 3:
-			v.store.setMode(storeRefuses, 50+m.intN(51))
+			v.store.setMode(storeRefuses, 50+d.intN(51))
 		case 4:
-			v.store.setMode(storeSilent, 50+m.intN(51))
+			v.store.setMode(storeSilent, 50+d.intN(51))
 		case 5:
-			v.store.setMode(storeSlow, 50+m.intN(51))
+			v.store.setMode(storeSlow, 50+d.intN(51))
 		case 6:
-			m.locked(func() { v.linkFaults = 10 + m.rng.IntN(60) })
+			m.locked(func() { v.linkFaults = 10 + d.intN(60) })
 		case 7:
 			v.store.setMode(storeRefuses, 100)
-			if m.chance(50) {
+			if d.chance(50) {
 				m.count("cut off")
 				v.cutOff.Set(true, m.now())
 			}
 		}
-		m.wait(200, 3500)
+		m.wait(d, 200, 3500)
 		v.store.setMode(storeOK, 0)
 		v.cutOff.Set(false, m.now())
 		m.locked(func() { v.linkFaults = 0 })
@@ -273,21 +293,22 @@
 
 // request carries out a caller's request at the entry VM. answered tells whether the answer arrives within
 // the caller's time; a request may be carried out although it doesn't.
-func (m *cancelModel) request(v *entryVM, f func(ctx context.Context) error) (err error, answered bool) {
-	timeout := m.between(500, 3000)
+func (m *cancelModel) request(d *dice, v *entryVM, f func(ctx context.Context) error) (err error, answered bool) {
+	timeout := d.between(500, 3000)
 	end := m.now() + timeout
 	// A caller that stops waiting closes its channel, of which the entry VM may not learn.
-	closes := m.chance(50)
+	closes := d.chance(50)
 	late := time.Duration(0)
-	if m.faulty() && m.chance(5) {
-		late = m.between(0, 4000)
+	if m.faulty() && d.chance(5) {
+		late = d.between(0, 4000)
 	}
-	loseAnswer := m.faulty() && m.chance(5)
+	loseAnswer := m.faulty() && d.chance(5)
+	transit := d.between(0, 5)
 	result := make(chan error, 1)
 	caller, stop := context.WithTimeout(m.ctx, timeout)
 	defer stop()
 	m.tasks.Go(func() {
-		sleep.For(m.ctx, m.between(0, 5)+late)
+		sleep.For(m.ctx, transit+late)
 		v.thaw()
 		parent := m.ctx
 		if closes {
@@ -348,19 +369,19 @@
 	m := l.m
 	l.from.thaw()
 	fails := l.from.fails() || l.to.fails()
-	fate := m.intN(4)
+	fate := l.from.intN(4)
 	if ctx.Err() != nil || fails && fate == 0 {
 		return engine.ErrNotReady // it did not leave
 	}
 	answer := make(chan error, 1)
 	m.tasks.Go(func() {
-		sleep.For(m.ctx, m.between(0, 4))
+		sleep.For(m.ctx, l.from.between(0, 4))
 		if fails && fate == 1 {
 			return
 		}
 		if fails && fate == 2 {
 			m.count("calls of an owner carried out late")
-			sleep.For(m.ctx, m.between(0, 3000))
+			sleep.For(m.ctx, l.from.between(0, 3000))
 		}
 		l.to.thaw()
 		var e *engine.Engine
@@ -372,14 +393,14 @@
 			err = f(serve, e)
 		}
 		l.to.thaw()
-		sleep.For(m.ctx, m.between(0, 4))
+		sleep.For(m.ctx, l.from.between(0, 4))
 		if !fails || fate == 2 {
 			answer <- err
 		}
 	})
 	reset := time.NewTimer(time.Hour)
-	if fails && m.chance(50) {
-		reset.Reset(m.between(0, 500))
+	if fails && l.from.chance(50) {
+		reset.Reset(l.from.between(0, 500))
 	}
 	defer reset.Stop()
 	var err error
@@ -406,7 +427,7 @@
 func (v *entryVM) fails() bool {
 	v.m.mu.Lock()
 	defer v.m.mu.Unlock()
-	return !v.m.healed && v.m.rng.IntN(100) < 2+v.linkFaults
+	return !v.m.healed && v.chance(2+v.linkFaults)
 }
 
 // modelTerm is a term of ownership.
@@ -445,8 +466,8 @@
 func (t *modelTerm) HandOver() { t.End("handed over") }
 
 // beginTerm makes a random entry VM the owner of the cell.
-func (m *cancelModel) beginTerm(cell string) {
-	v := m.anyEntry()
+func (m *cancelModel) beginTerm(d *dice, cell string) {
+	v := m.anyEntry(d)
 	ctx, cancel := context.WithCancel(m.ctx)
 	m.mu.Lock()
 	m.tokens++
@@ -473,8 +494,9 @@
 		})
 	})
 	for _, other := range m.entries {
+		delay := d.between(0, 600)
 		m.tasks.Go(func() { // each learns of the owner in its own time
-			m.wait(0, 600)
+			sleep.For(m.ctx, delay)
 			m.locked(func() {
 				if now := other.believed[cell]; now == nil || now.token < t.token {
 					other.believed[cell] = t
@@ -486,10 +508,10 @@
 
 // changeOwners replaces the cell's owner at random times until the faults end, and whenever a term ends by
 // itself.
-func (m *cancelModel) changeOwners(cell string) {
+func (m *cancelModel) changeOwners(d *dice, cell string) {
 	for m.ctx.Err() == nil {
 		t := m.owners[cell]
-		pause := m.between(1500, 9000)
+		pause := d.between(1500, 9000)
 		if !m.faulty() {
 			pause = time.Hour
 		}
@@ -500,45 +522,45 @@
 			if !m.faulty() {
 				continue
 			}
-			m.removeOwner(t)
+			m.removeOwner(d, t)
 		case <-m.ctx.Done():
 		}
 		timer.Stop()
 		if m.ctx.Err() == nil {
-			m.wait(0, 900) // until the lease has ended and another entry VM has acquired the cell
-			m.beginTerm(cell)
+			m.wait(d, 0, 900) // until the lease has ended and another entry VM has acquired the cell
+			m.beginTerm(d, cell)
 		}
 	}
 }
 
 // removeOwner ends the term in one of the ways in which terms end, and returns when the lease has expired.
-func (m *cancelModel) removeOwner(t *modelTerm) {
+func (m *cancelModel) removeOwner(d *dice, t *modelTerm) {
 	now := m.now()
-	left := m.between(0, 1500)
-	kind := m.intN(4)
+	left := d.between(0, 1500)
+	kind := d.intN(4)
 	m.count([]string{"owners killed", "owners frozen", "owners cut off", "owners that resigned"}[kind])
 	m.logf("%s: term %d of %s is to end (%d)", t.vm.name, t.token, t.cell, kind)
 	switch kind {
 	case 0:
 		t.cancel()
 	case 1: // It finds at its thaw that the lease has expired.
-		frozen := left + m.between(0, 4000)
+		frozen := left + d.between(0, 4000)
 		m.locked(func() {
 			t.certainUntil, t.allowedUntil = now+left, now+left
 			t.vm.frozenUntil = now + frozen
 		})
 		m.tasks.Go(func() {
 			t.vm.thaw()
-			m.wait(0, 300)
+			m.wait(d, 0, 300)
 			t.cancel()
 		})
 	case 2: // It can't reach the store and goes on for a while.
 		m.locked(func() { t.certainUntil, t.allowedUntil = now+left, now+left+engine.OwnerGrace })
 		t.vm.store.setMode(storeRefuses, 100)
 		m.tasks.Go(func() {
-			sleep.For(m.ctx, left+m.between(0, int(engine.OwnerGrace/time.Millisecond)))
+			sleep.For(m.ctx, left+d.between(0, int(engine.OwnerGrace/time.Millisecond)))
 			t.vm.store.setMode(storeOK, 0)
-			m.wait(0, 300)
+			m.wait(d, 0, 300)
 			t.cancel()
 		})
 	case 3:
