--- a/internal/jobfront/cancel_model_store_test.go
+++ b/internal/jobfront/cancel_model_store_test.go
@@ -36,7 +36,10 @@
 }
 
 func (s *modelStore) setMode(mode storeMode, percent int) {
-	s.m.locked(func() { s.mode, s.percent = mode, percent })
+	s.m.locked(func() {
+		s.mode, s.percent = mode, percent
+		s.vm.disturbedLocked(0)
+	})
 }
 
 // draw returns what happens to the next call.
@@ -188,7 +191,11 @@
 		defer cancel()
 		for b := range in {
 			s.vm.thaw()
-			sleep.For(ctx, s.between(0, 5))
+			delay := s.between(0, 5)
+			if s.draw() == storeSlow {
+				delay = s.between(0, 2000)
+			}
+			sleep.For(ctx, delay)
 			if fails() {
 				b = infra.WatchBatch{Err: infra.Errorf("watch", infra.KindUnavailable, "cut")}
 			}
--- a/internal/jobfront/cancel_model_test.go
+++ b/internal/jobfront/cancel_model_test.go
@@ -15,6 +15,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/pumicestage/pumicestage/internal/engine"
+	"github.com/pumicestage/pumicestage/internal/infra"
 	"github.com/pumicestage/pumicestage/internal/jobfront"
 	"github.com/pumicestage/pumicestage/internal/sleep"
 	"github.com/pumicestage/pumicestage/policy/work"
@@ -37,6 +38,8 @@
 	modelSettle = 20 * time.Second
 	// modelQuiet is how long no run of a cancelled job may start after that.
 	modelQuiet = 3 * time.Second
+	// modelTakeOver is how long after a take-over its effects are awaited.
+	modelTakeOver = 10 * time.Second
 	// modelFinish is how long after the faults jobs that are not cancelled may take.
 	modelFinish = 60 * time.Second
 )
@@ -128,7 +131,12 @@
 
 // runJob simulates the callers of one job.
 func (m *cancelModel) runJob(j *modelJob) {
-	m.wait(j.dice, 0, int(modelFaults/time.Millisecond)-3000)
+	if m.bursts == 0 {
+		m.wait(j.dice, 0, int(modelFaults/time.Millisecond)-3000)
+	} else {
+		m.wait(j.dice, 0, 50)
+		sleep.For(m.ctx, time.Duration(1+j.intN(m.bursts))*4*time.Second)
+	}
 	accepted := m.submit(j)
 	if accepted && j.chance(30) {
 		m.tasks.Go(func() { // a repeated request that arrives seconds after its answer
@@ -162,6 +170,14 @@
 		})
 	}
 	m.checkCancelledAreGone("after the faults")
+	m.checkStore()
+	if m.chance(50) {
+		// Whatever is still stored as open would run again.
+		for _, cell := range modelCells {
+			m.owner(cell).End("the model ends it")
+		}
+		sleep.For(m.ctx, modelTakeOver)
+	}
 	sleep.For(m.ctx, modelQuiet)
 	m.checkCancelledAreGone("later")
 	for _, j := range m.jobs {
@@ -186,6 +202,26 @@
 	}
 }
 
+// checkStore reports what the store still holds of cancelled jobs, and inbox messages that no owner handled.
+func (m *cancelModel) checkStore() {
+	for _, cell := range modelCells {
+		inbox, _, err := m.store.Range(m.ctx, infra.WorkInboxPrefix(cell))
+		assert.NilError(m.t, err)
+		for _, kv := range inbox {
+			m.violate("inbox message %s is not handled", kv.Key)
+		}
+		for _, j := range m.jobs {
+			var acked bool
+			m.locked(func() { acked = j.ackedAt != 0 })
+			open, _, err := m.store.Get(m.ctx, infra.WorkOpenKey(cell, string(j.id)))
+			assert.NilError(m.t, err)
+			if acked && open.ModRevision != 0 {
+				m.violate("%s: its cancellation was acknowledged (%s), and its record is stored", j.id, j.ackedBy)
+			}
+		}
+	}
+}
+
 // checkCancelledAreGone reports the runs on workers of jobs whose cancellation was acknowledged.
 func (m *cancelModel) checkCancelledAreGone(when string) {
 	running := m.running()
--- a/internal/jobfront/cancel_model_workers_test.go
+++ b/internal/jobfront/cancel_model_workers_test.go
@@ -37,6 +37,9 @@
 	highest  map[work.TaskRef]int // number of the latest run that ended or was stopped
 	ends     []engine.RunEnd
 	seq      int64
+	// lapsedSeq is the seq of the last end before the lease last expired. An end up to it doesn't forbid a
+	// later start of the task, since the owner could not know of it.
+	lapsedSeq int64
 }
 
 func (m *cancelModel) registry(cell string) []engine.WorkerInfo {
@@ -68,9 +71,13 @@
 		m.mu.Lock()
 		now := m.now()
 		for _, w := range m.workers {
+			lapsed := now > w.deadline
+			if lapsed {
+				w.lapsedSeq = w.seq + int64(len(w.running))
+			}
 			for ref, r := range w.running {
 				switch {
-				case now > w.deadline:
+				case lapsed:
 					w.endLocked(ref, work.LeaseExpired)
 				case r.stopAt != 0 && now > r.stopAt:
 					w.endLocked(ref, work.Stopped)
@@ -127,6 +134,9 @@
 				m.violateLocked("%s: run %d of %s starts on %s beside run %d on %s", j.id, s.Run, s.Task, w.id, beside.run, other.id)
 			}
 		}
+		if m.doneAcked[s.Task] {
+			m.violateLocked("%s: run %d of %s starts on %s after it was done and acknowledged", j.id, s.Run, s.Task, w.id)
+		}
 		w.running[s.Task] = r
 		j.starts = append(j.starts, modelStart{at: now, task: s.Task, token: s.Token})
 	}
@@ -160,6 +170,9 @@
 	w.token = h.Token
 	w.deadline = max(w.deadline, h.Deadline)
 	for len(w.ends) > 0 && w.ends[0].Seq <= h.AckedThrough {
+		if w.ends[0].How == work.Done && w.ends[0].Seq > w.lapsedSeq {
+			m.doneAcked[w.ends[0].Task] = true
+		}
 		w.ends = w.ends[1:]
 	}
 	until := m.now() + h.Wait
@@ -225,8 +238,29 @@
 	return c.m.workers[i]
 }
 
+// cancelWithin is how long after the acknowledgement an owner may order starts of the job's tasks, if it
+// has been in touch with the store and the workers for inTouchAfter.
+const (
+	cancelWithin = 3 * time.Second
+	inTouchAfter = 4 * time.Second
+)
+
+// checkInTouch reports a start order for a cancelled job by an owner in touch.
+func (c *modelWorkersClient) checkInTouch(s engine.Start) {
+	m := c.m
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := m.now()
+	for _, j := range m.jobs {
+		if j.id == s.Task.Job && j.ackedAt != 0 && now > j.ackedAt+cancelWithin && now > c.vm.calmFrom+inTouchAfter {
+			m.violateLocked("%s: %s, in touch, orders a start %s after the cancellation was acknowledged (%s)", j.id, c.vm.name, now-j.ackedAt, j.ackedBy)
+		}
+	}
+}
+
 // Start implements engine.Workers.
 func (c *modelWorkersClient) Start(ctx context.Context, w *engine.WorkerInfo, s engine.Start) (engine.Outcome, time.Duration) {
+	c.checkInTouch(s)
 	out := c.call(ctx, "starts", func(context.Context) engine.Outcome { return c.worker(w).start(s) })
 	return out, c.m.now()
 }
--- a/internal/jobfront/cancel_model_world_test.go
+++ b/internal/jobfront/cancel_model_world_test.go
@@ -29,6 +29,7 @@
 	modelEntries = 3
 	modelWorkers = 2 // of each cell
 	modelJobs    = 40
+	burstJobs    = 120 // with bursts, more than one transaction takes
 	// maxLateness is how long after it was sent a call without an answer may still take effect.
 	maxLateness = 5 * time.Second
 )
@@ -76,6 +77,7 @@
 	ctx     context.Context // of the whole run
 	stop    context.CancelFunc
 	seed    uint64
+	bursts  int // bursts of submissions; 0: submissions are spread
 	tasks   sync.WaitGroup
 	clock   modelClock
 	store   *memstore.Store
@@ -89,6 +91,7 @@
 	healed     bool
 	tokens     int64
 	owners     map[string]*modelTerm // by cell: the latest term
+	doneAcked  map[work.TaskRef]bool // tasks whose end as done was acknowledged to the worker
 	violations []string
 	suspect    map[work.JobID]bool // jobs with violations
 	lines      []string
@@ -99,6 +102,7 @@
 	m := &cancelModel{
 		t: t, clock: modelClock{time.Now()}, store: memstore.New(clockwork.NewRealClock()), dice: newDice(seed, "layout"), seed: seed,
 		owners: make(map[string]*modelTerm), suspect: make(map[work.JobID]bool), counts: make(map[string]int),
+		doneAcked: make(map[work.TaskRef]bool),
 	}
 	m.ctx, m.stop = context.WithCancel(t.Context())
 	for _, cell := range modelCells {
@@ -128,7 +132,12 @@
 		m.entries = append(m.entries, v)
 		m.tasks.Go(func() { v.injectFaults(newDice(seed, fmt.Sprint("faults", i))) })
 	}
-	for i := range modelJobs {
+	jobs := modelJobs
+	if m.chance(30) {
+		m.bursts = 1 + m.intN(3)
+		jobs = burstJobs
+	}
+	for i := range jobs {
 		j := &modelJob{dice: newDice(seed, fmt.Sprint("job", i)), id: work.JobID(fmt.Sprintf("%016x", 0xa00+i)), step: work.Step{Count: 1 + m.intN(3), Size: work.Resources{MilliCPU: 100, MemoryMB: 100}}}
 		if m.chance(50) {
 			j.step.LongRunning = true
@@ -204,7 +213,7 @@
 	m.mu.Unlock()
 	for _, v := range m.entries {
 		v.cutOff.Set(false, m.now())
-		m.locked(func() { v.frozenUntil = 0 })
+		m.locked(func() { v.frozenUntil, v.linkFaults = 0, 0 })
 		v.store.setMode(storeOK, 0)
 	}
 	m.logf("the faults end")
@@ -242,6 +251,18 @@
 	linkFaults  int                       // percentage of calls to workers and entry VMs that fail
 	engines     map[string]*engine.Engine // by cell
 	believed    map[string]*modelTerm     // by cell: the owner as far as this entry VM knows
+	calmFrom    time.Duration             // when the last disturbance of the entry VM ends or ended
+}
+
+// disturbedLocked records that the entry VM is disturbed, or the end of a disturbance. The caller holds
+// cancelModel.mu.
+func (v *entryVM) disturbedLocked(lasts time.Duration) {
+	v.calmFrom = max(v.calmFrom, v.m.now()+lasts)
+	if v.store.mode != storeOK || v.linkFaults > 0 {
+		v.calmFrom = 1 << 62
+	} else if v.calmFrom == 1<<62 {
+		v.calmFrom = max(v.m.now()+lasts, v.frozenUntil)
+	}
 }
 
 // thaw waits while the entry VM is frozen. All its calls begin and end with it.
@@ -276,7 +297,10 @@
 		case 5:
 			v.store.setMode(storeSlow, 50+d.intN(51))
 		case 6:
-			m.locked(func() { v.linkFaults = 10 + d.intN(60) })
+			m.locked(func() {
+				v.linkFaults = 10 + d.intN(60)
+				v.disturbedLocked(0)
+			})
 		case 7:
 			v.store.setMode(storeRefuses, 100)
 			if d.chance(50) {
@@ -287,7 +311,10 @@
 		m.wait(d, 200, 3500)
 		v.store.setMode(storeOK, 0)
 		v.cutOff.Set(false, m.now())
-		m.locked(func() { v.linkFaults = 0 })
+		m.locked(func() {
+			v.linkFaults = 0
+			v.disturbedLocked(0)
+		})
 	}
 }
 
@@ -506,11 +533,18 @@
 	}
 }
 
+// owner returns the cell's latest term.
+func (m *cancelModel) owner(cell string) *modelTerm {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.owners[cell]
+}
+
 // changeOwners replaces the cell's owner at random times until the faults end, and whenever a term ends by
 // itself.
 func (m *cancelModel) changeOwners(d *dice, cell string) {
 	for m.ctx.Err() == nil {
-		t := m.owners[cell]
+		t := m.owner(cell)
 		pause := d.between(1500, 9000)
 		if !m.faulty() {
 			pause = time.Hour
@@ -548,6 +582,7 @@
 		m.locked(func() {
 			t.certainUntil, t.allowedUntil = now+left, now+left
 			t.vm.frozenUntil = now + frozen
+			t.vm.disturbedLocked(frozen)
 		})
 		m.tasks.Go(func() {
 			t.vm.thaw()
