Model of cancellations: more jobs that are stored before their owner knows, and owners in touch

Change: answers to an owner's transactions are lost during bursts, callers repeat at the next entry VM and cancel sooner, half of the seeds have longer pauses between faults, and a run that goes on while the owner is in touch fails at once.

--- a/internal/jobfront/cancel_model_test.go
+++ b/internal/jobfront/cancel_model_test.go
@@ -22,7 +22,7 @@
 )
 
 var (
-	cancelSeeds = flag.Int("cancel-seeds", 12, "number of seeds for the model of cancellations")
+	cancelSeeds = flag.Int("cancel-seeds", 24, "number of seeds for the model of cancellations")
 	cancelFirst = flag.Uint64("cancel-first", 1, "first seed for the model of cancellations")
 	// Without it, only lines about jobs with a violation are printed.
 	cancelAllLines = flag.Bool("cancel-all-lines", false, "print all log lines of a failed seed of the model of cancellations")
@@ -71,8 +71,8 @@
 // submit has a caller submit the job, and repeat the request while the answer is uncertain. It reports
 // whether the job was accepted.
 func (m *cancelModel) submit(j *modelJob) bool {
+	v := m.anyEntry(j.dice)
 	for range 6 {
-		v := m.anyEntry(j.dice)
 		err, answered := m.request(j.dice, v, func(ctx context.Context) error {
 			copied := &work.Job{ID: j.id, Queue: modelQueue, Spec: "spec", Workspace: j.workspace, Steps: []work.Step{j.step}, Accepted: time.Now()}
 			return v.front.Submit(ctx, copied, m.queueAt(v))
@@ -95,6 +95,7 @@
 			}
 			m.wait(j.dice, 1, 300)
 		}
+		v = m.entries[(slices.Index(m.entries, v)+1)%modelEntries]
 	}
 	return false
 }
@@ -135,7 +136,7 @@
 		m.wait(j.dice, 0, int(modelFaults/time.Millisecond)-3000)
 	} else {
 		m.wait(j.dice, 0, 50)
-		sleep.For(m.ctx, time.Duration(1+j.intN(m.bursts))*4*time.Second)
+		sleep.For(m.ctx, time.Duration(1+j.intN(m.bursts))*burstInterval)
 	}
 	accepted := m.submit(j)
 	if accepted && j.chance(30) {
@@ -151,7 +152,7 @@
 	if !j.chance(70) {
 		return
 	}
-	m.wait(j.dice, 0, []int{30, 300, 2000}[j.intN(3)])
+	m.wait(j.dice, 0, []int{30, 100, 300, 2000}[j.intN(4)])
 	if j.chance(15) {
 		m.tasks.Go(func() { m.cancel(j) }) // two requests at the same time
 	}
--- a/internal/jobfront/cancel_model_workers_test.go
+++ b/internal/jobfront/cancel_model_workers_test.go
@@ -76,6 +76,7 @@
 				w.lapsedSeq = w.seq + int64(len(w.running))
 			}
 			for ref, r := range w.running {
+				w.checkStoppedLocked(ref)
 				switch {
 				case lapsed:
 					w.endLocked(ref, work.LeaseExpired)
@@ -121,25 +122,21 @@
 		return engine.OutcomeOldRun
 	}
 	w.deadline = max(w.deadline, s.Deadline)
-	for _, j := range m.jobs {
-		if j.id != s.Task.Job {
-			continue
-		}
-		r := &modelRun{run: s.Run}
-		if !j.step.LongRunning {
-			r.endsAt = now + j.step.Estimate
-		}
-		for _, other := range m.workers {
-			if beside := other.running[s.Task]; beside != nil {
-				m.violateLocked("%s: run %d of %s starts on %s beside run %d on %s", j.id, s.Run, s.Task, w.id, beside.run, other.id)
-			}
-		}
-		if m.doneAcked[s.Task] {
-			m.violateLocked("%s: run %d of %s starts on %s after it was done and acknowledged", j.id, s.Run, s.Task, w.id)
+	j := m.job(s.Task.Job)
+	r := &modelRun{run: s.Run}
+	if !j.step.LongRunning {
+		r.endsAt = now + j.step.Estimate
+	}
+	for _, other := range m.workers {
+		if beside := other.running[s.Task]; beside != nil {
+			m.violateLocked("%s: run %d of %s starts on %s beside run %d on %s", j.id, s.Run, s.Task, w.id, beside.run, other.id)
 		}
-		w.running[s.Task] = r
-		j.starts = append(j.starts, modelStart{at: now, task: s.Task, token: s.Token})
 	}
+	if m.doneAcked[s.Task] {
+		m.violateLocked("%s: run %d of %s starts on %s after it was done and acknowledged", j.id, s.Run, s.Task, w.id)
+	}
+	w.running[s.Task] = r
+	j.starts = append(j.starts, modelStart{at: now, task: s.Task, token: s.Token})
 	m.counts["starts"]++
 	m.logLocked("%s: run %d of %s starts, token %d", w.id, s.Run, s.Task, s.Token)
 	return engine.OutcomeOK
@@ -238,23 +235,33 @@
 	return c.m.workers[i]
 }
 
-// cancelWithin is how long after the acknowledgement an owner may order starts of the job's tasks, if it
-// has been in touch with the store and the workers for inTouchAfter.
+// What an owner in touch must achieve: orders no starts of a job later than cancelWithin after the
+// acknowledgement of its cancellation, and has its runs stopped within modelStopGrace after that. An
+// owner counts as in touch inTouchAfter after the last disturbance of its entry VM.
 const (
 	cancelWithin = 3 * time.Second
-	inTouchAfter = 4 * time.Second
+	inTouchAfter = 2500 * time.Millisecond
 )
 
+// checkStoppedLocked reports a run of a cancelled job that goes on though the owner is in touch.
+func (w *modelWorker) checkStoppedLocked(ref work.TaskRef) {
+	m := w.m
+	j, t, now := m.job(ref.Job), m.owners[w.cell], m.now()
+	from := max(j.ackedAt, t.begunAt+inTouchAfter, t.vm.calmFrom) + cancelWithin + modelStopGrace
+	if j.ackedAt != 0 && now > from && now < t.certainUntil && !m.suspect[j.id] {
+		m.violateLocked("%s: %s runs %s after the cancellation was acknowledged (%s), with the owner %s in touch", j.id, ref, now-j.ackedAt, j.ackedBy, t.vm.name)
+	}
+}
+
 // checkInTouch reports a start order for a cancelled job by an owner in touch.
 func (c *modelWorkersClient) checkInTouch(s engine.Start) {
 	m := c.m
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := m.now()
-	for _, j := range m.jobs {
-		if j.id == s.Task.Job && j.ackedAt != 0 && now > j.ackedAt+cancelWithin && now > c.vm.calmFrom+inTouchAfter {
-			m.violateLocked("%s: %s, in touch, orders a start %s after the cancellation was acknowledged (%s)", j.id, c.vm.name, now-j.ackedAt, j.ackedBy)
-		}
+	j := m.job(s.Task.Job)
+	if j.ackedAt != 0 && now > j.ackedAt+cancelWithin && now > c.vm.calmFrom+inTouchAfter {
+		m.violateLocked("%s: %s, in touch, orders a start %s after the cancellation was acknowledged (%s)", j.id, c.vm.name, now-j.ackedAt, j.ackedBy)
 	}
 }
 
--- a/internal/jobfront/cancel_model_world_test.go
+++ b/internal/jobfront/cancel_model_world_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"hash/fnv"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -28,8 +29,10 @@
 	modelQueue   = "weights"
 	modelEntries = 3
 	modelWorkers = 2 // of each cell
-	modelJobs    = 40
+	modelJobs    = 60
 	burstJobs    = 120 // with bursts, more than one transaction takes
+	// burstInterval separates bursts of submissions.
+	burstInterval = 4 * time.Second
 	// maxLateness is how long after it was sent a call without an answer may still take effect.
 	maxLateness = 5 * time.Second
 )
@@ -78,6 +81,7 @@
 	stop    context.CancelFunc
 	seed    uint64
 	bursts  int // bursts of submissions; 0: submissions are spread
+	pauses  int // factor of the pauses between faults
 	tasks   sync.WaitGroup
 	clock   modelClock
 	store   *memstore.Store
@@ -132,10 +136,12 @@
 		m.entries = append(m.entries, v)
 		m.tasks.Go(func() { v.injectFaults(newDice(seed, fmt.Sprint("faults", i))) })
 	}
+	m.pauses = 1 + 3*m.intN(2)
 	jobs := modelJobs
-	if m.chance(30) {
+	if m.chance(50) {
 		m.bursts = 1 + m.intN(3)
 		jobs = burstJobs
+		m.tasks.Go(func() { m.loseAnswersInBursts(newDice(seed, "bursts")) })
 	}
 	for i := range jobs {
 		j := &modelJob{dice: newDice(seed, fmt.Sprint("job", i)), id: work.JobID(fmt.Sprintf("%016x", 0xa00+i)), step: work.Step{Count: 1 + m.intN(3), Size: work.Resources{MilliCPU: 100, MemoryMB: 100}}}
@@ -225,6 +231,11 @@
 	m.tasks.Wait()
 }
 
+// job returns the job with the ID.
+func (m *cancelModel) job(id work.JobID) *modelJob {
+	return m.jobs[slices.IndexFunc(m.jobs, func(j *modelJob) bool { return j.id == id })]
+}
+
 // storedState returns the state of the job's stub in the store.
 func (m *cancelModel) storedState(id work.JobID) work.State {
 	kv, _, err := m.store.Get(context.Background(), infra.WorkJobKey(string(id)))
@@ -281,13 +292,13 @@
 func (v *entryVM) injectFaults(d *dice) {
 	m := v.m
 	for m.faulty() && m.ctx.Err() == nil {
-		m.wait(d, 100, 2500)
+		m.wait(d, 100, 2500*m.pauses)
 		if !m.faulty() {
 			return
 		}
-		switch d.intN(8) {
-		case 0, 1:
-			v.store.setMode(storeLosesAnswers, 40+d.intN(60))
+		switch d.intN(12) {
+		case 0, 1, 8, 9, 10, 11: // what it wrote shows elsewhere before it knows
+			v.store.setMode(storeLosesAnswers, 70+d.intN(31))
 		case 2:
 			v.store.setMode(storeActsLate, 30+d.intN(60))
 		case 3:
@@ -318,6 +329,23 @@
 	}
 }
 
+// loseAnswersInBursts has the answers to an owner's transactions lost while bursts of submissions come, so
+// that many jobs are stored before their owner knows.
+func (m *cancelModel) loseAnswersInBursts(d *dice) {
+	for range m.bursts {
+		sleep.For(m.ctx, burstInterval)
+		if !m.faulty() || d.chance(30) {
+			continue
+		}
+		v := m.owner(modelCells[d.intN(2)]).vm
+		v.store.setMode(storeLosesAnswers, 100)
+		m.tasks.Go(func() {
+			m.wait(d, 700, 3000)
+			v.store.setMode(storeOK, 0)
+		})
+	}
+}
+
 // request carries out a caller's request at the entry VM. answered tells whether the answer arrives within
 // the caller's time; a request may be carried out although it doesn't.
 func (m *cancelModel) request(d *dice, v *entryVM, f func(ctx context.Context) error) (err error, answered bool) {
@@ -468,6 +496,7 @@
 
 	// Guarded by cancelModel.mu.
 	certainUntil, allowedUntil time.Duration
+	begunAt                    time.Duration
 }
 
 func (t *modelTerm) Token() int64 { return t.token }
@@ -498,7 +527,7 @@
 	ctx, cancel := context.WithCancel(m.ctx)
 	m.mu.Lock()
 	m.tokens++
-	t := &modelTerm{m: m, vm: v, cell: cell, token: m.tokens, cancel: cancel, done: make(chan struct{}), certainUntil: 1 << 62, allowedUntil: 1 << 62}
+	t := &modelTerm{m: m, vm: v, cell: cell, token: m.tokens, cancel: cancel, done: make(chan struct{}), certainUntil: 1 << 62, allowedUntil: 1 << 62, begunAt: m.now()}
 	m.owners[cell] = t
 	m.logLocked("%s: term %d of %s begins", v.name, t.token, cell)
 	m.mu.Unlock()
@@ -545,7 +574,7 @@
 func (m *cancelModel) changeOwners(d *dice, cell string) {
 	for m.ctx.Err() == nil {
 		t := m.owner(cell)
-		pause := d.between(1500, 9000)
+		pause := d.between(1500, 9000*m.pauses)
 		if !m.faulty() {
 			pause = time.Hour
 		}
