--- a/internal/engine/listing.go
+++ b/internal/engine/listing.go
@@ -215,20 +215,20 @@
 	}
 	if !l.Brief {
 		w.listedAt = sent
-		c.reconcileRunning(w, l.Running, sent, now)
+		c.reconcileRunning(w, &l, sent, now)
 	}
 	c.observeLongRunning(w)
 }
 
 // reconcileRunning compares the runs that a worker listed with those that it should have.
-func (c *Core) reconcileRunning(w *worker, running []Run, sent, now time.Duration) {
-	present := make(map[work.TaskRef]int, len(running))
-	for i := range running {
-		present[running[i].Task] = running[i].Run
-		c.observeRun(w, &running[i], now)
+func (c *Core) reconcileRunning(w *worker, l *Listing, sent, now time.Duration) {
+	present := make(map[work.TaskRef]int, len(l.Running))
+	for i := range l.Running {
+		present[l.Running[i].Task] = l.Running[i].Run
+		c.observeRun(w, &l.Running[i], now)
 	}
 	for ref, t := range w.tasks {
-		if present[ref] != t.run {
+		if present[ref] != t.run && !l.MoreEnds {
 			c.handleUnlistedTask(t, sent, now)
 		}
 	}
@@ -241,7 +241,7 @@
 
 // observeRun takes over one run that a worker listed.
 func (c *Core) observeRun(w *worker, r *Run, now time.Duration) {
-	t := c.find(r.Task)
+	t := c.findListed(r.Task, now)
 	if t == nil || t.state == taskDone {
 		w.markOrphaned(r.Task, r.Run)
 		return
@@ -317,7 +317,7 @@
 	}
 	c.endsSeen++
 	w.unstored = append(w.unstored, endMark{seq: e.Seq, at: c.endsSeen})
-	t := c.find(e.Task)
+	t := c.findListed(e.Task, now)
 	if t == nil {
 		return
 	}
