Model of cancellations: nothing runs before the model is complete

Cause: fault injection could begin before the pauses between faults were drawn, and panicked. Change: newCancelModel only builds; begin starts the goroutines.

--- a/internal/jobfront/cancel_model_test.go
+++ b/internal/jobfront/cancel_model_test.go
@@ -258,6 +258,7 @@
 func runCancelModel(t *testing.T, seed uint64) (violations, lines []string) {
 	synctest.Test(t, func(t *testing.T) {
 		m := newCancelModel(t, seed)
+		m.begin()
 		for _, j := range m.jobs {
 			m.tasks.Go(func() { m.runJob(j) })
 		}
--- a/internal/jobfront/cancel_model_world_test.go
+++ b/internal/jobfront/cancel_model_world_test.go
@@ -134,14 +134,12 @@
 		}
 		v.front = jobfront.New(o)
 		m.entries = append(m.entries, v)
-		m.tasks.Go(func() { v.injectFaults(newDice(seed, fmt.Sprint("faults", i))) })
 	}
 	m.pauses = 1 + 3*m.intN(2)
 	jobs := modelJobs
 	if m.chance(50) {
 		m.bursts = 1 + m.intN(3)
 		jobs = burstJobs
-		m.tasks.Go(func() { m.loseAnswersInBursts(newDice(seed, "bursts")) })
 	}
 	for i := range jobs {
 		j := &modelJob{dice: newDice(seed, fmt.Sprint("job", i)), id: work.JobID(fmt.Sprintf("%016x", 0xa00+i)), step: work.Step{Count: 1 + m.intN(3), Size: work.Resources{MilliCPU: 100, MemoryMB: 100}}}
@@ -155,13 +153,21 @@
 		}
 		m.jobs = append(m.jobs, j)
 	}
+	return m
+}
+
+// begin starts everything but the callers.
+func (m *cancelModel) begin() {
+	for i, v := range m.entries {
+		m.tasks.Go(func() { v.injectFaults(newDice(m.seed, fmt.Sprint("faults", i))) })
+	}
 	for _, cell := range modelCells {
-		d := newDice(seed, cell)
+		d := newDice(m.seed, cell)
 		m.beginTerm(d, cell)
 		m.tasks.Go(func() { m.changeOwners(d, cell) })
 	}
 	m.tasks.Go(m.tickWorkers)
-	return m
+	m.tasks.Go(func() { m.loseAnswersInBursts(newDice(m.seed, "bursts")) })
 }
 
 func (m *cancelModel) now() time.Duration { return m.clock.Now() }
