--- a/internal/engine/creation_test.go
+++ b/internal/engine/creation_test.go
@@ -2,13 +2,16 @@
 
 import (
 	"context"
+	"runtime"
 	"sync"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
 	"github.com/pumicestage/pumicestage/internal/infra"
+	"github.com/pumicestage/pumicestage/internal/infra/faulty"
 	"github.com/pumicestage/pumicestage/policy/work"
 )
 
@@ -58,6 +61,20 @@
 	assert.Assert(t, !e.core.Known("j1"))
 }
 
+// Guards against a workspace that keeps another one's job from being created by cancelling its ID.
+func TestAnotherWorkspacesCancellationDoesNotPreventACreation(t *testing.T) {
+	e, store := newEngine(t, &fakeTerm{certain: true})
+	ops, err := PreventOps(service, "j1", "blue", epoch)
+	assert.NilError(t, err)
+	_, err = store.Txn(t.Context(), infra.Txn{Then: ops})
+	assert.NilError(t, err)
+	c := newCreation(t, "j1")
+	c.job.Workspace = "red"
+	e.writer.committers[0].store(t.Context(), &batch{creates: []*creation{c}, seq: 1})
+	assert.NilError(t, <-c.done)
+	assert.Assert(t, e.core.Known("j1"))
+}
+
 // Guards against a job that runs although its cancellation was acknowledged: it was cancelled in the
 // store, and the inbox message handled, before the owner learned that its own transaction had created
 // the job.
@@ -82,3 +99,54 @@
 		})
 	}
 }
+
+// Guards against an owner that stores nothing more until its term ends: a caller repeated a submission
+// before the first was stored, both were in one transaction, which the store rejects as it writes a
+// key twice, and an earlier attempt at the transaction had got no answer.
+func TestTwoSubmissionsOfOneJobAreStoredThoughAnAnswerIsLost(t *testing.T) {
+	e, inner := newEngine(t, &fakeTerm{certain: true})
+	store := faulty.Wrap(inner)
+	store.LoseRequests(1)
+	e.Store = store
+	ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+	defer cancel()
+	var callers sync.WaitGroup
+	for _, id := range []work.JobID{"j1", "j1", "j2"} {
+		c := newCreation(t, id)
+		callers.Go(func() { assert.Check(t, e.writer.create(ctx, c.job, c.queue)) })
+	}
+	for waitingJobs(e.writer) < 3 {
+		runtime.Gosched()
+	}
+	var writer sync.WaitGroup
+	writer.Go(func() { e.writer.run(ctx) })
+	callers.Wait()
+	cancel()
+	writer.Wait()
+	assert.Assert(t, e.core.Known("j1") && e.core.Known("j2"))
+}
+
+// Guards against an owner that stores nothing more until its term ends: a repeated submission of a job
+// and the job's end were in one transaction, which the store rejects as it writes a key twice, and an
+// earlier attempt at the transaction had got no answer.
+func TestAJobsEndIsStoredBesideARepeatedSubmissionThoughAnAnswerIsLost(t *testing.T) {
+	e, inner := newEngine(t, &fakeTerm{certain: true})
+	assert.NilError(t, e.handleMessages(t.Context(), []string{storeWithMessage(t, inner, "j1")}))
+	repeat := newCreation(t, "j1")
+	e.writer.waiting = []*creation{repeat}
+	ended := make(chan error, 1)
+	assert.Assert(t, e.core.Cancel("j1", func(err error) { ended <- err }))
+
+	store := faulty.Wrap(inner)
+	store.LoseRequests(1)
+	e.Store = store
+	ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+	defer cancel()
+	c := e.writer.committers[0]
+	for all := 1; all > 0 || len(e.writer.waiting) > 0; all, _ = e.core.Dirty() {
+		c.store(ctx, c.nextBatch())
+		assert.NilError(t, ctx.Err())
+	}
+	assert.NilError(t, <-repeat.done)
+	assert.NilError(t, <-ended)
+}
