Model of cancellations: another workspace uses the same ID

Cause: a cancellation by another workspace before the submission was not in the model. Change: half of the jobs of a workspace that are not cancelled have their ID cancelled by another one around their submission; such a job must be accepted and end.

--- a/internal/jobfront/cancel_model_test.go
+++ b/internal/jobfront/cancel_model_test.go
@@ -50,6 +50,7 @@
 	id        work.JobID
 	workspace work.WorkspaceName
 	step      work.Step
+	kept      bool // its callers don't cancel it
 
 	// Guarded by cancelModel.mu.
 	accepted  bool          // a submission was answered with nil
@@ -57,7 +58,6 @@
 	ackedAt   time.Duration // when a cancellation was acknowledged; 0: none was
 	ackedBy   string        // the entry VM and the answer
 	cancels   int           // cancellations sent
-	foreign   int           // cancellations sent by a caller of another workspace
 	starts    []modelStart
 }
 
@@ -88,6 +88,9 @@
 				return false
 			}
 			m.wait(j.dice, 200, 1200)
+		case answered && j.kept && (errors.Is(err, engine.ErrOtherWorkspace) || errors.Is(err, engine.ErrCancelledEarly)):
+			m.violate("%s: nobody of its workspace cancelled it, and its submission is refused: %v", j.id, err)
+			return false
 		default:
 			m.locked(func() { j.uncertain = true })
 			if j.chance(15) {
@@ -122,7 +125,6 @@
 // cancelByOther has a caller of another workspace cancel the job, which must have no effect.
 func (m *cancelModel) cancelByOther(j *modelJob) {
 	v := m.anyEntry(j.dice)
-	m.locked(func() { j.foreign++ })
 	err, answered := m.request(j.dice, v, func(ctx context.Context) error { return v.front.Cancel(ctx, j.id, m.queueAt(v), "other") })
 	m.logf("caller of another workspace: cancellation of %s to %s: answered %v, %v", j.id, v.name, answered, err)
 	if answered && err == nil {
@@ -138,6 +140,13 @@
 		m.wait(j.dice, 0, 50)
 		sleep.For(m.ctx, time.Duration(1+j.intN(m.bursts))*burstInterval)
 	}
+	if j.kept && j.workspace != "" && j.chance(50) {
+		m.tasks.Go(func() { // the other workspace uses the same ID
+			m.wait(j.dice, 0, 200)
+			m.cancelByOther(j)
+		})
+		m.wait(j.dice, 0, 200)
+	}
 	accepted := m.submit(j)
 	if accepted && j.chance(30) {
 		m.tasks.Go(func() { // a repeated request that arrives seconds after its answer
@@ -149,7 +158,7 @@
 		m.wait(j.dice, 0, 1000)
 		m.cancelByOther(j)
 	}
-	if !j.chance(70) {
+	if j.kept {
 		return
 	}
 	m.wait(j.dice, 0, []int{30, 100, 300, 2000}[j.intN(4)])
--- a/internal/jobfront/cancel_model_world_test.go
+++ b/internal/jobfront/cancel_model_world_test.go
@@ -151,6 +151,7 @@
 		if m.chance(40) {
 			j.workspace = "own"
 		}
+		j.kept = m.chance(30)
 		m.jobs = append(m.jobs, j)
 	}
 	return m
