--- a/internal/jobfront/cancel_model_store_test.go
+++ b/internal/jobfront/cancel_model_store_test.go
@@ -26,7 +26,7 @@
 // modelStore is an entry VM's connection to the store.
 type modelStore struct {
 	infra.Store
-	*dice
+	*randomSource
 	m  *cancelModel
 	vm *entryVM
 
--- a/internal/jobfront/cancel_model_test.go
+++ b/internal/jobfront/cancel_model_test.go
@@ -46,7 +46,7 @@
 
 // modelJob is a job with what its callers were told about it.
 type modelJob struct {
-	*dice
+	*randomSource
 	id        work.JobID
 	workspace work.WorkspaceName
 	step      work.Step
@@ -71,9 +71,9 @@
 // submit has a caller submit the job, and repeat the request while the answer is uncertain. It reports
 // whether the job was accepted.
 func (m *cancelModel) submit(j *modelJob) bool {
-	v := m.anyEntry(j.dice)
+	v := m.anyEntry(j.randomSource)
 	for range 6 {
-		err, answered := m.request(j.dice, v, func(ctx context.Context) error {
+		err, answered := m.request(j.randomSource, v, func(ctx context.Context) error {
 			copied := &work.Job{ID: j.id, Queue: modelQueue, Spec: "spec", Workspace: j.workspace, Steps: []work.Step{j.step}, Accepted: time.Now()}
 			return v.front.Submit(ctx, copied, m.queueAt(v))
 		})
@@ -87,7 +87,7 @@
 			if j.chance(50) {
 				return false
 			}
-			m.wait(j.dice, 200, 1200)
+			m.wait(j.randomSource, 200, 1200)
 		case answered && j.kept && (errors.Is(err, engine.ErrOtherWorkspace) || errors.Is(err, engine.ErrCancelledEarly)):
 			m.violate("%s: nobody of its workspace cancelled it, and its submission is refused: %v", j.id, err)
 			return false
@@ -96,7 +96,7 @@
 			if j.chance(15) {
 				return false
 			}
-			m.wait(j.dice, 1, 300)
+			m.wait(j.randomSource, 1, 300)
 		}
 		v = m.entries[(slices.Index(m.entries, v)+1)%modelEntries]
 	}
@@ -106,9 +106,9 @@
 // cancel has a caller cancel the job until that is acknowledged or the model ends.
 func (m *cancelModel) cancel(j *modelJob) {
 	for m.ctx.Err() == nil {
-		v := m.anyEntry(j.dice)
+		v := m.anyEntry(j.randomSource)
 		m.locked(func() { j.cancels++ })
-		err, answered := m.request(j.dice, v, func(ctx context.Context) error { return v.front.Cancel(ctx, j.id, m.queueAt(v), j.workspace) })
+		err, answered := m.request(j.randomSource, v, func(ctx context.Context) error { return v.front.Cancel(ctx, j.id, m.queueAt(v), j.workspace) })
 		m.logf("caller: cancellation of %s to %s: answered %v, %v", j.id, v.name, answered, err)
 		if answered && (err == nil || errors.Is(err, jobfront.ErrUnknownJob)) {
 			m.locked(func() {
@@ -118,14 +118,14 @@
 			})
 			return
 		}
-		m.wait(j.dice, 10, 400)
+		m.wait(j.randomSource, 10, 400)
 	}
 }
 
 // cancelByOther has a caller of another workspace cancel the job, which must have no effect.
 func (m *cancelModel) cancelByOther(j *modelJob) {
-	v := m.anyEntry(j.dice)
-	err, answered := m.request(j.dice, v, func(ctx context.Context) error { return v.front.Cancel(ctx, j.id, m.queueAt(v), "other") })
+	v := m.anyEntry(j.randomSource)
+	err, answered := m.request(j.randomSource, v, func(ctx context.Context) error { return v.front.Cancel(ctx, j.id, m.queueAt(v), "other") })
 	m.logf("caller of another workspace: cancellation of %s to %s: answered %v, %v", j.id, v.name, answered, err)
 	if answered && err == nil {
 		m.violate("%s of workspace %q is cancelled for another workspace", j.id, j.workspace)
@@ -135,33 +135,33 @@
 // runJob simulates the callers of one job.
 func (m *cancelModel) runJob(j *modelJob) {
 	if m.bursts == 0 {
-		m.wait(j.dice, 0, int(modelFaults/time.Millisecond)-3000)
+		m.wait(j.randomSource, 0, int(modelFaults/time.Millisecond)-3000)
 	} else {
-		m.wait(j.dice, 0, 50)
+		m.wait(j.randomSource, 0, 50)
 		sleep.For(m.ctx, time.Duration(1+j.intN(m.bursts))*burstInterval)
 	}
-	if j.kept && j.workspace != "" && j.chance(50) {
+	if j.workspace != "" && j.chance(30) {
 		m.tasks.Go(func() { // the other workspace uses the same ID
-			m.wait(j.dice, 0, 200)
+			m.wait(j.randomSource, 0, 200)
 			m.cancelByOther(j)
 		})
-		m.wait(j.dice, 0, 200)
+		m.wait(j.randomSource, 0, 200)
 	}
 	accepted := m.submit(j)
 	if accepted && j.chance(30) {
 		m.tasks.Go(func() { // a repeated request that arrives seconds after its answer
-			m.wait(j.dice, 0, 4000)
+			m.wait(j.randomSource, 0, 4000)
 			m.submit(j)
 		})
 	}
 	if accepted && j.workspace != "" && j.chance(50) {
-		m.wait(j.dice, 0, 1000)
+		m.wait(j.randomSource, 0, 1000)
 		m.cancelByOther(j)
 	}
 	if j.kept {
 		return
 	}
-	m.wait(j.dice, 0, []int{30, 100, 300, 2000}[j.intN(4)])
+	m.wait(j.randomSource, 0, []int{30, 100, 300, 2000}[j.intN(4)])
 	if j.chance(15) {
 		m.tasks.Go(func() { m.cancel(j) }) // two requests at the same time
 	}
--- a/internal/jobfront/cancel_model_workers_test.go
+++ b/internal/jobfront/cancel_model_workers_test.go
@@ -26,7 +26,7 @@
 // lease for all runs, stops that take a while, and ends that are listed until they are acknowledged. All
 // its fields but the first four are guarded by cancelModel.mu.
 type modelWorker struct {
-	*dice
+	*randomSource
 	m    *cancelModel
 	id   work.WorkerID
 	cell string
--- a/internal/jobfront/cancel_model_world_test.go
+++ b/internal/jobfront/cancel_model_world_test.go
@@ -46,30 +46,30 @@
 func (c modelClock) Now() time.Duration { return time.Minute + time.Since(c.start) }
 func (c modelClock) Wall() time.Time    { return time.Now() }
 
-// dice makes the random choices of one part of the model. Each part has its own, so that a choice of one
+// randomSource makes the random choices of one part of the model. Each part has its own, so that a choice of one
 // part changes as little as possible of what others do with the same seed.
-type dice struct {
+type randomSource struct {
 	mu  sync.Mutex
 	rng *rand.Rand
 }
 
-// newDice returns the dice of the named part.
-func newDice(seed uint64, part string) *dice {
+// newRandomSource returns the randomSource of the named part.
+func newRandomSource(seed uint64, part string) *randomSource {
 	h := fnv.New64a()
 	h.Write([]byte(part)) // never returns an error
-	return &dice{rng: rand.New(rand.NewPCG(seed, h.Sum64()))}
+	return &randomSource{rng: rand.New(rand.NewPCG(seed, h.Sum64()))}
 }
 
-func (d *dice) intN(n int) int {
+func (d *randomSource) intN(n int) int {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	return d.rng.IntN(n)
 }
 
-func (d *dice) chance(percent int) bool { return d.intN(100) < percent }
+func (d *randomSource) chance(percent int) bool { return d.intN(100) < percent }
 
 // between returns a random time of at least from and less than to milliseconds.
-func (d *dice) between(from, to int) time.Duration {
+func (d *randomSource) between(from, to int) time.Duration {
 	return time.Duration(from*1000+d.intN((to-from)*1000)) * time.Microsecond
 }
 
@@ -89,7 +89,7 @@
 	workers []*modelWorker
 	jobs    []*modelJob
 
-	*dice // for the layout of the model
+	*randomSource // for the layout of the model
 
 	mu         sync.Mutex
 	healed     bool
@@ -104,7 +104,7 @@
 
 func newCancelModel(t *testing.T, seed uint64) *cancelModel {
 	m := &cancelModel{
-		t: t, clock: modelClock{time.Now()}, store: memstore.New(clockwork.NewRealClock()), dice: newDice(seed, "layout"), seed: seed,
+		t: t, clock: modelClock{time.Now()}, store: memstore.New(clockwork.NewRealClock()), randomSource: newRandomSource(seed, "layout"), seed: seed,
 		owners: make(map[string]*modelTerm), suspect: make(map[work.JobID]bool), counts: make(map[string]int),
 		doneAcked: make(map[work.TaskRef]bool),
 	}
@@ -112,16 +112,16 @@
 	for _, cell := range modelCells {
 		for range modelWorkers {
 			m.workers = append(m.workers, &modelWorker{
-				m: m, dice: newDice(seed, fmt.Sprint("worker", len(m.workers))), id: work.WorkerID(fmt.Sprintf("w%d", len(m.workers))), cell: cell,
+				m: m, randomSource: newRandomSource(seed, fmt.Sprint("worker", len(m.workers))), id: work.WorkerID(fmt.Sprintf("w%d", len(m.workers))), cell: cell,
 				running: make(map[work.TaskRef]*modelRun), highest: make(map[work.TaskRef]int),
 			})
 		}
 	}
 	moveAt := m.now() + m.between(2000, 12000)
 	for i := range modelEntries {
-		v := &entryVM{m: m, dice: newDice(seed, fmt.Sprint("entry", i)), name: fmt.Sprintf("e%d", i), engines: make(map[string]*engine.Engine), believed: make(map[string]*modelTerm)}
+		v := &entryVM{m: m, randomSource: newRandomSource(seed, fmt.Sprint("entry", i)), name: fmt.Sprintf("e%d", i), engines: make(map[string]*engine.Engine), believed: make(map[string]*modelTerm)}
 		v.configuredAt = moveAt + m.between(0, 2000)
-		v.store = &modelStore{m: m, dice: newDice(seed, fmt.Sprint("store", i)), vm: v, Store: m.store}
+		v.store = &modelStore{m: m, randomSource: newRandomSource(seed, fmt.Sprint("store", i)), vm: v, Store: m.store}
 		v.cutOff = &jobfront.CutOff{}
 		v.log = funcr.New(func(prefix, args string) { m.logf("%s %s %s", v.name, prefix, args) }, funcr.Options{Verbosity: 1})
 		o := jobfront.Options{
@@ -142,7 +142,7 @@
 		jobs = burstJobs
 	}
 	for i := range jobs {
-		j := &modelJob{dice: newDice(seed, fmt.Sprint("job", i)), id: work.JobID(fmt.Sprintf("%016x", 0xa00+i)), step: work.Step{Count: 1 + m.intN(3), Size: work.Resources{MilliCPU: 100, MemoryMB: 100}}}
+		j := &modelJob{randomSource: newRandomSource(seed, fmt.Sprint("job", i)), id: work.JobID(fmt.Sprintf("%016x", 0xa00+i)), step: work.Step{Count: 1 + m.intN(3), Size: work.Resources{MilliCPU: 100, MemoryMB: 100}}}
 		if m.chance(50) {
 			j.step.LongRunning = true
 		} else {
@@ -160,15 +160,15 @@
 // begin starts everything but the callers.
 func (m *cancelModel) begin() {
 	for i, v := range m.entries {
-		m.tasks.Go(func() { v.injectFaults(newDice(m.seed, fmt.Sprint("faults", i))) })
+		m.tasks.Go(func() { v.injectFaults(newRandomSource(m.seed, fmt.Sprint("faults", i))) })
 	}
 	for _, cell := range modelCells {
-		d := newDice(m.seed, cell)
+		d := newRandomSource(m.seed, cell)
 		m.beginTerm(d, cell)
 		m.tasks.Go(func() { m.changeOwners(d, cell) })
 	}
 	m.tasks.Go(m.tickWorkers)
-	m.tasks.Go(func() { m.loseAnswersInBursts(newDice(m.seed, "bursts")) })
+	m.tasks.Go(func() { m.loseAnswersInBursts(newRandomSource(m.seed, "bursts")) })
 }
 
 func (m *cancelModel) now() time.Duration { return m.clock.Now() }
@@ -180,7 +180,7 @@
 }
 
 // wait sleeps for a random time of so many milliseconds.
-func (m *cancelModel) wait(d *dice, from, to int) { sleep.For(m.ctx, d.between(from, to)) }
+func (m *cancelModel) wait(d *randomSource, from, to int) { sleep.For(m.ctx, d.between(from, to)) }
 
 func (m *cancelModel) faulty() bool {
 	m.mu.Lock()
@@ -188,8 +188,8 @@
 	return !m.healed
 }
 
-// anyEntry returns an entry VM that the dice choose.
-func (m *cancelModel) anyEntry(d *dice) *entryVM { return m.entries[d.intN(len(m.entries))] }
+// anyEntry returns an entry VM that the source chooses.
+func (m *cancelModel) anyEntry(d *randomSource) *entryVM { return m.entries[d.intN(len(m.entries))] }
 
 func (m *cancelModel) count(what string) { m.locked(func() { m.counts[what]++ }) }
 
@@ -255,7 +255,7 @@
 
 // entryVM is an entry VM: a front, the engines of the cells that it owns, and its connections.
 type entryVM struct {
-	*dice
+	*randomSource
 	m            *cancelModel
 	name         string
 	front        *jobfront.Front
@@ -296,7 +296,7 @@
 }
 
 // injectFaults changes the entry VM's connections at random until the faults end.
-func (v *entryVM) injectFaults(d *dice) {
+func (v *entryVM) injectFaults(d *randomSource) {
 	m := v.m
 	for m.faulty() && m.ctx.Err() == nil {
 		m.wait(d, 100, 2500*m.pauses)
@@ -338,7 +338,7 @@
 
 // loseAnswersInBursts has the answers to an owner's transactions lost while bursts of submissions come, so
 // that many jobs are stored before their owner knows.
-func (m *cancelModel) loseAnswersInBursts(d *dice) {
+func (m *cancelModel) loseAnswersInBursts(d *randomSource) {
 	for range m.bursts {
 		sleep.For(m.ctx, burstInterval)
 		if !m.faulty() || d.chance(30) {
@@ -355,7 +355,7 @@
 
 // request carries out a caller's request at the entry VM. answered tells whether the answer arrives within
 // the caller's time; a request may be carried out although it doesn't.
-func (m *cancelModel) request(d *dice, v *entryVM, f func(ctx context.Context) error) (err error, answered bool) {
+func (m *cancelModel) request(d *randomSource, v *entryVM, f func(ctx context.Context) error) (err error, answered bool) {
 	timeout := d.between(500, 3000)
 	end := m.now() + timeout
 	// A caller that stops waiting closes its channel, of which the entry VM may not learn.
@@ -529,7 +529,7 @@
 func (t *modelTerm) HandOver() { t.End("handed over") }
 
 // beginTerm makes a random entry VM the owner of the cell.
-func (m *cancelModel) beginTerm(d *dice, cell string) {
+func (m *cancelModel) beginTerm(d *randomSource, cell string) {
 	v := m.anyEntry(d)
 	ctx, cancel := context.WithCancel(m.ctx)
 	m.mu.Lock()
@@ -578,7 +578,7 @@
 
 // changeOwners replaces the cell's owner at random times until the faults end, and whenever a term ends by
 // itself.
-func (m *cancelModel) changeOwners(d *dice, cell string) {
+func (m *cancelModel) changeOwners(d *randomSource, cell string) {
 	for m.ctx.Err() == nil {
 		t := m.owner(cell)
 		pause := d.between(1500, 9000*m.pauses)
@@ -604,7 +604,7 @@
 }
 
 // removeOwner ends the term in one of the ways in which terms end, and returns when the lease has expired.
-func (m *cancelModel) removeOwner(d *dice, t *modelTerm) {
+func (m *cancelModel) removeOwner(d *randomSource, t *modelTerm) {
 	now := m.now()
 	left := d.between(0, 1500)
 	kind := d.intN(4)
