--- a/internal/jobfront/prevent_test.go
+++ b/internal/jobfront/prevent_test.go
@@ -37,18 +37,3 @@
 	assert.ErrorIs(t, r.front.Submit(t.Context(), newJob("j1"), queue), engine.ErrCancelledEarly)
 	assert.Assert(t, !r.stored(t, infra.WorkJobKey("j1")))
 }
-
-// Guards against a job that runs although its cancellation was answered with "no such job": another
-// workspace had cancelled the ID before.
-func TestCancellationsOfOneIDByTwoWorkspacesBindBoth(t *testing.T) {
-	r := newFixture(t)
-	r.owner.err = engine.ErrNotReady
-	for _, workspace := range []work.WorkspaceName{"red", "blue"} {
-		assert.ErrorIs(t, r.front.Cancel(t.Context(), "j1", queue, workspace), ErrUnknownJob)
-	}
-	for _, workspace := range []work.WorkspaceName{"red", "blue"} {
-		late := newJob("j1")
-		late.Workspace = workspace
-		assert.Check(t, r.front.Submit(t.Context(), late, queue) != nil, "%s", workspace)
-	}
-}
