Model of owners with lists of VMs that are older than their request, or partial

Cause: the model's lists were exact at the time of their request. Change: two flags of the model of terms, off by default, as the platform's pages don't say that its list of VMs lags.

--- a/internal/engine/model_terms_test.go
+++ b/internal/engine/model_terms_test.go
@@ -16,6 +16,8 @@
 var (
 	termSeeds     = flag.Int("term-model-seeds", 15, "number of seeds for the model of terms")
 	termWallSkews = flag.Bool("term-model-wall-skews", false, "repeated jobs, and owners whose wall clocks differ by up to two seconds")
+	termListAge   = flag.Duration("term-model-list-age", 0, "greatest age of a list of VMs when it is requested")
+	termListGaps  = flag.Int("term-model-list-gaps", 0, "percentage of the VMs that a list leaves out")
 	termMaxEnds   = flag.Int("term-model-max-ends", 0, "ends that a worker of the model lists in one answer; 0: all")
 )
 
@@ -552,7 +554,8 @@
 	sent := m.now
 	var vms []work.VM
 	for _, w := range m.workers {
-		if !w.dead {
+		young := *termListAge > 0 && m.now-w.startedAt < time.Duration(m.rng.Int64N(int64(*termListAge)))
+		if !w.dead && !young && (*termListGaps == 0 || !m.chance(*termListGaps)) {
 			vms = append(vms, vm("v-"+string(w.id), w.id))
 		}
 	}
