Failing test: restored jobs wait for ever for a silent worker with a full list of ends

Cause: Core.settled waits for a complete list of a worker's ends without a limit, also once the worker is cut off and its leases have run out, where the list of VMs shows it as up. Change: a test of a new owner that loses such a worker; no product code.

--- a/internal/engine/long_list_of_ends_test.go
+++ b/internal/engine/long_list_of_ends_test.go
@@ -70,3 +70,20 @@
 	b.poll("w1", Listing{MoreEnds: true})
 	assert.Equal(t, len(b.plan().Starts), 0, "run 1 may have ended as done")
 }
+
+// Guards against restored jobs that wait for ever: a worker's list of ends was full, and the worker is cut off
+// from then on. Once its leases have run out, ends that it lists later no longer keep their tasks from starting.
+func TestAFullListOfEndsOfASilentWorkerDelaysStartsOnlyForItsLeases(t *testing.T) {
+	b := newRig(t)
+	b.accept("j1", short(1))
+	b.takeOver(token+1, "w1", "w2")
+	b.core.SetFleet([]work.VM{vm("v1", "w1"), vm("v2", "w2")})
+	b.poll("w2", Listing{})
+	b.poll("w1", Listing{MoreEnds: true})
+	b.core.PollFailed("w1", OutcomeUnknown, b.now)
+	assert.Equal(t, len(b.plan().Starts), 0)
+	b.now += inheritedLeaseTime() + modelMaxHold
+	b.core.PollFailed("w1", OutcomeUnknown, b.now)
+	b.poll("w2", Listing{})
+	assert.Equal(t, len(b.plan().Starts), 1)
+}
