Restored jobs don't wait for a silent worker whose list of ends was full

Change: it counts until its leases are certain to have ended, like any other silent worker.

Evidence: TestAFullListOfEndsOfASilentWorkerDelaysStartsOnlyForItsLeases failed before and passes with the tests of the engine.

--- a/internal/engine/settled.go
+++ b/internal/engine/settled.go
@@ -8,12 +8,12 @@
 
 // settled reports whether no run that an earlier owner started can be going on unknown to this
 // one, nor any end be left out of a list: every worker has answered, or the leases that it may have are
-// certain to have ended, and none has listed as many ends as fit into an answer.
+// certain to have ended, and none that still answers has listed as many ends as fit into an answer.
 // Registrations alone don't tell which workers exist: they expire while the store is
 // unavailable, and the workers run on.
 func (c *Core) settled(now time.Duration) bool {
 	for _, w := range c.workers {
-		if w.moreEnds {
+		if w.moreEnds && (w.missedPolls == 0 || !w.expired(now)) {
 			return false
 		}
 	}
