--- a/internal/engine/core.go
+++ b/internal/engine/core.go
@@ -41,7 +41,8 @@
 
 	declared          Declared
 	jobs              map[work.JobID]*job
-	open              []*job // jobs that have not ended, oldest first
+	unconfirmed       map[work.JobID]*unconfirmedJob // jobs being created
+	open              []*job                         // jobs that have not ended, oldest first
 	workers           map[work.WorkerID]*worker
 	sorted            []*worker                            // workers by ID; nil: has to be rebuilt
 	endedIncarnations map[work.WorkerID][]work.Incarnation // incarnations that have ended
@@ -56,6 +57,7 @@
 	storing           map[work.JobID]int64  // jobs whose change is being stored, with their dirtySinceEnd
 	endsSeen          int64                 // ends of runs that were received so far, from all workers
 	now               time.Duration         // time of the last plan or answer
+	wall              time.Time             // time of day as of the last plan or restore
 	explainedAt       time.Duration         // when waiting work was last logged
 	busyWorkers       int                   // workers with tasks, as of the last plan
 	progressCheckedAt time.Duration         // when the progress of running tasks was last checked
@@ -95,6 +97,7 @@
 	return &Core{
 		cell: cell, token: token, bounds: bounds, log: log,
 		jobs:              make(map[work.JobID]*job),
+		unconfirmed:       make(map[work.JobID]*unconfirmedJob),
 		workers:           make(map[work.WorkerID]*worker),
 		endedIncarnations: make(map[work.WorkerID][]work.Incarnation),
 		durationRatios:    make(estimateRatios),
@@ -139,11 +142,16 @@
 // Deposed reports whether a worker or the store has shown that a later owner exists.
 func (c *Core) Deposed() bool { return c.deposed }
 
-// Accept adds a stored job. A job that is already known is left unchanged.
+// Accept adds a stored job. A job that is already known is left unchanged, and one that was
+// cancelled in the store meanwhile is not added.
 func (c *Core) Accept(j *work.Job, q Queue, now time.Duration) {
 	if c.jobs[j.ID] != nil {
 		return
 	}
+	if c.cancelledUnconfirmed(j.ID) {
+		c.log.Info("job was cancelled before its creation was confirmed", "job", j.ID)
+		return
+	}
 	added := newJob(j, q, now)
 	c.add(added)
 	if a := added.account; a != nil {
@@ -173,6 +181,15 @@
 	return j != nil && j.Workspace == workspace
 }
 
+// checkRepeat returns nil if the known job is of j's workspace, so that j repeats its submission, and
+// ErrOtherWorkspace otherwise.
+func (c *Core) checkRepeat(j *work.Job) error {
+	if !c.isOf(j.ID, j.Workspace) {
+		return ErrOtherWorkspace
+	}
+	return nil
+}
+
 // shows reports whether callers of the workspace may see and cancel the job.
 func (c *Core) shows(id work.JobID, workspace work.WorkspaceName) bool {
 	j := c.jobs[id]
@@ -285,6 +302,23 @@
 	return j.task(ref)
 }
 
+// findListed returns the task of a run that a worker lists; nil if there is none. If the run is of an
+// occurrence that has not begun here, an earlier owner with a clock ahead of this one has begun it,
+// and it begins here too; its tasks start once it is due by this owner's clock.
+func (c *Core) findListed(ref work.TaskRef, now time.Duration) *task {
+	j := c.jobs[ref.Job]
+	if j == nil {
+		return nil
+	}
+	if j.final == "" && j.Timed() && ref.Occurrence < j.Occurrences() {
+		for j.nextOccurrence <= ref.Occurrence {
+			c.log.Info("occurrence was begun by an earlier owner", "job", j.ID, "occurrence", j.nextOccurrence)
+			j.addOccurrence(now + max(0, j.Schedule.Due(j.nextOccurrence).Sub(c.wall)))
+		}
+	}
+	return j.task(ref)
+}
+
 func (c *Core) queueSize(queue string) *meanSize {
 	m := c.sizes[queue]
 	if m == nil {
