--- a/internal/jobfront/cancel_model_test.go
+++ b/internal/jobfront/cancel_model_test.go
@@ -71,8 +71,9 @@
 // submit has a caller submit the job, and repeat the request while the answer is uncertain. It reports
 // whether the job was accepted.
 func (m *cancelModel) submit(j *modelJob) bool {
-	v := m.anyEntry(j.randomSource)
+	next := m.anyEntry(j.randomSource)
 	for range 6 {
+		v := next // a request that is read late keeps it
 		err, answered := m.request(j.randomSource, v, func(ctx context.Context) error {
 			copied := &work.Job{ID: j.id, Queue: modelQueue, Spec: "spec", Workspace: j.workspace, Steps: []work.Step{j.step}, Accepted: time.Now()}
 			return v.front.Submit(ctx, copied, m.queueAt(v))
@@ -98,7 +99,7 @@
 			}
 			m.wait(j.randomSource, 1, 300)
 		}
-		v = m.entries[(slices.Index(m.entries, v)+1)%modelEntries]
+		next = m.entries[(slices.Index(m.entries, v)+1)%modelEntries]
 	}
 	return false
 }
