--- /dev/null
+++ b/review/fleet2/advisor.go
@@ -0,0 +1,104 @@
+package main
+
+import (
+	"encoding/json"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+)
+
+// advisor is the service that decides which runners may run a step. It handles one call at a time, in
+// turn, and refuses calls while 32 wait. In the plays one entry VM at a time calls it.
+type advisor struct {
+	decision, perWorker time.Duration
+	// dropsAbandoned: a call whose channel was closed before its turn takes no time.
+	dropsAbandoned bool
+
+	turn    sync.Mutex
+	mu      sync.Mutex
+	waiting int
+	epoch   int // of the calling machine; calls of a machine that was killed are dropped
+}
+
+const (
+	adviceValidity = 5 * time.Second
+	adviceWaiting  = 32
+)
+
+func (a *advisor) route() map[string]any {
+	return map[string]any{"advisor": map[string]any{
+		"decision-ms": a.decision.Milliseconds(), "per-worker-ms": a.perWorker.Milliseconds(), "validity-ms": adviceValidity.Milliseconds(),
+	}}
+}
+
+// admit waits for the call's turn and returns false if the call is refused or dropped.
+func (a *advisor) admit(w http.ResponseWriter, q *http.Request) bool {
+	a.mu.Lock()
+	if a.waiting >= adviceWaiting {
+		a.mu.Unlock()
+		w.WriteHeader(http.StatusTooManyRequests)
+		return false
+	}
+	a.waiting++
+	epoch := a.epoch
+	a.mu.Unlock()
+	a.turn.Lock()
+	a.mu.Lock()
+	a.waiting--
+	gone := a.epoch != epoch
+	a.mu.Unlock()
+	if gone || a.dropsAbandoned && q.Context().Err() != nil {
+		a.turn.Unlock()
+		return false
+	}
+	return true
+}
+
+func (a *advisor) callerKilled() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.epoch++
+}
+
+// serveAdvisor answers which of the workers may run a step.
+func (s *stage) serveAdvisor(w http.ResponseWriter, q *http.Request) {
+	var in struct {
+		Step    string   `json:"step"`
+		Workers []string `json:"workers"`
+	}
+	if err := json.NewDecoder(q.Body).Decode(&in); err != nil || q.URL.Path != wire("call.advise") || len(in.Workers) > 100 {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	if !s.advisor.admit(w, q) {
+		return
+	}
+	time.Sleep(s.advisor.decision + time.Duration(len(in.Workers))*s.advisor.perWorker)
+	s.advisor.turn.Unlock()
+	approved := [][]string{}
+	s.mu.Lock()
+	if s.asked[in.Step] == nil {
+		s.asked[in.Step] = make(map[string]bool)
+	}
+	for _, id := range in.Workers {
+		s.asked[in.Step][id] = true
+		if s.policy(in.Step, id) {
+			approved = append(approved, []string{id, ticket(in.Step, id)})
+		}
+	}
+	left := ""
+	if q.Context().Err() != nil {
+		left = ", the caller has left"
+	}
+	s.log("advise: step %s, %d workers named, %d approved, %d different ones named so far%s", in.Step, len(in.Workers), len(approved), len(s.asked[in.Step]), left)
+	s.mu.Unlock()
+	reply(w, http.StatusOK, map[string]any{"approved": approved, "validity-ms": adviceValidity.Milliseconds()})
+}
+
+func ticket(step, id string) string { return step + "/" + id }
+
+// validTicket reports whether the ticket is for the task's step on the worker.
+func (s *stage) validTicket(given, task, id string) bool {
+	return given == ticket(task[:strings.LastIndex(task, ".")], id)
+}
--- /dev/null
+++ b/review/fleet2/stage.go
@@ -0,0 +1,342 @@
+// The program fleet2 plays the users' platform for the cases of the second review: the store (the
+// project's own stand-in), the list of machines, runners, the advisor, and the callers. It writes the
+// settings of the entry VMs, which drive.sh starts, and checks a rule at the end.
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"github.com/pumicestage/pumicestage/internal/infra"
+	"github.com/pumicestage/pumicestage/platform/standin"
+)
+
+const (
+	service = "weighting"
+	host    = "jobs.example"
+	prefix  = "/weights/"
+	entries = 4
+	// contact is contact-ms of the small installations: a disturbance that ended so long ago is over.
+	contact = 3 * time.Second
+)
+
+// Exit codes of a case.
+const (
+	held      = 0
+	broken    = 1
+	couldNot  = 2
+	playLimit = 110 * time.Second
+)
+
+type span struct{ from, to time.Time }
+
+type aloneEnd struct {
+	task           string
+	run            int
+	started, ended time.Time
+}
+
+type jobInfo struct {
+	steps     []stepInfo
+	advised   bool
+	first     time.Time // of the occurrences; zero: the job has no schedule
+	every     time.Duration
+	attempts  int
+	cancelled time.Time // when its cancelling was acknowledged
+}
+
+type stepInfo struct {
+	cpu   int64
+	count int
+	after []int
+	label string
+	anti  int
+	lasts bool
+}
+
+type stage struct {
+	mu        sync.Mutex
+	out       io.Writer
+	began     time.Time
+	store     *standin.Store
+	machines  []*machine
+	jobs      map[string]*jobInfo
+	gangs     map[string]*gang
+	froms     map[string]map[string]bool // checkpoints that the starts of a gang's run carried
+	starts    map[string]int
+	ended     map[string]int
+	alone     []aloneEnd
+	disturbed []span
+	unasked   int
+	callers   []string
+	policy    func(step, worker string) bool
+	advised   bool
+	asked     map[string]map[string]bool // workers that the advisor was asked about, by step
+	advisor   *advisor
+	guards    bool
+	notes     map[string][]*endNote // ends of runs, by task
+	faults    []string              // broken rules, as found at starts
+	doubts    []doubt               // starts that break a rule if an end was taken note of
+	pids      []string              // files with the process IDs of the entry VMs
+}
+
+// log writes a line to the record. It may be called with s.mu held.
+func (s *stage) log(format string, args ...any) {
+	fmt.Fprintf(s.out, "%8.3f %s\n", time.Since(s.began).Seconds(), fmt.Sprintf(format, args...))
+}
+
+func (s *stage) fatal(format string, args ...any) {
+	s.log("COULD NOT RUN: "+format, args...)
+	os.Exit(couldNot)
+}
+
+func (s *stage) noteCheckpoint(key, value string) {
+	if s.froms[key] == nil {
+		s.froms[key] = make(map[string]bool)
+	}
+	s.froms[key][value] = true
+}
+
+func (s *stage) putKey(key string, value any) {
+	raw, err := json.Marshal(value)
+	if err != nil {
+		panic(err)
+	}
+	if _, err := s.store.Mem.Txn(context.Background(), infra.Txn{Then: []infra.Op{infra.Put(key, raw)}}); err != nil {
+		s.log("store: %v", err)
+	}
+}
+
+func (s *stage) deleteKey(key string) {
+	if _, err := s.store.Mem.Txn(context.Background(), infra.Txn{Then: []infra.Op{infra.Delete(key)}}); err != nil {
+		s.log("store: %v", err)
+	}
+}
+
+// listen serves h on a free port of loopback and returns the address.
+func (s *stage) listen(h http.Handler) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		s.fatal("%v", err)
+	}
+	go http.Serve(l, h)
+	return l.Addr().String()
+}
+
+// serveMachines answers the list of machines. Moves and upkeep are refused as busy: no case needs them.
+func (s *stage) serveMachines(w http.ResponseWriter, q *http.Request) {
+	if q.URL.Path != wire("call.list") {
+		reply(w, http.StatusConflict, map[string]any{"reason": "busy"})
+		return
+	}
+	s.mu.Lock()
+	rows := []map[string]any{}
+	for _, m := range s.machines {
+		row := map[string]any{
+			"machine": m.name, "pool": service, "state": "down", "zone": m.zone, "labels": m.labels(), "id": "",
+			"capacity": map[string]any{"cpu": m.cpu, wire("field.memory"): 65536, "gpu": 0},
+		}
+		if m.runner != nil {
+			row["state"], row["id"] = "up", m.runner.id
+		}
+		rows = append(rows, row)
+	}
+	s.mu.Unlock()
+	reply(w, http.StatusOK, map[string]any{"machines": rows, wire("field.nextpage"): nil})
+}
+
+// reserve returns a free address of loopback.
+func reserve() string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		panic(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
+
+// writeSettings writes the settings of the entry VMs as the deploy file's template would.
+func (s *stage) writeSettings(dir, store, machines, advisor string) {
+	for i := range entries {
+		callers, peer := reserve(), reserve()
+		_, port, err := net.SplitHostPort(peer)
+		if err != nil {
+			s.fatal("%v", err)
+		}
+		s.callers = append(s.callers, callers)
+		s.pids = append(s.pids, filepath.Join(dir, fmt.Sprintf("e%d.pid", i)))
+		text := fmt.Sprintf("[entry]\nname = entry-%d\nzone = z%d\naddress = 127.0.0.1\ncallers = %s\nready = %s\npeer-port-first = %s\npeer-port-last = %s\n"+
+			"[store]\naddress = %s\nleast-lease-ms = 1000\n[vms]\naddress = %s\nrate-per-s = 64.0\n[advisor]\naddress = %s\n"+
+			"[callers]\nconfig-in-force-ms = 2000\nrepeat-when-cut-off = true\n[capacity]\nmove-cost-vm-s = 1.5\n"+
+			"[limits]\ncpu-share = 0.4\nlink-mbps = 1000.0\nmemory-mb = 284\nshutdown-s = 6\nmax-lease-ms = 10000\nstop-grace-ms = 400\nroom-known-ms = 3000\nstatus-s = 120\npace-delay-ms = 100\n"+
+			"[placement]\nkeep-jobs-in-zone = false\n", i, i%4, callers, reserve(), port, port, store, machines, advisor)
+		if err := os.WriteFile(filepath.Join(dir, fmt.Sprintf("e%d.ini", i)), []byte(text), 0o600); err != nil {
+			s.fatal("%v", err)
+		}
+	}
+	if err := os.WriteFile(filepath.Join(dir, "ready"), nil, 0o600); err != nil {
+		s.fatal("%v", err)
+	}
+}
+
+// call sends one request of a caller and returns the status and the state in the answer; 0 stands for
+// no answer.
+func (s *stage) call(entry int, method, id string, body any) (status int, state string) {
+	raw := []byte{}
+	if body != nil {
+		var err error
+		if raw, err = json.Marshal(body); err != nil {
+			panic(err)
+		}
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+s.callers[entry%len(s.callers)]+prefix+id, bytes.NewReader(raw))
+	if err != nil {
+		panic(err)
+	}
+	req.Host = host
+	req.Header.Set(wire("header.deadline"), "3000")
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0, ""
+	}
+	defer resp.Body.Close()
+	var answer struct {
+		State string `json:"state"`
+	}
+	_ = json.NewDecoder(resp.Body).Decode(&answer)
+	return resp.StatusCode, answer.State
+}
+
+// submit hands a job in, at one entry VM after the other as a caller's retries do.
+func (s *stage) submit(id string, what spec, step map[string]any) {
+	raw, err := json.Marshal(what)
+	if err != nil {
+		panic(err)
+	}
+	s.mu.Lock()
+	s.jobs[id] = &jobInfo{steps: []stepInfo{{cpu: step["cpu"].(int64), count: 1}}, advised: s.advised, attempts: 3}
+	s.mu.Unlock()
+	body := map[string]any{"specification": string(raw), "steps": []any{step}}
+	for i := range 40 {
+		status, _ := s.call(i, http.MethodPost, id, body)
+		s.log("POST %s at entry-%d: %d", id, i%len(s.callers), status)
+		if status == http.StatusOK {
+			return
+		}
+		time.Sleep(250 * time.Millisecond)
+	}
+	s.fatal("job %s was not accepted", id)
+}
+
+// state asks for the job's state.
+func (s *stage) state(id string) string {
+	for i := range 8 {
+		if status, state := s.call(i, http.MethodGet, id, nil); status == http.StatusOK {
+			return state
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	return ""
+}
+
+// calm reports whether no disturbance is near the time span.
+func (s *stage) calm(from, to time.Time) bool {
+	return !slices.ContainsFunc(s.disturbed, func(d span) bool { return from.Before(d.to.Add(contact)) && to.After(d.from) })
+}
+
+// until waits until the condition holds or the time is over.
+func (s *stage) until(limit time.Duration, holds func() bool) bool {
+	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		s.mu.Lock()
+		ok := holds()
+		s.mu.Unlock()
+		if ok {
+			return true
+		}
+	}
+	return false
+}
+
+type settingsOf struct {
+	runners int
+	cpu     int64
+	advisor *advisor // of the queue; nil: none
+	// unguarded runners start whatever they are told to.
+	unguarded bool
+}
+
+var seed uint64
+
+// cases maps the names of cases to what they play. trouble is false for the play without the
+// disruption.
+var cases = map[string]struct {
+	settings settingsOf
+	play     func(s *stage, trouble bool) int
+}{}
+
+func main() {
+	name := flag.String("case", "", "the case to play")
+	dir := flag.String("dir", "", "temporary folder for the settings of the entry VMs")
+	record := flag.String("record", "", "file for the record")
+	trouble := flag.Bool("trouble", true, "play the disruption")
+	flag.Uint64Var(&seed, "seed", 1, "seed of a drawn play")
+	flag.Parse()
+	c, known := cases[*name]
+	if !known {
+		fmt.Fprintln(os.Stderr, "no such case")
+		os.Exit(couldNot)
+	}
+	out, err := os.Create(*record)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(couldNot)
+	}
+	s := &stage{
+		out: out, began: time.Now(), store: standin.NewStore(clockwork.NewRealClock()), jobs: make(map[string]*jobInfo),
+		gangs: make(map[string]*gang), froms: make(map[string]map[string]bool), starts: make(map[string]int), ended: make(map[string]int),
+		asked: make(map[string]map[string]bool), notes: make(map[string][]*endNote), guards: !c.settings.unguarded,
+	}
+	time.AfterFunc(playLimit, func() { s.fatal("the play took too long") })
+	s.log("case %s, with the disruption: %v", *name, *trouble)
+	s.mu.Lock()
+	for i := range c.settings.runners {
+		m := &machine{name: fmt.Sprintf("m%03d", i), address: "127.0.0.1:0", zone: fmt.Sprintf("z%d", i%4), rack: fmt.Sprintf("r%d", i/4), kind: "a", cpu: c.settings.cpu}
+		s.machines = append(s.machines, m)
+		if err := s.boot(m); err != nil {
+			s.fatal("%v", err)
+		}
+	}
+	s.mu.Unlock()
+	go func() {
+		for now := range time.Tick(tickInterval) {
+			s.tick(now)
+		}
+	}()
+	route := map[string]any{"name": "weights", "host": host, "prefix": prefix, "service": service, "priority": 0, "max-attempts": 3, "stretch-factor": 2.0, wire("field.objective"): 600}
+	if s.advisor = c.settings.advisor; s.advisor != nil {
+		s.advised = true
+		route["advisor"] = s.advisor.route()["advisor"]
+	}
+	s.putKey(wire("key.config"), map[string]any{
+		"version": 1, "routes": []any{route}, "services": []any{map[string]any{"name": service, "standby": false, wire("field.guards"): s.guards}}, "limits": map[string]any{},
+	})
+	s.writeSettings(*dir, s.listen(s.store), s.listen(http.HandlerFunc(s.serveMachines)), s.listen(http.HandlerFunc(s.serveAdvisor)))
+	code := c.play(s, *trouble)
+	s.log("exit %d", code)
+	os.Exit(code)
+}
