--- a/review/fleet2/runner.go
+++ b/review/fleet2/runner.go
@@ -33,11 +33,11 @@
 
 // machine is a VM with a fixed address. Its runner is one life of it.
 type machine struct {
-	name, address, zone, rack, kind string
-	cpu                             int64
-	runner                          *runner // nil while it is down
-	server                          *http.Server
-	lives                           int
+	name, address, pool, zone, rack, kind string
+	cpu                                   int64
+	runner                                *runner // nil while it is down
+	server                                *http.Server
+	lives                                 int
 }
 
 // runner is one life of a machine.
@@ -132,7 +132,7 @@
 			return
 		}
 		s.putKey(key, map[string]any{
-			"service": service, "address": r.m.address, "zone": r.m.zone, "version": "1", "slots": 8, "state": "ready",
+			"service": r.m.pool, "address": r.m.address, "zone": r.m.zone, "version": "1", "slots": 8, "state": "ready",
 			"cold-remaining-ms": 0, "sequence": n, "clock-ms": clock.Milliseconds(),
 			"capacity": map[string]any{"cpu": r.m.cpu, wire("field.memory"): 65536, "gpu": 0}, "labels": r.m.labels(),
 		})
--- a/review/fleet2/stage.go
+++ b/review/fleet2/stage.go
@@ -28,6 +28,7 @@
 	service = "weighting"
 	host    = "jobs.example"
 	prefix  = "/weights/"
+	other   = "checking" // another service, with two runners where a case asks for it
 	entries = 4
 	// contact is contact-ms of the small installations: a disturbance that ended so long ago is over.
 	contact = 3 * time.Second
@@ -86,6 +87,7 @@
 	advised   bool
 	asked     map[string]map[string]bool // workers that the advisor was asked about, by step
 	advisor   *advisor
+	others    bool
 	guards    bool
 	notes     map[string][]*endNote // ends of runs, by task
 	faults    []string              // broken rules, as found at starts
@@ -146,7 +148,7 @@
 	rows := []map[string]any{}
 	for _, m := range s.machines {
 		row := map[string]any{
-			"machine": m.name, "pool": service, "state": "down", "zone": m.zone, "labels": m.labels(), "id": "",
+			"machine": m.name, "pool": m.pool, "state": "down", "zone": m.zone, "labels": m.labels(), "id": "",
 			"capacity": map[string]any{"cpu": m.cpu, wire("field.memory"): 65536, "gpu": 0},
 		}
 		if m.runner != nil {
@@ -192,8 +194,8 @@
 	}
 }
 
-// call sends one request of a caller and returns the status and the state in the answer; 0 stands for
-// no answer.
+// call sends one request of a caller and returns the status and the state or count in the
+// answer; 0 stands for no answer.
 func (s *stage) call(entry int, method, id string, body any) (status int, state string) {
 	raw := []byte{}
 	if body != nil {
@@ -216,9 +218,13 @@
 	}
 	defer resp.Body.Close()
 	var answer struct {
-		State string `json:"state"`
+		State   string `json:"state"`
+		Waiting *int   `json:"waiting"`
 	}
 	_ = json.NewDecoder(resp.Body).Decode(&answer)
+	if answer.Waiting != nil {
+		return resp.StatusCode, fmt.Sprint(*answer.Waiting)
+	}
 	return resp.StatusCode, answer.State
 }
 
@@ -272,8 +278,28 @@
 	return false
 }
 
+// configure writes a version of the configuration, in which the queue's route leads to the service;
+// empty: there is no route.
+func (s *stage) configure(version int, to string) {
+	route := map[string]any{"name": "weights", "host": host, "prefix": prefix, "service": to, "priority": 0, "max-attempts": 4, "stretch-factor": 2.0, wire("field.objective"): 600}
+	if s.advisor != nil {
+		route["advisor"] = s.advisor.route()["advisor"]
+	}
+	services := []any{map[string]any{"name": service, "standby": false, wire("field.guards"): s.guards}}
+	if s.others {
+		services = append(services, map[string]any{"name": other, "standby": false, wire("field.guards"): s.guards})
+	}
+	routes := []any{}
+	if to != "" {
+		routes = append(routes, route)
+	}
+	s.putKey(wire("key.config"), map[string]any{"version": version, "routes": routes, "services": services, "limits": map[string]any{}})
+	s.log("configuration %d: the queue's route leads to %q", version, to)
+}
+
 type settingsOf struct {
 	runners int
+	others  int // runners of the other service
 	cpu     int64
 	advisor *advisor // of the queue; nil: none
 	// unguarded runners start whatever they are told to.
@@ -314,8 +340,12 @@
 	time.AfterFunc(playLimit, func() { s.fatal("the play took too long") })
 	s.log("case %s, with the disruption: %v", *name, *trouble)
 	s.mu.Lock()
-	for i := range c.settings.runners {
-		m := &machine{name: fmt.Sprintf("m%03d", i), address: "127.0.0.1:0", zone: fmt.Sprintf("z%d", i%4), rack: fmt.Sprintf("r%d", i/4), kind: "a", cpu: c.settings.cpu}
+	for i := range c.settings.runners + c.settings.others {
+		pool := service
+		if i >= c.settings.runners {
+			pool = other
+		}
+		m := &machine{name: fmt.Sprintf("m%03d", i), pool: pool, address: "127.0.0.1:0", zone: fmt.Sprintf("z%d", i%4), rack: fmt.Sprintf("r%d", i/4), kind: "a", cpu: c.settings.cpu}
 		s.machines = append(s.machines, m)
 		if err := s.boot(m); err != nil {
 			s.fatal("%v", err)
@@ -327,14 +357,9 @@
 			s.tick(now)
 		}
 	}()
-	route := map[string]any{"name": "weights", "host": host, "prefix": prefix, "service": service, "priority": 0, "max-attempts": 4, "stretch-factor": 2.0, wire("field.objective"): 600}
-	if s.advisor = c.settings.advisor; s.advisor != nil {
-		s.advised = true
-		route["advisor"] = s.advisor.route()["advisor"]
-	}
-	s.putKey(wire("key.config"), map[string]any{
-		"version": 1, "routes": []any{route}, "services": []any{map[string]any{"name": service, "standby": false, wire("field.guards"): s.guards}}, "limits": map[string]any{},
-	})
+	s.advisor, s.others = c.settings.advisor, c.settings.others > 0
+	s.advised = s.advisor != nil
+	s.configure(1, service)
 	s.writeSettings(*dir, s.listen(s.store), s.listen(http.HandlerFunc(s.serveMachines)), s.listen(http.HandlerFunc(s.serveAdvisor)))
 	code := c.play(s, *trouble)
 	s.log("exit %d", code)
