--- a/review/fleet2/advice.go
+++ b/review/fleet2/advice.go
@@ -3,23 +3,16 @@
 import (
 	"fmt"
 	"hash/fnv"
-	"os"
-	"path/filepath"
-	"sync"
-	"syscall"
 	"time"
 )
 
 const adviceRunners = 64
 
 func init() {
-	type c = struct {
+	cases["advice"] = struct {
 		settings settingsOf
 		play     func(s *stage, trouble bool) int
-	}
-	cases["advice"] = c{settingsOf{runners: adviceRunners, cpu: 32000, advisor: &advisor{decision: 20 * time.Millisecond, perWorker: 5 * time.Millisecond}}, playAdvice}
-	cases["advice-power"] = c{settingsOf{runners: 8, cpu: 32000, advisor: &advisor{decision: 50 * time.Millisecond, perWorker: 10 * time.Millisecond}}, playAdvicePower}
-	cases["advice-power-drops"] = c{settingsOf{runners: 8, cpu: 32000, advisor: &advisor{decision: 50 * time.Millisecond, perWorker: 10 * time.Millisecond, dropsAbandoned: true}}, playAdvicePower}
+	}{settingsOf{runners: adviceRunners, cpu: 32000, advisor: &advisor{decision: 20 * time.Millisecond, perWorker: 5 * time.Millisecond}}, playAdvice}
 }
 
 // approve reports whether the policy allows the step on the runner: by a hash, on one in so many.
@@ -85,78 +78,3 @@
 	}
 	return held
 }
-
-// playAdvicePower hands in jobs on a queue with an advisor. All entry VMs lose power once, for 9.5 s.
-func playAdvicePower(s *stage, trouble bool) int {
-	s.mu.Lock()
-	s.policy = func(step, worker string) bool { return approve(step, worker, 2) }
-	s.mu.Unlock()
-	const finish, down, offAt = 14 * time.Second, 9500 * time.Millisecond, 10
-	work := 600 * time.Millisecond
-	var ids []string
-	var load sync.WaitGroup
-	for i := range 50 {
-		id := fmt.Sprintf("%08x%08x", 0x5c0e7a21, 0xd94b0000+i)
-		ids = append(ids, id)
-		load.Go(func() {
-			s.submit(id, spec{WorkMS: int(work.Milliseconds())}, map[string]any{"count": 4, "cpu": int64(1000), wire("field.memory"): 512, "estimated-ms": work.Milliseconds()})
-		})
-		time.Sleep(300 * time.Millisecond)
-		if trouble && i == offAt {
-			s.powerOff(down)
-		}
-	}
-	load.Wait()
-	s.log("end of the traffic")
-	time.Sleep(finish)
-	lost := 0
-	for _, id := range ids {
-		state := s.state(id)
-		if state == "completed" {
-			continue
-		}
-		s.mu.Lock()
-		step, allowed, started := id+".0.0", 0, 0
-		for _, m := range s.machines {
-			if m.runner != nil && s.policy(step, m.runner.id) {
-				allowed++
-			}
-		}
-		for i := range 4 {
-			started += s.starts[fmt.Sprintf("%s.%d", step, i)]
-		}
-		s.log("%s after the end of the traffic: %s is %s, %d starts; the policy allows %d runners", finish, id, state, started, allowed)
-		if started == 0 && allowed >= 2 {
-			lost++
-		}
-		s.mu.Unlock()
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.log("ends: %v", s.ended)
-	if lost > 0 {
-		s.log("LOST: %d of %d jobs have nothing running for over 3 s, though runners that may run them stand idle", lost, len(ids))
-		return broken
-	}
-	return held
-}
-
-// powerOff kills all entry VMs' processes, which start again after the time.
-func (s *stage) powerOff(down time.Duration) {
-	s.log("DISRUPTION all entry VMs lose power for %s", down)
-	s.disturb(down)
-	off := filepath.Join(filepath.Dir(s.pids[0]), "off")
-	if err := os.WriteFile(off, nil, 0o600); err != nil {
-		s.fatal("%v", err)
-	}
-	s.advisor.callerKilled()
-	for i := range s.pids {
-		s.signal(i, syscall.SIGKILL)
-	}
-	time.AfterFunc(down, func() {
-		s.log("the entry VMs start again")
-		if err := os.Remove(off); err != nil {
-			s.fatal("%v", err)
-		}
-	})
-}
--- a/review/fleet2/advisor.go
+++ b/review/fleet2/advisor.go
@@ -12,13 +12,9 @@
 // turn, and refuses calls while 32 wait. In the plays one entry VM at a time calls it.
 type advisor struct {
 	decision, perWorker time.Duration
-	// dropsAbandoned: a call whose channel was closed before its turn takes no time.
-	dropsAbandoned bool
-
-	turn    sync.Mutex
-	mu      sync.Mutex
-	waiting int
-	epoch   int // of the calling machine; calls of a machine that was killed are dropped
+	turn                sync.Mutex
+	mu                  sync.Mutex
+	waiting             int
 }
 
 const (
@@ -32,8 +28,8 @@
 	}}
 }
 
-// admit waits for the call's turn and returns false if the call is refused or dropped.
-func (a *advisor) admit(w http.ResponseWriter, q *http.Request) bool {
+// admit waits for the call's turn and returns false if the call is refused.
+func (a *advisor) admit(w http.ResponseWriter) bool {
 	a.mu.Lock()
 	if a.waiting >= adviceWaiting {
 		a.mu.Unlock()
@@ -41,26 +37,14 @@
 		return false
 	}
 	a.waiting++
-	epoch := a.epoch
 	a.mu.Unlock()
 	a.turn.Lock()
 	a.mu.Lock()
 	a.waiting--
-	gone := a.epoch != epoch
 	a.mu.Unlock()
-	if gone || a.dropsAbandoned && q.Context().Err() != nil {
-		a.turn.Unlock()
-		return false
-	}
 	return true
 }
 
-func (a *advisor) callerKilled() {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.epoch++
-}
-
 // serveAdvisor answers which of the workers may run a step.
 func (s *stage) serveAdvisor(w http.ResponseWriter, q *http.Request) {
 	var in struct {
@@ -71,7 +55,7 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	if !s.advisor.admit(w, q) {
+	if !s.advisor.admit(w) {
 		return
 	}
 	time.Sleep(s.advisor.decision + time.Duration(len(in.Workers))*s.advisor.perWorker)
@@ -87,11 +71,7 @@
 			approved = append(approved, []string{id, ticket(in.Step, id)})
 		}
 	}
-	left := ""
-	if q.Context().Err() != nil {
-		left = ", the caller has left"
-	}
-	s.log("advise: step %s, %d workers named, %d approved, %d different ones named so far%s", in.Step, len(in.Workers), len(approved), len(s.asked[in.Step]), left)
+	s.log("advise: step %s, %d workers named, %d approved, %d different ones named so far", in.Step, len(in.Workers), len(approved), len(s.asked[in.Step]))
 	s.mu.Unlock()
 	reply(w, http.StatusOK, map[string]any{"approved": approved, "validity-ms": adviceValidity.Milliseconds()})
 }
--- a/review/fleet2/drive.sh
+++ b/review/fleet2/drive.sh
@@ -21,10 +21,6 @@
 # supervise keeps the daemon with the settings file $1 running; its process ID is in $2.
 supervise() {
 	until [ -e "$tmp/stop" ]; do
-		if [ -e "$tmp/off" ]; then # the machines have no power
-			sleep 0.05
-			continue
-		fi
 		PUMICESTAGE_NODE_FILE="$1" "$daemon" >>"$1.log" 2>&1 &
 		echo $! >"$2"
 		{ wait $!; } 2>/dev/null
@@ -50,7 +46,7 @@
 }
 trap finish EXIT
 trap 'exit 2' INT TERM
-"$stage" -case "$case" -dir "$tmp" -record "$folder/record.txt" -trouble=$trouble -seed "${SEED:-1}" &
+"$stage" -case "$case" -dir "$tmp" -record "$folder/record.txt" -trouble=$trouble &
 stage_pid=$!
 n=0
 until [ -e "$tmp/ready" ]; do
--- a/review/fleet2/gang.go
+++ b/review/fleet2/gang.go
@@ -52,6 +52,10 @@
 			open = open[1:]
 		}
 	}
+	for _, id := range open {
+		status, st := s.call(0, http.MethodGet, id, nil)
+		s.log("not completed 50 s later: %s, GET: %d %s", id, status, st)
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for key, values := range s.froms {
@@ -66,10 +70,6 @@
 			s.log("GANG: %s run %d ended alone, with no disturbance near", a.task, a.run)
 		}
 	}
-	for _, id := range open {
-		status, st := s.call(0, http.MethodGet, id, nil)
-		s.log("not completed 50 s later: %s, GET: %d %s", id, status, st)
-	}
 	s.log("ends: %v", s.ended)
 	if bad > 0 {
 		return broken
--- a/review/fleet2/runner.go
+++ b/review/fleet2/runner.go
@@ -27,8 +27,6 @@
 	WorkMS int  `json:"work"`
 	Gang   int  `json:"gang,omitempty"`  // members of a gang; 0: none
 	Saves  bool `json:"saves,omitempty"` // the tasks produce checkpoints
-	Fails  int  `json:"fails,omitempty"` // how many of a task's first starts end failed
-	Lasts  bool `json:"lasts,omitempty"` // the tasks go on until they are stopped
 }
 
 // machine is a VM with a fixed address. Its runner is one life of it.
@@ -52,10 +50,6 @@
 	ends    []endRow
 	seq     int64
 	wake    chan struct{}
-
-	silent bool // cut off from all entry VMs; its runs go on
-	late   bool // starts get no answer and are carried out seconds later
-	lapsed bool // the lease ran out since the last poll
 }
 
 type endRow struct {
@@ -64,7 +58,7 @@
 	run   int
 	how   string
 	saved string
-	note  *endNote
+	cpu   int64 // held until the end is listed
 }
 
 // run is one run of a task.
@@ -179,7 +173,7 @@
 	delete(r.running, u.task)
 	r.highest[u.task] = max(r.highest[u.task], u.number)
 	r.seq++
-	r.ends = append(r.ends, endRow{r.seq, u.task, u.number, how, u.saved, s.noteEnd(u, how)})
+	r.ends = append(r.ends, endRow{r.seq, u.task, u.number, how, u.saved, u.cpu})
 	s.ended[how]++
 	s.log("run ended: %s run %d on %s: %s, checkpoint %q", u.task, u.number, r.id, how, u.saved)
 	if how == "alone" {
@@ -200,11 +194,7 @@
 }
 
 func (u *run) percent(now time.Time) int {
-	done := int(100 * u.work(now).Milliseconds() / int64(max(1, u.spec.WorkMS)))
-	if u.spec.Lasts {
-		return min(100, done)
-	}
-	return min(99, done)
+	return min(99, int(100*u.work(now).Milliseconds()/int64(max(1, u.spec.WorkMS))))
 }
 
 func (m *machine) labels() []string { return []string{m.kind, m.rack} }
@@ -223,7 +213,6 @@
 		if r == nil {
 			continue
 		}
-		r.lapsed = r.lapsed || r.clock() > r.until
 		if len(r.running) > 0 && r.clock() > r.until {
 			for _, u := range r.running {
 				s.end(u, "lapsed")
@@ -258,11 +247,7 @@
 	if whole := done.Truncate(saveEvery); u.spec.Saves && whole > u.begun {
 		u.saved = saveValue(u.task, whole)
 	}
-	if u.spec.Lasts || done < time.Duration(u.spec.WorkMS)*time.Millisecond {
-		return
-	}
-	if s.starts[u.task] <= u.spec.Fails {
-		s.end(u, "failed")
+	if done < time.Duration(u.spec.WorkMS)*time.Millisecond {
 		return
 	}
 	if u.gang == nil {
@@ -328,15 +313,6 @@
 		s.mu.Unlock()
 		panic(http.ErrAbortHandler)
 	}
-	if r.silent || r.late && q.URL.Path == wire("call.start") {
-		late := !r.silent
-		s.mu.Unlock()
-		if late {
-			time.AfterFunc(lateBy(), func() { s.startLate(r, o) })
-		}
-		<-q.Context().Done()
-		panic(http.ErrAbortHandler)
-	}
 	if token := o.number("fencing-token"); token < r.token {
 		s.mu.Unlock()
 		reply(w, http.StatusConflict, map[string]any{"clock-ms": r.clock().Milliseconds(), "reason": "fence"})
@@ -381,15 +357,14 @@
 	reason := ""
 	var what spec
 	_ = json.Unmarshal([]byte(o.text("specification")), &what)
-	job, ref := s.jobs[task[:16]], parseRef(task)
-	cpu := int64(0)
-	if job != nil {
-		cpu = job.steps[ref.step].cpu
-	}
-	var used int64
+	job := s.jobs[task[:16]]
+	var used, unlisted int64
 	for _, u := range r.running {
 		used += u.cpu
 	}
+	for i := range r.ends {
+		unlisted += r.ends[i].cpu
+	}
 	switch {
 	case job == nil:
 		s.log("UNASKED: start of %s", task)
@@ -401,19 +376,18 @@
 	case live != nil && live.number == number:
 	case deadline < r.clock():
 		reason = "late"
-	case s.guards && used+cpu > r.m.cpu:
+	case used+unlisted+job.cpu > r.m.cpu:
 		reason = "room"
 		r.extend(o.number("deadline-ms"))
 	case job.advised && !s.validTicket(o.text("ticket"), task, r.id):
 		reason = "ticket"
 	default:
 		r.extend(o.number("deadline-ms"))
-		u := &run{task: task, number: number, on: r, spec: what, cpu: cpu, started: time.Now(), from: o.text("checkpoint"), saved: o.text("checkpoint")}
+		u := &run{task: task, number: number, on: r, spec: what, cpu: job.cpu, started: time.Now(), from: o.text("checkpoint"), saved: o.text("checkpoint")}
 		if len(u.from) >= 8 {
 			ms, _ := strconv.ParseInt(u.from[:8], 16, 64)
 			u.begun = time.Duration(ms) * time.Millisecond
 		}
-		s.checkStart(u, job, ref, used)
 		r.running[task] = u
 		s.starts[task]++
 		if what.Gang > 0 {
@@ -455,12 +429,7 @@
 func (s *stage) hold(r *runner, o order, w http.ResponseWriter, q *http.Request) {
 	r.extend(o.number("deadline-ms"))
 	acked := o.number(wire("field.acked"))
-	for i := range r.ends {
-		r.ends[i].note.lapsed = r.ends[i].note.lapsed || r.lapsed
-	}
-	r.lapsed = false
 	for len(r.ends) > 0 && r.ends[0].seq <= acked {
-		r.ends[0].note.acked = !r.ends[0].note.lapsed
 		r.ends = r.ends[1:]
 	}
 	if wait := min(o.number("wait-ms"), 2000); wait > 0 && len(r.ends) == 0 {
@@ -485,6 +454,7 @@
 	for i, e := range r.ends {
 		if i < 500 {
 			ended = append(ended, []any{e.seq, e.task, e.run, e.how, e.saved})
+			r.ends[i].cpu = 0
 		}
 	}
 	body := map[string]any{"clock-ms": r.clock().Milliseconds(), "running": running, wire("field.ended"): ended}
--- a/review/fleet2/stage.go
+++ b/review/fleet2/stage.go
@@ -51,21 +51,9 @@
 }
 
 type jobInfo struct {
-	steps     []stepInfo
-	advised   bool
-	first     time.Time // of the occurrences; zero: the job has no schedule
-	every     time.Duration
-	attempts  int
-	cancelled time.Time // when its cancelling was acknowledged
-}
-
-type stepInfo struct {
-	cpu   int64
-	count int
-	after []int
-	label string
-	anti  int
-	lasts bool
+	cpu     int64 // of each task
+	advised bool
+	tenant  string // key of its tenant; empty: none
 }
 
 type stage struct {
@@ -88,11 +76,7 @@
 	asked     map[string]map[string]bool // workers that the advisor was asked about, by step
 	advisor   *advisor
 	others    bool
-	guards    bool
-	notes     map[string][]*endNote // ends of runs, by task
-	faults    []string              // broken rules, as found at starts
-	doubts    []doubt               // starts that break a rule if an end was taken note of
-	pids      []string              // files with the process IDs of the entry VMs
+	tenants   map[string]int64 // limits of the tenants' cores, in thousandths
 }
 
 // log writes a line to the record. It may be called with s.mu held.
@@ -179,7 +163,6 @@
 			s.fatal("%v", err)
 		}
 		s.callers = append(s.callers, callers)
-		s.pids = append(s.pids, filepath.Join(dir, fmt.Sprintf("e%d.pid", i)))
 		text := fmt.Sprintf("[entry]\nname = entry-%d\nzone = z%d\naddress = 127.0.0.1\ncallers = %s\nready = %s\npeer-port-first = %s\npeer-port-last = %s\n"+
 			"[store]\naddress = %s\nleast-lease-ms = 1000\n[vms]\naddress = %s\nrate-per-s = 64.0\n[advisor]\naddress = %s\n"+
 			"[callers]\nconfig-in-force-ms = 2000\nrepeat-when-cut-off = true\n[capacity]\nmove-cost-vm-s = 1.5\n"+
@@ -206,12 +189,18 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
 	defer cancel()
+	s.mu.Lock()
+	job := s.jobs[id]
+	s.mu.Unlock()
 	req, err := http.NewRequestWithContext(ctx, method, "http://"+s.callers[entry%len(s.callers)]+prefix+id, bytes.NewReader(raw))
 	if err != nil {
 		panic(err)
 	}
 	req.Host = host
 	req.Header.Set(wire("header.deadline"), "3000")
+	if job != nil && job.tenant != "" {
+		req.Header.Set(wire("header.key"), job.tenant)
+	}
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
 		return 0, ""
@@ -235,7 +224,10 @@
 		panic(err)
 	}
 	s.mu.Lock()
-	s.jobs[id] = &jobInfo{steps: []stepInfo{{cpu: step["cpu"].(int64), count: 1}}, advised: s.advised, attempts: 4}
+	s.jobs[id] = &jobInfo{cpu: step["cpu"].(int64), advised: s.advised}
+	if s.tenants != nil {
+		s.jobs[id].tenant = "key-red"
+	}
 	s.mu.Unlock()
 	body := map[string]any{"specification": string(raw), "steps": []any{step}}
 	for i := range 40 {
@@ -285,29 +277,35 @@
 	if s.advisor != nil {
 		route["advisor"] = s.advisor.route()["advisor"]
 	}
-	services := []any{map[string]any{"name": service, "standby": false, wire("field.guards"): s.guards}}
+	services := []any{map[string]any{"name": service, "standby": false, wire("field.guards"): true}}
 	if s.others {
-		services = append(services, map[string]any{"name": other, "standby": false, wire("field.guards"): s.guards})
+		services = append(services, map[string]any{"name": other, "standby": false, wire("field.guards"): true})
 	}
 	routes := []any{}
 	if to != "" {
 		routes = append(routes, route)
 	}
-	s.putKey(wire("key.config"), map[string]any{"version": version, "routes": routes, "services": services, "limits": map[string]any{}})
+	config := map[string]any{"version": version, "routes": routes, "services": services, "limits": map[string]any{}}
+	if s.tenants != nil {
+		tenants := []any{}
+		for name, limit := range s.tenants {
+			tenants = append(tenants, map[string]any{"name": name, wire("field.keys"): []string{"key-" + name}, "weight": 100,
+				wire("field.limit"): map[string]any{"cpu": limit, wire("field.memory"): 0, "gpu": 0}})
+		}
+		config["tenants"] = tenants
+	}
+	s.putKey(wire("key.config"), config)
 	s.log("configuration %d: the queue's route leads to %q", version, to)
 }
 
 type settingsOf struct {
 	runners int
 	others  int // runners of the other service
+	tenants map[string]int64
 	cpu     int64
 	advisor *advisor // of the queue; nil: none
-	// unguarded runners start whatever they are told to.
-	unguarded bool
 }
 
-var seed uint64
-
 // cases maps the names of cases to what they play. trouble is false for the play without the
 // disruption.
 var cases = map[string]struct {
@@ -320,7 +318,6 @@
 	dir := flag.String("dir", "", "temporary folder for the settings of the entry VMs")
 	record := flag.String("record", "", "file for the record")
 	trouble := flag.Bool("trouble", true, "play the disruption")
-	flag.Uint64Var(&seed, "seed", 1, "seed of a drawn play")
 	flag.Parse()
 	c, known := cases[*name]
 	if !known {
@@ -335,7 +332,7 @@
 	s := &stage{
 		out: out, began: time.Now(), store: standin.NewStore(clockwork.NewRealClock()), jobs: make(map[string]*jobInfo),
 		gangs: make(map[string]*gang), froms: make(map[string]map[string]bool), starts: make(map[string]int), ended: make(map[string]int),
-		asked: make(map[string]map[string]bool), notes: make(map[string][]*endNote), guards: !c.settings.unguarded,
+		asked: make(map[string]map[string]bool),
 	}
 	time.AfterFunc(playLimit, func() { s.fatal("the play took too long") })
 	s.log("case %s, with the disruption: %v", *name, *trouble)
@@ -357,7 +354,7 @@
 			s.tick(now)
 		}
 	}()
-	s.advisor, s.others = c.settings.advisor, c.settings.others > 0
+	s.advisor, s.others, s.tenants = c.settings.advisor, c.settings.others > 0, c.settings.tenants
 	s.advised = s.advisor != nil
 	s.configure(1, service)
 	s.writeSettings(*dir, s.listen(s.store), s.listen(http.HandlerFunc(s.serveMachines)), s.listen(http.HandlerFunc(s.serveAdvisor)))
