Review, case 8: a task that lasts loses its room when it fails

One of four tasks that last fails once; a waiting task of a lower priority gets its room three milliseconds later, and it has no run for 30 s (LOST).

--- a/review/fleet2/ganglimit.go
+++ b/review/fleet2/ganglimit.go
@@ -25,7 +25,7 @@
 			s.mu.Lock()
 			s.tenants = map[string]int64{"red": 60000}
 			s.mu.Unlock()
-			s.configure(3, service)
+			s.configure(3)
 		}
 		id := fmt.Sprintf("%016x", 0x400+i)
 		ids = append(ids, id)
--- a/review/fleet2/runner.go
+++ b/review/fleet2/runner.go
@@ -27,6 +27,7 @@
 	WorkMS int  `json:"work"`
 	Gang   int  `json:"gang,omitempty"`  // members of a gang; 0: none
 	Saves  bool `json:"saves,omitempty"` // the tasks produce checkpoints
+	Lasts  bool `json:"lasts,omitempty"` // the tasks go on until they are stopped
 }
 
 // machine is a VM with a fixed address. Its runner is one life of it.
@@ -194,7 +195,11 @@
 }
 
 func (u *run) percent(now time.Time) int {
-	return min(99, int(100*u.work(now).Milliseconds()/int64(max(1, u.spec.WorkMS))))
+	most := 99
+	if u.spec.Lasts {
+		most = 100
+	}
+	return min(most, int(100*u.work(now).Milliseconds()/int64(max(1, u.spec.WorkMS))))
 }
 
 func (m *machine) labels() []string { return []string{m.kind, m.rack} }
@@ -247,7 +252,7 @@
 	if whole := done.Truncate(saveEvery); u.spec.Saves && whole > u.begun {
 		u.saved = saveValue(u.task, whole)
 	}
-	if done < time.Duration(u.spec.WorkMS)*time.Millisecond {
+	if u.spec.Lasts || done < time.Duration(u.spec.WorkMS)*time.Millisecond {
 		return
 	}
 	if u.gang == nil {
--- a/review/fleet2/stage.go
+++ b/review/fleet2/stage.go
@@ -25,11 +25,12 @@
 )
 
 const (
-	service = "weighting"
-	host    = "jobs.example"
-	prefix  = "/weights/"
-	other   = "checking" // another service, with two runners where a case asks for it
-	entries = 4
+	service     = "weighting"
+	host        = "jobs.example"
+	prefix      = "/weights/"
+	batchPrefix = "/batch/"  // of a queue of lower priority, where a case asks for it
+	other       = "checking" // another service, with two runners where a case asks for it
+	entries     = 4
 	// contact is contact-ms of the small installations: a disturbance that ended so long ago is over.
 	contact = 3 * time.Second
 )
@@ -54,6 +55,7 @@
 	cpu     int64 // of each task
 	advised bool
 	tenant  string // key of its tenant; empty: none
+	prefix  string // of its queue
 }
 
 type stage struct {
@@ -76,6 +78,7 @@
 	asked     map[string]map[string]bool // workers that the advisor was asked about, by step
 	advisor   *advisor
 	others    bool
+	batch     bool
 	tenants   map[string]int64 // limits of the tenants' cores, in thousandths
 }
 
@@ -177,8 +180,8 @@
 	}
 }
 
-// call sends one request of a caller and returns the status and the state or count in the
-// answer; 0 stands for no answer.
+// call sends one request of a caller and returns the status and the state in the answer; 0 stands for
+// no answer.
 func (s *stage) call(entry int, method, id string, body any) (status int, state string) {
 	raw := []byte{}
 	if body != nil {
@@ -190,9 +193,12 @@
 	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
 	defer cancel()
 	s.mu.Lock()
-	job := s.jobs[id]
+	job, path := s.jobs[id], prefix
 	s.mu.Unlock()
-	req, err := http.NewRequestWithContext(ctx, method, "http://"+s.callers[entry%len(s.callers)]+prefix+id, bytes.NewReader(raw))
+	if job != nil {
+		path = job.prefix
+	}
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+s.callers[entry%len(s.callers)]+path+id, bytes.NewReader(raw))
 	if err != nil {
 		panic(err)
 	}
@@ -207,24 +213,23 @@
 	}
 	defer resp.Body.Close()
 	var answer struct {
-		State   string `json:"state"`
-		Waiting *int   `json:"waiting"`
+		State string `json:"state"`
 	}
 	_ = json.NewDecoder(resp.Body).Decode(&answer)
-	if answer.Waiting != nil {
-		return resp.StatusCode, fmt.Sprint(*answer.Waiting)
-	}
 	return resp.StatusCode, answer.State
 }
 
 // submit hands a job in, at one entry VM after the other as a caller's retries do.
-func (s *stage) submit(id string, what spec, step map[string]any) {
+func (s *stage) submit(id string, what spec, step map[string]any) { s.submitTo(prefix, id, what, step) }
+
+// submitTo is submit for the queue with the prefix.
+func (s *stage) submitTo(queue, id string, what spec, step map[string]any) {
 	raw, err := json.Marshal(what)
 	if err != nil {
 		panic(err)
 	}
 	s.mu.Lock()
-	s.jobs[id] = &jobInfo{cpu: step["cpu"].(int64), advised: s.advised}
+	s.jobs[id] = &jobInfo{cpu: step["cpu"].(int64), advised: s.advised, prefix: queue}
 	if s.tenants != nil {
 		s.jobs[id].tenant = "key-red"
 	}
@@ -270,10 +275,9 @@
 	return false
 }
 
-// configure writes a version of the configuration, in which the queue's route leads to the service;
-// empty: there is no route.
-func (s *stage) configure(version int, to string) {
-	route := map[string]any{"name": "weights", "host": host, "prefix": prefix, "service": to, "priority": 0, "max-attempts": 4, "stretch-factor": 2.0, wire("field.objective"): 600}
+// configure writes a version of the configuration.
+func (s *stage) configure(version int) {
+	route := map[string]any{"name": "weights", "host": host, "prefix": prefix, "service": service, "priority": 0, "max-attempts": 4, "stretch-factor": 2.0, wire("field.objective"): 600}
 	if s.advisor != nil {
 		route["advisor"] = s.advisor.route()["advisor"]
 	}
@@ -281,9 +285,14 @@
 	if s.others {
 		services = append(services, map[string]any{"name": other, "standby": false, wire("field.guards"): true})
 	}
-	routes := []any{}
-	if to != "" {
-		routes = append(routes, route)
+	routes := []any{route}
+	if s.batch {
+		second := map[string]any{}
+		for k, v := range route {
+			second[k] = v
+		}
+		second["name"], second["prefix"], second["priority"] = "batch", batchPrefix, 1
+		routes = append(routes, second)
 	}
 	config := map[string]any{"version": version, "routes": routes, "services": services, "limits": map[string]any{}}
 	if s.tenants != nil {
@@ -295,13 +304,14 @@
 		config["tenants"] = tenants
 	}
 	s.putKey(wire("key.config"), config)
-	s.log("configuration %d: the queue's route leads to %q", version, to)
+	s.log("configuration %d, limits of tenants: %v", version, s.tenants)
 }
 
 type settingsOf struct {
 	runners int
 	others  int // runners of the other service
 	tenants map[string]int64
+	batch   bool // a queue of lower priority
 	cpu     int64
 	advisor *advisor // of the queue; nil: none
 }
@@ -354,9 +364,9 @@
 			s.tick(now)
 		}
 	}()
-	s.advisor, s.others, s.tenants = c.settings.advisor, c.settings.others > 0, c.settings.tenants
+	s.advisor, s.others, s.tenants, s.batch = c.settings.advisor, c.settings.others > 0, c.settings.tenants, c.settings.batch
 	s.advised = s.advisor != nil
-	s.configure(1, service)
+	s.configure(1)
 	s.writeSettings(*dir, s.listen(s.store), s.listen(http.HandlerFunc(s.serveMachines)), s.listen(http.HandlerFunc(s.serveAdvisor)))
 	code := c.play(s, *trouble)
 	s.log("exit %d", code)
