--- a/review/fleet2/advice.go
+++ b/review/fleet2/advice.go
@@ -12,7 +12,7 @@
 	cases["advice"] = struct {
 		settings settingsOf
 		play     func(s *stage, trouble bool) int
-	}{settingsOf{runners: adviceRunners, cpu: 32000, advisor: &advisor{decision: 20 * time.Millisecond, perWorker: 5 * time.Millisecond}}, playAdvice}
+	}{settingsOf{runners: adviceRunners, cpu: 32000, advisor: &advisor{decision: 20 * time.Millisecond, perWorker: 5 * time.Millisecond, validity: 5 * time.Second}}, playAdvice}
 }
 
 // approve reports whether the policy allows the step on the runner: by a hash, on one in so many.
--- a/review/fleet2/advisor.go
+++ b/review/fleet2/advisor.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -11,20 +12,17 @@
 // advisor is the service that decides which runners may run a step. It handles one call at a time, in
 // turn, and refuses calls while 32 wait. In the plays one entry VM at a time calls it.
 type advisor struct {
-	decision, perWorker time.Duration
-	turn                sync.Mutex
-	mu                  sync.Mutex
-	waiting             int
+	decision, perWorker, validity time.Duration
+	turn                          sync.Mutex
+	mu                            sync.Mutex
+	waiting                       int
 }
 
-const (
-	adviceValidity = 5 * time.Second
-	adviceWaiting  = 32
-)
+const adviceWaiting = 32
 
 func (a *advisor) route() map[string]any {
 	return map[string]any{"advisor": map[string]any{
-		"decision-ms": a.decision.Milliseconds(), "per-worker-ms": a.perWorker.Milliseconds(), "validity-ms": adviceValidity.Milliseconds(),
+		"decision-ms": a.decision.Milliseconds(), "per-worker-ms": a.perWorker.Milliseconds(), "validity-ms": a.validity.Milliseconds(),
 	}}
 }
 
@@ -68,17 +66,21 @@
 	for _, id := range in.Workers {
 		s.asked[in.Step][id] = true
 		if s.policy(in.Step, id) {
-			approved = append(approved, []string{id, ticket(in.Step, id)})
+			approved = append(approved, []string{id, ticket(in.Step, id, time.Now().Add(s.advisor.validity))})
 		}
 	}
 	s.log("advise: step %s, %d workers named, %d approved, %d different ones named so far", in.Step, len(in.Workers), len(approved), len(s.asked[in.Step]))
 	s.mu.Unlock()
-	reply(w, http.StatusOK, map[string]any{"approved": approved, "validity-ms": adviceValidity.Milliseconds()})
+	reply(w, http.StatusOK, map[string]any{"approved": approved, "validity-ms": s.advisor.validity.Milliseconds()})
 }
 
-func ticket(step, id string) string { return step + "/" + id }
+func ticket(step, id string, until time.Time) string {
+	return step + "/" + id + "/" + strconv.FormatInt(until.UnixMilli(), 10)
+}
 
-// validTicket reports whether the ticket is for the task's step on the worker.
-func (s *stage) validTicket(given, task, id string) bool {
-	return given == ticket(task[:strings.LastIndex(task, ".")], id)
+// validTicket reports whether the ticket is for the task's step on the worker and has not expired.
+func validTicket(given, task, id string) bool {
+	until, ok := strings.CutPrefix(given, task[:strings.LastIndex(task, ".")]+"/"+id+"/")
+	ms, err := strconv.ParseInt(until, 10, 64)
+	return ok && err == nil && time.Now().UnixMilli() <= ms
 }
--- a/review/fleet2/runner.go
+++ b/review/fleet2/runner.go
@@ -384,7 +384,7 @@
 	case used+unlisted+job.cpu > r.m.cpu:
 		reason = "room"
 		r.extend(o.number("deadline-ms"))
-	case job.advised && !s.validTicket(o.text("ticket"), task, r.id):
+	case job.advised && !validTicket(o.text("ticket"), task, r.id):
 		reason = "ticket"
 	default:
 		r.extend(o.number("deadline-ms"))
--- a/review/fleet2/stage.go
+++ b/review/fleet2/stage.go
@@ -14,7 +14,6 @@
 	"net/http"
 	"os"
 	"path/filepath"
-	"slices"
 	"sync"
 	"time"
 
@@ -31,8 +30,6 @@
 	batchPrefix = "/batch/"  // of a queue of lower priority, where a case asks for it
 	other       = "checking" // another service, with two runners where a case asks for it
 	entries     = 4
-	// contact is contact-ms of the small installations: a disturbance that ended so long ago is over.
-	contact = 3 * time.Second
 )
 
 // Exit codes of a case.
@@ -257,11 +254,6 @@
 	return ""
 }
 
-// calm reports whether no disturbance is near the time span.
-func (s *stage) calm(from, to time.Time) bool {
-	return !slices.ContainsFunc(s.disturbed, func(d span) bool { return from.Before(d.to.Add(contact)) && to.After(d.from) })
-}
-
 // until waits until the condition holds or the time is over.
 func (s *stage) until(limit time.Duration, holds func() bool) bool {
 	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
@@ -307,6 +299,19 @@
 	s.log("configuration %d, limits of tenants: %v", version, s.tenants)
 }
 
+// add adds machines, with runners, to the pool; s.mu is held.
+func (s *stage) add(n int, pool string, cpu int64) error {
+	for range n {
+		i := len(s.machines)
+		m := &machine{name: fmt.Sprintf("m%03d", i), pool: pool, address: "127.0.0.1:0", zone: fmt.Sprintf("z%d", i%4), rack: fmt.Sprintf("r%d", i/4), kind: "a", cpu: cpu}
+		s.machines = append(s.machines, m)
+		if err := s.boot(m); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 type settingsOf struct {
 	runners int
 	others  int // runners of the other service
@@ -347,14 +352,8 @@
 	time.AfterFunc(playLimit, func() { s.fatal("the play took too long") })
 	s.log("case %s, with the disruption: %v", *name, *trouble)
 	s.mu.Lock()
-	for i := range c.settings.runners + c.settings.others {
-		pool := service
-		if i >= c.settings.runners {
-			pool = other
-		}
-		m := &machine{name: fmt.Sprintf("m%03d", i), pool: pool, address: "127.0.0.1:0", zone: fmt.Sprintf("z%d", i%4), rack: fmt.Sprintf("r%d", i/4), kind: "a", cpu: c.settings.cpu}
-		s.machines = append(s.machines, m)
-		if err := s.boot(m); err != nil {
+	for _, err := range []error{s.add(c.settings.runners, service, c.settings.cpu), s.add(c.settings.others, other, c.settings.cpu)} {
+		if err != nil {
 			s.fatal("%v", err)
 		}
 	}
