Review: four cases; checks say no more than the rule

Case 8 leaves the cases: its check holds only if a full service is no excuse for lacking room twice over, which the rule does not say beyond doubt. Cases 4 to 6 count only while no run has begun or ended for 3 s, under half of the cores are in use and enough runners stand empty; case 6 adds its runners over the site's 1.77 s.

--- a/review/fleet2/advice.go
+++ b/review/fleet2/advice.go
@@ -61,7 +61,7 @@
 		}
 		s.log("%s after the end of the traffic: %s is %s, %d starts; the policy allows %d idle runners, of which the advisor was asked about %d; it was asked about %d runners in all",
 			finish, id, state, s.starts[step+".0"], allowed, asked, len(s.asked[step]))
-		if s.starts[step+".0"] == 0 && allowed >= 2 {
+		if s.starts[step+".0"] == 0 && s.quiet() && s.idleRunners(step) >= 2 {
 			lost++
 		}
 		s.mu.Unlock()
--- a/review/fleet2/ganglimit.go
+++ b/review/fleet2/ganglimit.go
@@ -48,7 +48,7 @@
 			}
 		}
 		s.log("%s after the end of the traffic: %s is %s, %d starts of it; on all runners together %d tasks run", finish, id, state, started, running)
-		if started == 0 && running == 0 {
+		if started == 0 && running == 0 && s.quiet() && s.idleRunners(id+".0.0") >= 2*members {
 			lost++
 		}
 		s.mu.Unlock()
--- a/review/fleet2/growth.go
+++ b/review/fleet2/growth.go
@@ -15,7 +15,7 @@
 // playGrowth hands in jobs of one short task on a queue with an advisor, one after the other. Five empty
 // runners are added to the sixteen.
 func playGrowth(s *stage, trouble bool) int {
-	const jobs, added, finish = 12, 5, 14 * time.Second
+	const jobs, added, gap, finish = 12, 5, 1770 * time.Millisecond, 14 * time.Second
 	work := 500 * time.Millisecond
 	s.mu.Lock()
 	s.policy = func(step, worker string) bool { return true }
@@ -23,13 +23,16 @@
 	var ids []string
 	for i := range jobs {
 		if i == 4 && trouble {
-			s.mu.Lock()
-			s.log("DISRUPTION %d empty runners are added", added)
-			if err := s.add(added, service, s.machines[0].cpu); err != nil {
-				s.fatal("%v", err)
+			s.log("DISRUPTION %d empty runners are added, over %s", added, gap)
+			for range added {
+				s.mu.Lock()
+				if err := s.add(1, service, s.machines[0].cpu); err != nil {
+					s.fatal("%v", err)
+				}
+				s.mu.Unlock()
+				time.Sleep(gap / added)
 			}
-			s.mu.Unlock()
-			time.Sleep(3 * time.Second)
+			time.Sleep(time.Second)
 		}
 		id := fmt.Sprintf("%016x", 0x500+i)
 		ids = append(ids, id)
@@ -46,7 +49,7 @@
 		}
 		s.mu.Lock()
 		s.log("%s after the end of the traffic: %s is %s, %d starts; the policy allows all %d runners", finish, id, state, s.starts[id+".0.0.0"], len(s.machines))
-		if s.starts[id+".0.0.0"] == 0 {
+		if s.starts[id+".0.0.0"] == 0 && s.quiet() && s.idleRunners(id+".0.0") >= 2 {
 			lost++
 		}
 		s.mu.Unlock()
--- a/review/fleet2/runner.go
+++ b/review/fleet2/runner.go
@@ -27,7 +27,6 @@
 	WorkMS int  `json:"work"`
 	Gang   int  `json:"gang,omitempty"`  // members of a gang; 0: none
 	Saves  bool `json:"saves,omitempty"` // the tasks produce checkpoints
-	Lasts  bool `json:"lasts,omitempty"` // the tasks go on until they are stopped
 }
 
 // machine is a VM with a fixed address. Its runner is one life of it.
@@ -176,6 +175,7 @@
 	r.seq++
 	r.ends = append(r.ends, endRow{r.seq, u.task, u.number, how, u.saved, u.cpu})
 	s.ended[how]++
+	s.lastChange = time.Now()
 	s.log("run ended: %s run %d on %s: %s, checkpoint %q", u.task, u.number, r.id, how, u.saved)
 	if how == "alone" {
 		s.alone = append(s.alone, aloneEnd{u.task, u.number, u.started, time.Now()})
@@ -195,11 +195,7 @@
 }
 
 func (u *run) percent(now time.Time) int {
-	most := 99
-	if u.spec.Lasts {
-		most = 100
-	}
-	return min(most, int(100*u.work(now).Milliseconds()/int64(max(1, u.spec.WorkMS))))
+	return min(99, int(100*u.work(now).Milliseconds()/int64(max(1, u.spec.WorkMS))))
 }
 
 func (m *machine) labels() []string { return []string{m.kind, m.rack} }
@@ -252,7 +248,7 @@
 	if whole := done.Truncate(saveEvery); u.spec.Saves && whole > u.begun {
 		u.saved = saveValue(u.task, whole)
 	}
-	if u.spec.Lasts || done < time.Duration(u.spec.WorkMS)*time.Millisecond {
+	if done < time.Duration(u.spec.WorkMS)*time.Millisecond {
 		return
 	}
 	if u.gang == nil {
@@ -395,6 +391,7 @@
 		}
 		r.running[task] = u
 		s.starts[task]++
+		s.lastChange = u.started
 		if what.Gang > 0 {
 			key := task[:strings.LastIndex(task, ".")] + "/" + strconv.Itoa(number)
 			if s.gangs[key] == nil {
--- a/review/fleet2/stage.go
+++ b/review/fleet2/stage.go
@@ -24,12 +24,11 @@
 )
 
 const (
-	service     = "weighting"
-	host        = "jobs.example"
-	prefix      = "/weights/"
-	batchPrefix = "/batch/"  // of a queue of lower priority, where a case asks for it
-	other       = "checking" // another service, with two runners where a case asks for it
-	entries     = 4
+	service = "weighting"
+	host    = "jobs.example"
+	prefix  = "/weights/"
+	other   = "checking" // another service, with two runners where a case asks for it
+	entries = 4
 )
 
 // Exit codes of a case.
@@ -52,7 +51,6 @@
 	cpu     int64 // of each task
 	advised bool
 	tenant  string // key of its tenant; empty: none
-	prefix  string // of its queue
 }
 
 type stage struct {
@@ -75,8 +73,9 @@
 	asked     map[string]map[string]bool // workers that the advisor was asked about, by step
 	advisor   *advisor
 	others    bool
-	batch     bool
-	tenants   map[string]int64 // limits of the tenants' cores, in thousandths
+	// lastChange is when a run last began or ended.
+	lastChange time.Time
+	tenants    map[string]int64 // limits of the tenants' cores, in thousandths
 }
 
 // log writes a line to the record. It may be called with s.mu held.
@@ -190,12 +189,9 @@
 	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
 	defer cancel()
 	s.mu.Lock()
-	job, path := s.jobs[id], prefix
+	job := s.jobs[id]
 	s.mu.Unlock()
-	if job != nil {
-		path = job.prefix
-	}
-	req, err := http.NewRequestWithContext(ctx, method, "http://"+s.callers[entry%len(s.callers)]+path+id, bytes.NewReader(raw))
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+s.callers[entry%len(s.callers)]+prefix+id, bytes.NewReader(raw))
 	if err != nil {
 		panic(err)
 	}
@@ -217,16 +213,13 @@
 }
 
 // submit hands a job in, at one entry VM after the other as a caller's retries do.
-func (s *stage) submit(id string, what spec, step map[string]any) { s.submitTo(prefix, id, what, step) }
-
-// submitTo is submit for the queue with the prefix.
-func (s *stage) submitTo(queue, id string, what spec, step map[string]any) {
+func (s *stage) submit(id string, what spec, step map[string]any) {
 	raw, err := json.Marshal(what)
 	if err != nil {
 		panic(err)
 	}
 	s.mu.Lock()
-	s.jobs[id] = &jobInfo{cpu: step["cpu"].(int64), advised: s.advised, prefix: queue}
+	s.jobs[id] = &jobInfo{cpu: step["cpu"].(int64), advised: s.advised}
 	if s.tenants != nil {
 		s.jobs[id].tenant = "key-red"
 	}
@@ -254,6 +247,32 @@
 	return ""
 }
 
+// quiet reports whether no run has begun or ended for 3 s and under half of the service's capacity is in
+// use. s.mu is held.
+func (s *stage) quiet() bool {
+	var used, all int64
+	for _, m := range s.machines {
+		if m.pool != service || m.runner == nil {
+			continue
+		}
+		all += m.cpu
+		for _, u := range m.runner.running {
+			used += u.cpu
+		}
+	}
+	return time.Since(s.lastChange) > 3*time.Second && 2*used < all
+}
+
+// idleRunners returns how many runners of the service run nothing and may run the step. s.mu is held.
+func (s *stage) idleRunners(step string) (n int) {
+	for _, m := range s.machines {
+		if m.pool == service && m.runner != nil && len(m.runner.running) == 0 && (s.policy == nil || s.policy(step, m.runner.id)) {
+			n++
+		}
+	}
+	return n
+}
+
 // until waits until the condition holds or the time is over.
 func (s *stage) until(limit time.Duration, holds func() bool) bool {
 	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
@@ -278,14 +297,6 @@
 		services = append(services, map[string]any{"name": other, "standby": false, wire("field.guards"): true})
 	}
 	routes := []any{route}
-	if s.batch {
-		second := map[string]any{}
-		for k, v := range route {
-			second[k] = v
-		}
-		second["name"], second["prefix"], second["priority"] = "batch", batchPrefix, 1
-		routes = append(routes, second)
-	}
 	config := map[string]any{"version": version, "routes": routes, "services": services, "limits": map[string]any{}}
 	if s.tenants != nil {
 		tenants := []any{}
@@ -316,7 +327,6 @@
 	runners int
 	others  int // runners of the other service
 	tenants map[string]int64
-	batch   bool // a queue of lower priority
 	cpu     int64
 	advisor *advisor // of the queue; nil: none
 }
@@ -363,7 +373,7 @@
 			s.tick(now)
 		}
 	}()
-	s.advisor, s.others, s.tenants, s.batch = c.settings.advisor, c.settings.others > 0, c.settings.tenants, c.settings.batch
+	s.advisor, s.others, s.tenants = c.settings.advisor, c.settings.others > 0, c.settings.tenants
 	s.advised = s.advisor != nil
 	s.configure(1)
 	s.writeSettings(*dir, s.listen(s.store), s.listen(http.HandlerFunc(s.serveMachines)), s.listen(http.HandlerFunc(s.serveAdvisor)))
