The advisor is asked about every worker that could run a step

Cause: a request named the first 30 workers by ID that had room and no valid ticket, and a refusal was not kept: refused workers filled each further request. Ruled out: the limit on starts and probation (the workers were open and idle in explain's counts).

Same class: workers without the step's label or beyond its anti-affinity filled requests; tickets for workers that are full counted as enough; tasks that are to move asked about the same workers.

Change: verdicts are kept by step and incarnation; candidates come from the planner's own rules, preferred ones first; the next request goes out at once after an answer and waits only after a failure or an answer that led to no start.

--- a/internal/engine/cell.go
+++ b/internal/engine/cell.go
@@ -385,7 +385,7 @@
 // blockedMoves returns the number of the step's long-running tasks that are to leave their VMs and
 // can't be placed elsewhere.
 func (c *Core) blockedMoves(s *step, now time.Duration) int {
-	if s.advicePending {
+	if s.job.queue.Advised && s.advice.incomplete {
 		return 0
 	}
 	n := 0
--- a/internal/engine/job.go
+++ b/internal/engine/job.go
@@ -98,15 +98,7 @@
 	// how long its next turn lasts at most; 0: firstTurnLimit.
 	noTurnUntil, turnLimit time.Duration
 	unplaceableUntil       time.Duration // the pool could not take the step when last checked; see placeable
-	tickets                map[work.WorkerID]ticket
-	adviceAskedAt          time.Duration // when the advisor was last asked; 0: never
-	advicePending          bool
-}
-
-// ticket is the advisor's permission to run tasks of a step on one worker.
-type ticket struct {
-	text    string
-	expires time.Duration
+	advice                 stepAdvice
 }
 
 func (s *step) ref() work.StepRef {
--- a/internal/engine/orders.go
+++ b/internal/engine/orders.go
@@ -42,12 +42,13 @@
 	t.orderedAt, t.sentAt, t.answeredAt, t.ranBefore, t.confirmed = now, 0, 0, 0, false
 	t.deadline = w.clockNow(now) + min(startValidity, c.bounds.MaxLease)
 	w.deadline = max(w.deadline, t.deadline)
+	t.step.advice.startIssued()
 	j := t.step.job
 	c.log.V(1).Info("start", "task", t.ref.String(), "run", run, "worker", w.info.ID, "waited", (now - j.accepted).String(),
 		"config", c.declared.Version, "clock age", (now - w.clockAt).String(), "free milli cpu", w.info.Capacity.MilliCPU-w.load.reserved.MilliCPU)
 	out.Starts = append(out.Starts, StartOrder{Worker: w.info, Start: Start{
 		Task: t.ref, Run: run, Spec: t.step.job.Spec, Deadline: t.deadline, Token: c.token,
-		Checkpoint: t.checkpoint, Ticket: t.step.tickets[w.info.ID].text,
+		Checkpoint: t.checkpoint, Ticket: t.step.ticketFor(w),
 	}})
 }
 
@@ -161,7 +162,7 @@
 	case OutcomeLate:
 		w.closedUntil = now + latePause
 	case OutcomeNoTicket:
-		delete(t.step.tickets, w.info.ID)
+		t.step.advice.ticketRefused(w)
 	}
 	c.handleIncompleteRun(t, now)
 }
--- a/internal/engine/plan.go
+++ b/internal/engine/plan.go
@@ -234,7 +234,7 @@
 			continue
 		}
 		if v.step.job.queue.Advised {
-			v.step.askAdvice(workers, s.Permitted, now, out)
+			c.askAdvice(v.step, s, workers, now, out)
 		}
 		started := c.place(v.step, s, planner, now, out)
 		if v.step.job.queue.Advised {
@@ -407,7 +407,7 @@
 		return nil
 	}
 	if s.job.queue.Advised {
-		ps.Permitted = s.permitted(workers, now)
+		ps.Permitted = c.permitted(s, workers, now)
 	}
 	return ps
 }
--- a/internal/engine/ports.go
+++ b/internal/engine/ports.go
@@ -158,6 +158,13 @@
 	Ticket string
 }
 
+// AdviceAnswer is the answer to an AdviceOrder.
+type AdviceAnswer struct {
+	Tickets  []Ticket      // for those of the named workers that may run the step
+	Validity time.Duration // of the tickets
+	Err      error         // not nil: nothing is known about the workers
+}
+
 // Advisor decides which workers may run a step. The tickets that Advise returns are valid for
 // the returned duration.
 type Advisor interface {
--- a/internal/engine/send.go
+++ b/internal/engine/send.go
@@ -116,12 +116,12 @@
 	call, cancel := context.WithTimeout(ctx, adviceTimeout)
 	defer cancel()
 	sent := e.Clock.Now()
-	tickets, validity, err := e.askAdvisor(call, o)
-	if err != nil {
-		e.Log.Info("could not get advice", "step", o.Step.String(), "workers", len(o.Workers), "error", err.Error())
+	answer := e.askAdvisor(call, o)
+	if answer.Err != nil {
+		e.Log.Info("could not get advice", "step", o.Step.String(), "workers", len(o.Workers), "error", answer.Err.Error())
 	}
 	e.mu.Lock()
-	e.core.AdviceAnswered(o.Step, tickets, validity, sent)
+	e.core.AdviceAnswered(o, answer, sent, e.Clock.Now())
 	e.mu.Unlock()
 	kick(e.planKick)
 }
@@ -130,9 +130,10 @@
 // queue's jobs wait, and the error is logged at every attempt.
 var errNoAdvisor = errors.New("engine: the queue requires advice and no advisor is configured")
 
-func (e *Engine) askAdvisor(ctx context.Context, o AdviceOrder) ([]Ticket, time.Duration, error) {
+func (e *Engine) askAdvisor(ctx context.Context, o AdviceOrder) (a AdviceAnswer) {
 	if e.Advisor == nil {
-		return nil, 0, errNoAdvisor
+		return AdviceAnswer{Err: errNoAdvisor}
 	}
-	return e.Advisor.Advise(ctx, o.Step, o.Workers)
+	a.Tickets, a.Validity, a.Err = e.Advisor.Advise(ctx, o.Step, o.Workers)
+	return a
 }
--- a/policy/taskplan/taskplan.go
+++ b/policy/taskplan/taskplan.go
@@ -504,6 +504,61 @@
 	return out
 }
 
+// Candidate is a worker that could take tasks of a step.
+type Candidate struct {
+	Worker work.WorkerID
+	Room   int // number of the step's tasks that it could take
+}
+
+// Candidates returns the workers that could take waiting tasks of the step if all workers were
+// permitted, the preferred ones first. Tasks is not empty.
+func Candidates(workers []*Worker, s *Step) []Candidate {
+	any := *s
+	any.Permitted = nil
+	type scored struct {
+		Candidate
+		rack  string
+		score float64
+	}
+	var found []scored
+	inRack := make(map[string]int)
+	for _, w := range workers {
+		if !feasible(w, &any) {
+			continue
+		}
+		room := roomFor(w, s)
+		inRack[w.Rack] += room
+		found = append(found, scored{Candidate{w.ID, room}, w.Rack, scoreOf(w, s, s.Tasks[0])})
+	}
+	slices.SortStableFunc(found, func(a, b scored) int {
+		if s.Step.RackSensitive && a.rack != b.rack {
+			return cmp.Or(cmp.Compare(inRack[b.rack], inRack[a.rack]), cmp.Compare(a.rack, b.rack))
+		}
+		return cmp.Compare(a.score, b.score)
+	})
+	out := make([]Candidate, len(found))
+	for i := range found {
+		out[i] = found[i].Candidate
+	}
+	return out
+}
+
+// roomFor returns how many waiting tasks of the step the worker, on which one is feasible, could take.
+func roomFor(w *Worker, s *Step) int {
+	n := len(s.Tasks)
+	if s.Step.AntiAffinity > 0 {
+		n = min(n, s.Step.AntiAffinity-s.OnWorker[w.ID])
+	}
+	if w.Limit >= 0 && !s.Step.Gang {
+		n = min(n, w.Limit)
+	}
+	size := Reserved(s.Step)
+	for n > 1 && !size.Times(int64(n)).Fits(w.Free) {
+		n--
+	}
+	return n
+}
+
 // Parts of the score of a worker; the worker with the lowest score is chosen. Larger parts are
 // meant to take precedence over the smaller ones.
 const (
