Tickets of the advisor are valid from its answer on

Cause: a ticket's validity was counted from the sending of the call, so that the advisor's own time was taken off it; a call named up to 30 workers however few were needed; the figures in the queue's configuration were not read. Ruled out: refused starts (none was sent).

Same root: calls were given up after 1.5 s whatever they take, each step had its own call in the advisor's line, tickets valid for 150 ms or less were never used, answers without a validity expired at once.

Change: the validity counts from the answer; the configuration's figures are decoded and give each call its timeout; a call names as many workers as the waiting tasks are likely to need; an entry VM makes one call at a time. Calls are counted (expvar advice) and logged.

--- a/internal/engine/advice.go
+++ b/internal/engine/advice.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -10,25 +11,115 @@
 
 // Limits of the requests to the advisor.
 const (
-	// maxAdviceBatch is the maximum number of workers in a request. Each worker takes time of the
-	// advisor, and the deployments' objectives assume one call for 30 workers.
-	maxAdviceBatch = 30
+	// maxAdviceBatch is the maximum number of workers that the advisor accepts in a request.
+	maxAdviceBatch = 100
 	// adviceRetryInterval is the minimum time between two requests for a step if the first failed or
 	// led to no start.
 	adviceRetryInterval = 1500 * time.Millisecond
-	// ticketMargin is the least remaining validity of a ticket that is used, so that it is still valid
-	// when the start arrives.
-	ticketMargin = 150 * time.Millisecond
+	// minAdviceBackoff is the time after a failed request until one for another step is sent. It
+	// doubles with each further failure, up to adviceRetryInterval.
+	minAdviceBackoff = 100 * time.Millisecond
+	// minAdviceSlack is how much longer than twice its usual time a request may take. It doubles
+	// with each request that times out, up to maxAdviceSlack: the advisor may still handle those.
+	minAdviceSlack = 1 * time.Second
+	maxAdviceSlack = 4 * time.Second
+	// maxTicketMargin is the least remaining validity of a ticket that is used, so that it is still
+	// valid when the start arrives. Tickets that are valid for a short time are used for
+	// 1/ticketMarginDivisor less than that.
+	maxTicketMargin     = 150 * time.Millisecond
+	ticketMarginDivisor = 4
+	// assumedValidity is the validity of tickets if neither the answer nor the configuration tells
+	// it.
+	assumedValidity = 1 * time.Second
 	// maxUnusedAnswers limits how often the number of tickets that a step asks for is doubled.
 	maxUnusedAnswers = 6
+	// maxRateSample limits how many workers an approvalRate counts before older answers lose half of
+	// their weight.
+	maxRateSample = 256
 )
 
+// AdviceCost holds what a queue's configuration tells about its advisor. A zero is not known.
+type AdviceCost struct {
+	Decision  time.Duration // fixed part of a request's duration
+	PerWorker time.Duration // added for each worker that a request names
+	Validity  time.Duration // of a ticket
+}
+
+// duration returns how long the advisor takes for a request that names so many workers.
+func (a AdviceCost) duration(workers int) time.Duration {
+	return a.Decision + time.Duration(workers)*a.PerWorker
+}
+
+// adviceCalls is the state of a cell's requests to the advisor. At most one is under way: the advisor
+// handles one call of an entry VM at a time, and a request that waits there would name workers by
+// what was known before.
+type adviceCalls struct {
+	pending  *adviceRequest // nil: none is under way
+	retryAt  time.Duration  // no request before this time
+	failures int            // failed requests in a row
+	slack    time.Duration  // 0: minAdviceSlack
+	rates    map[string]*approvalRate
+}
+
+// approvalRate estimates which part of the workers the advisor allows for a step of one queue.
+type approvalRate struct{ asked, allowed float64 }
+
+func (r *approvalRate) observe(asked, allowed int) {
+	r.asked += float64(asked)
+	r.allowed += float64(allowed)
+	if r.asked > maxRateSample {
+		r.asked, r.allowed = r.asked/2, r.allowed/2
+	}
+}
+
+// value returns the estimate, which is above 0. Without an observation it is 1.
+func (r *approvalRate) value() float64 { return (r.allowed + 1) / (r.asked + 1) }
+
+// rate returns the estimate for the queue, which it creates if there is none.
+func (a *adviceCalls) rate(queue string) *approvalRate {
+	if a.rates == nil {
+		a.rates = make(map[string]*approvalRate)
+	}
+	if a.rates[queue] == nil {
+		a.rates[queue] = &approvalRate{}
+	}
+	return a.rates[queue]
+}
+
+// timeout returns the timeout of a request that usually takes so long.
+func (a *adviceCalls) timeout(usual time.Duration) time.Duration {
+	return 2*usual + max(minAdviceSlack, a.slack)
+}
+
+// failed records a failed request.
+func (a *adviceCalls) failed(timedOut bool, now time.Duration) {
+	a.retryAt = now + min(adviceRetryInterval, minAdviceBackoff<<min(a.failures, maxUnusedAnswers))
+	a.failures++
+	if timedOut {
+		a.slack = min(maxAdviceSlack, 2*max(minAdviceSlack, a.slack))
+	}
+}
+
+// answered records an answer to a request that named so many workers of the queue and allowed some.
+func (a *adviceCalls) answered(queue string, named, allowed int) {
+	a.failures, a.slack = 0, 0
+	a.rate(queue).observe(named, allowed)
+}
+
+// adviceRequest is a request to the advisor that has not been answered.
+type adviceRequest struct {
+	step    *step
+	workers []*worker
+	rooms   []int // number of the step's tasks that each worker has room for
+	// enough is for how many tasks the answer has to allow workers so that any can start.
+	enough int
+}
+
 // stepAdvice is what is known of the advisor's decisions on one step.
 type stepAdvice struct {
 	verdicts map[*worker]*verdict
-	pending  *adviceRequest // nil: none is under way
-	// incomplete tells that there are workers which could take a task and about which the advisor
-	// has not been asked.
+	// incomplete tells that there are workers which could take a task that is to move, and about which
+	// the advisor has not been asked.
 	incomplete bool
 	answeredAt time.Duration
 	retryAt    time.Duration // no request before this time
@@ -39,31 +130,23 @@
 	unused  int
 }
 
-// adviceRequest is a request to the advisor that has not been answered.
-type adviceRequest struct {
-	workers []*worker
-	rooms   []int // number of the step's tasks that each worker has room for
-	// enough is for how many tasks the answer has to allow workers so that any can start.
-	enough int
-}
-
 // verdict is the advisor's decision on a step and one incarnation of a worker, which doesn't change,
 // and its last ticket.
 type verdict struct {
-	allowed bool
-	ticket  string
-	expires time.Duration
+	allowed     bool
+	ticket      string
+	usableUntil time.Duration
 }
 
-// valid reports whether the ticket is valid for at least ticketMargin from now on.
-func (v *verdict) valid(now time.Duration) bool { return v.allowed && now+ticketMargin < v.expires }
+// usable reports whether a start may still use the ticket.
+func (v *verdict) usable(now time.Duration) bool { return v.allowed && now < v.usableUntil }
 
 // permitted returns those of the workers on which the advisor's tickets still allow the step's tasks
 // to start.
 func (c *Core) permitted(s *step, workers []*taskplan.Worker, now time.Duration) map[work.WorkerID]bool {
 	ok := make(map[work.WorkerID]bool)
 	for _, w := range workers {
-		if v := s.advice.verdicts[c.workers[w.ID]]; v != nil && v.valid(now) {
+		if v := s.advice.verdicts[c.workers[w.ID]]; v != nil && v.usable(now) {
 			ok[w.ID] = true
 		}
 	}
@@ -82,7 +165,14 @@
 // its valid tickets are not enough for all of them.
 func (c *Core) askAdvice(s *step, ps *taskplan.Step, workers []*taskplan.Worker, now time.Duration, out *Orders) {
 	s.advice.observeUnused(now)
-	c.requestAdvice(s, len(ps.Tasks), taskplan.Candidates(workers, ps), now, out)
+	if c.adviceDue(s, now) {
+		c.requestAdvice(s, len(ps.Tasks), taskplan.Candidates(workers, ps), now, out)
+	}
+}
+
+// adviceDue reports whether a request for the step may be sent now.
+func (c *Core) adviceDue(s *step, now time.Duration) bool {
+	return c.advice.pending == nil && now >= c.advice.retryAt && now >= s.advice.retryAt
 }
 
 // observeUnused notices that the last answer allowed tasks to start and none has.
@@ -93,38 +183,50 @@
 	}
 }
 
-// requestAdvice adds a request to out that names candidates for so many waiting tasks, unless one is
-// under way. Workers that the advisor does not allow are never named again.
+// requestAdvice adds a request to out that names candidates for so many waiting tasks. Workers that the
+// advisor does not allow are never named again.
 func (c *Core) requestAdvice(s *step, waiting int, candidates []taskplan.Candidate, now time.Duration, out *Orders) {
 	a := &s.advice
-	if a.pending != nil {
-		return
-	}
 	lists := c.sortCandidates(s, candidates, now)
-	a.incomplete = len(lists.unknown) > 0
 	tasks := waiting << a.unused
 	missing := tasks - room(lists.valid)
-	if missing <= 0 || now < a.retryAt || a.offered && len(lists.expired) > 0 {
+	if missing <= 0 || a.offered && len(lists.expired) > 0 {
 		return
 	}
-	named := lists.toName(s.spec.Gang, tasks, missing)
+	named := lists.toName(s.spec.Gang, tasks, missing, func(missing int) []taskplan.Candidate {
+		return c.unknownToName(s, lists.unknown, missing)
+	})
 	named = named[:min(len(named), maxAdviceBatch)]
 	if len(named) == 0 {
 		return
 	}
-	order := AdviceOrder{Step: s.ref()}
-	a.pending = &adviceRequest{enough: 1}
+	request := &adviceRequest{step: s, enough: 1}
 	if s.spec.Gang {
-		a.pending.enough = waiting
+		request.enough = waiting
 	}
+	order := AdviceOrder{Step: s.ref(), Timeout: c.advice.timeout(s.job.queue.Advice.duration(len(named)))}
 	for _, n := range named {
 		order.Workers = append(order.Workers, n.Worker)
-		a.pending.workers = append(a.pending.workers, c.workers[n.Worker])
-		a.pending.rooms = append(a.pending.rooms, n.Room)
+		request.workers = append(request.workers, c.workers[n.Worker])
+		request.rooms = append(request.rooms, n.Room)
 	}
+	c.advice.pending = request
 	out.Advice = append(out.Advice, order)
 }
 
+// unknownToName returns those of the unknown candidates to name for the missing tasks: as many as are
+// likely to be enough by what the advisor has allowed of the queue so far, and at least as many as the
+// step has asked about before.
+func (c *Core) unknownToName(s *step, unknown []taskplan.Candidate, missing int) []taskplan.Candidate {
+	rate := c.advice.rate(s.job.Queue).value()
+	n, likely := 0, 0.0
+	for n < len(unknown) && (likely < float64(missing) || n < len(s.advice.verdicts)) {
+		likely += rate * float64(min(missing, unknown[n].Room))
+		n++
+	}
+	return unknown[:n]
+}
+
 // adviceCandidates are the candidates for a step's tasks by what is known of them. Those that the
 // advisor does not allow are left out.
 type adviceCandidates struct {
@@ -138,7 +240,7 @@
 		switch v := s.advice.verdicts[c.workers[n.Worker]]; {
 		case v == nil:
 			out.unknown = append(out.unknown, n)
-		case v.valid(now):
+		case v.usable(now):
 			out.valid = append(out.valid, n)
 		case v.allowed:
 			out.expired = append(out.expired, n)
@@ -148,20 +250,20 @@
 }
 
 // toName returns the candidates to name in a request for tasks, of which the valid tickets leave some
-// missing: the allowed ones that have room for them, and unknown ones if that is not enough. All
-// members of a gang need valid tickets at the same time: its tickets are renewed together, once enough
-// workers are known to be allowed.
-func (l *adviceCandidates) toName(gang bool, tasks, missing int) []taskplan.Candidate {
+// missing: the allowed ones that have room for them, and those that chooseUnknown returns
+// if that is not enough. All members of a gang need valid tickets at the same time: its tickets are
+// renewed together, once enough workers are known to be allowed.
+func (l *adviceCandidates) toName(gang bool, tasks, missing int, chooseUnknown func(missing int) []taskplan.Candidate) []taskplan.Candidate {
 	allowed := append(slices.Clone(l.expired), l.valid...)
 	switch {
 	case gang && room(allowed) >= tasks:
 		return firstWithRoom(allowed, tasks)
 	case gang && len(l.unknown) > 0:
-		return l.unknown
+		return chooseUnknown(tasks - room(allowed))
 	}
 	named := firstWithRoom(l.expired, missing)
-	if room(named) < missing {
-		named = append(named, l.unknown...)
+	if left := missing - room(named); left > 0 {
+		named = append(named, chooseUnknown(left)...)
 	}
 	return named
 }
@@ -184,19 +286,20 @@
 	return candidates
 }
 
-// AdviceAnswered records the answer to a request, or that it failed, so that the next one may be sent.
-// Workers that were named and got no ticket are not allowed. The validity of the tickets counts from the
-// time sent at which the request was sent.
-func (c *Core) AdviceAnswered(o AdviceOrder, answer AdviceAnswer, sent, now time.Duration) {
-	t := c.find(work.TaskRef{StepRef: o.Step})
-	if t == nil || t.step.advice.pending == nil {
+// AdviceAnswered records the answer to the request under way, or that it failed, so that the next one
+// may be sent. Workers that were named and got no ticket are not allowed. The advisor issues tickets as
+// it answers: their validity counts from now.
+func (c *Core) AdviceAnswered(answer AdviceAnswer, now time.Duration) {
+	request := c.advice.pending
+	if request == nil {
 		return
 	}
-	a := &t.step.advice
-	request := a.pending
-	a.pending = nil
+	c.advice.pending = nil
+	s := request.step
+	a := &s.advice
 	if answer.Err != nil {
 		a.retryAt = now + adviceRetryInterval
+		c.advice.failed(answer.TimedOut, now)
 		return
 	}
 	if a.verdicts == nil {
@@ -206,16 +309,28 @@
 	for _, tk := range answer.Tickets {
 		tickets[tk.Worker] = tk.Ticket
 	}
-	allowedTasks := 0
+	usableUntil := now + usableFor(cmp.Or(answer.Validity, s.job.queue.Advice.Validity, assumedValidity))
+	newly, newlyAllowed, allowedTasks := 0, 0, 0
 	for i, w := range request.workers {
 		text, allowed := tickets[w.info.ID]
-		a.verdicts[w] = &verdict{allowed: allowed, ticket: text, expires: sent + answer.Validity}
+		if a.verdicts[w] == nil {
+			newly++
+			if allowed {
+				newlyAllowed++
+			}
+		}
+		a.verdicts[w] = &verdict{allowed: allowed, ticket: text, usableUntil: usableUntil}
 		if allowed {
 			allowedTasks += request.rooms[i]
 		}
 	}
+	c.advice.answered(s.job.Queue, newly, newlyAllowed)
 	a.answeredAt, a.offered = now, allowedTasks >= request.enough
-	c.log.V(1).Info("advice", "step", o.Step.String(), "workers", len(request.workers), "allowed", len(tickets), "known", len(a.verdicts), "took", (now - sent).String())
+}
+
+// usableFor returns how long after its issue a ticket of the validity is used for starts.
+func usableFor(validity time.Duration) time.Duration {
+	return validity - min(maxTicketMargin, validity/ticketMarginDivisor)
 }
 
 // startIssued records that a start of the step uses a ticket.
@@ -224,7 +339,7 @@
 // ticketRefused records that the worker did not accept the step's ticket.
 func (a *stepAdvice) ticketRefused(w *worker) {
 	if v := a.verdicts[w]; v != nil {
-		v.expires = 0
+		v.usableUntil = 0
 	}
 }
 
@@ -252,5 +367,8 @@
 			candidates = append(candidates, taskplan.Candidate{Worker: w.info.ID, Room: 1})
 		}
 	}
-	c.requestAdvice(s, 1, candidates, now, out)
+	s.advice.incomplete = len(candidates) > 0
+	if c.adviceDue(s, now) {
+		c.requestAdvice(s, 1, candidates, now, out)
+	}
 }
--- a/internal/engine/advice_sim_test.go
+++ b/internal/engine/advice_sim_test.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"hash/fnv"
@@ -26,7 +27,8 @@
 	decision, perWorker, validity time.Duration
 	failing                       func(call int) bool // calls that are not answered
 
-	line     []*adviceCallSim // calls that are not answered, the one being handled first
+	line     []*adviceCallSim // calls that are not handled, the first one under way
+	waiting  *adviceCallSim   // the call whose answer the owner waits for
 	calls    int
 	named    int // workers in all calls together
 	running  []cellRun
@@ -48,7 +50,7 @@
 
 func newAdviceSim(t *testing.T, workers int, decision, perWorker, validity time.Duration) *adviceSim {
 	s := &adviceSim{
-		rig: newRig(t), queue: Queue{Name: queue, Service: service, MaxAttempts: 3, Advised: true},
+		rig: newRig(t), queue: Queue{Name: queue, Service: service, MaxAttempts: 3, Advised: true, Advice: AdviceCost{Decision: decision, PerWorker: perWorker, Validity: validity}},
 		decision: decision, perWorker: perWorker, validity: validity,
 		allowed: func(work.StepRef, work.WorkerID) bool { return true }, failing: func(int) bool { return false },
 		ends: make(map[work.WorkerID]int64), left: make(map[work.JobID]int),
@@ -98,14 +100,21 @@
 	}
 	for _, a := range o.Advice {
 		assert.Assert(s.t, len(a.Workers) > 0 && len(a.Workers) <= 100, "%d workers in a call", len(a.Workers))
-		s.line = append(s.line, &adviceCallSim{order: a, sent: s.now, fails: s.failing(s.calls)})
+		assert.Assert(s.t, s.waiting == nil, "two calls at a time")
+		s.waiting = &adviceCallSim{order: a, sent: s.now, fails: s.failing(s.calls)}
+		s.line = append(s.line, s.waiting)
 		s.calls++
 		s.named += len(a.Workers)
 	}
 }
 
-// answerCall answers the call whose time has come. Tickets are issued with the answer.
+// answerCall answers the call whose time has come, or gives it up after its timeout. The advisor goes on
+// with calls that were given up, and issues tickets with the answer.
 func (s *adviceSim) answerCall() {
+	if c := s.waiting; c != nil && s.now >= c.sent+c.order.Timeout {
+		s.waiting = nil
+		s.core.AdviceAnswered(AdviceAnswer{Err: context.DeadlineExceeded, TimedOut: true}, s.now)
+	}
 	if len(s.line) == 0 {
 		return
 	}
@@ -117,13 +126,20 @@
 		return
 	}
 	s.line = s.line[1:]
-	var tickets []Ticket
+	if s.waiting != c {
+		return
+	}
+	s.waiting = nil
+	answer := AdviceAnswer{Validity: s.validity}
+	if c.fails {
+		answer.Err = errors.New("no answer")
+	}
 	for _, w := range c.order.Workers {
-		if !c.fails && s.allowed(c.order.Step, w) {
-			tickets = append(tickets, Ticket{Worker: w, Ticket: fmt.Sprintf("%s/%s/%d", c.order.Step, w, s.now+s.validity)})
+		if s.allowed(c.order.Step, w) {
+			answer.Tickets = append(answer.Tickets, Ticket{Worker: w, Ticket: fmt.Sprintf("%s/%s/%d", c.order.Step, w, s.now+s.validity)})
 		}
 	}
-	s.answer(c, tickets)
+	s.core.AdviceAnswered(answer, s.now)
 }
 
 func (s *adviceSim) ticketValid(o StartOrder) bool {
@@ -183,14 +199,6 @@
 	}
 }
 
-func (s *adviceSim) answer(c *adviceCallSim, tickets []Ticket) {
-	a := AdviceAnswer{Tickets: tickets, Validity: s.validity}
-	if c.fails {
-		a.Err = errors.New("no answer")
-	}
-	s.core.AdviceAnswered(c.order, a, c.sent, s.now)
-}
-
 // quick returns a step of so many tasks that take half a second.
 func quick(count int) work.Step {
 	s := short(count)
@@ -273,3 +281,83 @@
 		})
 	}
 }
+
+// Guards against jobs that never start once a call to the advisor for all workers takes as long as its
+// tickets are valid, as after workers were added. Jobs come more slowly than the advisor could decide on
+// them.
+func TestJobsStartHoweverTheAdvisorsTimesRelate(t *testing.T) {
+	const ms = time.Millisecond
+	for _, c := range []struct {
+		workers, added                int
+		decision, perWorker, validity time.Duration
+		oneIn                         uint32
+		every                         time.Duration // between two jobs
+		step                          work.Step
+	}{
+		{16, 5, 100 * ms, 40 * ms, 1000 * ms, 1, 1500 * ms, quick(1)},
+		{16, 100, 100 * ms, 40 * ms, 1000 * ms, 1, 1500 * ms, quick(1)},
+		{64, 0, 20 * ms, 5 * ms, 60 * ms, 2, 300 * ms, quick(1)},
+		{132, 0, 2000 * ms, 0, 500 * ms, 8, 4000 * ms, quick(1)},
+		{40, 0, 0, 300 * ms, 400 * ms, 4, 3000 * ms, quick(2)},
+		{64, 0, 500 * ms, 200 * ms, 1000 * ms, 16, 9000 * ms, quick(1)},
+		{64, 0, 3000 * ms, 100 * ms, 300 * ms, 1, 4000 * ms, quick(1)},
+		{30, 10, 50 * ms, 50 * ms, 700 * ms, 2, 4000 * ms, gang(quick(24))},
+		{64, 0, 1000 * ms, 20 * ms, 300 * ms, 4, 6000 * ms, gang(quick(12))},
+		{21, 0, 100 * ms, 40 * ms, 1000 * ms, 1, 3000 * ms, quick(40)},
+	} {
+		t.Run(fmt.Sprintf("%s, %s per worker, valid for %s, one in %d", c.decision, c.perWorker, c.validity, c.oneIn), func(t *testing.T) {
+			s := newAdviceSim(t, c.workers, c.decision, c.perWorker, c.validity)
+			s.allowed = oneIn(c.oneIn)
+			for i := range 8 {
+				if i == 3 {
+					s.addWorkers(c.added)
+				}
+				id := work.JobID(fmt.Sprintf("j%d", i))
+				if allowedWorkers(s, work.StepRef{Job: id}) > 0 {
+					s.submit(id, c.step)
+				}
+				s.run(c.every)
+			}
+			s.runUntilDone(14 * time.Second)
+		})
+	}
+}
+
+func gang(s work.Step) work.Step {
+	s.Gang = true
+	return s
+}
+
+// Guards against calls that are given up and made again while the advisor still handles the earlier
+// ones: its configuration tells less time than it takes.
+func TestCallsThatTakeLongerThanConfiguredAreWaitedFor(t *testing.T) {
+	s := newAdviceSim(t, 20, 1500*time.Millisecond, 10*time.Millisecond, 5*time.Second)
+	s.queue.Advice = AdviceCost{Decision: 10 * time.Millisecond, Validity: 5 * time.Second}
+	for i := range 4 {
+		s.submit(work.JobID(fmt.Sprintf("j%d", i)), quick(1))
+	}
+	s.runUntilDone(20 * time.Second)
+}
+
+// Guards against jobs that never start after calls to the advisor failed: each second one, and all of
+// the first five seconds.
+func TestFailedCallsToTheAdvisorAreMadeAgain(t *testing.T) {
+	s := newAdviceSim(t, 20, 50*time.Millisecond, 10*time.Millisecond, time.Second)
+	begin := s.now
+	s.failing = func(call int) bool { return call%2 == 0 || s.now < begin+5*time.Second }
+	for i := range 10 {
+		s.submit(work.JobID(fmt.Sprintf("j%d", i)), quick(2))
+	}
+	s.runUntilDone(15 * time.Second)
+}
+
+// Guards against tickets that are taken for expired, as the answer does not tell their validity.
+func TestTheConfigurationTellsTheValidityIfTheAnswerDoesNot(t *testing.T) {
+	r := newRig(t)
+	r.worker("w1")
+	q := Queue{Name: queue, Service: service, Advised: true, Advice: AdviceCost{Validity: time.Second}}
+	r.core.Accept(&work.Job{ID: "j1", Queue: queue, Steps: []work.Step{short(1)}}, q, r.now)
+	assert.Equal(t, len(r.plan().Advice), 1)
+	r.core.AdviceAnswered(AdviceAnswer{Tickets: []Ticket{{Worker: "w1", Ticket: "t"}}}, r.now)
+	assert.Equal(t, len(r.plan().Starts), 1)
+}
--- a/internal/engine/advice_test.go
+++ b/internal/engine/advice_test.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -36,3 +37,56 @@
 	b.now += refusedPause + explainInterval + adviceRetryInterval
 	assert.Equal(t, len(b.plan().Advice), 1)
 }
+
+// timedAdvisor records when its calls have to end, and answers once it is told to.
+type timedAdvisor struct {
+	deadlines chan time.Time
+	answer    chan struct{}
+}
+
+func (a *timedAdvisor) Advise(ctx context.Context, _ work.StepRef, _ []work.WorkerID) ([]Ticket, time.Duration, error) {
+	deadline, _ := ctx.Deadline()
+	a.deadlines <- deadline
+	select {
+	case <-a.answer:
+		return nil, 0, nil
+	case <-ctx.Done():
+		return nil, 0, ctx.Err()
+	}
+}
+
+// Guards against calls that are given up while the advisor handles other calls of the same entry VM, or
+// sooner than it can answer: one that names 100 workers may take a minute by the configuration.
+func TestCallsOfOneEntryVMAreMadeInTurnWithTheirOwnTimeout(t *testing.T) {
+	advisor := &timedAdvisor{deadlines: make(chan time.Time), answer: make(chan struct{})}
+	calls := make(chan struct{}, 1)
+	for range 3 {
+		e, _ := newEngine(t, &fakeTerm{certain: true})
+		e.Advisor, e.AdvisorCalls = advisor, calls
+		go e.advise(t.Context(), AdviceOrder{Timeout: time.Minute})
+	}
+	for range 3 {
+		assert.Assert(t, time.Until(<-advisor.deadlines) > 50*time.Second)
+		select {
+		case <-advisor.deadlines:
+			t.Error("a second call was made before the first was answered")
+		case <-time.After(20 * time.Millisecond):
+		}
+		advisor.answer <- struct{}{}
+	}
+}
+
+// Guards against an entry VM that never calls the advisor again after one call was not answered.
+func TestACallThatTimesOutMakesRoomForTheNext(t *testing.T) {
+	e, _ := newEngine(t, &fakeTerm{certain: true})
+	e.Advisor, e.AdvisorCalls = &timedAdvisor{deadlines: make(chan time.Time, 2)}, make(chan struct{}, 1)
+	answer := e.askAdvisor(t.Context(), AdviceOrder{Timeout: 10 * time.Millisecond})
+	assert.Assert(t, answer.TimedOut && answer.Err != nil)
+	ended, end := context.WithCancel(t.Context())
+	end()
+	e.AdvisorCalls <- struct{}{}
+	answer = e.askAdvisor(ended, AdviceOrder{Timeout: time.Minute})
+	assert.Assert(t, !answer.TimedOut && answer.Err != nil, "the term is over")
+	<-e.AdvisorCalls
+	assert.Equal(t, len(e.AdvisorCalls), 0)
+}
--- a/internal/engine/core.go
+++ b/internal/engine/core.go
@@ -34,6 +34,7 @@
 // concurrent use.
 type Core struct {
 	cell    string // name of the service
+	advice  adviceCalls
 	token   int64
 	bounds  Bounds
 	log     logr.Logger
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -78,10 +78,13 @@
 	Workers  Workers
 	Machines Machines
 	Advisor  Advisor // nil: there is none, and jobs of advised queues wait
-	Clock    Clock
-	Log      logr.Logger
-	Bounds   Bounds
-	Term     Term
+	// AdvisorCalls holds an element for each call to the advisor that is under way, of all engines of
+	// this entry VM: the advisor handles one at a time. nil: no other engine calls it.
+	AdvisorCalls chan struct{}
+	Clock        Clock
+	Log          logr.Logger
+	Bounds       Bounds
+	Term         Term
 	// WaitForRegistry returns once the registered workers are listed, or after a timeout if
 	// they can't be.
 	WaitForRegistry func(ctx context.Context)
--- a/internal/engine/metrics.go
+++ b/internal/engine/metrics.go
@@ -14,6 +14,7 @@
 	Txns         *expvar.Map // store transactions, by kind of error, or "ok"
 	VMOrders     *expvar.Map // orders for VMs, by kind
 	ShareChanges *expvar.Map // transactions that change cells' shares of workspace limits, by outcome
+	Advice       *expvar.Map // requests to the advisor by outcome, and the workers that they named and that were allowed
 	LostRuns     *expvar.Map // runs that ended without their worker listing the end, by cause
 	Capacity     *expvar.Map // the fleet's capacity plan, at its owner
 }
@@ -21,7 +22,7 @@
 // NewMetrics returns counters that are not published.
 func NewMetrics() *Metrics {
 	m := func() *expvar.Map { return new(expvar.Map).Init() }
-	return &Metrics{Starts: m(), Stops: m(), Polls: m(), Txns: m(), VMOrders: m(), ShareChanges: m(), LostRuns: m(), Capacity: m()}
+	return &Metrics{Starts: m(), Stops: m(), Polls: m(), Txns: m(), VMOrders: m(), ShareChanges: m(), Advice: m(), LostRuns: m(), Capacity: m()}
 }
 
 var outcomeNames = map[Outcome]string{
@@ -76,6 +77,21 @@
 	}
 }
 
+// countAdvice counts a request to the advisor.
+func (m *Metrics) countAdvice(o *AdviceOrder, a *AdviceAnswer) {
+	switch {
+	case m == nil:
+	case a.TimedOut:
+		m.Advice.Add("timed_out", 1)
+	case a.Err != nil:
+		m.Advice.Add("failed", 1)
+	default:
+		m.Advice.Add("answered", 1)
+		m.Advice.Add("workers_named", int64(len(o.Workers)))
+		m.Advice.Add("workers_allowed", int64(len(a.Tickets)))
+	}
+}
+
 func (m *Metrics) countLostRun(cause lossCause) {
 	if m != nil {
 		m.LostRuns.Add(string(cause), 1)
--- a/internal/engine/plan.go
+++ b/internal/engine/plan.go
@@ -37,6 +37,7 @@
 type AdviceOrder struct {
 	Step    work.StepRef
 	Workers []work.WorkerID
+	Timeout time.Duration // of the call, not counting the wait for other calls of this entry VM
 }
 
 // Orders are the result of a plan, to be carried out.
--- a/internal/engine/ports.go
+++ b/internal/engine/ports.go
@@ -161,12 +161,14 @@
 // AdviceAnswer is the answer to an AdviceOrder.
 type AdviceAnswer struct {
 	Tickets  []Ticket      // for those of the named workers that may run the step
-	Validity time.Duration // of the tickets
+	Validity time.Duration // of the tickets; 0: as the queue's configuration tells
 	Err      error         // not nil: nothing is known about the workers
+	TimedOut bool          // Err is that the call's timeout was reached
 }
 
 // Advisor decides which workers may run a step. The tickets that Advise returns are valid for
-// the returned duration.
+// the returned duration, or for that of the queue's configuration if it is 0. It names at most
+// maxAdviceBatch workers.
 type Advisor interface {
 	Advise(ctx context.Context, step work.StepRef, workers []work.WorkerID) (tickets []Ticket, validity time.Duration, err error)
 }
@@ -182,7 +184,9 @@
 	Stretch float64
 	Slack   time.Duration
 	Advised bool // starts need a ticket of the advisor
-	Open    bool // callers need no key
+	// Advice tells how long the advisor of an advised queue takes and its tickets last.
+	Advice AdviceCost `json:",omitzero" msgpack:",omitempty"`
+	Open   bool       // callers need no key
 }
 
 // Service is the configuration of a service, which has a pool of VMs.
--- a/internal/engine/send.go
+++ b/internal/engine/send.go
@@ -108,20 +108,19 @@
 	}
 }
 
-// adviceTimeout is the timeout of a call to the advisor: decisions take tens of milliseconds,
-// and calls of one VM wait for each other.
-const adviceTimeout = 1500 * time.Millisecond
-
+// advise makes a call to the advisor and gives the core its answer.
 func (e *Engine) advise(ctx context.Context, o AdviceOrder) {
-	call, cancel := context.WithTimeout(ctx, adviceTimeout)
-	defer cancel()
-	sent := e.Clock.Now()
-	answer := e.askAdvisor(call, o)
+	asked := e.Clock.Now()
+	answer := e.askAdvisor(ctx, o)
+	now := e.Clock.Now()
+	e.Metrics.countAdvice(&o, &answer)
 	if answer.Err != nil {
-		e.Log.Info("could not get advice", "step", o.Step.String(), "workers", len(o.Workers), "error", answer.Err.Error())
+		e.Log.Info("could not get advice", "step", o.Step.String(), "workers", len(o.Workers), "after", (now - asked).String(), "timeout", o.Timeout.String(), "error", answer.Err.Error())
+	} else {
+		e.Log.V(1).Info("advice", "step", o.Step.String(), "workers", len(o.Workers), "allowed", len(answer.Tickets), "after", (now - asked).String(), "validity", answer.Validity.String())
 	}
 	e.mu.Lock()
-	e.core.AdviceAnswered(o, answer, sent, e.Clock.Now())
+	e.core.AdviceAnswered(answer, now)
 	e.mu.Unlock()
 	kick(e.planKick)
 }
@@ -130,10 +129,22 @@
 // queue's jobs wait, and the error is logged at every attempt.
 var errNoAdvisor = errors.New("engine: the queue requires advice and no advisor is configured")
 
+// askAdvisor calls the advisor once no other engine of this entry VM does.
 func (e *Engine) askAdvisor(ctx context.Context, o AdviceOrder) (a AdviceAnswer) {
 	if e.Advisor == nil {
 		return AdviceAnswer{Err: errNoAdvisor}
 	}
-	a.Tickets, a.Validity, a.Err = e.Advisor.Advise(ctx, o.Step, o.Workers)
+	if e.AdvisorCalls != nil {
+		select {
+		case e.AdvisorCalls <- struct{}{}:
+			defer func() { <-e.AdvisorCalls }()
+		case <-ctx.Done():
+			return AdviceAnswer{Err: ctx.Err()}
+		}
+	}
+	call, cancel := context.WithTimeout(ctx, o.Timeout)
+	defer cancel()
+	a.Tickets, a.Validity, a.Err = e.Advisor.Advise(call, o.Step, o.Workers)
+	a.TimedOut = a.Err != nil && errors.Is(call.Err(), context.DeadlineExceeded)
 	return a
 }
--- a/internal/engine/vacate_test.go
+++ b/internal/engine/vacate_test.go
@@ -181,8 +181,8 @@
 	b := newRig(t)
 	b.worker("w1")
 	b.core.Accept(&work.Job{ID: "j1", Queue: queue, Steps: []work.Step{longRunning(1)}}, Queue{Name: queue, Service: service, Advised: true}, b.now)
-	answer := func(a AdviceOrder, tickets ...Ticket) {
-		b.core.AdviceAnswered(a, AdviceAnswer{Tickets: tickets, Validity: time.Second}, b.now, b.now)
+	answer := func(_ AdviceOrder, tickets ...Ticket) {
+		b.core.AdviceAnswered(AdviceAnswer{Tickets: tickets, Validity: time.Second}, b.now)
 	}
 	answer(b.plan().Advice[0], Ticket{Worker: "w1", Ticket: "t"})
 	o := b.plan()
--- a/internal/node/duties.go
+++ b/internal/node/duties.go
@@ -140,8 +140,10 @@
 		Workers:  n.workersOf(cell),
 		Machines: n.machines(),
 		Advisor:  n.advisor(),
-		Clock:    n.clock,
-		Log:      n.log.WithName("engine").WithValues("cell", cell),
+
+		AdvisorCalls: n.advisorCalls,
+		Clock:        n.clock,
+		Log:          n.log.WithName("engine").WithValues("cell", cell),
 		Bounds: engine.Bounds{
 			MaxLease: n.settings.MaxLease, PaceDelay: n.settings.PaceDelay, StopGrace: n.settings.StopGrace,
 			MaxConfigDelay: n.settings.ConfigWithin, MaxCapacityAge: n.settings.MaxCapacityAge,
@@ -264,12 +266,16 @@
 	return platform.NewMachines(n.settings.VMs, n.settings.Name, platformTimeout, n.log.WithName("vms"))
 }
 
+// maxAdvisorCall ends any call to the advisor. Engines set a timeout of their own by the queue's
+// configuration.
+const maxAdvisorCall = 1 * time.Hour
+
 // advisor returns the client of the advisor; nil if none is configured.
 func (n *Node) advisor() engine.Advisor {
 	if n.settings.Advisor == "" {
 		return nil
 	}
-	return platform.NewAdvisor(n.settings.Advisor, platformTimeout)
+	return platform.NewAdvisor(n.settings.Advisor, maxAdvisorCall)
 }
 
 var _ jobfront.Owner = (*engine.Engine)(nil)
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -49,6 +49,7 @@
 		expvar.Publish("store_txns", m.engine.Txns)
 		expvar.Publish("vm_orders", m.engine.VMOrders)
 		expvar.Publish("limit_shares", m.engine.ShareChanges)
+		expvar.Publish("advice", m.engine.Advice)
 		expvar.Publish("runs_lost", m.engine.LostRuns)
 		expvar.Publish("capacity", m.engine.Capacity)
 	})
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -57,7 +57,9 @@
 	cutOff    *jobfront.CutOff // nil: requests are not ended when this entry VM is cut off
 	metrics   *metrics
 	duties    *duties
-	self      ownership.Record
+	// advisorCalls holds an element while a call to the advisor is under way.
+	advisorCalls chan struct{}
+	self         ownership.Record
 
 	callers         net.Listener
 	ready           net.Listener
@@ -117,6 +119,7 @@
 	n.directory = &ownership.Directory{Log: n.log.WithName("owners")}
 	n.delay = newDelayMeter(n.clock)
 	n.metrics = newMetrics(n.delay)
+	n.advisorCalls = make(chan struct{}, 1)
 	n.duties = &duties{node: n, electing: make(map[string]bool), engines: make(map[string]*engine.Engine)}
 	n.duties.load.CanTake = func() bool { return !n.shuttingDown.Load() }
 	n.operator = newOperatorState(n.store, n.clock, n.log.WithName("operator"), n.duties.ensureElectors)
