Calls to the advisor allow for what it really takes

The timeout follows how much later than configured the last call was answered. A gang's tickets are renewed only if it could start with them.

--- a/internal/engine/advice.go
+++ b/internal/engine/advice.go
@@ -19,10 +19,10 @@
 	// minAdviceBackoff is the time after a failed request until one for another step is sent. It
 	// doubles with each further failure, up to adviceRetryInterval.
 	minAdviceBackoff = 100 * time.Millisecond
-	// minAdviceSlack is how much longer than twice its usual time a request may take. It doubles
+	// minAdviceSlack is how much longer than twice its configured time a request may take. It doubles
 	// with each request that times out, up to maxAdviceSlack: the advisor may still handle those.
 	minAdviceSlack = 1 * time.Second
-	maxAdviceSlack = 4 * time.Second
+	maxAdviceSlack = 8 * time.Second
 	// maxTicketMargin is the least remaining validity of a ticket that is used, so that it is still
 	// valid when the start arrives. Tickets that are valid for a short time are used for
 	// 1/ticketMarginDivisor less than that.
@@ -57,8 +57,9 @@
 	pending  *adviceRequest // nil: none is under way
 	retryAt  time.Duration  // no request before this time
 	failures int            // failed requests in a row
-	slack    time.Duration  // 0: minAdviceSlack
-	rates    map[string]*approvalRate
+	// slack is what the last request's outcome adds to the next one's timeout; 0: minAdviceSlack.
+	slack time.Duration
+	rates map[string]*approvalRate
 }
 
 // approvalRate estimates which part of the workers the advisor allows for a step of one queue.
@@ -86,9 +87,9 @@
 	return a.rates[queue]
 }
 
-// timeout returns the timeout of a request that usually takes so long.
-func (a *adviceCalls) timeout(usual time.Duration) time.Duration {
-	return 2*usual + max(minAdviceSlack, a.slack)
+// timeout returns the timeout of a request that takes so long by the configuration.
+func (a *adviceCalls) timeout(configured time.Duration) time.Duration {
+	return 2*configured + max(minAdviceSlack, a.slack)
 }
 
 // failed records a failed request.
@@ -100,10 +101,9 @@
 	}
 }
 
-// answered records an answer to a request that named so many workers of the queue and allowed some.
-func (a *adviceCalls) answered(queue string, named, allowed int) {
-	a.failures, a.slack = 0, 0
-	a.rate(queue).observe(named, allowed)
+// answered records that a request was answered, and by how much later than configured.
+func (a *adviceCalls) answered(late time.Duration) {
+	a.failures, a.slack = 0, min(maxAdviceSlack, 2*late)
 }
 
 // adviceRequest is a request to the advisor that has not been answered.
@@ -189,11 +189,10 @@
 	a := &s.advice
 	lists := c.sortCandidates(s, candidates, now)
 	tasks := waiting << a.unused
-	missing := tasks - room(lists.valid)
-	if missing <= 0 || a.offered && len(lists.expired) > 0 {
+	if tasks <= room(lists.valid) || a.offered && len(lists.expired) > 0 {
 		return
 	}
-	named := lists.toName(s.spec.Gang, tasks, missing, func(missing int) []taskplan.Candidate {
+	named := lists.toName(s.spec.Gang, waiting, tasks, func(missing int) []taskplan.Candidate {
 		return c.unknownToName(s, lists.unknown, missing)
 	})
 	named = named[:min(len(named), maxAdviceBatch)]
@@ -249,18 +248,23 @@
 	return out
 }
 
-// toName returns the candidates to name in a request for tasks, of which the valid tickets leave some
-// missing: the allowed ones that have room for them, and those that chooseUnknown returns
-// if that is not enough. All members of a gang need valid tickets at the same time: its tickets are
-// renewed together, once enough workers are known to be allowed.
-func (l *adviceCandidates) toName(gang bool, tasks, missing int, chooseUnknown func(missing int) []taskplan.Candidate) []taskplan.Candidate {
-	allowed := append(slices.Clone(l.expired), l.valid...)
-	switch {
-	case gang && room(allowed) >= tasks:
+// toName returns the candidates to name in a request for tasks, of which so many wait: the allowed ones
+// that have room for what the valid tickets leave missing, and those that chooseUnknown returns if that
+// is not enough. All members of a gang need valid tickets at the same time: its tickets are renewed
+// together, once enough workers are known to be allowed.
+func (l *adviceCandidates) toName(gang bool, waiting, tasks int, chooseUnknown func(missing int) []taskplan.Candidate) []taskplan.Candidate {
+	if gang {
+		allowed := append(slices.Clone(l.expired), l.valid...)
+		has := room(allowed)
+		switch {
+		case has < tasks && len(l.unknown) > 0:
+			return chooseUnknown(tasks - has)
+		case has < waiting:
+			return nil
+		}
 		return firstWithRoom(allowed, tasks)
-	case gang && len(l.unknown) > 0:
-		return chooseUnknown(tasks - room(allowed))
 	}
+	missing := tasks - room(l.valid)
 	named := firstWithRoom(l.expired, missing)
 	if left := missing - room(named); left > 0 {
 		named = append(named, chooseUnknown(left)...)
@@ -324,7 +328,8 @@
 			allowedTasks += request.rooms[i]
 		}
 	}
-	c.advice.answered(s.job.Queue, newly, newlyAllowed)
+	c.advice.answered(answer.Duration - s.job.queue.Advice.duration(len(request.workers)))
+	c.advice.rate(s.job.Queue).observe(newly, newlyAllowed)
 	a.answeredAt, a.offered = now, allowedTasks >= request.enough
 }
 
--- a/internal/engine/advice_sim_test.go
+++ b/internal/engine/advice_sim_test.go
@@ -130,7 +130,7 @@
 		return
 	}
 	s.waiting = nil
-	answer := AdviceAnswer{Validity: s.validity}
+	answer := AdviceAnswer{Validity: s.validity, Duration: s.now - c.sent}
 	if c.fails {
 		answer.Err = errors.New("no answer")
 	}
@@ -331,12 +331,27 @@
 // Guards against calls that are given up and made again while the advisor still handles the earlier
 // ones: its configuration tells less time than it takes.
 func TestCallsThatTakeLongerThanConfiguredAreWaitedFor(t *testing.T) {
-	s := newAdviceSim(t, 20, 1500*time.Millisecond, 10*time.Millisecond, 5*time.Second)
-	s.queue.Advice = AdviceCost{Decision: 10 * time.Millisecond, Validity: 5 * time.Second}
-	for i := range 4 {
+	s := newAdviceSim(t, 20, 2400*time.Millisecond, 10*time.Millisecond, time.Second)
+	s.queue.Advice = AdviceCost{Decision: 300 * time.Millisecond, Validity: time.Second}
+	for i := range 6 {
 		s.submit(work.JobID(fmt.Sprintf("j%d", i)), quick(1))
 	}
-	s.runUntilDone(20 * time.Second)
+	s.runUntilDone(25 * time.Second)
+}
+
+// Guards against calls about a gang that can't start, as too few workers are allowed: they would take the
+// time of the advisor from other jobs for as long as the gang waits.
+func TestTheAdvisorIsNotAskedAgainAboutAGangThatCanNotStart(t *testing.T) {
+	s := newAdviceSim(t, 20, 50*time.Millisecond, 10*time.Millisecond, 300*time.Millisecond)
+	s.allowed = func(step work.StepRef, w work.WorkerID) bool { return step.Job != "gang" || w < "w003" }
+	s.submit("gang", gang(quick(16)))
+	s.run(5 * time.Second)
+	calls := s.calls
+	s.run(5 * time.Second)
+	assert.Equal(t, s.calls, calls)
+	s.submit("j1", quick(1))
+	delete(s.left, "gang")
+	s.runUntilDone(2 * time.Second)
 }
 
 // Guards against jobs that never start after calls to the advisor failed: each second one, and all of
--- a/internal/engine/ports.go
+++ b/internal/engine/ports.go
@@ -162,6 +162,7 @@
 type AdviceAnswer struct {
 	Tickets  []Ticket      // for those of the named workers that may run the step
 	Validity time.Duration // of the tickets; 0: as the queue's configuration tells
+	Duration time.Duration // of the call
 	Err      error         // not nil: nothing is known about the workers
 	TimedOut bool          // Err is that the call's timeout was reached
 }
--- a/internal/engine/send.go
+++ b/internal/engine/send.go
@@ -117,7 +117,7 @@
 	if answer.Err != nil {
 		e.Log.Info("could not get advice", "step", o.Step.String(), "workers", len(o.Workers), "after", (now - asked).String(), "timeout", o.Timeout.String(), "error", answer.Err.Error())
 	} else {
-		e.Log.V(1).Info("advice", "step", o.Step.String(), "workers", len(o.Workers), "allowed", len(answer.Tickets), "after", (now - asked).String(), "validity", answer.Validity.String())
+		e.Log.V(1).Info("advice", "step", o.Step.String(), "workers", len(o.Workers), "allowed", len(answer.Tickets), "after", (now - asked).String(), "took", answer.Duration.String(), "validity", answer.Validity.String())
 	}
 	e.mu.Lock()
 	e.core.AdviceAnswered(answer, now)
@@ -144,7 +144,9 @@
 	}
 	call, cancel := context.WithTimeout(ctx, o.Timeout)
 	defer cancel()
+	sent := e.Clock.Now()
 	a.Tickets, a.Validity, a.Err = e.Advisor.Advise(call, o.Step, o.Workers)
+	a.Duration = e.Clock.Now() - sent
 	a.TimedOut = a.Err != nil && errors.Is(call.Err(), context.DeadlineExceeded)
 	return a
 }
