Tickets that are not used or not accepted are asked for more seldom

The second refusal in a row waits, twice as long each time up to 1.5 s; unused tickets are asked for again after at least the time that the call took. The simulation of limits covers memory and raised limits, too.

--- a/internal/engine/advice.go
+++ b/internal/engine/advice.go
@@ -123,6 +123,13 @@
 	incomplete bool
 	answeredAt time.Duration
 	retryAt    time.Duration // no request before this time
+	// pause is the time after the last answer until tickets are asked for again that were not used:
+	// at least what the call took, so that other steps have their turn.
+	pause time.Duration
+	// refused counts the answers in a row whose tickets a worker did not accept, the last of them at
+	// refusedAt.
+	refused   int
+	refusedAt time.Duration
 	// offered tells that the last answer allowed a task, or the whole gang, to start, and that none has
 	// started since. unused counts the answers in a row after which none did: the workers may not
 	// suit for another reason, and more are asked about each time.
@@ -177,7 +184,7 @@
 
 // observeUnused notices that the last answer allowed tasks to start and none has.
 func (a *stepAdvice) observeUnused(now time.Duration) {
-	if a.offered && now >= a.answeredAt+adviceRetryInterval {
+	if a.offered && now >= a.answeredAt+a.pause {
 		a.offered = false
 		a.unused = min(maxUnusedAnswers, a.unused+1)
 	}
@@ -331,6 +338,7 @@
 	c.advice.answered(answer.Duration - s.job.queue.Advice.duration(len(request.workers)))
 	c.advice.rate(s.job.Queue).observe(newly, newlyAllowed)
 	a.answeredAt, a.offered = now, allowedTasks >= request.enough
+	a.pause = max(adviceRetryInterval, answer.Duration)
 }
 
 // usableFor returns how long after its issue a ticket of the validity is used for starts.
@@ -341,13 +349,24 @@
 // startIssued records that a start of the step uses a ticket.
 func (a *stepAdvice) startIssued() { a.offered, a.unused = false, 0 }
 
-// ticketRefused records that the worker did not accept the step's ticket.
-func (a *stepAdvice) ticketRefused(w *worker) {
+// ticketRefused records that the worker did not accept the step's ticket. The first time it is asked
+// for again at once, as it may have expired on its way.
+func (a *stepAdvice) ticketRefused(w *worker, now time.Duration) {
 	if v := a.verdicts[w]; v != nil {
 		v.usableUntil = 0
 	}
+	if a.refusedAt >= a.answeredAt && a.refused > 0 {
+		return // another task's start with tickets of the same answer
+	}
+	if a.refusedAt = now; a.refused > 0 {
+		a.retryAt = now + min(adviceRetryInterval, minAdviceBackoff<<min(a.refused, maxUnusedAnswers))
+	}
+	a.refused++
 }
 
+// ticketAccepted records that a worker accepted a ticket of the step.
+func (a *stepAdvice) ticketAccepted() { a.refused = 0 }
+
 // approvedOn reports whether the advisor is known to allow the step's tasks on the worker, even if the
 // ticket has expired.
 func (s *step) approvedOn(w *worker) bool {
--- a/internal/engine/advice_sim_test.go
+++ b/internal/engine/advice_sim_test.go
@@ -35,6 +35,7 @@
 	ends     map[work.WorkerID]int64
 	left     map[work.JobID]int // tasks that are not done
 	rejected int                // starts without a valid ticket
+	refused  work.JobID         // workers accept no ticket for its tasks
 }
 
 // adviceCallSim is a call to the simulated advisor.
@@ -145,7 +146,7 @@
 func (s *adviceSim) ticketValid(o StartOrder) bool {
 	until, ok := strings.CutPrefix(o.Start.Ticket, o.Start.Task.StepRef.String()+"/"+string(o.Worker.ID)+"/")
 	at, err := strconv.ParseInt(until, 10, 64)
-	return ok && err == nil && s.now <= time.Duration(at)
+	return ok && err == nil && s.now <= time.Duration(at) && o.Start.Task.Job != s.refused
 }
 
 func (s *adviceSim) endRuns() {
@@ -354,6 +355,20 @@
 	s.runUntilDone(2 * time.Second)
 }
 
+// Guards against a call to the advisor and a rejected start each few milliseconds, as workers accept none
+// of a step's tickets, and against other jobs that wait for it.
+func TestTicketsThatWorkersRefuseAreAskedForMoreAndMoreSeldom(t *testing.T) {
+	s := newAdviceSim(t, 20, 20*time.Millisecond, 10*time.Millisecond, time.Second)
+	s.refused = "j0"
+	s.submit("j0", quick(4))
+	s.run(2 * time.Second)
+	calls := s.calls
+	s.submit("j1", quick(1))
+	s.run(10 * time.Second)
+	assert.Equal(t, s.left["j1"], 0)
+	assert.Assert(t, s.calls-calls <= 10, "%d calls in ten seconds", s.calls-calls)
+}
+
 // Guards against jobs that never start after calls to the advisor failed: each second one, and all of
 // the first five seconds.
 func TestFailedCallsToTheAdvisorAreMadeAgain(t *testing.T) {
--- a/internal/engine/limit_cells_test.go
+++ b/internal/engine/limit_cells_test.go
@@ -119,12 +119,20 @@
 		services[name] = Service{Name: name}
 	}
 	cell.core.Configure(Declared{
-		Version: int64(l.rev) + l.limit.MilliCPU, Services: services, Queues: map[string]Queue{queue: {Name: queue, Service: cell.core.cell, MaxAttempts: 3}},
+		Version: l.limit.MilliCPU + l.limit.MemoryMB, Services: services, Queues: map[string]Queue{queue: {Name: queue, Service: cell.core.cell, MaxAttempts: 3}},
 		Workspaces: map[work.WorkspaceName]workspace.Workspace{redName: {Name: redName, Limit: l.limit}},
 	})
 	cell.core.Confirm(l.now)
 }
 
+// setLimit has the owners learn of another limit.
+func (l *limitCells) setLimit(limit work.Resources) {
+	l.limit = limit
+	for _, cell := range l.cells {
+		l.configure(cell)
+	}
+}
+
 func (l *limitCells) storedLedger() infra.KV {
 	return infra.KV{Key: infra.WorkLimitKey(string(redName)), Value: l.ledger, ModRevision: l.rev}
 }
@@ -210,39 +218,44 @@
 // checkLimit fails the test if the cells together have more running than the limit allows, or if a job
 // waits for longer than maxWait that it would allow.
 func (l *limitCells) checkLimit() {
-	var used int64
+	var used work.Resources
 	running := make(map[work.JobID]bool)
 	for _, cell := range l.cells {
 		for _, r := range cell.running {
 			job := r.order.Start.Task.Job
 			running[job] = true
-			used += cell.record(job).Job.Steps[0].Size.MilliCPU
+			used = used.Plus(cell.record(job).Job.Steps[0].Size)
 		}
 	}
-	assert.Assert(l.t, used <= l.limit.MilliCPU, "%d milli-CPU are in use, the limit is %d", used, l.limit.MilliCPU)
-	if l.longTasks && used > 0 {
+	assert.Assert(l.t, l.allows(used), "%v are in use, the limit is %v", used, l.limit)
+	if l.longTasks && used != (work.Resources{}) {
 		clear(l.waitsSince) // a gang that waits for these tasks to end comes first
 		return
 	}
 	for name, cell := range l.cells {
 		for _, r := range cell.records {
 			id, step := r.Job.ID, &r.Job.Steps[0]
-			need := step.Size.MilliCPU
+			need := step.Size
 			if step.Gang {
-				need *= int64(step.Count)
+				need = need.Times(int64(step.Count))
 			}
-			if running[id] || cell.done[id] == step.Count || step.Requires != "" || used >= l.limit.MilliCPU/2 || used+need > l.limit.MilliCPU || l.now < l.calmFrom {
+			if running[id] || cell.done[id] == step.Count || step.Requires != "" || !l.allows(used.Times(2)) || !l.allows(used.Plus(need)) || l.now < l.calmFrom {
 				delete(l.waitsSince, id)
 				continue
 			}
 			if l.waitsSince[id] == 0 {
 				l.waitsSince[id] = l.now
 			}
-			assert.Assert(l.t, l.now-l.waitsSince[id] <= maxWait, "%s in %s needs %d milli-CPU and waits, %d of %d are in use; ledger %s", id, name, need, used, l.limit.MilliCPU, l.ledger)
+			assert.Assert(l.t, l.now-l.waitsSince[id] <= maxWait, "%s in %s needs %v and waits, %v of %v are in use; ledger %s", id, name, need, used, l.limit, l.ledger)
 		}
 	}
 }
 
+// allows reports whether the limit allows so much to run.
+func (l *limitCells) allows(r work.Resources) bool {
+	return workspace.Fitting(r, l.limit, l.limit, 1) == 1
+}
+
 func (c *limitCell) record(id work.JobID) *JobRecord {
 	return c.records[slices.IndexFunc(c.records, func(r *JobRecord) bool { return r.Job.ID == id })]
 }
@@ -337,19 +350,25 @@
 			rng := rand.New(rand.NewPCG(seed, 66))
 			l := newLimitCells(t, 2+rng.IntN(4), 6, 10_000+rng.Int64N(20_000))
 			l.longTasks = true
+			if rng.IntN(3) == 0 {
+				l.setLimit(work.Resources{MilliCPU: l.limit.MilliCPU, MemoryMB: 1000 + rng.Int64N(2000)})
+			}
 			for n := range 20 {
 				s := gangOf(1+rng.IntN(6), 500+rng.Int64N(4000))
 				s.Gang = rng.IntN(3) > 0
 				s.Estimate = time.Duration(100+rng.IntN(3000)) * time.Millisecond
-				if s.Size.Times(int64(s.Count)).MilliCPU > l.limit.MilliCPU && s.Gang {
-					s.Count = max(1, int(l.limit.MilliCPU/s.Size.MilliCPU))
+				for s.Gang && !l.allows(s.Size.Times(int64(s.Count))) {
+					s.Count--
 				}
 				l.submit(l.names[rng.IntN(len(l.names))], work.JobID(fmt.Sprintf("j%d", n)), s)
 				for range rng.IntN(10) {
 					l.tick()
 				}
-				if rng.IntN(10) == 0 {
+				switch rng.IntN(20) {
+				case 0, 1:
 					l.takeOver(l.names[rng.IntN(len(l.names))])
+				case 2:
+					l.setLimit(work.Resources{MilliCPU: l.limit.MilliCPU * 5 / 4, MemoryMB: l.limit.MemoryMB})
 				}
 			}
 			l.runUntilDone(5 * time.Minute)
--- a/internal/engine/orders.go
+++ b/internal/engine/orders.go
@@ -142,6 +142,7 @@
 		t.answeredAt = now
 	}
 	t.step.job.begun = true
+	t.step.advice.ticketAccepted()
 }
 
 // How long a worker takes no tasks after it refused a start.
@@ -162,7 +163,7 @@
 	case OutcomeLate:
 		w.closedUntil = now + latePause
 	case OutcomeNoTicket:
-		t.step.advice.ticketRefused(w)
+		t.step.advice.ticketRefused(w, now)
 	}
 	c.handleIncompleteRun(t, now)
 }
