--- a/cmd/pumicestage/explain.go
+++ b/cmd/pumicestage/explain.go
@@ -242,6 +242,9 @@
 	if s.Limit != nil {
 		printLimit(w, s.Limit)
 	}
+	if s.Advice != nil {
+		printAdvice(w, s.Advice)
+	}
 	for _, c := range s.Crashed {
 		fmt.Fprintf(w, "  %s: %d workers crashed under it", c.Task, c.Crashes)
 		if len(c.Addresses) > 0 {
@@ -284,6 +287,28 @@
 		slices.Sort(shares)
 		fmt.Fprintf(w, "  other cells have of it: %s; those not named an even share\n", strings.Join(shares, ", "))
 	}
+	turns := make([]string, 0, len(l.Turns))
+	for _, t := range l.Turns {
+		turns = append(turns, fmt.Sprintf("%s %.1f%%", t.Cell, 100*float64(t.Parts)/float64(workspace.Whole)))
+	}
+	if len(turns) > 0 {
+		fmt.Fprintf(w, "  cells that need more than a fair share at once, in turn: %s\n", strings.Join(turns, ", "))
+	}
+}
+
+// printAdvice prints what the advisor has decided on a step so far.
+func printAdvice(w io.Writer, a *engine.AdviceExplanation) {
+	fmt.Fprintf(w, "  advisor: asked about %d workers, %d allowed, %d with a valid ticket", a.Asked, a.Allowed, a.Usable)
+	switch {
+	case a.CallPending:
+		fmt.Fprint(w, "; a call is under way")
+	case a.OtherCallPending:
+		fmt.Fprint(w, "; waits for a call about another step")
+	}
+	if a.Failures > 0 {
+		fmt.Fprintf(w, "; the last %d calls failed", a.Failures)
+	}
+	fmt.Fprintln(w)
 }
 
 // formatResources formats an amount of resources and omits the kinds that are
--- a/cmd/pumicestage/explain_test.go
+++ b/cmd/pumicestage/explain_test.go
@@ -46,7 +46,9 @@
 			Limit: &engine.LimitExplanation{
 				Workspace: "red", Limit: work.Resources{MilliCPU: 8000, MemoryMB: 64000}, Used: work.Resources{MilliCPU: 1500, MemoryMB: 9000},
 				May: work.Resources{MilliCPU: 2000, MemoryMB: 16000}, Holds: true, Others: map[string]workspace.Parts{"tabulation": 7500},
+				Turns: []workspace.Turn{{Cell: "tabulation", Parts: 7500}, {Cell: "weighting", Parts: 6000}},
 			},
+			Advice:  &engine.AdviceExplanation{Asked: 12, Allowed: 3, Usable: 1, OtherCallPending: true, Failures: 2},
 			Crashed: []engine.CrashExplanation{{Task: "5c0e7a21d94b36f8.0.0.2", Crashes: 2, Addresses: []string{"10.1.0.4:80"}, Suspect: true}},
 			Runs:    []engine.RunExplanation{{Task: "5c0e7a21d94b36f8.0.0.1", Run: 2, Worker: "i-1", State: "running", Percent: 40, For: time.Second, Failures: 1, Silent: 2}},
 		}},
@@ -62,6 +64,8 @@
   workers for what waits: 3 no room
   limit of workspace red: 8.0 cores 64000 MB in all cells; here 1.5 cores 9000 MB used, 2.0 cores 16000 MB allowed: waits for its workspace's limit
   other cells have of it: tabulation 75.0%; those not named an even share
+  cells that need more than a fair share at once, in turn: tabulation 75.0%, weighting 60.0%
+  advisor: asked about 12 workers, 3 allowed, 1 with a valid ticket; waits for a call about another step; the last 2 calls failed
   5c0e7a21d94b36f8.0.0.2: 2 workers crashed under it (10.1.0.4:80), tried apart from other work
   5c0e7a21d94b36f8.0.0.1 run 2 running on i-1 for 1s, 40%, failed 1 times before, its worker did not answer 2 polls
 `)
--- a/internal/engine/explain.go
+++ b/internal/engine/explain.go
@@ -53,7 +53,9 @@
 	// Limit describes the workspace's limit; nil if no task waits or the workspace has no limit
 	// that can bind.
 	Limit *LimitExplanation `json:"limit,omitempty"`
-	Runs  []RunExplanation  `json:"runs,omitempty"`
+	// Advice describes what is known of the advisor's decisions; nil: no task waits for one.
+	Advice *AdviceExplanation `json:"advice,omitempty"`
+	Runs   []RunExplanation   `json:"runs,omitempty"`
 	// Crashed holds the tasks during whose runs workers crashed.
 	Crashed []CrashExplanation `json:"crashed,omitempty"`
 }
@@ -80,6 +82,9 @@
 	// Others holds the parts allocated to other cells, in ten-thousandths of the limit. A cell that
 	// is missing has an even share.
 	Others map[string]workspace.Parts `json:"others,omitempty"`
+	// Turns holds the cells whose next work needs more than their fair share, in the order in which they
+	// get it.
+	Turns []workspace.Turn `json:"turns,omitempty"`
 	// Never says that a task, or the whole gang, is larger than the limit itself.
 	Never bool `json:"can_never_start"`
 	// ConfigAge is the time since the configuration was last known to be the newest. Beyond
@@ -87,6 +92,19 @@
 	ConfigAge time.Duration `json:"config_age_ns"`
 }
 
+// AdviceExplanation describes what the owner knows of the advisor's decisions on a step.
+type AdviceExplanation struct {
+	Asked   int `json:"asked"`   // workers about which the advisor has answered
+	Allowed int `json:"allowed"` // those of them on which it allows the step
+	Usable  int `json:"usable"`  // those of them whose ticket is valid
+	// CallPending says that a call about the step is under way, OtherCallPending that one about another
+	// step is, which it waits for.
+	CallPending      bool `json:"call_pending"`
+	OtherCallPending bool `json:"other_call_pending"`
+	// Failures is the number of calls of the cell in a row that have failed.
+	Failures int `json:"failures,omitempty"`
+}
+
 // RunExplanation describes a run that is assigned to a worker.
 type RunExplanation struct {
 	Task     string        `json:"task"`
@@ -154,6 +172,26 @@
 		out.Waits = taskplan.CountRejections(workers, ps)
 		out.Limit = c.explainLimit(s, len(ps.Tasks), now)
 	}
+	if s.job.queue.Advised {
+		out.Advice = c.explainAdvice(s, now)
+	}
+	return out
+}
+
+func (c *Core) explainAdvice(s *step, now time.Duration) *AdviceExplanation {
+	pending := c.advice.pending
+	out := &AdviceExplanation{
+		Asked: len(s.advice.verdicts), Failures: c.advice.failures,
+		CallPending: pending != nil && pending.step == s, OtherCallPending: pending != nil && pending.step != s,
+	}
+	for _, v := range s.advice.verdicts {
+		if v.allowed {
+			out.Allowed++
+		}
+		if v.usable(now) {
+			out.Usable++
+		}
+	}
 	return out
 }
 
@@ -165,7 +203,7 @@
 	out := &LimitExplanation{
 		Workspace: a.name, Limit: a.limit, Used: a.used, May: c.share(a, now).Of(a.limit), ConfigAge: now - c.limits.confirmedAt,
 		Holds: workspace.Fitting(s.spec.Size, a.remaining, a.limit, waiting) < waiting,
-		Never: s.exceedsLimit(),
+		Never: s.exceedsLimit(), Turns: a.ledger.Turns,
 	}
 	for cell, has := range a.ledger.Allocated {
 		if cell != c.cell {
