--- a/internal/engine/advice.go
+++ b/internal/engine/advice.go
@@ -65,9 +65,11 @@
 // approvalRate estimates which part of the workers the advisor allows for a step of one queue.
 type approvalRate struct{ asked, allowed float64 }
 
-func (r *approvalRate) observe(asked, allowed int) {
-	r.asked += float64(asked)
-	r.allowed += float64(allowed)
+func (r *approvalRate) observe(allowed bool) {
+	r.asked++
+	if allowed {
+		r.allowed++
+	}
 	if r.asked > maxRateSample {
 		r.asked, r.allowed = r.asked/2, r.allowed/2
 	}
@@ -108,13 +110,18 @@
 
 // adviceRequest is a request to the advisor that has not been answered.
 type adviceRequest struct {
-	step    *step
-	workers []*worker
-	rooms   []int // number of the step's tasks that each worker has room for
+	step  *step
+	named []namedWorker
 	// enough is for how many tasks the answer has to allow workers so that any can start.
 	enough int
 }
 
+// namedWorker is a worker that a request names, and the number of the step's tasks that it has room for.
+type namedWorker struct {
+	worker *worker
+	room   int
+}
+
 // stepAdvice is what is known of the advisor's decisions on one step.
 type stepAdvice struct {
 	verdicts map[*worker]*verdict
@@ -206,17 +213,16 @@
 	if len(named) == 0 {
 		return
 	}
-	request := &adviceRequest{step: s, enough: 1}
+	enough := 1
 	if s.spec.Gang {
-		request.enough = waiting
+		enough = waiting
 	}
+	c.advice.pending = &adviceRequest{step: s, enough: enough}
 	order := AdviceOrder{Step: s.ref(), Timeout: c.advice.timeout(s.job.queue.Advice.duration(len(named)))}
 	for _, n := range named {
 		order.Workers = append(order.Workers, n.Worker)
-		request.workers = append(request.workers, c.workers[n.Worker])
-		request.rooms = append(request.rooms, n.Room)
+		c.advice.pending.named = append(c.advice.pending.named, namedWorker{worker: c.workers[n.Worker], room: n.Room})
 	}
-	c.advice.pending = request
 	out.Advice = append(out.Advice, order)
 }
 
@@ -313,32 +319,34 @@
 		c.advice.failed(answer.TimedOut, now)
 		return
 	}
+	validity := cmp.Or(answer.Validity, s.job.queue.Advice.Validity, assumedValidity)
+	allowed := a.record(request, answer.Tickets, now+usableFor(validity), c.advice.rate(s.job.Queue))
+	c.advice.answered(answer.Duration - s.job.queue.Advice.duration(len(request.named)))
+	a.answeredAt, a.offered = now, allowed >= request.enough
+	a.pause = max(adviceRetryInterval, answer.Duration)
+}
+
+// record records which of the named workers got a ticket, also in the queue's rate if that was not
+// known. It returns how many of the step's tasks those workers have room for.
+func (a *stepAdvice) record(request *adviceRequest, issued []Ticket, usableUntil time.Duration, rate *approvalRate) (tasks int) {
 	if a.verdicts == nil {
 		a.verdicts = make(map[*worker]*verdict)
 	}
-	tickets := make(map[work.WorkerID]string, len(answer.Tickets))
-	for _, tk := range answer.Tickets {
+	tickets := make(map[work.WorkerID]string, len(issued))
+	for _, tk := range issued {
 		tickets[tk.Worker] = tk.Ticket
 	}
-	usableUntil := now + usableFor(cmp.Or(answer.Validity, s.job.queue.Advice.Validity, assumedValidity))
-	newly, newlyAllowed, allowedTasks := 0, 0, 0
-	for i, w := range request.workers {
-		text, allowed := tickets[w.info.ID]
-		if a.verdicts[w] == nil {
-			newly++
-			if allowed {
-				newlyAllowed++
-			}
+	for _, n := range request.named {
+		text, allowed := tickets[n.worker.info.ID]
+		if a.verdicts[n.worker] == nil {
+			rate.observe(allowed)
 		}
-		a.verdicts[w] = &verdict{allowed: allowed, ticket: text, usableUntil: usableUntil}
+		a.verdicts[n.worker] = &verdict{allowed: allowed, ticket: text, usableUntil: usableUntil}
 		if allowed {
-			allowedTasks += request.rooms[i]
+			tasks += n.room
 		}
 	}
-	c.advice.answered(answer.Duration - s.job.queue.Advice.duration(len(request.workers)))
-	c.advice.rate(s.job.Queue).observe(newly, newlyAllowed)
-	a.answeredAt, a.offered = now, allowedTasks >= request.enough
-	a.pause = max(adviceRetryInterval, answer.Duration)
+	return tasks
 }
 
 // usableFor returns how long after its issue a ticket of the validity is used for starts.
--- a/internal/engine/limits.go
+++ b/internal/engine/limits.go
@@ -331,10 +331,10 @@
 	}
 }
 
-// keepTurns keeps the turns of steps that this plan has not come to.
+// keepTurns keeps the turns of steps that a plan has not come to before it ended.
 func (c *Core) keepTurns() {
 	for _, a := range c.limits.accounts {
-		if a.turn != nil && a.turn.pending > 0 {
+		if a.turn != nil && a.turn.pending > 0 && a.turn.job.final == "" {
 			a.indivisible = a.turn
 		}
 	}
--- a/policy/workspace/ledger.go
+++ b/policy/workspace/ledger.go
@@ -165,8 +165,7 @@
 	request := max(EvenShare(len(c.Cells)), roundUp(c.Need+c.Need/surplusDivisor))
 	out := Ledger{Turns: l.turns(c), LongRunning: without(l.LongRunning, c.Cell)}
 	if l.othersNeedMore(c) {
-		l = &Ledger{Allocated: l.Allocated, UnmetNeeds: l.UnmetNeeds, Turns: out.Turns}
-		available = min(available, max(l.fairShare(c), c.LongRunning))
+		available = min(available, max(l.withTurns(out.Turns).fairShare(c), c.LongRunning))
 		request = c.Need
 		if c.LongRunning > 0 {
 			out.LongRunning[c.Cell] = c.LongRunning
@@ -281,13 +280,19 @@
 	if place >= 0 && !c.TurnOver {
 		return slices.Insert(others, place, turn)
 	}
-	rest := Ledger{Allocated: l.Allocated, UnmetNeeds: l.UnmetNeeds, Turns: others}
-	if !l.othersNeedMore(c) || c.Indivisible <= rest.fairShare(c) {
+	if !l.othersNeedMore(c) || c.Indivisible <= l.withTurns(others).fairShare(c) {
 		return others
 	}
 	return append(others, turn)
 }
 
+// withTurns returns a copy of the ledger with other turns.
+func (l *Ledger) withTurns(turns []Turn) *Ledger {
+	out := *l
+	out.Turns = turns
+	return &out
+}
+
 // longRunningElsewhere returns the parts that long-running tasks use in other cells, as far as known.
 func (l *Ledger) longRunningElsewhere(cell string) (sum Parts) {
 	for other, parts := range l.LongRunning {
