A turn passes to the next step of the same size

The owner now takes note of the turn also where nothing has to be stored. TestATurnPassesToTheNextStepOfTheSameSize fails before.

--- a/internal/engine/claims.go
+++ b/internal/engine/claims.go
@@ -58,13 +58,16 @@
 		if !c.claimDue(a, &claim, now) {
 			continue
 		}
-		if s, changes := c.settle(a, claim); changes {
-			next := a.indivisible
-			if turnOf(&s.Ledger, c.cell) == 0 {
-				next = nil
-			}
-			out = append(out, shareClaim{workspace: name, rev: a.rev, next: next, Settlement: s})
+		s, changes := c.settle(a, claim)
+		next := a.indivisible
+		if turnOf(&s.Ledger, c.cell) == 0 {
+			next = nil
 		}
+		if !changes {
+			a.setTurn(next)
+			continue
+		}
+		out = append(out, shareClaim{workspace: name, rev: a.rev, next: next, Settlement: s})
 	}
 	slices.SortFunc(out, func(x, y shareClaim) int { return cmp.Compare(y.Allocated, x.Allocated) })
 	if len(out) > maxClaimsPerTxn {
@@ -96,6 +99,13 @@
 	}
 }
 
+// setTurn records the step for which the cell has a turn in the ledger; nil: it has none.
+func (a *account) setTurn(s *step) {
+	if a.turn != s {
+		a.turn, a.turnGranted = s, false
+	}
+}
+
 // passTurn ends the cell's turn, whose step has not started, and has the step wait as long for another.
 func (c *Core) passTurn(a *account, now time.Duration) {
 	limit := a.turn.nextTurnLimit()
@@ -211,9 +221,7 @@
 	c.log.Info("limit share changed", "workspace", a.name, "parts", s.Usable, "of", workspace.Whole, "has", s.Allocated, "need", a.need, "waits", s.Ledger.UnmetNeeds[c.cell] > 0, "turns", len(s.Ledger.Turns))
 	a.usable = s.Usable
 	_, a.explicit = s.Ledger.Allocated[c.cell]
-	if a.turn != s.next {
-		a.turn, a.turnGranted = s.next, false
-	}
+	a.setTurn(s.next)
 }
 
 // ClaimFailed tells the core that the change was not stored; doubt tells that it may have been or
--- a/internal/engine/limits_test.go
+++ b/internal/engine/limits_test.go
@@ -319,6 +319,35 @@
 	}
 }
 
+// Guards against a turn that never ends: the next step of the same size got the place in the ledger
+// that the one before had, without a change of the ledger, and was not known as the one with the turn.
+func TestATurnPassesToTheNextStepOfTheSameSize(t *testing.T) {
+	r := newLimitRig(t, 10)
+	for _, id := range []work.WorkerID{"w1", "w2", "w3"} {
+		r.worker(id)
+	}
+	gang := short(6)
+	gang.Gang = true
+	r.readLedger(r.core, workspace.Ledger{
+		Allocated:  map[string]workspace.Parts{service: 0, otherCell: 9500},
+		UnmetNeeds: map[string]workspace.Parts{service: 6000, otherCell: workspace.Whole},
+	})
+	claim := func() {
+		r.plan()
+		r.now += reviewInterval
+		r.applyClaims(r.core.Claims(r.now))
+	}
+	for _, id := range []work.JobID{"j1", "j2"} {
+		r.acceptRed(id, gang)
+		claim()
+		claim()
+		assert.Assert(t, r.account().turn != nil)
+		assert.Equal(t, r.account().turn.job.ID, id)
+		r.core.Cancel(id, func(error) {})
+		r.flush()
+	}
+}
+
 // Guards against parts of a limit that a cell asks for in vain, and other cells lack, for a gang that
 // is larger than the whole limit.
 func TestNoShareIsClaimedForAGangLargerThanTheLimit(t *testing.T) {
