A gang's capacity is free once its workers have listed the ends

Cause: the end of one member stands for all, and took the others off their workers at once, although those hold the capacity until they have listed the ends. The next gang was refused there; the worker had no task any more, was not polled, and refused each further start. Ruled out: the limit (the cell had its share) and a stale clock (the outcome was no_room each time).

Change: such a worker takes no start and is polled until it has listed the end; one that refuses for lack of capacity is polled once in any case.

--- a/internal/engine/incarnations.go
+++ b/internal/engine/incarnations.go
@@ -123,7 +123,7 @@
 func (c *Core) addWorker(info WorkerInfo) *worker {
 	w := &worker{
 		info: info, inheritedUntil: c.inherited,
-		tasks: make(map[work.TaskRef]*task), orphanedRuns: make(map[work.TaskRef]*orphanedRun),
+		tasks: make(map[work.TaskRef]*task), orphanedRuns: make(map[work.TaskRef]*orphanedRun), pendingEnds: make(map[work.TaskRef]int),
 	}
 	c.workers[info.ID] = w
 	c.sorted = nil
--- a/internal/engine/listing.go
+++ b/internal/engine/listing.go
@@ -75,7 +75,7 @@
 	if !w.contacted {
 		return w.info, h, true
 	}
-	if len(w.tasks) > 0 {
+	if len(w.tasks) > 0 || len(w.pendingEnds) > 0 {
 		h.Wait = w.wait()
 	}
 	// After a missed poll, the next one is to tell at once whether the worker is alive: until
@@ -97,13 +97,14 @@
 
 // idle reports whether a poll of the worker would tell nothing new.
 func (w *worker) idle() bool {
-	return w.contacted && len(w.tasks) == 0 && len(w.orphanedRuns) == 0 && w.acked >= w.seen && w.missedPolls == 0 && !w.unlisted && w.nextIncarnation == nil
+	return w.contacted && len(w.tasks) == 0 && len(w.orphanedRuns) == 0 && len(w.pendingEnds) == 0 && !w.pollRequested &&
+		w.acked >= w.seen && w.missedPolls == 0 && !w.unlisted && w.nextIncarnation == nil
 }
 
 // wait returns how long the answer to the next poll may wait for the end of a run.
 func (w *worker) wait() time.Duration {
 	serving, bestEffort, short := false, false, false
-	if len(w.orphanedRuns) > 0 {
+	if len(w.orphanedRuns) > 0 || len(w.pendingEnds) > 0 {
 		return pollWaitMin
 	}
 	for _, t := range w.tasks {
@@ -206,7 +207,7 @@
 	w.expiredRuns = nil
 	w.ownershipUncertain = (w.ownershipUncertain || !w.contacted) && !c.certain
 	w.contacted, w.unlisted, w.moreEnds = true, false, l.MoreEnds
-	w.missedPolls, w.silentSince = 0, 0
+	w.missedPolls, w.silentSince, w.pollRequested = 0, 0, false
 	for i := range l.Ended {
 		if e := &l.Ended[i]; e.Seq > w.seen {
 			w.seen = e.Seq
@@ -232,6 +233,11 @@
 			c.handleUnlistedTask(t, sent, now)
 		}
 	}
+	for ref, run := range w.pendingEnds {
+		if present[ref] != run && !l.MoreEnds {
+			delete(w.pendingEnds, ref)
+		}
+	}
 	for ref, s := range w.orphanedRuns {
 		if _, runs := present[ref]; !runs && !l.MoreEnds && s.stopOK != 0 && s.stopOK < sent {
 			delete(w.orphanedRuns, ref)
@@ -315,6 +321,9 @@
 	if s := w.orphanedRuns[e.Task]; s != nil && s.run <= e.Run {
 		delete(w.orphanedRuns, e.Task)
 	}
+	if run, pending := w.pendingEnds[e.Task]; pending && run <= e.Run {
+		delete(w.pendingEnds, e.Task)
+	}
 	c.endsSeen++
 	w.unstored = append(w.unstored, endMark{seq: e.Seq, at: c.endsSeen})
 	t := c.findListed(e.Task, now)
@@ -361,6 +370,9 @@
 	if t.step.spec.Gang {
 		// The end of one member stands for the same run of all members.
 		for _, member := range t.step.tasks {
+			if member != t && member.worker != nil && member.run == e.Run {
+				member.worker.pendingEnds[member.ref] = e.Run
+			}
 			c.markDone(member, e.Run)
 		}
 	} else {
--- a/internal/engine/orders.go
+++ b/internal/engine/orders.go
@@ -156,7 +156,7 @@
 	c.log.Info("start not carried out", "task", t.ref.String(), "run", t.run, "worker", w.info.ID, "outcome", out.String())
 	switch out {
 	case OutcomeNoCapacity:
-		w.full = true
+		w.full, w.pollRequested = true, true
 		w.closedUntil = now + pollWaitMin
 	case OutcomeRefused, OutcomeNotSent:
 		w.closedUntil = now + refusedPause
--- a/internal/engine/worker.go
+++ b/internal/engine/worker.go
@@ -79,6 +79,11 @@
 	// orphanedRuns are runs on the worker that must be stopped. A task does not start anywhere
 	// while one of its runs is orphaned on some worker.
 	orphanedRuns map[work.TaskRef]*orphanedRun
+	// pendingEnds holds the run numbers of gang members that have ended on the worker, as another member
+	// has, until the worker lists their ends: it holds their capacity until then.
+	pendingEnds map[work.TaskRef]int
+	// pollRequested: it refused a start for lack of capacity, so it may have ends to list.
+	pollRequested bool
 
 	listedAt            time.Duration // when the last poll that it answered with all its runs was sent
 	seen, stored, acked int64         // the last ends received, stored and acknowledged, by their sequence numbers
@@ -254,6 +259,7 @@
 	closedRefused            closedReason = "refused a start"
 	closedFailures           closedReason = "failed runs"
 	closedOrphanedRuns       closedReason = "orphaned runs"
+	closedPendingEnds        closedReason = "ends to be listed"
 	closedTrial              closedReason = "trial of a suspect"
 	closedProbation          closedReason = "trial after failed runs"
 	closedCapacity           closedReason = "capacity uncertain"
@@ -289,6 +295,8 @@
 		return closedFailures
 	case len(w.orphanedRuns) > 0:
 		return closedOrphanedRuns
+	case len(w.pendingEnds) > 0:
+		return closedPendingEnds
 	case w.runsTrial((*task).suspect):
 		return closedTrial
 	}
