--- a/policy/taskplan/taskplan_test.go
+++ b/policy/taskplan/taskplan_test.go
@@ -234,3 +234,37 @@
 	b.Limit = 0
 	assert.Equal(t, len(p.Place(step("g3", 1, gang))), 0)
 }
+
+// Guards against an advisor that is asked about workers which can't take the step, or about fewer than
+// its tasks need.
+func TestCandidatesCouldTakeATaskIfTheyWerePermitted(t *testing.T) {
+	closed, full, limited := worker("closed", 8000), worker("full", 500), worker("limited", 8000)
+	closed.Closed, limited.Limit = true, 1
+	one, other := worker("one", 2500), worker("other", 8000)
+	s := step("j", 5, spec(1000))
+	s.Permitted = map[work.WorkerID]bool{}
+	s.Step.AntiAffinity = 3
+	s.OnWorker["other"] = 1
+	assert.DeepEqual(t, Candidates([]*Worker{other, closed, full, limited, one}, s), []Candidate{{"one", 2}, {"other", 2}, {"limited", 1}})
+
+	one.Rack, other.Rack, limited.Rack = "r1", "r2", "r2"
+	s.Step.RackSensitive = true
+	assert.DeepEqual(t, Candidates([]*Worker{one, other, limited}, s), []Candidate{{"other", 2}, {"limited", 1}, {"one", 2}})
+}
+
+// Guards against a check whether a gang could be placed that takes capacity, or that counts each member
+// alone.
+func TestCanPlaceChecksTheWholeGangAndPlacesNothing(t *testing.T) {
+	for members, can := range map[int]bool{3: true, 4: false} {
+		gang := spec(4000)
+		gang.Gang = true
+		workers := []*Worker{worker("a", 8000), worker("b", 4000)}
+		p := NewPlanner(workers)
+		s := step("j", members, gang)
+		for range 2 {
+			assert.Equal(t, p.CanPlace(s), can, "%d members", members)
+		}
+		assert.Equal(t, workers[0].Free.MilliCPU+workers[1].Free.MilliCPU, int64(12000))
+		assert.Equal(t, len(p.Place(s)) == members, can)
+	}
+}
--- a/policy/workspace/ledger_test.go
+++ b/policy/workspace/ledger_test.go
@@ -112,3 +112,70 @@
 		}
 	})
 }
+
+// Guards against cells that start more than the whole limit, or lose the parts of their running work, as
+// turns, long-running tasks and claims change in any order.
+func TestTurnsInAnyOrderNeverExceedTheLimit(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var l Ledger
+		parts := func(most Parts, label string) Parts { return Parts(rapid.IntRange(0, int(most)).Draw(t, label)) }
+		for range rapid.IntRange(1, 60).Draw(t, "claims") {
+			cell := rapid.SampledFrom(cells).Draw(t, "cell")
+			c := Claim{
+				Cell: cell, Cells: cells, InUse: parts(l.Of(cell, len(cells)), "in use"),
+				Indivisible: parts(Whole, "indivisible"), TurnOver: rapid.Bool().Draw(t, "turn over"),
+			}
+			c.LongRunning = parts(c.InUse, "long-running")
+			c.Need = max(c.InUse, c.Indivisible, parts(Whole, "need"))
+			s := l.Settle(c)
+			assert.Assert(t, s.Allocated >= c.InUse && s.Usable <= s.Allocated)
+			l = s.Ledger
+			sum, seen := Parts(0), make(map[string]bool)
+			for _, c := range cells {
+				sum += l.Of(c, len(cells))
+			}
+			assert.Assert(t, sum <= Whole)
+			for _, turn := range l.Turns {
+				assert.Assert(t, !seen[turn.Cell], "%s has two turns", turn.Cell)
+				seen[turn.Cell] = true
+			}
+		}
+	})
+}
+
+// Guards against a cell that waits for its turn for ever: the cells get it in the order in which they
+// asked, and a cell whose turn is over goes behind the others.
+func TestTurnsAreServedInOrder(t *testing.T) {
+	two := []string{"a", "b"}
+	claim := func(cell string, over bool) Claim {
+		return Claim{Cell: cell, Cells: two, Need: 6000, Indivisible: 6000, TurnOver: over}
+	}
+	l := Ledger{Allocated: map[string]Parts{"a": 5000, "b": 5000}, UnmetNeeds: map[string]Parts{"a": 6000, "b": 6000}}
+	l = l.Settle(claim("a", true)).Ledger
+	l = l.Settle(claim("b", true)).Ledger
+	assert.DeepEqual(t, l.Turns, []Turn{{"a", 6000}, {"b", 6000}})
+	assert.Assert(t, l.GrantsTurn(claim("a", false)) && !l.GrantsTurn(claim("b", false)))
+	l = l.Settle(claim("b", false)).Ledger
+	served := l.Settle(claim("a", false))
+	assert.Equal(t, served.Usable, Parts(6000))
+
+	l = served.Ledger.Settle(Claim{Cell: "a", Cells: two, Need: 6000, InUse: 6000, Indivisible: 6000, TurnOver: true}).Ledger
+	assert.Equal(t, l.Turns[0].Cell, "b")
+	assert.Equal(t, l.Of("a", 2), Parts(6000), "what runs keeps its parts")
+	l = l.Settle(Claim{Cell: "a", Cells: two, Need: 6000, Indivisible: 6000}).Ledger
+	assert.Equal(t, l.Settle(claim("b", false)).Usable, Parts(6000))
+}
+
+// Guards against a turn for work that can't start beside another cell's long-running tasks, and that keeps
+// the parts of the limit from the cells that could use them.
+func TestWorkThatDoesNotFitBesideLongRunningTasksGetsNoTurn(t *testing.T) {
+	two := []string{"a", "b"}
+	l := Ledger{Allocated: map[string]Parts{"a": 5000, "b": 5000}, UnmetNeeds: map[string]Parts{"a": 6000}}
+	l = l.Settle(Claim{Cell: "b", Cells: two, Need: 8000, InUse: 5000, LongRunning: 5000}).Ledger
+	assert.Equal(t, l.LongRunning["b"], Parts(5000))
+	l = l.Settle(Claim{Cell: "a", Cells: two, Need: 6000, Indivisible: 6000, TurnOver: true}).Ledger
+	assert.Equal(t, len(l.Turns), 0)
+	l = l.Settle(Claim{Cell: "b", Cells: two, Need: 8000}).Ledger
+	l = l.Settle(Claim{Cell: "a", Cells: two, Need: 6000, Indivisible: 6000, TurnOver: true}).Ledger
+	assert.Equal(t, len(l.Turns), 1)
+}
