--- a/review/twin/cases.go
+++ b/review/twin/cases.go
@@ -3,7 +3,9 @@
 import (
 	"fmt"
 	"os"
+	"path/filepath"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -23,7 +25,7 @@
 // playCancelled cancels running jobs that save checkpoints, while jobs that are scheduled for later fill the
 // owner's memory for jobs. Then it hands small jobs in, and tells whether they run.
 func playCancelled(s *scene) (int, string) {
-	if err := s.machines(8, ""); err != nil || !s.ready() {
+	if err := s.machines(); err != nil || !s.ready() {
 		return notRun, "the deployment did not come up"
 	}
 	var running []string
@@ -43,7 +45,7 @@
 		}
 	}
 	time.Sleep(1 * time.Second)
-	if os.Getenv("PLAIN") != "" { // by hand, with LIMIT=240: the owner forgets ended jobs after three minutes by itself
+	if os.Getenv("PLAIN") != "" { // by hand, with LIMIT=300: the owner forgets ended jobs after three minutes by itself
 		time.Sleep(190 * time.Second)
 	} else {
 		s.world.say("%d scheduled jobs accepted", s.schedule())
@@ -122,146 +124,6 @@
 	return n
 }
 
-// playFlaky has one machine, the only one with a label, crash and come back five times while a task that needs
-// the label runs there. Then the machine is sound.
-func playFlaky(s *scene) (int, string) {
-	if err := s.machines(8, "gpu"); err != nil || !s.ready() {
-		return notRun, "the deployment did not come up"
-	}
-	id := jobID(0x2000, 1)
-	if !s.submit(id, job(spec{Work: 6000, CPU: 2000}, map[string]any{"count": 1, "estimated-ms": 6000, "requirements": "gpu"})) {
-		return notRun, "the job was not accepted"
-	}
-	stop := make(chan struct{})
-	defer close(stop)
-	go func() { // the usual traffic of the other machines
-		for i := 0; ; i++ {
-			select {
-			case <-stop:
-				return
-			case <-time.After(700 * time.Millisecond):
-				s.call("POST", "/weights/"+jobID(0x2001, i), job(spec{Work: 600, CPU: 1000}, map[string]any{"count": 3, "estimated-ms": 600, "requirements": "a"}))
-			}
-		}
-	}()
-	crashes := 0
-	end := time.Now().Add(85 * time.Second)
-	for time.Now().Before(end) {
-		state := s.state(id)
-		if state == "completed" || state == "failed" {
-			break
-		}
-		if trouble && crashes < 5 && s.runsFor(id, 2*time.Second) {
-			s.world.crash(s.world.machines[0], 2*time.Second)
-			crashes++
-		}
-		time.Sleep(300 * time.Millisecond)
-	}
-	failures := 0
-	s.world.mu.Lock()
-	for _, e := range s.world.ends {
-		if strings.HasPrefix(e.task, id) && e.how == "failed" {
-			failures++
-		}
-	}
-	s.world.mu.Unlock()
-	state := s.state(id)
-	verdict := fmt.Sprintf("the job is shown as %s after %d crashes of its machine, its runs ended failed %d times", state, crashes, failures)
-	switch {
-	case state == "failed" && failures == 0:
-		return broken, "LOST broken: " + verdict
-	case state == "completed":
-		return held, "held: " + verdict
-	}
-	return notRun, verdict
-}
-
-// runsFor reports whether a run of the job has been at work for so long.
-func (s *scene) runsFor(id string, d time.Duration) bool {
-	s.world.mu.Lock()
-	defer s.world.mu.Unlock()
-	for _, m := range s.world.machines {
-		if m.runner == nil {
-			continue
-		}
-		for task, x := range m.runner.running {
-			if strings.HasPrefix(task, id) && !x.worksFrom.IsZero() && time.Since(x.worksFrom) >= d {
-				return true
-			}
-		}
-	}
-	return false
-}
-
-// gangs is the number of gangs that playGang hands in.
-const gangs = 8
-
-// playGang runs gangs that save checkpoints, and crashes one machine of eight once.
-func playGang(s *scene) (int, string) {
-	if err := s.machines(8, ""); err != nil || !s.ready() {
-		return notRun, "the deployment did not come up"
-	}
-	var ids []string
-	for i := range gangs {
-		id := jobID(0x3000, i)
-		step := map[string]any{"count": 3, "estimated-ms": 7000, names["gang"]: true, "anti-affinity": 1}
-		if !s.submit(id, job(spec{Work: 7000, CPU: 3000, Saves: true, Gang: 3}, step)) {
-			return notRun, "a job was not accepted"
-		}
-		ids = append(ids, id)
-		time.Sleep(130 * time.Millisecond)
-	}
-	time.Sleep(2 * time.Second)
-	if trouble {
-		s.world.crash(s.world.machines[2], 4*time.Second)
-	}
-	crashed := time.Now()
-	end := time.Now().Add(60 * time.Second)
-	open := ids
-	for len(open) > 0 && time.Now().Before(end) {
-		time.Sleep(1 * time.Second)
-		var left []string
-		for _, id := range open {
-			if s.state(id) != "completed" {
-				left = append(left, id)
-			}
-		}
-		open = left
-	}
-	s.world.mu.Lock()
-	defer s.world.mu.Unlock()
-	carried := make(map[string]map[string]bool)
-	for _, n := range s.world.starts {
-		if n.gang {
-			key := gangKey(n.task, n.run)
-			if carried[key] == nil {
-				carried[key] = make(map[string]bool)
-			}
-			carried[key][n.checkpoint] = true
-		}
-	}
-	mixed, alone := 0, 0
-	for key, values := range carried {
-		if len(values) > 1 {
-			mixed++
-			s.world.note("members of %s were started with different checkpoints: %v", key, values)
-		}
-	}
-	for _, e := range s.world.ends {
-		if e.how == "alone" && e.at.After(crashed.Add(6*time.Second)) {
-			alone++
-		}
-	}
-	verdict := fmt.Sprintf("%d runs of gangs were started with different checkpoints, %d runs ended alone over 6 s after the crash, %d of %d jobs not completed", mixed, alone, len(open), len(ids))
-	if mixed > 0 {
-		return broken, "UNASKED broken: " + verdict
-	}
-	if len(open) > 0 {
-		return notRun, verdict
-	}
-	return held, "held: " + verdict
-}
-
 // Figures of playLong.
 const (
 	longJobs     = 4
@@ -272,7 +134,7 @@
 
 // playLong runs jobs whose tasks take several times as long as their callers estimated.
 func playLong(s *scene) (int, string) {
-	if err := s.machines(8, ""); err != nil || !s.ready() {
+	if err := s.machines(); err != nil || !s.ready() {
 		return notRun, "the deployment did not come up"
 	}
 	taken := longEstimate
@@ -360,7 +222,7 @@
 // playFull has scheduled jobs fill what an owner holds of jobs, freezes the owner for less than a second, and
 // hands larger jobs in at the other entry VM meanwhile. Each of those that are accepted has to run.
 func playFull(s *scene) (int, string) {
-	if err := s.machines(8, ""); err != nil || !s.ready() {
+	if err := s.machines(); err != nil || !s.ready() {
 		return notRun, "the deployment did not come up"
 	}
 	s.world.say("%d scheduled jobs accepted", s.schedule())
@@ -421,3 +283,108 @@
 	senders.Wait()
 	return accepted
 }
+
+// Figures of playMemory.
+const (
+	memoryMB   = 284 // of an entry VM, see settings.txt
+	burstJobs  = 600
+	burstTasks = 2000 // of each
+	observeFor = 45 * time.Second
+)
+
+// playMemory kills the owner of the service while large jobs come at once, and stops processes that pass the
+// memory of their machine, as the platform does.
+func playMemory(s *scene) (int, string) {
+	if err := s.machines(); err != nil || !s.ready() {
+		return notRun, "the deployment did not come up"
+	}
+	owner := s.owner()
+	if owner < 0 {
+		return notRun, "the owner was not found"
+	}
+	stop := make(chan struct{})
+	var passed [2]atomic.Int64
+	for i := range passed {
+		go s.watchMemory(i, &passed[i], stop)
+	}
+	if trouble {
+		s.world.say("kill of entry VM %d: %v", owner, s.signal(owner, syscall.SIGKILL))
+	}
+	var next atomic.Int64
+	var mu sync.Mutex
+	var accepted []string
+	var senders sync.WaitGroup
+	for range 16 {
+		senders.Go(func() {
+			for {
+				i := int(next.Add(1))
+				if i > burstJobs {
+					return
+				}
+				status, _ := s.callAt(1-owner, "POST", "/weights/"+jobID(0x7001, i), job(spec{Work: 500, CPU: 1000}, map[string]any{"count": burstTasks, "estimated-ms": 500}))
+				s.world.say("POST %s (%d tasks): %d", jobID(0x7001, i), burstTasks, status)
+				if status == 200 {
+					mu.Lock()
+					accepted = append(accepted, jobID(0x7001, i))
+					mu.Unlock()
+				}
+			}
+		})
+	}
+	senders.Wait()
+	s.world.say("%d of %d large jobs accepted", len(accepted), burstJobs)
+	time.Sleep(observeFor)
+	close(stop)
+	begun := 0
+	for _, id := range accepted {
+		if s.begunBy(id) {
+			begun++
+		}
+	}
+	verdict := fmt.Sprintf("%d of %d accepted jobs of %d tasks have begun %.0f s later; 8 machines have %d runs; processes passed %d MB and were ended %d and %d times",
+		begun, len(accepted), burstTasks, observeFor.Seconds(), s.runsNow(), memoryMB, passed[0].Load(), passed[1].Load())
+	if begun < len(accepted) && s.idleFor(idleTime) {
+		return broken, "LOST broken: " + verdict
+	}
+	return held, "held: " + verdict
+}
+
+// idleFor reports whether no machine has had a run for so long.
+func (s *scene) idleFor(d time.Duration) bool {
+	if s.runsNow() > 0 {
+		return false
+	}
+	s.world.mu.Lock()
+	defer s.world.mu.Unlock()
+	n := len(s.world.ends)
+	return n == 0 || time.Since(s.world.ends[n-1].at) > d
+}
+
+// watchMemory ends the entry VM's process whenever its resident memory passes memoryMB, and counts that.
+func (s *scene) watchMemory(i int, passed *atomic.Int64, stop chan struct{}) {
+	last := ""
+	for {
+		select {
+		case <-stop:
+			return
+		case <-time.After(20 * time.Millisecond):
+		}
+		raw, err := os.ReadFile(filepath.Join(s.dir, fmt.Sprintf("pid-%d", i)))
+		pid := strings.TrimSpace(string(raw))
+		if err != nil || pid == last {
+			continue
+		}
+		status, err := os.ReadFile("/proc/" + pid + "/status")
+		if err != nil {
+			continue
+		}
+		_, rest, _ := strings.Cut(string(status), "VmRSS:")
+		kb, err := strconv.Atoi(strings.Fields(rest + " 0 0")[0])
+		if err != nil || kb <= memoryMB<<10 {
+			continue
+		}
+		s.world.say("entry VM %d holds %d MB and is ended: %v", i, kb>>10, s.signal(i, syscall.SIGKILL))
+		passed.Add(1)
+		last = pid
+	}
+}
--- a/review/twin/main.go
+++ b/review/twin/main.go
@@ -36,7 +36,7 @@
 		fmt.Fprintln(os.Stderr, "usage: review-twin CASE DIR RECORD")
 		os.Exit(notRun)
 	}
-	play := map[string]func(*scene) (int, string){"cancelled": playCancelled, "flaky": playFlaky, "gang": playGang, "long": playLong, "full": playFull}[os.Args[1]]
+	play := map[string]func(*scene) (int, string){"cancelled": playCancelled, "memory": playMemory, "full": playFull, "long": playLong}[os.Args[1]]
 	if play == nil {
 		fmt.Fprintln(os.Stderr, "no such case:", os.Args[1])
 		os.Exit(notRun)
@@ -84,20 +84,19 @@
 // entryName returns the name of an entry VM in its settings.
 func entryName(i int) string { return fmt.Sprintf("frontend-%s-%d", zoneOf(i), i) }
 
-// machines adds n machines, of which the first has the label besides those that all have.
-func (s *scene) machines(n int, label string) error {
-	for i := range n {
-		labels := []string{"a", fmt.Sprintf("r%d", i/4)}
-		if i == 0 && label != "" {
-			labels = []string{label, "r0"}
-		}
-		if err := s.world.addMachine("hall-"+string(rune('a'+i%2)), labels...); err != nil {
+// machines adds machines on which all jobs of the cases can run.
+func (s *scene) machines() error {
+	for i := range machineCount {
+		if err := s.world.addMachine(zoneOf(i%2), "a", fmt.Sprintf("r%d", i/4)); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
+// machineCount is the number of machines; the services of the site file have 8 to 12.
+const machineCount = 8
+
 // call sends one request to an entry VM, the next one at each call. status 0: there was no answer.
 func (s *scene) call(method, path string, body any) (status int, answer map[string]any) {
 	s.mu.Lock()
@@ -151,7 +150,7 @@
 	}
 }
 
-// job is a job as callers submit it; key is its step's fields.
+// job returns a job as callers submit it, of one step with these fields.
 func job(sp spec, step map[string]any) map[string]any {
 	raw, _ := json.Marshal(sp)
 	step["cpu"], step[names["memory"]] = sp.CPU, 100
--- a/review/twin/runner.go
+++ b/review/twin/runner.go
@@ -7,7 +7,6 @@
 	"net/http"
 	"slices"
 	"strconv"
-	"strings"
 	"time"
 )
 
@@ -15,7 +14,6 @@
 const (
 	leaseLimit      = 10 * time.Second
 	stopTakes       = 100 * time.Millisecond // the pages allow 400 ms
-	gangWait        = 3 * time.Second
 	restoreTakes    = 100 * time.Millisecond
 	checkpointEvery = time.Second
 	heartbeat       = 1500 * time.Millisecond
@@ -27,26 +25,24 @@
 	Work  int  `json:"work"` // milliseconds
 	CPU   int  `json:"cpu"`
 	Saves bool `json:"saves"`
-	Gang  int  `json:"gang"` // members; 0: none
 }
 
 // run is one run of a task on a runner.
 type run struct {
-	task       string
-	number     int
-	spec       spec
-	from       string // checkpoint that the start carried
-	begun      time.Time
-	worksFrom  time.Time // zero: a member of a gang that waits for the others
-	stopping   bool
-	gang       string
-	done, wait *time.Timer
+	task      string
+	number    int
+	spec      spec
+	from      string // checkpoint that the start carried
+	begun     time.Time
+	worksFrom time.Time
+	stopping  bool
+	done      *time.Timer
 }
 
 // progress returns the work done, with what the checkpoint of the start stands for.
 func (r *run) progress(now time.Time) time.Duration {
 	out := checkpointWork(r.from)
-	if !r.worksFrom.IsZero() && now.After(r.worksFrom) {
+	if now.After(r.worksFrom) {
 		out += now.Sub(r.worksFrom)
 	}
 	return min(out, time.Duration(r.spec.Work)*time.Millisecond)
@@ -82,15 +78,13 @@
 	return time.Duration(ms) * time.Millisecond
 }
 
-// runner is one life of a machine. All of its state is guarded by the world's lock.
+// runner is one life of a machine; none ends in these cases. All of its state is guarded by the world's lock.
 type runner struct {
 	world    *world
 	m        *machine
 	id       string
 	boot     time.Time
-	server   *http.Server
 	sequence int
-	gone     bool
 
 	token    int64
 	deadline time.Duration
@@ -103,17 +97,12 @@
 
 func (r *runner) clock() time.Duration { return time.Since(r.boot) + time.Second }
 
-// serve answers the calls of owners until the runner is gone.
+// serve answers the calls of owners as long as the stand-in runs.
 func (r *runner) serve(l net.Listener) {
-	r.server = &http.Server{Handler: http.HandlerFunc(r.handle)}
-	go r.server.Serve(l)
+	go http.Serve(l, http.HandlerFunc(r.handle))
 	go func() {
 		for range time.Tick(10 * time.Millisecond) {
 			r.world.mu.Lock()
-			if r.gone {
-				r.world.mu.Unlock()
-				return
-			}
 			if r.clock() > r.deadline {
 				for task := range r.running {
 					r.end(task, "lapsed")
@@ -143,10 +132,6 @@
 		return s
 	}
 	r.world.mu.Lock()
-	if r.gone {
-		r.world.mu.Unlock()
-		panic(http.ErrAbortHandler)
-	}
 	token := number(names["token"])
 	if token < r.token {
 		r.answer(rw, "fence")
@@ -207,12 +192,8 @@
 	x := &run{task: task, number: number, spec: s, from: checkpoint, begun: time.Now()}
 	r.running[task] = x
 	r.world.note("start %s run %d on %s (%s) checkpoint %q", task, number, r.id, r.m.id, checkpoint)
-	r.world.starts = append(r.world.starts, startNote{at: x.begun, task: task, run: number, checkpoint: checkpoint, machine: r.m.id, gang: s.Gang > 0})
-	if s.Gang > 0 {
-		r.joinGang(x)
-	} else {
-		r.work(x)
-	}
+	r.world.starts = append(r.world.starts, startNote{at: x.begun, task: task, run: number})
+	r.work(x)
 	return ""
 }
 
@@ -239,42 +220,7 @@
 	})
 }
 
-// gangKey names one run of a gang.
-func gangKey(task string, number int) string {
-	return task[:strings.LastIndex(task, ".")] + " run " + strconv.Itoa(number)
-}
-
-// member is a member of a gang that is present.
-type member struct {
-	runner *runner
-	run    *run
-}
-
-// joinGang adds the run to its gang, which works from the moment when all members are present. All of them
-// must carry the same checkpoint; members that carry different ones don't make up a gang.
-func (r *runner) joinGang(x *run) {
-	w := r.world
-	x.gang = gangKey(x.task, x.number)
-	w.gangs[x.gang] = append(w.gangs[x.gang], member{r, x})
-	present := w.gangs[x.gang]
-	same := !slices.ContainsFunc(present, func(o member) bool { return o.run.from != x.from })
-	if len(present) == x.spec.Gang && same {
-		for _, o := range present {
-			stopTimer(o.run.wait)
-			o.runner.work(o.run)
-		}
-		return
-	}
-	x.wait = time.AfterFunc(gangWait, func() {
-		w.mu.Lock()
-		defer w.mu.Unlock()
-		if r.running[x.task] == x && x.worksFrom.IsZero() {
-			r.end(x.task, "alone")
-		}
-	})
-}
-
-// end ends a run, with the whole gang if it is a member. The world's lock is held.
+// end ends a run. The world's lock is held.
 func (r *runner) end(task, how string) {
 	x := r.running[task]
 	if x == nil {
@@ -282,9 +228,7 @@
 	}
 	now := time.Now()
 	saved := x.saved(now, how == "stopped")
-	if x.done != nil {
-		x.done.Stop()
-	}
+	x.done.Stop()
 	delete(r.running, task)
 	r.highest[task] = max(r.highest[task], x.number)
 	r.seq++
@@ -292,26 +236,6 @@
 	close(r.ended)
 	r.ended = make(chan struct{})
 	r.world.noteEnd(task, x.number, how, r.id, saved)
-	if x.gang != "" {
-		r.world.endGang(x, how)
-	}
-}
-
-// endGang ends the other members of a gang of which one has ended: done together, or broken.
-func (w *world) endGang(x *run, how string) {
-	others := w.gangs[x.gang]
-	w.gangs[x.gang] = slices.DeleteFunc(slices.Clone(others), func(o member) bool { return o.run == x })
-	if how == "alone" {
-		return // the others wait as long
-	}
-	if how != "done" {
-		how = "broken"
-	}
-	for _, o := range others {
-		if o.run != x && !o.runner.gone {
-			o.runner.end(o.run.task, how)
-		}
-	}
 }
 
 func (r *runner) stop(task string, number int) {
@@ -324,7 +248,7 @@
 	time.AfterFunc(stopTakes, func() {
 		r.world.mu.Lock()
 		defer r.world.mu.Unlock()
-		if r.running[task] == x && !r.gone {
+		if r.running[task] == x {
 			r.end(task, "stopped")
 		}
 	})
@@ -345,10 +269,6 @@
 		}
 	}
 	r.world.mu.Lock()
-	if r.gone {
-		r.world.mu.Unlock()
-		panic(http.ErrAbortHandler)
-	}
 	now, running := time.Now(), [][]any{}
 	for task, x := range r.running {
 		percent := 100
@@ -361,9 +281,3 @@
 	r.world.mu.Unlock()
 	reply(rw, http.StatusOK, body)
 }
-
-func stopTimer(t *time.Timer) {
-	if t != nil {
-		t.Stop()
-	}
-}
--- a/review/twin/world.go
+++ b/review/twin/world.go
@@ -49,12 +49,9 @@
 }
 
 type startNote struct {
-	at         time.Time
-	task       string
-	run        int
-	checkpoint string
-	machine    string
-	gang       bool
+	at   time.Time
+	task string
+	run  int
 }
 
 type endNote struct {
@@ -73,9 +70,9 @@
 	record   *os.File
 	machines []*machine
 	lives    int
-	gangs    map[string][]member
 	starts   []startNote
 	ends     []endNote
+	writes   []time.Time // writing calls of the store in the last second
 
 	storeAddress, listAddress string
 }
@@ -85,8 +82,8 @@
 	if err != nil {
 		return nil, err
 	}
-	w := &world{began: time.Now(), store: standin.NewStore(clockwork.NewRealClock()), record: f, gangs: make(map[string][]member)}
-	if w.storeAddress, err = listen(w.store); err != nil {
+	w := &world{began: time.Now(), store: standin.NewStore(clockwork.NewRealClock()), record: f}
+	if w.storeAddress, err = listen(http.HandlerFunc(w.serveStore)); err != nil {
 		return nil, err
 	}
 	if w.listAddress, err = listen(http.HandlerFunc(w.serveMachines)); err != nil {
@@ -95,6 +92,30 @@
 	return w, w.put(names["config"], configFile)
 }
 
+// writesPerSecond is how many writing calls the store takes in a second.
+const writesPerSecond = 400
+
+// serveStore answers a call of the store, with 429 beyond its rate.
+func (w *world) serveStore(rw http.ResponseWriter, req *http.Request) {
+	if strings.HasPrefix(req.URL.Path, names["txn"]) || strings.HasPrefix(req.URL.Path, names["lease"]) {
+		w.mu.Lock()
+		now := time.Now()
+		for len(w.writes) > 0 && now.Sub(w.writes[0]) > time.Second {
+			w.writes = w.writes[1:]
+		}
+		full := len(w.writes) >= writesPerSecond
+		if !full {
+			w.writes = append(w.writes, now)
+		}
+		w.mu.Unlock()
+		if full {
+			rw.WriteHeader(http.StatusTooManyRequests)
+			return
+		}
+	}
+	w.store.ServeHTTP(rw, req)
+}
+
 func listen(h http.Handler) (string, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -153,23 +174,17 @@
 	go r.register()
 }
 
-// register writes the runner's entry at each heartbeat, and removes it three of them after its end.
+// register writes the runner's entry at each heartbeat.
 func (r *runner) register() {
 	key := names["servers"] + r.id
 	for {
 		r.world.mu.Lock()
-		gone := r.gone
 		r.sequence++
 		value, _ := json.Marshal(map[string]any{
 			"service": "pondera", "address": r.m.address, "zone": r.m.zone, "version": "1", "slots": 8, "state": "ready",
 			"cold-remaining-ms": 0, "sequence": r.sequence, names["clock"]: r.clock().Milliseconds(), "labels": r.m.labels, "capacity": room(),
 		})
 		r.world.mu.Unlock()
-		if gone {
-			time.Sleep(3 * heartbeat)
-			r.world.store.Mem.Txn(context.Background(), infra.Txn{Then: []infra.Op{infra.Delete(key)}})
-			return
-		}
 		r.world.put(key, value)
 		time.Sleep(heartbeat)
 	}
@@ -179,35 +194,6 @@
 	return map[string]any{"cpu": fullRoom, names["memory"]: 65536, "gpu": 0}
 }
 
-// crash ends the machine's runner with all that runs there. Another one comes up at the same address after
-// the time that the machine is down.
-func (w *world) crash(m *machine, down time.Duration) {
-	w.mu.Lock()
-	r := m.runner
-	r.gone, m.runner, m.state = true, nil, "down"
-	w.note("crash of %s on %s with %d runs, down for %s", r.id, m.id, len(r.running), down)
-	for _, x := range r.running {
-		stopTimer(x.done)
-		stopTimer(x.wait)
-		w.ends = append(w.ends, endNote{at: time.Now(), task: x.task, run: x.number, how: "crashed"})
-		if x.gang != "" {
-			w.endGang(x, "crashed")
-		}
-	}
-	w.mu.Unlock()
-	r.server.Close()
-	time.AfterFunc(down, func() {
-		l, err := net.Listen("tcp", m.address)
-		w.mu.Lock()
-		defer w.mu.Unlock()
-		if err != nil {
-			w.note("%s stays down: %v", m.id, err)
-			return
-		}
-		w.boot(m, l)
-	})
-}
-
 // serveMachines lists the machines. The cases order no moves and no upkeep; such a call is answered as one
 // for a machine that is not up.
 func (w *world) serveMachines(rw http.ResponseWriter, req *http.Request) {
