--- a/review/twin/cases.go
+++ b/review/twin/cases.go
@@ -15,7 +15,7 @@
 
 // Figures of playCancelled.
 const (
-	scheduledJobs = 3300 // at most; fewer if they are refused
+	scheduledJobs = 3300 // at most; fewer if the owner stops answering
 	scheduledAt   = time.Hour
 	probes        = 5
 	finishTime    = 14 * time.Second // finish_s of the site file
@@ -63,7 +63,7 @@
 	}
 	handedIn := time.Now()
 	time.Sleep(finishTime + idleTime)
-	waited, begun := time.Since(handedIn), 0
+	waited, idle, begun := time.Since(handedIn), s.idleFor(idleTime), 0
 	for _, id := range accepted {
 		if s.begunBy(id) {
 			begun++
@@ -71,7 +71,7 @@
 		s.state(id)
 	}
 	verdict := fmt.Sprintf("%d of %d jobs that were accepted last have begun %.0f s later; 8 machines have %d runs", begun, len(accepted), waited.Seconds(), s.runsNow())
-	if begun < len(accepted) {
+	if begun < len(accepted) && idle {
 		return broken, "LOST broken: " + verdict
 	}
 	return held, "held: " + verdict
@@ -84,7 +84,7 @@
 	end := time.Now().Add(45 * time.Second)
 	for range 16 {
 		senders.Go(func() {
-			for time.Now().Before(end) && next.Load() < scheduledJobs {
+			for time.Now().Before(end) && accepted.Load() < scheduledJobs {
 				i := int(next.Add(1))
 				j := job(spec{Work: 500, CPU: 1000}, map[string]any{"count": 32, "estimated-ms": 500})
 				j["repetitions"], j[names["first"]], j["interval-ms"] = 1, time.Now().Add(scheduledAt).UnixMilli(), 1000
@@ -245,7 +245,7 @@
 		accepted = append(accepted, id)
 	}
 	time.Sleep(finishTime + 20*time.Second)
-	left := 0
+	left, idle := 0, s.idleFor(idleTime)
 	for _, id := range accepted {
 		if !s.begunBy(id) {
 			left++
@@ -253,7 +253,7 @@
 		}
 	}
 	verdict := fmt.Sprintf("%d of %d jobs that were accepted since the freeze, %d of them small, have not begun 34 s later; 8 machines have %d runs", left, len(accepted), probes, s.runsNow())
-	if left > 0 {
+	if left > 0 && idle {
 		return broken, "LOST broken: " + verdict
 	}
 	return held, "held: " + verdict
--- a/review/twin/main.go
+++ b/review/twin/main.go
@@ -186,8 +186,12 @@
 
 func jobID(kind, n int) string { return fmt.Sprintf("%04x%012x", kind, n) }
 
-// ready waits until a small job has been completed.
+// lead is how long after the machines the traffic starts.
+const lead = 10 * time.Second
+
+// ready waits for the lead, and then until a small job has been completed.
 func (s *scene) ready() bool {
+	time.Sleep(lead)
 	id := jobID(0xfff0, 1)
 	if !s.submit(id, job(spec{Work: 100, CPU: 100}, map[string]any{"count": 1, "estimated-ms": 100})) {
 		return false
--- a/review/twin/world.go
+++ b/review/twin/world.go
@@ -5,6 +5,7 @@
 	_ "embed"
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -194,10 +195,11 @@
 	return map[string]any{"cpu": fullRoom, names["memory"]: 65536, "gpu": 0}
 }
 
-// serveMachines lists the machines. The cases order no moves and no upkeep; such a call is answered as one
-// for a machine that is not up.
+// serveMachines lists the machines. There is one pool and no wave, so that no order for a machine is due;
+// the record would show one.
 func (w *world) serveMachines(rw http.ResponseWriter, req *http.Request) {
 	if req.URL.Path != names["list"] {
+		w.say("%s", req.URL.Path)
 		reply(rw, http.StatusConflict, map[string]any{"reason": "busy"})
 		return
 	}
@@ -222,7 +224,7 @@
 	}
 	var ports [3]string
 	for n := range ports {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+		l, err := reserve()
 		if err != nil {
 			return "", err
 		}
@@ -257,3 +259,14 @@
 	}
 	return ports[0], os.Rename(name+".new", name)
 }
+
+// reserve listens at a free port outside the range from which the system gives ports to connections, so that none
+// takes it before a daemon that is told of it listens there.
+func reserve() (l net.Listener, err error) {
+	for range 100 {
+		if l, err = net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", 12000+rand.IntN(18000))); err == nil {
+			return l, nil
+		}
+	}
+	return nil, err
+}
